Frame: shared types, interfaces to the outside, stream protocol

Cause: several people start at once on disjoint packages; they need the values and interfaces that all of them share before the first line of their own. Change: types, event, platform, engine, plain as interfaces; rpc/stream protocol; developers' page.

--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,85 @@
+// Package engine names what a model engine does for its sidecar: generate with
+// resume and cancel, report load, publish cache events, take orders.
+package engine
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+var (
+	// ErrRefused: the engine did not start the request (full, or no such model).
+	ErrRefused = errors.New("engine: request refused")
+	// ErrDied: the connection broke after the request was handed over.
+	ErrDied = errors.New("engine: connection lost")
+	// ErrStaleFence: the engine refused an order with an old fencing number.
+	ErrStaleFence = errors.New("engine: fencing number is old")
+)
+
+// Request asks for the continuation of prompt + Emitted by at most MaxTokens
+// new tokens. With Emitted empty it is a fresh generation. Cancelling the
+// context cancels the request in the engine.
+type Request struct {
+	ID        string        `json:"id"`
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Emitted   []types.Token `json:"emitted,omitempty"`
+	MaxTokens int           `json:"max_tokens"`
+	Priority  int           `json:"priority"`
+}
+
+// Result closes a generation that ended by itself.
+type Result struct {
+	Finish          types.FinishReason `json:"finish"`
+	PrefilledTokens int                `json:"prefilled_tokens"` // prompt and emitted tokens not found in the prefix cache
+}
+
+// CacheEvent tells that a prompt prefix entered or left the prefix cache.
+// Events come late and with gaps; Sequence shows the gaps.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Block    uint64 `json:"block"` // hash of the prefix up to and including the block
+	Evicted  bool   `json:"evicted"`
+}
+
+// OrderKind says what an engine is ordered to do.
+type OrderKind string
+
+// Orders an engine takes.
+const (
+	OrderLoadModel   OrderKind = "load_model"
+	OrderLoadAdapter OrderKind = "load_adapter"
+	OrderUnload      OrderKind = "unload"
+	OrderRole        OrderKind = "role"
+)
+
+// Order changes what an engine serves. Engines that check refuse a Fence
+// smaller than the largest that they have seen; others ignore it.
+type Order struct {
+	Kind    OrderKind `json:"kind"`
+	Name    string    `json:"name"`
+	Version string    `json:"version"`
+	Fence   uint64    `json:"fence"`
+}
+
+// Loaded is one model or adapter version that an engine serves.
+type Loaded struct {
+	Kind    OrderKind `json:"kind"`
+	Name    string    `json:"name"`
+	Version string    `json:"version"`
+	Fence   uint64    `json:"fence"` // of the order that loaded it; 0 if the engine keeps none
+}
+
+// Engine is one model engine. emit is called for each new token, in order; an
+// error from emit ends the generation and is returned.
+type Engine interface {
+	Generate(ctx context.Context, req Request, emit func(types.Token) error) (Result, error)
+	Load(ctx context.Context) (types.Load, error)
+	CacheEvents(ctx context.Context, since uint64) ([]CacheEvent, error)
+	Order(ctx context.Context, order Order) error
+	Loaded(ctx context.Context) ([]Loaded, error)
+	Healthy(ctx context.Context) error
+}
