engine/httpapi: client of a model engine over HTTP

Cause: the sidecar needs an engine.Engine, and must tell a request that never started (ErrRefused) from one whose engine died under it (ErrDied). Ruled out: kept connections for generations: an engine that restarted while one was idle looks like a death by this request and would make it suspect. Change: NDJSON stream that is whole only with its finish line; a failed dial, 4xx and 503 are ErrRefused; engine.PrefixOf names the blocks of cache events. Conclusion: the interface can be built against from here.

--- /dev/null
+++ b/engine/httpapi/client.go
@@ -0,0 +1,179 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/engine"
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	defaultDialTimeout    = 500 * time.Millisecond
+	defaultControlTimeout = 2 * time.Second
+	maxControlBytes       = 8 << 20
+	maxErrorBytes         = 512
+)
+
+// Options of a Client. Zero durations take their defaults.
+type Options struct {
+	Address        string        // IP:port of the engine
+	DialTimeout    time.Duration // of every connection; default 500 ms
+	ControlTimeout time.Duration // of every call but Generate; default 2 s
+}
+
+// Client is an engine.Engine over HTTP.
+type Client struct {
+	base    string
+	timeout time.Duration
+	streams *http.Transport
+	control *http.Transport
+}
+
+var _ engine.Engine = (*Client)(nil)
+
+// New returns a client of the engine at opts.Address.
+func New(opts Options) *Client {
+	if opts.DialTimeout == 0 {
+		opts.DialTimeout = defaultDialTimeout
+	}
+	if opts.ControlTimeout == 0 {
+		opts.ControlTimeout = defaultControlTimeout
+	}
+	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	return &Client{
+		base:    "http://" + opts.Address,
+		timeout: opts.ControlTimeout,
+		// A generation gets a connection of its own. On a kept one, an engine
+		// that restarted while it was idle would look as if it had died of this
+		// request, and the request would come under suspicion of a crash.
+		streams: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		control: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
+	}
+}
+
+// Generate implements engine.Engine. A connection that could not be made and an
+// answer of 4xx or 503 are ErrRefused: the request did not start. Whatever else
+// ends the stream before its finish line is ErrDied.
+func (c *Client) Generate(ctx context.Context, req engine.Request, emit func(types.Token) error) (engine.Result, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return engine.Result{}, errors.WithMessage(engine.ErrRefused, err.Error())
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	httpReq, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.base+PathGenerate, bytes.NewReader(body))
+	if err != nil {
+		return engine.Result{}, errors.WithMessage(engine.ErrRefused, err.Error())
+	}
+	httpReq.Header.Set("Content-Type", "application/json")
+	resp, err := c.streams.RoundTrip(httpReq)
+	if err != nil {
+		return engine.Result{}, transportError(ctx, err, connected)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return engine.Result{}, statusError(resp)
+	}
+	result, err := readGeneration(resp.Body, emit)
+	if errors.Is(err, engine.ErrDied) && ctx.Err() != nil {
+		return result, ctx.Err()
+	}
+	return result, err
+}
+
+// Load implements engine.Engine.
+func (c *Client) Load(ctx context.Context) (types.Load, error) {
+	var report LoadReport
+	err := c.call(ctx, http.MethodGet, PathLoad, nil, &report)
+	return report.Load(time.Now()), err
+}
+
+// CacheEvents implements engine.Engine.
+func (c *Client) CacheEvents(ctx context.Context, since uint64) ([]engine.CacheEvent, error) {
+	var events []engine.CacheEvent
+	err := c.call(ctx, http.MethodGet, PathCacheEvents+"?"+QuerySince+"="+strconv.FormatUint(since, 10), nil, &events)
+	return events, err
+}
+
+// Order implements engine.Engine.
+func (c *Client) Order(ctx context.Context, order engine.Order) error {
+	return c.call(ctx, http.MethodPost, PathOrders, order, nil)
+}
+
+// Loaded implements engine.Engine.
+func (c *Client) Loaded(ctx context.Context) ([]engine.Loaded, error) {
+	var loaded []engine.Loaded
+	err := c.call(ctx, http.MethodGet, PathLoaded, nil, &loaded)
+	return loaded, err
+}
+
+// Healthy implements engine.Engine.
+func (c *Client) Healthy(ctx context.Context) error {
+	return c.call(ctx, http.MethodGet, PathHealth, nil, nil)
+}
+
+// call makes one control call; in and out may be nil.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body := io.Reader(http.NoBody)
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := c.control.RoundTrip(req)
+	if err != nil {
+		return errors.WithMessage(engine.ErrDied, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp)
+	}
+	if out == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlBytes))
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(out); err != nil {
+		return errors.WithMessage(engine.ErrDied, err.Error())
+	}
+	return nil
+}
+
+func transportError(ctx context.Context, err error, connected bool) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if !connected {
+		return errors.WithMessage(engine.ErrRefused, err.Error())
+	}
+	return errors.WithMessage(engine.ErrDied, err.Error())
+}
+
+func statusError(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	kind := engine.ErrDied
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		kind = engine.ErrStaleFence
+	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode/100 == 4:
+		kind = engine.ErrRefused
+	}
+	return errors.WithMessagef(kind, "%s: %s", resp.Status, bytes.TrimSpace(text))
+}
--- /dev/null
+++ b/engine/prefix.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	// BlockTokens is how many tokens one block of a prefix cache holds.
+	BlockTokens = 16
+	// charsPerToken is the longest piece of a word that counts as one token.
+	charsPerToken = 4
+)
+
+// Prefix is what a prefix cache sees of a prompt and the tokens emitted so far.
+type Prefix struct {
+	Tokens int      // all tokens, those of an unfinished last block included
+	Blocks []uint64 // chained hash of each whole block, as in CacheEvent.Block
+}
+
+// PrefixOf cuts a prompt into tokens (each word into pieces of four bytes, each
+// emitted token as one) and hashes them block by block. Every hash covers all
+// that stands before it, so that equal hashes mean equal prefixes.
+func PrefixOf(prompt string, emitted []types.Token) Prefix {
+	var p prefixHash
+	for word := range strings.FieldsSeq(prompt) {
+		for len(word) > charsPerToken {
+			p.add(word[:charsPerToken])
+			word = word[charsPerToken:]
+		}
+		p.add(word)
+	}
+	for _, token := range emitted {
+		p.add(token.Text)
+	}
+	return p.prefix
+}
+
+type prefixHash struct {
+	prefix Prefix
+	chain  uint64
+	digest xxhash.Digest
+}
+
+func (p *prefixHash) add(token string) {
+	if p.prefix.Tokens%BlockTokens == 0 {
+		p.begin()
+	}
+	_, _ = p.digest.WriteString(token)
+	_, _ = p.digest.Write([]byte{0})
+	p.prefix.Tokens++
+	if p.prefix.Tokens%BlockTokens == 0 {
+		p.chain = p.digest.Sum64()
+		p.prefix.Blocks = append(p.prefix.Blocks, p.chain)
+	}
+}
+
+func (p *prefixHash) begin() {
+	p.digest.Reset()
+	var before [8]byte
+	binary.LittleEndian.PutUint64(before[:], p.chain)
+	_, _ = p.digest.Write(before[:])
+}
