route, retry: first compiling version of the API

Cause: the router and the sidecar need a policy, a retry budget and a circuit to build on. Ruled out: a lock around a table of candidates (all requests would share it); sony/gobreaker for the circuit: in its half-open state a probe that never reports a result bars all others. Change: Policy.Pick over an immutable View with statistics by atomics, four policies, a bounded lock-free prefix map; Budget, Circuit, Backoff, RetryAfter, Elsewhere.

--- /dev/null
+++ b/retry/metrics.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type budgetMetrics struct {
+	first   prometheus.Counter
+	allowed prometheus.Counter
+	refused prometheus.Counter
+}
+
+func newBudgetMetrics(reg prometheus.Registerer, service string) budgetMetrics {
+	first := register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearyard_retry_first_tries_total",
+		Help: "Requests sent for the first time.",
+	}, []string{"service"}))
+	asked := register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearyard_retry_asked_total",
+		Help: "Retries asked for, by whether the budget allowed them.",
+	}, []string{"service", "allowed"}))
+	return budgetMetrics{
+		first:   first.WithLabelValues(service),
+		allowed: asked.WithLabelValues(service, "true"),
+		refused: asked.WithLabelValues(service, "false"),
+	}
+}
+
+func newOpenedCounter(reg prometheus.Registerer) prometheus.Counter {
+	return register(reg, prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pearyard_retry_circuit_opened_total",
+		Help: "Times that the circuit of a backend server was opened.",
+	}))
+}
+
+// register returns the collector, or the one registered before under its name.
+func register[T prometheus.Collector](reg prometheus.Registerer, c T) T {
+	if reg == nil {
+		return c
+	}
+	err := reg.Register(c)
+	var already prometheus.AlreadyRegisteredError
+	if errors.As(err, &already) {
+		if old, ok := already.ExistingCollector.(T); ok {
+			return old
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/route/metrics.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// reason says why a candidate was picked.
+type reason int
+
+const (
+	reasonHolder reason = iota
+	reasonHome
+	reasonZone
+	reasonLoad
+	reasonProbe
+	reasonSuspect
+	reasonLast
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{"holder", "home", "zone", "load", "probe", "suspect", "last_resort"}
+
+// metrics are resolved once, so that a pick costs one atomic addition.
+type metrics struct {
+	picks [reasonCount]prometheus.Counter
+	none  prometheus.Counter
+	slow  prometheus.Gauge
+}
+
+func newMetrics(reg prometheus.Registerer, service string) *metrics {
+	picks := register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearyard_route_picks_total",
+		Help: "Picks of a backend server by the reason of the choice.",
+	}, []string{"service", "reason"}))
+	none := register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearyard_route_no_candidate_total",
+		Help: "Picks that found no backend server.",
+	}, []string{"service"}))
+	slow := register(reg, prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pearyard_route_slow_backend_servers",
+		Help: "Backend servers avoided for their step time.",
+	}, []string{"service"}))
+	m := &metrics{none: none.WithLabelValues(service), slow: slow.WithLabelValues(service)}
+	for i, name := range reasonNames {
+		m.picks[i] = picks.WithLabelValues(service, name)
+	}
+	return m
+}
+
+// register returns the collector, or the one registered before under its name:
+// each service has its own policy, and all share the metrics.
+func register[T prometheus.Collector](reg prometheus.Registerer, c T) T {
+	if reg == nil {
+		return c
+	}
+	err := reg.Register(c)
+	var already prometheus.AlreadyRegisteredError
+	if errors.As(err, &already) {
+		if old, ok := already.ExistingCollector.(T); ok {
+			return old
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/route/policy.go
@@ -0,0 +1,198 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/engine"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Names of policies.
+const (
+	RoundRobin     = "round_robin"
+	LeastLoad      = "least_load"
+	PowerOfTwo     = "power_of_two"
+	PrefixAffinity = "prefix_affinity"
+)
+
+// DefaultPolicy is the one that the measurements in docs/design/routing.md speak for.
+const DefaultPolicy = PrefixAffinity
+
+// Names lists the policies that NewPolicy knows.
+func Names() []string { return []string{RoundRobin, LeastLoad, PowerOfTwo, PrefixAffinity} }
+
+// ErrUnknownPolicy is returned by NewPolicy.
+var ErrUnknownPolicy = errors.New("unknown routing policy")
+
+// Query is what a policy gets to know of a request. It isn't kept.
+type Query struct {
+	Blocks  []uint64          // prefix keys of the prompt (see Blocks), longest last
+	Zone    types.Zone        // the router's zone
+	Avoid   []types.ProcessID // candidates that must not get the request; a few at the most
+	Suspect bool              // the request may have crashed an engine
+	Long    bool              // expected to run for minutes, or a resume: never used as a probe
+}
+
+// Policy picks a candidate for one request. It is safe for concurrent use and
+// takes no lock. It returns false if the view has no candidate outside q.Avoid.
+type Policy interface {
+	Pick(q *Query, v *View) (*Candidate, bool)
+}
+
+// Learner is a Policy that keeps a view of prefix caches.
+type Learner interface {
+	// Learn notes that c has prefilled a prompt with these keys.
+	Learn(c *Candidate, blocks []uint64)
+	// CacheEvents corrects the view by what c's engine says of its cache.
+	// The events must speak of keys made by Blocks.
+	CacheEvents(c *Candidate, events []engine.CacheEvent)
+}
+
+// Learn tells p that c has prefilled a prompt, if p wants to know.
+func Learn(p Policy, c *Candidate, blocks []uint64) {
+	if l, ok := p.(Learner); ok {
+		l.Learn(c, blocks)
+	}
+}
+
+// CacheEvents tells p of c's cache events, if p wants to know.
+func CacheEvents(p Policy, c *Candidate, events []engine.CacheEvent) {
+	if l, ok := p.(Learner); ok {
+		l.CacheEvents(c, events)
+	}
+}
+
+// Options of a policy. One policy serves one service.
+type Options struct {
+	Service    string                // label of the metrics
+	Tuning     Tuning                // zero fields take their defaults
+	Registerer prometheus.Registerer // nil: no metrics
+	Recorder   *event.Recorder       // nil: no events
+	Now        func() time.Time      // nil: time.Now
+	Rand       func() uint64         // nil: math/rand/v2
+}
+
+// Tuning holds the dials of the policies. docs/design/routing.md has the
+// figures behind the defaults.
+type Tuning struct {
+	// SlowStart is how long a started or resumed candidate takes to reach its full share.
+	SlowStart time.Duration `json:"slow_start,omitempty"`
+	// SlowStartFloor is the share that it begins with.
+	SlowStartFloor float64 `json:"slow_start_floor,omitempty"`
+	// SlowFactor times the median step time makes a candidate slow.
+	SlowFactor float64 `json:"slow_factor,omitempty"`
+	// ProbeEvery is the time between two probes of one slow candidate.
+	ProbeEvery time.Duration `json:"probe_every,omitempty"`
+	// ReportTau is the age at which a load report has lost half its weight.
+	ReportTau time.Duration `json:"report_tau,omitempty"`
+	// FailPenalty is how long a fail keeps requests away, load allowing.
+	FailPenalty time.Duration `json:"fail_penalty,omitempty"`
+	// BoundFactor times the mean load bounds the load that affinity may cause.
+	BoundFactor float64 `json:"bound_factor,omitempty"`
+	// BoundFloor is the part of a candidate's capacity that it may always fill.
+	BoundFloor float64 `json:"bound_floor,omitempty"`
+	// ZoneFirst makes prefix affinity look in the router's own zone first. The
+	// other policies always do.
+	ZoneFirst bool `json:"zone_first,omitempty"`
+	// PrefixEntries bounds the prefix map; 16 bytes each, rounded up to a power of two.
+	PrefixEntries int `json:"prefix_entries,omitempty"`
+	// PrefixTTL is how long an entry of the prefix map counts without being seen again.
+	PrefixTTL time.Duration `json:"prefix_ttl,omitempty"`
+	// EventLag is how late a cache event may be; an eviction doesn't undo what
+	// was learnt within it.
+	EventLag time.Duration `json:"event_lag,omitempty"`
+	// Renew is the time between two renewals of the view's means.
+	Renew time.Duration `json:"renew,omitempty"`
+}
+
+// DefaultTuning returns the measured defaults.
+func DefaultTuning() Tuning {
+	return Tuning{
+		SlowStart:      20 * time.Second,
+		SlowStartFloor: 0.1,
+		SlowFactor:     3,
+		ProbeEvery:     2 * time.Second,
+		ReportTau:      2 * time.Second,
+		FailPenalty:    5 * time.Second,
+		BoundFactor:    1.25,
+		BoundFloor:     0.5,
+		PrefixEntries:  1 << 16,
+		PrefixTTL:      10 * time.Minute,
+		EventLag:       5 * time.Second,
+		Renew:          50 * time.Millisecond,
+	}
+}
+
+func (t Tuning) withDefaults() Tuning {
+	d := DefaultTuning()
+	orDefault(&t.SlowStart, d.SlowStart)
+	orDefault(&t.SlowStartFloor, d.SlowStartFloor)
+	orDefault(&t.SlowFactor, d.SlowFactor)
+	orDefault(&t.ProbeEvery, d.ProbeEvery)
+	orDefault(&t.ReportTau, d.ReportTau)
+	orDefault(&t.FailPenalty, d.FailPenalty)
+	orDefault(&t.BoundFactor, d.BoundFactor)
+	orDefault(&t.BoundFloor, d.BoundFloor)
+	orDefault(&t.PrefixEntries, d.PrefixEntries)
+	orDefault(&t.PrefixTTL, d.PrefixTTL)
+	orDefault(&t.EventLag, d.EventLag)
+	orDefault(&t.Renew, d.Renew)
+	return t
+}
+
+func orDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// NewPolicy returns the policy of the given name.
+func NewPolicy(name string, opts Options) (Policy, error) {
+	b := newBase(opts)
+	switch name {
+	case RoundRobin:
+		return &roundRobin{base: b}, nil
+	case LeastLoad:
+		return &leastLoad{base: b}, nil
+	case PowerOfTwo:
+		return &powerOfTwo{base: b}, nil
+	case PrefixAffinity:
+		return &affinity{base: b, prefixes: newPrefixMap(b.tuning.PrefixEntries)}, nil
+	default:
+		return nil, errors.Wrap(ErrUnknownPolicy, name)
+	}
+}
+
+// base is what all policies share.
+type base struct {
+	tuning   Tuning
+	metrics  *metrics
+	recorder *event.Recorder
+	now      func() time.Time
+	rand     func() uint64
+}
+
+func newBase(opts Options) base {
+	b := base{
+		tuning:   opts.Tuning.withDefaults(),
+		metrics:  newMetrics(opts.Registerer, opts.Service),
+		recorder: opts.Recorder,
+		now:      opts.Now,
+		rand:     opts.Rand,
+	}
+	if b.recorder == nil {
+		b.recorder = event.Discard()
+	}
+	if b.now == nil {
+		b.now = time.Now
+	}
+	if b.rand == nil {
+		b.rand = rand.Uint64
+	}
+	return b
+}
