--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,219 @@
+// Package admin serves the administration API of a router: commands that change
+// the system and queries that only read it, on a listener of their own behind a
+// bearer token. It is stateless: any router serves any call.
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/event"
+	adminpb "github.com/pearyard/pearyard/rpc/admin"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Defaults and bounds.
+const (
+	DefaultWait     = 4 * time.Second // for a revision to be in force everywhere
+	MaxWait         = 2 * time.Minute
+	MaxTextBytes    = 4 << 20
+	DefaultHistory  = 20
+	MaxHistory      = 1000
+	DefaultTimeout  = 2 * time.Second // for one answer of one process
+	DefaultParallel = 32              // processes asked at once
+)
+
+// Text is one accepted operators' text.
+type Text struct {
+	Revision types.Revision
+	Base     types.Revision
+	Who      string
+	Note     string
+	At       time.Time
+	Raw      []byte // may be nil in a history
+}
+
+// Change is a text that an operator wants in force in place of Base.
+type Change struct {
+	Base types.Revision
+	Raw  []byte
+	Who  string
+	Note string
+}
+
+// Finding is one fault of a text, with its place.
+type Finding struct {
+	Severity string
+	Line     int
+	Column   int
+	Pointer  string
+	Message  string
+}
+
+var (
+	// ErrNoRevision: there is no text of that revision.
+	ErrNoRevision = errors.New("no such revision")
+	// ErrAmbiguous: the store's answer was lost; the text may be accepted.
+	ErrAmbiguous = errors.New("the text may have been accepted; read the history")
+	// ErrNotFound: no process or backend server of that name is known.
+	ErrNotFound = errors.New("no such process or backend server")
+	// ErrNoToken: an administration API without a token is not served.
+	ErrNoToken = errors.New("admin: a bearer token is required")
+)
+
+// FindingsError refuses a text for what was found in it.
+type FindingsError struct{ Findings []Finding }
+
+// Error implements error.
+func (e *FindingsError) Error() string {
+	return errors.Errorf("the text has %d findings", len(e.Findings)).Error()
+}
+
+// RaceError refuses a text because another was accepted on its base first.
+type RaceError struct{ Winner Text }
+
+// Error implements error.
+func (e *RaceError) Error() string {
+	return errors.Errorf("revision %d by %s was accepted first", e.Winner.Revision, e.Winner.Who).Error()
+}
+
+// Texts is the store of accepted texts. Accept returns the new revision and the
+// warnings found, or *FindingsError, *RaceError, ErrAmbiguous or another error,
+// after which nothing was accepted. Load returns ErrNoRevision for an unknown
+// revision. History returns the newest first and needn't fill Raw.
+type Texts interface {
+	Accept(ctx context.Context, change Change) (types.Revision, []Finding, error)
+	Load(ctx context.Context, revision types.Revision) (Text, error)
+	History(ctx context.Context, limit int) ([]Text, error)
+}
+
+// State is what the membership says of a process.
+type State string
+
+// States of a process.
+const (
+	StateAlive   State = "alive"
+	StateSuspect State = "suspect"
+	StateLeaving State = "leaving"
+	StateDead    State = "dead"
+)
+
+// Member is one process as this router sees it.
+type Member struct {
+	Process       types.ProcessID
+	Role          types.Role
+	Zone          types.Zone
+	Address       string // of its peer listener, host:port
+	BackendServer string // beside a sidecar
+	State         State
+	Incarnation   types.Incarnation
+	Revision      types.Revision // newest that it is known to have in force
+	InFlight      int
+	Load          *types.Load // nil: not known
+}
+
+// Quarantine is one request body that is refused because it killed engines.
+type Quarantine struct {
+	Fingerprint  types.Fingerprint
+	Organisation types.Organisation
+	Deaths       int
+	Until        time.Time
+}
+
+// Stopper starts a planned stop of a process and returns how many streams and
+// calls it still has in flight. Asking again for a stop that runs is harmless.
+type Stopper interface {
+	Stop(ctx context.Context, member Member, who string) (inFlight int, err error)
+}
+
+// Options of New. All but the last ones are required.
+type Options struct {
+	Token       string // bearer token of operators
+	Process     types.ProcessID
+	Texts       Texts
+	InForce     func() Text         // the text in force in this process; zero: none
+	Members     func() []Member     // this process included
+	Quarantines func() []Quarantine // in this process's view
+	Stopper     Stopper
+	Recorder    *event.Recorder
+	Registerer  prometheus.Registerer
+
+	HTTP     *http.Client               // towards the peer listeners; nil: a plain one
+	Diff     func(from, to Text) string // nil: a unified diff of lines
+	Secrets  []string                   // values that a bundle must not show, besides the token
+	Timeout  time.Duration              // for one answer of one process; 0: DefaultTimeout
+	Parallel int                        // processes asked at once; 0: DefaultParallel
+	Now      func() time.Time           // nil: time.Now
+}
+
+// Server implements the twirp services Commands and Queries and the bundle.
+type Server struct {
+	opts    Options
+	peers   *peers
+	metrics *metrics
+}
+
+var (
+	_ adminpb.Commands = (*Server)(nil)
+	_ adminpb.Queries  = (*Server)(nil)
+)
+
+// New checks the options and returns a server.
+func New(opts Options) (*Server, error) {
+	if opts.Token == "" {
+		return nil, ErrNoToken
+	}
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Client{}
+	}
+	if opts.Diff == nil {
+		opts.Diff = lineDiff
+	}
+	if opts.Timeout <= 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.Parallel <= 0 {
+		opts.Parallel = DefaultParallel
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Recorder == nil {
+		opts.Recorder = event.Discard()
+	}
+	if opts.Quarantines == nil {
+		opts.Quarantines = func() []Quarantine { return nil }
+	}
+	return &Server{
+		opts:    opts,
+		peers:   &peers{client: opts.HTTP, timeout: opts.Timeout, parallel: opts.Parallel, now: opts.Now},
+		metrics: newMetrics(opts.Registerer),
+	}, nil
+}
+
+// PathBundle is where Handler serves the bundle, as a tar.gz.
+const PathBundle = "/admin/bundle"
+
+// Handler serves the API behind the bearer token.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(adminpb.CommandsPathPrefix, adminpb.NewCommandsServer(s))
+	mux.Handle(adminpb.QueriesPathPrefix, adminpb.NewQueriesServer(s))
+	mux.HandleFunc("GET "+PathBundle, s.serveBundle)
+	return s.authorised(http.MaxBytesHandler(mux, MaxTextBytes*2))
+}
+
+// named returns the members that a process's or backend server's name means.
+func (s *Server) named(name string) []Member {
+	var out []Member
+	for _, m := range s.opts.Members() {
+		if string(m.Process) == name || (m.BackendServer != "" && m.BackendServer == name) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/admin/auth.go
@@ -0,0 +1,32 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/twitchtv/twirp"
+)
+
+const bearerPrefix = "Bearer "
+
+// authorised lets calls with the bearer token through.
+//
+// Failure guarded against: guessing the token byte by byte from the time that a
+// refusal takes. Both sides are hashed, so that they have one length, and
+// compared in constant time.
+func (s *Server) authorised(next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(s.opts.Token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		got := sha256.Sum256([]byte(token))
+		if !ok || subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			s.opts.Recorder.Emit(eventUnauthorized, "remote", r.RemoteAddr, "path", r.URL.Path)
+			s.metrics.unauthorized.Inc()
+			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("wrong or missing bearer token"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/admin/mask.go
@@ -0,0 +1,143 @@
+package admin
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sort"
+	"strings"
+	"unicode"
+
+	"github.com/tailscale/hujson"
+)
+
+// secretWords are the words in a JSON member's name that make its strings a
+// secret or a caller's own content.
+var secretWords = map[string]bool{
+	"token": true, "tokens": true, "key": true, "keys": true, "secret": true, "secrets": true,
+	"password": true, "passwords": true, "authorization": true, "bearer": true, "credential": true, "credentials": true,
+	"prompt": true, "body": true, "emitted": true,
+}
+
+// minSecretBytes is the shortest value that is searched for outside its own
+// place: replacing every "a" would leave nothing to read.
+const minSecretBytes = 6
+
+// masker replaces secrets. A masked value shows as `masked-` and a tag that is
+// the same for equal values of one bundle and tells nothing else: it is keyed
+// by a random number that is thrown away with the masker.
+//
+// Failure guarded against: a bundle goes to a vendor, by mail as likely as not,
+// and a token in it opens the site. Names alone don't catch a value that was
+// logged under another name, so each secret met under its name, and each one
+// given, is also replaced wherever else its text stands.
+type masker struct {
+	salt  [sha256.Size]byte
+	known map[string]string // value to replacement
+}
+
+func newMasker(secrets ...string) *masker {
+	m := &masker{known: map[string]string{}}
+	_, _ = rand.Read(m.salt[:])
+	for _, secret := range secrets {
+		m.learn(secret)
+	}
+	return m
+}
+
+const maskTagBytes = 4
+
+// learn notes a secret and returns what stands in its place.
+func (m *masker) learn(value string) string {
+	mac := hmac.New(sha256.New, m.salt[:])
+	mac.Write([]byte(value))
+	masked := "masked-" + hex.EncodeToString(mac.Sum(nil)[:maskTagBytes])
+	if len(value) >= minSecretBytes && !strings.HasPrefix(value, "masked-") {
+		m.known[value] = masked
+	}
+	return masked
+}
+
+// plain replaces the known secrets in a text of any form, longest first, so that
+// a secret which contains another is replaced whole.
+func (m *masker) plain(raw []byte) []byte {
+	secrets := make([]string, 0, len(m.known))
+	for secret := range m.known {
+		secrets = append(secrets, secret)
+	}
+	sort.Slice(secrets, func(i, j int) bool { return len(secrets[i]) > len(secrets[j]) })
+	for _, secret := range secrets {
+		raw = bytes.ReplaceAll(raw, []byte(secret), []byte(m.known[secret]))
+		escaped := escapedJSON(secret)
+		raw = bytes.ReplaceAll(raw, escaped, []byte(m.known[secret]))
+	}
+	return raw
+}
+
+// escapedJSON returns the value as it stands inside a JSON string.
+func escapedJSON(value string) []byte {
+	quoted, _ := json.Marshal(value) // a string always encodes
+	return quoted[1 : len(quoted)-1]
+}
+
+// json masks a JSON document, comments and trailing commas allowed; line numbers
+// stay. Comments are blanked: a secret noted in one has no name to know it by.
+// What doesn't parse, such as a dump that was cut, is not passed on.
+func (m *masker) json(raw []byte) []byte {
+	standard, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return []byte(`{"left_out": "not valid JSON, so its secrets can't be found"}`)
+	}
+	value, err := hujson.Parse(standard)
+	if err != nil {
+		return []byte(`{"left_out": "not valid JSON, so its secrets can't be found"}`)
+	}
+	m.value(&value, false)
+	return m.plain(value.Pack())
+}
+
+func (m *masker) value(v *hujson.Value, secret bool) {
+	switch node := v.Value.(type) {
+	case *hujson.Object:
+		for i := range node.Members {
+			name, _ := node.Members[i].Name.Value.(hujson.Literal)
+			m.value(&node.Members[i].Value, secret || secretName(name.String()))
+		}
+	case *hujson.Array:
+		for i := range node.Elements {
+			m.value(&node.Elements[i], secret)
+		}
+	case hujson.Literal:
+		if secret && node.Kind() == '"' && node.String() != "" {
+			v.Value = hujson.String(m.learn(node.String()))
+		}
+	}
+}
+
+// secretName splits a name such as admin_token or adminToken into its words.
+func secretName(name string) bool {
+	words := strings.FieldsFunc(splitCamel(name), func(r rune) bool { return !unicode.IsLetter(r) })
+	for _, word := range words {
+		if secretWords[strings.ToLower(word)] {
+			return true
+		}
+	}
+	return false
+}
+
+// splitCamel sets a space before each upper-case letter that follows a lower-case one.
+func splitCamel(name string) string {
+	var out strings.Builder
+	previous := rune(0)
+	for _, r := range name {
+		if unicode.IsUpper(r) && unicode.IsLower(previous) {
+			out.WriteByte(' ')
+		}
+		out.WriteRune(r)
+		previous = r
+	}
+	return out.String()
+}
--- /dev/null
+++ b/admin/queries.go
@@ -0,0 +1,121 @@
+package admin
+
+import (
+	"context"
+	"sort"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	adminpb "github.com/pearyard/pearyard/rpc/admin"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Get returns the text of a revision, or the newest. With the store down, the
+// newest is what this router has in force, and the answer says so.
+func (s *Server) Get(ctx context.Context, req *adminpb.GetRequest) (*adminpb.GetResponse, error) {
+	if req.GetRevision() != 0 {
+		text, err := s.opts.Texts.Load(ctx, types.Revision(req.GetRevision()))
+		if err != nil {
+			return nil, s.queryError(err)
+		}
+		return &adminpb.GetResponse{Revision: textPB(text)}, nil
+	}
+	text, fallback, err := s.newest(ctx)
+	if err != nil {
+		return nil, s.queryError(err)
+	}
+	return &adminpb.GetResponse{Revision: textPB(text), StoreUnavailable: fallback}, nil
+}
+
+// newest returns the newest accepted text; fallback says that the store did not
+// answer and the text is the one in force here.
+func (s *Server) newest(ctx context.Context) (text Text, fallback bool, err error) {
+	history, err := s.opts.Texts.History(ctx, 1)
+	if err == nil && len(history) == 0 {
+		return Text{}, false, ErrNoRevision
+	}
+	if err == nil {
+		text, err = s.opts.Texts.Load(ctx, history[0].Revision)
+	}
+	if err == nil {
+		return text, false, nil
+	}
+	inForce := s.opts.InForce()
+	if inForce.Revision == 0 {
+		return Text{}, true, err
+	}
+	return inForce, true, nil
+}
+
+// History lists accepted revisions, newest first, without their texts.
+func (s *Server) History(ctx context.Context, req *adminpb.HistoryRequest) (*adminpb.HistoryResponse, error) {
+	history, err := s.opts.Texts.History(ctx, historyLimit(req.GetLimit()))
+	if err != nil {
+		return nil, s.queryError(err)
+	}
+	resp := &adminpb.HistoryResponse{}
+	for _, text := range history {
+		text.Raw = nil
+		resp.Revisions = append(resp.Revisions, textPB(text))
+	}
+	return resp, nil
+}
+
+func historyLimit(limit uint32) int {
+	if limit == 0 {
+		return DefaultHistory
+	}
+	return int(min(limit, MaxHistory))
+}
+
+// Diff compares two revisions, or a revision and a text that is not applied.
+func (s *Server) Diff(ctx context.Context, req *adminpb.DiffRequest) (*adminpb.DiffResponse, error) {
+	from, err := s.revisionOrNewest(ctx, req.GetFrom())
+	if err != nil {
+		return nil, s.queryError(err)
+	}
+	to := Text{Raw: req.GetToText()}
+	if len(to.Raw) == 0 {
+		to, err = s.revisionOrNewest(ctx, req.GetTo())
+	}
+	if err != nil {
+		return nil, s.queryError(err)
+	}
+	return &adminpb.DiffResponse{Diff: s.opts.Diff(from, to)}, nil
+}
+
+func (s *Server) revisionOrNewest(ctx context.Context, revision uint64) (Text, error) {
+	if revision != 0 {
+		return s.opts.Texts.Load(ctx, types.Revision(revision))
+	}
+	text, _, err := s.newest(ctx)
+	return text, err
+}
+
+// Status returns this router's view of the members, quarantines and drains.
+func (s *Server) Status(ctx context.Context, req *adminpb.StatusRequest) (*adminpb.StatusResponse, error) {
+	members := s.opts.Members()
+	if req.GetName() != "" {
+		members = s.named(req.GetName())
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Process < members[j].Process })
+	resp := &adminpb.StatusResponse{
+		Process:     string(s.opts.Process),
+		Revision:    uint64(s.opts.InForce().Revision),
+		Quarantines: quarantinesPB(s.opts.Quarantines()),
+		Drains:      s.drains(ctx, members),
+	}
+	for _, m := range members {
+		resp.Members = append(resp.Members, memberPB(m, s.opts.Now()))
+	}
+	return resp, nil
+}
+
+// queryError gives an error its twirp code.
+func (s *Server) queryError(err error) error {
+	if errors.Is(err, ErrNoRevision) || errors.Is(err, ErrNotFound) {
+		return twirp.NotFound.Error(err.Error())
+	}
+	return twirp.Unavailable.Error(err.Error())
+}
