--- /dev/null
+++ b/journal/metrics.go
@@ -0,0 +1,69 @@
+package journal
+
+import "github.com/prometheus/client_golang/prometheus"
+
+var (
+	stateNames   = [states]string{"finished", "reserved", "running"}
+	verdictNames = [...]string{taken: "taken", missing: "missing", refused: "refused"}
+)
+
+type storeMetrics struct {
+	bytes     prometheus.Gauge
+	entries   *prometheus.GaugeVec
+	evictions *prometheus.CounterVec
+	records   *prometheus.CounterVec
+}
+
+func newStoreMetrics(reg prometheus.Registerer) *storeMetrics {
+	m := &storeMetrics{
+		bytes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pearyard_journal_held_bytes", Help: "Bytes that the token journal holds for other sidecars."}),
+		entries: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pearyard_journal_held_generations", Help: "Generations in the token journal by state."}, []string{"state"}),
+		evictions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_journal_evictions_total", Help: "Generations dropped for want of room, by state."}, []string{"state"}),
+		records: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_journal_records_total", Help: "Records received, by what became of them."}, []string{"verdict"}),
+	}
+	register(reg, m.bytes, m.entries, m.evictions, m.records)
+	return m
+}
+
+func (s *Store) gauge() {
+	s.metrics.bytes.Set(float64(s.bytes))
+	for st, ages := range s.ages {
+		s.metrics.entries.WithLabelValues(stateNames[st]).Set(float64(ages.Len()))
+	}
+}
+
+type writerMetrics struct {
+	appends  *prometheus.CounterVec
+	tokens   prometheus.Counter
+	wire     prometheus.Counter
+	replaced prometheus.Counter
+	held     prometheus.Gauge
+}
+
+func newWriterMetrics(reg prometheus.Registerer) *writerMetrics {
+	m := &writerMetrics{
+		appends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_journal_appends_total", Help: "Batches sent to journal peers, by result."}, []string{"result"}),
+		tokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_journal_sent_tokens_total", Help: "Tokens sent to journal peers, copies and resends counted."}),
+		wire: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_journal_sent_bytes_total", Help: "Encoded bytes of batches sent, without HTTP."}),
+		replaced: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_journal_peers_replaced_total", Help: "Generations moved to another journal peer."}),
+		held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pearyard_journal_writer_bytes", Help: "Bytes of own generations kept to journal them."}),
+	}
+	register(reg, m.appends, m.tokens, m.wire, m.replaced, m.held)
+	return m
+}
+
+func register(reg prometheus.Registerer, collectors ...prometheus.Collector) {
+	if reg == nil {
+		return
+	}
+	reg.MustRegister(collectors...)
+}
--- /dev/null
+++ b/journal/server.go
@@ -0,0 +1,23 @@
+package journal
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/pearyard/pearyard/rpc/journal"
+)
+
+type server struct{ store *Store }
+
+// NewServer serves a store's Read; mount journalpb.NewJournalServer on it.
+func NewServer(store *Store) journalpb.Journal { return server{store: store} }
+
+// Read implements journalpb.Journal.
+func (s server) Read(_ context.Context, in *journalpb.ReadRequest) (*journalpb.ReadResponse, error) {
+	out, err := s.store.Read(in)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("generation", err.Error())
+	}
+	return out, nil
+}
