suspect: ledger of crash suspicions, spread without the table service

Cause: one request that crashes each engine it runs on, sent again, takes engine after engine. Ruled out: counting suspicions by number (told twice, counts twice); clearing by reset (hides a later death).

--- /dev/null
+++ b/suspect/ledger_test.go
@@ -0,0 +1,178 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	poison    = types.Fingerprint(1)
+	neighbour = types.Fingerprint(2)
+)
+
+// A caller's request crashes engine a and, resumed, engine b. Seven neighbours
+// shared a's death and seven others b's. Only the poison may be refused; the
+// neighbours go on and, whole, are clear again.
+func TestPoisonIsQuarantinedAndNeighboursAreNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		l := New(Options{})
+		for i, engine := range []string{"a/1", "b/1"} {
+			ran := []types.Fingerprint{poison}
+			for n := range 7 {
+				ran = append(ran, types.Fingerprint(100*(i+1)+n))
+			}
+			l.Death(engine, ran)
+			l.Death(engine, ran) // told by a second router as well
+		}
+		g.Expect(l.Verdict(poison).State).To(gomega.Equal(Quarantined))
+		g.Expect(l.Verdict(poison).RetryAfter(time.Now())).To(gomega.Equal(DefaultQuarantine))
+		for n := range 7 {
+			g.Expect(l.Verdict(types.Fingerprint(100 + n))).To(gomega.Equal(Verdict{State: Suspect, Deaths: 1}))
+			l.Completed(types.Fingerprint(100 + n))
+			g.Expect(l.Verdict(types.Fingerprint(100 + n)).State).To(gomega.Equal(Clear))
+		}
+		time.Sleep(DefaultQuarantine + time.Second)
+		g.Expect(l.Verdict(poison).State).To(gomega.Equal(Suspect))
+		l.Death("c/1", []types.Fingerprint{poison}) // one engine, not two, and twice as long
+		g.Expect(l.Verdict(poison).RetryAfter(time.Now())).To(gomega.Equal(2 * DefaultQuarantine))
+		time.Sleep(DefaultWindow + time.Minute)
+		l.expire()
+		g.Expect(l.Dump().Entries).To(gomega.BeEmpty())
+	})
+}
+
+// A copy of a suspect completes on router A while, unknown to A, a second
+// engine dies of it at router B. A's clearing reaches B late. The later death
+// must still count, and a quarantine that B has announced must stand.
+func TestClearingHidesNoLaterDeathAndLiftsNoQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := New(Options{}), New(Options{})
+	exchange := func(from, to *Ledger) {
+		news, _ := from.Deltas(0)
+		to.Merge(news)
+	}
+	a.Death("x/1", []types.Fingerprint{poison, neighbour})
+	exchange(a, b)
+	b.Death("y/1", []types.Fingerprint{poison})
+	a.Completed(poison)
+	a.Completed(neighbour)
+	exchange(a, b)
+	exchange(b, a)
+	for _, l := range []*Ledger{a, b} {
+		g.Expect(l.Verdict(poison).State).To(gomega.Equal(Quarantined))
+		g.Expect(l.Verdict(neighbour).State).To(gomega.Equal(Clear))
+	}
+	a.Completed(poison) // a copy that ran on for long ends whole
+	g.Expect(a.Verdict(poison).State).To(gomega.Equal(Quarantined))
+	a.Death("z/1", []types.Fingerprint{neighbour})
+	g.Expect(a.Verdict(neighbour)).To(gomega.Equal(Verdict{State: Suspect, Deaths: 1}))
+}
+
+// Two suspects of one death would, placed together, die together and both be
+// quarantined; and a second copy of one would cost a third engine.
+func TestSuspectsAreKeptApartAndRunOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := New(Options{})
+	other := types.Fingerprint(9)
+	g.Expect(l.Enter(poison, "a")).To(gomega.BeTrue())
+	g.Expect(l.Enter(poison, "b")).To(gomega.BeTrue()) // clear: as many as come
+	l.Death("a/1", []types.Fingerprint{poison, neighbour})
+	l.Leave(poison, "a")
+	g.Expect(l.Enter(poison, "c")).To(gomega.BeFalse(), "the copy on b still runs")
+	g.Expect(l.Enter(neighbour, "b")).To(gomega.BeFalse(), "b has a suspect")
+	g.Expect(l.Enter(neighbour, "c")).To(gomega.BeTrue())
+	g.Expect(l.Enter(other, "b")).To(gomega.BeTrue())
+	g.Expect(l.SuspectsOn()).To(gomega.Equal(map[string]int{"b": 1, "c": 1}))
+	l.Leave(poison, "b")
+	g.Expect(l.Enter(poison, "b")).To(gomega.BeTrue())
+}
+
+func TestFullLedgerKeepsWhatWeighsMost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := New(Options{Max: 3})
+	l.Death("a", []types.Fingerprint{poison})
+	l.Death("b", []types.Fingerprint{poison})
+	l.Death("c", []types.Fingerprint{10, 11, 12, 13})
+	g.Expect(l.Dump().Entries).To(gomega.HaveLen(3))
+	g.Expect(l.Verdict(poison).State).To(gomega.Equal(Quarantined))
+	g.Expect(l.Verdict(13).State).To(gomega.Equal(Suspect))
+}
+
+// Deliveries in any order, repeated, split at will: joined records are equal,
+// and after all ledgers have exchanged everything so are their verdicts.
+func TestMergeLaws(t *testing.T) {
+	start := time.Now()
+	entry := rapid.Custom(func(t *rapid.T) Entry {
+		e := Entry{Fingerprint: types.Fingerprint(rapid.IntRange(1, 3).Draw(t, "fp"))}
+		for range rapid.IntRange(0, 3).Draw(t, "deaths") {
+			e.Deaths = append(e.Deaths, Death{
+				ID:      fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "death")),
+				At:      start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * time.Second),
+				Cleared: rapid.Bool().Draw(t, "cleared"),
+			})
+		}
+		return e
+	})
+	now := func() time.Time { return start.Add(time.Minute) }
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		entries := rapid.SliceOfN(entry, 0, 8).Draw(t, "entries")
+		ledgers := make([]*Ledger, 3)
+		for i := range ledgers {
+			ledgers[i] = New(Options{Now: now})
+			for _, e := range rapid.Permutation(entries).Draw(t, "order") {
+				ledgers[i].Merge([]Entry{e})
+				if rapid.Bool().Draw(t, "twice") {
+					ledgers[i].Merge([]Entry{e})
+				}
+			}
+		}
+		for range 2 {
+			for _, from := range ledgers {
+				news, _ := from.Deltas(0)
+				for _, to := range ledgers {
+					to.Merge(news)
+				}
+			}
+		}
+		for _, l := range ledgers[1:] {
+			g.Expect(l.Dump()).To(gomega.BeComparableTo(ledgers[0].Dump(), ignoreUnsaved))
+		}
+		before := ledgers[0].Dump()
+		news, _ := ledgers[0].Deltas(0)
+		g.Expect(ledgers[0].Merge(news)).To(gomega.BeFalse(), "idempotent")
+		g.Expect(ledgers[0].Dump()).To(gomega.Equal(before))
+	})
+}
+
+func BenchmarkVerdict(b *testing.B) {
+	l := New(Options{})
+	l.Death("a", []types.Fingerprint{poison})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			l.Verdict(neighbour)
+		}
+	})
+}
+
+func BenchmarkEnterLeave(b *testing.B) {
+	l := New(Options{})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		fp := types.FingerprintOf("o", []byte(fmt.Sprint(time.Now().UnixNano())))
+		for pb.Next() {
+			fp++
+			l.Enter(fp, "a")
+			l.Leave(fp, "a")
+		}
+	})
+}
--- /dev/null
+++ b/suspect/spread_test.go
@@ -0,0 +1,302 @@
+package suspect
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/platform"
+	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
+	"github.com/pearyard/pearyard/types"
+)
+
+var ignoreUnsaved cmp.Option = cmpopts.IgnoreFields(Dump{}, "Unsaved")
+
+// fleet is a set of ledgers that reach each other in memory after a delay.
+type fleet struct {
+	ledgers   map[string]*Ledger
+	spreaders map[string]*Spreader
+	names     []string
+	cut       sync.Map // names that no one reaches
+}
+
+type call struct {
+	fleet    *fleet
+	from, to string
+}
+
+const hop = 2 * time.Millisecond
+
+func (c call) wait() error {
+	time.Sleep(hop)
+	_, to := c.fleet.cut.Load(c.to)
+	if _, from := c.fleet.cut.Load(c.from); from || to {
+		return errors.New("unreachable")
+	}
+	return nil
+}
+
+func (c call) Exchange(ctx context.Context, in *suspectpb.ExchangeRequest) (*suspectpb.ExchangeResponse, error) {
+	if err := c.wait(); err != nil {
+		return nil, err
+	}
+	return c.fleet.ledgers[c.to].Server().Exchange(ctx, in)
+}
+
+func (c call) Grant(ctx context.Context, in *suspectpb.GrantRequest) (*suspectpb.GrantResponse, error) {
+	if err := c.wait(); err != nil {
+		return nil, err
+	}
+	return c.fleet.ledgers[c.to].Server().Grant(ctx, in)
+}
+
+func newFleet(ctx context.Context, n int, opts Options) *fleet {
+	f := &fleet{ledgers: map[string]*Ledger{}, spreaders: map[string]*Spreader{}}
+	for i := range n {
+		f.names = append(f.names, fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	for _, name := range f.names {
+		l := New(opts)
+		f.ledgers[name] = l
+		f.spreaders[name] = NewSpreader(l, SpreaderOptions{
+			Self:  name,
+			Peers: func() []string { return f.names },
+			Dial:  func(to string) suspectpb.Suspects { return call{f, name, to} },
+		})
+	}
+	for _, name := range f.names {
+		go func() { _ = f.spreaders[name].Run(ctx) }()
+		go func() { _ = f.ledgers[name].Run(ctx) }()
+	}
+	return f
+}
+
+// A caller sends its poisoned request through two routers at once, under two
+// keys. Engine 1 dies; before engine 2 does, router 1 wants to resume its copy
+// and a third router is sent another. Without the home's grant a third engine
+// would get a copy while the second is dying.
+func TestPoisonThroughSeveralRoutersCostsTwoEngines(t *testing.T) {
+	for _, home := range []string{"reachable", "cut"} {
+		t.Run(home, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { poisonThroughRouters(t, home == "cut") })
+		})
+	}
+}
+
+func poisonThroughRouters(t *testing.T, cutHome bool) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		time.Sleep(callTimeout)
+	}()
+	f := newFleet(ctx, 4, Options{})
+	order := f.spreaders[f.names[0]].order(poison)
+	if cutHome {
+		f.cut.Store(order[0], true)
+	}
+	routers := order[1:]
+	var mu sync.Mutex
+	crashed := map[string]bool{}
+	var callers sync.WaitGroup
+	// run is a router's loop for one copy: place, crash after 400 ms, resume.
+	run := func(router string, engine int) {
+		l, s := f.ledgers[router], f.spreaders[router]
+		for ; ; engine += 10 {
+			backend := fmt.Sprint("engine-", engine)
+			verdict, err := s.Await(ctx, poison)
+			if err != nil || verdict.State == Quarantined {
+				return
+			}
+			if !l.Enter(poison, backend) {
+				s.Release(poison)
+				time.Sleep(grantPoll)
+				continue
+			}
+			time.Sleep(400 * time.Millisecond)
+			mu.Lock()
+			crashed[backend] = true
+			mu.Unlock()
+			l.Death(backend, []types.Fingerprint{poison, types.Fingerprint(1000 + engine)})
+			l.Leave(poison, backend)
+		}
+	}
+	callers.Go(func() { run(routers[0], 1) })
+	callers.Go(func() { time.Sleep(200 * time.Millisecond); run(routers[1], 2) })
+	callers.Go(func() { time.Sleep(450 * time.Millisecond); run(routers[2], 3) })
+	callers.Wait()
+	g.Expect(crashed).To(gomega.HaveLen(2))
+	time.Sleep(5 * time.Second)
+	for _, router := range routers {
+		g.Expect(f.ledgers[router].Verdict(poison).State).To(gomega.Equal(Quarantined))
+		g.Expect(f.ledgers[router].Verdict(1001).State).To(gomega.Equal(Suspect), "a neighbour")
+	}
+}
+
+// A router that runs the one granted copy dies. Its grant lapses, so that the
+// caller, who comes back through another router, isn't held back for ever.
+func TestGrantOfADeadRouterLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		f := newFleet(ctx, 4, Options{})
+		order := f.spreaders[f.names[0]].order(poison)
+		f.ledgers[order[1]].Death("x/1", []types.Fingerprint{poison})
+		time.Sleep(time.Second)
+		_, err := f.spreaders[order[1]].Await(ctx, poison)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(f.ledgers[order[1]].Enter(poison, "a")).To(gomega.BeTrue())
+		f.cut.Store(order[1], true)
+		short, stop := context.WithTimeout(ctx, 5*time.Second)
+		defer stop()
+		_, err = f.spreaders[order[2]].Await(short, poison)
+		g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+		began := time.Now()
+		_, err = f.spreaders[order[2]].Await(ctx, poison)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2*grantLife))
+	})
+}
+
+// The table service is down from the start. News reaches all of 400 processes
+// all the same, within a fraction of a second.
+func TestNewsReachesAllWithTheTableDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		f := newFleet(ctx, 400, Options{Table: &memoryTable{down: true}})
+		began := time.Now()
+		f.ledgers[f.names[7]].Death("x/1", []types.Fingerprint{poison})
+		knowing := func() int {
+			n := 0
+			for _, l := range f.ledgers {
+				if l.Verdict(poison).State == Suspect {
+					n++
+				}
+			}
+			return n
+		}
+		most := time.Duration(0)
+		for knowing() < len(f.names) && time.Since(began) < 10*time.Second {
+			time.Sleep(hop)
+			if most == 0 && knowing() >= len(f.names)*95/100 {
+				most = time.Since(began)
+			}
+		}
+		t.Logf("95%% of %d knew after %v, all after %v (hop %v)", len(f.names), most, time.Since(began), hop)
+		g.Expect(most).To(gomega.BeNumerically("<", settle/2))
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 5*time.Second))
+	})
+}
+
+// memoryTable is a table service in memory that can be down.
+type memoryTable struct {
+	mu   sync.Mutex
+	down bool
+	rows map[string]platform.Row
+}
+
+func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := m.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (m *memoryTable) List(context.Context, string, int) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, platform.ErrUnavailable
+	}
+	var out []platform.Row
+	for _, row := range m.rows {
+		out = append(out, row)
+	}
+	return out, nil
+}
+
+func (m *memoryTable) Commit(_ context.Context, txn platform.Txn) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.ErrUnavailable
+	}
+	for _, c := range txn.If {
+		if m.rows[c.Key].Version != c.Version {
+			return &platform.ConflictError{Keys: []string{c.Key}}
+		}
+	}
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(m.rows, w.Key)
+			continue
+		}
+		m.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: m.rows[w.Key].Version + 1}
+	}
+	return nil
+}
+
+func (m *memoryTable) set(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+// Every process is restarted at once while a poison is quarantined. It comes
+// back from the table service; when all is over its row is gone.
+func TestQuarantineSurvivesARestartOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		table := &memoryTable{rows: map[string]platform.Row{}, down: true}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		start := func() (*Ledger, context.CancelFunc) {
+			ctx, stop := context.WithCancel(ctx)
+			l := New(Options{Table: table})
+			go func() { _ = l.Run(ctx) }()
+			return l, stop
+		}
+		first, stopFirst := start()
+		second, stopSecond := start()
+		first.Death("a/1", []types.Fingerprint{poison})
+		second.Death("b/1", []types.Fingerprint{poison}) // they never met
+		time.Sleep(3 * time.Second)
+		table.set(false)
+		time.Sleep(5 * time.Second)
+		stopFirst()
+		stopSecond()
+		third, _ := start()
+		synctest.Wait()
+		g.Expect(third.Verdict(poison).State).To(gomega.Equal(Quarantined))
+		time.Sleep(2 * DefaultWindow)
+		g.Expect(third.Dump().Entries).To(gomega.BeEmpty())
+		fourth, _ := start()
+		time.Sleep(5 * time.Second)
+		g.Expect(fourth.Dump().Entries).To(gomega.BeEmpty())
+		g.Expect(table.rows).To(gomega.BeEmpty())
+	})
+}
