Membership: probes, suspicion, sticky leaving, subsets

Cause: routers and sidecars have to find each other without a coordination service and within 4 KB/s a member at 2,000 members. Change: the API of package membership and its wire messages; SWIM-like probes with piggybacked changes, list comparison by bucket digests.

--- /dev/null
+++ b/membership/probe.go
@@ -0,0 +1,220 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	memberpb "github.com/pearyard/pearyard/rpc/member"
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	// maxUpdates bounds the changes in one message to about a packet.
+	maxUpdates = 12
+	// indirectProbes is how many members are asked to probe a silent one.
+	indirectProbes = 3
+	// maxReprobes bounds the suspects that are probed again each period.
+	maxReprobes = 2
+	// indirectTimeoutFactor times ProbeTimeout bounds an indirect probe.
+	indirectTimeoutFactor = 2
+)
+
+// client returns a client for one address.
+func (m *Membership) client(addr string) memberpb.Members {
+	return memberpb.NewMembersProtobufClient("http://"+addr, m.opts.HTTPClient)
+}
+
+// slim leaves the User-Agent line out of every request: some 30 bytes each.
+func slim(ctx context.Context) context.Context {
+	out, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{"User-Agent": {""}})
+	if err != nil {
+		return ctx
+	}
+	return out
+}
+
+// probeRound probes the next member of the round robin and the suspects that
+// this process accused: a suspect that answers learns of it and refutes.
+func (m *Membership) probeRound(ctx context.Context) {
+	target, epoch, again, ok := m.drawTargets()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.tell(ctx, again)
+	}()
+	defer func() { <-done }()
+	if !ok {
+		return
+	}
+	answered := m.probe(ctx, target) || m.probeIndirect(ctx, target)
+	m.noteOutcome(target, epoch, !answered)
+}
+
+func (m *Membership) drawTargets() (target record, epoch int, again []record, ok bool) {
+	m.lock()
+	defer m.unlock()
+	id, ok := m.ring.draw(m.rng, func(id types.ProcessID) bool {
+		e := m.table.entries[id]
+		return e != nil && e.Condition != conditionDead
+	})
+	if ok {
+		target = m.table.entries[id].record
+	}
+	for _, e := range m.table.entries {
+		if e.Condition == conditionSuspect && e.raised && e.ID != id && len(again) < maxReprobes {
+			again = append(again, e.record)
+		}
+	}
+	return target, m.health.epoch, again, ok
+}
+
+// noteOutcome accuses a member that didn't answer, unless the fault may be here.
+func (m *Membership) noteOutcome(target record, epoch int, failed bool) {
+	m.lock()
+	defer m.unlock()
+	now := time.Now()
+	e := m.table.entries[target.ID]
+	if e == nil || epoch != m.health.epoch || now.Sub(m.health.lastTick) > m.freezeBound() {
+		return
+	}
+	if e.Condition == conditionAlive || !failed {
+		m.health.note(failed)
+	}
+	if failed && m.health.sound() && m.table.majority(now) {
+		m.table.suspect(now, target.ID, target.Incarnation)
+	}
+}
+
+// probe asks a member directly. It reports whether this very run answered.
+func (m *Membership) probe(ctx context.Context, target record) bool {
+	ctx, cancel := context.WithTimeout(slim(ctx), m.opts.ProbeTimeout)
+	defer cancel()
+	req := m.probeRequest(target.ID)
+	resp, err := m.client(target.Address).Probe(ctx, req)
+	if err != nil {
+		m.metrics.probes.WithLabelValues("direct", "failed").Inc()
+		return false
+	}
+	m.metrics.probes.WithLabelValues("direct", "answered").Inc()
+	m.receive(resp.GetFrom(), resp.GetUpdates())
+	return answeredBy(resp.GetFrom(), target)
+}
+
+func answeredBy(from *memberpb.Record, target record) bool {
+	return from.GetId() == string(target.ID) && from.GetIncarnation() == uint64(target.Incarnation)
+}
+
+func (m *Membership) probeRequest(to types.ProcessID) *memberpb.ProbeRequest {
+	m.lock()
+	defer m.unlock()
+	return &memberpb.ProbeRequest{From: m.from(), Updates: m.encodeUpdates(m.table.updates(to, nil))}
+}
+
+func (m *Membership) encodeUpdates(records []record) []*memberpb.Record {
+	m.metrics.records.WithLabelValues("sent").Add(float64(len(records)))
+	out := make([]*memberpb.Record, len(records))
+	for i, r := range records {
+		out[i] = encodeUpdate(r)
+	}
+	return out
+}
+
+// receive merges the head and changes of a message. The head is direct
+// evidence of its sender's life.
+func (m *Membership) receive(from *memberpb.Record, updates []*memberpb.Record) {
+	now := time.Now()
+	sender := decode(from)
+	m.lock()
+	defer m.unlock()
+	m.receiveLocked(now, sender, updates)
+}
+
+func (m *Membership) receiveLocked(now time.Time, sender record, updates []*memberpb.Record) {
+	m.table.apply(now, sender)
+	m.table.hear(now, sender.ID, sender.Incarnation)
+	for _, u := range updates {
+		m.table.apply(now, decode(u))
+	}
+	m.metrics.records.WithLabelValues("received").Add(float64(len(updates)))
+	m.noteRevision(sender.Address, sender.Revision)
+}
+
+// probeIndirect asks a few members to probe a target that didn't answer here,
+// and reports whether it answered one of them: then the network between the
+// two is at fault, not the target.
+func (m *Membership) probeIndirect(ctx context.Context, target record) bool {
+	helpers := m.pickAlive(indirectProbes, target.ID)
+	ctx, cancel := context.WithTimeout(slim(ctx), indirectTimeoutFactor*m.opts.ProbeTimeout)
+	defer cancel()
+	reached := make(chan bool, len(helpers))
+	for _, helper := range helpers {
+		go func() { reached <- m.askHelper(ctx, helper, target) }()
+	}
+	for range helpers {
+		if <-reached {
+			m.metrics.probes.WithLabelValues("indirect", "answered").Inc()
+			return true
+		}
+	}
+	m.metrics.probes.WithLabelValues("indirect", "failed").Inc()
+	return false
+}
+
+func (m *Membership) askHelper(ctx context.Context, helper, target record) bool {
+	resp, err := m.client(helper.Address).ProbeIndirect(ctx, m.indirectRequest(target))
+	if err != nil {
+		return false
+	}
+	m.receive(resp.GetFrom(), nil)
+	if resp.GetTarget() == nil || !answeredBy(resp.GetTarget(), target) {
+		return false
+	}
+	m.receive(resp.GetTarget(), nil)
+	return true
+}
+
+func (m *Membership) indirectRequest(target record) *memberpb.ProbeIndirectRequest {
+	m.lock()
+	defer m.unlock()
+	return &memberpb.ProbeIndirectRequest{From: m.from(), Target: encode(target)}
+}
+
+// tell probes members at once only to bring news, and reports whether any answered.
+func (m *Membership) tell(ctx context.Context, targets []record) bool {
+	answers := make(chan bool, len(targets))
+	for _, target := range targets {
+		go func() { answers <- m.probe(ctx, target) }()
+	}
+	any := false
+	for range targets {
+		any = <-answers || any
+	}
+	return any
+}
+
+// pickAlive draws up to n members held alive, other than this and except.
+func (m *Membership) pickAlive(n int, except types.ProcessID) []record {
+	m.lock()
+	defer m.unlock()
+	return m.pickAliveLocked(n, except)
+}
+
+func (m *Membership) pickAliveLocked(n int, except types.ProcessID) []record {
+	var out []record
+	seen := 0
+	for id, e := range m.table.entries {
+		if id == m.table.self || id == except || e.Condition != conditionAlive {
+			continue
+		}
+		seen++
+		if len(out) < n {
+			out = append(out, e.record)
+		} else if at := m.rng.IntN(seen); at < n {
+			out[at] = e.record
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/membership/ring.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+// probeRing is the shuffled round robin: every member is probed once a pass,
+// so that no dead member is missed for longer than two passes.
+type probeRing struct {
+	ids []types.ProcessID
+	pos int
+}
+
+// insert puts a new member at a random place of the rest of this pass.
+func (r *probeRing) insert(id types.ProcessID, rng *rand.Rand) {
+	if slices.Contains(r.ids, id) {
+		return
+	}
+	r.ids = append(r.ids, id)
+	last := len(r.ids) - 1
+	at := r.pos + rng.IntN(len(r.ids)-r.pos)
+	r.ids[at], r.ids[last] = r.ids[last], r.ids[at]
+}
+
+// next makes a member the next one to be probed.
+func (r *probeRing) next(id types.ProcessID) {
+	if i := slices.Index(r.ids[r.pos:], id); i >= 0 {
+		r.ids[r.pos], r.ids[r.pos+i] = r.ids[r.pos+i], r.ids[r.pos]
+		return
+	}
+	r.ids = slices.Insert(r.ids, r.pos, id)
+}
+
+// draw returns the next member that keep accepts; others leave the ring.
+func (r *probeRing) draw(rng *rand.Rand, keep func(types.ProcessID) bool) (types.ProcessID, bool) {
+	for range len(r.ids) {
+		if r.pos >= len(r.ids) {
+			r.pos = 0
+			rng.Shuffle(len(r.ids), func(i, j int) { r.ids[i], r.ids[j] = r.ids[j], r.ids[i] })
+		}
+		id := r.ids[r.pos]
+		if keep(id) {
+			r.pos++
+			return id, true
+		}
+		r.ids = slices.Delete(r.ids, r.pos, r.pos+1)
+	}
+	return "", false
+}
+
+// noteInRing keeps the ring in step: a member that joins or comes back goes in;
+// draw drops those that are dead.
+func (m *Membership) noteInRing(t transition) {
+	if t.ID != m.table.self && t.Condition != conditionDead && (t.old == "" || t.old == StateDead) {
+		m.ring.insert(t.ID, m.rng)
+	}
+}
+
+// healthWindow is over how many probes of members held alive failures are counted.
+const healthWindow = 4
+
+// health judges whether this process's own failed probes prove anything.
+type health struct {
+	failures [healthWindow]bool
+	at       int
+	lastTick time.Time
+	epoch    int // raised by a freeze; a probe begun earlier proves nothing
+}
+
+func (h *health) note(failed bool) {
+	h.failures[h.at%healthWindow] = failed
+	h.at++
+}
+
+// sound guards against accusations by a process that is itself cut off: it
+// would see failures in a row, one each probe, and accuse everyone. More than
+// one failure in four means that the fault may be here; a member that has
+// really died is then accused by others, or here at a later probe.
+func (h *health) sound() bool {
+	n := 0
+	for _, f := range h.failures {
+		if f {
+			n++
+		}
+	}
+	return n <= 1
+}
+
+// tokens is a bucket that bounds messages outside the round robin.
+type tokens struct {
+	count    float64
+	refilled time.Time
+}
+
+func (b *tokens) take(now time.Time, rate, size float64) bool {
+	b.count = min(size, b.count+rate*now.Sub(b.refilled).Seconds())
+	b.refilled = now
+	if b.count < 1 {
+		return false
+	}
+	b.count--
+	return true
+}
--- /dev/null
+++ b/membership/serve.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	memberpb "github.com/pearyard/pearyard/rpc/member"
+	"github.com/pearyard/pearyard/types"
+)
+
+// service answers the other members' calls.
+type service struct{ m *Membership }
+
+// Probe implements memberpb.Members.
+func (s *service) Probe(_ context.Context, req *memberpb.ProbeRequest) (*memberpb.ProbeResponse, error) {
+	if req.GetFrom() == nil {
+		return nil, twirp.RequiredArgumentError("from")
+	}
+	m := s.m
+	now := time.Now()
+	sender := decode(req.GetFrom())
+	had := make(map[types.ProcessID]record, len(req.GetUpdates()))
+	for _, u := range req.GetUpdates() {
+		had[types.ProcessID(u.GetId())] = decode(u)
+	}
+	m.lock()
+	defer m.unlock()
+	m.receiveLocked(now, sender, req.GetUpdates())
+	return &memberpb.ProbeResponse{From: m.from(), Updates: m.encodeUpdates(m.table.updates(sender.ID, had))}, nil
+}
+
+// ProbeIndirect implements memberpb.Members.
+func (s *service) ProbeIndirect(ctx context.Context, req *memberpb.ProbeIndirectRequest) (*memberpb.ProbeIndirectResponse, error) {
+	if req.GetFrom() == nil || req.GetTarget().GetAddress() == "" {
+		return nil, twirp.RequiredArgumentError("from and target")
+	}
+	m := s.m
+	m.receive(req.GetFrom(), nil)
+	target := decode(req.GetTarget())
+	m.probe(ctx, target)
+	return m.indirectAnswer(target), nil
+}
+
+// indirectAnswer carries the target's record if it was heard within this probe.
+func (m *Membership) indirectAnswer(target record) *memberpb.ProbeIndirectResponse {
+	m.lock()
+	defer m.unlock()
+	out := &memberpb.ProbeIndirectResponse{From: m.from()}
+	e := m.table.entries[target.ID]
+	if e != nil && e.Incarnation == target.Incarnation && time.Since(e.heard) <= m.opts.ProbeTimeout {
+		out.Target = encode(e.record)
+	}
+	return out
+}
+
+// Sync implements memberpb.Members.
+func (s *service) Sync(_ context.Context, req *memberpb.SyncRequest) (*memberpb.SyncResponse, error) {
+	if req.GetFrom() == nil {
+		return nil, twirp.RequiredArgumentError("from")
+	}
+	m := s.m
+	now := time.Now()
+	sender := decode(req.GetFrom())
+	m.lock()
+	defer m.unlock()
+	m.receiveLocked(now, sender, req.GetRecords())
+	out := &memberpb.SyncResponse{From: m.from()}
+	if len(req.GetDigests()) == 0 {
+		return out, nil
+	}
+	out.Buckets = m.table.digests.differing(req.GetDigests())
+	limit := maxSyncRecords
+	if req.GetJoin() {
+		limit = 0
+	}
+	out.Records = encodeAll(m.table.records(out.Buckets, limit))
+	m.metrics.records.WithLabelValues("sent").Add(float64(len(out.Records)))
+	return out, nil
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,324 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	// deadRetention is how long a dead member is remembered, so that late news
+	// of its life isn't believed and a mended partition is noticed.
+	deadRetention = 24 * time.Hour
+	// deathWindow is how long a death counts against the majority rule.
+	deathWindow = 5 * time.Minute
+)
+
+// entry is a member as this process holds it: the shared record and what this
+// process alone knows.
+type entry struct {
+	record
+	since    time.Time // when condition last changed here
+	heard    time.Time // last direct evidence of life; never travels
+	deadline time.Time // of a suspicion
+	raised   bool      // this process raised the suspicion, and keeps probing
+}
+
+// believedAlive reports direct evidence of life later than the suspicion.
+func (e *entry) believedAlive() bool { return e.heard.After(e.since) }
+
+// shown is the member as the view shows it: a live answer clears a suspicion
+// here at once, before the member's refutation has come round.
+func (e *entry) shown() Member {
+	m := e.member()
+	if m.State == StateSuspect && e.believedAlive() {
+		m.State = StateAlive
+	}
+	return m
+}
+
+// transition is one change of a member that the caller reports and acts on.
+type transition struct {
+	record                 // as it is now
+	old    State           // empty for a new member or a later run of a known one
+	took   types.ProcessID // member whose address the new one has taken
+}
+
+// table merges news into entries. It does no input or output, takes the time
+// as an argument and is guarded by Membership.mu.
+type table struct {
+	self           types.ProcessID
+	suspectTimeout time.Duration
+	entries        map[types.ProcessID]*entry
+	byAddress      map[string]types.ProcessID // latest incarnation at each address
+	queue          *queue
+	digests        digests
+
+	dirty       bool              // the published view is behind
+	urgent      bool              // news that is to be passed on at once
+	behind      types.Incarnation // higher incarnation heard of the own id; 0: none
+	transitions []transition      // not yet reported
+}
+
+func newTable(self record, suspectTimeout time.Duration, now time.Time) *table {
+	t := &table{
+		self:           self.ID,
+		suspectTimeout: suspectTimeout,
+		entries:        map[types.ProcessID]*entry{},
+		byAddress:      map[string]types.ProcessID{},
+		queue:          newQueue(),
+	}
+	t.put(now, nil, self)
+	return t
+}
+
+func (t *table) own() *entry { return t.entries[t.self] }
+
+// apply merges one piece of news.
+func (t *table) apply(now time.Time, r record) {
+	if r.ID == "" || r.Incarnation == 0 {
+		return
+	}
+	if r.ID == t.self {
+		t.applyOwn(now, r)
+		return
+	}
+	e := t.entries[r.ID]
+	if !t.takes(e, r) {
+		return
+	}
+	if e == nil {
+		t.put(now, nil, r)
+		return
+	}
+	merged := merge(e.record, r)
+	if sameNews(merged, e.record) {
+		t.dirty = t.dirty || merged.Revision != e.Revision
+		e.Revision = merged.Revision
+		return
+	}
+	t.put(now, e, merged)
+}
+
+// takes reports whether a record can be merged at all.
+func (t *table) takes(e *entry, r record) bool {
+	if e == nil {
+		return r.Address != "" && r.Condition != conditionDead
+	}
+	// A short record of a run that isn't known here can't be placed; the next
+	// comparison of lists brings it whole.
+	return r.Address != "" || r.Incarnation <= e.Incarnation
+}
+
+// applyOwn answers news of this process. Leaving is taken over: it was marked
+// by an operator or the VM list. A suspicion or death is refuted by a higher
+// counter; the incarnation stays, it names the run and calls depend on it.
+func (t *table) applyOwn(now time.Time, r record) {
+	own := t.own()
+	switch {
+	case r.Incarnation > own.Incarnation:
+		t.behind = max(t.behind, r.Incarnation)
+		return
+	case r.Incarnation < own.Incarnation || t.byAddress[own.Address] != t.self:
+		return // an earlier run is meant, or a later process has taken the address
+	}
+	next := own.record
+	next.Leaving = own.Leaving || r.Leaving
+	if r.Condition != conditionAlive && r.Counter >= own.Counter {
+		next.Counter = r.Counter + 1
+		t.urgent = true
+	} else if r.Counter > own.Counter {
+		next.Counter = r.Counter
+	}
+	if next != own.record {
+		t.put(now, own, next)
+	}
+}
+
+// put stores a record that differs from the entry's and queues it as news.
+func (t *table) put(now time.Time, e *entry, r record) {
+	change := transition{}
+	if e == nil {
+		e = &entry{}
+		t.entries[r.ID] = e
+	} else {
+		if e.Incarnation == r.Incarnation {
+			change.old = e.state()
+		}
+		t.digests.toggle(e.record)
+	}
+	if e.Incarnation != r.Incarnation || e.Condition != r.Condition || e.Counter != r.Counter {
+		e.since = now
+		e.raised = false
+		e.deadline = now.Add(t.suspectTimeout)
+	}
+	if e.Incarnation != r.Incarnation {
+		e.heard = time.Time{}
+	}
+	change.record = r
+	if e.Address != r.Address && t.byAddress[e.Address] == r.ID {
+		delete(t.byAddress, e.Address)
+	}
+	e.record = r
+	t.digests.toggle(r)
+	t.queue.add(r.ID)
+	t.dirty = true
+	if s := e.state(); s != change.old && (s == StateLeaving || s == StateDead) {
+		t.urgent = true
+	}
+	change.took = t.takeAddress(now, r)
+	t.transitions = append(t.transitions, change)
+}
+
+// takeAddress guards against calls to a VM that no longer exists: a later
+// incarnation under the same address proves that the earlier member is gone,
+// without waiting for suspicion, and no probe could tell, since the address
+// answers. It returns the member replaced.
+func (t *table) takeAddress(now time.Time, r record) types.ProcessID {
+	holder := t.entries[t.byAddress[r.Address]]
+	if holder == nil || holder.ID == r.ID {
+		t.byAddress[r.Address] = r.ID
+		return ""
+	}
+	loser := holder
+	if later(holder.record, r) {
+		loser = t.entries[r.ID]
+	} else {
+		t.byAddress[r.Address] = r.ID
+	}
+	if loser.Condition == conditionDead || loser.ID == t.self {
+		return ""
+	}
+	gone := loser.record
+	gone.Condition = conditionDead
+	t.put(now, loser, gone)
+	return loser.ID
+}
+
+// hear notes direct evidence of life and returns whether the member is held
+// suspect or dead, so that it should be told.
+func (t *table) hear(now time.Time, id types.ProcessID, inc types.Incarnation) bool {
+	e := t.entries[id]
+	if e == nil || id == t.self || e.Incarnation != inc {
+		return false
+	}
+	t.dirty = t.dirty || (e.Condition == conditionSuspect && !e.believedAlive())
+	e.heard = now
+	return e.Condition != conditionAlive
+}
+
+// suspect raises a suspicion from this process's own probe.
+func (t *table) suspect(now time.Time, id types.ProcessID, inc types.Incarnation) {
+	e := t.entries[id]
+	if e == nil || e.Incarnation != inc || e.Condition != conditionAlive {
+		return
+	}
+	next := e.record
+	next.Condition = conditionSuspect
+	t.put(now, e, next)
+	e.raised = true
+}
+
+// expire turns suspicions past their deadline into deaths, and forgets old
+// deaths. A member heard of directly since is given another round instead.
+func (t *table) expire(now time.Time) {
+	for id, e := range t.entries {
+		switch {
+		case e.Condition == conditionSuspect && !now.Before(e.deadline):
+			t.expireSuspect(now, e)
+		case e.Condition == conditionDead && now.Sub(e.since) > deadRetention:
+			t.forget(id, e)
+		}
+	}
+}
+
+func (t *table) expireSuspect(now time.Time, e *entry) {
+	if now.Sub(e.heard) < t.suspectTimeout || !t.majority(now) {
+		e.deadline = now.Add(t.suspectTimeout)
+		return
+	}
+	next := e.record
+	next.Condition = conditionDead
+	t.put(now, e, next)
+}
+
+func (t *table) forget(id types.ProcessID, e *entry) {
+	delete(t.entries, id)
+	t.queue.remove(id)
+	if t.byAddress[e.Address] == id {
+		delete(t.byAddress, e.Address)
+	}
+	t.dirty = true
+}
+
+// majority reports whether this process sees more than half of the members
+// alive. It guards against the smaller side of a partition, or one process cut
+// off, declaring everyone else dead: after mending, that news would take the
+// whole site's backend servers out of use until each had refuted it. Without a
+// majority, suspects stay suspects, which stops new work to them just as well.
+func (t *table) majority(now time.Time) bool {
+	alive, lost := 0, 0
+	for _, e := range t.entries {
+		switch {
+		case e.Condition == conditionAlive || e.believedAlive():
+			alive++
+		case e.Leaving || e.Condition == conditionDead && now.Sub(e.since) > deathWindow:
+		default:
+			lost++
+		}
+	}
+	return alive > lost
+}
+
+// restartSuspicions gives every suspect a new deadline.
+func (t *table) restartSuspicions(now time.Time) {
+	for _, e := range t.entries {
+		e.deadline = now.Add(t.suspectTimeout)
+	}
+}
+
+// updates picks the changes to piggyback on a message to a member: first what
+// is said of that member itself, if it should refute it, then queued changes.
+func (t *table) updates(to types.ProcessID, had map[types.ProcessID]record) []record {
+	skip := func(id types.ProcessID) bool {
+		r, ok := had[id]
+		return id == to || id == t.self || ok && covers(r, t.entries[id].record)
+	}
+	var out []record
+	if e := t.entries[to]; e != nil && to != t.self && (e.Condition != conditionAlive || e.Leaving) {
+		out = append(out, e.record)
+	}
+	for _, id := range t.queue.take(maxUpdates-len(out), retransmitLimit(len(t.entries)), skip) {
+		out = append(out, t.entries[id].record)
+	}
+	return out
+}
+
+// records returns the records in the given buckets, at most limit (0: all).
+func (t *table) records(buckets []uint32, limit int) []record {
+	var want [bucketCount]bool
+	for _, b := range buckets {
+		if b < bucketCount {
+			want[b] = true
+		}
+	}
+	var out []record
+	for id, e := range t.entries {
+		if !want[bucketOf(id)] {
+			continue
+		}
+		if limit > 0 && len(out) == limit {
+			break
+		}
+		out = append(out, e.record)
+	}
+	return out
+}
+
+func (t *table) view() *View {
+	members := make([]Member, 0, len(t.entries))
+	for _, e := range t.entries {
+		members = append(members, e.shown())
+	}
+	return newView(t.self, members)
+}
