--- /dev/null
+++ b/claim/record.go
@@ -0,0 +1,98 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/plain"
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	// KeyPrefix begins the key of each claim row.
+	KeyPrefix = "claim/"
+	// recordFormat is the newest format of a claim row that this code writes and reads.
+	recordFormat = 1
+	// keyHashBytes of SHA-256 name an idempotency key. 16 bytes make a chance
+	// collision, which would hand one caller another's answer, out of reach.
+	keyHashBytes = 16
+	// MaxSavedBody is the largest answer body kept in a claim row.
+	MaxSavedBody = 16 << 10
+)
+
+// ErrRecordFormat reports a claim row that this code can't read. Its key is
+// neither claimed anew nor answered from: a newer router may have written it.
+var ErrRecordFormat = errors.New("claim: row in an unknown format")
+
+// RecordState is what a claim row says of its attempt.
+type RecordState string
+
+// States of a claim row.
+const (
+	RecordClaimed   RecordState = "claimed"   // may have been dispatched; ask the sidecar
+	RecordCompleted RecordState = "completed" // ran; the answer is saved unless it was too large
+	RecordVoided    RecordState = "voided"    // proved: never ran and never will
+	RecordUnknown   RecordState = "unknown"   // may have run; nobody can tell any more
+)
+
+// Target is the sidecar, and its backend server, that may run an attempt.
+type Target struct {
+	BackendServer string            `json:"backend_server"`
+	Process       types.ProcessID   `json:"process"`
+	Address       string            `json:"address"`
+	Incarnation   types.Incarnation `json:"incarnation"`
+}
+
+// Record is the value of a claim row.
+type Record struct {
+	Format      int               `json:"format"`
+	State       RecordState       `json:"state"`
+	Attempt     types.AttemptTag  `json:"attempt"`
+	Router      types.ProcessID   `json:"router"`
+	Target      Target            `json:"target"`
+	Deadline    time.Time         `json:"deadline"`
+	Fingerprint types.Fingerprint `json:"fingerprint"`
+	Answer      *plain.Answer     `json:"answer,omitempty"` // of a completed attempt, if it was small enough
+}
+
+// Encode returns the row's value.
+func (r Record) Encode() ([]byte, error) {
+	r.Format = recordFormat
+	value, err := json.Marshal(r)
+	return value, errors.Wrap(err, "claim: encode row")
+}
+
+// Decode reads a row's value.
+func Decode(value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, errors.Wrap(ErrRecordFormat, err.Error())
+	}
+	if r.Format != recordFormat {
+		return Record{}, errors.Wrapf(ErrRecordFormat, "format %d", r.Format)
+	}
+	return r, nil
+}
+
+// finished returns the record of the same attempt in a final state.
+func (r Record) finished(state RecordState, answer *plain.Answer) Record {
+	r.State = state
+	r.Answer = nil
+	if answer != nil && len(answer.Body) <= MaxSavedBody {
+		r.Answer = answer
+	}
+	return r
+}
+
+// Key returns the key of the claim row for an idempotency key.
+func Key(service string, org types.Organisation, idempotencyKey string) string {
+	sum := sha256.Sum256([]byte(idempotencyKey))
+	parts := []string{url.PathEscape(service), url.PathEscape(string(org)), hex.EncodeToString(sum[:keyHashBytes])}
+	return KeyPrefix + strings.Join(parts, "/")
+}
