standin: model engine with continuous batching, prefix cache and faults

Cause: resume, suspicion and prefix routing have to be tested against engines that batch, cache, die and freeze, with answers a checker can judge. Ruled out: a seeded answer per prompt, under which two generations of one prompt are equal and a mixture passes unseen; the first token is random and each later one hashes all before it, at O(1) a token.

--- /dev/null
+++ b/standin/engine_http.go
@@ -0,0 +1,185 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pearyard/pearyard/engine"
+	engineapi "github.com/pearyard/pearyard/engine/httpapi"
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	pathFaults   = "/faults"
+	pathDump     = "/dump"
+	maxBodyBytes = 64 << 20
+)
+
+// EngineFaults is the body of POST /faults on an engine; absent fields change
+// nothing. Kill crashes the engine as a poisoned request does.
+type EngineFaults struct {
+	Freeze *bool    `json:"freeze,omitempty"`
+	Slow   *float64 `json:"slow,omitempty"`
+	Cut    bool     `json:"cut,omitempty"`
+	Kill   bool     `json:"kill,omitempty"`
+}
+
+// Apply sets the faults.
+func (e *Engine) Apply(f EngineFaults) {
+	if f.Slow != nil {
+		e.Slow(*f.Slow)
+	}
+	if f.Cut {
+		e.Cut()
+	}
+	if f.Freeze != nil && *f.Freeze {
+		e.Freeze()
+	}
+	if f.Freeze != nil && !*f.Freeze {
+		e.Thaw()
+	}
+	if f.Kill {
+		e.Crash()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+func (e *Engine) routes() *http.ServeMux {
+	api := http.NewServeMux()
+	api.HandleFunc("POST "+engineapi.PathGenerate, e.serveGenerate)
+	api.HandleFunc("GET "+engineapi.PathLoad, e.serveLoad)
+	api.HandleFunc("GET "+engineapi.PathCacheEvents, e.serveCacheEvents)
+	api.HandleFunc("POST "+engineapi.PathOrders, e.serveOrder)
+	api.HandleFunc("GET "+engineapi.PathLoaded, e.serveLoaded)
+	api.HandleFunc("GET "+engineapi.PathHealth, func(http.ResponseWriter, *http.Request) {})
+	return controlled(e.connect.guard(api), e.Apply, func() any { return e.Counters() })
+}
+
+// controlled adds the faults and the dump beside an API, out of reach of the
+// faults themselves.
+func controlled[F any](api http.Handler, apply func(F), dump func() any) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("/", api)
+	mux.HandleFunc("POST "+pathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var faults F
+		if readJSON(w, r, &faults) {
+			apply(faults)
+		}
+	})
+	mux.HandleFunc("GET "+pathDump, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, dump()) })
+	return mux
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var request engine.Request
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if request.MaxTokens < 0 {
+		http.Error(w, "max_tokens is negative", http.StatusBadRequest)
+		return
+	}
+	if !e.serves(request.Model) {
+		http.Error(w, "no such model", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	j := newJob(ctx, request)
+	if !e.submit(j) {
+		http.Error(w, "queue is full", http.StatusTooManyRequests)
+		return
+	}
+	e.stream(w, j)
+}
+
+// stream writes tokens as they are produced. Headers go out at once, so that
+// the caller knows that the request was taken.
+func (e *Engine) stream(w http.ResponseWriter, j *job) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	lines := json.NewEncoder(w)
+	for {
+		select {
+		case <-j.ready:
+		case <-j.ctx.Done():
+			return
+		}
+		e.connect.awaitThaw(j.ctx)
+		tokens, ended := j.take()
+		if writeLines(lines, tokens) != nil {
+			return
+		}
+		if ended {
+			_ = lines.Encode(engineapi.FinishLine{Finish: j.result.Finish, PrefilledTokens: j.result.PrefilledTokens})
+			return
+		}
+		_ = control.Flush()
+	}
+}
+
+func writeLines(lines *json.Encoder, tokens []types.Token) error {
+	for _, token := range tokens {
+		if err := lines.Encode(engineapi.TokenLine(token)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.load.asOf(time.Now().Add(-e.opts.LoadLag))
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get(engineapi.QuerySince), 10, 64)
+	if err != nil {
+		http.Error(w, "since must be a sequence number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	events := e.cache.since(since, time.Now())
+	e.mu.Unlock()
+	writeJSON(w, events)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	if err := e.order(order); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+func (e *Engine) serveLoaded(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	loaded := slices.Clone(e.loaded)
+	e.mu.Unlock()
+	writeJSON(w, loaded)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,222 @@
+package standin_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/engine"
+	engineapi "github.com/pearyard/pearyard/engine/httpapi"
+	"github.com/pearyard/pearyard/standin"
+	"github.com/pearyard/pearyard/types"
+)
+
+const prompt = "list the bare-root pears that can be lifted in week 48 and their substitutes, by depot"
+
+func startEngine(t testing.TB, opts standin.EngineOptions) (*standin.Engine, *engineapi.Client) {
+	e := standin.NewEngine(opts)
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	t.Cleanup(e.Kill)
+	return e, engineapi.New(engineapi.Options{Address: server.Listener.Addr().String()})
+}
+
+// collector keeps emitted tokens; count may be read while they come.
+type collector struct {
+	mu     sync.Mutex
+	tokens []types.Token
+}
+
+func (c *collector) emit(token types.Token) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens = append(c.tokens, token)
+	return nil
+}
+
+func (c *collector) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.tokens)
+}
+
+func (c *collector) texts() []string {
+	var out []string
+	for _, token := range c.tokens {
+		out = append(out, token.Text)
+	}
+	return out
+}
+
+// begin starts a generation that runs on until something ends it.
+func begin(t *testing.T, c *engineapi.Client, got *collector, prompt string) (end context.CancelFunc, done chan error) {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	done = make(chan error, 1)
+	go func() {
+		_, err := c.Generate(ctx, engine.Request{Prompt: prompt, MaxTokens: 1 << 20}, got.emit)
+		done <- err
+	}()
+	return cancel, done
+}
+
+func TestAnswerIsWholeAcrossResume(t *testing.T) {
+	g := NewWithT(t)
+	e, c := startEngine(t, standin.EngineOptions{})
+	var got collector
+	result, err := c.Generate(t.Context(), engine.Request{Prompt: prompt, MaxTokens: 40}, got.emit)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Finish).To(Equal(types.FinishLength))
+	_, err = c.Generate(t.Context(), engine.Request{Prompt: prompt, Emitted: got.tokens, MaxTokens: 60}, got.emit)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.tokens).To(HaveLen(100))
+	g.Expect(standin.CheckAnswer(prompt, got.texts())).To(Succeed())
+	g.Expect(e.Counters().Tokens).To(BeEquivalentTo(100))
+}
+
+func TestResumeOfEndedAnswerGetsNoToken(t *testing.T) {
+	// The engine dies between its last token and the finish line. The caller
+	// has the whole answer; a resume that gave one token more would spoil it.
+	g := NewWithT(t)
+	_, c := startEngine(t, standin.EngineOptions{StopAfter: 5})
+	var got collector
+	_, err := c.Generate(t.Context(), engine.Request{Prompt: prompt, MaxTokens: 9}, got.emit)
+	g.Expect(err).NotTo(HaveOccurred())
+	result, err := c.Generate(t.Context(), engine.Request{Prompt: prompt, Emitted: got.tokens, MaxTokens: 4}, got.emit)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Finish).To(Equal(types.FinishStop))
+	g.Expect(got.tokens).To(HaveLen(5))
+}
+
+func TestPoisonKillsAllInBatch(t *testing.T) {
+	// One request crashes the engine under its neighbour. Both callers' streams
+	// break without a finish line; until Revive the engine takes nothing.
+	g := NewWithT(t)
+	e, c := startEngine(t, standin.EngineOptions{StepBase: time.Millisecond, PoisonAfter: 3})
+	var neighbour, poisoned collector
+	_, done := begin(t, c, &neighbour, prompt)
+	g.Eventually(neighbour.count).Should(BeNumerically(">", 0))
+	_, crashed := begin(t, c, &poisoned, "POISON "+prompt)
+	g.Eventually(crashed, "5s").Should(Receive(MatchError(engine.ErrDied)))
+	g.Eventually(done, "5s").Should(Receive(MatchError(engine.ErrDied)))
+	g.Expect(poisoned.count()).To(BeNumerically("<=", 3))
+	g.Expect(c.Healthy(t.Context())).To(MatchError(engine.ErrDied))
+	e.Revive()
+	g.Expect(c.Healthy(t.Context())).To(Succeed())
+}
+
+func TestFreezeHoldsAndCutBreaks(t *testing.T) {
+	// A paused engine keeps its connection open and sends nothing, then goes on
+	// where it stopped. A cut connection ends the stream for good.
+	g := NewWithT(t)
+	e, c := startEngine(t, standin.EngineOptions{StepBase: time.Millisecond})
+	var got collector
+	_, done := begin(t, c, &got, prompt)
+	g.Eventually(got.count).Should(BeNumerically(">", 2))
+	e.Freeze()
+	held := got.count() + 3 // one step may be under way, and its tokens on the wire
+	g.Consistently(got.count, "50ms").Should(BeNumerically("<=", held))
+	e.Thaw()
+	g.Eventually(got.count).Should(BeNumerically(">", held))
+	e.Cut()
+	g.Eventually(done, "5s").Should(Receive(MatchError(engine.ErrDied)))
+	g.Expect(c.Healthy(t.Context())).To(Succeed())
+	g.Expect(standin.CheckAnswer(prompt, got.texts())).To(Succeed())
+}
+
+func TestCancelFreesBatch(t *testing.T) {
+	g := NewWithT(t)
+	e, c := startEngine(t, standin.EngineOptions{StepBase: time.Millisecond, Capacity: 1})
+	var got collector
+	end, done := begin(t, c, &got, prompt)
+	g.Eventually(got.count).Should(BeNumerically(">", 0))
+	end()
+	g.Eventually(done).Should(Receive(MatchError(context.Canceled)))
+	g.Eventually(func() int { return e.Counters().Running }).Should(BeZero())
+	g.Expect(e.Counters().Cancelled).To(BeEquivalentTo(1))
+}
+
+func TestPriorityAndFullQueue(t *testing.T) {
+	g := NewWithT(t)
+	e, c := startEngine(t, standin.EngineOptions{StepBase: time.Millisecond, Capacity: 1, MaxQueue: 2})
+	var running collector
+	end, _ := begin(t, c, &running, prompt)
+	g.Eventually(running.count).Should(BeNumerically(">", 0))
+	order := make(chan int, 2)
+	for i, priority := range []int{0, 7} {
+		go func() {
+			request := engine.Request{Prompt: prompt, MaxTokens: 1, Priority: priority}
+			_, _ = c.Generate(t.Context(), request, func(types.Token) error { order <- priority; return nil })
+		}()
+		g.Eventually(func() int { return e.Counters().Queued }).Should(Equal(i + 1))
+	}
+	_, err := c.Generate(t.Context(), engine.Request{Prompt: prompt, MaxTokens: 1}, running.emit)
+	g.Expect(err).To(MatchError(engine.ErrRefused))
+	end()
+	g.Eventually(order).Should(Receive(Equal(7)))
+	g.Eventually(order).Should(Receive(Equal(0)))
+}
+
+func TestPrefixCacheSavesPrefill(t *testing.T) {
+	g := NewWithT(t)
+	_, c := startEngine(t, standin.EngineOptions{CacheEventLoss: 0.3})
+	long := ""
+	for range 50 {
+		long += prompt + " "
+	}
+	var got collector
+	first, err := c.Generate(t.Context(), engine.Request{Prompt: long, MaxTokens: 1}, got.emit)
+	g.Expect(err).NotTo(HaveOccurred())
+	prefix := engine.PrefixOf(long, nil)
+	g.Expect(first.PrefilledTokens).To(Equal(prefix.Tokens))
+	second, err := c.Generate(t.Context(), engine.Request{Prompt: long + "more", MaxTokens: 1}, got.emit)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.PrefilledTokens).To(BeNumerically("<=", engine.BlockTokens))
+	events, err := c.CacheEvents(t.Context(), 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(events)).To(And(BeNumerically(">", 0), BeNumerically("<", len(prefix.Blocks))))
+	g.Expect(prefix.Blocks).To(ContainElement(events[0].Block))
+	load, err := c.Load(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(load.CachedTokens).To(BeNumerically(">", 0))
+}
+
+func TestFence(t *testing.T) {
+	g := NewWithT(t)
+	for _, checks := range []bool{true, false} {
+		e, c := startEngine(t, standin.EngineOptions{CheckFence: checks, Models: []string{"a"}})
+		order := engine.Order{Kind: engine.OrderLoadModel, Name: "b", Version: "2", Fence: 9}
+		g.Expect(c.Order(t.Context(), order)).To(Succeed())
+		order.Version, order.Fence = "1", 8
+		if checks {
+			g.Expect(c.Order(t.Context(), order)).To(MatchError(engine.ErrStaleFence))
+		} else {
+			g.Expect(c.Order(t.Context(), order)).To(Succeed())
+			g.Expect(e.Counters().OldObeyed).To(BeEquivalentTo(1))
+		}
+		loaded, err := c.Loaded(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(loaded).To(HaveLen(2))
+		_, err = c.Generate(t.Context(), engine.Request{Model: "c", Prompt: prompt, MaxTokens: 1}, nil)
+		g.Expect(err).To(MatchError(engine.ErrRefused))
+	}
+}
+
+func BenchmarkEngineStep(b *testing.B) {
+	e, c := startEngine(b, standin.EngineOptions{Capacity: 32})
+	var wg sync.WaitGroup
+	for range 32 {
+		wg.Go(func() {
+			request := engine.Request{Prompt: prompt, MaxTokens: b.N}
+			if _, err := c.Generate(b.Context(), request, func(types.Token) error { return nil }); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(e.Counters().Tokens)/b.Elapsed().Seconds(), "tokens/s")
+}
