cli, cmd/pearyard, catalogue: the operators' command line

Cause: operators had no way to check, apply and stop, a vendor none to read a site. Change: cli with exit codes, failover between routers and read-back after an open apply; WaitInForce query; findings.List in the admin API; masking by name and by value.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/findings"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/types"
 )
@@ -45,15 +46,6 @@
 	Note string
 }
 
-// Finding is one fault of a text, with its place.
-type Finding struct {
-	Severity string
-	Line     int
-	Column   int
-	Pointer  string
-	Message  string
-}
-
 var (
 	// ErrNoRevision: there is no text of that revision.
 	ErrNoRevision = errors.New("no such revision")
@@ -65,14 +57,6 @@
 	ErrNoToken = errors.New("admin: a bearer token is required")
 )
 
-// FindingsError refuses a text for what was found in it.
-type FindingsError struct{ Findings []Finding }
-
-// Error implements error.
-func (e *FindingsError) Error() string {
-	return errors.Errorf("the text has %d findings", len(e.Findings)).Error()
-}
-
 // RaceError refuses a text because another was accepted on its base first.
 type RaceError struct{ Winner Text }
 
@@ -82,11 +66,11 @@
 }
 
 // Texts is the store of accepted texts. Accept returns the new revision and the
-// warnings found, or *FindingsError, *RaceError, ErrAmbiguous or another error,
-// after which nothing was accepted. Load returns ErrNoRevision for an unknown
+// warnings found, or *findings.ListError, *RaceError, ErrAmbiguous or another
+// error, after which nothing was accepted. Load returns ErrNoRevision for an unknown
 // revision. History returns the newest first and needn't fill Raw.
 type Texts interface {
-	Accept(ctx context.Context, change Change) (types.Revision, []Finding, error)
+	Accept(ctx context.Context, change Change) (types.Revision, findings.List, error)
 	Load(ctx context.Context, revision types.Revision) (Text, error)
 	History(ctx context.Context, limit int) ([]Text, error)
 }
--- a/admin/bundle.go
+++ b/admin/bundle.go
@@ -222,8 +222,8 @@
 		ClockOffsetMS: milliseconds(got.clock.offset),
 		ClockErrorMS:  milliseconds(got.clock.bound),
 	}
-	for _, file := range got.files {
-		raw := b.masked(file)
+	for _, file := range maskFiles(b.masker.child(), got.files) {
+		raw := file.raw
 		if b.bytes+len(raw) > bundleMaxBytes {
 			entry.Failed[file.name] = fmt.Sprintf("left out: the bundle is over %d bytes", bundleMaxBytes)
 			continue
@@ -237,11 +237,20 @@
 	return nil
 }
 
-func (b *bundle) masked(file collectedFile) []byte {
-	if path.Ext(file.name) == ".json" {
-		return b.masker.json(file.raw)
+// maskFiles masks the JSON files first and searches all files after that: a
+// secret that one file names may stand without its name in another.
+func maskFiles(m *masker, files []collectedFile) []collectedFile {
+	out := make([]collectedFile, len(files))
+	for i, file := range files {
+		out[i] = file
+		if path.Ext(file.name) == ".json" {
+			out[i].raw = m.json(file.raw)
+		}
+	}
+	for i := range out {
+		out[i].raw = m.plain(out[i].raw)
 	}
-	return b.masker.plain(file.raw)
+	return out
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/admin/commands.go
+++ b/admin/commands.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"github.com/pearyard/pearyard/findings"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/types"
 )
@@ -35,13 +36,13 @@
 
 // notAccepted tells apart why a text was not accepted, or may not have been.
 func (s *Server) notAccepted(ctx context.Context, change Change, err error) (*adminpb.ApplyResponse, error) {
-	var findings *FindingsError
+	var found *findings.ListError
 	var race *RaceError
 	switch {
-	case errors.As(err, &findings):
+	case errors.As(err, &found):
 		s.metrics.applies.WithLabelValues(resultFindings).Inc()
-		s.opts.Recorder.Emit(eventRefused, "base", change.Base, "who", change.Who, "findings", len(findings.Findings))
-		return &adminpb.ApplyResponse{Findings: findingsPB(findings.Findings)}, nil
+		s.opts.Recorder.Emit(eventRefused, "base", change.Base, "who", change.Who, "findings", len(found.Findings))
+		return &adminpb.ApplyResponse{Findings: findingsPB(found.Findings)}, nil
 	case errors.As(err, &race):
 		s.metrics.applies.WithLabelValues(resultRace).Inc()
 		s.opts.Recorder.Emit(eventRace, "base", change.Base, "who", change.Who,
--- a/admin/convert.go
+++ b/admin/convert.go
@@ -7,6 +7,7 @@
 
 	"github.com/pmezard/go-difflib/difflib"
 
+	"github.com/pearyard/pearyard/findings"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/types"
 )
@@ -22,11 +23,11 @@
 	}
 }
 
-func findingsPB(findings []Finding) []*adminpb.Finding {
-	out := make([]*adminpb.Finding, len(findings))
-	for i, f := range findings {
+func findingsPB(list findings.List) []*adminpb.Finding {
+	out := make([]*adminpb.Finding, len(list))
+	for i, f := range list {
 		out[i] = &adminpb.Finding{
-			Severity: f.Severity,
+			Severity: string(f.Severity),
 			Line:     uint32(f.Line),
 			Column:   uint32(f.Column),
 			Pointer:  f.Pointer,
--- a/admin/inforce.go
+++ b/admin/inforce.go
@@ -13,6 +13,11 @@
 // pollInterval is the pause between two rounds of asking those behind.
 const pollInterval = 100 * time.Millisecond
 
+// WaitInForce waits for a revision that was accepted before.
+func (s *Server) WaitInForce(ctx context.Context, req *adminpb.InForceRequest) (*adminpb.InForce, error) {
+	return s.waitInForce(ctx, types.Revision(req.GetRevision()), waitBound(req.GetWaitMs())), nil
+}
+
 // waitInForce waits until every process has the revision in force, within the
 // bound, and names those that don't. It ends early once only dead processes are
 // behind: they are named, but waiting for them is of no use.
--- a/admin/mask.go
+++ b/admin/mask.go
@@ -20,6 +20,7 @@
 	"token": true, "tokens": true, "key": true, "keys": true, "secret": true, "secrets": true,
 	"password": true, "passwords": true, "authorization": true, "bearer": true, "credential": true, "credentials": true,
 	"prompt": true, "body": true, "emitted": true,
+	"head": true, // of a section that was cut: JSON without an end, whose names can't be read
 }
 
 // minSecretBytes is the shortest value that is searched for outside its own
@@ -34,9 +35,15 @@
 // and a token in it opens the site. Names alone don't catch a value that was
 // logged under another name, so each secret met under its name, and each one
 // given, is also replaced wherever else its text stands.
+//
+// A process's own dump is masked by a child, whose finds are thrown away with
+// it: keys differ from process to process, and all of them together would grow
+// with the site.
 type masker struct {
-	salt  [sha256.Size]byte
-	known map[string]string // value to replacement
+	parent   *masker
+	salt     [sha256.Size]byte
+	known    map[string]string // value to replacement
+	replacer *strings.Replacer // of known; nil: to be built
 }
 
 func newMasker(secrets ...string) *masker {
@@ -48,39 +55,64 @@
 	return m
 }
 
-const maskTagBytes = 4
+func (m *masker) child() *masker {
+	return &masker{parent: m, salt: m.salt, known: map[string]string{}}
+}
+
+const (
+	maskPrefix   = "masked-"
+	maskTagBytes = 4
+)
 
 // learn notes a secret and returns what stands in its place.
 func (m *masker) learn(value string) string {
+	if strings.HasPrefix(value, maskPrefix) {
+		return value
+	}
 	mac := hmac.New(sha256.New, m.salt[:])
 	mac.Write([]byte(value))
-	masked := "masked-" + hex.EncodeToString(mac.Sum(nil)[:maskTagBytes])
-	if len(value) >= minSecretBytes && !strings.HasPrefix(value, "masked-") {
+	masked := maskPrefix + hex.EncodeToString(mac.Sum(nil)[:maskTagBytes])
+	if _, ok := m.known[value]; !ok && len(value) >= minSecretBytes {
 		m.known[value] = masked
+		m.replacer = nil
 	}
 	return masked
 }
 
-// plain replaces the known secrets in a text of any form, longest first, so that
-// a secret which contains another is replaced whole.
+// plain replaces the known secrets in a text of any form.
 func (m *masker) plain(raw []byte) []byte {
-	secrets := make([]string, 0, len(m.known))
-	for secret := range m.known {
+	if m.parent != nil {
+		raw = m.parent.plain(raw)
+	}
+	if len(m.known) == 0 {
+		return raw
+	}
+	if m.replacer == nil {
+		m.replacer = newReplacer(m.known)
+	}
+	return []byte(m.replacer.Replace(string(raw)))
+}
+
+// newReplacer replaces each value as it is and as it stands inside a JSON
+// string; the longest first, so that a secret which contains another is replaced
+// whole.
+func newReplacer(known map[string]string) *strings.Replacer {
+	secrets := make([]string, 0, len(known))
+	for secret := range known {
 		secrets = append(secrets, secret)
 	}
 	sort.Slice(secrets, func(i, j int) bool { return len(secrets[i]) > len(secrets[j]) })
+	pairs := make([]string, 0, 4*len(secrets))
 	for _, secret := range secrets {
-		raw = bytes.ReplaceAll(raw, []byte(secret), []byte(m.known[secret]))
-		escaped := escapedJSON(secret)
-		raw = bytes.ReplaceAll(raw, escaped, []byte(m.known[secret]))
+		pairs = append(pairs, secret, known[secret], escapedJSON(secret), known[secret])
 	}
-	return raw
+	return strings.NewReplacer(pairs...)
 }
 
 // escapedJSON returns the value as it stands inside a JSON string.
-func escapedJSON(value string) []byte {
+func escapedJSON(value string) string {
 	quoted, _ := json.Marshal(value) // a string always encodes
-	return quoted[1 : len(quoted)-1]
+	return string(quoted[1 : len(quoted)-1])
 }
 
 // json masks a JSON document, comments and trailing commas allowed; line numbers
--- /dev/null
+++ b/catalogue/catalogue.go
@@ -0,0 +1,15 @@
+// Package catalogue imports every package that defines events, so that a
+// program which imports it knows all of them. A package that defines its first
+// event is added here; the test finds one that is missing.
+package catalogue
+
+import (
+	_ "github.com/pearyard/pearyard/admin"
+	_ "github.com/pearyard/pearyard/claim"
+	_ "github.com/pearyard/pearyard/gate"
+	_ "github.com/pearyard/pearyard/journal"
+	_ "github.com/pearyard/pearyard/membership"
+	_ "github.com/pearyard/pearyard/retry"
+	_ "github.com/pearyard/pearyard/route"
+	_ "github.com/pearyard/pearyard/suspect"
+)
--- /dev/null
+++ b/cli/apply.go
@@ -0,0 +1,255 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+	urfave "github.com/urfave/cli/v2"
+
+	adminpb "github.com/pearyard/pearyard/rpc/admin"
+)
+
+const (
+	flagBase    = "base"
+	flagNote    = "note"
+	flagWait    = "wait"
+	flagWaitFor = "wait-for"
+)
+
+// defaultWait is the time in which a revision has to be in force everywhere.
+const defaultWait = 4 * time.Second
+
+func (p *program) applyCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:      "apply",
+		Usage:     "put a text in force in place of a base revision",
+		ArgsUsage: "FILE",
+		Flags: remoteFlags(
+			&urfave.Uint64Flag{Name: flagBase, Usage: "`REVISION` that the text was made from; 0 for the first text"},
+			&urfave.StringFlag{Name: flagNote, Usage: "why, for the history"},
+			&urfave.BoolFlag{Name: flagWait, Usage: "wait until every process has it in force"},
+			&urfave.DurationFlag{Name: flagWaitFor, Value: defaultWait, Usage: "bound of --wait"},
+			whoFlag(),
+		),
+		Before: checkOutput,
+		Action: p.apply,
+	}
+}
+
+func (p *program) apply(c *urfave.Context) error {
+	args, err := arguments(c, "FILE")
+	if err != nil {
+		return err
+	}
+	if !c.IsSet(flagBase) {
+		return usageErrorf("--%s is required: the revision that the text was made from", flagBase)
+	}
+	raw, err := p.readFile(args[0])
+	if err != nil {
+		return err
+	}
+	client, err := p.client(c)
+	if err != nil {
+		return err
+	}
+	req := &adminpb.ApplyRequest{
+		Base:   c.Uint64(flagBase),
+		Text:   raw,
+		Who:    c.String(flagWho),
+		Note:   c.String(flagNote),
+		Wait:   c.Bool(flagWait),
+		WaitMs: c.Duration(flagWaitFor).Milliseconds(),
+	}
+	resp, err := client.apply(c.Context, req)
+	if err != nil {
+		return err
+	}
+	return showApplied(c, args[0], resp)
+}
+
+// applyRounds is how often each router is tried.
+const applyRounds = 2
+
+// apply has a text accepted by any router.
+//
+// Failure guarded against: the answer to an apply is lost after the text was
+// accepted. It shows as an error, and an operator who then applies again, on the
+// new base, undoes what others accepted in between. So after every failure that
+// leaves the outcome open the history is read back. If it holds no successor of
+// the base, the call is sent again with the same base: the store accepts one
+// successor of a base at the most, so that the first call, if it comes through
+// late, and the second can't both take effect, whichever wins.
+func (c *client) apply(ctx context.Context, req *adminpb.ApplyRequest) (*adminpb.ApplyResponse, error) {
+	open := false // an earlier call may have taken effect
+	var err error
+	for range applyRounds {
+		for _, address := range c.addresses {
+			var resp *adminpb.ApplyResponse
+			resp, err = c.applyAt(ctx, address, req)
+			if err == nil {
+				return c.own(ctx, req, resp, open)
+			}
+			if neverSent(err) {
+				continue
+			}
+			if !another(err) {
+				return nil, err
+			}
+			open = open || !refusedByStore(err)
+			if !open {
+				continue
+			}
+			resp, readErr := c.readBack(ctx, req)
+			if resp != nil || readErr != nil {
+				return resp, readErr
+			}
+		}
+	}
+	if open {
+		return nil, exitErrorf(ExitUnknown, "the text may have been accepted (%s); `pearyard history` will show it once a router answers", err)
+	}
+	return nil, errors.Wrap(err, "not accepted")
+}
+
+func (c *client) applyAt(ctx context.Context, address string, req *adminpb.ApplyRequest) (*adminpb.ApplyResponse, error) {
+	return try(ctx, c.timeout+waitTime(req), address, func(ctx context.Context, address string) (*adminpb.ApplyResponse, error) {
+		return c.commands(address).Apply(ctx, req)
+	})
+}
+
+func waitTime(req *adminpb.ApplyRequest) time.Duration {
+	if !req.GetWait() {
+		return 0
+	}
+	return time.Duration(req.GetWaitMs()) * time.Millisecond
+}
+
+// refusedByStore reports a router's own word that nothing was accepted.
+func refusedByStore(err error) bool {
+	var answer twirp.Error
+	return errors.As(err, &answer) && answer.Code() == twirp.Unavailable && answer.Meta("http_error_from_intermediary") == ""
+}
+
+// own recognises a lost race against an earlier call of this very command.
+func (c *client) own(ctx context.Context, req *adminpb.ApplyRequest, resp *adminpb.ApplyResponse, open bool) (*adminpb.ApplyResponse, error) {
+	winner := resp.GetRace().GetWinner()
+	if !open || winner == nil || !sameChange(req, winner) {
+		return resp, nil
+	}
+	return c.accepted(ctx, req, winner.GetRevision())
+}
+
+func sameChange(req *adminpb.ApplyRequest, accepted *adminpb.Revision) bool {
+	return bytes.Equal(req.GetText(), accepted.GetText()) &&
+		req.GetWho() == accepted.GetWho() &&
+		req.GetNote() == accepted.GetNote()
+}
+
+// accepted answers for a text that was found accepted.
+func (c *client) accepted(ctx context.Context, req *adminpb.ApplyRequest, revision uint64) (*adminpb.ApplyResponse, error) {
+	resp := &adminpb.ApplyResponse{Revision: revision}
+	if !req.GetWait() {
+		return resp, nil
+	}
+	inForce, err := query(ctx, c, waitTime(req), func(ctx context.Context, address string) (*adminpb.InForce, error) {
+		return c.queries(address).WaitInForce(ctx, &adminpb.InForceRequest{Revision: revision, WaitMs: req.GetWaitMs()})
+	})
+	if err != nil {
+		return nil, exitErrorf(ExitNotInForce, "revision %d is accepted; where it is in force is not known: %s", revision, err)
+	}
+	resp.InForce = inForce
+	return resp, nil
+}
+
+// readBackLimit is how much history is read to find the base's successor.
+const readBackLimit = 100
+
+// readBack looks for the successor of the base. It returns nothing if there is
+// none yet.
+func (c *client) readBack(ctx context.Context, req *adminpb.ApplyRequest) (*adminpb.ApplyResponse, error) {
+	history, err := query(ctx, c, 0, func(ctx context.Context, address string) (*adminpb.HistoryResponse, error) {
+		return c.queries(address).History(ctx, &adminpb.HistoryRequest{Limit: readBackLimit})
+	})
+	if err != nil {
+		return nil, nil // still open; the next router is tried
+	}
+	successor := successorOf(req.GetBase(), history.GetRevisions())
+	if successor == 0 {
+		return nil, nil
+	}
+	got, err := query(ctx, c, 0, func(ctx context.Context, address string) (*adminpb.GetResponse, error) {
+		return c.queries(address).Get(ctx, &adminpb.GetRequest{Revision: successor})
+	})
+	if err != nil {
+		return nil, exitErrorf(ExitUnknown, "revision %d follows %d, but its text can't be read: %s", successor, req.GetBase(), err)
+	}
+	if sameChange(req, got.GetRevision()) {
+		return c.accepted(ctx, req, successor)
+	}
+	return &adminpb.ApplyResponse{Race: &adminpb.Race{Winner: got.GetRevision()}}, nil
+}
+
+// successorOf returns the smallest revision after base, 0 if there is none.
+func successorOf(base uint64, revisions []*adminpb.Revision) uint64 {
+	successor := uint64(0)
+	for _, r := range revisions {
+		if r.GetRevision() > base && (successor == 0 || r.GetRevision() < successor) {
+			successor = r.GetRevision()
+		}
+	}
+	return successor
+}
+
+// showApplied prints the answer; what is not a full success is the exit code.
+func showApplied(c *urfave.Context, file string, resp *adminpb.ApplyResponse) error {
+	if c.String(flagOutput) == outputJSON {
+		if err := printMessage(c, resp); err != nil {
+			return err
+		}
+		return appliedError(resp)
+	}
+	for _, finding := range resp.GetFindings() {
+		_, _ = fmt.Fprintln(c.App.ErrWriter, findingLine(file, finding))
+	}
+	if race := resp.GetRace(); race != nil && race.GetDiff() != "" {
+		_, _ = fmt.Fprintln(c.App.Writer, race.GetDiff())
+	}
+	if resp.GetRevision() != 0 {
+		_, _ = fmt.Fprintf(c.App.Writer, "accepted as revision %d\n", resp.GetRevision())
+	}
+	if inForce := resp.GetInForce(); inForce != nil {
+		_, _ = fmt.Fprintf(c.App.Writer, "in force in %d of %d processes\n", inForce.GetInForce(), inForce.GetProcesses())
+		printBehind(c, inForce)
+	}
+	return appliedError(resp)
+}
+
+func findingLine(file string, f *adminpb.Finding) string {
+	return fmt.Sprintf("%s:%d:%d: %s: %s: %s", file, f.GetLine(), f.GetColumn(), f.GetSeverity(), f.GetPointer(), f.GetMessage())
+}
+
+func printBehind(c *urfave.Context, inForce *adminpb.InForce) {
+	for _, b := range inForce.GetBehind() {
+		_, _ = fmt.Fprintf(c.App.Writer, "not in force: %s (%s, revision %d) %s\n", b.GetProcess(), b.GetState(), b.GetRevision(), b.GetError())
+	}
+}
+
+func appliedError(resp *adminpb.ApplyResponse) error {
+	switch {
+	case resp.GetRace() != nil:
+		winner := resp.GetRace().GetWinner()
+		return exitErrorf(ExitRace, "not accepted: revision %d by %s (%q) was accepted on the same base first",
+			winner.GetRevision(), winner.GetWho(), winner.GetNote())
+	case resp.GetRevision() == 0:
+		return exitErrorf(ExitFindings, "not accepted: the text has %d findings", len(resp.GetFindings()))
+	case len(resp.GetInForce().GetBehind()) > 0:
+		return exitErrorf(ExitNotInForce, "revision %d is accepted, but not in force in %d processes",
+			resp.GetRevision(), len(resp.GetInForce().GetBehind()))
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,208 @@
+// Package cli is the operators' command line. Each command is one call of the
+// administration API, or works offline on a file; docs/operations/command-line.md
+// describes them and their exit codes.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	urfave "github.com/urfave/cli/v2"
+
+	"github.com/pearyard/pearyard/inspect"
+)
+
+// Options of New; unset fields mean the process's own.
+type Options struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	HTTP   *http.Client
+	// Demo runs the demonstration; without it there is no such command.
+	Demo func(ctx context.Context, stdout io.Writer) error
+}
+
+// Names of the flags that every command has, or most.
+const (
+	flagAdmin   = "admin"
+	flagToken   = "token"
+	flagTimeout = "timeout"
+	flagOutput  = "output"
+	flagWho     = "who"
+)
+
+// Environment variables of the flags.
+const (
+	EnvAdmin = "PEARYARD_ADMIN"
+	EnvToken = "PEARYARD_ADMIN_TOKEN"
+)
+
+// Values of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// defaultTimeout bounds one try of one router.
+const defaultTimeout = 10 * time.Second
+
+// program holds what the commands share.
+type program struct {
+	opts Options
+}
+
+// New returns the command line as an app; Run is what a main wants.
+func New(opts Options) *urfave.App {
+	if opts.Stdin == nil {
+		opts.Stdin = os.Stdin
+	}
+	if opts.Stdout == nil {
+		opts.Stdout = os.Stdout
+	}
+	if opts.Stderr == nil {
+		opts.Stderr = os.Stderr
+	}
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Client{}
+	}
+	p := &program{opts: opts}
+	return &urfave.App{
+		Name:                 "pearyard",
+		Usage:                "operate a pearyard site",
+		Version:              version(),
+		Reader:               opts.Stdin,
+		Writer:               opts.Stdout,
+		ErrWriter:            opts.Stderr,
+		EnableBashCompletion: true,
+		Commands:             p.commands(),
+		CommandNotFound:      nil,
+		ExitErrHandler:       func(*urfave.Context, error) {}, // Run maps errors to exit codes
+		Action:               noCommand,
+	}
+}
+
+func version() string {
+	build := inspect.BuildVersion()
+	return fmt.Sprintf("%s %s %s", build.Build, build.Commit, build.Go)
+}
+
+// noCommand refuses what is no command; without arguments it shows the help.
+func noCommand(c *urfave.Context) error {
+	if c.Args().Present() {
+		return usageErrorf("no command %q; see pearyard help", c.Args().First())
+	}
+	return urfave.ShowAppHelp(c)
+}
+
+// Run runs the command line args, the program's name first, and returns the
+// exit code. Errors are written to Stderr.
+func Run(ctx context.Context, args []string, opts Options) int {
+	app := New(opts)
+	err := app.RunContext(ctx, flagsFirst(args, app.Commands))
+	if err == nil {
+		return ExitOK
+	}
+	if message := err.Error(); message != "" {
+		_, _ = fmt.Fprintln(app.ErrWriter, "pearyard:", message)
+	}
+	return exitCode(err)
+}
+
+func (p *program) commands() []*urfave.Command {
+	commands := []*urfave.Command{
+		p.checkCommand(),
+		p.applyCommand(),
+		p.getCommand(),
+		p.historyCommand(),
+		p.diffCommand(),
+		p.statusCommand(),
+		p.stopCommand(),
+		p.dumpCommand(),
+		p.explainCommand(),
+		p.bundleCommand(),
+		p.eventsCommand(),
+	}
+	if p.opts.Demo != nil {
+		commands = append(commands, p.demoCommand())
+	}
+	for _, command := range commands {
+		command.OnUsageError = func(_ *urfave.Context, err error, _ bool) error { return usageErrorf("%s", err) }
+	}
+	return commands
+}
+
+func (p *program) demoCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:   "demo",
+		Usage:  "run a site with stand-ins in this process and show a failure",
+		Flags:  outputFlags(),
+		Before: checkOutput,
+		Action: func(c *urfave.Context) error { return p.opts.Demo(c.Context, c.App.Writer) },
+	}
+}
+
+// outputFlags are the flags of every command.
+func outputFlags(more ...urfave.Flag) []urfave.Flag {
+	return append(more, &urfave.StringFlag{Name: flagOutput, Aliases: []string{"O"}, Value: outputText, Usage: "text or json"})
+}
+
+// remoteFlags are the flags of commands that call a router.
+func remoteFlags(more ...urfave.Flag) []urfave.Flag {
+	return outputFlags(append(more,
+		&urfave.StringSliceFlag{Name: flagAdmin, EnvVars: []string{EnvAdmin}, Usage: "administration `ADDRESS`es of routers; the next is tried when one is down"},
+		&urfave.StringFlag{Name: flagToken, EnvVars: []string{EnvToken}, Usage: "bearer token; prefer the variable, a flag shows in the list of processes"},
+		&urfave.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "bound of one try of one router"},
+	)...)
+}
+
+// whoFlag names the operator. The API has one token for all operators, so the
+// name is a statement, not a proof.
+func whoFlag() urfave.Flag {
+	return &urfave.StringFlag{Name: flagWho, EnvVars: []string{"PEARYARD_WHO", "USER"}, Value: "operator", Usage: "who makes the change, for the history"}
+}
+
+func checkOutput(c *urfave.Context) error {
+	switch c.String(flagOutput) {
+	case outputText, outputJSON:
+		return nil
+	default:
+		return usageErrorf("--%s is %q; it is %s or %s", flagOutput, c.String(flagOutput), outputText, outputJSON)
+	}
+}
+
+// arguments returns exactly the named arguments or a usage error.
+func arguments(c *urfave.Context, names ...string) ([]string, error) {
+	if c.NArg() != len(names) {
+		return nil, usageErrorf("%s takes %d arguments %v, got %d", c.Command.Name, len(names), names, c.NArg())
+	}
+	return c.Args().Slice(), nil
+}
+
+// maxFileBytes bounds a text read from a file or from standard input.
+const maxFileBytes = 4 << 20
+
+// readFile reads a text; "-" is standard input.
+func (p *program) readFile(name string) ([]byte, error) {
+	in := p.opts.Stdin
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, usageErrorf("%s", err)
+		}
+		defer file.Close()
+		in = file
+	}
+	raw, err := io.ReadAll(io.LimitReader(in, maxFileBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	if len(raw) > maxFileBytes {
+		return nil, usageErrorf("%s is over %d bytes", name, maxFileBytes)
+	}
+	return raw, nil
+}
