plain/httpapi, standin: calls that leave at most once

Cause: a dispatch label or receipt runs at most once, and "not run" is true only if no byte of the call left; the client has to prove that. Ruled out: kept connections with GetBody unset: calls without a body would still be sent again by net/http, which takes an Idempotency-Key for a leave to; and an http.Client, which follows a 307 with the body.

--- /dev/null
+++ b/plain/httpapi/client_test.go
@@ -0,0 +1,131 @@
+package httpapi_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/plain"
+	"github.com/pearyard/pearyard/plain/httpapi"
+	"github.com/pearyard/pearyard/standin"
+)
+
+func start(t *testing.T) (*standin.Plain, *httpapi.Client, *httptest.Server) {
+	p := standin.NewPlain(standin.PlainOptions{})
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return p, httpapi.New(httpapi.Options{Address: server.Listener.Addr().String()}), server
+}
+
+func label(key string) plain.Call {
+	return plain.Call{
+		Method: http.MethodPost,
+		Path:   "/labels?depot=errol",
+		Header: http.Header{standin.HeaderIdempotencyKey: {key}},
+		Body:   []byte("12 pallets"),
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+func TestAnswerMirrorsCall(t *testing.T) {
+	g := NewWithT(t)
+	p, c, _ := start(t)
+	answer, err := c.Do(t.Context(), label("k1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	var body standin.PlainAnswer
+	g.Expect(json.Unmarshal(answer.Body, &body)).To(Succeed())
+	g.Expect(body).To(Equal(standin.PlainAnswer{Run: 1, Key: "k1", Method: "POST", Path: "/labels?depot=errol", Body: []byte("12 pallets")}))
+	g.Expect(p.Counts()).To(Equal(standin.PlainCounts{Total: 1, ByKey: map[string]int{"k1": 1}}))
+}
+
+func TestLostAndNotSent(t *testing.T) {
+	// A label is printed and the answer is lost: the call may not be reported as
+	// "not run". Only a service that nothing could be sent to allows that.
+	g := NewWithT(t)
+	p, c, server := start(t)
+	p.Apply(standin.PlainFaults{LoseAnswers: ptr(1)})
+	_, err := c.Do(t.Context(), label("k1"))
+	g.Expect(err).To(MatchError(plain.ErrLost))
+	g.Expect(p.Counts().ByKey).To(HaveKeyWithValue("k1", 1))
+
+	p.Apply(standin.PlainFaults{LatencyMS: ptr(100)})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, err = c.Do(ctx, label("k2"))
+	g.Expect(err).To(MatchError(plain.ErrLost))
+	g.Eventually(func() int { return p.Counts().ByKey["k2"] }).Should(Equal(1))
+
+	server.Close()
+	_, err = c.Do(t.Context(), label("k3"))
+	g.Expect(err).To(MatchError(plain.ErrNotSent))
+	g.Expect(c.Healthy(t.Context())).To(MatchError(plain.ErrNotSent))
+}
+
+// closeAfterSecond answers the first call on each connection and, on a second
+// one, reads it and closes without an answer, as a server does that dies.
+func closeAfterSecond(t *testing.T, ran *atomic.Int32) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				buffer := make([]byte, 4096)
+				if _, err := conn.Read(buffer); err != nil {
+					return
+				}
+				ran.Add(1)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				if _, err := conn.Read(buffer); err == nil {
+					ran.Add(1)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestNeverSendsTwice(t *testing.T) {
+	// A label with an Idempotency-Key goes out on a kept connection; the service
+	// prints it and dies. net/http takes the key for a leave to send again on a
+	// new connection, and the label is printed twice.
+	g := NewWithT(t)
+	var ran atomic.Int32
+	address := closeAfterSecond(t, &ran)
+	c := httpapi.New(httpapi.Options{Address: address})
+	for call := range 6 {
+		_, _ = c.Do(t.Context(), label("k"))
+		g.Expect(ran.Load()).To(BeNumerically("<=", call+1))
+	}
+	g.Expect(ran.Load()).To(BeEquivalentTo(6))
+}
+
+func TestFollowsNoRedirect(t *testing.T) {
+	// A service that runs a call and answers 307 would get it again.
+	g := NewWithT(t)
+	var ran atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	}))
+	t.Cleanup(server.Close)
+	c := httpapi.New(httpapi.Options{Address: server.Listener.Addr().String()})
+	answer, err := c.Do(t.Context(), label("k"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Status).To(Equal(http.StatusTemporaryRedirect))
+	g.Expect(ran.Load()).To(BeEquivalentTo(1))
+}
--- a/standin/connections.go
+++ b/standin/connections.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// apply sets the faults that every stand-in has.
+func (c *connections) apply(freeze *bool, cut bool) {
+	if cut {
+		c.cut()
+	}
+	if freeze == nil {
+		return
+	}
+	if *freeze {
+		c.freeze()
+		return
+	}
+	c.thaw()
+}
+
 // awaitThaw returns once nothing is frozen or ctx has ended.
 func (c *connections) awaitThaw(ctx context.Context) {
 	c.mu.Lock()
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -33,15 +33,7 @@
 	if f.Slow != nil {
 		e.Slow(*f.Slow)
 	}
-	if f.Cut {
-		e.Cut()
-	}
-	if f.Freeze != nil && *f.Freeze {
-		e.Freeze()
-	}
-	if f.Freeze != nil && !*f.Freeze {
-		e.Thaw()
-	}
+	e.connect.apply(f.Freeze, f.Cut)
 	if f.Kill {
 		e.Crash()
 	}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	pathHealth = "/healthz"
+	pathCounts = "/counts"
+	// HeaderIdempotencyKey names the call that a plain service counts runs of.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// PlainOptions describes a stand-in plain service.
+type PlainOptions struct {
+	Latency time.Duration // before a call takes effect
+}
+
+// PlainFaults is the body of POST /faults on a plain service; absent fields
+// change nothing.
+type PlainFaults struct {
+	Down        *bool `json:"down,omitempty"`         // answer 503 without effect
+	LatencyMS   *int  `json:"latency_ms,omitempty"`   // before a call takes effect
+	LoseCalls   *int  `json:"lose_calls,omitempty"`   // how many calls are dropped before any effect
+	LoseAnswers *int  `json:"lose_answers,omitempty"` // how many answers are dropped after the effect
+	Freeze      *bool `json:"freeze,omitempty"`
+	Cut         bool  `json:"cut,omitempty"` // drop every connection at once
+}
+
+// PlainCounts is the body of GET /counts.
+type PlainCounts struct {
+	Total int            `json:"total"`
+	ByKey map[string]int `json:"by_key"` // by Idempotency-Key; calls without one stand under ""
+}
+
+// PlainAnswer is the body of the service's answer; it mirrors the call, so that
+// answers given to the wrong caller show.
+type PlainAnswer struct {
+	Run    int    `json:"run"` // how many calls have taken effect, this one included
+	Key    string `json:"key"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   []byte `json:"body"`
+}
+
+// Plain is a stand-in plain service that counts what took effect.
+type Plain struct {
+	mux     *http.ServeMux
+	connect *connections
+
+	mu          sync.Mutex // guards all below
+	counts      PlainCounts
+	latency     time.Duration
+	down        bool
+	loseCalls   int
+	loseAnswers int
+}
+
+// NewPlain returns a service that has run nothing yet.
+func NewPlain(opts PlainOptions) *Plain {
+	p := &Plain{connect: newConnections(), latency: opts.Latency, counts: PlainCounts{ByKey: map[string]int{}}}
+	api := http.NewServeMux()
+	api.HandleFunc("GET "+pathHealth, p.serveHealth)
+	api.HandleFunc("/", p.serveCall)
+	p.mux = controlled(p.connect.guard(api), p.Apply, func() any { return p.Counts() })
+	p.mux.HandleFunc("GET "+pathCounts, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Kill drops every connection at once and takes no more until Revive.
+func (p *Plain) Kill() { p.connect.down() }
+
+// Revive brings a killed service back; its counts are kept.
+func (p *Plain) Revive() { p.connect.up() }
+
+// Counts returns what took effect so far.
+func (p *Plain) Counts() PlainCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PlainCounts{Total: p.counts.Total, ByKey: maps.Clone(p.counts.ByKey)}
+}
+
+// Apply sets the faults.
+func (p *Plain) Apply(f PlainFaults) {
+	p.mu.Lock()
+	set(&p.down, f.Down)
+	set(&p.loseCalls, f.LoseCalls)
+	set(&p.loseAnswers, f.LoseAnswers)
+	if f.LatencyMS != nil {
+		p.latency = time.Duration(*f.LatencyMS) * time.Millisecond
+	}
+	p.mu.Unlock()
+	p.connect.apply(f.Freeze, f.Cut)
+}
+
+func set[T any](field *T, value *T) {
+	if value != nil {
+		*field = *value
+	}
+}
+
+func (p *Plain) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	}
+}
+
+// serveCall counts the call even if its caller has left meanwhile: a service
+// that has read a call runs it.
+func (p *Plain) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	down, latency, lost := p.down, p.latency, spend(&p.loseCalls)
+	p.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(latency)
+	answer, lost := p.run(r, body)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, answer)
+}
+
+func (p *Plain) run(r *http.Request, body []byte) (answer PlainAnswer, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := r.Header.Get(HeaderIdempotencyKey)
+	p.counts.Total++
+	p.counts.ByKey[key]++
+	answer = PlainAnswer{Run: p.counts.Total, Key: key, Method: r.Method, Path: r.URL.RequestURI(), Body: body}
+	return answer, spend(&p.loseAnswers)
+}
+
+// spend takes one from a count of faults to come; false if none is left.
+func spend(left *int) bool {
+	if *left <= 0 {
+		return false
+	}
+	*left--
+	return true
+}
