--- a/journal/dump.go
+++ b/journal/dump.go
@@ -1,6 +1,10 @@
 package journal
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // BranchDump describes one branch for an operator.
 type BranchDump struct {
@@ -51,3 +55,21 @@
 	}
 	return out
 }
+
+// WriterDump is the state of a writer.
+type WriterDump struct {
+	HeldBytes int      `json:"held_bytes"`
+	MaxBytes  int      `json:"max_bytes"`
+	Peers     []string `json:"peers,omitempty"` // that generations are being sent to
+	Down      []string `json:"down,omitempty"`  // that failed and get no generations for a while
+}
+
+// Dump returns what the writer keeps and whom it sends to.
+func (w *Writer) Dump() WriterDump {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return WriterDump{
+		HeldBytes: w.held, MaxBytes: w.opts.MaxBytes,
+		Peers: slices.Sorted(maps.Keys(w.links)), Down: slices.Sorted(maps.Keys(w.down)),
+	}
+}
--- /dev/null
+++ b/journal/fake_test.go
@@ -0,0 +1,144 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/rpc/journal"
+	"github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/types"
+)
+
+var errCut = errors.New("connection refused")
+
+// cluster is a set of stores with a network that can be cut, slow, or lose
+// answers after the append took effect.
+type cluster struct {
+	mu        sync.Mutex
+	stores    map[string]*Store
+	cut       map[string]bool
+	delay     map[string]time.Duration
+	loseReply map[string]int
+	appends   int
+}
+
+func newCluster(addrs ...string) *cluster {
+	c := &cluster{
+		stores: map[string]*Store{}, cut: map[string]bool{}, delay: map[string]time.Duration{}, loseReply: map[string]int{},
+	}
+	for _, a := range addrs {
+		c.restart(a)
+	}
+	return c
+}
+
+func (c *cluster) restart(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stores[addr] = NewStore(StoreOptions{})
+}
+
+func (c *cluster) setCut(addr string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[addr] = cut
+}
+
+func (c *cluster) reach(ctx context.Context, addr string) (*Store, error) {
+	c.mu.Lock()
+	store, cut, delay := c.stores[addr], c.cut[addr], c.delay[addr]
+	c.mu.Unlock()
+	if cut || store == nil {
+		return nil, errCut
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(delay):
+		return store, nil
+	}
+}
+
+func (c *cluster) Append(ctx context.Context, addr string, in *streampb.JournalAppend) (*streampb.JournalAppended, error) {
+	store, err := c.reach(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	out := store.Append(in)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.appends++
+	if c.loseReply[addr] > 0 {
+		c.loseReply[addr]--
+		return nil, errCut
+	}
+	return out, nil
+}
+
+func (c *cluster) Lookup(ctx context.Context, addr string, in *streampb.LookupRequest) (*streampb.LookupResponse, error) {
+	store, err := c.reach(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return store.Lookup(in)
+}
+
+func (c *cluster) Read(ctx context.Context, addr string, in *journalpb.ReadRequest) (*journalpb.ReadResponse, error) {
+	store, err := c.reach(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return store.Read(in)
+}
+
+// token is the one token that an attempt produces at an index.
+func token(a types.AttemptTag, i int) types.Token {
+	return types.Token{ID: uint32(a)<<16 | uint32(i), Text: fmt.Sprintf(" a%d-%d", a, i)}
+}
+
+// answerOf is what a lineage's answer must be up to n.
+func answerOf(l types.Lineage, n int) []types.Token {
+	out := make([]types.Token, n)
+	for i := range out {
+		out[i] = token(producer(l, i), i)
+	}
+	return out
+}
+
+func producer(l types.Lineage, i int) types.AttemptTag {
+	tag := types.AttemptTag(0)
+	for _, s := range l {
+		if s.From <= i {
+			tag = s.Attempt
+		}
+	}
+	return tag
+}
+
+func record(id types.GenerationID, l types.Lineage, first, n int) *streampb.JournalRecord {
+	r := &streampb.JournalRecord{Generation: id.String(), Lineage: lineageToWire(l), First: uint32(first), Runner: "runner"}
+	for _, t := range answerOf(l, first+n)[first:] {
+		r.Tokens = append(r.Tokens, &streampb.Token{Id: t.ID, Text: t.Text})
+	}
+	return r
+}
+
+func send(s *Store, records ...*streampb.JournalRecord) []string {
+	return s.Append(&streampb.JournalAppend{From: "w", Records: records}).GetMissing()
+}
+
+func lineage(segments ...int) types.Lineage {
+	var l types.Lineage
+	for i := 0; i < len(segments); i += 2 {
+		l = append(l, types.Segment{Attempt: types.AttemptTag(segments[i]), From: segments[i+1]})
+	}
+	return l
+}
+
+func sawUpTo(id types.GenerationID, a types.AttemptTag, i int) types.EventID {
+	return types.EventID{Generation: id, Attempt: a, Index: i}
+}
--- a/journal/handle.go
+++ b/journal/handle.go
@@ -250,10 +250,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c.registered = true
-	c.resends = 0
 	if len(r.GetTokens()) > 0 {
 		c.sent = int(r.GetFirst()) + len(r.GetTokens())
 	}
+	if len(r.GetTokens()) > 0 && r.GetFirst() > 0 {
+		c.resends = 0 // it kept what it was given before
+	}
+	if h.closed {
+		c.link.signal()
+	}
 	if r.GetFinish() != "" {
 		c.finished = true
 	}
--- /dev/null
+++ b/journal/writer_test.go
@@ -0,0 +1,258 @@
+package journal
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/types"
+)
+
+const tokenGap = 40 * time.Millisecond
+
+// produce appends tokens [from, to) of attempt 1 at the pace of an engine.
+func produce(h *Handle, from, to int) {
+	for i := from; i < to; i++ {
+		h.Append(token(1, i))
+		time.Sleep(tokenGap)
+	}
+}
+
+func newWriter(t *testing.T, c *cluster, after time.Duration) *Writer {
+	w := NewWriter(WriterOptions{Self: "self", Sender: c, Batch: 100 * time.Millisecond, After: after})
+	t.Cleanup(w.Close)
+	return w
+}
+
+func start(w *Writer, peers ...string) (*Handle, types.GenerationID) {
+	id := types.NewGenerationID(1)
+	return w.Start(GenerationInfo{ID: id, Lineage: lineage(1, 0), Peers: peers}), id
+}
+
+func heldBy(c *cluster, addr string, id types.GenerationID) int {
+	b, _ := c.stores[addr].Tokens(types.EventID{Generation: id})
+	return b.Held
+}
+
+// A journal peer is replaced by the platform in mid-generation and comes back
+// empty under its address. The writer hears "missing" and sends all again.
+func TestPeerRestartsEmptyInMidGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		h, id := start(newWriter(t, c, -1), "a", "b")
+		defer h.Forget()
+		produce(h, 0, 20)
+		c.restart("a")
+		produce(h, 20, 40)
+		time.Sleep(time.Second)
+		g.Expect(heldBy(c, "a", id)).To(Equal(40))
+		g.Expect(heldBy(c, "b", id)).To(Equal(40))
+	})
+}
+
+// A journal peer dies without notice. Its generations must have their two
+// copies again within a few batches: the next peer gets all from the start, and
+// a router that asks the peers in order finds the longest.
+func TestDeadPeerIsReplacedByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b", "c")
+		w := newWriter(t, c, -1)
+		h, id := start(w, "a", "b", "c")
+		defer h.Forget()
+		produce(h, 0, 20)
+		c.setCut("a", true)
+		produce(h, 20, 40)
+		time.Sleep(time.Second)
+		g.Expect(heldBy(c, "c", id)).To(Equal(40))
+		g.Expect(w.opts.Recorder.Entries("")).To(HaveLen(1))
+
+		c.setCut("a", false) // back, with its old half
+		b, err := NewReader(ReaderOptions{Client: c}).Find(t.Context(), sawUpTo(id, 1, 5), []string{"a", "b", "c"})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b.Tokens).To(Equal(answerOf(lineage(1, 0), 40)))
+		g.Expect(b.Runner).To(Equal("self"))
+	})
+}
+
+// All peers hang. A caller must not see its tokens slow down: appending takes
+// no time, and once the peers answer again they catch up.
+func TestHangingPeersNeverSlowTheTokenPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		c.delay["a"], c.delay["b"] = time.Hour, time.Hour
+		h, id := start(newWriter(t, c, -1), "a", "b")
+		defer h.Forget()
+		began := time.Now()
+		for i := range 10_000 {
+			h.Append(token(1, i))
+		}
+		g.Expect(time.Since(began)).To(BeZero())
+		time.Sleep(5 * time.Second)
+		c.mu.Lock()
+		c.delay["a"], c.delay["b"] = 0, 0
+		c.mu.Unlock()
+		time.Sleep(time.Minute)
+		produce(h, 10_000, 10_001)
+		time.Sleep(time.Minute)
+		g.Expect(heldBy(c, "a", id)).To(Equal(10_001))
+	})
+}
+
+// The answer to an append is lost after it took effect. The writer sends the
+// same tokens again; the peer must hold them once.
+func TestLostAnswerToAnAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		h, id := start(newWriter(t, c, -1), "a", "b")
+		defer h.Forget()
+		produce(h, 0, 10)
+		c.mu.Lock()
+		c.loseReply["a"] = 1
+		c.mu.Unlock()
+		produce(h, 10, 20)
+		time.Sleep(time.Second)
+		b, err := c.stores["a"].Tokens(sawUpTo(id, 1, 19))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b.Tokens).To(Equal(answerOf(lineage(1, 0), 20)))
+	})
+}
+
+// Most generations are short. They are registered, so that a second router
+// finds the runner, but send no tokens; forgetting leaves nothing behind.
+func TestShortGenerationsSendNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		w := newWriter(t, c, 5*time.Second)
+		h, id := start(w, "a", "b")
+		produce(h, 0, 20)
+		found, err := NewReader(ReaderOptions{Client: c}).FindKey(t.Context(), types.NewGenerationID(1), []string{"a", "b"})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found).To(Equal(KeyFound{Generation: id, Known: true, Runner: "self"}))
+		g.Expect(heldBy(c, "a", id)).To(BeZero())
+		h.Finish(types.FinishStop)
+		time.Sleep(time.Second)
+		h.Forget()
+		time.Sleep(time.Second)
+		g.Expect(c.stores["a"].Dump().Entries).To(BeZero())
+		g.Expect(w.Dump()).To(Equal(WriterDump{MaxBytes: DefaultWriterMaxBytes}))
+	})
+}
+
+// A generation that grows old is journalled whole and, once finished, readable
+// as whole, even though its engine stops right after the end.
+func TestLongGenerationIsJournalledFromTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		w := newWriter(t, c, time.Second)
+		h, id := start(w, "a", "b")
+		produce(h, 0, 20)
+		g.Expect(heldBy(c, "a", id)).To(BeZero())
+		produce(h, 20, 40)
+		h.Finish(types.FinishLength)
+		h.Close()
+		time.Sleep(time.Second)
+		b, err := c.stores["b"].Tokens(sawUpTo(id, 1, 39))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b.Finish).To(Equal(types.FinishLength))
+		g.Expect(w.Dump().HeldBytes).To(BeZero(), "closed and sent: given back")
+	})
+}
+
+// The writer's own bound is reached: the newest tokens go unjournalled, the
+// generation itself goes on, and what the peers hold stays a true prefix.
+func TestWriterBoundStopsJournallingNotTheGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		w := NewWriter(WriterOptions{Self: "self", Sender: c, After: -1, MaxBytes: 500})
+		defer w.Close()
+		h, id := start(w, "a", "b")
+		produce(h, 0, 100)
+		h.Finish(types.FinishStop)
+		time.Sleep(time.Second)
+		b, err := c.stores["a"].Tokens(sawUpTo(id, 1, 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b.Finish).To(BeEmpty())
+		g.Expect(b.Tokens).To(Equal(answerOf(lineage(1, 0), b.Held)))
+		g.Expect(w.Dump().HeldBytes).To(BeZero())
+		h.Forget()
+	})
+}
+
+// One peer is too small to keep the generation and loses it after each append.
+// The writer must not send the whole answer to it for ever.
+func TestPeerWithoutRoomIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b", "c")
+		c.stores["a"] = NewStore(StoreOptions{MaxBytes: 700})
+		h, id := start(newWriter(t, c, -1), "a", "b", "c")
+		defer h.Forget()
+		produce(h, 0, 100)
+		g.Expect(heldBy(c, "c", id)).To(BeNumerically(">", 90))
+	})
+}
+
+func TestFindReportsWhatIsProved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b", "c")
+		r, id := NewReader(ReaderOptions{Client: c, FirstWave: 2}), types.NewGenerationID(1)
+		peers := []string{"a", "b", "c"}
+		_, err := r.Find(t.Context(), sawUpTo(id, 1, 3), peers)
+		g.Expect(err).To(MatchError(ErrNotHeld))
+
+		send(c.stores["a"], record(id, lineage(1, 0), 0, 3))
+		send(c.stores["b"], record(id, lineage(2, 0), 0, 9))
+		_, err = r.Find(t.Context(), sawUpTo(id, 1, 3), peers)
+		g.Expect(err).To(MatchError(ErrTooShort))
+		_, err = r.Find(t.Context(), sawUpTo(id, 3, 3), peers)
+		g.Expect(err).To(MatchError(ErrDiverged))
+
+		c.setCut("c", true)
+		_, err = r.Find(t.Context(), sawUpTo(id, 1, 3), peers)
+		g.Expect(err).To(MatchError(ErrUnsure))
+		c.setCut("c", false)
+		send(c.stores["c"], record(id, lineage(1, 0), 0, 8))
+		b, err := r.Find(t.Context(), sawUpTo(id, 1, 3), peers)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b.Tokens).To(HaveLen(8))
+	})
+}
+
+// A caller sends its request again through another router while the first still
+// runs it. Both ask with an id of their own and must get the same generation;
+// when a peer has restarted empty, the runner's registration elsewhere wins.
+func TestSameKeyAttachesToOneGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		r, peers := NewReader(ReaderOptions{Client: c}), []string{"a", "b"}
+		one, two := types.NewGenerationID(5), types.NewGenerationID(5)
+		found, err := r.FindKey(t.Context(), one, peers)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found).To(Equal(KeyFound{Generation: one}))
+		found, _ = r.FindKey(t.Context(), two, peers)
+		g.Expect(found).To(Equal(KeyFound{Generation: one, Known: true}))
+
+		send(c.stores["b"], record(one, lineage(1, 0), 0, 0))
+		c.restart("a")
+		found, _ = r.FindKey(t.Context(), two, peers)
+		g.Expect(found).To(Equal(KeyFound{Generation: one, Known: true, Runner: "runner"}))
+		c.setCut("a", true)
+		c.setCut("b", true)
+		_, err = r.FindKey(t.Context(), two, peers)
+		g.Expect(err).To(MatchError(ErrNoPeers))
+		_, err = c.stores["a"].Lookup(&streampb.LookupRequest{Key: 9, Reserve: one.String()})
+		g.Expect(err).To(HaveOccurred(), "a generation of another key")
+	})
+}
