--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,168 @@
+// Package peer carries a stamp (process, incarnation, address, revision in
+// force) on every call between processes, in both directions. News of a new
+// revision or of a restarted process therefore spreads with ordinary traffic.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+// HeaderStamp is the header, of requests and of answers, that holds the sender's stamp.
+const HeaderStamp = "Pearyard-Stamp"
+
+const (
+	dialTimeout         = 700 * time.Millisecond
+	idleConnTimeout     = 90 * time.Second
+	maxIdleConnsPerPeer = 64
+	stampFields         = 4
+)
+
+// ErrMalformedStamp reports a stamp that this system did not write.
+var ErrMalformedStamp = errors.New("peer: malformed stamp")
+
+// Identity says which run of which process is speaking. Address is where its
+// peer listener can be reached.
+type Identity struct {
+	ID          types.ProcessID
+	Incarnation types.Incarnation
+	Address     string
+}
+
+// Stamp is what a process says of itself on every message.
+type Stamp struct {
+	Identity
+	Revision types.Revision
+}
+
+// String returns the stamp in its wire form.
+func (s Stamp) String() string {
+	return fmt.Sprintf("%s;%d;%s;%d", s.ID, s.Incarnation, s.Address, s.Revision)
+}
+
+// ParseStamp is the inverse of Stamp.String.
+func ParseStamp(text string) (Stamp, error) {
+	parts := strings.Split(text, ";")
+	if len(parts) != stampFields || parts[0] == "" {
+		return Stamp{}, ErrMalformedStamp
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return Stamp{}, ErrMalformedStamp
+	}
+	revision, err := strconv.ParseUint(parts[3], 10, 64)
+	if err != nil {
+		return Stamp{}, ErrMalformedStamp
+	}
+	identity := Identity{ID: types.ProcessID(parts[0]), Incarnation: types.Incarnation(incarnation), Address: parts[2]}
+	return Stamp{Identity: identity, Revision: types.Revision(revision)}, nil
+}
+
+// Options configure a Peer. Revision and Seen are called on every message, so
+// they must not block.
+type Options struct {
+	Self     Identity
+	Revision func() types.Revision // revision in force here
+	Seen     func(Stamp)           // what another process said of itself
+}
+
+// Peer stamps calls between processes.
+type Peer struct {
+	opts      Options
+	transport *http.Transport
+	seen      atomic.Pointer[func(Stamp)]
+}
+
+// New returns a Peer with its own pool of connections.
+func New(opts Options) *Peer {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	p := &Peer{opts: opts, transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}}
+	if opts.Seen != nil {
+		p.OnSeen(opts.Seen)
+	}
+	return p
+}
+
+// OnSeen replaces the function that is told of others' stamps.
+func (p *Peer) OnSeen(seen func(Stamp)) { p.seen.Store(&seen) }
+
+// Self returns the identity that this process stamps its messages with.
+func (p *Peer) Self() Identity { return p.opts.Self }
+
+// Client returns an HTTP client for calls to other processes. It has no
+// timeout of its own: callers bound calls by context.
+func (p *Peer) Client() *http.Client { return &http.Client{Transport: roundTripper{p}} }
+
+// Close drops the idle connections.
+func (p *Peer) Close() { p.transport.CloseIdleConnections() }
+
+// Handler stamps the answers of next and learns from the requests' stamps.
+func (p *Peer) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.learn(r.Header)
+		w.Header().Set(HeaderStamp, p.stamp())
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *Peer) stamp() string {
+	return Stamp{Identity: p.opts.Self, Revision: p.opts.Revision()}.String()
+}
+
+func (p *Peer) learn(h http.Header) {
+	seen := p.seen.Load()
+	if seen == nil {
+		return
+	}
+	stamp, err := ParseStamp(h.Get(HeaderStamp))
+	if err != nil {
+		return
+	}
+	(*seen)(stamp)
+}
+
+type roundTripper struct{ p *Peer }
+
+// RoundTrip implements http.RoundTripper.
+func (t roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set(HeaderStamp, t.p.stamp())
+	resp, err := t.p.transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	t.p.learn(resp.Header)
+	return resp, nil
+}
+
+// SentGuard tells whether a byte of a call may have left this process. It
+// stops a call from being reported "not run", or sent again, after a failure
+// that came when the other side may already have it: only a call that never
+// got a connection provably did not leave.
+type SentGuard struct{ connected atomic.Bool }
+
+// Watch returns a context whose HTTP calls are watched by the guard.
+func (g *SentGuard) Watch(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { g.connected.Store(true) },
+	})
+}
+
+// MayHaveLeft reports whether a connection was handed to the call.
+func (g *SentGuard) MayHaveLeft() bool { return g.connected.Load() }
--- /dev/null
+++ b/router/answer.go
@@ -0,0 +1,172 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+// answer writes one generation to its caller.
+type answer interface {
+	// tokens passes on tokens [first, first+len) of the answer; lineage says which attempt produced each.
+	tokens(first int, lineage types.Lineage, tokens []types.Token) error
+	// finish ends the answer whole; total counts all its tokens.
+	finish(reason types.FinishReason, total int) error
+	// started reports whether the caller has got a status line.
+	started() bool
+	// fail ends an answer that has started with an error.
+	fail(refusal *types.Refusal) error
+}
+
+// shape writes OpenAI bodies for one request.
+type shape struct {
+	ask     *ask
+	id      types.GenerationID
+	created int64
+}
+
+type choice struct {
+	Index        int                 `json:"index"`
+	Text         *string             `json:"text,omitempty"`
+	Delta        *message            `json:"delta,omitempty"`
+	Message      *message            `json:"message,omitempty"`
+	FinishReason *types.FinishReason `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (s *shape) chunk(text string, reason *types.FinishReason) completion {
+	c := choice{FinishReason: reason}
+	object, prefix := "text_completion", "cmpl-"
+	if s.ask.chat {
+		object, prefix = "chat.completion.chunk", "chatcmpl-"
+		c.Delta = &message{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	return completion{ID: prefix + s.id.String(), Object: object, Created: s.created, Model: s.ask.model, Choices: []choice{c}}
+}
+
+func (s *shape) whole(text string, reason types.FinishReason, total int) completion {
+	body := s.chunk(text, &reason)
+	if s.ask.chat {
+		body.Object = "chat.completion"
+		body.Choices[0].Message, body.Choices[0].Delta = body.Choices[0].Delta, nil
+	}
+	body.Usage = &usage{CompletionTokens: total, TotalTokens: total}
+	return body
+}
+
+// streamAnswer writes server-sent events, one a token.
+type streamAnswer struct {
+	shape
+	w       http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+	buf     []byte
+}
+
+func (a *streamAnswer) started() bool { return a.begun }
+
+func (a *streamAnswer) begin() {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	h := a.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set(HeaderOutcome, string(types.OutcomeCompleted))
+	a.w.WriteHeader(http.StatusOK)
+}
+
+func (a *streamAnswer) tokens(first int, lineage types.Lineage, tokens []types.Token) error {
+	a.begin()
+	a.buf = a.buf[:0]
+	for i, t := range tokens {
+		id := types.EventID{Generation: a.id, Attempt: lineage.At(first + i), Index: first + i}
+		a.buf = append(a.buf, "id: "...)
+		a.buf = append(a.buf, id.String()...)
+		a.buf = a.appendData(append(a.buf, '\n'), a.chunk(t.Text, nil))
+	}
+	return a.flush()
+}
+
+func (a *streamAnswer) finish(reason types.FinishReason, _ int) error {
+	a.begin()
+	a.buf = a.appendData(a.buf[:0], a.chunk("", &reason))
+	a.buf = append(a.buf, "data: [DONE]\n\n"...)
+	return a.flush()
+}
+
+func (a *streamAnswer) fail(refusal *types.Refusal) error {
+	a.buf = a.appendData(a.buf[:0], newErrorBody(refusal, a.ask.requestID))
+	return a.flush()
+}
+
+func (a *streamAnswer) appendData(buf []byte, body any) []byte {
+	buf = append(buf, "data: "...)
+	encoded, _ := json.Marshal(body)
+	buf = append(buf, encoded...)
+	return append(buf, "\n\n"...)
+}
+
+func (a *streamAnswer) flush() error {
+	if _, err := a.w.Write(a.buf); err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+// wholeAnswer collects the tokens and writes one JSON body at the end.
+type wholeAnswer struct {
+	shape
+	w    http.ResponseWriter
+	text strings.Builder
+}
+
+func (a *wholeAnswer) started() bool { return false }
+
+func (a *wholeAnswer) tokens(_ int, _ types.Lineage, tokens []types.Token) error {
+	for _, t := range tokens {
+		a.text.WriteString(t.Text)
+	}
+	return nil
+}
+
+func (a *wholeAnswer) finish(reason types.FinishReason, total int) error {
+	a.w.Header().Set("Content-Type", "application/json")
+	a.w.Header().Set(HeaderOutcome, string(types.OutcomeCompleted))
+	return json.NewEncoder(a.w).Encode(a.whole(a.text.String(), reason, total))
+}
+
+func (a *wholeAnswer) fail(*types.Refusal) error { return nil }
+
+func newAnswer(w http.ResponseWriter, a *ask, id types.GenerationID) answer {
+	s := shape{ask: a, id: id, created: time.Now().Unix()}
+	if a.stream {
+		return &streamAnswer{shape: s, w: w, control: http.NewResponseController(w)}
+	}
+	return &wholeAnswer{shape: s, w: w}
+}
--- /dev/null
+++ b/router/call.go
@@ -0,0 +1,224 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/claim"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/limit"
+	"github.com/pearyard/pearyard/plain"
+	"github.com/pearyard/pearyard/route"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// hopHeaders belong to one connection, or to this system; they aren't passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Content-Length"}
+
+// serveCall serves one call of a plain service.
+func (r *Router) serveCall(w http.ResponseWriter, req *http.Request, in *admitted) {
+	service, ok := in.text.Service(req.PathValue("service"))
+	if !ok || service.Kind != text.KindPlain {
+		r.refuse(w, in.id, types.Invalid(http.StatusNotFound, types.CodeUnknownService, "no plain service has the name %q", req.PathValue("service")))
+		return
+	}
+	key, refusal := idempotencyKeyOf(req.Header)
+	if refusal == nil && key == "" && service.Calls == text.CallsAtMostOnce {
+		refusal = types.Invalid(http.StatusBadRequest, types.CodeKeyRequired, "calls of %s need an %s", service.Name, HeaderIdempotencyKey)
+	}
+	if refusal != nil {
+		r.refuse(w, in.id, refusal)
+		return
+	}
+	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
+	if refusal != nil {
+		r.refuse(w, in.id, refusal)
+		return
+	}
+	ctx, cancel, refusal := withDeadline(req, in.text)
+	if refusal != nil {
+		r.refuse(w, in.id, refusal)
+		return
+	}
+	defer cancel()
+	release, refusal := r.admitCall(ctx, in.organisation)
+	if refusal != nil {
+		r.refuse(w, in.id, refusal)
+		return
+	}
+	defer release()
+	answer, refusal := r.runCall(ctx, in, service, key, r.callOf(req, body))
+	if refusal != nil {
+		r.refuse(w, in.id, refusal)
+		return
+	}
+	r.writeCall(w, in, answer)
+}
+
+func (r *Router) admitCall(ctx context.Context, org *text.Organisation) (func(), *types.Refusal) {
+	if r.opts.Limiter == nil {
+		return func() {}, nil
+	}
+	return r.opts.Limiter.Admit(ctx, types.Organisation(org.Name), limit.Plain)
+}
+
+func (r *Router) callOf(req *http.Request, body []byte) plain.Call {
+	path := "/" + req.PathValue("path")
+	if req.URL.RawQuery != "" {
+		path += "?" + req.URL.RawQuery
+	}
+	header := req.Header.Clone()
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	return plain.Call{Method: req.Method, Path: path, Header: header, Body: body}
+}
+
+func (r *Router) runCall(ctx context.Context, in *admitted, service *text.Service, key string, call plain.Call) (plain.Answer, *types.Refusal) {
+	sf := r.fleet.service(service.Name)
+	if sf == nil {
+		return plain.Answer{}, types.NotRun(types.CodeNoBackend, unconfiguredRetry, "service %s is not ready here yet", service.Name)
+	}
+	if service.Calls == text.CallsAtMostOnce {
+		return r.runOnce(ctx, in, sf, key, call)
+	}
+	return r.runRepeatable(ctx, in, sf, call)
+}
+
+// runOnce leaves a non-idempotent call to the claim protocol.
+func (r *Router) runOnce(ctx context.Context, in *admitted, sf *serviceFleet, key string, call plain.Call) (plain.Answer, *types.Refusal) {
+	if r.opts.Claims == nil {
+		return plain.Answer{}, types.NotRun(types.CodeTableDown, unconfiguredRetry, "this router has no table service")
+	}
+	deadline, _ := ctx.Deadline()
+	return r.opts.Claims.Do(ctx, claim.Call{
+		RequestID:    in.id,
+		Service:      sf.name,
+		Organisation: types.Organisation(in.organisation.Name),
+		Key:          key,
+		Method:       call.Method,
+		Path:         call.Path,
+		Header:       call.Header,
+		Body:         call.Body,
+		Deadline:     deadline,
+	}, func(avoid []string) (claim.Target, bool) { return r.pickTarget(sf, avoid) })
+}
+
+// pickTarget chooses where a claimed call may run. Only a sidecar whose
+// incarnation is known can be named in a claim.
+func (r *Router) pickTarget(sf *serviceFleet, avoid []string) (claim.Target, bool) {
+	query := route.Query{Zone: r.opts.Zone}
+	for _, name := range avoid {
+		query.Avoid = append(query.Avoid, types.ProcessID(name))
+	}
+	for {
+		c, ok := sf.policy.Pick(&query, sf.view.Load())
+		if !ok {
+			return claim.Target{}, false
+		}
+		if t, known := sf.find(string(c.ID)); known && t.incarnation != 0 {
+			return claim.Target{BackendServer: t.name, Process: t.process, Address: t.address, Incarnation: t.incarnation}, true
+		}
+		query.Avoid = append(query.Avoid, c.ID)
+	}
+}
+
+// runRepeatable sends an idempotent call; it may be sent again, within the
+// budget, where it did not run or its answer was lost.
+func (r *Router) runRepeatable(ctx context.Context, in *admitted, sf *serviceFleet, call plain.Call) (plain.Answer, *types.Refusal) {
+	sf.budget.First()
+	query := route.Query{Zone: r.opts.Zone}
+	ran := false
+	for {
+		c, ok := sf.policy.Pick(&query, sf.view.Load())
+		if !ok {
+			return plain.Answer{}, callGaveUp(ran, r.spread(overloadedWait))
+		}
+		resp, err := r.sendCall(ctx, c, in, sf, call)
+		if err == nil && resp.GetOutcome() == streampb.CallOutcome_CALL_COMPLETED {
+			c.Stats.Succeeded()
+			return answerOf(resp), nil
+		}
+		ran = ran || mayHaveRun(resp, err)
+		query.Avoid = append(query.Avoid, c.ID)
+		if types.Code(resp.GetCode()) == types.CodeLeaving {
+			r.fleet.markLeaving(string(c.ID), c.Incarnation)
+		} else {
+			c.Stats.Failed(time.Now())
+		}
+		if ctx.Err() != nil || !sf.budget.Allow() {
+			return plain.Answer{}, callGaveUp(ran, r.spread(overloadedWait))
+		}
+	}
+}
+
+func (r *Router) sendCall(ctx context.Context, c *route.Candidate, in *admitted, sf *serviceFleet, call plain.Call) (*streampb.CallResponse, error) {
+	c.Stats.Begin(false)
+	defer c.Stats.End(false)
+	deadline, _ := ctx.Deadline()
+	r.opts.Recorder.Emit(eventPlaced, event.FieldRequest, in.id, "service", sf.name, "backend_server", c.ID)
+	return r.sidecars.Call(ctx, c.Address, &streampb.CallRequest{
+		RequestId:      string(in.id),
+		Service:        sf.name,
+		Method:         call.Method,
+		Path:           call.Path,
+		Headers:        headersOf(call.Header),
+		Body:           call.Body,
+		DeadlineUnixMs: deadline.UnixMilli(),
+	})
+}
+
+func mayHaveRun(resp *streampb.CallResponse, err error) bool {
+	if err != nil {
+		return !errors.Is(err, plain.ErrNotSent)
+	}
+	return resp.GetOutcome() != streampb.CallOutcome_CALL_NOT_RUN
+}
+
+func callGaveUp(ran bool, wait time.Duration) *types.Refusal {
+	if ran {
+		return types.Unknown(types.CodeUnknownOutcome, wait, "the call was sent and its answer is lost; it may be sent again")
+	}
+	return types.NotRun(types.CodeNoBackend, wait, "no backend server takes this call")
+}
+
+func headersOf(header http.Header) []*streampb.Header {
+	out := make([]*streampb.Header, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			out = append(out, &streampb.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+func answerOf(resp *streampb.CallResponse) plain.Answer {
+	header := http.Header{}
+	for _, h := range resp.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	return plain.Answer{Status: int(resp.GetStatus()), Header: header, Body: resp.GetBody()}
+}
+
+func (r *Router) writeCall(w http.ResponseWriter, in *admitted, answer plain.Answer) {
+	h := w.Header()
+	for name, values := range answer.Header {
+		if !strings.HasPrefix(name, "Pearyard-") {
+			h[name] = values
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	h.Set(HeaderOutcome, string(types.OutcomeCompleted))
+	r.metrics.requests.WithLabelValues(string(types.OutcomeCompleted), "").Inc()
+	r.opts.Recorder.Emit(eventDelivered, event.FieldRequest, in.id, "status", answer.Status)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/router/drain.go
@@ -0,0 +1,108 @@
+package router
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// enter counts a request in, unless the router is draining.
+//
+// Failure it stops: a request that passes the check just before the drain
+// begins and is cut when the process ends. The check and the count are one
+// step under mu, so BeginDrain sees every request that was let in.
+func (r *Router) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining.Load() {
+		return false
+	}
+	r.inFlight.Add(1)
+	r.streams.Add(1)
+	r.metrics.streams.Inc()
+	return true
+}
+
+func (r *Router) exit() {
+	r.metrics.streams.Dec()
+	r.streams.Add(-1)
+	r.inFlight.Done()
+}
+
+// BeginDrain refuses new work from now on. It is safe to call many times.
+func (r *Router) BeginDrain(reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining.Swap(true) {
+		return
+	}
+	r.opts.Recorder.Emit(eventDraining, "reason", reason, "streams", r.streams.Load())
+}
+
+// Draining reports whether the router takes no new work.
+func (r *Router) Draining() bool { return r.draining.Load() }
+
+// Streams returns how many requests are in flight.
+func (r *Router) Streams() int { return int(r.streams.Load()) }
+
+// Drained waits for the requests in flight; BeginDrain must have been called.
+// A caller's connection can't be moved to another router, so the wait has no
+// bound of its own.
+func (r *Router) Drained(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		r.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		r.opts.Recorder.Emit(eventDrained)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// serveReady tells the platform's balancer whether to send new connections here.
+func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if r.draining.Load() || r.opts.Text() == nil || !r.opts.Fresh() || !r.hasBackends(r.opts.Text()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (r *Router) hasBackends(in *text.Text) bool {
+	for i := range in.Services {
+		sf := r.fleet.service(in.Services[i].Name)
+		if sf != nil && sf.view.Load().Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Dump returns the state for an operator.
+func (r *Router) Dump() any {
+	type backend struct {
+		ID       types.ProcessID
+		Address  string
+		Zone     types.Zone
+		InFlight int
+		Fails    int
+		Slow     bool
+	}
+	dump := struct {
+		Draining bool
+		Streams  int
+		Services map[string][]backend
+	}{Draining: r.draining.Load(), Streams: r.Streams(), Services: map[string][]backend{}}
+	for name, sf := range *r.fleet.services.Load() {
+		for _, c := range sf.view.Load().Candidates() {
+			dump.Services[name] = append(dump.Services[name], backend{c.ID, c.Address, c.Zone, c.Stats.InFlight(), c.Stats.Fails(), c.Stats.Slow()})
+		}
+	}
+	return dump
+}
--- /dev/null
+++ b/router/fleet.go
@@ -0,0 +1,169 @@
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/membership"
+	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/route"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// subsetSize is how many backend servers of a service one router uses. Today's
+// services are smaller and are used whole; docs/CAPACITY.md has the sizes at
+// which the subset begins to count.
+const subsetSize = 160
+
+// fleet holds, for each service, who can be sent work. The path of a request
+// reads immutable snapshots only.
+type fleet struct {
+	self       types.ProcessID
+	policyName string
+	recorder   *event.Recorder
+	registerer prometheus.Registerer
+
+	mu       sync.Mutex // serializes rebuild
+	services atomic.Pointer[map[string]*serviceFleet]
+	voided   sync.Map // leaving: incarnation by backend server, see markLeaving
+}
+
+// serviceFleet is the part of a fleet that serves one service. view and
+// addresses are replaced whole; policy and budget live as long as the service.
+type serviceFleet struct {
+	name    string
+	policy  route.Policy
+	budget  *retry.Budget
+	view    atomic.Pointer[route.View]
+	members atomic.Pointer[[]target]
+}
+
+// target is a backend server of the text joined with what membership knows of it.
+type target struct {
+	name        string
+	address     string
+	zone        types.Zone
+	process     types.ProcessID
+	incarnation types.Incarnation // 0: not heard of yet
+	state       membership.State
+}
+
+func newFleet(self types.ProcessID, policy string, recorder *event.Recorder, reg prometheus.Registerer) *fleet {
+	f := &fleet{self: self, policyName: policy, recorder: recorder, registerer: reg}
+	f.services.Store(&map[string]*serviceFleet{})
+	return f
+}
+
+func (f *fleet) service(name string) *serviceFleet { return (*f.services.Load())[name] }
+
+// rebuild joins the text with the members and replaces the snapshots.
+func (f *fleet) rebuild(in *text.Text, members *membership.View, now time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := *f.services.Load()
+	next := make(map[string]*serviceFleet, len(in.Services))
+	for i := range in.Services {
+		s := &in.Services[i]
+		kept := old[s.Name]
+		if kept == nil {
+			created, err := f.newService(s)
+			if err != nil {
+				return err
+			}
+			kept = created
+		}
+		f.replaceView(kept, s, members, now)
+		next[s.Name] = kept
+	}
+	f.services.Store(&next)
+	return nil
+}
+
+func (f *fleet) newService(s *text.Service) (*serviceFleet, error) {
+	policy, err := route.NewPolicy(f.policyName, route.Options{Service: s.Name, Registerer: f.registerer, Recorder: f.recorder})
+	if err != nil {
+		return nil, err
+	}
+	budget := retry.NewBudget(retry.BudgetOptions{Service: s.Name, Ratio: s.RetryBudget, Registerer: f.registerer, Recorder: f.recorder})
+	return &serviceFleet{name: s.Name, policy: policy, budget: budget}, nil
+}
+
+func (f *fleet) replaceView(sf *serviceFleet, s *text.Service, members *membership.View, now time.Time) {
+	targets := make([]target, 0, len(s.BackendServers))
+	candidates := make([]route.Candidate, 0, len(s.BackendServers))
+	for i := range s.BackendServers {
+		b := &s.BackendServers[i]
+		t := f.join(b, members)
+		targets = append(targets, t)
+		if t.state == membership.StateAlive {
+			candidates = append(candidates, candidateOf(t, b.Capacity))
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = suspected(targets)
+	}
+	if len(candidates) > subsetSize {
+		candidates = route.Subset(f.self, candidates, subsetSize)
+	}
+	view := route.NewView(sf.view.Load(), candidates, now)
+	sf.view.Store(view)
+	sf.members.Store(&targets)
+}
+
+// suspected returns the members that are only suspected. When a router suspects
+// everybody, it's more likely that the router was away than that all others are dead.
+func suspected(targets []target) []route.Candidate {
+	var out []route.Candidate
+	for _, t := range targets {
+		if t.state == membership.StateSuspect {
+			out = append(out, candidateOf(t, 0))
+		}
+	}
+	return out
+}
+
+func candidateOf(t target, capacity int) route.Candidate {
+	return route.Candidate{ID: types.ProcessID(t.name), Address: t.address, Zone: t.zone, Incarnation: t.incarnation, Capacity: capacity}
+}
+
+// join finds the member that serves a backend server of the text. One that
+// membership hasn't heard of yet counts as alive: a try costs little, and a
+// router that has just started must be able to serve.
+func (f *fleet) join(b *text.BackendServer, members *membership.View) target {
+	t := target{name: b.Name, address: b.Sidecar, zone: types.Zone(b.Zone), state: membership.StateAlive}
+	if members == nil {
+		return t
+	}
+	m, ok := members.ByAddress(b.Sidecar)
+	if !ok {
+		return t
+	}
+	t.process, t.incarnation, t.state = m.ID, m.Incarnation, m.State
+	if left, ok := f.voided.Load(b.Name); ok && left == m.Incarnation {
+		t.state = membership.StateLeaving
+	}
+	return t
+}
+
+// markLeaving keeps new work from a backend server that has itself said that it
+// is leaving, before membership's news arrive. It holds for that incarnation only.
+func (f *fleet) markLeaving(name string, incarnation types.Incarnation) {
+	if incarnation != 0 {
+		f.voided.Store(name, incarnation)
+	}
+}
+
+// find returns what is known of a backend server of the service.
+func (sf *serviceFleet) find(name string) (target, bool) {
+	for _, t := range *sf.members.Load() {
+		if t.name == name {
+			return t, true
+		}
+	}
+	return target{}, false
+}
--- /dev/null
+++ b/router/metrics.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// Causes of a loss, as labels of resume latency.
+const (
+	causeEngineDied = "engine_died"
+	causeConnection = "connection"
+	causeSilence    = "silence"
+	causeMoved      = "moved"
+	causeReturn     = "caller_returned"
+)
+
+type metrics struct {
+	requests      *prometheus.CounterVec
+	resumeLatency *prometheus.HistogramVec
+	firstToken    prometheus.Histogram
+	tokens        prometheus.Counter
+	discarded     prometheus.Counter
+	streams       prometheus.Gauge
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := promauto.With(reg)
+	const namespace, subsystem = "pearyard", "router"
+	return &metrics{
+		requests: f.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "requests_total", Help: "Requests by final outcome and code (empty: answered)."}, []string{"outcome", "code"}),
+		resumeLatency: f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "resume_latency_seconds", Help: "From a loss as the router can date it (the last sign of life) until output goes on.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"cause"}),
+		firstToken: f.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "first_token_seconds", Help: "From the request until its first token.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14)}),
+		tokens: f.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "tokens_total", Help: "Tokens passed to callers."}),
+		discarded: f.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "tokens_discarded_total", Help: "Tokens that were generated and not passed on."}),
+		streams: f.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "streams", Help: "Requests in flight."}),
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,158 @@
+// Package router serves callers: it admits a request, chooses a backend
+// server, passes tokens on, resumes a generation whose engine dies, and says
+// truthfully what became of a request that it gives up on. It keeps nothing
+// that must last.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/claim"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/limit"
+	"github.com/pearyard/pearyard/membership"
+	"github.com/pearyard/pearyard/peer"
+	"github.com/pearyard/pearyard/route"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// refreshInterval bounds how long the views lag behind text and members when
+// no change was signalled.
+const refreshInterval = 250 * time.Millisecond
+
+// Options configure a Router.
+type Options struct {
+	Peer       *peer.Peer
+	Zone       types.Zone
+	Policy     string                   // routing policy; empty: route.DefaultPolicy
+	Text       func() *text.Text        // text in force; nil: none yet
+	Fresh      func() bool              // false: cut off from the configuration for too long
+	Members    func() *membership.View  // may return nil
+	Changed    func() []<-chan struct{} // closed when text or members change
+	Limiter    *limit.Limiter           // nil: no limits
+	Claims     *claim.Coordinator       // nil: no non-idempotent calls
+	Suspects   *suspect.Ledger          // nil: no quarantine
+	Recorder   *event.Recorder
+	Registerer prometheus.Registerer
+}
+
+// Router serves callers on one entry VM.
+type Router struct {
+	opts     Options
+	client   *http.Client
+	sidecars sidecars
+	journal  *journal.Reader
+	fleet    *fleet
+	metrics  *metrics
+
+	draining atomic.Bool
+	inFlight sync.WaitGroup
+	streams  atomic.Int64
+	mu       sync.Mutex // orders enter against BeginDrain
+}
+
+// New returns a router; Run must be running for it to know its backend servers.
+func New(opts Options) *Router {
+	if opts.Policy == "" {
+		opts.Policy = route.DefaultPolicy
+	}
+	client := opts.Peer.Client()
+	calls := sidecars{http: client}
+	return &Router{
+		opts:     opts,
+		client:   client,
+		sidecars: calls,
+		journal:  journal.NewReader(journal.ReaderOptions{Client: calls}),
+		fleet:    newFleet(opts.Peer.Self().ID, opts.Policy, opts.Recorder, opts.Registerer),
+		metrics:  newMetrics(opts.Registerer),
+	}
+}
+
+// Run keeps the views of the backend servers up to date until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	r.opts.Recorder.Emit(eventStarted, "zone", r.opts.Zone, "policy", r.opts.Policy)
+	for {
+		changed := r.opts.Changed()
+		if err := r.Refresh(); err != nil {
+			return err
+		}
+		if err := waitAny(ctx, changed, refreshInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// Refresh rebuilds the views from the text and the members now.
+func (r *Router) Refresh() error {
+	in := r.opts.Text()
+	if in == nil {
+		return nil
+	}
+	return r.fleet.rebuild(in, r.opts.Members(), time.Now())
+}
+
+// waitAny returns when one of the first two channels is closed, or after bound.
+func waitAny(ctx context.Context, changed []<-chan struct{}, bound time.Duration) error {
+	var first, second <-chan struct{}
+	if len(changed) > 0 {
+		first = changed[0]
+	}
+	if len(changed) > 1 {
+		second = changed[1]
+	}
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-first:
+	case <-second:
+	case <-timer.C:
+	}
+	return nil
+}
+
+// sites lists the sidecars of the text that may hold journals.
+func (r *Router) sites() []journal.Site {
+	members := r.opts.Members()
+	if members == nil {
+		return nil
+	}
+	return Sites(members)
+}
+
+// Sites lists the sidecars that journals are placed on. Routers and sidecars
+// must use the same rule, or they look for a journal where it isn't.
+func Sites(members *membership.View) []journal.Site {
+	alive := members.Alive(types.RoleSidecar)
+	out := make([]journal.Site, 0, len(alive))
+	for _, m := range alive {
+		out = append(out, journal.Site{Address: m.Address, Zone: m.Zone})
+	}
+	return out
+}
+
+// reachable reports whether membership has nothing against the sidecar at addr.
+func (r *Router) reachable(addr string) bool {
+	members := r.opts.Members()
+	if members == nil {
+		return true
+	}
+	m, ok := members.ByAddress(addr)
+	return !ok || m.State != membership.StateDead
+}
+
+// spread adds jitter to a wait, so that shed callers don't return all at once.
+func (r *Router) spread(wait time.Duration) time.Duration {
+	return wait + rand.N(wait)
+}
--- /dev/null
+++ b/sidecar/attempt.go
@@ -0,0 +1,223 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/engine"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/generation"
+	"github.com/pearyard/pearyard/journal"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	refusedRetryAfter = 500 * time.Millisecond
+	// maxEnginePriority and minEnginePriority bound what a text may ask of an engine.
+	maxEnginePriority = 100
+	minEnginePriority = -100
+)
+
+// refusal is the reason why nothing of an attempt ran here.
+type refusal struct {
+	code       types.Code
+	message    string
+	retryAfter time.Duration
+}
+
+// start admits an attempt and hands it to the engine, or says why nothing of
+// it ran. An attempt that is already here is joined instead.
+func (s *Sidecar) start(req *streampb.GenerateRequest) (*run, *refusal) {
+	id, err := types.ParseGenerationID(req.GetGeneration())
+	if err != nil {
+		return nil, &refusal{code: types.CodeBadRequest, message: err.Error()}
+	}
+	lineage := streampb.ToLineage(req.GetLineage())
+	if old := s.runs.get(runKey{id, lineage.Last()}); old != nil {
+		return old, nil
+	}
+	if r := s.mayStart(req); r != nil {
+		s.metrics.refused.WithLabelValues(string(r.code)).Inc()
+		s.opts.Recorder.Emit(eventRefused, event.FieldRequest, req.GetRequestId(), "code", r.code)
+		return nil, r
+	}
+	if !s.admission.enter() {
+		return nil, &refusal{code: types.CodeLeaving, message: "backend server is leaving"}
+	}
+	return s.admit(id, lineage, req)
+}
+
+func (s *Sidecar) mayStart(req *streampb.GenerateRequest) *refusal {
+	if s.opts.Engine == nil {
+		return &refusal{code: types.CodeUnknownModel, message: "no engine here"}
+	}
+	if s.admission.isLeaving() {
+		return &refusal{code: types.CodeLeaving, message: "backend server is leaving"}
+	}
+	if s.watch.isDown() {
+		return &refusal{code: types.CodeNoBackend, message: "engine does not answer", retryAfter: refusedRetryAfter}
+	}
+	if deadlinePassed(req.GetDeadlineUnixMs()) {
+		return &refusal{code: types.CodeDeadline, message: "the caller's deadline has passed"}
+	}
+	return s.mayStartSuspect(types.Fingerprint(req.GetFingerprint()), req.GetSuspect())
+}
+
+// mayStartSuspect keeps two suspects of one crash apart. Otherwise both would
+// be there at the next death, and the innocent one would gain a second
+// suspicion and be quarantined with the guilty one.
+func (s *Sidecar) mayStartSuspect(fp types.Fingerprint, toldSuspect bool) *refusal {
+	isSuspect := toldSuspect
+	if s.opts.Suspects != nil {
+		verdict := s.opts.Suspects.Verdict(fp)
+		if verdict.State == suspect.Quarantined {
+			return &refusal{code: types.CodeQuarantined, message: "this request has crashed backend servers", retryAfter: time.Until(verdict.Until)}
+		}
+		isSuspect = isSuspect || verdict.Strong()
+	}
+	if !isSuspect {
+		return nil
+	}
+	for _, r := range s.runs.all() {
+		if r.suspect && !r.proven() && r.log.Look(0).Phase == generation.Running {
+			return &refusal{code: types.CodeOverloaded, message: "another suspect runs here", retryAfter: refusedRetryAfter}
+		}
+	}
+	return nil
+}
+
+func deadlinePassed(unixMs int64) bool {
+	return unixMs != 0 && time.Now().UnixMilli() > unixMs
+}
+
+// admit must be called after admission.enter; the run's end calls exit.
+func (s *Sidecar) admit(id types.GenerationID, lineage types.Lineage, req *streampb.GenerateRequest) (*run, *refusal) {
+	emitted := streampb.ToTokens(req.GetEmitted())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &run{
+		log:         generation.NewLog(id, lineage, emitted),
+		request:     types.RequestID(req.GetRequestId()),
+		fingerprint: types.Fingerprint(req.GetFingerprint()),
+		suspect:     req.GetSuspect(),
+		emitted:     len(emitted),
+		started:     time.Now(),
+		cancel:      cancel,
+	}
+	stored, added := s.runs.add(r)
+	if !added {
+		cancel()
+		s.admission.exit()
+		return stored, nil
+	}
+	s.opts.Recorder.Emit(eventAccepted, event.FieldRequest, req.GetRequestId(), "generation", id, "emitted", len(emitted))
+	go s.drive(ctx, r, req, emitted)
+	return r, nil
+}
+
+// drive runs an attempt on the engine to its end.
+func (s *Sidecar) drive(ctx context.Context, r *run, req *streampb.GenerateRequest, emitted []types.Token) {
+	defer s.admission.exit()
+	defer s.runs.ended()
+	defer r.cancel()
+	handle := s.openJournal(r, emitted)
+	emit := func(t types.Token) error {
+		if err := r.log.Append(t); err != nil {
+			return err
+		}
+		s.metrics.generated.Inc()
+		handle.append(t)
+		return nil
+	}
+	result, err := s.opts.Engine.Generate(ctx, engine.Request{
+		ID:        req.GetRequestId(),
+		Model:     req.GetModel(),
+		Prompt:    req.GetPrompt(),
+		Emitted:   emitted,
+		MaxTokens: int(req.GetMaxTokens()) - len(emitted),
+		Priority:  int(min(max(req.GetPriority(), minEnginePriority), maxEnginePriority)),
+	}, emit)
+	s.finish(r, handle, result, err, len(emitted) > 0)
+}
+
+func (s *Sidecar) finish(r *run, handle journalHandle, result engine.Result, err error, resumed bool) {
+	s.countPrefill(result, resumed)
+	switch {
+	case err == nil:
+		r.setPrefilled(result.PrefilledTokens)
+		r.log.Finish(result.Finish)
+		handle.finish(result.Finish)
+	case errors.Is(err, engine.ErrDied):
+		s.lose(r, s.watch.died(s.runs.running()))
+	default:
+		// Cancelled, refused by the engine, or already lost by the watch.
+		r.log.Lose(err)
+	}
+	state := r.log.Look(0)
+	s.opts.Recorder.Emit(eventEnded, event.FieldRequest, r.request, "tokens", state.Count, "phase", int(state.Phase))
+	s.retain(r)
+}
+
+func (s *Sidecar) countPrefill(result engine.Result, resumed bool) {
+	s.metrics.prefilled.Add(float64(result.PrefilledTokens))
+	if resumed {
+		s.metrics.reprefill.Add(float64(result.PrefilledTokens))
+	}
+}
+
+// retain keeps an ended run for a while: a caller whose router died after the
+// last token but before the end of the stream comes back for the rest.
+func (s *Sidecar) retain(r *run) {
+	key := runKey{r.log.ID(), r.log.Lineage().Last()}
+	time.AfterFunc(s.opts.Dial().Retain, func() { s.runs.remove(key) })
+}
+
+// journalHandle is a journal.Handle that may be absent.
+type journalHandle struct{ h *journal.Handle }
+
+func (s *Sidecar) openJournal(r *run, emitted []types.Token) journalHandle {
+	if s.opts.Writer == nil {
+		return journalHandle{}
+	}
+	info := journal.GenerationInfo{ID: r.log.ID(), Lineage: r.log.Lineage(), Emitted: emitted}
+	return journalHandle{s.opts.Writer.Start(info)}
+}
+
+func (j journalHandle) append(t types.Token) {
+	if j.h != nil {
+		j.h.Append(t)
+	}
+}
+
+func (j journalHandle) finish(reason types.FinishReason) {
+	if j.h != nil {
+		j.h.Finish(reason)
+	}
+}
+
+func (r *run) setDeath(d death) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.death = d
+}
+
+func (r *run) getDeath() death {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.death
+}
+
+func (r *run) setPrefilled(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prefilled = n
+}
+
+func (r *run) getPrefilled() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.prefilled
+}
--- /dev/null
+++ b/sidecar/service.go
@@ -0,0 +1,127 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/pearyard/pearyard/generation"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/types"
+)
+
+// service implements streampb.Sidecar.
+type service struct{ s *Sidecar }
+
+// Call runs one call of the plain service, under the gate of at-most-once calls.
+func (v service) Call(ctx context.Context, req *streampb.CallRequest) (*streampb.CallResponse, error) {
+	if v.s.calls == nil {
+		return notRun(types.CodeUnknownService, "no plain service here"), nil
+	}
+	if !v.s.admission.enter() {
+		return notRun(types.CodeLeaving, "backend server is leaving"), nil
+	}
+	defer v.s.admission.exit()
+	resp := v.s.calls.Call(ctx, req)
+	resp.Load = v.s.loadFrame()
+	return resp, nil
+}
+
+// Void asks that an attempt never run; see package gate.
+func (v service) Void(ctx context.Context, req *streampb.VoidRequest) (*streampb.CallResponse, error) {
+	if v.s.calls == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "no plain service here")
+	}
+	return v.s.calls.Void(ctx, req), nil
+}
+
+// Cancel stops an attempt that its router has no more use for.
+func (v service) Cancel(_ context.Context, req *streampb.CancelRequest) (*streampb.CancelResponse, error) {
+	id, err := types.ParseGenerationID(req.GetGeneration())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("generation", err.Error())
+	}
+	r := v.s.runs.get(runKey{id, types.AttemptTag(req.GetAttempt())})
+	if r == nil {
+		return &streampb.CancelResponse{}, nil
+	}
+	was := r.log.Cancel()
+	r.cancel()
+	return &streampb.CancelResponse{WasRunning: was}, nil
+}
+
+// Append keeps tokens of generations that run elsewhere.
+func (v service) Append(_ context.Context, req *streampb.JournalAppend) (*streampb.JournalAppended, error) {
+	if v.s.opts.Journal == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "no journal here")
+	}
+	return v.s.opts.Journal.Append(req), nil
+}
+
+// Lookup says what is known here of a generation: one that runs here comes
+// before what the journal holds.
+func (v service) Lookup(_ context.Context, req *streampb.LookupRequest) (*streampb.LookupResponse, error) {
+	if id, err := types.ParseGenerationID(req.GetGeneration()); err == nil {
+		if r := v.s.runs.best(id, 0, 0); r != nil {
+			return v.s.describe(r), nil
+		}
+	}
+	if v.s.opts.Journal == nil {
+		return &streampb.LookupResponse{}, nil
+	}
+	resp, err := v.s.opts.Journal.Lookup(req)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("reserve", err.Error())
+	}
+	return resp, nil
+}
+
+func (s *Sidecar) describe(r *run) *streampb.LookupResponse {
+	state := r.log.Look(0)
+	resp := &streampb.LookupResponse{
+		Found:      true,
+		Generation: r.log.ID().String(),
+		Lineage:    streampb.FromLineage(r.log.Lineage()),
+		Tokens:     streampb.FromTokens(state.Tokens),
+		Finish:     string(state.Finish),
+	}
+	if state.Phase == generation.Running || state.Phase == generation.Finished {
+		resp.Runner = s.opts.Peer.Self().Address
+	}
+	return resp
+}
+
+// Stop begins a planned stop and says how much work is still inside.
+func (v service) Stop(_ context.Context, req *streampb.StopRequest) (*streampb.StopResponse, error) {
+	v.s.BeginLeave(req.GetReason())
+	return &streampb.StopResponse{InFlight: uint32(v.s.InFlight())}, nil
+}
+
+// Status says how the backend server stands.
+func (v service) Status(context.Context, *streampb.StatusRequest) (*streampb.StatusResponse, error) {
+	self := v.s.opts.Peer.Self()
+	return &streampb.StatusResponse{
+		Process:       string(self.ID),
+		Incarnation:   uint64(self.Incarnation),
+		Zone:          string(v.s.opts.Zone),
+		BackendServer: v.s.opts.BackendServer,
+		State:         v.s.stateName(),
+		Revision:      uint64(v.s.opts.Revision()),
+		Load:          v.s.loadFrame(),
+	}, nil
+}
+
+func (s *Sidecar) stateName() string {
+	switch {
+	case s.admission.isLeaving():
+		return "leaving"
+	case s.watch.isDown():
+		return "engine-down"
+	default:
+		return "serving"
+	}
+}
+
+func notRun(code types.Code, message string) *streampb.CallResponse {
+	return &streampb.CallResponse{Outcome: streampb.CallOutcome_CALL_NOT_RUN, Code: string(code), Message: message}
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,151 @@
+// Package sidecar is the process in the slot beside each backend server, and
+// the only way into it: it admits work, runs it on the engine or plain service,
+// keeps what was generated, and sees to it that a stop cuts nothing.
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/engine"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/generation"
+	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/order"
+	"github.com/pearyard/pearyard/peer"
+	"github.com/pearyard/pearyard/plain"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Dial is the part of the recovery settings that a sidecar acts on. It is read
+// anew for each generation, so that a new revision takes effect at once.
+type Dial struct {
+	RouterGrace time.Duration // how long a generation runs on without a reader
+	Retain      time.Duration // how long an ended generation can still be read
+	DrainLong   time.Duration // how long a stop waits before it moves what still runs
+}
+
+// Calls is the gate of plain calls (package gate).
+type Calls interface {
+	Call(ctx context.Context, req *streampb.CallRequest) *streampb.CallResponse
+	Void(ctx context.Context, req *streampb.VoidRequest) *streampb.CallResponse
+}
+
+// Options configure a Sidecar. Exactly one of Engine and Plain is set.
+type Options struct {
+	Peer          *peer.Peer
+	Zone          types.Zone
+	BackendServer string
+	Engine        engine.Engine
+	Plain         plain.Service
+	Calls         func(leaving func() bool) Calls // builds the gate; nil beside an engine
+	Dial          func() Dial
+	Revision      func() types.Revision
+	Suspects      *suspect.Ledger // may be nil
+	Journal       *journal.Store  // tokens kept for others; may be nil
+	Writer        *journal.Writer // tokens sent to others; may be nil
+	Orders        *order.Guard    // may be nil beside a plain service
+	OnLeaving     func()          // told once, when the backend server begins to leave
+	Recorder      *event.Recorder
+	Registerer    prometheus.Registerer
+}
+
+// Sidecar guards one backend server.
+type Sidecar struct {
+	opts      Options
+	admission *admission
+	runs      *runs
+	watch     *watch
+	calls     Calls
+	metrics   *metrics
+	stopping  chan struct{} // closed when leaving begins
+}
+
+// New returns a sidecar; Run must be running for it to see its engine die.
+func New(opts Options) *Sidecar {
+	s := &Sidecar{
+		opts:      opts,
+		admission: newAdmission(),
+		runs:      newRuns(),
+		metrics:   newMetrics(opts.Registerer),
+		stopping:  make(chan struct{}),
+	}
+	self := opts.Peer.Self()
+	s.watch = &watch{
+		process:  types.ProcessID(fmt.Sprintf("%s@%d", self.ID, self.Incarnation)),
+		probe:    s.probe,
+		readLoad: s.readLoad,
+		onDeath:  s.engineDied,
+		onBack:   func() { opts.Recorder.Emit(eventEngineBack, "backend_server", opts.BackendServer) },
+	}
+	if opts.Calls != nil {
+		s.calls = opts.Calls(s.admission.isLeaving)
+	}
+	return s
+}
+
+// Run watches the backend server until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) error {
+	s.opts.Recorder.Emit(eventStarted, "backend_server", s.opts.BackendServer, "zone", s.opts.Zone)
+	return s.watch.run(ctx)
+}
+
+// Handler serves the sidecar's side of rpc/stream.
+func (s *Sidecar) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+streampb.PathGenerate, s.serveGenerate)
+	mux.HandleFunc("POST "+streampb.PathAttach, s.serveAttach)
+	twirpServer := streampb.NewSidecarServer(service{s})
+	mux.Handle(twirpServer.PathPrefix(), twirpServer)
+	return mux
+}
+
+// Leaving reports whether the backend server takes no new work.
+func (s *Sidecar) Leaving() bool { return s.admission.isLeaving() }
+
+// InFlight returns how much work is inside.
+func (s *Sidecar) InFlight() int { return s.admission.count() }
+
+func (s *Sidecar) probe(ctx context.Context) error {
+	if s.opts.Engine != nil {
+		return s.opts.Engine.Healthy(ctx)
+	}
+	return s.opts.Plain.Healthy(ctx)
+}
+
+func (s *Sidecar) readLoad(ctx context.Context) (types.Load, error) {
+	if s.opts.Engine != nil {
+		return s.opts.Engine.Load(ctx)
+	}
+	return types.Load{Running: s.admission.count()}, nil
+}
+
+// engineDied ends every generation that ran there, all by the same death.
+func (s *Sidecar) engineDied(d death) {
+	lost := 0
+	for _, r := range s.runs.all() {
+		if s.lose(r, d) {
+			lost++
+		}
+	}
+	s.opts.Recorder.Emit(eventEngineDied, "backend_server", s.opts.BackendServer, "death", d.id, "lost", lost)
+}
+
+func (s *Sidecar) lose(r *run, d death) bool {
+	if r.log.Look(0).Phase != generation.Running {
+		return false
+	}
+	r.setDeath(d)
+	if s.opts.Suspects != nil {
+		s.opts.Suspects.DeathOf(d.id, r.fingerprint, r.proven())
+	}
+	lost := r.log.Lose(engine.ErrDied)
+	r.cancel()
+	return lost
+}
--- /dev/null
+++ b/sidecar/stream.go
@@ -0,0 +1,201 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/generation"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/types"
+)
+
+// heartbeatInterval is how often an idle stream says that its sidecar lives; a
+// router gives up a stream that is silent for several of them.
+const heartbeatInterval = 200 * time.Millisecond
+
+func (s *Sidecar) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var req streampb.GenerateRequest
+	if err := streampb.NewReader(r.Body).Read(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out := newFrameWriter(w)
+	running, refused := s.start(&req)
+	if refused != nil {
+		out.refuse(refused)
+		return
+	}
+	s.follow(r.Context(), out, running, len(req.GetEmitted()))
+}
+
+func (s *Sidecar) serveAttach(w http.ResponseWriter, r *http.Request) {
+	var req streampb.AttachRequest
+	if err := streampb.NewReader(r.Body).Read(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out := newFrameWriter(w)
+	id, err := types.ParseGenerationID(req.GetGeneration())
+	if err != nil {
+		out.refuse(&refusal{code: types.CodeBadRequest, message: err.Error()})
+		return
+	}
+	running := s.runs.best(id, types.AttemptTag(req.GetAttempt()), int(req.GetFrom()))
+	if running == nil {
+		out.refuse(&refusal{code: types.CodeGenerationLost, message: "not held here"})
+		return
+	}
+	// The reader gets the answer from its first token on: it needs them all to
+	// resume elsewhere, should this engine die as well.
+	s.follow(r.Context(), out, running, 0)
+}
+
+// follow writes a run's frames from index from on until it ends or the reader leaves.
+func (s *Sidecar) follow(ctx context.Context, out *frameWriter, r *run, from int) {
+	s.addReader(r)
+	defer s.removeReader(r)
+	accepted := &streampb.Accepted{Lineage: streampb.FromLineage(r.log.Lineage()), Incarnation: uint64(s.opts.Peer.Self().Incarnation)}
+	if out.write(&streampb.Frame{Body: &streampb.Frame_Accepted{Accepted: accepted}, Load: s.loadFrame()}) != nil {
+		return
+	}
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	told := false
+	for {
+		state := r.log.Look(from)
+		if s.writeTokens(out, r, state, from) != nil {
+			return
+		}
+		from = state.Count
+		if state.Phase != generation.Running {
+			_ = out.write(s.lastFrame(r, state))
+			return
+		}
+		if state.Moving && !told {
+			told = true
+			if out.write(&streampb.Frame{Body: &streampb.Frame_Moving{Moving: &streampb.Moving{}}}) != nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-state.Changed:
+		case <-heartbeat.C:
+			if out.write(s.heartbeatFrame()) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *Sidecar) writeTokens(out *frameWriter, r *run, state generation.State, from int) error {
+	if len(state.Tokens) == 0 {
+		return nil
+	}
+	return out.write(&streampb.Frame{Body: &streampb.Frame_Tokens{Tokens: &streampb.Tokens{
+		First:   uint32(from),
+		Attempt: uint32(r.log.Lineage().Last()),
+		Tokens:  streampb.FromTokens(state.Tokens),
+	}}})
+}
+
+func (s *Sidecar) lastFrame(r *run, state generation.State) *streampb.Frame {
+	frame := &streampb.Frame{Load: s.loadFrame()}
+	if state.Phase == generation.Finished {
+		frame.Body = &streampb.Frame_End{End: &streampb.End{
+			Finish:    string(state.Finish),
+			Count:     uint32(state.Count),
+			Prefilled: uint32(r.getPrefilled()),
+			Attempt:   uint32(r.log.Lineage().Last()),
+		}}
+		return frame
+	}
+	d := r.getDeath()
+	message := "cancelled"
+	if state.Cause != nil {
+		message = state.Cause.Error()
+	}
+	frame.Body = &streampb.Frame_Lost{Lost: &streampb.Lost{Message: message, Death: d.id, Running: uint64(d.running), Proven: r.proven()}}
+	return frame
+}
+
+func (s *Sidecar) heartbeatFrame() *streampb.Frame {
+	beat := &streampb.Heartbeat{Revision: uint64(s.opts.Revision())}
+	return &streampb.Frame{Body: &streampb.Frame_Heartbeat{Heartbeat: beat}, Load: s.loadFrame()}
+}
+
+func (s *Sidecar) loadFrame() *streampb.Load {
+	load, age, ok := s.watch.lastLoad()
+	if !ok {
+		return nil
+	}
+	return &streampb.Load{
+		Running:      uint32(load.Running),
+		Queued:       uint32(load.Queued),
+		Capacity:     uint32(load.Capacity),
+		CachedTokens: uint32(load.CachedTokens),
+		StepMicros:   uint32(load.StepMicros),
+		AgeMs:        uint32(age.Milliseconds()),
+	}
+}
+
+func (s *Sidecar) addReader(r *run) {
+	r.log.AddReader(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.grace != nil {
+		r.grace.Stop()
+		r.grace = nil
+	}
+}
+
+// removeReader starts the grace time when the last reader has left: its router
+// may have died, and the caller may come back through another one.
+func (s *Sidecar) removeReader(r *run) {
+	if r.log.AddReader(-1) > 0 || r.log.Look(0).Phase != generation.Running {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grace = time.AfterFunc(s.opts.Dial().RouterGrace, func() { s.orphan(r) })
+}
+
+func (s *Sidecar) orphan(r *run) {
+	if r.log.AddReader(0) > 0 || !r.log.Cancel() {
+		return
+	}
+	r.cancel()
+	s.metrics.orphaned.Inc()
+	s.opts.Recorder.Emit(eventOrphaned, event.FieldRequest, r.request, "generation", r.log.ID())
+}
+
+// frameWriter writes frames and flushes each, so that no token waits for the next.
+type frameWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+func newFrameWriter(w http.ResponseWriter) *frameWriter {
+	w.Header().Set("Content-Type", "application/x-protobuf-delimited")
+	return &frameWriter{w: w, control: http.NewResponseController(w)}
+}
+
+func (f *frameWriter) write(frame proto.Message) error {
+	if err := streampb.Write(f.w, frame); err != nil {
+		return err
+	}
+	return f.control.Flush()
+}
+
+func (f *frameWriter) refuse(r *refusal) {
+	_ = f.write(&streampb.Frame{Body: &streampb.Frame_Refused{Refused: &streampb.Refused{
+		Code:         string(r.code),
+		Message:      r.message,
+		RetryAfterMs: uint32(max(r.retryAfter, 0).Milliseconds()),
+	}}})
+}
--- a/types/token.go
+++ b/types/token.go
@@ -30,14 +30,19 @@
 	return append(out, Segment{Attempt: attempt, From: from})
 }
 
-// Produced reports whether the token at index came from attempt in this lineage.
-func (l Lineage) Produced(attempt AttemptTag, index int) bool {
+// At returns the attempt that produced the token at index; 0 if there is none.
+func (l Lineage) At(index int) AttemptTag {
 	for i := len(l) - 1; i >= 0; i-- {
 		if l[i].From <= index {
-			return l[i].Attempt == attempt
+			return l[i].Attempt
 		}
 	}
-	return false
+	return 0
+}
+
+// Produced reports whether the token at index came from attempt in this lineage.
+func (l Lineage) Produced(attempt AttemptTag, index int) bool {
+	return attempt != 0 && l.At(index) == attempt
 }
 
 // Last returns the attempt that produces new tokens; 0 for an empty lineage.
