Membership: own health check before accusing, stories in virtual time

Cause: the story of a partition showed the smaller side declaring 4 of the 12 others dead before its majority rule took hold; a restart with the clock set back told nobody. Ruled out: a window of four outcomes alone, since a few lucky probes reopen it, and over minutes of partition half of the others get accused.

--- a/membership/loop.go
+++ b/membership/loop.go
@@ -130,7 +130,7 @@
 	defer m.unlock()
 	now := time.Now()
 	frozen := m.noticeFreeze(now)
-	m.table.expire(now)
+	m.table.expire(now, m.health.sound())
 	m.checkRevision()
 	m.checkMajority(now)
 	if m.table.dirty {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -36,7 +36,6 @@
 	health    health
 	changed   chan struct{}
 	published time.Time
-	quiet     bool // suppresses an event a member while a whole list is taken in
 	cutOff    bool
 	behind    types.Incarnation
 	revision  types.Revision // last seen of opts.Revision
--- /dev/null
+++ b/membership/network_test.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/types"
+)
+
+const linkDelay = time.Millisecond // one way
+
+// network joins members in memory; all waiting in it is in virtual time.
+type network struct {
+	t     *testing.T
+	mu    sync.Mutex
+	nodes map[string]*node // by address
+	cuts  map[[2]string]bool
+	calls int
+}
+
+// node is one run of a member.
+type node struct {
+	*Membership
+	net    *network
+	addr   string
+	cancel context.CancelFunc
+	done   chan struct{}
+	events *event.Recorder
+
+	mu     sync.Mutex
+	frozen chan struct{} // closed on thaw; nil: running
+}
+
+func newNetwork(t *testing.T) *network {
+	return &network{t: t, nodes: map[string]*node{}, cuts: map[[2]string]bool{}}
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+
+// start runs member i; its seeds are members 1 and 2. adapt changes options.
+func (n *network) start(i int, inc types.Incarnation, adapt ...func(*Options)) *node {
+	n.t.Helper()
+	nd := &node{net: n, addr: address(i), done: make(chan struct{}), events: event.Discard()}
+	opts := Options{
+		Self:       Member{ID: types.ProcessID(fmt.Sprintf("m%d", i)), Role: types.RoleSidecar, Address: nd.addr, Zone: "z", Incarnation: inc},
+		Seeds:      []string{address(1), address(2)},
+		HTTPClient: nd,
+		Recorder:   nd.events,
+	}
+	for _, f := range adapt {
+		f(&opts)
+	}
+	m, err := New(opts)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	m.stall = nd.waitThawed
+	nd.Membership = m
+	ctx, cancel := context.WithCancel(n.t.Context())
+	nd.cancel = cancel
+	n.mu.Lock()
+	n.nodes[nd.addr] = nd
+	n.mu.Unlock()
+	go func() {
+		defer close(nd.done)
+		_ = m.Run(ctx)
+	}()
+	return nd
+}
+
+// startAll runs members 1 to count and waits until all know all.
+func (n *network) startAll(count int, adapt ...func(*Options)) []*node {
+	n.t.Helper()
+	nodes := make([]*node, count)
+	for i := range nodes {
+		nodes[i] = n.start(i+1, types.Incarnation(i+1), adapt...)
+	}
+	n.within(20*time.Second, "all know all", func() bool {
+		for _, nd := range nodes {
+			if len(nd.Snapshot().Alive(types.RoleSidecar)) != count {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+// within waits in virtual time until cond holds and returns how long it took.
+func (n *network) within(bound time.Duration, what string, cond func() bool) time.Duration {
+	n.t.Helper()
+	begin := time.Now()
+	for !cond() {
+		if time.Since(begin) > bound {
+			n.t.Fatalf("%s: not within %s", what, bound)
+		}
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+	}
+	return time.Since(begin)
+}
+
+// cut stops what from sends to to; the other direction is another cut.
+func (n *network) cut(from, to *node, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{from.addr, to.addr}] = cut
+}
+
+func (n *network) partition(a, b []*node, cut bool) {
+	for _, x := range a {
+		for _, y := range b {
+			n.cut(x, y, cut)
+			n.cut(y, x, cut)
+		}
+	}
+}
+
+func (n *network) lookUp(from, to string) (*node, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls++
+	return n.nodes[to], n.cuts[[2]string{from, to}]
+}
+
+func (n *network) callCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls
+}
+
+// kill ends a member without a word; its address then swallows calls.
+func (nd *node) kill() {
+	nd.net.mu.Lock()
+	delete(nd.net.nodes, nd.addr)
+	nd.net.mu.Unlock()
+	nd.cancel()
+	<-nd.done
+}
+
+func (nd *node) freeze() {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.frozen = make(chan struct{})
+}
+
+func (nd *node) thaw() {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	close(nd.frozen)
+	nd.frozen = nil
+}
+
+func (nd *node) waitThawed() {
+	nd.mu.Lock()
+	frozen := nd.frozen
+	nd.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
+// Do implements HTTPClient.
+func (nd *node) Do(req *http.Request) (*http.Response, error) {
+	nd.waitThawed()
+	to, cut := nd.net.lookUp(nd.addr, req.URL.Host)
+	if to == nil || cut {
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	time.Sleep(linkDelay)
+	answer := make(chan *http.Response, 1)
+	go func() {
+		to.waitThawed()
+		rec := httptest.NewRecorder()
+		to.Handler().ServeHTTP(rec, req)
+		time.Sleep(linkDelay)
+		if _, cut := nd.net.lookUp(to.addr, nd.addr); !cut {
+			answer <- rec.Result()
+		}
+	}()
+	select {
+	case resp := <-answer:
+		return resp, nil
+	case <-req.Context().Done():
+		return nil, req.Context().Err()
+	}
+}
+
+// holds reports whether every node shows the member in that state.
+func holds(nodes []*node, of *node, state State) bool {
+	for _, nd := range nodes {
+		if nd == of {
+			continue
+		}
+		if m, ok := nd.Snapshot().ByID(of.opts.Self.ID); !ok || m.State != state {
+			return false
+		}
+	}
+	return true
+}
+
+// seen reports whether the node recorded an event.
+func (nd *node) seen(kind event.Kind) int {
+	count := 0
+	for _, e := range nd.events.Entries("") {
+		if e.ID == kind.ID() {
+			count++
+		}
+	}
+	return count
+}
+
+// vmList is a VM list that can be down.
+type vmList struct {
+	mu   sync.Mutex
+	vms  []platform.VM
+	down bool
+}
+
+func (l *vmList) set(down bool, vms ...platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms, l.down = vms, down
+}
+
+// List implements platform.VMList.
+func (l *vmList) List(context.Context) ([]platform.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, errors.WithStack(platform.ErrUnavailable)
+	}
+	return l.vms, nil
+}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -51,6 +52,20 @@
 	}
 	answered := m.probe(ctx, target) || m.probeIndirect(ctx, target)
 	m.noteOutcome(target, epoch, !answered)
+	if answered || target.Condition != conditionAlive {
+		return
+	}
+	m.checkSelf(ctx, target, epoch)
+	m.accuse(target, epoch)
+}
+
+// checkSelf probes a few other members, to learn whether the fault is here.
+func (m *Membership) checkSelf(ctx context.Context, target record, epoch int) {
+	var wg sync.WaitGroup
+	for _, other := range m.pickAlive(selfChecks, target.ID) {
+		wg.Go(func() { m.noteOutcome(other, epoch, !m.probe(ctx, other)) })
+	}
+	wg.Wait()
 }
 
 func (m *Membership) drawTargets() (target record, epoch int, again []record, ok bool) {
@@ -71,19 +86,29 @@
 	return target, m.health.epoch, again, ok
 }
 
-// noteOutcome accuses a member that didn't answer, unless the fault may be here.
+// noteOutcome counts a probe for the judgement on this process's own health.
 func (m *Membership) noteOutcome(target record, epoch int, failed bool) {
 	m.lock()
 	defer m.unlock()
-	now := time.Now()
-	e := m.table.entries[target.ID]
-	if e == nil || epoch != m.health.epoch || now.Sub(m.health.lastTick) > m.freezeBound() {
-		return
-	}
-	if e.Condition == conditionAlive || !failed {
+	if m.proves(target, epoch) {
 		m.health.note(failed)
 	}
-	if failed && m.health.sound() && m.table.majority(now) {
+}
+
+// proves reports whether a probe of target begun in epoch says anything: not
+// if this process was frozen meanwhile, nor if the run probed is no more.
+func (m *Membership) proves(target record, epoch int) bool {
+	e := m.table.entries[target.ID]
+	return e != nil && e.Incarnation == target.Incarnation && epoch == m.health.epoch &&
+		time.Since(m.health.lastTick) <= m.freezeBound()
+}
+
+// accuse makes a member that didn't answer a suspect, unless the fault may be here.
+func (m *Membership) accuse(target record, epoch int) {
+	m.lock()
+	defer m.unlock()
+	now := time.Now()
+	if m.proves(target, epoch) && m.health.sound() && m.table.majority(now) {
 		m.table.suspect(now, target.ID, target.Incarnation)
 	}
 }
@@ -110,7 +135,7 @@
 func (m *Membership) probeRequest(to types.ProcessID) *memberpb.ProbeRequest {
 	m.lock()
 	defer m.unlock()
-	return &memberpb.ProbeRequest{From: m.from(), Updates: m.encodeUpdates(m.table.updates(to, nil))}
+	return &memberpb.ProbeRequest{From: m.from(), Updates: m.encodeUpdates(m.table.updates(to, 0, nil))}
 }
 
 func (m *Membership) encodeUpdates(records []record) []*memberpb.Record {
@@ -203,17 +228,16 @@
 }
 
 func (m *Membership) pickAliveLocked(n int, except types.ProcessID) []record {
+	ids := m.ring.ids
 	var out []record
-	seen := 0
-	for id, e := range m.table.entries {
-		if id == m.table.self || id == except || e.Condition != conditionAlive {
+	for _, i := range m.rng.Perm(len(ids)) {
+		e := m.table.entries[ids[i]]
+		if e == nil || e.ID == except || e.Condition != conditionAlive {
 			continue
 		}
-		seen++
-		if len(out) < n {
-			out = append(out, e.record)
-		} else if at := m.rng.IntN(seen); at < n {
-			out[at] = e.record
+		out = append(out, e.record)
+		if len(out) == n {
+			break
 		}
 	}
 	return out
--- a/membership/report.go
+++ b/membership/report.go
@@ -40,7 +40,6 @@
 	m.metrics.transitions.WithLabelValues(string(t.state())).Inc()
 	switch state := t.state(); {
 	case t.old == state:
-	case t.old == "" && m.quiet:
 	case t.old == "":
 		add(eventJoined)
 	case state == StateSuspect:
--- a/membership/ring.go
+++ b/membership/ring.go
@@ -60,36 +60,6 @@
 	}
 }
 
-// healthWindow is over how many probes of members held alive failures are counted.
-const healthWindow = 4
-
-// health judges whether this process's own failed probes prove anything.
-type health struct {
-	failures [healthWindow]bool
-	at       int
-	lastTick time.Time
-	epoch    int // raised by a freeze; a probe begun earlier proves nothing
-}
-
-func (h *health) note(failed bool) {
-	h.failures[h.at%healthWindow] = failed
-	h.at++
-}
-
-// sound guards against accusations by a process that is itself cut off: it
-// would see failures in a row, one each probe, and accuse everyone. More than
-// one failure in four means that the fault may be here; a member that has
-// really died is then accused by others, or here at a later probe.
-func (h *health) sound() bool {
-	n := 0
-	for _, f := range h.failures {
-		if f {
-			n++
-		}
-	}
-	return n <= 1
-}
-
 // tokens is a bucket that bounds messages outside the round robin.
 type tokens struct {
 	count    float64
--- a/membership/serve.go
+++ b/membership/serve.go
@@ -28,7 +28,7 @@
 	m.lock()
 	defer m.unlock()
 	m.receiveLocked(now, sender, req.GetUpdates())
-	return &memberpb.ProbeResponse{From: m.from(), Updates: m.encodeUpdates(m.table.updates(sender.ID, had))}, nil
+	return &memberpb.ProbeResponse{From: m.from(), Updates: m.encodeUpdates(m.table.updates(sender.ID, sender.Incarnation, had))}, nil
 }
 
 // ProbeIndirect implements memberpb.Members.
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -158,7 +158,6 @@
 	m.lock()
 	defer m.unlock()
 	m.joined = true
-	m.quiet = join
 	theirs := make(map[types.ProcessID]record, len(resp.GetRecords()))
 	for _, r := range resp.GetRecords() {
 		theirs[types.ProcessID(r.GetId())] = decode(r)
@@ -175,12 +174,12 @@
 		return
 	}
 	for _, t := range m.table.transitions {
+		m.noteInRing(t)
 		if t.ID != m.table.self {
 			m.table.queue.remove(t.ID)
 		}
 	}
-	m.takeReports()
-	m.quiet = false
+	m.table.transitions = nil
 }
 
 func (m *Membership) lacking(buckets []uint32, theirs map[types.ProcessID]record) []record {
--- a/membership/table.go
+++ b/membership/table.go
@@ -220,20 +220,21 @@
 }
 
 // expire turns suspicions past their deadline into deaths, and forgets old
-// deaths. A member heard of directly since is given another round instead.
-func (t *table) expire(now time.Time) {
+// deaths. A member heard of directly since is given another round instead, and
+// all are while this process's own probes prove nothing (sound).
+func (t *table) expire(now time.Time, sound bool) {
 	for id, e := range t.entries {
 		switch {
 		case e.Condition == conditionSuspect && !now.Before(e.deadline):
-			t.expireSuspect(now, e)
+			t.expireSuspect(now, e, sound)
 		case e.Condition == conditionDead && now.Sub(e.since) > deadRetention:
 			t.forget(id, e)
 		}
 	}
 }
 
-func (t *table) expireSuspect(now time.Time, e *entry) {
-	if now.Sub(e.heard) < t.suspectTimeout || !t.majority(now) {
+func (t *table) expireSuspect(now time.Time, e *entry, sound bool) {
+	if !sound || now.Sub(e.heard) < t.suspectTimeout || !t.majority(now) {
 		e.deadline = now.Add(t.suspectTimeout)
 		return
 	}
@@ -277,15 +278,22 @@
 	}
 }
 
+// concerns reports whether a member should hear what is held of it: that it is
+// accused or leaving, or that a later run than run (0: not known) is held alive.
+func (t *table) concerns(e *entry, run types.Incarnation) bool {
+	return e.Condition != conditionAlive || e.Leaving || run != 0 && e.Incarnation > run
+}
+
 // updates picks the changes to piggyback on a message to a member: first what
-// is said of that member itself, if it should refute it, then queued changes.
-func (t *table) updates(to types.ProcessID, had map[types.ProcessID]record) []record {
+// is held of that member itself, if it should answer it, then queued changes.
+// had holds the records that the member has just sent.
+func (t *table) updates(to types.ProcessID, run types.Incarnation, had map[types.ProcessID]record) []record {
 	skip := func(id types.ProcessID) bool {
 		r, ok := had[id]
 		return id == to || id == t.self || ok && covers(r, t.entries[id].record)
 	}
 	var out []record
-	if e := t.entries[to]; e != nil && to != t.self && (e.Condition != conditionAlive || e.Leaving) {
+	if e := t.entries[to]; e != nil && to != t.self && t.concerns(e, run) {
 		out = append(out, e.record)
 	}
 	for _, id := range t.queue.take(maxUpdates-len(out), retransmitLimit(len(t.entries)), skip) {
