--- a/plain/httpapi/client_test.go
+++ b/plain/httpapi/client_test.go
@@ -129,3 +129,18 @@
 	g.Expect(answer.Status).To(Equal(http.StatusTemporaryRedirect))
 	g.Expect(ran.Load()).To(BeEquivalentTo(1))
 }
+
+func TestFrozenServiceRunsLate(t *testing.T) {
+	// A paused service has the call in its socket. The caller gives up; the
+	// service wakes and runs the call all the same.
+	g := NewWithT(t)
+	p, c, _ := start(t)
+	p.Apply(standin.PlainFaults{Freeze: ptr(true)})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, label("k"))
+	g.Expect(err).To(MatchError(plain.ErrLost))
+	g.Expect(p.Counts().Total).To(BeZero())
+	p.Apply(standin.PlainFaults{Freeze: ptr(false)})
+	g.Eventually(func() int { return p.Counts().Total }).Should(Equal(1))
+}
--- a/standin/connections.go
+++ b/standin/connections.go
@@ -70,8 +70,8 @@
 	c.thaw()
 }
 
-// awaitThaw returns once nothing is frozen or ctx has ended.
-func (c *connections) awaitThaw(ctx context.Context) {
+// awaitThaw returns once nothing is frozen or done is closed.
+func (c *connections) awaitThaw(done <-chan struct{}) {
 	c.mu.Lock()
 	frozen := c.frozen
 	c.mu.Unlock()
@@ -80,12 +80,14 @@
 	}
 	select {
 	case <-frozen:
-	case <-ctx.Done():
+	case <-done:
 	}
 }
 
 // guard runs next as long as the stand-in is reachable. Dropping a connection
-// is panic(http.ErrAbortHandler): the caller sees it break, not an answer.
+// is panic(http.ErrAbortHandler): the caller sees it break, not an answer. A
+// call that came in while frozen runs after the thaw even if its caller has left
+// by then, as in a paused process whose socket holds the call.
 func (c *connections) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.mu.Lock()
@@ -105,7 +107,7 @@
 			case <-stop:
 			}
 		}()
-		c.awaitThaw(ctx)
+		c.awaitThaw(broken)
 		dropIf(broken)
 		next.ServeHTTP(w, r.WithContext(ctx))
 		dropIf(broken)
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -13,12 +13,6 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-const (
-	pathFaults   = "/faults"
-	pathDump     = "/dump"
-	maxBodyBytes = 64 << 20
-)
-
 // EngineFaults is the body of POST /faults on an engine; absent fields change
 // nothing. Kill crashes the engine as a poisoned request does.
 type EngineFaults struct {
@@ -53,21 +47,6 @@
 	return controlled(e.connect.guard(api), e.Apply, func() any { return e.Counters() })
 }
 
-// controlled adds the faults and the dump beside an API, out of reach of the
-// faults themselves.
-func controlled[F any](api http.Handler, apply func(F), dump func() any) *http.ServeMux {
-	mux := http.NewServeMux()
-	mux.Handle("/", api)
-	mux.HandleFunc("POST "+pathFaults, func(w http.ResponseWriter, r *http.Request) {
-		var faults F
-		if readJSON(w, r, &faults) {
-			apply(faults)
-		}
-	})
-	mux.HandleFunc("GET "+pathDump, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, dump()) })
-	return mux
-}
-
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	var request engine.Request
 	if !readJSON(w, r, &request) {
@@ -105,7 +84,7 @@
 		case <-j.ctx.Done():
 			return
 		}
-		e.connect.awaitThaw(j.ctx)
+		e.connect.awaitThaw(j.ctx.Done())
 		tokens, ended := j.take()
 		if writeLines(lines, tokens) != nil {
 			return
@@ -162,16 +141,3 @@
 	e.mu.Unlock()
 	writeJSON(w, loaded)
 }
-
-func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -52,13 +52,20 @@
 	return out
 }
 
+// endless is a length that no test waits for.
+const endless = 1 << 20
+
 // begin starts a generation that runs on until something ends it.
 func begin(t *testing.T, c *engineapi.Client, got *collector, prompt string) (end context.CancelFunc, done chan error) {
+	return beginWith(t, c, got, engine.Request{Prompt: prompt, MaxTokens: endless})
+}
+
+func beginWith(t *testing.T, c *engineapi.Client, got *collector, request engine.Request) (end context.CancelFunc, done chan error) {
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	done = make(chan error, 1)
 	go func() {
-		_, err := c.Generate(ctx, engine.Request{Prompt: prompt, MaxTokens: 1 << 20}, got.emit)
+		_, err := c.Generate(ctx, request, got.emit)
 		done <- err
 	}()
 	return cancel, done
@@ -146,19 +153,18 @@
 	var running collector
 	end, _ := begin(t, c, &running, prompt)
 	g.Eventually(running.count).Should(BeNumerically(">", 0))
-	order := make(chan int, 2)
-	for i, priority := range []int{0, 7} {
-		go func() {
-			request := engine.Request{Prompt: prompt, MaxTokens: 1, Priority: priority}
-			_, _ = c.Generate(t.Context(), request, func(types.Token) error { order <- priority; return nil })
-		}()
-		g.Eventually(func() int { return e.Counters().Queued }).Should(Equal(i + 1))
-	}
+	var low, high collector
+	_, _ = beginWith(t, c, &low, engine.Request{Prompt: prompt, MaxTokens: endless})
+	g.Eventually(func() int { return e.Counters().Queued }).Should(Equal(1))
+	endHigh, _ := beginWith(t, c, &high, engine.Request{Prompt: prompt, MaxTokens: endless, Priority: 7})
+	g.Eventually(func() int { return e.Counters().Queued }).Should(Equal(2))
 	_, err := c.Generate(t.Context(), engine.Request{Prompt: prompt, MaxTokens: 1}, running.emit)
 	g.Expect(err).To(MatchError(engine.ErrRefused))
 	end()
-	g.Eventually(order).Should(Receive(Equal(7)))
-	g.Eventually(order).Should(Receive(Equal(0)))
+	g.Eventually(high.count).Should(BeNumerically(">", 0))
+	g.Expect(low.count()).To(BeZero())
+	endHigh()
+	g.Eventually(low.count).Should(BeNumerically(">", 0))
 }
 
 func TestPrefixCacheSavesPrefill(t *testing.T) {
--- a/standin/history.go
+++ b/standin/history.go
@@ -36,3 +36,8 @@
 	}
 	return h.entries[0].value
 }
+
+// settled reports whether the newest value was already there at a time.
+func (h *history[T]) settled(at time.Time) bool {
+	return len(h.entries) == 0 || !h.entries[len(h.entries)-1].at.After(at)
+}
--- a/standin/scheduler.go
+++ b/standin/scheduler.go
@@ -101,7 +101,7 @@
 		if step > 0 {
 			time.Sleep(step)
 		}
-		e.connect.awaitThaw(context.Background())
+		e.connect.awaitThaw(nil)
 		if e.step() {
 			e.Crash()
 		}
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pearyard/pearyard/platform"
+)
+
+// maxStale is how far back a read of an older revision can go.
+const maxStale = 30 * time.Second
+
+// table is a transactional table. Its versions come from one counter, so that
+// a row deleted and written again never repeats a version.
+type table struct {
+	mu      sync.Mutex // guards all below
+	version uint64
+	rows    map[string]*history[*platform.Row] // nil value: absent at that time
+}
+
+func newTable() *table { return &table{rows: map[string]*history[*platform.Row]{}} }
+
+// get returns the row as it was stale ago, nil if it was absent.
+func (t *table) get(key string, stale time.Duration) *platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at(key, time.Now().Add(-stale))
+}
+
+func (t *table) at(key string, at time.Time) *platform.Row {
+	past, ok := t.rows[key]
+	if !ok {
+		return nil
+	}
+	return past.asOf(at)
+}
+
+// list returns up to limit rows under a prefix in order of their keys.
+func (t *table) list(prefix string, limit int, stale time.Duration) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := time.Now().Add(-stale)
+	gone := time.Now().Add(-maxStale)
+	out := []platform.Row{}
+	for key, past := range t.rows {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if past.asOf(gone) == nil && past.settled(gone) {
+			delete(t.rows, key) // deleted too long ago for any stale read
+			continue
+		}
+		if row := t.at(key, at); row != nil {
+			out = append(out, *row)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	if limit > 0 && len(out) > limit {
+		out = out[:limit]
+	}
+	return out
+}
+
+// commit writes all or nothing and returns the keys whose conditions failed.
+func (t *table) commit(txn platform.Txn) (failed []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, condition := range txn.If {
+		version := uint64(0)
+		if row := t.at(condition.Key, now); row != nil {
+			version = row.Version
+		}
+		if version != condition.Version {
+			failed = append(failed, condition.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return failed
+	}
+	for _, write := range txn.Writes {
+		t.write(now, write)
+	}
+	return nil
+}
+
+func (t *table) write(now time.Time, write platform.Write) {
+	t.version++
+	past, ok := t.rows[write.Key]
+	if !ok {
+		past = &history[*platform.Row]{keep: maxStale}
+		past.add(time.Time{}, nil)
+		t.rows[write.Key] = past
+	}
+	if write.Delete {
+		past.add(now, nil)
+		return
+	}
+	past.add(now, &platform.Row{Key: write.Key, Value: write.Value, Version: t.version})
+}
