--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,285 @@
+// Package client is a caller: it streams a generation and, when its connection
+// breaks, comes back through the next router with Last-Event-ID. The demo, the
+// scenarios and the measurements use it, and it serves as an example for others.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	pathCompletions = "/v1/completions"
+	maxEventBytes   = 1 << 20
+	// returnPause is the wait between two tries to come back.
+	returnPause = 20 * time.Millisecond
+	// DefaultPatience is how long a caller tries to come back after a break.
+	DefaultPatience = 10 * time.Second
+)
+
+// ErrBroken: the stream broke and no router took the caller back in time.
+var ErrBroken = errors.New("client: stream broke and could not be continued")
+
+// RefusedError is a final answer without a result.
+type RefusedError struct {
+	Status     int
+	Code       types.Code
+	Outcome    types.Outcome
+	Message    string
+	RetryAfter time.Duration // 0: none given
+	RequestID  types.RequestID
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %d %s (%s): %s", e.Status, e.Code, e.Outcome, e.Message)
+}
+
+// Options configure a Client.
+type Options struct {
+	Routers  []string // ip:port, tried in turn
+	Key      string   // API key
+	HTTP     *http.Client
+	Patience time.Duration // 0: DefaultPatience
+}
+
+// Client calls routers.
+type Client struct{ opts Options }
+
+// New returns a client.
+func New(opts Options) *Client {
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	}
+	if opts.Patience == 0 {
+		opts.Patience = DefaultPatience
+	}
+	return &Client{opts: opts}
+}
+
+// Request asks for one generation.
+type Request struct {
+	Model          string `json:"model"`
+	Prompt         string `json:"prompt"`
+	MaxTokens      int    `json:"max_tokens"`
+	Stream         bool   `json:"stream"`
+	IdempotencyKey string `json:"-"`
+	First          int    `json:"-"` // index of the router that is tried first
+}
+
+// Gap is one pause in the output, as the caller saw it.
+type Gap struct {
+	AtToken  int
+	Length   time.Duration
+	Returned bool // the caller had to come back through another connection
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Texts      []string
+	Finish     string
+	FirstToken time.Duration
+	Longest    Gap // longest pause between two tokens
+	Returns    int // times the caller came back
+	RequestIDs []types.RequestID
+}
+
+// stream is the state of one generation over its connections.
+type stream struct {
+	client  *Client
+	req     Request
+	body    []byte
+	answer  Answer
+	lastID  string
+	begun   time.Time
+	last    time.Time // when the last token came
+	back    bool      // the next token is the first after a return
+	onToken func(index int, text string)
+}
+
+// Generate streams a generation to its end, through as many connections as it
+// takes. onToken may be nil.
+func (c *Client) Generate(ctx context.Context, req Request, onToken func(index int, text string)) (Answer, error) {
+	req.Stream = true
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "client: encode")
+	}
+	s := &stream{client: c, req: req, body: body, begun: time.Now(), onToken: onToken}
+	return s.run(ctx)
+}
+
+func (s *stream) run(ctx context.Context) (Answer, error) {
+	brokenSince := time.Time{}
+	for try := s.req.First; ; try++ {
+		have := len(s.answer.Texts)
+		done, err := s.connection(ctx, s.client.opts.Routers[try%len(s.client.opts.Routers)])
+		var refused *RefusedError
+		switch {
+		case done:
+			return s.answer, nil
+		case ctx.Err() != nil:
+			return s.answer, ctx.Err()
+		case errors.As(err, &refused) && !s.mayComeBack(refused):
+			return s.answer, err
+		}
+		if len(s.answer.Texts) > have || brokenSince.IsZero() {
+			brokenSince = time.Now()
+		}
+		if time.Since(brokenSince) > s.client.opts.Patience {
+			return s.answer, errors.Wrapf(ErrBroken, "last: %v", err)
+		}
+		s.answer.Returns++
+		s.back = true
+		pause(ctx, returnPause)
+	}
+}
+
+// mayComeBack: in the middle of an answer, a router that is stopping or can't
+// reach those who hold the generation is no reason to give the answer up.
+func (s *stream) mayComeBack(refused *RefusedError) bool {
+	if s.lastID == "" && s.answer.Returns == 0 {
+		return refused.Code == types.CodeLeaving
+	}
+	return refused.Status == http.StatusServiceUnavailable && refused.Code != types.CodeQuarantined
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// connection reads one connection until the answer is whole or it breaks.
+func (s *stream) connection(ctx context.Context, router string) (done bool, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+pathCompletions, bytes.NewReader(s.body))
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.client.opts.Key)
+	req.Header.Set("Content-Type", "application/json")
+	if s.req.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", s.req.IdempotencyKey)
+	}
+	if s.lastID != "" {
+		req.Header.Set("Last-Event-ID", s.lastID)
+	}
+	resp, err := s.client.opts.HTTP.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.answer.RequestIDs = append(s.answer.RequestIDs, types.RequestID(resp.Header.Get("Pearyard-Request-Id")))
+	if resp.StatusCode != http.StatusOK {
+		return false, Refusal(resp)
+	}
+	return s.events(resp.Body)
+}
+
+// event is the part of an event's data that a caller needs.
+type event struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string          `json:"message"`
+	Code      types.Code      `json:"code"`
+	Outcome   types.Outcome   `json:"outcome"`
+	RequestID types.RequestID `json:"request_id"`
+}
+
+func (s *stream) events(body io.Reader) (done bool, err error) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventBytes)
+	id := ""
+	for scanner.Scan() {
+		line := scanner.Text()
+		if value, ok := strings.CutPrefix(line, "id: "); ok {
+			id = value
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return s.answer.Finish != "", nil
+		}
+		if err := s.take(id, data); err != nil {
+			return false, err
+		}
+		id = ""
+	}
+	return false, errors.Wrap(ErrBroken, "connection ended")
+}
+
+func (s *stream) take(id, data string) error {
+	var e event
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		return errors.Wrap(err, "client: event")
+	}
+	if e.Error != nil {
+		return &RefusedError{Status: http.StatusOK, Code: e.Error.Code, Outcome: e.Error.Outcome, Message: e.Error.Message, RequestID: e.Error.RequestID}
+	}
+	if len(e.Choices) == 0 {
+		return nil
+	}
+	if reason := e.Choices[0].FinishReason; reason != nil {
+		s.answer.Finish = *reason
+		return nil
+	}
+	s.noteTime()
+	s.lastID = id
+	s.answer.Texts = append(s.answer.Texts, e.Choices[0].Text)
+	if s.onToken != nil {
+		s.onToken(len(s.answer.Texts)-1, e.Choices[0].Text)
+	}
+	return nil
+}
+
+func (s *stream) noteTime() {
+	now := time.Now()
+	if s.last.IsZero() {
+		s.answer.FirstToken = now.Sub(s.begun)
+	} else if gap := now.Sub(s.last); gap > s.answer.Longest.Length {
+		s.answer.Longest = Gap{AtToken: len(s.answer.Texts), Length: gap, Returned: s.back}
+	}
+	s.last = now
+	s.back = false
+}
+
+// Refusal reads a refusal from an answer that isn't OK.
+func Refusal(resp *http.Response) *RefusedError {
+	var body struct {
+		Error errorDetail `json:"error"`
+	}
+	_ = json.NewDecoder(io.LimitReader(resp.Body, maxEventBytes)).Decode(&body)
+	refused := &RefusedError{
+		Status:    resp.StatusCode,
+		Code:      body.Error.Code,
+		Outcome:   types.Outcome(resp.Header.Get("Pearyard-Outcome")),
+		Message:   body.Error.Message,
+		RequestID: types.RequestID(resp.Header.Get("Pearyard-Request-Id")),
+	}
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		refused.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refused
+}
--- a/router/thin_test.go
+++ b/router/bed_test.go
@@ -1,7 +1,7 @@
 package router_test
 
 import (
-	"bufio"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pearyard/pearyard/client"
 	"github.com/pearyard/pearyard/engine/httpapi"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/membership"
@@ -45,10 +46,12 @@
 		Peer:          p,
 		BackendServer: name,
 		Engine:        httpapi.New(httpapi.Options{Address: strings.TrimPrefix(engineServer.URL, "http://")}),
-		Dial:          func() sidecar.Dial { return sidecar.Dial{RouterGrace: time.Second, Retain: time.Second, DrainLong: time.Second} },
-		Revision:      func() types.Revision { return 1 },
-		Recorder:      event.Discard(),
-		Registerer:    prometheus.NewRegistry(),
+		Dial: func() sidecar.Dial {
+			return sidecar.Dial{RouterGrace: time.Second, Retain: time.Second, DrainLong: time.Second}
+		},
+		Revision:   func() types.Revision { return 1 },
+		Recorder:   event.Discard(),
+		Registerer: prometheus.NewRegistry(),
 	})
 	go func() { _ = s.Run(t.Context()) }()
 	server := httptest.NewServer(p.Handler(s.Handler()))
@@ -61,14 +64,17 @@
 "models":[{"name":"pear","version":"1"}],
 "organisations":[{"name":"o","keySHA256":["2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"]}]}`
 
-// A caller streams a long answer. Half way its engine dies. The stream must go
-// on at the next token, from another engine, as one unspliced answer.
-func TestEngineDiesHalfWay(t *testing.T) {
-	g := NewWithT(t)
+// bed is two sites behind one router.
+type bed struct {
+	sites []*site
+	url   string
+}
+
+func newBed(t *testing.T) *bed {
 	a, b := newSite(t, "a"), newSite(t, "b")
 	raw := strings.NewReplacer(`"A"`, `"`+a.address+`"`, `"B"`, `"`+b.address+`"`).Replace(thinText)
 	in, findings := text.Parse([]byte(raw))
-	g.Expect(findings).To(BeEmpty())
+	NewWithT(t).Expect(findings).To(BeEmpty())
 	r := router.New(router.Options{
 		Peer:       newPeer("r1", ""),
 		Text:       func() *text.Text { return in },
@@ -77,47 +83,48 @@
 		Recorder:   event.Discard(),
 		Registerer: prometheus.NewRegistry(),
 	})
-	g.Expect(r.Refresh()).To(Succeed())
+	NewWithT(t).Expect(r.Refresh()).To(Succeed())
 	callers := httptest.NewServer(r.Handler())
 	t.Cleanup(callers.Close)
+	return &bed{sites: []*site{a, b}, url: callers.URL}
+}
 
-	req, _ := http.NewRequest(http.MethodPost, callers.URL+"/v1/completions", strings.NewReader(`{"model":"pear","prompt":"list the pears","max_tokens":200,"stream":true}`))
-	req.Header.Set("Authorization", "Bearer key")
-	resp, err := http.DefaultClient.Do(req)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer resp.Body.Close()
-	g.Expect(resp.StatusCode).To(Equal(200))
-	var texts []string
-	killed := false
-	scanner := bufio.NewScanner(resp.Body)
-	done := false
-	for scanner.Scan() {
-		line := scanner.Text()
-		if line == "data: [DONE]" {
-			done = true
-		}
-		if text, ok := tokenText(line); ok {
-			texts = append(texts, text)
-		}
-		if len(texts) == 100 && !killed {
-			killed = true
-			for _, s := range []*site{a, b} {
-				if s.engine.Counters().Running > 0 {
-					s.engine.Crash()
-				}
-			}
-		}
+// requests counts what any engine has run.
+func (b *bed) requests() (n uint64) {
+	for _, s := range b.sites {
+		n += s.engine.Counters().Requests
 	}
-	g.Expect(done).To(BeTrue())
-	g.Expect(texts).To(HaveLen(200))
-	g.Expect(standin.CheckAnswer("list the pears", texts)).To(Succeed())
+	return n
 }
 
-func tokenText(line string) (string, bool) {
-	_, rest, ok := strings.Cut(line, `"text":"`)
-	if !ok {
-		return "", false
+// crashRunning crashes every engine that runs something.
+func (b *bed) crashRunning() {
+	for _, s := range b.sites {
+		if s.engine.Counters().Running > 0 {
+			s.engine.Crash()
+		}
 	}
-	text, _, _ := strings.Cut(rest, `"`)
-	return text, text != ""
+}
+
+func bodyOf(resp *http.Response) string {
+	raw, _ := io.ReadAll(resp.Body)
+	return string(raw)
+}
+
+// A caller streams a long answer. Half way its engine dies. The stream must go
+// on at the next token, from another engine, as one unspliced answer.
+func TestEngineDiesHalfWay(t *testing.T) {
+	g := NewWithT(t)
+	bed := newBed(t)
+	caller := client.New(client.Options{Routers: []string{strings.TrimPrefix(bed.url, "http://")}, Key: "key"})
+	answer, err := caller.Generate(t.Context(), client.Request{Model: "pear", Prompt: "list the pears", MaxTokens: 200},
+		func(index int, _ string) {
+			if index == 100 {
+				bed.crashRunning()
+			}
+		})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Returns).To(BeZero())
+	g.Expect(answer.Texts).To(HaveLen(200))
+	g.Expect(standin.CheckAnswer("list the pears", answer.Texts)).To(Succeed())
 }
