config: revision in force, store by compare-and-swap, spread by deltas

Cause: an accepted text must be in force everywhere within seconds and never revert, with racing operators, lost answers, old copies and a store that is down.

--- /dev/null
+++ b/config/push.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	configpb "github.com/pearyard/pearyard/rpc/config"
+	"github.com/pearyard/pearyard/types"
+)
+
+// PushResult counts what became of the pushes of one revision.
+type PushResult struct {
+	Revision types.Revision `json:"revision"`
+	Reached  int64          `json:"reached"` // processes that have the revision now
+	Behind   int64          `json:"behind"`  // processes that will fetch it
+	Failed   int64          `json:"failed"`  // processes that didn't answer; stamps and polls reach them
+}
+
+// Pusher sends the revision in force to other processes after it was accepted
+// here, so that it spreads at once instead of with the next traffic.
+type Pusher struct {
+	spreader *Spreader
+	client   *Client
+	self     string
+}
+
+// NewPusher returns a pusher; self is where receivers can ask this process.
+func NewPusher(spreader *Spreader, client *Client, self string) *Pusher {
+	return &Pusher{spreader: spreader, client: client, self: self}
+}
+
+// Push sends the revision in force to the given processes, a bounded number at
+// a time and in random order, so that processes that accept one after another
+// don't all begin with the same receivers.
+func (p *Pusher) Push(ctx context.Context, addrs []string) PushResult {
+	holder := p.spreader.opts.Holder
+	result := PushResult{Revision: holder.Revision()}
+	if result.Revision == 0 {
+		return result
+	}
+	payload, err := holder.payload(result.Revision - 1)
+	if err != nil {
+		result.Failed = int64(len(addrs))
+		return result
+	}
+	var group errgroup.Group
+	group.SetLimit(p.spreader.opts.PushConcurrency)
+	for _, i := range rand.Perm(len(addrs)) {
+		group.Go(func() error {
+			p.one(ctx, addrs[i], payload, &result)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	p.spreader.opts.Recorder.Emit(EventPushed, "revision", result.Revision,
+		"reached", result.Reached, "behind", result.Behind, "failed", result.Failed)
+	return result
+}
+
+func (p *Pusher) one(ctx context.Context, addr string, payload *configpb.Payload, result *PushResult) {
+	ctx, cancel := context.WithTimeout(ctx, p.spreader.opts.CallTimeout)
+	defer cancel()
+	rev, err := p.client.push(ctx, addr, p.self, payload)
+	pushes := p.spreader.metrics.pushes
+	switch {
+	case err != nil:
+		atomic.AddInt64(&result.Failed, 1)
+		pushes.WithLabelValues("error").Inc()
+	case rev < result.Revision:
+		atomic.AddInt64(&result.Behind, 1)
+		pushes.WithLabelValues("behind").Inc()
+	default:
+		atomic.AddInt64(&result.Reached, 1)
+		pushes.WithLabelValues("taken").Inc()
+	}
+}
--- /dev/null
+++ b/config/store_test.go
@@ -0,0 +1,199 @@
+package config_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/config"
+	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/types"
+)
+
+func TestAcceptLoadHistory(t *testing.T) {
+	g := NewWithT(t)
+	store := newStore(newFakeTable())
+	for n := range 3 {
+		rev, err := store.Accept(t.Context(), types.Revision(n), textOf(n), "ann", fmt.Sprintf("note %d", n))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(rev).To(Equal(types.Revision(n + 1)))
+	}
+	raw, err := store.Load(t.Context(), 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(raw).To(Equal(textOf(1)))
+	history, err := store.History(t.Context(), 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(history).To(HaveLen(2))
+	g.Expect(history[0].Revision).To(Equal(types.Revision(3)))
+	g.Expect(history[0].Note).To(Equal("note 2"))
+	_, err = store.Accept(t.Context(), 3, []byte(`{"recovery":{"retainMillis":-1}}`), "ann", "")
+	g.Expect(err).To(MatchError(ContainSubstring("1:29: error: /recovery/retainMillis")))
+}
+
+// Two operators build on revision 1 and apply at the same moment. The second
+// one used to overwrite the first one's change without seeing it. Cause: both
+// read the head before either wrote. The loser must be told who won and what
+// changed, and its text must not take effect.
+func TestRaceOfTwoOperators(t *testing.T) {
+	g := NewWithT(t)
+	table := newFakeTable()
+	ann, bob := newStore(table), newStore(table)
+	_, err := ann.Accept(t.Context(), 0, textOf(1), "ann", "first")
+	g.Expect(err).NotTo(HaveOccurred())
+	table.onCommit = func(apply func() error) error {
+		table.onCommit = nil // Ann's commit comes in between Bob's read and his write
+		table.mu.Unlock()
+		_, err := ann.Accept(t.Context(), 1, textOf(2), "ann", "longer")
+		table.mu.Lock()
+		g.Expect(err).NotTo(HaveOccurred())
+		return apply()
+	}
+	_, err = bob.Accept(t.Context(), 1, textOf(3), "bob", "shorter")
+	var race *config.RaceError
+	g.Expect(errors.As(err, &race)).To(BeTrue(), "%v", err)
+	g.Expect(race.Winner).To(Equal(types.Revision(2)))
+	g.Expect(race.By).To(Equal("ann"))
+	g.Expect(race.Note).To(Equal("longer"))
+	g.Expect(race.Diff).To(ContainSubstring("-  \"recovery\": {\"retainMillis\": 1}\n+  \"recovery\": {\"retainMillis\": 2}"))
+	raw, err := bob.Load(t.Context(), 2)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(raw).To(Equal(textOf(2)))
+}
+
+// An operator applies; the table service commits, but its answer is lost. The
+// operator saw "failed", applied again and was told of a race against itself.
+// Accept must find its own commit and report it accepted, once.
+func TestCommitWithLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		lost := 2
+		table.onCommit = func(apply func() error) error {
+			err := apply()
+			if lost--; lost >= 0 {
+				return platform.ErrAmbiguous
+			}
+			return err
+		}
+		store := newStore(table)
+		rev, err := store.Accept(t.Context(), 0, textOf(1), "ann", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(rev).To(Equal(types.Revision(1)))
+		history, _ := store.History(t.Context(), 10)
+		g.Expect(history).To(HaveLen(1))
+	})
+}
+
+// The answer is lost, the commit took effect, and reads then come from a copy
+// older than it. The conflict of the second try looks like a lost race. The
+// outcome must stay open until the store answers from after the commit.
+func TestLostAnswerAndOldReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		store := newStore(table)
+		_, err := store.Accept(t.Context(), 0, textOf(1), "ann", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		table.freeze()
+		table.onCommit = func(apply func() error) error {
+			table.onCommit = nil
+			_ = apply()
+			return platform.ErrAmbiguous
+		}
+		time.AfterFunc(5*time.Second, func() { table.set(func() { table.frozen = nil }) })
+		rev, err := store.Accept(t.Context(), 1, textOf(2), "ann", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(rev).To(Equal(types.Revision(2)))
+	})
+}
+
+// The answer is lost and the store then goes down for long. Neither "accepted"
+// nor "refused" would be true, so the operator gets the commit id to look for.
+func TestLostAnswerThenOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		table.onCommit = func(apply func() error) error {
+			_ = apply()
+			table.down = true
+			return platform.ErrAmbiguous
+		}
+		store := newStore(table)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := store.Accept(ctx, 0, textOf(1), "ann", "")
+		var undecided *config.UndecidedError
+		g.Expect(errors.As(err, &undecided)).To(BeTrue(), "%v", err)
+		table.set(func() { table.down = false })
+		history, _ := store.History(t.Context(), 1)
+		g.Expect(history[0].Commit).To(Equal(undecided.Commit))
+	})
+}
+
+// The store is down from the beginning: nothing was sent, so the operator is
+// told at once and may apply again without looking anything up.
+func TestAcceptWhileStoreIsDown(t *testing.T) {
+	g := NewWithT(t)
+	table := newFakeTable()
+	table.down = true
+	_, err := newStore(table).Accept(t.Context(), 0, textOf(1), "ann", "")
+	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+}
+
+// The table service fails over to a copy that lacks the newest revision. A
+// process that polled it went back to the older text. Head must refuse the
+// answer, and the next accepted text must lie above all that were in force.
+func TestStoreAnswersWithOlderRevision(t *testing.T) {
+	g := NewWithT(t)
+	table := newFakeTable()
+	store := newStore(table)
+	_, _ = store.Accept(t.Context(), 0, textOf(1), "ann", "")
+	table.freeze()
+	_, _ = store.Accept(t.Context(), 1, textOf(2), "ann", "")
+	_, err := store.Head(t.Context())
+	var behind *config.BehindError
+	g.Expect(errors.As(err, &behind)).To(BeTrue(), "%v", err)
+	g.Expect(*behind).To(Equal(config.BehindError{Answered: 1, Known: 2}))
+
+	table.set(func() { table.rows, table.frozen = table.frozen, nil }) // the copy is all that is left
+	rev, err := store.Accept(t.Context(), 2, textOf(3), "ann", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(rev).To(Equal(types.Revision(3)))
+}
+
+// bigText returns a text whose keys' hashes hardly compress.
+func bigText(organisations int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"organisations":[`)
+	for i := range organisations {
+		if i > 0 {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, "\n"+`{"name":"organisation-%d","keySHA256":["%x"],"weight":1}`, i, sha256.Sum256([]byte{byte(i), byte(i >> 8), byte(i >> 16)}))
+	}
+	b.WriteString("\n]}\n")
+	return []byte(b.String())
+}
+
+func TestLargeTextGoesToObjectStore(t *testing.T) {
+	g := NewWithT(t)
+	table, objects := newFakeTable(), &fakeObjects{}
+	store := config.NewStore(config.StoreOptions{Table: table, Objects: objects})
+	raw := bigText(10_000)
+	rev, err := store.Accept(t.Context(), 0, raw, "ann", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(objects.objects).To(HaveLen(1))
+	for key, row := range table.rows {
+		g.Expect(len(row.Value)).To(BeNumerically("<", 1000), key)
+	}
+	loaded, err := store.Load(t.Context(), rev)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(loaded) == string(raw)).To(BeTrue())
+}
