--- /dev/null
+++ b/limit/dump.go
@@ -0,0 +1,66 @@
+package limit
+
+import (
+	"sort"
+
+	"github.com/pearyard/pearyard/types"
+)
+
+// Dump is the limiter's state as an operator sees it.
+type Dump struct {
+	Capacity      int                `json:"capacity"`
+	Used          map[string]int     `json:"used"` // by class
+	Waiting       int64              `json:"waiting"`
+	DrainRate     float64            `json:"drain_rate"` // slots that come free in a second
+	Routers       int                `json:"routers"`
+	Reporting     int                `json:"reporting"` // other routers whose reports are fresh
+	Organisations []DumpOrganisation `json:"organisations"`
+}
+
+// DumpOrganisation is one organisation that was seen here, with this router's share.
+type DumpOrganisation struct {
+	Name       types.Organisation `json:"name"`
+	Inflight   int                `json:"inflight"`
+	Waiting    int                `json:"waiting"`
+	Rate       float64            `json:"rate_here"`       // 0: no limit
+	Concurrent int                `json:"concurrent_here"` // -1: no limit
+	Queued     int                `json:"queued_here"`
+}
+
+// Dump returns the state; the organisations with most waiting and running come
+// first, most bounds their number, 0 is no bound.
+func (l *Limiter) Dump(most int) Dump {
+	now := l.opts.Now()
+	used := l.slots.counts()
+	view := l.peers.Load()
+	out := Dump{
+		Capacity: l.opts.Capacity(), Waiting: l.pressure.Load(), Routers: l.opts.Routers(),
+		Reporting: view.complete + view.partial, Used: map[string]int{},
+	}
+	for class := range classes {
+		out.Used[class.String()] = used.of(class)
+	}
+	l.states.Range(func(_, value any) bool {
+		st := value.(*state)
+		sh := l.shareOf(st, now)
+		out.Organisations = append(out.Organisations, DumpOrganisation{
+			Name: st.name, Inflight: int(st.inflight.Load()), Waiting: int(st.waiting.Load()),
+			Rate: sh.rate, Concurrent: sh.concurrent, Queued: sh.queued,
+		})
+		return true
+	})
+	sort.Slice(out.Organisations, func(i, j int) bool {
+		a, b := out.Organisations[i], out.Organisations[j]
+		if a.Waiting+a.Inflight != b.Waiting+b.Inflight {
+			return a.Waiting+a.Inflight > b.Waiting+b.Inflight
+		}
+		return a.Name < b.Name
+	})
+	if most > 0 && len(out.Organisations) > most {
+		out.Organisations = out.Organisations[:most]
+	}
+	l.mu.Lock()
+	out.DrainRate = l.drain.rate
+	l.mu.Unlock()
+	return out
+}
