pearyard-standin: daemon for the stand-ins, and their page

Cause: scenarios and the demo run the outside systems as processes of their own. Ruled out: three programs; one with subcommands is built once and stays in step. Conclusion: scripts can start, break and read each outside system.

--- /dev/null
+++ b/cmd/pearyard-standin/main_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/engine"
+	engineapi "github.com/pearyard/pearyard/engine/httpapi"
+	"github.com/pearyard/pearyard/platform"
+	platformapi "github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/standin"
+	"github.com/pearyard/pearyard/types"
+)
+
+// daemon starts the program and returns it with the address that it prints.
+func daemon(t *testing.T, bin string, args ...string) (*exec.Cmd, string) {
+	g := NewWithT(t)
+	cmd := exec.CommandContext(t.Context(), bin, args...)
+	out, err := cmd.StdoutPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cmd.Start()).To(Succeed())
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	line, err := bufio.NewReader(out).ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	address, ok := strings.CutPrefix(strings.TrimSpace(line), "listening ")
+	g.Expect(ok).To(BeTrue(), line)
+	return cmd, address
+}
+
+func post(t *testing.T, url, body string) {
+	g := NewWithT(t)
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(resp.Body.Close()).To(Succeed())
+}
+
+func TestDaemons(t *testing.T) {
+	g := NewWithT(t)
+	bin := filepath.Join(t.TempDir(), "pearyard-standin")
+	build, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(build))
+
+	crashing, address := daemon(t, bin, "engine", "--step-base", "1ms")
+	c := engineapi.New(engineapi.Options{Address: address})
+	var texts []string
+	_, err = c.Generate(t.Context(), engine.Request{Prompt: "p", MaxTokens: 5}, func(token types.Token) error {
+		texts = append(texts, token.Text)
+		return nil
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(texts).To(HaveLen(5))
+	g.Expect(standin.CheckAnswer("p", texts)).To(Succeed())
+	_, err = c.Generate(context.Background(), engine.Request{Prompt: "POISON", MaxTokens: 5}, nil)
+	g.Expect(err).To(MatchError(engine.ErrDied))
+	g.Expect(crashing.Wait()).To(HaveOccurred())
+	g.Expect(crashing.ProcessState.ExitCode()).To(Equal(crashStatus))
+
+	_, address = daemon(t, bin, "platform")
+	post(t, "http://"+address+"/faults", `{"table":{"lose_answers":1}}`)
+	table := platformapi.NewTable(platformapi.Options{Address: address})
+	txn := platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+	g.Expect(table.Commit(t.Context(), txn)).To(MatchError(platform.ErrAmbiguous))
+	_, err = table.Get(t.Context(), "k")
+	g.Expect(err).NotTo(HaveOccurred())
+
+	_, address = daemon(t, bin, "plain")
+	post(t, "http://"+address+"/labels", "{}")
+}
