--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -47,7 +47,7 @@
 	// Only Run uses the fields below.
 	mine    map[uint64]instant // nonces of own writes that may be or become the row, by when they were sent
 	nonce   uint64             // of the newest own write
-	highest Fence              // ever read; a row that was deleted must not start again from 1
+	highest Fence              // ever read or written; a row that was deleted must not start again from 1
 	seen    observation
 	lapsed  bool // told already
 }
@@ -207,6 +207,7 @@
 			delete(k.mine, nonce)
 		}
 	}
+	k.highest = max(k.highest, r.Epoch)
 	k.set(grant{fence: r.Epoch, started: started})
 }
 
--- a/order/guard.go
+++ b/order/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,17 +28,21 @@
 
 // GuardOptions configures a Guard.
 type GuardOptions struct {
-	Engine     Engine
-	ReadFence  FenceReader
-	Recorder   *event.Recorder
-	Registerer prometheus.Registerer
+	Engine        Engine
+	ReadFence     FenceReader
+	EngineTimeout time.Duration // how long an engine may take to answer an order
+	Recorder      *event.Recorder
+	Registerer    prometheus.Registerer
 }
 
+// DefaultEngineTimeout is GuardOptions.EngineTimeout where none is set.
+const DefaultEngineTimeout = time.Minute
+
 // Guard passes orders to one engine, in one at a time, and refuses those of
 // holders that have been replaced, also where the engine ignores the number.
 type Guard struct {
 	opts    GuardOptions
-	refused *prometheus.CounterVec
+	results *prometheus.CounterVec
 
 	turn chan struct{} // held while an order is with the engine
 
@@ -51,10 +56,13 @@
 	if opts.Recorder == nil {
 		opts.Recorder = event.Discard()
 	}
-	g := &Guard{opts: opts, turn: make(chan struct{}, 1), refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+	if opts.EngineTimeout == 0 {
+		opts.EngineTimeout = DefaultEngineTimeout
+	}
+	g := &Guard{opts: opts, turn: make(chan struct{}, 1), results: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pearyard_order_guard_total", Help: "Orders that reached the sidecar, by what became of them."}, []string{"result"})}
 	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(g.refused)
+		opts.Registerer.MustRegister(g.results)
 	}
 	return g
 }
@@ -69,7 +77,7 @@
 		return ctx.Err()
 	}
 	err := g.order(ctx, o)
-	g.refused.WithLabelValues(resultOf(err)).Inc()
+	g.results.WithLabelValues(resultOf(err)).Inc()
 	return err
 }
 
@@ -82,6 +90,17 @@
 		g.opts.Recorder.Emit(EventStaleOrder, "kind", o.Kind, "name", o.Name, "fence", o.Fence, "highest", highest)
 		return engine.ErrStaleFence
 	}
+	return g.send(ctx, o)
+}
+
+// send waits for the engine's answer also when the caller has gone: were the
+// turn given up with the order still in the engine's hands, a later holder's
+// order could be carried out before it. It shows as an old version loaded after
+// the new one. EngineTimeout ends the wait, since an engine that hangs must not
+// keep later orders out for ever; package doc, case 6, says what then remains.
+func (g *Guard) send(ctx context.Context, o engine.Order) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.opts.EngineTimeout)
+	defer cancel()
 	return g.opts.Engine.Order(ctx, o)
 }
 
