settings: a process's own settings from file, environment and flags

Cause: a process learns its addresses and availability zone from its settings, and an operator wants all that is wrong with them at once. Ruled out: typed flags of urfave/cli, which stop at the first malformed number; a second list of names for variables and flags, which would drift. Change: settings.Router and settings.Sidecar; one field list by reflection gives JSON member, PEARYARD_ variable and flag; findings name line and column, or the variable or flag the value came from; Print masks secrets; a sidecar's server has to be on the loopback interface, so that the sidecar is the only way in. Measured: `go test -race -count=3 ./settings` passed. Conclusion: daemons call LoadRouter or LoadSidecar with settings.Flags.

--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,128 @@
+// Package settings holds a process's own settings: who it is, where it
+// listens and where the platform is. They come from a JSON file, then
+// PEARYARD_ environment variables, then flags, each overriding the one before;
+// what is wrong with them is reported all at once.
+package settings
+
+import (
+	"time"
+
+	"github.com/pearyard/pearyard/findings"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Defaults of settings that may be left out.
+const (
+	DefaultEventRing         = 4096
+	DefaultPollSeconds       = 10
+	DefaultStaleAfterSeconds = 300
+	DefaultLogLevel          = LogInfo
+	DefaultJournalMegabytes  = 64
+)
+
+// Levels of the log.
+const (
+	LogDebug = "debug"
+	LogInfo  = "info"
+	LogWarn  = "warn"
+	LogError = "error"
+)
+
+// Common are the settings that routers and sidecars share. Addresses are
+// ip:port. The `usage` tag is the help of the flag; `secret` masks the value.
+type Common struct {
+	// ID names the process's slot; it stays the same over restarts. Required.
+	ID types.ProcessID `json:"id" usage:"name of the process's slot, the same over restarts"`
+	// Zone is the availability zone of the process's VM. Required.
+	Zone types.Zone `json:"zone" usage:"availability zone of the VM"`
+	// PeerListen is where other processes reach this one. Required.
+	PeerListen string `json:"peerListen" usage:"ip:port to listen on for other processes"`
+	// Advertise is the address that others are told; default: PeerListen.
+	Advertise string `json:"advertise" usage:"ip:port under which other processes reach this one; default: peerListen"`
+	// AdminListen is where operators reach the administration API; default: none.
+	AdminListen string `json:"adminListen" usage:"ip:port to listen on for administration; empty: none"`
+	// AdminToken is the bearer token of the administration API. Required with AdminListen.
+	AdminToken string `json:"adminToken" usage:"bearer token of the administration API" secret:"true"`
+	// Table is the address of the platform's table service. Required.
+	Table string `json:"table" usage:"ip:port of the table service"`
+	// Objects is the address of the platform's object store. Required.
+	Objects string `json:"objects" usage:"ip:port of the object store"`
+	// VMList is the address of the platform's VM list; default: none.
+	VMList string `json:"vmList" usage:"ip:port of the platform's VM list; empty: none"`
+	// Weights is the address of the platform's weight store; default: none.
+	Weights string `json:"weights" usage:"ip:port of the weight store; empty: none"`
+	// Seeds are peers to ask first at the start; default: none.
+	Seeds []string `json:"seeds" usage:"comma-separated ip:port of peers to ask at the start"`
+	// EventRing is how many events are kept in memory; default 4096.
+	EventRing int `json:"eventRing" usage:"events kept in memory"`
+	// PollSeconds lies between two polls of the table service for a newer text; default 10.
+	PollSeconds int `json:"pollSeconds" usage:"seconds between polls for a newer text"`
+	// StaleAfterSeconds is the age of the last confirmation of the text past
+	// which new work is refused; 0 never refuses; default 300.
+	StaleAfterSeconds int `json:"staleAfterSeconds" usage:"seconds without confirmation of the text until new work is refused; 0: never"`
+	// DrainSeconds bounds how long a planned stop waits for requests in flight;
+	// 0, the default, waits without a bound.
+	DrainSeconds int `json:"drainSeconds" usage:"seconds that a planned stop waits for requests in flight; 0: without bound"`
+	// LogLevel is debug, info, warn or error; default info.
+	LogLevel string `json:"logLevel" usage:"debug, info, warn or error"`
+}
+
+// Router are the settings of a router.
+type Router struct {
+	Common
+	// Listen is where callers reach the router. Required.
+	Listen string `json:"listen" usage:"ip:port to listen on for callers"`
+	// Policy is the routing policy; default: the router's own default.
+	Policy string `json:"policy" usage:"routing policy; empty: the default one"`
+}
+
+// Sidecar are the settings of a sidecar.
+type Sidecar struct {
+	Common
+	// BackendServer is the name of the server beside it, as in the text. Required.
+	BackendServer string `json:"backendServer" usage:"name of the backend server, as in the text"`
+	// Service is the service that the server belongs to, as in the text. Required.
+	Service string `json:"service" usage:"name of the service, as in the text"`
+	// Kind is model or plain. Required.
+	Kind text.Kind `json:"kind" usage:"kind of the service: model or plain"`
+	// Backend is the server's own address, on the loopback interface. Required.
+	Backend string `json:"backend" usage:"loopback ip:port of the backend server"`
+	// JournalMegabytes bounds the memory for other sidecars' journals, in MiB; default 64.
+	JournalMegabytes int `json:"journalMegabytes" usage:"MiB of memory for journals kept for other sidecars"`
+}
+
+func defaultCommon() Common {
+	return Common{EventRing: DefaultEventRing, PollSeconds: DefaultPollSeconds,
+		StaleAfterSeconds: DefaultStaleAfterSeconds, LogLevel: DefaultLogLevel}
+}
+
+// DefaultRouter returns a router's settings with their defaults.
+func DefaultRouter() Router { return Router{Common: defaultCommon()} }
+
+// DefaultSidecar returns a sidecar's settings with their defaults.
+func DefaultSidecar() Sidecar {
+	return Sidecar{Common: defaultCommon(), JournalMegabytes: DefaultJournalMegabytes}
+}
+
+// Poll returns PollSeconds as a duration.
+func (c Common) Poll() time.Duration { return time.Duration(c.PollSeconds) * time.Second }
+
+// StaleAfter returns StaleAfterSeconds as a duration.
+func (c Common) StaleAfter() time.Duration { return time.Duration(c.StaleAfterSeconds) * time.Second }
+
+// Drain returns DrainSeconds as a duration.
+func (c Common) Drain() time.Duration { return time.Duration(c.DrainSeconds) * time.Second }
+
+// AdvertiseAddress returns the address that others are told.
+func (c Common) AdvertiseAddress() string {
+	if c.Advertise != "" {
+		return c.Advertise
+	}
+	return c.PeerListen
+}
+
+// Validator is a set of settings that can be checked.
+type Validator interface {
+	Validate() findings.List
+}
