config, settings: warnings from Accept, a spreader without a store

Cause: the administration API hands an operator the warnings of an accepted text, and a sidecar may have no way to the store; its spreader would have called a nil store at the first poll. Change: Store.Accept returns the findings too; history entries name their base; a Spreader without Versions lives on peers. Conclusion: callers of Accept take three results.

--- a/config/record.go
+++ b/config/record.go
@@ -39,6 +39,7 @@
 // Entry is one accepted revision in the history.
 type Entry struct {
 	Revision types.Revision `json:"revision"`
+	Base     types.Revision `json:"base"` // on which the operator built it
 	Commit   string         `json:"commit"`
 	By       string         `json:"by"`
 	Note     string         `json:"note,omitempty"`
--- a/config/spreader.go
+++ b/config/spreader.go
@@ -35,10 +35,10 @@
 	Load(ctx context.Context, rev types.Revision) ([]byte, error)
 }
 
-// SpreaderOptions configure a Spreader. Holder, Versions and Source are required.
+// SpreaderOptions configure a Spreader. Holder and Source are required.
 type SpreaderOptions struct {
 	Holder     *Holder
-	Versions   Versions
+	Versions   Versions // nil: the process has no store and relies on its peers
 	Source     Source
 	Recorder   *event.Recorder
 	Registerer prometheus.Registerer
@@ -130,6 +130,9 @@
 
 // poll brings in what the store has.
 func (s *Spreader) poll(ctx context.Context) {
+	if s.opts.Versions == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 	defer cancel()
 	result, err := s.pull(ctx)
--- a/config/store.go
+++ b/config/store.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/findings"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
@@ -127,25 +128,31 @@
 // as the next revision. It returns a *findings.ListError for a faulty text, a
 // *RaceError if another text was accepted meanwhile, an *UndecidedError if the
 // outcome stayed unknown until ctx ended, or the platform's error; but for
-// *UndecidedError, nothing took effect.
-func (s *Store) Accept(ctx context.Context, base types.Revision, raw []byte, who, note string) (types.Revision, error) {
+// *UndecidedError, nothing took effect. The findings of an accepted text are
+// its warnings.
+func (s *Store) Accept(ctx context.Context, base types.Revision, raw []byte, who, note string) (types.Revision, findings.List, error) {
+	if len(raw) > maxTextBytes {
+		return 0, nil, s.noteAccept(ErrTooLarge)
+	}
+	_, list := text.Parse(raw)
+	if list.HasErrors() {
+		return 0, list, s.noteAccept(list.Err())
+	}
 	rev, err := s.accept(ctx, base, raw, who, note)
-	s.metrics.accepts.WithLabelValues(acceptResult(err)).Inc()
-	if err != nil {
-		return 0, err
+	if s.noteAccept(err) != nil {
+		return 0, list, err
 	}
 	s.learn(rev)
 	s.opts.Recorder.Emit(EventAccepted, "revision", rev, "by", who, "note", note, "bytes", len(raw))
-	return rev, nil
+	return rev, list, nil
+}
+
+func (s *Store) noteAccept(err error) error {
+	s.metrics.accepts.WithLabelValues(acceptResult(err)).Inc()
+	return err
 }
 
 func (s *Store) accept(ctx context.Context, base types.Revision, raw []byte, who, note string) (types.Revision, error) {
-	if len(raw) > maxTextBytes {
-		return 0, ErrTooLarge
-	}
-	if _, list := text.Parse(raw); list.HasErrors() {
-		return 0, list.Err()
-	}
 	head, version, err := s.head(ctx)
 	if err != nil {
 		return 0, err
@@ -158,7 +165,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p := s.proposal(newest+1, version, row, who, note)
+	p := s.proposal(newest+1, version, row, Entry{Base: base, By: who, Note: note})
 	return s.commit(ctx, base, p)
 }
 
@@ -171,9 +178,9 @@
 // proposal builds the transaction: head, history entry and text change
 // together or not at all. Should the store have been restored from an older
 // copy, the new revision still lies above every one that was ever in force.
-func (s *Store) proposal(rev types.Revision, headVersion uint64, row textRow, who, note string) proposal {
-	entry := Entry{Revision: rev, Commit: uuid.NewString(), By: who, Note: note, At: s.opts.Now().UTC(),
-		Bytes: int(row.Size), SHA256: row.SHA256}
+func (s *Store) proposal(rev types.Revision, headVersion uint64, row textRow, entry Entry) proposal {
+	entry.Revision, entry.Commit, entry.At = rev, uuid.NewString(), s.opts.Now().UTC()
+	entry.Bytes, entry.SHA256 = int(row.Size), row.SHA256
 	txn := platform.Txn{
 		If: []platform.Condition{{Key: headKey, Version: headVersion}},
 		Writes: []platform.Write{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,10 +15,13 @@
 // Defaults of settings that may be left out.
 const (
 	DefaultEventRing         = 4096
-	DefaultPollSeconds       = 10
-	DefaultStaleAfterSeconds = 300
-	DefaultLogLevel          = LogInfo
-	DefaultJournalMegabytes  = 64
+	DefaultRouterPollSeconds = 1
+	// DefaultSidecarPollSeconds is long, since there are many sidecars and
+	// stamps tell them of a newer text first.
+	DefaultSidecarPollSeconds = 20
+	DefaultStaleAfterSeconds  = 4
+	DefaultLogLevel           = LogInfo
+	DefaultJournalMegabytes   = 64
 )
 
 // Levels of the log.
@@ -56,10 +59,11 @@
 	Seeds []string `json:"seeds" usage:"comma-separated ip:port of peers to ask at the start"`
 	// EventRing is how many events are kept in memory; default 4096.
 	EventRing int `json:"eventRing" usage:"events kept in memory"`
-	// PollSeconds lies between two polls of the table service for a newer text; default 10.
+	// PollSeconds lies between two polls of the table service for a newer text;
+	// default 1 for a router, 20 for a sidecar.
 	PollSeconds int `json:"pollSeconds" usage:"seconds between polls for a newer text"`
 	// StaleAfterSeconds is the age of the last confirmation of the text past
-	// which new work is refused; 0 never refuses; default 300.
+	// which new work is refused; 0 never refuses; default 4.
 	StaleAfterSeconds int `json:"staleAfterSeconds" usage:"seconds without confirmation of the text until new work is refused; 0: never"`
 	// DrainSeconds bounds how long a planned stop waits for requests in flight;
 	// 0, the default, waits without a bound.
@@ -92,17 +96,17 @@
 	JournalMegabytes int `json:"journalMegabytes" usage:"MiB of memory for journals kept for other sidecars"`
 }
 
-func defaultCommon() Common {
-	return Common{EventRing: DefaultEventRing, PollSeconds: DefaultPollSeconds,
+func defaultCommon(pollSeconds int) Common {
+	return Common{EventRing: DefaultEventRing, PollSeconds: pollSeconds,
 		StaleAfterSeconds: DefaultStaleAfterSeconds, LogLevel: DefaultLogLevel}
 }
 
 // DefaultRouter returns a router's settings with their defaults.
-func DefaultRouter() Router { return Router{Common: defaultCommon()} }
+func DefaultRouter() Router { return Router{Common: defaultCommon(DefaultRouterPollSeconds)} }
 
 // DefaultSidecar returns a sidecar's settings with their defaults.
 func DefaultSidecar() Sidecar {
-	return Sidecar{Common: defaultCommon(), JournalMegabytes: DefaultJournalMegabytes}
+	return Sidecar{Common: defaultCommon(DefaultSidecarPollSeconds), JournalMegabytes: DefaultJournalMegabytes}
 }
 
 // Poll returns PollSeconds as a duration.
