--- a/journal/append.go
+++ b/journal/append.go
@@ -24,7 +24,7 @@
 	defer s.mu.Unlock()
 	for _, r := range in.GetRecords() {
 		v := s.take(r)
-		s.metrics.records.WithLabelValues(verdictNames[v]).Inc()
+		s.metrics.records[v].Inc()
 		if v == refused {
 			s.opts.Recorder.Emit(EventRefused, "generation", r.GetGeneration(), "from", in.GetFrom(), "first", r.GetFirst())
 		}
--- a/journal/fake_test.go
+++ b/journal/fake_test.go
@@ -121,7 +121,8 @@
 
 func record(id types.GenerationID, l types.Lineage, first, n int) *streampb.JournalRecord {
 	r := &streampb.JournalRecord{Generation: id.String(), Lineage: lineageToWire(l), First: uint32(first), Runner: "runner"}
-	for _, t := range answerOf(l, first+n)[first:] {
+	for i := first; i < first+n; i++ {
+		t := token(producer(l, i), i)
 		r.Tokens = append(r.Tokens, &streampb.Token{Id: t.ID, Text: t.Text})
 	}
 	return r
--- a/journal/handle.go
+++ b/journal/handle.go
@@ -58,7 +58,7 @@
 	if !h.ripe() {
 		return
 	}
-	if len(h.cursors) < h.writer.opts.Copies && time.Since(h.repaired) > repairEvery {
+	if len(h.cursors) < h.gen.Copies && time.Since(h.repaired) > repairEvery {
 		h.repair()
 	}
 	h.signalLocked()
@@ -100,7 +100,7 @@
 	if len(h.gen.Emitted) > 0 {
 		return true
 	}
-	return h.writer.opts.After < 0 || time.Since(h.started) >= h.writer.opts.After
+	return h.gen.After < 0 || time.Since(h.started) >= h.gen.After
 }
 
 // giveUp stops journalling a generation for want of room here. The peers keep
@@ -137,7 +137,7 @@
 func (h *Handle) repair() {
 	h.repaired = time.Now()
 	for _, addr := range h.gen.Peers {
-		if len(h.cursors) >= h.writer.opts.Copies {
+		if len(h.cursors) >= h.gen.Copies {
 			return
 		}
 		if addr == h.writer.opts.Self || h.uses(addr) || h.avoid[addr] || !h.writer.usable(addr) {
@@ -148,8 +148,8 @@
 			h.cursors = append(h.cursors, c)
 		}
 	}
-	if len(h.cursors) < h.writer.opts.Copies {
-		h.writer.opts.Recorder.Emit(EventNoPeer, "generation", h.name, "have", len(h.cursors), "want", h.writer.opts.Copies)
+	if len(h.cursors) < h.gen.Copies {
+		h.writer.opts.Recorder.Emit(EventNoPeer, "generation", h.name, "have", len(h.cursors), "want", h.gen.Copies)
 	}
 }
 
--- a/journal/link.go
+++ b/journal/link.go
@@ -88,7 +88,7 @@
 }
 
 func (l *link) pause() bool {
-	timer := time.NewTimer(l.writer.opts.Batch)
+	timer := time.NewTimer(l.writer.batch())
 	defer timer.Stop()
 	select {
 	case <-l.writer.ctx.Done():
--- a/journal/metrics.go
+++ b/journal/metrics.go
@@ -9,30 +9,36 @@
 
 type storeMetrics struct {
 	bytes     prometheus.Gauge
-	entries   *prometheus.GaugeVec
+	entries   [states]prometheus.Gauge
 	evictions *prometheus.CounterVec
-	records   *prometheus.CounterVec
+	records   [len(verdictNames)]prometheus.Counter
 }
 
 func newStoreMetrics(reg prometheus.Registerer) *storeMetrics {
+	entries := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pearyard_journal_held_generations", Help: "Generations in the token journal by state."}, []string{"state"})
+	records := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearyard_journal_records_total", Help: "Records received, by what became of them."}, []string{"verdict"})
 	m := &storeMetrics{
 		bytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pearyard_journal_held_bytes", Help: "Bytes that the token journal holds for other sidecars."}),
-		entries: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "pearyard_journal_held_generations", Help: "Generations in the token journal by state."}, []string{"state"}),
 		evictions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearyard_journal_evictions_total", Help: "Generations dropped for want of room, by state."}, []string{"state"}),
-		records: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "pearyard_journal_records_total", Help: "Records received, by what became of them."}, []string{"verdict"}),
 	}
-	register(reg, m.bytes, m.entries, m.evictions, m.records)
+	for st, name := range stateNames {
+		m.entries[st] = entries.WithLabelValues(name)
+	}
+	for v, name := range verdictNames {
+		m.records[v] = records.WithLabelValues(name)
+	}
+	register(reg, m.bytes, entries, m.evictions, records)
 	return m
 }
 
 func (s *Store) gauge() {
 	s.metrics.bytes.Set(float64(s.bytes))
 	for st, ages := range s.ages {
-		s.metrics.entries.WithLabelValues(stateNames[st]).Set(float64(ages.Len()))
+		s.metrics.entries[st].Set(float64(ages.Len()))
 	}
 }
 
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -86,6 +87,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
+	gather  atomic.Int64 // batch wait in nanoseconds, see SetBatch
 
 	mu    sync.Mutex // guards links, down, held and closing
 	links map[string]*link
@@ -103,6 +105,21 @@
 	}
 }
 
+// SetBatch changes how long tokens gather before an append: a new revision of
+// the text may have another recovery dial.
+func (w *Writer) SetBatch(d time.Duration) {
+	if d > 0 {
+		w.gather.Store(int64(d))
+	}
+}
+
+func (w *Writer) batch() time.Duration {
+	if d := w.gather.Load(); d > 0 {
+		return time.Duration(d)
+	}
+	return w.opts.Batch
+}
+
 // Close stops all appends and waits for them to return.
 func (w *Writer) Close() {
 	w.mu.Lock()
@@ -117,11 +134,27 @@
 	Lineage types.Lineage // its last segment is this attempt
 	Emitted []types.Token // what the attempt continues from
 	Peers   []string      // candidates in rendezvous order, more of them than copies
+
+	// After and Copies are the recovery dial in force when the attempt started;
+	// 0: as the writer's options say. Copies below 0 keeps no journal.
+	After  time.Duration
+	Copies int
+}
+
+func (g GenerationInfo) withDefaults(o WriterOptions) GenerationInfo {
+	if g.After == 0 {
+		g.After = o.After
+	}
+	if g.Copies == 0 {
+		g.Copies = o.Copies
+	}
+	return g
 }
 
 // Start registers the attempt with its journal peers, so that any router finds
 // the runner, and returns the handle that its tokens are appended to.
 func (w *Writer) Start(gen GenerationInfo) *Handle {
+	gen = gen.withDefaults(w.opts)
 	h := &Handle{writer: w, gen: gen, name: gen.ID.String(), started: time.Now(), avoid: make(map[string]bool)}
 	for _, t := range gen.Emitted {
 		h.log.add(t.ID, t.Text)
@@ -130,8 +163,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.repair()
-	if w.opts.After > 0 {
-		h.due = time.AfterFunc(w.opts.After, h.signal)
+	if gen.After > 0 {
+		h.due = time.AfterFunc(gen.After, h.signal)
 	}
 	return h
 }
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -129,6 +129,27 @@
 	})
 }
 
+// A renewal's answer is lost and it takes effect a second later; the holder
+// recognises it only three seconds after sending it. A waiter may have watched
+// the row since that first second, so the term counts from the sending.
+func TestLateRenewalCountsFromItsSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		v := &view{memory: newMemory()}
+		k := New(Options{Table: v, Name: "orders", Holder: "a", Term: term})
+		k.step(t.Context())
+		v.set(func() { v.late = time.Second })
+		k.step(t.Context())
+		sent := time.Now()
+		time.Sleep(3 * time.Second)
+		v.set(func() { v.readOnly = true })
+		k.step(t.Context())
+		_, until, ok := k.Held()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(until.Sub(sent)).To(Equal(8100 * time.Millisecond))
+	})
+}
+
 // The answer to the write that takes the lease over is lost: the fencing number
 // must be known from reading back, and no number is used up twice.
 func TestAmbiguousTakeover(t *testing.T) {
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -21,6 +21,7 @@
 type view struct {
 	*memory
 	down       bool          // nothing gets through
+	readOnly   bool          // reads get through, commits don't
 	loseAnswer bool          // the next commit takes effect, its answer is lost
 	late       time.Duration // the next commit's answer is lost and it takes effect only after this
 }
@@ -43,7 +44,7 @@
 func (v *view) Commit(_ context.Context, txn platform.Txn) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.down {
+	if v.down || v.readOnly {
 		return platform.ErrUnavailable
 	}
 	if v.late > 0 {
--- a/order/search_test.go
+++ b/order/search_test.go
@@ -34,7 +34,8 @@
 	turns   bool // one order at a time is with the engine
 }
 
-// gatedEngine carries an order out when its gate opens.
+// gatedEngine carries an order out when its gate opens, also if whoever sent it
+// has stopped waiting by then.
 type gatedEngine struct {
 	gates map[uint64]chan struct{}
 
@@ -42,12 +43,21 @@
 	effects []uint64
 }
 
-func (e *gatedEngine) Order(_ context.Context, o engine.Order) error {
-	<-e.gates[o.Fence]
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.effects = append(e.effects, o.Fence)
-	return nil
+func (e *gatedEngine) Order(ctx context.Context, o engine.Order) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-e.gates[o.Fence]
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.effects = append(e.effects, o.Fence)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (e *gatedEngine) Loaded(context.Context) ([]engine.Loaded, error) { return nil, nil }
