--- a/admin/admin.go
+++ b/admin/admin.go
@@ -59,7 +59,10 @@
 )
 
 // RaceError refuses a text because another was accepted on its base first.
-type RaceError struct{ Winner Text }
+type RaceError struct {
+	Winner Text
+	Diff   string // from the loser's base to the winner; empty: the server makes it
+}
 
 // Error implements error.
 func (e *RaceError) Error() string {
--- a/admin/commands.go
+++ b/admin/commands.go
@@ -47,7 +47,7 @@
 		s.metrics.applies.WithLabelValues(resultRace).Inc()
 		s.opts.Recorder.Emit(eventRace, "base", change.Base, "who", change.Who,
 			"winner", race.Winner.Revision, "winner_who", race.Winner.Who)
-		return &adminpb.ApplyResponse{Race: s.racePB(ctx, change.Base, race.Winner)}, nil
+		return &adminpb.ApplyResponse{Race: s.racePB(ctx, change.Base, race)}, nil
 	case errors.Is(err, ErrAmbiguous):
 		s.metrics.applies.WithLabelValues(resultAmbiguous).Inc()
 		s.opts.Recorder.Emit(eventAmbiguous, "base", change.Base, "who", change.Who)
@@ -62,22 +62,24 @@
 const metaAmbiguous = "ambiguous"
 
 // racePB describes the winner and what it changed. The diff is left out if the
-// loser's base can't be read; the race is reported all the same.
-func (s *Server) racePB(ctx context.Context, base types.Revision, winner Text) *adminpb.Race {
-	race := &adminpb.Race{Winner: textPB(winner)}
+// texts can't be read; the race is reported all the same.
+func (s *Server) racePB(ctx context.Context, base types.Revision, race *RaceError) *adminpb.Race {
+	winner := race.Winner
 	if winner.Raw == nil {
 		loaded, err := s.opts.Texts.Load(ctx, winner.Revision)
 		if err != nil {
-			return race
+			return &adminpb.Race{Winner: textPB(winner), Diff: race.Diff}
 		}
 		winner = loaded
-		race.Winner = textPB(loaded)
 	}
-	from, err := s.load(ctx, base)
-	if err == nil {
-		race.Diff = s.opts.Diff(from, winner)
+	out := &adminpb.Race{Winner: textPB(winner), Diff: race.Diff}
+	if out.GetDiff() != "" {
+		return out
 	}
-	return race
+	if from, err := s.load(ctx, base); err == nil {
+		out.Diff = s.opts.Diff(from, winner)
+	}
+	return out
 }
 
 // load returns the text of a revision; revision 0 is the empty text before the first.
--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -6,10 +6,17 @@
 import (
 	_ "github.com/pearyard/pearyard/admin"
 	_ "github.com/pearyard/pearyard/claim"
+	_ "github.com/pearyard/pearyard/config"
 	_ "github.com/pearyard/pearyard/gate"
 	_ "github.com/pearyard/pearyard/journal"
+	_ "github.com/pearyard/pearyard/lease"
+	_ "github.com/pearyard/pearyard/limit"
 	_ "github.com/pearyard/pearyard/membership"
+	_ "github.com/pearyard/pearyard/order"
 	_ "github.com/pearyard/pearyard/retry"
 	_ "github.com/pearyard/pearyard/route"
+	_ "github.com/pearyard/pearyard/router"
+	_ "github.com/pearyard/pearyard/settings"
+	_ "github.com/pearyard/pearyard/sidecar"
 	_ "github.com/pearyard/pearyard/suspect"
 )
--- a/cli/apply.go
+++ b/cli/apply.go
@@ -134,13 +134,23 @@
 	return errors.As(err, &answer) && answer.Code() == twirp.Unavailable && answer.Meta("http_error_from_intermediary") == ""
 }
 
-// own recognises a lost race against an earlier call of this very command.
+// own recognises a lost race against an earlier call of this very command. The
+// winner that the race names may stand on top of that call's text, so the
+// successor of the base decides.
 func (c *client) own(ctx context.Context, req *adminpb.ApplyRequest, resp *adminpb.ApplyResponse, open bool) (*adminpb.ApplyResponse, error) {
 	winner := resp.GetRace().GetWinner()
-	if !open || winner == nil || !sameChange(req, winner) {
+	if !open || winner == nil {
 		return resp, nil
 	}
-	return c.accepted(ctx, req, winner.GetRevision())
+	if sameChange(req, winner) {
+		return c.accepted(ctx, req, winner.GetRevision())
+	}
+	found, err := c.readBack(ctx, req)
+	if found == nil && err == nil {
+		return nil, exitErrorf(ExitUnknown, "revision %d by %s is in force; whether the text was accepted before it, `pearyard history` will show",
+			winner.GetRevision(), winner.GetWho())
+	}
+	return found, err
 }
 
 func sameChange(req *adminpb.ApplyRequest, accepted *adminpb.Revision) bool {
--- a/cli/apply_test.go
+++ b/cli/apply_test.go
@@ -58,7 +58,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if int(req.GetBase()) != len(s.all) {
-		return &adminpb.ApplyResponse{Race: &adminpb.Race{Winner: s.all[req.GetBase()], Diff: "-a\n+b"}}
+		// The winner is the newest, as in the store.
+		return &adminpb.ApplyResponse{Race: &adminpb.Race{Winner: s.all[len(s.all)-1], Diff: "-a\n+b"}}
 	}
 	revision := uint64(len(s.all) + 1)
 	s.all = append(s.all, &adminpb.Revision{Revision: revision, Who: req.GetWho(), Note: req.GetNote(), Text: req.GetText()})
@@ -170,6 +171,27 @@
 	g.Expect(s.all).To(gomega.HaveLen(1))
 }
 
+// The answer is lost, another operator builds on her text at once, and only then
+// can the history be read. The race names him, but her text was accepted first:
+// told "race lost" she would apply it again, on top of his.
+func TestApplyFoundUnderAnotherOperatorsText(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &store{}
+	first, second := &router{store: s, loseAnswer: true, mute: true}, &router{store: s, mute: true}
+	second.before = func() {
+		s.accept(&adminpb.ApplyRequest{Base: 1, Text: []byte("his"), Who: "bob"})
+		second.mute = false
+	}
+	got := apply(t, first.serve(t)+","+second.serve(t))
+	g.Expect(got).To(gomega.Equal(result{stdout: "accepted as revision 1\n"}))
+	g.Expect(s.all).To(gomega.HaveLen(2))
+	second.mute = true
+	first.mute = true
+	s.all = nil
+	second.before = func() { s.accept(&adminpb.ApplyRequest{Base: 1, Text: []byte("his"), Who: "bob"}) }
+	g.Expect(apply(t, first.serve(t)+","+second.serve(t)).code).To(gomega.Equal(ExitUnknown))
+}
+
 // The answer is lost and no router can read the history: the command doesn't
 // guess, it says that the outcome is open.
 func TestApplyWhoseOutcomeStaysOpen(t *testing.T) {
