--- /dev/null
+++ b/cmd/pearyard-bench-route/cases.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/pearyard/pearyard/route"
+)
+
+// Rates of fresh requests a second for each runner.
+const (
+	steadyRate = 1.0
+	fullRate   = 1.5 // times steadyRate: about what the runners can do
+)
+
+// variant is a policy with its dials under one fault.
+type variant struct {
+	name    string
+	options simOptions
+}
+
+// Values that switch a mechanism off.
+const (
+	noSlowStart  = time.Nanosecond
+	noSlowFactor = 1e9
+	noAge        = 1000 * time.Hour
+	off          = 1e-9
+	lateReports  = 10 * time.Second
+	noBound      = 1e9
+)
+
+// cases lists what is measured.
+func cases(rate float64) []variant {
+	plain := simOptions{rate: rate, reportEvery: reportEvery, policy: route.PrefixAffinity, learn: true, events: true}
+	var out []variant
+	add := func(name string, f fault, change func(*simOptions)) {
+		o := plain
+		o.fault = f
+		if change != nil {
+			change(&o)
+		}
+		out = append(out, variant{name: name, options: o})
+	}
+	policies := func(f fault, rate float64) {
+		for _, name := range route.Names() {
+			add(name, f, func(o *simOptions) { o.policy = name; o.rate = rate })
+		}
+	}
+	policies(noFault, rate)
+	tuned := func(name string, change func(*route.Tuning)) {
+		add(name, noFault, func(o *simOptions) { change(&o.tuning) })
+	}
+	add("affinity, no cache events", noFault, func(o *simOptions) { o.events = false })
+	add("affinity, nothing learnt", noFault, func(o *simOptions) { o.learn = false; o.events = false })
+	tuned("affinity, zone first", func(t *route.Tuning) { t.ZoneFirst = true })
+	tuned("affinity, bound only, no credit", func(t *route.Tuning) { t.PrefixCredit = off })
+	tuned("affinity, credit without bound", func(t *route.Tuning) { t.BoundFactor = noBound; t.BoundCeiling = noBound })
+	tuned("affinity, credit 0.02", func(t *route.Tuning) { t.PrefixCredit = 0.02 })
+	tuned("affinity, credit 0.1", func(t *route.Tuning) { t.PrefixCredit = 0.1 })
+	tuned("affinity, credit without limit", func(t *route.Tuning) { t.PrefixCredit = noBound })
+	tuned("affinity, the same, factor only", func(t *route.Tuning) { t.PrefixCredit = noBound; t.BoundCeiling = noBound })
+	tuned("affinity, factor 1.2", func(t *route.Tuning) { t.BoundFactor = 1.2 })
+	tuned("affinity, factor 2", func(t *route.Tuning) { t.BoundFactor = 2 })
+	tuned("affinity, floor 0.5", func(t *route.Tuning) { t.BoundFloor = 0.5 })
+	tuned("affinity, ceiling 0.8", func(t *route.Tuning) { t.BoundCeiling = 0.8 })
+	tuned("affinity, wait weight 0", func(t *route.Tuning) { t.WaitWeight = off })
+	tuned("affinity, wait weight 1", func(t *route.Tuning) { t.WaitWeight = 1 })
+	tuned("affinity, wait weight 6", func(t *route.Tuning) { t.WaitWeight = 6 })
+	tuned("affinity, report age ignored", func(t *route.Tuning) { t.ReportTau = noAge })
+	add("least load, wait weight 0", noFault, func(o *simOptions) { o.policy = route.LeastLoad; o.tuning.WaitWeight = off })
+	late := func(o *simOptions) { o.reportEvery = lateReports }
+	add("affinity, reports each 10 s", noFault, late)
+	add("the same, age ignored", noFault, func(o *simOptions) { late(o); o.tuning.ReportTau = noAge })
+	add("least load, reports each 10 s", noFault, func(o *simOptions) { late(o); o.policy = route.LeastLoad })
+	add("the same, age ignored", noFault, func(o *simOptions) {
+		late(o)
+		o.policy = route.LeastLoad
+		o.tuning.ReportTau = noAge
+	})
+
+	policies(oneSlow, rate)
+	add("affinity, slow not avoided", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = noSlowFactor })
+	add("affinity, slow factor 2", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = 2 })
+
+	policies(oneStarted, rate)
+	add("affinity, no slow start", oneStarted, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
+	add("least load, no slow start", oneStarted, func(o *simOptions) {
+		o.policy = route.LeastLoad
+		o.tuning.SlowStart = noSlowStart
+	})
+
+	policies(zoneGone, rate)
+	policies(zoneLost, rate)
+	add("affinity, no slow start", zoneLost, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
+	add("affinity, slow start 20 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 20 * time.Second })
+	add("affinity, slow start 40 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 40 * time.Second })
+
+	policies(tenthDies, rate*fullRate)
+	add("affinity, retries without budget", tenthDies, func(o *simOptions) { o.unbounded = true; o.rate = rate * fullRate })
+	add("two, retries without budget", tenthDies, func(o *simOptions) {
+		o.unbounded = true
+		o.policy = route.PowerOfTwo
+		o.rate = rate * fullRate
+	})
+	return out
+}
+
+// summarise returns the least, median and greatest of each figure.
+func summarise(all []figures) (least, median, most figures) {
+	fields := reflect.TypeFor[figures]().NumField()
+	for i := range fields {
+		values := make([]float64, 0, len(all))
+		for _, f := range all {
+			values = append(values, reflect.ValueOf(f).Field(i).Float())
+		}
+		slices.Sort(values)
+		reflect.ValueOf(&least).Elem().Field(i).SetFloat(values[0])
+		reflect.ValueOf(&median).Elem().Field(i).SetFloat(values[len(values)/2])
+		reflect.ValueOf(&most).Elem().Field(i).SetFloat(values[len(values)-1])
+	}
+	return least, median, most
+}
--- /dev/null
+++ b/cmd/pearyard-bench-route/main.go
@@ -0,0 +1,124 @@
+// Command pearyard-bench-route runs the routing policies in virtual time over
+// modelled runners and prints what they do to prefix caches, load and the time
+// to the first token. It measures the policy code itself, no network and no engine.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v2"
+)
+
+func main() {
+	app := &cli.App{
+		Name:  "pearyard-bench-route",
+		Usage: "measure routing policies over modelled runners, in virtual time",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "runners", Value: cli.NewIntSlice(36, 24)},
+			&cli.IntFlag{Name: "routers", Value: 3},
+			&cli.Float64Flag{Name: "rate", Value: steadyRate, Usage: "requests a second for each runner"},
+			&cli.IntFlag{Name: "seeds", Value: 5},
+			&cli.StringSliceFlag{Name: "case", Usage: "only these cases"},
+			&cli.StringFlag{Name: "json", Usage: "write the figures to this file"},
+			&cli.IntFlag{Name: "parallel", Value: 4},
+		},
+		Action: bench,
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// row is one variant under one fault: median, least and greatest figures over the seeds.
+type row struct {
+	Runners int     `json:"runners"`
+	Case    string  `json:"case"`
+	Variant string  `json:"variant"`
+	Median  figures `json:"median"`
+	Least   figures `json:"least"`
+	Most    figures `json:"most"`
+}
+
+func bench(ctx *cli.Context) error {
+	var rows []row
+	for _, runners := range ctx.IntSlice("runners") {
+		for _, c := range cases(ctx.Float64("rate")) {
+			if only := ctx.StringSlice("case"); len(only) > 0 && !slices.Contains(only, string(c.options.fault)) {
+				continue
+			}
+			c.options.runners = runners
+			c.options.routers = ctx.Int("routers")
+			r, err := measure(c, ctx.Int("seeds"), ctx.Int("parallel"))
+			if err != nil {
+				return err
+			}
+			rows = append(rows, r)
+		}
+	}
+	report(ctx.App.Writer, rows)
+	return writeJSON(ctx.String("json"), rows)
+}
+
+func measure(c variant, seeds, parallel int) (row, error) {
+	all := make([]figures, seeds)
+	failed := make([]error, seeds)
+	slots := make(chan struct{}, max(1, parallel))
+	var wait sync.WaitGroup
+	for i := range seeds {
+		wait.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			opts := c.options
+			opts.seed = uint64(i + 1)
+			r, err := run(opts)
+			if err != nil {
+				failed[i] = err
+				return
+			}
+			all[i] = r.figures()
+		})
+	}
+	wait.Wait()
+	for _, err := range failed {
+		if err != nil {
+			return row{}, err
+		}
+	}
+	r := row{Runners: c.options.runners, Case: string(c.options.fault), Variant: c.name}
+	r.Least, r.Median, r.Most = summarise(all)
+	return r, nil
+}
+
+func writeJSON(path string, rows []row) error {
+	if path == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(rows, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode figures")
+	}
+	return errors.Wrap(os.WriteFile(path, append(raw, '\n'), 0o644), "write figures")
+}
+
+func report(w io.Writer, rows []row) {
+	last := ""
+	for _, r := range rows {
+		if title := fmt.Sprintf("%d runners, %s", r.Runners, r.Case); title != last {
+			last = title
+			fmt.Fprintf(w, "\n%s\n%-34s %15s %9s %6s %15s %15s %6s %5s %7s %6s %6s %6s %6s\n", title, "variant",
+				"hit rate", "prefill k", "p50 ms", "p95 ms", "p99 ms", "gap99", "max/m", "affectd", "peak", "sent/a", "shed", "done")
+		}
+		m, lo, hi := r.Median, r.Least, r.Most
+		fmt.Fprintf(w, "%-34s %.3f %.3f-%.3f %9.0f %6.0f %6.0f %4.0f-%4.0f %6.0f %4.0f-%4.0f %6.0f %5.2f %7.4f %6.2f %6.3f %6.0f %6.0f\n",
+			r.Variant, m.HitRate, lo.HitRate, hi.HitRate, m.PrefilledTokens/1000, m.FirstP50,
+			m.FirstP95, lo.FirstP95, hi.FirstP95, m.FirstP99, lo.FirstP99, hi.FirstP99,
+			m.GapP99, m.Spread, m.AffectedShare, m.AffectedPeak, m.SentPerAsked, m.Shed, m.Done)
+	}
+}
--- /dev/null
+++ b/cmd/pearyard-bench-route/sim.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/route"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Time of a run.
+const (
+	warmUp   = 40 * time.Second
+	runFor   = 180 * time.Second
+	zones    = 4
+	faultAt  = 80 * time.Second
+	returnAt = 120 * time.Second
+)
+
+// simOptions describe one run.
+type simOptions struct {
+	runners     int
+	routers     int
+	rate        float64 // requests a second for each runner, follow-ups not counted
+	policy      string
+	tuning      route.Tuning
+	events      bool // cache events reach the routers
+	learn       bool // routers note where they have sent what
+	unbounded   bool // retries without a budget
+	fault       fault
+	reportEvery time.Duration
+	seed        uint64
+}
+
+// sim is one run: callers, routers and runners in virtual time.
+type sim struct {
+	opts     simOptions
+	clock    clock
+	rand     *rand.Rand
+	workload *workload
+	routers  []*router
+	runners  []*runner
+	byID     map[types.ProcessID]*runner
+	result   *result
+}
+
+// run carries out one run.
+func run(opts simOptions) (*result, error) {
+	s := &sim{opts: opts, byID: make(map[types.ProcessID]*runner), result: &result{}}
+	s.rand = rand.New(rand.NewPCG(opts.seed, 1))
+	s.workload = newWorkload(rand.New(rand.NewPCG(opts.seed, 2)))
+	for i := range opts.runners {
+		s.addRunner(i)
+	}
+	for i := range opts.routers {
+		if err := s.addRouter(i); err != nil {
+			return nil, err
+		}
+	}
+	s.clock.after(0, s.arrivals)
+	s.clock.every(opts.reportEvery, s.reports)
+	s.clock.every(eventsEvery, s.cacheEvents)
+	s.clock.every(time.Second, func() { s.result.sample(s) })
+	opts.fault.plan(s)
+	s.clock.run(runFor)
+	return s.result, nil
+}
+
+func (s *sim) addRunner(i int) {
+	r := &runner{
+		sim: s, index: i, alive: true, slowdown: 1, incarnation: 1, cache: newPrefixCache(),
+		id:   types.ProcessID(fmt.Sprintf("runner-%03d", i)),
+		zone: types.Zone(fmt.Sprintf("zone-%d", i%zones)),
+	}
+	s.runners = append(s.runners, r)
+	s.byID[r.id] = r
+}
+
+func (s *sim) addRouter(i int) error {
+	r := &router{
+		sim: s, zone: types.Zone(fmt.Sprintf("zone-%d", i%zones)),
+		circuits: make(map[types.ProcessID]*retry.Circuit),
+	}
+	policy, err := route.NewPolicy(s.opts.policy, route.Options{Tuning: s.opts.tuning, Now: s.clock.time, Rand: s.rand.Uint64})
+	if err != nil {
+		return err
+	}
+	r.policy = policy
+	r.budget = retry.NewBudget(retry.BudgetOptions{Now: s.clock.time})
+	r.rebuild()
+	s.routers = append(s.routers, r)
+	return nil
+}
+
+// arrivals is a Poisson process.
+func (s *sim) arrivals() {
+	q := s.workload.fresh()
+	q.asked = s.clock.now
+	s.result.asked++
+	s.anyRouter().ask(q)
+	rate := s.opts.rate * float64(s.opts.runners)
+	s.clock.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), s.arrivals)
+}
+
+func (s *sim) followUp(done *request) {
+	if s.rand.Float64() >= followShare {
+		return
+	}
+	q := s.workload.follow(done)
+	s.clock.after(time.Duration(s.rand.ExpFloat64()*float64(followAfter)), func() {
+		q.asked = s.clock.now
+		s.result.asked++
+		s.anyRouter().ask(q)
+	})
+}
+
+func (s *sim) anyRouter() *router { return s.routers[s.rand.IntN(len(s.routers))] }
+
+// meanLoad is the mean of the runners' loads in parts of the batch.
+func (s *sim) meanLoad() float64 {
+	load, n := 0, 0
+	for _, r := range s.runners {
+		if r.alive {
+			load += r.load()
+			n++
+		}
+	}
+	return float64(load) / float64(max(1, n)*batchSize)
+}
+
+func (s *sim) reports() {
+	for _, r := range s.runners {
+		if !r.alive {
+			continue
+		}
+		id, incarnation := r.id, r.incarnation
+		load := types.Load{Running: len(r.batch), Queued: len(r.queue), Capacity: batchSize, StepMicros: int(r.lastStep.Microseconds()), At: s.clock.time()}
+		s.clock.after(reportLag, func() {
+			for _, router := range s.routers {
+				router.report(id, incarnation, load)
+			}
+		})
+	}
+}
+
+func (s *sim) cacheEvents() {
+	for _, r := range s.runners {
+		events := r.events
+		r.events = nil
+		if !s.opts.events || len(events) == 0 || s.rand.Float64() < eventsLost {
+			continue
+		}
+		id, incarnation := r.id, r.incarnation
+		s.clock.after(eventsLag, func() {
+			for _, router := range s.routers {
+				router.cacheEvents(id, incarnation, events)
+			}
+		})
+	}
+}
+
+// membershipChanged lets the routers know after the lag of membership.
+func (s *sim) membershipChanged() {
+	s.clock.after(viewLag, func() {
+		for _, r := range s.routers {
+			r.rebuild()
+		}
+	})
+}
--- a/route/affinity.go
+++ b/route/affinity.go
@@ -2,9 +2,10 @@
 
 import "github.com/pearyard/pearyard/engine"
 
-// affinity sends a prompt to where its prefix is cached, as long as that
-// candidate's load stays within the bound. The prefix map says where it is
-// believed to be; for a prefix that the map doesn't know, rendezvous hashing
+// affinity weighs the load of a candidate against the part of the prompt that
+// it is believed to hold. The credit for a prefix is absolute, by its length,
+// not by its share of the prompt; and no credit lifts a candidate over the
+// bound. For a prompt whose prefix nobody is known to hold, rendezvous hashing
 // of its first block names a candidate on which all routers agree.
 type affinity struct {
 	base
@@ -20,31 +21,54 @@
 	if len(q.Blocks) == 0 {
 		return p.finish(p.zoned((*pick).lesserOfTwo))
 	}
-	if c := a.holder(&p); c != nil {
-		return p.finish(p.count(c, reasonHolder))
+	held, cost := a.holder(&p)
+	if held == nil {
+		if home := a.home(&p); home != nil {
+			return p.finish(p.count(home, reasonHome))
+		}
+	}
+	free := p.least(a.pool(&p))
+	if held != nil && (free == nil || cost <= p.score(free)) {
+		return p.finish(p.count(held, reasonHolder))
 	}
-	if c := a.home(&p); c != nil {
-		return p.finish(p.count(c, reasonHome))
+	if free != nil && p.score(free) <= p.bound() {
+		return p.finish(p.count(free, reasonLoad))
 	}
 	return p.finish(p.zoned((*pick).least))
 }
 
-// holder returns the least loaded candidate within the bound that is believed
-// to hold the longest prefix that any of them holds.
-func (a *affinity) holder(p *pick) *Candidate {
+// pool is where a prompt without a holder goes.
+func (a *affinity) pool(p *pick) []*Candidate {
+	if local := p.v.zones[p.q.Zone]; a.tuning.ZoneFirst && len(local) > 0 {
+		return local
+	}
+	return p.v.candidates
+}
+
+// holder returns the candidate within the bound whose score less the credit for
+// what it holds is least, and that difference.
+func (a *affinity) holder(p *pick) (*Candidate, float64) {
 	bound := p.bound()
 	oldest := a.oldest(p.now)
 	var handles [ways]uint32
-	for i := len(p.q.Blocks) - 1; i >= 0; i-- {
-		n := a.prefixes.holders(p.q.Blocks[i], oldest, &handles)
-		if c := a.leastOf(p, handles[:n], bound); c != nil {
-			return c
+	var best *Candidate
+	var bestCost float64
+	for n := len(p.q.Blocks); n > 0; n-- {
+		found := a.prefixes.holders(p.q.Blocks[n-1], oldest, &handles)
+		c, score := a.leastOf(p, handles[:found], bound)
+		if c == nil {
+			continue
+		}
+		cost := score - a.tuning.PrefixCredit*float64(depth(n))
+		if best == nil || cost < bestCost {
+			best, bestCost = c, cost
 		}
 	}
-	return nil
+	return best, bestCost
 }
 
-func (a *affinity) leastOf(p *pick, handles []uint32, bound float64) *Candidate {
+// leastOf returns the least loaded of the named candidates within the bound.
+func (a *affinity) leastOf(p *pick, handles []uint32, bound float64) (*Candidate, float64) {
 	var best *Candidate
 	for _, handle := range handles {
 		c, ok := p.v.handles[handle]
@@ -55,20 +79,16 @@
 			best, bound = c, score
 		}
 	}
-	return best
+	return best, bound
 }
 
 // home returns the first candidate within the bound in the rendezvous order of
 // the prompt's first block.
 func (a *affinity) home(p *pick) *Candidate {
-	pool := p.v.candidates
-	if local := p.v.zones[p.q.Zone]; a.tuning.ZoneFirst && len(local) > 0 {
-		pool = local
-	}
 	bound := p.bound()
 	var best *Candidate
 	var bestRank uint64
-	for _, c := range pool {
+	for _, c := range a.pool(p) {
 		rank := mix(c.hash ^ p.q.Blocks[0])
 		if best != nil && rank <= bestRank {
 			continue
--- a/route/blocks.go
+++ b/route/blocks.go
@@ -37,3 +37,11 @@
 	}
 	return dst
 }
+
+// depth is the length of a prompt's first n blocks in units of BlockBytes.
+func depth(n int) int {
+	if n <= FineBlocks {
+		return n
+	}
+	return FineBlocks + (n-FineBlocks)*(CoarseBlockBytes/BlockBytes)
+}
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -73,7 +73,7 @@
 	c.hash = xxhash.Sum64String(string(c.ID))
 	c.handle = uint32(mix(c.hash ^ uint64(c.Incarnation)))
 	c.Stats = &Stats{}
-	if previous == nil {
+	if previous == nil || previous.Len() == 0 {
 		return &c
 	}
 	if old, ok := previous.handles[c.handle]; ok && old.ID == c.ID {
--- a/route/load.go
+++ b/route/load.go
@@ -12,10 +12,13 @@
 }
 
 // bound is the score up to which a candidate may be chosen for another reason
-// than its load: a little over the mean, and always up to BoundFloor, because
-// spreading an idle service only costs cache hits.
+// than its load: somewhat over the mean, but not into the region where requests
+// wait for a slot (BoundCeiling), unless all are there; and always up to
+// BoundFloor, because spreading an idle service only costs cache hits.
 func (p *pick) bound() float64 {
-	return max(p.tuning.BoundFloor, p.tuning.BoundFactor*p.v.sum.score.load())
+	mean := p.v.sum.score.load()
+	t := &p.tuning
+	return max(t.BoundFloor, min(t.BoundFactor*mean, max(mean, t.BoundCeiling)))
 }
 
 func (b *base) score(c *Candidate, meanOthers float64, now int64) float64 {
@@ -24,20 +27,35 @@
 	return (load + 1) / share * b.penalty(c.Stats, now)
 }
 
-// load estimates the requests at c. The router's own are known to the request.
-// What other routers have there is the report less the own part in it; as the
-// report ages, the estimate goes over to the mean of all candidates. It doesn't
-// go to zero: a candidate that stopped reporting would look idle and draw all requests.
+// load estimates the requests at c. The router's own are known to the request;
+// those that wait for their first token count for more, because prefills of
+// one engine stand in line. What other routers have there is the report less
+// the own part in it; as the report ages, the estimate goes over to the mean of
+// all candidates. It doesn't go to zero: a candidate that stopped reporting
+// would look idle and draw all requests.
 func (b *base) load(c *Candidate, meanOthers float64, now int64) float64 {
 	s := c.Stats
 	own := float64(s.inFlight.Load())
+	waiting := b.tuning.WaitWeight * float64(s.waiting.Load())
 	at := s.reportedAt.Load()
 	if at == 0 {
-		return own + meanOthers
+		return own + waiting + meanOthers
 	}
-	others := float64(max(0, s.reported.Load()-s.ownAtRep.Load()))
 	weight := b.weight(at, now)
-	return own + weight*others + (1-weight)*meanOthers
+	return own + waiting + weight*s.others(own) + (1-weight)*meanOthers
+}
+
+// others estimates what other routers have at the candidate. Since the report
+// they have seen the same gap in its load as this router and have filled it
+// likewise, so their part is taken to have grown in the proportion of the own.
+// Without this, routers that agree on a prefix's home overfill it together.
+func (s *Stats) others(own float64) float64 {
+	ownThen := s.ownAtRep.Load()
+	others := float64(max(0, s.reported.Load()-ownThen))
+	if grown := own - float64(ownThen); grown > 0 {
+		others += others * grown / float64(max(1, ownThen))
+	}
+	return others
 }
 
 // weight of a report falls from 1 with its age, to a half at ReportTau.
@@ -98,7 +116,7 @@
 			continue
 		}
 		weight := b.weight(at, now)
-		sum += weight * float64(max(0, c.Stats.reported.Load()-c.Stats.ownAtRep.Load()))
+		sum += weight * c.Stats.others(float64(c.Stats.inFlight.Load()))
 		weights += weight
 	}
 	if weights > 0 {
--- a/route/pick.go
+++ b/route/pick.go
@@ -133,7 +133,8 @@
 
 // probe returns a slow candidate whose turn it is. Without this trickle a
 // candidate that is fast again would stay avoided: its step time is only
-// measured by requests.
+// measured by requests. One that still has requests is being measured, and
+// needs no probe; more would only be held up there.
 func (p *pick) probe() *Candidate {
 	slow := p.v.sum.slow.Load()
 	if slow == 0 || p.q.Long {
@@ -146,10 +147,10 @@
 	}
 	turn := int64(p.v.sum.probed.Add(1)) % slow
 	for _, c := range p.v.candidates {
-		if !c.Stats.slow.Load() || p.avoided(c) {
+		if !c.Stats.slow.Load() {
 			continue
 		}
-		if turn == 0 {
+		if turn == 0 && p.idle(c) && !p.avoided(c) {
 			return c
 		}
 		turn--
@@ -157,6 +158,10 @@
 	return nil
 }
 
+func (p *pick) idle(c *Candidate) bool {
+	return c.Stats.inFlight.Load() == 0 && c.Stats.reported.Load() == 0
+}
+
 func (p *pick) count(c *Candidate, r reason) *Candidate {
 	if c != nil {
 		p.metrics.picks[r].Inc()
--- a/route/policy.go
+++ b/route/policy.go
@@ -86,7 +86,7 @@
 	SlowStartFloor float64 `json:"slow_start_floor,omitempty"`
 	// SlowFactor times the median step time makes a candidate slow.
 	SlowFactor float64 `json:"slow_factor,omitempty"`
-	// ProbeEvery is the time between two probes of one slow candidate.
+	// ProbeEvery is the least time between two probes of one slow candidate.
 	ProbeEvery time.Duration `json:"probe_every,omitempty"`
 	// ReportTau is the age at which a load report has lost half its weight.
 	ReportTau time.Duration `json:"report_tau,omitempty"`
@@ -96,6 +96,13 @@
 	BoundFactor float64 `json:"bound_factor,omitempty"`
 	// BoundFloor is the part of a candidate's capacity that it may always fill.
 	BoundFloor float64 `json:"bound_floor,omitempty"`
+	// BoundCeiling is the part of its capacity beyond which BoundFactor doesn't let affinity go.
+	BoundCeiling float64 `json:"bound_ceiling,omitempty"`
+	// PrefixCredit is how much more load, in parts of its capacity, a candidate
+	// may have for each BlockBytes of the prompt that it holds.
+	PrefixCredit float64 `json:"prefix_credit,omitempty"`
+	// WaitWeight is what a request waiting for its first token counts beyond 1.
+	WaitWeight float64 `json:"wait_weight,omitempty"`
 	// ZoneFirst makes prefix affinity look in the router's own zone first. The
 	// other policies always do.
 	ZoneFirst bool `json:"zone_first,omitempty"`
@@ -113,14 +120,17 @@
 // DefaultTuning returns the measured defaults.
 func DefaultTuning() Tuning {
 	return Tuning{
-		SlowStart:      20 * time.Second,
+		SlowStart:      10 * time.Second,
 		SlowStartFloor: 0.1,
 		SlowFactor:     3,
-		ProbeEvery:     2 * time.Second,
+		ProbeEvery:     5 * time.Second,
 		ReportTau:      2 * time.Second,
 		FailPenalty:    5 * time.Second,
-		BoundFactor:    1.25,
-		BoundFloor:     0.5,
+		BoundFactor:    1.5,
+		BoundFloor:     0.75,
+		BoundCeiling:   0.9,
+		PrefixCredit:   0.05,
+		WaitWeight:     3,
 		PrefixEntries:  1 << 16,
 		PrefixTTL:      10 * time.Minute,
 		EventLag:       5 * time.Second,
@@ -138,6 +148,9 @@
 	orDefault(&t.FailPenalty, d.FailPenalty)
 	orDefault(&t.BoundFactor, d.BoundFactor)
 	orDefault(&t.BoundFloor, d.BoundFloor)
+	orDefault(&t.BoundCeiling, d.BoundCeiling)
+	orDefault(&t.PrefixCredit, d.PrefixCredit)
+	orDefault(&t.WaitWeight, d.WaitWeight)
 	orDefault(&t.PrefixEntries, d.PrefixEntries)
 	orDefault(&t.PrefixTTL, d.PrefixTTL)
 	orDefault(&t.EventLag, d.EventLag)
--- a/route/stats.go
+++ b/route/stats.go
@@ -16,6 +16,7 @@
 // sample apart, which an estimate can bear.
 type Stats struct {
 	inFlight atomic.Int64
+	waiting  atomic.Int64 // of inFlight, those that wait for a first token
 	suspects atomic.Int64
 
 	reported   atomic.Int64 // running and queued, as reported
@@ -34,22 +35,6 @@
 	cacheGaps     atomic.Uint64
 }
 
-// Begin counts a request sent to the candidate; each Begin needs one End.
-func (s *Stats) Begin(suspect bool) {
-	s.inFlight.Add(1)
-	if suspect {
-		s.suspects.Add(1)
-	}
-}
-
-// End counts the end of a request, whatever its outcome.
-func (s *Stats) End(suspect bool) {
-	s.inFlight.Add(-1)
-	if suspect {
-		s.suspects.Add(-1)
-	}
-}
-
 // Report takes in what the candidate says of itself. A report that was read
 // before the last one is dropped.
 func (s *Stats) Report(load types.Load) {
