node, daemon, embedded: a whole site; engine and router die under one stream

Cause: the parts stood alone; nothing ran as processes that find each other and share a text. Ruled out: wiring in each main (the demo and the tests would differ from the daemons), a simulator (not wanted).

--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,148 @@
+// Package daemon is what the thin mains of router and sidecar share: settings,
+// the log, listeners, the platform's clients and signals.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v2"
+
+	"github.com/pearyard/pearyard/findings"
+	"github.com/pearyard/pearyard/node"
+	"github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/settings"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitFailed   = 1
+	ExitFindings = 3
+)
+
+const (
+	flagSettings = "settings"
+	flagPrint    = "print-settings"
+	// neverStale stands for settings that switch the check of freshness off.
+	neverStale = -1
+)
+
+// Spec describes one daemon.
+type Spec struct {
+	Name     string
+	Usage    string
+	Defaults any // settings struct, for the flags
+	// Start loads the settings and returns them with what runs them.
+	Start func(settings.Sources) (loaded any, found findings.List, serve func(context.Context, log.Logger) error)
+	Level func(loaded any) string // level of the log
+}
+
+// Main runs a daemon and returns its exit code.
+func Main(spec Spec, args []string, stdout, stderr io.Writer) int {
+	code := 0
+	flags := append(settings.Flags(spec.Defaults),
+		&cli.StringFlag{Name: flagSettings, Usage: "JSON file with settings", EnvVars: []string{settings.EnvPrefix + "SETTINGS"}},
+		&cli.BoolFlag{Name: flagPrint, Usage: "print the settings in force, secrets masked, and exit"})
+	app := &cli.App{Name: spec.Name, Usage: spec.Usage, Flags: flags, Writer: stdout, ErrWriter: stderr, Action: func(c *cli.Context) error {
+		sources := settings.Sources{File: c.String(flagSettings), Env: os.LookupEnv, Flags: c}
+		loaded, found, serve := spec.Start(sources)
+		if c.Bool(flagPrint) {
+			_, _ = stdout.Write(settings.Print(loaded))
+		}
+		if len(found) > 0 {
+			fmt.Fprint(stderr, found.String())
+		}
+		if found.HasErrors() {
+			code = ExitFindings
+			return nil
+		}
+		if c.Bool(flagPrint) {
+			return nil
+		}
+		return untilSignal(func(ctx context.Context) error { return serve(ctx, newLogger(stderr, spec.Level(loaded))) })
+	}}
+	if err := app.Run(args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return code
+}
+
+// untilSignal runs serve; the first signal begins a planned stop by ending its
+// context, and a second one ends the process at once.
+func untilSignal(serve func(context.Context) error) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	served := make(chan error, 1)
+	go func() { served <- serve(ctx) }()
+	for first := true; ; first = false {
+		var group run.Group
+		group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+		done := make(chan struct{})
+		var err error
+		group.Add(func() error {
+			select {
+			case err = <-served:
+				return nil
+			case <-done:
+				return nil
+			}
+		}, func(error) { close(done) })
+		if !errors.Is(group.Run(), run.ErrSignal) {
+			return err
+		}
+		if !first {
+			return errors.New("stopped at once by a second signal")
+		}
+		stop()
+	}
+}
+
+func newLogger(w io.Writer, name string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
+}
+
+// Listen opens a listener on an ip:port; port 0 takes a free one.
+func Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrapf(err, "listen on %s", address)
+}
+
+// Common builds what router and sidecar are both told.
+func Common(s settings.Common, logger log.Logger) (node.Common, error) {
+	peers, err := Listen(s.PeerListen)
+	if err != nil {
+		return node.Common{}, err
+	}
+	stale := s.StaleAfter()
+	if stale == 0 {
+		stale = neverStale
+	}
+	return node.Common{
+		ID: s.ID, Zone: s.Zone, Peers: peers, Advertise: s.Advertise, Seeds: s.Seeds, Platform: platformOf(s),
+		Logger: logger, RingSize: s.EventRing, Poll: s.Poll(), Drain: s.Drain(), StaleAfter: stale,
+	}, nil
+}
+
+func platformOf(s settings.Common) node.Platform {
+	p := node.Platform{
+		Table:   httpapi.NewTable(httpapi.Options{Address: s.Table}),
+		Objects: httpapi.NewObjects(httpapi.Options{Address: s.Objects}),
+	}
+	if s.VMList != "" {
+		p.VMs = httpapi.NewVMList(httpapi.Options{Address: s.VMList})
+	}
+	if s.Weights != "" {
+		p.Weights = httpapi.NewWeights(httpapi.Options{Address: s.Weights})
+	}
+	return p
+}
--- /dev/null
+++ b/embedded/site.go
@@ -0,0 +1,264 @@
+// Package embedded runs a whole site in one process on loopback ports: the
+// platform and the backend servers as stand-ins, routers and sidecars by the
+// same code as the daemons. The demo, the tests of failures and the
+// measurements use it. Killing a part here means that its listener and all its
+// connections are closed at once, as the kernel does for a killed process.
+package embedded
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/client"
+	"github.com/pearyard/pearyard/config"
+	"github.com/pearyard/pearyard/node"
+	"github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/standin"
+	"github.com/pearyard/pearyard/text"
+)
+
+// Names that a site is built with.
+const (
+	ModelService  = "models"
+	PlainService  = "labels"
+	Model         = "pear-draft"
+	ModelVersion  = "1"
+	Organisation  = "demo"
+	Key           = "demo-key"
+	AdminToken    = "embedded-admin"
+	readyInterval = 20 * time.Millisecond
+	readyTimeout  = 15 * time.Second
+)
+
+// Options describe a site; zero values take small defaults.
+type Options struct {
+	Routers  int // default 2
+	Engines  int // engines, each with a sidecar; default 3
+	Plains   int // plain services, each with a sidecar; default 1
+	Zones    int // availability zones that all are spread over; default 3
+	Engine   standin.EngineOptions
+	Plain    standin.PlainOptions
+	Platform standin.PlatformOptions
+	Policy   string
+	Edit     func(*text.Text) // changes the text before it is applied; may be nil
+	Logger   log.Logger       // default: none
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Routers, 2)
+	setDefault(&o.Engines, 3)
+	setDefault(&o.Plains, 1)
+	setDefault(&o.Zones, 3)
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	return o
+}
+
+func setDefault(n *int, value int) {
+	if *n == 0 {
+		*n = value
+	}
+}
+
+// Engine is a stand-in engine with its sidecar.
+type Engine struct {
+	*standin.Engine
+	Name    string
+	Sidecar *Process
+	Node    *node.Sidecar
+}
+
+// Plain is a stand-in plain service with its sidecar.
+type Plain struct {
+	*standin.Plain
+	Name    string
+	Sidecar *Process
+	Node    *node.Sidecar
+}
+
+// Router is a router with its addresses.
+type Router struct {
+	*Process
+	Node    *node.Router
+	Callers string
+	Admin   string
+}
+
+// Site is a running site.
+type Site struct {
+	Platform *standin.Platform
+	Engines  []*Engine
+	Plains   []*Plain
+	Routers  []*Router
+	Text     []byte // the first text
+
+	opts     Options
+	platform node.Platform
+	stop     []func()
+	seeds    []string
+}
+
+// Start runs a site and returns when all its routers are ready.
+func Start(ctx context.Context, opts Options) (*Site, error) {
+	opts = opts.withDefaults()
+	s := &Site{opts: opts, Platform: standin.NewPlatform(opts.Platform)}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	address, err := s.standin(s.Platform)
+	if err != nil {
+		return err
+	}
+	at := httpapi.Options{Address: address}
+	s.platform = node.Platform{
+		Table: httpapi.NewTable(at), Objects: httpapi.NewObjects(at),
+		VMs: httpapi.NewVMList(at), Weights: httpapi.NewWeights(at),
+	}
+	for i := range s.opts.Engines {
+		if err := s.startEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.opts.Plains {
+		if err := s.startPlain(i); err != nil {
+			return err
+		}
+	}
+	if err := s.applyFirst(ctx); err != nil {
+		return err
+	}
+	for range s.opts.Routers {
+		if err := s.StartRouter(len(s.Routers)); err != nil {
+			return err
+		}
+	}
+	return s.Ready(ctx)
+}
+
+// standin serves a stand-in until the site stops.
+func (s *Site) standin(handler http.Handler) (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "embedded: stand-in")
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	s.stop = append(s.stop, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+func (s *Site) zone(i int) string { return fmt.Sprintf("zone-%d", i%s.opts.Zones+1) }
+
+func (s *Site) applyFirst(ctx context.Context) error {
+	in := s.text()
+	if s.opts.Edit != nil {
+		s.opts.Edit(in)
+	}
+	raw, err := json.MarshalIndent(in, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "embedded: text")
+	}
+	s.Text = raw
+	store := config.NewStore(config.StoreOptions{Table: s.platform.Table, Objects: s.platform.Objects})
+	_, _, err = store.Accept(ctx, 0, raw, "embedded", "first text")
+	return errors.Wrap(err, "embedded: apply")
+}
+
+func (s *Site) text() *text.Text {
+	hash := sha256.Sum256([]byte(Key))
+	models := text.Service{
+		Name: ModelService, Kind: text.KindModel, Calls: text.CallsRepeatable, RetryBudget: text.DefaultRetryBudget,
+		DependsOn: []text.Dependency{{Model: Model, Version: ModelVersion}},
+	}
+	for i, e := range s.Engines {
+		models.BackendServers = append(models.BackendServers, text.BackendServer{Name: e.Name, Zone: s.zone(i), Sidecar: e.Node.Address(), ChecksFencing: true})
+	}
+	labels := text.Service{
+		Name: PlainService, Kind: text.KindPlain, Calls: text.CallsAtMostOnce, RetryBudget: text.DefaultRetryBudget,
+		DependsOn: []text.Dependency{},
+	}
+	for i, p := range s.Plains {
+		labels.BackendServers = append(labels.BackendServers, text.BackendServer{Name: p.Name, Zone: s.zone(i), Sidecar: p.Node.Address()})
+	}
+	recovery := text.DefaultRecovery()
+	recovery.JournalAfterMillis = 200
+	return &text.Text{
+		Services:      []text.Service{models, labels},
+		Models:        []text.Model{{Name: Model, Version: ModelVersion}},
+		Adapters:      []text.Adapter{},
+		Organisations: []text.Organisation{{Name: Organisation, Weight: 1, KeySHA256: []string{hex.EncodeToString(hash[:])}}},
+		Recovery:      recovery,
+		Limits:        text.DefaultLimits(),
+	}
+}
+
+// Ready waits until every router that runs is ready for callers.
+func (s *Site) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, r := range s.Routers {
+		for r.Running() && !ready(r.Callers) {
+			select {
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "embedded: router not ready")
+			case <-time.After(readyInterval):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(address string) bool {
+	resp, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Client returns a caller that knows all routers of the site.
+func (s *Site) Client() *client.Client {
+	var addresses []string
+	for _, r := range s.Routers {
+		addresses = append(addresses, r.Callers)
+	}
+	return client.New(client.Options{Routers: addresses, Key: Key})
+}
+
+// Stop ends everything at once.
+func (s *Site) Stop() {
+	var wait sync.WaitGroup
+	for _, r := range s.Routers {
+		wait.Go(r.Kill)
+	}
+	for _, e := range s.Engines {
+		e.Kill()
+		wait.Go(e.Sidecar.Kill)
+	}
+	for _, p := range s.Plains {
+		p.Kill()
+		wait.Go(p.Sidecar.Kill)
+	}
+	wait.Wait()
+	s.Platform.Kill()
+	for _, stop := range s.stop {
+		stop()
+	}
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/admin"
+	"github.com/pearyard/pearyard/config"
+	"github.com/pearyard/pearyard/engine"
+	"github.com/pearyard/pearyard/findings"
+	"github.com/pearyard/pearyard/order"
+	"github.com/pearyard/pearyard/platform"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// pushTimeout bounds the spread of a new text to all members; who isn't
+// reached by then learns of it from the stamps of ordinary traffic.
+const pushTimeout = 4 * time.Second
+
+func (r *Router) newAdmin() error {
+	if r.opts.Admin == nil {
+		return nil
+	}
+	server, err := admin.New(admin.Options{
+		Token: r.opts.AdminToken, Process: r.opts.ID, Texts: texts{r},
+		InForce: r.inForce, Members: r.adminMembers, Quarantines: r.quarantines,
+		Stopper: stopper{r}, Recorder: r.recorder, Registerer: r.registry, HTTP: r.peer.Client(),
+	})
+	r.admin = server
+	return err
+}
+
+// texts implements admin.Texts over the store of this router.
+type texts struct{ r *Router }
+
+// Accept commits a text, brings it into force here and hands it to all others.
+func (t texts) Accept(ctx context.Context, change admin.Change) (types.Revision, findings.List, error) {
+	rev, found, err := t.r.store.Accept(ctx, change.Base, change.Raw, change.Who, change.Note)
+	if err != nil {
+		return 0, found, t.failure(ctx, err)
+	}
+	if _, err := t.r.holder.Offer(rev, change.Raw); err != nil {
+		return rev, found, err
+	}
+	go t.r.push()
+	return rev, found, nil
+}
+
+func (r *Router) push() {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	r.pusher.Push(ctx, r.others())
+}
+
+func (t texts) failure(ctx context.Context, err error) error {
+	var race *config.RaceError
+	if errors.As(err, &race) {
+		winner, loadErr := t.Load(ctx, race.Winner)
+		if loadErr != nil {
+			winner = admin.Text{Revision: race.Winner}
+		}
+		winner.Who = race.By
+		return &admin.RaceError{Winner: winner}
+	}
+	var undecided *config.UndecidedError
+	if errors.As(err, &undecided) {
+		return errors.Wrap(admin.ErrAmbiguous, err.Error())
+	}
+	return err
+}
+
+// Load returns one accepted text.
+func (t texts) Load(ctx context.Context, revision types.Revision) (admin.Text, error) {
+	raw, err := t.r.store.Load(ctx, revision)
+	if errors.Is(err, platform.ErrNotFound) {
+		return admin.Text{}, admin.ErrNoRevision
+	}
+	if err != nil {
+		return admin.Text{}, err
+	}
+	out := admin.Text{Revision: revision, Raw: raw}
+	entries, err := t.r.store.History(ctx, config.RevisionsKept)
+	if err != nil {
+		return out, nil // the text matters more than who accepted it
+	}
+	for _, e := range entries {
+		if e.Revision == revision {
+			out.Who, out.Note, out.At = e.By, e.Note, e.At
+		}
+	}
+	return out, nil
+}
+
+// History returns the accepted texts, the newest first, without their bodies.
+func (t texts) History(ctx context.Context, limit int) ([]admin.Text, error) {
+	entries, err := t.r.store.History(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]admin.Text, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, admin.Text{Revision: e.Revision, Base: e.Revision - 1, Who: e.By, Note: e.Note, At: e.At})
+	}
+	return out, nil
+}
+
+func (r *Router) inForce() admin.Text {
+	snapshot := r.holder.Current()
+	if snapshot == nil {
+		return admin.Text{}
+	}
+	return admin.Text{Revision: snapshot.Revision, Raw: snapshot.Raw}
+}
+
+func (r *Router) adminMembers() []admin.Member {
+	view := r.members.Snapshot()
+	out := make([]admin.Member, 0, len(view.Members))
+	for _, m := range view.Members {
+		out = append(out, admin.Member{
+			Process: m.ID, Role: m.Role, Zone: m.Zone, Address: m.Address, BackendServer: m.BackendServer,
+			State: admin.State(m.State), Incarnation: m.Incarnation, Revision: m.Revision,
+		})
+	}
+	return out
+}
+
+func (r *Router) quarantines() []admin.Quarantine {
+	var out []admin.Quarantine
+	for _, e := range r.suspects.Dump().Entries {
+		if e.State != suspect.Quarantined {
+			continue
+		}
+		verdict := r.suspects.Verdict(e.Fingerprint)
+		out = append(out, admin.Quarantine{Fingerprint: e.Fingerprint, Deaths: e.Open, Until: verdict.Until})
+	}
+	return out
+}
+
+// stopper implements admin.Stopper.
+type stopper struct{ r *Router }
+
+// Stop tells a process to begin its planned stop, and the members at once, so
+// that no router waits for the process's own announcement.
+func (s stopper) Stop(ctx context.Context, m admin.Member, who string) (int, error) {
+	req := &streampb.StopRequest{Reason: "operator " + who}
+	var resp *streampb.StopResponse
+	var err error
+	if m.Role == types.RoleSidecar {
+		resp, err = streampb.NewSidecarProtobufClient("http://"+m.Address, s.r.peer.Client()).Stop(ctx, req)
+	} else {
+		resp, err = streampb.NewRouterProtobufClient("http://"+m.Address, s.r.peer.Client()).Stop(ctx, req)
+	}
+	if err != nil {
+		return 0, errors.Wrapf(err, "stop %s", m.Process)
+	}
+	s.r.members.MarkLeaving(m.Process)
+	return int(resp.GetInFlight()), nil
+}
+
+// desired lists what the text in force asks of each engine.
+func (r *Router) desired() []order.Target {
+	in := r.text()
+	if in == nil {
+		return nil
+	}
+	var out []order.Target
+	for i := range in.Services {
+		s := &in.Services[i]
+		if s.Kind != text.KindModel {
+			continue
+		}
+		want := artefacts(s)
+		for j := range s.BackendServers {
+			out = append(out, order.Target{Address: s.BackendServers[j].Sidecar, Service: s.Name, Want: want})
+		}
+	}
+	return out
+}
+
+func artefacts(s *text.Service) []order.Artefact {
+	var out []order.Artefact
+	for _, d := range s.DependsOn {
+		switch {
+		case d.Model != "":
+			out = append(out, order.Artefact{Kind: engine.OrderLoadModel, Name: d.Model, Version: d.Version})
+		case d.Adapter != "":
+			out = append(out, order.Artefact{Kind: engine.OrderLoadAdapter, Name: d.Adapter, Version: d.Version})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/common.go
@@ -0,0 +1,293 @@
+// Package node assembles a router or a sidecar from its parts, as one process
+// or as one of several in a process (package embedded). Thin daemons and the
+// demo start the same code.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/config"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/inspect"
+	"github.com/pearyard/pearyard/membership"
+	"github.com/pearyard/pearyard/peer"
+	"github.com/pearyard/pearyard/platform"
+	configpb "github.com/pearyard/pearyard/rpc/config"
+	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+const (
+	defaultStaleAfter = 4 * time.Second
+	// askTimeout bounds the wait for peers' texts at the start.
+	askTimeout = 2 * time.Second
+	// leaveTimeout bounds the announcement that this process is leaving.
+	leaveTimeout      = time.Second
+	readHeaderTimeout = 10 * time.Second
+	shutdownTimeout   = 2 * time.Second
+	routerPollText    = time.Second
+	sidecarPollText   = 20 * time.Second
+)
+
+// Platform is what the platform gives a process. Any part may be nil for a
+// sidecar; a router needs them all.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.Objects
+	VMs     platform.VMList
+	Weights platform.Weights
+}
+
+// Common is what routers and sidecars are both told.
+type Common struct {
+	ID        types.ProcessID
+	Zone      types.Zone
+	Peers     net.Listener // for other processes
+	Advertise string       // ip:port under which others reach Peers; empty: its address
+	Seeds     []string     // ip:port of peers that are asked first
+	Platform  Platform
+	Logger    log.Logger
+	RingSize  int           // events kept; 0: event.DefaultRingSize
+	Poll      time.Duration // between polls of the store for a newer text; 0: by role
+	Drain     time.Duration // longest wait of a planned stop; 0: no bound
+	// StaleAfter is the age of the newest confirmation of the text past which
+	// new work is refused: the process may have been frozen or cut off
+	// meanwhile. 0: four seconds; below 0: never.
+	StaleAfter time.Duration
+}
+
+func (c Common) withDefaults(role types.Role) Common {
+	if c.Advertise == "" {
+		c.Advertise = c.Peers.Addr().String()
+	}
+	if c.RingSize == 0 {
+		c.RingSize = event.DefaultRingSize
+	}
+	if c.StaleAfter == 0 {
+		c.StaleAfter = defaultStaleAfter
+	}
+	if c.Poll == 0 && role == types.RoleRouter {
+		c.Poll = routerPollText
+	}
+	if c.Poll == 0 {
+		c.Poll = sidecarPollText
+	}
+	return c
+}
+
+// base holds the parts that every process has.
+type base struct {
+	opts     Common
+	role     types.Role
+	recorder *event.Recorder
+	registry *prometheus.Registry
+	inspect  *inspect.Registry
+	peer     *peer.Peer
+	holder   *config.Holder
+	store    *config.Store // nil without a table service
+	spreader *config.Spreader
+	pusher   *config.Pusher
+	members  *membership.Membership
+	suspects *suspect.Ledger
+	news     *suspect.Spreader
+	mux      *http.ServeMux // of the peer listener
+}
+
+func newBase(opts Common, role types.Role, backendServer string) (*base, error) {
+	opts = opts.withDefaults(role)
+	b := &base{opts: opts, role: role, registry: prometheus.NewRegistry(), mux: http.NewServeMux()}
+	b.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", opts.ID), opts.RingSize)
+	b.holder = config.NewHolder(config.HolderOptions{Recorder: b.recorder, Registerer: b.registry})
+	b.peer = peer.New(peer.Options{
+		Self:     peer.Identity{ID: opts.ID, Incarnation: types.NewIncarnation(time.Now()), Address: opts.Advertise},
+		Revision: b.holder.Revision,
+	})
+	b.newConfig()
+	if err := b.newMembers(backendServer); err != nil {
+		return nil, err
+	}
+	b.newSuspects()
+	b.peer.OnSeen(b.seen)
+	return b, b.newInspect()
+}
+
+func (b *base) newConfig() {
+	client := config.NewClient(b.holder, b.peer.Client())
+	opts := config.SpreaderOptions{Holder: b.holder, Source: client, Recorder: b.recorder, Registerer: b.registry, Interval: b.opts.Poll}
+	if b.opts.Platform.Table != nil {
+		b.store = config.NewStore(config.StoreOptions{
+			Table: b.opts.Platform.Table, Objects: b.opts.Platform.Objects,
+			Recorder: b.recorder, Registerer: b.registry, Known: b.holder.Revision,
+		})
+		opts.Versions = b.store
+	}
+	b.spreader = config.NewSpreader(opts)
+	b.pusher = config.NewPusher(b.spreader, client, b.opts.Advertise)
+}
+
+func (b *base) newMembers(backendServer string) error {
+	self := b.peer.Self()
+	members, err := membership.New(membership.Options{
+		Self: membership.Member{
+			ID: self.ID, Role: b.role, Address: self.Address, Zone: b.opts.Zone,
+			BackendServer: backendServer, Incarnation: self.Incarnation,
+		},
+		Seeds: b.opts.Seeds, VMList: b.opts.Platform.VMs, HTTPClient: b.peer.Client(),
+		Recorder: b.recorder, Registerer: b.registry,
+		Revision: b.holder.Revision, OnRevision: b.spreader.Seen,
+	})
+	b.members = members
+	return errors.Wrap(err, "node: membership")
+}
+
+func (b *base) newSuspects() {
+	b.suspects = suspect.New(suspect.Options{
+		Self: b.opts.ID, Limit: suspect.LedgerLimit(text.DefaultSuspicionLimit),
+		Quarantine: text.DefaultQuarantineSeconds * time.Second,
+		Table:      b.opts.Platform.Table, Recorder: b.recorder, Registerer: b.registry,
+	})
+	client := b.peer.Client()
+	b.news = suspect.NewSpreader(b.suspects, suspect.SpreaderOptions{
+		Self:  b.opts.Advertise,
+		Peers: b.others,
+		Dial: func(addr string) suspectpb.Suspects {
+			return suspectpb.NewSuspectsProtobufClient("http://"+addr, client)
+		},
+	})
+}
+
+func (b *base) newInspect() error {
+	self := b.peer.Self()
+	registry, err := inspect.New(inspect.Options{
+		Identity: inspect.Identity{Process: self.ID, Role: b.role, Zone: b.opts.Zone, Incarnation: self.Incarnation},
+		Revision: b.holder.Revision, Recorder: b.recorder, Gatherer: b.registry, Registerer: b.registry,
+	})
+	if err != nil {
+		return errors.Wrap(err, "node: inspect")
+	}
+	b.inspect = registry
+	registry.Add("membership", b.members.Dump)
+	registry.Add("suspects", func() any { return b.suspects.Dump() })
+	return nil
+}
+
+// seen learns from the stamp on a message. It is on the path of every call.
+func (b *base) seen(stamp peer.Stamp) {
+	b.spreader.Seen(stamp.Address, stamp.Revision)
+	m, ok := b.members.Snapshot().ByID(stamp.ID)
+	if !ok || m.State != membership.StateSuspect || m.Incarnation != stamp.Incarnation {
+		return
+	}
+	// A suspect that answers is alive, whatever the probes said.
+	m.State = membership.StateAlive
+	b.members.Observe(m)
+}
+
+// others lists the peer addresses of all other members that are thought to live.
+func (b *base) others() []string {
+	view := b.members.Snapshot()
+	var out []string
+	for _, role := range []types.Role{types.RoleRouter, types.RoleSidecar} {
+		for _, m := range view.Alive(role) {
+			if m.Address != b.opts.Advertise {
+				out = append(out, m.Address)
+			}
+		}
+	}
+	return out
+}
+
+// text returns the text in force, nil if there is none.
+func (b *base) text() *text.Text {
+	if snapshot := b.holder.Current(); snapshot != nil {
+		return snapshot.Text
+	}
+	return nil
+}
+
+func (b *base) fresh() bool {
+	return b.opts.StaleAfter < 0 || b.holder.Freshness() < b.opts.StaleAfter
+}
+
+// drainContext bounds the wait of a planned stop, if it is to be bounded.
+func (b *base) drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if b.opts.Drain <= 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, b.opts.Drain)
+}
+
+// mount fills the peer listener with what every process serves.
+func (b *base) mount(own http.Handler) http.Handler {
+	b.mux.Handle(b.members.PathPrefix(), b.members.Handler())
+	b.mux.Handle(configpb.ConfigPathPrefix, config.NewServer(b.holder, b.spreader).Handler())
+	b.mux.Handle(suspectpb.SuspectsPathPrefix, b.suspects.Handler())
+	b.mux.Handle("/debug/", b.inspect.Handler())
+	b.mux.Handle("/metrics", b.inspect.Handler())
+	if own != nil {
+		b.mux.Handle("/", own)
+	}
+	return b.peer.Handler(b.mux)
+}
+
+// actors adds to group what every process runs.
+func (b *base) actors(group *run.Group) {
+	actor(group, b.members.Run)
+	actor(group, b.suspects.Run)
+	actor(group, b.news.Run)
+	actor(group, func(ctx context.Context) error {
+		asking, cancel := context.WithTimeout(ctx, askTimeout)
+		b.spreader.Ask(asking, b.opts.Seeds)
+		cancel()
+		return b.spreader.Run(ctx)
+	})
+}
+
+// actor adds a function that runs until its context is cancelled.
+func actor(group *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return ignoreCancelled(f(ctx), ctx) }, func(error) { cancel() })
+}
+
+// ignoreCancelled lets an actor that was asked to end end without an error.
+func ignoreCancelled(err error, ctx context.Context) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// serve adds an HTTP server on listener.
+func serve(group *run.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	group.Add(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrapf(err, "node: serve %s", listener.Addr())
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
+}
+
+// leave tells the others that this process takes no new work.
+func (b *base) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	_ = b.members.Leave(ctx)
+}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -31,6 +31,7 @@
 	finish     types.FinishReason
 	refused    *streampb.Refused // set when a sidecar refused
 	death      string            // the engine's death, as its sidecar names it
+	proven     bool              // the request had run well on that engine
 	cause      string            // label of the loss
 	accepted   bool              // the sidecar took the attempt
 	progressed bool              // it brought at least one new token
--- a/router/call.go
+++ b/router/call.go
@@ -148,7 +148,7 @@
 		ran = ran || mayHaveRun(resp, err)
 		query.Avoid = append(query.Avoid, c.ID)
 		if types.Code(resp.GetCode()) == types.CodeLeaving {
-			r.fleet.markLeaving(string(c.ID), c.Incarnation)
+			r.noteLeaving(sf, c)
 		} else {
 			c.Stats.Failed(time.Now())
 		}
@@ -159,8 +159,8 @@
 }
 
 func (r *Router) sendCall(ctx context.Context, c *route.Candidate, in *admitted, sf *serviceFleet, call plain.Call) (*streampb.CallResponse, error) {
-	c.Stats.Begin(false)
-	defer c.Stats.End(false)
+	sent := c.Begin(&route.Query{})
+	defer sent.End()
 	deadline, _ := ctx.Deadline()
 	r.opts.Recorder.Emit(eventPlaced, event.FieldRequest, in.id, "service", sf.name, "backend_server", c.ID)
 	return r.sidecars.Call(ctx, c.Address, &streampb.CallRequest{
--- a/router/drain.go
+++ b/router/drain.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
+	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
 )
@@ -38,9 +40,14 @@
 	if r.draining.Swap(true) {
 		return
 	}
+	r.drainedAt.Store(time.Now().UnixNano())
+	close(r.stopping)
 	r.opts.Recorder.Emit(eventDraining, "reason", reason, "streams", r.streams.Load())
 }
 
+// Stopping is closed when a planned stop begins.
+func (r *Router) Stopping() <-chan struct{} { return r.stopping }
+
 // Draining reports whether the router takes no new work.
 func (r *Router) Draining() bool { return r.draining.Load() }
 
@@ -65,6 +72,19 @@
 	}
 }
 
+// Drain says how a planned stop goes.
+func (r *Router) Drain() inspect.Drain {
+	drain := inspect.Drain{Active: r.draining.Load(), Streams: r.Streams()}
+	if at := r.drainedAt.Load(); at != 0 {
+		drain.Since = time.Unix(0, at)
+	}
+	r.begun.Range(func(begun, _ any) bool {
+		drain.Longest = max(drain.Longest, time.Since(begun.(*admitted).begun))
+		return true
+	})
+	return drain
+}
+
 // serveReady tells the platform's balancer whether to send new connections here.
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if r.draining.Load() || r.opts.Text() == nil || !r.opts.Fresh() || !r.hasBackends(r.opts.Text()) {
--- a/router/drive.go
+++ b/router/drive.go
@@ -8,7 +8,6 @@
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/route"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
-	"github.com/pearyard/pearyard/suspect"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
 )
@@ -17,9 +16,8 @@
 	// placePatience is how long a generation waits for a backend server that
 	// takes it; callers wait a few seconds at most.
 	placePatience = 4 * time.Second
-	placeRetry    = 40 * time.Millisecond
-	// longPriority is how much less urgent a resumed generation's engine
-	// request is than a fresh one: 0, the caller waits in both cases.
+	placeRetry    = 20 * time.Millisecond
+	// maxAvoided is how many backend servers a request stays away from at once.
 	maxAvoided     = 4
 	overloadedWait = time.Second
 )
@@ -46,6 +44,7 @@
 	avoid   []types.ProcessID
 	resumes int
 	ran     bool      // an attempt was accepted somewhere
+	entered bool      // the ledger counts the attempt as a suspect's run
 	begun   time.Time // when the request came
 	gap     *gap      // set from a loss until output goes on
 }
@@ -91,8 +90,15 @@
 		if refusal := d.quarantined(); refusal != nil {
 			return attemptResult{}, refusal
 		}
-		if candidate, ok := d.pick(); ok {
-			return d.attempt(ctx, candidate), nil
+		candidate, ok := d.pick()
+		if ok && d.enter(candidate) {
+			result := d.attempt(ctx, candidate)
+			d.leave(candidate, result)
+			return result, nil
+		}
+		if ok {
+			d.avoidNext(candidate.ID)
+			continue
 		}
 		d.avoid = d.avoid[:0]
 		if time.Now().After(patience) {
@@ -106,16 +112,18 @@
 	}
 }
 
-func (d *drive) pick() (*route.Candidate, bool) {
-	verdict := d.verdict()
-	query := route.Query{
+func (d *drive) query() *route.Query {
+	return &route.Query{
 		Blocks:  d.blocks,
 		Zone:    d.r.opts.Zone,
 		Avoid:   d.avoid,
-		Suspect: verdict.State == suspect.Suspect,
+		Suspect: d.verdict().Strong(),
 		Long:    d.resumes > 0,
 	}
-	return d.fleet.policy.Pick(&query, d.fleet.view.Load())
+}
+
+func (d *drive) pick() (*route.Candidate, bool) {
+	return d.fleet.policy.Pick(d.query(), d.fleet.view.Load())
 }
 
 // settle decides what follows an attempt that has ended.
@@ -173,29 +181,6 @@
 	return nil
 }
 
-func (d *drive) verdict() suspect.Verdict {
-	if d.r.opts.Suspects == nil {
-		return suspect.Verdict{State: suspect.Clear}
-	}
-	return d.r.opts.Suspects.Verdict(d.ask.fingerprint)
-}
-
-func (d *drive) quarantined() *types.Refusal {
-	verdict := d.verdict()
-	if verdict.State != suspect.Quarantined {
-		return nil
-	}
-	return d.crashes(verdict.RetryAfter(time.Now()))
-}
-
-// crashes is the final answer to a request that has crashed backend servers.
-// Its outcome is "not run" only if no attempt of this very try was accepted.
-func (d *drive) crashes(wait time.Duration) *types.Refusal {
-	refusal := d.gaveUp(types.CodeQuarantined, "this request has crashed the backend servers that ran it")
-	refusal.RetryAfter = wait
-	return refusal
-}
-
 // gaveUp builds the final refusal; "not run" is only said if nothing ran.
 func (d *drive) gaveUp(code types.Code, message string) *types.Refusal {
 	if d.ran {
@@ -221,14 +206,13 @@
 func (d *drive) attempt(ctx context.Context, candidate *route.Candidate) attemptResult {
 	attempt := types.NewAttemptTag()
 	lineage := d.lineage.Extend(attempt, len(d.tokens))
-	verdict := d.verdict()
-	isSuspect := verdict.State == suspect.Suspect
-	candidate.Stats.Begin(isSuspect)
-	defer candidate.Stats.End(isSuspect)
+	query := d.query()
+	sent := candidate.Begin(query)
+	defer sent.End()
 	d.r.opts.Recorder.Emit(eventPlaced, event.FieldRequest, d.ask.requestID, "generation", d.id,
 		"backend_server", candidate.ID, "emitted", len(d.tokens))
-	stream := d.r.openStream(ctx, candidate.Address, streampb.PathGenerate, d.request(ctx, lineage, isSuspect))
-	reader := &attemptReader{d: d, candidate: candidate, attempt: attempt, lineage: lineage, opened: time.Now()}
+	stream := d.r.openStream(ctx, candidate.Address, streampb.PathGenerate, d.request(ctx, lineage, query.Suspect))
+	reader := &attemptReader{d: d, candidate: candidate, sent: &sent, attempt: attempt, lineage: lineage, opened: time.Now()}
 	result := readStream(ctx, stream, d.text.Recovery.Silence(), reader.handle)
 	result.accepted = reader.accepted
 	result.progressed = reader.progressed
@@ -278,7 +262,7 @@
 		if result.refused == nil {
 			candidate.Stats.Failed(time.Now())
 		} else if types.Code(result.refused.GetCode()) == types.CodeLeaving {
-			d.r.fleet.markLeaving(string(candidate.ID), candidate.Incarnation)
+			d.r.noteLeaving(d.fleet, candidate)
 		}
 	}
 	d.avoidNext(candidate.ID)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// noteLeaving acts on a backend server's own word that it is leaving.
+func (r *Router) noteLeaving(sf *serviceFleet, c *route.Candidate) {
+	r.fleet.markLeaving(string(c.ID), c.Incarnation)
+	if t, ok := sf.find(string(c.ID)); ok && t.process != "" && r.opts.MarkLeaving != nil {
+		r.opts.MarkLeaving(t.process)
+	}
+}
+
 // find returns what is known of a backend server of the service.
 func (sf *serviceFleet) find(name string) (target, bool) {
 	for _, t := range *sf.members.Load() {
--- a/router/reader.go
+++ b/router/reader.go
@@ -13,6 +13,7 @@
 type attemptReader struct {
 	d          *drive
 	candidate  *route.Candidate // nil when attached
+	sent       *route.Sent      // nil when attached
 	attempt    types.AttemptTag
 	lineage    types.Lineage
 	opened     time.Time
@@ -33,7 +34,7 @@
 	case *streampb.Frame_Refused:
 		return &attemptResult{ending: notStarted, refused: body.Refused}
 	case *streampb.Frame_Lost:
-		return &attemptResult{ending: lost, cause: causeEngineDied, death: body.Lost.GetDeath()}
+		return &attemptResult{ending: lost, cause: causeEngineDied, death: body.Lost.GetDeath(), proven: body.Lost.GetProven()}
 	case *streampb.Frame_Moving:
 		return a.move()
 	default:
@@ -73,7 +74,7 @@
 	}
 	a.progressed = true
 	if a.candidate != nil {
-		a.candidate.Stats.ObserveFirstToken(time.Since(a.opened))
+		a.sent.FirstToken(time.Since(a.opened))
 		route.Learn(a.d.fleet.policy, a.candidate, a.d.blocks)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -32,18 +32,20 @@
 
 // Options configure a Router.
 type Options struct {
-	Peer       *peer.Peer
-	Zone       types.Zone
-	Policy     string                   // routing policy; empty: route.DefaultPolicy
-	Text       func() *text.Text        // text in force; nil: none yet
-	Fresh      func() bool              // false: cut off from the configuration for too long
-	Members    func() *membership.View  // may return nil
-	Changed    func() []<-chan struct{} // closed when text or members change
-	Limiter    *limit.Limiter           // nil: no limits
-	Claims     *claim.Coordinator       // nil: no non-idempotent calls
-	Suspects   *suspect.Ledger          // nil: no quarantine
-	Recorder   *event.Recorder
-	Registerer prometheus.Registerer
+	Peer    *peer.Peer
+	Zone    types.Zone
+	Policy  string                   // routing policy; empty: route.DefaultPolicy
+	Text    func() *text.Text        // text in force; nil: none yet
+	Fresh   func() bool              // false: cut off from the configuration for too long
+	Members func() *membership.View  // may return nil
+	Changed func() []<-chan struct{} // closed when text or members change
+	// MarkLeaving tells the members that a process said it is leaving; may be nil.
+	MarkLeaving func(types.ProcessID)
+	Limiter     *limit.Limiter     // nil: no limits
+	Claims      *claim.Coordinator // nil: no non-idempotent calls
+	Suspects    *suspect.Ledger    // nil: no quarantine
+	Recorder    *event.Recorder
+	Registerer  prometheus.Registerer
 }
 
 // Router serves callers on one entry VM.
@@ -55,10 +57,13 @@
 	fleet    *fleet
 	metrics  *metrics
 
-	draining atomic.Bool
-	inFlight sync.WaitGroup
-	streams  atomic.Int64
-	mu       sync.Mutex // orders enter against BeginDrain
+	draining  atomic.Bool
+	drainedAt atomic.Int64  // when the drain began, in Unix nanoseconds; 0: not yet
+	stopping  chan struct{} // closed when the drain begins
+	begun     sync.Map      // *admitted in flight, for the drain's progress
+	inFlight  sync.WaitGroup
+	streams   atomic.Int64
+	mu        sync.Mutex // orders enter against BeginDrain
 }
 
 // New returns a router; Run must be running for it to know its backend servers.
@@ -75,6 +80,7 @@
 		journal:  journal.NewReader(journal.ReaderOptions{Client: calls}),
 		fleet:    newFleet(opts.Peer.Self().ID, opts.Policy, opts.Recorder, opts.Registerer),
 		metrics:  newMetrics(opts.Registerer),
+		stopping: make(chan struct{}),
 	}
 }
 
@@ -92,6 +98,17 @@
 	}
 }
 
+// Capacity returns how many requests all backend servers in use can batch.
+func (r *Router) Capacity() int {
+	total := 0
+	for _, sf := range *r.fleet.services.Load() {
+		for _, c := range sf.view.Load().Candidates() {
+			total += c.Capacity
+		}
+	}
+	return total
+}
+
 // Refresh rebuilds the views from the text and the members now.
 func (r *Router) Refresh() error {
 	in := r.opts.Text()
--- a/router/serve.go
+++ b/router/serve.go
@@ -56,6 +56,8 @@
 			return
 		}
 		defer r.exit()
+		r.begun.Store(in, nil)
+		defer r.begun.Delete(in)
 		if refusal := r.admitCaller(req, in); refusal != nil {
 			r.refuse(w, in.id, refusal)
 			return
--- a/router/sidecars.go
+++ b/router/sidecars.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/peer"
 	"github.com/pearyard/pearyard/plain"
 	journalpb "github.com/pearyard/pearyard/rpc/journal"
@@ -20,6 +21,9 @@
 // journal.Client.
 type sidecars struct{ http *http.Client }
 
+// NewSidecarClient returns the client of sidecars that claims are made with.
+func NewSidecarClient(client *http.Client) claim.SidecarClient { return sidecars{http: client} }
+
 func (s sidecars) at(addr string) streampb.Sidecar {
 	return streampb.NewSidecarProtobufClient("http://"+addr, s.http)
 }
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -124,6 +124,7 @@
 	defer s.runs.ended()
 	defer r.cancel()
 	handle := s.openJournal(r, emitted)
+	defer handle.close()
 	emit := func(t types.Token) error {
 		if err := r.log.Append(t); err != nil {
 			return err
@@ -179,11 +180,10 @@
 type journalHandle struct{ h *journal.Handle }
 
 func (s *Sidecar) openJournal(r *run, emitted []types.Token) journalHandle {
-	if s.opts.Writer == nil {
+	if s.opts.OpenJournal == nil {
 		return journalHandle{}
 	}
-	info := journal.GenerationInfo{ID: r.log.ID(), Lineage: r.log.Lineage(), Emitted: emitted}
-	return journalHandle{s.opts.Writer.Start(info)}
+	return journalHandle{s.opts.OpenJournal(journal.GenerationInfo{ID: r.log.ID(), Lineage: r.log.Lineage(), Emitted: emitted})}
 }
 
 func (j journalHandle) append(t types.Token) {
@@ -192,6 +192,12 @@
 	}
 }
 
+func (j journalHandle) close() {
+	if j.h != nil {
+		j.h.Close()
+	}
+}
+
 func (j journalHandle) finish(reason types.FinishReason) {
 	if j.h != nil {
 		j.h.Finish(reason)
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
+	"github.com/pearyard/pearyard/inspect"
 )
 
 // BeginLeave closes the sidecar to new work. What runs is finished; what still
@@ -14,6 +15,7 @@
 	if !s.admission.leave() {
 		return
 	}
+	s.leftAt.Store(time.Now().UnixNano())
 	close(s.stopping)
 	s.opts.Recorder.Emit(eventLeaving, "backend_server", s.opts.BackendServer, "reason", reason, "in_flight", s.InFlight())
 	if s.opts.OnLeaving != nil {
@@ -46,6 +48,20 @@
 	}
 }
 
+// Drain says how a planned stop goes.
+func (s *Sidecar) Drain() inspect.Drain {
+	drain := inspect.Drain{Active: s.admission.isLeaving(), Streams: s.InFlight()}
+	if at := s.leftAt.Load(); at != 0 {
+		drain.Since = time.Unix(0, at)
+	}
+	for _, r := range s.runs.all() {
+		if r.log.Look(0).Phase == generation.Running {
+			drain.Longest = max(drain.Longest, time.Since(r.started))
+		}
+	}
+	return drain
+}
+
 // Dump returns the state for an operator, without prompts or tokens.
 func (s *Sidecar) Dump() any {
 	type runDump struct {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,7 +16,6 @@
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
 	"github.com/pearyard/pearyard/journal"
-	"github.com/pearyard/pearyard/order"
 	"github.com/pearyard/pearyard/peer"
 	"github.com/pearyard/pearyard/plain"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
@@ -47,11 +47,10 @@
 	Calls         func(leaving func() bool) Calls // builds the gate; nil beside an engine
 	Dial          func() Dial
 	Revision      func() types.Revision
-	Suspects      *suspect.Ledger // may be nil
-	Journal       *journal.Store  // tokens kept for others; may be nil
-	Writer        *journal.Writer // tokens sent to others; may be nil
-	Orders        *order.Guard    // may be nil beside a plain service
-	OnLeaving     func()          // told once, when the backend server begins to leave
+	Suspects      *suspect.Ledger                              // may be nil
+	Journal       *journal.Store                               // tokens kept for others; may be nil
+	OpenJournal   func(journal.GenerationInfo) *journal.Handle // tokens sent to others; may be nil, or return nil
+	OnLeaving     func()                                       // told once, when the backend server begins to leave
 	Recorder      *event.Recorder
 	Registerer    prometheus.Registerer
 }
@@ -65,6 +64,7 @@
 	calls     Calls
 	metrics   *metrics
 	stopping  chan struct{} // closed when leaving begins
+	leftAt    atomic.Int64  // when that was, in Unix nanoseconds; 0: not yet
 }
 
 // New returns a sidecar; Run must be running for it to see its engine die.
