Membership: successor probes bound the time until a death is noticed

Ruled out: a shorter period, which costs bytes at all times. Change: every other probe goes to the successor on the ring of hashes; own suspicions and new members are urgent news; lists are compared sooner after the start and after differences; at least 6 retransmits.

--- a/membership/health.go
+++ b/membership/health.go
@@ -8,8 +8,9 @@
 	// cut off, the long one holds on to it when a few probes happen to succeed.
 	shortWindow = 4
 	longWindow  = 16
-	// selfChecks is how many other members are probed before one that didn't
-	// answer is accused.
+	// selfChecks is how many other members are probed, and have to answer,
+	// before one that didn't answer is accused. On the smaller side of a
+	// partition with a fifth of the site, all three do so once in 125 times.
 	selfChecks = 3
 )
 
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -13,8 +13,12 @@
 	// recontactPeriods is how often a member that isn't in the round robin is
 	// tried: a dead one, a seed or a VM list entry that never answered.
 	recontactPeriods = 5
-	// syncPeriods is how often the list is compared with a random member's.
-	syncPeriods = 60
+	// syncPeriods is how often the list is compared with a random member's,
+	// resyncPeriods how soon after a comparison that found differences, and
+	// firstSyncPeriods how soon after the start, when many may join at once.
+	syncPeriods      = 60
+	resyncPeriods    = 20
+	firstSyncPeriods = 5
 	// jitterShare spreads periodic work of members that started together.
 	jitterShare = 0.1
 	// burstTokens and burstRate bound the messages that urgent news may cause:
@@ -44,7 +48,7 @@
 func newLoop(m *Membership, wg *sync.WaitGroup) *loop {
 	now := time.Now()
 	l := &loop{m: m, wg: wg, nextProbe: now, nextRecontact: now, nextVMPoll: now}
-	l.nextSync = now.Add(l.m.jitter(syncPeriods * m.opts.Period))
+	l.nextSync = now.Add(l.m.jitter(firstSyncPeriods * m.opts.Period))
 	return l
 }
 
@@ -68,7 +72,7 @@
 		l.start(&l.recontacting, func() { m.recontact(ctx) })
 	}
 	if frozen || !now.Before(l.nextSync) {
-		l.nextSync = now.Add(m.jitter(syncPeriods * m.opts.Period))
+		l.nextSync = now.Add(m.jitter(m.syncInterval()))
 		l.start(&l.syncing, func() { m.syncRandom(ctx) })
 	}
 	if m.opts.VMList != nil && !now.Before(l.nextVMPoll) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -34,12 +34,14 @@
 	rng       *rand.Rand
 	ring      probeRing
 	health    health
+	rounds    int // probe rounds so far
 	changed   chan struct{}
 	published time.Time
 	cutOff    bool
 	behind    types.Incarnation
 	revision  types.Revision // last seen of opts.Revision
 	joined    bool
+	differed  bool // the last comparison of lists found differences
 	burst     tokens
 	pairs     map[string]vmPair
 	vmDown    bool
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -96,6 +96,18 @@
 	return nodes
 }
 
+// stop ends all members.
+func (n *network) stop() {
+	for _, nd := range n.nodes {
+		if nd.frozen != nil {
+			nd.thaw()
+		}
+		nd.cancel()
+		<-nd.done
+	}
+	time.Sleep(time.Second) // for answers under way: a bubble's clock stops with its story
+}
+
 // within waits in virtual time until cond holds and returns how long it took.
 func (n *network) within(bound time.Duration, what string, cond func() bool) time.Duration {
 	n.t.Helper()
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -17,6 +18,8 @@
 	maxUpdates = 12
 	// indirectProbes is how many members are asked to probe a silent one.
 	indirectProbes = 3
+	// successorRounds: each so many-th probe goes to the successor.
+	successorRounds = 2
 	// maxReprobes bounds the suspects that are probed again each period.
 	maxReprobes = 2
 	// indirectTimeoutFactor times ProbeTimeout bounds an indirect probe.
@@ -50,31 +53,41 @@
 	if !ok {
 		return
 	}
-	answered := m.probe(ctx, target) || m.probeIndirect(ctx, target)
-	m.noteOutcome(target, epoch, !answered)
-	if answered || target.Condition != conditionAlive {
+	if m.probe(ctx, target) {
+		m.noteOutcome(target, epoch, false)
 		return
 	}
-	m.checkSelf(ctx, target, epoch)
-	m.accuse(target, epoch)
+	self := make(chan bool, 1)
+	go func() { self <- target.Condition != conditionAlive || m.checkSelf(ctx, target, epoch) }()
+	answered := m.probeIndirect(ctx, target)
+	m.noteOutcome(target, epoch, !answered)
+	if sound := <-self; sound && !answered {
+		m.accuse(target, epoch)
+	}
 }
 
-// checkSelf probes a few other members, to learn whether the fault is here.
-func (m *Membership) checkSelf(ctx context.Context, target record, epoch int) {
+// checkSelf probes a few other members, to learn whether the fault is here,
+// and reports whether all of them answered.
+func (m *Membership) checkSelf(ctx context.Context, target record, epoch int) bool {
 	var wg sync.WaitGroup
+	var failures atomic.Int32
 	for _, other := range m.pickAlive(selfChecks, target.ID) {
-		wg.Go(func() { m.noteOutcome(other, epoch, !m.probe(ctx, other)) })
+		wg.Go(func() {
+			answered := m.probe(ctx, other)
+			m.noteOutcome(other, epoch, !answered)
+			if !answered {
+				failures.Add(1)
+			}
+		})
 	}
 	wg.Wait()
+	return failures.Load() == 0
 }
 
 func (m *Membership) drawTargets() (target record, epoch int, again []record, ok bool) {
 	m.lock()
 	defer m.unlock()
-	id, ok := m.ring.draw(m.rng, func(id types.ProcessID) bool {
-		e := m.table.entries[id]
-		return e != nil && e.Condition != conditionDead
-	})
+	id, ok := m.nextTarget()
 	if ok {
 		target = m.table.entries[id].record
 	}
@@ -86,6 +99,23 @@
 	return target, m.health.epoch, again, ok
 }
 
+// nextTarget alternates between the round robin and the successor on the ring
+// of hashes. With the round robin alone nobody may happen to probe a dead
+// member for k periods, which happens once in e^k times; its predecessor
+// probes it every other period.
+func (m *Membership) nextTarget() (types.ProcessID, bool) {
+	m.rounds++
+	if m.rounds%successorRounds == 0 {
+		if id := m.table.successor(); id != "" {
+			return id, true
+		}
+	}
+	return m.ring.draw(m.rng, func(id types.ProcessID) bool {
+		e := m.table.entries[id]
+		return e != nil && e.Condition != conditionDead
+	})
+}
+
 // noteOutcome counts a probe for the judgement on this process's own health.
 func (m *Membership) noteOutcome(target record, epoch int, failed bool) {
 	m.lock()
--- a/membership/queue.go
+++ b/membership/queue.go
@@ -12,9 +12,13 @@
 // of one long before the twelve sends of each are used up.
 const retransmitFactor = 3
 
+// minRetransmits holds for few members: a site that starts knows few of those
+// that it will soon have.
+const minRetransmits = 6
+
 // retransmitLimit is how often a change is sent among n members.
 func retransmitLimit(n int) int {
-	return retransmitFactor * int(math.Ceil(math.Log10(float64(n+1))))
+	return max(minRetransmits, retransmitFactor*int(math.Ceil(math.Log10(float64(n+1)))))
 }
 
 // queue holds the members whose latest change still has to be passed on.
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -110,6 +110,15 @@
 	return m.jitter(m.opts.Period)
 }
 
+func (m *Membership) syncInterval() time.Duration {
+	m.lock()
+	defer m.unlock()
+	if m.differed {
+		return resyncPeriods * m.opts.Period
+	}
+	return syncPeriods * m.opts.Period
+}
+
 // syncRandom compares lists with a random member: what piggybacking missed is
 // found here.
 func (m *Membership) syncRandom(ctx context.Context) {
@@ -158,6 +167,7 @@
 	m.lock()
 	defer m.unlock()
 	m.joined = true
+	m.differed = len(resp.GetBuckets()) > 0
 	theirs := make(map[types.ProcessID]record, len(resp.GetRecords()))
 	for _, r := range resp.GetRecords() {
 		theirs[types.ProcessID(r.GetId())] = decode(r)
--- a/membership/table.go
+++ b/membership/table.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -21,6 +23,7 @@
 	since    time.Time // when condition last changed here
 	heard    time.Time // last direct evidence of life; never travels
 	deadline time.Time // of a suspicion
+	place    uint64    // on the ring of hashes
 	raised   bool      // this process raised the suspicion, and keeps probing
 }
 
@@ -139,7 +142,7 @@
 func (t *table) put(now time.Time, e *entry, r record) {
 	change := transition{}
 	if e == nil {
-		e = &entry{}
+		e = &entry{place: xxhash.Sum64String(string(r.ID))}
 		t.entries[r.ID] = e
 	} else {
 		if e.Incarnation == r.Incarnation {
@@ -163,7 +166,7 @@
 	t.digests.toggle(r)
 	t.queue.add(r.ID)
 	t.dirty = true
-	if s := e.state(); s != change.old && (s == StateLeaving || s == StateDead) {
+	if s := e.state(); s != change.old && s != StateAlive {
 		t.urgent = true
 	}
 	change.took = t.takeAddress(now, r)
@@ -207,6 +210,24 @@
 	return e.Condition != conditionAlive
 }
 
+// successor returns the next member held alive on the ring of hashes; "" if alone.
+func (t *table) successor() types.ProcessID {
+	from := t.own().place
+	var next *entry
+	for id, e := range t.entries {
+		if id == t.self || e.Condition != conditionAlive {
+			continue
+		}
+		if next == nil || e.place-from < next.place-from { // unsigned: distances wrap round
+			next = e
+		}
+	}
+	if next == nil {
+		return ""
+	}
+	return next.ID
+}
+
 // suspect raises a suspicion from this process's own probe.
 func (t *table) suspect(now time.Time, id types.ProcessID, inc types.Incarnation) {
 	e := t.entries[id]
@@ -234,7 +255,8 @@
 }
 
 func (t *table) expireSuspect(now time.Time, e *entry, sound bool) {
-	if !sound || now.Sub(e.heard) < t.suspectTimeout || !t.majority(now) {
+	heard := e.believedAlive() && now.Sub(e.heard) < t.suspectTimeout
+	if !sound || heard || !t.majority(now) {
 		e.deadline = now.Add(t.suspectTimeout)
 		return
 	}
