config: a dead seed doesn't use up the start; Accept bounds its own search

Cause: a process has 2 s to ask its seeds; one that swallows calls used them up, and the text that another seed had was not fetched. Accept under a context without a deadline looked for a lost commit without end. Ruled out: fetching from the first that answers (may be behind). Change: questions for revisions have 500 ms like pushes; Accept gives up after 30 s with the commit id. Conclusion: a start while the store is down survives a lost seed.

--- a/config/push.go
+++ b/config/push.go
@@ -61,7 +61,7 @@
 }
 
 func (p *Pusher) one(ctx context.Context, addr string, payload *configpb.Payload, result *PushResult) {
-	ctx, cancel := context.WithTimeout(ctx, p.spreader.opts.PushTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.spreader.opts.ShortTimeout)
 	defer cancel()
 	rev, err := p.client.push(ctx, addr, p.self, payload)
 	pushes := p.spreader.metrics.pushes
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -172,6 +172,23 @@
 	})
 }
 
+// One of the seeds was replaced and its address swallows calls. A process that
+// starts has 2 s for asking; it spent them all on the dead seed and came up
+// without a text although the other seed had it.
+func TestAskPastADeadSeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		holder, ahead := newHolder(), newHolder()
+		offer(t, ahead, 2, textOf(2))
+		client := config.NewClient(holder, partitioned{config.NewServer(ahead, nil).Handler()})
+		s := config.NewSpreader(config.SpreaderOptions{Holder: holder, Source: client})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		g.Expect(s.Ask(ctx, []string{lostRegion + "0.1:7100", "10.1.0.1:7100"})).To(BeTrue())
+		g.Expect(holder.Revision()).To(Equal(types.Revision(2)))
+	})
+}
+
 // A sidecar has no way to the store. It must go on with what peers bring.
 func TestSpreaderWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/config/spreader.go
+++ b/config/spreader.go
@@ -18,7 +18,7 @@
 const (
 	DefaultPollInterval    = 10 * time.Second
 	DefaultCallTimeout     = 2 * time.Second
-	DefaultPushTimeout     = 500 * time.Millisecond
+	DefaultShortTimeout    = 500 * time.Millisecond
 	DefaultPushConcurrency = 64
 )
 
@@ -47,9 +47,9 @@
 	Interval time.Duration
 	// CallTimeout bounds one call to the store or to a peer.
 	CallTimeout time.Duration
-	// PushTimeout bounds one push. It is short, since receivers that don't
-	// answer hold up those behind them and get the text by other ways.
-	PushTimeout time.Duration
+	// ShortTimeout bounds one push, and the question for a peer's revision.
+	// Processes that don't answer hold up the rest, and there are other ways.
+	ShortTimeout time.Duration
 	// PushConcurrency is how many pushes run at once.
 	PushConcurrency int
 }
@@ -80,8 +80,8 @@
 	if opts.CallTimeout <= 0 {
 		opts.CallTimeout = DefaultCallTimeout
 	}
-	if opts.PushTimeout <= 0 {
-		opts.PushTimeout = DefaultPushTimeout
+	if opts.ShortTimeout <= 0 {
+		opts.ShortTimeout = DefaultShortTimeout
 	}
 	if opts.PushConcurrency <= 0 {
 		opts.PushConcurrency = DefaultPushConcurrency
@@ -239,7 +239,7 @@
 }
 
 func (s *Spreader) peekAll(ctx context.Context, addrs []string) []hint {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.ShortTimeout)
 	defer cancel()
 	revisions := make([]types.Revision, len(addrs))
 	var group errgroup.Group
--- a/config/store.go
+++ b/config/store.go
@@ -26,6 +26,10 @@
 // resolveRetry is the longest wait between attempts at an undecided commit.
 const resolveRetry = 500 * time.Millisecond
 
+// DefaultResolveTimeout bounds how long Accept looks for the outcome of a
+// commit when its caller sets no earlier deadline.
+const DefaultResolveTimeout = 30 * time.Second
+
 // StoreOptions configure a Store. Table and Objects are required.
 type StoreOptions struct {
 	Table      platform.Table
@@ -213,6 +217,8 @@
 // lets one copy take effect at the most, and a conflict is settled by looking
 // for our commit id in the history.
 func (s *Store) commit(ctx context.Context, base types.Revision, p proposal) (types.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, DefaultResolveTimeout)
+	defer cancel()
 	wait := backoff.NewExponentialBackOff()
 	wait.MaxInterval = resolveRetry
 	maybe := false
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -1,7 +1,6 @@
 package config_test
 
 import (
-	"context"
 	"crypto/sha256"
 	"fmt"
 	"strings"
@@ -126,9 +125,7 @@
 			return platform.ErrAmbiguous
 		}
 		store := newStore(table)
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		defer cancel()
-		_, _, err := store.Accept(ctx, 0, textOf(1), "ann", "")
+		_, _, err := store.Accept(t.Context(), 0, textOf(1), "ann", "")
 		var undecided *config.UndecidedError
 		g.Expect(errors.As(err, &undecided)).To(BeTrue(), "%v", err)
 		table.set(func() { table.down = false })
