--- a/cmd/pearyard/main.go
+++ b/cmd/pearyard/main.go
@@ -10,10 +10,11 @@
 
 	_ "github.com/pearyard/pearyard/catalogue" // every event, for `pearyard events`
 	"github.com/pearyard/pearyard/cli"
+	"github.com/pearyard/pearyard/demo"
 )
 
 func main() {
-	os.Exit(runCommand(os.Args, cli.Options{}))
+	os.Exit(runCommand(os.Args, cli.Options{Demo: demo.Run}))
 }
 
 // runCommand runs one command line until it ends or a signal comes.
