--- a/route/affinity.go
+++ b/route/affinity.go
@@ -19,7 +19,7 @@
 		return c, true
 	}
 	if len(q.Blocks) == 0 {
-		return p.finish(p.zoned((*pick).lesserOfTwo))
+		return p.finish(p.zoned(byTwo))
 	}
 	held, cost := a.holder(&p)
 	if held == nil {
@@ -34,7 +34,7 @@
 	if free != nil && p.score(free) <= p.bound() {
 		return p.finish(p.count(free, reasonLoad))
 	}
-	return p.finish(p.zoned((*pick).least))
+	return p.finish(p.zoned(byLeast))
 }
 
 // pool is where a prompt without a holder goes.
--- a/route/pick.go
+++ b/route/pick.go
@@ -24,18 +24,34 @@
 	return p.count(p.probe(), reasonProbe)
 }
 
-// zoned runs choose on the router's own zone, and on the whole view if that
+// rule is how to choose among candidates by load. It's a value and not a
+// function, because a pick handed to an unknown function would move to the heap.
+type rule int
+
+const (
+	byLeast rule = iota
+	byTwo
+)
+
+func (p *pick) choose(r rule, pool []*Candidate) *Candidate {
+	if r == byTwo {
+		return p.lesserOfTwo(pool)
+	}
+	return p.least(pool)
+}
+
+// zoned chooses from the router's own zone, and from the whole view if that
 // gives nothing or only a candidate over the bound.
-func (p *pick) zoned(choose func(*pick, []*Candidate) *Candidate) *Candidate {
+func (p *pick) zoned(r rule) *Candidate {
 	local := p.v.zones[p.q.Zone]
-	c := choose(p, local)
+	c := p.choose(r, local)
 	if c != nil && p.score(c) <= p.bound() {
 		return p.count(c, reasonZone)
 	}
 	if len(local) == p.v.Len() {
 		return p.count(c, reasonLoad)
 	}
-	other := choose(p, p.v.candidates)
+	other := p.choose(r, p.v.candidates)
 	if c == nil || other != nil && p.score(other) < p.score(c) {
 		c = other
 	}
--- a/route/policies.go
+++ b/route/policies.go
@@ -37,7 +37,7 @@
 	if c := p.special(); c != nil {
 		return c, true
 	}
-	return p.finish(p.zoned((*pick).least))
+	return p.finish(p.zoned(byLeast))
 }
 
 // powerOfTwo draws two by chance and takes the one with the lesser score.
@@ -49,5 +49,5 @@
 	if c := p.special(); c != nil {
 		return c, true
 	}
-	return p.finish(p.zoned((*pick).lesserOfTwo))
+	return p.finish(p.zoned(byTwo))
 }
--- /dev/null
+++ b/route/time_test.go
@@ -0,0 +1,159 @@
+package route
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
+)
+
+// A zone's runners come back with empty caches and no load. Every router takes
+// them for the best choice at once; the runners drown in prefills, their
+// callers wait many seconds for a first token, and the zone is lost again.
+func TestSlowStartAfterReturn(t *testing.T) {
+	for _, name := range []string{LeastLoad, PowerOfTwo, PrefixAffinity} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				p := mustPolicy(name, Options{})
+				without := NewView(nil, members(12, 1)[:9], time.Now())
+				loadAll(without, 10, 30*time.Millisecond, time.Now())
+				v := NewView(without, members(12, 1), time.Now())
+				back := v.Candidates()[9:]
+
+				for range 24 {
+					send(p, &Query{}, v)
+				}
+				for _, c := range back {
+					g.Expect(c.Stats.InFlight()).To(BeNumerically("<=", 2), "in its first moment")
+				}
+				time.Sleep(DefaultTuning().SlowStart)
+				loadAll(v, 10, 30*time.Millisecond, time.Now())
+				for _, c := range back {
+					c.Stats.Report(types.Load{Running: c.Stats.InFlight(), At: time.Now()})
+				}
+				for range 48 {
+					send(p, &Query{}, v)
+				}
+				total := 0
+				for _, c := range back {
+					total += c.Stats.InFlight()
+				}
+				g.Expect(total).To(BeNumerically(">=", 12), "after the slow start they take their share and more")
+			})
+		})
+	}
+}
+
+// One runner of nine is alive and answers its probes, but decodes ten times
+// slower. Each caller who gets it waits ten times longer for each token. When
+// it is fast again it must come back, which only requests can show.
+func TestSlowCandidateGetsTrickle(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				events := event.Discard()
+				p := mustPolicy(name, Options{Recorder: events})
+				v := NewView(nil, members(9, 3), time.Now())
+				loadAll(v, 0, 30*time.Millisecond, time.Now())
+				slow := mustFind(v, "runner-0004")
+				for range 20 {
+					slow.Stats.ObserveStep(300 * time.Millisecond)
+				}
+				probes := requestsTo(p, v, slow, 200)
+				g.Expect(probes).To(Equal(1), "one probe, because it is idle")
+				g.Expect(slow.Stats.Slow()).To(BeTrue())
+				time.Sleep(2 * DefaultTuning().ProbeEvery)
+				g.Expect(requestsTo(p, v, slow, 200)).To(Equal(1), "one more probe when the time has come")
+
+				for range 20 {
+					slow.Stats.ObserveStep(30 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				g.Expect(requestsTo(p, v, slow, 200)).To(BeNumerically(">", 5))
+				g.Expect(events.Entries("")).To(HaveLen(2))
+			})
+		})
+	}
+}
+
+// requestsTo counts which of n requests, that end at once, go to c.
+func requestsTo(p Policy, v *View, c *Candidate, n int) int {
+	count := 0
+	for i := range n {
+		q := &Query{Blocks: promptBlocks(string(rune(i)), 2)}
+		got, _ := p.Pick(q, v)
+		if got == c {
+			count++
+		}
+		s := got.Begin(q)
+		s.End()
+	}
+	return count
+}
+
+func TestLongRequestIsNoProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		v := NewView(nil, members(5, 1), time.Now())
+		loadAll(v, 0, 30*time.Millisecond, time.Now())
+		slow := v.Candidates()[0]
+		slow.Stats.ObserveStep(10 * time.Second)
+		p := mustPolicy(LeastLoad, Options{})
+		for range 50 {
+			c, _ := p.Pick(&Query{Long: true}, v)
+			g.Expect(c).NotTo(Equal(slow))
+		}
+	})
+}
+
+// A runner's reports stop, the last one said that it is idle. Its callers see
+// nothing, but all new requests go there, because the others report their load.
+func TestOldReportDoesNotDrawAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := mustPolicy(LeastLoad, Options{})
+		v := NewView(nil, members(10, 1), time.Now())
+		loadAll(v, 0, 0, time.Now())
+		silent := v.Candidates()[0]
+		time.Sleep(time.Minute)
+		for _, c := range v.Candidates()[1:] {
+			c.Stats.Report(types.Load{Running: 8, At: time.Now()})
+		}
+		for range 50 {
+			send(p, &Query{}, v)
+		}
+		g.Expect(silent.Stats.InFlight()).To(BeNumerically("<=", 7), "a fresh report of no load would draw 8 and more")
+	})
+}
+
+func TestReportOutOfOrder(t *testing.T) {
+	g := NewWithT(t)
+	var s Stats
+	s.Report(types.Load{Running: 5, At: testEpoch.Add(time.Second)})
+	s.Report(types.Load{Running: 1, At: testEpoch})
+	running, at := s.Reported()
+	g.Expect(running).To(Equal(5))
+	g.Expect(at).To(BeTemporally("==", testEpoch.Add(time.Second)))
+}
+
+func TestFailPenaltyEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := mustPolicy(LeastLoad, Options{})
+		v := NewView(nil, members(2, 1), time.Now())
+		failed := v.Candidates()[0]
+		failed.Stats.Failed(time.Now())
+		for range 20 {
+			c, _ := p.Pick(&Query{}, v)
+			g.Expect(c).NotTo(Equal(failed))
+		}
+		time.Sleep(DefaultTuning().FailPenalty + time.Second)
+		g.Expect(requestsTo(p, v, failed, 40)).To(BeNumerically(">", 0))
+	})
+}
