--- a/admin/mask.go
+++ b/admin/mask.go
@@ -7,11 +7,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"unicode"
 
-	"github.com/tailscale/hujson"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // secretWords are the words in a JSON member's name that make its strings a
@@ -115,35 +117,79 @@
 	return string(quoted[1 : len(quoted)-1])
 }
 
-// json masks a JSON document, comments and trailing commas allowed; line numbers
-// stay. Comments are blanked: a secret noted in one has no name to know it by.
-// What doesn't parse, such as a dump that was cut, is not passed on.
+// notJSON stands in place of what can't be masked by names.
+const notJSON = `{"left_out": "not valid JSON, so its secrets can't be found"}`
+
+// json masks a JSON document and keeps its layout. What doesn't parse, such as a
+// dump that was cut, is not passed on. It goes through the document token by
+// token: the tree of a text of 48,000 organisations would take 100 MB.
 func (m *masker) json(raw []byte) []byte {
-	value, err := hujson.Parse(bytes.Clone(raw)) // blanking comments writes into what was parsed
-	if err != nil {
-		return []byte(`{"left_out": "not valid JSON, so its secrets can't be found"}`)
+	out := bytes.NewBuffer(make([]byte, 0, len(raw)))
+	dec := jsontext.NewDecoder(bytes.NewBuffer(raw), jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
+	walk := secretWalk{}
+	copied, end := 0, 0
+	for {
+		token, err := dec.ReadToken()
+		if err == io.EOF && end > 0 {
+			out.Write(raw[copied:])
+			return m.plain(out.Bytes())
+		}
+		if err != nil {
+			return []byte(notJSON)
+		}
+		start := tokenStart(raw, end)
+		end = int(dec.InputOffset())
+		if !walk.secret(dec, token) {
+			continue
+		}
+		out.Write(raw[copied:start])
+		out.WriteString(strconv.Quote(m.learn(token.String())))
+		copied = end
+	}
+}
+
+// tokenStart returns where the token begins that follows the one ending at end.
+func tokenStart(raw []byte, end int) int {
+	for end < len(raw) && strings.IndexByte(" \t\r\n,:", raw[end]) >= 0 {
+		end++
 	}
-	value.Standardize()
-	m.value(&value, false)
-	return m.plain(value.Pack())
+	return end
+}
+
+// secretWalk follows a document's tokens and knows which strings are secret:
+// those under a secret name, at any depth.
+type secretWalk struct {
+	named bool // the name just read is a secret one
+	depth int  // of the outermost object or array under a secret name; 0: none
 }
 
-func (m *masker) value(v *hujson.Value, secret bool) {
-	switch node := v.Value.(type) {
-	case *hujson.Object:
-		for i := range node.Members {
-			name, _ := node.Members[i].Name.Value.(hujson.Literal)
-			m.value(&node.Members[i].Value, secret || secretName(name.String()))
+// secret reports whether the token is a secret string.
+func (w *secretWalk) secret(dec *jsontext.Decoder, token jsontext.Token) bool {
+	named := w.named
+	w.named = false
+	switch token.Kind() {
+	case '{', '[':
+		if named && w.depth == 0 {
+			w.depth = dec.StackDepth()
 		}
-	case *hujson.Array:
-		for i := range node.Elements {
-			m.value(&node.Elements[i], secret)
+	case '}', ']':
+		if dec.StackDepth() < w.depth {
+			w.depth = 0
 		}
-	case hujson.Literal:
-		if secret && node.Kind() == '"' && node.String() != "" {
-			v.Value = hujson.String(m.learn(node.String()))
+	case '"':
+		if isName(dec) {
+			w.named = secretName(token.String())
+			return false
 		}
+		return (named || w.depth > 0) && token.String() != ""
 	}
+	return false
+}
+
+// isName reports whether the string just read is the name of an object's member.
+func isName(dec *jsontext.Decoder) bool {
+	kind, length := dec.StackIndex(dec.StackDepth())
+	return kind == '{' && length%2 == 1
 }
 
 // secretName splits a name such as admin_token or adminToken into its words.
