--- a/journal/fake_test.go
+++ b/journal/fake_test.go
@@ -48,6 +48,12 @@
 	c.cut[addr] = cut
 }
 
+func (c *cluster) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.appends
+}
+
 func (c *cluster) reach(ctx context.Context, addr string) (*Store, error) {
 	c.mu.Lock()
 	store, cut, delay := c.stores[addr], c.cut[addr], c.delay[addr]
--- a/journal/handle.go
+++ b/journal/handle.go
@@ -97,7 +97,7 @@
 // ripe at once: it has cost one engine already, and its peers may hold less of
 // the earlier attempt than it continues from.
 func (h *Handle) ripe() bool {
-	if len(h.gen.Emitted) > 0 {
+	if len(h.gen.Emitted) > 0 && h.gen.After < never {
 		return true
 	}
 	return h.gen.After < 0 || time.Since(h.started) >= h.gen.After
--- a/journal/store.go
+++ b/journal/store.go
@@ -68,6 +68,7 @@
 	mu      sync.Mutex // guards all below; not on the path of a token to its caller
 	entries map[types.GenerationID]*entry
 	byKey   map[types.Key]types.GenerationID
+	retain  time.Duration
 	ages    [states]*list.List // of *entry, longest unchanged first
 	bytes   int
 }
@@ -80,12 +81,20 @@
 		entries: make(map[types.GenerationID]*entry),
 		byKey:   make(map[types.Key]types.GenerationID),
 	}
+	s.retain = s.opts.Retain
 	for i := range s.ages {
 		s.ages[i] = list.New()
 	}
 	return s
 }
 
+// SetRetain puts the text's retainMillis in force.
+func (s *Store) SetRetain(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retain = d
+}
+
 // Run expires entries until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
 	tick := time.NewTicker(sweepEvery)
@@ -105,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.expire(stateFinished, now.Add(-s.opts.Retain))
+	s.expire(stateFinished, now.Add(-s.retain))
 	s.expire(stateReserved, now.Add(-s.opts.Reserve))
 	s.expire(stateRunning, now.Add(-s.opts.Abandon))
 	s.gauge()
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -33,6 +33,9 @@
 	downFor = 10 * time.Second
 	// repairEvery is how often a generation with too few peers looks for more.
 	repairEvery = 3 * time.Second
+	// never: an After as long as this means that no tokens are journalled at all,
+	// also not those of a resume.
+	never = 24 * time.Hour
 )
 
 // ErrClosed: the writer was closed before the append was answered.
--- a/journal/writer_test.go
+++ b/journal/writer_test.go
@@ -202,6 +202,33 @@
 	})
 }
 
+// The text is changed under way, or turns journalling off: the generation that
+// runs goes on as it began, the batch wait changes at once.
+func TestDialOfTheTextAppliesToNewGenerations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster("a", "b")
+		w := newWriter(t, c, -1)
+		h, id := start(w, "a", "b")
+		w.SetBatch(time.Second)
+		off := w.Start(GenerationInfo{ID: types.NewGenerationID(2), Lineage: lineage(1, 0), Copies: -1, Peers: []string{"a", "b"}})
+		named := GenerationInfo{ID: types.NewGenerationID(3), Lineage: lineage(1, 0), After: never, Peers: []string{"a", "b"}}
+		named.Emitted = answerOf(named.Lineage, 5)
+		w.Start(named).Close()
+		produce(off, 0, 50)
+		before := c.count()
+		produce(h, 0, 50)
+		time.Sleep(2 * time.Second)
+		g.Expect(heldBy(c, "b", id)).To(Equal(50))
+		g.Expect(c.count()-before).To(BeNumerically("<=", 8), "two peers, one append a second")
+		g.Expect(c.stores["a"].Dump().Entries).To(Equal(2))
+		g.Expect(heldBy(c, "a", named.ID)).To(BeZero(), "only its runner is noted")
+		h.Forget()
+		off.Forget()
+		g.Expect(w.opts.Recorder.Entries("")).To(BeEmpty())
+	})
+}
+
 func TestFindReportsWhatIsProved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -30,6 +30,7 @@
 	Name       string         // of the lease; the row is lease/<name>
 	Holder     string         // this process and incarnation, for operators to read
 	Term       time.Duration
+	Candidate  func() bool // whether to wait for the lease; nil: always. Keeps hundreds of waiters from reading the row
 	Recorder   *event.Recorder
 	Registerer prometheus.Registerer
 }
@@ -73,6 +74,9 @@
 	if opts.Recorder == nil {
 		opts.Recorder = event.Discard()
 	}
+	if opts.Candidate == nil {
+		opts.Candidate = func() bool { return true }
+	}
 	var b [8]byte
 	_, _ = rand.Read(b[:])
 	return &Keeper{
@@ -118,6 +122,10 @@
 
 // step reads the row and renews it, watches it, or takes it over when it may.
 func (k *Keeper) step(ctx context.Context) {
+	if k.held.fence == 0 && !k.opts.Candidate() {
+		k.seen = observation{} // what isn't watched all the time doesn't count
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, k.opts.Term/renewShare)
 	defer cancel()
 	defer k.report()
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -150,6 +150,28 @@
 	})
 }
 
+// A process becomes a candidate after the holder's death. What it read of the row
+// before it stopped watching must not count as watching.
+func TestCandidateWatchesAFullTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m, candidate := newMemory(), true
+		New(Options{Table: &view{memory: m}, Name: "orders", Holder: "a", Term: term}).step(t.Context())
+		k := New(Options{Table: &view{memory: m}, Name: "orders", Term: term, Candidate: func() bool { return candidate }})
+		k.step(t.Context())
+		candidate = false
+		time.Sleep(5 * time.Second)
+		k.step(t.Context())
+		candidate = true
+		time.Sleep(5 * time.Second)
+		k.step(t.Context())
+		g.Expect(k.Dump().Held).To(BeFalse())
+		time.Sleep(9900 * time.Millisecond)
+		k.step(t.Context())
+		g.Expect(k.Dump().Fence).To(Equal(Fence(2)))
+	})
+}
+
 // The answer to the write that takes the lease over is lost: the fencing number
 // must be known from reading back, and no number is used up twice.
 func TestAmbiguousTakeover(t *testing.T) {
--- a/order/reconciler_test.go
+++ b/order/reconciler_test.go
@@ -228,3 +228,17 @@
 	g.Expect(first(model, adapter)).To(BeEmpty())
 	g.Expect(plan(Target{}, []engine.Loaded{old})).To(BeEmpty())
 }
+
+// BenchmarkPass1600 is one pass of the holder over a settled service of the
+// target's size, without the network.
+func BenchmarkPass1600(b *testing.B) {
+	bench := newBench(1600)
+	r := bench.reconciler(held(1))
+	for bench.serving("2") < 1600 {
+		r.pass(b.Context())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.pass(b.Context())
+	}
+}
