daemon, standin/command: bodies of the thin mains as functions

Cause: scenarios run the daemons as processes by starting the test binary again under a daemon's name; a main package can't be imported. Ruled out: building the binaries first (a second build for each go test) and a copy of the wiring in the harness (it would drift from what is shipped). Change: daemon.Router, daemon.Sidecar and standin/command.Main hold what the mains held; no behaviour is changed. CrashStatus is exported for its test. Conclusion: mains stay thin; the same code runs in scenarios.

--- a/cmd/pearyard-sidecar/main.go
+++ b/cmd/pearyard-sidecar/main.go
@@ -2,49 +2,9 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
 
-	"github.com/go-kit/log"
-
 	"github.com/pearyard/pearyard/daemon"
-	enginehttp "github.com/pearyard/pearyard/engine/httpapi"
-	"github.com/pearyard/pearyard/findings"
-	"github.com/pearyard/pearyard/node"
-	plainhttp "github.com/pearyard/pearyard/plain/httpapi"
-	"github.com/pearyard/pearyard/settings"
-	"github.com/pearyard/pearyard/text"
 )
 
-func main() {
-	os.Exit(daemon.Main(daemon.Spec{
-		Name:     "pearyard-sidecar",
-		Usage:    "guards the backend server beside it",
-		Defaults: settings.DefaultSidecar(),
-		Start: func(sources settings.Sources) (any, findings.List, func(context.Context, log.Logger) error) {
-			s, found := settings.LoadSidecar(sources)
-			return s, found, func(ctx context.Context, logger log.Logger) error { return serve(ctx, s, logger) }
-		},
-		Level: func(loaded any) string { return loaded.(settings.Sidecar).LogLevel },
-	}, os.Args, os.Stdout, os.Stderr))
-}
-
-func serve(ctx context.Context, s settings.Sidecar, logger log.Logger) error {
-	common, err := daemon.Common(s.Common, logger)
-	if err != nil {
-		return err
-	}
-	opts := node.SidecarOptions{Common: common, BackendServer: s.BackendServer, JournalBytes: s.JournalMegabytes << 20}
-	if s.Kind == text.KindModel {
-		opts.Engine = enginehttp.New(enginehttp.Options{Address: s.Backend})
-	} else {
-		opts.Plain = plainhttp.New(plainhttp.Options{Address: s.Backend})
-	}
-	sidecar, err := node.NewSidecar(opts)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("listening peers=%s\n", common.Peers.Addr())
-	return sidecar.Run(ctx)
-}
+func main() { os.Exit(daemon.Sidecar(os.Args, os.Stdout, os.Stderr)) }
--- a/cmd/pearyard-standin/main_test.go
+++ b/cmd/pearyard-standin/main_test.go
@@ -16,6 +16,7 @@
 	"github.com/pearyard/pearyard/platform"
 	platformapi "github.com/pearyard/pearyard/platform/httpapi"
 	"github.com/pearyard/pearyard/standin"
+	"github.com/pearyard/pearyard/standin/command"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -61,7 +62,7 @@
 	_, err = c.Generate(context.Background(), engine.Request{Prompt: "POISON", MaxTokens: 5}, nil)
 	g.Expect(err).To(MatchError(engine.ErrDied))
 	g.Expect(crashing.Wait()).To(HaveOccurred())
-	g.Expect(crashing.ProcessState.ExitCode()).To(Equal(crashStatus))
+	g.Expect(crashing.ProcessState.ExitCode()).To(Equal(command.CrashStatus))
 
 	_, address = daemon(t, bin, "platform")
 	post(t, "http://"+address+"/faults", `{"table":{"lose_answers":1}}`)
--- /dev/null
+++ b/daemon/router.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/go-kit/log"
+
+	"github.com/pearyard/pearyard/findings"
+	"github.com/pearyard/pearyard/node"
+	"github.com/pearyard/pearyard/settings"
+)
+
+// Router runs pearyard-router and returns its exit code.
+func Router(args []string, stdout, stderr io.Writer) int {
+	return Main(Spec{
+		Name:     "pearyard-router",
+		Usage:    "serves callers on an entry VM",
+		Defaults: settings.DefaultRouter(),
+		Start: func(sources settings.Sources) (any, findings.List, func(context.Context, log.Logger) error) {
+			s, found := settings.LoadRouter(sources)
+			return s, found, func(ctx context.Context, logger log.Logger) error { return serveRouter(ctx, s, stdout, logger) }
+		},
+		Level: func(loaded any) string { return loaded.(settings.Router).LogLevel },
+	}, args, stdout, stderr)
+}
+
+func serveRouter(ctx context.Context, s settings.Router, stdout io.Writer, logger log.Logger) error {
+	common, err := Common(s.Common, logger)
+	if err != nil {
+		return err
+	}
+	callers, err := Listen(s.Listen)
+	if err != nil {
+		return err
+	}
+	var operators net.Listener
+	if s.AdminListen != "" {
+		if operators, err = Listen(s.AdminListen); err != nil {
+			return err
+		}
+	}
+	router, err := node.NewRouter(node.RouterOptions{
+		Common: common, Callers: callers, Admin: operators, AdminToken: s.AdminToken, Policy: s.Policy,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "listening callers=%s peers=%s", callers.Addr(), common.Peers.Addr())
+	if operators != nil {
+		fmt.Fprintf(stdout, " admin=%s", operators.Addr())
+	}
+	fmt.Fprintln(stdout)
+	return router.Run(ctx)
+}
