daemon: router and sidecar start instead of panicking

Cause: settings.Flags and settings.Print take a pointer to the settings; the daemons gave them the struct itself, and reflect panicked before any flag was read. Ruled out: a change in settings (its contract says pointer, and embedded sites never go through it, which is why nothing showed). Measured: go test ./daemon panicked before, passes after. Conclusion: pearyard-router and pearyard-sidecar can be started.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,8 +39,8 @@
 type Spec struct {
 	Name     string
 	Usage    string
-	Defaults any // settings struct, for the flags
-	// Start loads the settings and returns them with what runs them.
+	Defaults any // pointer to the settings struct, for the flags
+	// Start loads the settings and returns a pointer to them with what runs them.
 	Start func(settings.Sources) (loaded any, found findings.List, serve func(context.Context, log.Logger) error)
 	Level func(loaded any) string // level of the log
 }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -15,15 +15,16 @@
 
 // Router runs pearyard-router and returns its exit code.
 func Router(args []string, stdout, stderr io.Writer) int {
+	defaults := settings.DefaultRouter()
 	return Main(Spec{
 		Name:     "pearyard-router",
 		Usage:    "serves callers on an entry VM",
-		Defaults: settings.DefaultRouter(),
+		Defaults: &defaults,
 		Start: func(sources settings.Sources) (any, findings.List, func(context.Context, log.Logger) error) {
 			s, found := settings.LoadRouter(sources)
-			return s, found, func(ctx context.Context, logger log.Logger) error { return serveRouter(ctx, s, stdout, logger) }
+			return &s, found, func(ctx context.Context, logger log.Logger) error { return serveRouter(ctx, s, stdout, logger) }
 		},
-		Level: func(loaded any) string { return loaded.(settings.Router).LogLevel },
+		Level: func(loaded any) string { return loaded.(*settings.Router).LogLevel },
 	}, args, stdout, stderr)
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -17,15 +17,16 @@
 
 // Sidecar runs pearyard-sidecar and returns its exit code.
 func Sidecar(args []string, stdout, stderr io.Writer) int {
+	defaults := settings.DefaultSidecar()
 	return Main(Spec{
 		Name:     "pearyard-sidecar",
 		Usage:    "guards the backend server beside it",
-		Defaults: settings.DefaultSidecar(),
+		Defaults: &defaults,
 		Start: func(sources settings.Sources) (any, findings.List, func(context.Context, log.Logger) error) {
 			s, found := settings.LoadSidecar(sources)
-			return s, found, func(ctx context.Context, logger log.Logger) error { return serveSidecar(ctx, s, stdout, logger) }
+			return &s, found, func(ctx context.Context, logger log.Logger) error { return serveSidecar(ctx, s, stdout, logger) }
 		},
-		Level: func(loaded any) string { return loaded.(settings.Sidecar).LogLevel },
+		Level: func(loaded any) string { return loaded.(*settings.Sidecar).LogLevel },
 	}, args, stdout, stderr)
 }
 
