--- a/journal/bench_test.go
+++ b/journal/bench_test.go
@@ -132,7 +132,7 @@
 // on the same two peers (a small site) or each on its own two (a large one).
 func TestWireCost(t *testing.T) {
 	for _, spread := range []bool{false, true} {
-		for _, batch := range []time.Duration{10, 20, 50, 500} {
+		for _, batch := range []time.Duration{10, 20, 50, 100, 500} {
 			synctest.Test(t, func(t *testing.T) {
 				c, seconds := &counting{}, 10
 				w := NewWriter(WriterOptions{Self: "10.0.0.1:7070", Sender: c, Batch: batch * time.Millisecond, After: -1})
