sidecar, router: a late cancel, a stall, a slow caller; no lock shared by all requests

Cause: reading my own path again: (1) a thawed router's cancel would end an attempt that its caller reads through another router; (2) an engine whose loop is stuck answers probes, its streams would stop for ever; (3) time that a slow caller takes counted as silence of the sidecar; (4) the router's drain took one mutex for every request; (5) a caller with a known key whose generation is held by nobody got an error although it had seen nothing. Ruled out: cancel by count of readers alone (the leaving reader may still be counted), a bound on silence per caller. Change: readers known by router, stall bound of 3 s after a first token, frames before timers, counted drain without a lock, a fresh generation in case (5); requests of which nothing ran are refused after 0.5 s instead of 4 s.

--- a/generation/log.go
+++ b/generation/log.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -34,6 +35,7 @@
 	Phase   Phase
 	Finish  types.FinishReason // set when Finished
 	Cause   error              // set when Lost
+	Last    time.Time          // when the newest token came; zero if none did
 	Moving  bool               // the backend server is leaving; resume elsewhere
 	Changed <-chan struct{}    // closed at the next change
 }
@@ -50,8 +52,8 @@
 	finish  types.FinishReason
 	cause   error
 	moving  bool
+	last    time.Time
 	changed chan struct{}
-	readers int
 }
 
 // NewLog returns a running log that begins with the tokens already emitted.
@@ -74,6 +76,7 @@
 		return ErrClosed
 	}
 	l.tokens = append(l.tokens, token)
+	l.last = time.Now()
 	l.wake()
 	return nil
 }
@@ -113,19 +116,12 @@
 		Phase:   l.phase,
 		Finish:  l.finish,
 		Cause:   l.cause,
+		Last:    l.last,
 		Moving:  l.moving,
 		Changed: l.changed,
 	}
 }
 
-// AddReader counts a reader in (delta 1) or out (delta -1) and returns how many there are.
-func (l *Log) AddReader(delta int) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.readers += delta
-	return l.readers
-}
-
 func (l *Log) end(phase Phase, set func()) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -117,10 +117,22 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.learn(r.Header)
 		w.Header().Set(HeaderStamp, p.stamp())
+		if stamp, err := ParseStamp(r.Header.Get(HeaderStamp)); err == nil {
+			r = r.WithContext(context.WithValue(r.Context(), stampKey{}, stamp))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+type stampKey struct{}
+
+// Sender returns the stamp of the process whose request ctx belongs to; its
+// zero value if the request had none.
+func Sender(ctx context.Context) Stamp {
+	stamp, _ := ctx.Value(stampKey{}).(Stamp)
+	return stamp
+}
+
 func (p *Peer) stamp() string {
 	return Stamp{Identity: p.opts.Self, Revision: p.opts.Revision()}.String()
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -100,28 +100,62 @@
 func readStream(ctx context.Context, f *frames, silence time.Duration, handle onFrame) attemptResult {
 	defer f.cancel()
 	lastSign := time.Now()
-	timer := time.NewTimer(silence)
-	defer timer.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		frame, event := f.wait(ctx, silence)
+		switch event {
+		case callerGone:
 			return attemptResult{ending: left, lastSign: lastSign}
-		case <-timer.C:
+		case silent:
 			return attemptResult{ending: lost, cause: causeSilence, lastSign: lastSign}
-		case frame, ok := <-f.next:
-			if !ok {
-				return broken(f, lastSign)
-			}
-			lastSign = time.Now()
-			timer.Reset(silence)
-			if result := handle(frame); result != nil {
-				result.lastSign = lastSign
-				return *result
-			}
+		case closed:
+			return broken(f, lastSign)
+		}
+		lastSign = time.Now()
+		if result := handle(frame); result != nil {
+			result.lastSign = lastSign
+			return *result
 		}
 	}
 }
 
+// streamEvent is what a wait for the next frame ended with.
+type streamEvent int
+
+const (
+	frameRead streamEvent = iota
+	callerGone
+	silent
+	closed
+)
+
+// wait returns the next frame. The time that the caller took to read the last
+// one doesn't count as silence, and a frame that is there wins over a timer
+// that ran out: a router that was frozen finds both, and its engine is well.
+func (f *frames) wait(ctx context.Context, silence time.Duration) (*streampb.Frame, streamEvent) {
+	timer := time.NewTimer(silence)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil, callerGone
+	case frame, ok := <-f.next:
+		return read(frame, ok)
+	case <-timer.C:
+	}
+	select {
+	case frame, ok := <-f.next:
+		return read(frame, ok)
+	default:
+		return nil, silent
+	}
+}
+
+func read(frame *streampb.Frame, ok bool) (*streampb.Frame, streamEvent) {
+	if !ok {
+		return nil, closed
+	}
+	return frame, frameRead
+}
+
 // broken tells a connection that was never made (nothing ran) from one that broke.
 func broken(f *frames, lastSign time.Time) attemptResult {
 	if !f.guard.MayHaveLeft() {
--- a/router/drain.go
+++ b/router/drain.go
@@ -13,36 +13,34 @@
 // enter counts a request in, unless the router is draining.
 //
 // Failure it stops: a request that passes the check just before the drain
-// begins and is cut when the process ends. The check and the count are one
-// step under mu, so BeginDrain sees every request that was let in.
+// begins and is cut when the process ends. A request counts itself before it
+// looks at draining, and the drain sets draining before it looks at the count;
+// so either the request sees the drain, or the drain sees the request.
 func (r *Router) enter() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.streams.Add(1)
 	if r.draining.Load() {
+		r.exit()
 		return false
 	}
-	r.inFlight.Add(1)
-	r.streams.Add(1)
-	r.metrics.streams.Inc()
 	return true
 }
 
 func (r *Router) exit() {
-	r.metrics.streams.Dec()
-	r.streams.Add(-1)
-	r.inFlight.Done()
+	if r.streams.Add(-1) == 0 && r.draining.Load() {
+		r.idle.Do(func() { close(r.drained) })
+	}
 }
 
 // BeginDrain refuses new work from now on. It is safe to call many times.
 func (r *Router) BeginDrain(reason string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.streams.Add(1) // keeps the count above zero until the drain has begun
+	defer r.exit()
 	if r.draining.Swap(true) {
 		return
 	}
 	r.drainedAt.Store(time.Now().UnixNano())
 	close(r.stopping)
-	r.opts.Recorder.Emit(eventDraining, "reason", reason, "streams", r.streams.Load())
+	r.opts.Recorder.Emit(eventDraining, "reason", reason, "streams", r.streams.Load()-1)
 }
 
 // Stopping is closed when a planned stop begins.
@@ -58,13 +56,8 @@
 // A caller's connection can't be moved to another router, so the wait has no
 // bound of its own.
 func (r *Router) Drained(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		r.inFlight.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-r.drained:
 		r.opts.Recorder.Emit(eventDrained)
 		return nil
 	case <-ctx.Done():
--- a/router/drive.go
+++ b/router/drive.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// placePatience is how long a generation waits for a backend server that
-	// takes it; callers wait a few seconds at most.
+	// placePatience is how long a generation that has begun waits for a backend
+	// server that takes it; callers wait a few seconds at most.
 	placePatience = 4 * time.Second
+	// freshPatience is the same for a request of which nothing has run: its
+	// caller can come back, and is told so at once.
+	freshPatience = 500 * time.Millisecond
 	placeRetry    = 20 * time.Millisecond
 	// maxAvoided is how many backend servers a request stays away from at once.
 	maxAvoided     = 4
@@ -34,6 +37,8 @@
 	text   *text.Text
 	fleet  *serviceFleet
 	answer answer
+	// newAnswer returns an answer that has not begun, for another generation.
+	newAnswer func(types.GenerationID) answer
 
 	id      types.GenerationID
 	lineage types.Lineage
@@ -61,7 +66,10 @@
 // run places attempts until the answer is whole or a refusal is final.
 func (d *drive) run(ctx context.Context) *types.Refusal {
 	d.blocks = route.Blocks(nil, d.ask.prompt)
-	patience := time.Now().Add(placePatience)
+	patience := time.Now().Add(freshPatience)
+	if d.ran {
+		patience = time.Now().Add(placePatience)
+	}
 	for {
 		if d.complete() {
 			return d.finish(types.FinishLength)
@@ -70,7 +78,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		if result.progressed {
+		if result.accepted {
 			patience = time.Now().Add(placePatience)
 		}
 		done, refusal := d.settle(ctx, result)
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -20,12 +20,13 @@
 	firstToken    prometheus.Histogram
 	tokens        prometheus.Counter
 	discarded     prometheus.Counter
-	streams       prometheus.Gauge
 }
 
-func newMetrics(reg prometheus.Registerer) *metrics {
+func newMetrics(reg prometheus.Registerer, streams func() float64) *metrics {
 	f := promauto.With(reg)
 	const namespace, subsystem = "pearyard", "router"
+	f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+		Name: "streams", Help: "Requests in flight."}, streams)
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "requests_total", Help: "Requests by final outcome and code (empty: answered)."}, []string{"outcome", "code"}),
@@ -39,7 +40,5 @@
 			Name: "tokens_total", Help: "Tokens passed to callers."}),
 		discarded: f.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "tokens_discarded_total", Help: "Tokens that were generated and not passed on."}),
-		streams: f.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
-			Name: "streams", Help: "Requests in flight."}),
 	}
 }
--- a/router/reattach.go
+++ b/router/reattach.go
@@ -144,6 +144,10 @@
 	if len(d.tokens) >= d.sent && len(d.tokens) > len(branch.Tokens) {
 		return nil // a log broke off while it was read; go on from what was read
 	}
+	if err != nil && d.ask.lastEvent == nil {
+		d.renew()
+		return nil
+	}
 	if err != nil {
 		return d.generationLost(err)
 	}
@@ -160,6 +164,14 @@
 	return nil
 }
 
+// renew begins another generation in place of one that can't be found and of
+// which this caller has seen nothing.
+func (d *drive) renew() {
+	d.id = types.NewGenerationID(d.ask.key)
+	d.tokens, d.lineage, d.gap = nil, nil, nil
+	d.answer = d.newAnswer(d.id)
+}
+
 // errAnswered tells the caller of run that the answer is already whole.
 var errAnswered = &types.Refusal{Code: "", Message: "answered"}
 
--- a/router/router.go
+++ b/router/router.go
@@ -61,9 +61,9 @@
 	drainedAt atomic.Int64  // when the drain began, in Unix nanoseconds; 0: not yet
 	stopping  chan struct{} // closed when the drain begins
 	begun     sync.Map      // *admitted in flight, for the drain's progress
-	inFlight  sync.WaitGroup
-	streams   atomic.Int64
-	mu        sync.Mutex // orders enter against BeginDrain
+	drained   chan struct{} // closed when draining and nothing is in flight
+	idle      sync.Once     // closes drained
+	streams   atomic.Int64  // requests in flight
 }
 
 // New returns a router; Run must be running for it to know its backend servers.
@@ -73,15 +73,17 @@
 	}
 	client := opts.Peer.Client()
 	calls := sidecars{http: client}
-	return &Router{
+	r := &Router{
 		opts:     opts,
 		client:   client,
 		sidecars: calls,
 		journal:  journal.NewReader(journal.ReaderOptions{Client: calls}),
 		fleet:    newFleet(opts.Peer.Self().ID, opts.Policy, opts.Recorder, opts.Registerer),
-		metrics:  newMetrics(opts.Registerer),
 		stopping: make(chan struct{}),
+		drained:  make(chan struct{}),
 	}
+	r.metrics = newMetrics(opts.Registerer, func() float64 { return float64(r.streams.Load()) })
+	return r
 }
 
 // Run keeps the views of the backend servers up to date until ctx ends.
--- a/router/serve.go
+++ b/router/serve.go
@@ -140,7 +140,8 @@
 		d.id = a.lastEvent.Generation
 	}
 	attach := a.lastEvent != nil || (a.explicitKey && d.reserve(ctx))
-	d.answer = newAnswer(w, a, d.id)
+	d.newAnswer = func(id types.GenerationID) answer { return newAnswer(w, a, id) }
+	d.answer = d.newAnswer(d.id)
 	refusal := d.start(ctx, attach)
 	r.conclude(w, d, refusal)
 }
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -106,6 +106,7 @@
 		emitted:     len(emitted),
 		started:     time.Now(),
 		cancel:      cancel,
+		readers:     map[types.ProcessID]int{},
 	}
 	stored, added := s.runs.add(r)
 	if !added {
--- a/sidecar/events.go
+++ b/sidecar/events.go
@@ -23,6 +23,9 @@
 		"The engine was given an attempt at a generation.", "nothing")
 	eventEnded = event.Define(3008, "generation_ended", event.Info,
 		"An attempt at a generation ended on this engine.", "nothing")
+	eventStalled = event.Define(3010, "generation_stalled", event.Warn,
+		"A generation stood still although its engine answers; it resumes elsewhere.",
+		"see what the engine does; nothing is needed for the caller")
 	eventRefused = event.Define(3009, "attempt_refused", event.Info,
 		"An attempt was refused before anything of it ran.", "nothing")
 )
--- a/sidecar/runs.go
+++ b/sidecar/runs.go
@@ -28,8 +28,46 @@
 	death       death // set before the log is lost
 	prefilled   int   // set before the log is finished
 
-	mu    sync.Mutex // guards grace
-	grace *time.Timer
+	mu      sync.Mutex // guards grace and readers
+	grace   *time.Timer
+	readers map[types.ProcessID]int // routers that read the log now
+}
+
+// wantedByOthers reports whether a router other than the given one reads the log.
+func (r *run) wantedByOthers(router types.ProcessID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.readers) > 1 || (len(r.readers) == 1 && r.readers[router] == 0)
+}
+
+// addReader notes that a router reads, which ends the grace time.
+func (r *run) addReader(router types.ProcessID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers[router]++
+	if r.grace != nil {
+		r.grace.Stop()
+		r.grace = nil
+	}
+}
+
+// removeReader notes that a router has left; when it was the last one, expired
+// is called after the grace time.
+func (r *run) removeReader(router types.ProcessID, grace time.Duration, expired func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.readers[router]--; r.readers[router] == 0 {
+		delete(r.readers, router)
+	}
+	if len(r.readers) == 0 {
+		r.grace = time.AfterFunc(grace, expired)
+	}
+}
+
+func (r *run) unread() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.readers) == 0
 }
 
 // proven reports whether the request has produced enough tokens on this engine
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -6,6 +6,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/pearyard/pearyard/generation"
+	"github.com/pearyard/pearyard/peer"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -36,13 +37,18 @@
 }
 
 // Cancel stops an attempt that its router has no more use for.
-func (v service) Cancel(_ context.Context, req *streampb.CancelRequest) (*streampb.CancelResponse, error) {
+//
+// Failure it stops: a router that was frozen wakes, finds its caller gone and
+// cancels, while the caller already reads the same attempt through another
+// router. A caller would see a needless pause and an engine work twice. An
+// attempt that another router reads is left alone.
+func (v service) Cancel(ctx context.Context, req *streampb.CancelRequest) (*streampb.CancelResponse, error) {
 	id, err := types.ParseGenerationID(req.GetGeneration())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("generation", err.Error())
 	}
 	r := v.s.runs.get(runKey{id, types.AttemptTag(req.GetAttempt())})
-	if r == nil {
+	if r == nil || r.wantedByOthers(peer.Sender(ctx).ID) {
 		return &streampb.CancelResponse{}, nil
 	}
 	was := r.log.Cancel()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/engine"
@@ -84,6 +85,7 @@
 		onDeath:  s.engineDied,
 		onBack:   func() { opts.Recorder.Emit(eventEngineBack, "backend_server", opts.BackendServer) },
 	}
+	s.watch.onCheck = s.giveUpStalled
 	if opts.Calls != nil {
 		s.calls = opts.Calls(s.admission.isLeaving)
 	}
@@ -137,6 +139,25 @@
 	s.opts.Recorder.Emit(eventEngineDied, "backend_server", s.opts.BackendServer, "death", d.id, "lost", lost)
 }
 
+// errStalled: an engine that answers probes has stopped working on a request.
+var errStalled = errors.New("sidecar: generation stands still")
+
+// giveUpStalled lets generations that stand still resume elsewhere. An engine
+// whose own loop is stuck, or whose connection is cut one way only, still
+// answers probes; the caller would see its stream stop without end.
+func (s *Sidecar) giveUpStalled() {
+	for _, r := range s.runs.all() {
+		state := r.log.Look(0)
+		if state.Phase != generation.Running || state.Count == r.emitted || time.Since(state.Last) < stallAfter {
+			continue
+		}
+		if r.log.Lose(errStalled) {
+			s.opts.Recorder.Emit(eventStalled, event.FieldRequest, r.request, "generation", r.log.ID(), "tokens", state.Count)
+			r.cancel()
+		}
+	}
+}
+
 func (s *Sidecar) lose(r *run, d death) bool {
 	if r.log.Look(0).Phase != generation.Running {
 		return false
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
+	"github.com/pearyard/pearyard/peer"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -56,8 +57,9 @@
 
 // follow writes a run's frames from index from on until it ends or the reader leaves.
 func (s *Sidecar) follow(ctx context.Context, out *frameWriter, r *run, from int) {
-	s.addReader(r)
-	defer s.removeReader(r)
+	router := peer.Sender(ctx).ID
+	r.addReader(router)
+	defer r.removeReader(router, s.opts.Dial().RouterGrace, func() { s.orphan(r) })
 	accepted := &streampb.Accepted{Lineage: streampb.FromLineage(r.log.Lineage()), Incarnation: uint64(s.opts.Peer.Self().Incarnation)}
 	if out.write(&streampb.Frame{Body: &streampb.Frame_Accepted{Accepted: accepted}, Load: s.loadFrame()}) != nil {
 		return
@@ -144,29 +146,10 @@
 	}
 }
 
-func (s *Sidecar) addReader(r *run) {
-	r.log.AddReader(1)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.grace != nil {
-		r.grace.Stop()
-		r.grace = nil
-	}
-}
-
-// removeReader starts the grace time when the last reader has left: its router
-// may have died, and the caller may come back through another one.
-func (s *Sidecar) removeReader(r *run) {
-	if r.log.AddReader(-1) > 0 || r.log.Look(0).Phase != generation.Running {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.grace = time.AfterFunc(s.opts.Dial().RouterGrace, func() { s.orphan(r) })
-}
-
+// orphan stops a run that no router has read for the grace time: its router may
+// have died, and its caller hasn't come back through another one.
 func (s *Sidecar) orphan(r *run) {
-	if r.log.AddReader(0) > 0 || !r.log.Cancel() {
+	if !r.unread() || !r.log.Cancel() {
 		return
 	}
 	r.cancel()
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -15,6 +15,9 @@
 	probeTimeout       = 400 * time.Millisecond
 	probeFailuresToDie = 2
 	loadReportMaxAge   = 5 * time.Second
+	// stallAfter is how long a generation that has begun to answer may stand
+	// still before it is given up here, although its engine answers probes.
+	stallAfter = 3 * time.Second
 )
 
 // watch knows whether the backend server answers. A frozen engine keeps its
@@ -25,6 +28,7 @@
 	readLoad func(context.Context) (types.Load, error)
 	onDeath  func(death)
 	onBack   func()
+	onCheck  func()
 
 	load atomic.Pointer[types.Load]
 
@@ -40,6 +44,9 @@
 	defer ticker.Stop()
 	for {
 		w.check(ctx)
+		if w.onCheck != nil {
+			w.onCheck()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
