client: a caller leaves a router that is silent

Cause: a frozen router keeps its callers' connections open; client.Client read without a bound and never went to the other router. Ruled out: a bound on the whole request (long generations run for minutes). Change: Options.Silence ends a connection that brings nothing for that long; the caller goes on at the next router with Last-Event-ID. Zero keeps the old behaviour.

--- a/client/client.go
+++ b/client/client.go
@@ -53,6 +53,9 @@
 	Key      string   // API key
 	HTTP     *http.Client
 	Patience time.Duration // 0: DefaultPatience
+	// Silence is how long a stream may bring nothing until the caller goes to
+	// the next router; 0 waits without a bound.
+	Silence time.Duration
 }
 
 // Client calls routers.
@@ -165,10 +168,14 @@
 
 // connection reads one connection until the answer is whole or it breaks.
 func (s *stream) connection(ctx context.Context, router string) (done bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+pathCompletions, bytes.NewReader(s.body))
 	if err != nil {
 		return false, err
 	}
+	alive, stop := s.watch(cancel)
+	defer stop()
 	req.Header.Set("Authorization", "Bearer "+s.client.opts.Key)
 	req.Header.Set("Content-Type", "application/json")
 	if s.req.IdempotencyKey != "" {
@@ -186,7 +193,20 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, Refusal(resp)
 	}
-	return s.events(resp.Body)
+	return s.events(resp.Body, alive)
+}
+
+// watch ends a connection that is silent for too long.
+//
+// Failure it stops: a frozen router keeps its callers' connections open, so a
+// caller would wait without end although another router could go on at once.
+func (s *stream) watch(giveUp func()) (alive, stop func()) {
+	silence := s.client.opts.Silence
+	if silence == 0 {
+		return func() {}, func() {}
+	}
+	timer := time.AfterFunc(silence, giveUp)
+	return func() { timer.Reset(silence) }, func() { timer.Stop() }
 }
 
 // event is the part of an event's data that a caller needs.
@@ -205,11 +225,12 @@
 	RequestID types.RequestID `json:"request_id"`
 }
 
-func (s *stream) events(body io.Reader) (done bool, err error) {
+func (s *stream) events(body io.Reader, alive func()) (done bool, err error) {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEventBytes)
 	id := ""
 	for scanner.Scan() {
+		alive()
 		line := scanner.Text()
 		if value, ok := strings.CutPrefix(line, "id: "); ok {
 			id = value
