scenario: scripted scenarios over real processes; an engine is killed

Cause: whole streams have to be proved over real processes, signals and cut connections, by scripts that a reader can follow; no harness for it existed. Change: package scenario on testscript: sites, signals, relays that cut or hold, callers, expectations; the test binary is every program. docs/design/scenarios.md lists the language. Findings of a daemon now end with a line break.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,7 @@
 			_, _ = stdout.Write(settings.Print(loaded))
 		}
 		if len(found) > 0 {
-			fmt.Fprint(stderr, found.String())
+			fmt.Fprintln(stderr, found.String())
 		}
 		if found.HasErrors() {
 			code = ExitFindings
--- /dev/null
+++ b/scenario/commands.go
@@ -0,0 +1,318 @@
+package scenario
+
+import (
+	"os"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/pearyard/pearyard/cli"
+)
+
+// startSite: site [engines=3] [routers=2] [plains=1] [zones=3] [step=4ms] [recovery.FIELD=VALUE]...
+func (b *bench) startSite(ts *testscript.TestScript, args []string) error {
+	of := size{engines: 3, routers: 2, plains: 1, zones: 3, step: 4 * time.Millisecond}
+	var fields, sizes []string
+	for _, arg := range args {
+		if name, _, _ := strings.Cut(arg, "="); strings.Contains(name, ".") {
+			fields = append(fields, arg)
+		} else {
+			sizes = append(sizes, arg)
+		}
+	}
+	o, err := parseOptions(sizes, "engines", "routers", "plains", "zones", "step")
+	if err != nil {
+		return err
+	}
+	for name, into := range map[string]*int{"engines": &of.engines, "routers": &of.routers, "plains": &of.plains, "zones": &of.zones} {
+		if err := o.number(name, into); err != nil {
+			return err
+		}
+	}
+	if step, ok := o["step"]; ok {
+		if of.step, err = time.ParseDuration(step); err != nil {
+			return err
+		}
+	}
+	b.site = newSite(ts.MkAbs("."), of)
+	if err := b.site.start(); err != nil {
+		return err
+	}
+	b.site.text = b.site.firstText()
+	b.environment(ts)
+	if err := b.apply(ts, fields); err != nil {
+		return err
+	}
+	return b.site.ready()
+}
+
+// apply: apply [recovery.FIELD=VALUE] [limits.FIELD=VALUE]...
+func (b *bench) apply(ts *testscript.TestScript, args []string) error {
+	if err := edit(b.site.text, args); err != nil {
+		return err
+	}
+	file, err := b.site.textFile()
+	if err != nil {
+		return err
+	}
+	if err := ts.Exec(programCLI, "apply", "--base", strconv.Itoa(b.revision), file); err != nil {
+		return errors.Wrap(err, "pearyard apply")
+	}
+	b.revision++
+	return nil
+}
+
+// kill: kill NAME...
+func (b *bench) kill(_ *testscript.TestScript, args []string) error {
+	all, err := b.members(args)
+	if err != nil {
+		return err
+	}
+	for _, p := range all {
+		_ = p.cmd.Process.Kill() // all at once; those that have ended are well
+	}
+	for _, p := range all {
+		<-p.done
+	}
+	return nil
+}
+
+// freeze: freeze NAME...
+func (b *bench) freeze(_ *testscript.TestScript, args []string) error {
+	return b.signal(args, syscall.SIGSTOP)
+}
+
+// thaw: thaw NAME...
+func (b *bench) thaw(_ *testscript.TestScript, args []string) error {
+	return b.signal(args, syscall.SIGCONT)
+}
+
+// term: term NAME...; begins a planned stop
+func (b *bench) term(_ *testscript.TestScript, args []string) error {
+	return b.signal(args, syscall.SIGTERM)
+}
+
+func (b *bench) signal(args []string, s syscall.Signal) error {
+	all, err := b.members(args)
+	if err != nil {
+		return err
+	}
+	for _, p := range all {
+		if err := p.signal(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart: restart NAME...; starts what has ended, as a new incarnation
+func (b *bench) restart(_ *testscript.TestScript, args []string) error {
+	all, err := b.members(args)
+	if err != nil {
+		return err
+	}
+	for _, p := range all {
+		p.kill()
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// way finds the relay of `A B`. It resolves `sidecar-of NAME` on either side.
+func (b *bench) way(args []string) (*relay, error) {
+	names, err := b.resolve(args)
+	if err != nil {
+		return nil, err
+	}
+	r := b.site.relays[strings.Join(names, " ")]
+	if r == nil || names[0] == fromHarness {
+		return nil, errors.Errorf("no way %s", strings.Join(names, " "))
+	}
+	return r, nil
+}
+
+// cut: cut A B; nothing passes from A to B or back, and connections stay open
+func (b *bench) cut(_ *testscript.TestScript, args []string) error {
+	r, err := b.way(args)
+	if err != nil {
+		return err
+	}
+	r.setCut(true)
+	return nil
+}
+
+// mend: mend A B; ends a cut or a hold, and what was sent meanwhile arrives
+func (b *bench) mend(_ *testscript.TestScript, args []string) error {
+	r, err := b.way(args)
+	if err != nil {
+		return err
+	}
+	r.setCut(false)
+	return nil
+}
+
+// hold: hold A B TEXT; answers from B to A stop before TEXT
+func (b *bench) hold(_ *testscript.TestScript, args []string) error {
+	last := len(args) - 1
+	r, err := b.way(args[:max(0, last)])
+	if err != nil {
+		return err
+	}
+	r.holdBefore(args[last])
+	return nil
+}
+
+// held: held A B; waits until an answer has stopped at a hold
+func (b *bench) held(_ *testscript.TestScript, args []string) error {
+	r, err := b.way(args)
+	if err != nil {
+		return err
+	}
+	return await(conditionTimeout, "held "+strings.Join(args, " "), r.holds)
+}
+
+// fault: fault NAME JSON; sets faults of a stand-in
+func (b *bench) fault(_ *testscript.TestScript, args []string) error {
+	names, err := b.resolve(args)
+	if err != nil || len(names) != 2 {
+		return errors.Errorf("fault NAME JSON: %v", err)
+	}
+	return b.site.fault(names[0], names[1])
+}
+
+// generate: generate NAME [tokens=400] [key=K] [router=1] [prompt=TEXT] [stream=true]; begins a caller
+func (b *bench) generate(_ *testscript.TestScript, args []string) error {
+	if len(args) == 0 || b.callers[args[0]] != nil {
+		return errors.New("generate needs a new NAME")
+	}
+	o, err := parseOptions(args[1:], "tokens", "key", "router", "prompt", "stream")
+	if err != nil {
+		return err
+	}
+	ask := generation{prompt: "a lifting plan for " + args[0], tokens: 400, key: o["key"], first: 1, stream: o["stream"] != "false"}
+	if prompt, ok := o["prompt"]; ok {
+		ask.prompt = prompt
+	}
+	if err := o.number("tokens", &ask.tokens); err != nil {
+		return err
+	}
+	if err := o.number("router", &ask.first); err != nil {
+		return err
+	}
+	b.callers[args[0]] = generate(b.ctx, b.site.callerAddresses(), ask)
+	return nil
+}
+
+func (s *site) callerAddresses() []string {
+	var out []string
+	for i := range s.size.routers {
+		out = append(out, s.at(fromCallers, routerName(i+1)))
+	}
+	return out
+}
+
+// call: call NAME SERVICE PATH [key=K] [router=1]; begins a call of a plain service
+func (b *bench) call(_ *testscript.TestScript, args []string) error {
+	if len(args) < 3 || b.callers[args[0]] != nil {
+		return errors.New("call NAME SERVICE PATH, with a new NAME")
+	}
+	o, err := parseOptions(args[3:], "key", "router")
+	if err != nil {
+		return err
+	}
+	router := 1
+	if err := o.number("router", &router); err != nil {
+		return err
+	}
+	b.callers[args[0]] = call(b.ctx, b.site.at(fromCallers, routerName(router)), args[1], args[2], o["key"])
+	return nil
+}
+
+// when: when NAME token=100 COMMAND...; waits until the caller has that many tokens
+func (b *bench) when(ts *testscript.TestScript, args []string) error {
+	if len(args) < 3 {
+		return errors.New("when NAME token=N COMMAND")
+	}
+	c, err := b.caller(args[0])
+	if err != nil {
+		return err
+	}
+	o, err := parseOptions(args[1:2], "token")
+	token := 0
+	if err == nil {
+		err = o.number("token", &token)
+	}
+	if err != nil {
+		return err
+	}
+	err = await(conditionTimeout, strings.Join(args[:2], " "), func() bool {
+		_, _, seen := c.now()
+		return seen >= token || c.ended()
+	})
+	if err != nil {
+		return err
+	}
+	if _, _, seen := c.now(); seen < token {
+		return errors.Errorf("%s ended after %d tokens: %v", args[0], seen, c.err)
+	}
+	run := Commands()[args[2]]
+	if run == nil {
+		return errors.Errorf("when: no command %s", args[2])
+	}
+	run(ts, false, args[3:])
+	return nil
+}
+
+// wait: wait NAME...; waits until callers or processes have ended
+func (b *bench) wait(_ *testscript.TestScript, args []string) error {
+	for _, name := range args {
+		var done <-chan struct{}
+		if c := b.callers[name]; c != nil {
+			done = c.done
+		} else if p := b.site.processes[name]; p != nil {
+			done = p.done
+		} else {
+			return errors.Errorf("no caller or process %s", name)
+		}
+		select {
+		case <-done:
+		case <-time.After(conditionTimeout):
+			return errors.Errorf("%s hasn't ended within %s", name, conditionTimeout)
+		}
+	}
+	return nil
+}
+
+// eventually: eventually PATTERN COMMAND...; runs a program until its output matches
+func (b *bench) eventually(ts *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errors.New("eventually PATTERN COMMAND")
+	}
+	pattern, err := regexp.Compile(args[0])
+	if err != nil {
+		return err
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var out string
+	err = await(conditionTimeout, strings.Join(args, " "), func() bool {
+		cmd := exec.CommandContext(b.ctx, binary, args[2:]...)
+		cmd.Args[0] = args[1]
+		cmd.Env = append(cmd.Environ(), cli.EnvAdmin+"="+ts.Getenv(cli.EnvAdmin), cli.EnvToken+"="+ts.Getenv(cli.EnvToken))
+		cmd.Dir = ts.MkAbs(".")
+		raw, _ := cmd.CombinedOutput()
+		out = string(raw)
+		return pattern.MatchString(out)
+	})
+	return errors.Wrap(err, out)
+}
--- /dev/null
+++ b/scenario/doc.go
@@ -0,0 +1,5 @@
+// Package scenario runs scripted scenarios over real processes: a site of
+// stand-ins, sidecars and routers on loopback ports, with signals and cut
+// connections as faults. The scripts are testdata/*.txtar, in the language of
+// testscript with the commands that docs/design/scenarios.md lists.
+package scenario
--- /dev/null
+++ b/scenario/process.go
@@ -0,0 +1,176 @@
+package scenario
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	logTail      = 40 // lines of each log that a failed script prints
+)
+
+// process is one program of the site. It is the test binary, started under the
+// program's name.
+type process struct {
+	name    string
+	program string
+	args    []string
+	log     logBuffer
+	relays  map[string][]*relay // by the label of the address that stands behind
+
+	cmd    *exec.Cmd
+	alive  io.Closer     // its end tells the process that the test is gone
+	done   chan struct{} // closed when the process has ended
+	status int           // set before done is closed
+}
+
+// start runs the program and returns when it listens.
+func (p *process) start() error {
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	listening := make(chan string, 1)
+	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Args[0] = p.program
+	p.cmd.Stdout = &firstLine{log: &p.log, listening: listening}
+	p.cmd.Stderr = &p.log
+	if p.alive, err = p.cmd.StdinPipe(); err != nil {
+		return err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go p.reap(p.cmd, p.done)
+	select {
+	case line := <-listening:
+		return p.connect(line)
+	case <-p.done:
+		return errors.Errorf("%s ended with status %d before it listened", p.name, p.status)
+	case <-time.After(startTimeout):
+		return errors.Errorf("%s does not listen", p.name)
+	}
+}
+
+func (p *process) reap(cmd *exec.Cmd, done chan struct{}) {
+	_ = cmd.Wait()
+	for _, relays := range p.relays {
+		for _, r := range relays {
+			r.down()
+		}
+	}
+	p.status = cmd.ProcessState.ExitCode()
+	close(done)
+}
+
+// connect leads the relays to the addresses of the line `listening [LABEL=]ADDRESS ...`.
+func (p *process) connect(line string) error {
+	for _, word := range strings.Fields(line)[1:] {
+		label, address, ok := strings.Cut(word, "=")
+		if !ok {
+			label, address = labelBackend, word
+		}
+		for _, r := range p.relays[label] {
+			if err := r.up(address); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.name)
+}
+
+// kill ends the process at once, also when it is frozen.
+func (p *process) kill() {
+	if p.cmd == nil || p.done == nil || !p.running() {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// logBuffer is a log that can be read while it is written.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+func (l *logBuffer) lines() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Split(strings.TrimSpace(l.buf.String()), "\n")
+}
+
+func (l *logBuffer) tail() string {
+	lines := l.lines()
+	return strings.Join(lines[max(0, len(lines)-logTail):], "\n")
+}
+
+// count returns how many lines contain all of the words.
+func (l *logBuffer) count(words ...string) int {
+	n := 0
+	for _, line := range l.lines() {
+		if containsAll(line, words) {
+			n++
+		}
+	}
+	return n
+}
+
+func containsAll(line string, words []string) bool {
+	for _, word := range words {
+		if !strings.Contains(line, word) {
+			return false
+		}
+	}
+	return true
+}
+
+// firstLine hands on the line that says where a program listens.
+type firstLine struct {
+	log       *logBuffer
+	listening chan<- string
+	line      []byte
+	found     bool
+}
+
+// Write implements io.Writer.
+func (f *firstLine) Write(b []byte) (int, error) {
+	if !f.found {
+		f.line = append(f.line, b...)
+		if head, _, ok := bytes.Cut(f.line, []byte("\n")); ok && bytes.HasPrefix(head, []byte("listening ")) {
+			f.found = true
+			f.listening <- string(head)
+		}
+	}
+	return f.log.Write(b)
+}
--- /dev/null
+++ b/scenario/text.go
@@ -0,0 +1,81 @@
+package scenario
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/embedded"
+	"github.com/pearyard/pearyard/text"
+)
+
+// firstText is the text of a new site.
+func (s *site) firstText() *text.Text {
+	key := sha256.Sum256([]byte(embedded.Key))
+	models := text.Service{
+		Name: embedded.ModelService, Kind: text.KindModel, Calls: text.CallsRepeatable, RetryBudget: text.DefaultRetryBudget,
+		DependsOn: []text.Dependency{{Model: embedded.Model, Version: embedded.ModelVersion}}, BackendServers: []text.BackendServer{},
+	}
+	labels := text.Service{
+		Name: embedded.PlainService, Kind: text.KindPlain, Calls: text.CallsAtMostOnce, RetryBudget: text.DefaultRetryBudget,
+		DependsOn: []text.Dependency{}, BackendServers: []text.BackendServer{},
+	}
+	for i := range s.sidecars() {
+		name, kind := s.backendOf(i + 1)
+		server := text.BackendServer{Name: name, Zone: s.zone(i + 1), Sidecar: s.at(fromPeers, sidecarName(i+1))}
+		if kind == text.KindModel {
+			server.ChecksFencing = true
+			models.BackendServers = append(models.BackendServers, server)
+		} else {
+			labels.BackendServers = append(labels.BackendServers, server)
+		}
+	}
+	services := []text.Service{models}
+	if s.size.plains > 0 {
+		services = append(services, labels)
+	}
+	recovery := text.DefaultRecovery()
+	recovery.JournalAfterMillis, recovery.JournalBatchMillis, recovery.SilenceMillis = 100, 20, 1000
+	return &text.Text{
+		Services: services,
+		Models:   []text.Model{{Name: embedded.Model, Version: embedded.ModelVersion}},
+		Adapters: []text.Adapter{},
+		Organisations: []text.Organisation{{
+			Name: embedded.Organisation, Weight: text.DefaultWeight, KeySHA256: []string{hex.EncodeToString(key[:])},
+		}},
+		Recovery: recovery,
+		Limits:   text.DefaultLimits(),
+	}
+}
+
+// edit sets fields of the text, each as `recovery.FIELD=VALUE` or `limits.FIELD=VALUE`.
+func edit(in *text.Text, fields []string) error {
+	for _, f := range fields {
+		path, value, ok := strings.Cut(f, "=")
+		section, field, dotted := strings.Cut(path, ".")
+		if !ok || !dotted {
+			return errors.Errorf("%q is not SECTION.FIELD=VALUE", f)
+		}
+		sections := map[string]any{"recovery": &in.Recovery, "limits": &in.Limits}
+		into := sections[section]
+		if into == nil {
+			return errors.Errorf("%q: no section %s", f, section)
+		}
+		decoder := json.NewDecoder(strings.NewReader(`{"` + field + `":` + value + `}`))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(into); err != nil {
+			return errors.Wrap(err, f)
+		}
+	}
+	return nil
+}
+
+// textFile writes the text as it is to be applied and returns its file.
+func (s *site) textFile() (string, error) {
+	file := filepath.Join(s.dir, "site.json")
+	return file, s.write(file, s.text)
+}
