--- a/cli/apply.go
+++ b/cli/apply.go
@@ -85,13 +85,14 @@
 // late, and the second can't both take effect, whichever wins.
 func (c *client) apply(ctx context.Context, req *adminpb.ApplyRequest) (*adminpb.ApplyResponse, error) {
 	open := false // an earlier call may have taken effect
+	sent := false // an earlier call reached a router, whatever that said
 	var err error
 	for range applyRounds {
 		for _, address := range c.addresses {
 			var resp *adminpb.ApplyResponse
 			resp, err = c.applyAt(ctx, address, req)
 			if err == nil {
-				return c.own(ctx, req, resp, open)
+				return c.own(ctx, req, resp, sent)
 			}
 			if neverSent(err) {
 				continue
@@ -99,6 +100,7 @@
 			if !another(err) {
 				return nil, err
 			}
+			sent = true
 			open = open || !refusedByStore(err)
 			if !open {
 				continue
@@ -137,9 +139,9 @@
 // own recognises a lost race against an earlier call of this very command. The
 // winner that the race names may stand on top of that call's text, so the
 // successor of the base decides.
-func (c *client) own(ctx context.Context, req *adminpb.ApplyRequest, resp *adminpb.ApplyResponse, open bool) (*adminpb.ApplyResponse, error) {
+func (c *client) own(ctx context.Context, req *adminpb.ApplyRequest, resp *adminpb.ApplyResponse, sent bool) (*adminpb.ApplyResponse, error) {
 	winner := resp.GetRace().GetWinner()
-	if !open || winner == nil {
+	if !sent || winner == nil {
 		return resp, nil
 	}
 	if sameChange(req, winner) {
--- a/cli/apply_test.go
+++ b/cli/apply_test.go
@@ -31,6 +31,7 @@
 	applies          int
 	loseAnswer       bool // the text is accepted, the connection cut
 	refuse           bool // the store is down: nothing is accepted
+	failLate         bool // the text is accepted, and the router fails after that
 	mute             bool // history can't be read
 	behind           string
 	before           func() // runs before an apply takes effect
@@ -45,6 +46,9 @@
 		r.before()
 	}
 	resp := r.store.accept(req)
+	if r.failLate {
+		return nil, twirp.Unavailable.Error("not accepted: no room")
+	}
 	if r.loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
@@ -192,6 +196,17 @@
 	g.Expect(apply(t, first.serve(t)+","+second.serve(t)).code).To(gomega.Equal(ExitUnknown))
 }
 
+// A router commits the text, fails on what it does next and answers that nothing
+// was accepted. The next router then knows of a race, which is against herself.
+func TestApplyAfterARouterThatFailsLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &store{}
+	first, second := &router{store: s, failLate: true}, &router{store: s}
+	got := apply(t, first.serve(t)+","+second.serve(t))
+	g.Expect(got).To(gomega.Equal(result{stdout: "accepted as revision 1\n"}))
+	g.Expect(s.all).To(gomega.HaveLen(1))
+}
+
 // The answer is lost and no router can read the history: the command doesn't
 // guess, it says that the outcome is open.
 func TestApplyWhoseOutcomeStaysOpen(t *testing.T) {
