admin: absent backend servers count; clocks in step are left alone

Ruled out: waiting for the membership to settle (there is no sign of it); the sum of all errors as a tolerance in sorting (it is no order). Change: Options.Backends, state absent, asked at the text's address; an offset within its error is taken for none; this router's own revision in status. Conclusion: routers that are not yet known are still not counted.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,6 +89,9 @@
 	StateSuspect State = "suspect"
 	StateLeaving State = "leaving"
 	StateDead    State = "dead"
+	// StateAbsent: the text in force names the backend server, but no member
+	// serves it.
+	StateAbsent State = "absent"
 )
 
 // Member is one process as this router sees it.
@@ -104,6 +108,13 @@
 	Load          *types.Load // nil: not known
 }
 
+// Backend is a backend server as the text in force names it.
+type Backend struct {
+	Name    string
+	Zone    types.Zone
+	Address string // of its sidecar
+}
+
 // Quarantine is one request body that is refused because it killed engines.
 type Quarantine struct {
 	Fingerprint  types.Fingerprint
@@ -130,6 +141,7 @@
 	Recorder    *event.Recorder
 	Registerer  prometheus.Registerer
 
+	Backends func() []Backend           // of the text in force; nil: none are known
 	HTTP     *http.Client               // towards the peer listeners; nil: a plain one
 	Diff     func(from, to Text) string // nil: a unified diff of lines
 	Secrets  []string                   // values that a bundle must not show, besides the token
@@ -173,6 +185,9 @@
 	if opts.Recorder == nil {
 		opts.Recorder = event.Discard()
 	}
+	if opts.Backends == nil {
+		opts.Backends = func() []Backend { return nil }
+	}
 	if opts.Quarantines == nil {
 		opts.Quarantines = func() []Quarantine { return nil }
 	}
@@ -208,10 +223,37 @@
 	return s.authorised(http.MaxBytesHandler(mux, MaxTextBytes*2))
 }
 
+// members returns the processes that there are or should be.
+//
+// Failure guarded against: a router that has just started, or is cut off, knows
+// few members. It shows as "in force in 1 of 1 processes" while all others still
+// have the old text. The text in force says which backend servers there must be;
+// those that no member serves are listed as absent, asked at the address that
+// the text gives, and named if they don't answer.
+func (s *Server) members() []Member {
+	members := slices.Clone(s.opts.Members())
+	served := make(map[string]bool, len(members))
+	for i, m := range members {
+		served[m.Address] = true
+		if m.Process == s.opts.Process {
+			members[i].Revision = max(m.Revision, s.opts.InForce().Revision)
+		}
+	}
+	for _, b := range s.opts.Backends() {
+		if !served[b.Address] {
+			members = append(members, Member{
+				Process: types.ProcessID(b.Name), Role: types.RoleSidecar, Zone: b.Zone,
+				Address: b.Address, BackendServer: b.Name, State: StateAbsent,
+			})
+		}
+	}
+	return members
+}
+
 // named returns the members that a process's or backend server's name means.
 func (s *Server) named(name string) []Member {
 	var out []Member
-	for _, m := range s.opts.Members() {
+	for _, m := range s.members() {
 		if string(m.Process) == name || (m.BackendServer != "" && m.BackendServer == name) {
 			out = append(out, m)
 		}
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -107,6 +107,26 @@
 		Expect(resp.GetInForce().GetBehind()[0].GetError()).NotTo(BeEmpty())
 	})
 
+	// A router that has just started knows of itself only. An operator applies a
+	// text through it and must not read "in force everywhere": of two backend
+	// servers that the text names, one has the revision, one can't be reached.
+	It("counts the backend servers of the text that are no members", func() {
+		reached := newProcess("sidecar-1", types.RoleSidecar, at(1), 0)
+		s := newSite(newProcess("router-1", types.RoleRouter, at(1), 0))
+		s.backends = []admin.Backend{{Name: "pear-1", Address: reached.member.Address}, {Name: "pear-2", Address: "127.0.0.1:1"}}
+		resp, err := s.commands().Apply(ctx, &adminpb.ApplyRequest{Text: []byte("{}"), Wait: true, WaitMs: 300})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.GetInForce().GetProcesses()).To(BeEquivalentTo(3))
+		Expect(resp.GetInForce().GetBehind()).To(HaveLen(1))
+		Expect(resp.GetInForce().GetBehind()[0].GetProcess()).To(Equal("pear-2"))
+		Expect(resp.GetInForce().GetBehind()[0].GetState()).To(Equal("absent"))
+		status, err := s.queries().Status(ctx, &adminpb.StatusRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.GetMembers()).To(HaveLen(3))
+		_, err = s.commands().Stop(ctx, &adminpb.StopRequest{Kind: adminpb.Kind_KIND_BACKEND, Name: "pear-2"})
+		Expect(codeOf(err)).To(Equal(twirp.NotFound))
+	})
+
 	// A VM died; its address was given to a new one that has the revision. The
 	// dead process must not be counted by the answer of its successor, and the
 	// operator must not wait for it.
--- a/admin/bundle.go
+++ b/admin/bundle.go
@@ -198,7 +198,7 @@
 
 func (b *bundle) processes(ctx context.Context) error {
 	unanswered := 0
-	members := b.server.opts.Members()
+	members := b.server.members()
 	err := gather(ctx, b.server.opts.Parallel, members, b.server.collect, func(m Member, got collected) error {
 		if len(got.failed) > 0 {
 			unanswered++
--- a/admin/commands.go
+++ b/admin/commands.go
@@ -128,7 +128,7 @@
 	}
 	var found []Member
 	for _, m := range s.named(req.GetName()) {
-		if m.Role == role && m.State != StateDead {
+		if m.Role == role && m.State != StateDead && m.State != StateAbsent {
 			found = append(found, m)
 		}
 	}
--- a/admin/explain.go
+++ b/admin/explain.go
@@ -51,7 +51,7 @@
 	}
 	resp := &adminpb.ExplainResponse{Caveat: explainCaveat}
 	unanswered := 0
-	err := gather(ctx, s.opts.Parallel, s.opts.Members(), ask, func(m Member, got eventsAnswer) error {
+	err := gather(ctx, s.opts.Parallel, s.members(), ask, func(m Member, got eventsAnswer) error {
 		if got.err != nil {
 			unanswered++
 		}
--- a/admin/inforce.go
+++ b/admin/inforce.go
@@ -58,7 +58,7 @@
 
 // inForceRound counts once; waitFor says that a process which isn't dead is behind.
 func (s *Server) inForceRound(ctx context.Context, revision types.Revision, confirmed map[types.ProcessID]types.Revision) (result *adminpb.InForce, waitFor bool) {
-	members := s.opts.Members()
+	members := s.members()
 	var behind []Member
 	for _, m := range members {
 		if max(m.Revision, confirmed[m.Process]) < revision {
@@ -102,14 +102,15 @@
 }
 
 // version asks a process for the revision in force. An answer of another process
-// that has taken over the address doesn't count.
+// that has taken over the address doesn't count; of an absent one only the
+// address is known.
 func (s *Server) version(ctx context.Context, m Member) versionAnswer {
 	var version inspect.Version
 	err := s.peers.getJSON(ctx, m, inspect.PathVersion, nil, versionLimit, &version)
 	if err != nil {
 		return versionAnswer{err: err}
 	}
-	if version.Process != m.Process {
+	if m.State != StateAbsent && version.Process != m.Process {
 		return versionAnswer{err: wrongProcess(version.Process)}
 	}
 	return versionAnswer{revision: version.Revision}
--- a/admin/peers.go
+++ b/admin/peers.go
@@ -86,9 +86,15 @@
 	bound  time.Duration // of the error: half the round trip
 }
 
+// estimate takes an offset within its own error for none: clocks that are kept in
+// step are better than the estimate, which would put an answer before its cause.
 func estimate(sent, received, remote time.Time) clock {
 	half := received.Sub(sent) / 2
-	return clock{offset: remote.Sub(sent.Add(half)), bound: half}
+	offset := remote.Sub(sent.Add(half))
+	if offset.Abs() <= half {
+		offset = 0
+	}
+	return clock{offset: offset, bound: half}
 }
 
 // events reads the events of one request, or all if request is empty.
--- a/admin/queries.go
+++ b/admin/queries.go
@@ -95,7 +95,7 @@
 
 // Status returns this router's view of the members, quarantines and drains.
 func (s *Server) Status(ctx context.Context, req *adminpb.StatusRequest) (*adminpb.StatusResponse, error) {
-	members := s.opts.Members()
+	members := s.members()
 	if req.GetName() != "" {
 		members = s.named(req.GetName())
 	}
--- a/admin/scale_test.go
+++ b/admin/scale_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -48,7 +49,9 @@
 			Identity: inspect.Identity{Process: types.ProcessID(r.Host)}, Revision: 7,
 		})
 	}))
-	s, err := New(Options{Token: "t", Members: func() []Member { return members }, HTTP: client})
+	s, err := New(Options{
+		Token: "t", Members: func() []Member { return members }, HTTP: client, InForce: func() Text { return Text{} },
+	})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -116,6 +119,16 @@
 	}
 }
 
+// Two processes whose clocks are kept in step: the estimate is worse than they
+// are and must not move their steps; a clock that is off must be corrected.
+func TestEstimateLeavesClocksInStep(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := time.Unix(1000, 0)
+	received := sent.Add(10 * time.Millisecond)
+	g.Expect(estimate(sent, received, sent.Add(time.Millisecond))).To(gomega.Equal(clock{bound: 5 * time.Millisecond}))
+	g.Expect(estimate(sent, received, sent.Add(time.Hour)).offset).To(gomega.Equal(time.Hour - 5*time.Millisecond))
+}
+
 // A take that fails, such as a reader of the bundle that went away, ends the
 // gathering; asks that still run must not be left waiting.
 func TestGatherEndsWhenItsReaderFails(t *testing.T) {
--- a/admin/suite_test.go
+++ b/admin/suite_test.go
@@ -140,6 +140,7 @@
 type site struct {
 	texts     *texts
 	processes []*process
+	backends  []admin.Backend
 	stops     []types.ProcessID
 	url       string
 	server    *admin.Server
@@ -151,6 +152,7 @@
 	s := &site{texts: &texts{}, processes: processes}
 	server, err := admin.New(admin.Options{
 		Token: token, Process: "router-1", Texts: s.texts, InForce: s.inForce, Members: s.members, Stopper: s,
+		Backends: func() []admin.Backend { return s.backends },
 		Recorder: event.Discard(), Secrets: []string{"platform-password"}, Timeout: testTimeout,
 	})
 	Expect(err).NotTo(HaveOccurred())
