measure: resume latency over real processes

Cause: nothing measured what a caller sees after a loss, over real processes and signals, beside the baselines that the system has to beat. Ruled out: the embedded site (its processes can't be frozen one by one), and the router's histogram alone (it dates a loss by the last sign of life). Change: cmd/pearyard-measure resume starts platform, engines, sidecars and routers as processes, strikes one, and tells from the attempt in the event ids which callers were hit and when their answers went on.

--- /dev/null
+++ b/measure/cause.go
@@ -0,0 +1,96 @@
+package measure
+
+import (
+	"syscall"
+)
+
+// Cause names a loss.
+type Cause string
+
+// Causes of a loss that can be measured.
+const (
+	CauseNone          Cause = "none"
+	CauseEngineKilled  Cause = "engine-killed"
+	CauseEngineFrozen  Cause = "engine-frozen"
+	CauseVMFrozen      Cause = "vm-frozen"
+	CauseVMKilled      Cause = "vm-killed"
+	CauseCut           Cause = "cut"
+	CauseSidecarKilled Cause = "sidecar-killed"
+	CauseRouterKilled  Cause = "router-killed"
+	CausePlannedStop   Cause = "planned-stop"
+	CauseTenthKilled   Cause = "tenth-killed"
+)
+
+// Causes lists them all.
+var Causes = []Cause{CauseEngineKilled, CauseEngineFrozen, CauseVMFrozen, CauseVMKilled, CauseCut,
+	CauseSidecarKilled, CauseRouterKilled, CausePlannedStop, CauseTenthKilled, CauseNone}
+
+// bars are the longest resume latencies wanted at p99, in milliseconds. That of
+// a killed engine comes on top of the stand-in's own prefill.
+var bars = map[Cause]float64{
+	CauseEngineKilled: 50, CauseEngineFrozen: 1500, CauseVMFrozen: 1500, CauseCut: 1500,
+	CauseRouterKilled: 150, CauseTenthKilled: 5000,
+}
+
+// strike brings the loss about.
+func (s *site) strike(c Cause) error {
+	victim := s.backends[0]
+	switch c {
+	case CauseEngineKilled:
+		return victim.engine.signal(syscall.SIGKILL)
+	case CauseEngineFrozen:
+		return victim.engine.signal(syscall.SIGSTOP)
+	case CauseVMFrozen:
+		return victim.signal(syscall.SIGSTOP)
+	case CauseVMKilled:
+		return victim.signal(syscall.SIGKILL)
+	case CauseCut:
+		victim.relay.set(func() { victim.relay.cut = true })
+	case CauseSidecarKilled:
+		return victim.sidecar.signal(syscall.SIGKILL)
+	case CauseRouterKilled:
+		return s.routers[0].signal(syscall.SIGKILL)
+	case CausePlannedStop:
+		return victim.sidecar.signal(syscall.SIGTERM)
+	case CauseTenthKilled:
+		return s.killTenth()
+	}
+	return nil
+}
+
+// killTenth kills a tenth of the engines, at least two, one after the other
+// without a pause.
+func (s *site) killTenth() error {
+	for i := range max(2, len(s.backends)/10) {
+		if err := s.backends[i].engine.signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *backend) signal(sig syscall.Signal) error {
+	if err := b.engine.signal(sig); err != nil {
+		return err
+	}
+	return b.sidecar.signal(sig)
+}
+
+// heal lets go on what a loss has frozen or cut.
+func (s *site) heal() {
+	for _, b := range s.backends {
+		for _, p := range []*process{b.engine, b.sidecar} {
+			if p.running() {
+				_ = p.signal(syscall.SIGCONT)
+			}
+		}
+		if b.relay != nil {
+			b.relay.set(func() { b.relay.cut = false })
+		}
+	}
+}
+
+// kills says whether the cause ends engines, whose counters are then gone.
+func (c Cause) kills() bool {
+	return c == CauseEngineKilled || c == CauseVMKilled || c == CauseTenthKilled
+}
--- /dev/null
+++ b/measure/command.go
@@ -0,0 +1,123 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v2"
+
+	"github.com/pearyard/pearyard/text"
+)
+
+const (
+	flagBin  = "bin"
+	flagRuns = "runs"
+	flagJSON = "json"
+)
+
+// Main runs pearyard-measure and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	app := &cli.App{
+		Name: "pearyard-measure", Usage: "measures a site of real processes on loopback ports",
+		Writer: stdout, ErrWriter: stderr,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagBin, Usage: "directory of the programs under test; empty: this binary in their place"},
+			&cli.IntFlag{Name: flagRuns, Value: 5, Usage: "runs of each case"},
+			&cli.StringFlag{Name: flagJSON, Usage: "file for the result"},
+		},
+		Commands: []*cli.Command{resumeCommand()},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := app.RunContext(ctx, args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// report writes the result to the file that was asked for.
+func report(c *cli.Context, result any) error {
+	if c.String(flagJSON) == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(result, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.String(flagJSON), append(raw, '\n'), 0o644)
+}
+
+func resumeCommand() *cli.Command {
+	def := DefaultResume()
+	return &cli.Command{
+		Name: "resume", Usage: "time until a caller's answer goes on after a loss, and what the loss costs",
+		Flags: append(recoveryFlags(),
+			&cli.StringSliceFlag{Name: "cause", Usage: "cause of the loss; none means all"},
+			&cli.StringSliceFlag{Name: "mode", Usage: "system, start-over or plain; none means all"},
+			&cli.IntFlag{Name: "calls", Value: def.Load.Calls, Usage: "concurrent generations"},
+			&cli.IntFlag{Name: "engines", Value: def.Engines, Usage: "engines, each with a sidecar"},
+		),
+		Action: func(c *cli.Context) error {
+			opts := def
+			opts.Bin, opts.Runs, opts.Progress = c.String(flagBin), c.Int(flagRuns), c.App.Writer
+			opts.Load.Calls, opts.Engines = c.Int("calls"), c.Int("engines")
+			opts.Recovery = recoveryOf(c)
+			if names := c.StringSlice("cause"); len(names) > 0 {
+				opts.Causes = named[Cause](names)
+			}
+			if names := c.StringSlice("mode"); len(names) > 0 {
+				opts.Modes = named[Mode](names)
+			}
+			for _, cause := range opts.Causes {
+				if !slices.Contains(Causes, cause) {
+					return errors.Errorf("no cause %q", cause)
+				}
+			}
+			result, err := Resume(c.Context, opts)
+			return errors.Wrap(firstError(report(c, result), err), "resume")
+		},
+	}
+}
+
+func named[T ~string](names []string) []T {
+	var out []T
+	for _, name := range names {
+		out = append(out, T(name))
+	}
+	return out
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recoveryFlags set the recovery dial of the sites.
+func recoveryFlags() []cli.Flag {
+	def := text.DefaultRecovery()
+	return []cli.Flag{
+		&cli.IntFlag{Name: "journal-after", Value: def.JournalAfterMillis, Usage: "journalAfterMillis"},
+		&cli.IntFlag{Name: "journal-peers", Value: def.JournalPeers, Usage: "journalPeers"},
+		&cli.IntFlag{Name: "journal-batch", Value: def.JournalBatchMillis, Usage: "journalBatchMillis"},
+		&cli.IntFlag{Name: "silence", Value: def.SilenceMillis, Usage: "silenceMillis"},
+	}
+}
+
+func recoveryOf(c *cli.Context) text.Recovery {
+	out := text.DefaultRecovery()
+	out.JournalAfterMillis, out.JournalPeers = c.Int("journal-after"), c.Int("journal-peers")
+	out.JournalBatchMillis, out.SilenceMillis = c.Int("journal-batch"), c.Int("silence")
+	return out
+}
--- /dev/null
+++ b/measure/load.go
@@ -0,0 +1,68 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// callsTimeout bounds one round of calls.
+const callsTimeout = 90 * time.Second
+
+// loadOptions describe a round of concurrent generations.
+type loadOptions struct {
+	Calls       int           `json:"calls"`
+	Tokens      int           `json:"tokens"`
+	PromptWords int           `json:"prompt_words"`
+	Ramp        time.Duration `json:"ramp"` // the calls begin at random within it
+	Seed        uint64        `json:"seed"`
+	strategy    strategy
+}
+
+// load is a round of calls in progress.
+type load struct {
+	calls []*call
+	wait  sync.WaitGroup
+	end   context.CancelFunc
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 2048, DisableCompression: true}
+}
+
+// startLoad begins the calls at the given routers.
+func startLoad(ctx context.Context, routers []string, opts loadOptions) *load {
+	ctx, cancel := context.WithTimeout(ctx, callsTimeout)
+	random := rand.New(rand.NewPCG(opts.Seed, opts.Seed))
+	client := &http.Client{Transport: newTransport()}
+	l := &load{end: cancel}
+	for i := range opts.Calls {
+		c := &call{prompt: promptOf(random, opts.PromptWords), maxTokens: opts.Tokens, strategy: opts.strategy, routers: routers, first: i}
+		delay := time.Duration(random.Int64N(int64(opts.Ramp) + 1))
+		l.calls = append(l.calls, c)
+		l.wait.Go(func() {
+			time.Sleep(delay)
+			c.run(ctx, client)
+		})
+	}
+	return l
+}
+
+// join waits for the calls to end.
+func (l *load) join() []*call {
+	l.wait.Wait()
+	l.end()
+	return l.calls
+}
+
+func promptOf(random *rand.Rand, words int) string {
+	var b strings.Builder
+	for range words {
+		fmt.Fprintf(&b, "word%06d ", random.IntN(1_000_000))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/measure/machine.go
@@ -0,0 +1,21 @@
+package measure
+
+import (
+	"os"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// Machine says what the figures were measured on.
+type Machine struct {
+	Cores int       `json:"cores"`
+	Load  string    `json:"load_average"` // of 1, 5 and 15 minutes
+	At    time.Time `json:"at"`
+}
+
+func machine() Machine {
+	raw, _ := os.ReadFile("/proc/loadavg")
+	fields := strings.Fields(string(raw))
+	return Machine{Cores: runtime.NumCPU(), Load: strings.Join(fields[:min(3, len(fields))], " "), At: time.Now().UTC().Truncate(time.Second)}
+}
--- /dev/null
+++ b/measure/scrape.go
@@ -0,0 +1,87 @@
+package measure
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/common/expfmt"
+	prommodel "github.com/prometheus/common/model"
+
+	"github.com/pearyard/pearyard/inspect"
+	"github.com/pearyard/pearyard/standin"
+)
+
+const scrapeTimeout = 2 * time.Second
+
+var scraper = &http.Client{Timeout: scrapeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func readJSON(url string, into any) error {
+	resp, err := scraper.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), url)
+}
+
+// readDump reads one section of a process's state.
+func readDump(p *process, section string, into any) error {
+	var state struct {
+		Sections map[string]inspect.Section `json:"sections"`
+	}
+	if err := readJSON("http://"+p.address["peers"]+inspect.PathState, &state); err != nil {
+		return err
+	}
+	return json.Unmarshal(state.Sections[section].Value, into)
+}
+
+// samples are sums of a process's metrics over their labels; of a histogram
+// the sum and the count under NAME_sum and NAME_count.
+type samples map[string]float64
+
+// readMetrics reads the metrics of a router or sidecar.
+func readMetrics(p *process) (samples, error) {
+	resp, err := scraper.Get("http://" + p.address["peers"] + inspect.PathMetrics)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	parser := expfmt.NewTextParser(prommodel.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, p.name)
+	}
+	out := samples{}
+	for name, family := range families {
+		for _, m := range family.GetMetric() {
+			out[name] += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			if h := m.GetHistogram(); h != nil {
+				out[name+"_sum"] += h.GetSampleSum()
+				out[name+"_count"] += float64(h.GetSampleCount())
+			}
+		}
+	}
+	return out, nil
+}
+
+// sum adds up the metrics of all processes that answer.
+func sum(processes []*process) samples {
+	out := samples{}
+	for _, p := range processes {
+		got, err := readMetrics(p)
+		if err != nil {
+			continue
+		}
+		for name, value := range got {
+			out[name] += value
+		}
+	}
+	return out
+}
+
+func engineCounters(p *process) (standin.Counters, error) {
+	var counters standin.Counters
+	return counters, readJSON("http://"+p.address[soleAddress]+"/dump", &counters)
+}
--- /dev/null
+++ b/measure/series.go
@@ -0,0 +1,47 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longestMicros = int64(10 * time.Minute / time.Microsecond)
+	precision     = 3 // decimal digits that a histogram keeps
+)
+
+// Quantiles sum up durations in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// quantilesOf sums up durations; one below zero counts as zero.
+func quantilesOf(durations []time.Duration) Quantiles {
+	h := hdrhistogram.New(1, longestMicros, precision)
+	for _, d := range durations {
+		_ = h.RecordValue(min(max(d.Microseconds(), 0), longestMicros))
+	}
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// Spread is the median of several runs with the least and the most.
+type Spread struct {
+	Median float64 `json:"median"`
+	Least  float64 `json:"least"`
+	Most   float64 `json:"most"`
+}
+
+func spreadOf(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return Spread{Median: sorted[len(sorted)/2], Least: sorted[0], Most: sorted[len(sorted)-1]}
+}
