measure: streams through a router beside the engine direct

Cause: nothing showed what a router adds to a token and what a token costs it. Ruled out: comparing gaps between tokens (the engine's own jitter hides the way). Change: the tool serves the engines itself and notes when each token left; both the routed and the direct caller are held against that, in one round. Processor time and memory come from the kernel; a profile of router and sidecar on request.

--- a/measure/caller.go
+++ b/measure/caller.go
@@ -60,6 +60,7 @@
 	interruptions []interruption
 	thrownAway    int
 	lastID        string
+	requestID     string // of the newest connection
 	finished      bool
 	err           error
 }
@@ -103,6 +104,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	c.requestID = resp.Header.Get(router.HeaderRequestID)
 	if resp.StatusCode != http.StatusOK {
 		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
 		return errors.Errorf("%d %s", resp.StatusCode, message)
--- a/measure/command.go
+++ b/measure/command.go
@@ -32,7 +32,7 @@
 			&cli.IntFlag{Name: flagRuns, Value: 5, Usage: "runs of each case"},
 			&cli.StringFlag{Name: flagJSON, Usage: "file for the result"},
 		},
-		Commands: []*cli.Command{resumeCommand()},
+		Commands: []*cli.Command{resumeCommand(), streamCommand()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -87,6 +87,26 @@
 	}
 }
 
+func streamCommand() *cli.Command {
+	def := DefaultStream()
+	return &cli.Command{
+		Name: "stream", Usage: "what one router adds to a token, and what a token costs",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "streams", Value: cli.NewIntSlice(def.Streams...), Usage: "concurrent streams"},
+			&cli.DurationFlag{Name: "step", Value: def.Step, Usage: "time between two tokens of a stream"},
+			&cli.DurationFlag{Name: "duration", Value: def.Duration, Usage: "of a round"},
+			&cli.BoolFlag{Name: "direct", Value: def.Direct, Usage: "as many streams from the engines direct beside them"},
+		},
+		Action: func(c *cli.Context) error {
+			opts := def
+			opts.Bin, opts.Runs, opts.Progress = c.String(flagBin), c.Int(flagRuns), c.App.Writer
+			opts.Streams, opts.Step, opts.Duration, opts.Direct = c.IntSlice("streams"), c.Duration("step"), c.Duration("duration"), c.Bool("direct")
+			result, err := Stream(c.Context, opts)
+			return errors.Wrap(firstError(report(c, result), err), "stream")
+		},
+	}
+}
+
 func named[T ~string](names []string) []T {
 	var out []T
 	for _, name := range names {
--- a/measure/process.go
+++ b/measure/process.go
@@ -34,9 +34,9 @@
 func AsProgram(args []string) (code int, was bool) {
 	switch filepath.Base(args[0]) {
 	case programRouter:
-		return daemon.Router(args, os.Stdout, os.Stderr), true
+		return profiled(programRouter, func() int { return daemon.Router(args, os.Stdout, os.Stderr) }), true
 	case programSidecar:
-		return daemon.Sidecar(args, os.Stdout, os.Stderr), true
+		return profiled(programSidecar, func() int { return daemon.Sidecar(args, os.Stdout, os.Stderr) }), true
 	case programStandin:
 		return command.Main(args), true
 	}
--- a/measure/site.go
+++ b/measure/site.go
@@ -26,7 +26,8 @@
 	zones        = 3
 	readyTimeout = 60 * time.Second
 	readyPoll    = 20 * time.Millisecond
-	capacity     = 64 // requests in an engine's batch
+	capacity     = 64   // requests in an engine's batch
+	ownCapacity  = 4096 // of an engine in this process
 )
 
 // engineTimes are the stand-in engines' own times.
@@ -45,11 +46,13 @@
 	relays   bool // lead the way to each sidecar through a relay
 	times    engineTimes
 	recovery text.Recovery
+	own      []*ownEngine // engines of this process in place of stand-in processes
 }
 
 // backend is an engine with the sidecar beside it: one VM.
 type backend struct {
-	engine  *process
+	name    string
+	engine  *process // nil if it runs in this process
 	sidecar *process
 	relay   *relay // nil without relays
 }
@@ -134,17 +137,22 @@
 
 func (s *site) backend(i int) (*backend, error) {
 	times := s.opts.times
-	b := &backend{}
+	b := &backend{name: fmt.Sprintf("engine-%d", i+1)}
 	var err error
-	b.engine, err = startProcess(s.opts.bin, programStandin, fmt.Sprintf("engine-%d", i+1), "engine", "--check-fence",
-		"--step-base", times.Step.String(), "--step-per-request", times.PerRequest.String(),
-		"--prefill-per-token", times.Prefill.String(), "--capacity", fmt.Sprint(capacity))
-	if err != nil {
-		return nil, err
+	address := ""
+	if s.opts.own != nil {
+		address = s.opts.own[i].address
+	} else {
+		b.engine, err = startProcess(s.opts.bin, programStandin, b.name, "engine", "--check-fence",
+			"--step-base", times.Step.String(), "--step-per-request", times.PerRequest.String(),
+			"--prefill-per-token", times.Prefill.String(), "--capacity", fmt.Sprint(capacity))
+		if err != nil {
+			return nil, err
+		}
+		address = b.engine.address[soleAddress]
 	}
 	name := fmt.Sprintf("sidecar-%d", i+1)
-	args := append(s.common(name, i), "--backend-server", b.engine.name, "--service", service, "--kind", "model",
-		"--backend", b.engine.address[soleAddress])
+	args := append(s.common(name, i), "--backend-server", b.name, "--service", service, "--kind", "model", "--backend", address)
 	if s.opts.relays {
 		if b.relay, err = newRelay(); err != nil {
 			return b, err
@@ -182,7 +190,7 @@
 		DependsOn: []text.Dependency{{Model: model, Version: modelVersion}}}
 	for i, b := range s.backends {
 		models.BackendServers = append(models.BackendServers, text.BackendServer{
-			Name: b.engine.name, Zone: fmt.Sprintf("zone-%d", i%zones+1), Sidecar: s.sidecarAddress(b), ChecksFencing: true})
+			Name: b.name, Zone: fmt.Sprintf("zone-%d", i%zones+1), Sidecar: s.sidecarAddress(b), ChecksFencing: true, Capacity: s.capacity()})
 	}
 	return &text.Text{
 		Services: []text.Service{models}, Models: []text.Model{{Name: model, Version: modelVersion}}, Adapters: []text.Adapter{},
@@ -191,6 +199,13 @@
 	}
 }
 
+func (s *site) capacity() int {
+	if s.opts.own != nil {
+		return ownCapacity
+	}
+	return capacity
+}
+
 // ready waits until every router sees every backend server.
 func (s *site) ready(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -233,7 +248,7 @@
 		if b == nil {
 			continue
 		}
-		all = append(all, b.engine, b.sidecar)
+		all = append(all, b.sidecar, b.engine)
 		if b.relay != nil {
 			b.relay.close()
 		}
--- /dev/null
+++ b/measure/usage.go
@@ -0,0 +1,40 @@
+package measure
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// usage is what a process has used so far.
+type usage struct {
+	cpu time.Duration
+	rss int64 // bytes
+}
+
+// usageOf reads what the kernel says of a process; zero if it has ended.
+func usageOf(p *process) usage {
+	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	var out usage
+	stat, _ := os.ReadFile(dir + "stat")
+	// Fields count from behind the program's name, which may hold spaces.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	if fields := strings.Fields(rest); len(fields) > 12 {
+		user, _ := strconv.Atoi(fields[11])
+		system, _ := strconv.Atoi(fields[12])
+		out.cpu = time.Duration(user+system) * clockTick
+	}
+	status, _ := os.ReadFile(dir + "status")
+	if _, after, ok := strings.Cut(string(status), "VmRSS:"); ok {
+		if fields := strings.Fields(after); len(fields) > 0 {
+			kilobytes, _ := strconv.ParseInt(fields[0], 10, 64)
+			out.rss = kilobytes << 10
+		}
+	}
+	return out
+}
