sidecar: a lookup names the holder of a lost generation

Cause: after the deaths of engine and router, the returning caller's router asks all sidecars who holds the generation; the sidecar beside the dead engine had all tokens, but named itself only for runs that go on or have finished. The caller got generation_lost while its answer lay there whole up to the death. Ruled out: reading tokens out of the lookup's answer in the router (Attach checks the lineage against what the caller has seen; a second way would have to as well). Change: only a cancelled run goes unnamed. Conclusion: one lost engine and one lost router don't lose what a sidecar holds.

--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -91,7 +91,8 @@
 		Tokens:     streampb.FromTokens(state.Tokens),
 		Finish:     string(state.Finish),
 	}
-	if state.Phase == generation.Running || state.Phase == generation.Finished {
+	// A lost log is whole up to the engine's death: a router resumes from it.
+	if state.Phase != generation.Cancelled {
 		resp.Runner = s.opts.Peer.Self().Address
 	}
 	return resp
