router, node: journals find peers before the members have met

Ruled out: waiting for members before the first generation (a site of one sidecar would wait without end) and the text for good (a VM that is named and long gone would make every lost generation 'unsure'). Change: router.Sites adds, in the first ten seconds of a process, sidecars that the text names and membership hasn't met.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -54,6 +54,7 @@
 	opts    SidecarOptions
 	sidecar *sidecar.Sidecar
 	journal *journal.Store
+	created time.Time
 	writer  atomic.Pointer[journal.Writer]
 }
 
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Sidecar{base: b, opts: opts}
+	s := &Sidecar{base: b, opts: opts, created: time.Now()}
 	s.journal = journal.NewStore(journal.StoreOptions{MaxBytes: opts.JournalBytes, Recorder: b.recorder, Registerer: b.registry})
 	guard := s.newGuard()
 	s.sidecar = sidecar.New(sidecar.Options{
@@ -124,7 +125,7 @@
 	if in == nil {
 		return nil
 	}
-	sites := router.Sites(s.members.Snapshot())
+	sites := router.Sites(s.members.Snapshot(), in, time.Since(s.created))
 	gen.Peers = journal.Place(gen.ID.Key, sites, in.Recovery.JournalPeers+spareJournalPeers, s.peer.Self().Address)
 	gen.After, gen.Copies = in.Recovery.JournalAfter(), in.Recovery.JournalPeers
 	if gen.After == 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -56,6 +56,7 @@
 	journal  *journal.Reader
 	fleet    *fleet
 	metrics  *metrics
+	created  time.Time
 
 	draining  atomic.Bool
 	drainedAt atomic.Int64  // when the drain began, in Unix nanoseconds; 0: not yet
@@ -81,6 +82,7 @@
 		fleet:    newFleet(opts.Peer.Self().ID, opts.Policy, opts.Recorder, opts.Registerer),
 		stopping: make(chan struct{}),
 		drained:  make(chan struct{}),
+		created:  time.Now(),
 	}
 	r.metrics = newMetrics(opts.Registerer, func() float64 { return float64(r.streams.Load()) })
 	return r
@@ -141,23 +143,44 @@
 	return nil
 }
 
-// sites lists the sidecars of the text that may hold journals.
+// sites lists the sidecars that may hold journals.
 func (r *Router) sites() []journal.Site {
 	members := r.opts.Members()
 	if members == nil {
 		return nil
 	}
-	return Sites(members)
+	return Sites(members, r.opts.Text(), time.Since(r.created))
 }
 
-// Sites lists the sidecars that journals are placed on. Routers and sidecars
-// must use the same rule, or they look for a journal where it isn't.
-func Sites(members *membership.View) []journal.Site {
+// meetTime is how long a process that has started goes by the text for sidecars
+// that it hasn't met; later, who isn't met isn't there.
+const meetTime = 10 * time.Second
+
+// Sites lists the sidecars that journals are placed on: those that are alive,
+// and at first those that the text names and membership hasn't met yet; age is
+// that of this process. Routers and sidecars must use the same rule, or they
+// look for a journal where it isn't.
+//
+// Failure it stops: a sidecar that has just started knows no other member for a
+// moment, and a generation that begins then gets no journal peer for its whole
+// life. It shows as journal_no_peer, and as generation_lost when its VM and its
+// router die. The text names the other sidecars before the first probe.
+func Sites(members *membership.View, in *text.Text, age time.Duration) []journal.Site {
 	alive := members.Alive(types.RoleSidecar)
 	out := make([]journal.Site, 0, len(alive))
 	for _, m := range alive {
 		out = append(out, journal.Site{Address: m.Address, Zone: m.Zone})
 	}
+	if in == nil || age > meetTime {
+		return out
+	}
+	for i := range in.Services {
+		for _, b := range in.Services[i].BackendServers {
+			if _, met := members.ByAddress(b.Sidecar); !met {
+				out = append(out, journal.Site{Address: b.Sidecar, Zone: types.Zone(b.Zone)})
+			}
+		}
+	}
 	return out
 }
 
