--- /dev/null
+++ b/claim/fakes_test.go
@@ -0,0 +1,260 @@
+package claim_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/claim"
+	"github.com/pearyard/pearyard/gate"
+	"github.com/pearyard/pearyard/plain"
+	"github.com/pearyard/pearyard/platform"
+	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/types"
+)
+
+// fakeTable is a table service in memory. fault, if set, is asked before each
+// commit: an error, and whether the commit takes effect nevertheless.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	commits atomic.Int64
+	takes   time.Duration // a commit
+	down    bool
+	fault   func(n int) (err error, effect bool)
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (f *fakeTable) set(down bool, fault func(int) (error, bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down, f.fault = down, fault
+}
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) List(_ context.Context, prefix string, limit int) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []platform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && len(out) < limit {
+			out = append(out, row)
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+	n := int(f.commits.Add(1))
+	time.Sleep(f.takes)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.ErrUnavailable
+	}
+	if f.fault != nil {
+		if err, effect := f.fault(n); err != nil {
+			if effect {
+				_ = f.apply(txn)
+			}
+			return err
+		}
+	}
+	return f.apply(txn)
+}
+
+func (f *fakeTable) apply(txn platform.Txn) error {
+	var failed []string
+	for _, c := range txn.If {
+		if f.rows[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return &platform.ConflictError{Keys: failed}
+	}
+	f.version++
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(f.rows, w.Key)
+			continue
+		}
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.version}
+	}
+	return nil
+}
+
+func (f *fakeTable) claims() []claim.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []claim.Record
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, claim.KeyPrefix) {
+			record, _ := claim.Decode(row.Value)
+			out = append(out, record)
+		}
+	}
+	return out
+}
+
+// fakeService counts runs by body and answers after a time.
+type fakeService struct {
+	mu   sync.Mutex
+	runs map[string]int
+	took time.Duration
+	err  error
+}
+
+func (f *fakeService) Do(ctx context.Context, call plain.Call) (plain.Answer, error) {
+	f.mu.Lock()
+	f.runs[string(call.Body)]++
+	f.mu.Unlock()
+	select {
+	case <-time.After(f.took):
+	case <-ctx.Done():
+		return plain.Answer{}, plain.ErrLost
+	}
+	return plain.Answer{Status: 200, Body: append([]byte("done "), call.Body...)}, f.err
+}
+
+func (f *fakeService) Healthy(context.Context) error { return nil }
+
+func (f *fakeService) ran(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[body]
+}
+
+// fakeNet reaches the gates of a world by their addresses.
+type fakeNet struct {
+	mu      sync.Mutex
+	gates   map[string]*gate.Calls
+	cut     map[string]bool
+	lose    int           // answers to calls that get lost
+	frozen  chan struct{} // if set, calls wait here before they arrive
+	arrived int
+}
+
+func (n *fakeNet) setCut(addr string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[addr] = cut
+}
+
+var errCut = errors.New("connection cut")
+
+func (n *fakeNet) Call(ctx context.Context, addr string, req *streampb.CallRequest) (*streampb.CallResponse, error) {
+	n.mu.Lock()
+	g, cut, frozen := n.gates[addr], n.cut[addr], n.frozen
+	n.frozen = nil
+	n.mu.Unlock()
+	if cut {
+		return nil, plain.ErrNotSent
+	}
+	if frozen != nil {
+		<-frozen
+	}
+	resp := g.Call(ctx, req)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.arrived++
+	if n.lose > 0 {
+		n.lose--
+		return nil, errCut
+	}
+	return resp, nil
+}
+
+func (n *fakeNet) Void(ctx context.Context, addr string, req *streampb.VoidRequest) (*streampb.CallResponse, error) {
+	n.mu.Lock()
+	g, cut := n.gates[addr], n.cut[addr]
+	n.mu.Unlock()
+	if cut {
+		return nil, errCut
+	}
+	return g.Void(ctx, req), nil
+}
+
+// site is one table, one service behind sidecars a and b, and any number of routers.
+type site struct {
+	t       *testing.T
+	ctx     context.Context
+	table   *fakeTable
+	service *fakeService
+	net     *fakeNet
+	inc     types.Incarnation
+	only    string // the one sidecar that may be picked, if set
+}
+
+// atSite runs a test in virtual time.
+func atSite(t *testing.T, test func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &site{
+			t: t, ctx: ctx, table: newFakeTable(), inc: 1,
+			service: &fakeService{runs: map[string]int{}, took: 50 * time.Millisecond},
+			net:     &fakeNet{gates: map[string]*gate.Calls{}, cut: map[string]bool{}},
+		}
+		s.start("a")
+		s.start("b")
+		test(s)
+		time.Sleep(time.Minute) // calls under way end
+		cancel()
+	})
+}
+
+// start starts or restarts the sidecar at addr.
+func (s *site) start(addr string) {
+	s.inc++
+	g := gate.NewCalls(gate.Options{Service: s.service, Incarnation: s.inc})
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	s.net.gates[addr] = g
+}
+
+func (s *site) router(name string) *claim.Coordinator {
+	c := claim.New(claim.Options{Table: s.table, Router: types.ProcessID(name), Sidecar: s.net})
+	go func() { _ = c.Run(s.ctx) }()
+	return c
+}
+
+// pick prefers a over b.
+func (s *site) pick(avoid []string) (claim.Target, bool) {
+	for _, addr := range []string{"a", "b"} {
+		if s.only != "" && addr != s.only {
+			continue
+		}
+		if !strings.Contains(strings.Join(avoid, " "), addr) {
+			inc := types.Incarnation(s.net.gates[addr].Dump().(gate.Dump).Incarnation)
+			return claim.Target{BackendServer: addr, Process: types.ProcessID(addr), Address: addr, Incarnation: inc}, true
+		}
+	}
+	return claim.Target{}, false
+}
+
+func label(key, body string) claim.Call {
+	return claim.Call{
+		RequestID: "req-1", Service: "depot-apps", Organisation: "inch", Key: key,
+		Method: "POST", Path: "/labels", Body: []byte(body), Deadline: time.Now().Add(5 * time.Second),
+	}
+}
--- a/claim/sidecar.go
+++ b/claim/sidecar.go
@@ -50,7 +50,7 @@
 		Incarnation: uint64(claim.Target.Incarnation),
 	})
 	r := replyOf(resp)
-	if err != nil {
+	if err != nil || r.seen == SeenUnknown && !final(r.code) {
 		r = reply{seen: SeenUnreachable}
 	}
 	c.metrics.sidecar.WithLabelValues("void", r.seen.String()).Inc()
@@ -58,6 +58,12 @@
 	return r
 }
 
+// final reports whether a sidecar that can't tell never will. One whose memory
+// is full (overloaded) can leave the tombstone later.
+func final(code types.Code) bool {
+	return code == types.CodeIncarnation || code == types.CodeUnknownOutcome
+}
+
 // save writes final outcomes into the claim row, in the background. An attempt
 // that did not run is left as it is: this router is about to claim anew.
 func (c *Coordinator) save(key string, claim Record, r reply) {
--- a/claim/try.go
+++ b/claim/try.go
@@ -172,6 +172,9 @@
 	go func() { done <- t.c.send(context.WithoutCancel(ctx), t.key, claim, req) }()
 	select {
 	case r := <-done:
+		if r.seen == SeenNotRun && r.code != types.CodeTombstone {
+			t.avoid = append(t.avoid, t.claim.Target.BackendServer)
+		}
 		return t.heard(r)
 	case <-ctx.Done():
 		return Observation{Seen: SeenOutOfTime}
@@ -197,9 +200,6 @@
 // heard takes in a sidecar's word on t.row.
 func (t *try) heard(r reply) Observation {
 	t.answer = r.answer
-	if r.seen == SeenNotRun {
-		t.avoid = append(t.avoid, t.row.Target.BackendServer)
-	}
 	return Observation{Seen: r.seen, Code: r.code}
 }
 
