measure: recovery dial, texts under racing operators, leaving

Cause: the bars for texts (4 s) and for leaving (3 s) had no measurement over real processes, and nothing showed what the recovery dial buys for what it costs. Ruled out: the full cross of the dial's settings (an hour for each run on a shared machine); the settings are varied one at a time around a base, with some crosses.

--- /dev/null
+++ b/measure/admin.go
@@ -0,0 +1,29 @@
+package measure
+
+import (
+	"net/http"
+
+	adminpb "github.com/pearyard/pearyard/rpc/admin"
+)
+
+// bearer adds the administration token to calls.
+type bearer struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+adminToken)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// commands returns the administration API's commands at a router.
+func (s *site) commands(router int) adminpb.Commands {
+	return adminpb.NewCommandsProtobufClient(s.adminURL(router), &http.Client{Transport: bearer{}})
+}
+
+// queries returns the administration API's queries at a router.
+func (s *site) queries(router int) adminpb.Queries {
+	return adminpb.NewQueriesProtobufClient(s.adminURL(router), &http.Client{Transport: bearer{}})
+}
+
+func (s *site) adminURL(router int) string { return "http://" + s.routers[router].address["admin"] }
--- a/measure/caller.go
+++ b/measure/caller.go
@@ -26,6 +26,9 @@
 	maxEventBytes = 1 << 20
 )
 
+// errGone: the system says that the generation can't go on.
+var errGone = errors.New("measure: the generation is gone")
+
 // strategy is what a caller does when its answer breaks.
 type strategy int
 
@@ -59,6 +62,7 @@
 	arrivals      []arrival
 	interruptions []interruption
 	thrownAway    int
+	restarts      int // times that the answer began anew
 	lastID        string
 	requestID     string // of the newest connection
 	finished      bool
@@ -79,9 +83,10 @@
 		case <-time.After(returnPause):
 		}
 		c.interruptions = append(c.interruptions, interruption{at: time.Now(), have: len(c.texts)})
-		if c.strategy == startOver {
+		if c.strategy == startOver || errors.Is(c.err, errGone) {
 			c.thrownAway += len(c.texts)
 			c.texts, c.lastID = nil, ""
+			c.restarts++
 		}
 	}
 }
@@ -105,6 +110,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	c.requestID = resp.Header.Get(router.HeaderRequestID)
+	if resp.StatusCode == http.StatusGone {
+		return errGone
+	}
 	if resp.StatusCode != http.StatusOK {
 		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
 		return errors.Errorf("%d %s", resp.StatusCode, message)
--- a/measure/cause.go
+++ b/measure/cause.go
@@ -19,11 +19,12 @@
 	CauseRouterKilled  Cause = "router-killed"
 	CausePlannedStop   Cause = "planned-stop"
 	CauseTenthKilled   Cause = "tenth-killed"
+	CauseVMAndRouter   Cause = "vm-and-router-killed" // only a journal peer has the tokens then
 )
 
 // Causes lists them all.
 var Causes = []Cause{CauseEngineKilled, CauseEngineFrozen, CauseVMFrozen, CauseVMKilled, CauseCut,
-	CauseSidecarKilled, CauseRouterKilled, CausePlannedStop, CauseTenthKilled, CauseNone}
+	CauseSidecarKilled, CauseRouterKilled, CausePlannedStop, CauseTenthKilled, CauseVMAndRouter, CauseNone}
 
 // bars are the longest resume latencies wanted at p99, in milliseconds. That of
 // a killed engine comes on top of the stand-in's own prefill.
@@ -44,6 +45,11 @@
 		return victim.signal(syscall.SIGSTOP)
 	case CauseVMKilled:
 		return victim.signal(syscall.SIGKILL)
+	case CauseVMAndRouter:
+		if err := s.routers[0].signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		return victim.signal(syscall.SIGKILL)
 	case CauseCut:
 		victim.relay.set(func() { victim.relay.cut = true })
 	case CauseSidecarKilled:
@@ -92,5 +98,5 @@
 
 // kills says whether the cause ends engines, whose counters are then gone.
 func (c Cause) kills() bool {
-	return c == CauseEngineKilled || c == CauseVMKilled || c == CauseTenthKilled
+	return c == CauseEngineKilled || c == CauseVMKilled || c == CauseTenthKilled || c == CauseVMAndRouter
 }
--- a/measure/command.go
+++ b/measure/command.go
@@ -32,7 +32,7 @@
 			&cli.IntFlag{Name: flagRuns, Value: 5, Usage: "runs of each case"},
 			&cli.StringFlag{Name: flagJSON, Usage: "file for the result"},
 		},
-		Commands: []*cli.Command{resumeCommand(), streamCommand()},
+		Commands: []*cli.Command{resumeCommand(), dialCommand(), streamCommand(), configCommand(), leaveCommand()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -107,6 +107,46 @@
 	}
 }
 
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name: "config", Usage: "time until a text is in force everywhere while operators race",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "texts", Value: 5, Usage: "texts that each operator tries to apply in a run"}},
+		Action: func(c *cli.Context) error {
+			var results []ConfigResult
+			for range c.Int(flagRuns) {
+				result, err := Configure(c.Context, c.String(flagBin), c.Int("texts"), c.App.Writer)
+				if err != nil {
+					return errors.Wrap(err, "config")
+				}
+				results = append(results, result)
+			}
+			return report(c, results)
+		},
+	}
+}
+
+func leaveCommand() *cli.Command {
+	return &cli.Command{
+		Name: "leave", Usage: "time until a backend server that leaves gets no new work",
+		Action: func(c *cli.Context) error {
+			result, err := Leave(c.Context, c.String(flagBin), c.Int(flagRuns), c.App.Writer)
+			return errors.Wrap(firstError(report(c, result), err), "leave")
+		},
+	}
+}
+
+func dialCommand() *cli.Command {
+	return &cli.Command{
+		Name: "dial", Usage: "resume latency and extra resource use over settings of the recovery dial",
+		Action: func(c *cli.Context) error {
+			opts := DefaultResume()
+			opts.Bin, opts.Runs, opts.Progress = c.String(flagBin), c.Int(flagRuns), c.App.Writer
+			result, err := Dial(c.Context, opts)
+			return errors.Wrap(firstError(report(c, result), err), "dial")
+		},
+	}
+}
+
 func named[T ~string](names []string) []T {
 	var out []T
 	for _, name := range names {
--- a/measure/engines.go
+++ b/measure/engines.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,9 @@
 	address string
 	server  *http.Server
 
-	mu     sync.Mutex // guards writes
-	writes map[string]*writes
+	mu      sync.Mutex // guards all below
+	writes  map[string]*writes
+	arrived []time.Time // of requests
 }
 
 // writes are the times at which the tokens of one request left the engine.
@@ -58,10 +60,18 @@
 	noted := &writes{}
 	e.mu.Lock()
 	e.writes[request.ID] = noted
+	e.arrived = append(e.arrived, time.Now())
 	e.mu.Unlock()
 	return &notingWriter{ResponseWriter: w, noted: noted}
 }
 
+// begun returns when requests reached the engine, in their order.
+func (e *ownEngine) begun() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrived)
+}
+
 // of returns the times of a request's tokens, nil if it didn't run here.
 func (e *ownEngine) of(request string) []time.Time {
 	e.mu.Lock()
--- a/measure/resources.go
+++ b/measure/resources.go
@@ -13,6 +13,7 @@
 type Extra struct {
 	Delivered       int     `json:"tokens_delivered"`
 	ThrownAway      int     `json:"tokens_thrown_away"` // generated and not delivered
+	BegunAnew       int     `json:"answers_begun_anew"`
 	Prefilled       float64 `json:"tokens_prefilled"`
 	PrefilledAgain  float64 `json:"tokens_prefilled_for_resume"`
 	JournalTokens   float64 `json:"journal_tokens_sent"`
@@ -28,6 +29,7 @@
 	var out Extra
 	for _, c := range calls {
 		out.Delivered += len(c.texts)
+		out.BegunAnew += c.restarts
 	}
 	engines := s.engines()
 	fromDead := 0
--- a/measure/site.go
+++ b/measure/site.go
@@ -46,7 +46,8 @@
 	relays   bool // lead the way to each sidecar through a relay
 	times    engineTimes
 	recovery text.Recovery
-	own      []*ownEngine // engines of this process in place of stand-in processes
+	vmLag    time.Duration // of the platform's VM list
+	own      []*ownEngine  // engines of this process in place of stand-in processes
 }
 
 // backend is an engine with the sidecar beside it: one VM.
@@ -78,7 +79,7 @@
 }
 
 func (s *site) start(ctx context.Context) (err error) {
-	if s.platform, err = startProcess(s.opts.bin, programStandin, "platform", "platform"); err != nil {
+	if s.platform, err = startProcess(s.opts.bin, programStandin, "platform", "platform", "--vm-lag", s.opts.vmLag.String()); err != nil {
 		return err
 	}
 	at := httpapi.Options{Address: s.platform.address[soleAddress]}
