route: the prefix map names all holders of a block; two choices against herds

Cause: an empty entry's stamp 0 lies in the future since stamps wrap, so one entry of each bucket took all changes and a block had one known holder. TestPrefixMapNamesAllHolders fails on the code before (1 of 8). Change: empty entries are told by their key; the less loaded of two holders, and of four others, drawn by chance; slow start 5 s, because 10 s and more only cost first-token time in the model.

--- a/cmd/pearyard-bench-route/cases.go
+++ b/cmd/pearyard-bench-route/cases.go
@@ -26,6 +26,7 @@
 	noSlowFactor = 1e9
 	noAge        = 1000 * time.Hour
 	off          = 1e-9
+	soonReports  = 250 * time.Millisecond
 	lateReports  = 10 * time.Second
 	noBound      = 1e9
 )
@@ -51,28 +52,29 @@
 	tuned := func(name string, change func(*route.Tuning)) {
 		add(name, noFault, func(o *simOptions) { change(&o.tuning) })
 	}
-	add("affinity, no cache events", noFault, func(o *simOptions) { o.events = false })
-	add("affinity, nothing learnt", noFault, func(o *simOptions) { o.learn = false; o.events = false })
-	tuned("affinity, zone first", func(t *route.Tuning) { t.ZoneFirst = true })
-	tuned("affinity, bound only, no credit", func(t *route.Tuning) { t.PrefixCredit = off })
-	tuned("affinity, credit without bound", func(t *route.Tuning) { t.BoundFactor = noBound; t.BoundCeiling = noBound })
-	tuned("affinity, credit 0.02", func(t *route.Tuning) { t.PrefixCredit = 0.02 })
-	tuned("affinity, credit 0.1", func(t *route.Tuning) { t.PrefixCredit = 0.1 })
-	tuned("affinity, credit without limit", func(t *route.Tuning) { t.PrefixCredit = noBound })
-	tuned("affinity, the same, factor only", func(t *route.Tuning) { t.PrefixCredit = noBound; t.BoundCeiling = noBound })
-	tuned("affinity, factor 1.2", func(t *route.Tuning) { t.BoundFactor = 1.2 })
-	tuned("affinity, factor 2", func(t *route.Tuning) { t.BoundFactor = 2 })
-	tuned("affinity, floor 0.5", func(t *route.Tuning) { t.BoundFloor = 0.5 })
-	tuned("affinity, ceiling 0.8", func(t *route.Tuning) { t.BoundCeiling = 0.8 })
-	tuned("affinity, wait weight 0", func(t *route.Tuning) { t.WaitWeight = off })
-	tuned("affinity, wait weight 1", func(t *route.Tuning) { t.WaitWeight = 1 })
-	tuned("affinity, wait weight 6", func(t *route.Tuning) { t.WaitWeight = 6 })
-	tuned("affinity, report age ignored", func(t *route.Tuning) { t.ReportTau = noAge })
-	add("least load, wait weight 0", noFault, func(o *simOptions) { o.policy = route.LeastLoad; o.tuning.WaitWeight = off })
+	add("affinity; no cache events", noFault, func(o *simOptions) { o.events = false })
+	add("affinity; nothing learnt", noFault, func(o *simOptions) { o.learn = false; o.events = false })
+	tuned("affinity; zone first", func(t *route.Tuning) { t.ZoneFirst = true })
+	tuned("affinity; bound only, no credit", func(t *route.Tuning) { t.PrefixCredit = off })
+	tuned("affinity; credit without bound", func(t *route.Tuning) { t.BoundFactor = noBound; t.BoundCeiling = noBound })
+	tuned("affinity; credit 0.02", func(t *route.Tuning) { t.PrefixCredit = 0.02 })
+	tuned("affinity; credit 0.1", func(t *route.Tuning) { t.PrefixCredit = 0.1 })
+	tuned("affinity; credit without limit", func(t *route.Tuning) { t.PrefixCredit = noBound })
+	tuned("affinity; the same, factor only", func(t *route.Tuning) { t.PrefixCredit = noBound; t.BoundCeiling = noBound })
+	tuned("affinity; factor 1.2", func(t *route.Tuning) { t.BoundFactor = 1.2 })
+	tuned("affinity; factor 2", func(t *route.Tuning) { t.BoundFactor = 2 })
+	tuned("affinity; floor 0.5", func(t *route.Tuning) { t.BoundFloor = 0.5 })
+	tuned("affinity; ceiling 0.8", func(t *route.Tuning) { t.BoundCeiling = 0.8 })
+	tuned("affinity; wait weight 0", func(t *route.Tuning) { t.WaitWeight = off })
+	tuned("affinity; wait weight 1", func(t *route.Tuning) { t.WaitWeight = 1 })
+	tuned("affinity; wait weight 6", func(t *route.Tuning) { t.WaitWeight = 6 })
+	tuned("affinity; report age ignored", func(t *route.Tuning) { t.ReportTau = noAge })
+	add("least load; wait weight 0", noFault, func(o *simOptions) { o.policy = route.LeastLoad; o.tuning.WaitWeight = off })
 	late := func(o *simOptions) { o.reportEvery = lateReports }
-	add("affinity, reports each 10 s", noFault, late)
+	add("affinity; reports each 250 ms", noFault, func(o *simOptions) { o.reportEvery = soonReports })
+	add("affinity; reports each 10 s", noFault, late)
 	add("the same, age ignored", noFault, func(o *simOptions) { late(o); o.tuning.ReportTau = noAge })
-	add("least load, reports each 10 s", noFault, func(o *simOptions) { late(o); o.policy = route.LeastLoad })
+	add("least load; reports each 10 s", noFault, func(o *simOptions) { late(o); o.policy = route.LeastLoad })
 	add("the same, age ignored", noFault, func(o *simOptions) {
 		late(o)
 		o.policy = route.LeastLoad
@@ -80,25 +82,25 @@
 	})
 
 	policies(oneSlow, rate)
-	add("affinity, slow not avoided", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = noSlowFactor })
-	add("affinity, slow factor 2", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = 2 })
+	add("affinity; slow not avoided", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = noSlowFactor })
+	add("affinity; slow factor 2", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = 2 })
 
 	policies(oneStarted, rate)
-	add("affinity, no slow start", oneStarted, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
-	add("least load, no slow start", oneStarted, func(o *simOptions) {
+	add("affinity; no slow start", oneStarted, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
+	add("least load; no slow start", oneStarted, func(o *simOptions) {
 		o.policy = route.LeastLoad
 		o.tuning.SlowStart = noSlowStart
 	})
 
 	policies(zoneGone, rate)
 	policies(zoneLost, rate)
-	add("affinity, no slow start", zoneLost, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
-	add("affinity, slow start 20 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 20 * time.Second })
-	add("affinity, slow start 40 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 40 * time.Second })
+	add("affinity; no slow start", zoneLost, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
+	add("affinity; slow start 20 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 20 * time.Second })
+	add("affinity; slow start 10 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 10 * time.Second })
 
 	policies(tenthDies, rate*fullRate)
-	add("affinity, retries without budget", tenthDies, func(o *simOptions) { o.unbounded = true; o.rate = rate * fullRate })
-	add("two, retries without budget", tenthDies, func(o *simOptions) {
+	add("affinity; retries without budget", tenthDies, func(o *simOptions) { o.unbounded = true; o.rate = rate * fullRate })
+	add("two; retries without budget", tenthDies, func(o *simOptions) {
 		o.unbounded = true
 		o.policy = route.PowerOfTwo
 		o.rate = rate * fullRate
--- a/cmd/pearyard-bench-route/router.go
+++ b/cmd/pearyard-bench-route/router.go
@@ -12,16 +12,15 @@
 
 // Model of the way between routers and runners.
 const (
-	zoneHop      = time.Millisecond // one way between zones
-	reportEvery  = time.Second
-	reportLag    = 300 * time.Millisecond
-	eventsEvery  = time.Second
-	eventsLag    = 2 * time.Second
-	eventsLost   = 0.1 // of the batches
-	viewLag      = 1500 * time.Millisecond
-	maxTries     = 4 // after the first, since the caller came
-	maxReturns   = 5
-	runnerMeanUp = 0.9 // load at which RetryAfter is told that the service is full
+	zoneHop     = time.Millisecond // one way between zones
+	reportEvery = time.Second
+	reportLag   = 300 * time.Millisecond
+	eventsEvery = time.Second
+	eventsLag   = 2 * time.Second
+	eventsLost  = 0.1 // of the batches
+	viewLag     = 1500 * time.Millisecond
+	maxTries    = 4 // after the first, since the caller came
+	maxReturns  = 5
 )
 
 // router is one router with its own view; it runs the real policy.
@@ -122,7 +121,7 @@
 		r.sim.result.gaveUp++
 		return
 	}
-	wait := retry.RetryAfter(r.sim.meanLoad() / runnerMeanUp)
+	wait := retry.RetryAfter(r.view.Load())
 	r.sim.clock.after(wait, func() { r.sim.anyRouter().ask(q) })
 }
 
--- a/cmd/pearyard-bench-route/sim.go
+++ b/cmd/pearyard-bench-route/sim.go
@@ -123,18 +123,6 @@
 
 func (s *sim) anyRouter() *router { return s.routers[s.rand.IntN(len(s.routers))] }
 
-// meanLoad is the mean of the runners' loads in parts of the batch.
-func (s *sim) meanLoad() float64 {
-	load, n := 0, 0
-	for _, r := range s.runners {
-		if r.alive {
-			load += r.load()
-			n++
-		}
-	}
-	return float64(load) / float64(max(1, n)*batchSize)
-}
-
 func (s *sim) reports() {
 	for _, r := range s.runners {
 		if !r.alive {
--- a/route/affinity.go
+++ b/route/affinity.go
@@ -27,7 +27,7 @@
 			return p.finish(p.count(home, reasonHome))
 		}
 	}
-	free := p.least(a.pool(&p))
+	free := p.leastOfFew(a.pool(&p))
 	if held != nil && (free == nil || cost <= p.score(free)) {
 		return p.finish(p.count(held, reasonHolder))
 	}
@@ -67,8 +67,19 @@
 	return best, bestCost
 }
 
-// leastOf returns the least loaded of the named candidates within the bound.
+// holderDraws is how many holders of one block are compared.
+const holderDraws = 2
+
+// leastOf returns the less loaded one of two of the named candidates, drawn by
+// chance, if it is within the bound. It isn't the least loaded of all, for the
+// reason given at leastOfFew.
 func (a *affinity) leastOf(p *pick, handles []uint32, bound float64) (*Candidate, float64) {
+	for len(handles) > holderDraws {
+		i := int(p.rand() % uint64(len(handles)))
+		last := len(handles) - 1
+		handles[i] = handles[last]
+		handles = handles[:last]
+	}
 	var best *Candidate
 	for _, handle := range handles {
 		c, ok := p.v.handles[handle]
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -116,6 +116,11 @@
 // Len returns the number of candidates.
 func (v *View) Len() int { return len(v.candidates) }
 
+// Load returns the mean load of the candidates that aren't slow, in parts of
+// what they can take at present, as of a policy's last renewal; 1 and more means
+// that requests wait. retry.RetryAfter takes it.
+func (v *View) Load() float64 { return v.sum.score.load() }
+
 // Subset returns size of the members, chosen by rendezvous hashing of the
 // router's name: it depends on nothing but its arguments, a member that comes
 // or goes changes one place at the most, and each member is in about the same
--- a/route/load.go
+++ b/route/load.go
@@ -42,20 +42,12 @@
 		return own + waiting + meanOthers
 	}
 	weight := b.weight(at, now)
-	return own + waiting + weight*s.others(own) + (1-weight)*meanOthers
+	return own + waiting + weight*s.others() + (1-weight)*meanOthers
 }
 
-// others estimates what other routers have at the candidate. Since the report
-// they have seen the same gap in its load as this router and have filled it
-// likewise, so their part is taken to have grown in the proportion of the own.
-// Without this, routers that agree on a prefix's home overfill it together.
-func (s *Stats) others(own float64) float64 {
-	ownThen := s.ownAtRep.Load()
-	others := float64(max(0, s.reported.Load()-ownThen))
-	if grown := own - float64(ownThen); grown > 0 {
-		others += others * grown / float64(max(1, ownThen))
-	}
-	return others
+// others is what other routers have at the candidate, as of the last report.
+func (s *Stats) others() float64 {
+	return float64(max(0, s.reported.Load()-s.ownAtRep.Load()))
 }
 
 // weight of a report falls from 1 with its age, to a half at ReportTau.
@@ -116,7 +108,7 @@
 			continue
 		}
 		weight := b.weight(at, now)
-		sum += weight * c.Stats.others(float64(c.Stats.inFlight.Load()))
+		sum += weight * c.Stats.others()
 		weights += weight
 	}
 	if weights > 0 {
--- a/route/pick.go
+++ b/route/pick.go
@@ -129,6 +129,33 @@
 	return p.least(pool)
 }
 
+// fewDraws is how many candidates leastOfFew compares.
+const fewDraws = 4
+
+// leastOfFew returns the best one of a few usable candidates drawn by chance.
+// Routers that all take the very least loaded one take the same one until the
+// next reports; the more routers, the longer the queue that they build there.
+func (p *pick) leastOfFew(pool []*Candidate) *Candidate {
+	if len(pool) <= fewDraws {
+		return p.least(pool)
+	}
+	var best *Candidate
+	var bestScore float64
+	for range fewDraws {
+		c := pool[p.rand()%uint64(len(pool))]
+		if !p.usable(c) {
+			continue
+		}
+		if score := p.score(c); best == nil || score < bestScore {
+			best, bestScore = c, score
+		}
+	}
+	if best == nil {
+		return p.least(pool)
+	}
+	return best
+}
+
 // quietest returns the candidate on which the crash of an engine would hurt
 // least: no other suspect on it, and few requests. A suspect may take a slow one.
 func (p *pick) quietest() *Candidate {
--- a/route/policy.go
+++ b/route/policy.go
@@ -120,7 +120,7 @@
 // DefaultTuning returns the measured defaults.
 func DefaultTuning() Tuning {
 	return Tuning{
-		SlowStart:      10 * time.Second,
+		SlowStart:      5 * time.Second,
 		SlowStartFloor: 0.1,
 		SlowFactor:     3,
 		ProbeEvery:     5 * time.Second,
--- a/route/prefixmap.go
+++ b/route/prefixmap.go
@@ -72,20 +72,33 @@
 // put notes that handle holds key.
 func (m *prefixMap) put(key uint64, handle, stamp uint32) {
 	b := m.bucket(key)
-	victim := &b[0]
 	for i := range b {
-		e := &b[i]
-		have, seen := unpack(e.value.Load())
-		if e.key.Load() == key && have == handle {
-			e.value.Store(pack(handle, stamp))
+		have, _ := unpack(b[i].value.Load())
+		if b[i].key.Load() == key && have == handle {
+			b[i].value.Store(pack(handle, stamp))
 			return
 		}
-		if _, oldestSeen := unpack(victim.value.Load()); before(seen, oldestSeen) {
-			victim = e
+	}
+	e := b.victim()
+	e.key.Store(key)
+	e.value.Store(pack(handle, stamp))
+}
+
+// victim returns an empty entry, or the one seen least recently. Emptiness is
+// told by the key: the stamp of an empty entry, 0, may be in the future as
+// stamps wrap, and then one entry of each bucket would take all the changes.
+func (b *bucket) victim() *entry {
+	oldest := &b[0]
+	for i := range b {
+		if b[i].key.Load() == 0 {
+			return &b[i]
+		}
+		_, seen := unpack(b[i].value.Load())
+		if _, oldestSeen := unpack(oldest.value.Load()); before(seen, oldestSeen) {
+			oldest = &b[i]
 		}
 	}
-	victim.key.Store(key)
-	victim.value.Store(pack(handle, stamp))
+	return oldest
 }
 
 // drop forgets that handle holds key, unless that was noted after limit.
--- a/route/view_test.go
+++ b/route/view_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -85,3 +86,20 @@
 	g.Expect(m.has(1, 0)).To(BeFalse(), "the oldest made room")
 	g.Expect(len(m.buckets) * ways).To(Equal(1024))
 }
+
+// Callers of a hot prompt wait for prefills though several runners hold its
+// prefix: the map named one of them only. Stamps wrap, an empty entry's stamp
+// lay in the future, and each note took the place of the one before.
+func TestPrefixMapNamesAllHolders(t *testing.T) {
+	g := NewWithT(t)
+	for _, now := range []uint32{1, 1 << 30, stampOf(testEpoch.UnixNano()), math.MaxUint32} {
+		m := newPrefixMap(1024)
+		for handle := range uint32(ways) {
+			m.put(42, handle, now)
+		}
+		var handles [ways]uint32
+		g.Expect(m.holders(42, now-1, &handles)).To(Equal(ways), "stamp %d", now)
+		m.drop(42, 3, now+1)
+		g.Expect(m.holders(42, now-1, &handles)).To(Equal(ways - 1))
+	}
+}
