--- a/claim/batch.go
+++ b/claim/batch.go
@@ -29,6 +29,8 @@
 // batcher gathers writes into transactions: the table service takes several
 // hundred writes a second, however many rows are in each.
 type batcher struct {
+	kind    string // label of its metrics
+	wait    time.Duration
 	opts    Options
 	metrics *metrics
 	queue   chan *write
@@ -37,8 +39,10 @@
 	stopped chan struct{}
 }
 
-func newBatcher(opts Options, m *metrics) *batcher {
+func newBatcher(kind string, wait time.Duration, opts Options, m *metrics) *batcher {
 	return &batcher{
+		kind:    kind,
+		wait:    wait,
 		opts:    opts,
 		metrics: m,
 		queue:   make(chan *write, opts.MaxBatch*opts.Commits),
@@ -98,7 +102,7 @@
 	}
 }
 
-// gather waits for a first write, then for others, at most MaxWait and up to MaxBatch.
+// gather waits for a first write, then for others, at most its wait and up to MaxBatch.
 func (b *batcher) gather(ctx context.Context) ([]*write, error) {
 	batch, keys := b.takeHeld()
 	if len(batch) == 0 {
@@ -109,7 +113,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	timer := time.NewTimer(b.opts.MaxWait)
+	timer := time.NewTimer(b.wait)
 	defer timer.Stop()
 	for len(batch) < b.opts.MaxBatch && len(b.held) < b.opts.MaxBatch {
 		select {
@@ -167,15 +171,15 @@
 func (b *batcher) commitOnce(ctx context.Context, batch []*write) (Seen, []string) {
 	ctx, cancel := context.WithTimeout(ctx, b.opts.CommitTimeout)
 	defer cancel()
-	b.metrics.batch.Observe(float64(len(batch)))
+	b.metrics.batch.WithLabelValues(b.kind).Observe(float64(len(batch)))
 	err := b.opts.Table.Commit(ctx, txnOf(batch))
 	seen, keys := classify(err)
-	b.metrics.commits.WithLabelValues(seen.String()).Inc()
+	b.metrics.commits.WithLabelValues(b.kind, seen.String()).Inc()
 	switch seen {
 	case SeenAmbiguous:
-		b.opts.Recorder.Emit(EventCommitAmbiguous, "claims", len(batch), "err", err)
+		b.opts.Recorder.Emit(EventCommitAmbiguous, "kind", b.kind, "rows", len(batch), "err", err)
 	case SeenTableDown:
-		b.opts.Recorder.Emit(EventTableDown, "claims", len(batch), "err", err)
+		b.opts.Recorder.Emit(EventTableDown, "kind", b.kind, "rows", len(batch), "err", err)
 	}
 	return seen, keys
 }
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -56,7 +56,19 @@
 			for range callers {
 				<-done
 			}
-			b.ReportMetric(float64(b.N)/float64(table.commits.Load()), "claims/commit")
+			b.StopTimer()
+			for c.Dump().(claim.Dump).QueuedSaves > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(4 * claim.DefaultSaveWait)
+			saved := 0
+			for _, record := range table.claims() {
+				if record.State == claim.RecordCompleted {
+					saved++
+				}
+			}
+			b.ReportMetric(float64(saved)/float64(b.N), "saved/call")
+			b.ReportMetric(float64(b.N)/float64(table.commits.Load()), "calls/commit")
 			b.ReportMetric(float64(failed.Load()), "failed")
 		})
 	}
--- a/claim/coordinator.go
+++ b/claim/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -19,6 +20,7 @@
 const (
 	DefaultMaxBatch      = 64
 	DefaultMaxWait       = 2 * time.Millisecond
+	DefaultSaveWait      = 250 * time.Millisecond
 	DefaultCommits       = 4
 	DefaultCommitTimeout = 2 * time.Second
 	DefaultReadTimeout   = time.Second
@@ -48,6 +50,7 @@
 
 	MaxBatch      int           // claims in one transaction
 	MaxWait       time.Duration // that a claim waits for others
+	SaveWait      time.Duration // that a final outcome waits for others; nobody waits for it
 	Commits       int           // transactions under way at once
 	CommitTimeout time.Duration // after which a commit counts as ambiguous
 	ReadTimeout   time.Duration
@@ -78,21 +81,24 @@
 // Coordinator runs calls at most once on behalf of one router.
 type Coordinator struct {
 	opts     Options
-	batcher  *batcher
+	claims   *batcher
+	saves    *batcher
 	finisher *finisher
 	sweeper  *sweeper
 	metrics  *metrics
+	inFlight atomic.Int64
 }
 
 // New returns a coordinator; Run must run for Do to get answers.
 func New(opts Options) *Coordinator {
 	opts = withDefaults(opts)
 	m := newMetrics(opts.Registerer)
-	b := newBatcher(opts, m)
+	saves := newBatcher("save", opts.SaveWait, opts, m)
 	return &Coordinator{
 		opts:     opts,
-		batcher:  b,
-		finisher: newFinisher(opts, b, m),
+		claims:   newBatcher("claim", opts.MaxWait, opts, m),
+		saves:    saves,
+		finisher: newFinisher(opts, saves, m),
 		sweeper:  newSweeper(opts, m),
 		metrics:  m,
 	}
@@ -103,7 +109,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	for _, actor := range []func(context.Context) error{c.batcher.run, c.finisher.run, c.sweeper.run} {
+	for _, actor := range []func(context.Context) error{c.claims.run, c.saves.run, c.finisher.run, c.sweeper.run} {
 		group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 	}
 	return group.Run()
@@ -113,16 +119,37 @@
 // try: not-run means that no attempt of this try ran or ever will. It says
 // nothing of an earlier try under the same key whose claim could not be read.
 func (c *Coordinator) Do(ctx context.Context, call Call, pick Pick) (plain.Answer, *types.Refusal) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
 	t := newTry(c, call, pick)
 	answer, refusal := t.run(ctx)
 	c.metrics.answered(refusal)
 	return answer, refusal
 }
 
+// Dump is the coordinator's state as operators see it.
+type Dump struct {
+	InFlight     int `json:"in_flight"`     // tries under way
+	QueuedClaims int `json:"queued_claims"` // that wait for a transaction
+	QueuedSaves  int `json:"queued_saves"`  // outcomes that wait to be written
+	Commits      int `json:"claim_commits"` // transactions of claims under way
+}
+
+// Dump returns the coordinator's state.
+func (c *Coordinator) Dump() any {
+	return Dump{
+		InFlight:     int(c.inFlight.Load()),
+		QueuedClaims: len(c.claims.queue),
+		QueuedSaves:  len(c.finisher.queue),
+		Commits:      len(c.claims.slots),
+	}
+}
+
 func withDefaults(o Options) Options {
 	setCount(&o.MaxBatch, DefaultMaxBatch)
 	setCount(&o.Commits, DefaultCommits)
 	setTime(&o.MaxWait, DefaultMaxWait)
+	setTime(&o.SaveWait, DefaultSaveWait)
 	setTime(&o.CommitTimeout, DefaultCommitTimeout)
 	setTime(&o.ReadTimeout, DefaultReadTimeout)
 	setTime(&o.VoidTimeout, DefaultVoidTimeout)
--- a/claim/failure_test.go
+++ b/claim/failure_test.go
@@ -95,6 +95,25 @@
 	})
 }
 
+// A label was printed and its answer lost; on the caller's next try the table
+// goes down right after it said that the key is taken. "Not run" would have the
+// label printed by hand: the caller hears "unknown" and may come back.
+func TestKnownEarlierTryIsNotDenied(t *testing.T) {
+	atSite(t, func(s *site) {
+		g := gomega.NewWithT(t)
+		r := s.router("r1")
+		_, refusal := r.Do(s.ctx, label("k", "lorry 7"), s.pick)
+		g.Expect(refusal).To(gomega.BeNil())
+		s.table.set(false, func(int) (error, bool) {
+			s.table.down = true
+			return nil, false
+		})
+		_, refusal = r.Do(s.ctx, label("k", "lorry 7"), s.pick)
+		g.Expect(refusal.Outcome).To(gomega.Equal(types.OutcomeUnknown))
+		g.Expect(refusal.RetryAfter).NotTo(gomega.BeZero())
+	})
+}
+
 // The commit is ambiguous and took effect, then the table goes down: the caller
 // hears "not run". The next try finds the orphan claim, has it voided and runs.
 func TestOrphanClaimIsVoided(t *testing.T) {
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -12,7 +12,7 @@
 
 const (
 	saveQueue   = 4096 // outcomes that wait to be written
-	saveWorkers = 32   // of them read and written at once
+	saveWorkers = 64   // of them read and written at once: a full transaction
 	saveTries   = 3
 	savePause   = 200 * time.Millisecond
 )
--- a/claim/metrics.go
+++ b/claim/metrics.go
@@ -20,7 +20,7 @@
 	answers *prometheus.CounterVec
 	claims  *prometheus.CounterVec
 	commits *prometheus.CounterVec
-	batch   prometheus.Histogram
+	batch   *prometheus.HistogramVec
 	sidecar *prometheus.CounterVec
 	saves   *prometheus.CounterVec
 	swept   prometheus.Counter
@@ -30,11 +30,11 @@
 	m := &metrics{
 		answers: counters("answers_total", "Answers to calls that may not be repeated.", "outcome", "code"),
 		claims:  counters("claims_total", "Claims by what came of the write.", "result"),
-		commits: counters("commits_total", "Transactions of claims by what came of them.", "result"),
-		batch: prometheus.NewHistogram(prometheus.HistogramOpts{
+		commits: counters("commits_total", "Transactions by what is written and what came of them.", "kind", "result"),
+		batch: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "pearyard", Subsystem: "claim", Name: "batch_size",
-			Help: "Claims in one transaction.", Buckets: []float64{1, 2, 4, 8, 16, 32, 64},
-		}),
+			Help: "Rows in one transaction, by what is written.", Buckets: []float64{1, 2, 4, 8, 16, 32, 64},
+		}, []string{"kind"}),
 		sidecar: counters("sidecar_answers_total", "Sidecars' answers to dispatches and voids.", "question", "answer"),
 		saves:   counters("saves_total", "Final outcomes written into claim rows.", "result"),
 		swept: prometheus.NewCounter(prometheus.CounterOpts{
--- a/claim/model_answers_test.go
+++ b/claim/model_answers_test.go
@@ -102,6 +102,12 @@
 
 // observe lets a try decide by the real code and takes its decision in.
 func (w world) observe(s setting, i int, o claim.Observation, name string, yield func(string, world)) {
+	if s.off == resendOff && w.tries[i].state.Phase == claim.PhaseDispatch && o.Seen == claim.SeenLost {
+		n := w
+		n.tries[i].waiting, n.tries[i].step = false, claim.StepDispatch
+		yield("call sent again", n)
+		return
+	}
 	o.Fresh = unwritten(i)
 	before := w.tries[i].state
 	state, action := claim.Next(before, weakenTry(s.off, before, o))
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -36,6 +36,7 @@
 	casOff          guard = "compare-and-swap"
 	readBackOff     guard = "read-back"
 	noResendOff     guard = "no resend"
+	resendOff       guard = "no resend of the same attempt"
 	oneTagOff       guard = "one write for one tag"
 	savedAttemptOff guard = "attempt checked when an outcome is saved"
 )
@@ -325,4 +326,3 @@
 func (w *world) putClaim(a uint8) {
 	w.row = row{there: true, state: claim.RecordClaimed, attempt: a, version: w.row.version + 1}
 }
-
--- a/claim/search_test.go
+++ b/claim/search_test.go
@@ -83,7 +83,7 @@
 func TestEachGuardIsNeeded(t *testing.T) {
 	for _, off := range []guard{
 		tombstoneOff, callIncOff, voidIncOff, deadlineOff, forgottenOff, forgottenCall,
-		fullOff, casOff, readBackOff, noResendOff, oneTagOff, savedAttemptOff,
+		fullOff, casOff, readBackOff, noResendOff, resendOff, oneTagOff, savedAttemptOff,
 	} {
 		t.Run(string(off), func(t *testing.T) {
 			s := setting{tries: 2, sides: 1, tags: 2, restarts: 1, times: 1, off: off}
--- a/claim/try.go
+++ b/claim/try.go
@@ -112,7 +112,7 @@
 		Deadline:    t.deadline,
 		Fingerprint: t.state.Fingerprint,
 	}
-	return Observation{Seen: t.c.batcher.claim(ctx, t.key, t.state.Version, t.claim)}, nil
+	return Observation{Seen: t.c.claims.claim(ctx, t.key, t.state.Version, t.claim)}, nil
 }
 
 // noBackend: nothing of this try is dispatched, or its attempts are proved not to run.
--- a/gate/calls.go
+++ b/gate/calls.go
@@ -135,7 +135,7 @@
 		c.opts.Recorder.Emit(EventCallRefused, event.FieldRequest, req.GetRequestId(), "claim", ref.Key, "attempt", req.GetAttempt(), "code", code)
 		return refused(code)
 	case Admit:
-		go c.serve(context.WithoutCancel(ctx), e, callOf(req))
+		go c.serve(context.WithoutCancel(ctx), e, req)
 	}
 	return c.wait(ctx, e)
 }
@@ -167,15 +167,15 @@
 
 // serve hands an admitted call to the service. It goes on when the caller has
 // left: a call cut off half-way has an unknown outcome, one that ends has not.
-func (c *Calls) serve(ctx context.Context, e *entry, call plain.Call) {
+func (c *Calls) serve(ctx context.Context, e *entry, req *streampb.CallRequest) {
 	defer c.inFlight.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, e.deadline.Sub(c.opts.Clock())+c.opts.AnswerGrace)
 	defer cancel()
-	answer, err := c.opts.Service.Do(ctx, call)
+	answer, err := c.opts.Service.Do(ctx, callOf(req))
 	state := stateOf(err)
 	if state != Completed {
 		c.memory.settle(e, state, nil)
-		c.opts.Recorder.Emit(EventCallFailed, "claim", e.id.claim, "attempt", e.id.attempt, "err", err)
+		c.opts.Recorder.Emit(EventCallFailed, event.FieldRequest, req.GetRequestId(), "claim", e.id.claim, "attempt", e.id.attempt, "err", err)
 		return
 	}
 	c.memory.settle(e, Completed, &answer)
--- a/gate/calls_test.go
+++ b/gate/calls_test.go
@@ -184,6 +184,8 @@
 	req := &streampb.CallRequest{Method: "GET", Path: "/stock"}
 	expect(t, c.Call(t.Context(), req), completed, "")
 	gomega.NewWithT(t).Expect(c.Dump().(gate.Dump).Attempts).To(gomega.BeEmpty())
+	late := &streampb.CallRequest{Method: "GET", Path: "/stock", DeadlineUnixMs: time.Now().UnixMilli()}
+	expect(t, c.Call(t.Context(), late), notRun, types.CodeDeadline)
 	leaving.Store(true)
 	expect(t, c.Call(t.Context(), req), notRun, types.CodeLeaving)
 }
