--- a/config/record.go
+++ b/config/record.go
@@ -122,6 +122,11 @@
 }
 
 // entry returns one history entry, platform.ErrNotFound if there is none.
+// Entry returns the history row of one accepted revision.
+func (s *Store) Entry(ctx context.Context, rev types.Revision) (Entry, error) {
+	return s.entry(ctx, rev)
+}
+
 func (s *Store) entry(ctx context.Context, rev types.Revision) (Entry, error) {
 	row, err := s.opts.Table.Get(ctx, historyKey(rev))
 	if err != nil {
--- a/node/admin.go
+++ b/node/admin.go
@@ -29,7 +29,7 @@
 	server, err := admin.New(admin.Options{
 		Token: r.opts.AdminToken, Process: r.opts.ID, Texts: texts{r},
 		InForce: r.inForce, Members: r.adminMembers, Quarantines: r.quarantines,
-		Stopper: stopper{r}, Recorder: r.recorder, Registerer: r.registry, HTTP: r.peer.Client(),
+		Backends: r.backends, Stopper: stopper{r}, Recorder: r.recorder, Registerer: r.registry, HTTP: r.peer.Client(),
 	})
 	r.admin = server
 	return err
@@ -44,9 +44,9 @@
 	if err != nil {
 		return 0, found, t.failure(ctx, err)
 	}
-	if _, err := t.r.holder.Offer(rev, change.Raw); err != nil {
-		return rev, found, err
-	}
+	// The text is accepted whatever comes now: an error here would tell the
+	// operator that it isn't. The holder logs what it can't take.
+	_, _ = t.r.holder.Offer(rev, change.Raw)
 	go t.r.push()
 	return rev, found, nil
 }
@@ -60,12 +60,8 @@
 func (t texts) failure(ctx context.Context, err error) error {
 	var race *config.RaceError
 	if errors.As(err, &race) {
-		winner, loadErr := t.Load(ctx, race.Winner)
-		if loadErr != nil {
-			winner = admin.Text{Revision: race.Winner}
-		}
-		winner.Who = race.By
-		return &admin.RaceError{Winner: winner}
+		winner := admin.Text{Revision: race.Winner, Who: race.By, Note: race.Note}
+		return &admin.RaceError{Winner: winner, Diff: race.Diff}
 	}
 	var undecided *config.UndecidedError
 	if errors.As(err, &undecided) {
@@ -84,14 +80,8 @@
 		return admin.Text{}, err
 	}
 	out := admin.Text{Revision: revision, Raw: raw}
-	entries, err := t.r.store.History(ctx, config.RevisionsKept)
-	if err != nil {
-		return out, nil // the text matters more than who accepted it
-	}
-	for _, e := range entries {
-		if e.Revision == revision {
-			out.Who, out.Note, out.At = e.By, e.Note, e.At
-		}
+	if e, err := t.r.store.Entry(ctx, revision); err == nil { // the text matters more than who accepted it
+		out.Base, out.Who, out.Note, out.At = e.Base, e.By, e.Note, e.At
 	}
 	return out, nil
 }
@@ -104,7 +94,7 @@
 	}
 	out := make([]admin.Text, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, admin.Text{Revision: e.Revision, Base: e.Revision - 1, Who: e.By, Note: e.Note, At: e.At})
+		out = append(out, admin.Text{Revision: e.Revision, Base: e.Base, Who: e.By, Note: e.Note, At: e.At})
 	}
 	return out, nil
 }
@@ -121,10 +111,33 @@
 	view := r.members.Snapshot()
 	out := make([]admin.Member, 0, len(view.Members))
 	for _, m := range view.Members {
-		out = append(out, admin.Member{
+		member := admin.Member{
 			Process: m.ID, Role: m.Role, Zone: m.Zone, Address: m.Address, BackendServer: m.BackendServer,
 			State: admin.State(m.State), Incarnation: m.Incarnation, Revision: m.Revision,
-		})
+		}
+		if m.ID == r.opts.ID {
+			member.InFlight = r.router.Streams()
+		}
+		if load, own, ok := r.router.LoadOf(m.BackendServer); ok {
+			member.InFlight, member.Load = own, load
+		}
+		out = append(out, member)
+	}
+	return out
+}
+
+// backends lists the backend servers of the text in force, so that one whose
+// sidecar was never heard of is named as absent.
+func (r *Router) backends() []admin.Backend {
+	in := r.text()
+	if in == nil {
+		return nil
+	}
+	var out []admin.Backend
+	for i := range in.Services {
+		for _, b := range in.Services[i].BackendServers {
+			out = append(out, admin.Backend{Name: b.Name, Zone: types.Zone(b.Zone), Address: b.Sidecar})
+		}
 	}
 	return out
 }
--- a/node/router.go
+++ b/node/router.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 
 	"github.com/oklog/run"
 
@@ -10,6 +12,7 @@
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/inspect"
+	"github.com/pearyard/pearyard/journal"
 	"github.com/pearyard/pearyard/lease"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/membership"
@@ -56,6 +59,7 @@
 		return nil, err
 	}
 	b.inspect.Add("router", r.router.Dump)
+	b.inspect.Add("orders", func() any { return r.orders.Dump() })
 	b.inspect.Add("lease", func() any { return r.keeper.Dump() })
 	b.inspect.Add(inspect.SectionDrain, func() any { return r.router.Drain() })
 	server := streampb.NewRouterServer(routerService{r})
@@ -80,7 +84,7 @@
 
 func (r *Router) newOrders() {
 	r.keeper = lease.New(lease.Options{
-		Table: r.opts.Platform.Table, Name: ordersLease, Holder: string(r.opts.ID),
+		Table: r.opts.Platform.Table, Name: ordersLease, Holder: fmt.Sprintf("%s@%d", r.opts.ID, r.peer.Self().Incarnation), Candidate: r.leaseCandidate,
 		Recorder: r.recorder, Registerer: r.registry,
 	})
 	client := r.peer.Client()
@@ -94,6 +98,20 @@
 	})
 }
 
+// leaseCandidates is how many routers wait for a lease, so that hundreds of
+// them don't read its row all the time.
+const leaseCandidates = 5
+
+// leaseCandidate reports whether this router is among those that wait.
+func (r *Router) leaseCandidate() bool {
+	var sites []journal.Site
+	for _, m := range r.routers() {
+		sites = append(sites, journal.Site{Address: m.Address, Zone: m.Zone})
+	}
+	key := types.KeyOf("", ordersLease)
+	return slices.Contains(journal.Place(key, sites, leaseCandidates, ""), r.Address())
+}
+
 // changed lists the channels that are closed when the views must be rebuilt.
 func (r *Router) changed() []<-chan struct{} {
 	return []<-chan struct{}{r.holder.Changed(), r.members.Changed()}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -76,8 +76,10 @@
 	})
 	b.inspect.Add("sidecar", s.sidecar.Dump)
 	b.inspect.Add("journal", func() any { return s.journal.Dump() })
+	b.inspect.Add("journal_writer", func() any { return s.writer.Load().Dump() })
 	b.inspect.Add(inspect.SectionDrain, func() any { return s.sidecar.Drain() })
 	if guard != nil {
+		b.inspect.Add("orders", func() any { return guard.Dump() })
 		b.mux.Handle(orderpb.OrdersPathPrefix, orderpb.NewOrdersServer(order.NewServer(guard)))
 	}
 	b.mux.Handle(journalpb.JournalPathPrefix, journalpb.NewJournalServer(journal.NewServer(s.journal)))
@@ -154,6 +156,7 @@
 	s.actors(&group)
 	actor(&group, s.sidecar.Run)
 	actor(&group, s.journal.Run)
+	actor(&group, s.followText)
 	actor(&group, func(actorCtx context.Context) error { return s.untilDrained(ctx, actorCtx) })
 	return group.Run()
 }
@@ -180,6 +183,21 @@
 	return nil
 }
 
+// followText applies each new text to the parts that keep something of it.
+func (s *Sidecar) followText(ctx context.Context) error {
+	for {
+		changed := s.holder.Changed()
+		if in := s.text(); in != nil {
+			s.journal.SetRetain(in.Recovery.Retain())
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // journalSender sends journal batches to other sidecars.
 type journalSender struct{ http *http.Client }
 
--- a/router/reattach.go
+++ b/router/reattach.go
@@ -22,6 +22,7 @@
 	// don't know the generation.
 	askAllUpTo       = 64
 	reserveTimeout   = 300 * time.Millisecond
+	reservePause     = 20 * time.Millisecond
 	askAllTimeout    = 500 * time.Millisecond
 	lostRetryAfter   = time.Second
 	unsureRetryAfter = 2 * time.Second
@@ -29,15 +30,29 @@
 
 // reserve finds out whether the caller's idempotency key already has a
 // generation. It returns the generation to use, and whether it is another's.
+//
+// Failure it stops: the same request sent through two routers at once runs
+// twice. The router that comes second finds the first one's reservation before
+// its backend server has registered, and waits a little for that. What the
+// wait doesn't catch costs an engine's work, never a mixed answer.
 func (d *drive) reserve(ctx context.Context) (attach bool) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	found, err := d.r.journal.FindKey(ctx, d.id, d.journalPeers())
-	if err != nil || !found.Known || found.Runner == "" {
-		return false
+	for {
+		found, err := d.r.journal.FindKey(ctx, d.id, d.journalPeers())
+		if err != nil || !found.Known {
+			return false
+		}
+		if found.Runner != "" {
+			d.id = found.Generation
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(reservePause):
+		}
 	}
-	d.id = found.Generation
-	return true
 }
 
 func (d *drive) journalPeers() []string {
--- a/router/router.go
+++ b/router/router.go
@@ -113,6 +113,23 @@
 	return total
 }
 
+// LoadOf returns the newest load report of a backend server and how many of
+// this router's requests run there; false if it is no candidate.
+func (r *Router) LoadOf(backendServer string) (*types.Load, int, bool) {
+	for _, sf := range *r.fleet.services.Load() {
+		c, ok := sf.view.Load().Find(types.ProcessID(backendServer))
+		if !ok {
+			continue
+		}
+		running, at := c.Stats.Reported()
+		if at.IsZero() {
+			return nil, c.Stats.InFlight(), true
+		}
+		return &types.Load{Running: running, Capacity: c.Capacity, At: at}, c.Stats.InFlight(), true
+	}
+	return nil, 0, false
+}
+
 // Refresh rebuilds the views from the text and the members now.
 func (r *Router) Refresh() error {
 	in := r.opts.Text()
