measure: idle control cost; why answers began anew; the VM list's own lag

Cause: a trial of leave by the VM list showed new work 5 s after the order, and the dial counted tokens of engines that lived as thrown away. Ruled out: a fault of membership: it believes the list only of runs that have stood beside a VM for longer than the list may lag (30 s), to spare a replacement under the same address; the trial ordered the stop 2 s after the start. Change: the measurement lets VMs stand first; hits tell a moved generation from one that was only fetched by another router; what the system says of a generation that is gone is kept; idle counts bytes at the sidecars' peer listeners.

--- a/measure/caller.go
+++ b/measure/caller.go
@@ -62,7 +62,8 @@
 	arrivals      []arrival
 	interruptions []interruption
 	thrownAway    int
-	restarts      int // times that the answer began anew
+	restarts      int    // times that the answer began anew
+	gone          string // what the system last said of a generation that is gone
 	lastID        string
 	requestID     string // of the newest connection
 	finished      bool
@@ -110,11 +111,12 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	c.requestID = resp.Header.Get(router.HeaderRequestID)
-	if resp.StatusCode == http.StatusGone {
-		return errGone
-	}
 	if resp.StatusCode != http.StatusOK {
 		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+		if resp.StatusCode == http.StatusGone {
+			c.gone = string(message)
+			return errGone
+		}
 		return errors.Errorf("%d %s", resp.StatusCode, message)
 	}
 	return c.events(resp.Body)
@@ -186,6 +188,7 @@
 	afterReturn time.Duration // from the caller's return to the next token; 0: it didn't have to
 	pause       time.Duration // between the two tokens around the loss
 	at          int           // index of the token with which the answer went on
+	moved       bool          // another attempt went on
 	regained    time.Duration // from the loss until the caller had more than before
 }
 
@@ -197,7 +200,7 @@
 		if a.at.Before(t) || (a.attempt == before.attempt && !back) {
 			continue
 		}
-		g := goneOn{afterLoss: a.at.Sub(t), pause: a.at.Sub(before.at), at: i, regained: a.at.Sub(t)}
+		g := goneOn{afterLoss: a.at.Sub(t), pause: a.at.Sub(before.at), at: i, moved: a.attempt != before.attempt, regained: a.at.Sub(t)}
 		if back {
 			g.afterReturn = a.at.Sub(returned.at)
 		}
--- a/measure/command.go
+++ b/measure/command.go
@@ -32,7 +32,7 @@
 			&cli.IntFlag{Name: flagRuns, Value: 5, Usage: "runs of each case"},
 			&cli.StringFlag{Name: flagJSON, Usage: "file for the result"},
 		},
-		Commands: []*cli.Command{resumeCommand(), dialCommand(), streamCommand(), configCommand(), leaveCommand()},
+		Commands: []*cli.Command{resumeCommand(), dialCommand(), streamCommand(), configCommand(), leaveCommand(), idleCommand()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -135,6 +135,17 @@
 	}
 }
 
+func idleCommand() *cli.Command {
+	return &cli.Command{
+		Name: "idle", Usage: "what control costs a site without requests",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "engines", Value: 12, Usage: "engines, each with a sidecar"}},
+		Action: func(c *cli.Context) error {
+			result, err := Idle(c.Context, c.String(flagBin), c.Int("engines"), c.App.Writer)
+			return errors.Wrap(firstError(report(c, result), err), "idle")
+		},
+	}
+}
+
 func dialCommand() *cli.Command {
 	return &cli.Command{
 		Name: "dial", Usage: "resume latency and extra resource use over settings of the recovery dial",
--- a/measure/dial.go
+++ b/measure/dial.go
@@ -46,7 +46,7 @@
 		}
 		out = append(out, point)
 	}
-	for _, silence := range []int{400, 600, 800, 1000, 1500, 4000} {
+	for _, silence := range []int{600, 800, 1000, 1500} {
 		setting := text.DefaultRecovery()
 		setting.SilenceMillis = silence
 		point, err := dialPoint(ctx, opts, setting, CauseVMFrozen)
@@ -71,12 +71,11 @@
 	for _, peers := range []int{0, 2} {
 		add(journalBase.JournalAfterMillis, peers, journalBase.JournalBatchMillis)
 	}
-	for _, batch := range []int{20, 40, 500} {
+	for _, batch := range []int{0, 10, 40, 500} {
 		add(journalBase.JournalAfterMillis, journalBase.JournalPeers, batch)
 	}
-	add(500, 2, 40)
+	add(0, 2, 0)
 	add(8000, 1, 500)
-	add(4000, 1, 500)
 	return out
 }
 
--- a/measure/leave.go
+++ b/measure/leave.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/platform"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/standin"
@@ -27,14 +28,18 @@
 
 // Ways to leave.
 const (
-	WayStop     Way = "pearyard-stop"
-	WaySignal   Way = "sigterm"
-	WayVMList   Way = "vm-list"
-	vmListLag       = time.Second
-	leaveTail       = 5 * time.Second // load that goes on after the order
-	leaveLead       = 2 * time.Second
-	shortTokens     = 4
-	arrivalGap      = 4 * time.Millisecond // between two new requests
+	WayStop   Way = "pearyard-stop"
+	WaySignal Way = "sigterm"
+	WayVMList Way = "vm-list"
+	vmListLag     = time.Second
+	leaveTail     = 5 * time.Second // load that goes on after the order
+	leaveLead     = 2 * time.Second
+	// vmListSettle is how long VMs stand in the list before one of them leaves:
+	// members believe the list only of runs that have stood there for the lag
+	// that it may have, and poll it every few seconds.
+	vmListSettle = membership.DefaultVMListLag + 6*time.Second
+	shortTokens  = 4
+	arrivalGap   = 4 * time.Millisecond // between two new requests
 )
 
 // LeaveResult is how long new work still came after the order to leave.
@@ -103,6 +108,9 @@
 	if err := s.setVMs(-1); err != nil {
 		return nil, nil, err
 	}
+	if way == WayVMList {
+		time.Sleep(vmListSettle)
+	}
 	order := make(chan time.Time, 1)
 	time.AfterFunc(leaveLead, func() {
 		order <- time.Now()
--- a/measure/relay.go
+++ b/measure/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 // leaves all connections open, as a network partition does.
 type relay struct {
 	listener net.Listener
+	passed   atomic.Int64 // bytes, both ways
 
 	mu     sync.Mutex // guards all below
 	target string
@@ -90,6 +92,7 @@
 		if err != nil || !r.await() {
 			return
 		}
+		r.passed.Add(int64(n))
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
--- a/measure/resources.go
+++ b/measure/resources.go
@@ -11,16 +11,17 @@
 
 // Extra is what a run spent beyond the tokens of its answers.
 type Extra struct {
-	Delivered       int     `json:"tokens_delivered"`
-	ThrownAway      int     `json:"tokens_thrown_away"` // generated and not delivered
-	BegunAnew       int     `json:"answers_begun_anew"`
-	Prefilled       float64 `json:"tokens_prefilled"`
-	PrefilledAgain  float64 `json:"tokens_prefilled_for_resume"`
-	JournalTokens   float64 `json:"journal_tokens_sent"`
-	JournalBytes    float64 `json:"journal_bytes_sent"`
-	JournalHeld     float64 `json:"journal_bytes_held"`
-	ResumesByRouter float64 `json:"router_resumes"`
-	RouterLatency   float64 `json:"router_resume_latency_mean_ms"`
+	Delivered       int      `json:"tokens_delivered"`
+	ThrownAway      int      `json:"tokens_thrown_away"` // generated and not delivered
+	BegunAnew       int      `json:"answers_begun_anew"`
+	Gone            []string `json:"gone,omitempty"` // why answers began anew
+	Prefilled       float64  `json:"tokens_prefilled"`
+	PrefilledAgain  float64  `json:"tokens_prefilled_for_resume"`
+	JournalTokens   float64  `json:"journal_tokens_sent"`
+	JournalBytes    float64  `json:"journal_bytes_sent"`
+	JournalHeld     float64  `json:"journal_bytes_held"`
+	ResumesByRouter float64  `json:"router_resumes"`
+	RouterLatency   float64  `json:"router_resume_latency_mean_ms"`
 }
 
 // extra adds up what the run spent. Tokens of a killed engine count as
@@ -30,12 +31,17 @@
 	for _, c := range calls {
 		out.Delivered += len(c.texts)
 		out.BegunAnew += c.restarts
+		if c.gone != "" {
+			out.Gone = append(out.Gone, c.gone)
+		}
 	}
 	engines := s.engines()
 	fromDead := 0
 	if c.kills() {
 		for _, h := range hits {
-			fromDead += h.at
+			if h.moved {
+				fromDead += h.at
+			}
 		}
 	}
 	out.ThrownAway = int(engines.Tokens) + fromDead - out.Delivered
