router: a stream lost before its first frame may have run

Cause: 'not run' was decided by whether a sidecar's first frame had come. A connection that broke after the request was written, and before that frame, left the request possibly with an engine, and the caller was told 'not run'. Ruled out: asking the sidecar afterwards (it may be the one that is gone).

--- a/router/bed_test.go
+++ b/router/bed_test.go
@@ -72,7 +72,12 @@
 
 func newBed(t *testing.T) *bed {
 	a, b := newSite(t, "a"), newSite(t, "b")
-	raw := strings.NewReplacer(`"A"`, `"`+a.address+`"`, `"B"`, `"`+b.address+`"`).Replace(thinText)
+	return &bed{sites: []*site{a, b}, url: newRouter(t, a.address, b.address)}
+}
+
+// newRouter starts a router before two sidecars and returns its URL for callers.
+func newRouter(t *testing.T, a, b string) string {
+	raw := strings.NewReplacer(`"A"`, `"`+a+`"`, `"B"`, `"`+b+`"`).Replace(thinText)
 	in, findings := text.Parse([]byte(raw))
 	NewWithT(t).Expect(findings).To(BeEmpty())
 	r := router.New(router.Options{
@@ -86,7 +91,7 @@
 	NewWithT(t).Expect(r.Refresh()).To(Succeed())
 	callers := httptest.NewServer(r.Handler())
 	t.Cleanup(callers.Close)
-	return &bed{sites: []*site{a, b}, url: callers.URL}
+	return callers.URL
 }
 
 // requests counts what any engine has run.
--- a/router/drive.go
+++ b/router/drive.go
@@ -48,7 +48,7 @@
 	blocks  []uint64
 	avoid   []types.ProcessID
 	resumes int
-	ran     bool      // an attempt was accepted somewhere
+	ran     bool      // an attempt may have run somewhere
 	entered bool      // the ledger counts the attempt as a suspect's run
 	begun   time.Time // when the request came
 	gap     *gap      // set from a loss until output goes on
@@ -251,7 +251,10 @@
 
 // close updates what is known of the candidate and frees an attempt that may still run.
 func (d *drive) close(candidate *route.Candidate, attempt types.AttemptTag, result *attemptResult) {
-	d.ran = d.ran || result.accepted
+	// Failure it stops: "not run" said of a request that ran. An attempt whose
+	// stream broke before its first frame may be with an engine all the same;
+	// only a refusal, or a connection that was never made, proves that it isn't.
+	d.ran = d.ran || result.accepted || result.ending != notStarted
 	switch result.ending {
 	case ended:
 		candidate.Stats.Succeeded()
