node: a generation before the first text is journalled too

Change: the first generation waits up to 300 ms for the first text, which the router's stamp has fetched at once, and goes by the default dial after that. Measured: TestGenerationBeforeTheTextIsJournalled got a nil handle before, passes now (go test ./node). Conclusion: a site's and a sidecar's first generations are journalled.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -35,6 +35,9 @@
 	// drainLinger keeps a drained sidecar answering for a moment, so that routers
 	// read the ends of their streams.
 	drainLinger = 300 * time.Millisecond
+	// textPatience is how long a first generation waits for the first text; the
+	// stamp on the router's request has it fetched from there at once.
+	textPatience = 300 * time.Millisecond
 	// noTokens is an age that no generation reaches: its tokens aren't journalled.
 	noTokens = 1 << 62
 )
@@ -123,13 +126,10 @@
 
 // openJournal starts the journal of one attempt with the recovery dial in force.
 func (s *Sidecar) openJournal(gen journal.GenerationInfo) *journal.Handle {
-	in := s.text()
-	if in == nil {
-		return nil
-	}
+	in, recovery := s.firstText()
 	sites := router.Sites(s.members.Snapshot(), in, time.Since(s.created))
-	gen.Peers = journal.Place(gen.ID.Key, sites, in.Recovery.JournalPeers+spareJournalPeers, s.peer.Self().Address)
-	gen.After, gen.Copies = in.Recovery.JournalAfter(), in.Recovery.JournalPeers
+	gen.Peers = journal.Place(gen.ID.Key, sites, recovery.JournalPeers+spareJournalPeers, s.peer.Self().Address)
+	gen.After, gen.Copies = recovery.JournalAfter(), recovery.JournalPeers
 	if gen.After == 0 {
 		gen.After = -1 // at once
 	}
@@ -137,10 +137,32 @@
 		gen.Copies, gen.After = 1, noTokens // a peer still learns who runs it
 	}
 	writer := s.writer.Load()
-	writer.SetBatch(in.Recovery.JournalBatch())
+	writer.SetBatch(recovery.JournalBatch())
 	return writer.Start(gen)
 }
 
+// firstText returns the text and its recovery dial; it waits a moment for the
+// first text, and goes by the defaults if there is none.
+//
+// Failure it stops: a sidecar that has just started gets a generation before it
+// has fetched the text, and runs it without a journal to its end. It shows as
+// generation_lost when VM and router die, and as a second run of an idempotency key.
+func (s *Sidecar) firstText() (*text.Text, text.Recovery) {
+	patience := time.NewTimer(textPatience)
+	defer patience.Stop()
+	for {
+		changed := s.holder.Changed()
+		if in := s.text(); in != nil {
+			return in, in.Recovery
+		}
+		select {
+		case <-changed:
+		case <-patience.C:
+			return nil, text.DefaultRecovery()
+		}
+	}
+}
+
 // Address returns where other processes reach this one.
 func (s *Sidecar) Address() string { return s.peer.Self().Address }
 
