--- a/suspect/ledger_test.go
+++ b/suspect/ledger_test.go
@@ -95,6 +95,25 @@
 	g.Expect(l.Enter(poison, "b")).To(gomega.BeTrue())
 }
 
+// Engines are killed under a long generation that had run well on each, and
+// under a request that had produced nothing. Two deaths are proof against the
+// second; the first may be killed twice as often.
+func TestWeakEvidenceWeighsHalf(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := New(Options{})
+	l.Configure(2, DefaultQuarantine)
+	for i, state := range []State{Suspect, Suspect, Suspect, Quarantined} {
+		death := fmt.Sprint("engine-", i)
+		l.DeathOf(death, neighbour, true)
+		l.DeathOf(death, neighbour, true) // told by the router and by the sidecar
+		g.Expect(l.Verdict(neighbour).State).To(gomega.Equal(state))
+	}
+	l.DeathOf("x", poison, false)
+	g.Expect(l.Verdict(poison).Strong()).To(gomega.BeTrue())
+	l.DeathOf("y", poison, false)
+	g.Expect(l.Verdict(poison).State).To(gomega.Equal(Quarantined))
+}
+
 func TestFullLedgerKeepsWhatWeighsMost(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := New(Options{Max: 3})
--- a/suspect/spread_test.go
+++ b/suspect/spread_test.go
@@ -84,14 +84,27 @@
 // and a third router is sent another. Without the home's grant a third engine
 // would get a copy while the second is dying.
 func TestPoisonThroughSeveralRoutersCostsTwoEngines(t *testing.T) {
+	plain := func(l *Ledger, death string) {
+		l.Death(death, []types.Fingerprint{poison, beside(death)})
+	}
+	weighed := func(l *Ledger, death string) { // as the daemons tell it
+		l.DeathOf(death, poison, false)
+		l.DeathOf(death, beside(death), true)
+	}
 	for _, home := range []string{"reachable", "cut"} {
 		t.Run(home, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { poisonThroughRouters(t, home == "cut") })
+			synctest.Test(t, func(t *testing.T) { poisonThroughRouters(t, home == "cut", 0, plain) })
+		})
+		t.Run(home+" weighed", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { poisonThroughRouters(t, home == "cut", 2, weighed) })
 		})
 	}
 }
 
-func poisonThroughRouters(t *testing.T, cutHome bool) {
+// beside is the fingerprint of a neighbour that ran where this death was.
+func beside(death string) types.Fingerprint { return types.FingerprintOf("neighbour", []byte(death)) }
+
+func poisonThroughRouters(t *testing.T, cutHome bool, engines int, tell func(*Ledger, string)) {
 	g := gomega.NewWithT(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer func() {
@@ -100,6 +113,11 @@
 	}()
 	f := newFleet(ctx, 4, Options{})
 	order := f.spreaders[f.names[0]].order(poison)
+	for _, l := range f.ledgers {
+		if engines > 0 {
+			l.Configure(engines, DefaultQuarantine)
+		}
+	}
 	if cutHome {
 		f.cut.Store(order[0], true)
 	}
@@ -125,7 +143,7 @@
 			mu.Lock()
 			crashed[backend] = true
 			mu.Unlock()
-			l.Death(backend, []types.Fingerprint{poison, types.Fingerprint(1000 + engine)})
+			tell(l, backend)
 			l.Leave(poison, backend)
 		}
 	}
@@ -137,7 +155,7 @@
 	time.Sleep(5 * time.Second)
 	for _, router := range routers {
 		g.Expect(f.ledgers[router].Verdict(poison).State).To(gomega.Equal(Quarantined))
-		g.Expect(f.ledgers[router].Verdict(1001).State).To(gomega.Equal(Suspect), "a neighbour")
+		g.Expect(f.ledgers[router].Verdict(beside("engine-1")).State).To(gomega.Equal(Suspect), "a neighbour")
 	}
 }
 
