--- a/cmd/pearyard-bench-route/sim.go
+++ b/cmd/pearyard-bench-route/sim.go
@@ -36,6 +36,7 @@
 	groups        int // routers of one group have the same subset; 0: each has its own
 	organisations int
 	seed          uint64
+	until         time.Duration // 0: runFor
 }
 
 // sim is one run: callers, routers and runners in virtual time.
@@ -68,7 +69,7 @@
 	s.clock.every(eventsEvery, s.cacheEvents)
 	s.clock.every(time.Second, func() { s.result.sample(s) })
 	opts.fault.plan(s)
-	s.clock.run(runFor)
+	s.clock.run(cmp.Or(opts.until, runFor))
 	return s.result, nil
 }
 
