--- a/scenario/bench.go
+++ b/scenario/bench.go
@@ -120,10 +120,10 @@
 	}
 	found := ""
 	err = await(conditionTimeout, kind+" of "+name, func() bool {
-		requests, router, _ := c.now()
+		router, _ := c.now()
 		if kind == "router" {
 			found = b.site.routerAt(router)
-		} else if i := b.site.runner(requests); i > 0 {
+		} else if i := b.site.runner(c); i > 0 {
 			found = kind + "-" + strconv.Itoa(i)
 		}
 		return found != ""
--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -29,10 +29,11 @@
 	prompt string
 	tokens int // asked for
 
-	mu       sync.Mutex // guards requests, last and seen
-	requests []types.RequestID
-	last     string // ip:port of the router that it spoke to last
-	seen     int    // tokens so far
+	mu         sync.Mutex // guards all up to done
+	requests   []types.RequestID
+	generation string // id, once the first token is there
+	last       string // ip:port of the router that it spoke to last
+	seen       int    // tokens so far
 
 	done   chan struct{} // closed after the fields below are set
 	answer client.Answer
@@ -84,13 +85,14 @@
 	defer c.mu.Unlock()
 	c.last = req.URL.Host
 	c.requests = append(c.requests, types.RequestID(resp.Header.Get("Pearyard-Request-Id")))
+	resp.Body = &eventBody{ReadCloser: resp.Body, caller: c}
 	return resp, nil
 }
 
-func (c *caller) now() (requests []types.RequestID, router string, seen int) {
+func (c *caller) now() (router string, seen int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.requests, c.last, c.seen
+	return c.last, c.seen
 }
 
 func (c *caller) ended() bool {
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -133,13 +133,13 @@
 		return err
 	}
 	err = await(conditionTimeout, strings.Join(args[:2], " "), func() bool {
-		_, _, seen := c.now()
+		_, seen := c.now()
 		return seen >= token || c.ended()
 	})
 	if err != nil {
 		return err
 	}
-	if _, _, seen := c.now(); seen < token {
+	if _, seen := c.now(); seen < token {
 		return errors.Errorf("%s ended after %d tokens: %v", args[0], seen, c.err)
 	}
 	run := Commands()[args[2]]
--- a/scenario/look.go
+++ b/scenario/look.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -70,25 +69,25 @@
 	return nil
 }
 
-// runner returns the number of the sidecar under which one of the requests
-// runs now; 0 if none does. A caller that has got no answer yet knows no request
-// id: then it is whatever runs.
-func (s *site) runner(requests []types.RequestID) int {
+// runner returns the number of the sidecar under which the caller's generation
+// runs now; 0 if none does.
+func (s *site) runner(c *caller) int {
 	for i := range s.size.engines {
 		if !s.processes[sidecarName(i+1)].running() || !s.processes[engineName(i+1)].running() {
 			continue
 		}
 		var state struct {
 			Runs []struct {
-				Request types.RequestID
-				Phase   int
+				Generation string
+				Request    types.RequestID
+				Phase      int
 			}
 		}
 		if s.dump(sidecarName(i+1), "sidecar", &state) != nil {
 			continue
 		}
 		for _, run := range state.Runs {
-			if run.Phase == 0 && (len(requests) == 0 || slices.Contains(requests, run.Request)) {
+			if run.Phase == 0 && c.isServedBy(run.Request, run.Generation) {
 				return i + 1
 			}
 		}
