--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -38,6 +38,8 @@
 	// textPatience is how long a first generation waits for the first text; the
 	// stamp on the router's request has it fetched from there at once.
 	textPatience = 300 * time.Millisecond
+	// leastBatch is the batch of a text that asks for none.
+	leastBatch = time.Millisecond
 	// noTokens is an age that no generation reaches: its tokens aren't journalled.
 	noTokens = 1 << 62
 )
@@ -137,7 +139,8 @@
 		gen.Copies, gen.After = 1, noTokens // a peer still learns who runs it
 	}
 	writer := s.writer.Load()
-	writer.SetBatch(recovery.JournalBatch())
+	// The writer takes a batch of 0 for none given, and would wait half a second.
+	writer.SetBatch(max(recovery.JournalBatch(), leastBatch))
 	return writer.Start(gen)
 }
 
