--- a/claim/decide.go
+++ b/claim/decide.go
@@ -49,6 +49,7 @@
 	Proved      types.AttemptTag // newest attempt proved never to run
 	Row         View             // the claim asked about in PhaseVoid
 	Met         bool             // another claim of the key stands, and may have run, as far as is known
+	Looked      bool             // the row, or that there is none, was read
 	Attempts    uint8
 	Reads       uint8
 	Silent      uint8
@@ -73,6 +74,7 @@
 	SeenLost                    // the answer to the dispatch was lost after a byte may have left
 	SeenUnreachable             // no answer to a question
 	SeenOutOfTime               // the caller's deadline passed, or the caller left
+	SeenNoTarget                // nothing was written: no backend server takes calls
 )
 
 // Observation is what came of an action.
@@ -137,6 +139,8 @@
 	case SeenConflict:
 		s.Met = true
 		return read(s)
+	case SeenNoTarget:
+		return noTarget(s)
 	default:
 		// Guard: read-back. It stops this order: our commit's answer is lost
 		// and the write did not take effect, another router claims the key, and
@@ -146,7 +150,21 @@
 	}
 }
 
+// noTarget decides what to say when no backend server takes calls.
+//
+// Guard: look before "no backend server". It stops this order: a call runs, its
+// answer is lost, all backend servers go (or this router has just started and
+// knows none), the caller comes back and is told "not run". The row is read
+// first; a claim in it is met as any other, and its outcome is the answer.
+func noTarget(s State) (State, Action) {
+	if !s.Looked {
+		return read(s)
+	}
+	return s, notRun(s, types.CodeNoBackend)
+}
+
 func afterRead(s State, o Observation) (State, Action) {
+	s.Looked = s.Looked || o.Seen == SeenNoRow || o.Seen == SeenRow
 	switch o.Seen {
 	case SeenNoRow:
 		s.Met = false
--- a/claim/metrics.go
+++ b/claim/metrics.go
@@ -10,7 +10,7 @@
 	SeenCommitted: "committed", SeenConflict: "conflict", SeenAmbiguous: "ambiguous", SeenTableDown: "table_down",
 	SeenUnreadable: "unreadable", SeenRow: "row", SeenNoRow: "no_row", SeenCompleted: "completed",
 	SeenNotRun: "not_run", SeenUnknown: "unknown", SeenRunning: "running", SeenLost: "lost",
-	SeenUnreachable: "unreachable", SeenOutOfTime: "out_of_time",
+	SeenUnreachable: "unreachable", SeenOutOfTime: "out_of_time", SeenNoTarget: "no_target",
 }
 
 // String returns the observation's name as metrics and events show it.
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -296,6 +296,7 @@
 	ambiguous := claim.Observation{Seen: claim.SeenAmbiguous}
 	holds := uint64(w.row.version) == st.Version || s.off == casOff
 	w.observe(s, i, claim.Observation{Seen: claim.SeenTableDown}, "table down", yield)
+	w.observe(s, i, claim.Observation{Seen: claim.SeenNoTarget}, "no backend server", yield)
 	if s.off != readBackOff {
 		w.observe(s, i, ambiguous, "ambiguous, no effect", yield)
 	}
--- a/claim/rows_test.go
+++ b/claim/rows_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,12 +143,11 @@
 		g := gomega.NewWithT(t)
 		_, _ = s.router("r1").Do(s.ctx, label("k", "lorry 7"), s.pick)
 		time.Sleep(time.Second)
-		renewed := false
+		var renewed atomic.Bool
 		s.table.mu.Lock()
 		s.table.before = func(txn platform.Txn) {
 			for _, w := range txn.Writes {
-				if w.Delete && strings.HasPrefix(w.Key, claim.KeyPrefix) && !renewed {
-					renewed = true
+				if w.Delete && strings.HasPrefix(w.Key, claim.KeyPrefix) && renewed.CompareAndSwap(false, true) {
 					record, _ := claim.Decode(s.table.rows[w.Key].Value)
 					record.Deadline = time.Now().Add(time.Hour)
 					value, _ := record.Encode()
@@ -157,7 +157,7 @@
 		}
 		s.table.mu.Unlock()
 		time.Sleep(40 * time.Hour)
-		g.Expect(renewed).To(gomega.BeTrue())
+		g.Expect(renewed.Load()).To(gomega.BeTrue())
 		g.Expect(s.table.claims()).To(gomega.HaveLen(1))
 	})
 }
--- a/claim/try.go
+++ b/claim/try.go
@@ -65,10 +65,7 @@
 	state, action := Begin(types.NewAttemptTag(), fingerprint(t.call))
 	t.state = state
 	for action.Step != StepAnswer {
-		seen, refusal := t.do(ctx, action.Step)
-		if refusal != nil {
-			return plain.Answer{}, refusal
-		}
+		seen := t.do(ctx, action.Step)
 		seen.Fresh = types.NewAttemptTag()
 		t.state, action = Next(t.state, seen)
 	}
@@ -81,28 +78,28 @@
 	return types.FingerprintOf(call.Organisation, content)
 }
 
-func (t *try) do(ctx context.Context, step Step) (Observation, *types.Refusal) {
+func (t *try) do(ctx context.Context, step Step) Observation {
 	switch step {
 	case StepClaim:
 		return t.write(ctx)
 	case StepRead:
-		return t.read(ctx), nil
+		return t.read(ctx)
 	case StepDispatch:
-		return t.dispatch(ctx), nil
+		return t.dispatch(ctx)
 	case StepWaitVoid:
-		return t.waitVoid(ctx), nil
+		return t.waitVoid(ctx)
 	default:
-		return t.void(ctx), nil
+		return t.void(ctx)
 	}
 }
 
-func (t *try) write(ctx context.Context) (Observation, *types.Refusal) {
+func (t *try) write(ctx context.Context) Observation {
 	if ctx.Err() != nil {
-		return Observation{Seen: SeenOutOfTime}, nil
+		return Observation{Seen: SeenOutOfTime}
 	}
 	target, ok := t.pick(t.avoid)
 	if !ok {
-		return Observation{}, t.noBackend()
+		return Observation{Seen: SeenNoTarget}
 	}
 	t.claim = Record{
 		State:       RecordClaimed,
@@ -112,13 +109,7 @@
 		Deadline:    t.deadline,
 		Fingerprint: t.state.Fingerprint,
 	}
-	return Observation{Seen: t.c.claims.claim(ctx, t.key, t.state.Version, t.claim)}, nil
-}
-
-// noBackend: nothing of this try is dispatched, or its attempts are proved not to run.
-func (t *try) noBackend() *types.Refusal {
-	t.markVoided()
-	return types.NotRun(types.CodeNoBackend, retryNotRun, "no backend server of %s takes this call; this try ran nowhere", t.call.Service)
+	return Observation{Seen: t.c.claims.claim(ctx, t.key, t.state.Version, t.claim)}
 }
 
 // markVoided marks claims of which this try knows that they never run, so that
@@ -282,6 +273,8 @@
 		return "the call is running or may be; come back with the same key for its answer"
 	case outcome == types.OutcomeUnknown:
 		return "the call may have run; it won't be run again"
+	case code == types.CodeNoBackend:
+		return "no backend server takes this call; it ran nowhere; come back with the same key"
 	default:
 		return "this try ran nowhere; come back with the same key"
 	}
