--- a/scenario/expect.go
+++ b/scenario/expect.go
@@ -38,6 +38,8 @@
 		return b.expectRuns(args[1:])
 	case "event":
 		return b.expectEvent(args[1:])
+	case "no-event":
+		return b.expectNoEvent(args[1:])
 	}
 	return b.expectProcess(args[0], args[1])
 }
@@ -178,6 +180,21 @@
 	return compare("runs"+args[1], func(string) (float64, bool) { return float64(runs), true })
 }
 
+// expectNoEvent: expect no-event NAME PY2101 [WORD...]; the process's log hasn't got it by now
+func (b *bench) expectNoEvent(args []string) error {
+	args, err := b.resolve(args)
+	if err != nil {
+		return err
+	}
+	if len(args) < 2 || b.site.processes[args[0]] == nil {
+		return errors.New("expect no-event NAME EVENT")
+	}
+	if n := b.site.processes[args[0]].log.count(args[1:]...); n > 0 {
+		return errors.Errorf("%d lines with %s", n, strings.Join(args, " "))
+	}
+	return nil
+}
+
 // expectEvent: expect event NAME PY2101 [WORD...]; waits until the process's log has it
 func (b *bench) expectEvent(args []string) error {
 	args, err := b.resolve(args)
