Membership: enough retransmits for hundreds of members

Cause: at 640 members a stop was known to all only after 2.3, 15 and 71 s and a death after 14 to 42 s: with 9 sends of a change, half of them to the ring's neighbours, a few members missed it and learned of it from the comparison of lists. Ruled out: load alone; at 160 members on the same machine the worst was 1.35 s. Change: 1.5 (ln n + 5) sends, those to the successor not counted. Conclusion: the earlier rule was too weak above some 200 members.

--- a/membership/memberbench/site.go
+++ b/membership/memberbench/site.go
@@ -235,8 +235,12 @@
 
 // wait returns how long it took until holds was true of all processes.
 func (s *site) wait(bound time.Duration, processes []*process, holds func(*process) bool) (time.Duration, error) {
+	return s.waitEach(pollInterval, bound, processes, holds)
+}
+
+func (s *site) waitEach(interval, bound time.Duration, processes []*process, holds func(*process) bool) (time.Duration, error) {
 	begin := time.Now()
-	ticker := time.NewTicker(pollInterval)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	left := append([]*process(nil), processes...)
 	for {
--- a/membership/queue.go
+++ b/membership/queue.go
@@ -7,18 +7,19 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-// retransmitFactor times log10(n+1) is how often a member passes a change on.
-// With both probe and answer carrying changes, all of 2,000 members have heard
-// of one long before the twelve sends of each are used up.
-const retransmitFactor = 3
-
-// minRetransmits holds for few members: a site that starts knows few of those
-// that it will soon have.
-const minRetransmits = 6
+const (
+	// retransmitFactor allows for sends to the ring's predecessor, which are
+	// the same member's each time, and for those that get lost.
+	retransmitFactor = 1.5
+	// retransmitMargin: after ln(n)+m sends to random members each, e^-m of all
+	// members are expected to have missed a change. They learn of it only from
+	// the next comparison of lists, up to a minute later.
+	retransmitMargin = 5
+)
 
 // retransmitLimit is how often a change is sent among n members.
 func retransmitLimit(n int) int {
-	return max(minRetransmits, retransmitFactor*int(math.Ceil(math.Log10(float64(n+1)))))
+	return int(math.Ceil(retransmitFactor * (math.Log(float64(n+1)) + retransmitMargin)))
 }
 
 // queue holds the members whose latest change still has to be passed on.
@@ -42,7 +43,7 @@
 }
 
 // backlog is from how many pending changes on repeats count as sends.
-const backlog = 10 * maxUpdates
+const backlog = 4 * maxUpdates
 
 // known counts a change that another member has just sent here, though it was
 // known here already: the more often that happens, the fewer lack it. It counts
@@ -62,6 +63,9 @@
 
 func (q *queue) remove(id types.ProcessID) { delete(q.pending, id) }
 
+// uncounted, as a limit, keeps sends from being counted.
+const uncounted = 0
+
 // take picks at most count changes, those sent least often first and of these
 // the newest, and drops the ones that reach limit sends. skip excludes some.
 func (q *queue) take(count, limit int, skip func(types.ProcessID) bool) []types.ProcessID {
@@ -84,6 +88,9 @@
 	ids := make([]types.ProcessID, len(order))
 	for i, p := range order {
 		ids[i] = p.id
+		if limit == uncounted {
+			continue
+		}
 		p.sends++
 		if p.sends >= limit {
 			delete(q.pending, p.id)
--- a/membership/table.go
+++ b/membership/table.go
@@ -321,7 +321,13 @@
 	if e := t.entries[to]; e != nil && to != t.self && t.concerns(e, run) {
 		out = append(out, e.record)
 	}
-	for _, id := range t.queue.take(maxUpdates-len(out), retransmitLimit(len(t.entries)), skip) {
+	limit := retransmitLimit(len(t.entries))
+	if had == nil && to == t.successor() {
+		// It is probed every other period: counting these sends would use up
+		// half of a change's sends on one member.
+		limit = uncounted
+	}
+	for _, id := range t.queue.take(maxUpdates-len(out), limit, skip) {
 		out = append(out, t.entries[id].record)
 	}
 	return out
