config, peer: an old message read late confirms nothing

Cause: a router took every message that named its revision for a confirmation at the time of reading. Ruled out: telling a freeze by a late tick: calls can be admitted before the tick. Change: a confirmation has the time at which its question was asked. Stamps of requests and texts that come by themselves confirm nothing; answers of peers and of the store do.

--- a/config/holder.go
+++ b/config/holder.go
@@ -132,7 +132,9 @@
 	}
 	h.deltas.add(old, next)
 	h.current.Store(next)
-	h.confirmed.Store(h.opts.Now().UnixNano())
+	if old == nil {
+		h.confirmed.Store(h.opts.Now().UnixNano())
+	}
 	close(h.changed)
 	h.changed = make(chan struct{})
 	return true
@@ -151,12 +153,27 @@
 	return nil
 }
 
-// Confirmed notes that the store or a peer has this revision. It only counts
-// if that is the revision in force here: one that is behind proves nothing.
-// It is called on every message between processes and takes no lock.
-func (h *Holder) Confirmed(rev types.Revision) {
-	if current := h.current.Load(); current != nil && rev == current.Revision {
-		h.confirmed.Store(h.opts.Now().UnixNano())
+// Confirmed notes that the store or a peer had this revision at a moment not
+// before asOf. It only counts if that is the revision in force here: one that
+// is behind proves nothing. It is called on every answer from another process
+// and takes no lock.
+//
+// Guard: asOf is when the question was asked, not when the answer is read. A
+// process that was frozen reads, when it wakes, messages from before; by the
+// time of reading they would confirm a text that was replaced meanwhile, seen
+// as a request served by an old text long after the new one was accepted. For
+// the same reason a text that comes by itself confirms nothing (see replace).
+func (h *Holder) Confirmed(rev types.Revision, asOf time.Time) {
+	current := h.current.Load()
+	if asOf.IsZero() || current == nil || rev != current.Revision {
+		return
+	}
+	at := asOf.UnixNano()
+	for {
+		old := h.confirmed.Load()
+		if at <= old || h.confirmed.CompareAndSwap(old, at) {
+			return
+		}
 	}
 }
 
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -89,9 +89,30 @@
 		g.Expect(changed).To(BeClosed())
 		g.Expect(holder.Changed()).NotTo(BeClosed())
 		time.Sleep(time.Minute)
-		holder.Confirmed(2) // a peer that is behind proves nothing
+		holder.Confirmed(2, time.Now()) // a peer that is behind proves nothing
 		g.Expect(holder.Freshness()).To(Equal(time.Minute))
-		holder.Confirmed(3)
+		holder.Confirmed(3, time.Now())
+		g.Expect(holder.Freshness()).To(BeZero())
+	})
+}
+
+// A process freezes. Before that, a peer was asked for its revision; meanwhile a
+// new text is accepted and pushed to others. The process wakes and reads the old
+// answer, and a push that waited: neither says what is in force now.
+func TestOldAnswersConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		holder := newHolder()
+		offer(t, holder, 3, textOf(3))
+		asked := time.Now()
+		time.Sleep(time.Minute)
+		holder.Confirmed(3, asked)
+		g.Expect(holder.Freshness()).To(Equal(time.Minute))
+		holder.Confirmed(3, time.Time{}) // the stamp of a request
+		g.Expect(holder.Freshness()).To(Equal(time.Minute))
+		offer(t, holder, 4, textOf(4))
+		g.Expect(holder.Freshness()).To(Equal(time.Minute))
+		holder.Confirmed(4, time.Now())
 		g.Expect(holder.Freshness()).To(BeZero())
 	})
 }
--- a/config/spreader.go
+++ b/config/spreader.go
@@ -92,7 +92,6 @@
 // Seen is called with the revision in each stamp that comes from a peer. It
 // only takes note: the fetch is Run's work.
 func (s *Spreader) Seen(addr string, rev types.Revision) {
-	s.opts.Holder.Confirmed(rev)
 	if rev <= s.opts.Holder.Revision() {
 		return
 	}
@@ -156,6 +155,7 @@
 )
 
 func (s *Spreader) pull(ctx context.Context) (string, error) {
+	begun := s.opts.Holder.opts.Now()
 	head, err := s.opts.Versions.Head(ctx)
 	var behind *BehindError
 	if errors.As(err, &behind) {
@@ -165,7 +165,7 @@
 		return pollError, err
 	}
 	if head.Revision <= s.opts.Holder.Revision() {
-		s.opts.Holder.Confirmed(head.Revision)
+		s.opts.Holder.Confirmed(head.Revision, begun)
 		return pollSame, nil
 	}
 	raw, err := s.opts.Versions.Load(ctx, head.Revision)
@@ -173,6 +173,7 @@
 		return pollError, err
 	}
 	_, err = s.opts.Holder.Offer(head.Revision, raw)
+	s.opts.Holder.Confirmed(head.Revision, begun)
 	return pollNewer, err
 }
 
@@ -204,12 +205,14 @@
 func (s *Spreader) fetch(ctx context.Context, addr string, rev types.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 	defer cancel()
+	begun := s.opts.Holder.opts.Now()
 	got, raw, err := s.opts.Source.Fetch(ctx, addr, rev)
 	if err != nil {
 		s.metrics.fetches.WithLabelValues("error").Inc()
 		return err
 	}
 	taken, err := s.opts.Holder.Offer(got, raw)
+	s.opts.Holder.Confirmed(got, begun)
 	if err != nil || !taken {
 		s.metrics.fetches.WithLabelValues("old").Inc()
 		return err
--- a/node/common.go
+++ b/node/common.go
@@ -184,6 +184,7 @@
 // seen learns from the stamp on a message. It is on the path of every call.
 func (b *base) seen(stamp peer.Stamp) {
 	b.spreader.Seen(stamp.Address, stamp.Revision)
+	b.holder.Confirmed(stamp.Revision, stamp.AsOf)
 	m, ok := b.members.Snapshot().ByID(stamp.ID)
 	if !ok || m.State != membership.StateSuspect || m.Incarnation != stamp.Incarnation {
 		return
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -44,6 +44,10 @@
 type Stamp struct {
 	Identity
 	Revision types.Revision
+	// AsOf is not later than the moment the stamp was written, by this
+	// process's clock: when the call that it answers was begun. It is zero for
+	// the stamp of a request, which may have waited here for any time.
+	AsOf time.Time
 }
 
 // String returns the stamp in its wire form.
@@ -115,7 +119,7 @@
 // Handler stamps the answers of next and learns from the requests' stamps.
 func (p *Peer) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.learn(r.Header)
+		p.learn(r.Header, time.Time{})
 		w.Header().Set(HeaderStamp, p.stamp())
 		if stamp, err := ParseStamp(r.Header.Get(HeaderStamp)); err == nil {
 			r = r.WithContext(context.WithValue(r.Context(), stampKey{}, stamp))
@@ -137,7 +141,7 @@
 	return Stamp{Identity: p.opts.Self, Revision: p.opts.Revision()}.String()
 }
 
-func (p *Peer) learn(h http.Header) {
+func (p *Peer) learn(h http.Header, asOf time.Time) {
 	seen := p.seen.Load()
 	if seen == nil {
 		return
@@ -146,6 +150,7 @@
 	if err != nil {
 		return
 	}
+	stamp.AsOf = asOf
 	(*seen)(stamp)
 }
 
@@ -155,11 +160,12 @@
 func (t roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set(HeaderStamp, t.p.stamp())
+	begun := time.Now()
 	resp, err := t.p.transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	t.p.learn(resp.Header)
+	t.p.learn(resp.Header, begun)
 	return resp, nil
 }
 
