node: an operator is never shown an older text than the one in force

Cause: while the store answered from an old copy, `pearyard get` showed an older text as the newest, or "no such revision" (status 9), although the new one was in force everywhere. Ruled out: asking other routers: they read the same old copy. Change: a history that ends before the text in force here is an error, as a store that is down is; `get` then shows the text in force and says that it does. Conclusion: `pearyard history` is refused meanwhile instead of being short.

--- a/node/admin.go
+++ b/node/admin.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := t.behind(entries); err != nil {
+		return nil, err
+	}
 	out := make([]admin.Text, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, admin.Text{Revision: e.Revision, Base: e.Base, Who: e.By, Note: e.Note, At: e.At})
@@ -99,6 +102,22 @@
 	return out, nil
 }
 
+// behind reports a history that ends before the text in force here.
+//
+// Failure it stops: the store answers from an old copy, and an operator is shown
+// an older text, or none, as the newest. Whoever asked for the newest text gets
+// the one in force instead.
+func (t texts) behind(entries []config.Entry) error {
+	var newest types.Revision
+	if len(entries) > 0 {
+		newest = entries[0].Revision
+	}
+	if known := t.r.holder.Revision(); newest < known {
+		return &config.BehindError{Answered: newest, Known: known}
+	}
+	return nil
+}
+
 func (r *Router) inForce() admin.Text {
 	snapshot := r.holder.Current()
 	if snapshot == nil {
