--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -49,7 +49,9 @@
 	s.writer.Store(writer)
 
 	opened := make(chan *journal.Handle, 1)
-	go func() { opened <- s.openJournal(journal.GenerationInfo{ID: types.NewGenerationID(7), Lineage: types.Lineage{{Attempt: 5}}}) }()
+	go func() {
+		opened <- s.openJournal(journal.GenerationInfo{ID: types.NewGenerationID(7), Lineage: types.Lineage{{Attempt: 5}}})
+	}()
 	raw, err := json.Marshal(map[string]any{"services": []any{map[string]any{
 		"name": "m", "kind": "model", "dependsOn": []any{},
 		"backendServers": []any{map[string]any{"name": "b", "zone": "z2", "sidecar": "127.0.0.1:8"}},
