settings, node: how far the VM list lags is a setting; leaving by that list alone

Cause: a leaving mark of the platform's VM list counts only for a run that has stood beside the VM for longer than the list may lag. That was fixed at 30 s in membership, so a site with a shorter lag waited for nothing, and no script could show the way. Ruled out: a lag of 0: a replacement under the same address would be taken for the VM that leaves, and leaving is for good. Conclusion: with the default lag a mark seen by a process that has just met the VM takes 30 s; one that has known it for longer takes a poll, 5 s and up.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,6 +130,7 @@
 	return node.Common{
 		ID: s.ID, Zone: s.Zone, Peers: peers, Advertise: s.Advertise, Seeds: s.Seeds, Platform: platformOf(s),
 		Logger: logger, RingSize: s.EventRing, Poll: s.Poll(), Drain: s.Drain(), StaleAfter: stale,
+		VMListLag: s.VMListLag(),
 	}, nil
 }
 
--- a/node/common.go
+++ b/node/common.go
@@ -64,6 +64,7 @@
 	// new work is refused: the process may have been frozen or cut off
 	// meanwhile. 0: four seconds; below 0: never.
 	StaleAfter time.Duration
+	VMListLag  time.Duration // how far the platform's VM list may lag; 0: membership's default
 }
 
 func (c Common) withDefaults(role types.Role) Common {
@@ -142,7 +143,7 @@
 			ID: self.ID, Role: b.role, Address: self.Address, Zone: b.opts.Zone,
 			BackendServer: backendServer, Incarnation: self.Incarnation,
 		},
-		Seeds: b.opts.Seeds, VMList: b.opts.Platform.VMs, HTTPClient: b.peer.Client(),
+		Seeds: b.opts.Seeds, VMList: b.opts.Platform.VMs, VMListLag: b.opts.VMListLag, HTTPClient: b.peer.Client(),
 		Recorder: b.recorder, Registerer: b.registry,
 		Revision: b.holder.Revision, OnRevision: b.spreader.Seen,
 	})
--- a/scenario/site.go
+++ b/scenario/site.go
@@ -197,6 +197,7 @@
 		return settings.Common{}, err
 	}
 	common := settings.DefaultRouter().Common
+	common.VMListLagSeconds = 1
 	common.ID, common.Zone = types.ProcessID(name), types.Zone(s.zone(i))
 	common.PeerListen, common.Advertise = "127.0.0.1:0", s.at(fromPeers, name)
 	platform := s.at(name, platformName)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 	// stamps tell them of a newer text first.
 	DefaultSidecarPollSeconds = 20
 	DefaultStaleAfterSeconds  = 4
+	DefaultVMListLagSeconds   = 30
 	DefaultLogLevel           = LogInfo
 	DefaultJournalMegabytes   = 64
 )
@@ -62,6 +63,9 @@
 	// PollSeconds lies between two polls of the table service for a newer text;
 	// default 1 for a router, 20 for a sidecar.
 	PollSeconds int `json:"pollSeconds" usage:"seconds between polls for a newer text"`
+	// VMListLagSeconds is how far the platform's VM list may lag: it may show the
+	// VM before this one as leaving for so long.
+	VMListLagSeconds int `json:"vmListLagSeconds" usage:"seconds that the VM list may lag; its leaving mark counts for a process that has run for longer"`
 	// StaleAfterSeconds is the age of the last confirmation of the text past
 	// which new work is refused; 0 never refuses; default 4.
 	StaleAfterSeconds int `json:"staleAfterSeconds" usage:"seconds without confirmation of the text until new work is refused; 0: never"`
@@ -98,7 +102,7 @@
 
 func defaultCommon(pollSeconds int) Common {
 	return Common{EventRing: DefaultEventRing, PollSeconds: pollSeconds,
-		StaleAfterSeconds: DefaultStaleAfterSeconds, LogLevel: DefaultLogLevel}
+		StaleAfterSeconds: DefaultStaleAfterSeconds, VMListLagSeconds: DefaultVMListLagSeconds, LogLevel: DefaultLogLevel}
 }
 
 // DefaultRouter returns a router's settings with their defaults.
@@ -112,6 +116,9 @@
 // Poll returns PollSeconds as a duration.
 func (c Common) Poll() time.Duration { return time.Duration(c.PollSeconds) * time.Second }
 
+// VMListLag returns VMListLagSeconds as a duration.
+func (c Common) VMListLag() time.Duration { return time.Duration(c.VMListLagSeconds) * time.Second }
+
 // StaleAfter returns StaleAfterSeconds as a duration.
 func (c Common) StaleAfter() time.Duration { return time.Duration(c.StaleAfterSeconds) * time.Second }
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -62,6 +62,7 @@
 	}
 	atLeast(list, "/eventRing", c.EventRing, minEventRing)
 	atLeast(list, "/pollSeconds", c.PollSeconds, 1)
+	atLeast(list, "/vmListLagSeconds", c.VMListLagSeconds, 1)
 	atLeast(list, "/staleAfterSeconds", c.StaleAfterSeconds, 0)
 	atLeast(list, "/drainSeconds", c.DrainSeconds, 0)
 	switch c.LogLevel {
