claim: old copies of the table no longer make "not run" of a call that ran

Cause: a caller comes back for the answer of a call that ran. The claim meets a conflict, but the row is read from an old copy that shows none; after five such rounds the caller was told "not run" (503 overloaded). Reading "no row", or a voided one, cleared the mark that another claim of the key had been met. Ruled out: reading again after a pause: a copy may be old for minutes. Change: only a written claim clears the mark, since its condition is judged on the present row. Until then what is said is "unknown". Conclusion: a call with no backend server left and only old copies to read can still be told "not run"; see docs/NOT-RUN.md.

--- a/claim/decide.go
+++ b/claim/decide.go
@@ -133,6 +133,13 @@
 func afterClaim(s State, o Observation) (State, Action) {
 	switch o.Seen {
 	case SeenCommitted:
+		// Guard: only a written claim ends a conflict. It stops this order: a
+		// call ran, its caller comes back, the claim meets a conflict, and the
+		// row is read from an old copy that shows none, or a voided one; each
+		// further claim fails, and the caller is told "not run". A condition is
+		// judged on the present row, so a claim that was written proves that
+		// what the read showed was so.
+		s.Met = false
 		return dispatch(s)
 	case SeenTableDown:
 		return s, tableDown(s)
@@ -167,7 +174,6 @@
 	s.Looked = s.Looked || o.Seen == SeenNoRow || o.Seen == SeenRow
 	switch o.Seen {
 	case SeenNoRow:
-		s.Met = false
 		return claimAt(s, 0, o.Fresh)
 	case SeenRow:
 		return meet(s, o)
@@ -193,7 +199,6 @@
 	case row.State == RecordUnknown:
 		return s, answer(types.OutcomeUnknown, types.CodeUnknownOutcome, 0)
 	case row.State == RecordVoided, row.Attempt == s.Proved:
-		s.Met = false
 		return claimAt(s, row.Version, o.Fresh)
 	case row.Attempt == s.Attempt && !s.Dispatched:
 		return dispatch(s)
@@ -229,7 +234,6 @@
 		return s, answer(types.OutcomeCompleted, "", 0)
 	case SeenNotRun:
 		s.Proved = s.Row.Attempt
-		s.Met = false
 		if s.Row.Version == 0 {
 			return read(s)
 		}
