--- a/router/fleet.go
+++ b/router/fleet.go
@@ -45,6 +45,7 @@
 	recorder   *event.Recorder
 	registerer prometheus.Registerer
 	circuits   sync.Map // types.ProcessID of a candidate -> *retry.Circuit
+	capacities sync.Map // backend server's name -> int, as its engine reported
 }
 
 // target is a backend server of the text joined with what membership knows of it.
@@ -105,7 +106,7 @@
 		t := f.join(b, members)
 		targets = append(targets, t)
 		if t.state == membership.StateAlive {
-			candidates = append(candidates, candidateOf(t, b.Capacity))
+			candidates = append(candidates, candidateOf(t, sf.capacityOf(b)))
 		}
 	}
 	if len(candidates) == 0 {
@@ -170,6 +171,23 @@
 	}
 }
 
+// learnCapacity notes what an engine reports of itself; the next view uses it.
+func (sf *serviceFleet) learnCapacity(name string, capacity int) {
+	if known, ok := sf.capacities.Load(name); capacity > 0 && (!ok || known != capacity) {
+		sf.capacities.Store(name, capacity)
+	}
+}
+
+// capacityOf prefers what the text says over what the engine reports.
+func (sf *serviceFleet) capacityOf(b *text.BackendServer) int {
+	if b.Capacity > 0 {
+		return b.Capacity
+	}
+	reported, _ := sf.capacities.Load(b.Name)
+	capacity, _ := reported.(int)
+	return capacity
+}
+
 // find returns what is known of a backend server of the service.
 func (sf *serviceFleet) find(name string) (target, bool) {
 	for _, t := range *sf.members.Load() {
--- a/router/reader.go
+++ b/router/reader.go
@@ -103,6 +103,7 @@
 	if l == nil || a.candidate == nil {
 		return
 	}
+	a.d.fleet.learnCapacity(string(a.candidate.ID), int(l.GetCapacity()))
 	a.candidate.Stats.Report(types.Load{
 		Running:      int(l.GetRunning()),
 		Queued:       int(l.GetQueued()),
--- a/text/defaults.go
+++ b/text/defaults.go
@@ -12,7 +12,7 @@
 	DefaultJournalAfterMillis = 2000
 	DefaultJournalPeers       = 1
 	DefaultJournalBatchMillis = 100
-	DefaultSilenceMillis      = 1500
+	DefaultSilenceMillis      = 1000
 	DefaultRouterGraceMillis  = 10_000
 	DefaultRetainMillis       = 60_000
 	DefaultMaxResumes         = 8
--- a/text/text.go
+++ b/text/text.go
@@ -103,7 +103,7 @@
 	JournalAfterMillis int `json:"journalAfterMillis"` // age from which a generation is journaled; default 2000
 	JournalPeers       int `json:"journalPeers"`       // sidecars that keep the journal, 0 for none; default 1
 	JournalBatchMillis int `json:"journalBatchMillis"` // longest wait of a token for its batch; default 100
-	SilenceMillis      int `json:"silenceMillis"`      // silence of a stream after which it counts as lost; default 1500
+	SilenceMillis      int `json:"silenceMillis"`      // silence of a stream after which it counts as lost; default 1000
 	RouterGraceMillis  int `json:"routerGraceMillis"`  // how long an engine goes on after its router vanished; default 10000
 	RetainMillis       int `json:"retainMillis"`       // how long a finished answer stays fetchable; default 60000
 	MaxResumes         int `json:"maxResumes"`         // resumes of one generation; default 8
