scenario, standin: commands for poison, orders and overload

Cause: the language could change neither the text beyond two sections nor the engines' flags, and had one caller at a time; poisoned requests, orders and overload couldn't be told in it. Ruled out: restarting engines in the background as a platform would: more engines than a request may crash say the same without a race; restarting for flags where they can be given at the start: a port was once taken meanwhile. Change: set, organisations, rerun, within, met, served, holder, order, crowd, crowded, logged; site poison-after=N; the stand-in's weight store can lack versions.

--- a/scenario/bench.go
+++ b/scenario/bench.go
@@ -24,6 +24,7 @@
 type bench struct {
 	site     *site
 	callers  map[string]*caller
+	crowds   map[string]*crowd
 	names    map[string]string // given by name
 	ctx      context.Context
 	revision int // in force
@@ -33,7 +34,7 @@
 func Setup(env *testscript.Env) error {
 	slots <- struct{}{}
 	ctx, cancel := context.WithCancel(context.Background())
-	b := &bench{callers: map[string]*caller{}, names: map[string]string{}, ctx: ctx}
+	b := &bench{callers: map[string]*caller{}, crowds: map[string]*crowd{}, names: map[string]string{}, ctx: ctx}
 	env.Values[benchKey{}] = b
 	env.Defer(func() {
 		cancel()
@@ -59,6 +60,9 @@
 		"name": (*bench).name, "expect": (*bench).expect, "eventually": (*bench).eventually,
 		"request": (*bench).request, "answer": (*bench).answerOf, "rows": (*bench).rows, "ready": (*bench).ready, "elapse": (*bench).elapse,
 		"in-force": (*bench).inForce, "organisation": (*bench).organisation, "edited": (*bench).edited, "exits": (*bench).exits, "vms": (*bench).vms, "counter": (*bench).counter, "raced": (*bench).raced,
+		"set": (*bench).set, "rerun": (*bench).rerun, "within": (*bench).within, "met": (*bench).met,
+		"served": (*bench).served, "holder": (*bench).holder, "order": (*bench).order,
+		"organisations": (*bench).organisations, "crowd": (*bench).crowd, "crowded": (*bench).crowded, "logged": (*bench).logged,
 	}
 	out := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range own {
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -14,7 +14,7 @@
 	"github.com/pearyard/pearyard/cli"
 )
 
-// startSite: site [engines=3] [routers=2] [plains=1] [zones=3] [step=4ms] [recovery.FIELD=VALUE]...
+// startSite: site [engines=3] [routers=2] [plains=1] [zones=3] [step=4ms] [poison-after=0] [recovery.FIELD=VALUE]...
 func (b *bench) startSite(ts *testscript.TestScript, args []string) error {
 	of := size{engines: 3, routers: 2, plains: 1, zones: 3, step: 4 * time.Millisecond}
 	var fields, sizes []string
@@ -25,11 +25,11 @@
 			sizes = append(sizes, arg)
 		}
 	}
-	o, err := parseOptions(sizes, "engines", "routers", "plains", "zones", "step")
+	o, err := parseOptions(sizes, "engines", "routers", "plains", "zones", "step", "poison-after")
 	if err != nil {
 		return err
 	}
-	for name, into := range map[string]*int{"engines": &of.engines, "routers": &of.routers, "plains": &of.plains, "zones": &of.zones} {
+	for name, into := range map[string]*int{"engines": &of.engines, "routers": &of.routers, "plains": &of.plains, "zones": &of.zones, "poison-after": &of.poisonAfter} {
 		if err := o.number(name, into); err != nil {
 			return err
 		}
--- a/scenario/site.go
+++ b/scenario/site.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 type size struct {
 	engines, routers, plains, zones int
 	step                            time.Duration // of the engines
+	poisonAfter                     int           // tokens that a poisoned request gets
 }
 
 // site is the running system of one script.
@@ -99,7 +101,8 @@
 		return err
 	}
 	for i := range s.size.engines {
-		if err := s.standin(engineName(i+1), "engine", "--step-base", s.size.step.String(), "--check-fence"); err != nil {
+		if err := s.standin(engineName(i+1), "engine", "--step-base", s.size.step.String(), "--check-fence",
+			"--poison-after", strconv.Itoa(s.size.poisonAfter)); err != nil {
 			return err
 		}
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -50,8 +50,9 @@
 	Objects ServiceFaults `json:"objects"`
 	VMs     ServiceFaults `json:"vms"`
 	Weights ServiceFaults `json:"weights"`
-	Freeze  *bool         `json:"freeze,omitempty"` // all services
-	Cut     bool          `json:"cut,omitempty"`    // drop every connection at once
+	Lacking []Artefact    `json:"lacking,omitempty"` // what the weight store no longer has
+	Freeze  *bool         `json:"freeze,omitempty"`  // all services
+	Cut     bool          `json:"cut,omitempty"`     // drop every connection at once
 }
 
 // PlatformCounters is the body of GET /dump: calls that the platform carried out.
@@ -79,6 +80,7 @@
 	objects  map[string][]byte
 	vms      history[[]platform.VM]
 	counters PlatformCounters
+	lacking  []Artefact
 }
 
 // NewPlatform returns an empty platform.
@@ -120,6 +122,7 @@
 	p.services[objectService].apply(f.Objects)
 	p.services[vmService].apply(f.VMs)
 	p.services[weightService].apply(f.Weights)
+	p.lack(f.Lacking)
 	p.connect.apply(f.Freeze, f.Cut)
 }
 
@@ -166,6 +169,17 @@
 	return true
 }
 
+func (p *Platform) lack(artefacts []Artefact) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lacking = append(p.lacking, artefacts...)
+}
+
 func (p *Platform) has(artefact Artefact) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.lacking, artefact) {
+		return false
+	}
 	return len(p.opts.Weights) == 0 || slices.Contains(p.opts.Weights, artefact)
 }
