--- /dev/null
+++ b/generation/log_test.go
@@ -0,0 +1,74 @@
+package generation_test
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/pearyard/pearyard/generation"
+	"github.com/pearyard/pearyard/types"
+)
+
+func newLog(emitted int) *generation.Log {
+	tokens := make([]types.Token, emitted)
+	for i := range tokens {
+		tokens[i].ID = uint32(i)
+	}
+	return generation.NewLog(types.NewGenerationID(1), types.Lineage{{Attempt: 1}}, tokens)
+}
+
+// An engine freezes, its generation is given up and resumed elsewhere, and the
+// engine wakes and delivers what it had left. The log that was given up must
+// take none of it, whichever way it was ended.
+func TestEndedLogTakesNoToken(t *testing.T) {
+	endings := map[string]func(*generation.Log) bool{
+		"finished":  func(l *generation.Log) bool { return l.Finish(types.FinishStop) },
+		"lost":      func(l *generation.Log) bool { return l.Lose(errors.New("died")) },
+		"cancelled": (*generation.Log).Cancel,
+	}
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			log := newLog(2)
+			changed := log.Look(0).Changed
+			g.Expect(end(log)).To(BeTrue())
+			g.Expect(changed).To(BeClosed())
+			g.Expect(log.Append(types.Token{ID: 9})).To(MatchError(generation.ErrClosed))
+			g.Expect(log.Look(0).Count).To(Equal(2))
+			for _, again := range endings {
+				g.Expect(again(log)).To(BeFalse())
+			}
+		})
+	}
+}
+
+// Readers come and go at any index while tokens are appended. Each must read
+// every token once and in order, and never see a token change afterwards.
+func TestReadersSeeEachTokenOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := newLog(rapid.IntRange(0, 5).Draw(t, "emitted"))
+		next := uint32(log.Look(0).Count)
+		var read []types.Token
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "append") {
+				if err := log.Append(types.Token{ID: next}); err != nil {
+					t.Fatal(err)
+				}
+				next++
+				continue
+			}
+			read = append(read, log.Look(len(read)).Tokens...)
+		}
+		read = append(read, log.Look(len(read)).Tokens...)
+		if len(read) != int(next) {
+			t.Fatalf("read %d tokens of %d", len(read), next)
+		}
+		for i, token := range read {
+			if token.ID != uint32(i) {
+				t.Fatalf("token %d at index %d", token.ID, i)
+			}
+		}
+	})
+}
