router, sidecar: an answer names its request, and another's is not passed on

Cause: 'each caller gets the answer to its own request, also when answers come crossed' rested for plain calls on HTTP alone: an answer carried nothing that says whose it is. A stream's first frame named its attempt and wasn't checked. Ruled out: a checksum of the request (the id is enough and already unique). Change: request id echoed by the sidecar and checked by the router (crossed: outcome unknown), attempt checked on Accepted. Conclusion: crossed answers are caught between our own processes; an engine that crosses its own answers is not.

--- a/router/reader.go
+++ b/router/reader.go
@@ -25,8 +25,7 @@
 	a.reportLoad(frame.GetLoad())
 	switch body := frame.GetBody().(type) {
 	case *streampb.Frame_Accepted:
-		a.accepted = true
-		return nil
+		return a.accept(body.Accepted)
 	case *streampb.Frame_Tokens:
 		return a.take(body.Tokens)
 	case *streampb.Frame_End:
@@ -42,6 +41,16 @@
 	}
 }
 
+// accept checks that the stream is this attempt's own: a stream that was
+// crossed with another would bring somebody else's answer.
+func (a *attemptReader) accept(accepted *streampb.Accepted) *attemptResult {
+	if streampb.ToLineage(accepted.GetLineage()).Last() != a.attempt {
+		return &attemptResult{ending: lost, cause: causeConnection}
+	}
+	a.accepted = true
+	return nil
+}
+
 // take accepts the tokens that continue the answer and drops the rest.
 //
 // Failure it stops: tokens of an attempt that was given up (its engine was
--- a/router/sidecars.go
+++ b/router/sidecars.go
@@ -36,9 +36,16 @@
 	if err != nil && !guard.MayHaveLeft() {
 		return nil, errors.Wrap(plain.ErrNotSent, err.Error())
 	}
+	if err == nil && resp.GetRequestId() != req.GetRequestId() {
+		return nil, errCrossed
+	}
 	return resp, err
 }
 
+// errCrossed: an answer that names another request. Passing it on would give a
+// caller somebody else's receipt; what became of its own call isn't known.
+var errCrossed = errors.New("router: answer belongs to another request")
+
 // Void asks that an attempt never run.
 func (s sidecars) Void(ctx context.Context, addr string, req *streampb.VoidRequest) (*streampb.CallResponse, error) {
 	return s.at(addr).Void(ctx, req)
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -14,18 +14,25 @@
 // service implements streampb.Sidecar.
 type service struct{ s *Sidecar }
 
-// Call runs one call of the plain service, under the gate of at-most-once calls.
+// Call runs one call of the plain service, under the gate of at-most-once
+// calls. The answer names the request that it belongs to.
 func (v service) Call(ctx context.Context, req *streampb.CallRequest) (*streampb.CallResponse, error) {
-	if v.s.calls == nil {
-		return notRun(types.CodeUnknownService, "no plain service here"), nil
+	resp := v.s.call(ctx, req)
+	resp.RequestId = req.GetRequestId()
+	return resp, nil
+}
+
+func (s *Sidecar) call(ctx context.Context, req *streampb.CallRequest) *streampb.CallResponse {
+	if s.calls == nil {
+		return notRun(types.CodeUnknownService, "no plain service here")
 	}
-	if !v.s.admission.enter() {
-		return notRun(types.CodeLeaving, "backend server is leaving"), nil
+	if !s.admission.enter() {
+		return notRun(types.CodeLeaving, "backend server is leaving")
 	}
-	defer v.s.admission.exit()
-	resp := v.s.calls.Call(ctx, req)
-	resp.Load = v.s.loadFrame()
-	return resp, nil
+	defer s.admission.exit()
+	resp := s.calls.Call(ctx, req)
+	resp.Load = s.loadFrame()
+	return resp
 }
 
 // Void asks that an attempt never run; see package gate.
