scenario: a relay keeps its port while its process is gone

Cause: one of four runs of the poison scenarios on a busy machine failed at a restart with "bind: address already in use": while nobody listened, the kernel gave the port to another process's outgoing connection. Ruled out: trying longer (connections between processes stay open for minutes); accepting and breaking connections meanwhile (a dial that is refused proves that nothing ran, a broken one doesn't). Change: each relay keeps a socket bound to its port that never listens. Conclusion: dials are refused as before, and the restart finds its port free.

--- a/scenario/relay.go
+++ b/scenario/relay.go
@@ -18,6 +18,7 @@
 // connections stay open and nothing passes; what was sent meanwhile comes late.
 type relay struct {
 	address string
+	kept    reservation
 
 	mu       sync.Mutex // guards all below
 	target   string     // "" while the process behind isn't there
@@ -30,11 +31,17 @@
 }
 
 func newRelay() (*relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// The port is reserved first: no other socket may be bound once one listens.
+	kept, err := reserve()
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{address: listener.Addr().String(), listener: listener, changed: make(chan struct{})}
+	listener, err := net.Listen("tcp", kept.address)
+	if err != nil {
+		kept.release()
+		return nil, err
+	}
+	r := &relay{address: kept.address, kept: kept, listener: listener, changed: make(chan struct{})}
 	go r.accept(listener)
 	return r, nil
 }
@@ -85,6 +92,7 @@
 func (r *relay) close() {
 	r.change(func() { r.closed, r.cut, r.hold = true, false, nil })
 	r.down()
+	r.kept.release()
 }
 
 // setCut stops or lets through all bytes; a mended relay holds no answers either.
