router, node: a suspect runs once among all routers; the text's quarantine is in force

Cause: a request that crashes engines cost three of them when it came through both routers at once: the home's grant (suspect.Spreader.Await) was asked by nobody, clear runs weren't counted, and a router that had met no member told nobody. recovery.suspicionLimit and quarantineSeconds of the text had no effect. A suspect that no server could take went round without a pause or a look at its deadline where there were more than four servers. Ruled out: pushing deaths before placing (the second crash hasn't come yet when the copy starts). Change: a strong suspect awaits its home's grant before it is placed and gives it back; every run is entered; a second suspect may join an engine after 1 s; news goes to the sidecars that the text names until members have met; the ledger follows the text. A request resent with another max_tokens counts anew: the fingerprint is of the body.

--- a/node/common.go
+++ b/node/common.go
@@ -90,6 +90,7 @@
 type base struct {
 	opts     Common
 	role     types.Role
+	created  time.Time
 	recorder *event.Recorder
 	registry *prometheus.Registry
 	inspect  *inspect.Registry
@@ -106,7 +107,7 @@
 
 func newBase(opts Common, role types.Role, backendServer string) (*base, error) {
 	opts = opts.withDefaults(role)
-	b := &base{opts: opts, role: role, registry: prometheus.NewRegistry(), mux: http.NewServeMux()}
+	b := &base{opts: opts, role: role, created: time.Now(), registry: prometheus.NewRegistry(), mux: http.NewServeMux()}
 	b.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", opts.ID), opts.RingSize)
 	b.holder = config.NewHolder(config.HolderOptions{Recorder: b.recorder, Registerer: b.registry})
 	b.peer = peer.New(peer.Options{
@@ -151,22 +152,6 @@
 	return errors.Wrap(err, "node: membership")
 }
 
-func (b *base) newSuspects() {
-	b.suspects = suspect.New(suspect.Options{
-		Self: b.opts.ID, Limit: suspect.LedgerLimit(text.DefaultSuspicionLimit),
-		Quarantine: text.DefaultQuarantineSeconds * time.Second,
-		Table:      b.opts.Platform.Table, Recorder: b.recorder, Registerer: b.registry,
-	})
-	client := b.peer.Client()
-	b.news = suspect.NewSpreader(b.suspects, suspect.SpreaderOptions{
-		Self:  b.opts.Advertise,
-		Peers: b.others,
-		Dial: func(addr string) suspectpb.Suspects {
-			return suspectpb.NewSuspectsProtobufClient("http://"+addr, client)
-		},
-	})
-}
-
 func (b *base) newInspect() error {
 	self := b.peer.Self()
 	registry, err := inspect.New(inspect.Options{
@@ -195,20 +180,6 @@
 	b.members.Observe(m)
 }
 
-// others lists the peer addresses of all other members that are thought to live.
-func (b *base) others() []string {
-	view := b.members.Snapshot()
-	var out []string
-	for _, role := range []types.Role{types.RoleRouter, types.RoleSidecar} {
-		for _, m := range view.Alive(role) {
-			if m.Address != b.opts.Advertise {
-				out = append(out, m.Address)
-			}
-		}
-	}
-	return out
-}
-
 // text returns the text in force, nil if there is none.
 func (b *base) text() *text.Text {
 	if snapshot := b.holder.Current(); snapshot != nil {
@@ -247,6 +218,7 @@
 	actor(group, b.members.Run)
 	actor(group, b.suspects.Run)
 	actor(group, b.news.Run)
+	actor(group, b.followSuspicion)
 	actor(group, func(ctx context.Context) error {
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
 		b.spreader.Ask(asking, b.opts.Seeds)
--- a/node/router.go
+++ b/node/router.go
@@ -77,7 +77,7 @@
 		Peer: r.peer, Zone: r.opts.Zone, Policy: r.opts.Policy,
 		Text: r.text, Fresh: r.fresh, Members: r.members.Snapshot, Changed: r.changed,
 		MarkLeaving: func(id types.ProcessID) { r.members.MarkLeaving(id) },
-		Limiter:     r.limiter, Claims: r.claims, Suspects: r.suspects,
+		Limiter:     r.limiter, Claims: r.claims, Suspects: r.suspects, Grants: r.news,
 		Recorder: r.recorder, Registerer: r.registry,
 	})
 }
--- /dev/null
+++ b/node/suspicion.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pearyard/pearyard/router"
+	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/types"
+)
+
+// probation is how long a suspect runs alone on an engine before the next one
+// may join it: a request that crashes engines does so within its first tokens.
+const probation = time.Second
+
+func (b *base) newSuspects() {
+	b.suspects = suspect.New(suspect.Options{
+		Self: b.opts.ID, Probation: probation,
+		Table: b.opts.Platform.Table, Recorder: b.recorder, Registerer: b.registry,
+	})
+	b.suspects.Configure(text.DefaultSuspicionLimit, text.DefaultQuarantineSeconds*time.Second)
+	client := b.peer.Client()
+	b.news = suspect.NewSpreader(b.suspects, suspect.SpreaderOptions{
+		Self:  b.opts.Advertise,
+		Peers: b.others,
+		Dial: func(addr string) suspectpb.Suspects {
+			return suspectpb.NewSuspectsProtobufClient("http://"+addr, client)
+		},
+	})
+}
+
+// followSuspicion applies each new text's limits of suspicion to the ledger.
+func (b *base) followSuspicion(ctx context.Context) error {
+	for {
+		changed := b.holder.Changed()
+		if in := b.text(); in != nil {
+			b.suspects.Configure(in.Recovery.SuspicionLimit, in.Recovery.Quarantine())
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// others lists the peer addresses of all other members that are thought to
+// live, and of the sidecars that the text names while this process is too young
+// to have met them.
+//
+// Failure it stops: a router that has just started knows no member, so it tells
+// nobody of a crash and asks nobody for a suspect's run. It shows as a request
+// that crashes two engines through each router.
+func (b *base) others() []string {
+	view := b.members.Snapshot()
+	var out []string
+	for _, m := range view.Alive(types.RoleRouter) {
+		out = append(out, m.Address)
+	}
+	for _, site := range router.Sites(view, b.text(), time.Since(b.created)) {
+		out = append(out, site.Address)
+	}
+	return slices.DeleteFunc(out, func(addr string) bool { return addr == b.opts.Advertise })
+}
--- a/router/drive.go
+++ b/router/drive.go
@@ -49,7 +49,8 @@
 	avoid   []types.ProcessID
 	resumes int
 	ran     bool      // an attempt may have run somewhere
-	entered bool      // the ledger counts the attempt as a suspect's run
+	entered bool      // the ledger counts the attempt as a run
+	granted bool      // the suspect's home has granted it a run
 	begun   time.Time // when the request came
 	gap     *gap      // set from a loss until output goes on
 }
@@ -94,21 +95,17 @@
 // place picks a backend server and runs one attempt on it; it waits a little
 // when there is none.
 func (d *drive) place(ctx context.Context, patience time.Time) (attemptResult, *types.Refusal) {
+	defer d.giveBack()
 	for {
+		d.await(ctx, patience)
 		if refusal := d.quarantined(); refusal != nil {
 			return attemptResult{}, refusal
 		}
-		candidate, ok := d.pick()
-		if ok && d.enter(candidate) {
+		if candidate, ok := d.choose(); ok {
 			result := d.attempt(ctx, candidate)
 			d.leave(candidate, result)
 			return result, nil
 		}
-		if ok {
-			d.avoidNext(candidate.ID)
-			continue
-		}
-		d.avoid = d.avoid[:0]
 		if time.Now().After(patience) {
 			return attemptResult{}, d.gaveUp(types.CodeNoBackend, "no backend server takes this request")
 		}
@@ -120,6 +117,24 @@
 	}
 }
 
+// choose picks a backend server and enters the request there. One that a
+// suspect may not enter is avoided in the next choice.
+func (d *drive) choose() (*route.Candidate, bool) {
+	if !d.mayPlace() {
+		return nil, false
+	}
+	candidate, ok := d.pick()
+	if !ok {
+		d.avoid = d.avoid[:0]
+		return nil, false
+	}
+	if !d.enter(candidate) {
+		d.avoidNext(candidate.ID)
+		return nil, false
+	}
+	return candidate, true
+}
+
 func (d *drive) query() *route.Query {
 	return &route.Query{
 		Blocks:  d.blocks,
--- a/router/suspicion.go
+++ b/router/suspicion.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"github.com/pearyard/pearyard/route"
@@ -31,11 +32,34 @@
 	return refusal
 }
 
-// enter asks whether the request may run on candidate now. Only a strong
-// suspect is held back: it must not meet another one, nor run twice at once,
-// or a single bad request could cost more engines than its limit.
+// await waits until this router may run the request: only a strong suspect is
+// held back, until its home grants it the one run that it has among all routers.
+//
+// Failure it stops: copies of one bad request come through several routers, and
+// each router learns only of the engines that its own copy crashed. It shows as
+// a third and a fourth engine lost to the request. The home knows of all copies.
+func (d *drive) await(ctx context.Context, patience time.Time) {
+	if d.r.opts.Grants == nil || !d.verdict().Strong() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, patience)
+	defer cancel()
+	_, err := d.r.opts.Grants.Await(ctx, d.ask.fingerprint)
+	d.granted = err == nil
+}
+
+// mayPlace reports whether the request may be placed: if it is a strong
+// suspect, only with a grant.
+func (d *drive) mayPlace() bool {
+	return d.granted || d.r.opts.Grants == nil || !d.verdict().Strong()
+}
+
+// enter asks whether the request may run on candidate now. A strong suspect
+// must not meet another one, nor run twice at once through this router, or a
+// single bad request could cost more engines than its limit. Runs of requests
+// that are clear are counted as well: they may be copies of a suspect-to-be.
 func (d *drive) enter(candidate *route.Candidate) bool {
-	if d.r.opts.Suspects == nil || !d.verdict().Strong() {
+	if d.r.opts.Suspects == nil {
 		return true
 	}
 	d.entered = d.r.opts.Suspects.Enter(d.ask.fingerprint, string(candidate.ID))
@@ -55,4 +79,13 @@
 		d.entered = false
 		d.r.opts.Suspects.Leave(d.ask.fingerprint, string(candidate.ID))
 	}
+	d.granted = false // a run that ends gives its grant back
+}
+
+// giveBack returns a grant that brought no run.
+func (d *drive) giveBack() {
+	if d.granted {
+		d.granted = false
+		d.r.opts.Grants.Release(d.ask.fingerprint)
+	}
 }
