--- a/node/router.go
+++ b/node/router.go
@@ -185,7 +185,7 @@
 		limits = append(limits, limit.OrganisationLimits{
 			Name: types.Organisation(o.Name), Weight: float64(o.Weight),
 			RequestsPerSecond: o.Limits.RequestsPerSecond, Burst: o.Limits.Burst,
-			Concurrent: o.Limits.Concurrent, Queued: o.Limits.Queued, Priority: o.Priority,
+			Concurrent: o.Limits.Concurrent, Queued: queued(o.Limits.Queued), Priority: o.Priority,
 		})
 	}
 	r.limiter.Apply(limits)
@@ -193,6 +193,19 @@
 	r.orders.Wake()
 }
 
+// unboundedQueue is the queue of an organisation whose text sets no bound: long
+// enough that fair sharing decides, short enough to end within a deadline.
+const unboundedQueue = 1024
+
+// queued translates a text's bound, where 0 sets none, for the limiter, where 0
+// is no queue.
+func queued(bound int) int {
+	if bound == 0 {
+		return unboundedQueue
+	}
+	return bound
+}
+
 // routerService implements streampb.Router.
 type routerService struct{ r *Router }
 
