router: 'not run' speaks of the key, not of the try alone

Cause: a caller whose earlier try ran was told 'not run' of its second one by a router that refused before reading the claim (table service down, over the limit, stopping, stale text). It could then send the call under another key and have it run twice. Found by the scenarios of calls, left open there.

--- a/router/call.go
+++ b/router/call.go
@@ -53,11 +53,14 @@
 	defer cancel()
 	release, refusal := r.admitCall(ctx, in.organisation)
 	if refusal != nil {
-		r.refuse(w, in.id, refusal)
+		r.refuse(w, in.id, r.truthful(req, refusal))
 		return
 	}
 	defer release()
 	answer, refusal := r.runCall(ctx, in, service, key, r.callOf(req, body))
+	if refusal != nil && refusal.Code == types.CodeTableDown {
+		refusal = r.truthful(req, refusal) // the others were said after reading the claim
+	}
 	if refusal != nil {
 		r.refuse(w, in.id, refusal)
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/event"
@@ -57,6 +58,7 @@
 	journal  *journal.Reader
 	fleet    *fleet
 	metrics  *metrics
+	looks    *rate.Limiter // looks for earlier tries of refused calls
 	created  time.Time
 
 	draining  atomic.Bool
@@ -81,6 +83,7 @@
 		sidecars: calls,
 		journal:  journal.NewReader(journal.ReaderOptions{Client: calls}),
 		fleet:    newFleet(opts.Peer.Self().ID, opts.Policy, opts.Recorder, opts.Registerer),
+		looks:    rate.NewLimiter(looksPerSecond, looksPerSecond),
 		stopping: make(chan struct{}),
 		drained:  make(chan struct{}),
 		created:  time.Now(),
--- a/router/serve.go
+++ b/router/serve.go
@@ -52,14 +52,15 @@
 		in := &admitted{id: types.NewRequestID(), begun: time.Now()}
 		w.Header().Set(HeaderRequestID, string(in.id))
 		if !r.enter() {
-			r.refuse(w, in.id, types.NotRun(types.CodeLeaving, drainRetryAfter, "this router is being stopped; another one serves"))
+			leaving := types.NotRun(types.CodeLeaving, drainRetryAfter, "this router is being stopped; another one serves")
+			r.refuse(w, in.id, r.truthful(req, leaving))
 			return
 		}
 		defer r.exit()
 		r.begun.Store(in, nil)
 		defer r.begun.Delete(in)
 		if refusal := r.admitCaller(req, in); refusal != nil {
-			r.refuse(w, in.id, refusal)
+			r.refuse(w, in.id, r.truthful(req, refusal))
 			return
 		}
 		next(w, req, in)
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -43,6 +43,11 @@
 	return v.s.calls.Void(ctx, req), nil
 }
 
+// Seen says whether an attempt under a claim's key ran here.
+func (v service) Seen(_ context.Context, req *streampb.SeenRequest) (*streampb.SeenResponse, error) {
+	return &streampb.SeenResponse{Ran: v.s.calls != nil && v.s.calls.Ran(req.GetClaimKey())}, nil
+}
+
 // Cancel stops an attempt that its router has no more use for.
 //
 // Failure it stops: a router that was frozen wakes, finds its caller gone and
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 type Calls interface {
 	Call(ctx context.Context, req *streampb.CallRequest) *streampb.CallResponse
 	Void(ctx context.Context, req *streampb.VoidRequest) *streampb.CallResponse
+	Ran(claimKey string) bool
 }
 
 // Options configure a Sidecar. Exactly one of Engine and Plain is set.
