router: circuits for generations, Retry-After by load, resume latency dated by the last token

Cause: circuits held for calls only; a fresh request was told a constant time to come back; the router's histogram said 50 ms for a frozen engine where callers wait 887 ms (measure), since it dated the loss by the sidecar's last heartbeat. Ruled out: counting an engine's death against the circuit (its sidecar lives and refuses by itself at no cost). Change: choose() leaves out open circuits, connection losses and silence count; gaps date from the last token.

--- a/router/drive.go
+++ b/router/drive.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/retry"
 	"github.com/pearyard/pearyard/route"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/text"
@@ -52,7 +53,9 @@
 	entered bool      // the ledger counts the attempt as a run
 	granted bool      // the suspect's home has granted it a run
 	begun   time.Time // when the request came
-	gap     *gap      // set from a loss until output goes on
+	// lastToken is when the newest token was passed on; zero if none was.
+	lastToken time.Time
+	gap       *gap // set from a loss until output goes on
 }
 
 // gap is an interruption that the caller may notice.
@@ -118,21 +121,30 @@
 }
 
 // choose picks a backend server and enters the request there. One that a
-// suspect may not enter is avoided in the next choice.
+// suspect may not enter, or whose circuit is open, is avoided from then on.
 func (d *drive) choose() (*route.Candidate, bool) {
 	if !d.mayPlace() {
 		return nil, false
 	}
-	candidate, ok := d.pick()
-	if !ok {
-		d.avoid = d.avoid[:0]
-		return nil, false
-	}
-	if !d.enter(candidate) {
+	for range maxAvoided {
+		candidate, ok := d.pick()
+		if !ok {
+			break
+		}
+		circuit := d.fleet.circuit(candidate.ID)
+		if circuit.State() == retry.Open || !d.enter(candidate) {
+			d.avoidNext(candidate.ID)
+			continue
+		}
+		if circuit.Allow() {
+			return candidate, true
+		}
+		d.withdraw(candidate) // another request became the probe
 		d.avoidNext(candidate.ID)
 		return nil, false
 	}
-	return candidate, true
+	d.avoid = d.avoid[:0]
+	return nil, false
 }
 
 func (d *drive) query() *route.Query {
@@ -177,7 +189,7 @@
 
 func (d *drive) afterLoss(result attemptResult) *types.Refusal {
 	if d.gap == nil {
-		d.gap = &gap{since: result.lastSign, cause: result.cause}
+		d.gap = &gap{since: d.interrupted(result), cause: result.cause}
 	}
 	if result.ending == moving {
 		d.r.opts.Recorder.Emit(eventMoved, event.FieldRequest, d.ask.requestID, "generation", d.id, "tokens", len(d.tokens))
@@ -192,6 +204,15 @@
 	return nil
 }
 
+// interrupted dates a loss as the caller sees it: by the last token, since an
+// engine that is frozen falls silent long before its sidecar does.
+func (d *drive) interrupted(result attemptResult) time.Time {
+	if d.lastToken.IsZero() || result.ending == moving {
+		return result.lastSign
+	}
+	return d.lastToken
+}
+
 func (d *drive) finish(reason types.FinishReason) *types.Refusal {
 	if err := d.answer.finish(reason, len(d.tokens)); err != nil {
 		return errCallerLeft
@@ -211,7 +232,7 @@
 		refusal.Status = http.StatusServiceUnavailable
 		return refusal
 	}
-	return types.NotRun(code, d.r.spread(overloadedWait), "%s", message)
+	return types.NotRun(code, d.fleet.retryAfter(), "%s", message)
 }
 
 // contextEnded tells a caller that left from a deadline that passed.
@@ -270,6 +291,10 @@
 	// stream broke before its first frame may be with an engine all the same;
 	// only a refusal, or a connection that was never made, proves that it isn't.
 	d.ran = d.ran || result.accepted || result.ending != notStarted
+	circuit := d.fleet.circuit(candidate.ID)
+	if result.accepted {
+		circuit.Success()
+	}
 	switch result.ending {
 	case ended:
 		candidate.Stats.Succeeded()
@@ -281,12 +306,16 @@
 		return
 	case lost:
 		candidate.Stats.Failed(time.Now())
+		if result.cause != causeEngineDied {
+			circuit.Failure()
+		}
 		d.r.cancelAttempt(candidate.Address, d.id, attempt)
 	case moving:
 		d.r.cancelAttempt(candidate.Address, d.id, attempt)
 	case notStarted:
 		if result.refused == nil {
 			candidate.Stats.Failed(time.Now())
+			circuit.Failure()
 		} else if types.Code(result.refused.GetCode()) == types.CodeLeaving {
 			d.r.noteLeaving(d.fleet, candidate)
 		}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -31,7 +31,7 @@
 		requests: f.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "requests_total", Help: "Requests by final outcome and code (empty: answered)."}, []string{"outcome", "code"}),
 		resumeLatency: f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem,
-			Name: "resume_latency_seconds", Help: "From a loss as the router can date it (the last sign of life) until output goes on.",
+			Name: "resume_latency_seconds", Help: "From the last token before a loss until output goes on.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"cause"}),
 		firstToken: f.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "first_token_seconds", Help: "From the request until its first token.",
--- a/router/reader.go
+++ b/router/reader.go
@@ -135,6 +135,7 @@
 		return err
 	}
 	d.sent = len(d.tokens)
+	d.lastToken = time.Now()
 	d.r.metrics.tokens.Add(float64(len(fresh)))
 	d.outputGoesOn(first)
 	return nil
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -214,8 +213,3 @@
 	m, ok := members.ByAddress(addr)
 	return !ok || m.State != membership.StateDead
 }
-
-// spread adds jitter to a wait, so that shed callers don't return all at once.
-func (r *Router) spread(wait time.Duration) time.Duration {
-	return wait + rand.N(wait)
-}
--- a/router/suspicion.go
+++ b/router/suspicion.go
@@ -66,6 +66,9 @@
 	return d.entered
 }
 
+// withdraw takes back an entry that no attempt followed.
+func (d *drive) withdraw(candidate *route.Candidate) { d.leave(candidate, attemptResult{}) }
+
 // leave notes what the end of an attempt says about the request. The death is
 // told before the run is given back, so that a copy elsewhere sees it.
 func (d *drive) leave(candidate *route.Candidate, result attemptResult) {
