--- a/client/client.go
+++ b/client/client.go
@@ -223,6 +223,8 @@
 	Code      types.Code      `json:"code"`
 	Outcome   types.Outcome   `json:"outcome"`
 	RequestID types.RequestID `json:"request_id"`
+
+	RetryAfter int `json:"retry_after"` // seconds; 0: none
 }
 
 func (s *stream) events(body io.Reader, alive func()) (done bool, err error) {
@@ -257,7 +259,8 @@
 		return errors.Wrap(err, "client: event")
 	}
 	if e.Error != nil {
-		return &RefusedError{Status: http.StatusOK, Code: e.Error.Code, Outcome: e.Error.Outcome, Message: e.Error.Message, RequestID: e.Error.RequestID}
+		return &RefusedError{Status: http.StatusOK, Code: e.Error.Code, Outcome: e.Error.Outcome, Message: e.Error.Message, RequestID: e.Error.RequestID,
+			RetryAfter: time.Duration(e.Error.RetryAfter) * time.Second}
 	}
 	if len(e.Choices) == 0 {
 		return nil
--- a/router/ask.go
+++ b/router/ask.go
@@ -36,7 +36,7 @@
 	maxTokens    int
 	stream       bool
 	chat         bool
-	fingerprint  types.Fingerprint
+	fingerprint  types.Fingerprint // of organisation, model and prompt
 	key          types.Key
 	explicitKey  bool           // the caller named its request
 	lastEvent    *types.EventID // the caller has seen the answer up to here
@@ -114,9 +114,11 @@
 		return refusal
 	}
 	org := types.Organisation(a.organisation.Name)
-	a.fingerprint = types.FingerprintOf(org, body)
+	// A prompt that crashes engines crashes them with any budget, so a caller
+	// that sends it again with another one is the same suspect.
+	a.fingerprint = types.FingerprintOf(org, []byte(a.model+"\x00"+a.prompt))
 	a.explicitKey = idempotencyKey != ""
-	a.key = types.KeyOf(org, idempotencyKey+"\x00"+a.fingerprint.String())
+	a.key = types.KeyOf(org, idempotencyKey+"\x00"+types.FingerprintOf(org, body).String())
 	last := h.Get(HeaderLastEventID)
 	if last == "" {
 		return nil
--- a/router/drive.go
+++ b/router/drive.go
@@ -49,10 +49,12 @@
 	blocks  []uint64
 	avoid   []types.ProcessID
 	resumes int
-	ran     bool      // an attempt may have run somewhere
-	entered bool      // the ledger counts the attempt as a run
-	granted bool      // the suspect's home has granted it a run
-	begun   time.Time // when the request came
+	// refusals counts attempts in a row of which nothing ran.
+	refusals int
+	ran      bool      // an attempt may have run somewhere
+	entered  bool      // the ledger counts the attempt as a run
+	granted  bool      // the suspect's home has granted it a run
+	begun    time.Time // when the request came
 	// lastToken is when the newest token was passed on; zero if none was.
 	lastToken time.Time
 	gap       *gap // set from a loss until output goes on
@@ -100,6 +102,9 @@
 func (d *drive) place(ctx context.Context, patience time.Time) (attemptResult, *types.Refusal) {
 	defer d.giveBack()
 	for {
+		if !d.pace(ctx) {
+			return attemptResult{}, d.contextEnded(ctx)
+		}
 		d.await(ctx, patience)
 		if refusal := d.quarantined(); refusal != nil {
 			return attemptResult{}, refusal
@@ -120,6 +125,21 @@
 	}
 }
 
+// pace waits a little once every backend server has refused this request in a
+// row: while all engines are down, a resume would else ask them without a pause.
+func (d *drive) pace(ctx context.Context) bool {
+	round := d.refusals - d.fleet.view.Load().Len()
+	if round < 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(retry.Backoff(round)):
+		return true
+	}
+}
+
 // choose picks a backend server and enters the request there. One that a
 // suspect may not enter, or whose circuit is open, is avoided from then on.
 func (d *drive) choose() (*route.Candidate, bool) {
@@ -287,6 +307,10 @@
 
 // close updates what is known of the candidate and frees an attempt that may still run.
 func (d *drive) close(candidate *route.Candidate, attempt types.AttemptTag, result *attemptResult) {
+	d.refusals++
+	if result.ending != notStarted {
+		d.refusals = 0
+	}
 	// Failure it stops: "not run" said of a request that ran. An attempt whose
 	// stream broke before its first frame may be with an engine all the same;
 	// only a refusal, or a connection that was never made, proves that it isn't.
--- a/router/refuse.go
+++ b/router/refuse.go
@@ -22,6 +22,9 @@
 	Code      types.Code      `json:"code"`
 	RequestID types.RequestID `json:"request_id"`
 	Outcome   types.Outcome   `json:"outcome"`
+	// RetryAfter is in seconds, as the header of that name: an answer that has
+	// started can't send the header any more. 0: none.
+	RetryAfter int `json:"retry_after,omitempty"`
 }
 
 func newErrorBody(refusal *types.Refusal, id types.RequestID) errorBody {
@@ -32,7 +35,10 @@
 	if refusal.Status == http.StatusTooManyRequests {
 		kind = "rate_limit_error"
 	}
-	return errorBody{errorDetail{Message: refusal.Message, Type: kind, Code: refusal.Code, RequestID: id, Outcome: refusal.Outcome}}
+	return errorBody{errorDetail{
+		Message: refusal.Message, Type: kind, Code: refusal.Code, RequestID: id,
+		Outcome: refusal.Outcome, RetryAfter: retryAfterSeconds(refusal.RetryAfter),
+	}}
 }
 
 // refuse writes a refusal as a whole HTTP answer, at once.
@@ -42,7 +48,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, string(refusal.Outcome))
 	if refusal.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfterSeconds(refusal.RetryAfter))
+		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds(refusal.RetryAfter)))
 	}
 	if r.draining.Load() {
 		h.Set("Connection", "close")
@@ -57,6 +63,6 @@
 }
 
 // retryAfterSeconds rounds up: a caller that comes back too early is shed again.
-func retryAfterSeconds(d time.Duration) string {
-	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+func retryAfterSeconds(d time.Duration) int {
+	return int(math.Ceil(max(d, 0).Seconds()))
 }
