--- /dev/null
+++ b/rpc/member/doc.go
@@ -0,0 +1,2 @@
+// Package memberpb holds the probes and exchanges of membership.
+package memberpb
--- /dev/null
+++ b/rpc/order/doc.go
@@ -0,0 +1,2 @@
+// Package orderpb holds the orders that a sidecar takes for its engine.
+package orderpb
