--- a/router/drive.go
+++ b/router/drive.go
@@ -73,7 +73,9 @@
 func (d *drive) run(ctx context.Context) *types.Refusal {
 	d.blocks = route.Blocks(nil, d.ask.prompt)
 	patience := time.Now().Add(freshPatience)
-	if d.ran {
+	if d.ran || d.verdict().Strong() {
+		// News of a suspect's second crash may be a second behind: the caller is
+		// better told that its request is quarantined than that nobody takes it.
 		patience = time.Now().Add(placePatience)
 	}
 	for {
