--- a/generation/log.go
+++ b/generation/log.go
@@ -28,6 +28,20 @@
 	Cancelled // the caller left, or the generation moved elsewhere
 )
 
+// String returns the phase as logs and dumps show it.
+func (p Phase) String() string {
+	switch p {
+	case Running:
+		return "running"
+	case Finished:
+		return "finished"
+	case Lost:
+		return "lost"
+	default:
+		return "cancelled"
+	}
+}
+
 // State is one consistent look at a log.
 type State struct {
 	Tokens  []types.Token // from the index that was asked for on; not to be changed
--- a/router/bed_test.go
+++ b/router/bed_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -59,11 +60,19 @@
 	return &site{engine: eng, sidecar: s, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
-const thinText = `{"services":[{"name":"m","kind":"model","dependsOn":[{"model":"pear","version":"1"}],"backendServers":[
-{"name":"a","zone":"z1","sidecar":"A"},{"name":"b","zone":"z2","sidecar":"B"}]}],
+const siteText = `{"services":[{"name":"m","kind":"model","dependsOn":[{"model":"pear","version":"1"}],"backendServers":[%s]}],
 "models":[{"name":"pear","version":"1"}],
 "organisations":[{"name":"o","keySHA256":["2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"]}]}`
 
+// textOf returns a text of one service with a backend server at each address.
+func textOf(sidecars []string) []byte {
+	var servers []string
+	for i, address := range sidecars {
+		servers = append(servers, fmt.Sprintf(`{"name":"s%d","zone":"z%d","sidecar":%q}`, i, i%3, address))
+	}
+	return fmt.Appendf(nil, siteText, strings.Join(servers, ","))
+}
+
 // bed is two sites behind one router.
 type bed struct {
 	sites []*site
@@ -75,10 +84,9 @@
 	return &bed{sites: []*site{a, b}, url: newRouter(t, a.address, b.address)}
 }
 
-// newRouter starts a router before two sidecars and returns its URL for callers.
-func newRouter(t *testing.T, a, b string) string {
-	raw := strings.NewReplacer(`"A"`, `"`+a+`"`, `"B"`, `"`+b+`"`).Replace(thinText)
-	in, findings := text.Parse([]byte(raw))
+// newRouter starts a router before some sidecars and returns its URL for callers.
+func newRouter(t *testing.T, sidecars ...string) string {
+	in, findings := text.Parse(textOf(sidecars))
 	NewWithT(t).Expect(findings).To(BeEmpty())
 	r := router.New(router.Options{
 		Peer:       newPeer("r1", ""),
--- a/router/pace_test.go
+++ b/router/pace_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -32,22 +33,43 @@
 	_ = streampb.Write(w, &streampb.Frame{Body: &streampb.Frame_Lost{Lost: &streampb.Lost{}}})
 }
 
+// manySidecars is more than a request can avoid at once, so that there is
+// always one to ask.
+const manySidecars = 6
+
 // All engines of a site go down while an answer runs. The router looks for one
 // to go on with until the caller's time is over, and must not flood the
 // sidecars that refuse meanwhile: without a pause it asked 150 times a second.
 func TestResumePacesItsAttempts(t *testing.T) {
 	g := NewWithT(t)
 	sidecars := &losing{}
-	a, b := httptest.NewServer(sidecars), httptest.NewServer(sidecars)
-	defer a.Close()
-	defer b.Close()
-	url := newRouter(t, strings.TrimPrefix(a.URL, "http://"), strings.TrimPrefix(b.URL, "http://"))
+	g.Expect(sidecars.answer(t, "1")).To(ContainSubstring(`"code":"deadline_exceeded"`))
+	g.Expect(sidecars.attempts.Load()).To(BeNumerically("<", 40))
+}
+
+// The same, and the caller has set no time: it must not wait for the text's
+// half hour, but is told after a few seconds that nobody goes on with its answer.
+func TestResumeGivesUpWhenAllRefuse(t *testing.T) {
+	g := NewWithT(t)
+	begun := time.Now()
+	g.Expect((&losing{}).answer(t, "20")).To(ContainSubstring(`"code":"no_backend_server"`))
+	g.Expect(time.Since(begun)).To(BeNumerically("<", 10*time.Second))
+}
+
+// answer streams a request before two such sidecars and returns all that came.
+func (l *losing) answer(t *testing.T, seconds string) string {
+	var addresses []string
+	for range manySidecars {
+		server := httptest.NewServer(l)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	url := newRouter(t, addresses...)
 	req, _ := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(`{"model":"pear","prompt":"p","max_tokens":5,"stream":true}`))
 	req.Header.Set("Authorization", "Bearer key")
-	req.Header.Set("Pearyard-Timeout", "1")
+	req.Header.Set("Pearyard-Timeout", seconds)
 	resp, err := http.DefaultClient.Do(req)
-	g.Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = resp.Body.Close() }()
-	g.Expect(bodyOf(resp)).To(ContainSubstring(`"code":"deadline_exceeded"`))
-	g.Expect(sidecars.attempts.Load()).To(BeNumerically("<", 40))
+	return bodyOf(resp)
 }
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -159,7 +159,7 @@
 		r.log.Lose(err)
 	}
 	state := r.log.Look(0)
-	s.opts.Recorder.Emit(eventEnded, event.FieldRequest, r.request, "tokens", state.Count, "phase", int(state.Phase))
+	s.opts.Recorder.Emit(eventEnded, event.FieldRequest, r.request, "tokens", state.Count, "phase", state.Phase)
 	s.retain(r)
 }
 
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -68,7 +68,7 @@
 		Generation string
 		Request    string
 		Tokens     int
-		Phase      int
+		Phase      string
 		Suspect    bool
 		AgeSeconds float64
 	}
@@ -80,7 +80,7 @@
 	}{BackendServer: s.opts.BackendServer, State: s.stateName(), InFlight: s.InFlight()}
 	for _, r := range s.runs.all() {
 		state := r.log.Look(0)
-		dump.Runs = append(dump.Runs, runDump{r.log.ID().String(), string(r.request), state.Count, int(state.Phase), r.suspect, time.Since(r.started).Seconds()})
+		dump.Runs = append(dump.Runs, runDump{r.log.ID().String(), string(r.request), state.Count, state.Phase.String(), r.suspect, time.Since(r.started).Seconds()})
 	}
 	return dump
 }
