scenario: reads the phase of a run by its name

Ruled out: the patience of resumes (the failing scripts wait before any loss). Change: scenario/look.go compares with generation.Running's name.

--- a/scenario/look.go
+++ b/scenario/look.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	genlog "github.com/pearyard/pearyard/generation"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/types"
 )
@@ -80,14 +81,14 @@
 			Runs []struct {
 				Generation string
 				Request    types.RequestID
-				Phase      int
+				Phase      string
 			}
 		}
 		if s.dump(sidecarName(i+1), "sidecar", &state) != nil {
 			continue
 		}
 		for _, run := range state.Runs {
-			if run.Phase == 0 && c.isServedBy(run.Request, run.Generation) {
+			if run.Phase == genlog.Running.String() && c.isServedBy(run.Request, run.Generation) {
 				return i + 1
 			}
 		}
