node: one loop that follows the text, in place of three

Ruled out: a list of listeners in the holder (the loops end with their actors, listeners would have to be taken out). Change: base.followText(apply); three apply functions of a few lines. Conclusion: same behaviour, one place.

--- a/node/common.go
+++ b/node/common.go
@@ -180,6 +180,24 @@
 	b.members.Observe(m)
 }
 
+// followText returns an actor that calls apply with the text in force and with
+// each one after it. The channel is taken before the text, so that none is missed.
+func (b *base) followText(apply func(*config.Snapshot)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			changed := b.holder.Changed()
+			if snapshot := b.holder.Current(); snapshot != nil {
+				apply(snapshot)
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-changed:
+			}
+		}
+	}
+}
+
 // text returns the text in force, nil if there is none.
 func (b *base) text() *text.Text {
 	if snapshot := b.holder.Current(); snapshot != nil {
@@ -218,7 +236,7 @@
 	actor(group, b.members.Run)
 	actor(group, b.suspects.Run)
 	actor(group, b.news.Run)
-	actor(group, b.followSuspicion)
+	actor(group, b.followText(b.applySuspicion))
 	actor(group, func(ctx context.Context) error {
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
 		b.spreader.Ask(asking, b.opts.Seeds)
--- a/node/router.go
+++ b/node/router.go
@@ -138,7 +138,7 @@
 	actor(&group, r.keeper.Run)
 	actor(&group, r.orders.Run)
 	actor(&group, r.exchangeUsage)
-	actor(&group, r.followText)
+	actor(&group, r.followText(r.apply))
 	actor(&group, func(actorCtx context.Context) error { return r.untilDrained(ctx, actorCtx) })
 	return group.Run()
 }
@@ -163,21 +163,7 @@
 	go r.leave()
 }
 
-// followText applies each new text to the parts that keep something of it.
-func (r *Router) followText(ctx context.Context) error {
-	for {
-		changed := r.holder.Changed()
-		if snapshot := r.holder.Current(); snapshot != nil {
-			r.apply(snapshot)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
-}
-
+// apply hands a new text to the parts that keep something of it.
 func (r *Router) apply(snapshot *config.Snapshot) {
 	limits := make([]limit.OrganisationLimits, 0, len(snapshot.Text.Organisations))
 	for i := range snapshot.Text.Organisations {
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -8,6 +8,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/gate"
 	"github.com/pearyard/pearyard/inspect"
@@ -181,7 +182,7 @@
 	s.actors(&group)
 	actor(&group, s.sidecar.Run)
 	actor(&group, s.journal.Run)
-	actor(&group, s.followText)
+	actor(&group, s.followText(s.apply))
 	actor(&group, func(actorCtx context.Context) error { return s.untilDrained(ctx, actorCtx) })
 	return group.Run()
 }
@@ -208,19 +209,9 @@
 	return nil
 }
 
-// followText applies each new text to the parts that keep something of it.
-func (s *Sidecar) followText(ctx context.Context) error {
-	for {
-		changed := s.holder.Changed()
-		if in := s.text(); in != nil {
-			s.journal.SetRetain(in.Recovery.Retain())
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
+// apply hands a new text to the parts that keep something of it.
+func (s *Sidecar) apply(snapshot *config.Snapshot) {
+	s.journal.SetRetain(snapshot.Text.Recovery.Retain())
 }
 
 // journalSender sends journal batches to other sidecars.
--- a/node/suspicion.go
+++ b/node/suspicion.go
@@ -1,10 +1,10 @@
 package node
 
 import (
-	"context"
 	"slices"
 	"time"
 
+	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/router"
 	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
 	"github.com/pearyard/pearyard/suspect"
@@ -32,19 +32,10 @@
 	})
 }
 
-// followSuspicion applies each new text's limits of suspicion to the ledger.
-func (b *base) followSuspicion(ctx context.Context) error {
-	for {
-		changed := b.holder.Changed()
-		if in := b.text(); in != nil {
-			b.suspects.Configure(in.Recovery.SuspicionLimit, in.Recovery.Quarantine())
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
+// applySuspicion puts a new text's limits of suspicion in force.
+func (b *base) applySuspicion(snapshot *config.Snapshot) {
+	recovery := snapshot.Text.Recovery
+	b.suspects.Configure(recovery.SuspicionLimit, recovery.Quarantine())
 }
 
 // others lists the peer addresses of all other members that are thought to
