--- a/platform/platform.go
+++ b/backing/backing.go
@@ -1,7 +1,7 @@
 // Package platform names what the platform gives (table service, object store,
 // VM list, weight store) as small interfaces with typed errors. Each protocol
 // towards a real service is one file; another protocol is another file.
-package platform
+package backing
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 
 var (
 	// ErrUnavailable: the service did not take the call; nothing took effect.
-	ErrUnavailable = errors.New("platform: service unavailable")
+	ErrUnavailable = errors.New("backing: service unavailable")
 	// ErrAmbiguous: the answer was lost; the write may have taken effect.
 	// Resolve it by reading the rows back.
-	ErrAmbiguous = errors.New("platform: outcome of the write unknown")
+	ErrAmbiguous = errors.New("backing: outcome of the write unknown")
 	// ErrNotFound: there is no such row, object or weight file.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("backing: not found")
 	// ErrThrottled: the service refused the call for its rate; nothing took effect.
-	ErrThrottled = errors.New("platform: rate limit exceeded")
+	ErrThrottled = errors.New("backing: rate limit exceeded")
 )
 
 // ConflictError reports the rows whose conditions did not hold; nothing was written.
@@ -28,7 +28,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: condition failed on %s", strings.Join(e.Keys, ", "))
+	return fmt.Sprintf("backing: condition failed on %s", strings.Join(e.Keys, ", "))
 }
 
 // Row is one row of the table service. Version grows with every write of the row.
--- a/platform/httpapi/caller.go
+++ b/backing/httpapi/caller.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 const (
@@ -59,14 +59,14 @@
 
 // get reads; a failed read is ErrUnavailable, for it took effect nowhere.
 func (c *caller) get(ctx context.Context, path string, query url.Values) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, path+"?"+query.Encode(), nil, platform.ErrUnavailable)
+	return c.do(ctx, http.MethodGet, path+"?"+query.Encode(), nil, backing.ErrUnavailable)
 }
 
 // write writes. Once a connection is there, a lost answer is ErrAmbiguous: a
 // write that took effect looks the same to us as one that did not. Taken for
 // unavailable, it would be made again, or undone, over its own effect.
 func (c *caller) write(ctx context.Context, method, path string, body []byte) error {
-	_, err := c.do(ctx, method, path, body, platform.ErrAmbiguous)
+	_, err := c.do(ctx, method, path, body, backing.ErrAmbiguous)
 	return err
 }
 
@@ -80,11 +80,11 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.WithMessage(platform.ErrUnavailable, err.Error())
+		return nil, errors.WithMessage(backing.ErrUnavailable, err.Error())
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil && !connected {
-		return nil, errors.WithMessage(platform.ErrUnavailable, err.Error())
+		return nil, errors.WithMessage(backing.ErrUnavailable, err.Error())
 	}
 	if err != nil {
 		return nil, errors.WithMessage(lost, err.Error())
@@ -104,18 +104,18 @@
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	switch resp.StatusCode {
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	case http.StatusTooManyRequests:
-		return platform.ErrThrottled
+		return backing.ErrThrottled
 	case http.StatusServiceUnavailable:
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	case http.StatusConflict:
 		var conflict Conflict
 		_ = json.Unmarshal(text, &conflict)
-		return &platform.ConflictError{Keys: conflict.Keys}
+		return &backing.ConflictError{Keys: conflict.Keys}
 	}
 	if resp.StatusCode/100 == 4 {
-		lost = platform.ErrUnavailable
+		lost = backing.ErrUnavailable
 	}
 	return errors.WithMessagef(lost, "%s: %s", resp.Status, bytes.TrimSpace(text))
 }
@@ -123,7 +123,7 @@
 // decode reads a JSON answer; one that can't be read is of no service.
 func decode(raw []byte, into any) error {
 	if err := json.Unmarshal(raw, into); err != nil {
-		return errors.WithMessage(platform.ErrUnavailable, err.Error())
+		return errors.WithMessage(backing.ErrUnavailable, err.Error())
 	}
 	return nil
 }
--- a/platform/httpapi/clients_test.go
+++ b/backing/httpapi/clients_test.go
@@ -10,8 +10,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/pearyard/pearyard/platform"
-	"github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/standin"
 )
 
@@ -25,10 +25,10 @@
 
 func ptr[T any](v T) *T { return &v }
 
-func put(key, value string, version uint64) platform.Txn {
-	return platform.Txn{
-		If:     []platform.Condition{{Key: key, Version: version}},
-		Writes: []platform.Write{{Key: key, Value: []byte(value)}},
+func put(key, value string, version uint64) backing.Txn {
+	return backing.Txn{
+		If:     []backing.Condition{{Key: key, Version: version}},
+		Writes: []backing.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -37,20 +37,20 @@
 	_, opts, _ := start(t, standin.PlatformOptions{})
 	table := httpapi.NewTable(opts)
 	g.Expect(table.Commit(t.Context(), put("a/1", "x", 0))).To(Succeed())
-	both := platform.Txn{
-		If:     []platform.Condition{{Key: "a/1", Version: 0}, {Key: "a/2", Version: 0}},
-		Writes: []platform.Write{{Key: "a/2", Value: []byte("y")}},
+	both := backing.Txn{
+		If:     []backing.Condition{{Key: "a/1", Version: 0}, {Key: "a/2", Version: 0}},
+		Writes: []backing.Write{{Key: "a/2", Value: []byte("y")}},
 	}
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	err := table.Commit(t.Context(), both)
 	g.Expect(err).To(BeAssignableToTypeOf(conflict))
-	g.Expect(err.(*platform.ConflictError).Keys).To(Equal([]string{"a/1"}))
+	g.Expect(err.(*backing.ConflictError).Keys).To(Equal([]string{"a/1"}))
 	_, err = table.Get(t.Context(), "a/2")
-	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	g.Expect(err).To(MatchError(backing.ErrNotFound))
 
 	row, err := table.Get(t.Context(), "a/1")
 	g.Expect(err).NotTo(HaveOccurred())
-	remove := platform.Txn{Writes: []platform.Write{{Key: "a/1", Delete: true}}}
+	remove := backing.Txn{Writes: []backing.Write{{Key: "a/1", Delete: true}}}
 	g.Expect(table.Commit(t.Context(), remove)).To(Succeed())
 	g.Expect(table.Commit(t.Context(), put("a/1", "z", 0))).To(Succeed())
 	again, err := table.List(t.Context(), "a/", 10)
@@ -84,24 +84,24 @@
 	p, opts, server := start(t, standin.PlatformOptions{})
 	table := httpapi.NewTable(opts)
 	p.Apply(standin.PlatformFaults{Table: standin.ServiceFaults{LoseAnswers: ptr(1)}})
-	g.Expect(table.Commit(t.Context(), put("k1", "v", 0))).To(MatchError(platform.ErrAmbiguous))
+	g.Expect(table.Commit(t.Context(), put("k1", "v", 0))).To(MatchError(backing.ErrAmbiguous))
 	_, err := table.Get(t.Context(), "k1")
 	g.Expect(err).NotTo(HaveOccurred(), "the write took effect")
 
 	p.Apply(standin.PlatformFaults{Table: standin.ServiceFaults{SlowMS: ptr(100)}})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
-	g.Expect(table.Commit(ctx, put("k2", "v", 0))).To(MatchError(platform.ErrAmbiguous))
+	g.Expect(table.Commit(ctx, put("k2", "v", 0))).To(MatchError(backing.ErrAmbiguous))
 	p.Apply(standin.PlatformFaults{Table: standin.ServiceFaults{SlowMS: ptr(0)}})
 	g.Eventually(func() error { _, err := table.Get(t.Context(), "k2"); return err }).Should(Succeed(), "it took effect late")
 
 	p.Apply(standin.PlatformFaults{Table: standin.ServiceFaults{Down: ptr(true)}})
-	g.Expect(table.Commit(t.Context(), put("k3", "v", 0))).To(MatchError(platform.ErrUnavailable))
+	g.Expect(table.Commit(t.Context(), put("k3", "v", 0))).To(MatchError(backing.ErrUnavailable))
 	// The old client may notice only by its call that its kept connection is
 	// gone, which proves nothing; one that has to dial knows that no byte left.
 	server.Close()
-	g.Expect(table.Commit(t.Context(), put("k3", "v", 0))).To(Or(MatchError(platform.ErrAmbiguous), MatchError(platform.ErrUnavailable)))
-	g.Expect(httpapi.NewTable(opts).Commit(t.Context(), put("k3", "v", 0))).To(MatchError(platform.ErrUnavailable))
+	g.Expect(table.Commit(t.Context(), put("k3", "v", 0))).To(Or(MatchError(backing.ErrAmbiguous), MatchError(backing.ErrUnavailable)))
+	g.Expect(httpapi.NewTable(opts).Commit(t.Context(), put("k3", "v", 0))).To(MatchError(backing.ErrUnavailable))
 }
 
 func TestStaleReads(t *testing.T) {
@@ -113,11 +113,11 @@
 	g.Expect(table.Commit(t.Context(), put("k", "v", 0))).To(Succeed())
 	p.Apply(standin.PlatformFaults{Table: standin.ServiceFaults{StaleMS: ptr(10_000)}})
 	_, err := table.Get(t.Context(), "k")
-	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	g.Expect(err).To(MatchError(backing.ErrNotFound))
 	rows, err := table.List(t.Context(), "", 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(rows).To(BeEmpty())
-	g.Expect(table.Commit(t.Context(), put("k", "w", 0))).To(BeAssignableToTypeOf(&platform.ConflictError{}))
+	g.Expect(table.Commit(t.Context(), put("k", "w", 0))).To(BeAssignableToTypeOf(&backing.ConflictError{}))
 }
 
 func TestRateLimits(t *testing.T) {
@@ -135,27 +135,27 @@
 		}
 	}
 	commit := func() error {
-		return table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k"}}})
+		return table.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: "k"}}})
 	}
 	available := func() error { _, err := weights.Available(t.Context(), "m", "1"); return err }
 	other, err := weights.Available(t.Context(), "m", "2")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(other).To(BeFalse())
-	g.Expect(throttled(commit)()).To(MatchError(platform.ErrThrottled))
-	g.Expect(throttled(available)()).To(MatchError(platform.ErrThrottled))
+	g.Expect(throttled(commit)()).To(MatchError(backing.ErrThrottled))
+	g.Expect(throttled(available)()).To(MatchError(backing.ErrThrottled))
 }
 
 func TestVMListLags(t *testing.T) {
 	g := NewWithT(t)
 	p, opts, _ := start(t, standin.PlatformOptions{VMLag: 50 * time.Millisecond})
 	list := httpapi.NewVMList(opts)
-	p.SetVMs([]platform.VM{{ID: "vm1", Address: "127.0.0.1:1", Zone: "errol-shed"}})
+	p.SetVMs([]backing.VM{{ID: "vm1", Address: "127.0.0.1:1", Zone: "errol-shed"}})
 	vms, err := list.List(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(vms).To(BeEmpty())
 	p.Leave("vm1")
-	g.Eventually(func() []platform.VM { vms, _ := list.List(t.Context()); return vms }).
-		Should(ConsistOf(platform.VM{ID: "vm1", Address: "127.0.0.1:1", Zone: "errol-shed", Leaving: true}))
+	g.Eventually(func() []backing.VM { vms, _ := list.List(t.Context()); return vms }).
+		Should(ConsistOf(backing.VM{ID: "vm1", Address: "127.0.0.1:1", Zone: "errol-shed", Leaving: true}))
 }
 
 func TestObjectsNeverChange(t *testing.T) {
@@ -164,10 +164,10 @@
 	objects := httpapi.NewObjects(opts)
 	g.Expect(objects.Put(t.Context(), "texts/1", []byte("a"))).To(Succeed())
 	g.Expect(objects.Put(t.Context(), "texts/1", []byte("a"))).To(Succeed())
-	g.Expect(objects.Put(t.Context(), "texts/1", []byte("b"))).To(BeAssignableToTypeOf(&platform.ConflictError{}))
+	g.Expect(objects.Put(t.Context(), "texts/1", []byte("b"))).To(BeAssignableToTypeOf(&backing.ConflictError{}))
 	value, err := objects.Get(t.Context(), "texts/1")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(value).To(BeEquivalentTo("a"))
 	_, err = objects.Get(t.Context(), "texts/2")
-	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	g.Expect(err).To(MatchError(backing.ErrNotFound))
 }
--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -8,7 +8,7 @@
 	_ "github.com/pearyard/pearyard/claim"
 	_ "github.com/pearyard/pearyard/config"
 	_ "github.com/pearyard/pearyard/gate"
-	_ "github.com/pearyard/pearyard/journal"
+	_ "github.com/pearyard/pearyard/tokenlog"
 	_ "github.com/pearyard/pearyard/lease"
 	_ "github.com/pearyard/pearyard/limit"
 	_ "github.com/pearyard/pearyard/membership"
--- a/claim/batch.go
+++ b/claim/batch.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 const (
@@ -187,29 +187,29 @@
 // classify takes any error that isn't known to be without effect as ambiguous,
 // a timeout above all.
 func classify(err error) (Seen, []string) {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case err == nil:
 		return SeenCommitted, nil
 	case errors.As(err, &conflict):
 		return SeenConflict, conflict.Keys
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrThrottled):
 		return SeenTableDown, nil
 	default:
 		return SeenAmbiguous, nil
 	}
 }
 
-func txnOf(batch []*write) platform.Txn {
-	txn := platform.Txn{
-		If:     make([]platform.Condition, 0, len(batch)),
-		Writes: make([]platform.Write, 0, 2*len(batch)),
+func txnOf(batch []*write) backing.Txn {
+	txn := backing.Txn{
+		If:     make([]backing.Condition, 0, len(batch)),
+		Writes: make([]backing.Write, 0, 2*len(batch)),
 	}
 	for _, w := range batch {
-		txn.If = append(txn.If, platform.Condition{Key: w.key, Version: w.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: w.key, Value: w.value})
+		txn.If = append(txn.If, backing.Condition{Key: w.key, Version: w.version})
+		txn.Writes = append(txn.Writes, backing.Write{Key: w.key, Value: w.value})
 		if w.index != "" {
-			txn.Writes = append(txn.Writes, platform.Write{Key: w.index, Value: []byte(w.key)})
+			txn.Writes = append(txn.Writes, backing.Write{Key: w.index, Value: []byte(w.key)})
 		}
 	}
 	return txn
--- a/claim/coordinator.go
+++ b/claim/coordinator.go
@@ -11,7 +11,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/plain"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -42,7 +42,7 @@
 
 // Options of a Coordinator. Zero durations and counts take the defaults.
 type Options struct {
-	Table      platform.Table
+	Table      backing.Table
 	Router     types.ProcessID
 	Sidecar    SidecarClient
 	Recorder   *event.Recorder
--- a/claim/failure_test.go
+++ b/claim/failure_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/gate"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -42,7 +42,7 @@
 			g := gomega.NewWithT(t)
 			s.table.fault = func(n int) (error, bool) {
 				if n == 1 {
-					return platform.ErrAmbiguous, effect
+					return backing.ErrAmbiguous, effect
 				}
 				return nil, false
 			}
@@ -121,7 +121,7 @@
 		g := gomega.NewWithT(t)
 		s.table.fault = func(int) (error, bool) {
 			s.table.down = true
-			return platform.ErrAmbiguous, true
+			return backing.ErrAmbiguous, true
 		}
 		r := s.router("r1")
 		_, refusal := r.Do(s.ctx, label("k", "lorry 7"), s.pick)
@@ -145,7 +145,7 @@
 		s.net.gates["a"], s.only = full, "a"
 		s.table.fault = func(int) (error, bool) {
 			s.table.down = true
-			return platform.ErrAmbiguous, true
+			return backing.ErrAmbiguous, true
 		}
 		r := s.router("r1")
 		_, _ = r.Do(s.ctx, label("k", "lorry 7"), s.pick)
--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -15,7 +15,7 @@
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/gate"
 	"github.com/pearyard/pearyard/plain"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -24,17 +24,17 @@
 // commit: an error, and whether the commit takes effect nevertheless.
 type fakeTable struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]backing.Row
 	version uint64
 	commits atomic.Int64
 	takes   time.Duration // a commit
 	down    bool
 	fault   func(n int) (err error, effect bool)
-	before  func(txn platform.Txn) // runs before a transaction is judged
+	before  func(txn backing.Txn) // runs before a transaction is judged
 	twice   int                    // transactions that named a row twice
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]backing.Row{}} }
 
 func (f *fakeTable) set(down bool, fault func(int) (error, bool)) {
 	f.mu.Lock()
@@ -42,23 +42,23 @@
 	f.down, f.fault = down, fault
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (backing.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	row, ok := f.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeTable) List(_ context.Context, prefix string, limit int) ([]platform.Row, error) {
+func (f *fakeTable) List(_ context.Context, prefix string, limit int) ([]backing.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []platform.Row
+	var out []backing.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) && len(out) < limit {
 			out = append(out, row)
@@ -67,13 +67,13 @@
 	return out, nil
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+func (f *fakeTable) Commit(_ context.Context, txn backing.Txn) error {
 	n := int(f.commits.Add(1))
 	time.Sleep(f.takes)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	if f.fault != nil {
 		if err, effect := f.fault(n); err != nil {
@@ -86,7 +86,7 @@
 	return f.apply(txn)
 }
 
-func (f *fakeTable) apply(txn platform.Txn) error {
+func (f *fakeTable) apply(txn backing.Txn) error {
 	var failed []string
 	if f.before != nil {
 		f.before(txn)
@@ -102,7 +102,7 @@
 		}
 	}
 	if failed != nil {
-		return &platform.ConflictError{Keys: failed}
+		return &backing.ConflictError{Keys: failed}
 	}
 	f.version++
 	for _, w := range txn.Writes {
@@ -110,7 +110,7 @@
 			delete(f.rows, w.Key)
 			continue
 		}
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.version}
+		f.rows[w.Key] = backing.Row{Key: w.Key, Value: w.Value, Version: f.version}
 	}
 	return nil
 }
@@ -250,7 +250,7 @@
 
 func (f *fakeTable) putLocked(key string, value []byte) {
 	f.version++
-	f.rows[key] = platform.Row{Key: key, Value: value, Version: f.version}
+	f.rows[key] = backing.Row{Key: key, Value: value, Version: f.version}
 }
 
 // start starts or restarts the sidecar at addr.
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 const (
@@ -91,7 +91,7 @@
 	readCtx, cancel := context.WithTimeout(ctx, f.opts.ReadTimeout)
 	defer cancel()
 	row, err := f.opts.Table.Get(readCtx, o.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return SeenConflict
 	}
 	if err != nil {
--- a/claim/rows_test.go
+++ b/claim/rows_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/gate"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -119,7 +119,7 @@
 		g := gomega.NewWithT(t)
 		s.table.fault = func(int) (error, bool) {
 			s.table.down = true
-			return platform.ErrAmbiguous, true
+			return backing.ErrAmbiguous, true
 		}
 		r := s.router("r1")
 		_, _ = r.Do(s.ctx, label("k", "lorry 7"), s.pick)
@@ -145,7 +145,7 @@
 		time.Sleep(time.Second)
 		var renewed atomic.Bool
 		s.table.mu.Lock()
-		s.table.before = func(txn platform.Txn) {
+		s.table.before = func(txn backing.Txn) {
 			for _, w := range txn.Writes {
 				if w.Delete && strings.HasPrefix(w.Key, claim.KeyPrefix) && renewed.CompareAndSwap(false, true) {
 					record, _ := claim.Decode(s.table.rows[w.Key].Value)
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 const (
@@ -67,7 +67,7 @@
 // due takes the round if no router had one for SweepEvery.
 func (s *sweeper) due(ctx context.Context, now time.Time) bool {
 	row, err := s.opts.Table.Get(ctx, sweepRow)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, backing.ErrNotFound) {
 		return false
 	}
 	last, err := time.Parse(time.RFC3339Nano, string(row.Value))
@@ -75,16 +75,16 @@
 	if err == nil && !future && last.Add(s.opts.SweepEvery).After(now) {
 		return false
 	}
-	txn := platform.Txn{
-		If:     []platform.Condition{{Key: sweepRow, Version: row.Version}},
-		Writes: []platform.Write{{Key: sweepRow, Value: []byte(now.UTC().Format(time.RFC3339Nano))}},
+	txn := backing.Txn{
+		If:     []backing.Condition{{Key: sweepRow, Version: row.Version}},
+		Writes: []backing.Write{{Key: sweepRow, Value: []byte(now.UTC().Format(time.RFC3339Nano))}},
 	}
 	return s.opts.Table.Commit(ctx, txn) == nil
 }
 
 // deletePage reports whether it's worth going on; after a conflict or with the
 // table down it's not, and the bucket comes round again.
-func (s *sweeper) deletePage(ctx context.Context, rows []platform.Row, now time.Time) bool {
+func (s *sweeper) deletePage(ctx context.Context, rows []backing.Row, now time.Time) bool {
 	txn, deleted := s.expired(ctx, rows, now)
 	if len(txn.Writes) == 0 || s.opts.Table.Commit(ctx, txn) != nil {
 		return false
@@ -96,27 +96,27 @@
 
 // expired returns the transaction that deletes the claims behind index rows.
 // An index row whose claim was renewed goes alone: the newer claim has its own.
-func (s *sweeper) expired(ctx context.Context, index []platform.Row, now time.Time) (platform.Txn, int) {
-	var txn platform.Txn
+func (s *sweeper) expired(ctx context.Context, index []backing.Row, now time.Time) (backing.Txn, int) {
+	var txn backing.Txn
 	deleted := 0
 	for _, entry := range index {
 		row, err := s.opts.Table.Get(ctx, string(entry.Value))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, backing.ErrNotFound) {
 			continue
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: entry.Key, Delete: true})
+		txn.Writes = append(txn.Writes, backing.Write{Key: entry.Key, Delete: true})
 		if err != nil || !s.over(row, now) {
 			continue
 		}
-		txn.If = append(txn.If, platform.Condition{Key: row.Key, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.If = append(txn.If, backing.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, backing.Write{Key: row.Key, Delete: true})
 		deleted++
 	}
 	return txn, deleted
 }
 
 // over reports whether a claim's retention is over. A row that can't be read is kept.
-func (s *sweeper) over(row platform.Row, now time.Time) bool {
+func (s *sweeper) over(row backing.Row, now time.Time) bool {
 	record, err := Decode(row.Value)
 	return err == nil && record.Deadline.Add(s.opts.Retention).Before(now)
 }
--- a/claim/try.go
+++ b/claim/try.go
@@ -10,7 +10,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/plain"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, t.c.opts.ReadTimeout)
 	defer cancel()
 	row, err := t.c.opts.Table.Get(ctx, t.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return Observation{Seen: SeenNoRow}
 	}
 	if err != nil {
--- a/cmd/pearyard-standin/main_test.go
+++ b/cmd/pearyard-standin/main_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/pearyard/pearyard/engine"
 	engineapi "github.com/pearyard/pearyard/engine/httpapi"
-	"github.com/pearyard/pearyard/platform"
-	platformapi "github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/backing"
+	platformapi "github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/standin/command"
 	"github.com/pearyard/pearyard/types"
@@ -67,8 +67,8 @@
 	_, address = daemon(t, bin, "platform")
 	post(t, "http://"+address+"/faults", `{"table":{"lose_answers":1}}`)
 	table := platformapi.NewTable(platformapi.Options{Address: address})
-	txn := platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
-	g.Expect(table.Commit(t.Context(), txn)).To(MatchError(platform.ErrAmbiguous))
+	txn := backing.Txn{Writes: []backing.Write{{Key: "k", Value: []byte("v")}}}
+	g.Expect(table.Commit(t.Context(), txn)).To(MatchError(backing.ErrAmbiguous))
 	_, err = table.Get(t.Context(), "k")
 	g.Expect(err).NotTo(HaveOccurred())
 
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"github.com/pearyard/pearyard/config"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -16,14 +16,14 @@
 // becomes of a commit; frozen makes reads answer from the copy taken by freeze.
 type fakeTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
-	frozen   map[string]platform.Row
+	rows     map[string]backing.Row
+	frozen   map[string]backing.Row
 	version  uint64
 	down     bool
 	onCommit func(apply func() error) error
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]backing.Row{}} }
 
 func (f *fakeTable) set(change func()) {
 	f.mu.Lock()
@@ -33,16 +33,16 @@
 
 func (f *fakeTable) freeze() {
 	f.set(func() {
-		f.frozen = map[string]platform.Row{}
+		f.frozen = map[string]backing.Row{}
 		for key, row := range f.rows {
 			f.frozen[key] = row
 		}
 	})
 }
 
-func (f *fakeTable) view() (map[string]platform.Row, error) {
+func (f *fakeTable) view() (map[string]backing.Row, error) {
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	}
 	if f.frozen != nil {
 		return f.frozen, nil
@@ -50,25 +50,25 @@
 	return f.rows, nil
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (backing.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rows, err := f.view()
 	if err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	row, ok := rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeTable) List(_ context.Context, prefix string, limit int) ([]platform.Row, error) {
+func (f *fakeTable) List(_ context.Context, prefix string, limit int) ([]backing.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rows, err := f.view()
-	var out []platform.Row
+	var out []backing.Row
 	for key, row := range rows {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, row)
@@ -78,11 +78,11 @@
 	return out[:min(limit, len(out))], err
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+func (f *fakeTable) Commit(_ context.Context, txn backing.Txn) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	apply := func() error { return f.apply(txn) }
 	if f.onCommit != nil {
@@ -91,10 +91,10 @@
 	return apply()
 }
 
-func (f *fakeTable) apply(txn platform.Txn) error {
+func (f *fakeTable) apply(txn backing.Txn) error {
 	for _, condition := range txn.If {
 		if f.rows[condition.Key].Version != condition.Version {
-			return &platform.ConflictError{Keys: []string{condition.Key}}
+			return &backing.ConflictError{Keys: []string{condition.Key}}
 		}
 	}
 	for _, write := range txn.Writes {
@@ -103,7 +103,7 @@
 			delete(f.rows, write.Key)
 			continue
 		}
-		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: f.version}
+		f.rows[write.Key] = backing.Row{Key: write.Key, Value: write.Value, Version: f.version}
 	}
 	return nil
 }
@@ -118,7 +118,7 @@
 	defer f.mu.Unlock()
 	value, ok := f.objects[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, backing.ErrNotFound
 	}
 	return value, nil
 }
@@ -139,7 +139,7 @@
 func (f fakePeers) Peek(_ context.Context, addr string) (types.Revision, error) {
 	holder, ok := f[addr]
 	if !ok {
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	return holder.Revision(), nil
 }
@@ -147,7 +147,7 @@
 func (f fakePeers) Fetch(_ context.Context, from string, rev types.Revision) (types.Revision, []byte, error) {
 	holder, ok := f[from]
 	if !ok || holder.Revision() < rev {
-		return 0, nil, platform.ErrUnavailable
+		return 0, nil, backing.ErrUnavailable
 	}
 	return holder.Current().Revision, holder.Current().Raw, nil
 }
@@ -157,7 +157,7 @@
 	return []byte(fmt.Sprintf("{\n  \"services\": [{\"name\": \"labels\", \"kind\": \"plain\"}],\n  \"recovery\": {\"retainMillis\": %d}\n}\n", n))
 }
 
-func newStore(table platform.Table) *config.Store {
+func newStore(table backing.Table) *config.Store {
 	return config.NewStore(config.StoreOptions{Table: table, Objects: &fakeObjects{}})
 }
 
--- a/config/record.go
+++ b/config/record.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -121,7 +121,7 @@
 	return entries, nil
 }
 
-// entry returns one history entry, platform.ErrNotFound if there is none.
+// entry returns one history entry, backing.ErrNotFound if there is none.
 // Entry returns the history row of one accepted revision.
 func (s *Store) Entry(ctx context.Context, rev types.Revision) (Entry, error) {
 	return s.entry(ctx, rev)
@@ -139,7 +139,7 @@
 // head reads the head row and its version; both are zero if there is none.
 func (s *Store) head(ctx context.Context) (Head, uint64, error) {
 	row, err := s.opts.Table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
--- a/config/store.go
+++ b/config/store.go
@@ -14,7 +14,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/findings"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
 )
@@ -32,8 +32,8 @@
 
 // StoreOptions configure a Store. Table and Objects are required.
 type StoreOptions struct {
-	Table      platform.Table
-	Objects    platform.Objects
+	Table      backing.Table
+	Objects    backing.Objects
 	Recorder   *event.Recorder
 	Registerer prometheus.Registerer
 	Now        func() time.Time
@@ -176,7 +176,7 @@
 // proposal is one attempt to make a text the next revision.
 type proposal struct {
 	entry Entry
-	txn   platform.Txn
+	txn   backing.Txn
 }
 
 // proposal builds the transaction: head, history entry and text change
@@ -185,9 +185,9 @@
 func (s *Store) proposal(rev types.Revision, headVersion uint64, row textRow, entry Entry) proposal {
 	entry.Revision, entry.Commit, entry.At = rev, uuid.NewString(), s.opts.Now().UTC()
 	entry.Bytes, entry.SHA256 = int(row.Size), row.SHA256
-	txn := platform.Txn{
-		If: []platform.Condition{{Key: headKey, Version: headVersion}},
-		Writes: []platform.Write{
+	txn := backing.Txn{
+		If: []backing.Condition{{Key: headKey, Version: headVersion}},
+		Writes: []backing.Write{
 			{Key: headKey, Value: encode(Head{Revision: rev, Commit: entry.Commit})},
 			{Key: historyKey(rev), Value: encode(entry)},
 			{Key: textKey(rev), Value: encode(row)},
@@ -195,7 +195,7 @@
 	}
 	if rev > RevisionsKept {
 		old := rev - RevisionsKept
-		txn.Writes = append(txn.Writes, platform.Write{Key: historyKey(old), Delete: true}, platform.Write{Key: textKey(old), Delete: true})
+		txn.Writes = append(txn.Writes, backing.Write{Key: historyKey(old), Delete: true}, backing.Write{Key: textKey(old), Delete: true})
 	}
 	return proposal{entry: entry, txn: txn}
 }
@@ -224,7 +224,7 @@
 	maybe := false
 	for {
 		err := s.opts.Table.Commit(ctx, p.txn)
-		var conflict *platform.ConflictError
+		var conflict *backing.ConflictError
 		switch {
 		case err == nil:
 			return p.entry.Revision, nil
@@ -234,8 +234,8 @@
 				return rev, readErr
 			}
 			err = readErr
-		case errors.Is(err, platform.ErrThrottled):
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, backing.ErrThrottled):
+		case errors.Is(err, backing.ErrUnavailable):
 			if !maybe {
 				return 0, err
 			}
@@ -257,7 +257,7 @@
 	if err == nil {
 		return s.settled(ctx, base, p, entry.Commit, entry.Revision)
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, backing.ErrNotFound) {
 		return 0, false, err
 	}
 	head, version, err := s.head(ctx)
@@ -321,7 +321,7 @@
 		return "race"
 	case errors.As(err, &undecided):
 		return "undecided"
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrThrottled):
 		return "unavailable"
 	default:
 		return "refused"
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/config"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -79,7 +79,7 @@
 		table.onCommit = func(apply func() error) error {
 			err := apply()
 			if lost--; lost >= 0 {
-				return platform.ErrAmbiguous
+				return backing.ErrAmbiguous
 			}
 			return err
 		}
@@ -106,7 +106,7 @@
 		table.onCommit = func(apply func() error) error {
 			table.onCommit = nil
 			_ = apply()
-			return platform.ErrAmbiguous
+			return backing.ErrAmbiguous
 		}
 		time.AfterFunc(5*time.Second, func() { table.set(func() { table.frozen = nil }) })
 		rev, _, err := store.Accept(t.Context(), 1, textOf(2), "ann", "")
@@ -124,7 +124,7 @@
 		table.onCommit = func(apply func() error) error {
 			_ = apply()
 			table.down = true
-			return platform.ErrAmbiguous
+			return backing.ErrAmbiguous
 		}
 		store := newStore(table)
 		_, _, err := store.Accept(t.Context(), 0, textOf(1), "ann", "")
@@ -143,7 +143,7 @@
 	table := newFakeTable()
 	table.down = true
 	_, _, err := newStore(table).Accept(t.Context(), 0, textOf(1), "ann", "")
-	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+	g.Expect(err).To(MatchError(backing.ErrUnavailable))
 }
 
 // The table service fails over to a copy that lacks the newest revision. A
@@ -179,12 +179,12 @@
 		table.onCommit = func(apply func() error) error {
 			switch rand.IntN(5) {
 			case 0:
-				return platform.ErrAmbiguous // before it took effect
+				return backing.ErrAmbiguous // before it took effect
 			case 1:
 				_ = apply()
-				return platform.ErrAmbiguous
+				return backing.ErrAmbiguous
 			case 2:
-				return platform.ErrThrottled
+				return backing.ErrThrottled
 			}
 			return apply()
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,7 +18,7 @@
 
 	"github.com/pearyard/pearyard/findings"
 	"github.com/pearyard/pearyard/node"
-	"github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/settings"
 )
 
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,97 @@
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// View is an immutable list of servers.
+type View struct {
+	Position  uint64 // of the list in the store's history
+	byService map[string][]*Server
+	byID      map[string]*Server
+	Listings  []Listing
+}
+
+// Service returns the servers of a service.
+func (v *View) Service(name string) []*Server { return v.byService[name] }
+
+// Len returns how many servers are listed.
+func (v *View) Len() int { return len(v.byID) }
+
+// Directory keeps the view. Requests read it without a lock.
+type Directory struct {
+	view atomic.Pointer[View]
+
+	mu      sync.Mutex // one Apply at a time
+	missing map[string]time.Time
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	d := &Directory{missing: map[string]time.Time{}}
+	d.view.Store(&View{byService: map[string][]*Server{}, byID: map[string]*Server{}})
+	return d
+}
+
+// View returns the servers known now.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Change says what an Apply changed.
+type Change struct {
+	Joined, Left, Draining, Kept []string // ids
+}
+
+// Any tells whether anything changed.
+func (c Change) Any() bool { return len(c.Joined)+len(c.Left)+len(c.Draining) > 0 }
+
+// Apply takes in a list. With forgiving set, servers that are missing stay
+// known: entries lapse while the store is away although their servers live, and
+// dropping them all at its return would leave nothing to send requests to.
+func (d *Directory) Apply(position uint64, list []Listing, forgiving bool, now time.Time) Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.view.Load()
+	var change Change
+	if position < old.Position {
+		return change
+	}
+	next := &View{Position: position, byService: map[string][]*Server{}, byID: make(map[string]*Server, len(list)), Listings: list}
+	for _, l := range list {
+		next.add(d.listed(old, l, now, &change))
+	}
+	for id, s := range old.byID {
+		if _, still := next.byID[id]; still {
+			continue
+		}
+		if forgiving && !s.Draining() {
+			change.Kept = append(change.Kept, id)
+			next.add(s)
+			continue
+		}
+		s.gone.Store(true)
+		change.Left = append(change.Left, id)
+	}
+	d.view.Store(next)
+	return change
+}
+
+func (d *Directory) listed(old *View, l Listing, now time.Time, change *Change) *Server {
+	s := old.byID[l.ID]
+	if s == nil {
+		s = newServer(l, now)
+		change.Joined = append(change.Joined, l.ID)
+	}
+	if l.Draining && !s.draining.Load() {
+		change.Draining = append(change.Draining, l.ID)
+	}
+	s.listed(l, now)
+	s.warmAt.Store(now.Add(l.Cold).UnixNano())
+	return s
+}
+
+func (v *View) add(s *Server) {
+	v.byID[s.ID] = s
+	v.byService[s.Service] = append(v.byService[s.Service], s)
+}
--- /dev/null
+++ b/directory/server.go
@@ -0,0 +1,217 @@
+// Package directory knows the backend servers: those that the platform lists,
+// what this process has sent to each, and what it has seen of their health.
+// It chooses one for each request.
+package directory
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Listing is one backend server as the platform lists it.
+type Listing struct {
+	ID       string // differs for each start
+	Service  string
+	Address  string // ip:port
+	Zone     string
+	Slots    int
+	Draining bool
+	Cold     time.Duration // how much longer it is slow after its start
+	Beat     uint64        // grows with each sign of life
+}
+
+// Server is a backend server with what this process knows of it. One Server
+// lives as long as its ID is listed; it is shared by all views.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+
+	draining atomic.Bool
+	gone     atomic.Bool
+	warmAt   atomic.Int64 // steady nanoseconds at which it is no longer cold
+
+	// Load that this process has put there.
+	calls   atomic.Int64 // plain calls in flight
+	prefill atomic.Int64 // prompt tokens of streams before their first event
+	streams atomic.Int64 // streams in flight
+	copies  atomic.Int64 // tokens of copies that this process has directed there
+	told    atomic.Int64 // others' load by its last answer, in requests
+	toldAt  atomic.Int64
+
+	mu      sync.Mutex // guards the fields below
+	beat    uint64
+	beatAt  time.Time
+	down    chan struct{} // closed while it is believed lost; replaced when it is back
+	downAt  time.Time     // zero while it is believed alive
+	faults  float64       // recent faults, halved each faultHalfLife
+	faultAt time.Time
+}
+
+func newServer(l Listing, now time.Time) *Server {
+	s := &Server{
+		ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
+		down: make(chan struct{}), beat: l.Beat, beatAt: now, faultAt: now,
+	}
+	return s
+}
+
+const (
+	// faultHalfLife is how fast a fault is forgotten: a server that fails part
+	// of its requests does so for some seconds, and one fault must not keep a
+	// sound server out of work for longer than a few requests take.
+	faultHalfLife = 3 * time.Second
+	// revivedAfter is how long a lost server gets nothing unless it has given a
+	// sign of life since. It covers the pace at which the list is read.
+	revivedAfter = 1500 * time.Millisecond
+)
+
+// Draining tells whether it takes no new work.
+func (s *Server) Draining() bool { return s.draining.Load() || s.gone.Load() }
+
+// Leave marks it as leaving, by what the server itself said.
+func (s *Server) Leave() { s.draining.Store(true) }
+
+// Down returns a channel that is closed once the server is believed lost.
+func (s *Server) Down() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// Lost notes that the server doesn't answer or broke its connections. It
+// reports whether that is news.
+func (s *Server) Lost(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := s.downAt.IsZero()
+	s.downAt = now
+	if news {
+		close(s.down)
+	}
+	return news
+}
+
+// Alive notes an answer.
+func (s *Server) Alive(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revive()
+}
+
+func (s *Server) revive() {
+	if !s.downAt.IsZero() {
+		s.downAt = time.Time{}
+		s.down = make(chan struct{})
+	}
+}
+
+// IsDown tells whether it is believed lost.
+func (s *Server) IsDown(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.downAt.IsZero() && now.Sub(s.downAt) < revivedAfter
+}
+
+// WasDownWithin tells whether it was lost at most d ago.
+func (s *Server) WasDownWithin(now time.Time, d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.downAt.IsZero() && now.Sub(s.downAt) < d
+}
+
+// Fault notes a failed request; weight 1 is a broken or missing answer.
+func (s *Server) Fault(now time.Time, weight float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = s.decayed(now) + weight
+	s.faultAt = now
+}
+
+// Faults returns the recent faults.
+func (s *Server) Faults(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decayed(now)
+}
+
+func (s *Server) decayed(now time.Time) float64 {
+	return s.faults * math.Exp2(-float64(now.Sub(s.faultAt))/float64(faultHalfLife))
+}
+
+// listed takes in a new listing of the same start.
+func (s *Server) listed(l Listing, now time.Time) {
+	if l.Draining {
+		s.draining.Store(true)
+	}
+	s.gone.Store(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Beat == s.beat {
+		return
+	}
+	s.beat, s.beatAt = l.Beat, now
+	// A beat written after the loss was noticed shows that it lives.
+	if !s.downAt.IsZero() && now.Sub(s.downAt) > beatMargin {
+		s.revive()
+	}
+}
+
+// beatMargin is how much older than a loss a beat may be that is read just
+// after it: the pace of the list, with its own wait.
+const beatMargin = 900 * time.Millisecond
+
+// Load kinds.
+
+// CallBegun counts a plain call; the function returned ends it.
+func (s *Server) CallBegun() (end func()) {
+	s.calls.Add(1)
+	return sync.OnceFunc(func() { s.calls.Add(-1) })
+}
+
+// StreamBegun counts a stream with a prompt yet to be read.
+func (s *Server) StreamBegun(prompt int) *Running {
+	s.streams.Add(1)
+	s.prefill.Add(int64(prompt))
+	return &Running{server: s, prompt: int64(prompt)}
+}
+
+// Running is a stream's share of a server's load.
+type Running struct {
+	server *Server
+	prompt int64
+	ended  bool
+}
+
+// Read notes that the prompt has been read.
+func (r *Running) Read() {
+	r.server.prefill.Add(-r.prompt)
+	r.prompt = 0
+}
+
+// End takes the stream off the load.
+func (r *Running) End() {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.Read()
+	r.server.streams.Add(-1)
+}
+
+// CopyBegun counts a copy of a stream's memory; the function returned ends it.
+func (s *Server) CopyBegun(tokens int) (end func()) {
+	s.copies.Add(int64(tokens))
+	return sync.OnceFunc(func() { s.copies.Add(-int64(tokens)) })
+}
+
+// Told notes the load that the server told in an answer.
+func (s *Server) Told(now time.Time, running, waiting int) {
+	others := int64(running+waiting) - s.calls.Load() - s.streams.Load()
+	s.told.Store(max(0, others))
+	s.toldAt.Store(now.UnixNano())
+}
--- a/embedded/site.go
+++ b/embedded/site.go
@@ -22,7 +22,7 @@
 	"github.com/pearyard/pearyard/client"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/node"
-	"github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/text"
 )
--- /dev/null
+++ b/entry/drain.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/retry"
+)
+
+const (
+	// rotationTime is how long callers still come after the process has said
+	// that it isn't ready: the platform asks once a second and believes the
+	// second miss. Closing earlier would turn away those on their way.
+	rotationTime = 2500 * time.Millisecond
+	// graceMargin is kept back from the grace period for the process's own end.
+	graceMargin = 300 * time.Millisecond
+	drainLook   = 50 * time.Millisecond
+)
+
+// serveCallers adds the callers' server. The end of ctx begins a planned stop:
+// the process says that it isn't ready, goes on serving, and ends when nothing
+// runs any more or the grace period is over.
+func (e *Entry) serveCallers(ctx context.Context, group *run.Group) error {
+	listener, err := net.Listen("tcp4", e.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "entry: listen")
+	}
+	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, draining: e.draining.Load}
+	server := &http.Server{
+		Handler: e.counted(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	stop, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return ignoreClosed(server.Serve(listener)) }, func(error) { _ = server.Close() })
+	group.Add(func() error {
+		<-stop.Done()
+		e.drain(server)
+		return nil
+	}, func(error) { cancel() })
+	return nil
+}
+
+func (e *Entry) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.running.Add(1)
+		defer e.running.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) drain(server *http.Server) {
+	began := time.Now()
+	e.draining.Store(true)
+	e.recorder.Emit(EventDraining, "running", e.running.Load(), "grace", e.settings.Grace)
+	end := began.Add(e.settings.Grace - graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	_ = retry.Wait(ctx, rotationTime)
+	for e.running.Load() > 0 && ctx.Err() == nil {
+		_ = retry.Wait(ctx, drainLook)
+	}
+	err := server.Shutdown(ctx)
+	e.recorder.Emit(EventStopped, "running", e.running.Load(), "took", time.Since(began), "err", err)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/fleet"
+	"github.com/pearyard/pearyard/httpconn"
+	"github.com/pearyard/pearyard/inspect"
+	"github.com/pearyard/pearyard/platform"
+	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Events of the process.
+var (
+	EventStarted = event.Define(2752, "entry_started", event.Info,
+		"the entry process has started with these settings", "nothing")
+	EventReady = event.Define(2753, "entry_ready", event.Info,
+		"the process knows a configuration and backend servers and takes callers", "nothing")
+	EventDraining = event.Define(2754, "entry_draining", event.Info,
+		"a planned stop began: the process reports itself not ready, serves what comes and what runs", "nothing")
+	EventStopped = event.Define(2755, "entry_stopped", event.Info,
+		"the process ends", "if running is over 0, the grace period was too short for these requests")
+)
+
+const (
+	// ringSize keeps the newest events for a state dump; at most 1 MB.
+	ringSize = 1024
+	// memoryShare of the process's limit is what the garbage collector keeps to.
+	memoryShare = 0.7
+	// crashLimit is how many backend servers one request may crash.
+	crashLimit = 3
+	// crashWindow is how long a crash is held against a request.
+	crashWindow = 2 * time.Minute
+	// quarantine is how long a request that crashed that many is refused.
+	quarantine = 10 * time.Minute
+	// retryShare is the part of the retry budget that is used: the first tries
+	// and retries of a moment may fall into different spans when counted.
+	retryShare = 0.85
+	// idleTimeout of callers' connections is longer than any limit that a
+	// configuration sets, so that none is closed under a request on its way.
+	idleTimeout = 2 * time.Minute
+	// headerTimeout bounds the time for a request's head.
+	headerTimeout = 10 * time.Second
+	maxHeader     = 64 << 10
+	peerTimeout   = 2 * time.Second
+	pruneEvery    = time.Second
+	keepIdle      = 1500 * time.Millisecond
+)
+
+// Options of an Entry.
+type Options struct {
+	Settings platform.Settings
+	Logger   log.Logger
+}
+
+// Entry is the program on an entry VM.
+type Entry struct {
+	settings  platform.Settings
+	recorder  *event.Recorder
+	registry  *prometheus.Registry
+	holder    *site.Holder
+	directory *directory.Directory
+	config    *site.Follower
+	servers   *directory.Follower
+	fleet     *fleet.Fleet
+	suspects  *suspect.Ledger
+	news      *suspect.Spreader
+	exchange  *exchange.Exchange
+	pool      *httpconn.Pool
+	inspect   *inspect.Registry
+	started   time.Time
+	draining  atomic.Bool
+	ready     atomic.Bool
+	running   atomic.Int64
+}
+
+// New assembles an Entry.
+func New(opts Options) (*Entry, error) {
+	s := opts.Settings
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
+	}
+	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), holder: site.NewHolder(), directory: directory.New()}
+	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), ringSize)
+	store := platform.NewStore(s.Store)
+	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Lost: e.askPeers}
+	e.servers = &directory.Follower{Directory: e.directory, Source: store, Pace: directory.DefaultPace, Recorder: e.recorder, Lost: e.askPeers}
+	client := &http.Client{Timeout: peerTimeout}
+	e.newFleet(store, client)
+	e.newSuspects(client)
+	e.newExchange()
+	return e, e.newInspect()
+}
+
+func (e *Entry) newFleet(store *platform.Store, client *http.Client) {
+	e.fleet = fleet.New(fleet.Options{
+		Name: e.settings.Name, Address: e.settings.Peers, Seeds: e.settings.Seeds, Registry: store,
+		Holder: e.holder, Directory: e.directory, Decode: platform.DecodeConfig,
+		OfferConfig: e.config.Offer, OfferList: e.servers.Take, Client: client, Recorder: e.recorder,
+	})
+}
+
+func (e *Entry) newSuspects(client *http.Client) {
+	e.suspects = suspect.New(suspect.Options{
+		Self: types.ProcessID(e.settings.Name), Limit: crashLimit, Quarantine: quarantine, Window: crashWindow,
+		Recorder: e.recorder, Registerer: e.registry,
+	})
+	e.news = suspect.NewSpreader(e.suspects, suspect.SpreaderOptions{
+		Self: e.settings.Peers, Peers: e.fleet.Peers,
+		Dial: func(peer string) suspectpb.Suspects { return suspectpb.NewSuspectsProtobufClient("http://"+peer, client) },
+	})
+}
+
+func (e *Entry) newExchange() {
+	e.pool = httpconn.NewPool(httpconn.Options{MaxIdle: keepIdle})
+	s := e.settings
+	e.exchange = exchange.New(exchange.Options{
+		Zone: s.Zone, Directory: e.directory, Backend: platform.NewBackend(e.pool), Services: e.service,
+		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
+		RetryWindow: s.RetryWindow, RetryRatio: retryShare * s.RetryRatio,
+		RetryExtra: func() float64 { return retryShare * s.RetryExtra / float64(e.fleet.Size()) },
+	})
+}
+
+func (e *Entry) service(name string) (site.Service, bool) {
+	config := e.holder.Config()
+	if config == nil {
+		return site.Service{}, false
+	}
+	s, ok := config.Services[name]
+	return s, ok
+}
+
+func (e *Entry) newInspect() error {
+	registry, err := inspect.New(inspect.Options{
+		Identity: inspect.Identity{Process: types.ProcessID(e.settings.Name), Role: types.RoleRouter, Zone: types.Zone(e.settings.Zone)},
+		Revision: func() types.Revision { return types.Revision(e.holder.Position()) }, Recorder: e.recorder, Gatherer: e.registry, Registerer: e.registry,
+	})
+	if err != nil {
+		return errors.Wrap(err, "entry: inspect")
+	}
+	e.inspect = registry
+	return nil
+}
+
+// askPeers is called when the store doesn't answer.
+func (e *Entry) askPeers(ctx context.Context) { e.fleet.Ask(ctx) }
+
+// Run serves until ctx ends, then drains and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	s := e.settings
+	e.recorder.Emit(EventStarted, "callers", s.Callers, "ready", s.Ready, "peers", s.Peers, "store", s.Store,
+		"zone", s.Zone, "grace", s.Grace, "leave_within", s.LeaveWithin, "config_within", s.ConfigWithin)
+	var group run.Group
+	background(&group, e.config.Run)
+	background(&group, e.servers.Run)
+	background(&group, e.fleet.Run)
+	background(&group, e.suspects.Run)
+	background(&group, e.news.Run)
+	background(&group, e.prune)
+	if err := e.serveReady(&group); err != nil {
+		return err
+	}
+	if err := e.servePeers(&group); err != nil {
+		return err
+	}
+	if err := e.serveCallers(ctx, &group); err != nil {
+		return err
+	}
+	return group.Run()
+}
+
+// background adds a function that runs until its context ends.
+func background(group *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		if err := f(ctx); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+func (e *Entry) prune(ctx context.Context) error {
+	tick := time.NewTicker(pruneEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			e.pool.Prune()
+		}
+	}
+}
+
+// Ready tells whether callers should come: there is a configuration, there are
+// backend servers, and no stop has begun.
+func (e *Entry) Ready() bool {
+	if e.draining.Load() || e.holder.Config() == nil || e.directory.View().Len() == 0 {
+		return false
+	}
+	if e.ready.CompareAndSwap(false, true) {
+		e.recorder.Emit(EventReady, "version", e.holder.Config().Version, "servers", e.directory.View().Len(), "after", time.Since(e.started))
+	}
+	return true
+}
+
+func (e *Entry) serveReady(group *run.Group) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serve(group, e.settings.Ready, mux)
+}
+
+func (e *Entry) servePeers(group *run.Group) error {
+	mux := http.NewServeMux()
+	mux.Handle("/twirp/pearyard.fleet.Fleet/", e.fleet.Handler())
+	mux.Handle(suspectpb.SuspectsPathPrefix, e.suspects.Handler())
+	mux.Handle("/", e.inspect.Handler())
+	return serve(group, e.settings.Peers, mux)
+}
+
+// serve adds a server that ends with the group.
+func serve(group *run.Group, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "entry: listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	group.Add(func() error { return ignoreClosed(server.Serve(listener)) }, func(error) { _ = server.Close() })
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "entry: serve")
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,160 @@
+// Package entry is pearyard's program on the platform's entry VMs: it takes
+// callers' requests, finds their routes by the configuration in force and hands
+// them to package exchange.
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/site"
+)
+
+// Events of callers' requests that go no further.
+var (
+	EventTurnedAway = event.Define(2750, "entry_turned_away", event.Warn,
+		"a request was answered without being handed on: it is malformed, its host and path have no route, or its key is unknown",
+		"compare the request with the configuration version named in the line")
+	EventNotYet = event.Define(2751, "entry_no_config", event.Warn,
+		"a request was refused because this process knows no configuration yet", "see the lines about the store")
+)
+
+const (
+	// notYetRetryAfter is told to callers before the first configuration is known.
+	notYetRetryAfter = 300 * time.Millisecond
+	// defaultWait is for a request that states no time of its own and whose route has none.
+	defaultWait = 30 * time.Second
+)
+
+// handler serves callers.
+type handler struct {
+	holder   *site.Holder
+	exchange *exchange.Exchange
+	recorder *event.Recorder
+	draining func() bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	config := h.holder.Config()
+	var limit int64
+	if config != nil {
+		limit = config.Limits.BodyBytes
+	}
+	call, err := platform.ReadCall(w, r, limit)
+	if err != nil {
+		h.turnAway(w, nil, err, config)
+		return
+	}
+	if config == nil {
+		h.recorder.Emit(EventNotYet, event.FieldRequest, call.ID)
+		platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: notYetRetryAfter, Err: errors.New("entry: no configuration yet")})
+		return
+	}
+	// The body may have taken a while: go by what is in force now.
+	config = h.holder.Config()
+	if err := route(call, config); err != nil {
+		h.turnAway(w, call, err, config)
+		return
+	}
+	h.serve(w, r, call)
+}
+
+// route finds the request's route, service and organisation.
+func route(call *platform.Call, config *site.Config) error {
+	call.Route = config.Match(call.Host, call.Path)
+	if call.Route == nil {
+		return &platform.RequestError{Status: http.StatusNotFound, Err: errors.New("entry: no route for this host and path")}
+	}
+	if config.Keys() && !call.Route.Public {
+		owner := config.Owner(call.Key)
+		if owner == nil {
+			return &platform.RequestError{Status: http.StatusUnauthorized, Err: errors.New("entry: the key is unknown")}
+		}
+		call.Organisation = owner.Name
+	}
+	call.Service = call.Route.Pick()
+	call.Until = call.Arrived.Add(wait(call.Wait, call.Route.Timeout))
+	return nil
+}
+
+func wait(asked, allowed time.Duration) time.Duration {
+	switch {
+	case asked > 0 && allowed > 0:
+		return min(asked, allowed)
+	case asked > 0:
+		return asked
+	case allowed > 0:
+		return allowed
+	default:
+		return defaultWait
+	}
+}
+
+func (h *handler) turnAway(w http.ResponseWriter, call *platform.Call, err error, config *site.Config) {
+	var id string
+	var version uint64
+	if call != nil {
+		id = call.ID
+	}
+	if config != nil {
+		version = config.Version
+	}
+	status := http.StatusBadRequest
+	var known *platform.RequestError
+	if errors.As(err, &known) {
+		status = known.Status
+	}
+	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version)
+	platform.WriteStatus(w, id, status, err.Error())
+}
+
+func (h *handler) serve(w http.ResponseWriter, r *http.Request, call *platform.Call) {
+	if call.Route.Kind == site.Stream {
+		h.serveStream(w, r, call)
+		return
+	}
+	reply, err := h.exchange.Call(r.Context(), &call.Request)
+	if err != nil {
+		fail(w, call.ID, err)
+		return
+	}
+	copyHeader(w, reply.Header)
+	if reply.Rest == nil {
+		setLength(w, len(reply.Body))
+	}
+	w.WriteHeader(reply.Status)
+	if _, err := w.Write(reply.Body); err != nil || reply.Rest == nil {
+		return
+	}
+	passRest(w, reply.Rest)
+}
+
+func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, call *platform.Call) {
+	begun, err := h.exchange.Stream(r.Context(), &call.Request, &sink{w: w, flush: http.NewResponseController(w)})
+	switch {
+	case err == nil:
+	case begun:
+		// Ended in an orderly way, the answer would look complete.
+		panic(http.ErrAbortHandler)
+	default:
+		fail(w, call.ID, err)
+	}
+}
+
+// fail answers a request that was not served. The caller that has left hears nothing.
+func fail(w http.ResponseWriter, id string, err error) {
+	var failure *exchange.Failure
+	if !errors.As(err, &failure) {
+		panic(http.ErrAbortHandler)
+	}
+	platform.WriteFailure(w, id, failure)
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitFindings = 3
+)
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	code := 0
+	app := &cli.App{
+		Name:  "pearyard-entry",
+		Usage: "serves callers on an entry VM of the platform; settings come from the file named by " + platform.SettingsVariable,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "check", Usage: "check the settings, print them and exit"},
+		},
+		Writer: stdout, ErrWriter: stderr,
+		Action: func(c *cli.Context) error {
+			var err error
+			code, err = start(c, stdout, stderr)
+			return err
+		},
+	}
+	if err := app.Run(args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return code
+}
+
+func start(c *cli.Context, stdout, stderr io.Writer) (int, error) {
+	settings, found, err := platform.LoadSettings()
+	if err != nil {
+		return exitFailed, err
+	}
+	if found.HasErrors() {
+		fmt.Fprintln(stderr, found.String())
+		return exitFindings, nil
+	}
+	if c.Bool("check") {
+		fmt.Fprintf(stdout, "%+v\n", settings)
+		return 0, nil
+	}
+	queue := event.NewQueue(stdout, event.DefaultQueueLines)
+	defer queue.Close()
+	e, err := New(Options{Settings: settings, Logger: queue})
+	if err != nil {
+		return exitFailed, err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	// The platform tells of changed settings by SIGHUP. Nothing in them changes
+	// while a process lives, and the signal's default would end it.
+	signal.Ignore(syscall.SIGHUP)
+	return 0, e.Run(ctx)
+}
--- /dev/null
+++ b/entry/write.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pearyard/pearyard/exchange"
+)
+
+// sink writes a stream's answer.
+type sink struct {
+	w     http.ResponseWriter
+	flush *http.ResponseController
+}
+
+// Begin implements exchange.Sink.
+func (s *sink) Begin(status int, header http.Header) error {
+	copyHeader(s.w, header)
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Event implements exchange.Sink.
+func (s *sink) Event(raw []byte) error {
+	if _, err := s.w.Write(raw); err != nil {
+		return err
+	}
+	return s.flush.Flush()
+}
+
+// copyHeader hands a backend server's headers on. net/http would guess a
+// content type where the server named none.
+func copyHeader(w http.ResponseWriter, from http.Header) {
+	to := w.Header()
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, named := from["Content-Type"]; !named {
+		to["Content-Type"] = nil
+	}
+}
+
+func setLength(w http.ResponseWriter, n int) {
+	w.Header().Set("Content-Length", strconv.Itoa(n))
+}
+
+// passRest copies the rest of a large answer; a break in it must not look like
+// an end.
+func passRest(w http.ResponseWriter, rest exchange.Body) {
+	defer rest.Close()
+	if _, err := io.Copy(w, rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/exchange/events.go
@@ -0,0 +1,25 @@
+package exchange
+
+import "github.com/pearyard/pearyard/event"
+
+// Events of requests on entry VMs.
+var (
+	EventServed = event.Define(2720, "exchange_served", event.Info,
+		"a request has its whole answer", "nothing")
+	EventRefused = event.Define(2721, "exchange_refused", event.Warn,
+		"a request was refused that has not run and never will", "see err; if it lasts, there are too few backend servers")
+	EventFailed = event.Define(2722, "exchange_failed", event.Error,
+		"a request ended without an answer although it may have run", "follow the request's earlier lines; see docs/OPERATIONS.md")
+	EventCallerLeft = event.Define(2723, "exchange_caller_left", event.Info,
+		"the caller closed its connection before the answer was whole", "nothing")
+	EventAgain = event.Define(2724, "exchange_again", event.Info,
+		"an attempt failed and the request is sent to another backend server", "nothing")
+	EventResumed = event.Define(2725, "exchange_resumed", event.Info,
+		"a stream goes on at another backend server", "nothing")
+	EventServerLost = event.Define(2726, "exchange_server_lost", event.Warn,
+		"a backend server does not answer; it gets nothing until it gives a sign of life", "nothing, unless its zone loses several")
+	EventQuarantined = event.Define(2727, "exchange_quarantined", event.Warn,
+		"a request was refused because the same request crashed several backend servers", "tell the organisation whose request it is")
+	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
+		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
+)
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,162 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
+)
+
+// Options of an Exchange; all but the timings are needed.
+type Options struct {
+	Zone      string
+	Directory *directory.Directory
+	Backend   Backend
+	Services  func(name string) (site.Service, bool)
+	Suspects  *suspect.Ledger
+	Recorder  *event.Recorder
+	Metrics   prometheus.Registerer
+	Timings   Timings
+	// RetryWindow, RetryRatio and RetryExtra bound the retries of each
+	// service; RetryExtra is this process's part.
+	RetryWindow time.Duration
+	RetryRatio  float64
+	RetryExtra  func() float64
+}
+
+// Timings of an Exchange; zero fields take the defaults.
+type Timings struct {
+	// Silence is how long a running stream may send nothing before its server
+	// is held lost. A sound engine sends an event each 30 ms, and each 150 ms
+	// while it reads others' prompts.
+	Silence time.Duration
+	// ProbeAfter is how long a stream waits for its first event before its
+	// server is asked for a sign of life, and again after each answer.
+	ProbeAfter time.Duration
+	// ProbeTimeout is what that sign may take.
+	ProbeTimeout time.Duration
+	// WaitForServer is how long a stream waits for a server to turn up.
+	WaitForServer time.Duration
+}
+
+// Defaults of Timings.
+const (
+	DefaultSilence       = 350 * time.Millisecond
+	DefaultProbeAfter    = 400 * time.Millisecond
+	DefaultProbeTimeout  = 250 * time.Millisecond
+	DefaultWaitForServer = 400 * time.Millisecond
+)
+
+const (
+	// notRunTries bounds how many servers are tried that prove not to run a
+	// request. It is above the number that a burst fills at the same time.
+	notRunTries = 4
+	// retryAfter is what a caller is told whose request found no place: about
+	// the time in which a lost server is back or a burst's queue moves on.
+	retryAfter = 400 * time.Millisecond
+	// quarantineRetryAfter is told to callers of a request that crashes servers.
+	quarantineRetryAfter = 30 * time.Second
+	// leftMargin is kept back from the time that a server is given, so that its
+	// answer still reaches the caller.
+	leftMargin = 20 * time.Millisecond
+)
+
+// Exchange carries requests.
+type Exchange struct {
+	opts    Options
+	metrics *metrics
+	budgets sync.Map // service -> *retry.Window
+	probes  prober
+}
+
+// New returns an Exchange.
+func New(opts Options) *Exchange {
+	t := &opts.Timings
+	orDefault(&t.Silence, DefaultSilence)
+	orDefault(&t.ProbeAfter, DefaultProbeAfter)
+	orDefault(&t.ProbeTimeout, DefaultProbeTimeout)
+	orDefault(&t.WaitForServer, DefaultWaitForServer)
+	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics)}
+	e.probes = prober{exchange: e, running: map[*directory.Server]chan struct{}{}}
+	return e
+}
+
+func orDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func (e *Exchange) budget(service string) *retry.Window {
+	if w, ok := e.budgets.Load(service); ok {
+		return w.(*retry.Window)
+	}
+	w, _ := e.budgets.LoadOrStore(service, retry.NewWindow(e.opts.RetryWindow, nil))
+	return w.(*retry.Window)
+}
+
+// allowRetry takes one more sending out of the service's budget.
+func (e *Exchange) allowRetry(service string) bool {
+	w := e.budget(service)
+	w.Bound(e.opts.RetryRatio, e.opts.RetryExtra())
+	if w.Allow() {
+		return true
+	}
+	e.metrics.budgetSpent.Inc()
+	return false
+}
+
+// begin counts a request and refuses one that is known to crash servers.
+func (e *Exchange) begin(req *Request) *Failure {
+	e.budget(req.Service).First()
+	if e.opts.Suspects.Verdict(req.Fingerprint()).State != suspect.Quarantined {
+		return nil
+	}
+	e.opts.Recorder.Emit(EventQuarantined, event.FieldRequest, req.ID, "route", req.Route.Name, "fingerprint", req.Fingerprint())
+	return &Failure{Err: ErrQuarantined, RetryAfter: quarantineRetryAfter}
+}
+
+// left returns the time that a server may take for an attempt begun now.
+func (r *Request) left(now time.Time) time.Duration {
+	return max(time.Millisecond, r.Until.Sub(now)-leftMargin)
+}
+
+// failed notes what an attempt's error says about its server.
+func (e *Exchange) failed(s *directory.Server, err error) {
+	now := time.Now()
+	var notRun *NotRunError
+	switch {
+	case errors.As(err, &notRun) && notRun.Reason == Misdirected:
+		s.Leave()
+	case errors.As(err, &notRun) && notRun.Reason == Unreachable:
+		e.lost(s, err)
+	case errors.As(err, &notRun):
+		s.Fault(now, busyFault)
+	case errors.Is(err, ErrServerLost):
+	default:
+		s.Fault(now, 1)
+	}
+}
+
+// busyFault is the weight of a refusal: a full server is sound, but one that
+// refuses while it has room does so again.
+const busyFault = 0.3
+
+func (e *Exchange) lost(s *directory.Server, err error) {
+	if s.Lost(time.Now()) {
+		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
+	}
+}
+
+// timedOut tells whether the request's own time ended ctx, not its caller.
+func timedOut(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
--- /dev/null
+++ b/exchange/metrics.go
@@ -0,0 +1,47 @@
+package exchange
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	requests    *prometheus.CounterVec   // by kind and outcome
+	duration    *prometheus.HistogramVec // by kind
+	firstEvent  prometheus.Histogram
+	pauses      prometheus.Histogram
+	resumes     *prometheus.CounterVec // by how
+	resumeTime  prometheus.Histogram
+	attempts    *prometheus.CounterVec // by result
+	probes      prometheus.Counter
+	budgetSpent prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	if reg == nil {
+		reg = prometheus.NewRegistry()
+	}
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_exchange_requests_total", Help: "Requests by kind and outcome."}, []string{"kind", "outcome"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pearyard_exchange_request_seconds", Help: "Time to the end of an answer, seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "pearyard_exchange_first_event_seconds", Help: "Time to the first event of a stream, seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 10)}),
+		pauses: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "pearyard_exchange_longest_pause_seconds", Help: "Longest pause between two events of a stream, seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.02, 2, 10)}),
+		resumes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_exchange_resumes_total", Help: "Streams that went on at another backend server: from a copy of their memory, or by reading the prompt again."}, []string{"how"}),
+		resumeTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "pearyard_exchange_resume_seconds", Help: "Time from the last event before a loss to the first one after it, seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8)}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_exchange_attempts_total", Help: "Sendings to backend servers by result."}, []string{"result"}),
+		probes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_exchange_probes_total", Help: "Questions to backend servers for a sign of life."}),
+		budgetSpent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_exchange_retry_budget_spent_total", Help: "Retries that the budget did not allow."}),
+	}
+	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.probes, m.budgetSpent)
+	return m
+}
--- /dev/null
+++ b/exchange/request.go
@@ -0,0 +1,90 @@
+// Package exchange carries one request of a caller to backend servers and the
+// answer back. It decides where a request goes, when it is sent once more, when
+// a stream goes on elsewhere, and what a caller is told when nothing more can
+// be done. It speaks to callers and backend servers through ports and knows no
+// protocol.
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	ID     string // of the caller's attempt; backend servers echo it
+	Method string
+	Target string // path and query as they came
+	Host   string
+	Header http.Header // to be passed on; nothing in it is the caller's to forge
+	Body   []byte
+
+	Arrived      time.Time // steady
+	Until        time.Time // when the caller stops waiting or the route's time is up
+	Route        *site.Route
+	Service      string
+	Organisation string // empty without keys
+	LastEvent    string // event that the caller has already; empty: none
+
+	PromptTokens int
+	MaxTokens    int
+}
+
+// Fingerprint names what is asked for: a request that crashes the servers that
+// run it comes again with another id, but the same path, organisation and body.
+func (r *Request) Fingerprint() types.Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Organisation)
+	_, _ = h.WriteString("\x00" + r.Method + " " + r.Target + "\x00")
+	_, _ = h.Write(r.Body)
+	return types.Fingerprint(h.Sum64())
+}
+
+// Attempt is one sending of a request to one backend server.
+type Attempt struct {
+	Request *Request
+	Server  *directory.Server
+	Left    time.Duration // what the server may take
+	After   string        // event after which it is to go on; empty: from the start
+	// CopyTo is where the server sends a running copy of the stream's memory.
+	CopyTo *directory.Server
+	// FromCopy: the server holds a copy of this stream's memory to go on from.
+	FromCopy bool
+}
+
+// Answer is the head of a backend server's answer, and its body.
+type Answer struct {
+	Status  int
+	Header  http.Header // to be passed on
+	Body    Body
+	Leaving bool // the server says that it takes no more on this connection
+}
+
+// Body reads an answer's body. io.EOF means that the answer came whole; any
+// other error, or a Close before it, ends the server's work.
+type Body interface {
+	Read(p []byte) (int, error)
+	Close() error
+}
+
+// Backend sends attempts. Its errors are *NotRunError and *BrokenError.
+type Backend interface {
+	Open(ctx context.Context, a *Attempt) (*Answer, error)
+	// Probe asks a server for a sign of life, outside its queue.
+	Probe(ctx context.Context, s *directory.Server) error
+}
+
+// Sink takes a stream's answer to the caller.
+type Sink interface {
+	// Begin sends the head; it is called once.
+	Begin(status int, header http.Header) error
+	// Event sends one whole event at once.
+	Event(raw []byte) error
+}
--- /dev/null
+++ b/exchange/sse.go
@@ -0,0 +1,82 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// eventBuffer is the first size of the buffer for one event.
+	eventBuffer = 1024
+	// maxEvent bounds one event; a server that sends more sends garbage.
+	maxEvent = 1 << 20
+)
+
+// streamEvent is one event of a stream as it came.
+type streamEvent struct {
+	raw []byte // with the empty line that ends it; valid until the next read
+	id  uint64 // 0: none
+}
+
+// eventReader splits a stream into events, each with its bytes unchanged.
+type eventReader struct {
+	in  *bufio.Reader
+	buf []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(r, eventBuffer), buf: make([]byte, 0, eventBuffer)}
+}
+
+// next returns the next whole event. io.EOF means that the stream ended between
+// two events; an end inside one is io.ErrUnexpectedEOF.
+func (r *eventReader) next() (streamEvent, error) {
+	r.buf = r.buf[:0]
+	var ev streamEvent
+	for {
+		line, err := r.in.ReadSlice('\n')
+		r.buf = append(r.buf, line...)
+		if err == bufio.ErrBufferFull && len(r.buf) < maxEvent {
+			continue
+		}
+		if err != nil {
+			return ev, r.ended(err)
+		}
+		if len(r.buf) > maxEvent {
+			return ev, errors.New("exchange: an event is too long")
+		}
+		whole := r.buf[lineStart(r.buf):]
+		if len(bytes.TrimRight(whole, "\r\n")) == 0 {
+			ev.raw = r.buf
+			return ev, nil
+		}
+		if id, ok := eventID(whole); ok {
+			ev.id = id
+		}
+	}
+}
+
+func (r *eventReader) ended(err error) error {
+	if err == io.EOF && len(r.buf) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// lineStart returns where the last line of buf begins; buf ends with a newline.
+func lineStart(buf []byte) int {
+	return bytes.LastIndexByte(buf[:len(buf)-1], '\n') + 1
+}
+
+func eventID(line []byte) (uint64, bool) {
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
+		return 0, false
+	}
+	id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+	return id, err == nil
+}
--- /dev/null
+++ b/exchange/stream.go
@@ -0,0 +1,359 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/retry"
+)
+
+// stream is a streaming request on its way.
+type stream struct {
+	e    *Exchange
+	req  *Request
+	sink Sink
+
+	begun    bool   // the head has been sent
+	last     uint64 // event that the caller has
+	lastAt   time.Time
+	firstAt  time.Time
+	longest  time.Duration
+	tried    map[string]bool // servers that proved not to run it, or that broke
+	arrivals int             // sendings that reached a server
+	ran      int             // attempts that may have run
+	refused  int
+	resumed  int
+	cause    error
+	lostZone string
+
+	copyAt  *directory.Server // where the running attempt's copy lies
+	endCopy func()
+	server  *directory.Server // of the newest attempt
+}
+
+// Stream serves a streaming request into sink. A *Failure before the head is
+// for the caller; after it, the caller's answer must be cut off.
+func (e *Exchange) Stream(ctx context.Context, req *Request, sink Sink) (begun bool, err error) {
+	if f := e.begin(req); f != nil {
+		return false, f
+	}
+	within, cancel := context.WithDeadline(ctx, req.Until)
+	defer cancel()
+	s := &stream{e: e, req: req, sink: sink, tried: map[string]bool{}, endCopy: func() {}}
+	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
+	err = s.run(within)
+	s.endCopy()
+	if err == nil {
+		e.opts.Suspects.Completed(req.Fingerprint())
+		e.metrics.pauses.Observe(s.longest.Seconds())
+	}
+	e.concluded(ctx, req, err, s.summary)
+	return s.begun, err
+}
+
+func (s *stream) summary() []any {
+	server := ""
+	if s.server != nil {
+		server = s.server.ID
+	}
+	first := time.Duration(0)
+	if !s.firstAt.IsZero() {
+		first = s.firstAt.Sub(s.req.Arrived)
+	}
+	return []any{"first", first, "pause", s.longest, "event", s.last, "ran", s.ran, "refused", s.refused,
+		"resumed", s.resumed, "server", server, "last", s.cause}
+}
+
+func (s *stream) run(ctx context.Context) error {
+	for {
+		server, fromCopy, err := s.choose(ctx)
+		if err != nil {
+			return s.failure(ctx, err)
+		}
+		err = s.attempt(ctx, server, fromCopy)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return s.failure(ctx, err)
+		}
+		var done *finalError
+		if errors.As(err, &done) {
+			return done.err
+		}
+		s.note(server, err, fromCopy)
+		if !s.mayGoOn() {
+			return s.failure(ctx, err)
+		}
+	}
+}
+
+// finalError ends a stream: nothing more is to be tried.
+type finalError struct{ err error }
+
+func (f *finalError) Error() string { return f.err.Error() }
+
+// note learns from a failed attempt.
+func (s *stream) note(server *directory.Server, err error, fromCopy bool) {
+	s.cause = err
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
+		s.refused++
+		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
+		if notRun.Reason != Unreachable {
+			s.arrivals++
+		}
+		if fromCopy && notRun.Reason == Busy {
+			// There was no copy: the server itself may be tried from the start.
+			return
+		}
+	} else {
+		s.ran++
+		s.arrivals++
+		s.lostZone = server.Zone
+		s.e.metrics.attempts.WithLabelValues("broken").Inc()
+	}
+	s.tried[server.ID] = true
+	s.e.failed(server, err)
+	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.ID,
+		"event", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(s.copyAt))
+}
+
+func idOf(s *directory.Server) string {
+	if s == nil {
+		return ""
+	}
+	return s.ID
+}
+
+// mayGoOn tells whether one more attempt is allowed.
+func (s *stream) mayGoOn() bool {
+	if s.ran >= s.req.Route.Attempts() || s.refused >= 2*notRunTries {
+		return false
+	}
+	if s.ran > 0 && !s.req.Route.Resumable {
+		return false
+	}
+	return true
+}
+
+// choose returns the server for the next attempt: the one that holds a copy of
+// the stream's memory, or else the one that is expected to begin soonest.
+func (s *stream) choose(ctx context.Context) (server *directory.Server, fromCopy bool, err error) {
+	if s.arrivals > 0 && !s.e.allowRetry(s.req.Service) {
+		return nil, false, ErrBudget
+	}
+	if c := s.copyAt; c != nil {
+		s.copyAt = nil
+		s.endCopy()
+		if !c.IsDown(time.Now()) && !s.tried[c.ID] {
+			return c, true, nil
+		}
+	}
+	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
+	for {
+		server = s.pick()
+		if server != nil {
+			return server, false, nil
+		}
+		if time.Now().After(giveUp) {
+			return nil, false, ErrNoServer
+		}
+		if err := retry.Wait(ctx, pickAgain); err != nil {
+			return nil, false, err
+		}
+		clear(s.tried)
+	}
+}
+
+// pickAgain is how often a stream without a server looks for one.
+const pickAgain = 50 * time.Millisecond
+
+func (s *stream) pick() *directory.Server {
+	return s.e.opts.Directory.Pick(directory.Query{
+		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: s.tried, Prompt: s.req.PromptTokens, NotZone: s.lostZone,
+	}, time.Now())
+}
+
+// placeCopy chooses where the memory of a run on server is copied to: another
+// zone, since zones fail as a whole.
+func (s *stream) placeCopy(server *directory.Server) {
+	service, ok := s.e.opts.Services(s.req.Service)
+	if !ok || !service.Copies || !s.req.Route.Resumable {
+		return
+	}
+	avoid := map[string]bool{server.ID: true}
+	for id := range s.tried {
+		avoid[id] = true
+	}
+	s.copyAt = s.e.opts.Directory.Pick(directory.Query{
+		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens,
+	}, time.Now())
+	if s.copyAt != nil {
+		s.endCopy = s.copyAt.CopyBegun(s.req.PromptTokens + s.req.MaxTokens)
+	}
+}
+
+// attempt runs the stream on one server until its end or a failure.
+func (s *stream) attempt(ctx context.Context, server *directory.Server, fromCopy bool) error {
+	s.server = server
+	prompt := s.req.PromptTokens
+	if fromCopy {
+		prompt = 0
+	}
+	running := server.StreamBegun(prompt)
+	defer running.End()
+	s.placeCopy(server)
+	w := newWatch(ctx, s.e, server)
+	defer w.end()
+	began := time.Now()
+	answer, err := s.e.opts.Backend.Open(w.ctx, &Attempt{
+		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: s.copyAt, FromCopy: fromCopy,
+	})
+	if err != nil {
+		return w.explain(err)
+	}
+	defer answer.Body.Close()
+	if answer.Status >= 300 || answer.Status < 200 {
+		return s.statusOf(answer)
+	}
+	return s.copyEvents(w, running, answer, fromCopy)
+}
+
+// after names the event after which the next attempt goes on.
+func (s *stream) after() string {
+	if s.last == 0 {
+		return s.req.LastEvent
+	}
+	return strconv.FormatUint(s.last, 10)
+}
+
+// statusOf treats an answer that is no stream.
+func (s *stream) statusOf(a *Answer) error {
+	if s.begun {
+		return &BrokenError{Err: errors.Errorf("the server answered %d to a resume", a.Status)}
+	}
+	again := a.Status >= 500 && s.ran+1 < s.req.Route.Attempts() && s.req.Route.Resumable
+	if again {
+		return &BrokenError{Err: errors.Errorf("the server answered %d", a.Status)}
+	}
+	reply, err := whole(a)
+	if err != nil {
+		return err
+	}
+	s.ran++
+	s.begun = true
+	if err := s.sink.Begin(reply.Status, reply.Header); err != nil {
+		return &finalError{err}
+	}
+	if err := s.sink.Event(reply.Body); err != nil {
+		return &finalError{err}
+	}
+	return nil
+}
+
+// copyEvents passes events on until the stream's end.
+func (s *stream) copyEvents(w *watch, running *directory.Running, a *Answer, fromCopy bool) error {
+	events := newEventReader(a.Body)
+	first := true
+	for {
+		ev, err := events.next()
+		if err == io.EOF {
+			s.ran++
+			s.e.metrics.attempts.WithLabelValues("answered").Inc()
+			return s.finish(a)
+		}
+		if err != nil {
+			return w.explain(&BrokenError{Err: err})
+		}
+		w.heard()
+		if first {
+			first = false
+			running.Read()
+			s.started(fromCopy)
+		}
+		if err := s.pass(a, ev); err != nil {
+			return err
+		}
+		w.listen()
+	}
+}
+
+// started notes the first event of an attempt.
+func (s *stream) started(fromCopy bool) {
+	if s.ran == 0 {
+		return
+	}
+	s.resumed++
+	how := "prompt_read_again"
+	if fromCopy {
+		how = "copy"
+	}
+	since := s.lastAt
+	if since.IsZero() {
+		since = s.req.Arrived
+	}
+	s.e.metrics.resumes.WithLabelValues(how).Inc()
+	s.e.metrics.resumeTime.Observe(time.Since(since).Seconds())
+	s.e.opts.Recorder.Emit(EventResumed, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.server.ID,
+		"event", s.last, "how", how, "after", time.Since(since))
+}
+
+// pass hands one event to the caller. Events must follow each other without a
+// gap: what a server sends after a resume may begin anew or in the wrong place.
+func (s *stream) pass(a *Answer, ev streamEvent) error {
+	if ev.id != 0 && s.last != 0 && ev.id != s.last+1 {
+		return &BrokenError{Err: errors.Wrapf(ErrOrder, "%d after %d", ev.id, s.last)}
+	}
+	if err := s.begin(a); err != nil {
+		return err
+	}
+	if err := s.sink.Event(ev.raw); err != nil {
+		return &finalError{err}
+	}
+	now := time.Now()
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+		s.e.metrics.firstEvent.Observe(now.Sub(s.req.Arrived).Seconds())
+	} else {
+		s.longest = max(s.longest, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	if ev.id != 0 {
+		s.last = ev.id
+	}
+	return nil
+}
+
+func (s *stream) begin(a *Answer) error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	if err := s.sink.Begin(a.Status, a.Header); err != nil {
+		return &finalError{err}
+	}
+	return nil
+}
+
+func (s *stream) finish(a *Answer) error { return s.begin(a) }
+
+// failure is the outcome of a stream that can't go on.
+func (s *stream) failure(ctx context.Context, err error) error {
+	if ctx.Err() != nil && !timedOut(ctx) {
+		return ctx.Err()
+	}
+	if s.cause != nil && !errors.Is(err, s.cause) {
+		err = errors.Wrap(err, s.cause.Error())
+	}
+	if ctx.Err() != nil {
+		return &Failure{Ran: true, TimedOut: true, Err: errors.Wrap(ErrTimeout, err.Error())}
+	}
+	return &Failure{Ran: s.ran > 0, RetryAfter: retryAfter, Err: err}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,227 @@
+// Package fleet lets entry VMs help each other when the store turns one of them
+// away: who reaches the store hands on the configuration and the list of
+// backend servers. Entry VMs find each other by rows in the store and by the
+// seeds of their settings. Nothing is agreed on here: every position comes from
+// the store, and a receiver only ever moves forward.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/retry"
+	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
+	"github.com/pearyard/pearyard/site"
+)
+
+// EventHelped is emitted when a peer knew more than this process.
+var EventHelped = event.Define(2740, "fleet_helped", event.Info,
+	"a peer told this process a newer configuration or list than the store did", "look why this process does not reach the store")
+
+// Registry holds a row for each entry VM.
+type Registry interface {
+	Put(ctx context.Context, table, key string, value []byte) error
+	Rows(ctx context.Context, table string) (map[string][]byte, error)
+}
+
+const (
+	registryTable = "entry_vms"
+	// lookEvery is how often the registry is read: VMs are added seldom, and
+	// each look is a priced call.
+	lookEvery = 5 * time.Second
+	// registryTimeout bounds one call to the registry.
+	registryTimeout = 2 * time.Second
+	retryPause      = 200 * time.Millisecond
+	maxPause        = time.Second
+	// helpers is how many peers are asked at once: more than one, as a peer may
+	// be turned away as well.
+	helpers = 2
+	// helpTimeout bounds one question; it is many round trips.
+	helpTimeout = 400 * time.Millisecond
+	// confirmedWithin is how fresh a peer's word must be to count as the store's.
+	confirmedWithin = 2 * time.Second
+)
+
+// Options of a Fleet.
+type Options struct {
+	Name      string
+	Address   string   // of this process, for others
+	Seeds     []string // addresses that may be stale
+	Registry  Registry
+	Holder    *site.Holder
+	Directory *directory.Directory
+	// Decode reads a configuration as the store holds it.
+	Decode func(position uint64, raw []byte) (*site.Versioned, error)
+	// OfferConfig and OfferList put in force what a peer told.
+	OfferConfig func(v *site.Versioned, from string)
+	OfferList   func(position uint64, list []directory.Listing, from string)
+	Client      *http.Client
+	Recorder    *event.Recorder
+}
+
+// Fleet knows the other entry VMs.
+type Fleet struct {
+	opts  Options
+	peers atomic.Pointer[[]string]
+	size  atomic.Int64
+}
+
+// New returns a Fleet that knows its seeds.
+func New(opts Options) *Fleet {
+	f := &Fleet{opts: opts}
+	f.setPeers(opts.Seeds)
+	return f
+}
+
+func (f *Fleet) setPeers(addresses []string) {
+	seen := map[string]bool{f.opts.Address: true}
+	peers := make([]string, 0, len(addresses))
+	for _, a := range addresses {
+		if a != "" && !seen[a] {
+			seen[a] = true
+			peers = append(peers, a)
+		}
+	}
+	slices.Sort(peers)
+	f.peers.Store(&peers)
+	f.size.Store(int64(len(peers)) + 1)
+}
+
+// Peers returns the addresses of the others.
+func (f *Fleet) Peers() []string { return *f.peers.Load() }
+
+// Size returns how many entry VMs are known, this one included.
+func (f *Fleet) Size() int { return int(f.size.Load()) }
+
+// Run announces this process and follows the others until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	announced := false
+	failures := 0
+	for ctx.Err() == nil {
+		err := f.exchangeRows(ctx, &announced)
+		if err == nil {
+			failures = 0
+			_ = retry.Wait(ctx, lookEvery)
+			continue
+		}
+		failures++
+		_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, failures))
+	}
+	return ctx.Err()
+}
+
+func (f *Fleet) exchangeRows(ctx context.Context, announced *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	if !*announced {
+		if err := f.opts.Registry.Put(ctx, registryTable, f.opts.Name, []byte(f.opts.Address)); err != nil {
+			return err
+		}
+		*announced = true
+	}
+	rows, err := f.opts.Registry.Rows(ctx, registryTable)
+	if err != nil {
+		return err
+	}
+	addresses := make([]string, 0, len(rows))
+	for _, value := range rows {
+		addresses = append(addresses, string(value))
+	}
+	f.setPeers(addresses)
+	return nil
+}
+
+// Ask asks a few peers for what is newer than what is known here.
+func (f *Fleet) Ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, helpTimeout)
+	defer cancel()
+	peers := f.Peers()
+	var group errgroup.Group
+	for _, i := range rand.Perm(len(peers))[:min(helpers, len(peers))] {
+		group.Go(func() error {
+			f.ask(ctx, peers[i])
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (f *Fleet) ask(ctx context.Context, peer string) {
+	client := fleetpb.NewFleetProtobufClient("http://"+peer, f.opts.Client)
+	answer, err := client.Newest(ctx, &fleetpb.NewestRequest{
+		Sender: f.opts.Address, ConfigPosition: f.opts.Holder.Position(), ListPosition: f.opts.Directory.View().Position,
+	})
+	if err != nil {
+		f.opts.Recorder.Emit(EventPeerSilent, "peer", peer, "err", err)
+		return
+	}
+	f.take(peer, answer)
+}
+
+// EventPeerSilent is emitted when a peer that was asked for help did not answer.
+var EventPeerSilent = event.Define(2741, "fleet_peer_silent", event.Info,
+	"a peer that was asked for what the store does not tell gave no answer", "nothing, unless no peer answers")
+
+func (f *Fleet) take(peer string, answer *fleetpb.NewestResponse) {
+	if answer.GetConfigPosition() > f.opts.Holder.Position() {
+		v, err := f.opts.Decode(answer.GetConfigPosition(), answer.GetConfig())
+		if err != nil {
+			f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "err", err)
+			return
+		}
+		f.opts.OfferConfig(v, peer)
+		f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
+	}
+	if answer.GetConfigConfirmed() {
+		f.opts.Holder.Confirm()
+	}
+	if answer.GetListPosition() > f.opts.Directory.View().Position {
+		f.opts.OfferList(answer.GetListPosition(), listings(answer.GetServers()), peer)
+	}
+}
+
+// Handler serves peers.
+func (f *Fleet) Handler() http.Handler { return fleetpb.NewFleetServer(f) }
+
+// Newest implements fleetpb.Fleet.
+func (f *Fleet) Newest(_ context.Context, r *fleetpb.NewestRequest) (*fleetpb.NewestResponse, error) {
+	answer := &fleetpb.NewestResponse{}
+	if v := f.opts.Holder.Current(); v != nil && v.Position > r.GetConfigPosition() {
+		answer.ConfigPosition, answer.Config = v.Position, v.Raw
+	}
+	answer.ConfigConfirmed = f.opts.Holder.Age() < confirmedWithin
+	if view := f.opts.Directory.View(); view.Position > r.GetListPosition() {
+		answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
+	}
+	return answer, nil
+}
+
+func wire(list []directory.Listing) []*fleetpb.Server {
+	out := make([]*fleetpb.Server, len(list))
+	for i, l := range list {
+		out[i] = &fleetpb.Server{
+			Id: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: int32(l.Slots),
+			Draining: l.Draining, ColdNano: int64(l.Cold), Beat: l.Beat,
+		}
+	}
+	return out
+}
+
+func listings(servers []*fleetpb.Server) []directory.Listing {
+	out := make([]directory.Listing, len(servers))
+	for i, s := range servers {
+		out[i] = directory.Listing{
+			ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), Zone: s.GetZone(), Slots: int(s.GetSlots()),
+			Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()), Beat: s.GetBeat(),
+		}
+	}
+	return out
+}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -11,7 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 // Defaults of a Keeper.
@@ -26,7 +26,7 @@
 
 // Options configures a Keeper. Zero values take the defaults.
 type Options struct {
-	Table      platform.Table // required
+	Table      backing.Table // required
 	Name       string         // of the lease; the row is lease/<name>
 	Holder     string         // this process and incarnation, for operators to read
 	Term       time.Duration
@@ -183,7 +183,7 @@
 	switch {
 	case err == nil:
 		k.granted(r, started)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrThrottled):
 		delete(k.mine, r.Nonce)
 	default:
 		k.resolve(ctx, err)
@@ -194,7 +194,7 @@
 // under way can't hurt: it is conditional on a version, so it either becomes the
 // row, which the next step recognises, or fails.
 func (k *Keeper) resolve(ctx context.Context, cause error) {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	if !errors.As(cause, &conflict) {
 		k.opts.Recorder.Emit(EventAmbiguous, "lease", k.opts.Name, "error", cause)
 	}
--- a/lease/row.go
+++ b/lease/row.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 // Fence is a fencing number: the epoch of the lease. It grows by one with each
@@ -24,14 +24,14 @@
 func Key(name string) string { return "lease/" + name }
 
 // ReadFence returns the epoch that is in force; 0 if the lease was never held.
-func ReadFence(ctx context.Context, table platform.Table, name string) (Fence, error) {
+func ReadFence(ctx context.Context, table backing.Table, name string) (Fence, error) {
 	r, _, err := read(ctx, table, name)
 	return r.Epoch, err
 }
 
-func read(ctx context.Context, table platform.Table, name string) (row, uint64, error) {
+func read(ctx context.Context, table backing.Table, name string) (row, uint64, error) {
 	raw, err := table.Get(ctx, Key(name))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return row{}, 0, nil
 	}
 	if err != nil {
@@ -44,13 +44,13 @@
 	return r, raw.Version, nil
 }
 
-func write(ctx context.Context, table platform.Table, name string, r row, version uint64) error {
+func write(ctx context.Context, table backing.Table, name string, r row, version uint64) error {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "lease row")
 	}
-	return table.Commit(ctx, platform.Txn{
-		If:     []platform.Condition{{Key: Key(name), Version: version}},
-		Writes: []platform.Write{{Key: Key(name), Value: value}},
+	return table.Commit(ctx, backing.Txn{
+		If:     []backing.Condition{{Key: Key(name), Version: version}},
+		Writes: []backing.Write{{Key: Key(name), Value: value}},
 	})
 }
--- a/measure/leave.go
+++ b/measure/leave.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/membership"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/text"
@@ -156,9 +156,9 @@
 // setVMs tells the platform's list of the VMs; the one of backend leaving, if
 // there is one, is leaving.
 func (s *site) setVMs(leaving int) error {
-	var vms []platform.VM
+	var vms []backing.VM
 	for i, b := range s.backends {
-		vms = append(vms, platform.VM{ID: "vm-" + b.name, Address: s.sidecarAddress(b), Zone: fmt.Sprintf("zone-%d", i%zones+1), Leaving: i == leaving})
+		vms = append(vms, backing.VM{ID: "vm-" + b.name, Address: s.sidecarAddress(b), Zone: fmt.Sprintf("zone-%d", i%zones+1), Leaving: i == leaving})
 	}
 	raw, err := json.Marshal(vms)
 	if err != nil {
--- a/measure/site.go
+++ b/measure/site.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/config"
-	"github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/text"
 )
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/onsi/gomega"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -211,8 +211,8 @@
 func TestVMListDownAndLagging(t *testing.T) {
 	inBubble(t, func(g *gomega.WithT, n *network) {
 		list := &vmList{}
-		vm := func(id string, i int, leaving bool) platform.VM {
-			return platform.VM{ID: id, Address: address(i), Leaving: leaving}
+		vm := func(id string, i int, leaving bool) backing.VM {
+			return backing.VM{ID: id, Address: address(i), Leaving: leaving}
 		}
 		list.set(false, vm("v1", 1, false), vm("v2", 2, false), vm("v3", 3, false))
 		// Seeds name nobody: the VM list alone gives the candidates.
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -236,22 +236,22 @@
 // vmList is a VM list that can be down.
 type vmList struct {
 	mu   sync.Mutex
-	vms  []platform.VM
+	vms  []backing.VM
 	down bool
 }
 
-func (l *vmList) set(down bool, vms ...platform.VM) {
+func (l *vmList) set(down bool, vms ...backing.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms, l.down = vms, down
 }
 
-// List implements platform.VMList.
-func (l *vmList) List(context.Context) ([]platform.VM, error) {
+// List implements backing.VMList.
+func (l *vmList) List(context.Context) ([]backing.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, errors.WithStack(platform.ErrUnavailable)
+		return nil, errors.WithStack(backing.ErrUnavailable)
 	}
 	return l.vms, nil
 }
--- a/membership/options.go
+++ b/membership/options.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -34,7 +34,7 @@
 type Options struct {
 	Self       Member          // this process; State is ignored, Revision comes from Revision
 	Seeds      []string        // addresses (IP:port) from the settings; own address is skipped
-	VMList     platform.VMList // nil: none
+	VMList     backing.VMList // nil: none
 	HTTPClient HTTPClient
 	Recorder   *event.Recorder
 	Registerer prometheus.Registerer // nil: metrics are kept but not registered
--- a/membership/vmlist.go
+++ b/membership/vmlist.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -48,7 +48,7 @@
 	}
 }
 
-func (m *Membership) takeVMs(now time.Time, vms []platform.VM) {
+func (m *Membership) takeVMs(now time.Time, vms []backing.VM) {
 	m.unknown = nil
 	pairs := make(map[string]vmPair, len(vms))
 	for _, vm := range vms {
@@ -70,7 +70,7 @@
 // has joined under the same address; leaving is sticky, so the new member
 // would never get work. The mark therefore counts only for a run that has
 // stood beside this VM id for longer than the list may lag.
-func (m *Membership) takeVM(now time.Time, vm platform.VM, addr string, pairs map[string]vmPair) bool {
+func (m *Membership) takeVM(now time.Time, vm backing.VM, addr string, pairs map[string]vmPair) bool {
 	e := m.table.entries[m.table.byAddress[addr]]
 	if e == nil || e.Condition == conditionDead {
 		return false
@@ -87,7 +87,7 @@
 	return true
 }
 
-func (m *Membership) addressesOf(vm platform.VM) []string {
+func (m *Membership) addressesOf(vm backing.VM) []string {
 	if _, _, err := net.SplitHostPort(vm.Address); err == nil {
 		return []string{vm.Address}
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -11,7 +11,7 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/findings"
 	"github.com/pearyard/pearyard/order"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/suspect"
 	"github.com/pearyard/pearyard/text"
@@ -73,7 +73,7 @@
 // Load returns one accepted text.
 func (t texts) Load(ctx context.Context, revision types.Revision) (admin.Text, error) {
 	raw, err := t.r.store.Load(ctx, revision)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return admin.Text{}, admin.ErrNoRevision
 	}
 	if err != nil {
--- a/node/common.go
+++ b/node/common.go
@@ -19,7 +19,7 @@
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/peer"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	configpb "github.com/pearyard/pearyard/rpc/config"
 	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
 	"github.com/pearyard/pearyard/suspect"
@@ -42,10 +42,10 @@
 // Platform is what the platform gives a process. Any part may be nil for a
 // sidecar; a router needs them all.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMList
-	Weights platform.Weights
+	Table   backing.Table
+	Objects backing.Objects
+	VMs     backing.VMList
+	Weights backing.Weights
 }
 
 // Common is what routers and sidecars are both told.
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/pearyard/pearyard/engine/httpapi"
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -21,7 +21,7 @@
 // appended notes who was sent a journal.
 type appended chan string
 
-// Append implements journal.Sender.
+// Append implements tokenlog.Sender.
 func (a appended) Append(_ context.Context, addr string, _ *streampb.JournalAppend) (*streampb.JournalAppended, error) {
 	select {
 	case a <- addr:
@@ -44,13 +44,13 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	sent := make(appended, 1)
-	writer := journal.NewWriter(journal.WriterOptions{Self: s.Address(), Sender: sent, Recorder: event.Discard(), Registerer: prometheus.NewRegistry()})
+	writer := tokenlog.NewWriter(tokenlog.WriterOptions{Self: s.Address(), Sender: sent, Recorder: event.Discard(), Registerer: prometheus.NewRegistry()})
 	defer writer.Close()
 	s.writer.Store(writer)
 
-	opened := make(chan *journal.Handle, 1)
+	opened := make(chan *tokenlog.Handle, 1)
 	go func() {
-		opened <- s.openJournal(journal.GenerationInfo{ID: types.NewGenerationID(7), Lineage: types.Lineage{{Attempt: 5}}})
+		opened <- s.openJournal(tokenlog.GenerationInfo{ID: types.NewGenerationID(7), Lineage: types.Lineage{{Attempt: 5}}})
 	}()
 	raw, err := json.Marshal(map[string]any{"services": []any{map[string]any{
 		"name": "m", "kind": "model", "dependsOn": []any{},
@@ -58,7 +58,7 @@
 	}}, "recovery": map[string]any{"journalAfterMillis": 0}})
 	g.Expect(err).NotTo(HaveOccurred())
 	time.AfterFunc(textPatience/4, func() { _, _ = s.holder.Offer(1, raw) })
-	var handle *journal.Handle
+	var handle *tokenlog.Handle
 	g.Eventually(opened, "5s").Should(Receive(&handle))
 	g.Expect(handle).NotTo(BeNil())
 	defer handle.Close()
--- a/node/router.go
+++ b/node/router.go
@@ -12,7 +12,7 @@
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/inspect"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/lease"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/membership"
@@ -104,12 +104,12 @@
 
 // leaseCandidate reports whether this router is among those that wait.
 func (r *Router) leaseCandidate() bool {
-	var sites []journal.Site
+	var sites []tokenlog.Site
 	for _, m := range r.routers() {
-		sites = append(sites, journal.Site{Address: m.Address, Zone: m.Zone})
+		sites = append(sites, tokenlog.Site{Address: m.Address, Zone: m.Zone})
 	}
 	key := types.KeyOf("", ordersLease)
-	return slices.Contains(journal.Place(key, sites, leaseCandidates, ""), r.Address())
+	return slices.Contains(tokenlog.Place(key, sites, leaseCandidates, ""), r.Address())
 }
 
 // changed lists the channels that are closed when the views must be rebuilt.
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -12,7 +12,7 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/gate"
 	"github.com/pearyard/pearyard/inspect"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/lease"
 	"github.com/pearyard/pearyard/order"
 	"github.com/pearyard/pearyard/plain"
@@ -51,7 +51,7 @@
 	BackendServer string
 	Engine        engine.Engine
 	Plain         plain.Service
-	JournalBytes  int // memory for other sidecars' journals; 0: journal.DefaultMaxBytes
+	JournalBytes  int // memory for other sidecars' journals; 0: tokenlog.DefaultMaxBytes
 }
 
 // Sidecar is one sidecar process.
@@ -59,9 +59,9 @@
 	*base
 	opts    SidecarOptions
 	sidecar *sidecar.Sidecar
-	journal *journal.Store
+	journal *tokenlog.Store
 	created time.Time
-	writer  atomic.Pointer[journal.Writer]
+	writer  atomic.Pointer[tokenlog.Writer]
 }
 
 // NewSidecar assembles a sidecar; Run starts it.
@@ -71,7 +71,7 @@
 		return nil, err
 	}
 	s := &Sidecar{base: b, opts: opts, created: time.Now()}
-	s.journal = journal.NewStore(journal.StoreOptions{MaxBytes: opts.JournalBytes, Recorder: b.recorder, Registerer: b.registry})
+	s.journal = tokenlog.NewStore(tokenlog.StoreOptions{MaxBytes: opts.JournalBytes, Recorder: b.recorder, Registerer: b.registry})
 	guard := s.newGuard()
 	s.sidecar = sidecar.New(sidecar.Options{
 		Peer: b.peer, Zone: opts.Zone, BackendServer: opts.BackendServer,
@@ -88,7 +88,7 @@
 		b.inspect.Add("orders", func() any { return guard.Dump() })
 		b.mux.Handle(orderpb.OrdersPathPrefix, orderpb.NewOrdersServer(order.NewServer(guard)))
 	}
-	b.mux.Handle(journalpb.JournalPathPrefix, journalpb.NewJournalServer(journal.NewServer(s.journal)))
+	b.mux.Handle(journalpb.JournalPathPrefix, journalpb.NewJournalServer(tokenlog.NewServer(s.journal)))
 	return s, nil
 }
 
@@ -128,10 +128,10 @@
 }
 
 // openJournal starts the journal of one attempt with the recovery dial in force.
-func (s *Sidecar) openJournal(gen journal.GenerationInfo) *journal.Handle {
+func (s *Sidecar) openJournal(gen tokenlog.GenerationInfo) *tokenlog.Handle {
 	in, recovery := s.firstText()
 	sites := router.Sites(s.members.Snapshot(), in, time.Since(s.created))
-	gen.Peers = journal.Place(gen.ID.Key, sites, recovery.JournalPeers+spareJournalPeers, s.peer.Self().Address)
+	gen.Peers = tokenlog.Place(gen.ID.Key, sites, recovery.JournalPeers+spareJournalPeers, s.peer.Self().Address)
 	gen.After, gen.Copies = recovery.JournalAfter(), recovery.JournalPeers
 	if gen.After == 0 {
 		gen.After = -1 // at once
@@ -172,7 +172,7 @@
 
 // Run serves until ctx ends or the sidecar is told to stop, then drains.
 func (s *Sidecar) Run(ctx context.Context) error {
-	writer := journal.NewWriter(journal.WriterOptions{
+	writer := tokenlog.NewWriter(tokenlog.WriterOptions{
 		Self: s.peer.Self().Address, Sender: journalSender{s.peer.Client()}, Recorder: s.recorder, Registerer: s.registry,
 	})
 	defer writer.Close()
@@ -217,7 +217,7 @@
 // journalSender sends journal batches to other sidecars.
 type journalSender struct{ http *http.Client }
 
-// Append implements journal.Sender.
+// Append implements tokenlog.Sender.
 func (j journalSender) Append(ctx context.Context, addr string, in *streampb.JournalAppend) (*streampb.JournalAppended, error) {
 	return streampb.NewSidecarProtobufClient("http://"+addr, j.http).Append(ctx, in)
 }
--- a/order/guard_test.go
+++ b/order/guard_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/engine"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/rpc/order"
 )
 
@@ -46,7 +46,7 @@
 func TestSidecarRestartsBetweenTwoOrders(t *testing.T) {
 	g := NewWithT(t)
 	e := &fakeEngine{}
-	var tableErr error = platform.ErrUnavailable
+	var tableErr error = backing.ErrUnavailable
 	guard := NewGuard(GuardOptions{Engine: e, ReadFence: func(context.Context) (uint64, error) { return 8, tableErr }})
 	g.Expect(guard.Order(t.Context(), load("1", 7))).To(MatchError(ErrFenceUnknown))
 	g.Expect(guard.Order(t.Context(), load("2", 8))).To(MatchError(ErrFenceUnknown))
@@ -55,7 +55,7 @@
 	g.Expect(guard.Order(t.Context(), load("1", 7))).To(MatchError(engine.ErrStaleFence))
 	g.Expect(guard.Order(t.Context(), load("2", 8))).To(Succeed())
 	g.Expect(e.taken()).To(Equal(1))
-	tableErr = platform.ErrUnavailable
+	tableErr = backing.ErrUnavailable
 	g.Expect(guard.Order(t.Context(), load("3", 8))).To(Succeed(), "once known, the table isn't needed")
 }
 
@@ -87,7 +87,7 @@
 	e := &fakeEngine{checks: true}
 	guard := NewGuard(GuardOptions{Engine: e, ReadFence: func(context.Context) (uint64, error) { return 3, tableErr }})
 	c := NewClient(func(string) orderpb.Orders { return NewServer(guard) })
-	tableErr = platform.ErrThrottled
+	tableErr = backing.ErrThrottled
 	g.Expect(c.Order(t.Context(), "x", load("1", 3))).To(MatchError(ErrFenceUnknown))
 	tableErr = nil
 	g.Expect(c.Order(t.Context(), "x", load("1", 3))).To(Succeed())
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -11,7 +11,7 @@
 
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 // Defaults of a Reconciler.
@@ -40,7 +40,7 @@
 type Options struct {
 	Lease        Lease            // required
 	Sidecar      Sidecar          // required
-	Weights      platform.Weights // required
+	Weights      backing.Weights // required
 	Desired      func() []Target  // required; what the text in force asks now
 	Interval     time.Duration    // between passes
 	CallTimeout  time.Duration    // of one call to a sidecar
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -57,3 +57,9 @@
 	}
 	return min(base, limit)
 }
+
+// BackoffBetween is Backoff with bounds of the caller's choice and at least
+// base, for calls to an outside system that charges for each of them.
+func BackoffBetween(base, longest time.Duration, n int) time.Duration {
+	return base + jitter(growing(base, longest, n-1))
+}
--- a/router/reattach.go
+++ b/router/reattach.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -57,7 +57,7 @@
 
 func (d *drive) journalPeers() []string {
 	n := d.text.Recovery.JournalPeers + extraPeers
-	return journal.Place(d.ask.key, d.r.sites(), n, "")
+	return tokenlog.Place(d.ask.key, d.r.sites(), n, "")
 }
 
 // allSites lists the journal peers first and then, on a site of moderate size,
@@ -71,7 +71,7 @@
 	if len(sites) > askAllUpTo {
 		return d.journalPeers()
 	}
-	return journal.Place(d.ask.key, sites, len(sites), "")
+	return tokenlog.Place(d.ask.key, sites, len(sites), "")
 }
 
 // reattach goes on with a generation that the caller has seen a part of: it
@@ -111,8 +111,8 @@
 
 // runners lists the sidecars that may hold the generation's log: the one that
 // the journal names, else whoever says so when all are asked.
-func (d *drive) runners(ctx context.Context, branch journal.Branch, err error) []string {
-	var failed *journal.FindError
+func (d *drive) runners(ctx context.Context, branch tokenlog.Branch, err error) []string {
+	var failed *tokenlog.FindError
 	if errors.As(err, &failed) {
 		branch = failed.Best
 	}
@@ -169,7 +169,7 @@
 
 // resumeFromJournal continues from what journal peers hold, or says truthfully
 // that the generation is lost.
-func (d *drive) resumeFromJournal(branch journal.Branch, err error) *types.Refusal {
+func (d *drive) resumeFromJournal(branch tokenlog.Branch, err error) *types.Refusal {
 	if len(d.tokens) >= d.sent && len(d.tokens) > len(branch.Tokens) {
 		return nil // a log broke off while it was read; go on from what was read
 	}
@@ -181,7 +181,7 @@
 		return d.generationLost(err)
 	}
 	if len(branch.Tokens) < d.sent {
-		return d.generationLost(journal.ErrTooShort)
+		return d.generationLost(tokenlog.ErrTooShort)
 	}
 	d.tokens, d.lineage = branch.Tokens, branch.Lineage
 	if sendErr := d.send(); sendErr != nil {
@@ -217,7 +217,7 @@
 	d.r.opts.Recorder.Emit(eventGenerationLost, event.FieldRequest, d.ask.requestID, "generation", d.id, "cause", cause)
 	refusal := types.Unknown(types.CodeGenerationLost, lostRetryAfter, "the generation can't go on (%v); send the request anew without %s", cause, HeaderLastEventID)
 	refusal.Status = http.StatusGone
-	if errors.Is(cause, journal.ErrUnsure) {
+	if errors.Is(cause, tokenlog.ErrUnsure) {
 		refusal.Status = http.StatusServiceUnavailable
 		refusal.RetryAfter = unsureRetryAfter
 		refusal.Message = "not everybody who may hold the generation could be asked; come back with the same Last-Event-ID"
--- a/router/router.go
+++ b/router/router.go
@@ -16,7 +16,7 @@
 
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/peer"
@@ -54,7 +54,7 @@
 	opts     Options
 	client   *http.Client
 	sidecars sidecars
-	journal  *journal.Reader
+	journal  *tokenlog.Reader
 	fleet    *fleet
 	metrics  *metrics
 	looks    *rate.Limiter // looks for earlier tries of refused calls
@@ -80,7 +80,7 @@
 		opts:     opts,
 		client:   client,
 		sidecars: calls,
-		journal:  journal.NewReader(journal.ReaderOptions{Client: calls}),
+		journal:  tokenlog.NewReader(tokenlog.ReaderOptions{Client: calls}),
 		fleet:    newFleet(opts.Peer.Self().ID, opts.Policy, opts.Recorder, opts.Registerer),
 		looks:    rate.NewLimiter(looksPerSecond, looksPerSecond),
 		stopping: make(chan struct{}),
@@ -164,7 +164,7 @@
 }
 
 // sites lists the sidecars that may hold journals.
-func (r *Router) sites() []journal.Site {
+func (r *Router) sites() []tokenlog.Site {
 	members := r.opts.Members()
 	if members == nil {
 		return nil
@@ -185,11 +185,11 @@
 // moment, and a generation that begins then gets no journal peer for its whole
 // life. It shows as journal_no_peer, and as generation_lost when its VM and its
 // router die. The text names the other sidecars before the first probe.
-func Sites(members *membership.View, in *text.Text, age time.Duration) []journal.Site {
+func Sites(members *membership.View, in *text.Text, age time.Duration) []tokenlog.Site {
 	alive := members.Alive(types.RoleSidecar)
-	out := make([]journal.Site, 0, len(alive))
+	out := make([]tokenlog.Site, 0, len(alive))
 	for _, m := range alive {
-		out = append(out, journal.Site{Address: m.Address, Zone: m.Zone})
+		out = append(out, tokenlog.Site{Address: m.Address, Zone: m.Zone})
 	}
 	if in == nil || age > meetTime {
 		return out
@@ -197,7 +197,7 @@
 	for i := range in.Services {
 		for _, b := range in.Services[i].BackendServers {
 			if _, met := members.ByAddress(b.Sidecar); !met {
-				out = append(out, journal.Site{Address: b.Sidecar, Zone: types.Zone(b.Zone)})
+				out = append(out, tokenlog.Site{Address: b.Sidecar, Zone: types.Zone(b.Zone)})
 			}
 		}
 	}
--- a/router/sites_test.go
+++ b/router/sites_test.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/router"
 	"github.com/pearyard/pearyard/text"
@@ -29,8 +29,8 @@
 	in := &text.Text{Services: []text.Service{{BackendServers: []text.BackendServer{
 		{Zone: "z1", Sidecar: "127.0.0.1:1"}, {Zone: "z2", Sidecar: "127.0.0.1:2"}, {Zone: "z3", Sidecar: "127.0.0.1:3"},
 	}}}}
-	b := journal.Site{Address: "127.0.0.1:2", Zone: "z2"}
-	c := journal.Site{Address: "127.0.0.1:3", Zone: "z3"}
+	b := tokenlog.Site{Address: "127.0.0.1:2", Zone: "z2"}
+	c := tokenlog.Site{Address: "127.0.0.1:3", Zone: "z3"}
 
 	g.Expect(router.Sites(members.Snapshot(), in, time.Second)).To(ContainElements(b, c))
 	g.Expect(router.Sites(members.Snapshot(), in, time.Minute)).NotTo(ContainElement(b))
--- a/scenario/calls.go
+++ b/scenario/calls.go
@@ -20,7 +20,7 @@
 	"github.com/pearyard/pearyard/embedded"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/membership"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/router"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/types"
@@ -157,7 +157,7 @@
 	query := url.Values{"prefix": {args[0]}, "limit": {"100"}}
 	address := "http://" + b.site.at(fromHarness, platformName) + "/v1/table/rows?" + query.Encode()
 	return await(conditionTimeout, "rows "+strings.Join(args, " "), func() bool {
-		var rows []platform.Row
+		var rows []backing.Row
 		if getJSON(address, &rows) != nil {
 			return false
 		}
@@ -341,10 +341,10 @@
 
 // vms: vms [N...]; sets the platform's list of VMs, of which those numbered N leave
 func (b *bench) vms(_ *testscript.TestScript, args []string) error {
-	var vms []platform.VM
+	var vms []backing.VM
 	for i := range b.site.sidecars() {
 		name := sidecarName(i + 1)
-		vms = append(vms, platform.VM{ID: "vm-" + strconv.Itoa(i+1), Address: b.site.at(fromPeers, name), Zone: b.site.zone(i + 1)})
+		vms = append(vms, backing.VM{ID: "vm-" + strconv.Itoa(i+1), Address: b.site.at(fromPeers, name), Zone: b.site.zone(i + 1)})
 	}
 	for _, arg := range args {
 		n, err := strconv.Atoi(arg)
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -9,7 +9,7 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/suspect"
 	"github.com/pearyard/pearyard/types"
@@ -177,14 +177,14 @@
 	time.AfterFunc(s.opts.Dial().Retain, func() { s.runs.remove(key) })
 }
 
-// journalHandle is a journal.Handle that may be absent.
-type journalHandle struct{ h *journal.Handle }
+// journalHandle is a tokenlog.Handle that may be absent.
+type journalHandle struct{ h *tokenlog.Handle }
 
 func (s *Sidecar) openJournal(r *run, emitted []types.Token) journalHandle {
 	if s.opts.OpenJournal == nil {
 		return journalHandle{}
 	}
-	return journalHandle{s.opts.OpenJournal(journal.GenerationInfo{ID: r.log.ID(), Lineage: r.log.Lineage(), Emitted: emitted})}
+	return journalHandle{s.opts.OpenJournal(tokenlog.GenerationInfo{ID: r.log.ID(), Lineage: r.log.Lineage(), Emitted: emitted})}
 }
 
 func (j journalHandle) append(t types.Token) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,7 +16,7 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
-	"github.com/pearyard/pearyard/journal"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/peer"
 	"github.com/pearyard/pearyard/plain"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
@@ -50,8 +50,8 @@
 	Dial          func() Dial
 	Revision      func() types.Revision
 	Suspects      *suspect.Ledger                              // may be nil
-	Journal       *journal.Store                               // tokens kept for others; may be nil
-	OpenJournal   func(journal.GenerationInfo) *journal.Handle // tokens sent to others; may be nil, or return nil
+	Journal       *tokenlog.Store                               // tokens kept for others; may be nil
+	OpenJournal   func(tokenlog.GenerationInfo) *tokenlog.Handle // tokens sent to others; may be nil, or return nil
 	OnLeaving     func()                                       // told once, when the backend server begins to leave
 	Recorder      *event.Recorder
 	Registerer    prometheus.Registerer
--- /dev/null
+++ b/site/holder.go
@@ -0,0 +1,70 @@
+package site
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Versioned is a configuration with its place in the history of the store.
+type Versioned struct {
+	Config *Config
+	// Position is the store's number of the row; it grows with each change.
+	Position uint64
+	// Raw is the text as the store holds it, for handing on.
+	Raw []byte
+}
+
+// Holder keeps the configuration in force in this process. Requests read it
+// without a lock.
+//
+// Invariant: the position never falls. An answer of the store that was
+// overtaken by a newer one, or a peer that lags, would otherwise bring a
+// dropped route or a revoked key back.
+type Holder struct {
+	current   atomic.Pointer[Versioned]
+	confirmed atomic.Int64 // steady time of the last answer that showed the newest version, nanoseconds
+	start     time.Time
+}
+
+// NewHolder returns an empty holder.
+func NewHolder() *Holder { return &Holder{start: time.Now()} }
+
+// Current returns the version in force, nil before the first one.
+func (h *Holder) Current() *Versioned { return h.current.Load() }
+
+// Config returns the configuration in force, nil before the first one.
+func (h *Holder) Config() *Config {
+	if v := h.current.Load(); v != nil {
+		return v.Config
+	}
+	return nil
+}
+
+// Position returns that of the version in force, 0 before the first one.
+func (h *Holder) Position() uint64 {
+	if v := h.current.Load(); v != nil {
+		return v.Position
+	}
+	return 0
+}
+
+// Offer puts a version in force if it is newer, and reports whether it did.
+func (h *Holder) Offer(v *Versioned) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && (v.Position <= old.Position || v.Config.Version < old.Config.Version) {
+			return false
+		}
+		if h.current.CompareAndSwap(old, v) {
+			return true
+		}
+	}
+}
+
+// Confirm notes that the store showed no version newer than the one in force.
+func (h *Holder) Confirm() { h.confirmed.Store(int64(time.Since(h.start))) }
+
+// Age returns for how long nobody has confirmed the version in force.
+func (h *Holder) Age() time.Duration {
+	return time.Since(h.start) - time.Duration(h.confirmed.Load())
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 const (
@@ -78,7 +78,7 @@
 
 	mu       sync.Mutex // guards all below
 	objects  map[string][]byte
-	vms      history[[]platform.VM]
+	vms      history[[]backing.VM]
 	counters PlatformCounters
 	lacking  []Artefact
 }
@@ -101,7 +101,7 @@
 		p.services[i] = &service{}
 	}
 	p.vms.keep = opts.VMLag + maxStale
-	p.vms.add(time.Time{}, []platform.VM{})
+	p.vms.add(time.Time{}, []backing.VM{})
 	p.mux = p.routes()
 	return p
 }
@@ -127,7 +127,7 @@
 }
 
 // SetVMs replaces the VM list; readers see it after the lag.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []backing.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms.add(time.Now(), slices.Clone(vms))
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pearyard/pearyard/platform"
-	platformapi "github.com/pearyard/pearyard/platform/httpapi"
+	"github.com/pearyard/pearyard/backing"
+	platformapi "github.com/pearyard/pearyard/backing/httpapi"
 )
 
 const pathSetVMs = "/vms"
@@ -163,7 +163,7 @@
 }
 
 func (p *Platform) serveCommit(r *http.Request) (int, any) {
-	var txn platform.Txn
+	var txn backing.Txn
 	if err := decodeBody(r, &txn); err != nil {
 		return http.StatusBadRequest, err.Error()
 	}
@@ -222,7 +222,7 @@
 }
 
 func (p *Platform) serveSetVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []backing.VM
 	if readJSON(w, r, &vms) {
 		p.SetVMs(vms)
 	}
--- a/standin/table.go
+++ b/standin/table.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 )
 
 // maxStale is how far back a read of an older revision can go.
@@ -17,19 +17,19 @@
 type table struct {
 	mu      sync.Mutex // guards all below
 	version uint64
-	rows    map[string]*history[*platform.Row] // nil value: absent at that time
+	rows    map[string]*history[*backing.Row] // nil value: absent at that time
 }
 
-func newTable() *table { return &table{rows: map[string]*history[*platform.Row]{}} }
+func newTable() *table { return &table{rows: map[string]*history[*backing.Row]{}} }
 
 // get returns the row as it was stale ago, nil if it was absent.
-func (t *table) get(key string, stale time.Duration) *platform.Row {
+func (t *table) get(key string, stale time.Duration) *backing.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.at(key, time.Now().Add(-stale))
 }
 
-func (t *table) at(key string, at time.Time) *platform.Row {
+func (t *table) at(key string, at time.Time) *backing.Row {
 	past, ok := t.rows[key]
 	if !ok {
 		return nil
@@ -38,12 +38,12 @@
 }
 
 // list returns up to limit rows under a prefix in order of their keys.
-func (t *table) list(prefix string, limit int, stale time.Duration) []platform.Row {
+func (t *table) list(prefix string, limit int, stale time.Duration) []backing.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at := time.Now().Add(-stale)
 	gone := time.Now().Add(-maxStale)
-	out := []platform.Row{}
+	out := []backing.Row{}
 	for key, past := range t.rows {
 		if !strings.HasPrefix(key, prefix) {
 			continue
@@ -64,7 +64,7 @@
 }
 
 // commit writes all or nothing and returns the keys whose conditions failed.
-func (t *table) commit(txn platform.Txn) (failed []string) {
+func (t *table) commit(txn backing.Txn) (failed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -86,11 +86,11 @@
 	return nil
 }
 
-func (t *table) write(now time.Time, write platform.Write) {
+func (t *table) write(now time.Time, write backing.Write) {
 	t.version++
 	past, ok := t.rows[write.Key]
 	if !ok {
-		past = &history[*platform.Row]{keep: maxStale}
+		past = &history[*backing.Row]{keep: maxStale}
 		past.add(time.Time{}, nil)
 		t.rows[write.Key] = past
 	}
@@ -98,5 +98,5 @@
 		past.add(now, nil)
 		return
 	}
-	past.add(now, &platform.Row{Key: write.Key, Value: write.Value, Version: t.version})
+	past.add(now, &backing.Row{Key: write.Key, Value: write.Value, Version: t.version})
 }
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -33,7 +33,7 @@
 	// suspect may join it there; 0 means that none may while it runs.
 	Probation time.Duration
 	Max       int            // fingerprints kept
-	Table     platform.Table // nil: suspicions are not persisted
+	Table     backing.Table // nil: suspicions are not persisted
 	// OnQuarantine is told of each quarantine learned, so that a copy that
 	// still runs can be cancelled before it costs another engine.
 	OnQuarantine func(types.Fingerprint, Verdict)
--- a/suspect/spread_test.go
+++ b/suspect/spread_test.go
@@ -13,7 +13,7 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
 	"github.com/pearyard/pearyard/types"
 )
@@ -227,44 +227,44 @@
 type memoryTable struct {
 	mu   sync.Mutex
 	down bool
-	rows map[string]platform.Row
+	rows map[string]backing.Row
 }
 
-func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *memoryTable) Get(_ context.Context, key string) (backing.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	row, ok := m.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
-func (m *memoryTable) List(context.Context, string, int) ([]platform.Row, error) {
+func (m *memoryTable) List(context.Context, string, int) ([]backing.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	}
-	var out []platform.Row
+	var out []backing.Row
 	for _, row := range m.rows {
 		out = append(out, row)
 	}
 	return out, nil
 }
 
-func (m *memoryTable) Commit(_ context.Context, txn platform.Txn) error {
+func (m *memoryTable) Commit(_ context.Context, txn backing.Txn) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	for _, c := range txn.If {
 		if m.rows[c.Key].Version != c.Version {
-			return &platform.ConflictError{Keys: []string{c.Key}}
+			return &backing.ConflictError{Keys: []string{c.Key}}
 		}
 	}
 	for _, w := range txn.Writes {
@@ -272,7 +272,7 @@
 			delete(m.rows, w.Key)
 			continue
 		}
-		m.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: m.rows[w.Key].Version + 1}
+		m.rows[w.Key] = backing.Row{Key: w.Key, Value: w.Value, Version: m.rows[w.Key].Version + 1}
 	}
 	return nil
 }
@@ -288,7 +288,7 @@
 func TestQuarantineSurvivesARestartOfAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		table := &memoryTable{rows: map[string]platform.Row{}, down: true}
+		table := &memoryTable{rows: map[string]backing.Row{}, down: true}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
--- a/suspect/store.go
+++ b/suspect/store.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -101,7 +101,7 @@
 	if err == nil && len(txn.Writes) > 0 {
 		err = l.opts.Table.Commit(ctx, txn)
 	}
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	if errors.As(err, &conflict) {
 		l.putBack(taken) // another process wrote the row: merge again next time
 		return
@@ -154,11 +154,11 @@
 	}
 }
 
-func (l *Ledger) prepare(ctx context.Context, b batch) (platform.Txn, batch, error) {
-	var txn platform.Txn
+func (l *Ledger) prepare(ctx context.Context, b batch) (backing.Txn, batch, error) {
+	var txn backing.Txn
 	for _, fp := range b.dirty {
 		row, err := l.opts.Table.Get(ctx, tablePrefix+fp.String())
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, backing.ErrNotFound) {
 			return txn, b, err
 		}
 		if there, err := decodeRow(row.Value); err == nil {
@@ -168,24 +168,24 @@
 		if !ok {
 			continue
 		}
-		add(&txn, fp, row.Version, platform.Write{Value: value})
+		add(&txn, fp, row.Version, backing.Write{Value: value})
 	}
 	for _, fp := range b.gone {
 		row, err := l.opts.Table.Get(ctx, tablePrefix+fp.String())
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, backing.ErrNotFound) {
 			continue
 		}
 		if err != nil {
 			return txn, b, err
 		}
-		add(&txn, fp, row.Version, platform.Write{Delete: true})
+		add(&txn, fp, row.Version, backing.Write{Delete: true})
 	}
 	return txn, b, nil
 }
 
-func add(txn *platform.Txn, fp types.Fingerprint, version uint64, w platform.Write) {
+func add(txn *backing.Txn, fp types.Fingerprint, version uint64, w backing.Write) {
 	w.Key = tablePrefix + fp.String()
-	txn.If = append(txn.If, platform.Condition{Key: w.Key, Version: version})
+	txn.If = append(txn.If, backing.Condition{Key: w.Key, Version: version})
 	txn.Writes = append(txn.Writes, w)
 }
 
--- a/journal/doc.go
+++ b/tokenlog/doc.go
@@ -7,4 +7,4 @@
 // branches by lineage; a router's Reader finds the branch that continues what a
 // caller has seen. Nothing here is a replicated store: a peer may forget, and
 // the reader then says so in a typed error.
-package journal
+package tokenlog
--- a/journal/events.go
+++ b/tokenlog/events.go
@@ -1,4 +1,4 @@
-package journal
+package tokenlog
 
 import "github.com/pearyard/pearyard/event"
 
