--- a/claim/coordinator.go
+++ b/claim/coordinator.go
@@ -9,9 +9,9 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/plain"
-	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -12,10 +12,10 @@
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/gate"
 	"github.com/pearyard/pearyard/plain"
-	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
@@ -31,7 +31,7 @@
 	down    bool
 	fault   func(n int) (err error, effect bool)
 	before  func(txn backing.Txn) // runs before a transaction is judged
-	twice   int                    // transactions that named a row twice
+	twice   int                   // transactions that named a row twice
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]backing.Row{}} }
--- a/claim/rows_test.go
+++ b/claim/rows_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/gate"
-	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/claim/try.go
+++ b/claim/try.go
@@ -8,9 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/plain"
-	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/types"
 )
--- a/cmd/pearyard-standin/main_test.go
+++ b/cmd/pearyard-standin/main_test.go
@@ -11,10 +11,10 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/pearyard/pearyard/engine"
-	engineapi "github.com/pearyard/pearyard/engine/httpapi"
 	"github.com/pearyard/pearyard/backing"
 	platformapi "github.com/pearyard/pearyard/backing/httpapi"
+	"github.com/pearyard/pearyard/engine"
+	engineapi "github.com/pearyard/pearyard/engine/httpapi"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/standin/command"
 	"github.com/pearyard/pearyard/types"
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"sync"
 
-	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/config/store.go
+++ b/config/store.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/findings"
-	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
 )
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,9 +16,9 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
+	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/findings"
 	"github.com/pearyard/pearyard/node"
-	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/settings"
 )
 
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -10,18 +10,6 @@
 	"github.com/pearyard/pearyard/retry"
 )
 
-// Events of the list of backend servers.
-var (
-	EventChanged = event.Define(2710, "servers_changed", event.Info,
-		"backend servers joined, began to leave or are gone", "nothing")
-	EventListLost = event.Define(2711, "servers_list_lost", event.Warn,
-		"the store does not tell this process the list of backend servers any more", "look whether others lost it too; see docs/OPERATIONS.md")
-	EventListRegained = event.Define(2712, "servers_list_regained", event.Info,
-		"the store tells this process the list of backend servers again", "nothing")
-	EventKept = event.Define(2713, "servers_kept", event.Warn,
-		"entries lapsed while the store was away; their servers stay in use until its return is two seconds old", "nothing")
-)
-
 // Source lists the backend servers.
 type Source interface {
 	List(ctx context.Context) (position uint64, list []Listing, err error)
--- a/directory/server.go
+++ b/directory/server.go
@@ -66,8 +66,10 @@
 	// sound server out of work for longer than a few requests take.
 	faultHalfLife = 3 * time.Second
 	// revivedAfter is how long a lost server gets nothing unless it has given a
-	// sign of life since. It covers the pace at which the list is read.
-	revivedAfter = 1500 * time.Millisecond
+	// sign of life since. A server that crashed comes back under another id, and
+	// its old entry lapses in about this time; one that was cut off writes to
+	// the store again and is believed at once.
+	revivedAfter = 4 * time.Second
 )
 
 // Draining tells whether it takes no new work.
@@ -76,10 +78,12 @@
 // Leave marks it as leaving, by what the server itself said.
 func (s *Server) Leave() { s.draining.Store(true) }
 
-// Down returns a channel that is closed once the server is believed lost.
+// Down returns a channel that is closed when the server is next found lost. To
+// ask is to try the server: what was known against it no longer counts.
 func (s *Server) Down() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.revive()
 	return s.down
 }
 
--- a/embedded/site.go
+++ b/embedded/site.go
@@ -19,10 +19,10 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/client"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/node"
-	"github.com/pearyard/pearyard/backing/httpapi"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/text"
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,18 +26,6 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-// Events of the process.
-var (
-	EventStarted = event.Define(2752, "entry_started", event.Info,
-		"the entry process has started with these settings", "nothing")
-	EventReady = event.Define(2753, "entry_ready", event.Info,
-		"the process knows a configuration and backend servers and takes callers", "nothing")
-	EventDraining = event.Define(2754, "entry_draining", event.Info,
-		"a planned stop began: the process reports itself not ready, serves what comes and what runs", "nothing")
-	EventStopped = event.Define(2755, "entry_stopped", event.Info,
-		"the process ends", "if running is over 0, the grace period was too short for these requests")
-)
-
 const (
 	// ringSize keeps the newest events for a state dump; at most 1 MB.
 	ringSize = 1024
@@ -123,7 +111,9 @@
 	})
 	e.news = suspect.NewSpreader(e.suspects, suspect.SpreaderOptions{
 		Self: e.settings.Peers, Peers: e.fleet.Peers,
-		Dial: func(peer string) suspectpb.Suspects { return suspectpb.NewSuspectsProtobufClient("http://"+peer, client) },
+		Dial: func(peer string) suspectpb.Suspects {
+			return suspectpb.NewSuspectsProtobufClient("http://"+peer, client)
+		},
 	})
 }
 
--- /dev/null
+++ b/entry/events.go
@@ -0,0 +1,24 @@
+package entry
+
+import "github.com/pearyard/pearyard/event"
+
+// Events of callers' requests that go no further.
+var (
+	EventTurnedAway = event.Define(2750, "entry_turned_away", event.Warn,
+		"a request was answered without being handed on: it is malformed, its host and path have no route, or its key is unknown",
+		"compare the request with the configuration version named in the line")
+	EventNotYet = event.Define(2751, "entry_no_config", event.Warn,
+		"a request was refused because this process knows no configuration yet", "see the lines about the store")
+)
+
+// Events of the process.
+var (
+	EventStarted = event.Define(2752, "entry_started", event.Info,
+		"the entry process has started with these settings", "nothing")
+	EventReady = event.Define(2753, "entry_ready", event.Info,
+		"the process knows a configuration and backend servers and takes callers", "nothing")
+	EventDraining = event.Define(2754, "entry_draining", event.Info,
+		"a planned stop began: the process reports itself not ready, serves what comes and what runs", "nothing")
+	EventStopped = event.Define(2755, "entry_stopped", event.Info,
+		"the process ends", "if running is over 0, the grace period was too short for these requests")
+)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -15,15 +15,6 @@
 	"github.com/pearyard/pearyard/site"
 )
 
-// Events of callers' requests that go no further.
-var (
-	EventTurnedAway = event.Define(2750, "entry_turned_away", event.Warn,
-		"a request was answered without being handed on: it is malformed, its host and path have no route, or its key is unknown",
-		"compare the request with the configuration version named in the line")
-	EventNotYet = event.Define(2751, "entry_no_config", event.Warn,
-		"a request was refused because this process knows no configuration yet", "see the lines about the store")
-)
-
 const (
 	// notYetRetryAfter is told to callers before the first configuration is known.
 	notYetRetryAfter = 300 * time.Millisecond
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -24,7 +24,9 @@
 }
 
 // Error implements error.
-func (e *NotRunError) Error() string { return fmt.Sprintf("exchange: not run: %s: %v", e.Reason, e.Err) }
+func (e *NotRunError) Error() string {
+	return fmt.Sprintf("exchange: not run: %s: %v", e.Reason, e.Err)
+}
 
 // Unwrap returns the cause.
 func (e *NotRunError) Unwrap() error { return e.Err }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -104,6 +104,9 @@
 	s.cause = err
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
+		// What did not run has left no copy.
+		s.copyAt = nil
+		s.endCopy()
 		s.refused++
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 		if notRun.Reason != Unreachable {
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -114,6 +114,10 @@
 // explain puts the watch's own reason in place of the error that closing the
 // connection gave.
 func (w *watch) explain(err error) error {
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
+		return err
+	}
 	cause := context.Cause(w.ctx)
 	if errors.Is(cause, ErrSilent) || errors.Is(cause, ErrServerLost) {
 		return &BrokenError{Err: cause}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,10 +22,6 @@
 	"github.com/pearyard/pearyard/site"
 )
 
-// EventHelped is emitted when a peer knew more than this process.
-var EventHelped = event.Define(2740, "fleet_helped", event.Info,
-	"a peer told this process a newer configuration or list than the store did", "look why this process does not reach the store")
-
 // Registry holds a row for each entry VM.
 type Registry interface {
 	Put(ctx context.Context, table, key string, value []byte) error
@@ -166,10 +162,6 @@
 	f.take(peer, answer)
 }
 
-// EventPeerSilent is emitted when a peer that was asked for help did not answer.
-var EventPeerSilent = event.Define(2741, "fleet_peer_silent", event.Info,
-	"a peer that was asked for what the store does not tell gave no answer", "nothing, unless no peer answers")
-
 func (f *Fleet) take(peer string, answer *fleetpb.NewestResponse) {
 	if answer.GetConfigPosition() > f.opts.Holder.Position() {
 		v, err := f.opts.Decode(answer.GetConfigPosition(), answer.GetConfig())
--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -61,7 +61,6 @@
 
 	mu   sync.Mutex // guards idle; held for a few instructions only
 	idle map[string][]*Conn
-	made uint64
 }
 
 // NewPool returns an empty pool.
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/event"
 )
 
 // Defaults of a Keeper.
@@ -27,8 +27,8 @@
 // Options configures a Keeper. Zero values take the defaults.
 type Options struct {
 	Table      backing.Table // required
-	Name       string         // of the lease; the row is lease/<name>
-	Holder     string         // this process and incarnation, for operators to read
+	Name       string        // of the lease; the row is lease/<name>
+	Holder     string        // this process and incarnation, for operators to read
 	Term       time.Duration
 	Candidate  func() bool // whether to wait for the lease; nil: always. Keeps hundreds of waiters from reading the row
 	Recorder   *event.Recorder
--- a/measure/leave.go
+++ b/measure/leave.go
@@ -13,8 +13,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/membership"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/text"
--- a/measure/site.go
+++ b/measure/site.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/backing/httpapi"
+	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/text"
 )
 
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/membership/options.go
+++ b/membership/options.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -32,8 +32,8 @@
 
 // Options configures a Membership. Self, HTTPClient and Recorder are required.
 type Options struct {
-	Self       Member          // this process; State is ignored, Revision comes from Revision
-	Seeds      []string        // addresses (IP:port) from the settings; own address is skipped
+	Self       Member         // this process; State is ignored, Revision comes from Revision
+	Seeds      []string       // addresses (IP:port) from the settings; own address is skipped
 	VMList     backing.VMList // nil: none
 	HTTPClient HTTPClient
 	Recorder   *event.Recorder
--- a/node/admin.go
+++ b/node/admin.go
@@ -7,11 +7,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/admin"
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/findings"
 	"github.com/pearyard/pearyard/order"
-	"github.com/pearyard/pearyard/backing"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/suspect"
 	"github.com/pearyard/pearyard/text"
--- a/node/common.go
+++ b/node/common.go
@@ -14,12 +14,12 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/peer"
-	"github.com/pearyard/pearyard/backing"
 	configpb "github.com/pearyard/pearyard/rpc/config"
 	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
 	"github.com/pearyard/pearyard/suspect"
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/pearyard/pearyard/engine/httpapi"
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/tokenlog"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/node/router.go
+++ b/node/router.go
@@ -12,7 +12,6 @@
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/inspect"
-	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/lease"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/membership"
@@ -20,6 +19,7 @@
 	"github.com/pearyard/pearyard/router"
 	orderpb "github.com/pearyard/pearyard/rpc/order"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -12,7 +12,6 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/gate"
 	"github.com/pearyard/pearyard/inspect"
-	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/lease"
 	"github.com/pearyard/pearyard/order"
 	"github.com/pearyard/pearyard/plain"
@@ -22,6 +21,7 @@
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/sidecar"
 	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/order/guard_test.go
+++ b/order/guard_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/rpc/order"
 )
 
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -9,9 +9,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/backing"
 )
 
 // Defaults of a Reconciler.
@@ -38,14 +38,14 @@
 
 // Options configures a Reconciler. Zero values take the defaults.
 type Options struct {
-	Lease        Lease            // required
-	Sidecar      Sidecar          // required
+	Lease        Lease           // required
+	Sidecar      Sidecar         // required
 	Weights      backing.Weights // required
-	Desired      func() []Target  // required; what the text in force asks now
-	Interval     time.Duration    // between passes
-	CallTimeout  time.Duration    // of one call to a sidecar
-	LoadTimeout  time.Duration    // an order whose effect doesn't show is sent again after this
-	LoadingShare float64          // of a service's reachable backend servers that may load at once; at least one may
+	Desired      func() []Target // required; what the text in force asks now
+	Interval     time.Duration   // between passes
+	CallTimeout  time.Duration   // of one call to a sidecar
+	LoadTimeout  time.Duration   // an order whose effect doesn't show is sent again after this
+	LoadingShare float64         // of a service's reachable backend servers that may load at once; at least one may
 	Recorder     *event.Recorder
 	Registerer   prometheus.Registerer
 }
--- a/router/reattach.go
+++ b/router/reattach.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/tokenlog"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/router/router.go
+++ b/router/router.go
@@ -16,13 +16,13 @@
 
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/peer"
 	"github.com/pearyard/pearyard/route"
 	"github.com/pearyard/pearyard/suspect"
 	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/router/sites_test.go
+++ b/router/sites_test.go
@@ -9,10 +9,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/router"
 	"github.com/pearyard/pearyard/text"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/scenario/calls.go
+++ b/scenario/calls.go
@@ -15,12 +15,12 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/cli"
 	"github.com/pearyard/pearyard/client"
 	"github.com/pearyard/pearyard/embedded"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/membership"
-	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/router"
 	"github.com/pearyard/pearyard/standin"
 	"github.com/pearyard/pearyard/types"
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -9,9 +9,9 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
-	"github.com/pearyard/pearyard/tokenlog"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,11 +16,11 @@
 	"github.com/pearyard/pearyard/engine"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/generation"
-	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/peer"
 	"github.com/pearyard/pearyard/plain"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/tokenlog"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -49,10 +49,10 @@
 	Calls         func(leaving func() bool) Calls // builds the gate; nil beside an engine
 	Dial          func() Dial
 	Revision      func() types.Revision
-	Suspects      *suspect.Ledger                              // may be nil
-	Journal       *tokenlog.Store                               // tokens kept for others; may be nil
+	Suspects      *suspect.Ledger                                // may be nil
+	Journal       *tokenlog.Store                                // tokens kept for others; may be nil
 	OpenJournal   func(tokenlog.GenerationInfo) *tokenlog.Handle // tokens sent to others; may be nil, or return nil
-	OnLeaving     func()                                       // told once, when the backend server begins to leave
+	OnLeaving     func()                                         // told once, when the backend server begins to leave
 	Recorder      *event.Recorder
 	Registerer    prometheus.Registerer
 }
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -9,8 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -32,7 +32,7 @@
 	// Probation is how long a suspect must run on an engine before another
 	// suspect may join it there; 0 means that none may while it runs.
 	Probation time.Duration
-	Max       int            // fingerprints kept
+	Max       int           // fingerprints kept
 	Table     backing.Table // nil: suspicions are not persisted
 	// OnQuarantine is told of each quarantine learned, so that a copy that
 	// still runs can be cancelled before it costs another engine.
