entry, directory: a process that stops refuses streams it can't finish; an ended server's id stays ended

Ruled out: closing the listener at once (callers on their way are turned away without an answer); no cut was a crash of ours (exits of its own: 0).

--- a/directory/pick.go
+++ b/directory/pick.go
@@ -72,7 +72,7 @@
 	var found *Server
 	var least float64
 	for _, s := range list {
-		if s.Draining() || q.Avoid[s.ID] {
+		if s.Draining() || s.isDead() || q.Avoid[s.ID] {
 			continue
 		}
 		if !g.notZone && q.NotZone != "" && s.Zone == q.NotZone {
--- a/directory/server.go
+++ b/directory/server.go
@@ -48,6 +48,7 @@
 	beatAt  time.Time
 	down    chan struct{} // closed while it is believed lost; replaced when it is back
 	downAt  time.Time     // zero while it is believed alive
+	dead    bool          // its process is known to have ended
 	faults  float64       // recent faults, halved each faultHalfLife
 	faultAt time.Time
 }
@@ -75,8 +76,12 @@
 // Draining tells whether it takes no new work.
 func (s *Server) Draining() bool { return s.draining.Load() || s.gone.Load() }
 
-// Leave marks it as leaving, by what the server itself said.
-func (s *Server) Leave() { s.draining.Store(true) }
+// isDead tells whether its process is known to have ended.
+func (s *Server) isDead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dead
+}
 
 // Down returns a channel that is closed when the server is next found lost. To
 // ask is to try the server: what was known against it no longer counts.
@@ -107,9 +112,21 @@
 	s.revive()
 }
 
+// Dead notes that the process behind this id has ended: its address refuses
+// connections or belongs to another start. Only a sign of life in the store
+// that is newer brings it back.
+func (s *Server) Dead(now time.Time) bool {
+	news := s.Lost(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead = true
+	return news
+}
+
 func (s *Server) revive() {
 	if !s.downAt.IsZero() {
 		s.downAt = time.Time{}
+		s.dead = false
 		s.down = make(chan struct{})
 	}
 }
@@ -118,7 +135,7 @@
 func (s *Server) IsDown(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.downAt.IsZero() && now.Sub(s.downAt) < revivedAfter
+	return s.dead || (!s.downAt.IsZero() && now.Sub(s.downAt) < revivedAfter)
 }
 
 // WasDownWithin tells whether it was lost at most d ago.
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: listen")
 	}
-	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, draining: e.draining.Load}
+	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop}
 	server := &http.Server{
 		Handler: e.counted(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
@@ -54,9 +54,9 @@
 
 func (e *Entry) drain(server *http.Server) {
 	began := time.Now()
-	e.draining.Store(true)
-	e.recorder.Emit(EventDraining, "running", e.running.Load(), "grace", e.settings.Grace)
 	end := began.Add(e.settings.Grace - graceMargin)
+	e.stop.begin(end)
+	e.recorder.Emit(EventDraining, "running", e.running.Load(), "grace", e.settings.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	_ = retry.Wait(ctx, rotationTime)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,7 +73,7 @@
 	pool      *httpconn.Pool
 	inspect   *inspect.Registry
 	started   time.Time
-	draining  atomic.Bool
+	stop      *stopping
 	ready     atomic.Bool
 	running   atomic.Int64
 }
@@ -84,7 +84,7 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	}
-	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), holder: site.NewHolder(), directory: directory.New()}
+	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), stop: newStopping(), holder: site.NewHolder(), directory: directory.New()}
 	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), ringSize)
 	store := platform.NewStore(s.Store)
 	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Lost: e.askPeers}
@@ -203,7 +203,7 @@
 // Ready tells whether callers should come: there is a configuration, there are
 // backend servers, and no stop has begun.
 func (e *Entry) Ready() bool {
-	if e.draining.Load() || e.holder.Config() == nil || e.directory.View().Len() == 0 {
+	if e.stop.begun() || e.holder.Config() == nil || e.directory.View().Len() == 0 {
 		return false
 	}
 	if e.ready.CompareAndSwap(false, true) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -18,6 +18,9 @@
 const (
 	// notYetRetryAfter is told to callers before the first configuration is known.
 	notYetRetryAfter = 300 * time.Millisecond
+	// elsewhereRetryAfter is told to callers of a process that is about to
+	// stop: their next connection goes to another one.
+	elsewhereRetryAfter = 150 * time.Millisecond
 	// defaultWait is for a request that states no time of its own and whose route has none.
 	defaultWait = 30 * time.Second
 )
@@ -27,12 +30,12 @@
 	holder   *site.Holder
 	exchange *exchange.Exchange
 	recorder *event.Recorder
-	draining func() bool
+	stop     *stopping
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.draining() {
+	if h.stop.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	config := h.holder.Config()
@@ -110,9 +113,15 @@
 
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, call *platform.Call) {
 	if call.Route.Kind == site.Stream {
+		if !h.stop.leavesTime(call.Arrived) {
+			h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", h.stop.need())
+			platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: elsewhereRetryAfter, Err: errors.New("entry: this process is about to stop")})
+			return
+		}
 		h.serveStream(w, r, call)
 		return
 	}
+	call.Until = h.stop.bound(call.Until)
 	reply, err := h.exchange.Call(r.Context(), &call.Request)
 	if err != nil {
 		fail(w, call.ID, err)
@@ -133,6 +142,7 @@
 	begun, err := h.exchange.Stream(r.Context(), &call.Request, &sink{w: w, flush: http.NewResponseController(w)})
 	switch {
 	case err == nil:
+		h.stop.took(time.Since(call.Arrived))
 	case begun:
 		// Ended in an orderly way, the answer would look complete.
 		panic(http.ErrAbortHandler)
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -13,6 +13,7 @@
 // Reasons.
 const (
 	Unreachable NotRunReason = "unreachable" // nothing was sent
+	Refused     NotRunReason = "refused"     // its address takes no connections: the process has ended
 	Busy        NotRunReason = "busy"        // the server had no room, or no such copy
 	Misdirected NotRunReason = "misdirected" // another server has the address now
 )
@@ -59,6 +60,9 @@
 	ErrQuarantined = errors.New("exchange: the request crashed several backend servers")
 )
 
+// Unreached tells whether an attempt never reached its server.
+func (e *NotRunError) Unreached() bool { return e.Reason == Unreachable || e.Reason == Refused }
+
 // Failure is the final answer to a request that can't be served.
 type Failure struct {
 	// Ran is false only if it is proved that no backend server runs the
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -134,8 +134,8 @@
 	now := time.Now()
 	var notRun *NotRunError
 	switch {
-	case errors.As(err, &notRun) && notRun.Reason == Misdirected:
-		s.Leave()
+	case errors.As(err, &notRun) && (notRun.Reason == Misdirected || notRun.Reason == Refused):
+		e.ended(s, err)
 	case errors.As(err, &notRun) && notRun.Reason == Unreachable:
 		e.lost(s, err)
 	case errors.As(err, &notRun):
@@ -150,6 +150,13 @@
 // refuses while it has room does so again.
 const busyFault = 0.3
 
+// ended notes that the process behind a server's id has ended.
+func (e *Exchange) ended(s *directory.Server, err error) {
+	if s.Dead(time.Now()) {
+		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
+	}
+}
+
 func (e *Exchange) lost(s *directory.Server, err error) {
 	if s.Lost(time.Now()) {
 		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -152,7 +152,7 @@
 // one is no retry there.
 func unreached(err error) bool {
 	var notRun *NotRunError
-	return errors.As(err, &notRun) && notRun.Reason == Unreachable
+	return errors.As(err, &notRun) && notRun.Unreached()
 }
 
 func (c *call) launch(ctx context.Context) bool {
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -34,7 +34,7 @@
 	defer cancel()
 	p.exchange.metrics.probes.Inc()
 	if err := p.exchange.opts.Backend.Probe(ctx, s); err != nil {
-		p.exchange.lost(s, err)
+		p.exchange.failed(s, err)
 	}
 	p.mu.Lock()
 	delete(p.running, s)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -109,7 +109,7 @@
 		s.endCopy()
 		s.refused++
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
-		if notRun.Reason != Unreachable {
+		if !notRun.Unreached() {
 			s.arrivals++
 		}
 		if fromCopy && notRun.Reason == Busy {
