fleet, directory: entry VMs tell each other their load; the list is followed by its changes

Cause: each entry VM saw only its own streams; after a loss several chose the same idle server (a prompt read in 3.9 s instead of 1), and servers of a zone that had just crashed were chosen for copies until their entries lapsed. Change: datagrams with streams and unread prompt tokens a server, at most each 20 ms; a zone that lost a quarter of its servers is doubted until each of them answers; changes of the list are awaited instead of read each 0.7 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,6 +11,7 @@
 	Position  uint64 // of the list in the store's history
 	byService map[string][]*Server
 	byID      map[string]*Server
+	byHash    map[uint32]*Server
 	Listings  []Listing
 }
 
@@ -24,17 +25,33 @@
 type Directory struct {
 	view atomic.Pointer[View]
 
-	mu      sync.Mutex // one Apply at a time
-	missing map[string]time.Time
+	loadChanged chan struct{} // holds one token after a change of load
+
+	mu sync.Mutex // one Apply at a time
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{missing: map[string]time.Time{}}
-	d.view.Store(&View{byService: map[string][]*Server{}, byID: map[string]*Server{}})
+	d := &Directory{loadChanged: make(chan struct{}, 1)}
+	d.view.Store(emptyView(0))
 	return d
 }
 
+func emptyView(position uint64) *View {
+	return &View{Position: position, byService: map[string][]*Server{}, byID: map[string]*Server{}, byHash: map[uint32]*Server{}}
+}
+
+// LoadChanged returns a channel that holds a token after the load that this
+// process puts on servers has changed.
+func (d *Directory) LoadChanged() <-chan struct{} { return d.loadChanged }
+
+func (d *Directory) touch() {
+	select {
+	case d.loadChanged <- struct{}{}:
+	default:
+	}
+}
+
 // View returns the servers known now.
 func (d *Directory) View() *View { return d.view.Load() }
 
@@ -57,7 +74,8 @@
 	if position < old.Position {
 		return change
 	}
-	next := &View{Position: position, byService: map[string][]*Server{}, byID: make(map[string]*Server, len(list)), Listings: list}
+	next := emptyView(position)
+	next.Listings = list
 	for _, l := range list {
 		next.add(d.listed(old, l, now, &change))
 	}
@@ -80,18 +98,19 @@
 func (d *Directory) listed(old *View, l Listing, now time.Time, change *Change) *Server {
 	s := old.byID[l.ID]
 	if s == nil {
-		s = newServer(l, now)
+		s = newServer(l, now, d.touch)
 		change.Joined = append(change.Joined, l.ID)
 	}
 	if l.Draining && !s.draining.Load() {
 		change.Draining = append(change.Draining, l.ID)
 	}
-	s.listed(l, now)
+	s.listed(l)
 	s.warmAt.Store(now.Add(l.Cold).UnixNano())
 	return s
 }
 
 func (v *View) add(s *Server) {
 	v.byID[s.ID] = s
+	v.byHash[s.hash] = s
 	v.byService[s.Service] = append(v.byService[s.Service], s)
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,18 +13,29 @@
 
 // Source lists the backend servers.
 type Source interface {
+	// List returns all of them, with the list's place in the store's history.
 	List(ctx context.Context) (position uint64, list []Listing, err error)
+	// Changes waits up to wait for changes after a position. Without any it
+	// returns the position it has reached and nothing else.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (position uint64, changed []Listing, gone []string, err error)
 }
 
 // Pacing of a Follower.
 const (
-	// DefaultPace is the time between two looks: with the wait for an answer it
-	// keeps well under the two seconds in which a leaving server must get no
-	// new work, and each look is a priced call.
-	DefaultPace = 700 * time.Millisecond
-	// listTimeout bounds one look; a slow store gets more, up to maxListTimeout.
-	listTimeout    = 700 * time.Millisecond
-	maxListTimeout = 4 * time.Second
+	// longPoll is how long one question waits at the store. A connection that
+	// went silent is noticed this much later at most, plus the grace below. A
+	// longer wait saves calls, which are priced.
+	longPoll = 2 * time.Second
+	// pace is the time between two questions while changes come: many servers
+	// change in the same moments, and one answer carries them all. It is well
+	// under the two seconds in which a leaving server must get no new work.
+	pace = 400 * time.Millisecond
+	// relistEvery bounds how long a list is kept up by changes alone.
+	relistEvery = 10 * time.Second
+	// pollGrace is what an answer may take on top of the wait; a slow store
+	// gets more, up to maxGrace.
+	pollGrace = 500 * time.Millisecond
+	maxGrace  = 4 * time.Second
 	// forgiveFor is how long after the store's return an entry that is missing
 	// is kept: entries that lapsed meanwhile are back about two seconds after it.
 	forgiveFor = 2200 * time.Millisecond
@@ -35,53 +47,96 @@
 type Follower struct {
 	Directory *Directory
 	Source    Source
-	Pace      time.Duration
 	Recorder  *event.Recorder
 	// Lost is called for each failure in a row; it may ask peers.
 	Lost func(ctx context.Context)
 
 	failures    int
-	timeout     time.Duration
+	grace       time.Duration
 	lastFailure time.Time
 	answeredAt  time.Time
+	listedAt    time.Time
+	position    uint64 // up to which changes were read
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.timeout = listTimeout
+	f.grace = pollGrace
 	for ctx.Err() == nil {
+		began := time.Now()
 		if err := f.look(ctx); err != nil {
 			f.failed(ctx, err)
 			continue
 		}
-		jitter := time.Duration(rand.Int64N(int64(f.Pace) / 5))
-		_ = retry.Wait(ctx, f.Pace-f.Pace/10+jitter)
+		f.succeeded()
+		_ = retry.Wait(ctx, pace-time.Since(began))
 	}
 	return ctx.Err()
 }
 
+// look reads the whole list when there is none yet, after a failure, and while
+// entries that lapsed are awaited; otherwise it waits for changes.
 func (f *Follower) look(ctx context.Context) error {
-	asking, cancel := context.WithTimeout(ctx, f.timeout)
+	if f.position == 0 || f.failures > 0 || f.forgiving() || time.Since(f.listedAt) > relistEvery {
+		return f.list(ctx)
+	}
+	asking, cancel := context.WithTimeout(ctx, longPoll+f.grace)
+	defer cancel()
+	position, changed, gone, err := f.Source.Changes(asking, f.position, longPoll)
+	if err != nil {
+		return err
+	}
+	f.position = max(f.position, position)
+	if len(changed)+len(gone) > 0 {
+		f.Take(f.position, merge(f.Directory.View().Listings, changed, gone), "store")
+	}
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	asking, cancel := context.WithTimeout(ctx, f.grace)
 	defer cancel()
 	position, list, err := f.Source.List(asking)
 	if err != nil {
 		return err
 	}
+	f.position, f.listedAt = position, time.Now()
+	f.Take(position, list, "store")
+	return nil
+}
+
+// merge returns a list with changes applied.
+func merge(list, changed []Listing, gone []string) []Listing {
+	byID := make(map[string]Listing, len(list)+len(changed))
+	for _, l := range list {
+		byID[l.ID] = l
+	}
+	for _, l := range changed {
+		byID[l.ID] = l
+	}
+	for _, id := range gone {
+		delete(byID, id)
+	}
+	return slices.Collect(maps.Values(byID))
+}
+
+func (f *Follower) succeeded() {
 	if f.failures > 1 {
 		f.Recorder.Emit(EventListRegained, "failures", f.failures)
 	}
 	f.failures = 0
-	f.timeout = max(listTimeout, f.timeout/2)
+	f.grace = max(pollGrace, f.grace/2)
 	f.answeredAt = time.Now()
-	f.Take(position, list, "store")
-	return nil
+}
+
+// forgiving tells whether entries that are missing may only have lapsed.
+func (f *Follower) forgiving() bool {
+	return f.failures > 0 || (!f.lastFailure.IsZero() && time.Since(f.lastFailure) < forgiveFor)
 }
 
 // Take puts a list in force and says what changed.
 func (f *Follower) Take(position uint64, list []Listing, from string) {
-	now := time.Now()
-	forgiving := f.failures > 0 || (!f.lastFailure.IsZero() && now.Sub(f.lastFailure) < forgiveFor)
-	change := f.Directory.Apply(position, list, forgiving, now)
+	change := f.Directory.Apply(position, list, f.forgiving(), time.Now())
 	if len(change.Kept) > 0 {
 		f.Recorder.Emit(EventKept, "servers", strings.Join(change.Kept, ","), "position", position)
 	}
@@ -97,7 +152,7 @@
 	}
 	f.failures++
 	f.lastFailure = time.Now()
-	f.timeout = min(maxListTimeout, f.timeout*2)
+	f.grace = min(maxGrace, f.grace*2)
 	if f.failures == 2 {
 		f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.answeredAt))
 	}
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -35,10 +35,13 @@
 	otherZoneWeight = 150.0
 	// maxFaults is where a server gets work only if there is no other.
 	maxFaults = 2.5
-	// zoneLossWindow and zoneLosses: a zone that lost this many servers of a
-	// service within the window is passed over, since a zone fails as a whole.
-	zoneLossWindow = 1200 * time.Millisecond
+	// zoneLossWindow, zoneLosses and zoneShare: where a zone lost at least this
+	// many of its servers, and at least one in zoneShare, within the window, it
+	// is taken to have failed as a whole. Entries of crashed servers lapse
+	// within the window.
+	zoneLossWindow = 5 * time.Second
 	zoneLosses     = 2
+	zoneShare      = 4
 )
 
 // Pick returns the server that is expected to begin soonest, or nil. Among
@@ -46,9 +49,9 @@
 // a strict order would send them all to the same server.
 func (d *Directory) Pick(q Query, now time.Time) *Server {
 	list := d.view.Load().Service(q.Service)
-	lost := lostZones(list, now)
+	zones := lossesOf(list, now)
 	for _, grade := range grades {
-		if s := best(list, q, lost, grade, now); s != nil {
+		if s := best(list, q, zones, grade, now); s != nil {
 			return s
 		}
 	}
@@ -57,18 +60,18 @@
 
 // grade is how picky a pass is; each later one lets more through.
 type grade struct {
-	lostZones, notZone, faulty, down bool // true: allowed
+	doubted, notZone, faulty, down bool // true: allowed
 }
 
 var grades = []grade{
 	{},
-	{lostZones: true},
-	{lostZones: true, notZone: true},
-	{lostZones: true, notZone: true, faulty: true},
-	{lostZones: true, notZone: true, faulty: true, down: true},
+	{notZone: true},
+	{notZone: true, doubted: true},
+	{notZone: true, doubted: true, faulty: true},
+	{notZone: true, doubted: true, faulty: true, down: true},
 }
 
-func best(list []*Server, q Query, lost map[string]int, g grade, now time.Time) *Server {
+func best(list []*Server, q Query, zones losses, g grade, now time.Time) *Server {
 	var found *Server
 	var least float64
 	for _, s := range list {
@@ -78,7 +81,7 @@
 		if !g.notZone && q.NotZone != "" && s.Zone == q.NotZone {
 			continue
 		}
-		if !g.lostZones && lost[s.Zone] >= zoneLosses {
+		if !g.doubted && zones.doubted(s) {
 			continue
 		}
 		if !g.down && s.IsDown(now) {
@@ -96,10 +99,11 @@
 }
 
 func (s *Server) score(q Query, now time.Time) float64 {
-	score := float64(s.prefill.Load()) + streamWeight*float64(s.streams.Load()) +
-		callWeight*float64(s.calls.Load()) + copyWeight*float64(s.copies.Load()) +
+	score := float64(s.prefill.Load()+s.otherPrefill.Load()) +
+		streamWeight*float64(s.streams.Load()+s.otherStreams.Load()) + callWeight*float64(s.calls.Load()) + copyWeight*float64(s.copies.Load()) +
 		faultWeight*s.Faults(now)
-	if age := now.UnixNano() - s.toldAt.Load(); age < int64(toldFresh) {
+	// What a server told is older than what entry VMs tell each other of streams.
+	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
 	}
 	if now.UnixNano() < s.warmAt.Load() {
@@ -111,17 +115,45 @@
 	return score
 }
 
-// lostZones counts the servers of each zone that were lost lately.
-func lostZones(list []*Server, now time.Time) map[string]int {
-	var lost map[string]int
+// losses holds, by zone, when its servers were lost lately.
+type losses map[string]*zoneLoss
+
+type zoneLoss struct {
+	count   int // servers lost
+	servers int // of all that are known there
+	last    time.Time
+}
+
+// lossesOf counts the servers of each zone that were lost lately.
+func lossesOf(list []*Server, now time.Time) losses {
+	var zones losses
 	for _, s := range list {
-		if !s.WasDownWithin(now, zoneLossWindow) {
+		at, lost := s.lostSince(now, zoneLossWindow)
+		if !lost || s.Draining() {
 			continue
 		}
-		if lost == nil {
-			lost = map[string]int{}
+		if zones == nil {
+			zones = losses{}
+		}
+		if zones[s.Zone] == nil {
+			zones[s.Zone] = &zoneLoss{}
+		}
+		zones[s.Zone].count++
+		if at.After(zones[s.Zone].last) {
+			zones[s.Zone].last = at
 		}
-		lost[s.Zone]++
 	}
-	return lost
+	for _, s := range list {
+		if zone := zones[s.Zone]; zone != nil {
+			zone.servers++
+		}
+	}
+	return zones
+}
+
+// doubted tells whether a server may be gone without anybody here having
+// noticed: its zone has lost many since its last sign of life.
+func (z losses) doubted(s *Server) bool {
+	zone := z[s.Zone]
+	return zone != nil && zone.count >= zoneLosses && zone.count*zoneShare >= zone.servers && !s.provenSince(zone.last)
 }
--- a/directory/server.go
+++ b/directory/server.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Listing is one backend server as the platform lists it.
@@ -19,7 +21,6 @@
 	Slots    int
 	Draining bool
 	Cold     time.Duration // how much longer it is slow after its start
-	Beat     uint64        // grows with each sign of life
 }
 
 // Server is a backend server with what this process knows of it. One Server
@@ -33,19 +34,23 @@
 
 	draining atomic.Bool
 	gone     atomic.Bool
-	warmAt   atomic.Int64 // steady nanoseconds at which it is no longer cold
+	warmAt   atomic.Int64 // Unix nanoseconds at which it is no longer cold
+	provenAt atomic.Int64 // of its newest sign of life
 
 	// Load that this process has put there.
 	calls   atomic.Int64 // plain calls in flight
 	prefill atomic.Int64 // prompt tokens of streams before their first event
 	streams atomic.Int64 // streams in flight
 	copies  atomic.Int64 // tokens of copies that this process has directed there
-	told    atomic.Int64 // others' load by its last answer, in requests
-	toldAt  atomic.Int64
-
-	mu      sync.Mutex // guards the fields below
-	beat    uint64
-	beatAt  time.Time
+	// Load that other entry VMs have put there, by their own word.
+	otherStreams atomic.Int64
+	otherPrefill atomic.Int64
+	hash         uint32       // short name among entry VMs
+	changed      func()       // called when the load of streams here changes
+	told         atomic.Int64 // others' load by its last answer, in requests
+	toldAt       atomic.Int64
+
+	mu      sync.Mutex    // guards the fields below
 	down    chan struct{} // closed while it is believed lost; replaced when it is back
 	downAt  time.Time     // zero while it is believed alive
 	dead    bool          // its process is known to have ended
@@ -53,23 +58,27 @@
 	faultAt time.Time
 }
 
-func newServer(l Listing, now time.Time) *Server {
+func newServer(l Listing, now time.Time, changed func()) *Server {
 	s := &Server{
 		ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
-		down: make(chan struct{}), beat: l.Beat, beatAt: now, faultAt: now,
+		down: make(chan struct{}), faultAt: now, hash: Hash(l.ID), changed: changed,
 	}
+	s.provenAt.Store(now.UnixNano())
 	return s
 }
 
+// Hash is a server's short name among entry VMs. Two servers with the same one
+// would only be held busier than they are.
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 const (
 	// faultHalfLife is how fast a fault is forgotten: a server that fails part
 	// of its requests does so for some seconds, and one fault must not keep a
 	// sound server out of work for longer than a few requests take.
 	faultHalfLife = 3 * time.Second
-	// revivedAfter is how long a lost server gets nothing unless it has given a
-	// sign of life since. A server that crashed comes back under another id, and
-	// its old entry lapses in about this time; one that was cut off writes to
-	// the store again and is believed at once.
+	// revivedAfter is how long a lost server gets nothing. A server that crashed
+	// comes back under another id, and its old entry lapses in about this time;
+	// one that was cut off is tried again.
 	revivedAfter = 4 * time.Second
 )
 
@@ -107,14 +116,14 @@
 
 // Alive notes an answer.
 func (s *Server) Alive(now time.Time) {
+	s.provenAt.Store(now.UnixNano())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revive()
 }
 
 // Dead notes that the process behind this id has ended: its address refuses
-// connections or belongs to another start. Only a sign of life in the store
-// that is newer brings it back.
+// connections or belongs to another start. Its id never comes back.
 func (s *Server) Dead(now time.Time) bool {
 	news := s.Lost(now)
 	s.mu.Lock()
@@ -145,6 +154,19 @@
 	return !s.downAt.IsZero() && now.Sub(s.downAt) < d
 }
 
+// Heard notes one more sign of life of a server that is in use. It takes no lock.
+func (s *Server) Heard(now time.Time) { s.provenAt.Store(now.UnixNano()) }
+
+// provenSince tells whether it has given a sign of life after at.
+func (s *Server) provenSince(at time.Time) bool { return s.provenAt.Load() > at.UnixNano() }
+
+// lostSince returns when it was found lost, if that is at most d ago.
+func (s *Server) lostSince(now time.Time, d time.Duration) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.downAt, !s.downAt.IsZero() && now.Sub(s.downAt) < d
+}
+
 // Fault notes a failed request; weight 1 is a broken or missing answer.
 func (s *Server) Fault(now time.Time, weight float64) {
 	s.mu.Lock()
@@ -165,29 +187,13 @@
 }
 
 // listed takes in a new listing of the same start.
-func (s *Server) listed(l Listing, now time.Time) {
+func (s *Server) listed(l Listing) {
 	if l.Draining {
 		s.draining.Store(true)
 	}
 	s.gone.Store(false)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if l.Beat == s.beat {
-		return
-	}
-	s.beat, s.beatAt = l.Beat, now
-	// A beat written after the loss was noticed shows that it lives.
-	if !s.downAt.IsZero() && now.Sub(s.downAt) > beatMargin {
-		s.revive()
-	}
 }
 
-// beatMargin is how much older than a loss a beat may be that is read just
-// after it: the pace of the list, with its own wait.
-const beatMargin = 900 * time.Millisecond
-
-// Load kinds.
-
 // CallBegun counts a plain call; the function returned ends it.
 func (s *Server) CallBegun() (end func()) {
 	s.calls.Add(1)
@@ -198,6 +204,7 @@
 func (s *Server) StreamBegun(prompt int) *Running {
 	s.streams.Add(1)
 	s.prefill.Add(int64(prompt))
+	s.changed()
 	return &Running{server: s, prompt: int64(prompt)}
 }
 
@@ -210,8 +217,12 @@
 
 // Read notes that the prompt has been read.
 func (r *Running) Read() {
+	if r.prompt == 0 {
+		return
+	}
 	r.server.prefill.Add(-r.prompt)
 	r.prompt = 0
+	r.server.changed()
 }
 
 // End takes the stream off the load.
@@ -222,6 +233,7 @@
 	r.ended = true
 	r.Read()
 	r.server.streams.Add(-1)
+	r.server.changed()
 }
 
 // CopyBegun counts a copy of a stream's memory; the function returned ends it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 	config    *site.Follower
 	servers   *directory.Follower
 	fleet     *fleet.Fleet
+	loads     *fleet.Loads
 	suspects  *suspect.Ledger
 	news      *suspect.Spreader
 	exchange  *exchange.Exchange
@@ -88,9 +89,10 @@
 	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), ringSize)
 	store := platform.NewStore(s.Store)
 	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Lost: e.askPeers}
-	e.servers = &directory.Follower{Directory: e.directory, Source: store, Pace: directory.DefaultPace, Recorder: e.recorder, Lost: e.askPeers}
+	e.servers = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, Lost: e.askPeers}
 	client := &http.Client{Timeout: peerTimeout}
 	e.newFleet(store, client)
+	e.newLoads()
 	e.newSuspects(client)
 	e.newExchange()
 	return e, e.newInspect()
@@ -104,6 +106,12 @@
 	})
 }
 
+func (e *Entry) newLoads() {
+	e.loads = fleet.NewLoads(fleet.LoadsOptions{
+		Address: e.settings.Peers, Peers: e.fleet.Peers, Directory: e.directory, Recorder: e.recorder, Metrics: e.registry,
+	})
+}
+
 func (e *Entry) newSuspects(client *http.Client) {
 	e.suspects = suspect.New(suspect.Options{
 		Self: types.ProcessID(e.settings.Name), Limit: crashLimit, Quarantine: quarantine, Window: crashWindow,
@@ -161,6 +169,7 @@
 	background(&group, e.config.Run)
 	background(&group, e.servers.Run)
 	background(&group, e.fleet.Run)
+	background(&group, e.loads.Run)
 	background(&group, e.suspects.Run)
 	background(&group, e.news.Run)
 	background(&group, e.prune)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -276,6 +276,7 @@
 			return w.explain(&BrokenError{Err: err})
 		}
 		w.heard()
+		s.server.Heard(time.Now())
 		if first {
 			first = false
 			running.Read()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -201,7 +201,7 @@
 	for i, l := range list {
 		out[i] = &fleetpb.Server{
 			Id: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: int32(l.Slots),
-			Draining: l.Draining, ColdNano: int64(l.Cold), Beat: l.Beat,
+			Draining: l.Draining, ColdNano: int64(l.Cold),
 		}
 	}
 	return out
@@ -212,7 +212,7 @@
 	for i, s := range servers {
 		out[i] = directory.Listing{
 			ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), Zone: s.GetZone(), Slots: int(s.GetSlots()),
-			Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()), Beat: s.GetBeat(),
+			Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()),
 		}
 	}
 	return out
--- a/site/follow.go
+++ b/site/follow.go
@@ -22,7 +22,7 @@
 	// went silent is noticed this much later at most, plus the grace below;
 	// both together stay under the two seconds in which a version has to be in
 	// force. A longer wait saves calls, which are priced.
-	longPoll = 1200 * time.Millisecond
+	longPoll = 1900 * time.Millisecond
 	// pollGrace is what an answer may take on top of the wait.
 	pollGrace = 500 * time.Millisecond
 	// maxGrace bounds the grace for a store that is slow but answers.
