directory, fleet: copies are told too and kept apart; others' load is summed anew with each telling

Cause: sums kept up by differences went wrong for good when a server joined between two tellings (loads of minus 11,072 tokens seen in a debug line), so 25 of 36 servers carried everything; copies of one entry VM lay on the same server. Ruled out: faults or doubt keeping servers out (none was set in that line).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,11 +28,14 @@
 	loadChanged chan struct{} // holds one token after a change of load
 
 	mu sync.Mutex // one Apply at a time
+
+	othersMu sync.Mutex
+	others   map[string][]Load // what other processes told last
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{loadChanged: make(chan struct{}, 1)}
+	d := &Directory{loadChanged: make(chan struct{}, 1), others: map[string][]Load{}}
 	d.view.Store(emptyView(0))
 	return d
 }
@@ -92,6 +95,9 @@
 		change.Left = append(change.Left, id)
 	}
 	d.view.Store(next)
+	d.othersMu.Lock()
+	defer d.othersMu.Unlock()
+	d.sumOthers(next)
 	return change
 }
 
--- a/directory/load.go
+++ b/directory/load.go
@@ -6,6 +6,7 @@
 type Load struct {
 	Server  uint32 // Hash of its id
 	Streams int
+	Copies  int // copies of streams that run elsewhere
 	Prefill int // prompt tokens yet to be read
 }
 
@@ -14,32 +15,46 @@
 func (d *Directory) Own() []Load {
 	var out []Load
 	for _, s := range d.view.Load().byID {
-		if n := s.streams.Load(); n > 0 {
-			out = append(out, Load{Server: s.hash, Streams: int(n), Prefill: int(max(0, s.prefill.Load()))})
+		streams, copies := s.streams.Load(), s.copies.Load()
+		if streams+copies > 0 {
+			out = append(out, Load{Server: s.hash, Streams: int(streams), Copies: int(copies), Prefill: int(max(0, s.prefill.Load()))})
 		}
 	}
 	return out
 }
 
-// Others replaces what one other process has told of its load by what it tells
-// now. Servers that aren't known here are passed over.
-func (d *Directory) Others(before, now []Load) {
-	view := d.view.Load()
-	for _, l := range before {
-		view.addOther(l, -1)
-	}
-	for _, l := range now {
-		view.addOther(l, 1)
+// Others replaces what one other process has told of its load; nil forgets it.
+func (d *Directory) Others(from string, loads []Load) {
+	d.othersMu.Lock()
+	defer d.othersMu.Unlock()
+	if len(loads) == 0 {
+		delete(d.others, from)
+	} else {
+		d.others[from] = loads
 	}
+	d.sumOthers(d.view.Load())
 }
 
-func (v *View) addOther(l Load, sign int64) {
-	s := v.byHash[l.Server]
-	if s == nil {
-		return
+// sumOthers adds up what the others have told, always from their newest words:
+// sums that are kept up by differences go wrong for good once a server joins
+// between two of them.
+func (d *Directory) sumOthers(view *View) {
+	sums := make(map[uint32]Load, len(view.byHash))
+	for _, loads := range d.others {
+		for _, l := range loads {
+			sum := sums[l.Server]
+			sum.Streams += l.Streams
+			sum.Copies += l.Copies
+			sum.Prefill += l.Prefill
+			sums[l.Server] = sum
+		}
+	}
+	for hash, s := range view.byHash {
+		sum := sums[hash]
+		s.otherStreams.Store(int64(sum.Streams))
+		s.otherCopies.Store(int64(sum.Copies))
+		s.otherPrefill.Store(int64(sum.Prefill))
 	}
-	s.otherStreams.Add(sign * int64(l.Streams))
-	s.otherPrefill.Add(sign * int64(l.Prefill))
 }
 
 // LostElsewhere notes that another process found a server lost.
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -13,7 +13,8 @@
 	// NotZone is passed over while there are servers elsewhere: that of the
 	// run whose copy is placed, or that has just lost several servers.
 	NotZone string
-	Prompt  int // prompt tokens; 0 for plain calls
+	Prompt  int  // prompt tokens; 0 for plain calls
+	Copy    bool // a place for a copy of a stream's memory is looked for
 }
 
 // Weights of load, in prompt tokens. A step of an engine takes about as long
@@ -21,8 +22,13 @@
 // prompt read beside it by about as much as 300 tokens more would.
 const (
 	streamWeight = 300.0
+	// tieWeight is how far chance may reorder servers.
+	tieWeight = 100.0
 	// copyWeight: a copy takes memory but no time until it is used.
-	copyWeight = 0.05
+	copyWeight = 200.0
+	// copyBesideCopy keeps copies apart: those of a zone that fails are all used
+	// at once, and a server full of them has no room for the next.
+	copyBesideCopy = 1500.0
 	// callWeight makes one plain call count like a small prompt.
 	callWeight = 1000.0
 	// toldFresh is how long a load told by a server is worth anything.
@@ -90,7 +96,7 @@
 		if !g.faulty && s.Faults(now) > maxFaults {
 			continue
 		}
-		score := s.score(q, now) + rand.Float64()*streamWeight
+		score := s.score(q, now) + rand.Float64()*tieWeight
 		if found == nil || score < least {
 			found, least = s, score
 		}
@@ -98,9 +104,16 @@
 	return found
 }
 
+func (q Query) copyWeight() float64 {
+	if q.Copy {
+		return copyBesideCopy
+	}
+	return copyWeight
+}
+
 func (s *Server) score(q Query, now time.Time) float64 {
 	score := float64(s.prefill.Load()+s.otherPrefill.Load()) +
-		streamWeight*float64(s.streams.Load()+s.otherStreams.Load()) + callWeight*float64(s.calls.Load()) + copyWeight*float64(s.copies.Load()) +
+		streamWeight*float64(s.streams.Load()+s.otherStreams.Load()) + callWeight*float64(s.calls.Load()) + q.copyWeight()*float64(s.copies.Load()+s.otherCopies.Load()) +
 		faultWeight*s.Faults(now)
 	// What a server told is older than what entry VMs tell each other of streams.
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
--- a/directory/server.go
+++ b/directory/server.go
@@ -41,9 +41,10 @@
 	calls   atomic.Int64 // plain calls in flight
 	prefill atomic.Int64 // prompt tokens of streams before their first event
 	streams atomic.Int64 // streams in flight
-	copies  atomic.Int64 // tokens of copies that this process has directed there
+	copies  atomic.Int64 // copies of streams that this process has directed there
 	// Load that other entry VMs have put there, by their own word.
 	otherStreams atomic.Int64
+	otherCopies  atomic.Int64
 	otherPrefill atomic.Int64
 	hash         uint32       // short name among entry VMs
 	changed      func()       // called when the load of streams here changes
@@ -237,9 +238,13 @@
 }
 
 // CopyBegun counts a copy of a stream's memory; the function returned ends it.
-func (s *Server) CopyBegun(tokens int) (end func()) {
-	s.copies.Add(int64(tokens))
-	return sync.OnceFunc(func() { s.copies.Add(-int64(tokens)) })
+func (s *Server) CopyBegun() (end func()) {
+	s.copies.Add(1)
+	s.changed()
+	return sync.OnceFunc(func() {
+		s.copies.Add(-1)
+		s.changed()
+	})
 }
 
 // Told notes the load that the server told in an answer.
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -114,6 +114,7 @@
 		}
 		if fromCopy && notRun.Reason == Busy {
 			// There was no copy: the server itself may be tried from the start.
+			s.again(server, err)
 			return
 		}
 	} else {
@@ -124,6 +125,11 @@
 	}
 	s.tried[server.ID] = true
 	s.e.failed(server, err)
+	s.again(server, err)
+}
+
+// again says that an attempt failed and another may follow.
+func (s *stream) again(server *directory.Server, err error) {
 	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.ID,
 		"event", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(s.copyAt))
 }
@@ -196,10 +202,10 @@
 		avoid[id] = true
 	}
 	s.copyAt = s.e.opts.Directory.Pick(directory.Query{
-		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens,
+		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true,
 	}, time.Now())
 	if s.copyAt != nil {
-		s.endCopy = s.copyAt.CopyBegun(s.req.PromptTokens + s.req.MaxTokens)
+		s.endCopy = s.copyAt.CopyBegun()
 	}
 }
 
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -33,8 +34,8 @@
 
 // Layout of a telling: life of the sender (8 bytes, grows with each start),
 // sequence number (4), number of loads (2), number of lost servers (2), then
-// for each load: server (4), streams (2), prompt tokens in units (2); for each
-// lost server: 4 bytes. All big endian. JSON would be three times as long, and
+// for each load: server (4), streams (1), copies (1), prompt tokens in units
+// (2); for each lost server: 4 bytes. All big endian. JSON would be three times as long, and
 // bytes between zones are priced.
 const (
 	tellingHead = 16
@@ -69,10 +70,9 @@
 }
 
 type told struct {
-	life  uint64
-	seq   uint32
-	at    time.Time
-	loads []directory.Load
+	life uint64
+	seq  uint32
+	at   time.Time
 }
 
 // NewLoads returns a Loads.
@@ -187,8 +187,8 @@
 		return
 	}
 	l.got.Inc()
-	l.opts.Directory.Others(t.loads, loads)
-	*t = told{life: life, seq: seq, at: now, loads: loads}
+	l.opts.Directory.Others(from, loads)
+	*t = told{life: life, seq: seq, at: now}
 	for _, server := range lost {
 		l.opts.Directory.LostElsewhere(server, now)
 	}
@@ -202,8 +202,7 @@
 		if now.Sub(t.at) < loadLife {
 			continue
 		}
-		l.opts.Directory.Others(t.loads, nil)
-		t.loads = nil
+		l.opts.Directory.Others(from, nil)
 		if now.Sub(t.at) > forgetSender {
 			delete(l.from, from)
 		}
@@ -223,8 +222,8 @@
 	out = binary.BigEndian.AppendUint16(out, uint16(len(lost)))
 	for _, load := range loads {
 		out = binary.BigEndian.AppendUint32(out, load.Server)
-		out = binary.BigEndian.AppendUint16(out, uint16(min(load.Streams, 1<<16-1)))
-		out = binary.BigEndian.AppendUint16(out, uint16(min(load.Prefill/prefillUnit, 1<<16-1)))
+		out = append(out, uint8(min(load.Streams, math.MaxUint8)), uint8(min(load.Copies, math.MaxUint8)))
+		out = binary.BigEndian.AppendUint16(out, uint16(min(load.Prefill/prefillUnit, math.MaxUint16)))
 	}
 	for _, server := range lost {
 		out = binary.BigEndian.AppendUint32(out, server)
@@ -247,7 +246,8 @@
 		at := raw[i*loadBytes:]
 		loads[i] = directory.Load{
 			Server:  binary.BigEndian.Uint32(at),
-			Streams: int(binary.BigEndian.Uint16(at[4:])),
+			Streams: int(at[4]),
+			Copies:  int(at[5]),
 			Prefill: int(binary.BigEndian.Uint16(at[6:])) * prefillUnit,
 		}
 	}
