--- a/directory/pick.go
+++ b/directory/pick.go
@@ -13,36 +13,15 @@
 	// NotZone is passed over while there are servers elsewhere: that of the
 	// run whose copy is placed, or that has just lost several servers.
 	NotZone string
-	Prompt  int // prompt tokens; 0 for plain calls
-	For     Purpose
+	Prompt  int  // prompt tokens; 0 for plain calls
+	Copy    bool // a place for a copy of a stream's memory is looked for
 }
 
-// Purpose is what a server is looked for.
-type Purpose uint8
-
-// Purposes.
-const (
-	ToRead   Purpose = iota // to read a prompt, or for a plain call
-	ToDecode                // to go on with a stream whose prompt has been read elsewhere
-	ToCopy                  // to hold a copy of a stream's memory
-)
-
 // Weights of load, in prompt tokens. A step of an engine takes about as long
 // as reading forty tokens; a stream of a hundred events of five tokens delays a
 // prompt read beside it by about as much as 300 tokens more would.
 const (
 	streamWeight = 300.0
-	// disturbWeight: while a prompt is read, a stream beside it stands still for
-	// about as long as the reading takes.
-	disturbWeight = 4000.0
-	// besideWeight: streams that run together slow each other by 3% each.
-	besideWeight = 700.0
-	// openWeight keeps free servers free for prompts until about three streams
-	// run together on each of the others.
-	openWeight = 2500.0
-	// copyPrefill: a copy lies beside a prompt that will have been read by the
-	// time the copy is used.
-	copyPrefill = 0.2
 	// tieWeight is how far chance may reorder servers.
 	tieWeight = 100.0
 	// copyWeight: a copy takes memory but no time until it is used.
@@ -125,29 +104,17 @@
 	return found
 }
 
-// score is the load that matters for the purpose, in prompt tokens.
-func (s *Server) score(q Query, now time.Time) float64 {
-	prefill := float64(s.prefill.Load() + s.otherPrefill.Load())
-	streams := float64(s.streams.Load() + s.otherStreams.Load())
-	copies := float64(s.copies.Load() + s.otherCopies.Load())
-	score := callWeight*float64(s.calls.Load()) + faultWeight*s.Faults(now)
-	switch q.For {
-	case ToRead:
-		score += prefill + disturbWeight*streams + copyWeight*copies
-	case ToDecode:
-		score += prefill + besideWeight*streams + copyWeight*copies
-		if streams == 0 {
-			score += openWeight
-		}
-	case ToCopy:
-		score += copyPrefill*prefill + streamWeight*streams + copyBesideCopy*copies
+func (q Query) copyWeight() float64 {
+	if q.Copy {
+		return copyBesideCopy
 	}
-	return score + s.standing(q, now)
+	return copyWeight
 }
 
-// standing is what doesn't depend on the purpose.
-func (s *Server) standing(q Query, now time.Time) float64 {
-	score := 0.0
+func (s *Server) score(q Query, now time.Time) float64 {
+	score := float64(s.prefill.Load()+s.otherPrefill.Load()) +
+		streamWeight*float64(s.streams.Load()+s.otherStreams.Load()) + callWeight*float64(s.calls.Load()) + q.copyWeight()*float64(s.copies.Load()+s.otherCopies.Load()) +
+		faultWeight*s.Faults(now)
 	// What a server told is older than what entry VMs tell each other of streams.
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -20,8 +20,6 @@
 		"a backend server does not answer; it gets nothing until it gives a sign of life", "nothing, unless its zone loses several")
 	EventQuarantined = event.Define(2727, "exchange_quarantined", event.Warn,
 		"a request was refused because the same request crashed several backend servers", "tell the organisation whose request it is")
-	EventNotMoved = event.Define(2729, "exchange_not_moved", event.Info,
-		"a stream could not be moved away from where prompts are read; it stays, or goes on from the event that its caller has", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
 )
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -10,7 +10,6 @@
 	resumes     *prometheus.CounterVec // by how
 	resumeTime  prometheus.Histogram
 	attempts    *prometheus.CounterVec // by result
-	moves       prometheus.Histogram
 	probes      prometheus.Counter
 	budgetSpent prometheus.Counter
 }
@@ -38,14 +37,11 @@
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8)}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearyard_exchange_attempts_total", Help: "Sendings to backend servers by result."}, []string{"result"}),
-		moves: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "pearyard_exchange_move_seconds", Help: "Time to stop a stream and copy its memory, seconds.",
-			Buckets: prometheus.ExponentialBuckets(0.01, 2, 8)}),
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_probes_total", Help: "Questions to backend servers for a sign of life."}),
 		budgetSpent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_retry_budget_spent_total", Help: "Retries that the budget did not allow."}),
 	}
-	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.moves, m.probes, m.budgetSpent)
+	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.probes, m.budgetSpent)
 	return m
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -55,16 +55,8 @@
 	After   string        // event after which it is to go on; empty: from the start
 	// CopyTo is where the server sends a running copy of the stream's memory.
 	CopyTo *directory.Server
-	// From is the memory of this stream's run so far that the server goes on
-	// from; nil: it reads the prompt.
-	From *Memory
-}
-
-// Memory is what a run has left behind to go on from.
-type Memory struct {
-	Holder *directory.Server // where it can be had
-	Handle string            // its name there; empty: the copy that a run of this request sent there as it grew
-	At     *directory.Server // the server that can go on from it
+	// FromCopy: the server holds a copy of this stream's memory to go on from.
+	FromCopy bool
 }
 
 // Answer is the head of a backend server's answer, and its body.
@@ -85,10 +77,6 @@
 // Backend sends attempts. Its errors are *NotRunError and *BrokenError.
 type Backend interface {
 	Open(ctx context.Context, a *Attempt) (*Answer, error)
-	// Move stops the run of an attempt and copies its memory to another server.
-	// The run's stream is then closed before its end. Without room there, the
-	// memory stays where it is; Memory.At says which.
-	Move(ctx context.Context, req *Request, from, to *directory.Server) (*Memory, error)
 	// Probe asks a server for a sign of life, outside its queue.
 	Probe(ctx context.Context, s *directory.Server) error
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -32,8 +32,6 @@
 	cause    error
 	lostZone string
 
-	moving  chan *Memory      // the running attempt is being moved
-	moved   *Memory           // the run was stopped to go on elsewhere
 	copyAt  *directory.Server // where the running attempt's copy lies
 	endCopy func()
 	server  *directory.Server // of the newest attempt
@@ -74,17 +72,14 @@
 
 func (s *stream) run(ctx context.Context) error {
 	for {
-		server, from, err := s.choose(ctx)
+		server, fromCopy, err := s.choose(ctx)
 		if err != nil {
 			return s.failure(ctx, err)
 		}
-		err = s.attempt(ctx, server, from)
+		err = s.attempt(ctx, server, fromCopy)
 		if err == nil {
 			return nil
 		}
-		if s.takeOver(ctx, err) {
-			continue
-		}
 		if ctx.Err() != nil {
 			return s.failure(ctx, err)
 		}
@@ -92,7 +87,7 @@
 		if errors.As(err, &done) {
 			return done.err
 		}
-		s.note(server, err, from != nil)
+		s.note(server, err, fromCopy)
 		if !s.mayGoOn() {
 			return s.failure(ctx, err)
 		}
@@ -159,31 +154,28 @@
 
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
-func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
-	if m := s.moved; m != nil {
-		s.moved = nil
-		return m.At, m, nil
-	}
+func (s *stream) choose(ctx context.Context) (server *directory.Server, fromCopy bool, err error) {
 	if s.arrivals > 0 && !s.e.allowRetry(s.req.Service) {
-		return nil, nil, ErrBudget
+		return nil, false, ErrBudget
 	}
 	if c := s.copyAt; c != nil {
 		s.copyAt = nil
 		s.endCopy()
 		if !c.IsDown(time.Now()) && !s.tried[c.ID] {
-			return c, &Memory{Holder: c, At: c}, nil
+			return c, true, nil
 		}
 	}
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
-		if server := s.pick(); server != nil {
-			return server, nil, nil
+		server = s.pick()
+		if server != nil {
+			return server, false, nil
 		}
 		if time.Now().After(giveUp) {
-			return nil, nil, ErrNoServer
+			return nil, false, ErrNoServer
 		}
 		if err := retry.Wait(ctx, pickAgain); err != nil {
-			return nil, nil, err
+			return nil, false, err
 		}
 		clear(s.tried)
 	}
@@ -210,7 +202,7 @@
 		avoid[id] = true
 	}
 	s.copyAt = s.e.opts.Directory.Pick(directory.Query{
-		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, For: directory.ToCopy,
+		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true,
 	}, time.Now())
 	if s.copyAt != nil {
 		s.endCopy = s.copyAt.CopyBegun()
@@ -218,24 +210,20 @@
 }
 
 // attempt runs the stream on one server until its end or a failure.
-func (s *stream) attempt(ctx context.Context, server *directory.Server, from *Memory) error {
+func (s *stream) attempt(ctx context.Context, server *directory.Server, fromCopy bool) error {
 	s.server = server
 	prompt := s.req.PromptTokens
-	if from != nil {
+	if fromCopy {
 		prompt = 0
 	}
 	running := server.StreamBegun(prompt)
 	defer running.End()
-	// A run that is to be moved once its prompt is read gets its copy then.
-	split := from == nil && !s.begun && s.e.splits(s.req)
-	if !split {
-		s.placeCopy(server)
-	}
+	s.placeCopy(server)
 	w := newWatch(ctx, s.e, server)
 	defer w.end()
 	began := time.Now()
 	answer, err := s.e.opts.Backend.Open(w.ctx, &Attempt{
-		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: s.copyAt, From: from,
+		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: s.copyAt, FromCopy: fromCopy,
 	})
 	if err != nil {
 		return w.explain(err)
@@ -244,8 +232,7 @@
 	if answer.Status >= 300 || answer.Status < 200 {
 		return s.statusOf(answer)
 	}
-	p := &passing{s: s, w: w, running: running, answer: answer, from: from, split: split}
-	return p.run()
+	return s.copyEvents(w, running, answer, fromCopy)
 }
 
 // after names the event after which the next attempt goes on.
@@ -280,62 +267,43 @@
 	return nil
 }
 
-// passing is an attempt whose events are being passed on.
-type passing struct {
-	s       *stream
-	w       *watch
-	running *directory.Running
-	answer  *Answer
-	from    *Memory
-	split   bool // to be moved once its prompt is read
-}
-
-// run passes events on until the attempt's end.
-func (p *passing) run() error {
-	events := newEventReader(p.answer.Body)
+// copyEvents passes events on until the stream's end.
+func (s *stream) copyEvents(w *watch, running *directory.Running, a *Answer, fromCopy bool) error {
+	events := newEventReader(a.Body)
 	first := true
 	for {
 		ev, err := events.next()
 		if err == io.EOF {
-			p.s.ran++
-			p.s.e.metrics.attempts.WithLabelValues("answered").Inc()
-			return p.s.finish(p.answer)
+			s.ran++
+			s.e.metrics.attempts.WithLabelValues("answered").Inc()
+			return s.finish(a)
 		}
 		if err != nil {
-			return p.w.explain(&BrokenError{Err: err})
+			return w.explain(&BrokenError{Err: err})
 		}
-		p.w.heard()
-		p.s.server.Heard(time.Now())
+		w.heard()
+		s.server.Heard(time.Now())
 		if first {
 			first = false
-			p.running.Read()
-			p.s.started(p.from)
+			running.Read()
+			s.started(fromCopy)
 		}
-		if err := p.s.pass(p.answer, ev); err != nil {
+		if err := s.pass(a, ev); err != nil {
 			return err
 		}
-		if p.split {
-			p.split = false
-			p.s.handOver(p.w)
-		}
-		p.w.listen()
+		w.listen()
 	}
 }
 
 // started notes the first event of an attempt.
-func (s *stream) started(from *Memory) {
-	if s.ran == 0 && from == nil {
+func (s *stream) started(fromCopy bool) {
+	if s.ran == 0 {
 		return
 	}
+	s.resumed++
 	how := "prompt_read_again"
-	switch {
-	case from == nil:
-		s.resumed++
-	case from.Handle == "":
-		s.resumed++
+	if fromCopy {
 		how = "copy"
-	default:
-		how = "move"
 	}
 	since := s.lastAt
 	if since.IsZero() {
--- a/site/config.go
+++ b/site/config.go
@@ -103,8 +103,6 @@
 	MaxConns int // connections that one backend server accepts from all callers
 	// Copies: a running stream's prompt memory can be copied to another backend server.
 	Copies bool
-	// Moves: a running stream can be stopped and its memory copied elsewhere.
-	Moves bool
 }
 
 // Organisation is the holder of keys.
