--- a/directory/pick.go
+++ b/directory/pick.go
@@ -21,7 +21,7 @@
 // as reading forty tokens; a stream of a hundred events of five tokens delays a
 // prompt read beside it by about as much as 300 tokens more would.
 const (
-	streamWeight = 300.0
+	streamWeight = 800.0
 	// tieWeight is how far chance may reorder servers.
 	tieWeight = 100.0
 	// copyWeight: a copy takes memory but no time until it is used.
