exchange, directory, entry: requests that crash servers; entries kept too long; tests of all that was found

Change: a broken attempt asks its server for a sign of life; a server lost alone in its zone counts against the request, three refuse it. Calls that a stop leaves no time for are refused as not run. Kept entries are looked up again.

--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,248 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/event"
+)
+
+func listing(ids ...string) []Listing {
+	var list []Listing
+	for _, id := range ids {
+		list = append(list, Listing{ID: id, Service: "s", Address: id, Zone: id[:1], Slots: 8})
+	}
+	return list
+}
+
+func withServers(ids ...string) *Directory {
+	d := New()
+	d.Apply(1, listing(ids...), false, time.Now())
+	return d
+}
+
+func (d *Directory) server(id string) *Server { return d.view.Load().byID[id] }
+
+// A server crashed and another start of it has its address. Its old id is
+// listed for some seconds more; requests that name it are refused each time.
+func TestServerThatEndedIsNotChosenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1")
+	now := time.Now()
+	d.server("a1").Dead(now)
+	g.Expect(d.Pick(Query{Service: "s"}, now.Add(time.Minute))).To(gomega.BeNil())
+}
+
+// A server that can't be reached may be back: after a while it is tried again,
+// and at once if no other is left.
+func TestServerThatWasLostIsTriedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "b1")
+	now := time.Now()
+	d.server("a1").Lost(now)
+	for range 20 {
+		g.Expect(d.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("b1"))
+	}
+	g.Expect(d.Pick(Query{Service: "s", Avoid: map[string]bool{"b1": true}}, now).ID).To(gomega.Equal("a1"))
+	g.Expect(d.server("a1").IsDown(now.Add(revivedAfter))).To(gomega.BeFalse())
+}
+
+// A server reports that it leaves. It gets nothing from the moment that this is
+// known, also if nothing else is left.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2")
+	list := listing("a1", "a2")
+	list[0].Draining, list[1].Draining = true, true
+	change := d.Apply(2, list, false, time.Now())
+	g.Expect(change.Draining).To(gomega.ConsistOf("a1", "a2"))
+	g.Expect(d.Pick(Query{Service: "s"}, time.Now())).To(gomega.BeNil())
+}
+
+// Several servers of a zone break off at once: the zone has failed, and its
+// other servers are as good as lost though nobody has asked them yet. One that
+// has answered since is not.
+func TestZoneThatFailsIsDoubtedAsAWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2", "a3", "a4", "b1")
+	now := time.Now().Add(time.Second)
+	d.server("a1").Lost(now)
+	d.server("a2").Lost(now)
+	busy := d.server("b1").StreamBegun(8000)
+	defer busy.End()
+	for range 20 {
+		g.Expect(d.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("b1"))
+	}
+	d.server("a3").Heard(now.Add(time.Millisecond))
+	g.Expect(d.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("a3"))
+}
+
+// Two servers of a release leave one after the other and refuse connections at
+// their end. That says nothing about the rest of their zone.
+func TestServersThatLeaveAreNoLossOfTheirZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2", "a3", "b1")
+	list := listing("a1", "a2", "a3", "b1")
+	list[0].Draining, list[1].Draining = true, true
+	now := time.Now().Add(time.Second)
+	d.Apply(2, list, false, now)
+	d.server("a1").Lost(now)
+	d.server("a2").Lost(now)
+	busy := d.server("b1").StreamBegun(8000)
+	defer busy.End()
+	g.Expect(d.Pick(Query{Service: "s", Zone: "b"}, now).ID).To(gomega.Equal("a3"))
+}
+
+// A copy in the zone of its stream would be lost with it.
+func TestCopyLiesInAnotherZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2", "b1")
+	busy := d.server("b1").StreamBegun(8000)
+	defer busy.End()
+	for range 20 {
+		g.Expect(d.Pick(Query{Service: "s", NotZone: "a", Copy: true}, time.Now()).ID).To(gomega.Equal("b1"))
+	}
+}
+
+// Copies of many streams lay on one idle server; when their zone failed, all
+// went on there at once, and it had no room for the last ones.
+func TestCopiesAreKeptApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2", "a3", "a4")
+	for range 12 {
+		d.Pick(Query{Service: "s", Copy: true}, time.Now()).CopyBegun()
+	}
+	for _, s := range d.View().Service("s") {
+		g.Expect(s.copies.Load()).To(gomega.BeNumerically("==", 3), s.ID)
+	}
+}
+
+// A server joins between two tellings of a peer. Sums kept up by differences
+// then went wrong for good, and idle servers looked busier than busy ones.
+func TestOthersLoadIsThatOfTheirNewestWord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1")
+	d.Others("peer", []Load{{Server: Hash("a2"), Streams: 2, Copies: 1, Prefill: 640}})
+	d.Apply(2, listing("a1", "a2"), false, time.Now())
+	g.Expect(d.server("a2").otherStreams.Load()).To(gomega.BeNumerically("==", 2))
+	d.Others("peer", []Load{{Server: Hash("a1"), Streams: 1}})
+	g.Expect(d.server("a2").otherStreams.Load()).To(gomega.BeZero())
+	g.Expect(d.server("a2").otherPrefill.Load()).To(gomega.BeZero())
+	d.Others("peer", nil)
+	g.Expect(d.server("a1").otherStreams.Load()).To(gomega.BeZero())
+}
+
+// An old answer of the store, or a peer that lags, must not bring back a server
+// that is gone.
+func TestListNeverGoesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2")
+	d.Apply(5, listing("a1"), false, time.Now())
+	d.Apply(4, listing("a1", "a2"), false, time.Now())
+	g.Expect(d.View().Len()).To(gomega.Equal(1))
+}
+
+// fakeStore is a Source that can fail.
+type fakeStore struct {
+	mu       sync.Mutex
+	position uint64
+	list     []Listing
+	err      error
+	tooOld   bool
+}
+
+// set changes what the store answers from now on.
+func (s *fakeStore) set(position uint64, list []Listing, err error, tooOld bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position, s.list, s.err, s.tooOld = position, list, err, tooOld
+}
+
+func (s *fakeStore) List(context.Context) (uint64, []Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position, s.list, s.err
+}
+
+func (s *fakeStore) Changes(ctx context.Context, after uint64, wait time.Duration) (uint64, []Listing, []string, error) {
+	s.mu.Lock()
+	err, tooOld := s.err, s.tooOld
+	s.tooOld = false
+	s.mu.Unlock()
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	if tooOld {
+		return 0, nil, nil, ErrTooOld
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return 0, nil, nil, ctx.Err()
+	}
+	return after, nil, nil, nil
+}
+
+// The store is away for some seconds and the entries of all servers lapse. At
+// its return the servers write again within two seconds; until then they stay
+// in use, and one that is still missing then is gone.
+func TestEntriesThatLapsedAreForgivenForTwoSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store := &fakeStore{position: 1, list: listing("a1", "a2")}
+		d := New()
+		f := &Follower{Directory: d, Source: store, Recorder: event.Discard()}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.set(1, nil, errors.New("away"), false)
+		time.Sleep(5 * time.Second)
+		g.Expect(d.View().Len()).To(gomega.Equal(2))
+		store.set(9, nil, nil, false)
+		time.Sleep(time.Second)
+		g.Expect(d.View().Len()).To(gomega.Equal(2), "entries that lapsed")
+		store.set(10, listing("a1"), nil, false)
+		time.Sleep(4 * time.Second)
+		g.Expect(d.View().Len()).To(gomega.Equal(1), "gone after all")
+		stop()
+		<-done
+	})
+}
+
+// The store has dropped the history that a waiting process would go on from.
+// The whole list is read instead; that is no failure of the store.
+func TestHistoryThatIsGoneIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store := &fakeStore{position: 1, list: listing("a1")}
+		lost := 0
+		f := &Follower{Directory: New(), Source: store, Recorder: event.Discard(), Lost: func(context.Context) { lost++ }}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.set(7, listing("a1", "a2"), nil, true)
+		time.Sleep(4 * time.Second)
+		g.Expect(f.Directory.View().Len()).To(gomega.Equal(2))
+		g.Expect(lost).To(gomega.BeZero())
+		stop()
+		<-done
+	})
+}
+
+// A process that the store turns away gets the list from a peer that the store
+// answers. What is missing from it is gone, not lapsed.
+func TestListOfAPeerIsNotForgiven(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2")
+	f := &Follower{Directory: d, Recorder: event.Discard(), failures: 3}
+	f.Take(2, listing("a1"), "peer")
+	g.Expect(d.View().Len()).To(gomega.Equal(1))
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -5,8 +5,11 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/retry"
 )
@@ -16,10 +19,14 @@
 	// List returns all of them, with the list's place in the store's history.
 	List(ctx context.Context) (position uint64, list []Listing, err error)
 	// Changes waits up to wait for changes after a position. Without any it
-	// returns the position it has reached and nothing else.
+	// returns the position it has reached and nothing else. The error is
+	// ErrTooOld if the store no longer knows all changes since then.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (position uint64, changed []Listing, gone []string, err error)
 }
 
+// ErrTooOld: the changes since a position are no longer known.
+var ErrTooOld = errors.New("directory: the position is too old for changes")
+
 // Pacing of a Follower.
 const (
 	// longPoll is how long one question waits at the store. A connection that
@@ -56,7 +63,8 @@
 	lastFailure time.Time
 	answeredAt  time.Time
 	listedAt    time.Time
-	position    uint64 // up to which changes were read
+	position    uint64      // up to which changes were read
+	kept        atomic.Bool // servers are in use that the newest list does not have
 }
 
 // Run follows until ctx ends.
@@ -77,18 +85,21 @@
 // look reads the whole list when there is none yet, after a failure, and while
 // entries that lapsed are awaited; otherwise it waits for changes.
 func (f *Follower) look(ctx context.Context) error {
-	if f.position == 0 || f.failures > 0 || f.forgiving() || time.Since(f.listedAt) > relistEvery {
+	if f.position == 0 || f.failures > 0 || f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery {
 		return f.list(ctx)
 	}
 	asking, cancel := context.WithTimeout(ctx, longPoll+f.grace)
 	defer cancel()
 	position, changed, gone, err := f.Source.Changes(asking, f.position, longPoll)
+	if errors.Is(err, ErrTooOld) {
+		return f.list(ctx)
+	}
 	if err != nil {
 		return err
 	}
 	f.position = max(f.position, position)
 	if len(changed)+len(gone) > 0 {
-		f.Take(f.position, merge(f.Directory.View().Listings, changed, gone), "store")
+		f.take(f.position, merge(f.Directory.View().Listings, changed, gone), f.forgiving(), "store")
 	}
 	return nil
 }
@@ -101,7 +112,7 @@
 		return err
 	}
 	f.position, f.listedAt = position, time.Now()
-	f.Take(position, list, "store")
+	f.take(position, list, f.forgiving(), "store")
 	return nil
 }
 
@@ -134,10 +145,17 @@
 	return f.failures > 0 || (!f.lastFailure.IsZero() && time.Since(f.lastFailure) < forgiveFor)
 }
 
-// Take puts a list in force and says what changed.
+// Take puts a list in force that a peer had from the store. What is missing
+// from it is gone: the peer read it from a store that answered.
 func (f *Follower) Take(position uint64, list []Listing, from string) {
-	change := f.Directory.Apply(position, list, f.forgiving(), time.Now())
-	if len(change.Kept) > 0 {
+	f.take(position, list, false, from)
+}
+
+// take puts a list in force and says what changed.
+func (f *Follower) take(position uint64, list []Listing, forgiving bool, from string) {
+	change := f.Directory.Apply(position, list, forgiving, time.Now())
+	f.kept.Store(len(change.Kept) > 0)
+	if f.kept.Load() {
 		f.Recorder.Emit(EventKept, "servers", strings.Join(change.Kept, ","), "position", position)
 	}
 	if change.Any() {
--- a/directory/load.go
+++ b/directory/load.go
@@ -75,3 +75,15 @@
 	}
 	return out
 }
+
+// LostBeside counts the other servers of a server's zone and service that were
+// lost within the last while.
+func (d *Directory) LostBeside(s *Server, now time.Time, within time.Duration) int {
+	count := 0
+	for _, other := range d.view.Load().Service(s.Service) {
+		if other != s && other.Zone == s.Zone && other.WasDownWithin(now, within) {
+			count++
+		}
+	}
+	return count
+}
--- a/entry/events.go
+++ b/entry/events.go
@@ -9,8 +9,8 @@
 		"compare the request with the configuration version named in the line")
 	EventNotYet = event.Define(2751, "entry_no_config", event.Warn,
 		"a request was refused because this process knows no configuration yet", "see the lines about the store")
-	EventStopping = event.Define(2756, "entry_stream_refused", event.Info,
-		"a stream was refused because the process is about to stop and could not finish it", "nothing")
+	EventStopping = event.Define(2756, "entry_stop_refused", event.Info,
+		"a request was refused because the process is about to stop and could not finish it", "nothing")
 )
 
 // Events of the process.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -113,14 +113,17 @@
 
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, call *platform.Call) {
 	if call.Route.Kind == site.Stream {
-		if !h.stop.leavesTime(call.Arrived) {
-			h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", h.stop.need())
-			platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: elsewhereRetryAfter, Err: errors.New("entry: this process is about to stop")})
+		if !h.stop.leavesTime(call.Arrived, h.stop.need()) {
+			h.refuse(w, call)
 			return
 		}
 		h.serveStream(w, r, call)
 		return
 	}
+	if !h.stop.leavesTime(call.Arrived, plainNeed) {
+		h.refuse(w, call)
+		return
+	}
 	call.Until = h.stop.bound(call.Until)
 	reply, err := h.exchange.Call(r.Context(), &call.Request)
 	if err != nil {
@@ -138,6 +141,12 @@
 	passRest(w, reply.Rest)
 }
 
+// refuse turns a request away that the process could not finish any more.
+func (h *handler) refuse(w http.ResponseWriter, call *platform.Call) {
+	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", h.stop.need())
+	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: elsewhereRetryAfter, Err: errors.New("entry: this process is about to stop")})
+}
+
 func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, call *platform.Call) {
 	begun, err := h.exchange.Stream(r.Context(), &call.Request, &sink{w: w, flush: http.NewResponseController(w)})
 	switch {
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -26,6 +26,9 @@
 	defaultDuration = 7 * time.Second
 	// durationQuantile of the last streams is what the next one may need.
 	durationQuantile = 0.8
+	// plainNeed is what a plain call needs in all but one case in a hundred,
+	// with finalMargin.
+	plainNeed = 800 * time.Millisecond
 	// finalMargin is kept free at the end for plain answers to get out.
 	finalMargin = 300 * time.Millisecond
 )
@@ -59,9 +62,10 @@
 	return sorted[int(durationQuantile*float64(n-1))]
 }
 
-// leavesTime tells whether a stream that begins now can be finished.
-func (s *stopping) leavesTime(now time.Time) bool {
-	return !s.begun() || now.Add(s.need()).Before(s.endsAt())
+// leavesTime tells whether a request that begins now and takes that long can be
+// finished.
+func (s *stopping) leavesTime(now time.Time, need time.Duration) bool {
+	return !s.begun() || now.Add(need).Before(s.endsAt())
 }
 
 // bound shortens a plain request's time to that of the process.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pearyard/pearyard/retry"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Options of an Exchange; all but the timings are needed.
@@ -146,6 +147,33 @@
 	}
 }
 
+// mayHaveCrashed notes that a server broke off while it ran a request. Whether
+// the server died of it shows a moment later: it is asked for a sign of life.
+// A zone that fails as a whole takes many servers at once and says nothing
+// about the requests that they ran.
+func (e *Exchange) mayHaveCrashed(req *Request, s *directory.Server) {
+	go func() {
+		<-e.probes.ask(s)
+		if !s.IsDown(time.Now()) {
+			return
+		}
+		time.Sleep(crashAlone)
+		if e.opts.Directory.LostBeside(s, time.Now(), crashBeside) > 0 {
+			return
+		}
+		e.opts.Suspects.Death(s.ID, []types.Fingerprint{req.Fingerprint()})
+		e.opts.Recorder.Emit(EventCrashNoted, event.FieldRequest, req.ID, "server", s.ID, "zone", s.Zone, "fingerprint", req.Fingerprint())
+	}()
+}
+
+const (
+	// crashAlone is how long other losses of the zone are waited for: the time
+	// in which several entry VMs notice and tell theirs.
+	crashAlone = 600 * time.Millisecond
+	// crashBeside is how close in time two losses count as one failure.
+	crashBeside = 2 * time.Second
+)
+
 // busyFault is the weight of a refusal: a full server is sound, but one that
 // refuses while it has room does so again.
 const busyFault = 0.3
--- /dev/null
+++ b/exchange/fake_test.go
@@ -0,0 +1,197 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
+)
+
+// script is what a fake server does with one attempt.
+type script func(ctx context.Context, a *Attempt) (*Answer, error)
+
+// fakeBackend plays a script a server; servers without one refuse.
+type fakeBackend struct {
+	mu       sync.Mutex
+	scripts  map[string][]script // by server id, used one after the other, the last one again
+	attempts []Attempt
+	probes   map[string]error // by server id; nil: it lives
+}
+
+func (b *fakeBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
+	b.mu.Lock()
+	b.attempts = append(b.attempts, *a)
+	list := b.scripts[a.Server.ID]
+	if len(list) == 0 {
+		b.mu.Unlock()
+		return nil, &NotRunError{Reason: Busy, Err: io.ErrClosedPipe}
+	}
+	play := list[0]
+	if len(list) > 1 {
+		b.scripts[a.Server.ID] = list[1:]
+	}
+	b.mu.Unlock()
+	return play(ctx, a)
+}
+
+func (b *fakeBackend) Probe(_ context.Context, s *directory.Server) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.probes[s.ID]
+}
+
+func (b *fakeBackend) sent() []Attempt {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Attempt(nil), b.attempts...)
+}
+
+// answers returns a plain answer after a while.
+func answers(status int, body string, after time.Duration) script {
+	return func(ctx context.Context, _ *Attempt) (*Answer, error) {
+		select {
+		case <-time.After(after):
+			return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(bytes.NewBufferString(body))}, nil
+		case <-ctx.Done():
+			return nil, &BrokenError{Err: ctx.Err()}
+		}
+	}
+}
+
+func refuses(reason NotRunReason) script {
+	return func(context.Context, *Attempt) (*Answer, error) {
+		return nil, &NotRunError{Reason: reason, Err: io.ErrClosedPipe}
+	}
+}
+
+func breaks() script {
+	return func(context.Context, *Attempt) (*Answer, error) {
+		return nil, &BrokenError{Err: io.ErrUnexpectedEOF}
+	}
+}
+
+// streams sends events from the one after Attempt.After up to last, each gap
+// apart, and then ends as how says: nil for a whole stream, io.EOF's opposite
+// for a break, errMute for silence.
+func streams(last int, gap time.Duration, how error) script {
+	return func(ctx context.Context, a *Attempt) (*Answer, error) {
+		from := 0
+		_, _ = fmt.Sscan(a.After, &from)
+		r, w := io.Pipe()
+		go func() {
+			for i := from + 1; i <= last; i++ {
+				select {
+				case <-time.After(gap):
+				case <-ctx.Done():
+					_ = w.CloseWithError(ctx.Err())
+					return
+				}
+				if _, err := fmt.Fprintf(w, "id: %d\ndata: %d of %s\n\n", i, i, a.Server.ID); err != nil {
+					return
+				}
+			}
+			if how == errMute {
+				<-ctx.Done()
+				how = ctx.Err()
+			}
+			if how == nil {
+				_ = w.Close()
+				return
+			}
+			_ = w.CloseWithError(how)
+		}()
+		return &Answer{Status: http.StatusOK, Header: http.Header{"Server-Id": {a.Server.ID}}, Body: r}, nil
+	}
+}
+
+var errMute = io.ErrNoProgress
+
+// recordingSink keeps what a caller gets.
+type recordingSink struct {
+	begun  int
+	header http.Header
+	ids    []uint64
+	longest,
+	first time.Duration
+	start time.Time
+	last  time.Time
+}
+
+func (s *recordingSink) Begin(_ int, header http.Header) error {
+	s.begun++
+	s.header = header
+	return nil
+}
+
+func (s *recordingSink) Event(raw []byte) error {
+	now := time.Now()
+	if s.last.IsZero() {
+		s.first = now.Sub(s.start)
+	} else {
+		s.longest = max(s.longest, now.Sub(s.last))
+	}
+	s.last = now
+	ev, err := newEventReader(bytes.NewReader(raw)).next()
+	if err != nil {
+		return err
+	}
+	s.ids = append(s.ids, ev.id)
+	return nil
+}
+
+// bed is an Exchange over fake servers: a1, a2 in zone a, b1, b2 in zone b.
+type bed struct {
+	*Exchange
+	backend  *fakeBackend
+	dir      *directory.Directory
+	suspects *suspect.Ledger
+	recorder *event.Recorder
+}
+
+func newBed(scripts map[string][]script, ids ...string) *bed {
+	b := &bed{backend: &fakeBackend{scripts: scripts, probes: map[string]error{}}, dir: directory.New(), recorder: event.Discard()}
+	b.suspects = suspect.New(suspect.Options{Limit: 3, Quarantine: time.Minute, Window: time.Minute})
+	if len(ids) == 0 {
+		ids = []string{"a1", "a2", "b1", "b2"}
+	}
+	var list []directory.Listing
+	for _, id := range ids {
+		list = append(list, directory.Listing{ID: id, Service: "s", Zone: id[:1], Address: id, Slots: 8})
+	}
+	b.dir.Apply(1, list, false, time.Now())
+	b.Exchange = New(Options{
+		Zone: "a", Directory: b.dir, Backend: b.backend, Suspects: b.suspects, Recorder: b.recorder,
+		Services:    func(string) (site.Service, bool) { return site.Service{Name: "s", Copies: true}, true },
+		RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 20 },
+	})
+	return b
+}
+
+func request(kind site.Kind) *Request {
+	return &Request{
+		ID: "r1", Method: http.MethodPost, Target: "/x/1", Header: http.Header{}, Service: "s", PromptTokens: 8000, MaxTokens: 600,
+		Arrived: time.Now(), Until: time.Now().Add(4 * time.Second),
+		Route: &site.Route{
+			Name: "r", Kind: kind, Resumable: kind == site.Stream, MaxAttempts: 5,
+			Objective: 300 * time.Millisecond, Timeout: 4 * time.Second, MaxGap: 700 * time.Millisecond,
+		},
+	}
+}
+
+func streamRequest() *Request {
+	r := request(site.Stream)
+	r.Until = r.Arrived.Add(25 * time.Second)
+	return r
+}
+
+func everywhere(s script) map[string][]script {
+	return map[string][]script{"a1": {s}, "a2": {s}, "b1": {s}, "b2": {s}}
+}
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -222,6 +222,7 @@
 		c.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 	} else {
 		c.sent++
+		c.e.mayHaveCrashed(c.req, r.server)
 		c.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
 	c.e.failed(r.server, r.err)
--- /dev/null
+++ b/exchange/plain_test.go
@@ -0,0 +1,148 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/site"
+)
+
+// A dispatch label is printed and the connection breaks before the answer. A
+// second try would print it twice, and "not run" would make the caller's depot
+// try it again itself: the answer must be that it may have run.
+func TestAtMostOnceIsNotSentAgainOnceItMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(breaks()))
+		_, err := b.Call(t.Context(), request(site.AtMostOnce))
+		var failure *Failure
+		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
+		g.Expect(failure.Ran).To(gomega.BeTrue())
+		g.Expect(b.backend.sent()).To(gomega.HaveLen(1))
+	})
+}
+
+// All places are taken for a moment: each server says that it did not run the
+// call. The caller is told "not run" and when to come back, at once.
+func TestRefusalByAllIsToldAtOnceAndTrue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(refuses(Busy)))
+		began := time.Now()
+		_, err := b.Call(t.Context(), request(site.AtMostOnce))
+		var failure *Failure
+		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
+		g.Expect(failure.Ran).To(gomega.BeFalse())
+		g.Expect(failure.RetryAfter).To(gomega.BeNumerically(">", 0))
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 50*time.Millisecond))
+		g.Expect(b.backend.sent()).To(gomega.HaveLen(notRunTries))
+	})
+}
+
+// A server that was restarted a moment ago refuses the connection. Nothing was
+// sent, so even a call that runs at most once goes to another server.
+func TestWhatWasNotRunGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{
+			"a1": {refuses(Refused)}, "a2": {refuses(Misdirected)}, "b1": {answers(200, "ok", 60*time.Millisecond)}, "b2": {refuses(Unreachable)},
+		})
+		for range 5 {
+			reply, err := b.Call(t.Context(), request(site.AtMostOnce))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(string(reply.Body)).To(gomega.Equal("ok"))
+		}
+		// Servers found to have ended are not asked again: one miss each at the most.
+		g.Expect(len(b.backend.sent())).To(gomega.BeNumerically("<=", 5+3))
+	})
+}
+
+// A server runs a stock check and never answers. The caller waits for 300 ms:
+// another server is asked in time for that.
+func TestIdempotentCallIsHedgedWithinItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		slow, fast := answers(200, "slow", time.Hour), answers(200, "fast", 60*time.Millisecond)
+		b := newBed(map[string][]script{"a1": {slow}, "b1": {fast}}, "a1", "b1")
+		for range 4 {
+			req := request(site.Idempotent)
+			reply, err := b.Call(t.Context(), req)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(string(reply.Body)).To(gomega.Equal("fast"))
+			g.Expect(time.Since(req.Arrived)).To(gomega.BeNumerically("<", req.Route.Objective))
+		}
+	})
+}
+
+// A server's own failure is an answer: with no better one to be had it is
+// passed on as it is, with its signature.
+func TestOwnFailureOfTheServerIsPassedOnIfNothingBetterComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(answers(500, "no stock", 10*time.Millisecond)))
+		req := request(site.Idempotent)
+		req.Route.MaxAttempts = 2
+		reply, err := b.Call(t.Context(), req)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(reply.Status).To(gomega.Equal(http.StatusInternalServerError))
+		g.Expect(b.backend.sent()).To(gomega.HaveLen(2))
+	})
+}
+
+// The route's time is up while a server still works: the caller gets its final
+// answer then, not when the server is done, and isn't told that nothing ran.
+func TestTimeIsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(answers(200, "late", time.Hour)))
+		req := request(site.AtMostOnce)
+		_, err := b.Call(t.Context(), req)
+		var failure *Failure
+		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
+		g.Expect(failure.Ran && failure.TimedOut).To(gomega.BeTrue())
+		g.Expect(time.Since(req.Arrived)).To(gomega.BeNumerically("~", 4*time.Second, 10*time.Millisecond))
+	})
+}
+
+// A caller closes its connection. Whatever runs for it is stopped at once, and
+// nothing more is sent.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		stopped := make(chan time.Time, 1)
+		b := newBed(everywhere(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+			<-ctx.Done()
+			stopped <- time.Now()
+			return nil, &BrokenError{Err: ctx.Err()}
+		}))
+		ctx, leave := context.WithCancel(t.Context())
+		left := time.Now().Add(100 * time.Millisecond)
+		time.AfterFunc(100*time.Millisecond, leave)
+		_, err := b.Call(ctx, request(site.AtMostOnce))
+		g.Expect(err).To(gomega.MatchError(context.Canceled))
+		g.Expect((<-stopped).Sub(left)).To(gomega.BeNumerically("<", 10*time.Millisecond))
+		g.Expect(b.backend.sent()).To(gomega.HaveLen(1))
+	})
+}
+
+// Many servers fail at the same time. Each failed call asks for another try;
+// beyond the budget the callers get what there is, and the servers that are
+// left aren't drowned.
+func TestRetriesKeepToTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(breaks()))
+		const calls = 100
+		for range calls {
+			_, _ = b.Call(t.Context(), request(site.Idempotent))
+		}
+		again := len(b.backend.sent()) - calls
+		g.Expect(again).To(gomega.BeNumerically("<=", int(0.8*calls)+20))
+	})
+}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -121,6 +121,7 @@
 		s.ran++
 		s.arrivals++
 		s.lostZone = server.Zone
+		s.e.mayHaveCrashed(s.req, server)
 		s.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
 	s.tried[server.ID] = true
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/site"
+)
+
+// fakeRegistry is a table that can be away.
+type fakeRegistry struct {
+	rows map[string][]byte
+	err  error
+}
+
+func (r *fakeRegistry) Put(_ context.Context, _, key string, value []byte) error {
+	if r.err == nil {
+		r.rows[key] = value
+	}
+	return r.err
+}
+
+func (r *fakeRegistry) Rows(context.Context, string) (map[string][]byte, error) { return r.rows, r.err }
+
+type vm struct {
+	*Fleet
+	holder *site.Holder
+	dir    *directory.Directory
+	server *httptest.Server
+}
+
+func decode1(position uint64, raw []byte) (*site.Versioned, error) {
+	if string(raw) == "bad" {
+		return nil, errors.New("bad")
+	}
+	return &site.Versioned{Config: site.New(position, nil, nil, nil, site.ClientLimits{}), Position: position, Raw: raw}, nil
+}
+
+func newVM(t *testing.T, name string, seeds ...string) *vm {
+	v := &vm{holder: site.NewHolder(), dir: directory.New()}
+	config := &site.Follower{Holder: v.holder, Recorder: event.Discard()}
+	servers := &directory.Follower{Directory: v.dir, Recorder: event.Discard()}
+	mux := http.NewServeMux()
+	v.server = httptest.NewServer(mux)
+	t.Cleanup(v.server.Close)
+	v.Fleet = New(Options{
+		Name: name, Address: strings.TrimPrefix(v.server.URL, "http://"), Seeds: seeds, Registry: &fakeRegistry{rows: map[string][]byte{}},
+		Holder: v.holder, Directory: v.dir, Decode: decode1, OfferConfig: config.Offer, OfferList: servers.Take,
+		Client: &http.Client{Timeout: time.Second}, Recorder: event.Discard(),
+	})
+	mux.Handle("/", v.Handler())
+	return v
+}
+
+// The store turns one entry VM away while a key is revoked and a server leaves.
+// It learns of both from a peer that the store answers.
+func TestPeerTellsWhatTheStoreDoesNot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	well := newVM(t, "well")
+	cut := newVM(t, "cut", well.opts.Address)
+	v, _ := decode1(9, []byte("text"))
+	well.holder.Offer(v)
+	well.holder.Confirm()
+	well.dir.Apply(8, []directory.Listing{{ID: "i1", Service: "s", Address: "1.2.3.4:5", Zone: "z", Slots: 4, Draining: true, Cold: time.Second}}, false, time.Now())
+	cut.Ask(t.Context())
+	g.Expect(cut.holder.Position()).To(gomega.BeNumerically("==", 9))
+	g.Expect(string(cut.holder.Current().Raw)).To(gomega.Equal("text"))
+	g.Expect(cut.dir.View().Listings).To(gomega.Equal(well.dir.View().Listings))
+}
+
+// A peer that lags, or tells what can't be read, changes nothing.
+func TestPeerThatLagsChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	behind := newVM(t, "behind")
+	ahead := newVM(t, "ahead", behind.opts.Address)
+	old, _ := decode1(3, []byte("old"))
+	behind.holder.Offer(old)
+	behind.dir.Apply(3, []directory.Listing{{ID: "gone"}}, false, time.Now())
+	current, _ := decode1(7, []byte("new"))
+	ahead.holder.Offer(current)
+	ahead.dir.Apply(7, nil, false, time.Now())
+	ahead.Ask(t.Context())
+	g.Expect(ahead.holder.Position()).To(gomega.BeNumerically("==", 7))
+	g.Expect(ahead.dir.View().Len()).To(gomega.BeZero())
+
+	lying, _ := decode1(99, []byte("x"))
+	lying.Raw = []byte("bad")
+	behind.holder.Offer(lying)
+	ahead.Ask(t.Context())
+	g.Expect(ahead.holder.Position()).To(gomega.BeNumerically("==", 7))
+}
+
+// Entry VMs find each other by their rows; one whose row can't be written yet
+// still knows its seeds.
+func TestVMsFindEachOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := newVM(t, "a", "1.1.1.1:1")
+	registry := v.opts.Registry.(*fakeRegistry)
+	registry.err = errors.New("away")
+	announced := false
+	g.Expect(v.exchangeRows(t.Context(), &announced)).NotTo(gomega.Succeed())
+	g.Expect(v.Peers()).To(gomega.Equal([]string{"1.1.1.1:1"}))
+	registry.err = nil
+	registry.rows["b"] = []byte("2.2.2.2:2")
+	g.Expect(v.exchangeRows(t.Context(), &announced)).To(gomega.Succeed())
+	g.Expect(v.Peers()).To(gomega.Equal([]string{"2.2.2.2:2"}))
+	g.Expect(v.Size()).To(gomega.Equal(2))
+	g.Expect(registry.rows).To(gomega.HaveKey("a"))
+}
+
+func hear(l *Loads, from string, life uint64, seq uint32, loads []directory.Load, lost []uint32) {
+	l.take(from, encode(life, seq, loads, lost), time.Now())
+}
+
+// Tellings that are doubled, late or of an earlier start of their sender change
+// nothing; a sender that has fallen silent leaves no load behind.
+func TestTellingsOutOfOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := directory.New()
+	d.Apply(1, []directory.Listing{{ID: "i1", Service: "s"}, {ID: "i2", Service: "s"}}, false, time.Now())
+	l := NewLoads(LoadsOptions{Directory: d, Recorder: event.Discard()})
+	busy := []directory.Load{{Server: directory.Hash("i1"), Streams: 3, Copies: 1, Prefill: 6400}}
+	hear(l, "p", 5, 2, busy, nil)
+	pick := func() string { return d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now()).ID }
+	g.Expect(pick()).To(gomega.Equal("i2"))
+	hear(l, "p", 5, 1, nil, nil)
+	hear(l, "p", 4, 9, nil, nil)
+	g.Expect(pick()).To(gomega.Equal("i2"))
+	busyElsewhere := []directory.Load{{Server: directory.Hash("i2"), Streams: 3, Prefill: 6400}}
+	hear(l, "p", 6, 1, busyElsewhere, nil)
+	g.Expect(pick()).To(gomega.Equal("i1"))
+	l.expire(time.Now().Add(loadLife))
+	hear(l, "q", 1, 1, busy, []uint32{directory.Hash("i1")})
+	for range 10 {
+		g.Expect(pick()).To(gomega.Equal("i2"))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(encode(1, 2, []directory.Load{{Server: 3, Streams: 4, Copies: 5, Prefill: 640}}, []uint32{7}))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		life, seq, loads, lost, ok := decode(raw)
+		if !ok {
+			return
+		}
+		again := encode(life, seq, loads, lost)
+		if len(raw) <= maxTelling && string(again) != string(raw) {
+			t.Fatalf("%x became %x", raw, again)
+		}
+	})
+}
--- /dev/null
+++ b/httpconn/httpconn_test.go
@@ -0,0 +1,200 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// rawServer accepts connections on loopback and plays conversation on each.
+func rawServer(t *testing.T, conversation func(conn net.Conn, in *bufio.Reader)) (addr string, accepted *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted = &atomic.Int32{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				defer conn.Close()
+				conversation(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String(), accepted
+}
+
+// readRequest reads a request with its body; false at the end.
+func readRequest(in *bufio.Reader) bool {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+func roundTrip(t *testing.T, p *Pool, addr string, body []byte) (string, error) {
+	t.Helper()
+	conn, err := p.Get(t.Context(), addr)
+	if err != nil {
+		return "", err
+	}
+	if err := conn.Send(t.Context(), &Request{Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"A": {"b"}}, Body: body}); err != nil {
+		conn.Abort()
+		return "", err
+	}
+	resp, err := conn.Receive(http.MethodPost)
+	if err != nil {
+		conn.Abort()
+		return "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return string(got), err
+}
+
+func sized(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// A sound connection carries one request after the other.
+func TestConnectionIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, accepted := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+		for readRequest(in) {
+			_, _ = io.WriteString(conn, sized("ok"))
+		}
+	})
+	p := NewPool(Options{})
+	for range 5 {
+		body, err := roundTrip(t, p, addr, []byte("b"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("ok"))
+	}
+	g.Expect(accepted.Load()).To(gomega.BeNumerically("==", 1))
+}
+
+// A faulty server sends more bytes after its whole answer. They would be read
+// as the answer to the next request, which is another caller's.
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, accepted := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+		for readRequest(in) {
+			_, _ = io.WriteString(conn, sized("ok"))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, sized("stray"))
+		}
+	})
+	p := NewPool(Options{})
+	for range 3 {
+		body, err := roundTrip(t, p, addr, []byte("b"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("ok"))
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Expect(accepted.Load()).To(gomega.BeNumerically("==", 3))
+}
+
+// A server closes a connection while it idles. The next request must not go out
+// on it: whether it ran could not be told.
+func TestConnectionThatWasClosedWhileIdleIsNotUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, accepted := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+		if readRequest(in) {
+			_, _ = io.WriteString(conn, sized("ok"))
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	p := NewPool(Options{})
+	for range 3 {
+		_, err := roundTrip(t, p, addr, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Expect(accepted.Load()).To(gomega.BeNumerically("==", 3))
+}
+
+// An answer is cut short, with a length, in chunks: it must not look whole.
+func TestAnswerThatIsCutIsNotWhole(t *testing.T) {
+	for name, cut := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			addr, _ := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+				if readRequest(in) {
+					_, _ = io.WriteString(conn, cut)
+				}
+			})
+			_, err := roundTrip(t, NewPool(Options{}), addr, nil)
+			g.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF))
+		})
+	}
+}
+
+// A server answers a long request before it has read it all. The rest of the
+// request must not run into the next one: the connection ends.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, accepted := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, sized("no"))
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	p := NewPool(Options{})
+	body := []byte(strings.Repeat("x", 8<<20))
+	for range 2 {
+		got, err := roundTrip(t, p, addr, body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got).To(gomega.Equal("no"))
+	}
+	g.Expect(accepted.Load()).To(gomega.BeNumerically("==", 2))
+}
+
+// The caller leaves: the connection is closed at once, so that the server stops.
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	closed := make(chan time.Time, 1)
+	addr, _ := rawServer(t, func(_ net.Conn, in *bufio.Reader) {
+		if readRequest(in) {
+			_, _ = in.ReadByte()
+			closed <- time.Now()
+		}
+	})
+	p := NewPool(Options{})
+	ctx, leave := context.WithCancel(t.Context())
+	conn, err := p.Get(ctx, addr)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.Send(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h"})).To(gomega.Succeed())
+	time.AfterFunc(20*time.Millisecond, leave)
+	_, err = conn.Receive(http.MethodGet)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Eventually(closed).Should(gomega.Receive())
+}
+
+// The server says how long it keeps an idle connection; ours are given up before.
+func TestStatedIdleTimeIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(keepAlive(http.Header{"Keep-Alive": {"max=5, Timeout=3"}})).To(gomega.Equal(3 * time.Second))
+	g.Expect(keepAlive(http.Header{"Keep-Alive": {"timeout=x"}})).To(gomega.BeZero())
+	g.Expect(keepAlive(http.Header{})).To(gomega.BeZero())
+}
--- /dev/null
+++ b/site/site_test.go
@@ -0,0 +1,145 @@
+package site
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/event"
+)
+
+func at(position, version uint64) *Versioned {
+	return &Versioned{Config: New(version, nil, nil, nil, ClientLimits{}), Position: position}
+}
+
+// An answer that was overtaken by a newer one must not bring a revoked key back.
+func TestHolderNeverGoesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := NewHolder()
+	g.Expect(h.Config()).To(gomega.BeNil())
+	g.Expect(h.Offer(at(5, 3))).To(gomega.BeTrue())
+	g.Expect(h.Offer(at(4, 2))).To(gomega.BeFalse())
+	g.Expect(h.Offer(at(5, 3))).To(gomega.BeFalse())
+	g.Expect(h.Offer(at(6, 2))).To(gomega.BeFalse(), "an older version at a later place")
+	g.Expect(h.Offer(at(9, 7))).To(gomega.BeTrue())
+	g.Expect(h.Position()).To(gomega.BeNumerically("==", 9))
+}
+
+// Many offers at once leave the newest in force.
+func TestHolderUnderManyOffers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := NewHolder()
+	var wg sync.WaitGroup
+	for i := uint64(1); i <= 100; i++ {
+		wg.Go(func() { h.Offer(at(i, i)) })
+	}
+	wg.Wait()
+	g.Expect(h.Position()).To(gomega.BeNumerically("==", 100))
+}
+
+// hungSource answers, then its connection goes silent; a new one works.
+type hungSource struct {
+	mu      sync.Mutex
+	version uint64
+	hung    bool
+	fail    error
+}
+
+func (s *hungSource) now() *Versioned { return at(s.version, s.version) }
+
+func (s *hungSource) Read(context.Context) (*Versioned, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail != nil {
+		return nil, s.fail
+	}
+	s.hung = false
+	return s.now(), nil
+}
+
+func (s *hungSource) Next(ctx context.Context, after uint64, wait time.Duration) (*Versioned, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		hung, v, fail := s.hung, s.now(), s.fail
+		s.mu.Unlock()
+		if fail != nil {
+			return nil, fail
+		}
+		if !hung && v.Position > after {
+			return v, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-end:
+			if !hung {
+				return nil, nil
+			}
+			end = nil
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (s *hungSource) set(version uint64, hung bool, fail error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.hung, s.fail = version, hung, fail
+}
+
+func follow(t *testing.T, source Source, lost func(context.Context)) *Holder {
+	f := &Follower{Holder: NewHolder(), Source: source, Recorder: event.Discard(), Lost: lost}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return f.Holder
+}
+
+// The connection to the store goes silent without a reset, and a change is made
+// in that very moment. It is in force within the three seconds after which a
+// process counts as in touch again.
+func TestSilentConnectionToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		source := &hungSource{version: 1}
+		h := follow(t, source, nil)
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(h.Position()).To(gomega.BeNumerically("==", 1))
+		source.set(2, true, nil)
+		time.Sleep(3 * time.Second)
+		g.Expect(h.Position()).To(gomega.BeNumerically("==", 2))
+	})
+}
+
+// The store is away: peers are asked, the version in force stays, and the store
+// isn't called in a tight loop, since each call is charged.
+func TestStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		source := &hungSource{version: 4}
+		var asked atomic.Int32
+		h := follow(t, source, func(context.Context) { asked.Add(1) })
+		time.Sleep(100 * time.Millisecond)
+		source.set(4, false, errors.New("away"))
+		time.Sleep(10 * time.Second)
+		g.Expect(h.Position()).To(gomega.BeNumerically("==", 4))
+		g.Expect(asked.Load()).To(gomega.And(gomega.BeNumerically(">", 10), gomega.BeNumerically("<", 60)))
+		source.set(5, false, nil)
+		time.Sleep(time.Second)
+		g.Expect(h.Position()).To(gomega.BeNumerically("==", 5))
+	})
+}
