fleet, follow: two entry VMs read the store for all; one loop follows configuration and list

Change: VMs say once a second whether the store answers them; the first two by hash of their address read, and say at once what they have read; the others look themselves only if no word came for 1.35 s. The loop that reads, waits, notices silence and backs off stood twice; it is package follow now.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -223,7 +223,7 @@
 		g := gomega.NewWithT(t)
 		store := &fakeStore{position: 1, list: listing("a1")}
 		lost := 0
-		f := &Follower{Directory: New(), Source: store, Recorder: event.Discard(), Lost: func(context.Context) { lost++ }}
+		f := &Follower{Directory: New(), Source: store, Recorder: event.Discard(), Failed: func(context.Context) { lost++ }}
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- f.Run(ctx) }()
@@ -242,7 +242,7 @@
 func TestListOfAPeerIsNotForgiven(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := withServers("a1", "a2")
-	f := &Follower{Directory: d, Recorder: event.Discard(), failures: 3}
+	f := &Follower{Directory: d, Recorder: event.Discard()}
 	f.Take(2, listing("a1"), "peer")
 	g.Expect(d.View().Len()).To(gomega.Equal(1))
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/follow"
 )
 
 // Source lists the backend servers.
@@ -27,11 +27,9 @@
 // ErrTooOld: the changes since a position are no longer known.
 var ErrTooOld = errors.New("directory: the position is too old for changes")
 
-// Pacing of a Follower.
 const (
-	// longPoll is how long one question waits at the store. A connection that
-	// went silent is noticed this much later at most, plus the grace below. A
-	// longer wait saves calls, which are priced.
+	// longPoll is how long one question waits at the store. A longer wait saves
+	// calls, which are priced.
 	longPoll = 2 * time.Second
 	// pace is the time between two questions while changes come: many servers
 	// change in the same moments, and one answer carries them all. It is well
@@ -39,15 +37,9 @@
 	pace = 400 * time.Millisecond
 	// relistEvery bounds how long a list is kept up by changes alone.
 	relistEvery = 10 * time.Second
-	// pollGrace is what an answer may take on top of the wait; a slow store
-	// gets more, up to maxGrace.
-	pollGrace = 500 * time.Millisecond
-	maxGrace  = 4 * time.Second
 	// forgiveFor is how long after the store's return an entry that is missing
 	// is kept: entries that lapsed meanwhile are back about two seconds after it.
 	forgiveFor = 2200 * time.Millisecond
-	retryPause = 150 * time.Millisecond
-	maxPause   = 600 * time.Millisecond
 )
 
 // Follower keeps a Directory up with a Source.
@@ -55,42 +47,31 @@
 	Directory *Directory
 	Source    Source
 	Recorder  *event.Recorder
-	// Lost is called for each failure in a row; it may ask peers.
-	Lost func(ctx context.Context)
+	Failed    func(ctx context.Context) // called after each failure; it may ask peers
+	Share     follow.Share              // may be nil
 
-	failures    int
-	grace       time.Duration
-	lastFailure time.Time
-	answeredAt  time.Time
-	listedAt    time.Time
-	position    uint64      // up to which changes were read
-	kept        atomic.Bool // servers are in use that the newest list does not have
+	loop     *follow.Loop
+	listedAt time.Time
+	position uint64      // up to which changes were read
+	kept     atomic.Bool // servers are in use that the newest list does not have
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.grace = pollGrace
-	for ctx.Err() == nil {
-		began := time.Now()
-		if err := f.look(ctx); err != nil {
-			f.failed(ctx, err)
-			continue
-		}
-		f.succeeded()
-		_ = retry.Wait(ctx, pace-time.Since(began))
+	f.loop = &follow.Loop{
+		Read: f.list, Next: f.changes, Wait: longPoll, Pace: pace, Share: f.Share, Failed: f.Failed,
+		MustRead: func() bool { return f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery },
+		Lost:     func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.listedAt)) },
+		Regained: func(failures int) { f.Recorder.Emit(EventListRegained, "failures", failures) },
 	}
-	return ctx.Err()
+	return f.loop.Run(ctx)
 }
 
-// look reads the whole list when there is none yet, after a failure, and while
-// entries that lapsed are awaited; otherwise it waits for changes.
-func (f *Follower) look(ctx context.Context) error {
-	if f.position == 0 || f.failures > 0 || f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery {
-		return f.list(ctx)
-	}
-	asking, cancel := context.WithTimeout(ctx, longPoll+f.grace)
-	defer cancel()
-	position, changed, gone, err := f.Source.Changes(asking, f.position, longPoll)
+// forgiving tells whether entries that are missing may only have lapsed.
+func (f *Follower) forgiving() bool { return f.loop.FailedWithin(forgiveFor) }
+
+func (f *Follower) changes(ctx context.Context, wait time.Duration) error {
+	position, changed, gone, err := f.Source.Changes(ctx, f.position, wait)
 	if errors.Is(err, ErrTooOld) {
 		return f.list(ctx)
 	}
@@ -105,9 +86,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	asking, cancel := context.WithTimeout(ctx, f.grace)
-	defer cancel()
-	position, list, err := f.Source.List(asking)
+	position, list, err := f.Source.List(ctx)
 	if err != nil {
 		return err
 	}
@@ -131,20 +110,6 @@
 	return slices.Collect(maps.Values(byID))
 }
 
-func (f *Follower) succeeded() {
-	if f.failures > 1 {
-		f.Recorder.Emit(EventListRegained, "failures", f.failures)
-	}
-	f.failures = 0
-	f.grace = max(pollGrace, f.grace/2)
-	f.answeredAt = time.Now()
-}
-
-// forgiving tells whether entries that are missing may only have lapsed.
-func (f *Follower) forgiving() bool {
-	return f.failures > 0 || (!f.lastFailure.IsZero() && time.Since(f.lastFailure) < forgiveFor)
-}
-
 // Take puts a list in force that a peer had from the store. What is missing
 // from it is gone: the peer read it from a store that answered.
 func (f *Follower) Take(position uint64, list []Listing, from string) {
@@ -163,19 +128,3 @@
 			"draining", strings.Join(change.Draining, ","), "listed", len(list), "position", position, "from", from)
 	}
 }
-
-func (f *Follower) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	f.failures++
-	f.lastFailure = time.Now()
-	f.grace = min(maxGrace, f.grace*2)
-	if f.failures == 2 {
-		f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.answeredAt))
-	}
-	if f.Lost != nil {
-		f.Lost(ctx)
-	}
-	_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, f.failures))
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,7 +67,9 @@
 	config    *site.Follower
 	servers   *directory.Follower
 	fleet     *fleet.Fleet
+	socket    *fleet.Socket
 	loads     *fleet.Loads
+	duty      *fleet.Duty
 	suspects  *suspect.Ledger
 	news      *suspect.Spreader
 	exchange  *exchange.Exchange
@@ -88,8 +90,8 @@
 	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), stop: newStopping(), holder: site.NewHolder(), directory: directory.New()}
 	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), ringSize)
 	store := platform.NewStore(s.Store)
-	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Lost: e.askPeers}
-	e.servers = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, Lost: e.askPeers}
+	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Failed: e.askPeers}
+	e.servers = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, Failed: e.askPeers}
 	client := &http.Client{Timeout: peerTimeout}
 	e.newFleet(store, client)
 	e.newLoads()
@@ -106,10 +108,22 @@
 	})
 }
 
+// newLoads ties this process to the other entry VMs: what they know of load, and
+// who of them reads the store for all.
 func (e *Entry) newLoads() {
-	e.loads = fleet.NewLoads(fleet.LoadsOptions{
-		Address: e.settings.Peers, Peers: e.fleet.Peers, Directory: e.directory, Recorder: e.recorder, Metrics: e.registry,
+	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
+	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Directory: e.directory})
+	e.duty = fleet.NewDuty(fleet.DutyOptions{
+		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Fetch: e.fleet.AskOne, Recorder: e.recorder,
 	})
+	e.config.Share, e.servers.Share = e.duty.For(fleet.Config), e.duty.For(fleet.List)
+}
+
+func (e *Entry) position(s fleet.Subject) uint64 {
+	if s == fleet.Config {
+		return e.holder.Position()
+	}
+	return e.directory.View().Position
 }
 
 func (e *Entry) newSuspects(client *http.Client) {
@@ -169,7 +183,9 @@
 	background(&group, e.config.Run)
 	background(&group, e.servers.Run)
 	background(&group, e.fleet.Run)
+	background(&group, e.socket.Run)
 	background(&group, e.loads.Run)
+	background(&group, e.duty.Run)
 	background(&group, e.suspects.Run)
 	background(&group, e.news.Run)
 	background(&group, e.prune)
--- /dev/null
+++ b/fleet/duty.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pearyard/pearyard/event"
+)
+
+const (
+	// readers is how many entry VMs read the store for all. With two, the loss
+	// of one leaves no gap.
+	readers = 2
+	// sayEvery is how often each VM says that it is there and fit.
+	sayEvery = time.Second
+	// presence is how long a VM counts as there after its newest word; it covers
+	// a lost datagram.
+	presence = 2500 * time.Millisecond
+	// Cover is how long a reader's word stands for a look at the store. If all
+	// readers are lost at once, the others look themselves after it: a change is
+	// known everywhere within it and the time of one look, under the two seconds
+	// allowed. Readers ask more often than that.
+	Cover = 1350 * time.Millisecond
+	// ReaderWait is how long a reader's question waits at the store.
+	ReaderWait = 900 * time.Millisecond
+	// maxReading is how long a reader's question may have taken by the time of
+	// day for its answer to stand for the present. After a freeze the steady
+	// clock may not show how old an answer is.
+	maxReading = ReaderWait + 600*time.Millisecond
+)
+
+// Subject is what is read from the store.
+type Subject int
+
+// Subjects.
+const (
+	Config Subject = iota
+	List
+	subjects
+)
+
+// Duty lets a few entry VMs read the store for all: each call is priced, and at
+// 28 VMs that all wait for the same changes the calls cost 4% of what is earned.
+//
+// Every VM says once a second whether the store answers it. Of those that are
+// there and fit, the first by the hash of their address read; each says at once
+// what it has read. The others look themselves only when no word has come for
+// Cover. Views of who is there may differ: then more read than needed.
+type Duty struct {
+	opts DutyOptions
+	self uint64
+	fit  [subjects]atomic.Bool
+
+	mu      sync.Mutex
+	there   map[string]*presentVM // by address
+	covered [subjects]time.Time
+	asking  map[string]bool
+}
+
+// DutyOptions of a Duty.
+type DutyOptions struct {
+	Address  string
+	Socket   *Socket
+	Position func(Subject) uint64 // place of what is in force here
+	// Fetch asks a peer for what is newer than what is in force here.
+	Fetch    func(ctx context.Context, peer string)
+	Recorder *event.Recorder
+}
+
+type presentVM struct {
+	head head
+	at   time.Time
+	fit  bool
+	rank uint64
+}
+
+// NewDuty returns a Duty.
+func NewDuty(opts DutyOptions) *Duty {
+	d := &Duty{opts: opts, self: xxhash.Sum64String(opts.Address), there: map[string]*presentVM{}, asking: map[string]bool{}}
+	opts.Socket.handle(kindWord, d.take)
+	return d
+}
+
+// Run says that this VM is there until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	for sleep(ctx, sayEvery) {
+		d.say(word{})
+	}
+	return ctx.Err()
+}
+
+func (d *Duty) say(w word) {
+	w.fit = d.isFit()
+	w.config, w.listed = d.opts.Position(Config), d.opts.Position(List)
+	d.opts.Socket.Send(encodeWord(w))
+}
+
+func (d *Duty) isFit() bool { return d.fit[Config].Load() && d.fit[List].Load() }
+
+// Read notes that the store answered a question that was asked at began, and
+// tells the others if this VM is a reader.
+func (d *Duty) Read(s Subject, began time.Time) {
+	d.fit[s].Store(true)
+	if time.Now().Round(0).Sub(began.Round(0)) > maxReading || !d.Reads() {
+		return
+	}
+	d.say(word{configReadNow: s == Config, listReadNow: s == List})
+}
+
+// Failed notes that the store did not answer, and says so at once if it did before.
+func (d *Duty) Failed(s Subject) {
+	if d.fit[s].Swap(false) {
+		d.say(word{})
+	}
+}
+
+// Reads tells whether this VM is one of the readers.
+func (d *Duty) Reads() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	before := 0
+	for _, vm := range d.there {
+		if vm.fit && now.Sub(vm.at) < presence && vm.rank < d.self {
+			before++
+		}
+	}
+	return before < readers
+}
+
+// Alone tells whether so few VMs are there that all of them read: then nobody
+// waits for a word, and a question may wait at the store for longer.
+func (d *Duty) Alone() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	there := 1
+	for _, vm := range d.there {
+		if now.Sub(vm.at) < presence {
+			there++
+		}
+	}
+	return there <= readers
+}
+
+// Covered returns for how long nothing has to be read: a reader has just said
+// that what is in force here is the newest.
+func (d *Duty) Covered(s Subject) time.Duration {
+	if d.Reads() {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(0, time.Until(d.covered[s]))
+}
+
+// take takes in another VM's word.
+func (d *Duty) take(from string, h head, raw []byte, now time.Time) {
+	w, ok := decodeWord(raw)
+	if !ok || !d.note(from, h, w, now) {
+		return
+	}
+	read := [subjects]bool{Config: w.configReadNow, List: w.listReadNow}
+	place := [subjects]uint64{Config: w.config, List: w.listed}
+	for s := range subjects {
+		d.heard(from, s, read[s], place[s], now)
+	}
+}
+
+// note keeps who is there; it reports whether the word is news.
+func (d *Duty) note(from string, h head, w word, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	vm := d.there[from]
+	if vm == nil {
+		vm = &presentVM{rank: xxhash.Sum64String(from)}
+		d.there[from] = vm
+	}
+	if !h.after(vm.head) {
+		return false
+	}
+	vm.head, vm.at, vm.fit = h, now, w.fit
+	for address, other := range d.there {
+		if now.Sub(other.at) > forgetSender {
+			delete(d.there, address)
+		}
+	}
+	return true
+}
+
+func (d *Duty) heard(from string, s Subject, read bool, place uint64, now time.Time) {
+	own := d.opts.Position(s)
+	if place > own {
+		d.fetch(from, s, read, now)
+		return
+	}
+	if read && place == own {
+		d.cover(s, now)
+	}
+}
+
+func (d *Duty) cover(s Subject, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if until := at.Add(Cover); until.After(d.covered[s]) {
+		d.covered[s] = until
+	}
+}
+
+// fetch asks a peer for what it has more, one question a peer at a time.
+func (d *Duty) fetch(peer string, s Subject, read bool, at time.Time) {
+	d.mu.Lock()
+	busy := d.asking[peer]
+	d.asking[peer] = true
+	d.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), helpTimeout)
+		defer cancel()
+		before := d.opts.Position(s)
+		d.opts.Fetch(ctx, peer)
+		if read && d.opts.Position(s) > before {
+			d.cover(s, at)
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.asking, peer)
+	}()
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,8 +42,6 @@
 	helpers = 2
 	// helpTimeout bounds one question; it is many round trips.
 	helpTimeout = 400 * time.Millisecond
-	// confirmedWithin is how fresh a peer's word must be to count as the store's.
-	confirmedWithin = 2 * time.Second
 )
 
 // Options of a Fleet.
@@ -150,6 +148,9 @@
 	_ = group.Wait()
 }
 
+// AskOne asks one peer for what is newer than what is known here.
+func (f *Fleet) AskOne(ctx context.Context, peer string) { f.ask(ctx, peer) }
+
 func (f *Fleet) ask(ctx context.Context, peer string) {
 	client := fleetpb.NewFleetProtobufClient("http://"+peer, f.opts.Client)
 	answer, err := client.Newest(ctx, &fleetpb.NewestRequest{
@@ -172,9 +173,6 @@
 		f.opts.OfferConfig(v, peer)
 		f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
 	}
-	if answer.GetConfigConfirmed() {
-		f.opts.Holder.Confirm()
-	}
 	if answer.GetListPosition() > f.opts.Directory.View().Position {
 		f.opts.OfferList(answer.GetListPosition(), listings(answer.GetServers()), peer)
 	}
@@ -189,7 +187,6 @@
 	if v := f.opts.Holder.Current(); v != nil && v.Position > r.GetConfigPosition() {
 		answer.ConfigPosition, answer.Config = v.Position, v.Raw
 	}
-	answer.ConfigConfirmed = f.opts.Holder.Age() < confirmedWithin
 	if view := f.opts.Directory.View(); view.Position > r.GetListPosition() {
 		answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -69,7 +69,6 @@
 	cut := newVM(t, "cut", well.opts.Address)
 	v, _ := decode1(9, []byte("text"))
 	well.holder.Offer(v)
-	well.holder.Confirm()
 	well.dir.Apply(8, []directory.Listing{{ID: "i1", Service: "s", Address: "1.2.3.4:5", Zone: "z", Slots: 4, Draining: true, Cold: time.Second}}, false, time.Now())
 	cut.Ask(t.Context())
 	g.Expect(cut.holder.Position()).To(gomega.BeNumerically("==", 9))
@@ -118,7 +117,7 @@
 }
 
 func hear(l *Loads, from string, life uint64, seq uint32, loads []directory.Load, lost []uint32) {
-	l.take(from, encode(life, seq, loads, lost), time.Now())
+	l.take(from, head{life: life, seq: seq}, encodeLoads(loads, lost).raw, time.Now())
 }
 
 // Tellings that are doubled, late or of an earlier start of their sender change
@@ -127,7 +126,7 @@
 	g := gomega.NewWithT(t)
 	d := directory.New()
 	d.Apply(1, []directory.Listing{{ID: "i1", Service: "s"}, {ID: "i2", Service: "s"}}, false, time.Now())
-	l := NewLoads(LoadsOptions{Directory: d, Recorder: event.Discard()})
+	l := NewLoads(LoadsOptions{Directory: d, Socket: NewSocket("", nil, nil)})
 	busy := []directory.Load{{Server: directory.Hash("i1"), Streams: 3, Copies: 1, Prefill: 6400}}
 	hear(l, "p", 5, 2, busy, nil)
 	pick := func() string { return d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now()).ID }
@@ -145,16 +144,16 @@
 	}
 }
 
-func FuzzDecode(f *testing.F) {
-	f.Add(encode(1, 2, []directory.Load{{Server: 3, Streams: 4, Copies: 5, Prefill: 640}}, []uint32{7}))
+func FuzzDecodeLoads(f *testing.F) {
+	f.Add(encodeLoads([]directory.Load{{Server: 3, Streams: 4, Copies: 5, Prefill: 640}}, []uint32{7}).raw)
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		life, seq, loads, lost, ok := decode(raw)
+		loads, lost, ok := decodeLoads(raw)
 		if !ok {
 			return
 		}
-		again := encode(life, seq, loads, lost)
-		if len(raw) <= maxTelling && string(again) != string(raw) {
+		again := encodeLoads(loads, lost).raw
+		if len(raw) <= maxDatagram-headBytes && string(again) != string(raw) {
 			t.Fatalf("%x became %x", raw, again)
 		}
 	})
--- /dev/null
+++ b/fleet/socket.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Socket sends datagrams to all other entry VMs and hands on what they send.
+type Socket struct {
+	address  string
+	peers    func() []string
+	life     uint64
+	seq      atomic.Uint32
+	conn     atomic.Pointer[net.UDPConn]
+	handlers map[kind]func(from string, h head, raw []byte, now time.Time)
+	sent     prometheus.Counter
+	got      prometheus.Counter
+}
+
+// NewSocket returns a socket for address (UDP, ip:port).
+func NewSocket(address string, peers func() []string, metrics prometheus.Registerer) *Socket {
+	s := &Socket{
+		address: address, peers: peers, life: uint64(time.Now().UnixNano()),
+		handlers: map[kind]func(string, head, []byte, time.Time){},
+		sent:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_sent_total", Help: "Datagrams sent to other entry VMs."}),
+		got:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_received_total", Help: "Datagrams from other entry VMs."}),
+	}
+	if metrics != nil {
+		metrics.MustRegister(s.sent, s.got)
+	}
+	return s
+}
+
+// handle sets who takes datagrams of a kind; it is called before Run.
+func (s *Socket) handle(k kind, f func(from string, h head, raw []byte, now time.Time)) {
+	s.handlers[k] = f
+}
+
+// Run listens until ctx ends.
+func (s *Socket) Run(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp4", s.address)
+	if err != nil {
+		return errors.Wrap(err, "fleet: address for datagrams")
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return errors.Wrap(err, "fleet: listen for datagrams")
+	}
+	s.conn.Store(conn)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	buf := make([]byte, 2*maxDatagram)
+	for {
+		n, from, err := conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return ctx.Err()
+		}
+		if err != nil {
+			// A peer's port that nobody listens on is told as an error here.
+			continue
+		}
+		s.take(from.String(), buf[:n], time.Now())
+	}
+}
+
+func (s *Socket) take(from string, raw []byte, now time.Time) {
+	k, h, rest, ok := decodeHead(raw)
+	if !ok || s.handlers[k] == nil {
+		return
+	}
+	s.got.Inc()
+	s.handlers[k](from, h, rest, now)
+}
+
+// Send sends a datagram to all peers. One that can't be told knows less for a
+// moment; the next datagram follows within a second.
+func (s *Socket) Send(b body) {
+	conn := s.conn.Load()
+	if conn == nil {
+		return
+	}
+	raw := append(encodeHead(b.kind, head{life: s.life, seq: s.seq.Add(1)}), b.raw...)
+	for _, peer := range s.peers() {
+		addr, err := net.ResolveUDPAddr("udp4", peer)
+		if err != nil {
+			continue
+		}
+		if _, err := conn.WriteToUDP(raw, addr); err == nil {
+			s.sent.Inc()
+		}
+	}
+}
--- /dev/null
+++ b/fleet/wire.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/pearyard/pearyard/directory"
+)
+
+// Datagrams between entry VMs, all numbers big endian. The head: kind (1 byte),
+// life of the sender (8, grows with each start), sequence number (4). Loads:
+// number of loads (2), number of lost servers (2), for each load server (4),
+// streams (1), copies (1), prompt tokens in units (2), for each lost server 4
+// bytes. Words: flags (1), places of configuration and list (8 each). JSON would
+// be three times as long, and bytes between zones are priced.
+const (
+	kindLoads kind = 1
+	kindWord  kind = 2
+
+	headBytes  = 13
+	countBytes = 4
+	loadBytes  = 8
+	lostBytes  = 4
+	wordBytes  = 17
+
+	// maxDatagram is under the size at which a datagram is split.
+	maxDatagram = 1400
+	// prefillUnit is the grain of prompt tokens.
+	prefillUnit = 64
+)
+
+type kind uint8
+
+// head orders the datagrams of one sender.
+type head struct {
+	life uint64
+	seq  uint32
+}
+
+// after tells whether a datagram is newer than another of the same sender. One
+// that is doubled or late must not undo what a newer one said.
+func (h head) after(old head) bool {
+	return h.life > old.life || (h.life == old.life && h.seq > old.seq)
+}
+
+func encodeHead(k kind, h head) []byte {
+	out := make([]byte, 0, maxDatagram)
+	out = append(out, byte(k))
+	out = binary.BigEndian.AppendUint64(out, h.life)
+	return binary.BigEndian.AppendUint32(out, h.seq)
+}
+
+func decodeHead(raw []byte) (kind, head, []byte, bool) {
+	if len(raw) < headBytes {
+		return 0, head{}, nil, false
+	}
+	h := head{life: binary.BigEndian.Uint64(raw[1:]), seq: binary.BigEndian.Uint32(raw[9:])}
+	return kind(raw[0]), h, raw[headBytes:], true
+}
+
+// body is a datagram without its head.
+type body struct {
+	kind kind
+	raw  []byte
+}
+
+func encodeLoads(loads []directory.Load, lost []uint32) body {
+	const room = maxDatagram - headBytes - countBytes
+	loads = loads[:min(len(loads), room/loadBytes)]
+	lost = lost[:min(len(lost), (room-len(loads)*loadBytes)/lostBytes)]
+	out := make([]byte, 0, countBytes+len(loads)*loadBytes+len(lost)*lostBytes)
+	out = binary.BigEndian.AppendUint16(out, uint16(len(loads)))
+	out = binary.BigEndian.AppendUint16(out, uint16(len(lost)))
+	for _, load := range loads {
+		out = binary.BigEndian.AppendUint32(out, load.Server)
+		out = append(out, uint8(min(load.Streams, math.MaxUint8)), uint8(min(load.Copies, math.MaxUint8)))
+		out = binary.BigEndian.AppendUint16(out, uint16(min(load.Prefill/prefillUnit, math.MaxUint16)))
+	}
+	for _, server := range lost {
+		out = binary.BigEndian.AppendUint32(out, server)
+	}
+	return body{kindLoads, out}
+}
+
+func decodeLoads(raw []byte) (loads []directory.Load, lost []uint32, ok bool) {
+	if len(raw) < countBytes {
+		return nil, nil, false
+	}
+	nLoads, nLost := int(binary.BigEndian.Uint16(raw)), int(binary.BigEndian.Uint16(raw[2:]))
+	raw = raw[countBytes:]
+	if len(raw) != nLoads*loadBytes+nLost*lostBytes {
+		return nil, nil, false
+	}
+	loads = make([]directory.Load, nLoads)
+	for i := range loads {
+		at := raw[i*loadBytes:]
+		loads[i] = directory.Load{
+			Server:  binary.BigEndian.Uint32(at),
+			Streams: int(at[4]),
+			Copies:  int(at[5]),
+			Prefill: int(binary.BigEndian.Uint16(at[6:])) * prefillUnit,
+		}
+	}
+	raw = raw[nLoads*loadBytes:]
+	lost = make([]uint32, nLost)
+	for i := range lost {
+		lost[i] = binary.BigEndian.Uint32(raw[i*lostBytes:])
+	}
+	return loads, lost, true
+}
+
+// word is what a VM says of the store.
+type word struct {
+	fit            bool // the store answers it
+	configReadNow  bool // the store has just confirmed the configuration
+	listReadNow    bool // and the list
+	config, listed uint64
+}
+
+const (
+	flagFit = 1 << iota
+	flagConfig
+	flagList
+)
+
+func encodeWord(w word) body {
+	var flags byte
+	for _, f := range []struct {
+		set  bool
+		flag byte
+	}{{w.fit, flagFit}, {w.configReadNow, flagConfig}, {w.listReadNow, flagList}} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	out := make([]byte, 0, wordBytes)
+	out = append(out, flags)
+	out = binary.BigEndian.AppendUint64(out, w.config)
+	return body{kindWord, binary.BigEndian.AppendUint64(out, w.listed)}
+}
+
+func decodeWord(raw []byte) (word, bool) {
+	if len(raw) != wordBytes {
+		return word{}, false
+	}
+	flags := raw[0]
+	return word{
+		fit: flags&flagFit != 0, configReadNow: flags&flagConfig != 0, listReadNow: flags&flagList != 0,
+		config: binary.BigEndian.Uint64(raw[1:]), listed: binary.BigEndian.Uint64(raw[9:]),
+	}, true
+}
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,149 @@
+// Package follow keeps a process up with something that lies in the platform's
+// store: it reads it, waits for changes, notices a connection that has gone
+// silent, backs off from a store that fails, and lets a few processes read for
+// all. What is read is the caller's matter.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/pearyard/pearyard/retry"
+)
+
+const (
+	// pollGrace is what an answer may take on top of the wait at the store.
+	pollGrace = 500 * time.Millisecond
+	// maxGrace bounds the grace for a store that is slow but answers.
+	maxGrace = 4 * time.Second
+	// retryPause is the shortest wait after a failure; with jitter it grows to
+	// retryPause + maxPause. Calls are priced, refused ones too.
+	retryPause = 150 * time.Millisecond
+	maxPause   = 600 * time.Millisecond
+	// lostAfter is how many failures in a row are told as the store's loss: one
+	// may be a connection that has gone silent.
+	lostAfter = 2
+)
+
+// Share tells what other processes have read.
+type Share interface {
+	// Covered returns for how long nothing needs to be read.
+	Covered() time.Duration
+	// Wait returns how long a question waits at the store.
+	Wait(alone time.Duration) time.Duration
+	// Read notes an answer to a question asked at began, Failed the lack of one.
+	Read(began time.Time)
+	Failed()
+}
+
+// Loop follows one subject. All funcs but Read and Next may be nil.
+type Loop struct {
+	// Read reads the subject whole, Next waits up to wait for a change.
+	Read func(ctx context.Context) error
+	Next func(ctx context.Context, wait time.Duration) error
+	// MustRead tells whether a wait for changes would miss something.
+	MustRead func() bool
+
+	// Wait is how long a question waits at the store. A connection that went
+	// silent is noticed this much later at most, plus half a second.
+	Wait time.Duration
+	// Pace is the shortest time between two questions.
+	Pace time.Duration
+
+	Share Share
+	// Failed is called after each failure; it may ask peers.
+	Failed func(ctx context.Context)
+	// Lost and Regained tell of the store's loss and return.
+	Lost     func(err error)
+	Regained func(failures int)
+
+	failures    int
+	lastFailure time.Time
+	grace       time.Duration
+	begun       bool // there has been an answer
+	stale       bool // others have read since this process did
+}
+
+// Run follows until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	l.grace = pollGrace
+	for ctx.Err() == nil {
+		if l.covered(ctx) {
+			continue
+		}
+		began := time.Now()
+		if err := l.ask(ctx); err != nil {
+			l.failed(ctx, err)
+			continue
+		}
+		l.answered(began)
+		_ = retry.Wait(ctx, l.Pace-time.Since(began))
+	}
+	return ctx.Err()
+}
+
+// FailedWithin tells whether the store has failed at most d ago.
+func (l *Loop) FailedWithin(d time.Duration) bool {
+	return l.failures > 0 || (!l.lastFailure.IsZero() && time.Since(l.lastFailure) < d)
+}
+
+// covered waits while others' word stands for a question of this process's own.
+func (l *Loop) covered(ctx context.Context) bool {
+	if l.Share == nil || !l.begun {
+		return false
+	}
+	wait := l.Share.Covered()
+	if wait <= 0 {
+		return false
+	}
+	l.stale = true
+	_ = retry.Wait(ctx, wait)
+	return true
+}
+
+// ask reads the whole subject where a wait for changes could sleep over one:
+// at the start, after a failure, and after others have read.
+func (l *Loop) ask(ctx context.Context) error {
+	if !l.begun || l.stale || l.failures > 0 || (l.MustRead != nil && l.MustRead()) {
+		ctx, cancel := context.WithTimeout(ctx, l.grace)
+		defer cancel()
+		return l.Read(ctx)
+	}
+	wait := l.Wait
+	if l.Share != nil {
+		wait = l.Share.Wait(wait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+l.grace)
+	defer cancel()
+	return l.Next(ctx, wait)
+}
+
+func (l *Loop) answered(began time.Time) {
+	if l.failures >= lostAfter && l.Regained != nil {
+		l.Regained(l.failures)
+	}
+	l.failures, l.begun, l.stale = 0, true, false
+	l.grace = max(pollGrace, l.grace/2)
+	if l.Share != nil {
+		l.Share.Read(began)
+	}
+}
+
+func (l *Loop) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	l.failures++
+	l.lastFailure = time.Now()
+	l.grace = min(maxGrace, l.grace*2)
+	if l.failures == lostAfter && l.Lost != nil {
+		l.Lost(err)
+	}
+	if l.Share != nil {
+		l.Share.Failed()
+	}
+	if l.Failed != nil {
+		l.Failed(ctx)
+	}
+	_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, l.failures))
+}
--- a/site/holder.go
+++ b/site/holder.go
@@ -1,9 +1,6 @@
 package site
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "sync/atomic"
 
 // Versioned is a configuration with its place in the history of the store.
 type Versioned struct {
@@ -21,13 +18,11 @@
 // overtaken by a newer one, or a peer that lags, would otherwise bring a
 // dropped route or a revoked key back.
 type Holder struct {
-	current   atomic.Pointer[Versioned]
-	confirmed atomic.Int64 // steady time of the last answer that showed the newest version, nanoseconds
-	start     time.Time
+	current atomic.Pointer[Versioned]
 }
 
 // NewHolder returns an empty holder.
-func NewHolder() *Holder { return &Holder{start: time.Now()} }
+func NewHolder() *Holder { return &Holder{} }
 
 // Current returns the version in force, nil before the first one.
 func (h *Holder) Current() *Versioned { return h.current.Load() }
@@ -60,11 +55,3 @@
 		}
 	}
 }
-
-// Confirm notes that the store showed no version newer than the one in force.
-func (h *Holder) Confirm() { h.confirmed.Store(int64(time.Since(h.start))) }
-
-// Age returns for how long nobody has confirmed the version in force.
-func (h *Holder) Age() time.Duration {
-	return time.Since(h.start) - time.Duration(h.confirmed.Load())
-}
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -106,8 +106,8 @@
 	s.version, s.hung, s.fail = version, hung, fail
 }
 
-func follow(t *testing.T, source Source, lost func(context.Context)) *Holder {
-	f := &Follower{Holder: NewHolder(), Source: source, Recorder: event.Discard(), Lost: lost}
+func followed(t *testing.T, source Source, lost func(context.Context)) *Holder {
+	f := &Follower{Holder: NewHolder(), Source: source, Recorder: event.Discard(), Failed: lost}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -128,7 +128,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		source := &hungSource{version: 1}
-		h := follow(t, source, nil)
+		h := followed(t, source, nil)
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(h.Position()).To(gomega.BeNumerically("==", 1))
 		source.set(2, true, nil)
@@ -144,7 +144,7 @@
 		g := gomega.NewWithT(t)
 		source := &hungSource{version: 4}
 		var asked atomic.Int32
-		h := follow(t, source, func(context.Context) { asked.Add(1) })
+		h := followed(t, source, func(context.Context) { asked.Add(1) })
 		time.Sleep(100 * time.Millisecond)
 		source.set(4, false, errors.New("away"))
 		time.Sleep(10 * time.Second)
@@ -163,7 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		source := &hungSource{version: 4, dropped: 90}
-		h := follow(t, source, nil)
+		h := followed(t, source, nil)
 		time.Sleep(10 * time.Second)
 		g.Expect(h.Position()).To(gomega.BeNumerically("==", 4))
 		source.mu.Lock()
