exchange: a copy on a server that leaves is not used

The choice of a copy's server looked at losses only. Test: TestCopyOnALeavingServerIsNotUsed, failed before.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -162,7 +162,7 @@
 	if c := s.copyAt; c != nil {
 		s.copyAt = nil
 		s.endCopy()
-		if !c.IsDown(time.Now()) && !s.tried[c.ID] {
+		if !c.IsDown(time.Now()) && !c.Draining() && !s.tried[c.ID] {
 			return c, true, nil
 		}
 	}
--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/directory"
 )
 
 const beat = 30 * time.Millisecond
@@ -263,3 +265,27 @@
 		g.Expect(b.suspects.Verdict(req.Fingerprint()).Deaths).To(gomega.BeZero())
 	})
 }
+
+// The server that holds a stream's copy begins to leave, and seconds later the
+// stream's own server is lost. The leaving server gets nothing new, not even
+// the stream that it holds a copy of: the prompt is read again elsewhere.
+func TestCopyOnALeavingServerIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(firstOf(streams(50, beat, io.ErrUnexpectedEOF), streams(130, beat, nil)))
+		time.AfterFunc(20*beat, func() {
+			copyAt := b.backend.sent()[0].CopyTo.ID
+			var list []directory.Listing
+			for _, id := range []string{"a1", "a2", "b1", "b2"} {
+				list = append(list, directory.Listing{ID: id, Service: "s", Zone: id[:1], Address: id, Draining: id == copyAt})
+			}
+			b.dir.Apply(2, list, false, time.Now())
+		})
+		sink, err := runStream(t, b, streamRequest())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+		sent := b.backend.sent()
+		g.Expect(sent).To(gomega.HaveLen(2))
+		g.Expect(sent[1].Server).NotTo(gomega.Equal(sent[0].CopyTo))
+	})
+}
