exchange: a stream's copy is replaced when its server is lost

Change: a stream whose copy's server is lost, doubted or leaves asks its own server for a copy in another place; it goes on from that one. Test: TestCopyIsReplacedWhenItsServerIsLost.

--- a/directory/pick.go
+++ b/directory/pick.go
@@ -170,3 +170,12 @@
 	zone := z[s.Zone]
 	return zone != nil && zone.count >= zoneLosses && zone.count*zoneShare >= zone.servers && !s.provenSince(zone.last)
 }
+
+// Usable tells whether a server that holds something may still be asked for it:
+// it neither leaves nor is lost, alone or with its zone.
+func (d *Directory) Usable(s *Server, now time.Time) bool {
+	if s.Draining() || s.isDead() || s.IsDown(now) {
+		return false
+	}
+	return !lossesOf(d.view.Load().Service(s.Service), now).doubted(s)
+}
--- a/directory/server.go
+++ b/directory/server.go
@@ -93,15 +93,22 @@
 	return s.dead
 }
 
-// Down returns a channel that is closed when the server is next found lost. To
-// ask is to try the server: what was known against it no longer counts.
-func (s *Server) Down() <-chan struct{} {
+// Try returns a channel that is closed when the server is next found lost. What
+// was known against it before no longer counts.
+func (s *Server) Try() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revive()
 	return s.down
 }
 
+// Down returns a channel that is closed while the server is believed lost.
+func (s *Server) Down() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // Lost notes that the server doesn't answer or broke its connections. It
 // reports whether that is news.
 func (s *Server) Lost(now time.Time) bool {
--- /dev/null
+++ b/exchange/copies.go
@@ -0,0 +1,140 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+)
+
+const (
+	// copyLook is how often a stream looks whether its copy's server is still
+	// usable; a loss that is told ends the wait at once.
+	copyLook = 400 * time.Millisecond
+	// copyTimeout bounds a copy that is asked for: 40 ms for the memory of a long
+	// prompt between zones, behind those of other streams.
+	copyTimeout = 800 * time.Millisecond
+)
+
+// copyKeeper knows where the memory of a stream's running attempt is copied to.
+type copyKeeper struct {
+	mu     sync.Mutex
+	memory *Memory
+	end    func() // takes the copy off its server's load
+}
+
+// set replaces the copy.
+func (k *copyKeeper) set(m *Memory) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.end != nil {
+		k.end()
+	}
+	k.memory, k.end = m, m.At.CopyBegun()
+}
+
+// take returns the copy, if there is one, and forgets it.
+func (k *copyKeeper) take() *Memory {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m := k.memory
+	if k.end != nil {
+		k.end()
+	}
+	k.memory, k.end = nil, nil
+	return m
+}
+
+func (k *copyKeeper) drop() { k.take() }
+
+// at returns the server that holds the copy, nil without one.
+func (k *copyKeeper) at() *directory.Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.memory == nil {
+		return nil
+	}
+	return k.memory.At
+}
+
+// copyPlace chooses where the memory of a run on server is copied to: another
+// zone, since zones fail as a whole.
+func (s *stream) copyPlace(server *directory.Server) *directory.Server {
+	avoid := map[string]bool{server.ID: true}
+	for id := range s.tried {
+		avoid[id] = true
+	}
+	return s.e.opts.Directory.Pick(directory.Query{
+		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true,
+	}, time.Now())
+}
+
+// placeCopy chooses the place of the copy that a new run sends as it grows.
+func (s *stream) placeCopy(server *directory.Server) *directory.Server {
+	s.copies.drop()
+	service, ok := s.e.opts.Services(s.req.Service)
+	if !ok || !service.Copies || !s.req.Route.Resumable {
+		return nil
+	}
+	to := s.copyPlace(server)
+	if to != nil {
+		s.copies.set(&Memory{At: to})
+	}
+	return to
+}
+
+// keepCopy replaces the copy of a run when the server that holds it is lost or
+// leaves. A zone's loss takes the copies of streams that run elsewhere with it,
+// and the next zone's loss would make each of them read its prompt again, which
+// takes longer than the pause that callers allow.
+func (s *stream) keepCopy(ctx context.Context, server *directory.Server) {
+	service, ok := s.e.opts.Services(s.req.Service)
+	if !ok || !service.CopiesOnCall {
+		return
+	}
+	look := time.NewTicker(copyLook)
+	defer look.Stop()
+	for {
+		at := s.copies.at()
+		if at == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-at.Down():
+		case <-look.C:
+		}
+		if s.e.opts.Directory.Usable(at, time.Now()) {
+			continue
+		}
+		if !s.copyAgain(ctx, server, at) {
+			return
+		}
+	}
+}
+
+// copyAgain asks for a copy in another place; it reports whether there is one.
+func (s *stream) copyAgain(ctx context.Context, server, lost *directory.Server) bool {
+	to := s.copyPlace(server)
+	if to == nil || to == lost {
+		return false
+	}
+	began := time.Now()
+	asking, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	memory, err := s.e.opts.Backend.Copy(asking, s.req, server, to)
+	if ctx.Err() != nil {
+		return false
+	}
+	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", server.ID, "lost", lost.ID, "to", to.ID,
+		"took", time.Since(began), "err", err)
+	if err != nil {
+		return false
+	}
+	s.copies.set(memory)
+	s.e.metrics.copies.Inc()
+	return true
+}
--- a/exchange/fake_test.go
+++ b/exchange/fake_test.go
@@ -24,6 +24,7 @@
 	scripts  map[string][]script // by server id, used one after the other, the last one again
 	attempts []Attempt
 	probes   map[string]error // by server id; nil: it lives
+	copies   []*directory.Server
 }
 
 func (b *fakeBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
@@ -48,6 +49,13 @@
 	return b.probes[s.ID]
 }
 
+func (b *fakeBackend) Copy(_ context.Context, _ *Request, from, to *directory.Server) (*Memory, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.copies = append(b.copies, to)
+	return &Memory{At: to, Source: from, Handle: "h"}, nil
+}
+
 func (b *fakeBackend) sent() []Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -169,7 +177,9 @@
 	b.dir.Apply(1, list, false, time.Now())
 	b.Exchange = New(Options{
 		Zone: "a", Directory: b.dir, Backend: b.backend, Suspects: b.suspects, Recorder: b.recorder,
-		Services:    func(string) (site.Service, bool) { return site.Service{Name: "s", Copies: true}, true },
+		Services: func(string) (site.Service, bool) {
+			return site.Service{Name: "s", Copies: true, CopiesOnCall: true}, true
+		},
 		RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 20 },
 	})
 	return b
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -10,6 +10,7 @@
 	resumes     *prometheus.CounterVec // by how
 	resumeTime  prometheus.Histogram
 	attempts    *prometheus.CounterVec // by result
+	copies      prometheus.Counter
 	probes      prometheus.Counter
 	budgetSpent prometheus.Counter
 }
@@ -37,11 +38,13 @@
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8)}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearyard_exchange_attempts_total", Help: "Sendings to backend servers by result."}, []string{"result"}),
+		copies: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_exchange_copies_again_total", Help: "Copies of streams' memory that were asked for because the former one's server was lost."}),
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_probes_total", Help: "Questions to backend servers for a sign of life."}),
 		budgetSpent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_retry_budget_spent_total", Help: "Retries that the budget did not allow."}),
 	}
-	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.probes, m.budgetSpent)
+	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.copies, m.probes, m.budgetSpent)
 	return m
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -55,8 +55,17 @@
 	After   string        // event after which it is to go on; empty: from the start
 	// CopyTo is where the server sends a running copy of the stream's memory.
 	CopyTo *directory.Server
-	// FromCopy: the server holds a copy of this stream's memory to go on from.
-	FromCopy bool
+	// From is what the server goes on from, in place of reading the prompt; nil: nothing.
+	From *Memory
+}
+
+// Memory is a copy of a running stream's memory.
+type Memory struct {
+	At *directory.Server // where the copy lies; only this server can go on from it
+	// Source and Handle name a copy that was made by a call; without a handle
+	// it is the one that the run itself sends there as it grows.
+	Source *directory.Server
+	Handle string
 }
 
 // Answer is the head of a backend server's answer, and its body.
@@ -77,6 +86,8 @@
 // Backend sends attempts. Its errors are *NotRunError and *BrokenError.
 type Backend interface {
 	Open(ctx context.Context, a *Attempt) (*Answer, error)
+	// Copy copies the memory of a running attempt to another server; the run goes on.
+	Copy(ctx context.Context, req *Request, from, to *directory.Server) (*Memory, error)
 	// Probe asks a server for a sign of life, outside its queue.
 	Probe(ctx context.Context, s *directory.Server) error
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -32,9 +32,8 @@
 	cause    error
 	lostZone string
 
-	copyAt  *directory.Server // where the running attempt's copy lies
-	endCopy func()
-	server  *directory.Server // of the newest attempt
+	copies copyKeeper        // where the running attempt's memory is copied to
+	server *directory.Server // of the newest attempt
 }
 
 // Stream serves a streaming request into sink. A *Failure before the head is
@@ -45,10 +44,10 @@
 	}
 	within, cancel := context.WithDeadline(ctx, req.Until)
 	defer cancel()
-	s := &stream{e: e, req: req, sink: sink, tried: map[string]bool{}, endCopy: func() {}}
+	s := &stream{e: e, req: req, sink: sink, tried: map[string]bool{}}
 	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	err = s.run(within)
-	s.endCopy()
+	s.copies.drop()
 	if err == nil {
 		e.opts.Suspects.Completed(req.Fingerprint())
 		e.metrics.pauses.Observe(s.longest.Seconds())
@@ -72,11 +71,11 @@
 
 func (s *stream) run(ctx context.Context) error {
 	for {
-		server, fromCopy, err := s.choose(ctx)
+		server, from, err := s.choose(ctx)
 		if err != nil {
 			return s.failure(ctx, err)
 		}
-		err = s.attempt(ctx, server, fromCopy)
+		err = s.attempt(ctx, server, from)
 		if err == nil {
 			return nil
 		}
@@ -87,7 +86,7 @@
 		if errors.As(err, &done) {
 			return done.err
 		}
-		s.note(server, err, fromCopy)
+		s.note(server, err, from != nil)
 		if !s.mayGoOn() {
 			return s.failure(ctx, err)
 		}
@@ -105,8 +104,7 @@
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		// What did not run has left no copy.
-		s.copyAt = nil
-		s.endCopy()
+		s.copies.drop()
 		s.refused++
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 		if !notRun.Unreached() {
@@ -132,7 +130,7 @@
 // again says that an attempt failed and another may follow.
 func (s *stream) again(server *directory.Server, err error) {
 	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.ID,
-		"event", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(s.copyAt))
+		"event", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(s.copies.at()))
 }
 
 func idOf(s *directory.Server) string {
@@ -155,28 +153,23 @@
 
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
-func (s *stream) choose(ctx context.Context) (server *directory.Server, fromCopy bool, err error) {
+func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
 	if s.arrivals > 0 && !s.e.allowRetry(s.req.Service) {
-		return nil, false, ErrBudget
+		return nil, nil, ErrBudget
 	}
-	if c := s.copyAt; c != nil {
-		s.copyAt = nil
-		s.endCopy()
-		if !c.IsDown(time.Now()) && !c.Draining() && !s.tried[c.ID] {
-			return c, true, nil
-		}
+	if m := s.copies.take(); m != nil && !s.tried[m.At.ID] && s.e.opts.Directory.Usable(m.At, time.Now()) {
+		return m.At, m, nil
 	}
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
-		server = s.pick()
-		if server != nil {
-			return server, false, nil
+		if server := s.pick(); server != nil {
+			return server, nil, nil
 		}
 		if time.Now().After(giveUp) {
-			return nil, false, ErrNoServer
+			return nil, nil, ErrNoServer
 		}
 		if err := retry.Wait(ctx, pickAgain); err != nil {
-			return nil, false, err
+			return nil, nil, err
 		}
 		clear(s.tried)
 	}
@@ -191,40 +184,21 @@
 	}, time.Now())
 }
 
-// placeCopy chooses where the memory of a run on server is copied to: another
-// zone, since zones fail as a whole.
-func (s *stream) placeCopy(server *directory.Server) {
-	service, ok := s.e.opts.Services(s.req.Service)
-	if !ok || !service.Copies || !s.req.Route.Resumable {
-		return
-	}
-	avoid := map[string]bool{server.ID: true}
-	for id := range s.tried {
-		avoid[id] = true
-	}
-	s.copyAt = s.e.opts.Directory.Pick(directory.Query{
-		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true,
-	}, time.Now())
-	if s.copyAt != nil {
-		s.endCopy = s.copyAt.CopyBegun()
-	}
-}
-
 // attempt runs the stream on one server until its end or a failure.
-func (s *stream) attempt(ctx context.Context, server *directory.Server, fromCopy bool) error {
+func (s *stream) attempt(ctx context.Context, server *directory.Server, from *Memory) error {
 	s.server = server
 	prompt := s.req.PromptTokens
-	if fromCopy {
+	if from != nil {
 		prompt = 0
 	}
 	running := server.StreamBegun(prompt)
 	defer running.End()
-	s.placeCopy(server)
 	w := newWatch(ctx, s.e, server)
 	defer w.end()
 	began := time.Now()
+	copyTo := s.placeCopy(server)
 	answer, err := s.e.opts.Backend.Open(w.ctx, &Attempt{
-		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: s.copyAt, FromCopy: fromCopy,
+		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: copyTo, From: from,
 	})
 	if err != nil {
 		return w.explain(err)
@@ -233,7 +207,7 @@
 	if answer.Status >= 300 || answer.Status < 200 {
 		return s.statusOf(answer)
 	}
-	return s.copyEvents(w, running, answer, fromCopy)
+	return s.passEvents(w, running, answer, from)
 }
 
 // after names the event after which the next attempt goes on.
@@ -268,8 +242,8 @@
 	return nil
 }
 
-// copyEvents passes events on until the stream's end.
-func (s *stream) copyEvents(w *watch, running *directory.Running, a *Answer, fromCopy bool) error {
+// passEvents passes events on until the stream's end.
+func (s *stream) passEvents(w *watch, running *directory.Running, a *Answer, from *Memory) error {
 	events := newEventReader(a.Body)
 	first := true
 	for {
@@ -287,7 +261,8 @@
 		if first {
 			first = false
 			running.Read()
-			s.started(fromCopy)
+			s.started(from)
+			go s.keepCopy(w.ctx, s.server)
 		}
 		if err := s.pass(a, ev); err != nil {
 			return err
@@ -297,13 +272,13 @@
 }
 
 // started notes the first event of an attempt.
-func (s *stream) started(fromCopy bool) {
+func (s *stream) started(from *Memory) {
 	if s.ran == 0 {
 		return
 	}
 	s.resumed++
 	how := "prompt_read_again"
-	if fromCopy {
+	if from != nil {
 		how = "copy"
 	}
 	since := s.lastAt
--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -57,7 +57,7 @@
 		g.Expect(sent).To(gomega.HaveLen(2))
 		g.Expect(sent[0].CopyTo.Zone).NotTo(gomega.Equal(sent[0].Server.Zone))
 		g.Expect(sent[1].Server).To(gomega.Equal(sent[0].CopyTo))
-		g.Expect(sent[1].FromCopy).To(gomega.BeTrue())
+		g.Expect(sent[1].From.At).To(gomega.Equal(sent[0].CopyTo))
 		g.Expect(sent[1].After).To(gomega.Equal("50"))
 		g.Expect(sink.header.Get("Server-Id")).To(gomega.Equal(sent[0].Server.ID), "the head of the first run stays")
 		g.Expect(sink.longest).To(gomega.BeNumerically("<", 100*time.Millisecond))
@@ -136,7 +136,7 @@
 			if tries == 1 {
 				return streams(50, beat, io.ErrUnexpectedEOF)(ctx, a)
 			}
-			if a.FromCopy {
+			if a.From != nil {
 				return nil, &NotRunError{Reason: Busy, Err: io.ErrClosedPipe}
 			}
 			return streams(130, beat, nil)(ctx, a)
@@ -157,7 +157,7 @@
 		_, err := runStream(t, b, streamRequest())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		for _, a := range b.backend.sent() {
-			g.Expect(a.FromCopy).To(gomega.BeFalse())
+			g.Expect(a.From).To(gomega.BeNil())
 		}
 	})
 }
@@ -268,7 +268,7 @@
 
 // The server that holds a stream's copy begins to leave, and seconds later the
 // stream's own server is lost. The leaving server gets nothing new, not even
-// the stream that it holds a copy of: the prompt is read again elsewhere.
+// the stream that it holds a copy of.
 func TestCopyOnALeavingServerIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -289,3 +289,25 @@
 		g.Expect(sent[1].Server).NotTo(gomega.Equal(sent[0].CopyTo))
 	})
 }
+
+// A zone is lost with the copies of streams that run in another one. Seconds
+// later that zone is lost too. The streams go on from new copies, within the
+// pause that is allowed.
+func TestCopyIsReplacedWhenItsServerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(firstOf(streams(100, beat, io.ErrUnexpectedEOF), streams(130, beat, nil)), "a1", "b1", "c1")
+		b.backend.scripts["c1"] = b.backend.scripts["a1"]
+		time.AfterFunc(20*beat, func() { b.backend.sent()[0].CopyTo.Lost(time.Now()) })
+		sink, err := runStream(t, b, streamRequest())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+		g.Expect(b.backend.copies).To(gomega.HaveLen(1))
+		sent := b.backend.sent()
+		g.Expect(sent).To(gomega.HaveLen(2))
+		g.Expect(sent[1].Server).To(gomega.Equal(b.backend.copies[0]))
+		g.Expect(sent[1].From.Handle).To(gomega.Equal("h"))
+		g.Expect(sent[1].From.Source).To(gomega.Equal(sent[0].Server))
+		g.Expect(sink.longest).To(gomega.BeNumerically("<", 100*time.Millisecond))
+	})
+}
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -35,7 +35,7 @@
 	w.mu.Lock()
 	w.arm(e.opts.Timings.ProbeAfter)
 	w.mu.Unlock()
-	go w.untilDown(server.Down())
+	go w.untilDown(server.Try())
 	return w
 }
 
--- a/site/config.go
+++ b/site/config.go
@@ -103,6 +103,8 @@
 	MaxConns int // connections that one backend server accepts from all callers
 	// Copies: a running stream's prompt memory can be copied to another backend server.
 	Copies bool
+	// CopiesOnCall: such a copy can also be asked for while the stream runs.
+	CopiesOnCall bool
 }
 
 // Organisation is the holder of keys.
