--- /dev/null
+++ b/soak/checks.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pearyard/pearyard/standin/nursery"
+)
+
+// leaveWithin is when a leaving server must get no new work any more.
+const leaveWithin = 2 * time.Second
+
+// Broken returns each promise that was broken, in words.
+func Broken(calls []Call, runs []nursery.Run) []string {
+	var broken []string
+	ran := map[string][]nursery.Run{}
+	for _, r := range runs {
+		ran[r.Request] = append(ran[r.Request], r)
+	}
+	seen := map[string]bool{}
+	for _, c := range calls {
+		seen[c.ID] = true
+		broken = append(broken, checkCall(c, ran[c.ID])...)
+	}
+	for id, list := range ran {
+		if !seen[id] {
+			broken = append(broken, "a server ran a request that nobody sent: "+id)
+		}
+		broken = append(broken, checkRuns(id, list)...)
+	}
+	return broken
+}
+
+func checkCall(c Call, runs []nursery.Run) []string {
+	var broken []string
+	say := func(format string, args ...any) {
+		broken = append(broken, fmt.Sprintf("%s %s at %s: ", c.ID, c.Path, c.VM)+fmt.Sprintf(format, args...))
+	}
+	if c.Wrong != "" {
+		say("%s", c.Wrong)
+	}
+	if c.Status == 200 && c.Whole && len(runs) == 0 {
+		say("answered without a run")
+	}
+	if notRun(c.Status) && len(runs) > 0 && !strings.HasPrefix(c.Path, "/any/") {
+		say("answered %d though it has run", c.Status)
+	}
+	if c.Status == 400 || c.Status == 401 || c.Status == 404 {
+		say("answered %d though it is allowed", c.Status)
+	}
+	if c.Status == 200 && !c.Whole && !strings.HasPrefix(c.Path, "/stream/") {
+		say("the answer is cut")
+	}
+	return broken
+}
+
+func notRun(status int) bool { return status == 429 || status == 503 || status == 408 || status == 421 }
+
+func checkRuns(id string, runs []nursery.Run) []string {
+	var broken []string
+	for _, r := range runs {
+		if !strings.HasSuffix(r.Target, id) {
+			broken = append(broken, fmt.Sprintf("%s ran with target %s", id, r.Target))
+		}
+		if r.Organisation != "org" {
+			broken = append(broken, fmt.Sprintf("%s ran for organisation %q", id, r.Organisation))
+		}
+	}
+	if len(runs) > 1 && strings.HasPrefix(runs[0].Target, "/once/") {
+		broken = append(broken, fmt.Sprintf("%s ran %d times, at most once allowed", id, len(runs)))
+	}
+	return broken
+}
+
+// CutByStop returns the calls that a planned stop has cut: taken by a process
+// that was stopping, and ended without an answer.
+func CutByStop(calls []Call) []Call {
+	var cut []Call
+	for _, c := range calls {
+		if c.Planned && c.Status != 0 && !c.Whole {
+			cut = append(cut, c)
+		}
+	}
+	return cut
+}
+
+// Late returns arrivals at a server later than allowed after it said that it leaves.
+func Late(arrivals []nursery.Run, server string, left time.Time) []nursery.Run {
+	var late []nursery.Run
+	for _, a := range arrivals {
+		if a.Server == server && a.At.After(left.Add(leaveWithin)) {
+			late = append(late, a)
+		}
+	}
+	return late
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/pearyard/pearyard/standin/nursery"
+)
+
+// Services and routes of the soak's site.
+const (
+	host         = "soak.example"
+	modelService = "llm"
+	plainService = "app"
+	models       = 6
+	apps         = 3
+)
+
+var zones = []string{"a", "b", "c"}
+
+// Site is entry VMs before stand-ins.
+type Site struct {
+	Store   *nursery.Store
+	Cloud   *nursery.Cloud
+	VMs     []*VM
+	Servers []*nursery.Server
+	proxies map[*nursery.Server]*Proxy
+
+	mu      sync.Mutex
+	version int
+	keys    []string // in force
+	extra   []string // paths of routes beyond the first ones
+}
+
+// NewSite starts a site with that many entry VMs; dir takes settings and logs.
+func NewSite(dir string, vms int) (*Site, error) {
+	store, err := nursery.NewStore()
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{Store: store, Cloud: nursery.NewCloud(store), proxies: map[*nursery.Server]*Proxy{}, keys: []string{"k0", "k1"}}
+	s.Configure(nil)
+	for i := range models + apps {
+		if err := s.addServer(i); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.addVMs(dir, vms)
+}
+
+func (s *Site) addServer(i int) error {
+	service := modelService
+	if i >= models {
+		service = plainService
+	}
+	var proxy *Proxy
+	var failed error
+	server, err := s.Cloud.NewServer(service, zones[i%len(zones)], func(own string) string {
+		if proxy, failed = NewProxy(own); failed != nil {
+			return own
+		}
+		return proxy.Address
+	})
+	if err != nil || failed != nil {
+		return fmt.Errorf("soak: server: %v, proxy: %v", err, failed)
+	}
+	s.Servers = append(s.Servers, server)
+	s.proxies[server] = proxy
+	return nil
+}
+
+func (s *Site) addVMs(dir string, n int) error {
+	peerPort, err := freePort("0.0.0.0")
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range min(n, 3) {
+		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", ipOf(i), peerPort+1))
+	}
+	for i := range n {
+		proxy, err := NewProxy(s.Store.Address)
+		if err != nil {
+			return err
+		}
+		vm, err := newVM(dir, i, zones[i%len(zones)], peerPort, seeds, proxy)
+		if err != nil {
+			return err
+		}
+		if err := vm.start(); err != nil {
+			return err
+		}
+		s.VMs = append(s.VMs, vm)
+	}
+	for _, vm := range s.VMs {
+		if err := vm.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Configure writes the next version of the configuration; change may alter keys
+// and extra routes first.
+func (s *Site) Configure(change func(keys, extra []string) ([]string, []string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if change != nil {
+		s.keys, s.extra = change(s.keys, s.extra)
+	}
+	s.version += 3
+	routes := []string{
+		route("stream", "/stream/", "streaming", modelService, `"streamResume":true,"maxAttempts":5,"timeoutMs":8000,"targetLatencyMs":1000,"targetGapMs":700`),
+		route("once", "/once/", "non_idempotent", plainService, `"maxAttempts":1,"timeoutMs":2000,"targetLatencyMs":300`),
+		route("any", "/any/", "idempotent", plainService, `"maxAttempts":2,"timeoutMs":2000,"targetLatencyMs":300`),
+	}
+	for i, path := range s.extra {
+		routes = append(routes, route(fmt.Sprintf("extra-%d", i), path, "idempotent", plainService, `"maxAttempts":2,"timeoutMs":2000`))
+	}
+	keys, _ := json.Marshal(s.keys)
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"healthPath":"/healthz","inferenceEngine":{"backups":true,"moves":true}},`+
+		`{"name":%q,"healthPath":"/healthz"}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"org","apiKeys":%s}]}`,
+		s.version, strings.Join(routes, ","), modelService, plainService, keys)
+	s.Store.Put("op", "config", []byte(text))
+}
+
+func route(name, path, kind, service, more string) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"routeType":%q,"service":%q,%s}`, name, host, path, kind, service, more)
+}
+
+// Close ends every process that the site started, by its id.
+func (s *Site) Close() {
+	for _, vm := range s.VMs {
+		if vm.paused.Load() {
+			vm.resume()
+		}
+		vm.kill()
+		vm.store.Close()
+	}
+	for _, p := range s.proxies {
+		p.Close()
+	}
+	for _, server := range s.Servers {
+		server.Crash()
+	}
+	s.Store.Close()
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/entry"
+)
+
+var (
+	seeds  = flag.Int("soak.seeds", 2, "how many seeds the soak plays")
+	first  = flag.Uint64("soak.first", 1, "the first seed; 0: by the time of day")
+	length = flag.Duration("soak.length", 4*time.Second, "how long troubles go on in a run")
+	beside = flag.Int("soak.beside", 2, "runs side by side")
+)
+
+// TestMain lets the test binary be the program that the soak starts.
+func TestMain(m *testing.M) {
+	if os.Getenv(Program) != "" {
+		os.Exit(entry.Main(os.Args[:1], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// Whatever order of troubles a seed gives, no promise is broken, and when the
+// troubles are over callers are served again.
+func TestSeeds(t *testing.T) {
+	from := *first
+	if from == 0 {
+		from = uint64(time.Now().UnixNano())
+	}
+	slots := make(chan struct{}, *beside)
+	var wg sync.WaitGroup
+	for i := range *seeds {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			play(t, from+uint64(i))
+		})
+	}
+	wg.Wait()
+}
+
+func play(t *testing.T, seed uint64) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	result, err := Run(dir, seed, *length)
+	if err != nil {
+		t.Errorf("seed %d: %v", seed, err)
+		return
+	}
+	t.Log(result)
+	if len(result.Broken) == 0 {
+		_ = os.RemoveAll(dir)
+		return
+	}
+	t.Errorf("%v; logs in %s\n%s\n%s", result, dir, strings.Join(result.Broken[:min(10, len(result.Broken))], "\n"), strings.Join(result.Story, "\n"))
+}
+
+func newSite(t *testing.T, vms int) *Site {
+	t.Helper()
+	site, err := NewSite(t.TempDir(), vms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	return site
+}
+
+// sendTo sends one request with a key and returns what became of it.
+func sendTo(site *Site, vm *VM, path, key string) Call {
+	c := Call{ID: strings.TrimLeft(path[strings.LastIndexByte(path, '/'):], "/"), Path: path, VM: vm.Name}
+	callers := NewCallers(site)
+	callers.send(vm, &c, key)
+	callers.client.CloseIdleConnections()
+	return c
+}
+
+// The whole path as processes: a stream outlives its server, a planned stop
+// cuts nothing, and a change of the configuration is in force in time.
+func TestWholePath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site := newSite(t, 2)
+
+	// A stream outlives its server.
+	running := make(chan Call, 1)
+	go func() { running <- sendTo(site, site.VMs[0], "/stream/s1", "k0") }()
+	g.Eventually(site.Cloud.Ledger.Runs, "5s", "5ms").Should(gomega.HaveLen(1))
+	time.Sleep(150 * time.Millisecond)
+	ran := site.Cloud.Ledger.Runs()[0].Server
+	for _, server := range site.Servers {
+		if server.ID() == ran {
+			server.Crash()
+		}
+	}
+	call := <-running
+	g.Expect(call.Wrong).To(gomega.BeEmpty())
+	g.Expect(call.Whole).To(gomega.BeTrue())
+	g.Expect(site.Cloud.Ledger.Runs()).To(gomega.HaveLen(2))
+
+	// A planned stop cuts nothing.
+	go func() { running <- sendTo(site, site.VMs[1], "/stream/s2", "k0") }()
+	g.Eventually(site.Cloud.Ledger.Runs, "5s", "5ms").Should(gomega.HaveLen(3))
+	site.VMs[1].terminate()
+	call = <-running
+	g.Expect(call.Whole && call.Wrong == "").To(gomega.BeTrue(), "%+v", call)
+
+	// A new route and a revoked key are in force in time.
+	site.Configure(func([]string, []string) ([]string, []string) { return []string{"k1"}, []string{"/extra/"} })
+	time.Sleep(2 * time.Second)
+	g.Expect(sendTo(site, site.VMs[0], "/any/c1", "k0").Status).To(gomega.Equal(401))
+	g.Expect(sendTo(site, site.VMs[0], "/extra/c2", "k1").Status).To(gomega.Equal(200))
+	g.Expect(sendTo(site, site.VMs[0], "/none/c3", "k1").Status).To(gomega.Equal(404))
+}
+
+// A server says that it leaves. Seconds later nothing new reaches it, however
+// busy the site is.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site := newSite(t, 2)
+	leaving := site.Servers[0]
+	id := leaving.ID()
+	left := time.Now()
+	leaving.Drain()
+	for n := 0; time.Since(left) < leaveWithin+time.Second; n++ {
+		sendTo(site, site.VMs[n%2], "/stream/l"+string(rune('a'+n%26))+time.Now().Format("150405.000000"), "k0")
+	}
+	g.Expect(Late(site.Cloud.Ledger.Arrivals(), id, left)).To(gomega.BeEmpty())
+}
--- /dev/null
+++ b/standin/nursery/server.go
@@ -0,0 +1,286 @@
+package nursery
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Sizes and speeds of a stand-in server, some ten times those of a real one.
+const (
+	Events      = 40 // of a stream
+	eventGap    = 8 * time.Millisecond
+	readPrompt  = 60 * time.Millisecond
+	plainWork   = 10 * time.Millisecond
+	queueLength = 64
+)
+
+// Run is one run of a request on a server.
+type Run struct {
+	Request, Server, Target, Organisation string
+	At                                    time.Time
+	After                                 int // event after which it went on
+}
+
+// Ledger notes what servers ran, for the checks.
+type Ledger struct {
+	mu       sync.Mutex
+	runs     []Run
+	arrivals []Run // also those that were refused
+}
+
+// Runs returns what ran so far.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
+// Arrivals returns what reached servers so far.
+func (l *Ledger) Arrivals() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.arrivals...)
+}
+
+// Server is one backend server at a fixed address; each start has another id.
+type Server struct {
+	Service, Zone string
+	// Address is what the store lists: that of a proxy in front of it, or its own.
+	Address string
+
+	cloud *Cloud
+	mu    sync.Mutex
+	id    string
+	http  *http.Server
+	busy  atomic.Int64
+	// LostAnswers is the share of a thousand answers that are cut after the run.
+	LostAnswers atomic.Int64
+	answers     atomic.Int64
+	listen      string
+	draining    bool
+	drainAt     time.Time
+}
+
+// Cloud is all servers with the store that lists them and the copies they hold.
+type Cloud struct {
+	Store  *Store
+	Ledger *Ledger
+
+	mu     sync.Mutex
+	copies map[string]int // by address/run or address/handle: events made
+	next   atomic.Int64
+}
+
+// NewCloud returns a cloud over a store.
+func NewCloud(store *Store) *Cloud {
+	return &Cloud{Store: store, Ledger: &Ledger{}, copies: map[string]int{}}
+}
+
+// NewServer starts a server; front returns the address under which it is
+// listed, given its own.
+func (c *Cloud) NewServer(service, zone string, front func(own string) string) (*Server, error) {
+	s := &Server{Service: service, Zone: zone, cloud: c}
+	if err := s.start("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	s.Address = front(s.listen)
+	s.register()
+	return s, nil
+}
+
+func (s *Server) start(address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listen = listener.Addr().String()
+	s.id = fmt.Sprintf("i-%04d", s.cloud.next.Add(1))
+	s.draining = false
+	server := &http.Server{Handler: s.handler(s.id)}
+	s.http = server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// ID returns the id of the present start.
+func (s *Server) ID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
+func (s *Server) register() {
+	s.mu.Lock()
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	id := s.id
+	s.mu.Unlock()
+	entry, _ := json.Marshal(map[string]any{
+		"service": s.Service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": queueLength,
+		"state": state, "coldRemainingMs": 0, "seq": 1,
+	})
+	s.cloud.Store.Put("servers", id, entry)
+}
+
+// Crash ends the process with all its connections; its entry stays for a while.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	server := s.http
+	s.mu.Unlock()
+	_ = server.Close()
+}
+
+// Restart starts it again at the same address under another id.
+func (s *Server) Restart() error {
+	old := s.ID()
+	s.mu.Lock()
+	address := s.listen
+	s.mu.Unlock()
+	if err := s.start(address); err != nil {
+		return err
+	}
+	s.cloud.Store.Remove("servers", old)
+	s.register()
+	return nil
+}
+
+// Drain reports that it leaves; it goes on serving what comes.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.draining, s.drainAt = true, time.Now()
+	s.mu.Unlock()
+	s.register()
+}
+
+// DrainedFor returns for how long it has been leaving; 0: it isn't.
+func (s *Server) DrainedFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.draining {
+		return 0
+	}
+	return time.Since(s.drainAt)
+}
+
+func (s *Server) handler(id string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /pearyard/report", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"phase":"unified"}`)
+	})
+	mux.HandleFunc("POST /pearyard/kv-move", s.move)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(id, w, r) })
+	return mux
+}
+
+func (s *Server) move(w http.ResponseWriter, r *http.Request) {
+	var body struct{ ID, To string }
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	handle := "h" + body.ID
+	s.cloud.mu.Lock()
+	s.cloud.copies[body.To+"|"+s.Address+"/"+handle] = 0
+	s.cloud.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "created": 0})
+}
+
+// serve answers one request as a backend server does.
+func (s *Server) serve(id string, w http.ResponseWriter, r *http.Request) {
+	request := r.Header.Get("Attempt-Id")
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	run := Run{Request: request, Server: id, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), After: after}
+	s.cloud.Ledger.note(&s.cloud.Ledger.arrivals, run)
+	w.Header().Set("Attempt-Id", request)
+	if want := r.Header.Get("Target-Instance"); want != "" && want != id {
+		w.Header().Set("Instance-Id", id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if from := r.Header.Get("Kv-From"); from != "" && !s.cloud.holds(s.Address, from) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if s.busy.Add(1) > queueLength {
+		s.busy.Add(-1)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.busy.Add(-1)
+	s.cloud.Ledger.note(&s.cloud.Ledger.runs, run)
+	w.Header().Set("Response-Signature", id+"."+request)
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		s.stream(w, r, after)
+		return
+	}
+	s.plain(w, r)
+}
+
+func (l *Ledger) note(list *[]Run, run Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*list = append(*list, run)
+}
+
+// holds tells whether a copy lies at an address.
+func (c *Cloud) holds(at, from string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, grown := c.copies[from]
+	_, asked := c.copies[at+"|"+from]
+	return grown || asked
+}
+
+func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	time.Sleep(plainWork)
+	if share := s.LostAnswers.Load(); share > 0 && s.answers.Add(1)*share%1000 < share {
+		panic(http.ErrAbortHandler)
+	}
+	answer := PlainAnswer(r.RequestURI, body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer)
+}
+
+// PlainAnswer is what a server answers to a plain request.
+func PlainAnswer(target string, body []byte) string {
+	return fmt.Sprintf("answer to %s of %d bytes", target, len(body))
+}
+
+// EventText is the data of an event of a stream.
+func EventText(target string, n int) string { return fmt.Sprintf("part %d of %s", n, target) }
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, after int) {
+	if backup := r.Header.Get("Kv-Backup"); backup != "" {
+		s.cloud.mu.Lock()
+		s.cloud.copies[backup+"/"+r.Header.Get("Attempt-Id")] = after
+		s.cloud.mu.Unlock()
+	}
+	if r.Header.Get("Kv-From") == "" {
+		time.Sleep(readPrompt)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for n := after + 1; n <= Events; n++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventGap):
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
+			return
+		}
+		_ = flush.Flush()
+	}
+}
