exchange, directory, fleet: servers that come back while the store is away; lists of peers say whether they are settled

Cause: (1) a crash during an outage of the store took a server out until the outage was over: its new id is listed nowhere else. Change: (1) while the store is away, the address of a lost server is asked for the id that answers there, within the time in which it can't be another service's, by both clocks; others are told by a datagram. (2) A peer's list says whether the store had been away for the peer. Ruled out on the way: found servers got no work at first, since noting their former start's end again dated the zone's loss anew; that time stands now. Tests: TestListOfAPeer, TestServerThatIsFoundAgainIsUsed.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -238,11 +238,39 @@
 }
 
 // A process that the store turns away gets the list from a peer that the store
-// answers. What is missing from it is gone, not lapsed.
-func TestListOfAPeerIsNotForgiven(t *testing.T) {
+// answers: what is missing from it is gone. After an outage for all, the first
+// list that a peer has lacks every server whose entry lapsed: dropping them left
+// two thirds of the servers idle for two seconds.
+func TestListOfAPeer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d := withServers("a1", "a2")
+	d := withServers("a1", "a2", "a3")
 	f := &Follower{Directory: d, Recorder: event.Discard()}
-	f.Take(2, listing("a1"), "peer")
-	g.Expect(d.View().Len()).To(gomega.Equal(1))
+	f.Take(2, listing("a1", "a2"), true, "peer")
+	g.Expect(d.View().Len()).To(gomega.Equal(2))
+	f.Take(3, listing("a1"), false, "peer")
+	g.Expect(d.View().Len()).To(gomega.Equal(2))
+	g.Expect(f.Settled()).To(gomega.BeFalse(), "a2 is awaited")
+}
+
+// The store is away; a server crashes, is started again, and is found under its
+// new id. It is used at once: the loss of its former start is older than it, and
+// its zone's loss says nothing about it.
+func TestServerThatIsFoundAgainIsUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2", "b1")
+	lost := time.Now()
+	d.server("a1").Lost(lost)
+	d.server("a2").Lost(lost)
+	busy := d.server("b1").StreamBegun(8000)
+	defer busy.End()
+	found := lost.Add(1300 * time.Millisecond)
+	g.Expect(d.Adopt(d.server("a1"), "a1-again", found)).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(Hash("a2"), "a2-again", found.Add(time.Millisecond))).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(Hash("a2"), "a2-again", found)).To(gomega.BeFalse())
+	got := map[string]bool{}
+	for range 50 {
+		got[d.Pick(Query{Service: "s", Zone: "a"}, found.Add(10*time.Millisecond)).ID] = true
+	}
+	g.Expect(got).To(gomega.Equal(map[string]bool{"a1-again": true, "a2-again": true}))
+	g.Expect(d.server("a1-again").Address).To(gomega.Equal("a1"))
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -50,7 +50,7 @@
 	Failed    func(ctx context.Context) // called after each failure; it may ask peers
 	Share     follow.Share              // may be nil
 
-	loop     *follow.Loop
+	loop     atomic.Pointer[follow.Loop]
 	listedAt time.Time
 	position uint64      // up to which changes were read
 	kept     atomic.Bool // servers are in use that the newest list does not have
@@ -58,17 +58,26 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.loop = &follow.Loop{
+	loop := &follow.Loop{
 		Read: f.list, Next: f.changes, Wait: longPoll, Pace: pace, Share: f.Share, Failed: f.Failed,
 		MustRead: func() bool { return f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery },
+		// A peer's word does not tell which of the entries that are awaited are gone.
+		MayCover: func() bool { return !f.kept.Load() },
 		Lost:     func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.listedAt)) },
 		Regained: func(failures int) { f.Recorder.Emit(EventListRegained, "failures", failures) },
 	}
-	return f.loop.Run(ctx)
+	f.loop.Store(loop)
+	return loop.Run(ctx)
+}
+
+// Failing tells whether the store does not tell the list at the moment.
+func (f *Follower) Failing() bool {
+	loop := f.loop.Load()
+	return loop != nil && loop.Failing()
 }
 
 // forgiving tells whether entries that are missing may only have lapsed.
-func (f *Follower) forgiving() bool { return f.loop.FailedWithin(forgiveFor) }
+func (f *Follower) forgiving() bool { return f.loop.Load().FailedWithin(forgiveFor) }
 
 func (f *Follower) changes(ctx context.Context, wait time.Duration) error {
 	position, changed, gone, err := f.Source.Changes(ctx, f.position, wait)
@@ -111,9 +120,15 @@
 }
 
 // Take puts a list in force that a peer had from the store. What is missing
-// from it is gone: the peer read it from a store that answered.
-func (f *Follower) Take(position uint64, list []Listing, from string) {
-	f.take(position, list, false, from)
+// from it is gone if the list is settled: the store had not been away for the peer.
+func (f *Follower) Take(position uint64, list []Listing, settled bool, from string) {
+	f.take(position, list, !settled, from)
+}
+
+// Settled tells whether no entry of the newest list is awaited any more.
+func (f *Follower) Settled() bool {
+	loop := f.loop.Load()
+	return loop != nil && !loop.FailedWithin(forgiveFor) && !f.kept.Load()
 }
 
 // take puts a list in force and says what changed.
--- a/directory/server.go
+++ b/directory/server.go
@@ -133,11 +133,16 @@
 // Dead notes that the process behind this id has ended: its address refuses
 // connections or belongs to another start. Its id never comes back.
 func (s *Server) Dead(now time.Time) bool {
-	news := s.Lost(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dead = true
-	return news
+	if !s.downAt.IsZero() {
+		// The time of its loss stands: it dates the loss of its zone.
+		return false
+	}
+	s.downAt = now
+	close(s.down)
+	return true
 }
 
 func (s *Server) revive() {
@@ -165,6 +170,9 @@
 // Heard notes one more sign of life of a server that is in use. It takes no lock.
 func (s *Server) Heard(now time.Time) { s.provenAt.Store(now.UnixNano()) }
 
+// LastSign returns when it last gave a sign of life to this process.
+func (s *Server) LastSign() time.Time { return time.Unix(0, s.provenAt.Load()) }
+
 // provenSince tells whether it has given a sign of life after at.
 func (s *Server) provenSince(at time.Time) bool { return s.provenAt.Load() > at.UnixNano() }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,7 @@
 	e.fleet = fleet.New(fleet.Options{
 		Name: e.settings.Name, Address: e.settings.Peers, Seeds: e.settings.Seeds, Registry: store,
 		Holder: e.holder, Directory: e.directory, Decode: platform.DecodeConfig,
-		OfferConfig: e.config.Offer, OfferList: e.servers.Take, Client: client, Recorder: e.recorder,
+		OfferConfig: e.config.Offer, OfferList: e.servers.Take, Settled: e.servers.Settled, Client: client, Recorder: e.recorder,
 	})
 }
 
@@ -142,14 +142,31 @@
 func (e *Entry) newExchange() {
 	e.pool = httpconn.NewPool(httpconn.Options{MaxIdle: keepIdle})
 	s := e.settings
+	backend := platform.NewBackend(e.pool)
 	e.exchange = exchange.New(exchange.Options{
-		Zone: s.Zone, Directory: e.directory, Backend: platform.NewBackend(e.pool), Services: e.service,
+		Restarts: e.restarts(backend),
+		Zone:     s.Zone, Directory: e.directory, Backend: backend, Services: e.service,
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryShare * s.RetryRatio,
 		RetryExtra: func() float64 { return retryShare * s.RetryExtra / float64(e.fleet.Size()) },
 	})
 }
 
+// restarts finds backend servers that come back while the store is away.
+func (e *Entry) restarts(backend *platform.Backend) *exchange.Restarts {
+	found := fleet.NewRestarts(e.socket, e.directory)
+	return &exchange.Restarts{
+		Reuse: e.settings.AddressReuse, Away: e.servers.Failing, Found: found.Found,
+		Identify: func(ctx context.Context, s *directory.Server) (string, error) {
+			service, ok := e.service(s.Service)
+			if !ok || service.HealthPath == "" {
+				return "", errors.Errorf("entry: service %q has no health path", s.Service)
+			}
+			return backend.Identify(ctx, s, service.HealthPath)
+		},
+	}
+}
+
 func (e *Entry) service(name string) (site.Service, bool) {
 	config := e.holder.Config()
 	if config == nil {
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -20,6 +20,8 @@
 		"a backend server does not answer; it gets nothing until it gives a sign of life", "nothing, unless its zone loses several")
 	EventQuarantined = event.Define(2727, "exchange_quarantined", event.Warn,
 		"a request was refused because the same request crashed several backend servers", "tell the organisation whose request it is")
+	EventRestarted = event.Define(2730, "exchange_server_restarted", event.Info,
+		"a backend server was started again while the store does not tell of it; it is used under its new id", "nothing")
 	EventCopied = event.Define(2729, "exchange_copied", event.Info,
 		"the server that held the copy of a stream's memory is lost or leaves; another copy was asked for", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -31,6 +31,9 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetryExtra  func() float64
+	// Restarts, if set, finds servers that were started again while the store
+	// doesn't tell of them.
+	Restarts *Restarts
 }
 
 // Timings of an Exchange; zero fields take the defaults.
@@ -181,12 +184,14 @@
 // ended notes that the process behind a server's id has ended.
 func (e *Exchange) ended(s *directory.Server, err error) {
 	if s.Dead(time.Now()) {
+		e.opts.Restarts.lookFor(e, s)
 		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
 	}
 }
 
 func (e *Exchange) lost(s *directory.Server, err error) {
 	if s.Lost(time.Now()) {
+		e.opts.Restarts.lookFor(e, s)
 		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
 	}
 }
--- /dev/null
+++ b/exchange/restarts.go
@@ -0,0 +1,75 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/pearyard/pearyard/directory"
+)
+
+// Restarts finds servers that crashed and were started again while the store is
+// away. Each start has a new id, which the store alone lists; without it every
+// crash during an outage takes a server out until the outage is over, and two
+// zones' losses leave half of them.
+//
+// A server's address may be given to another service, but not sooner than
+// Reuse after its end. A process that answers there within Reuse of the last
+// sign of life of the former one is therefore of the same service. Both clocks
+// must say so: the steady one stands still while this VM is suspended.
+type Restarts struct {
+	// Reuse is how long an address stays unused by other services.
+	Reuse time.Duration
+	// Away tells whether the store doesn't tell the list at the moment.
+	Away func() bool
+	// Identify asks for the id of the process at a server's address.
+	Identify func(ctx context.Context, s *directory.Server) (string, error)
+	// Found is told of a restart.
+	Found func(old *directory.Server, id string)
+}
+
+const (
+	// restartLook is the time between two questions, restartFirst that before
+	// the first one: a process takes about a second to come back.
+	restartLook  = 150 * time.Millisecond
+	restartFirst = 1050 * time.Millisecond
+	// reuseMargin is kept free before the address may be another service's.
+	reuseMargin = 100 * time.Millisecond
+)
+
+// lookFor watches the address of a server that has just been lost.
+func (r *Restarts) lookFor(e *Exchange, s *directory.Server) {
+	if r == nil || r.Reuse <= 0 {
+		return
+	}
+	sign := s.LastSign()
+	steady := time.Now().Add(-time.Since(sign))
+	go func() {
+		time.Sleep(time.Until(steady.Add(restartFirst)))
+		for r.within(sign, steady) {
+			if r.Away() && r.ask(e, s, sign, steady) {
+				return
+			}
+			time.Sleep(restartLook)
+		}
+	}()
+}
+
+// within tells whether a process that answers now must be of the same service.
+func (r *Restarts) within(sign, steady time.Time) bool {
+	limit := r.Reuse - reuseMargin
+	return time.Since(steady) < limit && time.Now().Round(0).Sub(sign.Round(0)) < limit
+}
+
+func (r *Restarts) ask(e *Exchange, s *directory.Server, sign, steady time.Time) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
+	defer cancel()
+	e.metrics.probes.Inc()
+	id, err := r.Identify(ctx, s)
+	if err != nil || id == "" || id == s.ID || !r.within(sign, steady) {
+		// It is not back yet; the server's loss has been told already.
+		return false
+	}
+	e.opts.Recorder.Emit(EventRestarted, "server", s.ID, "now", id, "service", s.Service, "zone", s.Zone, "since", time.Since(steady))
+	r.Found(s, id)
+	return true
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -56,9 +56,11 @@
 	Decode func(position uint64, raw []byte) (*site.Versioned, error)
 	// OfferConfig and OfferList put in force what a peer told.
 	OfferConfig func(v *site.Versioned, from string)
-	OfferList   func(position uint64, list []directory.Listing, from string)
-	Client      *http.Client
-	Recorder    *event.Recorder
+	OfferList   func(position uint64, list []directory.Listing, settled bool, from string)
+	// Settled tells whether the list here was read from a store that had not been away.
+	Settled  func() bool
+	Client   *http.Client
+	Recorder *event.Recorder
 }
 
 // Fleet knows the other entry VMs.
@@ -174,7 +176,7 @@
 		f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
 	}
 	if answer.GetListPosition() > f.opts.Directory.View().Position {
-		f.opts.OfferList(answer.GetListPosition(), listings(answer.GetServers()), peer)
+		f.opts.OfferList(answer.GetListPosition(), listings(answer.GetServers()), answer.GetSettled(), peer)
 	}
 }
 
@@ -188,7 +190,7 @@
 		answer.ConfigPosition, answer.Config = v.Position, v.Raw
 	}
 	if view := f.opts.Directory.View(); view.Position > r.GetListPosition() {
-		answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
+		answer.ListPosition, answer.Servers, answer.Settled = view.Position, wire(view.Listings), f.opts.Settled()
 	}
 	return answer, nil
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -54,7 +54,7 @@
 	t.Cleanup(v.server.Close)
 	v.Fleet = New(Options{
 		Name: name, Address: strings.TrimPrefix(v.server.URL, "http://"), Seeds: seeds, Registry: &fakeRegistry{rows: map[string][]byte{}},
-		Holder: v.holder, Directory: v.dir, Decode: decode1, OfferConfig: config.Offer, OfferList: servers.Take,
+		Holder: v.holder, Directory: v.dir, Decode: decode1, OfferConfig: config.Offer, OfferList: servers.Take, Settled: func() bool { return true },
 		Client: &http.Client{Timeout: time.Second}, Recorder: event.Discard(),
 	})
 	mux.Handle("/", v.Handler())
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -11,11 +11,13 @@
 // life of the sender (8, grows with each start), sequence number (4). Loads:
 // number of loads (2), number of lost servers (2), for each load server (4),
 // streams (1), copies (1), prompt tokens in units (2), for each lost server 4
-// bytes. Words: flags (1), places of configuration and list (8 each). JSON would
+// bytes. Words: flags (1), places of configuration and list (8 each). Restarts: server (4),
+// its new id. JSON would
 // be three times as long, and bytes between zones are priced.
 const (
-	kindLoads kind = 1
-	kindWord  kind = 2
+	kindLoads   kind = 1
+	kindWord    kind = 2
+	kindRestart kind = 3
 
 	headBytes  = 13
 	countBytes = 4
@@ -149,3 +151,17 @@
 		config: binary.BigEndian.Uint64(raw[1:]), listed: binary.BigEndian.Uint64(raw[9:]),
 	}, true
 }
+
+func encodeRestart(server uint32, id string) body {
+	return body{kindRestart, append(binary.BigEndian.AppendUint32(nil, server), id...)}
+}
+
+func decodeRestart(raw []byte) (server uint32, id string, ok bool) {
+	if len(raw) <= lostBytes || len(raw) > maxID+lostBytes {
+		return 0, "", false
+	}
+	return binary.BigEndian.Uint32(raw), string(raw[lostBytes:]), true
+}
+
+// maxID bounds the id of a server.
+const maxID = 200
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pearyard/pearyard/retry"
@@ -44,6 +45,9 @@
 	// MustRead tells whether a wait for changes would miss something.
 	MustRead func() bool
 
+	// MayCover tells whether others' word can stand for a question of this process's own.
+	MayCover func() bool
+
 	// Wait is how long a question waits at the store. A connection that went
 	// silent is noticed this much later at most, plus half a second.
 	Wait time.Duration
@@ -57,11 +61,12 @@
 	Lost     func(err error)
 	Regained func(failures int)
 
-	failures    int
-	lastFailure time.Time
-	grace       time.Duration
-	begun       bool // there has been an answer
-	stale       bool // others have read since this process did
+	failing  atomic.Bool
+	failedAt atomic.Int64 // Unix nanoseconds of the newest failure; 0: none
+	failures int
+	grace    time.Duration
+	begun    bool // there has been an answer
+	stale    bool // others have read since this process did
 }
 
 // Run follows until ctx ends.
@@ -82,14 +87,19 @@
 	return ctx.Err()
 }
 
-// FailedWithin tells whether the store has failed at most d ago.
+// Failing tells whether the newest question failed; it may be called from anywhere.
+func (l *Loop) Failing() bool { return l.failing.Load() }
+
+// FailedWithin tells whether the store has failed at most d ago; it may be
+// called from anywhere.
 func (l *Loop) FailedWithin(d time.Duration) bool {
-	return l.failures > 0 || (!l.lastFailure.IsZero() && time.Since(l.lastFailure) < d)
+	at := l.failedAt.Load()
+	return l.Failing() || (at != 0 && time.Since(time.Unix(0, at)) < d)
 }
 
 // covered waits while others' word stands for a question of this process's own.
 func (l *Loop) covered(ctx context.Context) bool {
-	if l.Share == nil || !l.begun {
+	if l.Share == nil || !l.begun || (l.MayCover != nil && !l.MayCover()) {
 		return false
 	}
 	wait := l.Share.Covered()
@@ -122,6 +132,7 @@
 	if l.failures >= lostAfter && l.Regained != nil {
 		l.Regained(l.failures)
 	}
+	l.failing.Store(false)
 	l.failures, l.begun, l.stale = 0, true, false
 	l.grace = max(pollGrace, l.grace/2)
 	if l.Share != nil {
@@ -133,8 +144,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	l.failing.Store(true)
 	l.failures++
-	l.lastFailure = time.Now()
+	l.failedAt.Store(time.Now().UnixNano())
 	l.grace = min(maxGrace, l.grace*2)
 	if l.failures == lostAfter && l.Lost != nil {
 		l.Lost(err)
--- a/site/config.go
+++ b/site/config.go
@@ -99,8 +99,9 @@
 
 // Service is a kind of backend server.
 type Service struct {
-	Name     string
-	MaxConns int // connections that one backend server accepts from all callers
+	Name       string
+	HealthPath string // answers with the id of the process; empty: none
+	MaxConns   int    // connections that one backend server accepts from all callers
 	// Copies: a running stream's prompt memory can be copied to another backend server.
 	Copies bool
 	// CopiesOnCall: such a copy can also be asked for while the stream runs.
