entry, soak: SIGHUP is ignored from the first line; the soak restarts what ends by itself

Change: SIGHUP is ignored before settings are read; the soak starts a process again that ended by itself, and holds it against the program unless a SIGHUP came within 300 ms of its start. Ruled out: a port in use (nothing in its log), a stop that hung (it took 2.5 s).

--- a/entry/main.go
+++ b/entry/main.go
@@ -22,6 +22,10 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// The platform tells of changed settings by SIGHUP. Nothing in them changes
+	// while a process lives, and the signal's default would end it. It may come
+	// in a process's first moments: this comes before all else.
+	signal.Ignore(syscall.SIGHUP)
 	code := 0
 	app := &cli.App{
 		Name:  "pearyard-entry",
@@ -64,8 +68,5 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	// The platform tells of changed settings by SIGHUP. Nothing in them changes
-	// while a process lives, and the signal's default would end it.
-	signal.Ignore(syscall.SIGHUP)
 	return 0, e.Run(ctx)
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,6 +54,11 @@
 	result.Calls = len(calls)
 	result.Broken = Broken(calls, site.Cloud.Ledger.Runs())
 	result.Broken = append(result.Broken, notRecovered(calls, after)...)
+	for _, vm := range site.VMs {
+		if n := vm.ownEnds.Load(); n > 0 {
+			result.Broken = append(result.Broken, fmt.Sprintf("%s ended by itself %d times", vm.Name, n))
+		}
+	}
 	for _, c := range calls {
 		if c.Status == 200 && c.Whole {
 			result.Served++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,17 @@
 	wg.Wait()
 }
 
+// failedSeeds have failed once. 123: a process got SIGHUP within its first
+// moments and died of it; the soak did not start it again as the platform does.
+var failedSeeds = []uint64{123}
+
+// What has failed once is played again.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	for _, seed := range failedSeeds {
+		play(t, seed)
+	}
+}
+
 func play(t *testing.T, seed uint64) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,11 +34,15 @@
 	dir     string
 	store   *Proxy // this VM's way to the store
 
+	mu       sync.Mutex // guards cmd and done
 	cmd      *exec.Cmd
 	done     chan struct{}
+	meant    atomic.Bool // the process that runs is being ended by the soak
 	stopping atomic.Bool // SIGTERM was sent to the process that runs
-	killed   atomic.Int64
 	paused   atomic.Bool
+	started  atomic.Int64 // Unix nanoseconds
+	hup      atomic.Int64 // of the newest SIGHUP
+	ownEnds  atomic.Int64 // processes that ended by themselves
 }
 
 // freePort returns a port that is free on ip now.
@@ -75,7 +80,8 @@
 func (vm *VM) settings() string { return filepath.Join(vm.dir, vm.Name+".yaml") }
 func (vm *VM) log() string      { return filepath.Join(vm.dir, vm.Name+".log") }
 
-// start runs the program.
+// start runs the program. As the platform does, it starts a process again that
+// ends by itself.
 func (vm *VM) start() error {
 	binary, err := os.Executable()
 	if err != nil {
@@ -86,21 +92,53 @@
 		return err
 	}
 	defer log.Close()
-	vm.cmd = exec.Command(binary)
-	vm.cmd.Env = append(os.Environ(), Program+"=1", "PEARYARD_SETTINGS="+vm.settings())
-	vm.cmd.Stdout, vm.cmd.Stderr = log, log
-	if err := vm.cmd.Start(); err != nil {
+	cmd := exec.Command(binary)
+	cmd.Env = append(os.Environ(), Program+"=1", "PEARYARD_SETTINGS="+vm.settings())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak: start")
 	}
+	done := make(chan struct{})
+	vm.mu.Lock()
+	vm.cmd, vm.done = cmd, done
+	vm.mu.Unlock()
 	vm.stopping.Store(false)
-	vm.done = make(chan struct{})
-	go func(cmd *exec.Cmd, done chan struct{}) {
-		_ = cmd.Wait()
-		close(done)
-	}(vm.cmd, vm.done)
+	vm.meant.Store(false)
+	vm.started.Store(time.Now().UnixNano())
+	go vm.reap(cmd, done)
 	return nil
 }
 
+const (
+	// restartDelay is that of the platform for a process that ended by itself.
+	restartDelay = 200 * time.Millisecond
+	// hupGrace: a signal in a process's first moments ends it before any of its
+	// own code runs. That is the system's doing, not the program's.
+	hupGrace = 300 * time.Millisecond
+)
+
+func (vm *VM) reap(cmd *exec.Cmd, done chan struct{}) {
+	_ = cmd.Wait()
+	close(done)
+	if vm.meant.Load() {
+		return
+	}
+	if early := vm.hup.Load() - vm.started.Load(); early < 0 || early > int64(hupGrace) {
+		vm.ownEnds.Add(1)
+	}
+	time.Sleep(restartDelay)
+	if !vm.meant.Load() {
+		_ = vm.start()
+	}
+}
+
+// process returns what runs and the channel that its end closes.
+func (vm *VM) process() (*exec.Cmd, chan struct{}) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.cmd, vm.done
+}
+
 // isReady asks as the platform does.
 func (vm *VM) isReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
@@ -121,21 +159,30 @@
 	return errors.Errorf("soak: %s does not get ready", vm.Name)
 }
 
-func (vm *VM) signal(s syscall.Signal) { _ = vm.cmd.Process.Signal(s) }
+func (vm *VM) signal(s syscall.Signal) {
+	cmd, _ := vm.process()
+	if s == syscall.SIGHUP {
+		vm.hup.Store(time.Now().UnixNano())
+	}
+	_ = cmd.Process.Signal(s)
+}
 
 // kill ends the process at once.
 func (vm *VM) kill() {
-	vm.killed.Store(time.Now().UnixNano())
+	vm.meant.Store(true)
 	vm.signal(syscall.SIGKILL)
-	<-vm.done
+	_, done := vm.process()
+	<-done
 }
 
 // terminate stops the process as planned and waits for its end.
 func (vm *VM) terminate() {
+	vm.meant.Store(true)
 	vm.stopping.Store(true)
 	vm.signal(syscall.SIGTERM)
+	_, done := vm.process()
 	select {
-	case <-vm.done:
+	case <-done:
 	case <-time.After(graceSeconds * time.Second):
 		vm.kill()
 	}
