--- a/directory/load.go
+++ b/directory/load.go
@@ -87,19 +87,3 @@
 	}
 	return count
 }
-
-// Crowd returns how many streams run on each sound server of a service.
-func (d *Directory) Crowd(service string, now time.Time) float64 {
-	sound, streams := 0, int64(0)
-	for _, s := range d.view.Load().Service(service) {
-		if s.Draining() || s.isDead() || s.IsDown(now) {
-			continue
-		}
-		sound++
-		streams += s.streams.Load() + s.otherStreams.Load()
-	}
-	if sound == 0 {
-		return 0
-	}
-	return float64(streams) / float64(sound)
-}
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -15,10 +15,6 @@
 	NotZone string
 	Prompt  int  // prompt tokens; 0 for plain calls
 	Copy    bool // a place for a copy of a stream's memory is looked for
-	Decode  bool // a place to go on with a stream whose prompt has been read elsewhere
-	// Crowded: streams are moved away from where prompts are read, and prompts
-	// kept away from where streams go on.
-	Crowded bool
 }
 
 // Weights of load, in prompt tokens. A step of an engine takes about as long
@@ -26,13 +22,6 @@
 // prompt read beside it by about as much as 300 tokens more would.
 const (
 	streamWeight = 800.0
-	// disturbWeight takes the place of streamWeight where streams are moved.
-	disturbWeight = 4000.0
-	// besideWeight: streams that go on together slow each other by 3% each.
-	besideWeight = 700.0
-	// openWeight keeps free servers free for prompts until about three streams
-	// go on together on each of the others.
-	openWeight = 2500.0
 	// tieWeight is how far chance may reorder servers.
 	tieWeight = 100.0
 	// copyWeight: a copy takes memory but no time until it is used.
@@ -115,11 +104,17 @@
 	return found
 }
 
-// score is the load that matters for what is looked for, in prompt tokens.
+func (q Query) copyWeight() float64 {
+	if q.Copy {
+		return copyBesideCopy
+	}
+	return copyWeight
+}
+
 func (s *Server) score(q Query, now time.Time) float64 {
-	score := float64(s.prefill.Load()+s.otherPrefill.Load()) + callWeight*float64(s.calls.Load()) + faultWeight*s.Faults(now)
-	score += q.streams(float64(s.streams.Load() + s.otherStreams.Load()))
-	score += q.copyWeight() * float64(s.copies.Load()+s.otherCopies.Load())
+	score := float64(s.prefill.Load()+s.otherPrefill.Load()) +
+		streamWeight*float64(s.streams.Load()+s.otherStreams.Load()) + callWeight*float64(s.calls.Load()) + q.copyWeight()*float64(s.copies.Load()+s.otherCopies.Load()) +
+		faultWeight*s.Faults(now)
 	// What a server told is older than what entry VMs tell each other of streams.
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
@@ -133,27 +128,6 @@
 	return score
 }
 
-// streams weighs the streams that a server runs.
-func (q Query) streams(n float64) float64 {
-	switch {
-	case q.Decode && n == 0:
-		return openWeight
-	case q.Decode:
-		return besideWeight * n
-	case q.Crowded && !q.Copy:
-		return disturbWeight * n
-	default:
-		return streamWeight * n
-	}
-}
-
-func (q Query) copyWeight() float64 {
-	if q.Copy {
-		return copyBesideCopy
-	}
-	return copyWeight
-}
-
 // losses holds, by zone, when its servers were lost lately.
 type losses map[string]*zoneLoss
 
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -22,8 +22,6 @@
 		"a request was refused because the same request crashed several backend servers", "tell the organisation whose request it is")
 	EventRestarted = event.Define(2730, "exchange_server_restarted", event.Info,
 		"a backend server was started again while the store does not tell of it; it is used under its new id", "nothing")
-	EventNotMoved = event.Define(2731, "exchange_not_moved", event.Info,
-		"a stream could not be moved away from where prompts are read; it stays", "nothing")
 	EventCopied = event.Define(2729, "exchange_copied", event.Info,
 		"the server that held the copy of a stream's memory is lost or leaves; another copy was asked for", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -11,7 +11,6 @@
 	resumeTime  prometheus.Histogram
 	attempts    *prometheus.CounterVec // by result
 	copies      prometheus.Counter
-	moves       prometheus.Histogram
 	probes      prometheus.Counter
 	budgetSpent prometheus.Counter
 }
@@ -41,14 +40,11 @@
 			Name: "pearyard_exchange_attempts_total", Help: "Sendings to backend servers by result."}, []string{"result"}),
 		copies: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_copies_again_total", Help: "Copies of streams' memory that were asked for because the former one's server was lost."}),
-		moves: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "pearyard_exchange_move_seconds", Help: "Time to copy the memory of a stream that moves, seconds.",
-			Buckets: prometheus.ExponentialBuckets(0.01, 2, 8)}),
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_probes_total", Help: "Questions to backend servers for a sign of life."}),
 		budgetSpent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_retry_budget_spent_total", Help: "Retries that the budget did not allow."}),
 	}
-	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.moves, m.copies, m.probes, m.budgetSpent)
+	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.copies, m.probes, m.budgetSpent)
 	return m
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -29,7 +29,6 @@
 	ran      int             // attempts that may have run
 	refused  int
 	resumed  int
-	paid     bool // the next sending's place in the budget has been taken
 	cause    error
 	lostZone string
 
@@ -80,9 +79,6 @@
 		if err == nil {
 			return nil
 		}
-		if s.isMoved(err) && ctx.Err() == nil {
-			continue
-		}
 		if ctx.Err() != nil {
 			return s.failure(ctx, err)
 		}
@@ -158,10 +154,9 @@
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
 func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
-	if s.arrivals > 0 && !s.paid && !s.e.allowRetry(s.req.Service) {
+	if s.arrivals > 0 && !s.e.allowRetry(s.req.Service) {
 		return nil, nil, ErrBudget
 	}
-	s.paid = false
 	if m := s.copies.take(); m != nil && !s.tried[m.At.ID] && s.e.opts.Directory.Usable(m.At, time.Now()) {
 		return m.At, m, nil
 	}
@@ -186,7 +181,6 @@
 func (s *stream) pick() *directory.Server {
 	return s.e.opts.Directory.Pick(directory.Query{
 		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: s.tried, Prompt: s.req.PromptTokens, NotZone: s.lostZone,
-		Crowded: s.e.crowded(s.req.Service),
 	}, time.Now())
 }
 
@@ -202,11 +196,7 @@
 	w := newWatch(ctx, s.e, server)
 	defer w.end()
 	began := time.Now()
-	move := s.mayMove(from)
-	var copyTo *directory.Server
-	if !move {
-		copyTo = s.placeCopy(server)
-	}
+	copyTo := s.placeCopy(server)
 	answer, err := s.e.opts.Backend.Open(w.ctx, &Attempt{
 		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: copyTo, From: from,
 	})
@@ -217,7 +207,7 @@
 	if answer.Status >= 300 || answer.Status < 200 {
 		return s.statusOf(answer)
 	}
-	return s.passEvents(w, running, answer, from, move)
+	return s.passEvents(w, running, answer, from)
 }
 
 // after names the event after which the next attempt goes on.
@@ -253,7 +243,7 @@
 }
 
 // passEvents passes events on until the stream's end.
-func (s *stream) passEvents(w *watch, running *directory.Running, a *Answer, from *Memory, move bool) error {
+func (s *stream) passEvents(w *watch, running *directory.Running, a *Answer, from *Memory) error {
 	events := newEventReader(a.Body)
 	first := true
 	for {
@@ -272,11 +262,7 @@
 			first = false
 			running.Read()
 			s.started(from)
-			if move {
-				go s.move(w, s.server)
-			} else {
-				go s.keepCopy(w.ctx, s.server)
-			}
+			go s.keepCopy(w.ctx, s.server)
 		}
 		if err := s.pass(a, ev); err != nil {
 			return err
@@ -292,10 +278,7 @@
 	}
 	s.resumed++
 	how := "prompt_read_again"
-	switch {
-	case from != nil && s.resumed == 0 && s.cause == nil:
-		how = "move"
-	case from != nil:
+	if from != nil {
 		how = "copy"
 	}
 	since := s.lastAt
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -119,9 +119,6 @@
 		return err
 	}
 	cause := context.Cause(w.ctx)
-	if errors.Is(cause, errMoved) {
-		return errMoved
-	}
 	if errors.Is(cause, ErrSilent) || errors.Is(cause, ErrServerLost) {
 		return &BrokenError{Err: cause}
 	}
--- a/retry/window.go
+++ b/retry/window.go
@@ -61,19 +61,6 @@
 	return true
 }
 
-// AllowShare counts a retry that could be done without, if no more than a share
-// of the bound is used: it must not take the place of one that is needed.
-func (w *Window) AllowShare(share float64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := w.advance()
-	if sum(&w.again)+1 > share*(w.ratio*sum(&w.first)+w.extra) {
-		return false
-	}
-	w.again[i]++
-	return true
-}
-
 // advance empties the slots that time has passed and returns the current one.
 func (w *Window) advance() int {
 	slot := int64(w.now().Sub(w.zero) / w.slot)
