fleet, exchange: tests of readers, words, and servers found again

Cause: what two readers and found servers guard against had no test of its own. Tests in virtual time: a reader lost, turned away, ahead, too slow; an address that may be another service's; a store that answers.

--- /dev/null
+++ b/fleet/duty_test.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+)
+
+// dutyBed is a Duty whose peers are played by the test.
+type dutyBed struct {
+	*Duty
+	position [subjects]atomic.Uint64
+	fetched  atomic.Int32
+	onFetch  func()
+	seq      uint32
+}
+
+func newDutyBed() *dutyBed {
+	b := &dutyBed{}
+	b.Duty = NewDuty(DutyOptions{
+		Address: "self", Socket: NewSocket("", func() []string { return nil }, nil), Recorder: event.Discard(),
+		Position: func(s Subject) uint64 { return b.position[s].Load() },
+		Fetch: func(context.Context, string) {
+			b.fetched.Add(1)
+			if b.onFetch != nil {
+				b.onFetch()
+			}
+		},
+	})
+	// Two peers of lower rank read for all.
+	b.self = 1 << 63
+	return b
+}
+
+// hear plays a word of a peer that ranks before this process.
+func (b *dutyBed) hear(from string, w word) {
+	b.seq++
+	b.take(from, head{life: 1, seq: b.seq}, encodeWord(w).raw, time.Now())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.there[from].rank = 1
+}
+
+func fit(list uint64) word { return word{fit: true, listReadNow: true, listed: list} }
+
+// Two entry VMs read the store for all. The others look themselves only when
+// neither has said anything for a while: both may have been lost at once.
+func TestReadersStandForTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newDutyBed()
+		g.Expect(b.Covered(List)).To(gomega.BeZero(), "alone")
+		b.hear("p", fit(0))
+		g.Expect(b.Covered(List)).To(gomega.BeZero(), "one reader is too few")
+		b.hear("q", fit(0))
+		g.Expect(b.Covered(List)).To(gomega.BeNumerically("~", Cover, 10*time.Millisecond))
+		g.Expect(b.Covered(Config)).To(gomega.BeZero(), "nothing was said of it")
+		time.Sleep(Cover + time.Millisecond)
+		g.Expect(b.Covered(List)).To(gomega.BeZero())
+		b.hear("p", fit(0))
+		time.Sleep(presence + time.Millisecond)
+		g.Expect(b.Reads()).To(gomega.BeTrue(), "nobody else is there")
+	})
+}
+
+// A reader that the store turns away says so; another one takes its place.
+func TestReaderThatTheStoreTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newDutyBed()
+		b.hear("p", fit(0))
+		b.hear("q", fit(0))
+		g.Expect(b.Reads()).To(gomega.BeFalse())
+		b.hear("q", word{})
+		g.Expect(b.Reads()).To(gomega.BeTrue())
+	})
+}
+
+// A word that a reader has read more than this process knows is followed by a
+// question; only its answer makes the word stand.
+func TestWordOfSomethingNewer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newDutyBed()
+		b.hear("p", fit(7))
+		synctest.Wait()
+		b.hear("q", fit(7))
+		synctest.Wait()
+		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 2))
+		g.Expect(b.Covered(List)).To(gomega.BeZero(), "the peers did not answer")
+		b.onFetch = func() { b.position[List].Store(7) }
+		b.hear("p", fit(7))
+		synctest.Wait()
+		g.Expect(b.Covered(List)).To(gomega.BeNumerically(">", 0))
+		b.hear("q", fit(5))
+		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 3), "older news is none")
+	})
+}
+
+// A reader is suspended while the store's answer is on its way, and wakes with
+// it. By the time of day the answer is old: it must not stand for the present.
+// (The steady clock of a process under test can't be held apart from it; the
+// guard is shown by a question that took too long by both.)
+func TestAnswerThatTookTooLongIsNotSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newDutyBed()
+		b.Read(List, time.Now().Add(-maxReading-time.Second))
+		b.Read(Config, time.Now())
+		g.Expect(b.isFit()).To(gomega.BeTrue())
+		g.Expect(b.opts.Socket.seq.Load()).To(gomega.BeZero(), "no connection: nothing is sent in this test")
+	})
+}
+
+// What one entry VM finds at a lost server's address is told to the others;
+// words that are doubled, cut or of unknown servers change nothing.
+func TestRestartsAreTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := directory.New()
+	d.Apply(1, []directory.Listing{{ID: "i1", Service: "s", Address: "x:1", Zone: "z"}}, false, time.Now())
+	r := NewRestarts(NewSocket("", nil, nil), d)
+	raw := encodeRestart(directory.Hash("i1"), "i2").raw
+	r.take("p", head{}, raw, time.Now())
+	r.take("p", head{}, raw, time.Now())
+	r.take("p", head{}, raw[:4], time.Now())
+	r.take("p", head{}, encodeRestart(directory.Hash("other"), "i3").raw, time.Now())
+	g.Expect(d.View().Len()).To(gomega.Equal(2))
+	s := d.Pick(directory.Query{Service: "s"}, time.Now())
+	g.Expect(s.ID).To(gomega.Equal("i2"))
+	g.Expect(s.Address).To(gomega.Equal("x:1"))
+}
+
+func FuzzDecodeWord(f *testing.F) {
+	f.Add(encodeWord(word{fit: true, config: 1, listed: 2}).raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if w, ok := decodeWord(raw); ok && raw[0] < 8 && string(encodeWord(w).raw) != string(raw) {
+			t.Fatalf("%x", raw)
+		}
+	})
+}
