fleet, directory: cells, changes in place of whole lists, few candidates to read

Change: VMs of a cell (32) tell each other their load and choose among the cell's servers first; who is behind gets what changed; of the VMs that could read the store the first eight say so; sums of others' load are made at most each 10 ms. Tests: TestCells, TestPeerThatIsBehindGetsWhatChanged.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,10 +27,15 @@
 
 	loadChanged chan struct{} // holds one token after a change of load
 
-	mu sync.Mutex // one Apply at a time
+	mu      sync.Mutex // one Apply at a time; guards history
+	history []diff
+
+	cell, cells atomic.Int32 // of this process, and how many there are
 
 	othersMu sync.Mutex
 	others   map[string][]Load // what other processes told last
+	summedAt time.Time
+	unsummed atomic.Bool // others have told something since the sums were made
 }
 
 // New returns an empty directory.
@@ -77,6 +82,7 @@
 	if position < old.Position {
 		return change
 	}
+	d.remember(old, position, list)
 	next := emptyView(position)
 	next.Listings = list
 	for _, l := range list {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -132,9 +133,11 @@
 	d.Apply(2, listing("a1", "a2"), false, time.Now())
 	g.Expect(d.server("a2").otherStreams.Load()).To(gomega.BeNumerically("==", 2))
 	d.Others("peer", []Load{{Server: Hash("a1"), Streams: 1}})
+	d.freshSums(time.Now().Add(time.Second))
 	g.Expect(d.server("a2").otherStreams.Load()).To(gomega.BeZero())
 	g.Expect(d.server("a2").otherPrefill.Load()).To(gomega.BeZero())
 	d.Others("peer", nil)
+	d.freshSums(time.Now().Add(2 * time.Second))
 	g.Expect(d.server("a1").otherStreams.Load()).To(gomega.BeZero())
 }
 
@@ -274,3 +277,27 @@
 	g.Expect(got).To(gomega.Equal(map[string]bool{"a1-again": true, "a2-again": true}))
 	g.Expect(d.server("a1-again").Address).To(gomega.Equal("a1"))
 }
+
+// With hundreds of processes each chooses among the servers of its cell first;
+// where the cell has none to offer, any will do.
+func TestCells(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(Cells(28)).To(gomega.Equal(1))
+	g.Expect(Cells(300)).To(gomega.Equal(10))
+	ids := make([]string, 200)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("a%03d", i)
+	}
+	d := withServers(ids...)
+	d.SetCells(1, 2)
+	for range 50 {
+		g.Expect(int(d.Pick(Query{Service: "s"}, time.Now()).hash) % 2).To(gomega.Equal(1))
+	}
+	now := time.Now()
+	for _, s := range d.View().Service("s") {
+		if s.hash%2 == 1 {
+			s.Dead(now)
+		}
+	}
+	g.Expect(d.Pick(Query{Service: "s"}, now)).NotTo(gomega.BeNil())
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -125,6 +125,11 @@
 	f.take(position, list, !settled, from)
 }
 
+// TakeChanges is Take for what has changed since the list in force here.
+func (f *Follower) TakeChanges(position uint64, changed []Listing, gone []string, settled bool, from string) {
+	f.take(position, merge(f.Directory.View().Listings, changed, gone), !settled, from)
+}
+
 // Settled tells whether no entry of the newest list is awaited any more.
 func (f *Follower) Settled() bool {
 	loop := f.loop.Load()
--- a/directory/load.go
+++ b/directory/load.go
@@ -32,6 +32,25 @@
 	} else {
 		d.others[from] = loads
 	}
+	d.unsummed.Store(true)
+}
+
+// sumEvery bounds how often sums are made anew: with hundreds of processes
+// that tell, each telling would otherwise cost as much as a choice.
+const sumEvery = 10 * time.Millisecond
+
+// freshSums makes the sums of others' load anew if they have told something.
+func (d *Directory) freshSums(now time.Time) {
+	if !d.unsummed.Load() {
+		return
+	}
+	d.othersMu.Lock()
+	defer d.othersMu.Unlock()
+	if now.Sub(d.summedAt) < sumEvery {
+		return
+	}
+	d.summedAt = now
+	d.unsummed.Store(false)
 	d.sumOthers(d.view.Load())
 }
 
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -54,8 +54,14 @@
 // near-equal ones it picks by chance: many processes read the same list, and
 // a strict order would send them all to the same server.
 func (d *Directory) Pick(q Query, now time.Time) *Server {
+	d.freshSums(now)
 	list := d.view.Load().Service(q.Service)
 	zones := lossesOf(list, now)
+	if own := d.ownCell(list); len(own) < len(list) {
+		if s := best(own, q, zones, grades[0], now); s != nil {
+			return s
+		}
+	}
 	for _, grade := range grades {
 		if s := best(list, q, zones, grade, now); s != nil {
 			return s
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,7 @@
 	e.fleet = fleet.New(fleet.Options{
 		Name: e.settings.Name, Address: e.settings.Peers, Seeds: e.settings.Seeds, Registry: store,
 		Holder: e.holder, Directory: e.directory, Decode: platform.DecodeConfig,
-		OfferConfig: e.config.Offer, OfferList: e.servers.Take, Settled: e.servers.Settled, Client: client, Recorder: e.recorder,
+		OfferConfig: e.config.Offer, OfferList: e.servers.Take, OfferChanges: e.servers.TakeChanges, Settled: e.servers.Settled, Client: client, Recorder: e.recorder,
 	})
 }
 
@@ -112,7 +112,7 @@
 // who of them reads the store for all.
 func (e *Entry) newLoads() {
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
-	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Directory: e.directory})
+	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
 	e.duty = fleet.NewDuty(fleet.DutyOptions{
 		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Fetch: e.fleet.AskOne, Recorder: e.recorder,
 	})
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -15,6 +15,10 @@
 	// readers is how many entry VMs read the store for all. With two, the loss
 	// of one leaves no gap.
 	readers = 2
+	// candidates is how many VMs say that they are there: enough to have readers
+	// when some are lost at once. If all did, what is said would grow with the
+	// square of their number.
+	candidates = 8
 	// sayEvery is how often each VM says that it is there and fit.
 	sayEvery = time.Second
 	// presence is how long a VM counts as there after its newest word; it covers
@@ -46,9 +50,9 @@
 // Duty lets a few entry VMs read the store for all: each call is priced, and at
 // 28 VMs that all wait for the same changes the calls cost 4% of what is earned.
 //
-// Every VM says once a second whether the store answers it. Of those that are
-// there and fit, the first by the hash of their address read; each says at once
-// what it has read. The others look themselves only when no word has come for
+// The first few VMs by the hash of their address say once a second whether the
+// store answers them. Of those that are there and fit, the first two read; each
+// says at once what it has read. The others look themselves only when no word has come for
 // Cover. Views of who is there may differ: then more read than needed.
 type Duty struct {
 	opts DutyOptions
@@ -88,7 +92,9 @@
 // Run says that this VM is there until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
 	for sleep(ctx, sayEvery) {
-		d.say(word{})
+		if d.before() < candidates {
+			d.say(word{})
+		}
 	}
 	return ctx.Err()
 }
@@ -119,7 +125,10 @@
 }
 
 // Reads tells whether this VM is one of the readers.
-func (d *Duty) Reads() bool {
+func (d *Duty) Reads() bool { return d.before() < readers }
+
+// before counts the VMs that are there, fit, and come first.
+func (d *Duty) before() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -129,7 +138,7 @@
 			before++
 		}
 	}
-	return before < readers
+	return before
 }
 
 // Alone tells whether so few VMs are there that all of them read: then nobody
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -57,6 +57,8 @@
 	// OfferConfig and OfferList put in force what a peer told.
 	OfferConfig func(v *site.Versioned, from string)
 	OfferList   func(position uint64, list []directory.Listing, settled bool, from string)
+	// OfferChanges is OfferList for what changed since the list here.
+	OfferChanges func(position uint64, changed []directory.Listing, gone []string, settled bool, from string)
 	// Settled tells whether the list here was read from a store that had not been away.
 	Settled  func() bool
 	Client   *http.Client
@@ -67,6 +69,7 @@
 type Fleet struct {
 	opts  Options
 	peers atomic.Pointer[[]string]
+	near  atomic.Pointer[[]string]
 	size  atomic.Int64
 }
 
@@ -89,11 +92,22 @@
 	slices.Sort(peers)
 	f.peers.Store(&peers)
 	f.size.Store(int64(len(peers)) + 1)
+	cells := directory.Cells(len(peers) + 1)
+	own := directory.CellOf(f.opts.Address, cells)
+	f.opts.Directory.SetCells(own, cells)
+	near := peers
+	if cells > 1 {
+		near = slices.DeleteFunc(slices.Clone(peers), func(p string) bool { return directory.CellOf(p, cells) != own })
+	}
+	f.near.Store(&near)
 }
 
 // Peers returns the addresses of the others.
 func (f *Fleet) Peers() []string { return *f.peers.Load() }
 
+// Near returns the addresses of those that share this process's cell.
+func (f *Fleet) Near() []string { return *f.near.Load() }
+
 // Size returns how many entry VMs are known, this one included.
 func (f *Fleet) Size() int { return int(f.size.Load()) }
 
@@ -175,7 +189,12 @@
 		f.opts.OfferConfig(v, peer)
 		f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
 	}
-	if answer.GetListPosition() > f.opts.Directory.View().Position {
+	if answer.GetListPosition() <= f.opts.Directory.View().Position {
+		return
+	}
+	if answer.GetDelta() {
+		f.opts.OfferChanges(answer.GetListPosition(), listings(answer.GetServers()), answer.GetGone(), answer.GetSettled(), peer)
+	} else {
 		f.opts.OfferList(answer.GetListPosition(), listings(answer.GetServers()), answer.GetSettled(), peer)
 	}
 }
@@ -189,12 +208,25 @@
 	if v := f.opts.Holder.Current(); v != nil && v.Position > r.GetConfigPosition() {
 		answer.ConfigPosition, answer.Config = v.Position, v.Raw
 	}
-	if view := f.opts.Directory.View(); view.Position > r.GetListPosition() {
-		answer.ListPosition, answer.Servers, answer.Settled = view.Position, wire(view.Listings), f.opts.Settled()
-	}
+	f.list(answer, r.GetListPosition())
 	return answer, nil
 }
 
+// list answers with what changed since a position, or with all where that is
+// no longer known: at 3,000 servers a list is 300 KB, a change some hundred bytes.
+func (f *Fleet) list(answer *fleetpb.NewestResponse, since uint64) {
+	view := f.opts.Directory.View()
+	if view.Position <= since {
+		return
+	}
+	answer.Settled = f.opts.Settled()
+	if position, changed, gone, ok := f.opts.Directory.Since(since); ok {
+		answer.ListPosition, answer.Servers, answer.Gone, answer.Delta = position, wire(changed), gone, true
+		return
+	}
+	answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
+}
+
 func wire(list []directory.Listing) []*fleetpb.Server {
 	out := make([]*fleetpb.Server, len(list))
 	for i, l := range list {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
+	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
 )
 
@@ -54,7 +55,7 @@
 	t.Cleanup(v.server.Close)
 	v.Fleet = New(Options{
 		Name: name, Address: strings.TrimPrefix(v.server.URL, "http://"), Seeds: seeds, Registry: &fakeRegistry{rows: map[string][]byte{}},
-		Holder: v.holder, Directory: v.dir, Decode: decode1, OfferConfig: config.Offer, OfferList: servers.Take, Settled: func() bool { return true },
+		Holder: v.holder, Directory: v.dir, Decode: decode1, OfferConfig: config.Offer, OfferList: servers.Take, OfferChanges: servers.TakeChanges, Settled: func() bool { return true },
 		Client: &http.Client{Timeout: time.Second}, Recorder: event.Discard(),
 	})
 	mux.Handle("/", v.Handler())
@@ -76,6 +77,34 @@
 	g.Expect(cut.dir.View().Listings).To(gomega.Equal(well.dir.View().Listings))
 }
 
+// A peer that is behind by a change gets the change, not three thousand servers
+// once more; one that is behind by more than is remembered gets all.
+func TestPeerThatIsBehindGetsWhatChanged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ahead := newVM(t, "ahead")
+	behind := newVM(t, "behind", ahead.opts.Address)
+	entry := func(id string, draining bool) directory.Listing {
+		return directory.Listing{ID: id, Service: "s", Draining: draining}
+	}
+	first := []directory.Listing{entry("i1", false), entry("i2", false), entry("i3", false)}
+	ahead.dir.Apply(5, first, false, time.Now())
+	behind.dir.Apply(5, first, false, time.Now())
+	ahead.dir.Apply(6, []directory.Listing{entry("i1", true), entry("i2", false), entry("i3", false)}, false, time.Now())
+	ahead.dir.Apply(8, []directory.Listing{entry("i1", true), entry("i3", false), entry("i4", false)}, false, time.Now())
+	answer, err := ahead.Newest(t.Context(), &fleetpb.NewestRequest{ListPosition: 5})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.GetDelta()).To(gomega.BeTrue())
+	g.Expect(answer.GetServers()).To(gomega.HaveLen(2))
+	g.Expect(answer.GetGone()).To(gomega.Equal([]string{"i2"}))
+	behind.Ask(t.Context())
+	g.Expect(behind.dir.View().Position).To(gomega.BeNumerically("==", 8))
+	g.Expect(behind.dir.View().Listings).To(gomega.ConsistOf(ahead.dir.View().Listings))
+	answer, err = ahead.Newest(t.Context(), &fleetpb.NewestRequest{ListPosition: 0})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.GetDelta()).To(gomega.BeFalse())
+	g.Expect(answer.GetServers()).To(gomega.HaveLen(3))
+}
+
 // A peer that lags, or tells what can't be read, changes nothing.
 func TestPeerThatLagsChangesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -129,7 +158,10 @@
 	l := NewLoads(LoadsOptions{Directory: d, Socket: NewSocket("", nil, nil)})
 	busy := []directory.Load{{Server: directory.Hash("i1"), Streams: 3, Copies: 1, Prefill: 6400}}
 	hear(l, "p", 5, 2, busy, nil)
-	pick := func() string { return d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now()).ID }
+	pick := func() string {
+		time.Sleep(15 * time.Millisecond) // what is told is summed up each 10 ms
+		return d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now()).ID
+	}
 	g.Expect(pick()).To(gomega.Equal("i2"))
 	hear(l, "p", 5, 1, nil, nil)
 	hear(l, "p", 4, 9, nil, nil)
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -24,6 +24,7 @@
 // LoadsOptions of a Loads.
 type LoadsOptions struct {
 	Socket    *Socket
+	Near      func() []string // who is told
 	Directory *directory.Directory
 }
 
@@ -71,7 +72,7 @@
 		}
 		own := l.opts.Directory.Own()
 		idle = len(own) == 0
-		l.opts.Socket.Send(encodeLoads(own, l.opts.Directory.LostHere(time.Now(), lossLife)))
+		l.opts.Socket.SendTo(encodeLoads(own, l.opts.Directory.LostHere(time.Now(), lossLife)), l.opts.Near())
 		if !sleep(ctx, tellEvery) {
 			return ctx.Err()
 		}
--- a/fleet/socket.go
+++ b/fleet/socket.go
@@ -79,13 +79,16 @@
 
 // Send sends a datagram to all peers. One that can't be told knows less for a
 // moment; the next datagram follows within a second.
-func (s *Socket) Send(b body) {
+func (s *Socket) Send(b body) { s.SendTo(b, s.peers()) }
+
+// SendTo sends a datagram to some peers.
+func (s *Socket) SendTo(b body, peers []string) {
 	conn := s.conn.Load()
 	if conn == nil {
 		return
 	}
 	raw := append(encodeHead(b.kind, head{life: s.life, seq: s.seq.Add(1)}), b.raw...)
-	for _, peer := range s.peers() {
+	for _, peer := range peers {
 		addr, err := net.ResolveUDPAddr("udp4", peer)
 		if err != nil {
 			continue
