fleet: the retry budget is shared by what others leave

Change: VMs of a cell tell each other their first tries and retries; what is free by the newest words is divided by the number of VMs heard, and none takes more than its share before its taking is known. A VM that hears nobody has its fixed part. Ruled out: borrowing on top of a fixed part (others could use theirs afterwards: the whole would be exceeded; found while writing the test).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,7 @@
 	socket    *fleet.Socket
 	loads     *fleet.Loads
 	duty      *fleet.Duty
+	budgets   *fleet.Budgets
 	suspects  *suspect.Ledger
 	news      *suspect.Spreader
 	exchange  *exchange.Exchange
@@ -116,6 +117,10 @@
 	e.duty = fleet.NewDuty(fleet.DutyOptions{
 		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Fetch: e.fleet.AskOne, Recorder: e.recorder,
 	})
+	e.budgets = fleet.NewBudgets(fleet.BudgetsOptions{
+		Socket: e.socket, Near: e.fleet.Near, Size: e.fleet.Size,
+		Ratio: retryShare * e.settings.RetryRatio, Extra: retryShare * e.settings.RetryExtra,
+	})
 	e.config.Share, e.servers.Share = e.duty.For(fleet.Config), e.duty.For(fleet.List)
 }
 
@@ -144,8 +149,8 @@
 	s := e.settings
 	backend := platform.NewBackend(e.pool)
 	e.exchange = exchange.New(exchange.Options{
-		Restarts: e.restarts(backend),
-		Zone:     s.Zone, Directory: e.directory, Backend: backend, Services: e.service,
+		Restarts: e.restarts(backend), Lender: e.budgets,
+		Zone: s.Zone, Directory: e.directory, Backend: backend, Services: e.service,
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryShare * s.RetryRatio,
 		RetryExtra: func() float64 { return retryShare * s.RetryExtra / float64(e.fleet.Size()) },
@@ -203,6 +208,7 @@
 	background(&group, e.socket.Run)
 	background(&group, e.loads.Run)
 	background(&group, e.duty.Run)
+	background(&group, e.budgets.Run)
 	background(&group, e.suspects.Run)
 	background(&group, e.news.Run)
 	background(&group, e.prune)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -31,11 +31,22 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetryExtra  func() float64
+	// Lender, if set, shares the retry budget with other processes.
+	Lender Lender
 	// Restarts, if set, finds servers that were started again while the store
 	// doesn't tell of them.
 	Restarts *Restarts
 }
 
+// Lender shares the retry budget among processes.
+type Lender interface {
+	// Allow counts a retry if all processes together have room for it. Without
+	// word of the others the window's own bound decides.
+	Allow(service string, w *retry.Window) bool
+	// First notes a first try in the window.
+	First(service string, w *retry.Window)
+}
+
 // Timings of an Exchange; zero fields take the defaults.
 type Timings struct {
 	// Silence is how long a running stream may send nothing before its server
@@ -111,16 +122,25 @@
 func (e *Exchange) allowRetry(service string) bool {
 	w := e.budget(service)
 	w.Bound(e.opts.RetryRatio, e.opts.RetryExtra())
-	if w.Allow() {
-		return true
+	allowed := false
+	if e.opts.Lender != nil {
+		allowed = e.opts.Lender.Allow(service, w)
+	} else {
+		allowed = w.Allow()
 	}
-	e.metrics.budgetSpent.Inc()
-	return false
+	if !allowed {
+		e.metrics.budgetSpent.Inc()
+	}
+	return allowed
 }
 
 // begin counts a request and refuses one that is known to crash servers.
 func (e *Exchange) begin(req *Request) *Failure {
-	e.budget(req.Service).First()
+	w := e.budget(req.Service)
+	w.First()
+	if e.opts.Lender != nil {
+		e.opts.Lender.First(req.Service, w)
+	}
 	if e.opts.Suspects.Verdict(req.Fingerprint()).State != suspect.Quarantined {
 		return nil
 	}
--- /dev/null
+++ b/fleet/budgets.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/retry"
+)
+
+const (
+	// budgetLife is how long another VM's word of its tries counts; it covers a
+	// lost datagram. Later its whole part is taken as spent.
+	budgetLife = 2500 * time.Millisecond
+	// unknownFor is how long a retry may be unknown to the others: the pace of
+	// telling, the way there, and a slow receiver.
+	unknownFor = 200 * time.Millisecond
+)
+
+// Budgets lets entry VMs share the retry budget. A fixed part for each holds
+// without a word from anybody, but a loss hits unevenly: of 28 VMs some had
+// their part spent and let 76 streams fail while three quarters of the whole
+// were free.
+//
+// Invariant: the VMs that hear each other stay within their common bound. What
+// is free by the newest words is divided by the number of VMs, and none takes
+// more than its share of it before its taking is known to the others, also of
+// what would be its own part. The parts of VMs that are not heard are left to
+// them. One that is heard but hears nobody may have its part used twice; that
+// is within the margin that is kept back of the whole.
+type Budgets struct {
+	opts BudgetsOptions
+	news chan struct{}
+
+	mu      sync.Mutex
+	own     map[string]*ownBudget
+	others  map[string]*otherBudget // by sender
+	retries float64                 // bound: retries per first try
+	extra   float64                 // and this many more, for all VMs
+}
+
+// BudgetsOptions of a Budgets.
+type BudgetsOptions struct {
+	Socket *Socket
+	Near   func() []string // the VMs that share
+	Size   func() int      // all VMs, this one included
+	Ratio  float64
+	Extra  float64
+}
+
+type ownBudget struct {
+	window *retry.Window
+	taken  []time.Time // retries that others may not know of yet
+}
+
+type otherBudget struct {
+	head  head
+	at    time.Time
+	spent map[uint32]spent
+}
+
+// NewBudgets returns a Budgets that speaks through a socket.
+func NewBudgets(opts BudgetsOptions) *Budgets {
+	b := &Budgets{
+		opts: opts, news: make(chan struct{}, 1), own: map[string]*ownBudget{}, others: map[string]*otherBudget{},
+		retries: opts.Ratio, extra: opts.Extra,
+	}
+	opts.Socket.handle(kindBudget, b.take)
+	return b
+}
+
+// Run tells what this VM has counted until ctx ends.
+func (b *Budgets) Run(ctx context.Context) error {
+	again := time.NewTicker(tellAgain)
+	defer again.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-again.C:
+		case <-b.news:
+		}
+		if list := b.counted(); len(list) > 0 {
+			b.opts.Socket.SendTo(encodeBudget(list), b.opts.Near())
+		}
+		if !sleep(ctx, tellEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (b *Budgets) counted() []spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []spent
+	for service, own := range b.own {
+		first, again := own.window.Counts()
+		if first+again > 0 {
+			list = append(list, spent{directory.Hash(service), clamp(first), clamp(again)})
+		}
+	}
+	return list
+}
+
+func clamp(n float64) uint16 { return uint16(min(n, math.MaxUint16)) }
+
+// First implements exchange.Lender.
+func (b *Budgets) First(service string, w *retry.Window) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ownLocked(service, w)
+}
+
+// Allow implements exchange.Lender.
+func (b *Budgets) Allow(service string, w *retry.Window) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	free, vms := b.freeLocked(service, w, now)
+	if vms < 2 {
+		return w.Allow()
+	}
+	unknown := float64(len(b.ownLocked(service, w).recent(now)))
+	if unknown+1 > (free+unknown)/vms {
+		return false
+	}
+	w.Take()
+	b.noteLocked(service, w, now)
+	return true
+}
+
+func (b *Budgets) noteLocked(service string, w *retry.Window, now time.Time) {
+	own := b.ownLocked(service, w)
+	own.taken = append(own.recent(now), now)
+	select {
+	case b.news <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Budgets) ownLocked(service string, w *retry.Window) *ownBudget {
+	own := b.own[service]
+	if own == nil {
+		own = &ownBudget{window: w}
+		b.own[service] = own
+	}
+	return own
+}
+
+// recent drops the retries that the others know of by now.
+func (o *ownBudget) recent(now time.Time) []time.Time {
+	for len(o.taken) > 0 && now.Sub(o.taken[0]) > unknownFor {
+		o.taken = o.taken[1:]
+	}
+	return o.taken
+}
+
+// freeLocked returns what is left of the bound by the newest words, and the
+// number of VMs that may take of it.
+func (b *Budgets) freeLocked(service string, w *retry.Window, now time.Time) (free, vms float64) {
+	first, again := w.Counts()
+	heard := 1.0
+	for _, o := range b.others {
+		if now.Sub(o.at) > budgetLife {
+			continue
+		}
+		heard++
+		s := o.spent[directory.Hash(service)]
+		first += float64(s.first)
+		again += float64(s.again)
+	}
+	// Only the parts of VMs that are heard are shared; the others' are theirs.
+	share := b.extra * heard / float64(max(b.opts.Size(), int(heard)))
+	return b.retries*first + share - again, heard
+}
+
+// take takes in what another VM has counted.
+func (b *Budgets) take(from string, h head, raw []byte, now time.Time) {
+	list, ok := decodeBudget(raw)
+	if !ok {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.others[from]
+	if o == nil {
+		o = &otherBudget{}
+		b.others[from] = o
+	}
+	if !h.after(o.head) {
+		return
+	}
+	o.head, o.at, o.spent = h, now, make(map[uint32]spent, len(list))
+	for _, s := range list {
+		o.spent[s.service] = s
+	}
+	for sender, other := range b.others {
+		if now.Sub(other.at) > forgetSender {
+			delete(b.others, sender)
+		}
+	}
+}
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -12,12 +12,14 @@
 // number of loads (2), number of lost servers (2), for each load server (4),
 // streams (1), copies (1), prompt tokens in units (2), for each lost server 4
 // bytes. Words: flags (1), places of configuration and list (8 each). Restarts: server (4),
-// its new id. JSON would
+// its new id. Budgets: for each service its name's hash (4), first tries and
+// retries (2 each). JSON would
 // be three times as long, and bytes between zones are priced.
 const (
 	kindLoads   kind = 1
 	kindWord    kind = 2
 	kindRestart kind = 3
+	kindBudget  kind = 4
 
 	headBytes  = 13
 	countBytes = 4
@@ -165,3 +167,34 @@
 
 // maxID bounds the id of a server.
 const maxID = 200
+
+// spent is what one process has counted of a service's tries.
+type spent struct {
+	service      uint32
+	first, again uint16
+}
+
+const spentBytes = 8
+
+func encodeBudget(list []spent) body {
+	list = list[:min(len(list), (maxDatagram-headBytes)/spentBytes)]
+	out := make([]byte, 0, len(list)*spentBytes)
+	for _, s := range list {
+		out = binary.BigEndian.AppendUint32(out, s.service)
+		out = binary.BigEndian.AppendUint16(out, s.first)
+		out = binary.BigEndian.AppendUint16(out, s.again)
+	}
+	return body{kindBudget, out}
+}
+
+func decodeBudget(raw []byte) ([]spent, bool) {
+	if len(raw)%spentBytes != 0 {
+		return nil, false
+	}
+	list := make([]spent, len(raw)/spentBytes)
+	for i := range list {
+		at := raw[i*spentBytes:]
+		list[i] = spent{binary.BigEndian.Uint32(at), binary.BigEndian.Uint16(at[4:]), binary.BigEndian.Uint16(at[6:])}
+	}
+	return list, true
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -61,6 +61,21 @@
 	return true
 }
 
+// Counts returns the first tries and retries in the window now.
+func (w *Window) Counts() (first, again float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return sum(&w.first), sum(&w.again)
+}
+
+// Take counts a retry that was allowed by a bound for several processes.
+func (w *Window) Take() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.again[w.advance()]++
+}
+
 // advance empties the slots that time has passed and returns the current one.
 func (w *Window) advance() int {
 	slot := int64(w.now().Sub(w.zero) / w.slot)
