exchange: a copy that nobody will use is given up

Change: a copy that is replaced, or whose stream ends, is freed at its source. Ruled out: copies that runs send as they grow (they end with their runs). Test: TestCopyThatIsNotUsedIsGivenUp.

--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -20,6 +20,11 @@
 
 // copyKeeper knows where the memory of a stream's running attempt is copied to.
 type copyKeeper struct {
+	// free is told of copies that nobody will use. One that was asked for keeps
+	// its memory set aside for seconds otherwise: without it 1.2% of what was
+	// earned went into that, and streams found no room.
+	free func(*Memory)
+
 	mu     sync.Mutex
 	memory *Memory
 	end    func() // takes the copy off its server's load
@@ -29,26 +34,37 @@
 func (k *copyKeeper) set(m *Memory) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.end != nil {
-		k.end()
-	}
+	k.dropLocked()
 	k.memory, k.end = m, m.At.CopyBegun()
 }
 
-// take returns the copy, if there is one, and forgets it.
+// take returns the copy, if there is one, for use.
 func (k *copyKeeper) take() *Memory {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	m := k.memory
+	k.memory = nil
+	k.dropLocked()
+	return m
+}
+
+// drop gives the copy up.
+func (k *copyKeeper) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dropLocked()
+}
+
+func (k *copyKeeper) dropLocked() {
 	if k.end != nil {
 		k.end()
 	}
+	if k.memory != nil && k.memory.Handle != "" && k.free != nil {
+		k.free(k.memory)
+	}
 	k.memory, k.end = nil, nil
-	return m
 }
 
-func (k *copyKeeper) drop() { k.take() }
-
 // at returns the server that holds the copy, nil without one.
 func (k *copyKeeper) at() *directory.Server {
 	k.mu.Lock()
@@ -59,6 +75,18 @@
 	return k.memory.At
 }
 
+// freeCopy gives a copy up, beside what the stream does. If that fails, its
+// server lets go of it some seconds later.
+func (e *Exchange) freeCopy(m *Memory) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+		defer cancel()
+		if err := e.opts.Backend.Free(ctx, m); err != nil {
+			e.metrics.freesFailed.Inc()
+		}
+	}()
+}
+
 // copyPlace chooses where the memory of a run on server is copied to: another
 // zone, since zones fail as a whole.
 func (s *stream) copyPlace(server *directory.Server) *directory.Server {
--- a/exchange/fake_test.go
+++ b/exchange/fake_test.go
@@ -25,6 +25,7 @@
 	attempts []Attempt
 	probes   map[string]error // by server id; nil: it lives
 	copies   []*directory.Server
+	freed    []string
 }
 
 func (b *fakeBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
@@ -56,6 +57,13 @@
 	return &Memory{At: to, Source: from, Handle: "h"}, nil
 }
 
+func (b *fakeBackend) Free(_ context.Context, m *Memory) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.freed = append(b.freed, m.Handle)
+	return nil
+}
+
 func (b *fakeBackend) sent() []Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -11,6 +11,7 @@
 	resumeTime  prometheus.Histogram
 	attempts    *prometheus.CounterVec // by result
 	copies      prometheus.Counter
+	freesFailed prometheus.Counter
 	probes      prometheus.Counter
 	budgetSpent prometheus.Counter
 }
@@ -40,11 +41,13 @@
 			Name: "pearyard_exchange_attempts_total", Help: "Sendings to backend servers by result."}, []string{"result"}),
 		copies: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_copies_again_total", Help: "Copies of streams' memory that were asked for because the former one's server was lost."}),
+		freesFailed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_exchange_copies_not_freed_total", Help: "Copies that could not be given up; their servers let go of them after some seconds."}),
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_probes_total", Help: "Questions to backend servers for a sign of life."}),
 		budgetSpent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_retry_budget_spent_total", Help: "Retries that the budget did not allow."}),
 	}
-	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.copies, m.probes, m.budgetSpent)
+	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.pauses, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.copies, m.probes, m.budgetSpent)
 	return m
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -88,6 +88,8 @@
 	Open(ctx context.Context, a *Attempt) (*Answer, error)
 	// Copy copies the memory of a running attempt to another server; the run goes on.
 	Copy(ctx context.Context, req *Request, from, to *directory.Server) (*Memory, error)
+	// Free gives up a copy that was made by a call.
+	Free(ctx context.Context, m *Memory) error
 	// Probe asks a server for a sign of life, outside its queue.
 	Probe(ctx context.Context, s *directory.Server) error
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -44,7 +44,7 @@
 	}
 	within, cancel := context.WithDeadline(ctx, req.Until)
 	defer cancel()
-	s := &stream{e: e, req: req, sink: sink, tried: map[string]bool{}}
+	s := &stream{e: e, req: req, sink: sink, tried: map[string]bool{}, copies: copyKeeper{free: e.freeCopy}}
 	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	err = s.run(within)
 	s.copies.drop()
@@ -157,9 +157,11 @@
 	if s.arrivals > 0 && !s.e.allowRetry(s.req.Service) {
 		return nil, nil, ErrBudget
 	}
-	if m := s.copies.take(); m != nil && !s.tried[m.At.ID] && s.e.opts.Directory.Usable(m.At, time.Now()) {
+	if at := s.copies.at(); at != nil && !s.tried[at.ID] && s.e.opts.Directory.Usable(at, time.Now()) {
+		m := s.copies.take()
 		return m.At, m, nil
 	}
+	s.copies.drop()
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
 		if server := s.pick(); server != nil {
--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -311,3 +311,18 @@
 		g.Expect(sink.longest).To(gomega.BeNumerically("<", 100*time.Millisecond))
 	})
 }
+
+// A stream ends well after its copy had to be replaced. The new copy was asked
+// for, so nobody but the asker knows that it is no longer needed: it is given up.
+func TestCopyThatIsNotUsedIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(streams(130, beat, nil)))
+		time.AfterFunc(20*beat, func() { b.backend.sent()[0].CopyTo.Lost(time.Now()) })
+		_, err := runStream(t, b, streamRequest())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		synctest.Wait()
+		g.Expect(b.backend.copies).To(gomega.HaveLen(1))
+		g.Expect(b.backend.freed).To(gomega.Equal([]string{"h"}))
+	})
+}
