exchange: the keeper of a copy has its own list of servers to avoid

Cause: it read the stream's list beside the stream, which writes to it when an attempt fails: a data race, found by reading (the race detector saw no run of it). Change: the list is handed over when the keeper starts.

--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -89,16 +90,19 @@
 
 // copyPlace chooses where the memory of a run on server is copied to: another
 // zone, since zones fail as a whole.
-func (s *stream) copyPlace(server *directory.Server) *directory.Server {
-	avoid := map[string]bool{server.ID: true}
-	for id := range s.tried {
-		avoid[id] = true
-	}
+func (s *stream) copyPlace(server *directory.Server, avoid map[string]bool) *directory.Server {
 	return s.e.opts.Directory.Pick(directory.Query{
 		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true,
 	}, time.Now())
 }
 
+// notFor returns the servers that are no place for the copy of a run on server.
+func (s *stream) notFor(server *directory.Server) map[string]bool {
+	avoid := maps.Clone(s.tried)
+	avoid[server.ID] = true
+	return avoid
+}
+
 // placeCopy chooses the place of the copy that a new run sends as it grows.
 func (s *stream) placeCopy(server *directory.Server) *directory.Server {
 	s.copies.drop()
@@ -106,7 +110,7 @@
 	if !ok || !service.Copies || !s.req.Route.Resumable {
 		return nil
 	}
-	to := s.copyPlace(server)
+	to := s.copyPlace(server, s.notFor(server))
 	if to != nil {
 		s.copies.set(&Memory{At: to})
 	}
@@ -117,7 +121,8 @@
 // leaves. A zone's loss takes the copies of streams that run elsewhere with it,
 // and the next zone's loss would make each of them read its prompt again, which
 // takes longer than the pause that callers allow.
-func (s *stream) keepCopy(ctx context.Context, server *directory.Server) {
+// It runs beside the stream; avoid is its own.
+func (s *stream) keepCopy(ctx context.Context, server *directory.Server, avoid map[string]bool) {
 	service, ok := s.e.opts.Services(s.req.Service)
 	if !ok || !service.CopiesOnCall {
 		return
@@ -138,15 +143,15 @@
 		if s.e.opts.Directory.Usable(at, time.Now()) {
 			continue
 		}
-		if !s.copyAgain(ctx, server, at) {
+		if !s.copyAgain(ctx, server, at, avoid) {
 			return
 		}
 	}
 }
 
 // copyAgain asks for a copy in another place; it reports whether there is one.
-func (s *stream) copyAgain(ctx context.Context, server, lost *directory.Server) bool {
-	to := s.copyPlace(server)
+func (s *stream) copyAgain(ctx context.Context, server, lost *directory.Server, avoid map[string]bool) bool {
+	to := s.copyPlace(server, avoid)
 	if to == nil || to == lost {
 		return false
 	}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -264,7 +264,7 @@
 			first = false
 			running.Read()
 			s.started(from)
-			go s.keepCopy(w.ctx, s.server)
+			go s.keepCopy(w.ctx, s.server, s.notFor(s.server))
 		}
 		if err := s.pass(a, ev); err != nil {
 			return err
