site, fleet, exchange: a version that can't be read is passed over; leftovers removed

Cause: a configuration that can't be read was treated as a failure of the store: it was asked for again each half second, each time with a question to peers, and the line blamed the store. Change: such a version is passed over with PY2701, the last good one stays in force. Test TestVersionThatCanNotBeRead.

--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -182,17 +182,10 @@
 	if err != nil {
 		return result{server: s, err: err}
 	}
-	if answer.Leaving {
-		c.e.noteLeaving(s)
-	}
 	reply, err := whole(answer)
 	return result{server: s, reply: reply, err: err}
 }
 
-// noteLeaving is told when a server closes a connection after an answer. It
-// does so when it leaves, but at times for no reason: the list decides.
-func (e *Exchange) noteLeaving(*directory.Server) {}
-
 // whole reads an answer's body to its end if it is of ordinary size.
 func whole(a *Answer) (*Reply, error) {
 	var body bytes.Buffer
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -70,10 +70,9 @@
 
 // Answer is the head of a backend server's answer, and its body.
 type Answer struct {
-	Status  int
-	Header  http.Header // to be passed on
-	Body    Body
-	Leaving bool // the server says that it takes no more on this connection
+	Status int
+	Header http.Header // to be passed on
+	Body   Body
 }
 
 // Body reads an answer's body. io.EOF means that the answer came whole; any
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -85,8 +85,8 @@
 		if list := b.counted(); len(list) > 0 {
 			b.opts.Socket.SendTo(encodeBudget(list), b.opts.Near())
 		}
-		if !sleep(ctx, tellEvery) {
-			return ctx.Err()
+		if err := retry.Wait(ctx, tellEvery); err != nil {
+			return err
 		}
 	}
 }
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/retry"
 )
 
 const (
@@ -91,7 +92,7 @@
 
 // Run says that this VM is there until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	for sleep(ctx, sayEvery) {
+	for retry.Wait(ctx, sayEvery) == nil {
 		if d.before() < candidates {
 			d.say(word{})
 		}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/retry"
 )
 
 const (
@@ -73,23 +74,12 @@
 		own := l.opts.Directory.Own()
 		idle = len(own) == 0
 		l.opts.Socket.SendTo(encodeLoads(own, l.opts.Directory.LostHere(time.Now(), lossLife)), l.opts.Near())
-		if !sleep(ctx, tellEvery) {
-			return ctx.Err()
+		if err := retry.Wait(ctx, tellEvery); err != nil {
+			return err
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // take takes in one telling; what can't be read or is older than what is known
 // is dropped.
 func (l *Loads) take(from string, h head, raw []byte, now time.Time) {
--- a/site/follow.go
+++ b/site/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/follow"
 )
@@ -37,7 +39,8 @@
 	Failed   func(ctx context.Context) // called after each failure; it may ask peers
 	Share    follow.Share              // may be nil
 
-	reached uint64 // place in the history up to which changes were read
+	reached    uint64 // place in the history up to which changes were read
+	unreadable uint64 // position of the newest version that can't be read
 }
 
 // Run follows until ctx ends.
@@ -62,6 +65,11 @@
 }
 
 func (f *Follower) took(v *Versioned, reached uint64, err error) error {
+	var bad *UnreadableError
+	if errors.As(err, &bad) && f.Holder.Position() > 0 {
+		f.passOver(bad)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -70,6 +78,16 @@
 	return nil
 }
 
+// passOver leaves the last good version in force. The store answers, so this is
+// no failure of it: asking again would bring the same.
+func (f *Follower) passOver(bad *UnreadableError) {
+	f.reached = max(f.reached, bad.Position)
+	if bad.Position > f.unreadable {
+		f.unreadable = bad.Position
+		f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
+	}
+}
+
 // Offer puts a version in force and says so.
 func (f *Follower) Offer(v *Versioned, from string) {
 	if v == nil || !f.Holder.Offer(v) {
--- a/site/holder.go
+++ b/site/holder.go
@@ -11,6 +11,18 @@
 	Raw []byte
 }
 
+// UnreadableError says that a version lies in the store that can't be read.
+type UnreadableError struct {
+	Position uint64
+	Err      error
+}
+
+// Error implements error.
+func (e *UnreadableError) Error() string { return "site: unreadable version: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
 // Holder keeps the configuration in force in this process. Requests read it
 // without a lock.
 //
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -171,3 +171,34 @@
 		g.Expect(source.reads).To(gomega.BeNumerically("<=", 2))
 	})
 }
+
+// An operator's version can't be read by this release. The last good one stays
+// in force, one line says so, and the store is not asked for it again and again.
+func TestVersionThatCanNotBeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		source := &hungSource{version: 4}
+		recorder := event.Discard()
+		f := &Follower{Holder: NewHolder(), Source: source, Recorder: recorder}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		source.set(4, false, &UnreadableError{Position: 9, Err: errors.New("unknown kind")})
+		time.Sleep(2 * time.Second)
+		g.Expect(f.Holder.Position()).To(gomega.BeNumerically("==", 4))
+		source.set(12, false, nil)
+		time.Sleep(2 * time.Second)
+		g.Expect(f.Holder.Position()).To(gomega.BeNumerically("==", 12))
+		stop()
+		<-done
+		unreadable := 0
+		for _, e := range recorder.Entries("") {
+			if e.ID == EventUnreadable.ID() {
+				unreadable++
+			}
+			g.Expect(e.ID).NotTo(gomega.Equal(EventStoreLost.ID()))
+		}
+		g.Expect(unreadable).To(gomega.Equal(1))
+	})
+}
