entry, deploy: metrics on a port that the deploy file names

Change: port 9464, named in deploy/system.toml; PY2757 if it is taken. Ruled out: a template (a second format of settings for one number).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -218,6 +218,9 @@
 	if err := e.servePeers(&group); err != nil {
 		return err
 	}
+	if err := e.serveMetrics(&group); err != nil {
+		return err
+	}
 	if err := e.serveCallers(ctx, &group); err != nil {
 		return err
 	}
@@ -278,6 +281,19 @@
 	return serve(group, e.settings.Peers, mux)
 }
 
+// MetricsPort is where metrics are served, as the deploy file says.
+const MetricsPort = "9464"
+
+// serveMetrics serves metrics where the platform collects them. They are worth
+// less than the callers: if the port is taken, the process goes on without.
+func (e *Entry) serveMetrics(group *run.Group) error {
+	err := serve(group, net.JoinHostPort(e.settings.IP, MetricsPort), e.inspect.Handler())
+	if err != nil {
+		e.recorder.Emit(EventNoMetrics, "port", MetricsPort, "err", err)
+	}
+	return nil
+}
+
 // serve adds a server that ends with the group.
 func serve(group *run.Group, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
--- a/entry/events.go
+++ b/entry/events.go
@@ -15,6 +15,8 @@
 
 // Events of the process.
 var (
+	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
+		"the port of the metrics is taken; they are served beside the state dump on the internal port only", "see what else uses the port")
 	EventStarted = event.Define(2752, "entry_started", event.Info,
 		"the entry process has started with these settings", "nothing")
 	EventReady = event.Define(2753, "entry_ready", event.Info,
