--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -154,7 +154,7 @@
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
 func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
-	if s.arrivals > 0 && !s.e.allowRetry(s.req.Service) {
+	if s.arrivals > 0 && !s.awaitBudget(ctx) {
 		return nil, nil, ErrBudget
 	}
 	if at := s.copies.at(); at != nil && !s.tried[at.ID] && s.e.opts.Directory.Usable(at, time.Now()) {
@@ -177,6 +177,23 @@
 	}
 }
 
+// awaitBudget takes one more sending out of the budget. In a mass loss the part
+// that a process may take before the others know of it is spent within moments
+// and free again a moment later: a stream that ended then was lost for a fifth
+// of a second's wait, less than the pause that its caller allows.
+func (s *stream) awaitBudget(ctx context.Context) bool {
+	giveUp := time.Now().Add(budgetWait)
+	for !s.e.allowRetry(s.req.Service) {
+		if time.Now().After(giveUp) || retry.Wait(ctx, pickAgain) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// budgetWait is how long a stream waits for the retry budget.
+const budgetWait = time.Second
+
 // pickAgain is how often a stream without a server looks for one.
 const pickAgain = 50 * time.Millisecond
 
--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/retry"
 )
 
 const beat = 30 * time.Millisecond
@@ -326,3 +327,35 @@
 		g.Expect(b.backend.freed).To(gomega.Equal([]string{"h"}))
 	})
 }
+
+// stingy is a Lender that has nothing for a while.
+type stingy struct{ until time.Time }
+
+func (l *stingy) Allow(string, *retry.Window) bool { return time.Now().After(l.until) }
+func (l *stingy) First(string, *retry.Window)      {}
+
+// Many streams of one entry VM are lost at once, more than it may send again
+// before the others know. The last ones wait for a moment and go on; they used
+// to end there. With no budget for longer, a stream ends.
+func TestStreamWaitsForTheRetryBudget(t *testing.T) {
+	for name, c := range map[string]struct {
+		spent  time.Duration
+		served bool
+	}{"for a moment": {250 * time.Millisecond, true}, "for long": {time.Minute, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				b := newBed(firstOf(streams(50, beat, io.ErrUnexpectedEOF), streams(130, beat, nil)))
+				b.opts.Lender = &stingy{until: time.Now().Add(50*beat + c.spent)}
+				sink, err := runStream(t, b, streamRequest())
+				if !c.served {
+					g.Expect(errors.Is(err, ErrBudget)).To(gomega.BeTrue())
+					return
+				}
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+				g.Expect(sink.longest).To(gomega.BeNumerically("<", 500*time.Millisecond))
+			})
+		})
+	}
+}
