fleet: whole configurations and lists are read from the store, not from a reader

Change: who hears of a newer configuration reads it itself; peers hand on changes of the list only, and whole texts and lists only to a VM that the store turns away. Test: TestConfigurationIsReadFromTheStore.

--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -64,6 +64,8 @@
 	there   map[string]*presentVM // by address
 	covered [subjects]time.Time
 	asking  map[string]bool
+
+	news [subjects]chan struct{} // hold a token when something newer is to be read
 }
 
 // DutyOptions of a Duty.
@@ -71,7 +73,7 @@
 	Address  string
 	Socket   *Socket
 	Position func(Subject) uint64 // place of what is in force here
-	// Fetch asks a peer for what is newer than what is in force here.
+	// Fetch asks a peer for changes of the list.
 	Fetch    func(ctx context.Context, peer string)
 	Recorder *event.Recorder
 }
@@ -86,6 +88,9 @@
 // NewDuty returns a Duty.
 func NewDuty(opts DutyOptions) *Duty {
 	d := &Duty{opts: opts, self: xxhash.Sum64String(opts.Address), there: map[string]*presentVM{}, asking: map[string]bool{}}
+	for s := range subjects {
+		d.news[s] = make(chan struct{}, 1)
+	}
 	opts.Socket.handle(kindWord, d.take)
 	return d
 }
@@ -204,8 +209,12 @@
 
 func (d *Duty) heard(from string, s Subject, read bool, place uint64, now time.Time) {
 	own := d.opts.Position(s)
-	if place > own {
-		d.fetch(from, s, read, now)
+	switch {
+	case place > own && s == List:
+		d.fetch(from, read, now)
+		return
+	case place > own:
+		d.tellNews(s)
 		return
 	}
 	if read && place == own {
@@ -221,8 +230,20 @@
 	}
 }
 
-// fetch asks a peer for what it has more, one question a peer at a time.
-func (d *Duty) fetch(peer string, s Subject, read bool, at time.Time) {
+// tellNews has the subject read from the store here.
+func (d *Duty) tellNews(s Subject) {
+	d.mu.Lock()
+	d.covered[s] = time.Time{}
+	d.mu.Unlock()
+	select {
+	case d.news[s] <- struct{}{}:
+	default:
+	}
+}
+
+// fetch asks a peer for changes of the list, one question a peer at a time.
+// What it can't tell as changes is read from the store.
+func (d *Duty) fetch(peer string, read bool, at time.Time) {
 	d.mu.Lock()
 	busy := d.asking[peer]
 	d.asking[peer] = true
@@ -233,10 +254,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), helpTimeout)
 		defer cancel()
-		before := d.opts.Position(s)
+		before := d.opts.Position(List)
 		d.opts.Fetch(ctx, peer)
-		if read && d.opts.Position(s) > before {
-			d.cover(s, at)
+		switch newer := d.opts.Position(List) > before; {
+		case !newer:
+			d.tellNews(List)
+		case read:
+			d.cover(List, at)
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/fleet/duty_test.go
+++ b/fleet/duty_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
+	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 )
 
 // dutyBed is a Duty whose peers are played by the test.
@@ -95,6 +96,7 @@
 		synctest.Wait()
 		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 2))
 		g.Expect(b.Covered(List)).To(gomega.BeZero(), "the peers did not answer")
+		g.Expect(b.news[List]).To(gomega.Receive(), "then the store is asked")
 		b.onFetch = func() { b.position[List].Store(7) }
 		b.hear("p", fit(7))
 		synctest.Wait()
@@ -104,6 +106,32 @@
 	})
 }
 
+// A configuration of several hundred routes is over 100 KB. A reader on a link
+// of 10 Mbit/s that handed each version to 27 others choked its own streams, and
+// took sound servers for lost. Those who hear of a newer one read it themselves.
+func TestConfigurationIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newDutyBed()
+		b.hear("p", word{fit: true, configReadNow: true})
+		b.hear("q", word{fit: true, configReadNow: true})
+		g.Expect(b.Covered(Config)).To(gomega.BeNumerically(">", 0))
+		b.hear("q", word{fit: true, configReadNow: true, config: 9})
+		synctest.Wait()
+		g.Expect(b.fetched.Load()).To(gomega.BeZero())
+		g.Expect(b.Covered(Config)).To(gomega.BeZero())
+		g.Expect(b.news[Config]).To(gomega.Receive())
+
+		v := newVM(t, "reader")
+		text, _ := decode1(9, []byte("text"))
+		v.holder.Offer(text)
+		answer, err := v.Newest(t.Context(), &fleetpb.NewestRequest{ChangesOnly: true})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(answer.GetConfig()).To(gomega.BeEmpty())
+		v.server.Close()
+	})
+}
+
 // A reader is suspended while the store's answer is on its way, and wakes with
 // it. By the time of day the answer is old: it must not stand for the present.
 // (The steady clock of a process under test can't be held apart from it; the
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -157,20 +157,23 @@
 	var group errgroup.Group
 	for _, i := range rand.Perm(len(peers))[:min(helpers, len(peers))] {
 		group.Go(func() error {
-			f.ask(ctx, peers[i])
+			f.ask(ctx, peers[i], false)
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
-// AskOne asks one peer for what is newer than what is known here.
-func (f *Fleet) AskOne(ctx context.Context, peer string) { f.ask(ctx, peer) }
+// AskChanges asks one peer for what has changed in the list. It gets no
+// configuration: one of a few hundred routes is over 100 KB, and a reader on a
+// link of 10 Mbit/s that handed it to 27 others had no room left for its streams.
+func (f *Fleet) AskChanges(ctx context.Context, peer string) { f.ask(ctx, peer, true) }
 
-func (f *Fleet) ask(ctx context.Context, peer string) {
+func (f *Fleet) ask(ctx context.Context, peer string, changesOnly bool) {
 	client := fleetpb.NewFleetProtobufClient("http://"+peer, f.opts.Client)
 	answer, err := client.Newest(ctx, &fleetpb.NewestRequest{
 		Sender: f.opts.Address, ConfigPosition: f.opts.Holder.Position(), ListPosition: f.opts.Directory.View().Position,
+		ChangesOnly: changesOnly,
 	})
 	if err != nil {
 		f.opts.Recorder.Emit(EventPeerSilent, "peer", peer, "err", err)
@@ -205,16 +208,16 @@
 // Newest implements fleetpb.Fleet.
 func (f *Fleet) Newest(_ context.Context, r *fleetpb.NewestRequest) (*fleetpb.NewestResponse, error) {
 	answer := &fleetpb.NewestResponse{}
-	if v := f.opts.Holder.Current(); v != nil && v.Position > r.GetConfigPosition() {
+	if v := f.opts.Holder.Current(); v != nil && v.Position > r.GetConfigPosition() && !r.GetChangesOnly() {
 		answer.ConfigPosition, answer.Config = v.Position, v.Raw
 	}
-	f.list(answer, r.GetListPosition())
+	f.list(answer, r.GetListPosition(), r.GetChangesOnly())
 	return answer, nil
 }
 
 // list answers with what changed since a position, or with all where that is
 // no longer known: at 3,000 servers a list is 300 KB, a change some hundred bytes.
-func (f *Fleet) list(answer *fleetpb.NewestResponse, since uint64) {
+func (f *Fleet) list(answer *fleetpb.NewestResponse, since uint64, changesOnly bool) {
 	view := f.opts.Directory.View()
 	if view.Position <= since {
 		return
@@ -224,7 +227,9 @@
 		answer.ListPosition, answer.Servers, answer.Gone, answer.Delta = position, wire(changed), gone, true
 		return
 	}
-	answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
+	if !changesOnly {
+		answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
+	}
 }
 
 func wire(list []directory.Listing) []*fleetpb.Server {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -27,3 +27,6 @@
 
 // Failed implements follow.Share.
 func (s *share) Failed() { s.duty.Failed(s.subject) }
+
+// News implements follow.Share.
+func (s *share) News() <-chan struct{} { return s.duty.news[s.subject] }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -30,6 +30,8 @@
 type Share interface {
 	// Covered returns for how long nothing needs to be read.
 	Covered() time.Duration
+	// News holds a token when another process has read something newer.
+	News() <-chan struct{}
 	// Wait returns how long a question waits at the store.
 	Wait(alone time.Duration) time.Duration
 	// Read notes an answer to a question asked at began, Failed the lack of one.
@@ -107,7 +109,13 @@
 		return false
 	}
 	l.stale = true
-	_ = retry.Wait(ctx, wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-l.Share.News():
+	}
 	return true
 }
 
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -180,6 +180,8 @@
 		_, _ = io.WriteString(w, `{"phase":"unified"}`)
 	})
 	mux.HandleFunc("POST /pearyard/kv-move", s.move)
+	mux.HandleFunc("DELETE /pearyard/kv-handle/{handle}", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", id) })
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(id, w, r) })
 	return mux
 }
