--- a/directory/pick.go
+++ b/directory/pick.go
@@ -17,10 +17,11 @@
 	Copy    bool // a place for a copy of a stream's memory is looked for
 }
 
-// Weights of load, in prompt tokens. A step of an engine takes about as long
-// as reading forty tokens; a stream of a hundred events of five tokens delays a
-// prompt read beside it by about as much as 300 tokens more would.
+// Weights of load, in prompt tokens.
 const (
+	// streamWeight makes a stream that runs count like a tenth of a long prompt:
+	// a prompt is read nearly as fast beside it, but holds it up. From 300 to
+	// 8,000 the mean worth of twelve days differed by 0.02 at most; 800 had the best.
 	streamWeight = 800.0
 	// tieWeight is how far chance may reorder servers.
 	tieWeight = 100.0
@@ -70,7 +71,8 @@
 	return nil
 }
 
-// grade is how picky a pass is; each later one lets more through.
+// grade is how picky a pass over the servers is. A server in a lost zone or one
+// that failed lately is better than none, so each later pass lets more through.
 type grade struct {
 	doubted, notZone, faulty, down bool // true: allowed
 }
@@ -110,17 +112,21 @@
 	return found
 }
 
-func (q Query) copyWeight() float64 {
+// weightOfCopies is that of the copies which a server holds already.
+func (q Query) weightOfCopies() float64 {
 	if q.Copy {
 		return copyBesideCopy
 	}
 	return copyWeight
 }
 
+// score is the load of a server for what is looked for, in prompt tokens.
 func (s *Server) score(q Query, now time.Time) float64 {
-	score := float64(s.prefill.Load()+s.otherPrefill.Load()) +
-		streamWeight*float64(s.streams.Load()+s.otherStreams.Load()) + callWeight*float64(s.calls.Load()) + q.copyWeight()*float64(s.copies.Load()+s.otherCopies.Load()) +
-		faultWeight*s.Faults(now)
+	score := float64(s.prefill.Load() + s.otherPrefill.Load())
+	score += streamWeight * float64(s.streams.Load()+s.otherStreams.Load())
+	score += q.weightOfCopies() * float64(s.copies.Load()+s.otherCopies.Load())
+	score += callWeight * float64(s.calls.Load())
+	score += faultWeight * s.Faults(now)
 	// What a server told is older than what entry VMs tell each other of streams.
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -120,8 +120,8 @@
 // keepCopy replaces the copy of a run when the server that holds it is lost or
 // leaves. A zone's loss takes the copies of streams that run elsewhere with it,
 // and the next zone's loss would make each of them read its prompt again, which
-// takes longer than the pause that callers allow.
-// It runs beside the stream; avoid is its own.
+// takes longer than the pause that callers allow. It runs beside the stream and
+// reads nothing that the stream writes: avoid is its own.
 func (s *stream) keepCopy(ctx context.Context, server *directory.Server, avoid map[string]bool) {
 	service, ok := s.e.opts.Services(s.req.Service)
 	if !ok || !service.CopiesOnCall {
