--- a/directory/follow.go
+++ b/directory/follow.go
@@ -70,6 +70,14 @@
 	return loop.Run(ctx)
 }
 
+// Age returns for how long nobody has confirmed the list; 0 before Run.
+func (f *Follower) Age() time.Duration {
+	if loop := f.loop.Load(); loop != nil {
+		return loop.Age()
+	}
+	return 0
+}
+
 // Failing tells whether the store does not tell the list at the moment.
 func (f *Follower) Failing() bool {
 	loop := f.loop.Load()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 type Options struct {
 	Settings platform.Settings
 	Logger   log.Logger
+	Dropped  func() int64 // log lines dropped so far; may be nil
 }
 
 // Entry is the program on an entry VM.
@@ -90,7 +91,7 @@
 	}
 	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), stop: newStopping(), holder: site.NewHolder(), directory: directory.New()}
 	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), ringSize)
-	store := platform.NewStore(s.Store)
+	store := platform.NewStore(s.Store, e.registry)
 	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Failed: e.askPeers}
 	e.servers = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, Failed: e.askPeers}
 	client := &http.Client{Timeout: peerTimeout}
@@ -98,9 +99,26 @@
 	e.newLoads()
 	e.newSuspects(client)
 	e.newExchange()
+	e.newGauges(opts.Dropped)
 	return e, e.newInspect()
 }
 
+// newGauges exports how old what is known here is, and how much of the log is missing.
+func (e *Entry) newGauges(dropped func() int64) {
+	gauge := func(name, help string, value func() float64) {
+		e.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("pearyard_config_age_seconds", "Time since the store or a reader confirmed the configuration, seconds.",
+		func() float64 { return e.config.Age().Seconds() })
+	gauge("pearyard_server_list_age_seconds", "Time since the store or a reader confirmed the list of backend servers, seconds.",
+		func() float64 { return e.servers.Age().Seconds() })
+	gauge("pearyard_config_position", "Place of the configuration in force in the store's history.",
+		func() float64 { return float64(e.holder.Position()) })
+	if dropped != nil {
+		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
+	}
+}
+
 func (e *Entry) newFleet(store *platform.Store, client *http.Client) {
 	e.fleet = fleet.New(fleet.Options{
 		Name: e.settings.Name, Address: e.settings.Peers, Seeds: e.settings.Seeds, Registry: store,
--- a/entry/main.go
+++ b/entry/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -14,6 +15,8 @@
 	"github.com/pearyard/pearyard/platform"
 )
 
+const flagCheck = "check"
+
 // Exit codes.
 const (
 	exitFailed   = 1
@@ -31,7 +34,7 @@
 		Name:  "pearyard-entry",
 		Usage: "serves callers on an entry VM of the platform; settings come from the file named by " + platform.SettingsVariable,
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: "check", Usage: "check the settings, print them and exit"},
+			&cli.BoolFlag{Name: flagCheck, Aliases: []string{"print-settings"}, Usage: "check the settings, print them as JSON and exit"},
 		},
 		Writer: stdout, ErrWriter: stderr,
 		Action: func(c *cli.Context) error {
@@ -56,13 +59,14 @@
 		fmt.Fprintln(stderr, found.String())
 		return exitFindings, nil
 	}
-	if c.Bool("check") {
-		fmt.Fprintf(stdout, "%+v\n", settings)
-		return 0, nil
+	if c.Bool(flagCheck) {
+		out := json.NewEncoder(stdout)
+		out.SetIndent("", "  ")
+		return 0, out.Encode(settings)
 	}
 	queue := event.NewQueue(stdout, event.DefaultQueueLines)
 	defer queue.Close()
-	e, err := New(Options{Settings: settings, Logger: queue})
+	e, err := New(Options{Settings: settings, Logger: queue, Dropped: queue.Dropped})
 	if err != nil {
 		return exitFailed, err
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -63,12 +63,13 @@
 	Lost     func(err error)
 	Regained func(failures int)
 
-	failing  atomic.Bool
-	failedAt atomic.Int64 // Unix nanoseconds of the newest failure; 0: none
-	failures int
-	grace    time.Duration
-	begun    bool // there has been an answer
-	stale    bool // others have read since this process did
+	confirmedAt atomic.Int64 // Unix nanoseconds of the newest answer or word of others
+	failing     atomic.Bool
+	failedAt    atomic.Int64 // Unix nanoseconds of the newest failure; 0: none
+	failures    int
+	grace       time.Duration
+	begun       bool // there has been an answer
+	stale       bool // others have read since this process did
 }
 
 // Run follows until ctx ends.
@@ -89,6 +90,10 @@
 	return ctx.Err()
 }
 
+// Age returns for how long neither the store nor others have confirmed what is
+// known here; it may be called from anywhere.
+func (l *Loop) Age() time.Duration { return time.Since(time.Unix(0, l.confirmedAt.Load())) }
+
 // Failing tells whether the newest question failed; it may be called from anywhere.
 func (l *Loop) Failing() bool { return l.failing.Load() }
 
@@ -109,6 +114,7 @@
 		return false
 	}
 	l.stale = true
+	l.confirmedAt.Store(time.Now().UnixNano())
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -141,6 +147,7 @@
 		l.Regained(l.failures)
 	}
 	l.failing.Store(false)
+	l.confirmedAt.Store(time.Now().UnixNano())
 	l.failures, l.begun, l.stale = 0, true, false
 	l.grace = max(pollGrace, l.grace/2)
 	if l.Share != nil {
--- a/site/follow.go
+++ b/site/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,7 @@
 	Failed   func(ctx context.Context) // called after each failure; it may ask peers
 	Share    follow.Share              // may be nil
 
+	loop       atomic.Pointer[follow.Loop]
 	reached    uint64 // place in the history up to which changes were read
 	unreadable uint64 // position of the newest version that can't be read
 }
@@ -51,9 +53,18 @@
 		Lost:     func(err error) { f.Recorder.Emit(EventStoreLost, "err", err, "position", f.Holder.Position()) },
 		Regained: func(failures int) { f.Recorder.Emit(EventStoreRegained, "failures", failures) },
 	}
+	f.loop.Store(loop)
 	return loop.Run(ctx)
 }
 
+// Age returns for how long nobody has confirmed the configuration; 0 before Run.
+func (f *Follower) Age() time.Duration {
+	if loop := f.loop.Load(); loop != nil {
+		return loop.Age()
+	}
+	return 0
+}
+
 func (f *Follower) read(ctx context.Context) error {
 	v, reached, err := f.Source.Read(ctx)
 	return f.took(v, reached, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"io"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -131,6 +133,19 @@
 	g.Expect(sendTo(site, site.VMs[0], "/any/c1", "k0").Status).To(gomega.Equal(401))
 	g.Expect(sendTo(site, site.VMs[0], "/extra/c2", "k1").Status).To(gomega.Equal(200))
 	g.Expect(sendTo(site, site.VMs[0], "/none/c3", "k1").Status).To(gomega.Equal(404))
+
+	// The metrics tell of it.
+	resp, err := http.Get("http://" + site.VMs[0].peers + "/metrics")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	metrics, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, name := range []string{
+		`pearyard_exchange_resumes_total{how="copy"} 1`, `pearyard_exchange_requests_total{kind="idempotent",outcome="served"} 1`,
+		`pearyard_store_calls_total{call="wait",result="ok"}`, "pearyard_config_age_seconds", "pearyard_log_lines_dropped 0",
+	} {
+		g.Expect(string(metrics)).To(gomega.ContainSubstring(name))
+	}
 }
 
 // A server says that it leaves. Seconds later nothing new reaches it, however
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -31,6 +31,7 @@
 	IP      string
 	Callers string
 	ready   string
+	peers   string
 	dir     string
 	store   *Proxy // this VM's way to the store
 
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	vm.Callers, vm.ready = fmt.Sprintf("%s:%d", vm.IP, callers), fmt.Sprintf("%s:%d", vm.IP, ready)
+	vm.Callers, vm.ready, vm.peers = fmt.Sprintf("%s:%d", vm.IP, callers), fmt.Sprintf("%s:%d", vm.IP, ready), fmt.Sprintf("%s:%d", vm.IP, peerPort)
 	settings := fmt.Sprintf(`{nodeName: %q, ip: %q, zone: %q, listen: {frontend: %q, ready: %q}, internalPortRange: [%d, %d], seedNodes: [%s],
 limits: {memoryMb: 134}, heartbeatMs: 1200, platform: {address: %q, readsPerS: 2000, writesPerS: 400},
 bounds: {drainTimeoutMs: 2000, gracePeriodS: %d, configApplyMs: 2000, retryBudgetRatio: 0.8, retryWindowS: 10, retryMinExtra: 150}}
