--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,7 +12,7 @@
 	byService map[string][]*Server
 	byID      map[string]*Server
 	byHash    map[uint32]*Server
-	Listings  []Listing
+	Listings  []Listing // as the store gave them; servers that are kept are not among them
 }
 
 // Service returns the servers of a service.
@@ -21,7 +21,8 @@
 // Len returns how many servers are listed.
 func (v *View) Len() int { return len(v.byID) }
 
-// Directory keeps the view. Requests read it without a lock.
+// Directory keeps the view. Requests read it without a lock; only a choice just
+// after others have told of their load waits for the sums to be made.
 type Directory struct {
 	view atomic.Pointer[View]
 
