--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -137,27 +136,8 @@
 	if time.Since(c.idleSince) > limit || c.reader.Buffered() > 0 {
 		return false
 	}
-	return c.quiet()
-}
-
-// quiet looks without waiting whether bytes or an end have arrived.
-func (c *Conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+	state := look(c.Conn)
+	return state == idleQuiet || state == idleUnknown
 }
 
 // Request is one request as it goes over the wire.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,9 +6,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -90,9 +88,8 @@
 
 // New returns a Peer with its own pool of connections.
 func New(opts Options) *Peer {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	p := &Peer{opts: opts, transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -168,19 +165,3 @@
 	t.p.learn(resp.Header, begun)
 	return resp, nil
 }
-
-// SentGuard tells whether a byte of a call may have left this process. It
-// stops a call from being reported "not run", or sent again, after a failure
-// that came when the other side may already have it: only a call that never
-// got a connection provably did not leave.
-type SentGuard struct{ connected atomic.Bool }
-
-// Watch returns a context whose HTTP calls are watched by the guard.
-func (g *SentGuard) Watch(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { g.connected.Store(true) },
-	})
-}
-
-// MayHaveLeft reports whether a connection was handed to the call.
-func (g *SentGuard) MayHaveLeft() bool { return g.connected.Load() }
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -106,7 +106,7 @@
 		emitted:     len(emitted),
 		started:     time.Now(),
 		cancel:      cancel,
-		readers:     map[types.ProcessID]int{},
+		readers:     map[*reader]struct{}{},
 	}
 	stored, added := s.runs.add(r)
 	if !added {
--- a/sidecar/runs.go
+++ b/sidecar/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,35 +31,41 @@
 
 	mu      sync.Mutex // guards grace and readers
 	grace   *time.Timer
-	readers map[types.ProcessID]int // routers that read the log now
+	readers map[*reader]struct{} // connections that read the log now
 }
 
-// wantedByOthers reports whether a router other than the given one reads the log.
-func (r *run) wantedByOthers(router types.ProcessID) bool {
+// reader is one connection over which a router reads a run's log.
+type reader struct{ router types.ProcessID }
+
+// disclaim notes that a router has no more use for the run, and reports whether
+// another router reads it. The router's connections may be seen to end later;
+// until then they would count as somebody who waits for the answer.
+func (r *run) disclaim(router types.ProcessID) (wanted bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.readers) > 1 || (len(r.readers) == 1 && r.readers[router] == 0)
+	maps.DeleteFunc(r.readers, func(held *reader, _ struct{}) bool { return held.router == router })
+	return len(r.readers) > 0
 }
 
 // addReader notes that a router reads, which ends the grace time.
-func (r *run) addReader(router types.ProcessID) {
+func (r *run) addReader(router types.ProcessID) *reader {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readers[router]++
+	added := &reader{router}
+	r.readers[added] = struct{}{}
 	if r.grace != nil {
 		r.grace.Stop()
 		r.grace = nil
 	}
+	return added
 }
 
-// removeReader notes that a router has left; when it was the last one, expired
-// is called after the grace time.
-func (r *run) removeReader(router types.ProcessID, grace time.Duration, expired func()) {
+// removeReader notes that a connection has ended; when it was the last one,
+// expired is called after the grace time.
+func (r *run) removeReader(ended *reader, grace time.Duration, expired func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.readers[router]--; r.readers[router] == 0 {
-		delete(r.readers, router)
-	}
+	delete(r.readers, ended)
 	if len(r.readers) == 0 {
 		r.grace = time.AfterFunc(grace, expired)
 	}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -60,12 +60,19 @@
 		return nil, twirp.InvalidArgumentError("generation", err.Error())
 	}
 	r := v.s.runs.get(runKey{id, types.AttemptTag(req.GetAttempt())})
-	if r == nil || r.wantedByOthers(peer.Sender(ctx).ID) {
+	if r == nil {
 		return &streampb.CancelResponse{}, nil
 	}
+	return v.s.cancel(r, peer.Sender(ctx).ID), nil
+}
+
+func (s *Sidecar) cancel(r *run, router types.ProcessID) *streampb.CancelResponse {
+	if r.disclaim(router) {
+		return &streampb.CancelResponse{}
+	}
 	was := r.log.Cancel()
 	r.cancel()
-	return &streampb.CancelResponse{WasRunning: was}, nil
+	return &streampb.CancelResponse{WasRunning: was}
 }
 
 // Append keeps tokens of generations that run elsewhere.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -91,6 +91,49 @@
 	g.Expect(cancelBy("router-2")).To(BeTrue())
 }
 
+// Two routers read an attempt. Both give it up, one soon after the other, and
+// the sidecar hasn't yet seen that the first one's connection has ended. Each
+// has said that it has no more use for the attempt, so the second cancel stops
+// it; taken for still being read, it would hold its engine for the grace time.
+func TestCancelCountsBeforeItsConnectionEnds(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := newTestSidecar()
+	id := types.NewGenerationID(7)
+	r, refused := s.start(request(id, 5))
+	g.Expect(refused).To(BeNil())
+	defer r.cancel()
+	stays := r.addReader("router-1")
+	r.addReader("router-2")
+	cancelBy := func(router types.ProcessID) bool {
+		resp := s.cancel(r, router)
+		return resp.GetWasRunning()
+	}
+	g.Expect(cancelBy("router-1")).To(BeFalse())
+	g.Expect(r.log.Look(0).Phase).To(Equal(generation.Running))
+	g.Expect(cancelBy("router-2")).To(BeTrue())
+	// The ended connection is noticed at last; that changes nothing more.
+	r.removeReader(stays, time.Hour, func() {})
+	g.Expect(r.unread()).To(BeTrue())
+}
+
+// A router cancels, and its caller comes back through it before the sidecar has
+// seen that the first connection has ended. The new reader must not be
+// forgotten with the old one.
+func TestReaderAfterCancelIsKept(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := newTestSidecar()
+	r, refused := s.start(request(types.NewGenerationID(7), 5))
+	g.Expect(refused).To(BeNil())
+	defer r.cancel()
+	old := r.addReader("router-1")
+	other := r.addReader("router-2")
+	s.cancel(r, "router-1")
+	r.addReader("router-1")
+	r.removeReader(old, time.Hour, func() {})
+	r.removeReader(other, time.Hour, func() {})
+	g.Expect(r.unread()).To(BeFalse())
+}
+
 // An engine answers probes, but its loop is stuck: a caller's stream stops
 // after a token and never ends. The sidecar gives the attempt up, so that the
 // router resumes it elsewhere.
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -57,9 +57,8 @@
 
 // follow writes a run's frames from index from on until it ends or the reader leaves.
 func (s *Sidecar) follow(ctx context.Context, out *frameWriter, r *run, from int) {
-	router := peer.Sender(ctx).ID
-	r.addReader(router)
-	defer r.removeReader(router, s.opts.Dial().RouterGrace, func() { s.orphan(r) })
+	self := r.addReader(peer.Sender(ctx).ID)
+	defer r.removeReader(self, s.opts.Dial().RouterGrace, func() { s.orphan(r) })
 	accepted := &streampb.Accepted{Lineage: streampb.FromLineage(r.log.Lineage()), Incarnation: uint64(s.opts.Peer.Self().Incarnation)}
 	if out.write(&streampb.Frame{Body: &streampb.Frame_Accepted{Accepted: accepted}, Load: s.loadFrame()}) != nil {
 		return
