directory: a loss is not told on forever, and an old one wakes nobody

VMs told each other which servers are lost for a second after each word of it, also those that they had only been told of: two VMs kept a loss new for good as long as the server stayed on the list. With the store away nobody takes it off, so the whole zone stayed in doubt, and a server that one VM alone could not reach was shunned by all. Ruled out: servers that did not come back (67 of 71 were found again within 0.7 s), memory full of copies, the list at the store's return.

Mended: only what a process found lost itself is told; a word is news once. The channel of an old loss now wakes nobody. Both have a test that failed before.

exchange: a retry that reached no server costs no retry budget (a stream that met dead servers paid for each).

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -54,6 +54,32 @@
 	g.Expect(d.server("a1").IsDown(now.Add(revivedAfter))).To(gomega.BeFalse())
 }
 
+// A server was lost and nobody has tried it since; after a while it is usable
+// again. Streams that wait for its loss must not be woken by the old one: those
+// with a copy there went round and round, and entry VMs spent all of their
+// processor time on it.
+func TestOldLossWakesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := withServers("a1").server("a1")
+		s.Lost(time.Now())
+		woken := func() bool {
+			select {
+			case <-s.Down():
+				return true
+			default:
+				return false
+			}
+		}
+		g.Expect(woken()).To(gomega.BeTrue())
+		time.Sleep(revivedAfter)
+		g.Expect(s.IsDown(time.Now())).To(gomega.BeFalse())
+		g.Expect(woken()).To(gomega.BeFalse())
+		s.Lost(time.Now())
+		g.Expect(woken()).To(gomega.BeTrue())
+	})
+}
+
 // A server reports that it leaves. It gets nothing from the moment that this is
 // known, also if nothing else is left.
 func TestLeavingServerGetsNothing(t *testing.T) {
@@ -84,6 +110,48 @@
 	g.Expect(d.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("a3"))
 }
 
+// A zone's servers crash while the store is away, and nobody takes them off the
+// list. The VMs tell each other of the losses again and again. They used to tell
+// on what they had only been told, so that each loss stayed as new as the last
+// word of it: the servers that came back, the zone that they are in and servers
+// that had only been out of one VM's reach got nothing until the store returned.
+func TestLossIsNotToldOnForever(t *testing.T) {
+	const told, pace = time.Second, 20 * time.Millisecond
+	g := gomega.NewWithT(t)
+	a, b, c := withServers("a1", "a2", "b1"), withServers("a1", "a2", "b1"), withServers("a1", "a2", "b1")
+	vms := []*Directory{a, b, c}
+	start := time.Now().Add(time.Second)
+	a.server("a1").Lost(start)
+	a.server("a2").Dead(start)
+	now := start
+	tell := func(d time.Duration) {
+		for until := now.Add(d); now.Before(until); now = now.Add(pace) {
+			for _, from := range vms {
+				for _, lost := range from.LostHere(now, told) {
+					for _, to := range vms {
+						if to != from {
+							to.LostElsewhere(lost, now)
+						}
+					}
+				}
+			}
+		}
+	}
+	tell(pace)
+	for _, vm := range vms {
+		g.Expect(vm.server("a1").IsDown(now)).To(gomega.BeTrue())
+		g.Expect(vm.Adopt(vm.server("a2"), "a3", now)).To(gomega.BeTrue())
+	}
+	busy := b.server("b1").StreamBegun(8000)
+	defer busy.End()
+	tell(2 * time.Second)
+	g.Expect(b.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("a3"), "the one that came back")
+	tell(revivedAfter)
+	for _, vm := range vms {
+		g.Expect(vm.server("a1").IsDown(now)).To(gomega.BeFalse())
+	}
+}
+
 // Two servers of a release leave one after the other and refuse connections at
 // their end. That says nothing about the rest of their zone.
 func TestServersThatLeaveAreNoLossOfTheirZone(t *testing.T) {
--- a/directory/load.go
+++ b/directory/load.go
@@ -79,16 +79,17 @@
 // LostElsewhere notes that another process found a server lost.
 func (d *Directory) LostElsewhere(server uint32, now time.Time) {
 	if s := d.view.Load().byHash[server]; s != nil && s.streams.Load() == 0 {
-		s.Lost(now)
+		s.toldLost(now)
 	}
 }
 
-// LostHere returns the servers that this process found lost within the last
-// while.
+// LostHere returns the servers that this process itself found lost within the
+// last while. What it was only told is not among them: two processes would tell
+// each other of a loss for good.
 func (d *Directory) LostHere(now time.Time, within time.Duration) []uint32 {
 	var out []uint32
 	for _, s := range d.view.Load().byID {
-		if s.WasDownWithin(now, within) {
+		if s.lostHere(now, within) {
 			out = append(out, s.hash)
 		}
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -54,6 +54,7 @@
 	mu      sync.Mutex    // guards the fields below
 	down    chan struct{} // closed while it is believed lost; replaced when it is back
 	downAt  time.Time     // zero while it is believed alive
+	byWord  bool          // another process found it lost, not this one
 	dead    bool          // its process is known to have ended
 	faults  float64       // recent faults, halved each faultHalfLife
 	faultAt time.Time
@@ -102,10 +103,16 @@
 	return s.down
 }
 
-// Down returns a channel that is closed while the server is believed lost.
+// Down returns a channel that is closed while the server is believed lost. It
+// is nil when a loss is over but no request has tried the server since: the
+// channel of that loss stays closed, and whoever waits on it would be woken
+// without end.
 func (s *Server) Down() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.downAt.IsZero() && !s.downLocked(time.Now()) {
+		return nil
+	}
 	return s.down
 }
 
@@ -114,7 +121,12 @@
 func (s *Server) Lost(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news := s.downAt.IsZero()
+	s.byWord = false
+	return s.lostLocked(now)
+}
+
+func (s *Server) lostLocked(now time.Time) (news bool) {
+	news = s.downAt.IsZero()
 	s.downAt = now
 	if news {
 		close(s.down)
@@ -122,6 +134,25 @@
 	return news
 }
 
+// toldLost notes that another process found the server lost. It is news once: a
+// loss is told several times, and each word would make it seem newer.
+func (s *Server) toldLost(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.downLocked(now) {
+		return
+	}
+	s.byWord = true
+	s.lostLocked(now)
+}
+
+// lostHere tells whether this process itself found the server lost at most d ago.
+func (s *Server) lostHere(now time.Time, d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.byWord && !s.downAt.IsZero() && now.Sub(s.downAt) < d
+}
+
 // Alive notes an answer.
 func (s *Server) Alive(now time.Time) {
 	s.provenAt.Store(now.UnixNano())
@@ -148,7 +179,7 @@
 func (s *Server) revive() {
 	if !s.downAt.IsZero() {
 		s.downAt = time.Time{}
-		s.dead = false
+		s.byWord, s.dead = false, false
 		s.down = make(chan struct{})
 	}
 }
@@ -157,6 +188,10 @@
 func (s *Server) IsDown(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.downLocked(now)
+}
+
+func (s *Server) downLocked(now time.Time) bool {
 	return s.dead || (!s.downAt.IsZero() && now.Sub(s.downAt) < revivedAfter)
 }
 
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -26,6 +26,7 @@
 	longest  time.Duration
 	tried    map[string]bool // servers that proved not to run it, or that broke
 	arrivals int             // sendings that reached a server
+	paid     bool            // the budget holds a retry that has reached no server yet
 	ran      int             // attempts that may have run
 	refused  int
 	resumed  int
@@ -108,7 +109,7 @@
 		s.refused++
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 		if !notRun.Unreached() {
-			s.arrivals++
+			s.reached()
 		}
 		if fromCopy && notRun.Reason == Busy {
 			// There was no copy: the server itself may be tried from the start.
@@ -117,7 +118,7 @@
 		}
 	} else {
 		s.ran++
-		s.arrivals++
+		s.reached()
 		s.lostZone = server.Zone
 		s.e.mayHaveCrashed(s.req, server)
 		s.e.metrics.attempts.WithLabelValues("broken").Inc()
@@ -127,6 +128,12 @@
 	s.again(server, err)
 }
 
+// reached counts an attempt that reached its server: the next one is a retry.
+func (s *stream) reached() {
+	s.arrivals++
+	s.paid = false
+}
+
 // again says that an attempt failed and another may follow.
 func (s *stream) again(server *directory.Server, err error) {
 	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.ID,
@@ -154,7 +161,7 @@
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
 func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
-	if s.arrivals > 0 && !s.awaitBudget(ctx) {
+	if s.arrivals > 0 && !s.pay(ctx) {
 		return nil, nil, ErrBudget
 	}
 	if at := s.copies.at(); at != nil && !s.tried[at.ID] && s.e.opts.Directory.Usable(at, time.Now()) {
@@ -177,6 +184,16 @@
 	}
 }
 
+// pay takes the next sending out of the retry budget, unless what was taken
+// for the last one is still unused: a server that has ended takes no connection,
+// so nobody there got a retry. In a mass loss the streams find many such servers.
+func (s *stream) pay(ctx context.Context) bool {
+	if !s.paid {
+		s.paid = s.awaitBudget(ctx)
+	}
+	return s.paid
+}
+
 // awaitBudget takes one more sending out of the budget. In a mass loss the part
 // that a process may take before the others know of it is spent within moments
 // and free again a moment later: a stream that ended then was lost for a fifth
--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -30,16 +30,15 @@
 	return sink, err
 }
 
-// firstOf returns the script of whichever server is tried first, and another
-// one's for those after it.
-func firstOf(first, then script) map[string][]script {
-	tried := false
+// firstOf returns scripts that are played one attempt after the other, whichever
+// servers are tried; the last one is played again.
+func firstOf(plays ...script) map[string][]script {
 	return everywhere(func(ctx context.Context, a *Attempt) (*Answer, error) {
-		if !tried {
-			tried = true
-			return first(ctx, a)
+		play := plays[0]
+		if len(plays) > 1 {
+			plays = plays[1:]
 		}
-		return then(ctx, a)
+		return play(ctx, a)
 	})
 }
 
@@ -359,3 +358,27 @@
 		})
 	}
 }
+
+// counting is a Lender that allows all and counts.
+type counting struct{ taken int }
+
+func (l *counting) Allow(string, *retry.Window) bool { l.taken++; return true }
+func (l *counting) First(string, *retry.Window)      {}
+
+// A zone dies. A stream that ran there is sent to servers that died with it and
+// take no connection, before it finds one that lives. The backend servers get
+// one retry, so one is taken out of the budget; each try used to be, and 93
+// streams ended for want of budget in a loss of several zones one by one.
+func TestRetryThatReachesNobodyCostsNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(firstOf(streams(50, beat, io.ErrUnexpectedEOF), refuses(Refused), refuses(Unreachable), streams(130, beat, nil)))
+		lender := &counting{}
+		b.opts.Lender = lender
+		sink, err := runStream(t, b, streamRequest())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+		g.Expect(b.backend.sent()).To(gomega.HaveLen(4))
+		g.Expect(lender.taken).To(gomega.Equal(1))
+	})
+}
