entry: a configuration and any settings file can be checked before they are used

Cause: an operator learnt of a faulty configuration only from PY2701 on every VM, one fault at a time.

--- a/entry/main.go
+++ b/entry/main.go
@@ -9,13 +9,18 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/platform"
 )
 
-const flagCheck = "check"
+const (
+	flagCheck       = "check"
+	flagSettings    = "settings"
+	flagCheckConfig = "check-configuration"
+)
 
 // Exit codes.
 const (
@@ -34,7 +39,9 @@
 		Name:  "pearyard-entry",
 		Usage: "serves callers on an entry VM of the platform; settings come from the file named by " + platform.SettingsVariable,
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: flagCheck, Aliases: []string{"print-settings"}, Usage: "check the settings, print them as JSON and exit"},
+			&cli.BoolFlag{Name: flagCheck, Aliases: []string{"print-settings"}, Usage: "check the settings, print them as JSON and exit: 0 if they are good, 3 if not"},
+			&cli.StringFlag{Name: flagSettings, Usage: "settings `FILE` in place of the one that " + platform.SettingsVariable + " names"},
+			&cli.StringFlag{Name: flagCheckConfig, Usage: "check the configuration in `FILE` before it is written to the store and exit: 0 if entry VMs take it, 3 if not"},
 		},
 		Writer: stdout, ErrWriter: stderr,
 		Action: func(c *cli.Context) error {
@@ -50,8 +57,27 @@
 	return code
 }
 
+// checkConfig prints what is wrong with a configuration.
+func checkConfig(path string, stdout io.Writer) (int, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return exitFailed, errors.Wrap(err, "entry: configuration")
+	}
+	found := platform.CheckConfig(raw)
+	if len(found) > 0 {
+		fmt.Fprintln(stdout, found.String())
+	}
+	if found.HasErrors() {
+		return exitFindings, nil
+	}
+	return 0, nil
+}
+
 func start(c *cli.Context, stdout, stderr io.Writer) (int, error) {
-	settings, found, err := platform.LoadSettings()
+	if path := c.String(flagCheckConfig); path != "" {
+		return checkConfig(path, stdout)
+	}
+	settings, found, err := platform.LoadSettings(c.String(flagSettings))
 	if err != nil {
 		return exitFailed, err
 	}
--- a/entry/main_test.go
+++ b/entry/main_test.go
@@ -40,3 +40,46 @@
 	t.Setenv(platform.SettingsVariable, filepath.Join(t.TempDir(), "none"))
 	g.Expect(Main([]string{"pearyard-entry", "--check"}, &bytes.Buffer{}, &bytes.Buffer{})).To(gomega.Equal(exitFailed))
 }
+
+func checkConfiguration(t *testing.T, config string) (code int, told string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "configuration.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	code = Main([]string{"pearyard-entry", "--check-configuration", path}, &out, &bytes.Buffer{})
+	return code, out.String()
+}
+
+// An operator is about to write a configuration. What entry VMs would refuse,
+// and what they would take though requests fail by it, is told beforehand, all
+// at once and with its place; keys are not shown.
+func TestCheckOfConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	good := `{"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/x/","routeType":"streaming","timeoutMs":25000,
+"targetLatencyMs":4500,"maxAttempts":5,"service":"s"}],"services":[{"name":"s","healthPath":"/healthz"}],"tenants":[{"name":"o","apiKeys":["secret"]}]}`
+	code, told := checkConfiguration(t, good)
+	g.Expect(code).To(gomega.BeZero())
+	g.Expect(told).To(gomega.BeEmpty())
+
+	code, told = checkConfiguration(t, `{"version":7,
+"routes":[{"host":"a","pathPrefix":"/x/","routeType":"odd","service":"s","timeoutMs":1000},
+{"host":"A","pathPrefix":"/x/","routeType":"idempotent","backends":[{"service":"t","weight":0}],"targetLatencyMs":9}],
+"services":[{"name":"s"}],"tenants":[{"name":"o","apiKeys":["secret"]},{"name":"p","apiKeys":["secret"]}]}`)
+	g.Expect(code).To(gomega.Equal(exitFindings))
+	for _, line := range []string{
+		`2:11: error: /routes/0: kind "odd" is unknown`,
+		`3:1: warning: /routes/1: has the host and path prefix of route 0`,
+		`3:1: warning: /routes/1: goes to service "t", which isn't listed`,
+		`/routes/1/backends: no weight is over 0`, `/routes/1/timeoutMs: not over 0`, `/routes/1/maxAttempts: under 1`,
+		`/services/0/healthPath: missing`, `/tenants/1/apiKeys/0: is also a key of "o"`,
+	} {
+		g.Expect(told).To(gomega.ContainSubstring(line))
+	}
+	g.Expect(told).NotTo(gomega.ContainSubstring("secret"))
+
+	code, told = checkConfiguration(t, `{"version":7,`)
+	g.Expect(code).To(gomega.Equal(exitFindings))
+	g.Expect(told).To(gomega.ContainSubstring("not JSON"))
+}
