entry: callers' idle and header limits are those of the configuration in force

Cause: both were fixed at the server's start, 2 minutes and 10 s, so the limits that an operator sets (and changes) bounded nothing. Change: a listener that knows what each connection is waited for closes those over the limit in force; a request is served or its connection dropped before it, by one compare-and-swap. Ruled out: net/http's ConnState alone (it tells of a request only once its head is read) and the time of day (it jumps). After a freeze nothing is closed.

--- /dev/null
+++ b/entry/clients.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/pearyard/pearyard/site"
+)
+
+// clientsLook is how often callers' connections are looked through: a tenth of
+// the shortest limit that operators set, a second.
+const clientsLook = 100 * time.Millisecond
+
+// clientsLate is how late a look may come before it says that this process
+// stood still: what its callers sent meanwhile has not been read yet.
+const clientsLate = 5 * clientsLook
+
+// clients closes callers' connections that idle, or take for the head of a
+// request, longer than the configuration in force allows. net/http's own limits
+// are fixed when a server starts; they stay above these and hold while no
+// configuration is known.
+//
+// Failure it stops: connections that nobody uses any more, and heads that come
+// byte by byte, take a process's descriptors until no caller gets in.
+type clients struct {
+	net.Listener
+	limits  func() site.ClientLimits
+	dropped *prometheus.CounterVec
+	zero    time.Time // times of connections are steady ones since then: the time of day may jump
+
+	mu   sync.Mutex // guards open
+	open map[*clientConn]struct{}
+}
+
+// newClients returns a listener whose connections are kept within limits.
+func newClients(l net.Listener, limits func() site.ClientLimits, r prometheus.Registerer) *clients {
+	return &clients{
+		Listener: l, limits: limits, zero: time.Now(), open: map[*clientConn]struct{}{},
+		dropped: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_entry_callers_dropped_total",
+			Help: "Callers' connections closed for idling (idle) or for a head that took too long (head), by the configuration's limits.",
+		}, []string{"phase"}),
+	}
+}
+
+// Accept implements net.Listener.
+func (c *clients) Accept() (net.Conn, error) {
+	raw, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := &clientConn{Conn: raw, zero: c.zero}
+	conn.touch(time.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[conn] = struct{}{}
+	return conn, nil
+}
+
+// changed is the server's ConnState hook.
+func (c *clients) changed(conn net.Conn, state http.ConnState) {
+	caller, ok := conn.(*clientConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		caller.answered()
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.open, caller)
+	}
+}
+
+type clientKey struct{}
+
+// context is the server's ConnContext hook.
+func (c *clients) context(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, conn)
+}
+
+// refuseDropped hands on the requests of connections that are still open. The
+// answer to one that came just as its connection was closed could not be
+// delivered, so it must not run.
+func (c *clients) refuseDropped(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if caller, ok := r.Context().Value(clientKey{}).(*clientConn); ok && !caller.serve() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// run sweeps until ctx ends.
+func (c *clients) run(ctx context.Context) error {
+	tick := time.NewTicker(clientsLook)
+	defer tick.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			now := time.Now()
+			c.look(now, now.Sub(last))
+			last = now
+		}
+	}
+}
+
+// look closes what is over its limit, unless this process has just stood still.
+func (c *clients) look(now time.Time, sinceLast time.Duration) {
+	if sinceLast <= clientsLate {
+		c.sweep(now)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.touch(now)
+	}
+}
+
+// sweep closes the connections that are over their limits.
+func (c *clients) sweep(now time.Time) {
+	limits := c.limits()
+	var over []*clientConn
+	c.mu.Lock()
+	for conn := range c.open {
+		if phase, dropped := conn.drop(limits, now); dropped {
+			c.dropped.WithLabelValues(phaseNames[phase]).Inc()
+			over = append(over, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range over {
+		_ = conn.Close()
+	}
+}
+
+// clientPhase is what a caller's connection is waited for.
+type clientPhase = int32
+
+const (
+	clientIdle    clientPhase = iota // waits for a request
+	clientHead                       // a request's head is being read
+	clientServed                     // a request is being served
+	clientDropped                    // closed by sweep
+)
+
+var phaseNames = map[clientPhase]string{clientIdle: "idle", clientHead: "head"}
+
+// clientConn is a caller's connection. Its phase changes by compare-and-swap
+// only, so that a request is either served or its connection dropped before it.
+type clientConn struct {
+	net.Conn
+	zero  time.Time
+	phase atomic.Int32
+	since atomic.Int64 // steady nanoseconds after zero at which the phase began; written before it
+}
+
+func (c *clientConn) touch(now time.Time) { c.since.Store(int64(now.Sub(c.zero))) }
+
+// Read implements net.Conn. The first bytes after a pause begin a head.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.phase.Load() == clientIdle {
+		c.touch(time.Now())
+		c.phase.CompareAndSwap(clientIdle, clientHead)
+	}
+	return n, err
+}
+
+// serve notes that a head has come; false if the connection was dropped.
+func (c *clientConn) serve() bool {
+	for {
+		phase := c.phase.Load()
+		if phase == clientDropped {
+			return false
+		}
+		if c.phase.CompareAndSwap(phase, clientServed) {
+			return true
+		}
+	}
+}
+
+// answered notes that the connection waits for its next request.
+func (c *clientConn) answered() {
+	c.touch(time.Now())
+	c.phase.CompareAndSwap(clientServed, clientIdle)
+}
+
+// drop takes the connection out of use if it is over its limit.
+func (c *clientConn) drop(limits site.ClientLimits, now time.Time) (phase clientPhase, dropped bool) {
+	phase = c.phase.Load()
+	limit := time.Duration(0)
+	switch phase {
+	case clientIdle:
+		limit = limits.IdleTime
+	case clientHead:
+		limit = limits.HeaderTime
+	}
+	if limit <= 0 || now.Sub(c.zero)-time.Duration(c.since.Load()) <= limit {
+		return phase, false
+	}
+	return phase, c.phase.CompareAndSwap(phase, clientDropped)
+}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/site"
 )
 
 const (
@@ -31,11 +32,14 @@
 		return errors.Wrap(err, "entry: listen")
 	}
 	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop}
+	callers := newClients(listener, e.clientLimits, e.registry)
 	server := &http.Server{
-		Handler: e.counted(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
+	background(group, callers.run)
 	stop, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return ignoreClosed(server.Serve(listener)) }, func(error) { _ = server.Close() })
+	group.Add(func() error { return ignoreClosed(server.Serve(callers)) }, func(error) { _ = server.Close() })
 	group.Add(func() error {
 		<-stop.Done()
 		e.drain(server)
@@ -44,6 +48,14 @@
 	return nil
 }
 
+// clientLimits returns those of the configuration in force.
+func (e *Entry) clientLimits() site.ClientLimits {
+	if config := e.holder.Config(); config != nil {
+		return config.Limits
+	}
+	return site.ClientLimits{}
+}
+
 func (e *Entry) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.running.Add(1)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,10 +40,10 @@
 	// retryShare is the part of the retry budget that is used: the first tries
 	// and retries of a moment may fall into different spans when counted.
 	retryShare = 0.85
-	// idleTimeout of callers' connections is longer than any limit that a
-	// configuration sets, so that none is closed under a request on its way.
-	idleTimeout = 2 * time.Minute
-	// headerTimeout bounds the time for a request's head.
+	// idleTimeout and headerTimeout hold for connections that the configuration's
+	// limits don't bound: of other processes, and of callers while there is none.
+	// They are longer than any limit that operators set.
+	idleTimeout   = 2 * time.Minute
 	headerTimeout = 10 * time.Second
 	maxHeader     = 64 << 10
 	peerTimeout   = 2 * time.Second
