fleet, platform, directory: hundreds of restarted VMs read the list in pages, peers hand on at a pace

Besides, a VM's first list counted as a change and was handed whole to each that was behind by a position. Ruled out: the store's rate and answers (no call refused), the configuration (there at once).

Each with a test that failed before.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -235,7 +235,7 @@
 	s.position, s.list, s.err, s.tooOld = position, list, err, tooOld
 }
 
-func (s *fakeStore) List(context.Context) (uint64, []Listing, error) {
+func (s *fakeStore) List(context.Context, time.Duration) (uint64, []Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.position, s.list, s.err
@@ -369,3 +369,15 @@
 	}
 	g.Expect(d.Pick(Query{Service: "s"}, now)).NotTo(gomega.BeNil())
 }
+
+// The log line of a list of thousands stays short, and says how many it is about.
+func TestLogLineOfManyServersIsShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ids := make([]string, 3000)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("i-%010d", i)
+	}
+	g.Expect(some(ids)).To(gomega.HaveSuffix(",+2960"))
+	g.Expect(len(some(ids))).To(gomega.BeNumerically("<", 600))
+	g.Expect(some(ids[:2])).To(gomega.Equal("i-0000000000,i-0000000001"))
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -17,7 +18,8 @@
 // Source lists the backend servers.
 type Source interface {
 	// List returns all of them, with the list's place in the store's history.
-	List(ctx context.Context) (position uint64, list []Listing, err error)
+	// Each answer of the store may take so long: a long list comes in several.
+	List(ctx context.Context, answer time.Duration) (position uint64, list []Listing, err error)
 	// Changes waits up to wait for changes after a position. Without any it
 	// returns the position it has reached and nothing else. The error is
 	// ErrTooOld if the store no longer knows all changes since then.
@@ -90,7 +92,7 @@
 func (f *Follower) changes(ctx context.Context, wait time.Duration) error {
 	position, changed, gone, err := f.Source.Changes(ctx, f.position, wait)
 	if errors.Is(err, ErrTooOld) {
-		return f.list(ctx)
+		return f.list(ctx, follow.Answer)
 	}
 	if err != nil {
 		return err
@@ -102,8 +104,8 @@
 	return nil
 }
 
-func (f *Follower) list(ctx context.Context) error {
-	position, list, err := f.Source.List(ctx)
+func (f *Follower) list(ctx context.Context, answer time.Duration) error {
+	position, list, err := f.Source.List(ctx, answer)
 	if err != nil {
 		return err
 	}
@@ -149,10 +151,22 @@
 	change := f.Directory.Apply(position, list, forgiving, time.Now())
 	f.kept.Store(len(change.Kept) > 0)
 	if f.kept.Load() {
-		f.Recorder.Emit(EventKept, "servers", strings.Join(change.Kept, ","), "position", position)
+		f.Recorder.Emit(EventKept, "servers", some(change.Kept), "position", position)
 	}
 	if change.Any() {
-		f.Recorder.Emit(EventChanged, "joined", strings.Join(change.Joined, ","), "left", strings.Join(change.Left, ","),
-			"draining", strings.Join(change.Draining, ","), "listed", len(list), "position", position, "from", from)
+		f.Recorder.Emit(EventChanged, "joined", some(change.Joined), "left", some(change.Left), "draining", some(change.Draining),
+			"listed", len(list), "position", position, "from", from)
 	}
 }
+
+// loggedIDs is how many ids a log line names: a zone's loss at a usual site. A
+// process's first list of thousands would make a line of 40 KB otherwise.
+const loggedIDs = 40
+
+// some names the first ids and counts the others.
+func some(ids []string) string {
+	if len(ids) <= loggedIDs {
+		return strings.Join(ids, ",")
+	}
+	return fmt.Sprintf("%s,+%d", strings.Join(ids[:loggedIDs], ","), len(ids)-loggedIDs)
+}
--- a/directory/history.go
+++ b/directory/history.go
@@ -14,8 +14,13 @@
 	gone     []string
 }
 
-// remember keeps what a list changed; it is called under the lock of Apply.
+// remember keeps what a list changed; it is called under the lock of Apply. The
+// first list is no change: others that were restarted in the same moment, and
+// are behind by one position, would be handed thousands of servers as changes.
 func (d *Directory) remember(old *View, position uint64, list []Listing) {
+	if old.Position == 0 {
+		return
+	}
 	before := make(map[string]Listing, len(old.Listings))
 	for _, l := range old.Listings {
 		before[l.ID] = l
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -71,6 +71,7 @@
 	peers atomic.Pointer[[]string]
 	near  atomic.Pointer[[]string]
 	size  atomic.Int64
+	pace  pace
 }
 
 // New returns a Fleet that knows its seeds.
@@ -207,27 +208,53 @@
 
 // Newest implements fleetpb.Fleet.
 func (f *Fleet) Newest(_ context.Context, r *fleetpb.NewestRequest) (*fleetpb.NewestResponse, error) {
-	answer := &fleetpb.NewestResponse{}
-	if v := f.opts.Holder.Current(); v != nil && v.Position > r.GetConfigPosition() && !r.GetChangesOnly() {
-		answer.ConfigPosition, answer.Config = v.Position, v.Raw
+	answer := &fleetpb.NewestResponse{Settled: f.opts.Settled()}
+	view := f.opts.Directory.View()
+	behind := view.Position > r.GetListPosition()
+	if behind {
+		behind = !f.changes(answer, r.GetListPosition())
+	}
+	if !r.GetChangesOnly() {
+		f.whole(answer, f.configAfter(r.GetConfigPosition()), view, behind)
 	}
-	f.list(answer, r.GetListPosition(), r.GetChangesOnly())
 	return answer, nil
 }
 
-// list answers with what changed since a position, or with all where that is
-// no longer known: at 3,000 servers a list is 300 KB, a change some hundred bytes.
-func (f *Fleet) list(answer *fleetpb.NewestResponse, since uint64, changesOnly bool) {
-	view := f.opts.Directory.View()
-	if view.Position <= since {
-		return
-	}
-	answer.Settled = f.opts.Settled()
-	if position, changed, gone, ok := f.opts.Directory.Since(since); ok {
+// changes answers with what changed in the list since a position; false if that
+// is no longer known. At 3,000 servers a list is 300 KB, a change some hundred bytes.
+func (f *Fleet) changes(answer *fleetpb.NewestResponse, since uint64) bool {
+	position, changed, gone, ok := f.opts.Directory.Since(since)
+	if ok {
 		answer.ListPosition, answer.Servers, answer.Gone, answer.Delta = position, wire(changed), gone, true
+	}
+	return ok
+}
+
+// configAfter returns the configuration in force if it is newer than a position.
+func (f *Fleet) configAfter(position uint64) *site.Versioned {
+	if v := f.opts.Holder.Current(); v != nil && v.Position > position {
+		return v
+	}
+	return nil
+}
+
+// whole answers with a whole configuration, a whole list or both, if this
+// process may hand on that much now.
+func (f *Fleet) whole(answer *fleetpb.NewestResponse, config *site.Versioned, view *directory.View, list bool) {
+	bytes := 0
+	if config != nil {
+		bytes += len(config.Raw)
+	}
+	if list {
+		bytes += serverBytes * len(view.Listings)
+	}
+	if bytes == 0 || !f.pace.allow(bytes, time.Now()) {
 		return
 	}
-	if !changesOnly {
+	if config != nil {
+		answer.ConfigPosition, answer.Config = config.Position, config.Raw
+	}
+	if list {
 		answer.ListPosition, answer.Servers = view.Position, wire(view.Listings)
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -105,6 +107,35 @@
 	g.Expect(answer.GetServers()).To(gomega.HaveLen(3))
 }
 
+// All entry VMs were restarted and ask each other for everything, or are behind
+// by a position with a list that was read a moment later. Peers used to hand
+// thousands of servers to each of them at once, too many for their links.
+func TestWholeListsAreHandedOnAtAPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := New(Options{Directory: directory.New(), Holder: site.NewHolder(), Settled: func() bool { return true }})
+		var list []directory.Listing
+		for i := range 3000 {
+			list = append(list, directory.Listing{ID: strconv.Itoa(i), Service: "s"})
+		}
+		f.opts.Directory.Apply(10, list, false, time.Now())
+		servers := func(r *fleetpb.NewestRequest) int {
+			answer, err := f.Newest(t.Context(), r)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			return len(answer.GetServers())
+		}
+		g.Expect(servers(&fleetpb.NewestRequest{ListPosition: 9, ChangesOnly: true})).To(gomega.BeZero(), "the first list is no change")
+		g.Expect(servers(&fleetpb.NewestRequest{})).To(gomega.Equal(3000))
+		g.Expect(servers(&fleetpb.NewestRequest{})).To(gomega.BeZero())
+		f.opts.Directory.Apply(11, list[1:], false, time.Now())
+		answer, err := f.Newest(t.Context(), &fleetpb.NewestRequest{ListPosition: 10})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(answer.GetGone()).To(gomega.HaveLen(1), "changes are small and never held back")
+		time.Sleep(time.Second)
+		g.Expect(servers(&fleetpb.NewestRequest{})).To(gomega.Equal(2999))
+	})
+}
+
 // A peer that lags, or tells what can't be read, changes nothing.
 func TestPeerThatLagsChangesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// pollGrace is what an answer may take on top of the wait at the store.
-	pollGrace = 500 * time.Millisecond
+	// Answer is what an answer of the store may take, on top of a wait there. It
+	// is many times what one takes on a link of 10 Mbit/s.
+	Answer = 500 * time.Millisecond
 	// maxGrace bounds the grace for a store that is slow but answers.
 	maxGrace = 4 * time.Second
 	// retryPause is the shortest wait after a failure; with jitter it grows to
@@ -41,8 +42,9 @@
 
 // Loop follows one subject. All funcs but Read and Next may be nil.
 type Loop struct {
-	// Read reads the subject whole, Next waits up to wait for a change.
-	Read func(ctx context.Context) error
+	// Read reads the subject whole, and may take each of the store's answers for
+	// so long; Next waits up to wait for a change.
+	Read func(ctx context.Context, answer time.Duration) error
 	Next func(ctx context.Context, wait time.Duration) error
 	// MustRead tells whether a wait for changes would miss something.
 	MustRead func() bool
@@ -74,7 +76,7 @@
 
 // Run follows until ctx ends.
 func (l *Loop) Run(ctx context.Context) error {
-	l.grace = pollGrace
+	l.grace = Answer
 	for ctx.Err() == nil {
 		if l.covered(ctx) {
 			continue
@@ -129,9 +131,7 @@
 // at the start, after a failure, and after others have read.
 func (l *Loop) ask(ctx context.Context) error {
 	if !l.begun || l.stale || l.failures > 0 || (l.MustRead != nil && l.MustRead()) {
-		ctx, cancel := context.WithTimeout(ctx, l.grace)
-		defer cancel()
-		return l.Read(ctx)
+		return l.Read(ctx, l.grace)
 	}
 	wait := l.Wait
 	if l.Share != nil {
@@ -149,7 +149,7 @@
 	l.failing.Store(false)
 	l.confirmedAt.Store(time.Now().UnixNano())
 	l.failures, l.begun, l.stale = 0, true, false
-	l.grace = max(pollGrace, l.grace/2)
+	l.grace = max(Answer, l.grace/2)
 	if l.Share != nil {
 		l.Share.Read(began)
 	}
--- a/site/follow.go
+++ b/site/follow.go
@@ -65,7 +65,9 @@
 	return 0
 }
 
-func (f *Follower) read(ctx context.Context) error {
+func (f *Follower) read(ctx context.Context, answer time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, answer)
+	defer cancel()
 	v, reached, err := f.Source.Read(ctx)
 	return f.took(v, reached, err)
 }
