exchange, explain: streams on their way are named before their process can end

A stream that ran through a VM without trouble until the VM lost power was named by no line, so its cause could not be told from the logs.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -229,6 +229,7 @@
 	background(&group, e.budgets.Run)
 	background(&group, e.suspects.Run)
 	background(&group, e.news.Run)
+	background(&group, e.exchange.TellRunning)
 	background(&group, e.prune)
 	if err := e.serveReady(&group); err != nil {
 		return err
--- a/event/recorder.go
+++ b/event/recorder.go
@@ -24,6 +24,15 @@
 // belongs to; `pearyard explain` collects events by it.
 const FieldRequest = "request"
 
+// FieldRequests is that of an event about several: `ID@SERVER,ID@SERVER`.
+const FieldRequests = "requests"
+
+// Separators within FieldRequests.
+const (
+	AtServer        = "@"
+	BetweenRequests = ","
+)
+
 // DefaultRingSize is how many events a process keeps in memory.
 const DefaultRingSize = 4096
 
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -24,6 +24,8 @@
 		"a backend server was started again while the store does not tell of it; it is used under its new id", "nothing")
 	EventCopied = event.Define(2729, "exchange_copied", event.Info,
 		"the server that held the copy of a stream's memory is lost or leaves; another copy was asked for", "nothing")
+	EventRunning = event.Define(2732, "exchange_running", event.Info,
+		"streams that have been on their way for a second, each named once with its backend server", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
 )
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -90,6 +90,7 @@
 	metrics *metrics
 	budgets sync.Map // service -> *retry.Window
 	probes  prober
+	running running
 }
 
 // New returns an Exchange.
@@ -99,7 +100,7 @@
 	orDefault(&t.ProbeAfter, DefaultProbeAfter)
 	orDefault(&t.ProbeTimeout, DefaultProbeTimeout)
 	orDefault(&t.WaitForServer, DefaultWaitForServer)
-	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics)}
+	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics), running: running{streams: map[*onItsWay]struct{}{}}}
 	e.probes = prober{exchange: e, running: map[*directory.Server]chan struct{}{}}
 	return e
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -33,8 +33,9 @@
 	cause    error
 	lostZone string
 
-	copies copyKeeper        // where the running attempt's memory is copied to
-	server *directory.Server // of the newest attempt
+	copies   copyKeeper        // where the running attempt's memory is copied to
+	server   *directory.Server // of the newest attempt
+	onItsWay *onItsWay
 }
 
 // Stream serves a streaming request into sink. A *Failure before the head is
@@ -45,7 +46,10 @@
 	}
 	within, cancel := context.WithDeadline(ctx, req.Until)
 	defer cancel()
-	s := &stream{e: e, req: req, sink: sink, tried: map[string]bool{}, copies: copyKeeper{free: e.freeCopy}}
+	s := &stream{
+		e: e, req: req, sink: sink, tried: map[string]bool{}, copies: copyKeeper{free: e.freeCopy}, onItsWay: e.running.begin(req.ID),
+	}
+	defer e.running.end(s.onItsWay)
 	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	err = s.run(within)
 	s.copies.drop()
@@ -223,6 +227,7 @@
 // attempt runs the stream on one server until its end or a failure.
 func (s *stream) attempt(ctx context.Context, server *directory.Server, from *Memory) error {
 	s.server = server
+	s.onItsWay.server.Store(server)
 	prompt := s.req.PromptTokens
 	if from != nil {
 		prompt = 0
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -27,7 +27,7 @@
 	lines = sorted(lines)
 	var s Story
 	for _, l := range lines {
-		if l.Fields[event.FieldRequest] == request {
+		if l.names(request) {
 			s.Lines = append(s.Lines, l)
 		}
 	}
@@ -35,18 +35,21 @@
 		s.Cause = "No line names this request: no process took it whole, its process ended before it did, or its lines were dropped (look for dropped_info) or not collected." + silentEnds(lines)
 		return s
 	}
-	s.Around = around(lines, s.Lines)
+	s.Around = around(lines, s.Lines, request)
 	s.Cause = cause(s, lines)
 	return s
 }
 
 // around returns the lines of other matters that touch the request's servers or
 // process.
-func around(all, own []Line) []Line {
+func around(all, own []Line, request string) []Line {
 	from, to := own[0].At.Add(-aroundTime), own[len(own)-1].At.Add(aroundTime)
 	servers, processes := map[string]bool{}, map[string]bool{}
 	for _, l := range own {
 		processes[l.Process] = true
+		if at := l.serverOf(request); at != "" {
+			servers[at] = true
+		}
 		for _, name := range []string{"server", "after", "copy", "lost", "to"} {
 			if id := l.Fields[name]; id != "" {
 				servers[id] = true
@@ -55,7 +58,7 @@
 	}
 	var out []Line
 	for _, l := range all {
-		if l.At.Before(from) || l.At.After(to) || l.Fields[event.FieldRequest] != "" {
+		if l.At.Before(from) || l.At.After(to) || l.Fields[event.FieldRequest] != "" || l.Fields[event.FieldRequests] != "" {
 			continue
 		}
 		if processes[l.Process] || servers[l.Fields["server"]] {
@@ -119,7 +122,7 @@
 
 func failed(s Story, last Line) string {
 	text := "It failed after " + last.Fields["took"] + ": " + last.Fields["err"]
-	if lost := lostServers(s); lost != "" {
+	if lost := lostServers(s, last.Fields["service"]); lost != "" {
 		text += "; lost meanwhile: " + lost
 	}
 	return text + "."
@@ -139,12 +142,13 @@
 	return "; before that: " + strings.Join(errs, "; ")
 }
 
-func lostServers(s Story) string {
+// lostServers names the servers of the request's service that were lost near it.
+func lostServers(s Story, service string) string {
 	seen := map[string]bool{}
 	var out []string
 	for _, l := range s.Around {
 		id := l.Fields["server"]
-		if l.Event == exchange.EventServerLost.ID() && !seen[id] {
+		if l.Event == exchange.EventServerLost.ID() && !seen[id] && (service == "" || l.Fields["service"] == service) {
 			seen[id] = true
 			out = append(out, id+" of "+l.Fields["zone"])
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -19,6 +19,7 @@
 level=info ts=2026-10-02T12:44:06.000000000Z process=edge-2 event=PY2720 name=exchange_served request=r4 took=5s resumed=1 pause=400ms
 level=info ts=2026-10-02T12:44:06.000000000Z process=edge-2 event=PY2720 name=exchange_served request=r7 took=80ms sent=2 status=500
 level=warn ts=2026-10-02T12:44:06.000000000Z process=edge-2 event=PY2721 name=exchange_refused request=r5 err="exchange: no backend server takes the request"
+level=info ts=2026-10-02T12:44:00.500000000Z process=edge-2 event=PY2732 name=exchange_running requests=r0@i-3,r8@i-4
 `
 
 // Engineers on call are given a request's id and nothing else. Each kind of end
@@ -34,6 +35,7 @@
 		"r4": {"served after 5s", "1 time(s)", "400ms"},
 		"r5": {"has not run", "no backend server"},
 		"r6": {"No line names this request", "edge-2 between 12:44:03 and 12:44:05"},
+		"r8": {"edge-2 ended without a word between 12:44:00 and 12:44:05"},
 		"r7": {"backend server's own status 500, at try 2"},
 	} {
 		for _, w := range words {
--- a/explain/line.go
+++ b/explain/line.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-logfmt/logfmt"
 	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/event"
 )
 
 // Line is one log line of a process.
@@ -85,3 +87,32 @@
 	})
 	return out
 }
+
+// names tells whether the line is about a request, alone or among others.
+func (l *Line) names(request string) bool {
+	if l.Fields[event.FieldRequest] == request {
+		return true
+	}
+	_, found := l.among(request)
+	return found
+}
+
+// serverOf returns the backend server of a request that is named among others.
+func (l *Line) serverOf(request string) string {
+	server, _ := l.among(request)
+	return server
+}
+
+func (l *Line) among(request string) (server string, found bool) {
+	list := l.Fields[event.FieldRequests]
+	if list == "" {
+		return "", false
+	}
+	for _, item := range strings.Split(list, event.BetweenRequests) {
+		id, server, _ := strings.Cut(item, event.AtServer)
+		if id == request {
+			return server, true
+		}
+	}
+	return "", false
+}
