exchange: a request's last line names its server, configuration and list

Cause: read for on-call engineers, the line of a plain request's end said neither who answered nor by which version it was routed; a wrong route could only be guessed from PY2700 lines near it. Test: TestLastLineNamesWhatDecided, failed before by each of the four fields.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -95,6 +95,7 @@
 		}
 		call.Organisation = owner.Name
 	}
+	call.Version = config.Version
 	call.Service = call.Route.Pick()
 	call.Until = call.Arrived.Add(wait(call.Wait, call.Route.Timeout))
 	return nil
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -52,6 +52,7 @@
 	sent    int // attempts that may have run
 	refused int // attempts proved not to have run
 	last    error
+	newest  *directory.Server // whose result came last
 	failing *Reply // a server's own failure, passed on if nothing better comes
 }
 
@@ -71,7 +72,7 @@
 }
 
 func (c *call) summary(reply *Reply) []any {
-	fields := []any{"sent", c.sent, "refused", c.refused, "last", c.last}
+	fields := []any{"sent", c.sent, "refused", c.refused, "server", idOf(c.newest), "last", c.last}
 	if reply != nil {
 		fields = append(fields, "status", reply.Status)
 	}
@@ -203,6 +204,7 @@
 
 // take looks at an attempt's result and returns the reply if it is final.
 func (c *call) take(r result) *Reply {
+	c.newest = r.server
 	if r.err == nil && (r.reply.Status < 500 || !c.req.Route.Repeatable()) {
 		c.sent++
 		c.succeeded(r)
@@ -262,11 +264,13 @@
 	return err.Error()
 }
 
-// concluded logs and counts how a request ended.
+// concluded logs and counts how a request ended, with the configuration that
+// routed it and the list of servers known now.
 func (e *Exchange) concluded(ctx context.Context, req *Request, err error, more func() []any) {
 	took := time.Since(req.Arrived)
 	kind := req.Route.Kind.String()
-	line := append([]any{event.FieldRequest, req.ID, "route", req.Route.Name, "kind", kind, "service", req.Service, "took", took}, more()...)
+	line := append([]any{event.FieldRequest, req.ID, "route", req.Route.Name, "kind", kind, "service", req.Service,
+		"organisation", req.Organisation, "version", req.Version, "list", e.opts.Directory.View().Position, "took", took}, more()...)
 	var failure *Failure
 	switch {
 	case err == nil:
--- a/exchange/plain_test.go
+++ b/exchange/plain_test.go
@@ -146,3 +146,21 @@
 		g.Expect(again).To(gomega.BeNumerically("<=", int(0.8*calls)+20))
 	})
 }
+
+// An engineer on call has the line of a request's end alone: it names who
+// answered, and by which configuration and list that server was chosen.
+func TestLastLineNamesWhatDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{"a1": {answers(200, "ok", beat)}}, "a1")
+		req := request(site.AtMostOnce)
+		req.Version, req.Organisation = 7, "o"
+		_, err := b.Call(t.Context(), req)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		last := b.recorder.Entries(req.ID)[0]
+		g.Expect(last.ID).To(gomega.Equal(EventServed.ID()))
+		for field, value := range map[string]string{"server": "a1", "version": "7", "list": "1", "organisation": "o", "status": "200"} {
+			g.Expect(last.Fields).To(gomega.HaveKeyWithValue(field, value))
+		}
+	})
+}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -32,6 +32,7 @@
 	Service      string
 	Organisation string // empty without keys
 	LastEvent    string // event that the caller has already; empty: none
+	Version      uint64 // of the configuration that gave the route and the service
 
 	PromptTokens int
 	MaxTokens    int
