--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -53,7 +53,7 @@
 	refused int // attempts proved not to have run
 	last    error
 	newest  *directory.Server // whose result came last
-	failing *Reply // a server's own failure, passed on if nothing better comes
+	failing *Reply            // a server's own failure, passed on if nothing better comes
 }
 
 // Call serves a plain request. The error is a *Failure, or that of ctx when the
