--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -269,64 +268,3 @@
 		}
 	}
 }
-
-// Ready tells whether callers should come: there is a configuration, there are
-// backend servers, and no stop has begun.
-func (e *Entry) Ready() bool {
-	if e.stop.begun() || e.holder.Config() == nil || e.directory.View().Len() == 0 {
-		return false
-	}
-	if e.ready.CompareAndSwap(false, true) {
-		e.recorder.Emit(EventReady, "version", e.holder.Config().Version, "servers", e.directory.View().Len(), "after", time.Since(e.started))
-	}
-	return true
-}
-
-func (e *Entry) serveReady(group *run.Group) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !e.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return serve(group, e.settings.Ready, mux)
-}
-
-func (e *Entry) servePeers(group *run.Group) error {
-	mux := http.NewServeMux()
-	mux.Handle("/twirp/pearyard.fleet.Fleet/", e.fleet.Handler())
-	mux.Handle(suspectpb.SuspectsPathPrefix, e.suspects.Handler())
-	mux.Handle("/", e.inspect.Handler())
-	return serve(group, e.settings.Peers, mux)
-}
-
-// MetricsPort is where metrics are served, as the deploy file says.
-const MetricsPort = "9464"
-
-// serveMetrics serves metrics where the platform collects them. They are worth
-// less than the callers: if the port is taken, the process goes on without.
-func (e *Entry) serveMetrics(group *run.Group) error {
-	err := serve(group, net.JoinHostPort(e.settings.IP, MetricsPort), e.inspect.Handler())
-	if err != nil {
-		e.recorder.Emit(EventNoMetrics, "port", MetricsPort, "err", err)
-	}
-	return nil
-}
-
-// serve adds a server that ends with the group.
-func serve(group *run.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return errors.Wrap(err, "entry: listen")
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	group.Add(func() error { return ignoreClosed(server.Serve(listener)) }, func(error) { _ = server.Close() })
-	return nil
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "entry: serve")
-}
