--- a/directory/directory.go
+++ b/directory/directory.go
@@ -32,7 +32,7 @@
 	history []diff
 
 	cell, cells atomic.Int32 // of this process, and how many there are
-	sliced      atomic.Pointer[slice]
+	portion     atomic.Pointer[portion]
 
 	othersMu sync.Mutex
 	others   map[string][]Load // what other processes told last
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -19,7 +19,7 @@
 	// moment, by the same words of load.
 	Again bool
 
-	slice hashRange // of this process; set by Pick for what is placed again
+	portion hashRange // of this process; set by Pick for what is placed again
 }
 
 // Weights of load, in prompt tokens.
@@ -47,9 +47,9 @@
 	otherZoneWeight = 150.0
 	// maxFaults is where a server gets work only if there is no other.
 	maxFaults = 2.5
-	// otherSliceWeight keeps processes apart that place again at the same time: as
+	// otherPortionWeight keeps processes apart that place again at the same time: as
 	// much as a long prompt, which takes a second to be read.
-	otherSliceWeight = 8000.0
+	otherPortionWeight = 8000.0
 	// zoneLossWindow, zoneLosses and zoneShare: where a zone lost at least this
 	// many of its servers, and at least one in zoneShare, within the window, it
 	// is taken to have failed as a whole. Entries of crashed servers lapse
@@ -67,7 +67,7 @@
 	list := d.view.Load().Service(q.Service)
 	zones := lossesOf(list, now)
 	if q.Again {
-		q.slice = d.sliceOf(list, now)
+		q.portion = d.portionOf(list, now)
 	}
 	if own := d.ownCell(list); len(own) < len(list) {
 		if s := best(own, q, zones, grades[0], now); s != nil {
@@ -148,8 +148,8 @@
 	if s.Zone != q.Zone {
 		score += otherZoneWeight
 	}
-	if q.Again && !q.slice.has(s) {
-		score += otherSliceWeight
+	if q.Again && !q.portion.has(s) {
+		score += otherPortionWeight
 	}
 	return score
 }
--- a/directory/slice.go
+++ b/directory/portion.go
@@ -6,23 +6,23 @@
 	"time"
 )
 
-// slice is one process's share of the servers.
+// portion is one process's part of the servers.
 //
 // Failure it answers for: a zone is lost, and all entry VMs place its streams
 // anew within milliseconds, sooner than they can tell each other. Each sees the
 // same idle servers and takes the same ones: four prompts of a second each on
 // one server, while others had none. Each process therefore prefers servers of
-// its own slice for what it places again, and knows at once what it put there.
-type slice struct{ own, of int }
+// its own portion for what it places again, and knows at once what it put there.
+type portion struct{ index, of int }
 
-// SetSlice says which of how many processes this one is.
-func (d *Directory) SetSlice(own, of int) { d.sliced.Store(&slice{own, of}) }
+// SetPortion says which of how many processes this one is.
+func (d *Directory) SetPortion(index, of int) { d.portion.Store(&portion{index, of}) }
 
-// sliceOf returns the hashes of this process's share of a list, first and last.
-// Shares are equal, since processes that know the same servers sort them alike.
-func (d *Directory) sliceOf(list []*Server, now time.Time) hashRange {
-	share := d.sliced.Load()
-	if share == nil || share.of <= 1 {
+// portionOf returns the hashes of this process's portion of a list, first and last.
+// Portions are equal, since processes that know the same servers sort them alike.
+func (d *Directory) portionOf(list []*Server, now time.Time) hashRange {
+	mine := d.portion.Load()
+	if mine == nil || mine.of <= 1 {
 		return everyHash
 	}
 	usable := slices.DeleteFunc(slices.Clone(list), func(s *Server) bool { return s.Draining() || s.IsDown(now) })
@@ -30,8 +30,8 @@
 		return everyHash
 	}
 	slices.SortFunc(usable, func(a, b *Server) int { return cmp.Compare(a.hash, b.hash) })
-	first := share.own * len(usable) / share.of
-	after := max(first+1, (share.own+1)*len(usable)/share.of)
+	first := mine.index * len(usable) / mine.of
+	after := max(first+1, (mine.index+1)*len(usable)/mine.of)
 	return hashRange{usable[first].hash, usable[after-1].hash}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,7 +102,7 @@
 	}
 	f.near.Store(&near)
 	place, _ := slices.BinarySearch(peers, f.opts.Address)
-	f.opts.Directory.SetSlice(place, len(peers)+1)
+	f.opts.Directory.SetPortion(place, len(peers)+1)
 }
 
 // Peers returns the addresses of the others.
