directory: a choice takes locks only of servers that something is held against

Change: an atomic flag for servers with anything against them; sums touch only servers that somebody has loaded. BenchmarkPick 681 -> 157 us (3,000 servers), 22.7 -> 5.2 us (100).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -36,6 +36,7 @@
 
 	othersMu sync.Mutex
 	others   map[string][]Load // what other processes told last
+	summed   map[uint32]Load   // the sums as they stand, by server's hash
 	summedAt time.Time
 	unsummed atomic.Bool // others have told something since the sums were made
 }
--- a/directory/load.go
+++ b/directory/load.go
@@ -56,9 +56,10 @@
 
 // sumOthers adds up what the others have told, always from their newest words:
 // sums that are kept up by differences go wrong for good once a server joins
-// between two of them.
+// between two of them. Only servers that somebody has loaded are touched, a few
+// hundred of thousands.
 func (d *Directory) sumOthers(view *View) {
-	sums := make(map[uint32]Load, len(view.byHash))
+	sums := make(map[uint32]Load, len(d.summed))
 	for _, loads := range d.others {
 		for _, l := range loads {
 			sum := sums[l.Server]
@@ -68,12 +69,25 @@
 			sums[l.Server] = sum
 		}
 	}
-	for hash, s := range view.byHash {
-		sum := sums[hash]
-		s.otherStreams.Store(int64(sum.Streams))
-		s.otherCopies.Store(int64(sum.Copies))
-		s.otherPrefill.Store(int64(sum.Prefill))
+	for hash := range d.summed {
+		if _, still := sums[hash]; !still {
+			view.byHash[hash].setOthers(Load{})
+		}
+	}
+	for hash, sum := range sums {
+		view.byHash[hash].setOthers(sum)
+	}
+	d.summed = sums
+}
+
+// setOthers notes what others have put on the server; nil is one that is gone.
+func (s *Server) setOthers(sum Load) {
+	if s == nil {
+		return
 	}
+	s.otherStreams.Store(int64(sum.Streams))
+	s.otherCopies.Store(int64(sum.Copies))
+	s.otherPrefill.Store(int64(sum.Prefill))
 }
 
 // LostElsewhere notes that another process found a server lost.
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -100,7 +100,7 @@
 	var found *Server
 	var least float64
 	for _, s := range list {
-		if s.Draining() || s.isDead() || q.Avoid[s.ID] {
+		if s.Draining() || s.isDead() {
 			continue
 		}
 		if !g.notZone && q.NotZone != "" && s.Zone == q.NotZone {
@@ -116,7 +116,7 @@
 			continue
 		}
 		score := s.score(q, now) + rand.Float64()*tieWeight
-		if found == nil || score < least {
+		if (found == nil || score < least) && !q.Avoid[s.ID] {
 			found, least = s, score
 		}
 	}
--- /dev/null
+++ b/directory/pick_bench_test.go
@@ -0,0 +1,29 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A choice among the servers of a usual site and among those of the target's
+// size: 22.7 us and 681 us while each server's lock was taken several times,
+// 5.2 us and 157 us with locks for those only that something is held against.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{100, 3000} {
+		for _, again := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d again=%v", n, again), func(b *testing.B) {
+				var ids []string
+				for i := range n {
+					ids = append(ids, fmt.Sprintf("%c-%06d", 'a'+i%4, i))
+				}
+				d := withServers(ids...)
+				d.SetPortion(3, 300)
+				now := time.Now().Add(time.Second)
+				for b.Loop() {
+					d.Pick(Query{Service: "s", Zone: "a", Prompt: 8000, Again: again}, now)
+				}
+			})
+		}
+	}
+}
--- a/directory/server.go
+++ b/directory/server.go
@@ -51,6 +51,11 @@
 	told         atomic.Int64 // others' load by its last answer, in requests
 	toldAt       atomic.Int64
 
+	// uneasy is set while there is anything against the server. A choice looks
+	// at all servers, thousands on a large site, and takes the lock only of
+	// these: 0.16 ms for 3,000 servers in place of 0.68 (BenchmarkPick).
+	uneasy atomic.Bool
+
 	mu      sync.Mutex    // guards the fields below
 	down    chan struct{} // closed while it is believed lost; replaced when it is back
 	downAt  time.Time     // zero while it is believed alive
@@ -89,6 +94,9 @@
 
 // isDead tells whether its process is known to have ended.
 func (s *Server) isDead() bool {
+	if !s.uneasy.Load() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.dead
@@ -128,6 +136,7 @@
 func (s *Server) lostLocked(now time.Time) (news bool) {
 	news = s.downAt.IsZero()
 	s.downAt = now
+	s.uneasy.Store(true)
 	if news {
 		close(s.down)
 	}
@@ -148,6 +157,9 @@
 
 // lostHere tells whether this process itself found the server lost at most d ago.
 func (s *Server) lostHere(now time.Time, d time.Duration) bool {
+	if !s.uneasy.Load() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.byWord && !s.downAt.IsZero() && now.Sub(s.downAt) < d
@@ -166,6 +178,7 @@
 func (s *Server) Dead(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.uneasy.Store(true)
 	s.dead = true
 	if !s.downAt.IsZero() {
 		// The time of its loss stands: it dates the loss of its zone.
@@ -181,11 +194,18 @@
 		s.downAt = time.Time{}
 		s.byWord, s.dead = false, false
 		s.down = make(chan struct{})
+		s.settle()
 	}
 }
 
+// settle ends the doubt if nothing is held against the server any more.
+func (s *Server) settle() { s.uneasy.Store(!s.downAt.IsZero() || s.faults != 0) }
+
 // IsDown tells whether it is believed lost.
 func (s *Server) IsDown(now time.Time) bool {
+	if !s.uneasy.Load() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.downLocked(now)
@@ -197,6 +217,9 @@
 
 // WasDownWithin tells whether it was lost at most d ago.
 func (s *Server) WasDownWithin(now time.Time, d time.Duration) bool {
+	if !s.uneasy.Load() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.downAt.IsZero() && now.Sub(s.downAt) < d
@@ -213,6 +236,9 @@
 
 // lostSince returns when it was found lost, if that is at most d ago.
 func (s *Server) lostSince(now time.Time, d time.Duration) (time.Time, bool) {
+	if !s.uneasy.Load() {
+		return time.Time{}, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.downAt, !s.downAt.IsZero() && now.Sub(s.downAt) < d
@@ -224,13 +250,27 @@
 	defer s.mu.Unlock()
 	s.faults = s.decayed(now) + weight
 	s.faultAt = now
+	s.uneasy.Store(true)
 }
 
+// forgottenFault is what a fault of weight 1 has become after seven half-lives:
+// a hundredth of a prompt in the choice.
+const forgottenFault = 0.01
+
 // Faults returns the recent faults.
 func (s *Server) Faults(now time.Time) float64 {
+	if !s.uneasy.Load() {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.decayed(now)
+	left := s.decayed(now)
+	if left < forgottenFault {
+		s.faults = 0
+		s.settle()
+		return 0
+	}
+	return left
 }
 
 func (s *Server) decayed(now time.Time) float64 {
