soak, platform: a run that can't begin leaves nothing behind; ports of a VM differ

Found by the soak at 200 entry programs. (1) One program did not get ready: its callers' port and the port of the platform's questions were the same, since a port that was found free and given back was found again. (2) The run that could not begin left 199 programs behind, which spoke to the ports of the next run: its servers saw 523 requests that nobody had sent (id and organisation empty), and the machine's load rose to 980. Ended by their ids; a site that can't begin is closed.

--- a/entry/main_test.go
+++ b/entry/main_test.go
@@ -37,6 +37,11 @@
 	g.Expect(errs).To(gomega.ContainSubstring("/zone"))
 	g.Expect(errs).To(gomega.ContainSubstring("/platform/address"))
 
+	code, _, errs = check(t, `{nodeName: e, ip: 10.0.0.1, zone: z, listen: {frontend: "10.0.0.1:1", ready: "10.0.0.1:1"}, internalPortRange: [7, 9],
+platform: {address: "10.0.0.2:3"}, bounds: {drainTimeoutMs: 2000, gracePeriodS: 8, configApplyMs: 2000, retryWindowS: 10}}`)
+	g.Expect(code).To(gomega.Equal(exitFindings))
+	g.Expect(errs).To(gomega.ContainSubstring("/listen/ready"))
+
 	t.Setenv(platform.SettingsVariable, filepath.Join(t.TempDir(), "none"))
 	g.Expect(Main([]string{"pearyard-entry", "--check"}, &bytes.Buffer{}, &bytes.Buffer{})).To(gomega.Equal(exitFailed))
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -52,12 +52,22 @@
 	}
 	s := &Site{Store: store, Cloud: nursery.NewCloud(store), size: size, proxies: map[*nursery.Server]*Proxy{}, keys: []string{"k0", "k1"}}
 	s.Configure(nil)
-	for i := range size.Models + size.Apps {
+	if err := s.fill(dir); err != nil {
+		// What has been started is ended: left running, it would speak to the
+		// ports of later sites.
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) fill(dir string) error {
+	for i := range s.size.Models + s.size.Apps {
 		if err := s.addServer(i); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return s, s.addVMs(dir, size.VMs)
+	return s.addVMs(dir, s.size.VMs)
 }
 
 func (s *Site) addServer(i int) error {
@@ -82,10 +92,11 @@
 }
 
 func (s *Site) addVMs(dir string, n int) error {
-	peerPort, err := freePort("0.0.0.0")
+	ports, err := freePorts("0.0.0.0", 1)
 	if err != nil {
 		return err
 	}
+	peerPort := ports[0]
 	var seeds []string
 	for i := range min(n, 3) {
 		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", ipOf(i), peerPort+1))
@@ -99,10 +110,10 @@
 		if err != nil {
 			return err
 		}
+		s.VMs = append(s.VMs, vm)
 		if err := vm.start(); err != nil {
 			return err
 		}
-		s.VMs = append(s.VMs, vm)
 	}
 	for _, vm := range s.VMs {
 		if err := vm.awaitReady(); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -82,6 +84,45 @@
 	t.Errorf("%v; logs in %s\n%s\n%s", result, dir, strings.Join(result.Broken[:min(10, len(result.Broken))], "\n"), strings.Join(result.Story, "\n"))
 }
 
+// A run of 200 entry programs did not begin: one of them was told to take its
+// callers and the platform's questions on the same port. A port had been found
+// free, given back and found again.
+func TestPortsOfAVMDiffer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ports, err := freePorts("127.0.0.1", 500)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	seen := map[int]bool{}
+	for _, port := range ports {
+		g.Expect(seen[port]).To(gomega.BeFalse(), "%d", port)
+		seen[port] = true
+	}
+}
+
+// A site of 200 could not begin because one program did not get ready, and the
+// other 199 were left running: they spoke to the ports of the next run, whose
+// servers saw requests that nobody had sent.
+func TestSiteThatDoesNotBeginLeavesNothingBehind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site, err := NewSite(filepath.Join(t.TempDir(), "none"), DefaultSize)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(site).To(gomega.BeNil())
+
+	// The last VM's settings can't be written: a folder has their name.
+	dir := t.TempDir()
+	last := fmt.Sprintf("edge-%d.yaml", DefaultSize.VMs-1)
+	g.Expect(os.Mkdir(filepath.Join(dir, last), 0o700)).To(gomega.Succeed())
+	_, err = NewSite(dir, DefaultSize)
+	g.Expect(err).To(gomega.HaveOccurred())
+	lists, err := filepath.Glob("/proc/self/task/*/children")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(lists).NotTo(gomega.BeEmpty())
+	for _, list := range lists {
+		children, err := os.ReadFile(list)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(strings.TrimSpace(string(children))).To(gomega.BeEmpty())
+	}
+}
+
 func newSite(t *testing.T, vms int) *Site {
 	t.Helper()
 	size := DefaultSize
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -46,27 +46,29 @@
 	ownEnds  atomic.Int64 // processes that ended by themselves
 }
 
-// freePort returns a port that is free on ip now.
-func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns ports that are free on ip now. They are held until all are
+// found: one that is given back may be found again.
+func freePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		listener, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // newVM lays out a VM; peerPort is the same on all.
 func newVM(dir string, n int, zone string, peerPort int, seeds []string, store *Proxy) (*VM, error) {
 	vm := &VM{Name: fmt.Sprintf("edge-%d", n), IP: ipOf(n), dir: dir, store: store}
-	callers, err := freePort(vm.IP)
-	if err != nil {
-		return nil, err
-	}
-	ready, err := freePort(vm.IP)
+	ports, err := freePorts(vm.IP, 2)
 	if err != nil {
 		return nil, err
 	}
+	callers, ready := ports[0], ports[1]
 	vm.Callers, vm.ready, vm.peers = fmt.Sprintf("%s:%d", vm.IP, callers), fmt.Sprintf("%s:%d", vm.IP, ready), fmt.Sprintf("%s:%d", vm.IP, peerPort)
 	settings := fmt.Sprintf(`{nodeName: %q, ip: %q, zone: %q, listen: {frontend: %q, ready: %q}, internalPortRange: [%d, %d], seedNodes: [%s],
 limits: {memoryMb: 134}, heartbeatMs: 1200, platform: {address: %q, readsPerS: 2000, writesPerS: 400},
@@ -165,6 +167,9 @@
 
 func (vm *VM) signal(s syscall.Signal) {
 	cmd, _ := vm.process()
+	if cmd == nil {
+		return // it was never started
+	}
 	if s == syscall.SIGHUP {
 		vm.hup.Store(time.Now().UnixNano())
 	}
@@ -175,8 +180,9 @@
 func (vm *VM) kill() {
 	vm.meant.Store(true)
 	vm.signal(syscall.SIGKILL)
-	_, done := vm.process()
-	<-done
+	if _, done := vm.process(); done != nil {
+		<-done
+	}
 }
 
 // terminate stops the process as planned and waits for its end.
