fleet: a process that has just started takes nobody's part of the retry budget

Causes: (1) a process that has just started knows its seeds alone and took itself for one of four VMs, so each used a quarter of the fixed retries; its number is now unknown, and its part nothing, until it has read who the others are. (2) What was sent again before the kill is forgotten with the processes, and the fixed retries were used a second time; they now grow with a process's age over the window. Tests failed before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,7 +136,7 @@
 	})
 	e.budgets = fleet.NewBudgets(fleet.BudgetsOptions{
 		Socket: e.socket, Near: e.fleet.Near, Size: e.fleet.Size,
-		Ratio: retryShare * e.settings.RetryRatio, Extra: retryShare * e.settings.RetryExtra,
+		Ratio: retryShare * e.settings.RetryRatio, Extra: retryShare * e.settings.RetryExtra, Window: e.settings.RetryWindow,
 	})
 	e.config.Share, e.servers.Share = e.duty.For(fleet.Config), e.duty.For(fleet.List)
 }
@@ -170,7 +170,9 @@
 		Zone: s.Zone, Directory: e.directory, Backend: backend, Services: e.service,
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryShare * s.RetryRatio,
-		RetryExtra: func() float64 { return retryShare * s.RetryExtra / float64(e.fleet.Size()) },
+		RetryExtra: func() float64 {
+			return retryShare * s.RetryExtra * fleet.Grown(e.started, s.RetryWindow) / float64(e.fleet.Size())
+		},
 	})
 }
 
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -39,6 +39,7 @@
 	others  map[string]*otherBudget // by sender
 	retries float64                 // bound: retries per first try
 	extra   float64                 // and this many more, for all VMs
+	started time.Time
 }
 
 // BudgetsOptions of a Budgets.
@@ -48,6 +49,7 @@
 	Size   func() int      // all VMs, this one included
 	Ratio  float64
 	Extra  float64
+	Window time.Duration // in any span of which the bound holds; 0: Extra is there at once
 }
 
 type ownBudget struct {
@@ -65,12 +67,24 @@
 func NewBudgets(opts BudgetsOptions) *Budgets {
 	b := &Budgets{
 		opts: opts, news: make(chan struct{}, 1), own: map[string]*ownBudget{}, others: map[string]*otherBudget{},
-		retries: opts.Ratio, extra: opts.Extra,
+		retries: opts.Ratio, extra: opts.Extra, started: time.Now(),
 	}
 	opts.Socket.handle(kindBudget, b.take)
 	return b
 }
 
+// Grown returns the part of the fixed retries that a process may use by its age.
+//
+// Failure it stops: all VMs are killed in the middle of a mass loss. What they
+// had sent again is forgotten with them, and the fixed retries of the window
+// were used a second time: 504 repeats where 481 were allowed.
+func Grown(started time.Time, window time.Duration) float64 {
+	if window <= 0 {
+		return 1
+	}
+	return min(1, float64(time.Since(started))/float64(window))
+}
+
 // Run tells what this VM has counted until ctx ends.
 func (b *Budgets) Run(ctx context.Context) error {
 	again := time.NewTicker(tellAgain)
@@ -172,7 +186,7 @@
 		again += float64(s.again)
 	}
 	// Only the parts of VMs that are heard are shared; the others' are theirs.
-	share := b.extra * heard / float64(max(b.opts.Size(), int(heard)))
+	share := b.extra * Grown(b.started, b.opts.Window) * heard / float64(max(b.opts.Size(), int(heard)))
 	return b.retries*first + share - again, heard
 }
 
--- a/fleet/budgets_test.go
+++ b/fleet/budgets_test.go
@@ -133,3 +133,19 @@
 		}
 	})
 }
+
+// All VMs are killed in the middle of a mass loss, after they have used what is
+// allowed beside the share of first tries. Those that start again know nothing
+// of it; they must not use it all once more within the same window.
+func TestFixedRetriesComeBackByAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		started := time.Now()
+		g.Expect(Grown(started, 10*time.Second)).To(gomega.BeZero())
+		time.Sleep(5 * time.Second)
+		g.Expect(Grown(started, 10*time.Second)).To(gomega.BeNumerically("~", 0.5))
+		time.Sleep(time.Minute)
+		g.Expect(Grown(started, 10*time.Second)).To(gomega.BeEquivalentTo(1))
+		g.Expect(Grown(time.Now(), 0)).To(gomega.BeEquivalentTo(1))
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,10 +70,14 @@
 	opts  Options
 	peers atomic.Pointer[[]string]
 	near  atomic.Pointer[[]string]
-	size  atomic.Int64
+	size  atomic.Int64 // 0 until the registry has been read
 	pace  pace
 }
 
+// unknownSize stands for the number of entry VMs until it is known: more than
+// there are anywhere.
+const unknownSize = 1 << 20
+
 // New returns a Fleet that knows its seeds.
 func New(opts Options) *Fleet {
 	f := &Fleet{opts: opts}
@@ -92,7 +96,6 @@
 	}
 	slices.Sort(peers)
 	f.peers.Store(&peers)
-	f.size.Store(int64(len(peers)) + 1)
 	cells := directory.Cells(len(peers) + 1)
 	own := directory.CellOf(f.opts.Address, cells)
 	f.opts.Directory.SetCells(own, cells)
@@ -111,8 +114,19 @@
 // Near returns the addresses of those that share this process's cell.
 func (f *Fleet) Near() []string { return *f.near.Load() }
 
-// Size returns how many entry VMs are known, this one included.
-func (f *Fleet) Size() int { return int(f.size.Load()) }
+// Size returns how many entry VMs there are, this one included; very many until
+// that is known.
+//
+// Failure it stops: a process that has just started knows its seeds alone. 200
+// that were killed together each took themselves for one of four, each used a
+// quarter of the retry budget, and backend servers got 604 repeats in ten
+// seconds where 507 were allowed.
+func (f *Fleet) Size() int {
+	if size := f.size.Load(); size > 0 {
+		return int(size)
+	}
+	return unknownSize
+}
 
 // Run announces this process and follows the others until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
@@ -149,6 +163,7 @@
 		addresses = append(addresses, string(value))
 	}
 	f.setPeers(addresses)
+	f.size.Store(int64(len(f.Peers())) + 1)
 	return nil
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -136,6 +136,19 @@
 	})
 }
 
+// All entry VMs were killed and start again. Until one has read who the others
+// are, it must not take itself for one of the few that its settings name: what
+// all may do together is divided by their number.
+func TestSizeIsNotThatOfTheSeeds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	registry := &fakeRegistry{rows: map[string][]byte{"a": []byte("1:1"), "b": []byte("2:2"), "c": []byte("3:3"), "d": []byte("4:4")}}
+	f := New(Options{Name: "a", Address: "1:1", Seeds: []string{"2:2"}, Registry: registry, Directory: directory.New(), Holder: site.NewHolder()})
+	g.Expect(f.Size()).To(gomega.Equal(unknownSize))
+	announced := false
+	g.Expect(f.exchangeRows(t.Context(), &announced)).To(gomega.Succeed())
+	g.Expect(f.Size()).To(gomega.Equal(4))
+}
+
 // A peer that lags, or tells what can't be read, changes nothing.
 func TestPeerThatLagsChangesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
