--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -75,9 +75,10 @@
 
 // Grown returns the part of the fixed retries that a process may use by its age.
 //
-// Failure it stops: all VMs are killed in the middle of a mass loss. What they
+// Failure it lessens: all VMs are killed in the middle of a mass loss. What they
 // had sent again is forgotten with them, and the fixed retries of the window
-// were used a second time: 504 repeats where 481 were allowed.
+// were used a second time: of 200 processes 5% more repeats than allowed, 2% with
+// the growth.
 func Grown(started time.Time, window time.Duration) float64 {
 	if window <= 0 {
 		return 1
