follow, entry: lines tell how long a question was waited for, and by which estimate a stopping process takes a stream

Cause: two incidents whose lines could not tell the hypotheses apart: PY2703 and PY2712 named failures, not how long one question was waited for; PY2755 counted what runs after the connections were closed, always 0; nothing named the estimate by which a stopping process took a stream, nor how old the configuration was that refused a request. Change: away and longest_wait in PY2703 and PY2712, PY2758 for each stream taken in a stop, cut in PY2755, unconfirmed in PY2750.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -66,7 +66,9 @@
 		// A peer's word does not tell which of the entries that are awaited are gone.
 		MayCover: func() bool { return !f.kept.Load() },
 		Lost:     func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.listedAt)) },
-		Regained: func(failures int) { f.Recorder.Emit(EventListRegained, "failures", failures) },
+		Regained: func(o follow.Outage) {
+			f.Recorder.Emit(EventListRegained, "failures", o.Failures, "away", o.Away, "longest_wait", o.Longest)
+		},
 	}
 	f.loop.Store(loop)
 	return loop.Run(ctx)
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: listen")
 	}
-	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed}
+	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed, unconfirmed: e.config.Age}
 	callers := newClients(listener, e.clientLimits, e.registry)
 	server := &http.Server{
 		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
@@ -77,6 +77,7 @@
 	for e.running.Load() > 0 && ctx.Err() == nil {
 		_ = retry.Wait(ctx, drainLook)
 	}
+	cut := e.running.Load()
 	err := server.Shutdown(ctx)
-	e.recorder.Emit(EventStopped, "running", e.running.Load(), "took", time.Since(began), "err", err)
+	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -13,6 +13,10 @@
 		"a request was refused because the process is about to stop and could not finish it", "nothing")
 )
 
+// EventTakenInStop tells by which estimate a stopping process takes a stream.
+var EventTakenInStop = event.Define(2758, "entry_stop_taken", event.Info,
+	"a stream was taken although a planned stop has begun: by the time that streams need, it can be finished", "nothing")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
@@ -24,5 +28,5 @@
 	EventDraining = event.Define(2754, "entry_draining", event.Info,
 		"a planned stop began: the process reports itself not ready, serves what comes and what runs", "nothing")
 	EventStopped = event.Define(2755, "entry_stopped", event.Info,
-		"the process ends", "if running is over 0, the grace period was too short for these requests")
+		"the process ends; cut counts the requests that it could not finish", "if cut is over 0, look at these requests' lines and at the entry_stop_taken line of each")
 )
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -57,6 +57,9 @@
 	recorder *event.Recorder
 	stop     *stopping
 	listed   func() bool // the backend servers are known
+	// unconfirmed tells for how long nobody has confirmed the configuration in
+	// force; may be nil.
+	unconfirmed func() time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -133,27 +136,35 @@
 func (h *handler) turnAway(w http.ResponseWriter, call *platform.Call, err error, config *site.Config) {
 	var id string
 	var version uint64
+	var age time.Duration
 	if call != nil {
 		id = call.ID
 	}
 	if config != nil {
 		version = config.Version
 	}
+	if h.unconfirmed != nil {
+		age = h.unconfirmed()
+	}
 	status := http.StatusBadRequest
 	var known *platform.RequestError
 	if errors.As(err, &known) {
 		status = known.Status
 	}
-	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version)
+	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version, "unconfirmed", age)
 	platform.WriteStatus(w, id, status, err.Error())
 }
 
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, call *platform.Call) {
 	if call.Route.Kind == site.Stream {
-		if !h.stop.leavesTime(call.Arrived, h.stop.need()) {
+		need := h.stop.need()
+		if !h.stop.leavesTime(call.Arrived, need) {
 			h.refuse(w, call)
 			return
 		}
+		if h.stop.begun() {
+			h.recorder.Emit(EventTakenInStop, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", time.Until(h.stop.endsAt()))
+		}
 		h.serveStream(w, r, call)
 		return
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -40,6 +40,13 @@
 	Failed()
 }
 
+// Outage is a time in which the store did not answer, as its return ends it.
+type Outage struct {
+	Failures int
+	Away     time.Duration // since anybody confirmed what is known here
+	Longest  time.Duration // that one question was waited for
+}
+
 // Loop follows one subject. All funcs but Read and Next may be nil.
 type Loop struct {
 	// Read reads the subject whole, and may take each of the store's answers for
@@ -63,12 +70,13 @@
 	Failed func(ctx context.Context)
 	// Lost and Regained tell of the store's loss and return.
 	Lost     func(err error)
-	Regained func(failures int)
+	Regained func(o Outage)
 
 	confirmedAt atomic.Int64 // Unix nanoseconds of the newest answer or word of others
 	failing     atomic.Bool
 	failedAt    atomic.Int64 // Unix nanoseconds of the newest failure; 0: none
 	failures    int
+	longest     time.Duration // that a question was waited for since the newest answer
 	grace       time.Duration
 	begun       bool // there has been an answer
 	stale       bool // others have read since this process did
@@ -82,7 +90,9 @@
 			continue
 		}
 		began := time.Now()
-		if err := l.ask(ctx); err != nil {
+		err := l.ask(ctx)
+		if err != nil {
+			l.longest = max(l.longest, time.Since(began))
 			l.failed(ctx, err)
 			continue
 		}
@@ -144,11 +154,11 @@
 
 func (l *Loop) answered(began time.Time) {
 	if l.failures >= lostAfter && l.Regained != nil {
-		l.Regained(l.failures)
+		l.Regained(Outage{Failures: l.failures, Away: l.Age(), Longest: l.longest})
 	}
 	l.failing.Store(false)
 	l.confirmedAt.Store(time.Now().UnixNano())
-	l.failures, l.begun, l.stale = 0, true, false
+	l.failures, l.longest, l.begun, l.stale = 0, 0, true, false
 	l.grace = max(Answer, l.grace/2)
 	if l.Share != nil {
 		l.Share.Read(began)
--- a/site/follow.go
+++ b/site/follow.go
@@ -51,7 +51,9 @@
 		Read: f.read, Next: f.next, Wait: longPoll, Pace: minPace, Share: f.Share, Failed: f.Failed,
 		MustRead: func() bool { return f.Holder.Position() == 0 },
 		Lost:     func(err error) { f.Recorder.Emit(EventStoreLost, "err", err, "position", f.Holder.Position()) },
-		Regained: func(failures int) { f.Recorder.Emit(EventStoreRegained, "failures", failures) },
+		Regained: func(o follow.Outage) {
+			f.Recorder.Emit(EventStoreRegained, "failures", o.Failures, "away", o.Away, "longest_wait", o.Longest)
+		},
 	}
 	f.loop.Store(loop)
 	return loop.Run(ctx)
