follow: a question without an answer stays open, and another is put beside it

Cause: what one question to the store might take doubled with each failure, 0.5 to 4 s, and nothing else was asked meanwhile. A question that was asked just before the end of an outage, and whose answer the outage had swallowed, held its process up for the rest of its four seconds: changes and leaving servers were known up to three seconds after the store told them. The patience that grew was meant for a store that is slow; bound and patience had the same clock. Class: a wait that backs off is longer than the bound that it serves. Ruled out: a version refused or unreadable (no such line), slow answers (longest_wait=4.0s failures=4 right before). Change: questions of a round stay open for 4 s after their last sign of an answer, one answer is enough, another is put after 0.5 s and a pause of 0.55 s at most; peers are asked beside the pause. A page of a long list is such a sign, in place of a limit for each page (TestPageThatDoesNotComeFailsTheList keeps the context's bound; TestPageThatDoesNotComeIsNoticed holds that the page is noticed after half a second). Same cause elsewhere: the list of servers goes through the same loop; TestLeavingServerIsKnownAfterAnOutageOfAnyLength failed at outages of 4.75 to 6.25 s and 9 s.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -235,7 +235,7 @@
 	s.position, s.list, s.err, s.tooOld = position, list, err, tooOld
 }
 
-func (s *fakeStore) List(context.Context, time.Duration) (uint64, []Listing, error) {
+func (s *fakeStore) List(context.Context) (uint64, []Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.position, s.list, s.err
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -18,8 +18,7 @@
 // Source lists the backend servers.
 type Source interface {
 	// List returns all of them, with the list's place in the store's history.
-	// Each answer of the store may take so long: a long list comes in several.
-	List(ctx context.Context, answer time.Duration) (position uint64, list []Listing, err error)
+	List(ctx context.Context) (position uint64, list []Listing, err error)
 	// Changes waits up to wait for changes after a position. Without any it
 	// returns the position it has reached and nothing else. The error is
 	// ErrTooOld if the store no longer knows all changes since then.
@@ -54,8 +53,8 @@
 
 	loop     atomic.Pointer[follow.Loop]
 	listedAt time.Time
-	position uint64      // up to which changes were read
-	kept     atomic.Bool // servers are in use that the newest list does not have
+	position atomic.Uint64 // up to which changes were read; written by Run alone
+	kept     atomic.Bool   // servers are in use that the newest list does not have
 }
 
 // Run follows until ctx ends.
@@ -91,29 +90,32 @@
 // forgiving tells whether entries that are missing may only have lapsed.
 func (f *Follower) forgiving() bool { return f.loop.Load().FailedWithin(forgiveFor) }
 
-func (f *Follower) changes(ctx context.Context, wait time.Duration) error {
-	position, changed, gone, err := f.Source.Changes(ctx, f.position, wait)
+func (f *Follower) changes(ctx context.Context, wait time.Duration) (follow.Take, error) {
+	position, changed, gone, err := f.Source.Changes(ctx, f.position.Load(), wait)
 	if errors.Is(err, ErrTooOld) {
-		return f.list(ctx, follow.Answer)
+		return f.list(ctx)
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
-	f.position = max(f.position, position)
-	if len(changed)+len(gone) > 0 {
-		f.take(f.position, merge(f.Directory.View().Listings, changed, gone), f.forgiving(), "store")
-	}
-	return nil
+	return func() {
+		f.position.Store(max(f.position.Load(), position))
+		if len(changed)+len(gone) > 0 {
+			f.take(position, merge(f.Directory.View().Listings, changed, gone), f.forgiving(), "store")
+		}
+	}, nil
 }
 
-func (f *Follower) list(ctx context.Context, answer time.Duration) error {
-	position, list, err := f.Source.List(ctx, answer)
+func (f *Follower) list(ctx context.Context) (follow.Take, error) {
+	position, list, err := f.Source.List(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	f.position, f.listedAt = position, time.Now()
-	f.take(position, list, f.forgiving(), "store")
-	return nil
+	return func() {
+		f.position.Store(max(f.position.Load(), position))
+		f.listedAt = time.Now()
+		f.take(position, list, f.forgiving(), "store")
+	}, nil
 }
 
 // merge returns a list with changes applied.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -9,19 +9,23 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pearyard/pearyard/retry"
 )
 
 const (
-	// Answer is what an answer of the store may take, on top of a wait there. It
-	// is many times what one takes on a link of 10 Mbit/s.
+	// Answer is how long an answer of the store is waited for, on top of a wait
+	// there, before another question is put beside the one that is open. It is
+	// many times what an answer takes on a link of 10 Mbit/s.
 	Answer = 500 * time.Millisecond
-	// maxGrace bounds the grace for a store that is slow but answers.
-	maxGrace = 4 * time.Second
 	// retryPause is the shortest wait after a failure; with jitter it grows to
-	// retryPause + maxPause. Calls are priced, refused ones too.
+	// retryPause + maxPause. With Answer the time between two questions stays
+	// under 1.1 s: what the store says first after an outage is known within that
+	// time, half of the two seconds in which a change must be in force. Calls are
+	// priced, refused ones too.
 	retryPause = 150 * time.Millisecond
-	maxPause   = 600 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
 	// lostAfter is how many failures in a row are told as the store's loss: one
 	// may be a connection that has gone silent.
 	lostAfter = 2
@@ -47,12 +51,25 @@
 	Longest  time.Duration // that one question was waited for
 }
 
-// Loop follows one subject. All funcs but Read and Next may be nil.
+// ErrUnanswered: a question has had no answer in time; it stays open.
+var ErrUnanswered = errors.New("follow: the store has not answered in time")
+
+// Loop follows one subject. A question that has had no answer in time stays
+// open and another is put beside it.
+//
+// Failure it stops: the store was silent for five seconds, and each question
+// that ran out of time let the next one wait twice as long. The fourth waited
+// four seconds for an answer that the outage had swallowed, and a change that
+// was made after the store's return was in force three seconds later. Questions
+// put beside each other need no patience that grows: a store that is slow
+// answers the first one, a store that is back answers the newest.
+//
+// All funcs but Read and Next may be nil.
 type Loop struct {
-	// Read reads the subject whole, and may take each of the store's answers for
-	// so long; Next waits up to wait for a change.
-	Read func(ctx context.Context, answer time.Duration) error
-	Next func(ctx context.Context, wait time.Duration) error
+	// Read reads the subject whole; Next waits up to wait for a change. Several
+	// may be on their way at once; what they return is called by Run alone.
+	Read func(ctx context.Context) (Take, error)
+	Next func(ctx context.Context, wait time.Duration) (Take, error)
 	// MustRead tells whether a wait for changes would miss something.
 	MustRead func() bool
 
@@ -77,31 +94,54 @@
 	failedAt    atomic.Int64 // Unix nanoseconds of the newest failure; 0: none
 	failures    int
 	longest     time.Duration // that a question was waited for since the newest answer
-	grace       time.Duration
-	begun       bool // there has been an answer
-	stale       bool // others have read since this process did
+	open        *round        // the questions that may still be answered
+	begun       bool          // there has been an answer
+	stale       bool          // others have read since this process did
 }
 
 // Run follows until ctx ends.
 func (l *Loop) Run(ctx context.Context) error {
-	l.grace = Answer
+	l.open = newRound(ctx)
 	for ctx.Err() == nil {
 		if l.covered(ctx) {
 			continue
 		}
 		began := time.Now()
-		err := l.ask(ctx)
+		err := l.step(ctx)
 		if err != nil {
-			l.longest = max(l.longest, time.Since(began))
-			l.failed(ctx, err)
+			l.failed(ctx, err, time.Since(began))
 			continue
 		}
-		l.answered(began)
 		_ = retry.Wait(ctx, l.Pace-time.Since(began))
 	}
 	return ctx.Err()
 }
 
+// step asks a question and waits for an answer, to it or to an earlier one.
+func (l *Loop) step(ctx context.Context) error {
+	q, patience := l.ask()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-q.heard:
+			timer.Reset(Answer)
+		case <-timer.C:
+			return ErrUnanswered
+		case a := <-l.open.answers:
+			if a.err == nil {
+				l.answered(a)
+				return nil
+			}
+			if a.question == q {
+				return a.err
+			}
+		}
+	}
+}
+
 // Age returns for how long neither the store nor others have confirmed what is
 // known here; it may be called from anywhere.
 func (l *Loop) Age() time.Duration { return time.Since(time.Unix(0, l.confirmedAt.Load())) }
@@ -137,42 +177,45 @@
 	return true
 }
 
-// ask reads the whole subject where a wait for changes could sleep over one:
-// at the start, after a failure, and after others have read.
-func (l *Loop) ask(ctx context.Context) error {
+// ask puts the next question and returns how long to wait for it. The whole
+// subject is read where a wait for changes could sleep over one: at the start,
+// after a failure, and after others have read.
+func (l *Loop) ask() (q *question, patience time.Duration) {
 	if !l.begun || l.stale || l.failures > 0 || (l.MustRead != nil && l.MustRead()) {
-		return l.Read(ctx, l.grace)
+		return l.open.put(0, l.Read), Answer
 	}
 	wait := l.Wait
 	if l.Share != nil {
 		wait = l.Share.Wait(wait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+l.grace)
-	defer cancel()
-	return l.Next(ctx, wait)
+	next := func(ctx context.Context) (Take, error) { return l.Next(ctx, wait) }
+	return l.open.put(wait, next), wait + Answer
 }
 
-func (l *Loop) answered(began time.Time) {
+// answered takes an answer in; what else is asked is no longer needed.
+func (l *Loop) answered(a answer) {
+	l.open = l.open.renew()
+	a.take()
 	if l.failures >= lostAfter && l.Regained != nil {
 		l.Regained(Outage{Failures: l.failures, Away: l.Age(), Longest: l.longest})
 	}
 	l.failing.Store(false)
 	l.confirmedAt.Store(time.Now().UnixNano())
 	l.failures, l.longest, l.begun, l.stale = 0, 0, true, false
-	l.grace = max(Answer, l.grace/2)
 	if l.Share != nil {
-		l.Share.Read(began)
+		l.Share.Read(a.question.began)
 	}
 }
 
-func (l *Loop) failed(ctx context.Context, err error) {
+// failed notes that a question failed or is unanswered, and waits before the next one.
+func (l *Loop) failed(ctx context.Context, err error, waited time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
 	l.failing.Store(true)
 	l.failures++
+	l.longest = max(l.longest, waited)
 	l.failedAt.Store(time.Now().UnixNano())
-	l.grace = min(maxGrace, l.grace*2)
 	if l.failures == lostAfter && l.Lost != nil {
 		l.Lost(err)
 	}
@@ -180,7 +223,27 @@
 		l.Share.Failed()
 	}
 	if l.Failed != nil {
-		l.Failed(ctx)
+		// Beside the pause: peers that don't answer must not hold the next question up.
+		go l.Failed(ctx)
+	}
+	l.pause(ctx, retry.BackoffBetween(retryPause, maxPause, l.failures))
+}
+
+// pause waits, but not longer than for an answer to a question that is still open.
+func (l *Loop) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case a := <-l.open.answers:
+			if a.err == nil {
+				l.answered(a)
+				return
+			}
+		}
 	}
-	_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, l.failures))
 }
--- a/site/follow.go
+++ b/site/follow.go
@@ -22,7 +22,7 @@
 }
 
 const (
-	// longPoll is how long one question waits at the store. With the grace of
+	// longPoll is how long one question waits at the store. With the patience of
 	// package follow and one more question it stays under the three seconds
 	// after which a process whose connections went silent counts as in touch.
 	longPoll = 1900 * time.Millisecond
@@ -41,8 +41,8 @@
 	Share    follow.Share              // may be nil
 
 	loop       atomic.Pointer[follow.Loop]
-	reached    uint64 // place in the history up to which changes were read
-	unreadable uint64 // position of the newest version that can't be read
+	reached    atomic.Uint64 // place in the history up to which changes were read; written by Run alone
+	unreadable uint64        // position of the newest version that can't be read
 }
 
 // Run follows until ctx ends.
@@ -67,36 +67,38 @@
 	return 0
 }
 
-func (f *Follower) read(ctx context.Context, answer time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, answer)
-	defer cancel()
+func (f *Follower) read(ctx context.Context) (follow.Take, error) {
 	v, reached, err := f.Source.Read(ctx)
-	return f.took(v, reached, err)
+	return f.answer(v, reached, err)
 }
 
-func (f *Follower) next(ctx context.Context, wait time.Duration) error {
-	v, reached, err := f.Source.Next(ctx, f.reached, wait)
-	return f.took(v, reached, err)
+func (f *Follower) next(ctx context.Context, wait time.Duration) (follow.Take, error) {
+	v, reached, err := f.Source.Next(ctx, f.reached.Load(), wait)
+	return f.answer(v, reached, err)
 }
 
-func (f *Follower) took(v *Versioned, reached uint64, err error) error {
+func (f *Follower) answer(v *Versioned, reached uint64, err error) (follow.Take, error) {
 	var bad *UnreadableError
 	if errors.As(err, &bad) && f.Holder.Position() > 0 {
-		f.passOver(bad)
-		return nil
+		return func() { f.passOver(bad) }, nil
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
-	f.reached = max(f.reached, reached)
-	f.Offer(v, "store")
-	return nil
+	return func() {
+		f.reach(reached)
+		f.Offer(v, "store")
+	}, nil
 }
 
+// reach notes up to which place changes were read. An answer to an earlier
+// question may come later than one to a newer question.
+func (f *Follower) reach(place uint64) { f.reached.Store(max(f.reached.Load(), place)) }
+
 // passOver leaves the last good version in force. The store answers, so this is
 // no failure of it: asking again would bring the same.
 func (f *Follower) passOver(bad *UnreadableError) {
-	f.reached = max(f.reached, bad.Position)
+	f.reach(bad.Position)
 	if bad.Position > f.unreadable {
 		f.unreadable = bad.Position
 		f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
