entry: what comes while a stopping server shuts down is answered

Cause: found by reading for the same cause elsewhere. Serve returns when the listener is closed; the group of actors ended with it and closed every connection, while Shutdown still waited for what had come in that moment. Class: what is unfinished is missing from what a stop goes by. Ruled out: that Shutdown's wait covers it; it was cut short from outside. Change: serving ends when draining has returned. TestRequestTakenWhileTheServerShutsDownIsAnswered failed with an unexpected EOF before.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -38,14 +38,32 @@
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	background(group, callers.run)
+	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server) })
+	return nil
+}
+
+// serveUntilDrained adds a server that ends with the group or, after ctx, once
+// drain has returned; drain shuts the server down.
+//
+// Failure it stops: Serve returns as soon as the listener is closed, while
+// Shutdown still waits for requests that came in the same moment. Ended by the
+// former, the group closed their connections unanswered.
+func serveUntilDrained(ctx context.Context, group *run.Group, server *http.Server, l net.Listener, drain func()) {
 	stop, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return ignoreClosed(server.Serve(callers)) }, func(error) { _ = server.Close() })
+	drained := make(chan struct{})
 	group.Add(func() error {
+		err := ignoreClosed(server.Serve(l))
+		if err == nil {
+			<-drained
+		}
+		return err
+	}, func(error) { _ = server.Close() })
+	group.Add(func() error {
+		defer close(drained)
 		<-stop.Done()
-		e.drain(server)
+		drain()
 		return nil
 	}, func(error) { cancel() })
-	return nil
 }
 
 // clientLimits returns those of the configuration in force.
--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/onsi/gomega"
+)
+
+// A process that is stopping has nothing on its way for a moment and shuts its
+// server down. In that moment a caller's request is taken. Serving ended with
+// the listener, which ended the process's other parts and with them every
+// connection: the caller's was closed without an answer, seconds before the
+// grace period was over.
+func TestRequestTakenWhileTheServerShutsDownIsAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	taken, release := make(chan struct{}), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(taken)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, stop := context.WithCancel(t.Context())
+	shutting := make(chan struct{})
+	server.RegisterOnShutdown(func() { close(shutting) })
+	var group run.Group
+	serveUntilDrained(ctx, &group, server, listener, func() {
+		within, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = server.Shutdown(within)
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- group.Run() }()
+
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	<-taken
+	stop()
+	<-shutting
+	time.AfterFunc(200*time.Millisecond, func() { close(release) })
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(answer.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(body)).To(gomega.Equal("whole"))
+	g.Expect(<-ended).To(gomega.Succeed())
+}
