fleet: the fixed retries come back when the window is all the process's own

All VMs killed in a mass loss forget what they had sent again; the fixed retries came back with a process's age, so that within a window some were used twice: at the age a, of a window w, E x a/w more. With E = 150 and the 15% that are kept back that passes the bound from an age of 7.5 s on at 611 first tries. Ruled out as the only cause: load. Change: none of the fixed retries before the process is as old as the window.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -171,7 +171,7 @@
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryShare * s.RetryRatio,
 		RetryExtra: func() float64 {
-			return retryShare * s.RetryExtra * fleet.Grown(e.started, s.RetryWindow) / float64(e.fleet.Size())
+			return retryShare * s.RetryExtra * fleet.FixedShare(e.started, s.RetryWindow) / float64(e.fleet.Size())
 		},
 	})
 }
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -73,17 +73,22 @@
 	return b
 }
 
-// Grown returns the part of the fixed retries that a process may use by its age.
+// FixedShare returns the part of the fixed retries that a process may use: all
+// of them once it is as old as the window, none before.
 //
-// Failure it lessens: all VMs are killed in the middle of a mass loss. What they
+// Failure it stops: all VMs are killed in the middle of a mass loss. What they
 // had sent again is forgotten with them, and the fixed retries of the window
-// were used a second time: of 200 processes 5% more repeats than allowed, 2% with
-// the growth.
-func Grown(started time.Time, window time.Duration) float64 {
-	if window <= 0 {
-		return 1
+// were used a second time: of 200 processes 5% more repeats than allowed, 2%
+// where they came back with a process's age. A process knows all that was sent
+// again in the window once it is that old itself. The share of first tries needs
+// no such wait: it begins anew with what was forgotten. On four days with losses
+// and restarts, three seeds on two sites, the mean worth was 0.500 with the growth
+// and is 0.504.
+func FixedShare(started time.Time, window time.Duration) float64 {
+	if time.Since(started) < window {
+		return 0
 	}
-	return min(1, float64(time.Since(started))/float64(window))
+	return 1
 }
 
 // Run tells what this VM has counted until ctx ends.
@@ -187,7 +192,7 @@
 		again += float64(s.again)
 	}
 	// Only the parts of VMs that are heard are shared; the others' are theirs.
-	share := b.extra * Grown(b.started, b.opts.Window) * heard / float64(max(b.opts.Size(), int(heard)))
+	share := b.extra * FixedShare(b.started, b.opts.Window) * heard / float64(max(b.opts.Size(), int(heard)))
 	return b.retries*first + share - again, heard
 }
 
--- a/fleet/budgets_test.go
+++ b/fleet/budgets_test.go
@@ -134,18 +134,58 @@
 	})
 }
 
-// All VMs are killed in the middle of a mass loss, after they have used what is
-// allowed beside the share of first tries. Those that start again know nothing
-// of it; they must not use it all once more within the same window.
+// All VMs are killed twice in the middle of a mass loss, after they have sent
+// again what is allowed beside the share of first tries. Those that start again
+// know nothing of it, and what came back to them with their age was used beside
+// it: backend servers got 653 repeats in ten seconds where 639 were allowed. The
+// fixed retries are there again when the window is all the process's own.
+func TestFixedRetriesAreNotUsedTwiceOverARestart(t *testing.T) {
+	const window = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		start := func() *budgetVM {
+			w := retry.NewWindow(window, nil)
+			return &budgetVM{window: w, Budgets: NewBudgets(BudgetsOptions{
+				Socket: NewSocket("", nil, nil), Near: func() []string { return nil }, Size: func() int { return 1 },
+				Ratio: budgetRatio, Extra: budgetExtra, Window: window,
+			})}
+		}
+		var taken []time.Time
+		vm := start()
+		time.Sleep(window)
+		for step := range 80 {
+			if step == 4 || step == 20 {
+				vm = start()
+			}
+			vm.window.Bound(budgetRatio, budgetExtra*FixedShare(vm.started, window)) // as package entry does
+			for vm.Allow("s", vm.window) {
+				taken = append(taken, time.Now())
+			}
+			time.Sleep(unknownFor + 50*time.Millisecond)
+		}
+		most := 0
+		for i, at := range taken {
+			n := i
+			for n < len(taken) && taken[n].Sub(at) <= window {
+				n++
+			}
+			most = max(most, n-i)
+		}
+		g.Expect(most).To(gomega.BeNumerically("<=", budgetExtra))
+		g.Expect(len(taken)).To(gomega.BeNumerically(">", budgetExtra), "they come back")
+	})
+}
+
+// The fixed retries come back when a window has passed since the start.
 func TestFixedRetriesComeBackByAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		started := time.Now()
-		g.Expect(Grown(started, 10*time.Second)).To(gomega.BeZero())
-		time.Sleep(5 * time.Second)
-		g.Expect(Grown(started, 10*time.Second)).To(gomega.BeNumerically("~", 0.5))
-		time.Sleep(time.Minute)
-		g.Expect(Grown(started, 10*time.Second)).To(gomega.BeEquivalentTo(1))
-		g.Expect(Grown(time.Now(), 0)).To(gomega.BeEquivalentTo(1))
+		g.Expect(FixedShare(started, 10*time.Second)).To(gomega.BeZero())
+		time.Sleep(9900 * time.Millisecond)
+		g.Expect(FixedShare(started, 10*time.Second)).To(gomega.BeZero())
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(FixedShare(started, 10*time.Second)).To(gomega.BeEquivalentTo(1))
+		g.Expect(FixedShare(time.Now(), 0)).To(gomega.BeEquivalentTo(1))
 	})
 }
