exchange, entry, explain: who ended a request, in one typed reason

A request's last line told three sides apart at most, and some lines named the wrong one. When the grace period of a planned stop was over, the callers' connections were closed, which looks to a request as if its caller had left: PY2723 blamed the caller for what this process cut.

Change. exchange.EndedBy: answer, caller, caller_link, server, server_link, no_server, deadline, route_timeout, limit, configuration, stop, start. It is the cancel cause of the request's context or a field of Failure, set where the end is decided; concluded() writes it to the last line (ended_by), the counter pearyard_exchange_requests_total{ended_by} and explain reads it from there. A reset can't be told from one on the way; line and sentence say both.

Not told apart: a server's own reset from the link's, and both ways of a dead caller's link from TCP alone.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/site"
 )
 
@@ -74,6 +75,7 @@
 	case http.StateIdle:
 		caller.answered()
 	case http.StateClosed, http.StateHijacked:
+		caller.lost(nil)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.open, caller)
@@ -84,6 +86,9 @@
 
 // context is the server's ConnContext hook.
 func (c *clients) context(ctx context.Context, conn net.Conn) context.Context {
+	if caller, ok := conn.(*clientConn); ok {
+		ctx, caller.lost = context.WithCancelCause(ctx)
+	}
 	return context.WithValue(ctx, clientKey{}, conn)
 }
 
@@ -164,7 +169,8 @@
 	net.Conn
 	zero  time.Time
 	phase atomic.Int32
-	since atomic.Int64 // steady nanoseconds after zero at which the phase began; written before it
+	since atomic.Int64            // steady nanoseconds after zero at which the phase began; written before it
+	lost  context.CancelCauseFunc // ends the connection's requests
 }
 
 func (c *clientConn) touch(now time.Time) { c.since.Store(int64(now.Sub(c.zero))) }
@@ -176,9 +182,27 @@
 		c.touch(time.Now())
 		c.phase.CompareAndSwap(clientIdle, clientHead)
 	}
+	c.note(err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *clientConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.note(err)
 	return n, err
 }
 
+// note ends the connection's requests in the name of its link if that broke.
+// net/http ends them too, a moment later and without a cause, as it does when
+// the caller closes its connection in order: a caller that was still waiting
+// would be said to have left.
+func (c *clientConn) note(err error) {
+	if err != nil && exchange.IsLinkLost(err) {
+		c.lost(&exchange.End{By: exchange.EndedByCallerLink, Err: err})
+	}
+}
+
 // serve notes that a head has come; false if the connection was dropped.
 func (c *clientConn) serve() bool {
 	for {
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -35,12 +35,23 @@
 	callers := newClients(listener, e.clientLimits, e.registry)
 	server := &http.Server{
 		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		BaseContext: e.cutter.base, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	background(group, callers.run)
 	stop, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return ignoreClosed(server.Serve(callers)) }, func(error) { _ = server.Close() })
+	// Serve returns as soon as Shutdown begins, and the first actor that returns
+	// ends the group, whose interrupt closes the connections that Shutdown still
+	// waits for: the requests on them were cut beside the drain, without a reason.
+	drained := make(chan struct{})
 	group.Add(func() error {
+		err := ignoreClosed(server.Serve(callers))
+		if err == nil {
+			<-drained
+		}
+		return err
+	}, func(error) { _ = server.Close() })
+	group.Add(func() error {
+		defer close(drained)
 		<-stop.Done()
 		e.drain(server)
 		return nil
@@ -78,5 +89,6 @@
 		_ = retry.Wait(ctx, drainLook)
 	}
 	err := server.Shutdown(ctx)
-	e.recorder.Emit(EventStopped, "running", e.running.Load(), "took", time.Since(began), "err", err)
+	cut := e.cutter.cut(&e.running)
+	e.recorder.Emit(EventStopped, "running", cut, "took", time.Since(began), "err", err)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	inspect   *inspect.Registry
 	started   time.Time
 	stop      *stopping
+	cutter    *cutter
 	ready     atomic.Bool
 	running   atomic.Int64
 }
@@ -88,7 +89,7 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	}
-	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), stop: newStopping(), holder: site.NewHolder(), directory: directory.New()}
+	e := &Entry{settings: s, registry: prometheus.NewRegistry(), started: time.Now(), stop: newStopping(), cutter: newCutter(), holder: site.NewHolder(), directory: directory.New()}
 	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), ringSize)
 	store := platform.NewStore(s.Store, e.registry)
 	e.config = &site.Follower{Holder: e.holder, Source: store, Recorder: e.recorder, Failed: e.askPeers}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -71,7 +72,7 @@
 	}
 	call, err := platform.ReadCall(w, r, limit)
 	if err != nil {
-		h.turnAway(w, nil, err, config)
+		h.turnAway(w, r, nil, err, config)
 		return
 	}
 	if config == nil {
@@ -81,7 +82,7 @@
 	// The body may have taken a while: go by what is in force now.
 	config = h.holder.Config()
 	if err := route(call, config); err != nil {
-		h.turnAway(w, call, err, config)
+		h.turnAway(w, r, call, err, config)
 		return
 	}
 	if !h.listed() {
@@ -94,43 +95,44 @@
 // notYet refuses a request because the process has just started and lacks
 // something; the request has not run.
 func (h *handler) notYet(w http.ResponseWriter, call *platform.Call, missing string, wait time.Duration) {
-	h.recorder.Emit(EventNotYet, event.FieldRequest, call.ID, "missing", missing)
-	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
+	h.exchange.Refused(call.Route, exchange.EndedByStart)
+	h.recorder.Emit(EventNotYet, event.FieldRequest, call.ID, "missing", missing, event.FieldEndedBy, exchange.EndedByStart)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{By: exchange.EndedByStart, RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
 }
 
 // route finds the request's route, service and organisation.
 func route(call *platform.Call, config *site.Config) error {
 	call.Route = config.Match(call.Host, call.Path)
 	if call.Route == nil {
-		return &platform.RequestError{Status: http.StatusNotFound, Err: errors.New("entry: no route for this host and path")}
+		return &platform.RequestError{Status: http.StatusNotFound, By: exchange.EndedByConfiguration, Err: errors.New("entry: no route for this host and path")}
 	}
 	if config.Keys() && !call.Route.Public {
 		owner := config.Owner(call.Key)
 		if owner == nil {
-			return &platform.RequestError{Status: http.StatusUnauthorized, Err: errors.New("entry: the key is unknown")}
+			return &platform.RequestError{Status: http.StatusUnauthorized, By: exchange.EndedByConfiguration, Err: errors.New("entry: the key is unknown")}
 		}
 		call.Organisation = owner.Name
 	}
 	call.Version = config.Version
 	call.Service = call.Route.Pick()
-	call.Until = call.Arrived.Add(wait(call.Wait, call.Route.Timeout))
+	length, by := wait(call.Wait, call.Route.Timeout)
+	call.Until, call.UntilBy = call.Arrived.Add(length), by
 	return nil
 }
 
-func wait(asked, allowed time.Duration) time.Duration {
+// wait returns how long a request may take, and whose time that is.
+func wait(asked, allowed time.Duration) (time.Duration, exchange.EndedBy) {
 	switch {
-	case asked > 0 && allowed > 0:
-		return min(asked, allowed)
-	case asked > 0:
-		return asked
+	case asked > 0 && (allowed <= 0 || asked <= allowed):
+		return asked, exchange.EndedByDeadline
 	case allowed > 0:
-		return allowed
+		return allowed, exchange.EndedByRouteTimeout
 	default:
-		return defaultWait
+		return defaultWait, exchange.EndedByRouteTimeout
 	}
 }
 
-func (h *handler) turnAway(w http.ResponseWriter, call *platform.Call, err error, config *site.Config) {
+func (h *handler) turnAway(w http.ResponseWriter, r *http.Request, call *platform.Call, err error, config *site.Config) {
 	var id string
 	var version uint64
 	if call != nil {
@@ -139,12 +141,21 @@
 	if config != nil {
 		version = config.Version
 	}
-	status := http.StatusBadRequest
+	status, by := http.StatusBadRequest, exchange.EndedByCaller
 	var known *platform.RequestError
 	if errors.As(err, &known) {
-		status = known.Status
+		status, by = known.Status, known.By
+		if id == "" {
+			id = known.ID
+		}
+	}
+	// A body that ended early was cut by what ended its connection.
+	var end *exchange.End
+	if errors.As(context.Cause(r.Context()), &end) {
+		by = end.By
 	}
-	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version)
+	h.exchange.TurnedAway(by)
+	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version, event.FieldEndedBy, by)
 	platform.WriteStatus(w, id, status, err.Error())
 }
 
@@ -161,7 +172,9 @@
 		h.refuse(w, call)
 		return
 	}
-	call.Until = h.stop.bound(call.Until)
+	if last := h.stop.bound(call.Until); last.Before(call.Until) {
+		call.Until, call.UntilBy = last, exchange.EndedByStop
+	}
 	reply, err := h.exchange.Call(r.Context(), &call.Request)
 	if err != nil {
 		fail(w, call.ID, err)
@@ -180,8 +193,9 @@
 
 // refuse turns a request away that the process could not finish any more.
 func (h *handler) refuse(w http.ResponseWriter, call *platform.Call) {
-	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", h.stop.need())
-	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: spreadOut(elsewhere), Err: errors.New("entry: this process is about to stop")})
+	h.exchange.Refused(call.Route, exchange.EndedByStop)
+	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", h.stop.need(), event.FieldEndedBy, exchange.EndedByStop)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{By: exchange.EndedByStop, RetryAfter: spreadOut(elsewhere), Err: errors.New("entry: this process is about to stop")})
 }
 
 func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, call *platform.Call) {
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/site"
 )
 
@@ -23,7 +24,7 @@
 	route := site.Route{Name: "r", Host: "h", Prefix: "/x/", Kind: site.Stream, Public: true, Targets: []site.Target{{Service: "s", Weight: 1}}}
 	holder.Offer(&site.Versioned{Config: site.New(1, []site.Route{route}, nil, nil, site.ClientLimits{}), Position: 1})
 	recorder := event.Discard()
-	h := &handler{holder: holder, recorder: recorder, stop: newStopping(), listed: func() bool { return false }}
+	h := &handler{holder: holder, exchange: exchange.New(exchange.Options{}), recorder: recorder, stop: newStopping(), listed: func() bool { return false }}
 	send := func(path string) *httptest.ResponseRecorder {
 		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
 		r.Host = "h"
--- a/event/recorder.go
+++ b/event/recorder.go
@@ -27,6 +27,10 @@
 // FieldRequests is that of an event about several: `ID@SERVER,ID@SERVER`.
 const FieldRequests = "requests"
 
+// FieldEndedBy is the field of a request's last line that names the side that
+// ended it; the values are package exchange's.
+const FieldEndedBy = "ended_by"
+
 // Separators within FieldRequests.
 const (
 	AtServer        = "@"
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	s.ran++
-	s.begun = true
+	s.begun, s.status = true, reply.Status
 	if err := s.sink.Begin(reply.Status, reply.Header); err != nil {
 		return &finalError{err}
 	}
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -69,6 +69,7 @@
 	// request or ever will.
 	Ran        bool
 	TimedOut   bool
+	By         EndedBy
 	RetryAfter time.Duration // when the caller may come back; set if it has not run
 	Err        error
 }
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -5,13 +5,17 @@
 // Events of requests on entry VMs.
 var (
 	EventServed = event.Define(2720, "exchange_served", event.Info,
-		"a request has its whole answer", "nothing")
+		"a request has its whole answer", "nothing; with ended_by=server it is the backend server's own failure")
 	EventRefused = event.Define(2721, "exchange_refused", event.Warn,
 		"a request was refused that has not run and never will", "see err; if it lasts, there are too few backend servers")
 	EventFailed = event.Define(2722, "exchange_failed", event.Error,
-		"a request ended without an answer although it may have run", "follow the request's earlier lines; see docs/OPERATIONS.md")
+		"a request ended without an answer although it may have run; ended_by names the side that ended it", "follow the request's earlier lines; see docs/OPERATIONS.md")
 	EventCallerLeft = event.Define(2723, "exchange_caller_left", event.Info,
-		"the caller closed its connection before the answer was whole", "nothing")
+		"the caller closed its connection before the answer was whole; ended_by=deadline: as its deadline passed", "nothing")
+	EventCut = event.Define(2734, "exchange_cut", event.Warn,
+		"this process's planned stop cut a request whose caller was still waiting", "if there are many, the grace period is too short for these requests")
+	EventCallerLost = event.Define(2735, "exchange_caller_lost", event.Info,
+		"the connection to the caller was reset or went dead before the answer was whole; the caller may still have been waiting", "if there are many, look at the network between callers and this VM")
 	EventAgain = event.Define(2724, "exchange_again", event.Info,
 		"an attempt failed and the request is sent to another backend server", "nothing")
 	EventResumed = event.Define(2725, "exchange_resumed", event.Info,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -145,8 +145,9 @@
 	if e.opts.Suspects.Verdict(req.Fingerprint()).State != suspect.Quarantined {
 		return nil
 	}
-	e.opts.Recorder.Emit(EventQuarantined, event.FieldRequest, req.ID, "route", req.Route.Name, "fingerprint", req.Fingerprint())
-	return &Failure{Err: ErrQuarantined, RetryAfter: quarantineRetryAfter}
+	e.metrics.ended(req.Route.Kind.String(), outcomeRefused, EndedByLimit)
+	e.opts.Recorder.Emit(EventQuarantined, event.FieldRequest, req.ID, "route", req.Route.Name, "fingerprint", req.Fingerprint(), event.FieldEndedBy, EndedByLimit)
+	return &Failure{By: EndedByLimit, Err: ErrQuarantined, RetryAfter: quarantineRetryAfter}
 }
 
 // left returns the time that a server may take for an attempt begun now.
@@ -217,7 +218,8 @@
 	}
 }
 
-// timedOut tells whether the request's own time ended ctx, not its caller.
+// timedOut tells whether the request's own time ended ctx, not its caller or
+// this process: the caller is still there to be answered.
 func timedOut(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	return errors.Is(ctx.Err(), context.DeadlineExceeded)
 }
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -3,7 +3,7 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 type metrics struct {
-	requests    *prometheus.CounterVec   // by kind and outcome
+	requests    *prometheus.CounterVec   // by kind, outcome and the side that ended them
 	duration    *prometheus.HistogramVec // by kind
 	firstEvent  prometheus.Histogram
 	pauses      prometheus.Histogram
@@ -22,7 +22,7 @@
 	}
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "pearyard_exchange_requests_total", Help: "Requests by kind and outcome."}, []string{"kind", "outcome"}),
+			Name: "pearyard_exchange_requests_total", Help: "Requests by kind, by what their callers got, and by the side that ended them."}, []string{"kind", "outcome", "ended_by"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pearyard_exchange_request_seconds", Help: "Time to the end of an answer, seconds.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -62,12 +62,16 @@
 	if f := e.begin(req); f != nil {
 		return nil, f
 	}
-	within, cancel := context.WithDeadline(ctx, req.Until)
+	within, cancel := req.within(ctx)
 	defer cancel()
 	c := &call{e: e, req: req, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
 	reply, err := c.run(within)
 	c.end(reply)
-	e.concluded(ctx, req, err, func() []any { return c.summary(reply) })
+	status := 0
+	if reply != nil {
+		status = reply.Status
+	}
+	e.concluded(req, status, err, func() []any { return c.summary(reply) })
 	return reply, err
 }
 
@@ -99,6 +103,10 @@
 	for {
 		select {
 		case r := <-c.results:
+			if r.err != nil && ctx.Err() != nil {
+				// What ended the request broke the attempt too: no fault of its server.
+				return nil, c.ended(ctx)
+			}
 			c.pending--
 			if reply := c.take(r); reply != nil {
 				return reply, nil
@@ -247,14 +255,15 @@
 
 // ended is the outcome when the time is up or the caller has left.
 func (c *call) ended(ctx context.Context) error {
+	end := c.req.endOf(ctx)
 	if !timedOut(ctx) {
-		return ctx.Err()
+		return end
 	}
-	return &Failure{Ran: c.sent+c.pending > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, describe(c.last))}
+	return &Failure{By: end.By, Ran: c.sent+c.pending > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, describe(c.last))}
 }
 
 func (c *call) refusal(err error) *Failure {
-	return &Failure{Ran: c.sent > 0, RetryAfter: retryAfter, Err: err}
+	return &Failure{By: failedBy(err), Ran: c.sent > 0, RetryAfter: retryAfter, Err: err}
 }
 
 func describe(err error) string {
@@ -263,28 +272,3 @@
 	}
 	return err.Error()
 }
-
-// concluded logs and counts how a request ended, with the configuration that
-// routed it and the list of servers known now.
-func (e *Exchange) concluded(ctx context.Context, req *Request, err error, more func() []any) {
-	took := time.Since(req.Arrived)
-	kind := req.Route.Kind.String()
-	line := append([]any{event.FieldRequest, req.ID, "route", req.Route.Name, "kind", kind, "service", req.Service,
-		"organisation", req.Organisation, "version", req.Version, "list", e.opts.Directory.View().Position, "took", took}, more()...)
-	var failure *Failure
-	switch {
-	case err == nil:
-		e.metrics.requests.WithLabelValues(kind, "served").Inc()
-		e.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
-		e.opts.Recorder.Emit(EventServed, line...)
-	case errors.As(err, &failure) && !failure.Ran:
-		e.metrics.requests.WithLabelValues(kind, "refused").Inc()
-		e.opts.Recorder.Emit(EventRefused, append(line, "err", failure.Err)...)
-	case ctx.Err() != nil:
-		e.metrics.requests.WithLabelValues(kind, "caller_left").Inc()
-		e.opts.Recorder.Emit(EventCallerLeft, line...)
-	default:
-		e.metrics.requests.WithLabelValues(kind, "failed").Inc()
-		e.opts.Recorder.Emit(EventFailed, append(line, "err", err)...)
-	}
-}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -28,6 +28,7 @@
 
 	Arrived      time.Time // steady
 	Until        time.Time // when the caller stops waiting or the route's time is up
+	UntilBy      EndedBy   // whose time Until is; empty: the caller's
 	Route        *site.Route
 	Service      string
 	Organisation string // empty without keys
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -19,6 +19,7 @@
 	sink Sink
 
 	begun    bool   // the head has been sent
+	status   int    // of an answer that is no stream
 	last     uint64 // event that the caller has
 	lastAt   time.Time
 	firstAt  time.Time
@@ -44,7 +45,7 @@
 	if f := e.begin(req); f != nil {
 		return false, f
 	}
-	within, cancel := context.WithDeadline(ctx, req.Until)
+	within, cancel := req.within(ctx)
 	defer cancel()
 	s := &stream{
 		e: e, req: req, sink: sink, tried: map[string]bool{}, copies: copyKeeper{free: e.freeCopy}, onItsWay: e.running.begin(req.ID),
@@ -57,7 +58,7 @@
 		e.opts.Suspects.Completed(req.Fingerprint())
 		e.metrics.pauses.Observe(s.longest.Seconds())
 	}
-	e.concluded(ctx, req, err, s.summary)
+	e.concluded(req, s.status, err, s.summary)
 	return s.begun, err
 }
 
@@ -89,7 +90,7 @@
 		}
 		var done *finalError
 		if errors.As(err, &done) {
-			return done.err
+			return s.req.unwritten(ctx, done.err)
 		}
 		s.note(server, err, from != nil)
 		if !s.mayGoOn() {
@@ -233,13 +234,14 @@
 // failure is the outcome of a stream that can't go on.
 func (s *stream) failure(ctx context.Context, err error) error {
 	if ctx.Err() != nil && !timedOut(ctx) {
-		return ctx.Err()
+		return s.req.endOf(ctx)
 	}
+	by := failedBy(err)
 	if s.cause != nil && !errors.Is(err, s.cause) {
 		err = errors.Wrap(err, s.cause.Error())
 	}
 	if ctx.Err() != nil {
-		return &Failure{Ran: true, TimedOut: true, Err: errors.Wrap(ErrTimeout, err.Error())}
+		return &Failure{By: s.req.endOf(ctx).By, Ran: true, TimedOut: true, Err: errors.Wrap(ErrTimeout, err.Error())}
 	}
-	return &Failure{Ran: s.ran > 0, RetryAfter: retryAfter, Err: err}
+	return &Failure{By: by, Ran: s.ran > 0, RetryAfter: retryAfter, Err: err}
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -68,17 +69,39 @@
 	return out
 }
 
+// ends are the events that a request ends with.
+var ends = map[string]bool{
+	exchange.EventServed.ID(): true, exchange.EventRefused.ID(): true, exchange.EventFailed.ID(): true, exchange.EventCallerLeft.ID(): true,
+	exchange.EventCallerLost.ID(): true, exchange.EventCut.ID(): true, exchange.EventQuarantined.ID(): true,
+	entry.EventTurnedAway.ID(): true, entry.EventNotYet.ID(): true, entry.EventStopping.ID(): true,
+}
+
+// lastOf returns the line of a request's end, or else its last one: that a
+// server crashed of it is noted a second after the request has ended.
+func lastOf(own []Line) Line {
+	for _, l := range slices.Backward(own) {
+		if ends[l.Event] {
+			return l
+		}
+	}
+	return own[len(own)-1]
+}
+
 func cause(s Story, all []Line) string {
-	last := s.Lines[len(s.Lines)-1]
+	last := lastOf(s.Lines)
 	switch last.Event {
 	case exchange.EventServed.ID():
 		return served(last)
 	case exchange.EventRefused.ID():
-		return "It was refused and has not run: " + last.Fields["err"] + "."
+		return refused(last)
 	case exchange.EventFailed.ID():
 		return failed(s, last)
 	case exchange.EventCallerLeft.ID():
-		return "Its caller closed the connection after " + last.Fields["took"] + before(s) + "."
+		return callerLeft(last) + before(s) + "."
+	case exchange.EventCallerLost.ID():
+		return "The connection to its caller was lost after " + last.Fields["took"] + " (" + last.Fields["err"] + "): it was reset, by the caller or on the way, or went dead" + before(s) + "."
+	case exchange.EventCut.ID():
+		return "The planned stop of " + last.Process + " cut it after " + last.Fields["took"] + ", when the grace period was over; its caller was still there" + before(s) + "."
 	case exchange.EventQuarantined.ID():
 		return "It was refused because the same request had crashed several backend servers."
 	case entry.EventTurnedAway.ID():
@@ -121,7 +144,7 @@
 }
 
 func failed(s Story, last Line) string {
-	text := "It failed after " + last.Fields["took"] + ": " + last.Fields["err"]
+	text := who(last) + " after " + last.Fields["took"] + ": " + last.Fields["err"]
 	if lost := lostServers(s, last.Fields["service"]); lost != "" {
 		text += "; lost meanwhile: " + lost
 	}
@@ -158,6 +181,9 @@
 
 // turnedAway says which version decided, and whether a newer one was near.
 func turnedAway(s Story, last Line, all []Line) string {
+	if by := endedBy(last); by != "" && by != exchange.EndedByConfiguration {
+		return unread(last)
+	}
 	text := fmt.Sprintf("It was answered %s by version %s of the configuration: %s", last.Fields["status"], last.Fields["version"], last.Fields["err"])
 	for _, l := range all {
 		if l.Event != site.EventApplied.ID() || l.Process != last.Process {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -20,6 +20,11 @@
 level=info ts=2026-10-02T12:44:06.000000000Z process=edge-2 event=PY2720 name=exchange_served request=r7 took=80ms sent=2 status=500
 level=warn ts=2026-10-02T12:44:06.000000000Z process=edge-2 event=PY2721 name=exchange_refused request=r5 err="exchange: no backend server takes the request"
 level=info ts=2026-10-02T12:44:00.500000000Z process=edge-2 event=PY2732 name=exchange_running requests=r0@i-3,r8@i-4
+level=error ts=2026-10-02T12:44:07.000000000Z process=edge-1 event=PY2722 name=exchange_failed request=r9 took=2s server=i-1 ended_by=server err="exchange: broken: unexpected EOF"
+level=warn ts=2026-10-02T12:44:08.000000000Z process=edge-1 event=PY2728 name=exchange_crash_noted request=r9 server=i-1
+level=info ts=2026-10-02T12:44:08.000000000Z process=edge-1 event=PY2732 name=exchange_running requests=r9@i-1
+level=warn ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2721 name=exchange_refused request=r10 ended_by=server_link err="exchange: not run: unreachable: i/o timeout"
+level=warn ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2750 name=entry_turned_away request=r11 status=400 ended_by=caller version=9 err="platform: body: unexpected EOF"
 `
 
 // Engineers on call are given a request's id and nothing else. Each kind of end
@@ -29,14 +34,17 @@
 	lines, err := Read(strings.NewReader(logs))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	for request, words := range map[string][]string{
-		"r1": {"failed after 2s", "retry budget spent", "i-1 of errol"},
-		"r2": {"404 by version 6", "version 9 came into force there 300ms later"},
-		"r3": {"edge-2 ended without a word", "12:44:03", "12:44:05"},
-		"r4": {"served after 5s", "1 time(s)", "400ms"},
-		"r5": {"has not run", "no backend server"},
-		"r6": {"No line names this request", "edge-2 between 12:44:03 and 12:44:05"},
-		"r8": {"edge-2 ended without a word between 12:44:00 and 12:44:05"},
-		"r7": {"backend server's own status 500, at try 2"},
+		"r1":  {"failed after 2s", "retry budget spent", "i-1 of errol"},
+		"r2":  {"404 by version 6", "version 9 came into force there 300ms later"},
+		"r3":  {"edge-2 ended without a word", "12:44:03", "12:44:05"},
+		"r4":  {"served after 5s", "1 time(s)", "400ms"},
+		"r5":  {"has not run", "no backend server"},
+		"r6":  {"No line names this request", "edge-2 between 12:44:03 and 12:44:05"},
+		"r8":  {"edge-2 ended without a word between 12:44:00 and 12:44:05"},
+		"r9":  {"Its backend server i-1 broke it off after 2s"},
+		"r10": {"no backend server could be reached"},
+		"r11": {"answered 400 for what its caller sent: platform: body: unexpected EOF"},
+		"r7":  {"backend server's own status 500, at try 2"},
 	} {
 		for _, w := range words {
 			g.Expect(Of(lines, request).Cause).To(gomega.ContainSubstring(w), request)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -187,7 +187,7 @@
 	metrics, err := io.ReadAll(resp.Body)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	for _, name := range []string{
-		`pearyard_exchange_resumes_total{how="copy"} 1`, `pearyard_exchange_requests_total{kind="idempotent",outcome="served"} 1`,
+		`pearyard_exchange_resumes_total{how="copy"} 1`, `pearyard_exchange_requests_total{ended_by="answer",kind="idempotent",outcome="served"} 1`,
 		`pearyard_store_calls_total{call="wait",result="ok"}`, "pearyard_config_age_seconds", "pearyard_log_lines_dropped 0",
 	} {
 		g.Expect(string(metrics)).To(gomega.ContainSubstring(name))
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -20,6 +20,7 @@
 	readPrompt  = 60 * time.Millisecond
 	plainWork   = 10 * time.Millisecond
 	queueLength = 64
+	LargeAnswer = 32 << 20 // bytes of an answer to a target below /large/
 )
 
 // Run is one run of a request on a server.
@@ -34,6 +35,30 @@
 	mu       sync.Mutex
 	runs     []Run
 	arrivals []Run // also those that were refused
+	ends     map[string][]How
+}
+
+// How is what a server saw of a run's end.
+type How string
+
+// Ends of runs.
+const (
+	Whole     How = "whole"     // the answer was written to its end
+	BrokeOff  How = "broke off" // the server ended it
+	Abandoned How = "abandoned" // the server's caller closed the connection
+)
+
+// Ends returns how the runs of a request ended, as their servers saw it.
+func (l *Ledger) Ends(request string) []How {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]How(nil), l.ends[request]...)
+}
+
+func (l *Ledger) ended(request string, how How) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends[request] = append(l.ends[request], how)
 }
 
 // Runs returns what ran so far.
@@ -64,9 +89,12 @@
 	// LostAnswers is the share of a thousand answers that are cut after the run.
 	LostAnswers atomic.Int64
 	answers     atomic.Int64
-	listen      string
-	draining    bool
-	drainAt     time.Time
+	// EventGap is the time between two events of a stream, in nanoseconds; 0: the usual.
+	EventGap atomic.Int64
+	listen   string
+	crashed  atomic.Bool
+	draining bool
+	drainAt  time.Time
 }
 
 // Cloud is all servers with the store that lists them and the copies they hold.
@@ -81,7 +109,7 @@
 
 // NewCloud returns a cloud over a store.
 func NewCloud(store *Store) *Cloud {
-	return &Cloud{Store: store, Ledger: &Ledger{}, copies: map[string]int{}}
+	return &Cloud{Store: store, Ledger: &Ledger{ends: map[string][]How{}}, copies: map[string]int{}}
 }
 
 // NewServer starts a server; front returns the address under which it is
@@ -106,6 +134,7 @@
 	s.listen = listener.Addr().String()
 	s.id = fmt.Sprintf("i-%04d", s.cloud.next.Add(1))
 	s.draining = false
+	s.crashed.Store(false)
 	server := &http.Server{Handler: s.handler(s.id)}
 	s.http = server
 	go func() { _ = server.Serve(listener) }()
@@ -139,6 +168,7 @@
 	s.mu.Lock()
 	server := s.http
 	s.mu.Unlock()
+	s.crashed.Store(true)
 	_ = server.Close()
 }
 
@@ -248,15 +278,23 @@
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(plainWork)
 	if share := s.LostAnswers.Load(); share > 0 && s.answers.Add(1)*share%1000 < share {
+		s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), BrokeOff)
 		panic(http.ErrAbortHandler)
 	}
 	answer := PlainAnswer(r.RequestURI, body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	_, _ = io.WriteString(w, answer)
+	if _, err := io.WriteString(w, answer); err != nil {
+		s.left(r)
+		return
+	}
+	s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), Whole)
 }
 
 // PlainAnswer is what a server answers to a plain request.
 func PlainAnswer(target string, body []byte) string {
+	if strings.HasPrefix(target, "/large/") {
+		return strings.Repeat("x", LargeAnswer)
+	}
 	return fmt.Sprintf("answer to %s of %d bytes", target, len(body))
 }
 
@@ -274,15 +312,31 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
+	gap := eventGap
+	if own := s.EventGap.Load(); own > 0 {
+		gap = time.Duration(own)
+	}
 	for n := after + 1; n <= Events; n++ {
 		select {
 		case <-r.Context().Done():
+			s.left(r)
 			return
-		case <-time.After(eventGap):
+		case <-time.After(gap):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
+			s.left(r)
 			return
 		}
 		_ = flush.Flush()
 	}
+	s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), Whole)
+}
+
+// left notes that a stream's connection is gone.
+func (s *Server) left(r *http.Request) {
+	how := Abandoned
+	if s.crashed.Load() {
+		how = BrokeOff
+	}
+	s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), how)
 }
