exchange: answers over 256 KB come whole, and their line says how they ended

An answer too large to be held is passed on while it is read. Call cancelled the request's context when the answer began, which closes the connection to the server: the caller's answer was cut after some hundred KB. And its line (served) was written then, so that neither the cut nor a caller that left nor a server that broke off in its rest showed anywhere. Ruled out: a slow caller; the first KBs came and then "unexpected EOF", on loopback. Attempts that lost are ended when the answer begins, the winner's is kept. A rest whose beginning could not be written is closed (it leaked its connection).

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -185,10 +185,10 @@
 		setLength(w, len(reply.Body))
 	}
 	w.WriteHeader(reply.Status)
-	if _, err := w.Write(reply.Body); err != nil || reply.Rest == nil {
-		return
+	_, err = w.Write(reply.Body)
+	if reply.Rest != nil {
+		passRest(w, reply.Rest, err)
 	}
-	passRest(w, reply.Rest)
 }
 
 // refuse turns a request away that the process could not finish any more.
--- a/entry/reasons_test.go
+++ b/entry/reasons_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -102,6 +103,37 @@
 	w.holds("r1", verdict{"server_link", "PY2722", "The connection to its backend server " + w.servers[0].ID() + " was reset, by the server or on the way, after"})
 }
 
+// An answer is too large to be held before its caller gets any of it. It comes
+// whole all the same.
+func TestLargeAnswersComeWhole(t *testing.T) {
+	g, w := gomega.NewWithT(t), serving(t, 1, nil)
+	c := w.send(ask{id: "r1", path: "/large/1"}).rest()
+	g.Expect(c.Err).NotTo(gomega.HaveOccurred())
+	g.Expect(c.Bytes).To(gomega.BeEquivalentTo(nursery.LargeAnswer))
+	w.sawServers("r1", nursery.Whole)
+	w.holds("r1", verdict{"answer", "PY2720", "It was served after"})
+}
+
+// A caller ends its side in the middle of a large answer. Its line said that it
+// had been served, since that was decided when the answer began.
+func TestCallerLeavesInALargeAnswer(t *testing.T) {
+	w := serving(t, 1, nil)
+	c := w.send(ask{id: "r1", path: "/large/1", direct: true}).head()
+	_ = c.conn.(*net.TCPConn).CloseWrite()
+	w.sawServers("r1", nursery.Abandoned)
+	w.holds("r1", verdict{"caller", "PY2723", "Its caller closed the connection after"})
+}
+
+// A server crashes in the middle of a large answer, which can't be asked for
+// again any more: its caller has a part of it.
+func TestServerBreaksALargeAnswer(t *testing.T) {
+	g, w := gomega.NewWithT(t), serving(t, 1, nil)
+	c := w.send(ask{id: "r1", path: "/large/1"}).head()
+	w.servers[0].Crash()
+	g.Expect(c.rest().Err).To(gomega.HaveOccurred())
+	w.holds("r1", verdict{"server", "PY2722", "Its backend server "})
+}
+
 // A caller says that it waits a second and still listens when they are over.
 func TestEndedByItsDeadline(t *testing.T) {
 	g, w := gomega.NewWithT(t), serving(t, 1, nil)
--- a/entry/write.go
+++ b/entry/write.go
@@ -45,11 +45,14 @@
 	w.Header().Set("Content-Length", strconv.Itoa(n))
 }
 
-// passRest copies the rest of a large answer; a break in it must not look like
-// an end.
-func passRest(w http.ResponseWriter, rest exchange.Body) {
+// passRest copies the rest of a large answer, unless its beginning could not be
+// written; a break in it must not look like an end.
+func passRest(w http.ResponseWriter, rest exchange.Body, err error) {
 	defer rest.Close()
-	if _, err := io.Copy(w, rest); err != nil {
+	if err == nil {
+		_, err = io.Copy(w, rest)
+	}
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -32,6 +32,8 @@
 	// Rest is what follows Body in an answer too large to be held; nil
 	// otherwise. If it fails, the caller's answer must be cut off.
 	Rest Body
+
+	server *directory.Server // whose answer it is
 }
 
 // result is what came of one attempt.
@@ -45,7 +47,7 @@
 type call struct {
 	e       *Exchange
 	req     *Request
-	cancel  []context.CancelFunc
+	cancel  map[string]context.CancelFunc // of attempts, by server
 	results chan result
 	tried   map[string]bool
 	pending int
@@ -63,34 +65,41 @@
 		return nil, f
 	}
 	within, cancel := req.within(ctx)
-	defer cancel()
-	c := &call{e: e, req: req, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
+	c := &call{e: e, req: req, cancel: map[string]context.CancelFunc{}, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
 	reply, err := c.run(within)
-	c.end(reply)
+	c.endLosers(reply)
+	if reply != nil && reply.Rest != nil {
+		reply.Rest = &rest{Body: reply.Rest, call: c, status: reply.Status, ctx: within, cancel: cancel}
+		return reply, nil
+	}
+	cancel()
 	status := 0
 	if reply != nil {
 		status = reply.Status
 	}
-	e.concluded(req, status, err, func() []any { return c.summary(reply) })
+	c.conclude(status, err)
 	return reply, err
 }
 
-func (c *call) summary(reply *Reply) []any {
+func (c *call) conclude(status int, err error) {
+	c.e.concluded(c.req, status, err, func() []any { return c.summary(status) })
+}
+
+func (c *call) summary(status int) []any {
 	fields := []any{"sent", c.sent, "refused", c.refused, "server", idOf(c.newest), "last", c.last}
-	if reply != nil {
-		fields = append(fields, "status", reply.Status)
+	if status != 0 {
+		fields = append(fields, "status", status)
 	}
 	return fields
 }
 
-// end stops the attempts that lost; the winner's context must live on while a
-// rest of its answer is read.
-func (c *call) end(reply *Reply) {
-	if reply != nil && reply.Rest != nil {
-		return
-	}
-	for _, cancel := range c.cancel {
-		cancel()
+// endLosers stops the attempts that lost; the winner's context must live on
+// while a rest of its answer is read.
+func (c *call) endLosers(reply *Reply) {
+	for server, cancel := range c.cancel {
+		if reply == nil || reply.Rest == nil || server != reply.server.ID {
+			cancel()
+		}
 	}
 }
 
@@ -180,7 +189,7 @@
 	c.tried[s.ID] = true
 	c.pending++
 	attempt, cancel := context.WithCancel(ctx)
-	c.cancel = append(c.cancel, cancel)
+	c.cancel[s.ID] = cancel
 	go func() { c.results <- c.attempt(attempt, s) }()
 	return true
 }
@@ -192,7 +201,11 @@
 		return result{server: s, err: err}
 	}
 	reply, err := whole(answer)
-	return result{server: s, reply: reply, err: err}
+	if err != nil {
+		return result{server: s, err: err}
+	}
+	reply.server = s
+	return result{server: s, reply: reply}
 }
 
 // whole reads an answer's body to its end if it is of ordinary size.
