explain, exchange: the server that a request was waiting for is named

A plain call whose time was up said `sent=0 server=`, as if it had been sent nowhere, though it was pending at a server. Ruled out: the servers' loss (they answered the question for a sign of life). A plain call's line has `pending` and names the server that was sent to last; explain adds "its backend server X had sent nothing yet" where no other answer, refusal or event had come. Conclusion: the streams still wait for a mute server till their callers leave; that is behaviour and left as it is here.

--- a/exchange/ended_test.go
+++ b/exchange/ended_test.go
@@ -87,6 +87,21 @@
 	}
 }
 
+// A server says nothing until the request's time is up. Its line said sent=0 and
+// named no server, as if the request had not been sent anywhere.
+func TestLineOfATimeoutNamesTheServerThatWasWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{"a1": {answers(http.StatusOK, "late", time.Hour)}}, "a1")
+		req := request(site.AtMostOnce)
+		_, err := b.Call(t.Context(), req)
+		g.Expect(err).To(gomega.MatchError(ErrTimeout))
+		last := b.recorder.Entries(req.ID)[0]
+		g.Expect(last.Fields).To(gomega.HaveKeyWithValue("server", "a1"))
+		g.Expect(last.Fields).To(gomega.HaveKeyWithValue("pending", "1"))
+	})
+}
+
 // A server answers with a failure of its own, which is passed on. The request
 // has its whole answer; who failed is the server.
 func TestOwnFailureIsTheServers(t *testing.T) {
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -54,7 +54,7 @@
 	sent    int // attempts that may have run
 	refused int // attempts proved not to have run
 	last    error
-	newest  *directory.Server // whose result came last
+	newest  *directory.Server // that was sent to, or whose result came, last
 	failing *Reply            // a server's own failure, passed on if nothing better comes
 }
 
@@ -86,7 +86,7 @@
 }
 
 func (c *call) summary(status int) []any {
-	fields := []any{"sent", c.sent, "refused", c.refused, "server", idOf(c.newest), "last", c.last}
+	fields := []any{"sent", c.sent, "pending", c.pending, "refused", c.refused, "server", idOf(c.newest), "last", c.last}
 	if status != 0 {
 		fields = append(fields, "status", status)
 	}
@@ -188,6 +188,7 @@
 	}
 	c.tried[s.ID] = true
 	c.pending++
+	c.newest = s
 	attempt, cancel := context.WithCancel(ctx)
 	c.cancel[s.ID] = cancel
 	go func() { c.results <- c.attempt(attempt, s) }()
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -144,7 +144,7 @@
 }
 
 func failed(s Story, last Line) string {
-	text := who(last) + " after " + last.Fields["took"] + ": " + last.Fields["err"]
+	text := who(last) + " after " + last.Fields["took"] + ": " + last.Fields["err"] + waitedFor(last)
 	if lost := lostServers(s, last.Fields["service"]); lost != "" {
 		text += "; lost meanwhile: " + lost
 	}
--- a/explain/sides.go
+++ b/explain/sides.go
@@ -6,6 +6,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/site"
 )
 
 // endedBy returns the side that a request's last line names; lines of older
@@ -46,6 +47,17 @@
 	return "went silent: the server, its VM or the way to it was lost. It ended"
 }
 
+// waitedFor names the server that a request without any answer was waiting for.
+func waitedFor(last Line) string {
+	f := last.Fields
+	stream := f["kind"] == site.Stream.String() && f["first"] == "0s" && f["ran"] == "0" && f["refused"] == "0"
+	plain := f["pending"] == "1" && f["sent"] == "0" && f["refused"] == "0"
+	if f["server"] == "" || !stream && !plain {
+		return ""
+	}
+	return "; its backend server " + f["server"] + " had sent nothing yet"
+}
+
 // refused tells why a request has not run.
 func refused(last Line) string {
 	why := ""
@@ -69,9 +81,9 @@
 // callerLeft tells a caller that gave up from one whose time was over.
 func callerLeft(last Line) string {
 	if endedBy(last) == exchange.EndedByDeadline {
-		return "Its caller's deadline passed after " + last.Fields["took"] + ", and the caller closed the connection"
+		return "Its caller's deadline passed after " + last.Fields["took"] + ", and the caller closed the connection" + waitedFor(last)
 	}
-	return "Its caller closed the connection after " + last.Fields["took"]
+	return "Its caller closed the connection after " + last.Fields["took"] + waitedFor(last)
 }
 
 // unread tells why a request was turned away for what came of it, or because
