--- a/entry/drain.go
+++ b/entry/drain.go
@@ -35,7 +35,7 @@
 	callers := newClients(listener, e.clientLimits, e.registry)
 	server := &http.Server{
 		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		BaseContext: e.cutter.base, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	background(group, callers.run)
 	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server) })
@@ -96,7 +96,7 @@
 	for e.running.Load() > 0 && ctx.Err() == nil {
 		_ = retry.Wait(ctx, drainLook)
 	}
-	cut := e.running.Load()
 	err := server.Shutdown(ctx)
+	cut := e.cutter.cut(&e.running)
 	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -85,7 +86,7 @@
 	}
 	call, err := platform.ReadCall(w, r, limit)
 	if err != nil {
-		h.turnAway(w, nil, err, config)
+		h.turnAway(w, r, nil, err, config)
 		return
 	}
 	if config == nil {
@@ -95,7 +96,7 @@
 	// The body may have taken a while: go by what is in force now.
 	config = h.holder.Config()
 	if err := route(call, config); err != nil {
-		h.turnAway(w, call, err, config)
+		h.turnAway(w, r, call, err, config)
 		return
 	}
 	if !h.listed() {
@@ -108,43 +109,44 @@
 // notYet refuses a request because the process has just started and lacks
 // something; the request has not run.
 func (h *handler) notYet(w http.ResponseWriter, call *platform.Call, missing string, wait time.Duration) {
-	h.recorder.Emit(EventNotYet, event.FieldRequest, call.ID, "missing", missing)
-	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
+	h.exchange.Refused(call.Route, exchange.EndedByStart)
+	h.recorder.Emit(EventNotYet, event.FieldRequest, call.ID, "missing", missing, event.FieldEndedBy, exchange.EndedByStart)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{By: exchange.EndedByStart, RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
 }
 
 // route finds the request's route, service and organisation.
 func route(call *platform.Call, config *site.Config) error {
 	call.Route = config.Match(call.Host, call.Path)
 	if call.Route == nil {
-		return &platform.RequestError{Status: http.StatusNotFound, Err: errors.New("entry: no route for this host and path")}
+		return &platform.RequestError{Status: http.StatusNotFound, By: exchange.EndedByConfiguration, Err: errors.New("entry: no route for this host and path")}
 	}
 	if config.Keys() && !call.Route.Public {
 		owner := config.Owner(call.Key)
 		if owner == nil {
-			return &platform.RequestError{Status: http.StatusUnauthorized, Err: errors.New("entry: the key is unknown")}
+			return &platform.RequestError{Status: http.StatusUnauthorized, By: exchange.EndedByConfiguration, Err: errors.New("entry: the key is unknown")}
 		}
 		call.Organisation = owner.Name
 	}
 	call.Version = config.Version
 	call.Service = call.Route.Pick()
-	call.Until = call.Arrived.Add(wait(call.Wait, call.Route.Timeout))
+	length, by := wait(call.Wait, call.Route.Timeout)
+	call.Until, call.UntilBy = call.Arrived.Add(length), by
 	return nil
 }
 
-func wait(asked, allowed time.Duration) time.Duration {
+// wait returns how long a request may take, and whose time that is.
+func wait(asked, allowed time.Duration) (time.Duration, exchange.EndedBy) {
 	switch {
-	case asked > 0 && allowed > 0:
-		return min(asked, allowed)
-	case asked > 0:
-		return asked
+	case asked > 0 && (allowed <= 0 || asked <= allowed):
+		return asked, exchange.EndedByDeadline
 	case allowed > 0:
-		return allowed
+		return allowed, exchange.EndedByRouteTimeout
 	default:
-		return defaultWait
+		return defaultWait, exchange.EndedByRouteTimeout
 	}
 }
 
-func (h *handler) turnAway(w http.ResponseWriter, call *platform.Call, err error, config *site.Config) {
+func (h *handler) turnAway(w http.ResponseWriter, r *http.Request, call *platform.Call, err error, config *site.Config) {
 	var id string
 	var version uint64
 	var age time.Duration
@@ -157,12 +159,21 @@
 	if h.unconfirmed != nil {
 		age = h.unconfirmed()
 	}
-	status := http.StatusBadRequest
+	status, by := http.StatusBadRequest, exchange.EndedByCaller
 	var known *platform.RequestError
 	if errors.As(err, &known) {
-		status = known.Status
+		status, by = known.Status, known.By
+		if id == "" {
+			id = known.ID
+		}
+	}
+	// A body that ended early was cut by what ended its connection.
+	var end *exchange.End
+	if errors.As(context.Cause(r.Context()), &end) {
+		by = end.By
 	}
-	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version, "unconfirmed", age)
+	h.exchange.TurnedAway(by)
+	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version, "unconfirmed", age, event.FieldEndedBy, by)
 	platform.WriteStatus(w, id, status, err.Error())
 }
 
@@ -193,7 +204,9 @@
 }
 
 func (h *handler) servePlain(w http.ResponseWriter, r *http.Request, call *platform.Call) {
-	call.Until = h.stop.bound(call.Until)
+	if last := h.stop.bound(call.Until); last.Before(call.Until) {
+		call.Until, call.UntilBy = last, exchange.EndedByStop
+	}
 	end := h.stop.calls.begin(call.Arrived)
 	reply, err := h.exchange.Call(r.Context(), &call.Request)
 	end(err == nil)
@@ -206,10 +219,10 @@
 		setLength(w, len(reply.Body))
 	}
 	w.WriteHeader(reply.Status)
-	if _, err := w.Write(reply.Body); err != nil || reply.Rest == nil {
-		return
+	_, err = w.Write(reply.Body)
+	if reply.Rest != nil {
+		passRest(w, reply.Rest, err)
 	}
-	passRest(w, reply.Rest)
 }
 
 // refuse turns a request away that the process could not finish any more.
@@ -219,8 +232,12 @@
 	if call.Route.Kind != site.Stream {
 		need = h.stop.callNeed(now)
 	}
-	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.stop.endsAt().Sub(now))
-	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: h.afterStop(call, now), Err: errors.New("entry: this process is about to stop")})
+	h.exchange.Refused(call.Route, exchange.EndedByStop)
+	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.stop.endsAt().Sub(now),
+		event.FieldEndedBy, exchange.EndedByStop)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{
+		By: exchange.EndedByStop, RetryAfter: h.afterStop(call, now), Err: errors.New("entry: this process is about to stop"),
+	})
 }
 
 // afterStop returns when a caller may come back whom a stopping process refuses.
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -140,7 +140,7 @@
 func modelEntry(stop *stopping, server modelServer) *Entry {
 	e := &Entry{
 		settings: platform.Settings{Grace: modelGrace}, recorder: event.Discard(), registry: prometheus.NewRegistry(),
-		holder: site.NewHolder(), directory: directory.New(), stop: stop,
+		holder: site.NewHolder(), directory: directory.New(), stop: stop, cutter: newCutter(),
 	}
 	e.config = &site.Follower{Holder: e.holder, Recorder: e.recorder}
 	e.duty = fleet.NewDuty(fleet.DutyOptions{
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -32,6 +32,8 @@
 	// Rest is what follows Body in an answer too large to be held; nil
 	// otherwise. If it fails, the caller's answer must be cut off.
 	Rest Body
+
+	server *directory.Server // whose answer it is
 }
 
 // result is what came of one attempt.
@@ -45,14 +47,14 @@
 type call struct {
 	e       *Exchange
 	req     *Request
-	cancel  []context.CancelFunc
+	cancel  map[string]context.CancelFunc // of attempts, by server
 	results chan result
 	tried   map[string]bool
 	pending int
 	sent    int // attempts that may have run
 	refused int // attempts proved not to have run
 	last    error
-	newest  *directory.Server // whose result came last
+	newest  *directory.Server // that was sent to, or whose result came, last
 	failing *Reply            // a server's own failure, passed on if nothing better comes
 }
 
@@ -62,31 +64,42 @@
 	if f := e.begin(req); f != nil {
 		return nil, f
 	}
-	within, cancel := context.WithDeadline(ctx, req.Until)
-	defer cancel()
-	c := &call{e: e, req: req, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
+	within, cancel := req.within(ctx)
+	c := &call{e: e, req: req, cancel: map[string]context.CancelFunc{}, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
 	reply, err := c.run(within)
-	c.end(reply)
-	e.concluded(ctx, req, err, func() []any { return c.summary(reply) })
+	c.endLosers(reply)
+	if reply != nil && reply.Rest != nil {
+		reply.Rest = &rest{Body: reply.Rest, call: c, status: reply.Status, ctx: within, cancel: cancel}
+		return reply, nil
+	}
+	cancel()
+	status := 0
+	if reply != nil {
+		status = reply.Status
+	}
+	c.conclude(status, err)
 	return reply, err
 }
 
-func (c *call) summary(reply *Reply) []any {
-	fields := []any{"sent", c.sent, "refused", c.refused, "server", idOf(c.newest), "last", c.last}
-	if reply != nil {
-		fields = append(fields, "status", reply.Status)
+func (c *call) conclude(status int, err error) {
+	c.e.concluded(c.req, status, err, func() []any { return c.summary(status) })
+}
+
+func (c *call) summary(status int) []any {
+	fields := []any{"sent", c.sent, "pending", c.pending, "refused", c.refused, "server", idOf(c.newest), "last", c.last}
+	if status != 0 {
+		fields = append(fields, "status", status)
 	}
 	return fields
 }
 
-// end stops the attempts that lost; the winner's context must live on while a
-// rest of its answer is read.
-func (c *call) end(reply *Reply) {
-	if reply != nil && reply.Rest != nil {
-		return
-	}
-	for _, cancel := range c.cancel {
-		cancel()
+// endLosers stops the attempts that lost; the winner's context must live on
+// while a rest of its answer is read.
+func (c *call) endLosers(reply *Reply) {
+	for server, cancel := range c.cancel {
+		if reply == nil || reply.Rest == nil || server != reply.server.ID {
+			cancel()
+		}
 	}
 }
 
@@ -99,6 +112,10 @@
 	for {
 		select {
 		case r := <-c.results:
+			if r.err != nil && ctx.Err() != nil {
+				// What ended the request broke the attempt too: no fault of its server.
+				return nil, c.ended(ctx)
+			}
 			c.pending--
 			if reply := c.take(r); reply != nil {
 				return reply, nil
@@ -171,8 +188,9 @@
 	}
 	c.tried[s.ID] = true
 	c.pending++
+	c.newest = s
 	attempt, cancel := context.WithCancel(ctx)
-	c.cancel = append(c.cancel, cancel)
+	c.cancel[s.ID] = cancel
 	go func() { c.results <- c.attempt(attempt, s) }()
 	return true
 }
@@ -184,7 +202,11 @@
 		return result{server: s, err: err}
 	}
 	reply, err := whole(answer)
-	return result{server: s, reply: reply, err: err}
+	if err != nil {
+		return result{server: s, err: err}
+	}
+	reply.server = s
+	return result{server: s, reply: reply}
 }
 
 // whole reads an answer's body to its end if it is of ordinary size.
@@ -247,14 +269,15 @@
 
 // ended is the outcome when the time is up or the caller has left.
 func (c *call) ended(ctx context.Context) error {
+	end := c.req.endOf(ctx)
 	if !timedOut(ctx) {
-		return ctx.Err()
+		return end
 	}
-	return &Failure{Ran: c.sent+c.pending > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, describe(c.last))}
+	return &Failure{By: end.By, Ran: c.sent+c.pending > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, describe(c.last))}
 }
 
 func (c *call) refusal(err error) *Failure {
-	return &Failure{Ran: c.sent > 0, RetryAfter: retryAfter, Err: err}
+	return &Failure{By: failedBy(err), Ran: c.sent > 0, RetryAfter: retryAfter, Err: err}
 }
 
 func describe(err error) string {
@@ -263,28 +286,3 @@
 	}
 	return err.Error()
 }
-
-// concluded logs and counts how a request ended, with the configuration that
-// routed it and the list of servers known now.
-func (e *Exchange) concluded(ctx context.Context, req *Request, err error, more func() []any) {
-	took := time.Since(req.Arrived)
-	kind := req.Route.Kind.String()
-	line := append([]any{event.FieldRequest, req.ID, "route", req.Route.Name, "kind", kind, "service", req.Service,
-		"organisation", req.Organisation, "version", req.Version, "list", e.opts.Directory.View().Position, "took", took}, more()...)
-	var failure *Failure
-	switch {
-	case err == nil:
-		e.metrics.requests.WithLabelValues(kind, "served").Inc()
-		e.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
-		e.opts.Recorder.Emit(EventServed, line...)
-	case errors.As(err, &failure) && !failure.Ran:
-		e.metrics.requests.WithLabelValues(kind, "refused").Inc()
-		e.opts.Recorder.Emit(EventRefused, append(line, "err", failure.Err)...)
-	case ctx.Err() != nil:
-		e.metrics.requests.WithLabelValues(kind, "caller_left").Inc()
-		e.opts.Recorder.Emit(EventCallerLeft, line...)
-	default:
-		e.metrics.requests.WithLabelValues(kind, "failed").Inc()
-		e.opts.Recorder.Emit(EventFailed, append(line, "err", err)...)
-	}
-}
