suspect, order, membership, claim: four large files by their nouns

Change: declarations moved, none changed: expiry and options of the ledger, look and pass of the reconciler, suspicion of the table, state of a claim's decision. Ruled out: splitting further; what is left reads as one job. Conclusion: stays.

--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -1,16 +1,11 @@
 package suspect
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/pearyard/pearyard/backing"
-	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -22,26 +17,6 @@
 	DefaultMax        = 4096
 )
 
-// Options of a Ledger; only the zero values of Limit, Quarantine, Window, Max
-// and Now are replaced by defaults.
-type Options struct {
-	Self       types.ProcessID // who this is, as holder of a grant
-	Limit      int             // distinct deaths before quarantine
-	Quarantine time.Duration   // length of the first quarantine
-	Window     time.Duration   // how long a death counts
-	// Probation is how long a suspect must run on an engine before another
-	// suspect may join it there; 0 means that none may while it runs.
-	Probation time.Duration
-	Max       int           // fingerprints kept
-	Table     backing.Table // nil: suspicions are not persisted
-	// OnQuarantine is told of each quarantine learned, so that a copy that
-	// still runs can be cancelled before it costs another engine.
-	OnQuarantine func(types.Fingerprint, Verdict)
-	Recorder     *event.Recorder
-	Registerer   prometheus.Registerer
-	Now          func() time.Time
-}
-
 // view is what the path of a request reads of one fingerprint.
 type view struct {
 	open  []time.Time
@@ -88,31 +63,6 @@
 	return l
 }
 
-func (o Options) withDefaults() Options {
-	if o.Limit <= 0 {
-		o.Limit = DefaultLimit
-	}
-	if o.Quarantine <= 0 {
-		o.Quarantine = DefaultQuarantine
-	}
-	if o.Window <= 0 {
-		o.Window = DefaultWindow
-	}
-	if o.Max <= 0 {
-		o.Max = DefaultMax
-	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Recorder == nil {
-		o.Recorder = event.Discard()
-	}
-	if o.Registerer == nil {
-		o.Registerer = prometheus.NewRegistry()
-	}
-	return o
-}
-
 // Verdict says what the ledger thinks of a fingerprint. It takes no lock.
 func (l *Ledger) Verdict(fp types.Fingerprint) Verdict {
 	views := *l.views.Load()
@@ -283,66 +233,3 @@
 	}
 	l.views.Store(&views)
 }
-
-// expire forgets what is past its window and its quarantine.
-func (l *Ledger) expire() {
-	now := l.opts.Now()
-	oldest := now.Add(-l.opts.Window)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	dropped := false
-	for fp, r := range l.records {
-		if !r.prune(oldest, now) {
-			continue
-		}
-		l.dropLocked(fp, r)
-		dropped = true
-	}
-	if dropped {
-		l.publishLocked()
-	}
-}
-
-func (l *Ledger) dropLocked(fp types.Fingerprint, r *record) {
-	delete(l.records, fp)
-	delete(l.dirty, fp)
-	if r.own {
-		l.gone[fp] = struct{}{}
-	}
-}
-
-// evictLocked holds the bound: cleared entries go first, then suspects, then
-// quarantined ones, in each the one that changed longest ago. What is lost is
-// the count of that fingerprint: it may cost up to Limit further engines.
-func (l *Ledger) evictLocked() {
-	for len(l.records) > l.opts.Max {
-		fp := l.lightestLocked()
-		delete(l.records, fp)
-		delete(l.dirty, fp)
-		l.metrics.evicted.Inc()
-		l.opts.Recorder.Emit(eventFull, "fingerprint", fp.String(), "max", l.opts.Max)
-	}
-}
-
-func (l *Ledger) lightestLocked() types.Fingerprint {
-	now := l.opts.Now()
-	var lightest types.Fingerprint
-	bestWeight, bestSeq := math.MaxInt, uint64(math.MaxUint64)
-	for fp, r := range l.records {
-		weight := r.weight(now)
-		if weight < bestWeight || weight == bestWeight && r.seq < bestSeq {
-			lightest, bestWeight, bestSeq = fp, weight, r.seq
-		}
-	}
-	return lightest
-}
-
-func (r *record) weight(now time.Time) int {
-	if r.until.After(now) {
-		return 2
-	}
-	if open, _ := r.open(); open > 0 {
-		return 1
-	}
-	return 0
-}
