fleet, follow: an answer's age; two questions open at most

(3) A reader's word stood for 1.35 s beside an answer that might be 1.5 s old (TestWordOfAnOldAnswerStandsForNoLongerThanTheBound: a leaving server not known after 2 s). (4) An answer with an earlier place, left aside, settled the list all the same (TestLateAnswerDoesNotSettleTheList). Change: two open questions, the one that is coming is kept, the next part of an answer is waited for for 1.2 s; a question knows how old what it says may be, and only what is younger than 0.55 s covers others; an older list changes nothing. TestPageThatDoesNotComeIsNoticed holds 1.2 s in place of 0.5, and that it stays under the two seconds in which a change must be in force.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,6 +69,8 @@
 // Change says what an Apply changed.
 type Change struct {
 	Joined, Left, Draining, Kept []string // ids
+	// Older: the list was left aside, as one with a later place is in force.
+	Older bool
 }
 
 // Any tells whether anything changed.
@@ -83,6 +85,7 @@
 	old := d.view.Load()
 	var change Change
 	if position < old.Position {
+		change.Older = true
 		return change
 	}
 	d.remember(old, position, list)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -153,6 +153,10 @@
 // take puts a list in force and says what changed.
 func (f *Follower) take(position uint64, list []Listing, forgiving bool, from string) {
 	change := f.Directory.Apply(position, list, forgiving, time.Now())
+	if change.Older {
+		// It says nothing of the servers that the list in force keeps.
+		return
+	}
 	f.kept.Store(len(change.Kept) > 0)
 	if f.kept.Load() {
 		f.Recorder.Emit(EventKept, "servers", some(change.Kept), "position", position)
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -32,10 +32,10 @@
 	Cover = 1350 * time.Millisecond
 	// ReaderWait is how long a reader's question waits at the store.
 	ReaderWait = 900 * time.Millisecond
-	// maxReading is how long a reader's question may have taken by the time of
-	// day for its answer to stand for the present. After a freeze the steady
-	// clock may not show how old an answer is.
-	maxReading = ReaderWait + 600*time.Millisecond
+	// maxAge is how old an answer may be to stand for the present: with Cover and
+	// a look at the store it stays under the two seconds. A whole list may take
+	// longer, and after a freeze an answer may be older than it looks.
+	maxAge = 550 * time.Millisecond
 )
 
 // Subject is what is read from the store.
@@ -115,14 +115,15 @@
 
 func (d *Duty) isFit() bool { return d.fit[Config].Load() && d.fit[List].Load() }
 
-// Read notes that the store answered a question that was asked at began, and
-// tells the others if this VM is a reader.
-func (d *Duty) Read(s Subject, began time.Time) {
+// Read notes that the store answered, with what may be so old, and tells the
+// others if this VM is a reader.
+func (d *Duty) Read(s Subject, age time.Duration) {
 	d.fit[s].Store(true)
-	if time.Now().Round(0).Sub(began.Round(0)) > maxReading || !d.Reads() {
+	if !d.Reads() {
 		return
 	}
-	d.say(word{configReadNow: s == Config, listReadNow: s == List})
+	fresh := age <= maxAge
+	d.say(word{configReadNow: fresh && s == Config, listReadNow: fresh && s == List})
 }
 
 // Failed notes that the store did not answer, and says so at once if it did before.
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -23,7 +23,7 @@
 }
 
 // Read implements follow.Share.
-func (s *share) Read(began time.Time) { s.duty.Read(s.subject, began) }
+func (s *share) Read(age time.Duration) { s.duty.Read(s.subject, age) }
 
 // Failed implements follow.Share.
 func (s *share) Failed() { s.duty.Failed(s.subject) }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -19,6 +19,11 @@
 	// there, before another question is put beside the one that is open. It is
 	// many times what an answer takes on a link of 10 Mbit/s.
 	Answer = 500 * time.Millisecond
+	// nextPage is how long the next part of an answer is waited for that has begun
+	// to come. A page of 500 servers takes 0.7 s over a link that is squeezed to
+	// 1.2 Mbit/s; with the pause after it the next question still comes under the
+	// two seconds in which a change must be in force.
+	nextPage = 1200 * time.Millisecond
 	// retryPause is the shortest wait after a failure; with jitter it grows to
 	// retryPause + maxPause. With Answer the time between two questions stays
 	// under 1.1 s: what the store says first after an outage is known within that
@@ -39,8 +44,8 @@
 	News() <-chan struct{}
 	// Wait returns how long a question waits at the store.
 	Wait(alone time.Duration) time.Duration
-	// Read notes an answer to a question asked at began, Failed the lack of one.
-	Read(began time.Time)
+	// Read notes an answer that may be so old, Failed the lack of one.
+	Read(age time.Duration)
 	Failed()
 }
 
@@ -62,7 +67,7 @@
 // four seconds for an answer that the outage had swallowed, and a change that
 // was made after the store's return was in force three seconds later. Questions
 // put beside each other need no patience that grows: a store that is slow
-// answers the first one, a store that is back answers the newest.
+// answers the older one, a store that is back answers the newest.
 //
 // All funcs but Read and Next may be nil.
 type Loop struct {
@@ -127,10 +132,11 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-q.heard:
-			timer.Reset(Answer)
+			timer.Reset(nextPage)
 		case <-timer.C:
 			return ErrUnanswered
 		case a := <-l.open.answers:
+			l.open.over(a.question)
 			if a.err == nil {
 				l.answered(a)
 				return nil
@@ -203,7 +209,7 @@
 	l.confirmedAt.Store(time.Now().UnixNano())
 	l.failures, l.longest, l.begun, l.stale = 0, 0, true, false
 	if l.Share != nil {
-		l.Share.Read(a.question.began)
+		l.Share.Read(a.question.age(time.Now()))
 	}
 }
 
@@ -240,8 +246,10 @@
 		case <-timer.C:
 			return
 		case a := <-l.open.answers:
+			l.open.over(a.question)
 			if a.err == nil {
 				l.answered(a)
+				_ = retry.Wait(ctx, l.Pace)
 				return
 			}
 		}
