directory, fleet, exchange, platform: a type for a start of a backend server

Cause: a backend server may start again under the id that it had, and only `born` in its entry and its report tells the two starts apart. The id alone was the key everywhere. Ruled out: to make the time of birth a part of the id's text. The id goes into a header of each attempt and must stay as it is there. Change: directory.Start (id, born); it is decoded from entries and reports, travels between entry VMs in lists (rpc/fleet, field 8) and in the datagram of a restart, which gets a new kind number: an entry VM of the release before would take the time of birth for part of the id. A stream or call passes over the starts that it has tried.

--- a/directory/adopt.go
+++ b/directory/adopt.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// Adopt makes known that the server of an id was started again at its address
-// under another one, before the store tells it. It reports whether that is news.
-func (d *Directory) Adopt(old *Server, id string, now time.Time) bool {
+// Adopt makes known that a server was started again at its address, under the
+// same id or another one, before the store tells it. It reports whether that is news.
+func (d *Directory) Adopt(old *Server, start Start, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view := d.view.Load()
-	if view.byID[id] != nil {
+	if view.byID[start.ID] != nil {
 		return false
 	}
 	old.Dead(now)
@@ -23,13 +23,13 @@
 	for service, list := range view.byService {
 		next.byService[service] = slices.Clone(list)
 	}
-	next.add(newServer(Listing{ID: id, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots}, now, d.touch))
+	next.add(newServer(Listing{ID: start.ID, Born: start.Born, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots}, now, d.touch))
 	d.view.Store(next)
 	return true
 }
 
-// AdoptAs is Adopt for a server that another process names by its hash.
-func (d *Directory) AdoptAs(old uint32, id string, now time.Time) bool {
+// AdoptAs is Adopt for a server whose start another process names by its hash.
+func (d *Directory) AdoptAs(old uint32, start Start, now time.Time) bool {
 	s := d.view.Load().byHash[old]
-	return s != nil && d.Adopt(s, id, now)
+	return s != nil && d.Adopt(s, start, now)
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -50,7 +50,7 @@
 	for range 20 {
 		g.Expect(d.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("b1"))
 	}
-	g.Expect(d.Pick(Query{Service: "s", Avoid: map[string]bool{"b1": true}}, now).ID).To(gomega.Equal("a1"))
+	g.Expect(d.Pick(Query{Service: "s", Avoid: map[Start]bool{{ID: "b1"}: true}}, now).ID).To(gomega.Equal("a1"))
 	g.Expect(d.server("a1").IsDown(now.Add(revivedAfter))).To(gomega.BeFalse())
 }
 
@@ -140,7 +140,7 @@
 	tell(pace)
 	for _, vm := range vms {
 		g.Expect(vm.server("a1").IsDown(now)).To(gomega.BeTrue())
-		g.Expect(vm.Adopt(vm.server("a2"), "a3", now)).To(gomega.BeTrue())
+		g.Expect(vm.Adopt(vm.server("a2"), Start{ID: "a3"}, now)).To(gomega.BeTrue())
 	}
 	busy := b.server("b1").StreamBegun(8000)
 	defer busy.End()
@@ -335,9 +335,9 @@
 	busy := d.server("b1").StreamBegun(8000)
 	defer busy.End()
 	found := lost.Add(1300 * time.Millisecond)
-	g.Expect(d.Adopt(d.server("a1"), "a1-again", found)).To(gomega.BeTrue())
-	g.Expect(d.AdoptAs(Hash("a2"), "a2-again", found.Add(time.Millisecond))).To(gomega.BeTrue())
-	g.Expect(d.AdoptAs(Hash("a2"), "a2-again", found)).To(gomega.BeFalse())
+	g.Expect(d.Adopt(d.server("a1"), Start{ID: "a1-again"}, found)).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(Hash("a2"), Start{ID: "a2-again"}, found.Add(time.Millisecond))).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(Hash("a2"), Start{ID: "a2-again"}, found)).To(gomega.BeFalse())
 	got := map[string]bool{}
 	for range 50 {
 		got[d.Pick(Query{Service: "s", Zone: "a"}, found.Add(10*time.Millisecond)).ID] = true
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -8,8 +8,8 @@
 // Query says what is looked for.
 type Query struct {
 	Service string
-	Zone    string          // of this process; wins ties
-	Avoid   map[string]bool // ids that were tried already
+	Zone    string         // of this process; wins ties
+	Avoid   map[Start]bool // starts that were tried already
 	// NotZone is passed over while there are servers elsewhere: that of the
 	// run whose copy is placed, or that has just lost several servers.
 	NotZone string
@@ -116,7 +116,7 @@
 			continue
 		}
 		score := s.score(q, now) + rand.Float64()*tieWeight
-		if (found == nil || score < least) && !q.Avoid[s.ID] {
+		if (found == nil || score < least) && !q.Avoid[s.Start] {
 			found, least = s, score
 		}
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -14,7 +14,8 @@
 
 // Listing is one backend server as the platform lists it.
 type Listing struct {
-	ID       string // differs for each start
+	ID       string
+	Born     int64 // of the start that listed itself; see Start
 	Service  string
 	Address  string // ip:port
 	Zone     string
@@ -23,10 +24,13 @@
 	Cold     time.Duration // how much longer it is slow after its start
 }
 
-// Server is a backend server with what this process knows of it. One Server
-// lives as long as its ID is listed; it is shared by all views.
+// Start returns the start that listed itself.
+func (l Listing) Start() Start { return Start{ID: l.ID, Born: l.Born} }
+
+// Server is one start of a backend server with what this process knows of it.
+// One Server lives as long as its start is the listed one; it is shared by all views.
 type Server struct {
-	ID      string
+	Start
 	Service string
 	Address string
 	Zone    string
@@ -67,7 +71,7 @@
 
 func newServer(l Listing, now time.Time, changed func()) *Server {
 	s := &Server{
-		ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
+		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
 		down: make(chan struct{}), faultAt: now, hash: Hash(l.ID), changed: changed,
 	}
 	s.provenAt.Store(now.UnixNano())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,10 +181,10 @@
 	found := fleet.NewRestarts(e.socket, e.directory)
 	return &exchange.Restarts{
 		Reuse: e.settings.AddressReuse, Away: e.servers.Failing, Found: found.Found,
-		Identify: func(ctx context.Context, s *directory.Server) (string, error) {
+		Identify: func(ctx context.Context, s *directory.Server) (directory.Start, error) {
 			service, ok := e.service(s.Service)
 			if !ok || service.HealthPath == "" {
-				return "", errors.Errorf("entry: service %q has no health path", s.Service)
+				return directory.Start{}, errors.Errorf("entry: service %q has no health path", s.Service)
 			}
 			return backend.Identify(ctx, s, service.HealthPath)
 		},
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -90,16 +90,16 @@
 
 // copyPlace chooses where the memory of a run on server is copied to: another
 // zone, since zones fail as a whole. A copy that replaces a lost one is placed again.
-func (s *stream) copyPlace(server *directory.Server, avoid map[string]bool, again bool) *directory.Server {
+func (s *stream) copyPlace(server *directory.Server, avoid map[directory.Start]bool, again bool) *directory.Server {
 	return s.e.opts.Directory.Pick(directory.Query{
 		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: avoid, NotZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true, Again: again,
 	}, time.Now())
 }
 
 // notFor returns the servers that are no place for the copy of a run on server.
-func (s *stream) notFor(server *directory.Server) map[string]bool {
+func (s *stream) notFor(server *directory.Server) map[directory.Start]bool {
 	avoid := maps.Clone(s.tried)
-	avoid[server.ID] = true
+	avoid[server.Start] = true
 	return avoid
 }
 
@@ -122,7 +122,7 @@
 // and the next zone's loss would make each of them read its prompt again, which
 // takes longer than the pause that callers allow. It runs beside the stream and
 // reads nothing that the stream writes: avoid is its own.
-func (s *stream) keepCopy(ctx context.Context, server *directory.Server, avoid map[string]bool) {
+func (s *stream) keepCopy(ctx context.Context, server *directory.Server, avoid map[directory.Start]bool) {
 	service, ok := s.e.opts.Services(s.req.Service)
 	if !ok || !service.CopiesOnCall {
 		return
@@ -150,7 +150,7 @@
 }
 
 // copyAgain asks for a copy in another place; it reports whether there is one.
-func (s *stream) copyAgain(ctx context.Context, server, lost *directory.Server, avoid map[string]bool) bool {
+func (s *stream) copyAgain(ctx context.Context, server, lost *directory.Server, avoid map[directory.Start]bool) bool {
 	to := s.copyPlace(server, avoid, true)
 	if to == nil || to == lost {
 		return false
--- a/exchange/fake_test.go
+++ b/exchange/fake_test.go
@@ -24,6 +24,7 @@
 	scripts  map[string][]script // by server id, used one after the other, the last one again
 	attempts []Attempt
 	probes   map[string]error // by server id; nil: it lives
+	born     map[string]int64 // what the process at a server's address tells of its start
 	copies   []*directory.Server
 	freed    []string
 }
@@ -44,10 +45,10 @@
 	return play(ctx, a)
 }
 
-func (b *fakeBackend) Probe(_ context.Context, s *directory.Server) error {
+func (b *fakeBackend) Probe(_ context.Context, s *directory.Server) (int64, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.probes[s.ID]
+	return b.born[s.ID], b.probes[s.ID]
 }
 
 func (b *fakeBackend) Copy(_ context.Context, _ *Request, from, to *directory.Server) (*Memory, error) {
@@ -173,7 +174,7 @@
 }
 
 func newBed(scripts map[string][]script, ids ...string) *bed {
-	b := &bed{backend: &fakeBackend{scripts: scripts, probes: map[string]error{}}, dir: directory.New(), recorder: event.Discard()}
+	b := &bed{backend: &fakeBackend{scripts: scripts, probes: map[string]error{}, born: map[string]int64{}}, dir: directory.New(), recorder: event.Discard()}
 	b.suspects = suspect.New(suspect.Options{Limit: 3, Quarantine: time.Minute, Window: time.Minute})
 	if len(ids) == 0 {
 		ids = []string{"a1", "a2", "b1", "b2"}
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -47,7 +47,7 @@
 	req     *Request
 	cancel  []context.CancelFunc
 	results chan result
-	tried   map[string]bool
+	tried   map[directory.Start]bool
 	pending int
 	sent    int // attempts that may have run
 	refused int // attempts proved not to have run
@@ -64,7 +64,7 @@
 	}
 	within, cancel := context.WithDeadline(ctx, req.Until)
 	defer cancel()
-	c := &call{e: e, req: req, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
+	c := &call{e: e, req: req, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[directory.Start]bool{}}
 	reply, err := c.run(within)
 	c.end(reply)
 	e.concluded(ctx, req, err, func() []any { return c.summary(reply) })
@@ -169,7 +169,7 @@
 	if s == nil {
 		return false
 	}
-	c.tried[s.ID] = true
+	c.tried[s.Start] = true
 	c.pending++
 	attempt, cancel := context.WithCancel(ctx)
 	c.cancel = append(c.cancel, cancel)
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.exchange.opts.Timings.ProbeTimeout)
 	defer cancel()
 	p.exchange.metrics.probes.Inc()
-	if err := p.exchange.opts.Backend.Probe(ctx, s); err != nil {
+	if _, err := p.exchange.opts.Backend.Probe(ctx, s); err != nil {
 		p.exchange.failed(s, err)
 	}
 	p.mu.Lock()
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -90,8 +90,9 @@
 	Copy(ctx context.Context, req *Request, from, to *directory.Server) (*Memory, error)
 	// Free gives up a copy that was made by a call.
 	Free(ctx context.Context, m *Memory) error
-	// Probe asks a server for a sign of life, outside its queue.
-	Probe(ctx context.Context, s *directory.Server) error
+	// Probe asks a server for a sign of life, outside its queue. It returns when
+	// the process that answered was born (directory.Start), 0 if that did not tell.
+	Probe(ctx context.Context, s *directory.Server) (born int64, err error)
 }
 
 // Sink takes a stream's answer to the caller.
--- a/exchange/restarts.go
+++ b/exchange/restarts.go
@@ -21,10 +21,10 @@
 	Reuse time.Duration
 	// Away tells whether the store doesn't tell the list at the moment.
 	Away func() bool
-	// Identify asks for the id of the process at a server's address.
-	Identify func(ctx context.Context, s *directory.Server) (string, error)
+	// Identify asks which start answers at a server's address.
+	Identify func(ctx context.Context, s *directory.Server) (directory.Start, error)
 	// Found is told of a restart.
-	Found func(old *directory.Server, id string)
+	Found func(old *directory.Server, start directory.Start)
 }
 
 const (
@@ -64,12 +64,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
 	defer cancel()
 	e.metrics.probes.Inc()
-	id, err := r.Identify(ctx, s)
-	if err != nil || id == "" || id == s.ID || !r.within(sign, steady) {
+	start, err := r.Identify(ctx, s)
+	if err != nil || start.ID == "" || start.ID == s.ID || !r.within(sign, steady) {
 		// It is not back yet; the server's loss has been told already.
 		return false
 	}
-	e.opts.Recorder.Emit(EventRestarted, "server", s.ID, "now", id, "service", s.Service, "zone", s.Zone, "since", time.Since(steady))
-	r.Found(s, id)
+	e.opts.Recorder.Emit(EventRestarted, "server", s.Start, "now", start, "service", s.Service, "zone", s.Zone, "since", time.Since(steady))
+	r.Found(s, start)
 	return true
 }
--- a/exchange/restarts_test.go
+++ b/exchange/restarts_test.go
@@ -21,13 +21,13 @@
 	b.opts.Restarts = &Restarts{
 		Reuse: 2 * time.Second,
 		Away:  func() bool { return away },
-		Identify: func(context.Context, *directory.Server) (string, error) {
+		Identify: func(context.Context, *directory.Server) (directory.Start, error) {
 			if time.Since(lost) < backAfter {
-				return "", io.ErrClosedPipe
+				return directory.Start{}, io.ErrClosedPipe
 			}
-			return "a2", nil
+			return directory.Start{ID: "a2"}, nil
 		},
-		Found: func(_ *directory.Server, id string) { got <- id },
+		Found: func(_ *directory.Server, start directory.Start) { got <- start.ID },
 	}
 	s := b.dir.View().Service("s")[0]
 	s.Heard(lost)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -23,11 +23,11 @@
 	lastAt   time.Time
 	firstAt  time.Time
 	longest  time.Duration
-	tried    map[string]bool // servers that proved not to run it, or that broke
-	arrivals int             // sendings that reached a server
-	heard    bool            // the newest attempt has brought an event
-	paid     bool            // the budget holds a retry that has reached no server yet
-	ran      int             // attempts that may have run
+	tried    map[directory.Start]bool // servers that proved not to run it, or that broke
+	arrivals int                      // sendings that reached a server
+	heard    bool                     // the newest attempt has brought an event
+	paid     bool                     // the budget holds a retry that has reached no server yet
+	ran      int                      // attempts that may have run
 	refused  int
 	resumed  int
 	cause    error
@@ -47,7 +47,7 @@
 	within, cancel := context.WithDeadline(ctx, req.Until)
 	defer cancel()
 	s := &stream{
-		e: e, req: req, sink: sink, tried: map[string]bool{}, copies: copyKeeper{free: e.freeCopy}, onItsWay: e.running.begin(req.ID),
+		e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, copies: copyKeeper{free: e.freeCopy}, onItsWay: e.running.begin(req.ID),
 	}
 	defer e.running.end(s.onItsWay)
 	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
@@ -132,7 +132,7 @@
 		s.e.mayHaveCrashed(s.req, server)
 		s.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
-	s.tried[server.ID] = true
+	s.tried[server.Start] = true
 	s.e.failed(server, err)
 	s.again(server, err)
 }
@@ -173,7 +173,7 @@
 	if s.arrivals > 0 && !s.pay(ctx) {
 		return nil, nil, ErrBudget
 	}
-	if at := s.copies.at(); at != nil && !s.tried[at.ID] && s.e.opts.Directory.Usable(at, time.Now()) {
+	if at := s.copies.at(); at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now()) {
 		m := s.copies.take()
 		return m.At, m, nil
 	}
--- a/fleet/duty_test.go
+++ b/fleet/duty_test.go
@@ -154,11 +154,11 @@
 	d := directory.New()
 	d.Apply(1, []directory.Listing{{ID: "i1", Service: "s", Address: "x:1", Zone: "z"}}, false, time.Now())
 	r := NewRestarts(NewSocket("", nil, nil), d)
-	raw := encodeRestart(directory.Hash("i1"), "i2").raw
+	raw := encodeRestart(directory.Hash("i1"), directory.Start{ID: "i2"}).raw
 	r.take("p", head{}, raw, time.Now())
 	r.take("p", head{}, raw, time.Now())
 	r.take("p", head{}, raw[:4], time.Now())
-	r.take("p", head{}, encodeRestart(directory.Hash("other"), "i3").raw, time.Now())
+	r.take("p", head{}, encodeRestart(directory.Hash("other"), directory.Start{ID: "i3"}).raw, time.Now())
 	g.Expect(d.View().Len()).To(gomega.Equal(2))
 	s := d.Pick(directory.Query{Service: "s"}, time.Now())
 	g.Expect(s.ID).To(gomega.Equal("i2"))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -281,7 +281,7 @@
 	for i, l := range list {
 		out[i] = &fleetpb.Server{
 			Id: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: int32(l.Slots),
-			Draining: l.Draining, ColdNano: int64(l.Cold),
+			Draining: l.Draining, ColdNano: int64(l.Cold), Born: l.Born,
 		}
 	}
 	return out
@@ -292,7 +292,7 @@
 	for i, s := range servers {
 		out[i] = directory.Listing{
 			ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), Zone: s.GetZone(), Slots: int(s.GetSlots()),
-			Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()),
+			Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()), Born: s.GetBorn(),
 		}
 	}
 	return out
--- a/fleet/restarts.go
+++ b/fleet/restarts.go
@@ -21,17 +21,17 @@
 }
 
 // Found notes a restart here and tells the others.
-func (r *Restarts) Found(old *directory.Server, id string) {
-	if r.directory.Adopt(old, id, time.Now()) {
-		r.socket.Send(encodeRestart(directory.Hash(old.ID), id))
+func (r *Restarts) Found(old *directory.Server, start directory.Start) {
+	if r.directory.Adopt(old, start, time.Now()) {
+		r.socket.Send(encodeRestart(directory.Hash(old.ID), start))
 	}
 }
 
 // take takes in a restart. Doubled or late ones are no news; the id alone says
 // which process is meant, and a server that isn't that one refuses.
 func (r *Restarts) take(_ string, _ head, raw []byte, now time.Time) {
-	server, id, ok := decodeRestart(raw)
+	server, start, ok := decodeRestart(raw)
 	if ok {
-		r.directory.AdoptAs(server, id, now)
+		r.directory.AdoptAs(server, start, now)
 	}
 }
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -12,20 +12,24 @@
 // number of loads (2), number of lost servers (2), for each load server (4),
 // streams (1), copies (1), prompt tokens in units (2), for each lost server 4
 // bytes. Words: flags (1), places of configuration and list (8 each). Restarts: server (4),
-// its new id. Budgets: for each service its name's hash (4), first tries and
+// when its new start was born (8), the id of that. Budgets: for each service its name's hash (4), first tries and
 // retries (2 each). JSON would
 // be three times as long, and bytes between zones are priced.
 const (
-	kindLoads   kind = 1
-	kindWord    kind = 2
-	kindRestart kind = 3
-	kindBudget  kind = 4
+	kindLoads  kind = 1
+	kindWord   kind = 2
+	kindBudget kind = 4
+	// kindRestart is not 3, which names the new start by its id alone: an entry
+	// VM of an older release would take the time of birth for part of the id.
+	kindRestart kind = 5
 
 	headBytes  = 13
 	countBytes = 4
 	loadBytes  = 8
 	lostBytes  = 4
 	wordBytes  = 17
+	// restartBytes is what stands before the id.
+	restartBytes = lostBytes + 8
 
 	// maxDatagram is under the size at which a datagram is split.
 	maxDatagram = 1400
@@ -154,15 +158,18 @@
 	}, true
 }
 
-func encodeRestart(server uint32, id string) body {
-	return body{kindRestart, append(binary.BigEndian.AppendUint32(nil, server), id...)}
+func encodeRestart(server uint32, start directory.Start) body {
+	out := binary.BigEndian.AppendUint32(nil, server)
+	out = binary.BigEndian.AppendUint64(out, uint64(start.Born))
+	return body{kindRestart, append(out, start.ID...)}
 }
 
-func decodeRestart(raw []byte) (server uint32, id string, ok bool) {
-	if len(raw) <= lostBytes || len(raw) > maxID+lostBytes {
-		return 0, "", false
+func decodeRestart(raw []byte) (server uint32, start directory.Start, ok bool) {
+	if len(raw) <= restartBytes || len(raw) > maxID+restartBytes {
+		return 0, directory.Start{}, false
 	}
-	return binary.BigEndian.Uint32(raw), string(raw[lostBytes:]), true
+	start = directory.Start{ID: string(raw[restartBytes:]), Born: int64(binary.BigEndian.Uint64(raw[lostBytes:]))}
+	return binary.BigEndian.Uint32(raw), start, true
 }
 
 // maxID bounds the id of a server.
