directory, exchange, fleet: each start of a backend server is one of its own

Cause: a backend server may start again under its id. The id alone was the key: a server that refused connections once was held ended for as long as its id was listed, also when it ran again; its streams waited for the old process, as the new one answered their questions for a sign of life; copies of memory, loads, faults and "leaving" of the old process counted for the new one; a loss told by a VM that knew the old start condemned the new one; three crashes were one. While the store was away only another id counted as "back". Beside that, an entry that lapsed and was written again within one answer of the store was taken for changed and for gone, and dropped. Ruled out: to let the newest word win. A write of the old process may reach the store after that of the new one, and peers that lag hand on their lists. To key cells and portions by start too: VMs that know different starts would divide the servers differently; these stay with the id, as do the address and the zone's recent losses. To end the streams of a server whose start was not told before: after an update of entry VMs it is the same process. Change: Apply and Adopt put a new Server in the place of the old one, which ends at once for streams and copies. Entries of earlier starts are dropped, counted (pearyard_server_words_dropped_total) and logged (PY2714), unless the known start has ended: then the server's clock was set back. Hashes among entry VMs are of id and start. A probe whose report tells another start ends the server. Suspicions count starts. Lines name a start as id#start.

--- a/directory/adopt.go
+++ b/directory/adopt.go
@@ -12,7 +12,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view := d.view.Load()
-	if view.byID[start.ID] != nil {
+	known := view.byID[start.ID]
+	if known != nil && !start.TellsLaterThan(known.Start) {
+		if known.TellsLaterThan(start) {
+			d.dropped.Add(1)
+		}
 		return false
 	}
 	old.Dead(now)
@@ -23,11 +27,23 @@
 	for service, list := range view.byService {
 		next.byService[service] = slices.Clone(list)
 	}
-	next.add(newServer(Listing{ID: start.ID, Born: start.Born, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots}, now, d.touch))
+	next.remove(known)
+	listing := Listing{ID: start.ID, Born: start.Born, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots}
+	next.add(d.joined(known, listing, now))
 	d.view.Store(next)
 	return true
 }
 
+// remove takes a server out of a view that is being made; nil is none.
+func (v *View) remove(s *Server) {
+	if s == nil {
+		return
+	}
+	delete(v.byID, s.ID)
+	delete(v.byHash, s.hash)
+	v.byService[s.Service] = slices.DeleteFunc(v.byService[s.Service], func(other *Server) bool { return other == s })
+}
+
 // AdoptAs is Adopt for a server whose start another process names by its hash.
 func (d *Directory) AdoptAs(old uint32, start Start, now time.Time) bool {
 	s := d.view.Load().byHash[old]
--- a/directory/cells.go
+++ b/directory/cells.go
@@ -29,7 +29,7 @@
 	}
 	own := make([]*Server, 0, len(list)/cells+1)
 	for _, s := range list {
-		if int(s.hash)%cells == int(d.cell.Load()) {
+		if int(s.place)%cells == int(d.cell.Load()) {
 			own = append(own, s)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,9 +10,9 @@
 type View struct {
 	Position  uint64 // of the list in the store's history
 	byService map[string][]*Server
-	byID      map[string]*Server
-	byHash    map[uint32]*Server
-	Listings  []Listing // as the store gave them; servers that are kept are not among them
+	byID      map[string]*Server // the one start that is known of each
+	byHash    map[uint32]*Server // by the hash of that start
+	Listings  []Listing          // as the store gave them; servers that are kept are not among them
 }
 
 // Service returns the servers of a service.
@@ -39,6 +39,8 @@
 	summed   map[uint32]Load   // the sums as they stand, by server's hash
 	summedAt time.Time
 	unsummed atomic.Bool // others have told something since the sums were made
+
+	dropped atomic.Uint64 // words on starts that are not the known ones
 }
 
 // New returns an empty directory.
@@ -68,7 +70,8 @@
 
 // Change says what an Apply changed.
 type Change struct {
-	Joined, Left, Draining, Kept []string // ids
+	Joined, Left, Draining, Kept []string // starts
+	Late                         []string // starts before the known ones, whose entries were dropped
 }
 
 // Any tells whether anything changed.
@@ -85,6 +88,8 @@
 	if position < old.Position {
 		return change
 	}
+	list, change.Late = old.current(list)
+	d.dropped.Add(uint64(len(change.Late)))
 	d.remember(old, position, list)
 	next := emptyView(position)
 	next.Listings = list
@@ -96,12 +101,12 @@
 			continue
 		}
 		if forgiving && !s.Draining() {
-			change.Kept = append(change.Kept, id)
+			change.Kept = append(change.Kept, s.String())
 			next.add(s)
 			continue
 		}
 		s.gone.Store(true)
-		change.Left = append(change.Left, id)
+		change.Left = append(change.Left, s.String())
 	}
 	d.view.Store(next)
 	d.othersMu.Lock()
@@ -112,18 +117,32 @@
 
 func (d *Directory) listed(old *View, l Listing, now time.Time, change *Change) *Server {
 	s := old.byID[l.ID]
-	if s == nil {
-		s = newServer(l, now, d.touch)
-		change.Joined = append(change.Joined, l.ID)
+	if s == nil || s.Start != l.Start() {
+		if s != nil {
+			change.Left = append(change.Left, s.String())
+		}
+		s = d.joined(s, l, now)
+		change.Joined = append(change.Joined, s.String())
 	}
 	if l.Draining && !s.draining.Load() {
-		change.Draining = append(change.Draining, l.ID)
+		change.Draining = append(change.Draining, s.String())
 	}
 	s.listed(l)
 	s.warmAt.Store(now.Add(l.Cold).UnixNano())
 	return s
 }
 
+// joined returns the server of a start that was not known, in place of a former
+// one of its id; that is nil if there is none.
+func (d *Directory) joined(former *Server, l Listing, now time.Time) *Server {
+	s := newServer(l, now, d.touch)
+	if former != nil {
+		s.after(former)
+		former.replace(now)
+	}
+	return s
+}
+
 func (v *View) add(s *Server) {
 	v.byID[s.ID] = s
 	v.byHash[s.hash] = s
--- a/directory/events.go
+++ b/directory/events.go
@@ -12,4 +12,6 @@
 		"the store tells this process the list of backend servers again", "nothing")
 	EventKept = event.Define(2713, "servers_kept", event.Warn,
 		"entries lapsed while the store was away; their servers stay in use until its return is two seconds old", "nothing")
+	EventLate = event.Define(2714, "servers_late_entry", event.Info,
+		"entries were dropped because later starts of the same backend servers are known", "nothing")
 )
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -153,6 +153,9 @@
 	if f.kept.Load() {
 		f.Recorder.Emit(EventKept, "servers", some(change.Kept), "position", position)
 	}
+	if len(change.Late) > 0 {
+		f.Recorder.Emit(EventLate, "servers", some(change.Late), "position", position, "from", from)
+	}
 	if change.Any() {
 		f.Recorder.Emit(EventChanged, "joined", some(change.Joined), "left", some(change.Left), "draining", some(change.Draining),
 			"listed", len(list), "position", position, "from", from)
--- a/directory/load.go
+++ b/directory/load.go
@@ -4,7 +4,7 @@
 
 // Load is what one process has put on a server.
 type Load struct {
-	Server  uint32 // Hash of its id
+	Server  uint32 // hash of its start
 	Streams int
 	Copies  int // copies of streams that run elsewhere
 	Prefill int // prompt tokens yet to be read
@@ -90,9 +90,15 @@
 	s.otherPrefill.Store(int64(sum.Prefill))
 }
 
-// LostElsewhere notes that another process found a server lost.
+// LostElsewhere notes that another process found a server lost. A start that is
+// not known here is none of those that are: the word is dropped.
 func (d *Directory) LostElsewhere(server uint32, now time.Time) {
-	if s := d.view.Load().byHash[server]; s != nil && s.streams.Load() == 0 {
+	s := d.view.Load().byHash[server]
+	if s == nil {
+		d.dropped.Add(1)
+		return
+	}
+	if s.streams.Load() == 0 {
 		s.toldLost(now)
 	}
 }
@@ -115,7 +121,7 @@
 func (d *Directory) LostBeside(s *Server, now time.Time, within time.Duration) int {
 	count := 0
 	for _, other := range d.view.Load().Service(s.Service) {
-		if other != s && other.Zone == s.Zone && other.WasDownWithin(now, within) {
+		if other.ID != s.ID && other.Zone == s.Zone && other.WasDownWithin(now, within) {
 			count++
 		}
 	}
--- a/directory/portion.go
+++ b/directory/portion.go
@@ -29,10 +29,10 @@
 	if len(usable) == 0 {
 		return everyHash
 	}
-	slices.SortFunc(usable, func(a, b *Server) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(usable, func(a, b *Server) int { return cmp.Compare(a.place, b.place) })
 	first := mine.index * len(usable) / mine.of
 	after := max(first+1, (mine.index+1)*len(usable)/mine.of)
-	return hashRange{usable[first].hash, usable[after-1].hash}
+	return hashRange{usable[first].place, usable[after-1].place}
 }
 
 // hashRange is a range of servers' hashes, both ends included.
@@ -40,4 +40,4 @@
 
 var everyHash = hashRange{0, ^uint32(0)}
 
-func (r hashRange) has(s *Server) bool { return r.first <= s.hash && s.hash <= r.last }
+func (r hashRange) has(s *Server) bool { return r.first <= s.place && s.place <= r.last }
--- a/directory/server.go
+++ b/directory/server.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Listing is one backend server as the platform lists it.
@@ -38,6 +36,7 @@
 
 	draining atomic.Bool
 	gone     atomic.Bool
+	replaced atomic.Bool  // another start of its id is known: this process has ended
 	warmAt   atomic.Int64 // Unix nanoseconds at which it is no longer cold
 	provenAt atomic.Int64 // of its newest sign of life
 
@@ -50,7 +49,8 @@
 	otherStreams atomic.Int64
 	otherCopies  atomic.Int64
 	otherPrefill atomic.Int64
-	hash         uint32       // short name among entry VMs
+	hash         uint32       // short name of the start among entry VMs
+	place        uint32       // of the id, the same for all its starts
 	changed      func()       // called when the load of streams here changes
 	told         atomic.Int64 // others' load by its last answer, in requests
 	toldAt       atomic.Int64
@@ -60,36 +60,34 @@
 	// these: 0.16 ms for 3,000 servers in place of 0.68 (BenchmarkPick).
 	uneasy atomic.Bool
 
-	mu      sync.Mutex    // guards the fields below
-	down    chan struct{} // closed while it is believed lost; replaced when it is back
-	downAt  time.Time     // zero while it is believed alive
-	byWord  bool          // another process found it lost, not this one
-	dead    bool          // its process is known to have ended
-	faults  float64       // recent faults, halved each faultHalfLife
-	faultAt time.Time
+	mu     sync.Mutex    // guards the fields below
+	down   chan struct{} // closed while it is believed lost; replaced when it is back
+	downAt time.Time     // zero while it is believed alive
+	byWord bool          // another process found it lost, not this one
+	dead   bool          // its process is known to have ended
+	// formerLoss is when the start before this one was found lost; zero: it wasn't.
+	formerLoss time.Time
+	faults     float64 // recent faults, halved each faultHalfLife
+	faultAt    time.Time
 }
 
 func newServer(l Listing, now time.Time, changed func()) *Server {
 	s := &Server{
 		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
-		down: make(chan struct{}), faultAt: now, hash: Hash(l.ID), changed: changed,
+		down: make(chan struct{}), faultAt: now, hash: l.Start().Hash(), place: Hash(l.ID), changed: changed,
 	}
 	s.provenAt.Store(now.UnixNano())
 	return s
 }
 
-// Hash is a server's short name among entry VMs. Two servers with the same one
-// would only be held busier than they are.
-func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
-
 const (
 	// faultHalfLife is how fast a fault is forgotten: a server that fails part
 	// of its requests does so for some seconds, and one fault must not keep a
 	// sound server out of work for longer than a few requests take.
 	faultHalfLife = 3 * time.Second
-	// revivedAfter is how long a lost server gets nothing. A server that crashed
-	// comes back under another id, and its old entry lapses in about this time;
-	// one that was cut off is tried again.
+	// revivedAfter is how long a lost server gets nothing. One that crashed comes
+	// back as another start, and its old entry lapses in about this time; one that
+	// was cut off is tried again.
 	revivedAfter = 4 * time.Second
 )
 
@@ -177,8 +175,8 @@
 	s.revive()
 }
 
-// Dead notes that the process behind this id has ended: its address refuses
-// connections or belongs to another start. Its id never comes back.
+// Dead notes that the process has ended: its address refuses connections or
+// belongs to another start. This start never comes back.
 func (s *Server) Dead(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,8 +191,10 @@
 	return true
 }
 
+// revive forgets a loss. A start that was replaced has ended for good: answers
+// to what was sent to it come from the process that has its address now.
 func (s *Server) revive() {
-	if !s.downAt.IsZero() {
+	if !s.downAt.IsZero() && !s.replaced.Load() {
 		s.downAt = time.Time{}
 		s.byWord, s.dead = false, false
 		s.down = make(chan struct{})
@@ -203,7 +203,9 @@
 }
 
 // settle ends the doubt if nothing is held against the server any more.
-func (s *Server) settle() { s.uneasy.Store(!s.downAt.IsZero() || s.faults != 0) }
+func (s *Server) settle() {
+	s.uneasy.Store(!s.downAt.IsZero() || s.faults != 0 || !s.formerLoss.IsZero())
+}
 
 // IsDown tells whether it is believed lost.
 func (s *Server) IsDown(now time.Time) bool {
@@ -219,14 +221,10 @@
 	return s.dead || (!s.downAt.IsZero() && now.Sub(s.downAt) < revivedAfter)
 }
 
-// WasDownWithin tells whether it was lost at most d ago.
+// WasDownWithin tells whether it, or the start before it, was lost at most d ago.
 func (s *Server) WasDownWithin(now time.Time, d time.Duration) bool {
-	if !s.uneasy.Load() {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.downAt.IsZero() && now.Sub(s.downAt) < d
+	_, lost := s.lostSince(now, d)
+	return lost
 }
 
 // Heard notes one more sign of life of a server that is in use. It takes no lock.
@@ -238,14 +236,23 @@
 // provenSince tells whether it has given a sign of life after at.
 func (s *Server) provenSince(at time.Time) bool { return s.provenAt.Load() > at.UnixNano() }
 
-// lostSince returns when it was found lost, if that is at most d ago.
+// lostSince returns when it, or else the start before it, was found lost, if that
+// is at most d ago.
 func (s *Server) lostSince(now time.Time, d time.Duration) (time.Time, bool) {
 	if !s.uneasy.Load() {
 		return time.Time{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.downAt, !s.downAt.IsZero() && now.Sub(s.downAt) < d
+	if !s.formerLoss.IsZero() && now.Sub(s.formerLoss) >= zoneLossWindow {
+		s.formerLoss = time.Time{}
+		s.settle()
+	}
+	at := s.downAt
+	if at.IsZero() {
+		at = s.formerLoss
+	}
+	return at, !at.IsZero() && now.Sub(at) < d
 }
 
 // Fault notes a failed request; weight 1 is a broken or missing answer.
--- /dev/null
+++ b/directory/start_test.go
@@ -0,0 +1,239 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/event"
+)
+
+// bornAt lists servers with the start that each has.
+func bornAt(starts ...Start) []Listing {
+	var list []Listing
+	for _, s := range starts {
+		list = append(list, Listing{ID: s.ID, Born: s.Born, Service: "s", Address: s.ID, Zone: s.ID[:1], Slots: 8})
+	}
+	return list
+}
+
+func withStarts(starts ...Start) *Directory {
+	d := New()
+	d.Apply(1, bornAt(starts...), false, time.Now())
+	return d
+}
+
+func ended(s *Server) bool {
+	select {
+	case <-s.Down():
+		return true
+	default:
+		return false
+	}
+}
+
+// A server crashes, refuses connections, and is started again under its id a
+// second later. Its callers found it dead, and as its id stayed listed it got
+// nothing any more.
+func TestServerThatStartsAgainUnderItsIDIsUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100})
+	now := time.Now()
+	d.server("a1").Dead(now)
+	change := d.Apply(2, bornAt(Start{"a1", 200}), false, now.Add(time.Second))
+	g.Expect(change.Joined).To(gomega.ConsistOf("a1#200"))
+	g.Expect(change.Left).To(gomega.ConsistOf("a1#100"))
+	s := d.Pick(Query{Service: "s"}, now.Add(time.Second))
+	g.Expect(s).NotTo(gomega.BeNil())
+	g.Expect(s.Start).To(gomega.Equal(Start{"a1", 200}))
+}
+
+// A server leaves as planned, ends, and is started again under its id. It used
+// to be held leaving for good.
+func TestStartAfterALeavingOneIsUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100})
+	leaving := bornAt(Start{"a1", 100})
+	leaving[0].Draining = true
+	d.Apply(2, leaving, false, time.Now())
+	d.Apply(3, bornAt(Start{"a1", 200}), false, time.Now())
+	g.Expect(d.Pick(Query{Service: "s"}, time.Now())).NotTo(gomega.BeNil())
+}
+
+// A server with streams and copies crashes and is back under its id. The new
+// process has none of them: it is idle, whatever this process and others had
+// put on the old one, and what waits for the old one's end is woken at once.
+func TestNewStartHoldsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100}, Start{"b1", 100})
+	old := d.server("a1")
+	running := old.StreamBegun(8000)
+	defer old.CopyBegun()()
+	old.Fault(time.Now(), 5)
+	told := []Load{{Server: old.hash, Streams: 4, Copies: 2, Prefill: 8000}}
+	d.Others("peer", told)
+	d.Apply(2, bornAt(Start{"a1", 200}, Start{"b1", 100}), false, time.Now())
+
+	s := d.server("a1")
+	g.Expect(s.streams.Load()).To(gomega.BeZero())
+	g.Expect(s.copies.Load()).To(gomega.BeZero())
+	g.Expect(s.otherStreams.Load()).To(gomega.BeZero())
+	g.Expect(s.Faults(time.Now())).To(gomega.BeZero())
+	g.Expect(ended(old)).To(gomega.BeTrue())
+	g.Expect(old.Replaced()).To(gomega.BeTrue())
+	g.Expect(d.Usable(old, time.Now())).To(gomega.BeFalse())
+
+	d.Others("peer", told) // a peer that knows the old start alone
+	d.freshSums(time.Now().Add(time.Second))
+	g.Expect(s.otherStreams.Load()).To(gomega.BeZero())
+	running.End()
+	g.Expect(s.streams.Load()).To(gomega.BeZero())
+}
+
+// Answers that were under way tell of the old start after the new one is known:
+// the old one stays ended, however its words are meant.
+func TestNothingRevivesAnOldStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100})
+	old := d.server("a1")
+	d.Apply(2, bornAt(Start{"a1", 200}), false, time.Now())
+	old.Alive(time.Now())
+	g.Expect(ended(old)).To(gomega.BeTrue())
+	<-old.Try()
+	g.Expect(old.IsDown(time.Now())).To(gomega.BeTrue())
+}
+
+// A VM that still knows the old start tells that it found it lost. The new one,
+// which a third VM knows already, isn't meant.
+func TestLossOfAnOldStartDoesNotCondemnTheNewOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	behind, ahead := withStarts(Start{"a1", 100}), withStarts(Start{"a1", 100})
+	ahead.Apply(2, bornAt(Start{"a1", 200}), false, now)
+	behind.server("a1").Lost(now)
+	for _, lost := range behind.LostHere(now, time.Second) {
+		ahead.LostElsewhere(lost, now)
+	}
+	g.Expect(ahead.server("a1").IsDown(now)).To(gomega.BeFalse())
+	g.Expect(ahead.DroppedWords()).To(gomega.BeNumerically("==", 1))
+
+	// And a loss of the new one is none of the old one, for whom knows that alone.
+	ahead.server("a1").Lost(now)
+	behind.server("a1").Alive(now)
+	for _, lost := range ahead.LostHere(now, time.Second) {
+		behind.LostElsewhere(lost, now)
+	}
+	g.Expect(behind.server("a1").IsDown(now)).To(gomega.BeFalse())
+}
+
+// A write of the old start reaches the store late, after that of the new one;
+// or a peer that lags hands on its list. The new start stays, and what is handed
+// on names it.
+func TestOlderStartNeverReplacesANewerOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 200})
+	f := &Follower{Directory: d, Recorder: event.Discard()}
+	s := d.server("a1")
+	d.Apply(2, bornAt(Start{"a1", 100}), false, time.Now())
+	f.TakeChanges(3, bornAt(Start{"a1", 100}), nil, true, "peer")
+	f.Take(4, bornAt(Start{"a1", 100}), true, "peer")
+	g.Expect(d.server("a1")).To(gomega.BeIdenticalTo(s))
+	g.Expect(s.Replaced()).To(gomega.BeFalse())
+	g.Expect(d.DroppedWords()).To(gomega.BeNumerically("==", 3))
+	g.Expect(d.View().Listings[0].Start()).To(gomega.Equal(Start{"a1", 200}))
+	g.Expect(d.View().Position).To(gomega.BeNumerically("==", 4))
+}
+
+// The clock of a server is set back, and it starts again under its id with an
+// earlier time than the start before. That one is known to have ended: the entry
+// can't be a late one of it, and the server must not be out for good.
+func TestStartAfterAClockThatWasSetBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 200})
+	d.server("a1").Dead(time.Now())
+	d.Apply(2, bornAt(Start{"a1", 150}), false, time.Now())
+	g.Expect(d.Pick(Query{Service: "s"}, time.Now()).Start).To(gomega.Equal(Start{"a1", 150}))
+}
+
+// Entries of an older writer don't tell the start. Then the id alone counts: the
+// server stays the one that it was, with its load.
+func TestEntryThatTellsNoStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, born := range []int64{0, 200} {
+		d := withStarts(Start{"a1", born})
+		s := d.server("a1")
+		d.Apply(2, bornAt(Start{"a1", 0}), false, time.Now())
+		g.Expect(d.server("a1")).To(gomega.BeIdenticalTo(s))
+		g.Expect(d.View().Listings[0].Born).To(gomega.Equal(born))
+		g.Expect(d.DroppedWords()).To(gomega.BeZero())
+	}
+}
+
+// An entry VM of an older release told of a server without its start; the store
+// tells it a moment later. It may well be the same process: its streams go on.
+func TestStartThatIsToldLaterEndsNoStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 0})
+	old := d.server("a1")
+	d.Apply(2, bornAt(Start{"a1", 200}), false, time.Now())
+	g.Expect(d.server("a1").Start).To(gomega.Equal(Start{"a1", 200}))
+	g.Expect(ended(old)).To(gomega.BeFalse())
+	g.Expect(old.Replaced()).To(gomega.BeFalse())
+}
+
+// The store is away; two servers of a zone crash and are found again under
+// their ids at their addresses, one by this VM and one by another that tells of
+// it. Both are used at once, and later words of their old starts change nothing.
+func TestServerThatIsFoundAgainUnderItsID(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100}, Start{"a2", 100}, Start{"b1", 100})
+	now := time.Now()
+	old1, old2 := d.server("a1"), d.server("a2")
+	old1.Lost(now)
+	old2.Lost(now)
+	busy := d.server("b1").StreamBegun(8000)
+	defer busy.End()
+	found := now.Add(time.Second)
+	g.Expect(d.Adopt(old1, Start{"a1", 200}, found)).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(old2.hash, Start{"a2", 200}, found)).To(gomega.BeTrue())
+	g.Expect(d.View().Len()).To(gomega.Equal(3))
+	g.Expect(d.View().Service("s")).To(gomega.HaveLen(3))
+	got := map[string]bool{}
+	for range 50 {
+		got[d.Pick(Query{Service: "s", Zone: "a"}, found.Add(time.Millisecond)).String()] = true
+	}
+	g.Expect(got).To(gomega.Equal(map[string]bool{"a1#200": true, "a2#200": true}))
+
+	g.Expect(d.Adopt(old1, Start{"a1", 200}, found)).To(gomega.BeFalse(), "no news")
+	g.Expect(d.DroppedWords()).To(gomega.BeZero())
+	g.Expect(d.Adopt(old1, Start{"a1", 150}, found)).To(gomega.BeFalse(), "late")
+	g.Expect(d.DroppedWords()).To(gomega.BeNumerically("==", 1))
+
+	// The store is back with the entries from before; the new ones come after.
+	list := bornAt(Start{"a1", 100}, Start{"a2", 100}, Start{"b1", 100})
+	d.Apply(2, list, true, found)
+	g.Expect(d.server("a1").Start).To(gomega.Equal(Start{"a1", 200}))
+}
+
+// A zone fails, and its first servers are back under their ids. That they lost
+// their former starts stays known: the zone's other servers, of which nobody has
+// heard since, are doubted all the same.
+func TestLossOfAZoneOutlivesTheStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := []Start{{"a1", 100}, {"a2", 100}, {"a3", 100}, {"a4", 100}, {"b1", 100}}
+	d := withStarts(all...)
+	now := time.Now().Add(time.Second)
+	d.server("a1").Lost(now)
+	d.server("a2").Lost(now)
+	back := now.Add(time.Second)
+	all[0].Born, all[1].Born = 200, 200
+	d.Apply(2, bornAt(all...), false, back)
+	got := map[string]bool{}
+	for range 50 {
+		s := d.Pick(Query{Service: "s", Zone: "a"}, back.Add(time.Millisecond))
+		got[s.String()] = true
+	}
+	g.Expect(got).To(gomega.Equal(map[string]bool{"a1#200": true, "a2#200": true}))
+	g.Expect(d.LostBeside(d.server("a1"), back, 2*time.Second)).To(gomega.Equal(1), "a2's")
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,6 +113,10 @@
 		func() float64 { return e.servers.Age().Seconds() })
 	gauge("pearyard_config_position", "Place of the configuration in force in the store's history.",
 		func() float64 { return float64(e.holder.Position()) })
+	e.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "pearyard_server_words_dropped_total",
+		Help: "Entries of backend servers and losses told of them that were dropped, as another start is the known one.",
+	}, func() float64 { return float64(e.directory.DroppedWords()) }))
 	if dropped != nil {
 		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
 	}
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -116,7 +116,7 @@
 	}
 	s.e.metrics.resumes.WithLabelValues(how).Inc()
 	s.e.metrics.resumeTime.Observe(time.Since(since).Seconds())
-	s.e.opts.Recorder.Emit(EventResumed, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.server.ID,
+	s.e.opts.Recorder.Emit(EventResumed, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.server.Start,
 		"reached", s.last, "how", how, "after", time.Since(since))
 }
 
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -162,7 +162,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", server.ID, "lost", lost.ID, "to", to.ID,
+	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", server.Start, "lost", lost.Start, "to", to.Start,
 		"took", time.Since(began), "err", err)
 	if err != nil {
 		return false
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -46,6 +46,8 @@
 	ErrSilent = errors.New("exchange: the backend server fell silent")
 	// ErrServerLost: others found the server lost while its answer was awaited.
 	ErrServerLost = errors.New("exchange: the backend server is lost")
+	// ErrOtherStart: another process has the server's address, so the server has ended.
+	ErrOtherStart = errors.New("exchange: another start of the backend server answers")
 	// ErrOrder: an event was missing or came twice.
 	ErrOrder = errors.New("exchange: events out of order")
 	// ErrCut: a stream ended in the middle.
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -21,7 +21,7 @@
 	EventQuarantined = event.Define(2727, "exchange_quarantined", event.Warn,
 		"a request was refused because the same request crashed several backend servers", "tell the organisation whose request it is")
 	EventRestarted = event.Define(2730, "exchange_server_restarted", event.Info,
-		"a backend server was started again while the store does not tell of it; it is used under its new id", "nothing")
+		"a backend server was started again while the store does not tell of it; its new start is used", "nothing")
 	EventCopied = event.Define(2729, "exchange_copied", event.Info,
 		"the server that held the copy of a stream's memory is lost or leaves; another copy was asked for", "nothing")
 	EventRunning = event.Define(2732, "exchange_running", event.Info,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -185,8 +185,8 @@
 		if e.opts.Directory.LostBeside(s, time.Now(), crashBeside) > 0 {
 			return
 		}
-		e.opts.Suspects.Death(s.ID, []types.Fingerprint{req.Fingerprint()})
-		e.opts.Recorder.Emit(EventCrashNoted, event.FieldRequest, req.ID, "server", s.ID, "zone", s.Zone, "fingerprint", req.Fingerprint())
+		e.opts.Suspects.Death(s.String(), []types.Fingerprint{req.Fingerprint()})
+		e.opts.Recorder.Emit(EventCrashNoted, event.FieldRequest, req.ID, "server", s.Start, "zone", s.Zone, "fingerprint", req.Fingerprint())
 	}()
 }
 
@@ -202,18 +202,18 @@
 // refuses while it has room does so again.
 const busyFault = 0.3
 
-// ended notes that the process behind a server's id has ended.
+// ended notes that a server's process has ended.
 func (e *Exchange) ended(s *directory.Server, err error) {
 	if s.Dead(time.Now()) {
 		e.opts.Restarts.lookFor(e, s)
-		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
+		e.opts.Recorder.Emit(EventServerLost, "server", s.Start, "service", s.Service, "zone", s.Zone, "err", err)
 	}
 }
 
 func (e *Exchange) lost(s *directory.Server, err error) {
 	if s.Lost(time.Now()) {
 		e.opts.Restarts.lookFor(e, s)
-		e.opts.Recorder.Emit(EventServerLost, "server", s.ID, "service", s.Service, "zone", s.Zone, "err", err)
+		e.opts.Recorder.Emit(EventServerLost, "server", s.Start, "service", s.Service, "zone", s.Zone, "err", err)
 	}
 }
 
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -153,7 +153,7 @@
 		return false
 	}
 	c.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, c.req.ID, "route", c.req.Route.Name,
-		"after", r.server.ID, "err", c.last, "since", time.Since(c.req.Arrived))
+		"after", r.server.Start, "err", c.last, "since", time.Since(c.req.Arrived))
 	return true
 }
 
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"github.com/pearyard/pearyard/directory"
 )
 
@@ -33,8 +35,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.exchange.opts.Timings.ProbeTimeout)
 	defer cancel()
 	p.exchange.metrics.probes.Inc()
-	if _, err := p.exchange.opts.Backend.Probe(ctx, s); err != nil {
+	born, err := p.exchange.opts.Backend.Probe(ctx, s)
+	switch {
+	case err != nil:
 		p.exchange.failed(s, err)
+	case s.EndedBy(born):
+		// Failure it stops: a server lost power and was started again under its id.
+		// It answers, but its streams are gone: their callers waited for a first
+		// event until their time was up.
+		p.exchange.ended(s, errors.Wrapf(ErrOtherStart, "born %d", born))
 	}
 	p.mu.Lock()
 	delete(p.running, s)
--- a/exchange/restarts.go
+++ b/exchange/restarts.go
@@ -8,9 +8,10 @@
 )
 
 // Restarts finds servers that crashed and were started again while the store is
-// away. Each start has a new id, which the store alone lists; without it every
-// crash during an outage takes a server out until the outage is over, and two
-// zones' losses leave half of them.
+// away. A start may have a new id, or the id of the one before and a later time
+// of birth; the store alone lists either. Without it every crash during an outage
+// takes a server out until the outage is over, and two zones' losses leave half
+// of them.
 //
 // A server's address may be given to another service, but not sooner than
 // Reuse after its end. A process that answers there within Reuse of the last
@@ -65,7 +66,8 @@
 	defer cancel()
 	e.metrics.probes.Inc()
 	start, err := r.Identify(ctx, s)
-	if err != nil || start.ID == "" || start.ID == s.ID || !r.within(sign, steady) {
+	another := start.ID != s.ID || start.TellsLaterThan(s.Start)
+	if err != nil || start.ID == "" || !another || !r.within(sign, steady) {
 		// It is not back yet; the server's loss has been told already.
 		return false
 	}
--- /dev/null
+++ b/exchange/start_test.go
@@ -0,0 +1,217 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
+)
+
+// list puts servers in force, all of one time of birth but those named.
+func (b *bed) list(position uint64, born map[string]int64, ids ...string) {
+	var list []directory.Listing
+	for _, id := range ids {
+		at := int64(100)
+		if later, ok := born[id]; ok {
+			at = later
+		}
+		list = append(list, directory.Listing{ID: id, Born: at, Service: "s", Zone: id[:1], Address: id, Slots: 8})
+	}
+	b.dir.Apply(position, list, false, time.Now())
+}
+
+// mute is a server that takes a request and says nothing.
+func mute(ctx context.Context, _ *Attempt) (*Answer, error) {
+	<-ctx.Done()
+	return nil, &BrokenError{Err: ctx.Err()}
+}
+
+// A server loses power before a stream's first event and is started again under
+// its id. It answers for signs of life, but knows nothing of the stream, whose
+// caller waited in vain until its time was up.
+func TestSignOfLifeOfALaterStartIsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{"a1": {mute}, "b1": {streams(10, 30*time.Millisecond, nil)}}, "a1")
+		b.list(2, nil, "a1")
+		b.backend.born["a1"] = 100
+		sink := &recordingSink{start: time.Now()}
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.Stream(t.Context(), streamRequest(), sink)
+			done <- err
+		}()
+		time.Sleep(600 * time.Millisecond)
+		b.list(3, nil, "a1", "b1")
+		b.backend.mu.Lock()
+		b.backend.born["a1"] = 200
+		b.backend.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		g.Expect(sink.ids).To(gomega.HaveLen(10))
+		g.Expect(<-done).NotTo(gomega.HaveOccurred())
+	})
+}
+
+// The list tells that a server has started again under its id while a stream
+// waits for its first event there. The stream goes on elsewhere in that moment.
+func TestStreamLeavesAReplacedStartAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{"a1": {mute}, "b1": {streams(10, 30*time.Millisecond, nil)}}, "a1")
+		b.list(2, nil, "a1")
+		sink := &recordingSink{start: time.Now()}
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.Stream(t.Context(), streamRequest(), sink)
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		b.list(3, map[string]int64{"a1": 200}, "a1", "b1")
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(b.backend.sent()).To(gomega.HaveLen(2))
+		g.Expect(<-done).NotTo(gomega.HaveOccurred())
+		time.Sleep(crashAlone) // what is noted of a crash comes after the stream
+	})
+}
+
+// A stream runs, and its copy lies on a server that crashes and is back under its
+// id within moments: nobody sees a connection fail. The copy is gone. The stream
+// used to be sent there when its own server was lost, was refused, and had its
+// caller wait while the prompt was read again.
+func TestCopyOnAReplacedStartIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{
+			"a1": {streams(60, 30*time.Millisecond, io.ErrUnexpectedEOF)},
+			"b1": {streams(100, 30*time.Millisecond, nil)},
+		}, "a1", "b1")
+		b.list(2, nil, "a1", "b1")
+		b.opts.Directory.View().Service("s")[0].Heard(time.Now())
+		busy := serverOf(b, "b1").StreamBegun(8000) // the stream begins on a1
+		sink := &recordingSink{start: time.Now()}
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.Stream(t.Context(), streamRequest(), sink)
+			done <- err
+		}()
+		time.Sleep(200 * time.Millisecond)
+		busy.End()
+		b.list(3, map[string]int64{"b1": 200}, "a1", "b1")
+		time.Sleep(50 * time.Millisecond)
+		b.backend.mu.Lock()
+		g.Expect(b.backend.copies).To(gomega.HaveLen(1))
+		g.Expect(b.backend.copies[0].Start).To(gomega.Equal(directory.Start{ID: "b1", Born: 200}))
+		b.backend.mu.Unlock()
+		g.Expect(<-done).NotTo(gomega.HaveOccurred())
+		sent := b.backend.sent()
+		g.Expect(sent).To(gomega.HaveLen(2))
+		g.Expect(sent[1].From.At.Start).To(gomega.Equal(directory.Start{ID: "b1", Born: 200}))
+		time.Sleep(crashAlone)
+	})
+}
+
+func serverOf(b *bed, id string) *directory.Server {
+	for _, s := range b.dir.View().Service("s") {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// A request crashes the server that runs it. The server is back under its id
+// before anyone asks whether it lives, and crashes again, and again. Three starts
+// have died of the request: it is refused. One id seemed to be one death at most.
+func TestCrashesOfThreeStartsAreThreeDeaths(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{"a1": {breaks()}}, "a1")
+		for n := range int64(3) {
+			b.list(uint64(2+n), map[string]int64{"a1": 100 + n}, "a1")
+			b.backend.mu.Lock()
+			b.backend.born["a1"] = 100 + n + 1
+			b.backend.mu.Unlock()
+			req := request(site.AtMostOnce)
+			_, _ = b.Call(t.Context(), req)
+			time.Sleep(3 * time.Second)
+		}
+		g.Expect(b.suspects.Verdict(request(site.AtMostOnce).Fingerprint()).State).To(gomega.Equal(suspect.Quarantined))
+	})
+}
+
+// A stream runs when the list tells that its server, the only one, has started
+// again under its id. The connection to the old process shows nothing yet. The
+// stream goes on at the new start at once: that one has not been tried.
+func TestStreamGoesOnAtTheNewStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{
+			"a1": {streams(3, 30*time.Millisecond, errMute), streams(10, 30*time.Millisecond, nil)},
+		}, "a1")
+		b.list(2, nil, "a1")
+		sink := &recordingSink{start: time.Now()}
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.Stream(t.Context(), streamRequest(), sink)
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		b.list(3, map[string]int64{"a1": 200}, "a1")
+		time.Sleep(10 * time.Millisecond)
+		sent := b.backend.sent()
+		g.Expect(sent).To(gomega.HaveLen(2))
+		g.Expect(sent[1].Server.Start).To(gomega.Equal(directory.Start{ID: "a1", Born: 200}))
+		g.Expect(<-done).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.HaveLen(10))
+		time.Sleep(crashAlone)
+	})
+}
+
+// While the store is away a server crashes and is back at its address under its
+// id. It is found; before that its own old answers, a process that doesn't tell
+// its start, and an earlier start are none.
+func TestServerIsFoundUnderItsIDWhileTheStoreIsAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed, answers int64
+		found           bool
+	}{
+		"a later start":                {100, 200, true},
+		"the same start":               {100, 100, false},
+		"an earlier start":             {200, 100, false},
+		"no start told":                {100, 0, false},
+		"an entry that tells no start": {0, 100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				b := newBed(nil, "a1")
+				b.list(2, map[string]int64{"a1": c.listed}, "a1")
+				var found []directory.Start
+				b.opts.Restarts = &Restarts{
+					Reuse: 2 * time.Second,
+					Away:  func() bool { return true },
+					Identify: func(context.Context, *directory.Server) (directory.Start, error) {
+						return directory.Start{ID: "a1", Born: c.answers}, nil
+					},
+					Found: func(_ *directory.Server, start directory.Start) { found = append(found, start) },
+				}
+				s := serverOf(b, "a1")
+				s.Heard(time.Now())
+				b.failed(s, &NotRunError{Reason: Refused, Err: io.ErrClosedPipe})
+				time.Sleep(3 * time.Second)
+				if c.found {
+					g.Expect(found).To(gomega.Equal([]directory.Start{{ID: "a1", Born: c.answers}}))
+				} else {
+					g.Expect(found).To(gomega.BeEmpty())
+				}
+			})
+		})
+	}
+}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -64,7 +64,7 @@
 func (s *stream) summary() []any {
 	server := ""
 	if s.server != nil {
-		server = s.server.ID
+		server = s.server.String()
 	}
 	first := time.Duration(0)
 	if !s.firstAt.IsZero() {
@@ -145,7 +145,7 @@
 
 // again says that an attempt failed and another may follow.
 func (s *stream) again(server *directory.Server, err error) {
-	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.ID,
+	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.Start,
 		"reached", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(s.copies.at()))
 }
 
@@ -153,7 +153,7 @@
 	if s == nil {
 		return ""
 	}
-	return s.ID
+	return s.String()
 }
 
 // mayGoOn tells whether one more attempt is allowed.
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -40,14 +40,15 @@
 }
 
 // untilDown ends the attempt when others have found the server lost. Once
-// events flow, the attempt's own are better evidence.
+// events flow, the attempt's own are better evidence, but for a later start of
+// the server: the process that ran the stream has ended.
 func (w *watch) untilDown(down <-chan struct{}) {
 	select {
 	case <-down:
 		w.mu.Lock()
 		early := w.early
 		w.mu.Unlock()
-		if early {
+		if early || w.server.Replaced() {
 			w.cancel(ErrServerLost)
 		}
 	case <-w.ctx.Done():
--- a/fleet/restarts.go
+++ b/fleet/restarts.go
@@ -23,12 +23,12 @@
 // Found notes a restart here and tells the others.
 func (r *Restarts) Found(old *directory.Server, start directory.Start) {
 	if r.directory.Adopt(old, start, time.Now()) {
-		r.socket.Send(encodeRestart(directory.Hash(old.ID), start))
+		r.socket.Send(encodeRestart(old.Hash(), start))
 	}
 }
 
-// take takes in a restart. Doubled or late ones are no news; the id alone says
-// which process is meant, and a server that isn't that one refuses.
+// take takes in a restart. Doubled ones are no news, and one of a start before
+// the known one is dropped.
 func (r *Restarts) take(_ string, _ head, raw []byte, now time.Time) {
 	server, start, ok := decodeRestart(raw)
 	if ok {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,18 +78,7 @@
 		})
 	}},
 	{"zone of servers crash", func(s *Site, rng *rand.Rand, hold time.Duration) {
-		zone := zones[rng.IntN(len(zones))]
-		var lost []*nursery.Server
-		for _, server := range s.Servers {
-			if server.Zone == zone {
-				server.Crash()
-				lost = append(lost, server)
-			}
-		}
-		time.Sleep(hold)
-		for _, server := range lost {
-			_ = server.Restart()
-		}
+		s.zoneCrashes(rng, hold, (*nursery.Server).Restart)
 	}},
 	{"VMs all killed", func(s *Site, _ *rand.Rand, hold time.Duration) {
 		for _, vm := range s.VMs {
@@ -100,6 +89,36 @@
 			_ = vm.start()
 		}
 	}},
+	{"server crashes and is back under its id", func(s *Site, rng *rand.Rand, hold time.Duration) {
+		server := s.Servers[rng.IntN(len(s.Servers))]
+		for range flaps {
+			server.Crash()
+			time.Sleep(hold / (2 * flaps))
+			_ = server.RestartUnderItsID()
+			time.Sleep(hold / (2 * flaps))
+		}
+	}},
+	{"zone of servers crash and are back under their ids", func(s *Site, rng *rand.Rand, hold time.Duration) {
+		s.zoneCrashes(rng, hold, (*nursery.Server).RestartUnderItsID)
+	}},
+}
+
+// flaps is how often a server crashes in a row.
+const flaps = 3
+
+func (s *Site) zoneCrashes(rng *rand.Rand, hold time.Duration, restart func(*nursery.Server) error) {
+	zone := zones[rng.IntN(len(zones))]
+	var lost []*nursery.Server
+	for _, server := range s.Servers {
+		if server.Zone == zone {
+			server.Crash()
+			lost = append(lost, server)
+		}
+	}
+	time.Sleep(hold)
+	for _, server := range lost {
+		_ = restart(server)
+	}
 }
 
 func (s *Site) proxied(rng *rand.Rand, m Mode, hold time.Duration) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/entry"
+	"github.com/pearyard/pearyard/standin/nursery"
 )
 
 var (
@@ -23,6 +24,7 @@
 	length = flag.Duration("soak.length", 4*time.Second, "how long troubles go on in a run")
 	beside = flag.Int("soak.beside", 2, "runs side by side")
 	vms    = flag.Int("soak.vms", DefaultSize.VMs, "entry programs of a run")
+	among  = flag.Int("soak.troubles", 0, "play only the first so many kinds of trouble, as a seed that failed had them; 0: all")
 	models = flag.Int("soak.models", DefaultSize.Models, "servers of the model service of a run")
 )
 
@@ -47,12 +49,20 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			play(t, from+uint64(i), Troubles)
+			play(t, from+uint64(i), played())
 		})
 	}
 	wg.Wait()
 }
 
+// played returns the kinds of trouble that are asked for.
+func played() []Trouble {
+	if *among > 0 {
+		return Troubles[:min(*among, len(Troubles))]
+	}
+	return Troubles
+}
+
 // failedSeeds have failed once, by the number of troubles that there were then.
 // 123: a process got SIGHUP within its first moments and died of it; the soak
 // did not start it again as the platform does.
@@ -194,6 +204,48 @@
 	}
 }
 
+// All servers of a service crash at once; their callers find that nobody listens.
+// Half a second later they run again under the ids that they had. Entry VMs held
+// those ids for ended for good, and callers were refused as long as the servers ran.
+func TestServersThatStartAgainUnderTheirIDs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site := newSite(t, 2)
+	for _, server := range site.Servers {
+		// A proxy in front would take connections for a server that has ended.
+		server.Address = site.proxies[server].target
+		server.Crash()
+		g.Expect(server.Restart()).To(gomega.Succeed())
+	}
+	time.Sleep(time.Second)
+	crash := func(call string) {
+		for _, server := range site.Servers {
+			server.Crash()
+		}
+		sendTo(site, site.VMs[0], "/any/"+call, "k0")
+		time.Sleep(500 * time.Millisecond)
+		for _, server := range site.Servers {
+			g.Expect(server.RestartUnderItsID()).To(gomega.Succeed())
+		}
+	}
+	calls := 0
+	served := func() int {
+		calls++
+		return sendTo(site, site.VMs[0], fmt.Sprintf("/any/again%d", calls), "k0").Status
+	}
+	ids := site.Servers[0].ID()
+	crash("crashing1")
+	g.Eventually(served, "2s", "50ms").Should(gomega.Equal(200))
+	g.Expect(site.Servers[0].ID()).To(gomega.Equal(ids))
+
+	// The same while nobody can read the list.
+	time.Sleep(time.Second)
+	site.Store.SetFault(nursery.StoreBusy)
+	time.Sleep(3 * time.Second)
+	g.Expect(served()).To(gomega.Equal(200))
+	crash("crashing2")
+	g.Eventually(served, "1900ms", "50ms").Should(gomega.Equal(200))
+}
+
 // A server says that it leaves. Seconds later nothing new reaches it, however
 // busy the site is.
 func TestLeavingServerGetsNothing(t *testing.T) {
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -50,7 +50,7 @@
 	return append([]Run(nil), l.arrivals...)
 }
 
-// Server is one backend server at a fixed address; each start has another id.
+// Server is one backend server at a fixed address.
 type Server struct {
 	Service, Zone string
 	// Address is what the store lists: that of a proxy in front of it, or its own.
@@ -59,6 +59,7 @@
 	cloud *Cloud
 	mu    sync.Mutex
 	id    string
+	born  int64 // Unix milliseconds of the present start
 	http  *http.Server
 	busy  atomic.Int64
 	// LostAnswers is the share of a thousand answers that are cut after the run.
@@ -88,7 +89,7 @@
 // listed, given its own.
 func (c *Cloud) NewServer(service, zone string, front func(own string) string) (*Server, error) {
 	s := &Server{Service: service, Zone: zone, cloud: c}
-	if err := s.start("127.0.0.1:0"); err != nil {
+	if err := s.start("127.0.0.1:0", c.newID()); err != nil {
 		return nil, err
 	}
 	s.Address = front(s.listen)
@@ -96,7 +97,10 @@
 	return s, nil
 }
 
-func (s *Server) start(address string) error {
+func (c *Cloud) newID() string { return fmt.Sprintf("i-%04d", c.next.Add(1)) }
+
+// start starts a process, which holds nothing of what one before it held.
+func (s *Server) start(address, id string) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
@@ -104,14 +108,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listen = listener.Addr().String()
-	s.id = fmt.Sprintf("i-%04d", s.cloud.next.Add(1))
+	s.id, s.born = id, max(s.born+1, time.Now().UnixMilli())
 	s.draining = false
-	server := &http.Server{Handler: s.handler(s.id)}
+	s.cloud.forget(s.Address)
+	server := &http.Server{Handler: s.handler(s.id, s.born)}
 	s.http = server
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
+// forget drops the copies that the process at an address held.
+func (c *Cloud) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key := range c.copies {
+		if strings.HasPrefix(key, address+"/") || strings.HasPrefix(key, address+"|") {
+			delete(c.copies, key)
+		}
+	}
+}
+
+// Born returns the Unix millisecond of the present start.
+func (s *Server) Born() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born
+}
+
 // ID returns the id of the present start.
 func (s *Server) ID() string {
 	s.mu.Lock()
@@ -125,11 +148,11 @@
 	if s.draining {
 		state = "draining"
 	}
-	id := s.id
+	id, born := s.id, s.born
 	s.mu.Unlock()
 	entry, _ := json.Marshal(map[string]any{
 		"service": s.Service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": queueLength,
-		"state": state, "coldRemainingMs": 0, "seq": 1,
+		"state": state, "coldRemainingMs": 0, "seq": 1, "born": born,
 	})
 	s.cloud.Store.Put("servers", id, entry)
 }
@@ -145,10 +168,7 @@
 // Restart starts it again at the same address under another id.
 func (s *Server) Restart() error {
 	old := s.ID()
-	s.mu.Lock()
-	address := s.listen
-	s.mu.Unlock()
-	if err := s.start(address); err != nil {
+	if err := s.startAgain(s.cloud.newID()); err != nil {
 		return err
 	}
 	s.cloud.Store.Remove("servers", old)
@@ -156,6 +176,22 @@
 	return nil
 }
 
+// RestartUnderItsID starts it again at the same address under the id that it had.
+func (s *Server) RestartUnderItsID() error {
+	if err := s.startAgain(s.ID()); err != nil {
+		return err
+	}
+	s.register()
+	return nil
+}
+
+func (s *Server) startAgain(id string) error {
+	s.mu.Lock()
+	address := s.listen
+	s.mu.Unlock()
+	return s.start(address, id)
+}
+
 // Drain reports that it leaves; it goes on serving what comes.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -174,10 +210,10 @@
 	return time.Since(s.drainAt)
 }
 
-func (s *Server) handler(id string) http.Handler {
+func (s *Server) handler(id string, born int64) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /pearyard/report", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, `{"phase":"unified"}`)
+		_, _ = fmt.Fprintf(w, `{"phase":"unified","born":%d}`, born)
 	})
 	mux.HandleFunc("POST /pearyard/kv-move", s.move)
 	mux.HandleFunc("DELETE /pearyard/kv-handle/{handle}", func(http.ResponseWriter, *http.Request) {})
