exchange: a later start that answers a question for a sign of life is used

Cause: a server that the store does not reach crashes and starts again under its id; its old entry is listed for some seconds more. Streams that wait there find out by the report that their process has ended, and the server got nothing until its new entry came. Ruled out: to believe a report of an earlier start. Nothing but a late word or a clock that was set back gives one, and the list decides on those. To ask at each lost server's address while the store answers: that is a question each 150 ms a loss and VM, and the store tells within a second. Change: the later start is asked for its id; if that is the server's, it is used and told to the other entry VMs, as one that is found while the store is away.

--- a/directory/adopt.go
+++ b/directory/adopt.go
@@ -13,8 +13,8 @@
 	defer d.mu.Unlock()
 	view := d.view.Load()
 	known := view.byID[start.ID]
-	if known != nil && !start.TellsLaterThan(known.Start) {
-		if known.TellsLaterThan(start) {
+	if known != nil && !start.LaterThan(known.Start) {
+		if known.LaterThan(start) {
 			d.dropped.Add(1)
 		}
 		return false
--- a/directory/start.go
+++ b/directory/start.go
@@ -41,15 +41,15 @@
 // Hash is a name's place among others of its kind: servers by id, entry VMs by address.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// TellsLaterThan tells whether s is a later start of the server of t. Where one of
-// them did not tell its time, the id alone counts, and they are the same.
-func (s Start) TellsLaterThan(t Start) bool {
+// LaterThan tells whether s is a later start of the server of t. Where one of them
+// did not tell its time, the id alone counts, and they are the same.
+func (s Start) LaterThan(t Start) bool {
 	return s.ID == t.ID && t.Born != 0 && s.Born > t.Born
 }
 
-// EndedBy tells whether a process that says it was born then, at the address of
-// this start, shows that this start has ended.
-func (s Start) EndedBy(born int64) bool { return s.Born != 0 && born != 0 && born != s.Born }
+// EndedBy tells whether a process at this start's address that was born then shows
+// that this start has ended.
+func (s Start) EndedBy(born int64) bool { return Start{ID: s.ID, Born: born}.LaterThan(s) }
 
 // succeededBy tells whether an entry of another start of the server's id takes its
 // place. An entry of an earlier start is a late one, unless this start is known to
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -44,6 +44,7 @@
 		// It answers, but its streams are gone: their callers waited for a first
 		// event until their time was up.
 		p.exchange.ended(s, errors.Wrapf(ErrOtherStart, "born %d", born))
+		p.exchange.opts.Restarts.confirm(p.exchange, s)
 	}
 	p.mu.Lock()
 	delete(p.running, s)
--- a/exchange/restarts.go
+++ b/exchange/restarts.go
@@ -61,17 +61,40 @@
 	return time.Since(steady) < limit && time.Now().Round(0).Sub(sign.Round(0)) < limit
 }
 
+// confirm takes a later start that answers at a server's address into use, if it
+// has the server's id: then it is the same service, whatever the list says by now.
+// A server that was cut off from the store when it crashed is listed with its
+// former start for some seconds more, and got nothing meanwhile. Without an answer
+// it is used once the list tells of it; its loss has been told already.
+func (r *Restarts) confirm(e *Exchange, s *directory.Server) {
+	if r == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
+		defer cancel()
+		e.metrics.probes.Inc()
+		if start, err := r.Identify(ctx, s); err == nil && start.LaterThan(s.Start) {
+			r.found(e, s, start)
+		}
+	}()
+}
+
+func (r *Restarts) found(e *Exchange, s *directory.Server, start directory.Start) {
+	e.opts.Recorder.Emit(EventRestarted, "server", s.Start, "now", start, "service", s.Service, "zone", s.Zone, "since", time.Since(s.LastSign()))
+	r.Found(s, start)
+}
+
 func (r *Restarts) ask(e *Exchange, s *directory.Server, sign, steady time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
 	defer cancel()
 	e.metrics.probes.Inc()
 	start, err := r.Identify(ctx, s)
-	another := start.ID != s.ID || start.TellsLaterThan(s.Start)
+	another := start.ID != s.ID || start.LaterThan(s.Start)
 	if err != nil || start.ID == "" || !another || !r.within(sign, steady) {
 		// It is not back yet; the server's loss has been told already.
 		return false
 	}
-	e.opts.Recorder.Emit(EventRestarted, "server", s.Start, "now", start, "service", s.Service, "zone", s.Zone, "since", time.Since(steady))
-	r.Found(s, start)
+	r.found(e, s, start)
 	return true
 }
--- a/exchange/start_test.go
+++ b/exchange/start_test.go
@@ -54,11 +54,45 @@
 		b.backend.born["a1"] = 200
 		b.backend.mu.Unlock()
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		g.Expect(sink.ids).To(gomega.HaveLen(10))
 		g.Expect(<-done).NotTo(gomega.HaveOccurred())
 	})
 }
 
+// A server that the store does not reach crashes and starts again under its id,
+// and is listed with its former start for seconds. A stream that waits there finds
+// it out, and goes on at the new start, which has the same id; a process with
+// another id may be another service's, and is left alone.
+func TestLaterStartThatAnswersIsUsed(t *testing.T) {
+	for id, used := range map[string]bool{"a1": true, "x9": false} {
+		t.Run(id, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				b := newBed(map[string][]script{"a1": {mute, streams(10, 30*time.Millisecond, nil)}}, "a1")
+				b.list(2, nil, "a1")
+				b.backend.born["a1"] = 200
+				b.opts.Restarts = &Restarts{
+					Identify: func(context.Context, *directory.Server) (directory.Start, error) {
+						return directory.Start{ID: id, Born: 200}, nil
+					},
+					Found: func(old *directory.Server, start directory.Start) { b.dir.Adopt(old, start, time.Now()) },
+				}
+				sink := &recordingSink{start: time.Now()}
+				_, err := b.Stream(t.Context(), streamRequest(), sink)
+				time.Sleep(crashAlone)
+				if used {
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					g.Expect(sink.ids).To(gomega.HaveLen(10))
+				} else {
+					g.Expect(err).To(gomega.HaveOccurred())
+					g.Expect(b.backend.sent()).To(gomega.HaveLen(1))
+				}
+			})
+		})
+	}
+}
+
 // The list tells that a server has started again under its id while a stream
 // waits for its first event there. The stream goes on elsewhere in that moment.
 func TestStreamLeavesAReplacedStartAtOnce(t *testing.T) {
@@ -206,6 +240,7 @@
 				s.Heard(time.Now())
 				b.failed(s, &NotRunError{Reason: Refused, Err: io.ErrClosedPipe})
 				time.Sleep(3 * time.Second)
+				synctest.Wait()
 				if c.found {
 					g.Expect(found).To(gomega.Equal([]directory.Start{{ID: "a1", Born: c.answers}}))
 				} else {
