directory: a server that crashes again and again gets less work

Cause: each start under a known id is a new process with nothing against it and no load, so a server that flaps was first choice again each time, and what it ran was lost with it. Ruled out: to carry faults or the loss itself over to the next start. After the loss of a zone the servers that are back are needed at once, and the process is another one. A penalty for the first crash, for the same reason. Change: the crashes of a server's earlier starts are counted by id and halved each six seconds; what goes beyond one weighs in the choice as a fault does. A start that left as planned, or never told its start, counts nothing. TestServerThatKeepsCrashingIsPassedOver failed without the weight in the choice (both servers were chosen). Conclusion: it stays; a single crash is left without a penalty on purpose.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -137,7 +137,7 @@
 func (d *Directory) joined(former *Server, l Listing, now time.Time) *Server {
 	s := newServer(l, now, d.touch)
 	if former != nil {
-		s.after(former)
+		s.after(former, now)
 		former.replace(now)
 	}
 	return s
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -137,7 +137,7 @@
 	score += streamWeight * float64(s.streams.Load()+s.otherStreams.Load())
 	score += q.weightOfCopies() * float64(s.copies.Load()+s.otherCopies.Load())
 	score += callWeight * float64(s.calls.Load())
-	score += faultWeight * s.Faults(now)
+	score += faultWeight * (s.Faults(now) + s.distrust(now))
 	// What a server told is older than what entry VMs tell each other of streams.
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
--- a/directory/server.go
+++ b/directory/server.go
@@ -67,6 +67,7 @@
 	dead   bool          // its process is known to have ended
 	// formerLoss is when the start before this one was found lost; zero: it wasn't.
 	formerLoss time.Time
+	crashed    crashes // of earlier starts
 	faults     float64 // recent faults, halved each faultHalfLife
 	faultAt    time.Time
 }
@@ -204,7 +205,7 @@
 
 // settle ends the doubt if nothing is held against the server any more.
 func (s *Server) settle() {
-	s.uneasy.Store(!s.downAt.IsZero() || s.faults != 0 || !s.formerLoss.IsZero())
+	s.uneasy.Store(!s.downAt.IsZero() || s.faults != 0 || !s.formerLoss.IsZero() || s.crashed.count != 0)
 }
 
 // IsDown tells whether it is believed lost.
--- a/directory/start.go
+++ b/directory/start.go
@@ -76,21 +76,23 @@
 // Replaced tells whether another start of the server's id is known.
 func (s *Server) Replaced() bool { return s.replaced.Load() }
 
-// after makes the server remember when the start before it was found lost. That
-// says nothing against the new process, but counts for the loss of its zone, of
-// which the first servers are back before the others are missed. One that left
-// as planned was no loss.
-func (s *Server) after(old *Server) {
-	if old.Draining() {
+// after makes the server remember that the start before it crashed, and when it
+// was found lost. That counts for the loss of its zone, of which the first servers
+// are back before the others are missed, and for the trust in a server that
+// crashes again and again. One that left as planned was no loss, and one that
+// never told its start may be the same process.
+func (s *Server) after(old *Server, now time.Time) {
+	if old.Draining() || old.Born == 0 {
 		return
 	}
 	old.mu.Lock()
 	defer old.mu.Unlock()
+	s.crashed = old.crashed.more(now)
 	s.formerLoss = old.formerLoss
 	if old.downAt.After(s.formerLoss) {
 		s.formerLoss = old.downAt
 	}
-	s.uneasy.Store(!s.formerLoss.IsZero())
+	s.settle()
 }
 
 // current returns a list in which entries of starts before those known are
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -216,6 +216,44 @@
 	g.Expect(d.server("a1").Start).To(gomega.Equal(Start{"a1", 200}))
 }
 
+// A server crashes each second and is back under its id at once. Being idle it
+// was first choice each time, and what it ran was lost again. From the second
+// crash on it gets work only if the others are busy; when it stays, or after a
+// single crash, it is as good as any.
+func TestServerThatKeepsCrashingIsPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100}, Start{"a2", 100})
+	now := time.Now()
+	picked := func() map[string]bool {
+		got := map[string]bool{}
+		for range 50 {
+			got[d.Pick(Query{Service: "s", Zone: "a"}, now).ID] = true
+		}
+		return got
+	}
+	crash := func(n int64) {
+		now = now.Add(time.Second)
+		d.server("a1").Dead(now)
+		d.Apply(uint64(n), bornAt(Start{"a1", 100 + n}, Start{"a2", 100}), false, now)
+	}
+	crash(2)
+	g.Expect(picked()).To(gomega.HaveLen(2))
+	for n := range int64(3) {
+		crash(3 + n)
+		g.Expect(picked()).To(gomega.Equal(map[string]bool{"a2": true}))
+	}
+	var ends []func()
+	for range 20 {
+		ends = append(ends, d.server("a2").CallBegun())
+	}
+	g.Expect(picked()).To(gomega.Equal(map[string]bool{"a1": true}))
+	for _, end := range ends {
+		end()
+	}
+	now = now.Add(4 * crashHalfLife)
+	g.Expect(picked()).To(gomega.HaveLen(2))
+}
+
 // A zone fails, and its first servers are back under their ids. That they lost
 // their former starts stays known: the zone's other servers, of which nobody has
 // heard since, are doubted all the same.
