directory, fleet: a restart told of a start that was missed is taken in by id

Cause: a server starts again twice while the store is away, and a VM misses the first datagram. The second one names the start between by its hash, which that VM never knew, and it dropped the word: it sent nothing there until the store was back. Beside that, what others had told of their load on a start that was just taken in was only added up at their next word. Ruled out: to put all former hashes into the datagram. The id is in it and says which server is meant. Change: AdoptAs goes by the id if the hash is not known; if neither is, the word is counted as dropped. Adopt has the sums made anew.

--- a/directory/adopt.go
+++ b/directory/adopt.go
@@ -31,6 +31,7 @@
 	listing := Listing{ID: start.ID, Born: start.Born, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots}
 	next.add(d.joined(known, listing, now))
 	d.view.Store(next)
+	d.unsummed.Store(true) // others may have told of their load there already
 	return true
 }
 
@@ -44,8 +45,17 @@
 	v.byService[s.Service] = slices.DeleteFunc(v.byService[s.Service], func(other *Server) bool { return other == s })
 }
 
-// AdoptAs is Adopt for a server whose start another process names by its hash.
+// AdoptAs is Adopt for a server whose start another process names by its hash. A
+// process that missed that start, and knows one before it, goes by the id.
 func (d *Directory) AdoptAs(old uint32, start Start, now time.Time) bool {
-	s := d.view.Load().byHash[old]
-	return s != nil && d.Adopt(s, start, now)
+	view := d.view.Load()
+	s := view.byHash[old]
+	if s == nil {
+		s = view.byID[start.ID]
+	}
+	if s == nil {
+		d.dropped.Add(1)
+		return false
+	}
+	return d.Adopt(s, start, now)
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,7 +12,7 @@
 	byService map[string][]*Server
 	byID      map[string]*Server // the one start that is known of each
 	byHash    map[uint32]*Server // by the hash of that start
-	Listings  []Listing          // as the store gave them; servers that are kept are not among them
+	Listings  []Listing          // as the store gave them, late entries replaced; servers that are kept are not among them
 }
 
 // Service returns the servers of a service.
