--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,10 @@
 		func() float64 { return e.servers.Age().Seconds() })
 	gauge("pearyard_config_position", "Place of the configuration in force in the store's history.",
 		func() float64 { return float64(e.holder.Position()) })
+	e.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "pearyard_server_words_dropped_total",
+		Help: "Entries of backend servers and losses told of them that were dropped, as another start is the known one.",
+	}, func() float64 { return float64(e.directory.DroppedWords()) }))
 	if dropped != nil {
 		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
 	}
@@ -182,10 +186,10 @@
 	found := fleet.NewRestarts(e.socket, e.directory)
 	return &exchange.Restarts{
 		Reuse: e.settings.AddressReuse, Away: e.servers.Failing, Found: found.Found,
-		Identify: func(ctx context.Context, s *directory.Server) (string, error) {
+		Identify: func(ctx context.Context, s *directory.Server) (directory.Start, error) {
 			service, ok := e.service(s.Service)
 			if !ok || service.HealthPath == "" {
-				return "", errors.Errorf("entry: service %q has no health path", s.Service)
+				return directory.Start{}, errors.Errorf("entry: service %q has no health path", s.Service)
 			}
 			return backend.Identify(ctx, s, service.HealthPath)
 		},
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -96,8 +96,10 @@
 	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r}, nil
 }
 
-func (modelServer) Probe(context.Context, *directory.Server) error { return nil }
-func (modelServer) Free(context.Context, *exchange.Memory) error   { return nil }
+func (modelServer) Probe(context.Context, *directory.Server) (int64, error) {
+	return 0, nil
+}
+func (modelServer) Free(context.Context, *exchange.Memory) error { return nil }
 func (modelServer) Copy(context.Context, *exchange.Request, *directory.Server, *directory.Server) (*exchange.Memory, error) {
 	return nil, io.ErrClosedPipe
 }
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -47,9 +47,9 @@
 type call struct {
 	e       *Exchange
 	req     *Request
-	cancel  map[string]context.CancelFunc // of attempts, by server
+	cancel  map[directory.Start]context.CancelFunc // of attempts
 	results chan result
-	tried   map[string]bool
+	tried   map[directory.Start]bool
 	pending int
 	sent    int // attempts that may have run
 	refused int // attempts proved not to have run
@@ -65,7 +65,7 @@
 		return nil, f
 	}
 	within, cancel := req.within(ctx)
-	c := &call{e: e, req: req, cancel: map[string]context.CancelFunc{}, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[string]bool{}}
+	c := &call{e: e, req: req, cancel: map[directory.Start]context.CancelFunc{}, results: make(chan result, notRunTries+req.Route.Attempts()+1), tried: map[directory.Start]bool{}}
 	reply, err := c.run(within)
 	c.endLosers(reply)
 	if reply != nil && reply.Rest != nil {
@@ -97,7 +97,7 @@
 // while a rest of its answer is read.
 func (c *call) endLosers(reply *Reply) {
 	for server, cancel := range c.cancel {
-		if reply == nil || reply.Rest == nil || server != reply.server.ID {
+		if reply == nil || reply.Rest == nil || server != reply.server.Start {
 			cancel()
 		}
 	}
@@ -170,7 +170,7 @@
 		return false
 	}
 	c.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, c.req.ID, "route", c.req.Route.Name,
-		"after", r.server.ID, "err", c.last, "since", time.Since(c.req.Arrived))
+		"after", r.server.Start, "err", c.last, "since", time.Since(c.req.Arrived))
 	return true
 }
 
@@ -186,11 +186,11 @@
 	if s == nil {
 		return false
 	}
-	c.tried[s.ID] = true
+	c.tried[s.Start] = true
 	c.pending++
 	c.newest = s
 	attempt, cancel := context.WithCancel(ctx)
-	c.cancel[s.ID] = cancel
+	c.cancel[s.Start] = cancel
 	go func() { c.results <- c.attempt(attempt, s) }()
 	return true
 }
--- a/exchange/restarts.go
+++ b/exchange/restarts.go
@@ -8,9 +8,10 @@
 )
 
 // Restarts finds servers that crashed and were started again while the store is
-// away. Each start has a new id, which the store alone lists; without it every
-// crash during an outage takes a server out until the outage is over, and two
-// zones' losses leave half of them.
+// away. A start may have a new id, or the id of the one before and a later time
+// of birth; the store alone lists either. Without it every crash during an outage
+// takes a server out until the outage is over, and two zones' losses leave half
+// of them.
 //
 // A server's address may be given to another service, but not sooner than
 // Reuse after its end. A process that answers there within Reuse of the last
@@ -21,10 +22,10 @@
 	Reuse time.Duration
 	// Away tells whether the store doesn't tell the list at the moment.
 	Away func() bool
-	// Identify asks for the id of the process at a server's address.
-	Identify func(ctx context.Context, s *directory.Server) (string, error)
+	// Identify asks which start answers at a server's address.
+	Identify func(ctx context.Context, s *directory.Server) (directory.Start, error)
 	// Found is told of a restart.
-	Found func(old *directory.Server, id string)
+	Found func(old *directory.Server, start directory.Start)
 }
 
 const (
@@ -60,16 +61,40 @@
 	return time.Since(steady) < limit && time.Now().Round(0).Sub(sign.Round(0)) < limit
 }
 
+// confirm takes a later start that answers at a server's address into use, if it
+// has the server's id: then it is the same service, whatever the list says by now.
+// A server that was cut off from the store when it crashed is listed with its
+// former start for some seconds more, and got nothing meanwhile. Without an answer
+// it is used once the list tells of it; its loss has been told already.
+func (r *Restarts) confirm(e *Exchange, s *directory.Server) {
+	if r == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
+		defer cancel()
+		e.metrics.probes.Inc()
+		if start, err := r.Identify(ctx, s); err == nil && start.LaterThan(s.Start) {
+			r.found(e, s, start)
+		}
+	}()
+}
+
+func (r *Restarts) found(e *Exchange, s *directory.Server, start directory.Start) {
+	e.opts.Recorder.Emit(EventRestarted, "server", s.Start, "now", start, "service", s.Service, "zone", s.Zone, "since", time.Since(s.LastSign()))
+	r.Found(s, start)
+}
+
 func (r *Restarts) ask(e *Exchange, s *directory.Server, sign, steady time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
 	defer cancel()
 	e.metrics.probes.Inc()
-	id, err := r.Identify(ctx, s)
-	if err != nil || id == "" || id == s.ID || !r.within(sign, steady) {
+	start, err := r.Identify(ctx, s)
+	another := start.ID != s.ID || start.LaterThan(s.Start)
+	if err != nil || start.ID == "" || !another || !r.within(sign, steady) {
 		// It is not back yet; the server's loss has been told already.
 		return false
 	}
-	e.opts.Recorder.Emit(EventRestarted, "server", s.ID, "now", id, "service", s.Service, "zone", s.Zone, "since", time.Since(steady))
-	r.Found(s, id)
+	r.found(e, s, start)
 	return true
 }
