entry: tests of reasons name the start of a server

Change: the expected name has the start, which is stricter. Ruled out: a fault of the lines; other starts of an id must not be meant.

--- a/entry/reasons_test.go
+++ b/entry/reasons_test.go
@@ -77,7 +77,7 @@
 	c := w.send(ask{id: "r1", path: "/once/1"}).head()
 	g.Expect(c.Status).To(gomega.Equal(502))
 	w.sawServers("r1", nursery.BrokeOff)
-	w.holds("r1", verdict{"server", "PY2722", "Its backend server " + w.servers[0].ID() + " broke it off after"})
+	w.holds("r1", verdict{"server", "PY2722", "Its backend server " + startOf(w.servers[0]) + " broke it off after"})
 }
 
 // A network fails between an entry VM and a server in the middle of a draft.
@@ -89,7 +89,7 @@
 	w.links[0].Set(soak.Silence)
 	g.Expect(c.rest().Err).To(gomega.HaveOccurred())
 	w.sawServers("r1", nursery.Whole)
-	w.holds("r1", verdict{"server_link", "PY2722", "The connection to its backend server " + w.servers[0].ID() + " went silent"})
+	w.holds("r1", verdict{"server_link", "PY2722", "The connection to its backend server " + startOf(w.servers[0]) + " went silent"})
 }
 
 // A connection between an entry VM and a server is reset on the way. Neither
@@ -100,7 +100,7 @@
 	w.links[0].Reset()
 	g.Expect(c.rest().Err).To(gomega.HaveOccurred())
 	w.sawServers("r1", nursery.Abandoned)
-	w.holds("r1", verdict{"server_link", "PY2722", "The connection to its backend server " + w.servers[0].ID() + " was reset, by the server or on the way, after"})
+	w.holds("r1", verdict{"server_link", "PY2722", "The connection to its backend server " + startOf(w.servers[0]) + " was reset, by the server or on the way, after"})
 }
 
 // An answer is too large to be held before its caller gets any of it. It comes
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/entry"
 	"github.com/pearyard/pearyard/explain"
 	"github.com/pearyard/pearyard/platform"
@@ -323,3 +324,8 @@
 	}
 	return int(n)
 }
+
+// startOf is how lines name the process that a server runs as.
+func startOf(s *nursery.Server) string {
+	return directory.Start{ID: s.ID(), Born: s.Born()}.String()
+}
