platform, directory, site: an entry that can't be read names no server, and takes nothing else with it

Cause: any program may write into the store. `listings` refused the whole list of servers for one entry that can't be unmarshalled, `exchange` the whole answer for one row whose value is no base64, and ParseConfig the whole version for one part of another type. An entry without a service, an address or a known state was taken as a server and got requests. An id with a line break ended the header that names the server, as httpconn writes values as they are.

Change: rows are read one by one where an answer can't be read at once. An entry needs an id that can be a header's value, a service, ip:port of one host and a state that is known; the other fields have defaults and bounds. One that lacks these stays in the list as a listing with its reason (Invalid): so it is told apart from one that is missing, peers hand it on by its id alone, and its server is gone at once also while missing entries are forgiven, as it has not lapsed but was written over. Of a configuration the version, the list of routes and that of organisations must be readable, else the last good one stays in force. A route of which only the place can be read stands as one that is refused (not unknown, not the shorter prefix's); a service that can't be read costs its extras only; an organisation that can't be read has no keys. Told by site_config_parts (PY2704).

Ruled out: keeping the old server while its entry can't be read (it would get new work under an entry that no longer says so); dropping the entry from the list (it would count as lapsed after the store's return).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,11 +13,15 @@
 	byID      map[string]*Server
 	byHash    map[uint32]*Server
 	Listings  []Listing // as the store gave them; servers that are kept are not among them
+	invalid   int       // how many of the listings name no server
 }
 
 // Service returns the servers of a service.
 func (v *View) Service(name string) []*Server { return v.byService[name] }
 
+// Invalid returns how many entries of the list name no server.
+func (v *View) Invalid() int { return v.invalid }
+
 // Len returns how many servers are listed.
 func (v *View) Len() int { return len(v.byID) }
 
@@ -69,6 +73,9 @@
 // Change says what an Apply changed.
 type Change struct {
 	Joined, Left, Draining, Kept []string // ids
+	// Invalid are the entries that have begun to name no server, or do so for
+	// another reason than before.
+	Invalid []Listing
 }
 
 // Any tells whether anything changed.
@@ -77,6 +84,10 @@
 // Apply takes in a list. With forgiving set, servers that are missing stay
 // known: entries lapse while the store is away although their servers live, and
 // dropping them all at its return would leave nothing to send requests to.
+//
+// An entry that names no server has not lapsed: it was written over, and the
+// store tells what it says now. Its server is gone at once, forgiving or not;
+// kept, it would get new work for seconds after another writer took its place.
 func (d *Directory) Apply(position uint64, list []Listing, forgiving bool, now time.Time) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -88,14 +99,18 @@
 	d.remember(old, position, list)
 	next := emptyView(position)
 	next.Listings = list
+	invalid := d.invalidIn(old, list, &change)
+	next.invalid = len(invalid)
 	for _, l := range list {
-		next.add(d.listed(old, l, now, &change))
+		if l.Invalid == "" {
+			next.add(d.listed(old, l, now, &change))
+		}
 	}
 	for id, s := range old.byID {
 		if _, still := next.byID[id]; still {
 			continue
 		}
-		if forgiving && !s.Draining() {
+		if forgiving && !s.Draining() && !invalid[id] {
 			change.Kept = append(change.Kept, id)
 			next.add(s)
 			continue
@@ -110,6 +125,41 @@
 	return change
 }
 
+// invalidIn returns the entries of a list that name no server, and notes those
+// of which that is news.
+func (d *Directory) invalidIn(old *View, list []Listing, change *Change) map[string]bool {
+	var invalid map[string]bool
+	for _, l := range list {
+		if l.Invalid == "" {
+			continue
+		}
+		if invalid == nil {
+			invalid = map[string]bool{}
+		}
+		invalid[l.ID] = true
+	}
+	if invalid == nil {
+		return nil
+	}
+	known := map[string]string{}
+	for _, l := range old.Listings {
+		known[l.ID] = l.Invalid
+	}
+	for _, l := range list {
+		if l.Invalid != "" && tellsMore(known[l.ID], l.Invalid) {
+			change.Invalid = append(change.Invalid, l)
+		}
+	}
+	return invalid
+}
+
+// tellsMore tells whether a reason why an entry names no server is news. A peer
+// hands on no reason, so that one read from the store and one from a peer would
+// take turns in the log.
+func tellsMore(known, reason string) bool {
+	return known == "" || (known != reason && known != FaultNoService && reason != FaultNoService)
+}
+
 func (d *Directory) listed(old *View, l Listing, now time.Time, change *Change) *Server {
 	s := old.byID[l.ID]
 	if s == nil {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -415,3 +416,42 @@
 	g.Expect(most).To(gomega.BeNumerically("<=", 4))
 	g.Expect(len(prompts)).To(gomega.BeNumerically(">=", 30))
 }
+
+// Another program writes over 3,000 entries. Each look at the list used to be a
+// failure of its own; now they are told once, in a line that names a few of them,
+// and again only when an entry is invalid for another reason.
+func TestInvalidEntriesAreToldOnceInOneLine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	recorder := event.Discard()
+	f := &Follower{Directory: New(), Recorder: recorder}
+	var list []Listing
+	for i := range 3000 {
+		list = append(list, Listing{ID: fmt.Sprintf("i-%d", i), Invalid: "its state is \"odd\""})
+	}
+	list = append(list, Listing{ID: "good", Service: "s", Address: "10.0.0.1:80"})
+	told := func() (lines []string) {
+		for _, e := range recorder.Entries("") {
+			if e.ID == EventInvalid.ID() {
+				lines = append(lines, e.Fields["entries"])
+			}
+		}
+		return lines
+	}
+	for position := range uint64(50) {
+		f.Take(position+1, list, true, "store")
+	}
+	g.Expect(told()).To(gomega.HaveLen(1))
+	g.Expect(told()[0]).To(gomega.ContainSubstring(`"i-0": its state is "odd"`))
+	g.Expect(told()[0]).To(gomega.HaveSuffix("+2992"))
+	g.Expect(len(told()[0])).To(gomega.BeNumerically("<", 2000))
+	g.Expect(f.Directory.View().Invalid()).To(gomega.Equal(3000))
+	g.Expect(f.Directory.View().Len()).To(gomega.Equal(1))
+	list = slices.Clone(list) // views keep the list that they were given
+	list[5].Invalid = FaultNoService
+	f.Take(60, list, true, "peer")
+	g.Expect(told()).To(gomega.HaveLen(1), "a peer hands on no reason")
+	list = slices.Clone(list)
+	list[6].Invalid = "its address is not ip:port"
+	f.Take(61, list, true, "store")
+	g.Expect(told()).To(gomega.HaveLen(2))
+}
--- a/directory/events.go
+++ b/directory/events.go
@@ -12,4 +12,6 @@
 		"the store tells this process the list of backend servers again", "nothing")
 	EventKept = event.Define(2713, "servers_kept", event.Warn,
 		"entries lapsed while the store was away; their servers stay in use until its return is two seconds old", "nothing")
+	EventInvalid = event.Define(2714, "servers_invalid", event.Warn,
+		"entries of the list of backend servers name no server to use: a field is missing or of another type, a state is unknown, or bytes can't be read; all other entries are used", "find out who writes the entries that the line names; see its reasons")
 )
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -153,6 +153,9 @@
 	if f.kept.Load() {
 		f.Recorder.Emit(EventKept, "servers", some(change.Kept), "position", position)
 	}
+	if len(change.Invalid) > 0 {
+		f.Recorder.Emit(EventInvalid, "entries", someInvalid(change.Invalid), "position", position, "from", from)
+	}
 	if change.Any() {
 		f.Recorder.Emit(EventChanged, "joined", some(change.Joined), "left", some(change.Left), "draining", some(change.Draining),
 			"listed", len(list), "position", position, "from", from)
@@ -170,3 +173,20 @@
 	}
 	return fmt.Sprintf("%s,+%d", strings.Join(ids[:loggedIDs], ","), len(ids)-loggedIDs)
 }
+
+// loggedInvalid is how many entries that name no server a log line names with
+// their reasons, in at most 2 KB. Lists are taken 2.5 times a second at most,
+// and an entry is named once for a reason, so 3,000 of them are a few lines.
+const loggedInvalid = 8
+
+// someInvalid names the first entries with their reasons and counts the others.
+func someInvalid(list []Listing) string {
+	var named []string
+	for _, l := range list[:min(len(list), loggedInvalid)] {
+		named = append(named, fmt.Sprintf("%.60q: %.120s", l.ID, l.Invalid))
+	}
+	if more := len(list) - loggedInvalid; more > 0 {
+		named = append(named, fmt.Sprintf("+%d", more))
+	}
+	return strings.Join(named, "; ")
+}
--- a/directory/server.go
+++ b/directory/server.go
@@ -12,17 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Listing is one backend server as the platform lists it.
-type Listing struct {
-	ID       string // differs for each start
-	Service  string
-	Address  string // ip:port
-	Zone     string
-	Slots    int
-	Draining bool
-	Cold     time.Duration // how much longer it is slow after its start
-}
-
 // Server is a backend server with what this process knows of it. One Server
 // lives as long as its ID is listed; it is shared by all views.
 type Server struct {
--- a/site/config.go
+++ b/site/config.go
@@ -41,6 +41,12 @@
 	Weight  int
 }
 
+// maxWeight is far above any weight that is meant. The sum of larger ones
+// overflows, and a draw from a sum below zero ends the process.
+const maxWeight = 1 << 30
+
+func (t Target) share() int { return min(max(0, t.Weight), maxWeight) }
+
 // Route says where requests of one host and path prefix go, and how.
 type Route struct {
 	Name   string
@@ -56,6 +62,10 @@
 	Priority    int           // 0 is the most urgent
 	Public      bool          // needs no key
 	Resumable   bool          // another backend server may go on from an event id
+
+	// Refused says why no request of this route can be handed on: the part of the
+	// configuration that says how can't be read. Empty: they can.
+	Refused string
 }
 
 // Repeatable tells whether the request may run more than once.
@@ -75,14 +85,14 @@
 func (r *Route) Pick() string {
 	total := 0
 	for _, t := range r.Targets {
-		total += max(0, t.Weight)
+		total += t.share()
 	}
 	if total == 0 {
 		return r.anyTarget()
 	}
 	n := rand.IntN(total)
 	for _, t := range r.Targets {
-		n -= max(0, t.Weight)
+		n -= t.share()
 		if n < 0 {
 			return t.Service
 		}
@@ -127,10 +137,12 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   ClientLimits
+	Faults   []string // parts that can't be read, with their places
 
-	routes int
-	byHost map[string][]*Route
-	byKey  map[string]*Organisation
+	routes  int
+	targets []string // services that routes lead to, each once
+	byHost  map[string][]*Route
+	byKey   map[string]*Organisation
 }
 
 // Keyed is an organisation with its keys.
@@ -149,6 +161,7 @@
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
+	c.targets = targetsOf(routes)
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		c.byHost[host] = append(c.byHost[host], &routes[i])
@@ -160,6 +173,17 @@
 	return c
 }
 
+func targetsOf(routes []Route) []string {
+	var services []string
+	for i := range routes {
+		for _, t := range routes[i].Targets {
+			services = append(services, t.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 func (c *Config) indexKeys(organisations []Keyed) {
 	if len(organisations) == 0 {
 		return
@@ -168,9 +192,21 @@
 	for _, o := range organisations {
 		owner := o.Organisation
 		for _, key := range o.Keys {
-			c.byKey[key] = &owner
+			if key != "" { // a request without a key would have it
+				c.byKey[key] = &owner
+			}
+		}
+	}
+}
+
+// Goes tells whether a route that is in force leads to a service that passes.
+func (c *Config) Goes(passes func(service string) bool) bool {
+	for _, service := range c.targets {
+		if passes(service) {
+			return true
 		}
 	}
+	return false
 }
 
 // Routes returns how many routes the version has.
--- a/site/events.go
+++ b/site/events.go
@@ -12,4 +12,6 @@
 		"the store does not tell this process the configuration any more; peers are asked instead", "look whether others lost it too; see docs/OPERATIONS.md")
 	EventStoreRegained = event.Define(2703, "site_store_regained", event.Info,
 		"the store tells this process the configuration again", "nothing")
+	EventParts = event.Define(2704, "site_config_parts", event.Error,
+		"parts of the configuration that is in force can't be read: requests of such a route are refused, all else is in force", "compare the parts that the line names with the version before")
 )
--- a/site/follow.go
+++ b/site/follow.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"cmp"
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +34,9 @@
 	minPace = 100 * time.Millisecond
 )
 
+// loggedFaults is how many parts that can't be read a log line names.
+const loggedFaults = 8
+
 // Follower keeps a Holder up with a Source.
 type Follower struct {
 	Holder   *Holder
@@ -80,7 +85,7 @@
 func (f *Follower) took(v *Versioned, reached uint64, err error) error {
 	var bad *UnreadableError
 	if errors.As(err, &bad) && f.Holder.Position() > 0 {
-		f.passOver(bad)
+		f.passOver(bad, reached)
 		return nil
 	}
 	if err != nil {
@@ -92,11 +97,13 @@
 }
 
 // passOver leaves the last good version in force. The store answers, so this is
-// no failure of it: asking again would bring the same.
-func (f *Follower) passOver(bad *UnreadableError) {
-	f.reached = max(f.reached, bad.Position)
-	if bad.Position > f.unreadable {
-		f.unreadable = bad.Position
+// no failure of it: asking again would bring the same. A row whose place can't be
+// read either is passed over by the place of the answer, or each wait would end
+// with it at once.
+func (f *Follower) passOver(bad *UnreadableError, reached uint64) {
+	f.reached = max(f.reached, bad.Position, reached)
+	if place := cmp.Or(bad.Position, reached); place > f.unreadable {
+		f.unreadable = place
 		f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
 	}
 }
@@ -108,4 +115,8 @@
 	}
 	f.Recorder.Emit(EventApplied, "version", v.Config.Version, "position", v.Position,
 		"routes", v.Config.Routes(), "from", from)
+	if faults := v.Config.Faults; len(faults) > 0 {
+		f.Recorder.Emit(EventParts, "version", v.Config.Version, "position", v.Position,
+			"faults", strings.Join(faults[:min(len(faults), loggedFaults)], "; "), "count", len(faults), "from", from)
+	}
 }
