entry: not ready on a list that names no server to use; a route that can't be read refuses

Cause: Ready looked whether the list has any server. On a list of nothing but servers of a service without routes, or of servers that all leave, a process that had just started reported itself ready, got callers and refused all of them.

Change: a server counts if a route in force leads to its service. To become ready one of them must take new work; a process that was ready stays so while servers that leave are left, as out of rotation it would have its callers back two questions later. Requests of a route that can't be read get 503 with the time to come back, before any key is asked for (whether the route is public can't be read either), and entry_route_refused (PY2759): TestRequestsOfARouteThatCannotBeReadAreRefused.

Ruled out: not ready as soon as all servers leave, for the reason above.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -56,8 +56,6 @@
 	return site.ClientLimits{}
 }
 
-func (e *Entry) listed() bool { return e.directory.View().Len() > 0 }
-
 func (e *Entry) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.running.Add(1)
--- a/entry/events.go
+++ b/entry/events.go
@@ -13,6 +13,10 @@
 		"a request was refused because the process is about to stop and could not finish it", "nothing")
 )
 
+// EventRouteRefused is emitted for a request of a route that can't be read.
+var EventRouteRefused = event.Define(2759, "entry_route_refused", event.Warn,
+	"a request was refused because the part of the configuration that describes its route can't be read; it has not run", "write the route anew; see the line site_config_parts")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -84,6 +84,10 @@
 		h.turnAway(w, call, err, config)
 		return
 	}
+	if call.Route.Refused != "" {
+		h.refuseRoute(w, call)
+		return
+	}
 	if !h.listed() {
 		h.notYet(w, call, "list of servers", min(comeBack(call.Wait), spreadOut(listWait)))
 		return
@@ -98,12 +102,24 @@
 	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
 }
 
+// refuseRoute refuses a request whose route can't be read; the request has not
+// run. The operator may write the route anew, so the caller may come back.
+func (h *handler) refuseRoute(w http.ResponseWriter, call *platform.Call) {
+	h.recorder.Emit(EventRouteRefused, event.FieldRequest, call.ID, "why", call.Route.Refused, "version", call.Version)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: comeBack(call.Wait), Err: errors.New("entry: the configuration of this route can't be read")})
+}
+
 // route finds the request's route, service and organisation.
 func route(call *platform.Call, config *site.Config) error {
 	call.Route = config.Match(call.Host, call.Path)
 	if call.Route == nil {
 		return &platform.RequestError{Status: http.StatusNotFound, Err: errors.New("entry: no route for this host and path")}
 	}
+	call.Version = config.Version
+	if call.Route.Refused != "" {
+		// Whether the route is public can't be read either: no key is asked for.
+		return nil
+	}
 	if config.Keys() && !call.Route.Public {
 		owner := config.Owner(call.Key)
 		if owner == nil {
@@ -111,7 +127,6 @@
 		}
 		call.Organisation = owner.Name
 	}
-	call.Version = config.Version
 	call.Service = call.Route.Pick()
 	call.Until = call.Arrived.Add(wait(call.Wait, call.Route.Timeout))
 	return nil
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -42,3 +42,23 @@
 	g.Expect(recorder.Entries("a1")[0].Fields).To(gomega.HaveKeyWithValue("missing", "list of servers"))
 	g.Expect(send("/none/1").Code).To(gomega.Equal(http.StatusNotFound), "what the configuration alone decides is said at once")
 }
+
+// A version has a route that can't be read. Its requests get a refusal that says
+// they have not run, not that they are unknown: the operator may write it anew.
+// The key isn't asked for, as the route may be public.
+func TestRequestsOfARouteThatCannotBeReadAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	holder := site.NewHolder()
+	routes := []site.Route{{Host: "h", Prefix: "/x/odd/", Refused: "kind is unknown"}, {Host: "h", Prefix: "/x/", Targets: []site.Target{{Service: "s", Weight: 1}}}}
+	holder.Offer(&site.Versioned{Config: site.New(1, routes, nil, []site.Keyed{{}}, site.ClientLimits{}), Position: 1})
+	recorder := event.Discard()
+	h := &handler{holder: holder, recorder: recorder, stop: newStopping(), listed: func() bool { return true }}
+	r := httptest.NewRequest(http.MethodPost, "/x/odd/1", strings.NewReader("body"))
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", "a1")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(w.Header().Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(recorder.Entries("a1")[0].Fields).To(gomega.HaveKeyWithValue("why", "kind is unknown"))
+}
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -3,19 +3,23 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/platform"
 	suspectpb "github.com/pearyard/pearyard/rpc/suspect"
 )
 
 // Ready tells whether callers should come: there is a configuration, there are
-// backend servers, and no stop has begun.
+// backend servers to send to, and no stop has begun. Once it has been ready, a
+// process stays so while servers that leave are all that is left: others come,
+// and out of rotation it would have its callers back two questions later only.
 func (e *Entry) Ready() bool {
-	if e.stop.begun() || e.holder.Config() == nil || !e.listed() {
+	if e.stop.begun() || !e.listed() || (!e.ready.Load() && !e.usable()) {
 		return false
 	}
 	if e.ready.CompareAndSwap(false, true) {
@@ -24,6 +28,25 @@
 	return true
 }
 
+// listed tells whether a server is listed of a service that a route leads to.
+//
+// Failure it stops: anyone may write into the list. A process that knew nothing
+// but servers of a service without routes reported itself ready, and refused all
+// callers that came.
+func (e *Entry) listed() bool {
+	return e.serves(func(*directory.Server) bool { return true })
+}
+
+// usable is listed for servers that take new work.
+func (e *Entry) usable() bool {
+	return e.serves(func(s *directory.Server) bool { return !s.Draining() })
+}
+
+func (e *Entry) serves(counts func(*directory.Server) bool) bool {
+	config, view := e.holder.Config(), e.directory.View()
+	return config != nil && config.Goes(func(service string) bool { return slices.ContainsFunc(view.Service(service), counts) })
+}
+
 func (e *Entry) serveReady(group *run.Group) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
