fleet: what a peer or a row says that can't be read takes nothing else with it

Cause: `take` dropped a peer's list of servers when the configuration beside it could not be read; entries of peers' lists without a service or an address were taken as servers; a row of the table of entry VMs that is no ip:port was taken as a peer, looked up as a name for each datagram and counted as a VM that shares the retry budget; a datagram could name a restarted server by an id with a line break.

Change: peers' entries go through directory.Listing.Checked as the store's do. Rows and datagrams that can't be read are told: fleet_no_peer (PY2742) once as long as the rows stay the same, fleet_datagram_unreadable (PY2743) at most once a second with the number of the others; pearyard_fleet_datagrams_unreadable_total, pearyard_servers_invalid. A VM whose own row was written over writes it again (TestOwnRowThatWasWrittenOverIsWrittenAgain).

Two fixtures had addresses that are none ("", "1:1"); they are ip:port now, and what they check is unchanged. pearyard_fleet_datagrams_received_total counts only datagrams that could be read.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,6 +113,8 @@
 		func() float64 { return e.servers.Age().Seconds() })
 	gauge("pearyard_config_position", "Place of the configuration in force in the store's history.",
 		func() float64 { return float64(e.holder.Position()) })
+	gauge("pearyard_servers_invalid", "Entries of the list of backend servers that name no server.",
+		func() float64 { return float64(e.directory.View().Invalid()) })
 	if dropped != nil {
 		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
 	}
@@ -130,6 +132,7 @@
 // who of them reads the store for all.
 func (e *Entry) newLoads() {
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
+	e.socket.Report(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
 	e.duty = fleet.NewDuty(fleet.DutyOptions{
 		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -192,10 +192,10 @@
 }
 
 // take takes in what another VM has counted.
-func (b *Budgets) take(from string, h head, raw []byte, now time.Time) {
+func (b *Budgets) take(from string, h head, raw []byte, now time.Time) bool {
 	list, ok := decodeBudget(raw)
 	if !ok {
-		return
+		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -205,7 +205,7 @@
 		b.others[from] = o
 	}
 	if !h.after(o.head) {
-		return
+		return true
 	}
 	o.head, o.at, o.spent = h, now, make(map[uint32]spent, len(list))
 	for _, s := range list {
@@ -216,4 +216,5 @@
 			delete(b.others, sender)
 		}
 	}
+	return true
 }
--- a/fleet/budgets_test.go
+++ b/fleet/budgets_test.go
@@ -127,6 +127,7 @@
 
 func FuzzDecodeBudget(f *testing.F) {
 	f.Add(encodeBudget([]spent{{1, 2, 3}}).raw)
+	f.Add([]byte{1})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if list, ok := decodeBudget(raw); ok && len(raw) < maxDatagram-headBytes && string(encodeBudget(list).raw) != string(raw) {
 			t.Fatalf("%x", raw)
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -174,16 +174,17 @@
 }
 
 // take takes in another VM's word.
-func (d *Duty) take(from string, h head, raw []byte, now time.Time) {
+func (d *Duty) take(from string, h head, raw []byte, now time.Time) bool {
 	w, ok := decodeWord(raw)
 	if !ok || !d.note(from, h, w, now) {
-		return
+		return ok
 	}
 	read := [subjects]bool{Config: w.configReadNow, List: w.listReadNow}
 	place := [subjects]uint64{Config: w.config, List: w.listed}
 	for s := range subjects {
 		d.heard(from, s, read[s], place[s], now)
 	}
+	return true
 }
 
 // note keeps who is there; it reports whether the word is news.
--- a/fleet/duty_test.go
+++ b/fleet/duty_test.go
@@ -167,6 +167,7 @@
 
 func FuzzDecodeWord(f *testing.F) {
 	f.Add(encodeWord(word{fit: true, config: 1, listed: 2}).raw)
+	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if w, ok := decodeWord(raw); ok && raw[0] < 8 && string(encodeWord(w).raw) != string(raw) {
 			t.Fatalf("%x", raw)
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -9,3 +9,11 @@
 // EventPeerSilent is emitted when a peer that was asked for help did not answer.
 var EventPeerSilent = event.Define(2741, "fleet_peer_silent", event.Info,
 	"a peer that was asked for what the store does not tell gave no answer", "nothing, unless no peer answers")
+
+// EventNoPeer is emitted when rows of the table of entry VMs name none.
+var EventNoPeer = event.Define(2742, "fleet_no_peer", event.Warn,
+	"rows of the table of entry VMs hold no ip:port; the VMs of all other rows are known", "find out who writes the rows that the line names")
+
+// EventDatagramUnreadable is emitted at most once a second.
+var EventDatagramUnreadable = event.Define(2743, "fleet_datagram_unreadable", event.Warn,
+	"a datagram to the port of entry VMs can't be read; others is how many more there were since the last line", "look what sends from the address in the line, unless VMs run different versions")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,9 +7,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +74,8 @@
 	near  atomic.Pointer[[]string]
 	size  atomic.Int64 // 0 until the registry has been read
 	pace  pace
+
+	strange []string // rows that name no VM, as last told; used by Run alone
 }
 
 // unknownSize stands for the number of entry VMs until it is known: more than
@@ -158,15 +162,45 @@
 	if err != nil {
 		return err
 	}
-	addresses := make([]string, 0, len(rows))
-	for _, value := range rows {
-		addresses = append(addresses, string(value))
-	}
-	f.setPeers(addresses)
+	// Its own row may have been written over: then the others don't know it.
+	*announced = directory.ValidAddress(string(rows[f.opts.Name]))
+	f.setPeers(f.addresses(rows))
 	f.size.Store(int64(len(f.Peers())) + 1)
 	return nil
 }
 
+// addresses returns those that rows name. Any program may write a row; one that
+// is no ip:port would be looked up as a name for each datagram, and count as a VM
+// that shares the retry budget.
+func (f *Fleet) addresses(rows map[string][]byte) []string {
+	addresses := make([]string, 0, len(rows))
+	var strange []string
+	for key, value := range rows {
+		if directory.ValidAddress(string(value)) {
+			addresses = append(addresses, string(value))
+			continue
+		}
+		strange = append(strange, fmt.Sprintf("%.60q: %.60q", key, value))
+	}
+	f.tellStrange(strange)
+	return addresses
+}
+
+// loggedRows is how many rows that name no VM a log line shows.
+const loggedRows = 8
+
+// tellStrange tells of rows that name no VM, once as long as they stay the same.
+func (f *Fleet) tellStrange(rows []string) {
+	slices.Sort(rows)
+	if slices.Equal(rows, f.strange) {
+		return
+	}
+	f.strange = rows
+	if len(rows) > 0 {
+		f.opts.Recorder.Emit(EventNoPeer, "rows", strings.Join(rows[:min(len(rows), loggedRows)], "; "), "count", len(rows))
+	}
+}
+
 // Ask asks a few peers for what is newer than what is known here.
 func (f *Fleet) Ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, helpTimeout)
@@ -201,15 +235,7 @@
 }
 
 func (f *Fleet) take(peer string, answer *fleetpb.NewestResponse) {
-	if answer.GetConfigPosition() > f.opts.Holder.Position() {
-		v, err := f.opts.Decode(answer.GetConfigPosition(), answer.GetConfig())
-		if err != nil {
-			f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "err", err)
-			return
-		}
-		f.opts.OfferConfig(v, peer)
-		f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
-	}
+	f.takeConfig(peer, answer)
 	if answer.GetListPosition() <= f.opts.Directory.View().Position {
 		return
 	}
@@ -220,6 +246,21 @@
 	}
 }
 
+// takeConfig takes a newer configuration. One that can't be read is told; the list
+// of servers beside it is none the worse for it.
+func (f *Fleet) takeConfig(peer string, answer *fleetpb.NewestResponse) {
+	if answer.GetConfigPosition() <= f.opts.Holder.Position() {
+		return
+	}
+	v, err := f.opts.Decode(answer.GetConfigPosition(), answer.GetConfig())
+	if err != nil {
+		f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "err", err)
+		return
+	}
+	f.opts.OfferConfig(v, peer)
+	f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
+}
+
 // Handler serves peers.
 func (f *Fleet) Handler() http.Handler { return fleetpb.NewFleetServer(f) }
 
@@ -290,10 +331,16 @@
 func listings(servers []*fleetpb.Server) []directory.Listing {
 	out := make([]directory.Listing, len(servers))
 	for i, s := range servers {
-		out[i] = directory.Listing{
-			ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), Zone: s.GetZone(), Slots: int(s.GetSlots()),
-			Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()),
-		}
+		out[i] = listing(s)
 	}
 	return out
 }
+
+// listing reads one entry of a peer's list. One that names no server at the peer
+// comes as its id alone, and names none here.
+func listing(s *fleetpb.Server) directory.Listing {
+	return directory.Listing{
+		ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), Zone: s.GetZone(), Slots: int(s.GetSlots()),
+		Draining: s.GetDraining(), Cold: time.Duration(s.GetColdNano()),
+	}.Checked()
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -86,7 +86,7 @@
 	ahead := newVM(t, "ahead")
 	behind := newVM(t, "behind", ahead.opts.Address)
 	entry := func(id string, draining bool) directory.Listing {
-		return directory.Listing{ID: id, Service: "s", Draining: draining}
+		return directory.Listing{ID: id, Service: "s", Address: "10.0.0.1:80", Draining: draining}
 	}
 	first := []directory.Listing{entry("i1", false), entry("i2", false), entry("i3", false)}
 	ahead.dir.Apply(5, first, false, time.Now())
@@ -141,8 +141,8 @@
 // all may do together is divided by their number.
 func TestSizeIsNotThatOfTheSeeds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	registry := &fakeRegistry{rows: map[string][]byte{"a": []byte("1:1"), "b": []byte("2:2"), "c": []byte("3:3"), "d": []byte("4:4")}}
-	f := New(Options{Name: "a", Address: "1:1", Seeds: []string{"2:2"}, Registry: registry, Directory: directory.New(), Holder: site.NewHolder()})
+	registry := &fakeRegistry{rows: map[string][]byte{"a": []byte("1.1.1.1:1"), "b": []byte("2.2.2.2:2"), "c": []byte("3.3.3.3:3"), "d": []byte("4.4.4.4:4")}}
+	f := New(Options{Name: "a", Address: "1.1.1.1:1", Seeds: []string{"2.2.2.2:2"}, Registry: registry, Directory: directory.New(), Holder: site.NewHolder()})
 	g.Expect(f.Size()).To(gomega.Equal(unknownSize))
 	announced := false
 	g.Expect(f.exchangeRows(t.Context(), &announced)).To(gomega.Succeed())
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -82,10 +82,10 @@
 
 // take takes in one telling; what can't be read or is older than what is known
 // is dropped.
-func (l *Loads) take(from string, h head, raw []byte, now time.Time) {
+func (l *Loads) take(from string, h head, raw []byte, now time.Time) bool {
 	loads, lost, ok := decodeLoads(raw)
 	if !ok {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -95,13 +95,14 @@
 		l.from[from] = t
 	}
 	if !h.after(t.head) {
-		return
+		return true
 	}
 	l.opts.Directory.Others(from, loads)
 	*t = told{head: h, at: now}
 	for _, server := range lost {
 		l.opts.Directory.LostElsewhere(server, now)
 	}
+	return true
 }
 
 // expire drops the load of entry VMs that have fallen silent.
--- a/fleet/restarts.go
+++ b/fleet/restarts.go
@@ -29,9 +29,10 @@
 
 // take takes in a restart. Doubled or late ones are no news; the id alone says
 // which process is meant, and a server that isn't that one refuses.
-func (r *Restarts) take(_ string, _ head, raw []byte, now time.Time) {
+func (r *Restarts) take(_ string, _ head, raw []byte, now time.Time) bool {
 	server, id, ok := decodeRestart(raw)
 	if ok {
 		r.directory.AdoptAs(server, id, now)
 	}
+	return ok
 }
--- a/fleet/socket.go
+++ b/fleet/socket.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/event"
 )
 
 // Socket sends datagrams to all other entry VMs and hands on what they send.
@@ -17,29 +20,44 @@
 	life     uint64
 	seq      atomic.Uint32
 	conn     atomic.Pointer[net.UDPConn]
-	handlers map[kind]func(from string, h head, raw []byte, now time.Time)
+	handlers map[kind]handler
+	recorder *event.Recorder // may be nil
 	sent     prometheus.Counter
 	got      prometheus.Counter
+	bad      prometheus.Counter
+
+	// Of datagrams that can't be read; only Run's goroutine uses these.
+	toldBad  time.Time
+	untoldOf int
 }
 
+// handler takes a datagram without its head. It reports whether it could be read.
+type handler func(from string, h head, raw []byte, now time.Time) bool
+
+// badEvery is the shortest time between two lines on datagrams that can't be
+// read: anything may send to the port, as fast as it likes.
+const badEvery = time.Second
+
 // NewSocket returns a socket for address (UDP, ip:port).
 func NewSocket(address string, peers func() []string, metrics prometheus.Registerer) *Socket {
 	s := &Socket{
 		address: address, peers: peers, life: uint64(time.Now().UnixNano()),
-		handlers: map[kind]func(string, head, []byte, time.Time){},
+		handlers: map[kind]handler{},
 		sent:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_sent_total", Help: "Datagrams sent to other entry VMs."}),
 		got:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_received_total", Help: "Datagrams from other entry VMs."}),
+		bad:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_unreadable_total", Help: "Datagrams that can't be read or are of no known kind."}),
 	}
 	if metrics != nil {
-		metrics.MustRegister(s.sent, s.got)
+		metrics.MustRegister(s.sent, s.got, s.bad)
 	}
 	return s
 }
 
 // handle sets who takes datagrams of a kind; it is called before Run.
-func (s *Socket) handle(k kind, f func(from string, h head, raw []byte, now time.Time)) {
-	s.handlers[k] = f
-}
+func (s *Socket) handle(k kind, f handler) { s.handlers[k] = f }
+
+// Report has datagrams that can't be read told; it is called before Run.
+func (s *Socket) Report(r *event.Recorder) { s.recorder = r }
 
 // Run listens until ctx ends.
 func (s *Socket) Run(ctx context.Context) error {
@@ -70,11 +88,22 @@
 
 func (s *Socket) take(from string, raw []byte, now time.Time) {
 	k, h, rest, ok := decodeHead(raw)
-	if !ok || s.handlers[k] == nil {
+	if handle := s.handlers[k]; ok && handle != nil && handle(from, h, rest, now) {
+		s.got.Inc()
+		return
+	}
+	s.bad.Inc()
+	s.tellBad(from, raw, now)
+}
+
+// tellBad tells of a datagram that can't be read, and how many were not told of.
+func (s *Socket) tellBad(from string, raw []byte, now time.Time) {
+	if s.recorder == nil || now.Sub(s.toldBad) < badEvery {
+		s.untoldOf++
 		return
 	}
-	s.got.Inc()
-	s.handlers[k](from, h, rest, now)
+	s.recorder.Emit(EventDatagramUnreadable, "from", from, "bytes", len(raw), "begins", fmt.Sprintf("%x", raw[:min(len(raw), headBytes)]), "others", s.untoldOf)
+	s.toldBad, s.untoldOf = now, 0
 }
 
 // Send sends a datagram to all peers. One that can't be told knows less for a
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -159,15 +159,12 @@
 }
 
 func decodeRestart(raw []byte) (server uint32, id string, ok bool) {
-	if len(raw) <= lostBytes || len(raw) > maxID+lostBytes {
+	if len(raw) < lostBytes || !directory.ValidID(string(raw[lostBytes:])) {
 		return 0, "", false
 	}
 	return binary.BigEndian.Uint32(raw), string(raw[lostBytes:]), true
 }
 
-// maxID bounds the id of a server.
-const maxID = 200
-
 // spent is what one process has counted of a service's tries.
 type spent struct {
 	service      uint32
