--- /dev/null
+++ b/fleet/fuzz_test.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
+	"github.com/pearyard/pearyard/site"
+)
+
+func FuzzDecodeRestart(f *testing.F) {
+	f.Add(encodeRestart(7, "i-1").raw)
+	f.Add(encodeRestart(7, "x\r\nTenant: b").raw)
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		server, id, ok := decodeRestart(raw)
+		if !ok {
+			return
+		}
+		if !directory.ValidID(id) {
+			t.Fatalf("%q is no id", id)
+		}
+		if string(encodeRestart(server, id).raw) != string(raw) {
+			t.Fatalf("%x is read as another", raw)
+		}
+	})
+}
+
+// A whole datagram, to all who take some.
+func FuzzDatagram(f *testing.F) {
+	h := head{life: 3, seq: 4}
+	for _, b := range []body{
+		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
+		encodeWord(word{fit: true, config: 1 << 63, listed: 0}), encodeRestart(directory.Hash("a1"), "a2"), encodeBudget([]spent{{1, 2, 3}}),
+	} {
+		f.Add(append(encodeHead(b.kind, h), b.raw...))
+	}
+	f.Add([]byte{0, 1})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d := directory.New()
+		d.Apply(1, []directory.Listing{{ID: "a1", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, false, time.Now())
+		s := NewSocket("", func() []string { return nil }, nil)
+		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
+		NewRestarts(s, d)
+		NewBudgets(BudgetsOptions{Socket: s, Near: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
+		NewDuty(DutyOptions{
+			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string) {},
+			Position: func(Subject) uint64 { return 1 },
+		})
+		s.take("p", raw, time.Now())
+		s.take("p", raw, time.Now())
+		loads.expire(time.Now())
+		d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now())
+		for _, server := range d.View().Service("s") {
+			if !directory.ValidID(server.ID) {
+				t.Fatalf("%q is no id", server.ID)
+			}
+		}
+	})
+}
+
+// A peer's answer with any bytes as one of its servers, beside a good one.
+func FuzzPeersServer(f *testing.F) {
+	for _, s := range []*fleetpb.Server{goodServer("b1"), {Id: "bad"}, {Id: "x\r\ny", Service: "s", Address: "1.2.3.4:5"}, {Id: "c", Service: "s", Address: "0.0.0.0:1", Slots: -4, ColdNano: -1}} {
+		raw, err := proto.Marshal(s)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw, true)
+		f.Add(raw, false)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, delta bool) {
+		var odd fleetpb.Server
+		if proto.Unmarshal(raw, &odd) != nil || odd.GetId() == "good" {
+			return
+		}
+		d := directory.New()
+		follower := &directory.Follower{Directory: d, Recorder: event.Discard()}
+		fleet := New(Options{Directory: d, Holder: site.NewHolder(), Recorder: event.Discard(), OfferList: follower.Take, OfferChanges: follower.TakeChanges})
+		fleet.take("p", &fleetpb.NewestResponse{ListPosition: 5, Delta: delta, Servers: []*fleetpb.Server{&odd, goodServer("good")}})
+		kept := false
+		for _, l := range d.View().Listings {
+			kept = kept || (l.ID == "good" && l.Invalid == "")
+			if l.Invalid == "" && (!directory.ValidID(l.ID) || !directory.ValidAddress(l.Address) || l.Service == "") {
+				t.Fatalf("taken as a server: %+v", l)
+			}
+		}
+		if !kept {
+			t.Fatal("the good server is not kept")
+		}
+	})
+}
+
+// The value of a row of the table of entry VMs.
+func FuzzPeersRow(f *testing.F) {
+	for _, value := range []string{"2.2.2.2:2", "host:3", "", "[fe80::1%x]:5", "0.0.0.0:1", "\xff"} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		fleet := New(Options{Address: "9.9.9.9:9", Directory: directory.New(), Holder: site.NewHolder(), Recorder: event.Discard()})
+		found := fleet.addresses(map[string][]byte{"a": []byte("1.1.1.1:1"), "odd": value})
+		kept := false
+		for _, address := range found {
+			kept = kept || address == "1.1.1.1:1"
+			if !directory.ValidAddress(address) {
+				t.Fatalf("%q is taken as a peer", address)
+			}
+		}
+		if !kept {
+			t.Fatal("the good row is not kept")
+		}
+	})
+}
