site, fleet: a configuration that can't be read is told once, also before there is a good one

Cause: a process that started while the newest version can't be read said only that the store tells it nothing; one whose peer has such a version said so at each question, several times a second while the store fails. Ruled out: taking it for no failure at the start too: peers may have the version before it, and they are asked after failures only. Before: TestNewestVersionCanNotBeReadAtTheStart: 0 lines in place of 1; TestPeersListIsTakenBesideAConfigurationThatCannotBeRead, with 50 answers: 50 lines. Change: the line goes by the version's place in the store's history, in both. Conclusion: 1 line each (go test ./site ./fleet).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,8 @@
 	size  atomic.Int64 // 0 until the registry has been read
 	pace  pace
 
+	unreadable atomic.Uint64 // position of the newest configuration of a peer that can't be read
+
 	strange []string // rows that name no VM, as last told; used by Run alone
 }
 
@@ -246,15 +248,17 @@
 	}
 }
 
-// takeConfig takes a newer configuration. One that can't be read is told; the list
-// of servers beside it is none the worse for it.
+// takeConfig takes a newer configuration. One that can't be read is told once; the
+// list of servers beside it is none the worse for it.
 func (f *Fleet) takeConfig(peer string, answer *fleetpb.NewestResponse) {
 	if answer.GetConfigPosition() <= f.opts.Holder.Position() {
 		return
 	}
 	v, err := f.opts.Decode(answer.GetConfigPosition(), answer.GetConfig())
 	if err != nil {
-		f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "err", err)
+		if f.unreadable.Swap(answer.GetConfigPosition()) != answer.GetConfigPosition() {
+			f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "position", answer.GetConfigPosition(), "err", err)
+		}
 		return
 	}
 	f.opts.OfferConfig(v, peer)
--- a/fleet/writers_test.go
+++ b/fleet/writers_test.go
@@ -78,9 +78,14 @@
 func TestPeersListIsTakenBesideAConfigurationThatCannotBeRead(t *testing.T) {
 	g := gomega.NewWithT(t)
 	v := newVM(t, "a")
-	v.take("p", &fleetpb.NewestResponse{ConfigPosition: 9, Config: []byte("bad"), ListPosition: 5, Servers: []*fleetpb.Server{goodServer("a1")}})
+	recorder := event.Discard()
+	v.opts.Recorder = recorder
+	for range 50 {
+		v.take("p", &fleetpb.NewestResponse{ConfigPosition: 9, Config: []byte("bad"), ListPosition: 5, Servers: []*fleetpb.Server{goodServer("a1")}})
+	}
 	g.Expect(v.holder.Position()).To(gomega.BeZero())
 	g.Expect(named(v.dir)).To(gomega.ConsistOf("a1"))
+	g.Expect(recorder.Entries("")).To(gomega.HaveLen(1), "told once: peers are asked several times a second while the store fails")
 }
 
 // Anyone may write into the table of entry VMs. What is no ip:port is no peer: it
--- a/site/follow.go
+++ b/site/follow.go
@@ -84,8 +84,16 @@
 
 func (f *Follower) took(v *Versioned, reached uint64, err error) error {
 	var bad *UnreadableError
-	if errors.As(err, &bad) && f.Holder.Position() > 0 {
-		f.passOver(bad, reached)
+	if errors.As(err, &bad) {
+		f.tellUnreadable(bad, reached)
+	}
+	if bad != nil && f.Holder.Position() > 0 {
+		// The last good version stays in force. The store answers, so this is no
+		// failure of it: asking again would bring the same. A row whose place can't
+		// be read either is passed over by the place of the answer, or each wait
+		// would end with it at once. Without a good one peers are asked, as after
+		// a failure.
+		f.reached = max(f.reached, bad.Position, reached)
 		return nil
 	}
 	if err != nil {
@@ -96,16 +104,14 @@
 	return nil
 }
 
-// passOver leaves the last good version in force. The store answers, so this is
-// no failure of it: asking again would bring the same. A row whose place can't be
-// read either is passed over by the place of the answer, or each wait would end
-// with it at once.
-func (f *Follower) passOver(bad *UnreadableError, reached uint64) {
-	f.reached = max(f.reached, bad.Position, reached)
-	if place := cmp.Or(bad.Position, reached); place > f.unreadable {
-		f.unreadable = place
-		f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
+// tellUnreadable tells of a version that can't be read, once.
+func (f *Follower) tellUnreadable(bad *UnreadableError, reached uint64) {
+	place := cmp.Or(bad.Position, reached)
+	if place <= f.unreadable {
+		return
 	}
+	f.unreadable = place
+	f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
 }
 
 // Offer puts a version in force and says so.
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -202,3 +202,41 @@
 		g.Expect(unreadable).To(gomega.Equal(1))
 	})
 }
+
+// A process starts while the newest version can't be read. Nothing is in force, so
+// it asks its peers, which may have the version before; one line says at once why
+// it serves nobody. It used to say only that the store tells it nothing.
+func TestNewestVersionCanNotBeReadAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		source := &hungSource{}
+		source.set(0, false, &UnreadableError{Position: 9, Err: errors.New("unknown kind")})
+		recorder := event.Discard()
+		f := &Follower{Holder: NewHolder(), Source: source, Recorder: recorder}
+		helped := atomic.Bool{}
+		f.Failed = func(context.Context) {
+			if helped.Load() {
+				f.Offer(at(4, 4), "peer")
+			}
+		}
+		unreadable := func() (n int) {
+			for _, e := range recorder.Entries("") {
+				if e.ID == EventUnreadable.ID() {
+					n++
+				}
+			}
+			return n
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(unreadable()).To(gomega.Equal(1))
+		helped.Store(true)
+		time.Sleep(5 * time.Second)
+		g.Expect(f.Holder.Position()).To(gomega.BeNumerically("==", 4))
+		stop()
+		<-done
+		g.Expect(unreadable()).To(gomega.Equal(1))
+	})
+}
