--- a/directory/adopt.go
+++ b/directory/adopt.go
@@ -8,7 +8,11 @@
 
 // Adopt makes known that a server was started again at its address, under the
 // same id or another one, before the store tells it. It reports whether that is news.
+// An id that can't be sent is none: it comes from the server or from a datagram.
 func (d *Directory) Adopt(old *Server, start Start, now time.Time) bool {
+	if !ValidID(start.ID) {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view := d.view.Load()
@@ -21,7 +25,7 @@
 	}
 	old.Dead(now)
 	next := &View{
-		Position: view.Position, Listings: view.Listings,
+		Position: view.Position, Listings: view.Listings, invalid: view.invalid,
 		byService: make(map[string][]*Server, len(view.byService)), byID: maps.Clone(view.byID), byHash: maps.Clone(view.byHash),
 	}
 	for service, list := range view.byService {
--- a/directory/events.go
+++ b/directory/events.go
@@ -14,4 +14,6 @@
 		"entries lapsed while the store was away; their servers stay in use until its return is two seconds old", "nothing")
 	EventLate = event.Define(2714, "servers_late_entry", event.Info,
 		"entries were dropped because later starts of the same backend servers are known", "nothing")
+	EventInvalid = event.Define(2715, "servers_invalid", event.Warn,
+		"entries of the list of backend servers name no server to use: a field is missing or of another type, a state is unknown, or bytes can't be read; all other entries are used", "find out who writes the entries that the line names; see its reasons")
 )
--- a/directory/server.go
+++ b/directory/server.go
@@ -10,21 +10,6 @@
 	"time"
 )
 
-// Listing is one backend server as the platform lists it.
-type Listing struct {
-	ID       string
-	Born     int64 // of the start that listed itself; see Start
-	Service  string
-	Address  string // ip:port
-	Zone     string
-	Slots    int
-	Draining bool
-	Cold     time.Duration // how much longer it is slow after its start
-}
-
-// Start returns the start that listed itself.
-func (l Listing) Start() Start { return Start{ID: l.ID, Born: l.Born} }
-
 // Server is one start of a backend server with what this process knows of it.
 // One Server lives as long as its start is the listed one; it is shared by all views.
 type Server struct {
--- a/directory/start.go
+++ b/directory/start.go
@@ -104,7 +104,7 @@
 func (v *View) current(list []Listing) (current []Listing, late []string) {
 	for i, l := range list {
 		s := v.byID[l.ID]
-		if s == nil || l.Born == s.Born || s.succeededBy(l.Start()) {
+		if s == nil || l.Invalid != "" || l.Born == s.Born || s.succeededBy(l.Start()) {
 			continue
 		}
 		if current == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,6 +118,8 @@
 		Name: "pearyard_server_words_dropped_total",
 		Help: "Entries of backend servers and losses told of them that were dropped, as another start is the known one.",
 	}, func() float64 { return float64(e.directory.DroppedWords()) }))
+	gauge("pearyard_servers_invalid", "Entries of the list of backend servers that name no server.",
+		func() float64 { return float64(e.directory.View().Invalid()) })
 	if dropped != nil {
 		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
 	}
@@ -135,6 +137,7 @@
 // who of them reads the store for all.
 func (e *Entry) newLoads() {
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
+	e.socket.Report(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
 	e.duty = fleet.NewDuty(fleet.DutyOptions{
 		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Size: e.fleet.Size, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -231,10 +231,10 @@
 }
 
 // take takes in what another VM has counted.
-func (b *Budgets) take(from string, h head, raw []byte, now time.Time) {
+func (b *Budgets) take(from string, h head, raw []byte, now time.Time) bool {
 	list, ok := decodeBudget(raw)
 	if !ok {
-		return
+		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -244,7 +244,7 @@
 		b.others[from] = o
 	}
 	if !h.after(o.head) {
-		return
+		return true
 	}
 	if h.life > o.head.life && o.spent != nil {
 		o.restarted(b.retries, b.opts.Window, now)
@@ -258,4 +258,5 @@
 			delete(b.others, sender)
 		}
 	}
+	return true
 }
--- a/fleet/restarts.go
+++ b/fleet/restarts.go
@@ -29,9 +29,10 @@
 
 // take takes in a restart. Doubled ones are no news, and one of a start before
 // the known one is dropped.
-func (r *Restarts) take(_ string, _ head, raw []byte, now time.Time) {
+func (r *Restarts) take(_ string, _ head, raw []byte, now time.Time) bool {
 	server, start, ok := decodeRestart(raw)
 	if ok {
 		r.directory.AdoptAs(server, start, now)
 	}
+	return ok
 }
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -167,16 +167,13 @@
 }
 
 func decodeRestart(raw []byte) (server uint32, start directory.Start, ok bool) {
-	if len(raw) <= restartBytes || len(raw) > maxID+restartBytes {
+	if len(raw) < restartBytes || !directory.ValidID(string(raw[restartBytes:])) {
 		return 0, directory.Start{}, false
 	}
 	start = directory.Start{ID: string(raw[restartBytes:]), Born: int64(binary.BigEndian.Uint64(raw[lostBytes:]))}
 	return binary.BigEndian.Uint32(raw), start, true
 }
 
-// maxID bounds the id of a server.
-const maxID = 200
-
 // spent is what one process has counted of a service's tries.
 type spent struct {
 	service      uint32
