--- a/testdata/variants/derive.sh
+++ b/testdata/variants/derive.sh
@@ -14,6 +14,11 @@
 variant slow 's/step_ms = [0-9.]+,/step_ms = 9.0,/; s/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 14.0/; s/kv_tokens = [0-9]+/kv_tokens = 60000/'
 # Engines that copy and move nothing.
 variant nocopies 's/backups = true, moves = true/backups = false, moves = false/'
+# Engines that read prompts at half and at a quarter of the speed, with copies and without.
+variant half 's/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 4.0/'
+variant half-nocopies 's/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 4.0/; s/backups = true, moves = true/backups = false, moves = false/'
+variant quarter 's/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 2.0/'
+variant quarter-nocopies 's/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 2.0/; s/backups = true, moves = true/backups = false, moves = false/'
 # Far smaller entry VMs.
 variant small 's/class = "front", cpu_share = [0-9.]+/class = "front", cpu_share = 0.1/; s/memory_mb = (134|284)/memory_mb = 64/'
 # Mostly small calls.
