exchange: how long a stream may be silent is learned from its service's pauses

Cause: an engine sends an event each few steps, and a step that reads a prompt's chunk takes as long as the chunk. Change: the usual pause is the 90th percentile of the last 32 longer than 80 ms, with pauses seen cut short counted as they were if the server lives. A silence may last 1.5 times that, at most 1.8 s, and only while the server gives a sign of life, which is asked for at 350 ms as before. On the sites as they are (200 ms) the bound stays 350 ms. Tests, with what they printed before: TestEnginesThatPauseLongerAreNotTakenForLost and TestPausesBeyondTheBoundAreLearnedFromAttemptsGivenUp ("the backend server fell silent"); TestLossOfASlowEngineIsNoticedInTime, TestUsualPausesLeaveTheBound OfSilence and TestOwnStandstillIsNoPauseOfTheEngines guard what was right.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -89,6 +89,7 @@
 	opts    Options
 	metrics *metrics
 	budgets sync.Map // service -> *retry.Window
+	paces   sync.Map // service -> *pauses
 	probes  prober
 	running running
 }
@@ -119,6 +120,14 @@
 	return w.(*retry.Window)
 }
 
+func (e *Exchange) pausesOf(service string) *pauses {
+	if p, ok := e.paces.Load(service); ok {
+		return p.(*pauses)
+	}
+	p, _ := e.paces.LoadOrStore(service, &pauses{})
+	return p.(*pauses)
+}
+
 // allowRetry takes one more sending out of the service's budget.
 func (e *Exchange) allowRetry(service string) bool {
 	w := e.budget(service)
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -26,7 +26,8 @@
 	timer *time.Timer
 	armed time.Time
 	wait  time.Duration
-	early bool // no event has come yet
+	since time.Time // of the newest event; zero before the first
+	early bool      // no event has come yet
 }
 
 func newWatch(ctx context.Context, e *Exchange, server *directory.Server) *watch {
@@ -67,14 +68,20 @@
 func (w *watch) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.early {
+		w.pauses().seen(time.Since(w.since))
+	}
 	w.early = false
 	w.timer.Stop()
 }
 
+func (w *watch) pauses() *pauses { return w.e.pausesOf(w.server.Service) }
+
 // listen waits for the next event.
 func (w *watch) listen() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.since = time.Now()
 	w.arm(w.e.opts.Timings.Silence)
 }
 
@@ -95,8 +102,7 @@
 		return
 	}
 	if !early {
-		w.e.probes.ask(w.server) // for the streams that wait there for their first event
-		w.cancel(ErrSilent)
+		w.silentBetween()
 		return
 	}
 	select {
@@ -111,6 +117,45 @@
 	}
 }
 
+// silentBetween ends the attempt unless its server pauses longer than others do
+// and gives a sign of life: then the stream waits for as long as is usual there.
+func (w *watch) silentBetween() {
+	asked := w.e.probes.ask(w.server) // also for the streams that wait there for their first event
+	w.mu.Lock()
+	since := w.since
+	rest := w.pauses().bound(w.e.opts.Timings.Silence) - time.Since(since)
+	if rest > 0 {
+		w.arm(rest)
+	}
+	w.mu.Unlock()
+	if rest <= 0 {
+		w.cancel(ErrSilent)
+		w.learnFromCut(time.Since(since), asked)
+		return
+	}
+	select {
+	case <-asked:
+	case <-w.ctx.Done():
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.since.Equal(since) && w.server.IsDown(time.Now()) {
+		w.cancel(ErrSilent)
+	}
+}
+
+// learnFromCut counts the silence that ended an attempt as a pause if the server
+// lives. Where every pause beside a prompt is longer than the bound, none would
+// ever be seen otherwise. A few streams of sound servers that do fall silent
+// don't change what is usual.
+func (w *watch) learnFromCut(silence time.Duration, asked <-chan struct{}) {
+	<-asked
+	if !w.server.IsDown(time.Now()) {
+		w.pauses().seen(silence)
+	}
+}
+
 // explain puts the watch's own reason in place of the error that closing the
 // connection gave.
 func (w *watch) explain(err error) error {
