exchange, directory: what no server can finish in time is refused at once

Cause: with prompts coming faster than servers read them every stream waited in a queue until its deadline, having taken the time of one that could have been whole; a prompt was also sent again with less time left than its reading takes. Change: directory/speed.go learns each server's speed from the time to the first event of new prompts and the tokens ahead of them (own and others' words of load), from prompts that were not read in time as well, and the share of its time that goes into prompts (10 s). A server not measured takes the median of its service's. exchange/pace.go learns events' pace beside a prompt and alone, and streams' length; exchange/estimate.go tells from these when a stream begins and ends at a server. Where the chosen server would be late, the soonest one is taken; if that is late too, the stream is refused (not run, Retry-After is what is missing) or, once it has run, ended. A retry is looked at before it costs budget. Copies are gone on from without an estimate. One stream each two seconds is sent on trial if the process sent no prompt of the service meanwhile (PY2733). Without measurements all is admitted. Margin: where nothing lies ahead 1.25 of the time left (streams are 0.63 to 1.45 of the mean length, and 0.7 of the mean is reckoned with), behind a queue 0.9. Ruled out: 1.25 everywhere: queues grow until the estimate reaches the margin, and all are late (TestAdmissionIsSteady: 158 of 270 late, [30 0 0 0 0 8] served a half minute). Speed as a mean of speeds: one prompt that was still kept made a server seem ten times as fast (292,547 tokens a second). Tests, with what they printed before: TestWhatNoServerCanFinishIsRefusedAtOnce (12 served, not 16, none refused), TestPromptIsNotSentAgainThatWouldBeLate (sent 2 times), TestRecoveryIsNoticedWithinSeconds (0 refused while engines were too slow, not 40), TestAdmissionIsSteady (241 of 270 late, [29 0 0 0 0 0] served a half minute); TestWithoutMeasurementsNothingIsRefused guards the start, and directory/speed_test.go the measures.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,6 +33,7 @@
 
 	cell, cells atomic.Int32 // of this process, and how many there are
 	portion     atomic.Pointer[portion]
+	medians     sync.Map // service -> speedAt
 
 	othersMu sync.Mutex
 	others   map[string][]Load // what other processes told last
--- a/directory/load.go
+++ b/directory/load.go
@@ -88,6 +88,7 @@
 	s.otherStreams.Store(int64(sum.Streams))
 	s.otherCopies.Store(int64(sum.Copies))
 	s.otherPrefill.Store(int64(sum.Prefill))
+	s.noteUnread()
 }
 
 // LostElsewhere notes that another process found a server lost.
--- a/directory/server.go
+++ b/directory/server.go
@@ -51,6 +51,8 @@
 	told         atomic.Int64 // others' load by its last answer, in requests
 	toldAt       atomic.Int64
 
+	reading reading // of prompts
+
 	// uneasy is set while there is anything against the server. A choice looks
 	// at all servers, thousands on a large site, and takes the lock only of
 	// these: 0.16 ms for 3,000 servers in place of 0.68 (BenchmarkPick).
--- a/directory/work.go
+++ b/directory/work.go
@@ -13,26 +13,46 @@
 
 // StreamBegun counts a stream with a prompt yet to be read.
 func (s *Server) StreamBegun(prompt int) *Running {
+	ahead := s.Unread()
 	s.streams.Add(1)
 	s.prefill.Add(int64(prompt))
+	s.noteUnread()
 	s.changed()
-	return &Running{server: s, prompt: int64(prompt)}
+	return &Running{server: s, prompt: int64(prompt), toRead: ahead + int64(prompt), begun: time.Now()}
 }
 
 // Running is a stream's share of a server's load.
 type Running struct {
 	server *Server
 	prompt int64
+	toRead int64 // the prompt and what lay ahead of it
+	begun  time.Time
 	ended  bool
 }
 
-// Read notes that the prompt has been read.
+// Read notes that a new prompt has been read. What lay ahead of it is counted
+// whole, though a part of it may have been read before: a server seems faster
+// so than it is, never slower.
 func (r *Running) Read() {
+	if r.prompt == 0 {
+		return
+	}
+	r.server.reading.measured(r.toRead, time.Since(r.begun))
+	r.take()
+}
+
+// ReadAgain notes that a prompt has been read that was read before: its server
+// may have kept it, so that the time says nothing about its speed.
+func (r *Running) ReadAgain() { r.take() }
+
+// take takes the prompt off the load.
+func (r *Running) take() {
 	if r.prompt == 0 {
 		return
 	}
 	r.server.prefill.Add(-r.prompt)
 	r.prompt = 0
+	r.server.noteUnread()
 	r.server.changed()
 }
 
@@ -42,7 +62,10 @@
 		return
 	}
 	r.ended = true
-	r.Read()
+	if r.prompt != 0 && !r.server.IsDown(time.Now()) {
+		r.server.reading.notMeasured(r.toRead, time.Since(r.begun))
+	}
+	r.take()
 	r.server.streams.Add(-1)
 	r.server.changed()
 }
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -19,6 +19,8 @@
 	prompt := s.req.PromptTokens
 	if from != nil {
 		prompt = 0
+	} else {
+		s.e.paceOf(s.req.Service).sent(time.Now())
 	}
 	running := server.StreamBegun(prompt)
 	defer running.End()
@@ -80,6 +82,7 @@
 		if err == io.EOF {
 			s.ran++
 			s.e.metrics.attempts.WithLabelValues("answered").Inc()
+			s.e.paceOf(s.req.Service).ended(s.last, s.req.MaxTokens)
 			return s.finish(a)
 		}
 		if err != nil {
@@ -89,7 +92,7 @@
 		s.server.Heard(time.Now())
 		if first {
 			first, s.heard = false, true
-			running.Read()
+			s.promptRead(running)
 			s.started(from)
 			go s.keepCopy(w.ctx, s.server, s.notFor(s.server))
 		}
@@ -100,6 +103,15 @@
 	}
 }
 
+// promptRead takes the prompt off the server's load.
+func (s *stream) promptRead(running *directory.Running) {
+	if s.ran > 0 || s.req.LastEvent != "" {
+		running.ReadAgain()
+		return
+	}
+	running.Read()
+}
+
 // started notes the first event of an attempt.
 func (s *stream) started(from *Memory) {
 	if s.ran == 0 {
--- /dev/null
+++ b/exchange/estimate_test.go
@@ -0,0 +1,239 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// fakeEngine reads prompts one after the other; its events come slowly meanwhile.
+type fakeEngine struct {
+	mu    sync.Mutex
+	speed float64   // prompt tokens a second
+	free  time.Time // when all prompts are read
+	reads int
+}
+
+const besidePrompt = 200 * time.Millisecond
+
+func (e *fakeEngine) take(tokens int) (readAt time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reads++
+	now := time.Now()
+	if e.free.Before(now) {
+		e.free = now
+	}
+	e.free = e.free.Add(time.Duration(float64(tokens) / e.speed * float64(time.Second)))
+	return e.free
+}
+
+func (e *fakeEngine) pace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.free) {
+		return besidePrompt
+	}
+	return beat
+}
+
+func (e *fakeEngine) set(speed float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speed = speed
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// play serves one stream of 60 events.
+func (e *fakeEngine) play(ctx context.Context, a *Attempt) (*Answer, error) {
+	readAt := e.take(a.Request.PromptTokens)
+	from := 0
+	_, _ = fmt.Sscan(a.After, &from)
+	r, w := io.Pipe()
+	go func() {
+		err := sleep(ctx, time.Until(readAt))
+		for i := from + 1; i <= 60 && err == nil; i++ {
+			if err = sleep(ctx, e.pace()); err == nil {
+				_, err = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			}
+		}
+		_ = w.CloseWithError(err)
+	}()
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: r}, nil
+}
+
+// engineBed has four engines of that speed.
+func engineBed(speed float64) (*bed, map[string]*fakeEngine) {
+	engines, scripts := map[string]*fakeEngine{}, map[string][]script{}
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		engines[id] = &fakeEngine{speed: speed}
+		scripts[id] = []script{engines[id].play}
+	}
+	return newBed(scripts), engines
+}
+
+func reads(engines map[string]*fakeEngine) (sum int) {
+	for _, e := range engines {
+		sum += e.reads
+	}
+	return sum
+}
+
+// outcome of a stream.
+type outcome struct {
+	begun, took time.Duration
+	failure     *Failure
+}
+
+// arrive sends streams in a row and returns how each ended, in order of arrival.
+func arrive(t *testing.T, b *bed, count int, every time.Duration) []outcome {
+	t.Helper()
+	start, out := time.Now(), make([]outcome, count)
+	var wg sync.WaitGroup
+	for i := range out {
+		wg.Go(func() {
+			req := streamRequest()
+			out[i].begun = req.Arrived.Sub(start)
+			_, err := b.Stream(t.Context(), req, &recordingSink{start: time.Now()})
+			out[i].took = time.Since(req.Arrived)
+			_ = errors.As(err, &out[i].failure)
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	return out
+}
+
+func count(all []outcome, is func(outcome) bool) (n int) {
+	for _, o := range all {
+		if is(o) {
+			n++
+		}
+	}
+	return n
+}
+
+func served(o outcome) bool  { return o.failure == nil }
+func refused(o outcome) bool { return o.failure != nil && !o.failure.Ran && !o.failure.TimedOut }
+func late(o outcome) bool    { return o.failure != nil && o.failure.TimedOut }
+
+// Engines read a prompt in four seconds, and fifty drafts are asked for at once
+// where about twenty can be whole in time. The others waited in the engines'
+// queues until their deadlines passed, and held up those that could be served.
+// They are told at once that they have not run, and when to come back.
+func TestWhatNoServerCanFinishIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b, engines := engineBed(2000)
+		arrive(t, b, 8, 10*time.Second) // what engines can do is known from then on
+		before := reads(engines)
+		burst := arrive(t, b, 50, time.Millisecond)
+		g.Expect(count(burst, served)).To(gomega.BeNumerically(">=", 16))
+		g.Expect(count(burst, refused)).To(gomega.BeNumerically(">=", 25))
+		g.Expect(count(burst, late)).To(gomega.BeNumerically("<=", 9))
+		g.Expect(reads(engines) - before).To(gomega.Equal(50 - count(burst, refused)))
+		for _, o := range burst {
+			if refused(o) {
+				g.Expect(o.took).To(gomega.BeNumerically("<", 10*time.Millisecond))
+				g.Expect(o.failure.RetryAfter).To(gomega.BeNumerically(">=", retryAfter))
+			}
+		}
+	})
+}
+
+// An engine breaks off a draft four seconds before its deadline. Reading the
+// prompt again takes eight: it would cost another engine the time of a draft
+// that can be served. The caller hears at once.
+func TestPromptIsNotSentAgainThatWouldBeLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b, engines := engineBed(1000)
+		arrive(t, b, 4, 20*time.Second)
+		before := reads(engines)
+		broken := func(ctx context.Context, a *Attempt) (*Answer, error) {
+			engines[a.Server.ID].take(a.Request.PromptTokens)
+			return paced(3, 7*time.Second)(ctx, a)
+		}
+		for id := range b.backend.scripts {
+			b.backend.scripts[id] = []script{func(ctx context.Context, a *Attempt) (*Answer, error) {
+				_ = sleep(ctx, 21*time.Second)
+				_, _ = broken(ctx, a)
+				return nil, &BrokenError{Err: io.ErrUnexpectedEOF}
+			}}
+		}
+		all := arrive(t, b, 1, 0)
+		g.Expect(reads(engines)-before).To(gomega.Equal(1), "sent once")
+		g.Expect(all[0].failure.Ran).To(gomega.BeTrue())
+		g.Expect(all[0].took).To(gomega.BeNumerically("<", 22*time.Second))
+	})
+}
+
+// A process has just started and knows nothing of the engines. It refuses nothing.
+func TestWithoutMeasurementsNothingIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b, _ := engineBed(2000)
+		all := arrive(t, b, 50, time.Millisecond)
+		g.Expect(count(all, refused)).To(gomega.BeZero())
+	})
+}
+
+// Engines turn so slow that no draft can be whole in time, and recover a minute
+// later. If every request were refused meanwhile, nobody would notice: one each
+// two seconds is sent on trial, and drafts are served again seconds after.
+func TestRecoveryIsNoticedWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b, engines := engineBed(8000)
+		arrive(t, b, 8, 10*time.Second)
+		for _, e := range engines {
+			e.set(200)
+		}
+		slow := arrive(t, b, 120, 500*time.Millisecond)
+		g.Expect(count(slow[60:], refused)).To(gomega.BeNumerically(">=", 40))
+		for _, e := range engines {
+			e.set(8000)
+			e.free = time.Now()
+		}
+		again := arrive(t, b, 60, 500*time.Millisecond)
+		g.Expect(count(again[20:], served)).To(gomega.BeNumerically(">=", 38), "ten seconds later all is served")
+	})
+}
+
+// Half as many drafts again come as the engines can finish, for three minutes.
+// As many are served in each half minute: admission doesn't swing between all
+// and nothing.
+func TestAdmissionIsSteady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b, _ := engineBed(2000)
+		arrive(t, b, 8, 10*time.Second)
+		all := arrive(t, b, 270, 666*time.Millisecond)
+		perSpan := make([]int, 6)
+		for _, o := range all {
+			if served(o) {
+				perSpan[min(5, int(o.begun/(30*time.Second)))]++
+			}
+		}
+		g.Expect(count(all, late)).To(gomega.BeNumerically("<=", 60), "%v", perSpan)
+		for _, n := range perSpan[1:] {
+			g.Expect(n).To(gomega.BeNumerically(">=", 15), "%v", perSpan)
+		}
+	})
+}
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -26,6 +26,8 @@
 		"the server that held the copy of a stream's memory is lost or leaves; another copy was asked for", "nothing")
 	EventRunning = event.Define(2732, "exchange_running", event.Info,
 		"streams that have been on their way for a second, each named once with its backend server", "nothing")
+	EventTrial = event.Define(2733, "exchange_trial", event.Info,
+		"a stream that is expected to be late was sent on trial, since no prompt of its service was for a while", "nothing; if it lasts, there are too few backend servers")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
 )
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -89,7 +89,7 @@
 	opts    Options
 	metrics *metrics
 	budgets sync.Map // service -> *retry.Window
-	paces   sync.Map // service -> *pauses
+	paces   sync.Map // service -> *pace
 	probes  prober
 	running running
 }
@@ -120,12 +120,12 @@
 	return w.(*retry.Window)
 }
 
-func (e *Exchange) pausesOf(service string) *pauses {
+func (e *Exchange) paceOf(service string) *pace {
 	if p, ok := e.paces.Load(service); ok {
-		return p.(*pauses)
+		return p.(*pace)
 	}
-	p, _ := e.paces.LoadOrStore(service, &pauses{})
-	return p.(*pauses)
+	p, _ := e.paces.LoadOrStore(service, &pace{})
+	return p.(*pace)
 }
 
 // allowRetry takes one more sending out of the service's budget.
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -170,18 +170,25 @@
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
 func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
+	if s.arrivals > 0 && !s.hasCopy() {
+		// A retry that would be late must cost nothing of the budget.
+		if _, err := s.inTime(); err != nil {
+			return nil, nil, err
+		}
+	}
 	if s.arrivals > 0 && !s.pay(ctx) {
 		return nil, nil, ErrBudget
 	}
-	if at := s.copies.at(); at != nil && !s.tried[at.ID] && s.e.opts.Directory.Usable(at, time.Now()) {
+	if s.hasCopy() {
 		m := s.copies.take()
 		return m.At, m, nil
 	}
 	s.copies.drop()
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
-		if server := s.pick(); server != nil {
-			return server, nil, nil
+		server, err := s.inTime()
+		if server != nil || err != nil {
+			return server, nil, err
 		}
 		if time.Now().After(giveUp) {
 			return nil, nil, ErrNoServer
@@ -193,6 +200,12 @@
 	}
 }
 
+// hasCopy tells whether a copy of the stream's memory may be gone on from.
+func (s *stream) hasCopy() bool {
+	at := s.copies.at()
+	return at != nil && !s.tried[at.ID] && s.e.opts.Directory.Usable(at, time.Now())
+}
+
 // pay takes the next sending out of the retry budget, unless what was taken
 // for the last one is still unused: a server that has ended takes no connection,
 // so nobody there got a retry. In a mass loss the streams find many such servers.
@@ -241,5 +254,10 @@
 	if ctx.Err() != nil {
 		return &Failure{Ran: true, TimedOut: true, Err: errors.Wrap(ErrTimeout, err.Error())}
 	}
-	return &Failure{Ran: s.ran > 0, RetryAfter: retryAfter, Err: err}
+	after := retryAfter
+	var late *LateError
+	if errors.As(err, &late) {
+		after = late.retryAfter()
+	}
+	return &Failure{Ran: s.ran > 0, RetryAfter: after, Err: err}
 }
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -26,7 +26,7 @@
 	timer *time.Timer
 	armed time.Time
 	wait  time.Duration
-	since time.Time // of the newest event; zero before the first
+	since time.Time // when the wait for the next event began; zero while there is none
 	early bool      // no event has come yet
 }
 
@@ -69,13 +69,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.early {
-		w.pauses().seen(time.Since(w.since))
+		w.pace().seen(time.Since(w.since))
 	}
-	w.early = false
+	w.early, w.since = false, time.Time{}
 	w.timer.Stop()
 }
 
-func (w *watch) pauses() *pauses { return w.e.pausesOf(w.server.Service) }
+func (w *watch) pace() *pace { return w.e.paceOf(w.server.Service) }
 
 // listen waits for the next event.
 func (w *watch) listen() {
@@ -123,7 +123,11 @@
 	asked := w.e.probes.ask(w.server) // also for the streams that wait there for their first event
 	w.mu.Lock()
 	since := w.since
-	rest := w.pauses().bound(w.e.opts.Timings.Silence) - time.Since(since)
+	if since.IsZero() {
+		w.mu.Unlock()
+		return // an event has come just now
+	}
+	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence) - time.Since(since)
 	if rest > 0 {
 		w.arm(rest)
 	}
@@ -152,7 +156,7 @@
 func (w *watch) learnFromCut(silence time.Duration, asked <-chan struct{}) {
 	<-asked
 	if !w.server.IsDown(time.Now()) {
-		w.pauses().seen(silence)
+		w.pace().pauses.seen(silence)
 	}
 }
 
