exchange: until pauses are known, a silence beside a prompt is borne for longer

Cause: each entry VM learns pauses by itself. On grown sites with slower engines nearly all streams of the first 18 s failed: cut pauses had to teach each of many VMs, and prompts read again filled the servers meanwhile. The length of streams, which the estimate needs, was known only when the first one was whole. Change: while fewer than 8 long pauses have been seen, a silence may last three times the usual bound if the server is reading a prompt and answers; without a prompt there the bound is the old one. A server that is asked because of a silence has 100 ms for its answer in place of 250, so that a dark one is left after 450 ms at most. Until a stream has ended whole its length is taken for at least that of the longest one on its way.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -154,6 +154,7 @@
 	s.lastAt = now
 	if ev.id != 0 {
 		s.last = ev.id
+		s.e.paceOf(s.req.Service).reached(s.last, s.req.MaxTokens)
 	}
 	return nil
 }
--- a/exchange/estimate_test.go
+++ b/exchange/estimate_test.go
@@ -184,6 +184,19 @@
 	})
 }
 
+// A process has just started, and engines are too slow for any draft to be whole:
+// none ever tells how long drafts are. How far they come tells at least that.
+func TestLengthIsReckonedFromStreamsOnTheirWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &pace{}
+	for i := range 50 {
+		p.reached(uint64(i+1), 600)
+	}
+	g.Expect(p.events(600)).To(gomega.BeNumerically("~", 50, 0.1))
+	p.ended(130, 600)
+	g.Expect(p.events(600)).To(gomega.BeNumerically("~", 130*shortLength, 0.1))
+}
+
 // A process has just started and knows nothing of the engines. It refuses nothing.
 func TestWithoutMeasurementsNothingIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/exchange/pace.go
+++ b/exchange/pace.go
@@ -25,6 +25,7 @@
 	pauses pauses
 	alone  atomic.Int64  // nanoseconds an event beside no prompt; 0: not measured
 	length atomic.Uint64 // bits of a float64: events for each token that may be made
+	least  atomic.Uint64 // the same, of the longest stream so far that has not ended
 	sentAt atomic.Int64  // Unix nanoseconds of the newest prompt sent
 }
 
@@ -55,9 +56,24 @@
 	p.length.Store(math.Float64bits(share))
 }
 
+// reached notes how far a stream has come. Until the first one is whole, which
+// takes longest where servers are too slow, that is what is known of their length.
+func (p *pace) reached(events uint64, maxTokens int) {
+	if p.length.Load() != 0 || maxTokens <= 0 {
+		return
+	}
+	if share := float64(events) / float64(maxTokens); share > math.Float64frombits(p.least.Load()) {
+		p.least.Store(math.Float64bits(share))
+	}
+}
+
 // events returns how many events a stream has, unless it is among the shortest.
 func (p *pace) events(maxTokens int) float64 {
-	return shortLength * math.Float64frombits(p.length.Load()) * float64(maxTokens)
+	length := math.Float64frombits(p.length.Load())
+	if length == 0 {
+		return math.Float64frombits(p.least.Load()) * float64(maxTokens)
+	}
+	return shortLength * length * float64(maxTokens)
 }
 
 // event returns how long an event takes at a server that spends this share of
--- a/exchange/pauses.go
+++ b/exchange/pauses.go
@@ -13,8 +13,9 @@
 	// pausesKept is how many long pauses are remembered: those of about five
 	// streams, each of which is held up by one or two prompts.
 	pausesKept = 32
-	// pausesNeeded is how many make a measure.
-	pausesNeeded = 4
+	// pausesNeeded is how many make a measure. The first few tell too little: a
+	// prompt that begins in the middle of an event lengthens it by a part only.
+	pausesNeeded = 8
 	// usualShare of the pauses kept are no longer than the usual one. The rest may
 	// be of a standstill of this VM.
 	usualShare = 0.9
@@ -22,6 +23,10 @@
 	// Engines that read 8,000 tokens a second pause for 200 ms at most: the usual
 	// bound of 350 ms stands there.
 	silenceFactor = 1.5
+	// unknownFactor of the usual bound is what a silence may last beside a prompt
+	// while nothing has been measured. Engines that read 2,000 tokens a second
+	// pause for 730 ms: at twice the bound each was cut just before its end.
+	unknownFactor = 3
 	// maxSilence is the longest silence that is borne. Callers give a stream up
 	// after two seconds at least.
 	maxSilence = 1800 * time.Millisecond
@@ -33,8 +38,8 @@
 // Failure it answers for: engines that read at half the usual speed pause for
 // longer than the bound of silence. Each such pause counted as a loss, the
 // prompt was read again elsewhere and held up the streams there, until nearly
-// no stream ended in its time: 474 attempts of one calm minute were given up
-// so, and prompts read in vain cost 0.9 of what was to be earned.
+// no stream ended in its time: 474 attempts of one minute were given up so, and
+// prompts read in vain cost 0.9 of what was to be earned.
 type pauses struct {
 	kept  [pausesKept]atomic.Int64 // nanoseconds, the oldest replaced first
 	count atomic.Uint64
@@ -60,8 +65,12 @@
 }
 
 // bound returns how long a stream of a server that gives signs of life may be
-// silent; least is returned unless pauses are longer than usual.
-func (p *pauses) bound(least time.Duration) time.Duration {
-	learned := time.Duration(silenceFactor * float64(p.usual.Load()))
-	return max(least, min(learned, maxSilence))
+// silent: least, or more if pauses are longer than usual, or unknown and the
+// server reads a prompt.
+func (p *pauses) bound(least time.Duration, reads bool) time.Duration {
+	usual := p.usual.Load()
+	if usual == 0 && reads {
+		return unknownFactor * least
+	}
+	return max(least, min(time.Duration(silenceFactor*float64(usual)), maxSilence))
 }
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -127,7 +127,7 @@
 		w.mu.Unlock()
 		return // an event has come just now
 	}
-	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence) - time.Since(since)
+	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence, w.server.Unread() > 0) - time.Since(since)
 	if rest > 0 {
 		w.arm(rest)
 	}
@@ -137,18 +137,31 @@
 		w.learnFromCut(time.Since(since), asked)
 		return
 	}
-	select {
-	case <-asked:
-	case <-w.ctx.Done():
-		return
-	}
+	alive := w.answers(asked)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.since.Equal(since) && w.server.IsDown(time.Now()) {
+	if !alive && w.since.Equal(since) {
 		w.cancel(ErrSilent)
 	}
 }
 
+// signOfLife is how long a server may take to give one while a stream waits: an
+// answer takes 3 ms between zones, twice that on a new connection, and the caller
+// allows 700 ms without an event, in which the stream has to go on elsewhere.
+const signOfLife = 100 * time.Millisecond
+
+// answers tells whether the server answers the question that was asked.
+func (w *watch) answers(asked <-chan struct{}) bool {
+	select {
+	case <-asked:
+		return !w.server.IsDown(time.Now())
+	case <-time.After(signOfLife):
+		return false
+	case <-w.ctx.Done():
+		return true
+	}
+}
+
 // learnFromCut counts the silence that ended an attempt as a pause if the server
 // lives. Where every pause beside a prompt is longer than the bound, none would
 // ever be seen otherwise. A few streams of sound servers that do fall silent
