--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -107,7 +107,10 @@
 // another one, stands for.
 func failedBy(err error) EndedBy {
 	var notRun *NotRunError
+	var late *LateError
 	switch {
+	case errors.As(err, &late):
+		return EndedByNoServer
 	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined):
 		return EndedByLimit
 	case errors.Is(err, ErrNoServer):
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -89,6 +89,7 @@
 	opts    Options
 	metrics *metrics
 	budgets sync.Map // service -> *retry.Window
+	paces   sync.Map // service -> *pace
 	probes  prober
 	running running
 }
@@ -119,6 +120,14 @@
 	return w.(*retry.Window)
 }
 
+func (e *Exchange) paceOf(service string) *pace {
+	if p, ok := e.paces.Load(service); ok {
+		return p.(*pace)
+	}
+	p, _ := e.paces.LoadOrStore(service, &pace{})
+	return p.(*pace)
+}
+
 // allowRetry takes one more sending out of the service's budget.
 func (e *Exchange) allowRetry(service string) bool {
 	w := e.budget(service)
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -26,7 +26,8 @@
 	timer *time.Timer
 	armed time.Time
 	wait  time.Duration
-	early bool // no event has come yet
+	since time.Time // when the wait for the next event began; zero while there is none
+	early bool      // no event has come yet
 }
 
 func newWatch(ctx context.Context, e *Exchange, server *directory.Server) *watch {
@@ -68,14 +69,20 @@
 func (w *watch) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.early = false
+	if !w.early {
+		w.pace().seen(time.Since(w.since))
+	}
+	w.early, w.since = false, time.Time{}
 	w.timer.Stop()
 }
 
+func (w *watch) pace() *pace { return w.e.paceOf(w.server.Service) }
+
 // listen waits for the next event.
 func (w *watch) listen() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.since = time.Now()
 	w.arm(w.e.opts.Timings.Silence)
 }
 
@@ -96,8 +103,7 @@
 		return
 	}
 	if !early {
-		w.e.probes.ask(w.server) // for the streams that wait there for their first event
-		w.cancel(ErrSilent)
+		w.silentBetween()
 		return
 	}
 	select {
@@ -112,6 +118,62 @@
 	}
 }
 
+// silentBetween ends the attempt unless its server pauses longer than others do
+// and gives a sign of life: then the stream waits for as long as is usual there.
+func (w *watch) silentBetween() {
+	asked := w.e.probes.ask(w.server) // also for the streams that wait there for their first event
+	w.mu.Lock()
+	since := w.since
+	if since.IsZero() {
+		w.mu.Unlock()
+		return // an event has come just now
+	}
+	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence, w.server.Unread() > 0) - time.Since(since)
+	if rest > 0 {
+		w.arm(rest)
+	}
+	w.mu.Unlock()
+	if rest <= 0 {
+		w.cancel(ErrSilent)
+		w.learnFromCut(time.Since(since), asked)
+		return
+	}
+	alive := w.answers(asked)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !alive && w.since.Equal(since) {
+		w.cancel(ErrSilent)
+	}
+}
+
+// signOfLife is how long a server may take to give one while a stream waits: an
+// answer takes 3 ms between zones, twice that on a new connection, and the caller
+// allows 700 ms without an event, in which the stream has to go on elsewhere.
+const signOfLife = 100 * time.Millisecond
+
+// answers tells whether the server answers the question that was asked.
+func (w *watch) answers(asked <-chan struct{}) bool {
+	select {
+	case <-asked:
+		return !w.server.IsDown(time.Now())
+	case <-time.After(signOfLife):
+		return false
+	case <-w.ctx.Done():
+		return true
+	}
+}
+
+// learnFromCut counts the silence that ended an attempt as a pause if the server
+// lives. Where every pause beside a prompt is longer than the bound, none would
+// ever be seen otherwise. A few streams of sound servers that do fall silent
+// don't change what is usual.
+func (w *watch) learnFromCut(silence time.Duration, asked <-chan struct{}) {
+	<-asked
+	if !w.server.IsDown(time.Now()) {
+		w.pace().pauses.seen(silence)
+	}
+}
+
 // explain puts the watch's own reason in place of the error that closing the
 // connection gave.
 func (w *watch) explain(err error) error {
