config: a silent store or a frozen peer gives its turn up after half a second

Cause: the spreader asked one source at a time and waited two seconds for each. A silent store and a frozen peer held a text up for six seconds where four are promised, and a frozen peer that others went on naming kept sound ones from being asked. Ruled out: a shorter CallTimeout, since a full text of 1.86 MB takes 1.5 s at 10 Mbit/s; all sources beside each other always, since calls are priced and two full texts on one slow link are slower than one. Change: a question has the spreader to itself until it ends or nothing was heard for ShortTimeout; then it goes on beside the next one. One whose first byte has come keeps its turn. Who was asked in vain gives way to others that are named. Only the newest poll that has ended says whether the store is there. Ask goes past a seed that freezes after it was peeked at.

--- a/config/spreader.go
+++ b/config/spreader.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
@@ -47,7 +47,8 @@
 	Interval time.Duration
 	// CallTimeout bounds one call to the store or to a peer.
 	CallTimeout time.Duration
-	// ShortTimeout bounds one push, and the question for a peer's revision.
+	// ShortTimeout bounds one push, the question for a peer's revision, and how
+	// long a store or a peer that is silent keeps others from being asked.
 	// Processes that don't answer hold up the rest, and there are other ways.
 	ShortTimeout time.Duration
 	// PushConcurrency is how many pushes run at once.
@@ -56,11 +57,13 @@
 
 // Spreader brings newer revisions into its holder.
 type Spreader struct {
-	opts      SpreaderOptions
-	metrics   *spreadMetrics
-	hint      atomic.Pointer[hint]
-	wake      chan struct{}
-	storeDown atomic.Bool
+	opts    SpreaderOptions
+	metrics *spreadMetrics
+	hint    atomic.Pointer[hint]
+	wake    chan struct{}
+	asked   asked
+	open    sync.WaitGroup // questions without an answer yet
+	polls   pollOrder
 }
 
 // hint says which process was seen with a newer revision.
@@ -98,7 +101,7 @@
 	next := &hint{addr: addr, rev: rev}
 	for {
 		old := s.hint.Load()
-		if old != nil && old.rev >= rev {
+		if !s.asked.better(next, old) {
 			return
 		}
 		if s.hint.CompareAndSwap(old, next) {
@@ -113,6 +116,7 @@
 
 // Run polls the store and fetches from peers until ctx ends.
 func (s *Spreader) Run(ctx context.Context) error {
+	defer s.open.Wait()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -134,77 +138,28 @@
 	return d - d/4 + rand.N(d/2+1)
 }
 
-// poll brings in what the store has.
-func (s *Spreader) poll(ctx context.Context) {
-	if s.opts.Versions == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
-	defer cancel()
-	result, err := s.pull(ctx)
-	s.metrics.polls.WithLabelValues(result).Inc()
-	s.noteStore(result, err)
-}
-
-// Results of a poll.
-const (
-	pollSame  = "same"
-	pollNewer = "newer"
-	pollOlder = "older"
-	pollError = "error"
-)
-
-func (s *Spreader) pull(ctx context.Context) (string, error) {
-	begun := s.opts.Holder.opts.Now()
-	head, err := s.opts.Versions.Head(ctx)
-	var behind *BehindError
-	if errors.As(err, &behind) {
-		return pollOlder, err
-	}
-	if err != nil {
-		return pollError, err
-	}
-	if head.Revision <= s.opts.Holder.Revision() {
-		s.opts.Holder.Confirmed(head.Revision, begun)
-		return pollSame, nil
-	}
-	raw, err := s.opts.Versions.Load(ctx, head.Revision)
-	if err != nil {
-		return pollError, err
-	}
-	_, err = s.opts.Holder.Offer(head.Revision, raw)
-	s.opts.Holder.Confirmed(head.Revision, begun)
-	return pollNewer, err
-}
-
-// noteStore emits an event when the store goes or comes back, not at each poll.
-func (s *Spreader) noteStore(result string, err error) {
-	switch {
-	case result == pollOlder:
-		s.opts.Recorder.Emit(EventStoreBehind, "error", err)
-	case result == pollError && !s.storeDown.Swap(true):
-		s.opts.Recorder.Emit(EventStoreDown, "error", err)
-	case result != pollError && s.storeDown.Swap(false):
-		s.opts.Recorder.Emit(EventStoreBack)
-	}
-}
-
 // follow fetches from the process that was seen with the newest revision, and
-// asks the store if that fails.
+// asks the store if that fails or is silent.
 func (s *Spreader) follow(ctx context.Context) {
 	seen := s.hint.Swap(nil)
-	if seen == nil || seen.rev <= s.opts.Holder.Revision() {
+	if seen == nil || seen.rev <= s.opts.Holder.Revision() || s.asked.open(seen) {
 		return
 	}
-	if err := s.fetch(ctx, seen.addr, seen.rev); err != nil {
-		s.opts.Recorder.Emit(EventFetchFailed, "from", seen.addr, "revision", seen.rev, "error", err)
+	err := s.inTurn(ctx, func(ctx context.Context) error {
+		err := s.fetch(ctx, seen.addr, seen.rev)
+		if err != nil {
+			s.opts.Recorder.Emit(EventFetchFailed, "from", seen.addr, "revision", seen.rev, "error", err)
+		}
+		return err
+	})
+	// A store that is silent already is not asked again for each peer that is.
+	if err != nil && !s.polls.waiting() {
 		s.poll(ctx)
 	}
 }
 
 func (s *Spreader) fetch(ctx context.Context, addr string, rev types.Revision) error {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
-	defer cancel()
+	defer s.asked.begin(addr, rev)()
 	begun := s.opts.Holder.opts.Now()
 	got, raw, err := s.opts.Source.Fetch(ctx, addr, rev)
 	if err != nil {
@@ -217,6 +172,7 @@
 		s.metrics.fetches.WithLabelValues("old").Inc()
 		return err
 	}
+	s.asked.forget()
 	s.metrics.fetches.WithLabelValues("taken").Inc()
 	s.opts.Recorder.Emit(EventFetched, "from", addr, "revision", got)
 	return nil
@@ -225,7 +181,7 @@
 // Ask brings in the newest text that the given processes have, and reports
 // whether there is one in force then. A process calls it when it starts, so
 // that it gets the text while the store is down. Revisions are asked for
-// first, so that the text comes from one process only.
+// first, so that the text comes from one process only, unless that is silent.
 func (s *Spreader) Ask(ctx context.Context, addrs []string) bool {
 	candidates := s.peekAll(ctx, addrs)
 	for len(candidates) > 0 {
@@ -233,7 +189,8 @@
 		if candidates[best].rev <= s.opts.Holder.Revision() {
 			break
 		}
-		if s.fetch(ctx, candidates[best].addr, candidates[best].rev) == nil {
+		from := candidates[best]
+		if s.inTurn(ctx, func(ctx context.Context) error { return s.fetch(ctx, from.addr, from.rev) }) == nil {
 			break
 		}
 		candidates = append(candidates[:best], candidates[best+1:]...)
