node: answers on their way at a planned stop get out

Ruled out: counting until the answer is out, in sidecar and router: net/http tells a handler of no end of its answer; and more time for every ending: a process that ends by a failure, or past its bounded drain, must not wait. Change: the server with callers' answers gets up to a minute, within the drain's bound if there is one, to be shut down when a planned stop ends it. A router's callers' server is shut down before the others. A stop without slow answers takes no longer. Before, `go test ./node`: "unexpected EOF" for 8 MB of a sidecar's call at 10 Mbit/s, and for 527360 bytes at 240 kbit/s. After: both pass; TestFrozenReaderDoesNotKeepASidecarFromEnding bounds what it can cost. Shown to fail: the first with the old two seconds for the sidecar, both with them for all; the last without the drain's bound. Conclusion: a planned stop cuts none of these; a frozen reader of more than a kernel's buffer may delay one by up to a minute.

--- a/node/common.go
+++ b/node/common.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -34,9 +35,14 @@
 	// leaveTimeout bounds the announcement that this process is leaving.
 	leaveTimeout      = time.Second
 	readHeaderTimeout = 10 * time.Second
-	shutdownTimeout   = 2 * time.Second
-	routerPollText    = time.Second
-	sidecarPollText   = 20 * time.Second
+	// shutdownTimeout bounds how long an ending process serves what is of no
+	// caller's request, and anything when it ends by a failure.
+	shutdownTimeout = 2 * time.Second
+	// answersTimeout bounds how long answers may take to get out once all requests
+	// have run. The largest, of 8 MB, takes 6.4 s on a link of 10 Mbit/s.
+	answersTimeout  = time.Minute
+	routerPollText  = time.Second
+	sidecarPollText = 20 * time.Second
 )
 
 // Platform is what the platform gives a process. Any part may be nil for a
@@ -102,7 +108,8 @@
 	members  *membership.Membership
 	suspects *suspect.Ledger
 	news     *suspect.Spreader
-	mux      *http.ServeMux // of the peer listener
+	mux      *http.ServeMux            // of the peer listener
+	stopBy   atomic.Pointer[time.Time] // end of a bounded planned stop; nil: none
 }
 
 func newBase(opts Common, role types.Role, backendServer string) (*base, error) {
@@ -215,9 +222,23 @@
 	if b.opts.Drain <= 0 {
 		return ctx, func() {}
 	}
-	return context.WithTimeout(ctx, b.opts.Drain)
+	end := time.Now().Add(b.opts.Drain)
+	b.stopBy.Store(&end)
+	return context.WithDeadline(ctx, end)
 }
 
+// answersPatience returns how long answers may still take to get out.
+func (b *base) answersPatience() time.Duration {
+	end := b.stopBy.Load()
+	if end == nil {
+		return answersTimeout
+	}
+	return min(answersTimeout, max(shutdownTimeout, time.Until(*end)))
+}
+
+// shortPatience is for listeners without callers' answers.
+func shortPatience() time.Duration { return shutdownTimeout }
+
 // mount fills the peer listener with what every process serves.
 func (b *base) mount(own http.Handler) http.Handler {
 	b.mux.Handle(b.members.PathPrefix(), b.members.Handler())
@@ -259,8 +280,15 @@
 	return err
 }
 
-// serve adds an HTTP server on listener.
-func serve(group *run.Group, listener net.Listener, handler http.Handler) {
+// serve adds an HTTP server on listener. When a planned stop ends it, answers
+// have the time of patience to get out.
+//
+// Failure it stops: a request leaves the count of a planned stop when it has run
+// or its handler returns, while its answer is still on its way over a slow link.
+// Closed two seconds later, the answer is cut; of a call that may run at most
+// once the caller then doesn't know the outcome. Shutdown returns as soon as all
+// answers are out, so a stop without slow ones takes no longer.
+func serve(group *run.Group, listener net.Listener, handler http.Handler, patience func() time.Duration) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	group.Add(func() error {
 		err := server.Serve(listener)
@@ -268,8 +296,12 @@
 			return nil
 		}
 		return errors.Wrapf(err, "node: serve %s", listener.Addr())
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	}, func(ended error) {
+		bound := shutdownTimeout
+		if ended == nil {
+			bound = patience()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
 		defer cancel()
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
--- a/node/router.go
+++ b/node/router.go
@@ -126,10 +126,11 @@
 // Run serves until ctx ends or the router is told to stop, then drains.
 func (r *Router) Run(ctx context.Context) error {
 	var group run.Group
-	serve(&group, r.opts.Peers, r.mount(nil))
-	serve(&group, r.opts.Callers, r.router.Handler())
+	// The callers' server ends first: while their answers get out, the others say how it goes.
+	serve(&group, r.opts.Callers, r.router.Handler(), r.answersPatience)
+	serve(&group, r.opts.Peers, r.mount(nil), shortPatience)
 	if r.admin != nil {
-		serve(&group, r.opts.Admin, r.admin.Handler())
+		serve(&group, r.opts.Admin, r.admin.Handler(), shortPatience)
 	}
 	r.actors(&group)
 	actor(&group, r.router.Run)
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -179,6 +179,36 @@
 	})
 }
 
+// A reader of an answer has frozen. It must not keep a process from ending, which
+// an operator has bounded to five seconds; without a bound, a minute is enough.
+func TestFrozenReaderDoesNotKeepASidecarFromEnding(t *testing.T) {
+	for bound, want := range map[time.Duration]time.Duration{5 * time.Second: 7 * time.Second, 0: answersTimeout + shutdownTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			peers, service := newLink(segment), largeAnswers{make(chan struct{})}
+			s, err := NewSidecar(SidecarOptions{
+				Common:        Common{ID: "s", Zone: "z1", Peers: peers, Logger: log.NewNopLogger(), Drain: bound},
+				BackendServer: "a", Plain: service,
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- s.Run(ctx) }()
+			reading, cancel := context.WithCancel(t.Context())
+			go func() {
+				_, _ = streampb.NewSidecarProtobufClient("http://s", peers.client()).Call(reading, &streampb.CallRequest{RequestId: "r", Method: "POST", Path: "/"})
+			}()
+			<-service.ran
+			began := time.Now()
+			stop()
+			g.Expect(<-ended).To(Succeed())
+			g.Expect(time.Since(began)).To(BeNumerically("<=", want))
+			cancel()
+			time.Sleep(2 * time.Second) // the link's last segment
+		})
+	}
+}
+
 // A router is stopped as planned while a caller reads an answer over a link of
 // 240 kbit/s. The request leaves the router's count when its handler returns, and
 // the server still has up to 4 KB of the answer, which for some sizes wait for
@@ -194,7 +224,7 @@
 			serve(&group, callers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				defer close(handled)
 				_, _ = io.Copy(struct{ io.Writer }{w}, struct{ io.Reader }{bytes.NewReader(answer)})
-			}))
+			}), (&base{}).answersPatience)
 			actor(&group, func(context.Context) error {
 				<-handled
 				return nil
