node: a planned stop ends only when its leave has been heard

Ruled out: announcing before the drain begins, since new work would go on being taken meanwhile. It is made once, also when both an operator and a signal ask for the stop. Conclusion: a stop of a process without work takes as long as one member's answer; alone it takes no longer than before.

--- a/node/common.go
+++ b/node/common.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -108,13 +109,15 @@
 	members  *membership.Membership
 	suspects *suspect.Ledger
 	news     *suspect.Spreader
-	mux      *http.ServeMux            // of the peer listener
+	mux      *http.ServeMux // of the peer listener
+	left     chan struct{}  // closed when the others have heard that this process leaves, or won't
+	leaving  sync.Once
 	stopBy   atomic.Pointer[time.Time] // end of a bounded planned stop; nil: none
 }
 
 func newBase(opts Common, role types.Role, backendServer string) (*base, error) {
 	opts = opts.withDefaults(role)
-	b := &base{opts: opts, role: role, created: time.Now(), registry: prometheus.NewRegistry(), mux: http.NewServeMux()}
+	b := &base{opts: opts, role: role, created: time.Now(), registry: prometheus.NewRegistry(), mux: http.NewServeMux(), left: make(chan struct{})}
 	b.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", opts.ID), opts.RingSize)
 	b.holder = config.NewHolder(config.HolderOptions{Recorder: b.recorder, Registerer: b.registry})
 	b.peer = peer.New(peer.Options{
@@ -309,9 +312,27 @@
 	})
 }
 
-// leave tells the others that this process takes no new work.
+// leave tells the others, beside what else a stop does, that this process takes
+// no new work. It is safe to call many times.
 func (b *base) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	_ = b.members.Leave(ctx)
+	b.leaving.Do(func() {
+		go func() {
+			defer close(b.left)
+			ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+			defer cancel()
+			_ = b.members.Leave(ctx)
+		}()
+	})
+}
+
+// untilLeft waits for what leave has begun.
+//
+// Failure it stops: a process without work drains in no time and ends before any
+// other has heard that it leaves. It shows as a planned stop that the others
+// take for a failure. The wait is bounded by leaveTimeout.
+func (b *base) untilLeft(ctx context.Context) {
+	select {
+	case <-b.left:
+	case <-ctx.Done():
+	}
 }
--- a/node/router.go
+++ b/node/router.go
@@ -156,12 +156,16 @@
 	}
 	drain, cancel := r.drainContext(actorCtx)
 	defer cancel()
-	return r.router.Drained(drain)
+	if err := r.router.Drained(drain); err != nil {
+		return err
+	}
+	r.untilLeft(drain)
+	return nil
 }
 
 func (r *Router) beginDrain(reason string) {
 	r.router.BeginDrain(reason)
-	go r.leave()
+	r.leave()
 }
 
 // apply hands a new text to the parts that keep something of it.
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -77,7 +77,7 @@
 		Peer: b.peer, Zone: opts.Zone, BackendServer: opts.BackendServer,
 		Engine: opts.Engine, Plain: opts.Plain, Calls: s.newCalls(),
 		Dial: s.dial, Revision: b.holder.Revision, Suspects: b.suspects,
-		Journal: s.journal, OpenJournal: s.openJournal, OnLeaving: func() { go b.leave() },
+		Journal: s.journal, OpenJournal: s.openJournal, OnLeaving: b.leave,
 		Recorder: b.recorder, Registerer: b.registry,
 	})
 	b.inspect.Add("sidecar", s.sidecar.Dump)
@@ -206,6 +206,7 @@
 	case <-time.After(drainLinger):
 	case <-actorCtx.Done():
 	}
+	s.untilLeft(drain)
 	return nil
 }
 
