--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -199,6 +199,7 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	Status int
+	Header http.Header
 	Lines  int   // of the body
 	Bytes  int64 // of the rest
 	Err    error // nil: the answer came whole
@@ -247,7 +248,7 @@
 		c.Err = err
 		return c
 	}
-	c.Status, c.body = resp.StatusCode, bufio.NewReader(resp.Body)
+	c.Status, c.Header, c.body = resp.StatusCode, resp.Header, bufio.NewReader(resp.Body)
 	return c
 }
 
