membership: failing test, seeds that are gone hold a joining process up

Cause: join asks one address after the other and waits three seconds for each; that of a replaced VM swallows calls. Ruled out: the schedule; recontact runs beside probes, and one of its kind at a time is right.

--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,7 @@
 	nodes map[string]*node // by address
 	cuts  map[[2]string]bool
 	calls int
+	syncs map[string]map[string]bool // whom an address has compared its list with
 }
 
 // node is one run of a member.
@@ -42,7 +44,7 @@
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, nodes: map[string]*node{}, cuts: map[[2]string]bool{}}
+	return &network{t: t, nodes: map[string]*node{}, cuts: map[[2]string]bool{}, syncs: map[string]map[string]bool{}}
 }
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
@@ -151,6 +153,25 @@
 	return n.calls
 }
 
+func (n *network) noteSync(from string, r *http.Request) {
+	if !strings.HasSuffix(r.URL.Path, "/Sync") {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.syncs[from] == nil {
+		n.syncs[from] = map[string]bool{}
+	}
+	n.syncs[from][r.URL.Host] = true
+}
+
+// synced returns with how many processes an address has compared its list.
+func (n *network) synced(from string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.syncs[from])
+}
+
 // kill ends a member without a word; its address then swallows calls.
 func (nd *node) kill() {
 	nd.net.mu.Lock()
@@ -185,6 +206,7 @@
 // Do implements HTTPClient.
 func (nd *node) Do(req *http.Request) (*http.Response, error) {
 	nd.waitThawed()
+	nd.net.noteSync(nd.addr, req)
 	to, cut := nd.net.lookUp(nd.addr, req.URL.Host)
 	if to == nil || cut {
 		<-req.Context().Done()
