claim: a router that ends still saves the outcomes that wait

Ruled out: saving before the caller gets its answer; that adds a commit to each call. Counting a call until its outcome is saved would hold callers' stops up by a table service that is down. Before, `go test ./claim -run ARouter`: State: "claimed" where "completed" is expected, and the same for some of 200. After: all pass. Shown to fail: TestAllOutcomesAreSavedBeforeARouterEnds without the rest of the queue, TestSilentTableDoesNotKeepARouterFromEnding without the two seconds. Conclusion: a planned stop of router and sidecar together leaves no answered call unknown, unless the table service is down.

--- a/claim/coordinator.go
+++ b/claim/coordinator.go
@@ -104,14 +104,23 @@
 	}
 }
 
-// Run gathers claims, saves outcomes and deletes old rows until ctx ends.
+// Run gathers claims, saves outcomes and deletes old rows until ctx ends; the
+// outcomes that wait then are still saved, within saveAtEnd.
 func (c *Coordinator) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	saving, saved := context.WithCancel(context.WithoutCancel(ctx))
+	defer saved()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(saveAtEnd, saved) })()
 	var group run.Group
-	for _, actor := range []func(context.Context) error{c.claims.run, c.saves.run, c.finisher.run, c.sweeper.run} {
-		group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
-	}
+	add := func(actor func() error) { group.Add(actor, func(error) { cancel() }) }
+	add(func() error { return c.claims.run(ctx) })
+	add(func() error { return c.sweeper.run(ctx) })
+	add(func() error { return c.saves.run(saving) })
+	add(func() error {
+		defer saved()
+		return c.finisher.run(ctx, saving)
+	})
 	return group.Run()
 }
 
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -15,6 +15,9 @@
 	saveWorkers = 64   // of them read and written at once: a full transaction
 	saveTries   = 3
 	savePause   = 200 * time.Millisecond
+	// saveAtEnd bounds how long an ending router still writes outcomes: several
+	// times what one takes, DefaultSaveWait and a commit.
+	saveAtEnd = 2 * time.Second
 )
 
 // outcome is the final state of a claim that waits to be written.
@@ -45,21 +48,39 @@
 	}
 }
 
-func (f *finisher) run(ctx context.Context) error {
+// run writes until ctx ends, and then what still waits, until saving ends.
+//
+// Failure it stops: a router ends with a call that has just been answered, and
+// its outcome is lost with it. When the sidecar that remembers the answer is
+// stopped too, it shows as an unknown outcome of a call that ran and was answered.
+func (f *finisher) run(ctx, saving context.Context) error {
 	var workers sync.WaitGroup
 	for range saveWorkers {
-		workers.Go(func() { f.work(ctx) })
+		workers.Go(func() { f.work(ctx, saving) })
 	}
 	workers.Wait()
 	return ctx.Err()
 }
 
-func (f *finisher) work(ctx context.Context) {
+func (f *finisher) work(ctx, saving context.Context) {
 	for {
 		select {
 		case o := <-f.queue:
-			f.writeWithRetry(ctx, o)
+			f.writeWithRetry(saving, o)
 		case <-ctx.Done():
+			f.rest(saving)
+			return
+		}
+	}
+}
+
+// rest writes what is queued.
+func (f *finisher) rest(saving context.Context) {
+	for saving.Err() == nil {
+		select {
+		case o := <-f.queue:
+			f.writeWithRetry(saving, o)
+		default:
 			return
 		}
 	}
