--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,7 @@
 	for range 20 {
 		g.Expect(d.Pick(Query{Service: "s", Zone: "a"}, now).ID).To(gomega.Equal("b1"))
 	}
-	g.Expect(d.Pick(Query{Service: "s", Avoid: map[string]bool{"b1": true}}, now).ID).To(gomega.Equal("a1"))
+	g.Expect(d.Pick(Query{Service: "s", Avoid: map[Start]bool{{ID: "b1"}: true}}, now).ID).To(gomega.Equal("a1"))
 	g.Expect(d.server("a1").IsDown(now.Add(revivedAfter))).To(gomega.BeFalse())
 }
 
@@ -140,7 +141,7 @@
 	tell(pace)
 	for _, vm := range vms {
 		g.Expect(vm.server("a1").IsDown(now)).To(gomega.BeTrue())
-		g.Expect(vm.Adopt(vm.server("a2"), "a3", now)).To(gomega.BeTrue())
+		g.Expect(vm.Adopt(vm.server("a2"), Start{ID: "a3"}, now)).To(gomega.BeTrue())
 	}
 	busy := b.server("b1").StreamBegun(8000)
 	defer busy.End()
@@ -335,9 +336,9 @@
 	busy := d.server("b1").StreamBegun(8000)
 	defer busy.End()
 	found := lost.Add(1300 * time.Millisecond)
-	g.Expect(d.Adopt(d.server("a1"), "a1-again", found)).To(gomega.BeTrue())
-	g.Expect(d.AdoptAs(Hash("a2"), "a2-again", found.Add(time.Millisecond))).To(gomega.BeTrue())
-	g.Expect(d.AdoptAs(Hash("a2"), "a2-again", found)).To(gomega.BeFalse())
+	g.Expect(d.Adopt(d.server("a1"), Start{ID: "a1-again"}, found)).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(Hash("a2"), Start{ID: "a2-again"}, found.Add(time.Millisecond))).To(gomega.BeTrue())
+	g.Expect(d.AdoptAs(Hash("a2"), Start{ID: "a2-again"}, found)).To(gomega.BeFalse())
 	got := map[string]bool{}
 	for range 50 {
 		got[d.Pick(Query{Service: "s", Zone: "a"}, found.Add(10*time.Millisecond)).ID] = true
@@ -415,3 +416,42 @@
 	g.Expect(most).To(gomega.BeNumerically("<=", 4))
 	g.Expect(len(prompts)).To(gomega.BeNumerically(">=", 30))
 }
+
+// Another program writes over 3,000 entries. Each look at the list used to be a
+// failure of its own; now they are told once, in a line that names a few of them,
+// and again only when an entry is invalid for another reason.
+func TestInvalidEntriesAreToldOnceInOneLine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	recorder := event.Discard()
+	f := &Follower{Directory: New(), Recorder: recorder}
+	var list []Listing
+	for i := range 3000 {
+		list = append(list, Listing{ID: fmt.Sprintf("i-%d", i), Invalid: "its state is \"odd\""})
+	}
+	list = append(list, Listing{ID: "good", Service: "s", Address: "10.0.0.1:80"})
+	told := func() (lines []string) {
+		for _, e := range recorder.Entries("") {
+			if e.ID == EventInvalid.ID() {
+				lines = append(lines, e.Fields["entries"])
+			}
+		}
+		return lines
+	}
+	for position := range uint64(50) {
+		f.Take(position+1, list, true, "store")
+	}
+	g.Expect(told()).To(gomega.HaveLen(1))
+	g.Expect(told()[0]).To(gomega.ContainSubstring(`"i-0": its state is "odd"`))
+	g.Expect(told()[0]).To(gomega.HaveSuffix("+2992"))
+	g.Expect(len(told()[0])).To(gomega.BeNumerically("<", 2000))
+	g.Expect(f.Directory.View().Invalid()).To(gomega.Equal(3000))
+	g.Expect(f.Directory.View().Len()).To(gomega.Equal(1))
+	list = slices.Clone(list) // views keep the list that they were given
+	list[5].Invalid = FaultNoService
+	f.Take(60, list, true, "peer")
+	g.Expect(told()).To(gomega.HaveLen(1), "a peer hands on no reason")
+	list = slices.Clone(list)
+	list[6].Invalid = "its address is not ip:port"
+	f.Take(61, list, true, "store")
+	g.Expect(told()).To(gomega.HaveLen(2))
+}
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -8,8 +8,8 @@
 // Query says what is looked for.
 type Query struct {
 	Service string
-	Zone    string          // of this process; wins ties
-	Avoid   map[string]bool // ids that were tried already
+	Zone    string         // of this process; wins ties
+	Avoid   map[Start]bool // starts that were tried already
 	// NotZone is passed over while there are servers elsewhere: that of the
 	// run whose copy is placed, or that has just lost several servers.
 	NotZone string
@@ -116,7 +116,7 @@
 			continue
 		}
 		score := s.score(q, now) + rand.Float64()*tieWeight
-		if (found == nil || score < least) && !q.Avoid[s.ID] {
+		if (found == nil || score < least) && !q.Avoid[s.Start] {
 			found, least = s, score
 		}
 	}
@@ -137,7 +137,7 @@
 	score += streamWeight * float64(s.streams.Load()+s.otherStreams.Load())
 	score += q.weightOfCopies() * float64(s.copies.Load()+s.otherCopies.Load())
 	score += callWeight * float64(s.calls.Load())
-	score += faultWeight * s.Faults(now)
+	score += faultWeight * (s.Faults(now) + s.distrust(now))
 	// What a server told is older than what entry VMs tell each other of streams.
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,12 @@
 		func() float64 { return e.servers.Age().Seconds() })
 	gauge("pearyard_config_position", "Place of the configuration in force in the store's history.",
 		func() float64 { return float64(e.holder.Position()) })
+	e.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "pearyard_server_words_dropped_total",
+		Help: "Entries of backend servers and losses told of them that were dropped, as another start is the known one.",
+	}, func() float64 { return float64(e.directory.DroppedWords()) }))
+	gauge("pearyard_servers_invalid", "Entries of the list of backend servers that name no server.",
+		func() float64 { return float64(e.directory.View().Invalid()) })
 	if dropped != nil {
 		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
 	}
@@ -131,9 +137,10 @@
 // who of them reads the store for all.
 func (e *Entry) newLoads() {
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
+	e.socket.Report(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
 	e.duty = fleet.NewDuty(fleet.DutyOptions{
-		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
+		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Size: e.fleet.Size, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
 	})
 	e.budgets = fleet.NewBudgets(fleet.BudgetsOptions{
 		Socket: e.socket, Near: e.fleet.Near, Size: e.fleet.Size,
@@ -182,10 +189,10 @@
 	found := fleet.NewRestarts(e.socket, e.directory)
 	return &exchange.Restarts{
 		Reuse: e.settings.AddressReuse, Away: e.servers.Failing, Found: found.Found,
-		Identify: func(ctx context.Context, s *directory.Server) (string, error) {
+		Identify: func(ctx context.Context, s *directory.Server) (directory.Start, error) {
 			service, ok := e.service(s.Service)
 			if !ok || service.HealthPath == "" {
-				return "", errors.Errorf("entry: service %q has no health path", s.Service)
+				return directory.Start{}, errors.Errorf("entry: service %q has no health path", s.Service)
 			}
 			return backend.Identify(ctx, s, service.HealthPath)
 		},
--- a/entry/events.go
+++ b/entry/events.go
@@ -17,6 +17,10 @@
 var EventTakenInStop = event.Define(2758, "entry_stop_taken", event.Info,
 	"a stream was taken although a planned stop has begun: by the time that streams need, it can be finished", "nothing")
 
+// EventRouteRefused is emitted for a request of a route that can't be read.
+var EventRouteRefused = event.Define(2759, "entry_route_refused", event.Warn,
+	"a request was refused because the part of the configuration that describes its route can't be read; it has not run", "write the route anew; see the line site_config_parts")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -99,6 +99,10 @@
 		h.turnAway(w, r, call, err, config)
 		return
 	}
+	if call.Route.Refused != "" {
+		h.refuseRoute(w, call)
+		return
+	}
 	if !h.listed() {
 		h.notYet(w, call, "list of servers", min(comeBack(call.Wait), spreadOut(listWait)))
 		return
@@ -114,12 +118,24 @@
 	platform.WriteFailure(w, call.ID, &exchange.Failure{By: exchange.EndedByStart, RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
 }
 
+// refuseRoute refuses a request whose route can't be read; the request has not
+// run. The operator may write the route anew, so the caller may come back.
+func (h *handler) refuseRoute(w http.ResponseWriter, call *platform.Call) {
+	h.recorder.Emit(EventRouteRefused, event.FieldRequest, call.ID, "why", call.Route.Refused, "version", call.Version)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: comeBack(call.Wait), Err: errors.New("entry: the configuration of this route can't be read")})
+}
+
 // route finds the request's route, service and organisation.
 func route(call *platform.Call, config *site.Config) error {
 	call.Route = config.Match(call.Host, call.Path)
 	if call.Route == nil {
 		return &platform.RequestError{Status: http.StatusNotFound, By: exchange.EndedByConfiguration, Err: errors.New("entry: no route for this host and path")}
 	}
+	call.Version = config.Version
+	if call.Route.Refused != "" {
+		// Whether the route is public can't be read either: no key is asked for.
+		return nil
+	}
 	if config.Keys() && !call.Route.Public {
 		owner := config.Owner(call.Key)
 		if owner == nil {
@@ -127,7 +143,6 @@
 		}
 		call.Organisation = owner.Name
 	}
-	call.Version = config.Version
 	call.Service = call.Route.Pick()
 	length, by := wait(call.Wait, call.Route.Timeout)
 	call.Until, call.UntilBy = call.Arrived.Add(length), by
@@ -192,13 +207,13 @@
 // mayTake tells whether a stopping process can finish a request.
 func (h *handler) mayTake(call *platform.Call) bool {
 	now := time.Now()
-	if call.Route.Kind != site.Stream {
-		return h.stop.leavesTime(now, h.stop.callNeed(now))
-	}
-	need := h.stop.streamNeed(now)
+	need := h.stop.need(call.Route, now)
 	if !h.stop.leavesTime(now, need) {
 		return false
 	}
+	if call.Route.Kind != site.Stream {
+		return true
+	}
 	h.recorder.Emit(EventTakenInStop, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.stop.endsAt().Sub(now))
 	return true
 }
@@ -207,9 +222,10 @@
 	if last := h.stop.bound(call.Until); last.Before(call.Until) {
 		call.Until, call.UntilBy = last, exchange.EndedByStop
 	}
-	end := h.stop.calls.begin(call.Arrived)
+	served := false
+	end := h.stop.of(call.Route).begin(call.Arrived)
+	defer func() { end(served) }()
 	reply, err := h.exchange.Call(r.Context(), &call.Request)
-	end(err == nil)
 	if err != nil {
 		fail(w, call.ID, err)
 		return
@@ -223,15 +239,13 @@
 	if reply.Rest != nil {
 		passRest(w, reply.Rest, err)
 	}
+	served = true
 }
 
 // refuse turns a request away that the process could not finish any more.
 func (h *handler) refuse(w http.ResponseWriter, call *platform.Call) {
 	now := time.Now()
-	need := h.stop.streamNeed(now)
-	if call.Route.Kind != site.Stream {
-		need = h.stop.callNeed(now)
-	}
+	need := h.stop.need(call.Route, now)
 	h.exchange.Refused(call.Route, exchange.EndedByStop)
 	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.stop.endsAt().Sub(now),
 		event.FieldEndedBy, exchange.EndedByStop)
@@ -256,7 +270,7 @@
 }
 
 func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, call *platform.Call) {
-	end := h.stop.streams.begin(call.Arrived)
+	end := h.stop.of(call.Route).begin(call.Arrived)
 	begun, err := h.exchange.Stream(r.Context(), &call.Request, &sink{w: w, flush: http.NewResponseController(w)})
 	end(err == nil)
 	switch {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -25,6 +25,9 @@
 	// presence is how long a VM counts as there after its newest word; it covers
 	// a lost datagram.
 	presence = 2500 * time.Millisecond
+	// stopLife is how long a VM's word counts that it stops: the grace period that
+	// sites have and the time to start again.
+	stopLife = 10 * time.Second
 	// Cover is how long a reader's word stands for a look at the store. If all
 	// readers are lost at once, the others look themselves after it: a change is
 	// known everywhere within it and the time of one look, under the two seconds
@@ -32,10 +35,10 @@
 	Cover = 1350 * time.Millisecond
 	// ReaderWait is how long a reader's question waits at the store.
 	ReaderWait = 900 * time.Millisecond
-	// maxReading is how long a reader's question may have taken by the time of
-	// day for its answer to stand for the present. After a freeze the steady
-	// clock may not show how old an answer is.
-	maxReading = ReaderWait + 600*time.Millisecond
+	// maxAge is how old an answer may be to stand for the present: with Cover and
+	// a look at the store it stays under the two seconds. A whole list may take
+	// longer, and after a freeze an answer may be older than it looks.
+	maxAge = 550 * time.Millisecond
 )
 
 // Subject is what is read from the store.
@@ -74,6 +77,7 @@
 	Address  string
 	Socket   *Socket
 	Position func(Subject) uint64 // place of what is in force here
+	Size     func() int           // all VMs, this one included; very many until that is known
 	// Fetch asks a peer for changes of the list.
 	Fetch    func(ctx context.Context, peer string)
 	Recorder *event.Recorder
@@ -115,14 +119,15 @@
 
 func (d *Duty) isFit() bool { return d.fit[Config].Load() && d.fit[List].Load() }
 
-// Read notes that the store answered a question that was asked at began, and
-// tells the others if this VM is a reader.
-func (d *Duty) Read(s Subject, began time.Time) {
+// Read notes that the store answered, with what may be so old, and tells the
+// others if this VM is a reader.
+func (d *Duty) Read(s Subject, age time.Duration) {
 	d.fit[s].Store(true)
-	if time.Now().Round(0).Sub(began.Round(0)) > maxReading || !d.Reads() {
+	if !d.Reads() {
 		return
 	}
-	d.say(word{configReadNow: s == Config, listReadNow: s == List})
+	fresh := age <= maxAge
+	d.say(word{configReadNow: fresh && s == Config, listReadNow: fresh && s == List})
 }
 
 // Failed notes that the store did not answer, and says so at once if it did before.
@@ -141,23 +146,20 @@
 	d.say(word{})
 }
 
-// AllStop tells whether every VM that is heard is stopping as well. Without
-// word of others it is false: their words may be lost, and they may be many.
+// AllStop tells whether all other VMs have said that they stop. Those that are
+// silent serve: beyond the candidates VMs say nothing while they do, and words
+// may be lost. A VM that stops says so once at least.
 func (d *Duty) AllStop() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	stopping := false
+	stopping := 0
 	for _, vm := range d.there {
-		if now.Sub(vm.at) >= presence {
-			continue
+		if vm.stopping && now.Sub(vm.at) < stopLife {
+			stopping++
 		}
-		if !vm.stopping {
-			return false
-		}
-		stopping = true
 	}
-	return stopping
+	return stopping > 0 && stopping+1 >= d.opts.Size()
 }
 
 // before counts the VMs that are there, fit, and come first.
@@ -201,16 +203,17 @@
 }
 
 // take takes in another VM's word.
-func (d *Duty) take(from string, h head, raw []byte, now time.Time) {
+func (d *Duty) take(from string, h head, raw []byte, now time.Time) bool {
 	w, ok := decodeWord(raw)
 	if !ok || !d.note(from, h, w, now) {
-		return
+		return ok
 	}
 	read := [subjects]bool{Config: w.configReadNow, List: w.listReadNow}
 	place := [subjects]uint64{Config: w.config, List: w.listed}
 	for s := range subjects {
 		d.heard(from, s, read[s], place[s], now)
 	}
+	return true
 }
 
 // note keeps who is there; it reports whether the word is news.
--- a/site/follow.go
+++ b/site/follow.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"cmp"
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +34,9 @@
 	minPace = 100 * time.Millisecond
 )
 
+// loggedFaults is how many parts that can't be read a log line names.
+const loggedFaults = 8
+
 // Follower keeps a Holder up with a Source.
 type Follower struct {
 	Holder   *Holder
@@ -42,7 +47,7 @@
 
 	loop       atomic.Pointer[follow.Loop]
 	reached    atomic.Uint64 // place in the history up to which changes were read; written by Run alone
-	unreadable uint64        // position of the newest version that can't be read
+	unreadable atomic.Uint64 // position of the newest version that can't be read
 }
 
 // Run follows until ctx ends.
@@ -79,8 +84,16 @@
 
 func (f *Follower) answer(v *Versioned, reached uint64, err error) (follow.Take, error) {
 	var bad *UnreadableError
-	if errors.As(err, &bad) && f.Holder.Position() > 0 {
-		return func() { f.passOver(bad) }, nil
+	if errors.As(err, &bad) {
+		f.tellUnreadable(bad, reached)
+	}
+	if bad != nil && f.Holder.Position() > 0 {
+		// The last good version stays in force. The store answers, so this is no
+		// failure of it: asking again would bring the same. A row whose place can't
+		// be read either is passed over by the place of the answer, or each wait
+		// would end with it at once. Without a good one peers are asked, as after
+		// a failure.
+		return func() { f.reach(max(bad.Position, reached)) }, nil
 	}
 	if err != nil {
 		return nil, err
@@ -95,14 +108,20 @@
 // question may come later than one to a newer question.
 func (f *Follower) reach(place uint64) { f.reached.Store(max(f.reached.Load(), place)) }
 
-// passOver leaves the last good version in force. The store answers, so this is
-// no failure of it: asking again would bring the same.
-func (f *Follower) passOver(bad *UnreadableError) {
-	f.reach(bad.Position)
-	if bad.Position > f.unreadable {
-		f.unreadable = bad.Position
-		f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
+// tellUnreadable tells of a version that can't be read, once. Several questions
+// may have found it.
+func (f *Follower) tellUnreadable(bad *UnreadableError, reached uint64) {
+	place := cmp.Or(bad.Position, reached)
+	for {
+		known := f.unreadable.Load()
+		if place <= known {
+			return
+		}
+		if f.unreadable.CompareAndSwap(known, place) {
+			break
+		}
 	}
+	f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
 }
 
 // Offer puts a version in force and says so.
@@ -112,4 +131,8 @@
 	}
 	f.Recorder.Emit(EventApplied, "version", v.Config.Version, "position", v.Position,
 		"routes", v.Config.Routes(), "from", from)
+	if faults := v.Config.Faults; len(faults) > 0 {
+		f.Recorder.Emit(EventParts, "version", v.Config.Version, "position", v.Position,
+			"faults", strings.Join(faults[:min(len(faults), loggedFaults)], "; "), "count", len(faults), "from", from)
+	}
 }
