entry: the longest of all streams stands for a route's few

Change: as long as fewer than eight of a route's own have ended, the longest of all routes' streams is taken, if of these eight have. Ruled out: one sample for all routes, which let one long call refuse all short ones.

--- a/entry/durations.go
+++ b/entry/durations.go
@@ -61,8 +61,25 @@
 	d.count++
 }
 
+// enough tells whether as many requests have ended as stand for the next one.
+func (d *durations) enough() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.count >= enoughSamples
+}
+
 // need returns the time that the next request may take.
 func (d *durations) need(now time.Time) time.Duration {
+	need, count := d.known(now)
+	if count < enoughSamples {
+		return max(need, d.unknown)
+	}
+	return need
+}
+
+// known returns the longest that is known, with its margin, and of how many
+// requests that have ended.
+func (d *durations) known(now time.Time) (need time.Duration, count int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	longest := time.Duration(0)
@@ -72,9 +89,5 @@
 	for arrived := range d.running {
 		longest = max(longest, now.Sub(*arrived))
 	}
-	need := time.Duration(durationMargin * float64(longest))
-	if d.count < enoughSamples {
-		return max(need, d.unknown)
-	}
-	return need
+	return time.Duration(durationMargin * float64(longest)), d.count
 }
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -70,13 +70,36 @@
 
 func (s *stopping) endsAt() time.Time { return s.at.Add(time.Duration(s.end.Load())) }
 
-// need returns the time that the next request of a route may take.
+// need returns the time that the next request of a route may take. As long as
+// too few of the route's own have ended, the longest of all streams stands for a
+// stream: after a restart, with a few routes, streams were refused for most of
+// the next stop that any other route's would have let in.
 func (s *stopping) need(r *site.Route, now time.Time) time.Duration {
-	need := s.of(r).need(now)
-	if r.Kind == site.Stream {
-		return need
+	own := s.of(r)
+	if r.Kind != site.Stream {
+		return max(plainNeed, own.need(now)+finalMargin)
+	}
+	if longest, enough := s.longestStream(now); enough && !own.enough() {
+		return longest
+	}
+	return own.need(now)
+}
+
+// longestStream returns the longest that streams of any route need, and whether
+// enough of them have ended.
+func (s *stopping) longestStream(now time.Time) (longest time.Duration, enough bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := 0
+	for _, d := range s.byRoute {
+		if d.unknown != streamUnknown {
+			continue
+		}
+		need, count := d.known(now)
+		longest = max(longest, need)
+		ended += count
 	}
-	return max(plainNeed, need+finalMargin)
+	return longest, ended >= enoughSamples
 }
 
 // leavesTime tells whether a request that begins now and takes that long can be
--- a/entry/stopping_test.go
+++ b/entry/stopping_test.go
@@ -164,3 +164,24 @@
 		g.Expect(h.mayTake(note)).To(gomega.BeTrue(), "a stream of 1 s with 7.7 s left")
 	})
 }
+
+// A process has been started again and is stopped soon after. Of each of three
+// kinds of drafts three have ended, nine in all, after five seconds at most.
+// Drafts that come with six seconds left were refused, as too few of their own
+// kind had ended; the longest of all drafts is as good a witness.
+func TestStoppingGoesByAllStreamsWhileARoutesOwnAreFew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStopping()
+	now := time.Now()
+	for _, name := range []string{"tender", "plan", "note"} {
+		for range 3 {
+			s.of(&site.Route{Name: name, Kind: site.Stream}).took(5 * time.Second)
+		}
+	}
+	s.of(aCall).took(9 * time.Second)
+	note := &site.Route{Name: "note", Kind: site.Stream}
+	s.begin(now.Add(7700 * time.Millisecond))
+	g.Expect(s.leavesTime(now.Add(1700*time.Millisecond), s.need(note, now))).To(gomega.BeTrue())
+	g.Expect(s.leavesTime(now.Add(2300*time.Millisecond), s.need(note, now))).To(gomega.BeFalse())
+	g.Expect(s.leavesTime(now.Add(1700*time.Millisecond), s.need(aStream, now))).To(gomega.BeTrue(), "a kind that is new")
+}
