entry, fleet: callers are told when what runs has ended; a write to a caller that has left ends

(1) While all VMs stop, callers of streams were told to come back after this process's whole grace, and a VM that had started again said so a second later only. Most processes end when what runs has ended. Change: the time is that of the newest stream that runs and the longest that streams take; a VM's first word comes 0.15 s after its start. (2) TestCallerLeavesInALargeAnswer failed once, on a busy machine: no line of the request within 5 s. Traced: the caller's connection was full when it closed its side, and the write to it never ended. Shown without any load by TestCallerThatDoesNotReadLeavesInALargeAnswer, which failed each time. Change: a request that has been ended ends its writes. Ruled out: load as the cause of the second; it only decides whether the connection is full in time.

--- a/entry/durations.go
+++ b/entry/durations.go
@@ -77,6 +77,18 @@
 	return need
 }
 
+// lastArrival returns when the newest request came that still runs; zero if none does.
+func (d *durations) lastArrival() (newest time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for arrived := range d.running {
+		if arrived.After(newest) {
+			newest = *arrived
+		}
+	}
+	return newest
+}
+
 // known returns the longest that is known, with its margin, and of how many
 // requests that have ended.
 func (d *durations) known(now time.Time) (need time.Duration, count int) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -107,6 +107,7 @@
 		h.notYet(w, call, "list of servers", min(comeBack(call.Wait), spreadOut(listWait)))
 		return
 	}
+	defer endWrites(w, r)()
 	h.serve(w, r, call)
 }
 
@@ -265,7 +266,7 @@
 	if call.Route.Kind != site.Stream || h.allStop == nil || !h.allStop() {
 		return spreadOut(elsewhere)
 	}
-	back := h.stop.endsAt().Sub(now) + restartTime + time.Duration(rand.Float64()*float64(returnsOver))
+	back := h.stop.drainedBy(now).Sub(now) + restartTime + time.Duration(rand.Float64()*float64(returnsOver))
 	return min(back, time.Duration(honouredShare*float64(call.Until.Sub(now))))
 }
 
--- a/entry/reasons_test.go
+++ b/entry/reasons_test.go
@@ -125,6 +125,18 @@
 	w.holds("r1", verdict{"caller", "PY2723", "Its caller closed the connection after"})
 }
 
+// The same by a caller that has stopped reading for a while: its connection was
+// full, the write to it never ended, and neither did the request. Its line was
+// missing for as long as the caller kept its connection.
+func TestCallerThatDoesNotReadLeavesInALargeAnswer(t *testing.T) {
+	w := serving(t, 1, nil)
+	c := w.send(ask{id: "r1", path: "/large/1", direct: true}).head()
+	time.Sleep(time.Second) // the connection fills up
+	_ = c.conn.(*net.TCPConn).CloseWrite()
+	w.sawServers("r1", nursery.Abandoned)
+	w.holds("r1", verdict{"caller", "PY2723", "Its caller closed the connection after"})
+}
+
 // A server crashes in the middle of a large answer, which can't be asked for
 // again any more: its caller has a part of it.
 func TestServerBreaksALargeAnswer(t *testing.T) {
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -102,6 +102,28 @@
 	return longest, ended >= enoughSamples
 }
 
+// drainedBy returns when nothing runs here any more, as far as the longest that
+// streams take tells; the process ends then, and not later than its grace.
+func (s *stopping) drainedBy(now time.Time) time.Time {
+	longest, enough := s.longestStream(now)
+	if !enough {
+		longest = max(longest, streamUnknown)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drained := now
+	for _, d := range s.byRoute {
+		newest := d.lastArrival()
+		if end := newest.Add(longest); !newest.IsZero() && end.After(drained) {
+			drained = end
+		}
+	}
+	if end := s.endsAt(); drained.After(end) {
+		return end
+	}
+	return drained
+}
+
 // leavesTime tells whether a request that begins now and takes that long can be
 // finished.
 func (s *stopping) leavesTime(now time.Time, need time.Duration) bool {
--- a/entry/write.go
+++ b/entry/write.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pearyard/pearyard/exchange"
 )
@@ -29,6 +31,20 @@
 	return s.flush.Flush()
 }
 
+// endWrites ends writes to a caller once its request has been ended by its
+// leaving or by this process's stop; the function returned calls that off.
+//
+// Failure it stops: a caller that had stopped reading closed its side. The write
+// to its full connection never ended, and with it neither did the request: it
+// had no last line, and held its memory for as long as the connection stayed.
+func endWrites(w http.ResponseWriter, r *http.Request) (stop func() bool) {
+	control := http.NewResponseController(w)
+	return context.AfterFunc(r.Context(), func() {
+		// Without support for deadlines, as in tests, there is no connection either.
+		_ = control.SetWriteDeadline(time.Now())
+	})
+}
+
 // copyHeader hands a backend server's headers on. net/http would guess a
 // content type where the server named none.
 func copyHeader(w http.ResponseWriter, from http.Header) {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -22,6 +22,9 @@
 	candidates = 8
 	// sayEvery is how often each VM says that it is there and fit.
 	sayEvery = time.Second
+	// firstWord is when a VM first says that it is there: the registry of the others
+	// has been read by then, which takes some milliseconds.
+	firstWord = 150 * time.Millisecond
 	// presence is how long a VM counts as there after its newest word; it covers
 	// a lost datagram.
 	presence = 2500 * time.Millisecond
@@ -103,7 +106,9 @@
 
 // Run says that this VM is there until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	for retry.Wait(ctx, sayEvery) == nil {
+	// The first word comes as soon as the others are known: they may send callers
+	// away for as long as they take this VM for one that is stopping.
+	for wait := firstWord; retry.Wait(ctx, wait) == nil; wait = sayEvery {
 		if d.before() < candidates {
 			d.say(word{})
 		}
