entry: refusals in a file of their own; one of a route that can't be read names its side

Change: the refusal is ended_by=configuration and counted; what callers are told stands in refusal.go, moved as it was. The test of that refusal expects the reason, which failed before. Ruled out: nothing.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -4,8 +4,6 @@
 package entry
 
 import (
-	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -17,48 +15,8 @@
 	"github.com/pearyard/pearyard/site"
 )
 
-const (
-	// comeBackShare of the time that a caller will wait is when it may come
-	// back to a process that knows no configuration yet. Callers come back once
-	// or twice only, and the store may be away for seconds.
-	comeBackShare = 0.25
-	maxComeBack   = 2500 * time.Millisecond
-	// listWait is when a caller may come back to a process that knows its
-	// configuration but no servers yet: a list of 3,000 takes 0.9 s over a link
-	// of 10 Mbit/s. Told to come back in 0.4 s, as when servers are full, callers
-	// spent their one retry before the list was there.
-	listWait = 1300 * time.Millisecond
-	// elsewhere is told to callers of a process that is about to stop: their
-	// next connection goes to another one. A longer wait, in which the platform
-	// takes stopping processes out, gained nothing (mean worth 0.607 after 1.1 s,
-	// 0.613 after 0.15 s).
-	elsewhere = 150 * time.Millisecond
-	// restartTime is how long after its end a process serves again: 0.45 to 0.6 s
-	// in the lines of four VMs that were stopped together (PY2755 to PY2753).
-	restartTime = 700 * time.Millisecond
-	// returnsOver is the time over which callers are spread that come back to
-	// processes that were all stopped together.
-	returnsOver = time.Second
-	// honouredShare of the time that it has left is what a caller waits at most
-	// when it is told to come back later.
-	honouredShare = 1.0 / 3
-	// spread of what callers are told, so that they don't come back together.
-	spread = 0.25
-	// defaultWait is for a request that states no time of its own and whose route has none.
-	defaultWait = 30 * time.Second
-)
-
-// comeBack returns when a caller may come back that waits so long in all.
-func comeBack(wait time.Duration) time.Duration {
-	if wait <= 0 {
-		wait = defaultWait
-	}
-	return spreadOut(min(maxComeBack, time.Duration(comeBackShare*float64(wait))))
-}
-
-func spreadOut(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - spread*rand.Float64()))
-}
+// defaultWait is for a request that states no time of its own and whose route has none.
+const defaultWait = 30 * time.Second
 
 // handler serves callers.
 type handler struct {
@@ -111,21 +69,6 @@
 	h.serve(w, r, call)
 }
 
-// notYet refuses a request because the process has just started and lacks
-// something; the request has not run.
-func (h *handler) notYet(w http.ResponseWriter, call *platform.Call, missing string, wait time.Duration) {
-	h.exchange.Refused(call.Route, exchange.EndedByStart)
-	h.recorder.Emit(EventNotYet, event.FieldRequest, call.ID, "missing", missing, event.FieldEndedBy, exchange.EndedByStart)
-	platform.WriteFailure(w, call.ID, &exchange.Failure{By: exchange.EndedByStart, RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
-}
-
-// refuseRoute refuses a request whose route can't be read; the request has not
-// run. The operator may write the route anew, so the caller may come back.
-func (h *handler) refuseRoute(w http.ResponseWriter, call *platform.Call) {
-	h.recorder.Emit(EventRouteRefused, event.FieldRequest, call.ID, "why", call.Route.Refused, "version", call.Version)
-	platform.WriteFailure(w, call.ID, &exchange.Failure{RetryAfter: comeBack(call.Wait), Err: errors.New("entry: the configuration of this route can't be read")})
-}
-
 // route finds the request's route, service and organisation.
 func route(call *platform.Call, config *site.Config) error {
 	call.Route = config.Match(call.Host, call.Path)
@@ -162,37 +105,6 @@
 	}
 }
 
-func (h *handler) turnAway(w http.ResponseWriter, r *http.Request, call *platform.Call, err error, config *site.Config) {
-	var id string
-	var version uint64
-	var age time.Duration
-	if call != nil {
-		id = call.ID
-	}
-	if config != nil {
-		version = config.Version
-	}
-	if h.unconfirmed != nil {
-		age = h.unconfirmed()
-	}
-	status, by := http.StatusBadRequest, exchange.EndedByCaller
-	var known *platform.RequestError
-	if errors.As(err, &known) {
-		status, by = known.Status, known.By
-		if id == "" {
-			id = known.ID
-		}
-	}
-	// A body that ended early was cut by what ended its connection.
-	var end *exchange.End
-	if errors.As(context.Cause(r.Context()), &end) {
-		by = end.By
-	}
-	h.exchange.TurnedAway(by)
-	h.recorder.Emit(EventTurnedAway, event.FieldRequest, id, "status", status, "err", err, "version", version, "unconfirmed", age, event.FieldEndedBy, by)
-	platform.WriteStatus(w, id, status, err.Error())
-}
-
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, call *platform.Call) {
 	if h.stop.begun() && !h.mayTake(call) {
 		h.refuse(w, call)
@@ -243,33 +155,6 @@
 	served = true
 }
 
-// refuse turns a request away that the process could not finish any more.
-func (h *handler) refuse(w http.ResponseWriter, call *platform.Call) {
-	now := time.Now()
-	need := h.stop.need(call.Route, now)
-	h.exchange.Refused(call.Route, exchange.EndedByStop)
-	h.recorder.Emit(EventStopping, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.stop.endsAt().Sub(now),
-		event.FieldEndedBy, exchange.EndedByStop)
-	platform.WriteFailure(w, call.ID, &exchange.Failure{
-		By: exchange.EndedByStop, RetryAfter: h.afterStop(call, now), Err: errors.New("entry: this process is about to stop"),
-	})
-}
-
-// afterStop returns when a caller may come back whom a stopping process refuses.
-//
-// Failure it stops: all entry VMs were stopped within a second. Each sent its
-// callers on to the others at once, which refused them as well, and they had no
-// retry left when the first VM served again: 5% of the requests of a day with two
-// such stops were refused for good, none of those that are told when VMs are
-// back. Plain calls go on at once: stopping processes take them nearly to the end.
-func (h *handler) afterStop(call *platform.Call, now time.Time) time.Duration {
-	if call.Route.Kind != site.Stream || h.allStop == nil || !h.allStop() {
-		return spreadOut(elsewhere)
-	}
-	back := h.stop.drainedBy(now).Sub(now) + restartTime + time.Duration(rand.Float64()*float64(returnsOver))
-	return min(back, time.Duration(honouredShare*float64(call.Until.Sub(now))))
-}
-
 func (h *handler) serveStream(w http.ResponseWriter, r *http.Request, call *platform.Call) {
 	end := h.stop.of(call.Route).begin(call.Arrived)
 	begun, err := h.exchange.Stream(r.Context(), &call.Request, &sink{w: w, flush: http.NewResponseController(w)})
@@ -283,12 +168,3 @@
 		fail(w, call.ID, err)
 	}
 }
-
-// fail answers a request that was not served. The caller that has left hears nothing.
-func fail(w http.ResponseWriter, id string, err error) {
-	var failure *exchange.Failure
-	if !errors.As(err, &failure) {
-		panic(http.ErrAbortHandler)
-	}
-	platform.WriteFailure(w, id, failure)
-}
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -53,7 +53,7 @@
 	routes := []site.Route{{Host: "h", Prefix: "/x/odd/", Refused: "kind is unknown"}, {Host: "h", Prefix: "/x/", Targets: []site.Target{{Service: "s", Weight: 1}}}}
 	holder.Offer(&site.Versioned{Config: site.New(1, routes, nil, []site.Keyed{{}}, site.ClientLimits{}), Position: 1})
 	recorder := event.Discard()
-	h := &handler{holder: holder, recorder: recorder, stop: newStopping(), listed: func() bool { return true }}
+	h := &handler{holder: holder, exchange: exchange.New(exchange.Options{}), recorder: recorder, stop: newStopping(), listed: func() bool { return true }}
 	r := httptest.NewRequest(http.MethodPost, "/x/odd/1", strings.NewReader("body"))
 	r.Host = "h"
 	r.Header.Set("Attempt-Id", "a1")
@@ -62,4 +62,5 @@
 	g.Expect(w.Code).To(gomega.Equal(http.StatusServiceUnavailable))
 	g.Expect(w.Header().Get("Retry-After")).NotTo(gomega.BeEmpty())
 	g.Expect(recorder.Entries("a1")[0].Fields).To(gomega.HaveKeyWithValue("why", "kind is unknown"))
+	g.Expect(recorder.Entries("a1")[0].Fields).To(gomega.HaveKeyWithValue("ended_by", "configuration"))
 }
