exchange: the lines say how long a silence was and whether the server lived

Of an attempt that was ended for its server's silence the lines had neither the length of the silence nor whether the server had given a sign of life, so that a lost server and one that reads other prompts looked alike; the last line of a stream did not say whether its caller had begun to get an answer. No logic is changed.

--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -65,6 +65,21 @@
 // Unreached tells whether an attempt never reached its server.
 func (e *NotRunError) Unreached() bool { return e.Reason == Unreachable || e.Reason == Refused }
 
+// SilentError is ErrSilent with what it was decided by.
+type SilentError struct {
+	Silence time.Duration // since the last event
+	Alive   bool          // the server gave a sign of life meanwhile
+	Unread  int64         // prompt tokens that lay ahead there, as far as this process knows
+}
+
+// Error implements error.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("%v (for %v, alive=%v, %d prompt tokens ahead)", ErrSilent, e.Silence, e.Alive, e.Unread)
+}
+
+// Unwrap returns the cause.
+func (e *SilentError) Unwrap() error { return ErrSilent }
+
 // Failure is the final answer to a request that can't be served.
 type Failure struct {
 	// Ran is false only if it is proved that no backend server runs the
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -72,7 +72,7 @@
 		first = s.firstAt.Sub(s.req.Arrived)
 	}
 	return []any{"first", first, "pause", s.longest, "reached", s.last, "ran", s.ran, "refused", s.refused,
-		"resumed", s.resumed, "server", server, "last", s.cause}
+		"resumed", s.resumed, "begun", s.begun, "server", server, "last", s.cause}
 }
 
 func (s *stream) run(ctx context.Context) error {
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -134,7 +134,7 @@
 	}
 	w.mu.Unlock()
 	if rest <= 0 {
-		w.cancel(ErrSilent)
+		w.cancel(w.silence(since, !w.server.IsDown(time.Now())))
 		w.learnFromCut(time.Since(since), asked)
 		return
 	}
@@ -142,10 +142,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !alive && w.since.Equal(since) {
-		w.cancel(ErrSilent)
+		w.cancel(w.silence(since, false))
 	}
 }
 
+func (w *watch) silence(since time.Time, alive bool) *SilentError {
+	return &SilentError{Silence: time.Since(since), Alive: alive, Unread: w.server.Unread()}
+}
+
 // signOfLife is how long a server may take to give one while a stream waits: an
 // answer takes 3 ms between zones, twice that on a new connection, and the caller
 // allows 700 ms without an event, in which the stream has to go on elsewhere.
