exchange: a silent server's attempt goes on until another one has taken its place

Cause of the incident: an attempt was ended for its server's silence first, and a place for the stream was looked for then. The change of the configuration had no part in it. Class: what runs is given up before what is to replace it is certain. Ruled out: a request lost by the change itself (cuts come at all moments, each with PY2724 'fell silent' before it); connections closed unread (what was cut had begun). Change: silence is told (watch), not acted on. While the current attempt is silent the stream is offered to another server beside it (takeover.go); the first event from there ends the current attempt, an event of the current one ends the other. An attempt is ended without a successor only by its connection's end, a known end of its process, or no sign of life for 5 s (1 s while the caller has nothing yet). A prompt is not read again beside a server that lives unless that is in time. attempt.go: a goroutine reads, the stream alone decides; pass.go: events out. Two fixtures of older tests changed: firstOf takes a lock, as attempts are now opened beside each other, and TestLossBeforeTheFirstEvent waits for what notes a crash in the background.

--- a/directory/pick.go
+++ b/directory/pick.go
@@ -100,7 +100,7 @@
 	var found *Server
 	var least float64
 	for _, s := range list {
-		if s.Draining() || s.isDead() {
+		if s.Draining() || s.Ended() {
 			continue
 		}
 		if !g.notZone && q.NotZone != "" && s.Zone == q.NotZone {
@@ -200,7 +200,7 @@
 // Usable tells whether a server that holds something may still be asked for it:
 // it neither leaves nor is lost, alone or with its zone.
 func (d *Directory) Usable(s *Server, now time.Time) bool {
-	if s.Draining() || s.isDead() || s.IsDown(now) {
+	if s.Draining() || s.Ended() || s.IsDown(now) {
 		return false
 	}
 	return !lossesOf(d.view.Load().Service(s.Service), now).doubted(s)
--- a/directory/server.go
+++ b/directory/server.go
@@ -82,8 +82,8 @@
 // Draining tells whether it takes no new work.
 func (s *Server) Draining() bool { return s.draining.Load() || s.gone.Load() }
 
-// isDead tells whether its process is known to have ended.
-func (s *Server) isDead() bool {
+// Ended tells whether its process is known to have ended.
+func (s *Server) Ended() bool {
 	if !s.uneasy.Load() {
 		return false
 	}
--- a/directory/start.go
+++ b/directory/start.go
@@ -56,7 +56,7 @@
 // have ended: then the server's clock was set back between the two, and the server
 // would be out of use for as long as it runs.
 func (s *Server) succeededBy(other Start) bool {
-	return other.Born > s.Born || (other.Born != 0 && s.isDead())
+	return other.Born > s.Born || (other.Born != 0 && s.Ended())
 }
 
 // replace notes that another start of the server's id has taken its place. Its
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -1,173 +1,109 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"io"
-	"strconv"
+	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/pearyard/pearyard/directory"
-	"github.com/pearyard/pearyard/event"
 )
 
-// attempt runs the stream on one server until its end or a failure.
-func (s *stream) attempt(ctx context.Context, server *directory.Server, from *Memory) error {
-	s.server, s.heard = server, false
-	s.onItsWay.server.Store(server)
+// streamAttempt is one sending of a stream to one server. A goroutine reads what
+// the server sends and hands it on step by step; all else is done by the stream
+// that the attempt belongs to.
+type streamAttempt struct {
+	server *directory.Server
+	from   *Memory            // what it goes on from; nil: it reads the prompt
+	copies copyKeeper         // where its memory is copied to
+	load   *directory.Running // its share of the server's load
+	watch  *watch
+	steps  chan step
+	heard  bool // it has brought an event
+
+	over     chan struct{} // closed when nobody takes its steps any more
+	overOnce sync.Once
+}
+
+// step is what an attempt's server has sent.
+type step struct {
+	answer *Answer     // the head that an event or the end belongs to
+	event  streamEvent // if err is nil and there is no reply
+	reply  *Reply      // an answer that is no stream
+	err    error       // io.EOF: the stream ended whole
+}
+
+// launch sends the stream to a server.
+func (s *stream) launch(ctx context.Context, server *directory.Server, from *Memory) *streamAttempt {
 	prompt := s.req.PromptTokens
 	if from != nil {
 		prompt = 0
 	} else {
 		s.e.paceOf(s.req.Service).sent(time.Now())
 	}
-	running := server.StreamBegun(prompt)
-	defer running.End()
-	w := newWatch(ctx, s.e, server)
-	defer w.end()
-	began := time.Now()
-	copyTo := s.placeCopy(server)
-	answer, err := s.e.opts.Backend.Open(w.ctx, &Attempt{
-		Request: s.req, Server: server, Left: s.req.left(began), After: s.after(), CopyTo: copyTo, From: from,
-	})
-	if err != nil {
-		return w.explain(err)
+	a := &streamAttempt{
+		server: server, from: from, copies: copyKeeper{free: s.e.freeCopy}, load: server.StreamBegun(prompt),
+		watch: newWatch(ctx, s.e, server), steps: make(chan step), over: make(chan struct{}),
 	}
-	defer answer.Body.Close()
-	if answer.Status >= 300 || answer.Status < 200 {
-		return s.statusOf(answer)
+	sending := &Attempt{
+		Request: s.req, Server: server, Left: s.req.left(time.Now()), After: s.after(), CopyTo: s.placeCopy(a), From: from,
 	}
-	return s.passEvents(w, running, answer, from)
+	go a.read(s.e.opts.Backend, sending)
+	return a
 }
 
-// after names the event after which the next attempt goes on.
-func (s *stream) after() string {
-	if s.last == 0 {
-		return s.req.LastEvent
-	}
-	return strconv.FormatUint(s.last, 10)
-}
-
-// statusOf treats an answer that is no stream.
-func (s *stream) statusOf(a *Answer) error {
-	if s.begun {
-		return &BrokenError{Err: errors.Errorf("the server answered %d to a resume", a.Status)}
-	}
-	again := a.Status >= 500 && s.ran+1 < s.req.Route.Attempts() && s.req.Route.Resumable
-	if again {
-		return &BrokenError{Err: errors.Errorf("the server answered %d", a.Status)}
-	}
-	reply, err := whole(a)
+// read hands on what the server sends until its end, or until nobody takes it.
+func (a *streamAttempt) read(backend Backend, sending *Attempt) {
+	answer, err := backend.Open(a.watch.ctx, sending)
 	if err != nil {
-		return err
-	}
-	s.ran++
-	s.begun, s.status = true, reply.Status
-	if err := s.sink.Begin(reply.Status, reply.Header); err != nil {
-		return &finalError{err}
+		a.hand(step{err: a.watch.explain(err)})
+		return
 	}
-	if err := s.sink.Event(reply.Body); err != nil {
-		return &finalError{err}
+	defer answer.Body.Close()
+	if answer.Status >= 300 || answer.Status < 200 {
+		reply, err := whole(answer)
+		a.hand(step{reply: reply, err: err})
+		return
 	}
-	return nil
-}
-
-// passEvents passes events on until the stream's end.
-func (s *stream) passEvents(w *watch, running *directory.Running, a *Answer, from *Memory) error {
-	events := newEventReader(a.Body)
-	first := true
+	events := newEventReader(answer.Body)
 	for {
 		ev, err := events.next()
-		if err == io.EOF {
-			s.ran++
-			s.e.metrics.attempts.WithLabelValues("answered").Inc()
-			s.e.paceOf(s.req.Service).ended(s.last, s.req.MaxTokens)
-			return s.finish(a)
-		}
 		if err != nil {
-			return w.explain(&BrokenError{Err: err})
-		}
-		w.heard()
-		s.server.Heard(time.Now())
-		if first {
-			first, s.heard = false, true
-			s.promptRead(running)
-			s.started(from)
-			go s.keepCopy(w.ctx, s.server, s.notFor(s.server))
+			a.hand(step{answer: answer, err: a.ending(err)})
+			return
 		}
-		if err := s.pass(a, ev); err != nil {
-			return err
+		a.watch.heard()
+		a.server.Heard(time.Now())
+		ev.raw = bytes.Clone(ev.raw) // the next one is read while this is passed on
+		if !a.hand(step{answer: answer, event: ev}) {
+			return
 		}
-		w.listen()
+		a.watch.listen()
 	}
 }
 
-// promptRead takes the prompt off the server's load.
-func (s *stream) promptRead(running *directory.Running) {
-	if s.ran > 0 || s.req.LastEvent != "" {
-		running.ReadAgain()
-		return
-	}
-	running.Read()
-}
-
-// started notes the first event of an attempt.
-func (s *stream) started(from *Memory) {
-	if s.ran == 0 {
-		return
-	}
-	s.resumed++
-	how := "prompt_read_again"
-	if from != nil {
-		how = "copy"
-	}
-	since := s.lastAt
-	if since.IsZero() {
-		since = s.req.Arrived
-	}
-	s.e.metrics.resumes.WithLabelValues(how).Inc()
-	s.e.metrics.resumeTime.Observe(time.Since(since).Seconds())
-	s.e.opts.Recorder.Emit(EventResumed, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.server.Start,
-		"reached", s.last, "how", how, "after", time.Since(since))
-}
-
-// pass hands one event to the caller. Events must follow each other without a
-// gap: what a server sends after a resume may begin anew or in the wrong place.
-func (s *stream) pass(a *Answer, ev streamEvent) error {
-	if ev.id != 0 && s.last != 0 && ev.id != s.last+1 {
-		return &BrokenError{Err: errors.Wrapf(ErrOrder, "%d after %d", ev.id, s.last)}
-	}
-	if err := s.begin(a); err != nil {
+func (a *streamAttempt) ending(err error) error {
+	if err == io.EOF {
 		return err
 	}
-	if err := s.sink.Event(ev.raw); err != nil {
-		return &finalError{err}
-	}
-	now := time.Now()
-	if s.firstAt.IsZero() {
-		s.firstAt = now
-		s.e.metrics.firstEvent.Observe(now.Sub(s.req.Arrived).Seconds())
-	} else {
-		s.longest = max(s.longest, now.Sub(s.lastAt))
-	}
-	s.lastAt = now
-	if ev.id != 0 {
-		s.last = ev.id
-		s.e.paceOf(s.req.Service).reached(s.last, s.req.MaxTokens)
-	}
-	return nil
+	return a.watch.explain(&BrokenError{Err: err})
 }
 
-func (s *stream) begin(a *Answer) error {
-	if s.begun {
-		return nil
+// hand reports whether the step was taken.
+func (a *streamAttempt) hand(st step) bool {
+	select {
+	case a.steps <- st:
+		return true
+	case <-a.over:
+		return false
 	}
-	s.begun = true
-	if err := s.sink.Begin(a.Status, a.Header); err != nil {
-		return &finalError{err}
-	}
-	return nil
 }
 
-func (s *stream) finish(a *Answer) error { return s.begin(a) }
+// end ends the attempt at its server and takes it off the load. Its copy stays
+// until it is taken or dropped.
+func (a *streamAttempt) end() {
+	a.overOnce.Do(func() { close(a.over) })
+	a.watch.end()
+	a.load.End()
+}
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -104,15 +104,14 @@
 }
 
 // placeCopy chooses the place of the copy that a new run sends as it grows.
-func (s *stream) placeCopy(server *directory.Server) *directory.Server {
-	s.copies.drop()
+func (s *stream) placeCopy(a *streamAttempt) *directory.Server {
 	service, ok := s.e.opts.Services(s.req.Service)
 	if !ok || !service.Copies || !s.req.Route.Resumable {
 		return nil
 	}
-	to := s.copyPlace(server, s.notFor(server), false)
+	to := s.copyPlace(a.server, s.notFor(a.server), false)
 	if to != nil {
-		s.copies.set(&Memory{At: to})
+		a.copies.set(&Memory{At: to})
 	}
 	return to
 }
@@ -122,52 +121,66 @@
 // and the next zone's loss would make each of them read its prompt again, which
 // takes longer than the pause that callers allow. It runs beside the stream and
 // reads nothing that the stream writes: avoid is its own.
-func (s *stream) keepCopy(ctx context.Context, server *directory.Server, avoid map[directory.Start]bool) {
+func (s *stream) keepCopy(ctx context.Context, a *streamAttempt, avoid map[directory.Start]bool) {
 	service, ok := s.e.opts.Services(s.req.Service)
 	if !ok || !service.CopiesOnCall {
 		return
 	}
 	look := time.NewTicker(copyLook)
 	defer look.Stop()
+	var asked *directory.Server // whose loss has been answered already; the next look comes by time
 	for {
-		at := s.copies.at()
+		at := a.copies.at()
 		if at == nil {
 			return
 		}
+		down := at.Down()
+		if at == asked {
+			down = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-at.Down():
+		case <-down:
 		case <-look.C:
 		}
 		if s.e.opts.Directory.Usable(at, time.Now()) {
 			continue
 		}
-		if !s.copyAgain(ctx, server, at, avoid) {
+		asked = at
+		if !s.copyAgain(ctx, a, at, avoid) {
 			return
 		}
 	}
 }
 
-// copyAgain asks for a copy in another place; it reports whether there is one.
-func (s *stream) copyAgain(ctx context.Context, server, lost *directory.Server, avoid map[directory.Start]bool) bool {
-	to := s.copyPlace(server, avoid, true)
+// copyAgain asks for a copy in another place. It reports false if none can be had
+// any more; while no place is usable, there may be one later.
+//
+// Failure it stops: after a mass loss the only places left were themselves believed
+// lost. A copy was asked for at one after the other without a pause, each as lost
+// as the one before, which took a processor core for as long as the stream ran.
+func (s *stream) copyAgain(ctx context.Context, a *streamAttempt, lost *directory.Server, avoid map[directory.Start]bool) bool {
+	to := s.copyPlace(a.server, avoid, true)
 	if to == nil || to == lost {
 		return false
 	}
+	if !s.e.opts.Directory.Usable(to, time.Now()) {
+		return true
+	}
 	began := time.Now()
 	asking, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	memory, err := s.e.opts.Backend.Copy(asking, s.req, server, to)
+	memory, err := s.e.opts.Backend.Copy(asking, s.req, a.server, to)
 	if ctx.Err() != nil {
 		return false
 	}
-	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", server.Start, "lost", lost.Start, "to", to.Start,
+	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", a.server.Start, "lost", lost.Start, "to", to.Start,
 		"took", time.Since(began), "err", err)
 	if err != nil {
 		return false
 	}
-	s.copies.set(memory)
+	a.copies.set(memory)
 	s.e.metrics.copies.Inc()
 	return true
 }
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -105,7 +105,7 @@
 	}
 	t, _ := s.estimate(soonest, now)
 	late := &LateError{soonest: t, left: s.req.left(now)}
-	if s.arrivals == 0 && s.e.paceOf(s.req.Service).mayTry(now) {
+	if s.current == nil && s.e.paceOf(s.req.Service).mayTry(now) {
 		s.e.opts.Recorder.Emit(EventTrial, event.FieldRequest, s.req.ID, "server", soonest.ID, "err", late)
 		return soonest, nil
 	}
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -32,6 +32,10 @@
 		"streams that have been on their way for a second, each named once with its backend server", "nothing")
 	EventTrial = event.Define(2733, "exchange_trial", event.Info,
 		"a stream that is expected to be late was sent on trial, since no prompt of its service was for a while", "nothing; if it lasts, there are too few backend servers")
+	EventSilent = event.Define(2736, "exchange_silent", event.Info,
+		"a stream's server sends nothing; the stream stays there until another server goes on with it", "nothing; if it lasts, there are too few backend servers")
+	EventWentOn = event.Define(2737, "exchange_went_on", event.Info,
+		"a stream's server sends again after a silence; what was begun beside it, if anything, is ended", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
 )
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -102,7 +102,7 @@
 	orDefault(&t.ProbeTimeout, DefaultProbeTimeout)
 	orDefault(&t.WaitForServer, DefaultWaitForServer)
 	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics), running: running{streams: map[*onItsWay]struct{}{}}}
-	e.probes = prober{exchange: e, running: map[*directory.Server]chan struct{}{}}
+	e.probes = prober{exchange: e, running: map[*directory.Server]*question{}}
 	return e
 }
 
@@ -187,7 +187,7 @@
 // about the requests that they ran.
 func (e *Exchange) mayHaveCrashed(req *Request, s *directory.Server) {
 	go func() {
-		<-e.probes.ask(s)
+		<-e.probes.ask(s).done
 		if !s.IsDown(time.Now()) {
 			return
 		}
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -14,24 +14,28 @@
 type prober struct {
 	exchange *Exchange
 	mu       sync.Mutex
-	running  map[*directory.Server]chan struct{}
+	running  map[*directory.Server]*question
 }
 
-// ask returns a channel that is closed when the question is answered or the
-// server was noted as lost.
-func (p *prober) ask(s *directory.Server) <-chan struct{} {
+// question is one that was put to a server.
+type question struct {
+	done  chan struct{} // closed when it is answered or the server was noted as lost
+	alive bool          // the process that was asked answered; to be read after done
+}
+
+func (p *prober) ask(s *directory.Server) *question {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if done, ok := p.running[s]; ok {
-		return done
+	if q, ok := p.running[s]; ok {
+		return q
 	}
-	done := make(chan struct{})
-	p.running[s] = done
-	go p.probe(s, done)
-	return done
+	q := &question{done: make(chan struct{})}
+	p.running[s] = q
+	go p.probe(s, q)
+	return q
 }
 
-func (p *prober) probe(s *directory.Server, done chan struct{}) {
+func (p *prober) probe(s *directory.Server, q *question) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.exchange.opts.Timings.ProbeTimeout)
 	defer cancel()
 	p.exchange.metrics.probes.Inc()
@@ -45,9 +49,11 @@
 		// event until their time was up.
 		p.exchange.ended(s, errors.Wrapf(ErrOtherStart, "born %d", born))
 		p.exchange.opts.Restarts.confirm(p.exchange, s)
+	default:
+		q.alive = true
 	}
 	p.mu.Lock()
 	delete(p.running, s)
 	p.mu.Unlock()
-	close(done)
+	close(q.done)
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -26,16 +26,18 @@
 	longest  time.Duration
 	tried    map[directory.Start]bool // servers that proved not to run it, or that broke
 	arrivals int                      // sendings that reached a server
-	heard    bool                     // the newest attempt has brought an event
 	paid     bool                     // the budget holds a retry that has reached no server yet
 	ran      int                      // attempts that may have run
 	refused  int
-	resumed  int
-	cause    error
-	lostZone string
+	// refusedNow counts the refusals since the caller's last event.
+	refusedNow int
+	resumed    int
+	cause      error
+	lostZone   string
 
-	copies   copyKeeper        // where the running attempt's memory is copied to
-	server   *directory.Server // of the newest attempt
+	current  *streamAttempt // the newest whose events go to the caller; nil before the first
+	next     *streamAttempt // begun beside current while that is silent; nil otherwise
+	quiet    bool           // current is silent, and that has been told
 	onItsWay *onItsWay
 }
 
@@ -48,12 +50,14 @@
 	within, cancel := req.within(ctx)
 	defer cancel()
 	s := &stream{
-		e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, copies: copyKeeper{free: e.freeCopy}, onItsWay: e.running.begin(req.ID),
+		e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, onItsWay: e.running.begin(req.ID),
 	}
 	defer e.running.end(s.onItsWay)
 	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	err = s.run(within)
-	s.copies.drop()
+	if s.current != nil {
+		s.current.copies.drop()
+	}
 	if err == nil {
 		e.opts.Suspects.Completed(req.Fingerprint())
 		e.metrics.pauses.Observe(s.longest.Seconds())
@@ -63,16 +67,12 @@
 }
 
 func (s *stream) summary() []any {
-	server := ""
-	if s.server != nil {
-		server = s.server.String()
-	}
 	first := time.Duration(0)
 	if !s.firstAt.IsZero() {
 		first = s.firstAt.Sub(s.req.Arrived)
 	}
 	return []any{"first", first, "pause", s.longest, "reached", s.last, "ran", s.ran, "refused", s.refused,
-		"resumed", s.resumed, "begun", s.begun, "server", server, "last", s.cause}
+		"resumed", s.resumed, "begun", s.begun, "server", s.current.name(), "last", s.cause}
 }
 
 func (s *stream) run(ctx context.Context) error {
@@ -81,7 +81,9 @@
 		if err != nil {
 			return s.failure(ctx, err)
 		}
-		err = s.attempt(ctx, server, from)
+		s.current, s.quiet = s.launch(ctx, server, from), false
+		s.onItsWay.server.Store(server)
+		err = s.follow(ctx)
 		if err == nil {
 			return nil
 		}
@@ -92,7 +94,7 @@
 		if errors.As(err, &done) {
 			return s.req.unwritten(ctx, done.err)
 		}
-		s.note(server, err, from != nil)
+		s.note(s.current, err)
 		if !s.mayGoOn() {
 			return s.failure(ctx, err)
 		}
@@ -105,37 +107,38 @@
 func (f *finalError) Error() string { return f.err.Error() }
 
 // note learns from a failed attempt.
-func (s *stream) note(server *directory.Server, err error, fromCopy bool) {
+func (s *stream) note(a *streamAttempt, err error) {
 	s.cause = err
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		// What did not run has left no copy.
-		s.copies.drop()
+		a.copies.drop()
 		s.refused++
+		s.refusedNow++
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 		if !notRun.Unreached() {
 			s.reached()
 		}
-		if fromCopy && notRun.Reason == Busy {
+		if a.from != nil && notRun.Reason == Busy {
 			// There was no copy: the server itself may be tried from the start.
-			s.again(server, err)
+			s.again(a, err)
 			return
 		}
 	} else {
 		s.ran++
 		s.reached()
-		s.lostZone = server.Zone
-		if !s.heard {
+		s.lostZone = a.server.Zone
+		if !a.heard {
 			// Memory is copied once there is an event. Asked for a copy of less, the
 			// server refuses, which costs a retry of the budget.
-			s.copies.drop()
+			a.copies.drop()
 		}
-		s.e.mayHaveCrashed(s.req, server)
+		s.e.mayHaveCrashed(s.req, a.server)
 		s.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
-	s.tried[server.Start] = true
-	s.e.failed(server, err)
-	s.again(server, err)
+	s.tried[a.server.Start] = true
+	s.e.failed(a.server, err)
+	s.again(a, err)
 }
 
 // reached counts an attempt that reached its server: the next one is a retry.
@@ -145,9 +148,9 @@
 }
 
 // again says that an attempt failed and another may follow.
-func (s *stream) again(server *directory.Server, err error) {
-	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", server.Start,
-		"reached", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(s.copies.at()))
+func (s *stream) again(a *streamAttempt, err error) {
+	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", a.server.Start,
+		"reached", s.last, "err", err, "since", time.Since(s.req.Arrived), "copy", idOf(a.copies.at()))
 }
 
 func idOf(s *directory.Server) string {
@@ -159,7 +162,7 @@
 
 // mayGoOn tells whether one more attempt is allowed.
 func (s *stream) mayGoOn() bool {
-	if s.ran >= s.req.Route.Attempts() || s.refused >= 2*notRunTries {
+	if s.ran >= s.req.Route.Attempts() || s.refusedNow >= 2*notRunTries {
 		return false
 	}
 	if s.ran > 0 && !s.req.Route.Resumable {
@@ -181,10 +184,12 @@
 		return nil, nil, ErrBudget
 	}
 	if s.hasCopy() {
-		m := s.copies.take()
+		m := s.current.copies.take()
 		return m.At, m, nil
 	}
-	s.copies.drop()
+	if s.current != nil {
+		s.current.copies.drop()
+	}
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
 		server, err := s.inTime()
@@ -203,7 +208,10 @@
 
 // hasCopy tells whether a copy of the stream's memory may be gone on from.
 func (s *stream) hasCopy() bool {
-	at := s.copies.at()
+	if s.current == nil {
+		return false
+	}
+	at := s.current.copies.at()
 	return at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now())
 }
 
@@ -240,7 +248,7 @@
 func (s *stream) pick() *directory.Server {
 	return s.e.opts.Directory.Pick(directory.Query{
 		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: s.tried, Prompt: s.req.PromptTokens, NotZone: s.lostZone,
-		Again: s.arrivals > 0,
+		Again: s.arrivals > 0 || s.quiet,
 	}, time.Now())
 }
 
--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,13 +34,17 @@
 // firstOf returns scripts that are played one attempt after the other, whichever
 // servers are tried; the last one is played again.
 func firstOf(plays ...script) map[string][]script {
-	return everywhere(func(ctx context.Context, a *Attempt) (*Answer, error) {
+	var mu sync.Mutex
+	next := func() script {
+		mu.Lock()
+		defer mu.Unlock()
 		play := plays[0]
 		if len(plays) > 1 {
 			plays = plays[1:]
 		}
-		return play(ctx, a)
-	})
+		return play
+	}
+	return everywhere(func(ctx context.Context, a *Attempt) (*Answer, error) { return next()(ctx, a) })
 }
 
 // An engine crashes in the middle of a draft. The caller's stream goes on at
@@ -88,6 +93,7 @@
 			b.backend.probes[id] = &NotRunError{Reason: Unreachable, Err: io.ErrClosedPipe}
 		}
 		sink, err := runStream(t, b, streamRequest())
+		time.Sleep(crashAlone) // for which other losses of the zone are waited for
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 20)))
 		g.Expect(sink.first).To(gomega.BeNumerically("<", time.Second))
--- /dev/null
+++ b/exchange/takeover.go
@@ -0,0 +1,237 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+)
+
+// lostForGood is how long a server may give no sign of life before an attempt
+// there is ended though no other server takes the stream on. The longest cut of
+// a link that is borne without a word lasts as long as the store's own
+// disturbance, some five seconds; a caller that is cut off then still has most of
+// its time to come back.
+const lostForGood = 5 * time.Second
+
+// errAbandoned: the request ended while its attempt was under way.
+var errAbandoned = errors.New("exchange: the request ended before its answer")
+
+// follow hands on what the current attempt's server sends until the stream is
+// whole (nil) or the attempt is over. While that server is silent, the stream is
+// offered to another one beside it.
+//
+// Failure it stops: a server that pauses for other prompts was taken for lost, the
+// attempt was ended first, and the copy's server refused for want of room. No
+// other could be in time, and the caller's answer was cut in the middle, on a day
+// without any failure: 1 to 15 answers of a day with too few servers. Silence
+// alone ends nothing now: an attempt goes on until another one has brought an
+// event in its place, its connection breaks, or its server has given no sign of
+// life for lostForGood.
+//
+// Invariant: events reach the caller from the current attempt alone, and an attempt
+// that becomes the current one goes on after the caller's last event.
+func (s *stream) follow(ctx context.Context) error {
+	defer s.leaveNext()
+	defer func() { s.current.end() }()
+	for {
+		select {
+		case st := <-s.current.steps:
+			done, err := s.fromCurrent(ctx, st)
+			if done || err != nil {
+				return err
+			}
+		case st := <-s.next.handed():
+			done, err := s.fromNext(ctx, st)
+			if done || err != nil {
+				return err
+			}
+		case n := <-s.current.watch.notices:
+			if err := s.silent(ctx, n); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return &BrokenError{Err: errAbandoned}
+		}
+	}
+}
+
+// handed returns the attempt's steps; none come without one.
+func (a *streamAttempt) handed() <-chan step {
+	if a == nil {
+		return nil
+	}
+	return a.steps
+}
+
+// fromCurrent handles a step of the current attempt. If that is over, the one
+// beside it is all that is left.
+func (s *stream) fromCurrent(ctx context.Context, st step) (done bool, err error) {
+	if st.err == nil && st.reply == nil {
+		s.wentOn()
+	}
+	done, err = s.take(ctx, st)
+	var final *finalError
+	if err == nil || s.next == nil || errors.As(err, &final) || ctx.Err() != nil {
+		return done && err == nil, err
+	}
+	s.promote(err)
+	return false, nil
+}
+
+// fromNext handles a step of the attempt that was begun beside a silent one.
+func (s *stream) fromNext(ctx context.Context, st step) (done bool, err error) {
+	failed := st.err != nil && st.err != io.EOF
+	if !failed && st.reply != nil {
+		failed = s.begun || st.reply.Status >= 500
+		st.err = &BrokenError{Err: errors.Errorf("the server answered %d", st.reply.Status)}
+	}
+	if failed {
+		next := s.next
+		s.next = nil
+		next.end()
+		s.note(next, st.err)
+		next.copies.drop()
+		return false, s.lookForNext(ctx)
+	}
+	if st.reply != nil {
+		st.err = nil
+	}
+	s.promote(&BrokenError{Err: s.current.watch.silence()})
+	return s.take(ctx, st)
+}
+
+// promote puts the attempt beside the current one in its place, for the reason given.
+func (s *stream) promote(why error) {
+	s.current.end()
+	s.note(s.current, why)
+	s.current.copies.drop()
+	s.current, s.next, s.quiet = s.next, nil, false
+	s.onItsWay.server.Store(s.current.server)
+}
+
+// wentOn is called when the current attempt brings an event: what was begun
+// beside it is not needed.
+func (s *stream) wentOn() {
+	if !s.quiet {
+		return
+	}
+	s.quiet = false
+	s.e.opts.Recorder.Emit(EventWentOn, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
+		"reached", s.last, "after", time.Since(s.quietSince()), "beside", s.next.name())
+	s.leaveNext()
+}
+
+func (a *streamAttempt) name() string {
+	if a == nil {
+		return ""
+	}
+	return a.server.String()
+}
+
+// leaveNext ends the attempt beside the current one. It counts as a retry: its
+// server may have begun with it.
+func (s *stream) leaveNext() {
+	if s.next == nil {
+		return
+	}
+	s.next.end()
+	s.next.copies.drop()
+	s.reached()
+	s.next = nil
+}
+
+// silent is told that the current attempt's server sends nothing.
+func (s *stream) silent(ctx context.Context, n notice) error {
+	if !s.current.watch.isSilent() {
+		return nil // an event has come meanwhile
+	}
+	if !s.quiet {
+		s.quiet = true
+		s.e.opts.Recorder.Emit(EventSilent, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
+			"reached", s.last, "silent", time.Since(s.quietSince()), "alive", n.alive, "ahead", s.current.server.Unread(), "copy", idOf(s.current.copies.at()))
+	}
+	if err := s.lookForNext(ctx); err != nil {
+		return err
+	}
+	if s.next == nil && n.unheard > s.patience() {
+		return &BrokenError{Err: s.current.watch.silence()}
+	}
+	return nil
+}
+
+// patience is how long a server may give no sign of life while no other takes the
+// stream on. A caller that has got nothing yet loses nothing by an answer that
+// says so, and learns sooner that it may come back.
+func (s *stream) patience() time.Duration {
+	if s.begun {
+		return lostForGood
+	}
+	return budgetWait
+}
+
+// lookForNext begins an attempt beside the current one if a server is found for it.
+func (s *stream) lookForNext(ctx context.Context) error {
+	if s.next != nil || !s.mayTakeOver() {
+		return nil
+	}
+	server, from := s.successor()
+	if server == nil {
+		return nil
+	}
+	s.next = s.launch(ctx, server, from)
+	return nil
+}
+
+// mayTakeOver tells whether one more server may run the stream beside the current one.
+func (s *stream) mayTakeOver() bool {
+	return s.req.Route.Resumable && s.ran+1 < s.req.Route.Attempts() && s.refusedNow < 2*notRunTries
+}
+
+// successor returns the server that is to go on with the stream of a silent one,
+// nil if there is none now.
+func (s *stream) successor() (*directory.Server, *Memory) {
+	s.tried[s.current.server.Start] = true
+	if !s.current.watch.alive() {
+		s.lostZone = s.current.server.Zone
+	}
+	if s.current.heard && s.hasCopy() { // memory is copied once there is an event
+		if !s.payNow() {
+			return nil, nil
+		}
+		m := s.current.copies.take()
+		return m.At, m
+	}
+	server, err := s.inTime()
+	if server == nil || err != nil || !s.worthReading(server) || !s.payNow() {
+		return nil, nil
+	}
+	return server, nil
+}
+
+// worthReading tells whether the prompt is to be read again at another server
+// while the current one may still go on. A server that lives does so in the end:
+// the prompt would be read twice, and hold up the other server's streams, for an
+// answer that is late by then in either way. Once it has been silent for longer
+// than any sound server, it is.
+func (s *stream) worthReading(server *directory.Server) bool {
+	quiet := time.Since(s.quietSince())
+	if !s.current.watch.alive() || !s.current.heard || quiet >= maxSilence {
+		return true
+	}
+	t, measured := s.estimate(server, time.Now())
+	gap := s.req.Route.MaxGap
+	return !measured || gap <= 0 || quiet+t.first <= gap
+}
+
+// payNow is pay without a wait: the current attempt may go on any moment.
+func (s *stream) payNow() bool {
+	if !s.paid {
+		s.paid = s.e.allowRetry(s.req.Service)
+	}
+	return s.paid
+}
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -10,28 +10,42 @@
 	"github.com/pearyard/pearyard/directory"
 )
 
-// watch ends an attempt of a stream whose server has gone without a word. A
-// server that loses power or its network sends no reset: only its silence tells.
+// watch tells of an attempt of a stream whose server sends nothing. A server that
+// loses power or its network sends no reset: only its silence tells. A sound one
+// that reads other prompts is as silent, so what the watch tells ends nothing by
+// itself; the attempt is ended at once only when its server's process is known to
+// have ended.
 //
 // Before the first event silence is ordinary, since the prompt is being read;
 // the server is asked for a sign of life instead. After it, events come in a
 // steady beat and their absence is enough.
 type watch struct {
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	e      *Exchange
-	server *directory.Server
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	e       *Exchange
+	server  *directory.Server
+	notices chan notice // holds the newest
 
-	mu    sync.Mutex
-	timer *time.Timer
-	armed time.Time
-	wait  time.Duration
-	since time.Time // when the wait for the next event began; zero while there is none
-	early bool      // no event has come yet
+	mu      sync.Mutex
+	timer   *time.Timer
+	armed   time.Time
+	wait    time.Duration
+	since   time.Time // when the wait for the next event began; zero while there is none
+	early   bool      // no event has come yet
+	proven  time.Time // the server's newest sign of life
+	lived   bool      // what the newest notice said
+	learned bool      // this wait has been counted as a pause
+}
+
+// notice says that a server sends nothing.
+type notice struct {
+	alive   bool          // nothing is known against it but that
+	unheard time.Duration // since its newest sign of life
 }
 
 func newWatch(ctx context.Context, e *Exchange, server *directory.Server) *watch {
-	w := &watch{e: e, server: server, early: true}
+	now := time.Now()
+	w := &watch{e: e, server: server, notices: make(chan notice, 1), early: true, since: now, proven: now, lived: true}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
 	w.arm(e.opts.Timings.ProbeAfter)
@@ -40,23 +54,65 @@
 	return w
 }
 
-// untilDown ends the attempt when others have found the server lost. Once
-// events flow, the attempt's own are better evidence, but for a later start of
-// the server: the process that ran the stream has ended.
+// untilDown tells when others have found the server lost. Once events flow, the
+// attempt's own are better evidence, but for a later start of the server: the
+// process that ran the stream has ended.
 func (w *watch) untilDown(down <-chan struct{}) {
 	select {
 	case <-down:
-		w.mu.Lock()
-		early := w.early
-		w.mu.Unlock()
-		if early || w.server.Replaced() {
-			w.cancel(ErrServerLost)
-		}
 	case <-w.ctx.Done():
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.server.Replaced(), w.early && w.server.Ended():
+		w.cancel(ErrServerLost)
+	case w.early:
+		w.tell(false)
+	}
+}
+
+// tell puts the newest notice in place of one that was not taken yet. The caller
+// holds mu.
+func (w *watch) tell(alive bool) {
+	w.lived = alive
+	select {
+	case <-w.notices:
+	default:
 	}
+	w.notices <- notice{alive: alive, unheard: time.Since(w.proven)}
+}
+
+// alive tells what the newest notice said; true without one.
+func (w *watch) alive() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lived
+}
+
+// isSilent tells whether the next event is still waited for.
+func (w *watch) isSilent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.since.IsZero()
+}
+
+// silence returns what is known of the wait that goes on.
+func (w *watch) silence() *SilentError {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &SilentError{Alive: w.lived, Unread: w.server.Unread()}
+	if !w.since.IsZero() {
+		e.Silence = time.Since(w.since)
+	}
+	return e
 }
 
 func (w *watch) arm(wait time.Duration) {
+	if w.ctx.Err() != nil {
+		return
+	}
 	w.armed, w.wait = time.Now(), wait
 	if w.timer == nil {
 		w.timer = time.AfterFunc(wait, w.silent)
@@ -69,10 +125,11 @@
 func (w *watch) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.early {
+	if !w.early && !w.learned {
 		w.pace().seen(time.Since(w.since))
 	}
-	w.early, w.since = false, time.Time{}
+	w.early, w.learned, w.lived = false, false, true
+	w.since, w.proven = time.Time{}, time.Now()
 	w.timer.Stop()
 }
 
@@ -106,20 +163,29 @@
 		w.silentBetween()
 		return
 	}
+	asked := w.e.probes.ask(w.server)
 	select {
-	case <-w.e.probes.ask(w.server):
+	case <-asked.done:
 	case <-w.ctx.Done():
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.early && w.ctx.Err() == nil {
-		w.arm(w.e.opts.Timings.ProbeAfter)
+	if !w.early {
+		return
+	}
+	if asked.alive {
+		w.proven = time.Now()
+	} else {
+		w.tell(false)
 	}
+	w.arm(w.e.opts.Timings.ProbeAfter)
 }
 
-// silentBetween ends the attempt unless its server pauses longer than others do
-// and gives a sign of life: then the stream waits for as long as is usual there.
+// silentBetween tells of a silence between two events that is longer than the
+// pauses of other servers, or whose server gives no sign of life. The first kind
+// is told before the answer is there: where a copy of the stream's memory lies
+// ready, nothing has to be known of the server.
 func (w *watch) silentBetween() {
 	asked := w.e.probes.ask(w.server) // also for the streams that wait there for their first event
 	w.mu.Lock()
@@ -128,26 +194,29 @@
 		w.mu.Unlock()
 		return // an event has come just now
 	}
-	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence, w.server.Unread() > 0) - time.Since(since)
-	if rest > 0 {
-		w.arm(rest)
+	silence := time.Since(since)
+	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence, w.server.Unread() > 0) - silence
+	tooLong := rest <= 0
+	if tooLong {
+		w.tell(w.lived)
+		rest = w.e.opts.Timings.ProbeAfter
 	}
+	w.arm(rest)
 	w.mu.Unlock()
-	if rest <= 0 {
-		w.cancel(w.silence(since, !w.server.IsDown(time.Now())))
-		w.learnFromCut(time.Since(since), asked)
-		return
-	}
 	alive := w.answers(asked)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !alive && w.since.Equal(since) {
-		w.cancel(w.silence(since, false))
+	if !w.since.Equal(since) {
+		return
+	}
+	if !alive {
+		w.tell(false)
+		return
+	}
+	w.lived, w.proven = true, time.Now()
+	if tooLong {
+		w.learn(silence)
 	}
-}
-
-func (w *watch) silence(since time.Time, alive bool) *SilentError {
-	return &SilentError{Silence: time.Since(since), Alive: alive, Unread: w.server.Unread()}
 }
 
 // signOfLife is how long a server may take to give one while a stream waits: an
@@ -156,10 +225,10 @@
 const signOfLife = 100 * time.Millisecond
 
 // answers tells whether the server answers the question that was asked.
-func (w *watch) answers(asked <-chan struct{}) bool {
+func (w *watch) answers(asked *question) bool {
 	select {
-	case <-asked:
-		return !w.server.IsDown(time.Now())
+	case <-asked.done:
+		return asked.alive
 	case <-time.After(signOfLife):
 		return false
 	case <-w.ctx.Done():
@@ -167,15 +236,16 @@
 	}
 }
 
-// learnFromCut counts the silence that ended an attempt as a pause if the server
-// lives. Where every pause beside a prompt is longer than the bound, none would
-// ever be seen otherwise. A few streams of sound servers that do fall silent
-// don't change what is usual.
-func (w *watch) learnFromCut(silence time.Duration, asked <-chan struct{}) {
-	<-asked
-	if !w.server.IsDown(time.Now()) {
-		w.pace().pauses.seen(silence)
+// learn counts a silence beyond the bound as a pause of a server that lives. Where
+// every pause beside a prompt is longer than the bound, none would ever be seen
+// otherwise: most end at another server. How much longer the silence lasts is not
+// counted: a stream that is set aside for seconds says nothing about pauses.
+func (w *watch) learn(silence time.Duration) {
+	if w.learned {
+		return
 	}
+	w.learned = true
+	w.pace().pauses.seen(silence)
 }
 
 // explain puts the watch's own reason in place of the error that closing the
@@ -186,7 +256,7 @@
 		return err
 	}
 	cause := context.Cause(w.ctx)
-	if errors.Is(cause, ErrSilent) || errors.Is(cause, ErrServerLost) {
+	if errors.Is(cause, ErrServerLost) {
 		return &BrokenError{Err: cause}
 	}
 	return err
