entry: a panic on a request's path is answered and logged

Cause: nothing but net/http recovered it, which closes the connection. Change: the handler answers 502 (may have run) if the head isn't out, with nothing of the headers that were set for the other answer; else it cuts. PY2760 names request, panic and the first 2 KB of the stack. http.ErrAbortHandler passes through. Ruled out: 500, which promises as little but hides that a try elsewhere may serve; 503, which would promise 'not run'. Left: goroutines of package exchange (attempts of plain calls, copies, probes), where a panic still ends the process.

--- a/entry/events.go
+++ b/entry/events.go
@@ -21,6 +21,11 @@
 var EventRouteRefused = event.Define(2759, "entry_route_refused", event.Warn,
 	"a request was refused because the part of the configuration that describes its route can't be read; it has not run", "write the route anew; see the line site_config_parts")
 
+// EventPanicked is emitted for a request on whose path the program has a fault.
+var EventPanicked = event.Define(2760, "entry_panicked", event.Error,
+	"a fault of this program ended a request: it was answered 502, or cut if its answer had begun; it may have run",
+	"report the line with its stack; it is a bug")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -34,6 +34,13 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a := &answer{ResponseWriter: w}
+	defer h.answerPanic(a, r)
+	h.take(a, r)
+}
+
+// take serves a caller's request, or refuses it.
+func (h *handler) take(w *answer, r *http.Request) {
 	if h.stop.begun() {
 		w.Header().Set("Connection", "close")
 	}
@@ -42,7 +49,8 @@
 	if config != nil {
 		limit = config.Limits.BodyBytes
 	}
-	call, err := platform.ReadCall(w, r, limit)
+	// The server's own writer closes the connection of a body that is too large.
+	call, err := platform.ReadCall(w.ResponseWriter, r, limit)
 	if err != nil {
 		h.turnAway(w, r, nil, err, config)
 		return
--- /dev/null
+++ b/entry/panics.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/platform"
+)
+
+// errFault is what the caller of a request is told that met a fault of this program.
+var errFault = errors.New("entry: a fault of this program ended the request")
+
+// maxStack bounds the stack in a line: a dozen calls.
+const maxStack = 2048
+
+// answerPanic ends a request on whose path the program panicked; it is to be
+// deferred. http.ErrAbortHandler goes on to the server: with it handlers cut
+// answers.
+//
+// Failure it stops: the server recovers a panic by closing the connection. The
+// caller had neither an answer nor a refusal, and the stack on standard error
+// named no request.
+func (h *handler) answerPanic(w *answer, r *http.Request) {
+	why := recover()
+	if why == nil {
+		return
+	}
+	if why == http.ErrAbortHandler {
+		panic(why)
+	}
+	id := platform.RequestID(r)
+	stack := debug.Stack()
+	h.recorder.Emit(EventPanicked, event.FieldRequest, id, "panic", fmt.Sprint(why), "answered", !w.begun, "stack", string(stack[:min(len(stack), maxStack)]))
+	if w.begun {
+		panic(http.ErrAbortHandler)
+	}
+	// What has been set belongs to an answer that isn't given.
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+	platform.WriteFailure(w, id, &exchange.Failure{Ran: true, Err: errFault})
+}
