entry: test of an announced size without a configuration, red

Fails in both parts: with a length, makeslice panics (502 by the new guard; before it the connection was closed without a word), and a smaller length than that sets aside as much memory as the caller says, which the process doesn't have. In chunks, the refusal, whose cause is known before the body, waits for the body's end (5 s, time-out). go test -run TestAnnounced ./entry: 2 of 2 parts failed.

--- a/entry/bodies_test.go
+++ b/entry/bodies_test.go
@@ -85,3 +85,27 @@
 		}
 	}
 }
+
+// A process has just started and knows no configuration, hence no limit. A head
+// announces a body of many gigabytes: memory was set aside for all of it, which
+// ended the request in a panic or the process for want of memory. Without a
+// configuration every request is refused as not run, so the body isn't kept.
+func TestAnnouncedSizeTakesNoMemoryWithoutConfiguration(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	gomega.NewWithT(t).Eventually(w.listens).Should(gomega.BeTrue())
+	for _, length := range []string{"Content-Length: 9000000000000000000", "Transfer-Encoding: chunked"} {
+		t.Run(length, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			conn, err := net.Dial("tcp4", w.callers)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: r1\r\nAuthorization: Token k0\r\n%s\r\n\r\n", testHost, length)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(resp.StatusCode).To(gomega.Equal(503))
+			g.Expect(resp.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		})
+	}
+}
