entry, platform: refusals of bodies that nobody reads reach their callers

Cause: net/http reads 256 KB of a body that its handler left, waits 0.5 s and closes; closing with unread bytes is a reset, and the caller's write fails before it reads. Change: the refusal goes out at once, then up to 16 MB are read off for up to 2 s (entry.readOff). The head is read before the body (ReadCall, ReadBody): without a configuration nothing of the body is kept, and memory for over 1 MB is taken as it comes. Ruled out: net/http's half-close (clients hides CloseWrite; and it too ends after 0.5 s).

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -45,20 +45,22 @@
 		w.Header().Set("Connection", "close")
 	}
 	config := h.holder.Config()
-	var limit int64
-	if config != nil {
-		limit = config.Limits.BodyBytes
-	}
-	// The server's own writer closes the connection of a body that is too large.
-	call, err := platform.ReadCall(w.ResponseWriter, r, limit)
+	call, err := platform.ReadCall(r)
 	if err != nil {
+		defer readOff(w, r)()
 		h.turnAway(w, r, nil, err, config)
 		return
 	}
 	if config == nil {
+		defer readOff(w, r)()
 		h.notYet(w, call, "configuration", comeBack(call.Wait))
 		return
 	}
+	if err := call.ReadBody(w.ResponseWriter, r, config.Limits.BodyBytes); err != nil {
+		defer readOff(w, r)()
+		h.turnAway(w, r, call, err, config)
+		return
+	}
 	// The body may have taken a while: go by what is in force now.
 	config = h.holder.Config()
 	if err := route(call, config); err != nil {
