entry: changes at all moments of a request, alone and in twos

Found nothing that runs over by a change: whole, or refused or failed with a word before its head; cut only where a stream's run broke and no server was left. Seen, and told to the lead: a stream that waited its whole time for a server is told 504 (may have run), though nothing was sent (exchange).

--- /dev/null
+++ b/entry/changes_test.go
@@ -0,0 +1,358 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
+)
+
+const (
+	changeEvents = 6
+	changeGap    = 100 * time.Millisecond
+	changeFirst  = 200 * time.Millisecond // until a stream's first event; calls take twice that
+	changeBreak  = 350 * time.Millisecond // when a server breaks off, if it does
+	changeBody   = 250 * time.Millisecond // until a slow body is complete
+
+	waitForServer = exchange.DefaultWaitForServer
+)
+
+// changeBackend runs requests; the first attempt of those to /…/break breaks off
+// in the middle.
+type changeBackend struct{ modelServer }
+
+// Open implements exchange.Backend.
+func (b changeBackend) Open(ctx context.Context, a *exchange.Attempt) (*exchange.Answer, error) {
+	_, again := b.reached.LoadOrStore(a.Request.ID, true)
+	breaks := !again && strings.HasSuffix(a.Request.Target, "/break")
+	if a.Request.Route.Kind != site.Stream {
+		return b.call(ctx, breaks)
+	}
+	r, w := io.Pipe()
+	go b.events(ctx, a, w, breaks)
+	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r}, nil
+}
+
+func (changeBackend) call(ctx context.Context, breaks bool) (*exchange.Answer, error) {
+	length := 2 * changeFirst
+	if breaks {
+		length = changeBreak
+	}
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+		return nil, &exchange.BrokenError{Err: ctx.Err()}
+	}
+	if breaks {
+		return nil, &exchange.BrokenError{Err: io.ErrUnexpectedEOF}
+	}
+	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("end"))}, nil
+}
+
+func (changeBackend) events(ctx context.Context, a *exchange.Attempt, w *io.PipeWriter, breaks bool) {
+	after, _ := strconv.Atoi(a.After)
+	ends := time.Now().Add(changeBreak)
+	wait := changeFirst
+	for i := after + 1; i <= changeEvents; i++ {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			w.CloseWithError(ctx.Err())
+			return
+		}
+		wait = changeGap
+		if breaks && !time.Now().Before(ends) {
+			w.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		data := "x"
+		if i == changeEvents {
+			data = "end"
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
+	}
+	_ = w.Close()
+}
+
+// siteState is what an operator and the list of servers say.
+type siteState struct {
+	target, second string // services; second is empty unless the route is split
+	timeout        time.Duration
+	removed        bool
+	keys           []string // of the organisation; nil: the organisation is gone
+	listed         bool     // servers of s
+	draining       bool
+	maxBody        int64
+}
+
+func firstState() siteState {
+	return siteState{target: "s", timeout: 8 * time.Second, keys: []string{"k"}, listed: true, maxBody: 1000}
+}
+
+// siteChanges are what may happen beside a request.
+var siteChanges = map[string]func(*siteState){
+	"moved":      func(s *siteState) { s.target = "t" },
+	"split":      func(s *siteState) { s.second = "t" },
+	"removed":    func(s *siteState) { s.removed = true },
+	"shorter":    func(s *siteState) { s.timeout = 300 * time.Millisecond },
+	"longer":     func(s *siteState) { s.timeout = time.Minute },
+	"unlisted":   func(s *siteState) { s.listed = false },
+	"draining":   func(s *siteState) { s.draining = true },
+	"revoked":    func(s *siteState) { s.keys = []string{"other"} },
+	"org gone":   func(s *siteState) { s.keys = nil },
+	"small body": func(s *siteState) { s.maxBody = 1 },
+	"no change":  func(*siteState) {},
+}
+
+// put puts a state in force.
+func (s siteState) put(e *Entry, version uint64) {
+	targets := []site.Target{{Service: s.target, Weight: 1}}
+	if s.second != "" {
+		targets = append(targets, site.Target{Service: s.second, Weight: 1})
+	}
+	var routes []site.Route
+	if !s.removed {
+		routes = []site.Route{
+			{Name: "once", Prefix: "/once/", Kind: site.AtMostOnce},
+			{Name: "again", Prefix: "/again/", Kind: site.Idempotent, MaxAttempts: 3, Objective: 500 * time.Millisecond},
+			{Name: "stream", Prefix: "/stream/", Kind: site.Stream},
+			{Name: "resume", Prefix: "/resume/", Kind: site.Stream, Resumable: true, MaxAttempts: 3},
+		}
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].Targets, routes[i].Timeout = "h", targets, s.timeout
+	}
+	// Another route and organisation stay, so that the site is never empty.
+	routes = append(routes, site.Route{Name: "rest", Host: "h", Prefix: "/rest/", Targets: []site.Target{{Service: "t", Weight: 1}}})
+	organisations := []site.Keyed{{Organisation: site.Organisation{Name: "p"}, Keys: []string{"kp"}}}
+	if s.keys != nil {
+		organisations = append(organisations, site.Keyed{Organisation: site.Organisation{Name: "o"}, Keys: s.keys})
+	}
+	e.holder.Offer(&site.Versioned{Position: version, Config: site.New(version, routes, nil, organisations, site.ClientLimits{BodyBytes: s.maxBody})})
+	list := []directory.Listing{{ID: "t1", Service: "t", Address: "t1:1", Zone: "a", Slots: 64}, {ID: "t2", Service: "t", Address: "t2:1", Zone: "b", Slots: 64}}
+	if s.listed {
+		list = append(list, directory.Listing{ID: "s1", Service: "s", Address: "s1:1", Zone: "a", Slots: 64, Draining: s.draining},
+			directory.Listing{ID: "s2", Service: "s", Address: "s2:1", Zone: "b", Slots: 64, Draining: s.draining})
+	}
+	e.directory.Apply(version, list, false, time.Now())
+}
+
+// step is a change and when it happens after a request's head.
+type step struct {
+	change string
+	at     time.Duration
+}
+
+// changeRequest is a caller's request.
+type changeRequest struct {
+	path string
+	slow bool // its body takes changeBody
+	// chunked: its body has no length.
+	chunked bool
+}
+
+// routedAt is when a request's last byte is there.
+func (r changeRequest) routedAt() time.Duration {
+	if r.slow {
+		return changeBody
+	}
+	return 0
+}
+
+// playChanges plays steps beside a request and returns what its caller got.
+func playChanges(t *testing.T, r changeRequest, steps []step) string {
+	backend := changeBackend{modelServer{reached: &sync.Map{}}}
+	e := modelEntry(newStopping(), backend.modelServer)
+	e.holder, e.directory = site.NewHolder(), directory.New()
+	e.exchange = exchange.New(exchange.Options{
+		Directory: e.directory, Backend: backend, Services: e.service, Recorder: e.recorder, Metrics: prometheus.NewRegistry(),
+		Suspects: suspect.New(suspect.Options{Self: "m", Recorder: e.recorder}), RetryWindow: 10 * time.Second,
+		RetryExtra: func() float64 { return 10 },
+	})
+	state, version := firstState(), uint64(1)
+	state.put(e, version)
+	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	server := &http.Server{Handler: &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed}}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	sent := time.Now().Add(100 * time.Millisecond)
+	got := make(chan string, 1)
+	go func() { got <- askBeside(l, r, sent) }()
+	for _, s := range steps {
+		time.Sleep(time.Until(sent.Add(s.at)))
+		siteChanges[s.change](&state)
+		version++
+		state.put(e, version)
+	}
+	result := <-got
+	time.Sleep(5 * time.Second) // what runs beside the request has ended
+	return result
+}
+
+// askBeside sends a request at a time and returns what its caller got.
+func askBeside(l *pipeListener, r changeRequest, at time.Time) string {
+	conn := l.dial()
+	defer conn.Close()
+	time.Sleep(time.Until(at))
+	framing, first, last := "Content-Length: 2", "a", "b"
+	if r.chunked {
+		framing, first, last = "Transfer-Encoding: chunked", "1\r\na\r\n", "1\r\nb\r\n0\r\n\r\n"
+	}
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\nAuthorization: Token k\r\nDeadline-Ms: 25000\r\n%s\r\n\r\n%s", r.path, framing, first)
+	if r.slow {
+		time.Sleep(changeBody)
+	}
+	_, _ = io.WriteString(conn, last)
+	return answered(conn)
+}
+
+// answered reads an answer and names it.
+func answered(conn net.Conn) string {
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return closedUnread
+	}
+	body, err := io.ReadAll(answer.Body)
+	switch {
+	case err != nil:
+		return "cut"
+	case answer.StatusCode == http.StatusOK && strings.Contains(string(body), "end"):
+		return "whole"
+	case answer.StatusCode == http.StatusOK:
+		return "cut, but looks whole"
+	case answer.StatusCode == http.StatusServiceUnavailable:
+		return "not run"
+	default:
+		return strconv.Itoa(answer.StatusCode)
+	}
+}
+
+// expected returns what a caller may get: only what was in force when its
+// request was complete counts, but for servers that it needs once more.
+func expected(r changeRequest, steps []step) []string {
+	at := firstState()
+	later, tooLarge := false, false
+	for _, s := range steps {
+		// The size is judged by what is in force at the head.
+		tooLarge = tooLarge || (s.change == "small body" && s.at < 0)
+		if s.at < r.routedAt() {
+			siteChanges[s.change](&at)
+			continue
+		}
+		later = later || s.change == "unlisted" || s.change == "draining"
+	}
+	breaks, kind := strings.HasSuffix(r.path, "/break"), strings.Split(r.path, "/")[1]
+	takes := changeFirst + (changeEvents-1)*changeGap
+	switch {
+	case tooLarge:
+		return []string{"413"}
+	case at.removed:
+		return []string{"404"}
+	case !slices.Contains(at.keys, "k"):
+		return []string{"401"}
+	case at.target == "s" && (!at.listed || at.draining):
+		if at.second != "" {
+			return []string{"not run", "whole", "cut", "502", "504"} // by which service it went
+		}
+		if at.timeout-r.routedAt() < waitForServer && (kind == "stream" || kind == "resume") {
+			return []string{"not run", "504"} // its time is up before a server would be given up on
+		}
+		return []string{"not run"}
+	}
+	if kind == "once" || kind == "again" {
+		return expectedOfCall(kind, breaks, later, at.timeout)
+	}
+	return expectedOfStream(kind, breaks, later, at.timeout-r.routedAt() < takes)
+}
+
+func expectedOfCall(kind string, breaks, later bool, timeout time.Duration) []string {
+	switch {
+	case timeout < 2*changeFirst:
+		return []string{"504"}
+	case !breaks:
+		return []string{"whole"}
+	case kind == "once":
+		return []string{"502"}
+	case later:
+		return []string{"502", "whole"} // the server that is needed may be gone
+	default:
+		return []string{"whole"}
+	}
+}
+
+func expectedOfStream(kind string, breaks, later, short bool) []string {
+	switch {
+	case short || (breaks && kind == "stream"):
+		return []string{"cut", "504"}
+	case breaks && later:
+		return []string{"cut", "whole"}
+	default:
+		return []string{"whole"}
+	}
+}
+
+// changeTimes are before the request, in its body, before the first event (or
+// in the call's run), between events, at the break and in the resume.
+var changeTimes = []time.Duration{
+	-time.Millisecond, time.Millisecond, 150 * time.Millisecond, 251 * time.Millisecond, changeBreak,
+	450 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond,
+}
+
+func changeRequests() []changeRequest {
+	var all []changeRequest
+	for _, kind := range []string{"once", "again", "stream", "resume"} {
+		all = append(all, changeRequest{path: "/" + kind + "/ok"}, changeRequest{path: "/" + kind + "/break"},
+			changeRequest{path: "/" + kind + "/ok", slow: true}, changeRequest{path: "/" + kind + "/ok", slow: true, chunked: true})
+	}
+	return all
+}
+
+// An operator moves, splits, removes a route or changes its time, revokes a key
+// or its organisation, lowers a limit, and servers leave, at each moment of a
+// request that decides something, in all orders of two. What has been routed is
+// answered whole; what has not is answered by what is in force when it is
+// complete. Nobody is left with a closed connection.
+func TestChangesAmongAllMomentsOfARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var broken []string
+		played := 0
+		play := func(r changeRequest, steps ...step) {
+			played++
+			got := playChanges(t, r, steps)
+			if !slices.Contains(expected(r, steps), got) {
+				broken = append(broken, fmt.Sprintf("%+v beside %v: %s, expected %v", r, steps, got, expected(r, steps)))
+			}
+		}
+		for _, r := range changeRequests() {
+			for change := range siteChanges {
+				for i, at := range changeTimes {
+					play(r, step{change, at})
+					for second := range siteChanges {
+						if at < changeBreak && second != "no change" {
+							play(r, step{change, at}, step{second, changeTimes[i+2]})
+						}
+					}
+				}
+			}
+		}
+		t.Logf("%d plays", played)
+		gomega.NewWithT(t).Expect(broken).To(gomega.BeEmpty())
+	})
+}
