entry: a request that is complete only after its time is refused as not run

Cause: its time counts from the head; after a slow body nobody looked at it again, and the call was sent to a backend server with 1 ms left. Ruled out: a margin before the time is up, which would refuse what might be served.

--- a/entry/events.go
+++ b/entry/events.go
@@ -26,6 +26,11 @@
 	"a fault of this program ended a request: it was answered 502, or cut if its answer had begun; it may have run",
 	"report the line with its stack; it is a bug")
 
+// EventLate is emitted for a request that was complete only after its time.
+var EventLate = event.Define(2761, "entry_late", event.Info,
+	"a request was refused because its time was over when its last byte came; it has not run",
+	"if there are many, look at the network between callers and this VM")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -75,6 +75,10 @@
 		h.notYet(w, call, "list of servers", min(comeBack(call.Wait), spreadOut(listWait)))
 		return
 	}
+	if !time.Now().Before(call.Until) {
+		h.refuseLate(w, call)
+		return
+	}
 	defer endWrites(w, r)()
 	h.serve(w, r, call)
 }
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -63,6 +63,21 @@
 	platform.WriteFailure(w, call.ID, &exchange.Failure{By: exchange.EndedByStart, RetryAfter: wait, Err: errors.Errorf("entry: no %s yet", missing)})
 }
 
+// refuseLate refuses a request that was complete only after its time; it has not
+// run.
+//
+// Failure it stops: such a request was sent to a backend server with a millisecond
+// to go, and its caller was told that it may have run. Of calls that must not run
+// twice that is the end.
+func (h *handler) refuseLate(w http.ResponseWriter, call *platform.Call) {
+	h.exchange.Refused(call.Route, call.UntilBy)
+	h.recorder.Emit(EventLate, event.FieldRequest, call.ID, "route", call.Route.Name, "version", call.Version,
+		"took", time.Since(call.Arrived), event.FieldEndedBy, call.UntilBy)
+	platform.WriteFailure(w, call.ID, &exchange.Failure{
+		By: call.UntilBy, RetryAfter: spreadOut(elsewhere), Err: errors.New("entry: its time was over when the request was complete"),
+	})
+}
+
 // refuseRoute refuses a request whose route can't be read; the request has not
 // run. The operator may write the route anew, so the caller may come back.
 func (h *handler) refuseRoute(w http.ResponseWriter, call *platform.Call) {
@@ -129,7 +144,8 @@
 		return spreadOut(elsewhere)
 	}
 	back := h.stop.drainedBy(now).Sub(now) + restartTime + time.Duration(rand.Float64()*float64(returnsOver))
-	return min(back, time.Duration(honouredShare*float64(call.Until.Sub(now))))
+	left := max(0, call.Until.Sub(now))
+	return min(back, time.Duration(honouredShare*float64(left)))
 }
 
 // fail answers a request that was not served. The caller that has left hears nothing.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -74,6 +74,7 @@
 	exchange.EventServed.ID(): true, exchange.EventRefused.ID(): true, exchange.EventFailed.ID(): true, exchange.EventCallerLeft.ID(): true,
 	exchange.EventCallerLost.ID(): true, exchange.EventCut.ID(): true, exchange.EventQuarantined.ID(): true,
 	entry.EventTurnedAway.ID(): true, entry.EventNotYet.ID(): true, entry.EventStopping.ID(): true,
+	entry.EventPanicked.ID(): true, entry.EventLate.ID(): true,
 }
 
 // lastOf returns the line of a request's end, or else its last one: that a
@@ -110,6 +111,10 @@
 		return "It was refused because " + last.Process + " had just started and knew no " + last.Fields["missing"] + " yet" + storeLost(s) + "."
 	case entry.EventStopping.ID():
 		return "It was refused because " + last.Process + " was about to stop and could not have finished it."
+	case entry.EventPanicked.ID():
+		return "A fault of the program on " + last.Process + " ended it: " + last.Fields["panic"] + "; it may have run."
+	case entry.EventLate.ID():
+		return "It was refused and has not run: its last byte came after " + last.Fields["took"] + ", when its time was over."
 	default:
 		return ended(s, last, all)
 	}
