--- a/entry/exits_test.go
+++ b/entry/exits_test.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/platform"
 )
 
 // rawServing starts a world whose one backend server plays conversation with
@@ -79,3 +82,50 @@
 		}
 	}
 }
+
+// A caller's link takes longer for a request than the caller waits. What the
+// process says of it: refused, has not run, and why.
+func TestEndedByItsLateBody(t *testing.T) {
+	g, w := gomega.NewWithT(t), serving(t, 1, nil)
+	conn, err := net.Dial("tcp4", w.callers)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: r1\r\nDeadline-Ms: 200\r\nAuthorization: Token k0\r\nContent-Length: 2\r\n\r\na", testHost)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	time.Sleep(300 * time.Millisecond)
+	_, err = conn.Write([]byte("b"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.StatusCode).To(gomega.Equal(503))
+	w.sawServers("r1")
+	w.holds("r1", verdict{"deadline", "PY2761", "It was refused and has not run: its last byte came after"})
+}
+
+// A planned stop's grace period ends while calls run that must not run twice.
+// Their callers saw a closed connection, as if the process had been killed:
+// nothing of an answer was on its way, so they are told that the call may have
+// run. Streams that have not begun are told so too.
+func TestStopAnswersWhatItCutsBeforeItsHead(t *testing.T) {
+	for _, path := range []string{"/once/1", "/large/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := newWorld(t, 0, func(s *platform.Settings) { s.Grace = 500 * time.Millisecond })
+			reached := make(chan struct{}, 1)
+			w.addRaw(func(_ net.Conn, r *http.Request) {
+				if r.Header.Get("Attempt-Id") == "r1" {
+					reached <- struct{}{} // and never answers
+				}
+			})
+			w.configure(1, `"k0"`, testRoutes...)
+			g.Eventually(w.isReady, "10s", "10ms").Should(gomega.BeTrue())
+			c := w.send(ask{id: "r1", path: path})
+			g.Eventually(reached, "5s").Should(gomega.Receive())
+			w.stop()
+			g.Expect(c.head().Err).NotTo(gomega.HaveOccurred(), "a closed connection is no answer")
+			g.Expect(c.Status).To(gomega.Equal(502))
+			g.Expect(c.rest().Err).NotTo(gomega.HaveOccurred())
+			w.holds("r1", verdict{"stop", "PY2734", "The planned stop of edge-1 cut it after"})
+		})
+	}
+}
