entry: what a stop cuts before its head is told so

Cause: fail() took every end but a Failure for that of a caller that has left, and the write deadline was put to now for the stop's cut too. Change: such a request is answered 502 (it may have run) and flushed within 50 ms of the cut's 100 ms; begun answers are cut as before. Ruled out: 503, which nobody can promise of a call that was sent.

--- a/entry/cutter.go
+++ b/entry/cutter.go
@@ -20,6 +20,9 @@
 	// third of graceMargin.
 	cutTime = 100 * time.Millisecond
 	cutLook = 2 * time.Millisecond
+	// sayTime is how long a write to the caller of such a request may take, less
+	// than cutTime, so that its last line is written too.
+	sayTime = 50 * time.Millisecond
 )
 
 // cutter ends what still runs at the end of a planned stop, in the stop's name.
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -151,8 +151,25 @@
 // fail answers a request that was not served. The caller that has left hears nothing.
 func fail(w http.ResponseWriter, id string, err error) {
 	var failure *exchange.Failure
-	if !errors.As(err, &failure) {
-		panic(http.ErrAbortHandler)
+	if errors.As(err, &failure) {
+		platform.WriteFailure(w, id, failure)
+		return
 	}
-	platform.WriteFailure(w, id, failure)
+	var end *exchange.End
+	if errors.As(err, &end) && end.By == exchange.EndedByStop {
+		sayCut(w, id, end)
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// sayCut answers a request that this process's stop cuts before its head.
+//
+// Failure it stops: the caller is still there, but its connection was closed
+// without a word, as if the process had been killed. The flush is needed since
+// the process ends as soon as the last handler has returned.
+func sayCut(w http.ResponseWriter, id string, end *exchange.End) {
+	platform.WriteFailure(w, id, &exchange.Failure{Ran: true, By: end.By, Err: end})
+	// An error is a caller's that doesn't read, or that has left meanwhile.
+	_ = http.NewResponseController(w).Flush()
 }
--- a/entry/write.go
+++ b/entry/write.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pearyard/pearyard/exchange"
 )
 
@@ -59,8 +61,12 @@
 func endWrites(w http.ResponseWriter, r *http.Request) (stop func() bool) {
 	control := http.NewResponseController(w)
 	return context.AfterFunc(r.Context(), func() {
+		deadline := time.Now()
+		if errors.Is(context.Cause(r.Context()), errGraceOver) {
+			deadline = deadline.Add(sayTime)
+		}
 		// Without support for deadlines, as in tests, there is no connection either.
-		_ = control.SetWriteDeadline(time.Now())
+		_ = control.SetWriteDeadline(deadline)
 	})
 }
 
