entry: several servers that answer by hand in one world

Cause: the id under which such a server is listed was fixed, so a second one would replace the first. Change: the id is made of its address.

--- a/entry/exits_test.go
+++ b/entry/exits_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 			go playRaw(conn, conversation)
 		}
 	}()
-	w.store.Put("servers", "i-raw", fmt.Appendf(nil,
+	w.store.Put("servers", "i-raw-"+strings.ReplaceAll(listener.Addr().String(), ":", "-"), fmt.Appendf(nil,
 		`{"service":"s","address":%q,"zone":"a","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"seq":1,"born":1}`, listener.Addr()))
 }
 
