entry: test of a panic beside a request's path, red

Fails by ending the test binary: attempts of plain calls run in goroutines of their own, where nobody recovers, so a fault there takes the process and every stream with it. The path of streams is the handler's own and is covered by TestPanicOnARequestsPath. go test -run PanicBeside ./entry: panic: assignment to entry in nil map, in exchange.(*call).attempt.

--- a/entry/panics_test.go
+++ b/entry/panics_test.go
@@ -131,3 +131,27 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(recorder.Entries("a1")).To(gomega.BeEmpty())
 }
+
+// The same fault where plain calls meet their servers, which is beside the
+// request's own path: it ended the whole process, with every stream that ran
+// through it. It costs one attempt, and says so.
+func TestPanicBesideARequestsPathCostsOneAttempt(t *testing.T) {
+	for _, at := range []string{"open", "read"} {
+		t.Run(at, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h, recorder := faulty(at)
+			server := httptest.NewServer(h)
+			defer server.Close()
+			answer, _, err := post(server, "/call/60ms", "a1")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusBadGateway))
+			panics := 0
+			for _, l := range recorder.Entries("a1") {
+				if l.Fields["panic"] == "assignment to entry in nil map" {
+					panics++
+				}
+			}
+			g.Expect(panics).To(gomega.Equal(1))
+		})
+	}
+}
