entry: a panic beside a request's path costs one attempt

Cause: exchange runs attempts of plain calls, copies and probes in goroutines, in which a panic ends the process. Change: the backend that entry hands to exchange recovers its methods and the reading of its bodies (guardedBackend, PY2762): the attempt is broken off, which may have run. Ruled out: recovering in exchange, which is another's; what panics there outside the backend still ends the process (choice, bookkeeping).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,7 @@
 	backend := platform.NewBackend(e.pool)
 	e.exchange = exchange.New(exchange.Options{
 		Restarts: e.restarts(backend), Lender: e.budgets,
-		Zone: s.Zone, Directory: e.directory, Backend: backend, Services: e.service,
+		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.service,
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryShare * s.RetryRatio,
 		RetryExtra: func() float64 {
--- a/entry/events.go
+++ b/entry/events.go
@@ -31,6 +31,12 @@
 	"a request was refused because its time was over when its last byte came; it has not run",
 	"if there are many, look at the network between callers and this VM")
 
+// EventAttemptPanicked is emitted for an attempt, or another question to a backend
+// server, in which the program has a fault.
+var EventAttemptPanicked = event.Define(2762, "entry_attempt_panicked", event.Error,
+	"a fault of this program ended an attempt or a question to a backend server; the request goes on as if the server had broken it off",
+	"report the line with its stack; it is a bug")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/panics_test.go
+++ b/entry/panics_test.go
@@ -57,9 +57,14 @@
 
 // faulty returns a handler with a fault in it, and its recorder.
 func faulty(at string) (*handler, *event.Recorder) {
+	return faultyWith(func(*event.Recorder) exchange.Backend { return faultyBackend{at: at} }, at)
+}
+
+// faultyWith returns such a handler over a backend.
+func faultyWith(backend func(*event.Recorder) exchange.Backend, at string) (*handler, *event.Recorder) {
 	e := modelEntry(newStopping(), modelServer{reached: &sync.Map{}})
 	e.exchange = exchange.New(exchange.Options{
-		Directory: e.directory, Backend: faultyBackend{at: at}, Services: e.service, Recorder: e.recorder,
+		Directory: e.directory, Backend: backend(e.recorder), Services: e.service, Recorder: e.recorder,
 		Suspects: suspect.New(suspect.Options{Self: "m", Recorder: e.recorder}), Metrics: prometheus.NewRegistry(),
 		RetryWindow: time.Second, RetryExtra: func() float64 { return 10 },
 	})
@@ -139,7 +144,9 @@
 	for _, at := range []string{"open", "read"} {
 		t.Run(at, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			h, recorder := faulty(at)
+			h, recorder := faultyWith(func(r *event.Recorder) exchange.Backend {
+				return &guardedBackend{faultyBackend{at: at}, r}
+			}, at)
 			server := httptest.NewServer(h)
 			defer server.Close()
 			answer, _, err := post(server, "/call/60ms", "a1")
