entry: a cut answer to a caller of HTTP/1.0 ends in a reset

Cause: net/http's ErrAbortHandler closes in order; HTTP/1.0 has no last chunk. Change: cut() sets the connection's linger time to 0 before it, for HTTP/1.0 alone, for streams, large answers and panics after the head. Ruled out: hijacking, which takes the last line's connection state away from clients; refusing HTTP/1.0, which serves today. What it costs: what is still in the socket's buffer goes with the reset.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -164,7 +164,7 @@
 	w.WriteHeader(reply.Status)
 	_, err = w.Write(reply.Body)
 	if reply.Rest != nil {
-		passRest(w, reply.Rest, err)
+		passRest(w, r, reply.Rest, err)
 	}
 	served = true
 }
@@ -177,7 +177,7 @@
 	case err == nil:
 	case begun:
 		// Ended in an orderly way, the answer would look complete.
-		panic(http.ErrAbortHandler)
+		cut(r)
 	default:
 		fail(w, call.ID, err)
 	}
--- a/entry/panics.go
+++ b/entry/panics.go
@@ -37,7 +37,7 @@
 	stack := debug.Stack()
 	h.recorder.Emit(EventPanicked, event.FieldRequest, id, "panic", fmt.Sprint(why), "answered", !w.begun, "stack", string(stack[:min(len(stack), maxStack)]))
 	if w.begun {
-		panic(http.ErrAbortHandler)
+		cut(r)
 	}
 	// What has been set belongs to an answer that isn't given.
 	clear(w.Header())
--- a/entry/write.go
+++ b/entry/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -88,12 +89,35 @@
 
 // passRest copies the rest of a large answer, unless its beginning could not be
 // written; a break in it must not look like an end.
-func passRest(w http.ResponseWriter, rest exchange.Body, err error) {
+func passRest(w http.ResponseWriter, r *http.Request, rest exchange.Body, err error) {
 	defer rest.Close()
 	if err == nil {
 		_, err = io.Copy(w, rest)
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		cut(r)
+	}
+}
+
+// cut ends an answer that has begun so that it doesn't look whole. It doesn't return.
+//
+// Failure it stops: to a caller of HTTP/1.0 an answer without a length ends with
+// its connection. Closed in order, half a draft looked whole; a reset doesn't.
+// Later callers miss the last chunk.
+func cut(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		resetAtClose(r)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetAtClose makes the close of a request's connection a reset.
+func resetAtClose(r *http.Request) {
+	caller, ok := r.Context().Value(clientKey{}).(*clientConn)
+	if !ok {
+		return // a connection of tests
+	}
+	if conn, ok := caller.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // fails on a connection that is closed already
 	}
 }
