router: no answer that looks whole to a caller taken for gone; refusals reach their callers

Cause of the first: conclude returned without a word when the caller had left, and net/http made 200 of it for one that had only closed its sending side. Cause of the second: as in package entry, bodies left unread. readOff moves to package unread, which both use; the router calls it at each refusal before or in its body. Ruled out: going on for such a caller; net/http can't tell it from one that has left.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -13,6 +13,7 @@
 	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/unread"
 )
 
 // defaultWait is for a request that states no time of its own and whose route has none.
@@ -47,17 +48,17 @@
 	config := h.holder.Config()
 	call, err := platform.ReadCall(r)
 	if err != nil {
-		defer readOff(w, r)()
+		defer unread.ReadOff(w, r)()
 		h.turnAway(w, r, nil, err, config)
 		return
 	}
 	if config == nil {
-		defer readOff(w, r)()
+		defer unread.ReadOff(w, r)()
 		h.notYet(w, call, "configuration", comeBack(call.Wait))
 		return
 	}
 	if err := call.ReadBody(w.ResponseWriter, r, config.Limits.BodyBytes); err != nil {
-		defer readOff(w, r)()
+		defer unread.ReadOff(w, r)()
 		h.turnAway(w, r, call, err, config)
 		return
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -10,6 +10,7 @@
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
+	"github.com/pearyard/pearyard/unread"
 )
 
 // HeaderTimeout is a caller's own deadline in seconds, passed on to the engine.
@@ -52,6 +53,7 @@
 		in := &admitted{id: types.NewRequestID(), begun: time.Now()}
 		w.Header().Set(HeaderRequestID, string(in.id))
 		if !r.enter() {
+			defer unread.ReadOff(w, req)()
 			leaving := types.NotRun(types.CodeLeaving, drainRetryAfter, "this router is being stopped; another one serves")
 			r.refuse(w, in.id, r.truthful(req, leaving))
 			return
@@ -60,6 +62,7 @@
 		r.begun.Store(in, nil)
 		defer r.begun.Delete(in)
 		if refusal := r.admitCaller(req, in); refusal != nil {
+			defer unread.ReadOff(w, req)()
 			r.refuse(w, in.id, r.truthful(req, refusal))
 			return
 		}
@@ -92,6 +95,7 @@
 func (r *Router) serveGeneration(w http.ResponseWriter, req *http.Request, in *admitted, chat bool) {
 	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
 	if refusal != nil {
+		defer unread.ReadOff(w, req)()
 		r.refuse(w, in.id, refusal)
 		return
 	}
@@ -167,6 +171,10 @@
 	case refusal == nil || refusal == errAnswered:
 	case refusal == errCallerLeft:
 		r.opts.Recorder.Emit(eventCallerLeft, event.FieldRequest, d.ask.requestID, "generation", d.id, "tokens", d.sent)
+		// Failure it stops: a caller that has only closed its sending side looks as
+		// if it had left. Returning in order, the handler gave it 200 with nothing
+		// in it, or a stream that ended in its middle and looked whole.
+		panic(http.ErrAbortHandler)
 	case d.answer.started():
 		r.countRefusal(d.ask.requestID, refusal)
 		_ = d.answer.fail(refusal)
@@ -189,6 +197,7 @@
 }
 
 func (r *Router) serveUnknown(w http.ResponseWriter, req *http.Request) {
+	defer unread.ReadOff(w, req)()
 	id := types.NewRequestID()
 	w.Header().Set(HeaderRequestID, string(id))
 	r.refuse(w, id, types.Invalid(http.StatusNotFound, types.CodeBadRequest, "nothing is served at %s %s", req.Method, req.URL.Path))
