plain: test of a status that is no final one, red

Fails in its 3 parts: 000, 099 and 101 of a plain service are taken for answers. Read in the code, not played end to end: router.writeCall hands such a status to net/http's WriteHeader, which panics on the first two, after the line that says delivered. go test -run FinalOne ./plain/httpapi: 3 of 3 failed.

--- a/plain/httpapi/client_test.go
+++ b/plain/httpapi/client_test.go
@@ -144,3 +144,29 @@
 	p.Apply(standin.PlainFaults{Freeze: ptr(false)})
 	g.Eventually(func() int { return p.Counts().Total }).Should(Equal(1))
 }
+
+// A faulty service answers with a status that HTTP doesn't have as a final one.
+// The router that hands it on can't write such a status: it gave up in the middle,
+// the caller's connection was closed without a word, and the line said
+// "delivered". The call may have run, and its answer is lost.
+func TestStatusThatIsNoFinalOneIsALostAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			g := NewWithT(t)
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nab")
+			}()
+			_, err = httpapi.New(httpapi.Options{Address: listener.Addr().String()}).Do(t.Context(), label("k1"))
+			g.Expect(err).To(MatchError(plain.ErrLost))
+		})
+	}
+}
