plain: an answer without a final status is lost

Cause: net/http's reader takes any three digits for a status. Change: below 200 the answer is ErrLost, so the caller hears that the call may have run; it did reach the service. Ruled out: ErrNotSent, which would let it run twice.

--- a/plain/httpapi/client.go
+++ b/plain/httpapi/client.go
@@ -118,6 +118,11 @@
 }
 
 func (c *Client) answer(resp *http.Response) (plain.Answer, error) {
+	if resp.StatusCode < http.StatusOK {
+		// Failure it stops: a faulty service sends 099. net/http panics when asked to
+		// write that, and the caller's connection was closed without an answer.
+		return plain.Answer{}, errors.WithMessagef(plain.ErrLost, "%03d is no final status", resp.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswer+1))
 	if err != nil {
 		return plain.Answer{}, errors.WithMessage(plain.ErrLost, err.Error())
