router: test of a panic on a request's path, red

Fails: the caller gets EOF; net/http recovers the panic and writes a stack to standard error that names no request.

--- a/router/exits_test.go
+++ b/router/exits_test.go
@@ -190,3 +190,28 @@
 		}
 	}
 }
+
+// The program has a fault on a request's path. The caller saw a closed connection
+// and the only trace, on standard error, named no request. It gets an answer that
+// says that the request may have run, and the line names it.
+func TestPanicOnARequestsPathIsAnsweredAndLogged(t *testing.T) {
+	g := NewWithT(t)
+	in, _ := text.Parse(textOf([]string{"127.0.0.1:1"}))
+	recorder := event.Discard()
+	var noMap map[string]int
+	r := router.New(router.Options{
+		Peer: newPeer("r1", ""), Text: func() *text.Text { return in },
+		Fresh:   func() bool { noMap["x"]++; return true },
+		Members: func() *membership.View { return nil }, Recorder: recorder, Registerer: prometheus.NewRegistry(),
+	})
+	callers := httptest.NewServer(r.Handler())
+	defer callers.Close()
+	resp, err := postAsk(callers.URL, "key", 5, false)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusInternalServerError))
+	g.Expect(resp.Header.Get("Pearyard-Outcome")).To(Equal("unknown"))
+	id := resp.Header.Get("Pearyard-Request-Id")
+	g.Expect(recorder.Entries(id)).To(ContainElement(HaveField("Fields", HaveKeyWithValue("panic", "assignment to entry in nil map"))))
+	g.Expect(r.Streams()).To(BeZero(), "it is counted out")
+}
