router: a panic on a request's path is answered and logged

Cause: nothing but net/http recovered it. Change: guarded handlers answer 500 with outcome unknown if nothing has been written, else cut; PY2007 names request, panic and stack. The writer that knows whether an answer has begun moves from entry to package httpanswer (before: unread), which both use; entry's handling is the same. Ruled out: a second copy in router.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,9 +11,9 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/httpanswer"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/site"
-	"github.com/pearyard/pearyard/unread"
 )
 
 // defaultWait is for a request that states no time of its own and whose route has none.
@@ -35,30 +35,30 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	a := &answer{ResponseWriter: w}
+	a := &httpanswer.Writer{ResponseWriter: w}
 	defer h.answerPanic(a, r)
 	h.take(a, r)
 }
 
 // take serves a caller's request, or refuses it.
-func (h *handler) take(w *answer, r *http.Request) {
+func (h *handler) take(w *httpanswer.Writer, r *http.Request) {
 	if h.stop.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	config := h.holder.Config()
 	call, err := platform.ReadCall(r)
 	if err != nil {
-		defer unread.ReadOff(w, r)()
+		defer httpanswer.ReadOff(w, r)()
 		h.turnAway(w, r, nil, err, config)
 		return
 	}
 	if config == nil {
-		defer unread.ReadOff(w, r)()
+		defer httpanswer.ReadOff(w, r)()
 		h.notYet(w, call, "configuration", comeBack(call.Wait))
 		return
 	}
 	if err := call.ReadBody(w.ResponseWriter, r, config.Limits.BodyBytes); err != nil {
-		defer unread.ReadOff(w, r)()
+		defer httpanswer.ReadOff(w, r)()
 		h.turnAway(w, r, call, err, config)
 		return
 	}
--- a/entry/panics.go
+++ b/entry/panics.go
@@ -9,6 +9,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/httpanswer"
 	"github.com/pearyard/pearyard/platform"
 )
 
@@ -25,7 +26,7 @@
 // Failure it stops: the server recovers a panic by closing the connection. The
 // caller had neither an answer nor a refusal, and the stack on standard error
 // named no request.
-func (h *handler) answerPanic(w *answer, r *http.Request) {
+func (h *handler) answerPanic(w *httpanswer.Writer, r *http.Request) {
 	why := recover()
 	if why == nil {
 		return
@@ -35,8 +36,8 @@
 	}
 	id := platform.RequestID(r)
 	stack := debug.Stack()
-	h.recorder.Emit(EventPanicked, event.FieldRequest, id, "panic", fmt.Sprint(why), "answered", !w.begun, "stack", string(stack[:min(len(stack), maxStack)]))
-	if w.begun {
+	h.recorder.Emit(EventPanicked, event.FieldRequest, id, "panic", fmt.Sprint(why), "answered", !w.Begun, "stack", string(stack[:min(len(stack), maxStack)]))
+	if w.Begun {
 		cut(r)
 	}
 	// What has been set belongs to an answer that isn't given.
--- a/entry/write.go
+++ b/entry/write.go
@@ -34,25 +34,6 @@
 	return s.flush.Flush()
 }
 
-// answer is a caller's answer that knows whether its head has been written.
-type answer struct {
-	http.ResponseWriter
-	begun bool
-}
-
-// WriteHeader implements http.ResponseWriter. Every answer's head is written by
-// it: platform.WriteStatus, the plain answers and the sink call it first.
-func (a *answer) WriteHeader(status int) {
-	a.ResponseWriter.WriteHeader(status)
-	a.begun = true
-}
-
-// Unwrap is for http.ResponseController.
-func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
-
-// ReadFrom implements io.ReaderFrom by the server's own, which reuses buffers.
-func (a *answer) ReadFrom(from io.Reader) (int64, error) { return io.Copy(a.ResponseWriter, from) }
-
 // endWrites ends writes to a caller once its request has been ended by its
 // leaving or by this process's stop; the function returned calls that off.
 //
--- a/unread/unread.go
+++ b/httpanswer/readoff.go
@@ -1,6 +1,6 @@
-// Package unread refuses requests whose bodies nobody reads, so that callers get
-// the refusals.
-package unread
+// Package httpanswer has what servers of callers share: an answer that knows
+// whether it has begun, and refusals of requests whose bodies nobody reads.
+package httpanswer
 
 import (
 	"io"
--- /dev/null
+++ b/httpanswer/writer.go
@@ -0,0 +1,33 @@
+package httpanswer
+
+import (
+	"io"
+	"net/http"
+)
+
+// Writer is a caller's answer that knows whether its head has been written.
+type Writer struct {
+	http.ResponseWriter
+	Begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *Writer) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status)
+	w.Begun = true
+}
+
+// Write implements http.ResponseWriter. The first one writes the head.
+func (w *Writer) Write(p []byte) (int, error) {
+	w.Begun = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap is for http.ResponseController.
+func (w *Writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// ReadFrom implements io.ReaderFrom by the server's own, which reuses buffers.
+func (w *Writer) ReadFrom(from io.Reader) (int64, error) {
+	w.Begun = true
+	return io.Copy(w.ResponseWriter, from)
+}
--- a/router/call.go
+++ b/router/call.go
@@ -10,13 +10,13 @@
 
 	"github.com/pearyard/pearyard/claim"
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/httpanswer"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/plain"
 	"github.com/pearyard/pearyard/route"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
-	"github.com/pearyard/pearyard/unread"
 )
 
 // hopHeaders belong to one connection, or to this system; they aren't passed on.
@@ -30,7 +30,7 @@
 func (r *Router) serveCall(w http.ResponseWriter, req *http.Request, in *admitted) {
 	service, ok := in.text.Service(req.PathValue("service"))
 	if !ok || service.Kind != text.KindPlain {
-		defer unread.ReadOff(w, req)()
+		defer httpanswer.ReadOff(w, req)()
 		r.refuse(w, in.id, types.Invalid(http.StatusNotFound, types.CodeUnknownService, "no plain service has the name %q", req.PathValue("service")))
 		return
 	}
@@ -39,13 +39,13 @@
 		refusal = types.Invalid(http.StatusBadRequest, types.CodeKeyRequired, "calls of %s need an %s", service.Name, HeaderIdempotencyKey)
 	}
 	if refusal != nil {
-		defer unread.ReadOff(w, req)()
+		defer httpanswer.ReadOff(w, req)()
 		r.refuse(w, in.id, refusal)
 		return
 	}
 	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
 	if refusal != nil {
-		defer unread.ReadOff(w, req)()
+		defer httpanswer.ReadOff(w, req)()
 		r.refuse(w, in.id, refusal)
 		return
 	}
--- a/router/events.go
+++ b/router/events.go
@@ -17,6 +17,8 @@
 		"The router takes no new work and waits for its streams.", "wait, or see how many are left in the state dump")
 	eventDrained = event.Define(2006, "router_drained", event.Info,
 		"The router has no streams left; it ends.", "nothing")
+	eventPanicked = event.Define(2007, "request_panicked", event.Error,
+		"A fault of this program ended a request: it was answered 500, or cut if its answer had begun; it may have run.", "report the line with its stack; it is a bug")
 	eventPlaced = event.Define(2100, "attempt_placed", event.Info,
 		"An attempt at a generation was sent to a backend server.", "nothing")
 	eventLost = event.Define(2101, "attempt_lost", event.Warn,
--- a/router/serve.go
+++ b/router/serve.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/httpanswer"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
-	"github.com/pearyard/pearyard/unread"
 )
 
 // HeaderTimeout is a caller's own deadline in seconds, passed on to the engine.
@@ -49,11 +49,13 @@
 }
 
 func (r *Router) guarded(next func(http.ResponseWriter, *http.Request, *admitted)) http.HandlerFunc {
-	return func(w http.ResponseWriter, req *http.Request) {
+	return func(raw http.ResponseWriter, req *http.Request) {
 		in := &admitted{id: types.NewRequestID(), begun: time.Now()}
+		w := &httpanswer.Writer{ResponseWriter: raw}
+		defer r.answerPanic(w, in.id)
 		w.Header().Set(HeaderRequestID, string(in.id))
 		if !r.enter() {
-			defer unread.ReadOff(w, req)()
+			defer httpanswer.ReadOff(w, req)()
 			leaving := types.NotRun(types.CodeLeaving, drainRetryAfter, "this router is being stopped; another one serves")
 			r.refuse(w, in.id, r.truthful(req, leaving))
 			return
@@ -62,7 +64,7 @@
 		r.begun.Store(in, nil)
 		defer r.begun.Delete(in)
 		if refusal := r.admitCaller(req, in); refusal != nil {
-			defer unread.ReadOff(w, req)()
+			defer httpanswer.ReadOff(w, req)()
 			r.refuse(w, in.id, r.truthful(req, refusal))
 			return
 		}
@@ -95,7 +97,7 @@
 func (r *Router) serveGeneration(w http.ResponseWriter, req *http.Request, in *admitted, chat bool) {
 	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
 	if refusal != nil {
-		defer unread.ReadOff(w, req)()
+		defer httpanswer.ReadOff(w, req)()
 		r.refuse(w, in.id, refusal)
 		return
 	}
@@ -197,7 +199,7 @@
 }
 
 func (r *Router) serveUnknown(w http.ResponseWriter, req *http.Request) {
-	defer unread.ReadOff(w, req)()
+	defer httpanswer.ReadOff(w, req)()
 	id := types.NewRequestID()
 	w.Header().Set(HeaderRequestID, string(id))
 	r.refuse(w, id, types.Invalid(http.StatusNotFound, types.CodeBadRequest, "nothing is served at %s %s", req.Method, req.URL.Path))
