router: a request is judged by the text in force when it is complete

Cause: serveGeneration and serveCall kept the text of the head while the body came, so a revoked key or a dropped service went on for whoever sent slowly. Change: readAdmitted admits the caller anew once the body is there; calls look up their service again. The early refusals of calls without a service or key stay, before the body. Ruled out: reading the text only after the body, which would read bodies of strangers.

--- a/router/call.go
+++ b/router/call.go
@@ -28,24 +28,18 @@
 
 // serveCall serves one call of a plain service.
 func (r *Router) serveCall(w http.ResponseWriter, req *http.Request, in *admitted) {
-	service, ok := in.text.Service(req.PathValue("service"))
-	if !ok || service.Kind != text.KindPlain {
-		defer httpanswer.ReadOff(w, req)()
-		r.refuse(w, in.id, types.Invalid(http.StatusNotFound, types.CodeUnknownService, "no plain service has the name %q", req.PathValue("service")))
-		return
-	}
-	key, refusal := idempotencyKeyOf(req.Header)
-	if refusal == nil && key == "" && service.Calls == text.CallsAtMostOnce {
-		refusal = types.Invalid(http.StatusBadRequest, types.CodeKeyRequired, "calls of %s need an %s", service.Name, HeaderIdempotencyKey)
-	}
+	_, _, refusal := plainCall(req, in)
 	if refusal != nil {
 		defer httpanswer.ReadOff(w, req)()
 		r.refuse(w, in.id, refusal)
 		return
 	}
-	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
+	body, ok := r.readAdmitted(w, req, in)
+	if !ok {
+		return
+	}
+	service, key, refusal := plainCall(req, in)
 	if refusal != nil {
-		defer httpanswer.ReadOff(w, req)()
 		r.refuse(w, in.id, refusal)
 		return
 	}
@@ -72,6 +66,19 @@
 	r.writeCall(w, in, answer)
 }
 
+// plainCall returns the service that a call is for, and its idempotency key.
+func plainCall(req *http.Request, in *admitted) (*text.Service, string, *types.Refusal) {
+	service, ok := in.text.Service(req.PathValue("service"))
+	if !ok || service.Kind != text.KindPlain {
+		return nil, "", types.Invalid(http.StatusNotFound, types.CodeUnknownService, "no plain service has the name %q", req.PathValue("service"))
+	}
+	key, refusal := idempotencyKeyOf(req.Header)
+	if refusal == nil && key == "" && service.Calls == text.CallsAtMostOnce {
+		refusal = types.Invalid(http.StatusBadRequest, types.CodeKeyRequired, "calls of %s need an %s", service.Name, HeaderIdempotencyKey)
+	}
+	return service, key, refusal
+}
+
 func (r *Router) admitCall(ctx context.Context, org *text.Organisation) (func(), *types.Refusal) {
 	if r.opts.Limiter == nil {
 		return func() {}, nil
--- a/router/serve.go
+++ b/router/serve.go
@@ -95,10 +95,8 @@
 }
 
 func (r *Router) serveGeneration(w http.ResponseWriter, req *http.Request, in *admitted, chat bool) {
-	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
-	if refusal != nil {
-		defer httpanswer.ReadOff(w, req)()
-		r.refuse(w, in.id, refusal)
+	body, ok := r.readAdmitted(w, req, in)
+	if !ok {
 		return
 	}
 	a, refusal := parseAsk(req, body, chat, in.text, in.organisation)
@@ -122,6 +120,25 @@
 	r.generate(ctx, w, a, in)
 }
 
+// readAdmitted reads a request's body and admits the request anew; false: it was
+// refused.
+//
+// Failure it stops: a body that comes slowly was judged by the text of its head.
+// A key that had been revoked meanwhile went on working, however long ago that was.
+func (r *Router) readAdmitted(w http.ResponseWriter, req *http.Request, in *admitted) ([]byte, bool) {
+	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
+	if refusal != nil {
+		defer httpanswer.ReadOff(w, req)()
+		r.refuse(w, in.id, refusal)
+		return nil, false
+	}
+	if refusal := r.admitCaller(req, in); refusal != nil {
+		r.refuse(w, in.id, r.truthful(req, refusal))
+		return nil, false
+	}
+	return body, true
+}
+
 func (r *Router) admitOrganisation(ctx context.Context, a *ask) (func(), *types.Refusal) {
 	// A caller that comes back for the rest of its answer has been admitted
 	// before; shedding it would lose work already paid for.
