--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -326,7 +326,7 @@
 
 // An operator moves, splits, removes a route or changes its time, revokes a key
 // or its organisation, lowers a limit, and servers leave, at each moment of a
-// request that decides something, in all orders of two. What has been routed is
+// request that decides something, and each two in both orders at some moments. What has been routed is
 // answered whole; what has not is answered by what is in force when it is
 // complete. Nobody is left with a closed connection.
 func TestChangesAmongAllMomentsOfARequest(t *testing.T) {
