entry: copies of a stream's memory among the changes

Change: services make copies, resumes go on from them, one kind of request finds that its copy isn't there, and one more change takes the description of the services away.

--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,14 +35,21 @@
 	waitForServer = exchange.DefaultWaitForServer
 )
 
-// changeBackend runs requests; the first attempt of those to /…/break breaks off
-// in the middle.
-type changeBackend struct{ modelServer }
+// changeBackend runs requests; the first attempt of those to /…/break and
+// /…/nocopy breaks off in the middle. A stream may go on from the copy of its
+// memory, but for /…/nocopy, whose copy the server says it doesn't have.
+type changeBackend struct {
+	modelServer
+	fromCopy *atomic.Int64 // attempts that went on from a copy
+}
 
 // Open implements exchange.Backend.
 func (b changeBackend) Open(ctx context.Context, a *exchange.Attempt) (*exchange.Answer, error) {
 	_, again := b.reached.LoadOrStore(a.Request.ID, true)
-	breaks := !again && strings.HasSuffix(a.Request.Target, "/break")
+	breaks := !again && breaksOff(a.Request.Target)
+	if a.From != nil && strings.HasSuffix(a.Request.Target, "/nocopy") {
+		return nil, &exchange.NotRunError{Reason: exchange.Busy, Err: io.EOF}
+	}
 	if a.Request.Route.Kind != site.Stream {
 		return b.call(ctx, breaks)
 	}
@@ -50,6 +58,10 @@
 	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r}, nil
 }
 
+func breaksOff(path string) bool {
+	return strings.HasSuffix(path, "/break") || strings.HasSuffix(path, "/nocopy")
+}
+
 func (changeBackend) call(ctx context.Context, breaks bool) (*exchange.Answer, error) {
 	length := 2 * changeFirst
 	if breaks {
@@ -66,10 +78,14 @@
 	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("end"))}, nil
 }
 
-func (changeBackend) events(ctx context.Context, a *exchange.Attempt, w *io.PipeWriter, breaks bool) {
+func (b changeBackend) events(ctx context.Context, a *exchange.Attempt, w *io.PipeWriter, breaks bool) {
 	after, _ := strconv.Atoi(a.After)
 	ends := time.Now().Add(changeBreak)
 	wait := changeFirst
+	if a.From != nil {
+		b.fromCopy.Add(1)
+		wait = changeGap
+	}
 	for i := after + 1; i <= changeEvents; i++ {
 		select {
 		case <-time.After(wait):
@@ -100,6 +116,7 @@
 	listed         bool     // servers of s
 	draining       bool
 	maxBody        int64
+	undescribed    bool // the services are not described any more: no copies are made
 }
 
 func firstState() siteState {
@@ -118,6 +135,7 @@
 	"revoked":    func(s *siteState) { s.keys = []string{"other"} },
 	"org gone":   func(s *siteState) { s.keys = nil },
 	"small body": func(s *siteState) { s.maxBody = 1 },
+	"no service": func(s *siteState) { s.undescribed = true },
 	"no change":  func(*siteState) {},
 }
 
@@ -145,7 +163,11 @@
 	if s.keys != nil {
 		organisations = append(organisations, site.Keyed{Organisation: site.Organisation{Name: "o"}, Keys: s.keys})
 	}
-	e.holder.Offer(&site.Versioned{Position: version, Config: site.New(version, routes, nil, organisations, site.ClientLimits{BodyBytes: s.maxBody})})
+	services := []site.Service{{Name: "s", Copies: true, CopiesOnCall: true}, {Name: "t", Copies: true, CopiesOnCall: true}}
+	if s.undescribed {
+		services = nil
+	}
+	e.holder.Offer(&site.Versioned{Position: version, Config: site.New(version, routes, services, organisations, site.ClientLimits{BodyBytes: s.maxBody})})
 	list := []directory.Listing{{ID: "t1", Service: "t", Address: "t1:1", Zone: "a", Slots: 64}, {ID: "t2", Service: "t", Address: "t2:1", Zone: "b", Slots: 64}}
 	if s.listed {
 		list = append(list, directory.Listing{ID: "s1", Service: "s", Address: "s1:1", Zone: "a", Slots: 64, Draining: s.draining},
@@ -177,8 +199,8 @@
 }
 
 // playChanges plays steps beside a request and returns what its caller got.
-func playChanges(t *testing.T, r changeRequest, steps []step) string {
-	backend := changeBackend{modelServer{reached: &sync.Map{}}}
+func playChanges(t *testing.T, r changeRequest, steps []step, fromCopy *atomic.Int64) string {
+	backend := changeBackend{modelServer{reached: &sync.Map{}}, fromCopy}
 	e := modelEntry(newStopping(), backend.modelServer)
 	e.holder, e.directory = site.NewHolder(), directory.New()
 	e.exchange = exchange.New(exchange.Options{
@@ -258,7 +280,7 @@
 		}
 		later = later || s.change == "unlisted" || s.change == "draining"
 	}
-	breaks, kind := strings.HasSuffix(r.path, "/break"), strings.Split(r.path, "/")[1]
+	breaks, kind := breaksOff(r.path), strings.Split(r.path, "/")[1]
 	takes := changeFirst + (changeEvents-1)*changeGap
 	switch {
 	case tooLarge:
@@ -321,7 +343,7 @@
 		all = append(all, changeRequest{path: "/" + kind + "/ok"}, changeRequest{path: "/" + kind + "/break"},
 			changeRequest{path: "/" + kind + "/ok", slow: true}, changeRequest{path: "/" + kind + "/ok", slow: true, chunked: true})
 	}
-	return all
+	return append(all, changeRequest{path: "/resume/nocopy"})
 }
 
 // An operator moves, splits, removes a route or changes its time, revokes a key
@@ -333,9 +355,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		var broken []string
 		played := 0
+		var fromCopy atomic.Int64
 		play := func(r changeRequest, steps ...step) {
 			played++
-			got := playChanges(t, r, steps)
+			got := playChanges(t, r, steps, &fromCopy)
 			if !slices.Contains(expected(r, steps), got) {
 				broken = append(broken, fmt.Sprintf("%+v beside %v: %s, expected %v", r, steps, got, expected(r, steps)))
 			}
@@ -352,7 +375,9 @@
 				}
 			}
 		}
-		t.Logf("%d plays", played)
-		gomega.NewWithT(t).Expect(broken).To(gomega.BeEmpty())
+		t.Logf("%d plays, %d resumes from a copy", played, fromCopy.Load())
+		g := gomega.NewWithT(t)
+		g.Expect(broken).To(gomega.BeEmpty())
+		g.Expect(fromCopy.Load()).To(gomega.BeNumerically(">", 0), "copies are in play")
 	})
 }
