exchange: three ends of requests say what is true and whole; a panic beside a request stays its own

Found by the look at every exit (entry/told_test.go, each red before): - a server's status and explanation of over 256 KB to a stream's request was ended as if whole after the first 256 KB; the rest is passed on, a break in it is a cut; - an idempotent call whose first server had answered with its own failure, and whose second was silent, was told 504 at the end of its time; it gets the answer that had been there all along; - a stream that was sent to nobody before its time was over was told that it may have run (504); it is refused as not run (503, Retry-After). Beside it: attempts of streams are read by a goroutine of their own now, in which a panic ended the process; it is raised again on the request's path with the stack of where it happened (TestPanicOnARequestsPathIsAnsweredAndLogged failed so).

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -32,8 +34,20 @@
 	event  streamEvent // if err is nil and there is no reply
 	reply  *Reply      // an answer that is no stream
 	err    error       // io.EOF: the stream ended whole
+	fault  *Fault      // the program panicked while it read
 }
 
+// Fault is a panic of a goroutine that works beside a request's own. It is raised
+// again there: a goroutine of its own would end the process, with all that runs
+// through it.
+type Fault struct {
+	Why   any
+	Stack []byte // where it happened
+}
+
+// Error implements error.
+func (f *Fault) Error() string { return fmt.Sprint(f.Why) }
+
 // launch sends the stream to a server.
 func (s *stream) launch(ctx context.Context, server *directory.Server, from *Memory) *streamAttempt {
 	prompt := s.req.PromptTokens
@@ -55,6 +69,11 @@
 
 // read hands on what the server sends until its end, or until nobody takes it.
 func (a *streamAttempt) read(backend Backend, sending *Attempt) {
+	defer func() {
+		if why := recover(); why != nil {
+			a.hand(step{fault: &Fault{Why: why, Stack: debug.Stack()}})
+		}
+	}()
 	answer, err := backend.Open(a.watch.ctx, sending)
 	if err != nil {
 		a.hand(step{err: a.watch.explain(err)})
@@ -63,7 +82,9 @@
 	defer answer.Body.Close()
 	if answer.Status >= 300 || answer.Status < 200 {
 		reply, err := whole(answer)
-		a.hand(step{reply: reply, err: err})
+		if a.hand(step{reply: reply, err: err}) && err == nil && reply.Rest != nil {
+			<-a.over // the rest is read by whoever took the step
+		}
 		return
 	}
 	events := newEventReader(answer.Body)
--- a/exchange/pass.go
+++ b/exchange/pass.go
@@ -60,9 +60,39 @@
 	if err := s.sink.Event(reply.Body); err != nil {
 		return &finalError{err}
 	}
-	return nil
+	return s.passRest(reply.Rest)
 }
 
+// passRest hands on what follows in an answer that is too large to be held. A
+// break in it ends the stream: its caller has a part already.
+//
+// Failure it stops: a server explained its refusal in 300 KB, and the caller got
+// the first 256 KB of it, ended as if that were all.
+func (s *stream) passRest(rest Body) error {
+	if rest == nil {
+		return nil
+	}
+	buf := make([]byte, restBuffer)
+	for {
+		n, err := rest.Read(buf)
+		if n > 0 {
+			if err := s.sink.Event(buf[:n]); err != nil {
+				return &finalError{err}
+			}
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return nil
+		default:
+			return &finalError{&Failure{By: failedBy(err), Ran: true, Err: &BrokenError{Err: err}}}
+		}
+	}
+}
+
+// restBuffer is how much of such an answer is handed on at once, in bytes.
+const restBuffer = 32 << 10
+
 // promptRead takes the prompt off the server's load.
 func (s *stream) promptRead(a *streamAttempt) {
 	if s.ran > 0 || s.req.LastEvent != "" {
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -114,7 +114,7 @@
 		case r := <-c.results:
 			if r.err != nil && ctx.Err() != nil {
 				// What ended the request broke the attempt too: no fault of its server.
-				return nil, c.ended(ctx)
+				return c.ended(ctx)
 			}
 			c.pending--
 			if reply := c.take(r); reply != nil {
@@ -131,7 +131,7 @@
 				c.launch(ctx)
 			}
 		case <-ctx.Done():
-			return nil, c.ended(ctx)
+			return c.ended(ctx)
 		}
 	}
 }
@@ -267,13 +267,17 @@
 	r.server.Alive(time.Now())
 }
 
-// ended is the outcome when the time is up or the caller has left.
-func (c *call) ended(ctx context.Context) error {
+// ended is the outcome when the time is up or the caller has left. A failure that a
+// server has answered with is still an answer.
+func (c *call) ended(ctx context.Context) (*Reply, error) {
 	end := c.req.endOf(ctx)
 	if !timedOut(ctx) {
-		return end
+		return nil, end
 	}
-	return &Failure{By: end.By, Ran: c.sent+c.pending > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, describe(c.last))}
+	if c.failing != nil {
+		return c.failing, nil
+	}
+	return nil, &Failure{By: end.By, Ran: c.sent+c.pending > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, describe(c.last))}
 }
 
 func (c *call) refusal(err error) *Failure {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -38,6 +38,7 @@
 	current  *streamAttempt // the newest whose events go to the caller; nil before the first
 	next     *streamAttempt // begun beside current while that is silent; nil otherwise
 	quiet    bool           // current is silent, and that has been told
+	sent     bool           // current is under way: it may be running
 	onItsWay *onItsWay
 }
 
@@ -81,7 +82,7 @@
 		if err != nil {
 			return s.failure(ctx, err)
 		}
-		s.current, s.quiet = s.launch(ctx, server, from), false
+		s.current, s.quiet, s.sent = s.launch(ctx, server, from), false, true
 		s.onItsWay.server.Store(server)
 		err = s.follow(ctx)
 		if err == nil {
@@ -92,8 +93,9 @@
 		}
 		var done *finalError
 		if errors.As(err, &done) {
-			return s.req.unwritten(ctx, done.err)
+			return s.final(ctx, done.err)
 		}
+		s.sent = false
 		s.note(s.current, err)
 		if !s.mayGoOn() {
 			return s.failure(ctx, err)
@@ -104,6 +106,16 @@
 // finalError ends a stream: nothing more is to be tried.
 type finalError struct{ err error }
 
+// final is the outcome of a stream that got such an error: its own, or that the
+// answer could not be written any more.
+func (s *stream) final(ctx context.Context, err error) error {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return s.req.unwritten(ctx, err)
+}
+
 func (f *finalError) Error() string { return f.err.Error() }
 
 // note learns from a failed attempt.
@@ -262,7 +274,7 @@
 		err = errors.Wrap(err, s.cause.Error())
 	}
 	if ctx.Err() != nil {
-		return &Failure{By: s.req.endOf(ctx).By, Ran: true, TimedOut: true, Err: errors.Wrap(ErrTimeout, err.Error())}
+		return &Failure{By: s.req.endOf(ctx).By, Ran: s.sent || s.ran > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, err.Error())}
 	}
 	after := retryAfter
 	var late *LateError
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -68,9 +68,17 @@
 	return a.steps
 }
 
+// raise goes on with a panic of the goroutine that read the step.
+func (st step) raise() {
+	if st.fault != nil {
+		panic(st.fault)
+	}
+}
+
 // fromCurrent handles a step of the current attempt. If that is over, the one
 // beside it is all that is left.
 func (s *stream) fromCurrent(ctx context.Context, st step) (done bool, err error) {
+	st.raise()
 	if st.err == nil && st.reply == nil {
 		s.wentOn()
 	}
@@ -85,6 +93,7 @@
 
 // fromNext handles a step of the attempt that was begun beside a silent one.
 func (s *stream) fromNext(ctx context.Context, st step) (done bool, err error) {
+	st.raise()
 	failed := st.err != nil && st.err != io.EOF
 	if !failed && st.reply != nil {
 		failed = s.begun || st.reply.Status >= 500
