entry: closing callers' connections with bytes unread is seen

Cause: callers' connections are closed by the time of the last read, and nothing told whether a request waited unread in what was closed. An incident of that kind could not be told from a caller's own close. Ruled out: a line a connection (a change of the limits may close hundreds at once); one line a look says how many, in which phase, the longest time, the limits and how late the look was. Change: counter pearyard_entry_callers_unread_total{phase}, histogram pearyard_entry_callers_look_late_seconds, event PY2760. Behaviour is as it was. Test harness: newClients is given a recorder; no check changes.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/site"
 )
@@ -23,6 +24,9 @@
 // stood still: what its callers sent meanwhile has not been read yet.
 const clientsLate = 5 * clientsLook
 
+// lateBuckets end with what counts as a standstill and beyond.
+var lateBuckets = []float64{0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 5}
+
 // clients closes callers' connections that idle, or take for the head of a
 // request, longer than the configuration in force allows. net/http's own limits
 // are fixed when a server starts; they stay above these and hold while no
@@ -32,22 +36,34 @@
 // byte by byte, take a process's descriptors until no caller gets in.
 type clients struct {
 	net.Listener
-	limits  func() site.ClientLimits
-	dropped *prometheus.CounterVec
-	zero    time.Time // times of connections are steady ones since then: the time of day may jump
+	limits   func() site.ClientLimits
+	recorder *event.Recorder
+	dropped  *prometheus.CounterVec
+	unread   *prometheus.CounterVec
+	late     prometheus.Histogram
+	lookLate time.Duration // how late this look is; known to the looking goroutine only
+	zero     time.Time     // times of connections are steady ones since then: the time of day may jump
 
 	mu   sync.Mutex // guards open
 	open map[*clientConn]struct{}
 }
 
 // newClients returns a listener whose connections are kept within limits.
-func newClients(l net.Listener, limits func() site.ClientLimits, r prometheus.Registerer) *clients {
+func newClients(l net.Listener, limits func() site.ClientLimits, recorder *event.Recorder, r prometheus.Registerer) *clients {
 	return &clients{
-		Listener: l, limits: limits, zero: time.Now(), open: map[*clientConn]struct{}{},
+		Listener: l, limits: limits, recorder: recorder, zero: time.Now(), open: map[*clientConn]struct{}{},
 		dropped: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
 			Name: "pearyard_entry_callers_dropped_total",
 			Help: "Callers' connections closed for idling (idle) or for a head that took too long (head), by the configuration's limits.",
 		}, []string{"phase"}),
+		unread: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_entry_callers_unread_total",
+			Help: "Callers' connections closed by the configuration's limits although bytes had come on them that this process had not read.",
+		}, []string{"phase"}),
+		late: promauto.With(r).NewHistogram(prometheus.HistogramOpts{
+			Name: "pearyard_entry_callers_look_late_seconds",
+			Help: "How late this process looked through its callers' connections, seconds.", Buckets: lateBuckets,
+		}),
 	}
 }
 
@@ -123,6 +139,8 @@
 
 // look closes what is over its limit, unless this process has just stood still.
 func (c *clients) look(now time.Time, sinceLast time.Duration) {
+	c.lookLate = max(0, sinceLast-clientsLook)
+	c.late.Observe(c.lookLate.Seconds())
 	if sinceLast <= clientsLate {
 		c.sweep(now)
 		return
@@ -138,10 +156,12 @@
 func (c *clients) sweep(now time.Time) {
 	limits := c.limits()
 	var over []*clientConn
+	var unread unreadDrops
 	c.mu.Lock()
 	for conn := range c.open {
 		if phase, dropped := conn.drop(limits, now); dropped {
 			c.dropped.WithLabelValues(phaseNames[phase]).Inc()
+			unread.add(c.unread, conn, phase, now)
 			over = append(over, conn)
 		}
 	}
@@ -149,6 +169,7 @@
 	for _, conn := range over {
 		_ = conn.Close()
 	}
+	unread.tell(c.recorder, limits, c.lookLate)
 }
 
 // clientPhase is what a caller's connection is waited for.
--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -12,13 +12,14 @@
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/site"
 )
 
 // bounded serves callers within limits that a test may change.
 func bounded(t *testing.T, limits *site.ClientLimits, h http.HandlerFunc) (*clients, string) {
 	server := httptest.NewUnstartedServer(nil)
-	c := newClients(server.Listener, func() site.ClientLimits { return *limits }, prometheus.NewRegistry())
+	c := newClients(server.Listener, func() site.ClientLimits { return *limits }, event.Discard(), prometheus.NewRegistry())
 	server.Listener, server.Config.Handler = c, c.refuseDropped(h)
 	server.Config.ConnState, server.Config.ConnContext = c.changed, c.context
 	server.Start()
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -32,7 +32,7 @@
 		return errors.Wrap(err, "entry: listen")
 	}
 	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed, unconfirmed: e.config.Age, allStop: e.duty.AllStop}
-	callers := newClients(listener, e.clientLimits, e.registry)
+	callers := newClients(listener, e.clientLimits, e.recorder, e.registry)
 	server := &http.Server{
 		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
 		BaseContext: e.cutter.base, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
--- a/entry/events.go
+++ b/entry/events.go
@@ -21,6 +21,11 @@
 var EventRouteRefused = event.Define(2759, "entry_route_refused", event.Warn,
 	"a request was refused because the part of the configuration that describes its route can't be read; it has not run", "write the route anew; see the line site_config_parts")
 
+// EventUnreadDropped tells that callers' connections were closed too early.
+var EventUnreadDropped = event.Define(2760, "entry_unread_dropped", event.Warn,
+	"callers' connections were closed by the configuration's limits although bytes had come on them that this process had not read; their callers may have got neither an answer nor a refusal",
+	"look whether this process lacks processor time: pearyard_entry_callers_look_late_seconds")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/httpconn/idle.go
+++ b/httpconn/idle.go
@@ -19,6 +19,10 @@
 // or reset it. It doesn't wait, and may be called beside a pending read.
 func Ended(conn net.Conn) bool { return look(conn) == idleEnded }
 
+// Unread reports whether bytes are known to have come on a connection that
+// nobody has read yet. It doesn't wait, and may be called beside a pending read.
+func Unread(conn net.Conn) bool { return look(conn) == idleBytes }
+
 // look peeks at a connection's next byte without taking it. It goes by
 // Control, as Read would wait for a read that another goroutine has begun.
 func look(conn net.Conn) idleState {
