--- a/entry/clients.go
+++ b/entry/clients.go
@@ -172,6 +172,9 @@
 	unread.tell(c.recorder, limits, c.lookLate)
 }
 
+// finish ends a planned stop: nothing new comes in, and the server shuts down.
+func (c *clients) finish(ctx context.Context, server *http.Server) error { return server.Shutdown(ctx) }
+
 // clientPhase is what a caller's connection is waited for.
 type clientPhase = int32
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -38,7 +38,7 @@
 		BaseContext: e.cutter.base, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	background(group, callers.run)
-	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server) })
+	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server, callers) })
 	return nil
 }
 
@@ -82,7 +82,7 @@
 	})
 }
 
-func (e *Entry) drain(server *http.Server) {
+func (e *Entry) drain(server *http.Server, callers *clients) {
 	began := time.Now()
 	end := began.Add(e.settings.Grace - graceMargin)
 	e.stop.begin(end)
@@ -94,7 +94,7 @@
 	for e.running.Load() > 0 && ctx.Err() == nil {
 		_ = retry.Wait(ctx, drainLook)
 	}
-	err := server.Shutdown(ctx)
+	err := callers.finish(ctx, server)
 	cut := e.cutter.cut(&e.running)
 	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
 }
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -212,16 +212,17 @@
 	e := modelEntry(stop, backend)
 	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
 	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed}
-	server := &http.Server{Handler: e.counted(h)}
+	callers := newClients(l, e.clientLimits, e.recorder, e.registry)
+	server := &http.Server{Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context}
 	ctx, signal := context.WithCancel(t.Context())
 	var group run.Group
-	serveUntilDrained(ctx, &group, server, l, func() { e.drain(server) })
+	serveUntilDrained(ctx, &group, server, callers, func() { e.drain(server, callers) })
 	ended := make(chan error, 1)
 	go func() { ended <- group.Run() }()
 	got := make([]string, len(requests))
-	var callers sync.WaitGroup
+	var asking sync.WaitGroup
 	for i, r := range requests {
-		callers.Go(func() {
+		asking.Go(func() {
 			wait := modelSignal + r.at
 			if r.kept {
 				wait -= time.Second + modelCall
@@ -239,7 +240,7 @@
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
-	callers.Wait()
+	asking.Wait()
 	return got
 }
 
