entry: a caller's connection is given up only while we wait and nothing has come

Cause: looks closed connections by the time of the last read; net/http's own timeouts and its shutdown do the same; the listener was closed with connections in its queue. Ruled out: a longer limit or a margin on it (moves the moment only); a lock shared by read and look; a second look 100 ms later (no proof that the reader has run); a deadline of the listener to tell that its queue is empty (may pass before the queue was looked at). Change: a read says that it waits before it does, and that something has come before it takes that; a look drops a connection only in a waiting phase with an empty socket. The fallback limits are kept by the same looks instead of net/http's deadlines. At the end of a stop the queue is accepted (known by a connection of our own behind all others), requests that have come are answered, connections are closed as they fall quiet, and only then the server shuts down; it begins 0.3 s before the grace ends even if something still runs. Connections that were idle for over 0.25 s are closed at once, so a quiet stop takes no longer.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -21,6 +21,10 @@
 	// graceMargin is kept back from the grace period for the process's own end.
 	graceMargin = 300 * time.Millisecond
 	drainLook   = 50 * time.Millisecond
+	// refusalTime before the end of its grace a process takes no more connections
+	// and answers what has come, also if something still runs: a refusal takes a
+	// few ms, and without it callers in the queue see a reset.
+	refusalTime = 300 * time.Millisecond
 )
 
 // serveCallers adds the callers' server. The end of ctx begins a planned stop:
@@ -35,7 +39,7 @@
 	callers := newClients(listener, e.clientLimits, e.recorder, e.registry)
 	server := &http.Server{
 		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
-		BaseContext: e.cutter.base, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		BaseContext: e.cutter.base, MaxHeaderBytes: maxHeader,
 	}
 	background(group, callers.run)
 	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server, callers) })
@@ -66,12 +70,20 @@
 	}, func(error) { cancel() })
 }
 
-// clientLimits returns those of the configuration in force.
+// clientLimits returns those of the configuration in force; where it has none,
+// and before there is one, those of this program.
 func (e *Entry) clientLimits() site.ClientLimits {
+	limits := site.ClientLimits{}
 	if config := e.holder.Config(); config != nil {
-		return config.Limits
+		limits = config.Limits
 	}
-	return site.ClientLimits{}
+	if limits.IdleTime <= 0 {
+		limits.IdleTime = idleTimeout
+	}
+	if limits.HeaderTime <= 0 {
+		limits.HeaderTime = headerTimeout
+	}
+	return limits
 }
 
 func (e *Entry) counted(next http.Handler) http.Handler {
@@ -90,11 +102,19 @@
 	e.recorder.Emit(EventDraining, "running", e.running.Load(), "grace", e.settings.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	e.untilQuiet(end.Add(-refusalTime))
+	err := callers.finish(ctx, server)
+	cut := e.cutter.cut(&e.running)
+	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
+}
+
+// untilQuiet returns when callers have stopped coming and nothing runs, at until
+// at the latest.
+func (e *Entry) untilQuiet(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
 	_ = retry.Wait(ctx, rotationTime)
 	for e.running.Load() > 0 && ctx.Err() == nil {
 		_ = retry.Wait(ctx, drainLook)
 	}
-	err := callers.finish(ctx, server)
-	cut := e.cutter.cut(&e.running)
-	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
 }
--- /dev/null
+++ b/entry/finish.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/site"
+)
+
+const (
+	// lastTime is what a caller gets at the end of a planned stop to send what it
+	// has begun, or the first request of a new connection: many round trips within
+	// a region. A stop that nothing is sent to takes no longer for it.
+	lastTime = 250 * time.Millisecond
+	// queueTime bounds the wait for the listener's queue; a process that is given
+	// a tenth of a core gets to its queue within a few ms.
+	queueTime  = 250 * time.Millisecond
+	queueLook  = 2 * time.Millisecond
+	finishLook = 10 * time.Millisecond
+)
+
+// lastLimits are those of connections at the end of a planned stop.
+var lastLimits = site.ClientLimits{IdleTime: lastTime, HeaderTime: lastTime}
+
+// finish ends a planned stop, by the end of ctx: connections in the listener's
+// queue are accepted, requests that have come are served or refused, and each
+// connection is closed once nothing more has come on it.
+//
+// Failure it stops: the server's own shutdown closes the listener with what is in
+// its queue, closes idle connections without looking for a request in them, and
+// answers no request that it reads afterwards. All three callers see a reset or
+// an end, neither an answer nor a refusal. Here the shutdown comes when no
+// connection is left.
+func (c *clients) finish(ctx context.Context, server *http.Server) error {
+	c.endQueue(ctx)
+	for c.count() > 0 && ctx.Err() == nil {
+		c.sweepBy(lastLimits, time.Now())
+		_ = retry.Wait(ctx, finishLook)
+	}
+	return server.Shutdown(ctx)
+}
+
+func (c *clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// endQueue accepts what is in the listener's queue and closes the listener.
+func (c *clients) endQueue(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, queueTime)
+	defer cancel()
+	if err := c.emptyQueue(ctx); err != nil {
+		c.recorder.Emit(EventQueueLeft, "err", err, "waited", queueTime)
+	}
+	c.queue.close(c.Listener)
+}
+
+// emptyQueue waits until this process has accepted a connection of its own. The
+// queue is one of first in, first out, so all that came before it are accepted
+// by then. Nothing else tells: a deadline of the listener may pass, in a process
+// without processor time, before it has looked at the queue at all.
+func (c *clients) emptyQueue(ctx context.Context) error {
+	var dialer net.Dialer
+	own, err := dialer.DialContext(ctx, c.Addr().Network(), c.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "entry: connect to own listener")
+	}
+	defer own.Close()
+	for !c.accepted(own.LocalAddr().String()) {
+		if err := retry.Wait(ctx, queueLook); err != nil {
+			return errors.Wrap(err, "entry: own connection isn't accepted")
+		}
+	}
+	return nil
+}
+
+// accepted tells whether a connection from remote is open.
+func (c *clients) accepted(remote string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if conn.RemoteAddr().String() == remote {
+			return true
+		}
+	}
+	return false
+}
+
+// Close implements net.Listener.
+func (c *clients) Close() error {
+	c.queue.tell()
+	return c.queue.close(c.Listener)
+}
+
+// queueEnd is the end of a listener, and whether the listener's server may know.
+//
+// Failure it stops: a server whose listener ends before its shutdown has begun
+// takes that for a failure, and the process would end with requests under way.
+type queueEnd struct {
+	known   chan struct{}
+	telling sync.Once
+	closing sync.Once
+	err     error // of closing
+}
+
+func newQueueEnd() *queueEnd { return &queueEnd{known: make(chan struct{})} }
+
+func (q *queueEnd) tell() { q.telling.Do(func() { close(q.known) }) }
+
+func (q *queueEnd) close(l net.Listener) error {
+	q.closing.Do(func() { q.err = l.Close() })
+	return q.err
+}
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -3,10 +3,7 @@
 import (
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/httpconn"
 	"github.com/pearyard/pearyard/site"
 )
 
@@ -14,29 +11,26 @@
 // their callers may have been waiting for an answer. A look tells of them in one
 // line, whatever their number.
 type unreadDrops struct {
-	idle, head int
-	longest    time.Duration // in their phase
+	head         int // part of a head was read
+	notDealtWith int // something was read that wasn't dealt with, or nothing was
+	longest      time.Duration
 }
 
-// add counts a connection that is about to be closed, if anything is unread on it.
-func (u *unreadDrops) add(counter *prometheus.CounterVec, conn *clientConn, phase clientPhase, now time.Time) {
-	if !httpconn.Unread(conn.Conn) {
-		return
-	}
-	counter.WithLabelValues(phaseNames[phase]).Inc()
-	u.longest = max(u.longest, now.Sub(conn.zero)-time.Duration(conn.since.Load()))
+// add counts a connection by its phase and the time that it has taken.
+func (u *unreadDrops) add(phase clientPhase, took time.Duration) {
+	u.longest = max(u.longest, took)
 	if phase == clientHead {
 		u.head++
 		return
 	}
-	u.idle++
+	u.notDealtWith++
 }
 
 // tell emits the line, if there is something to tell.
 func (u *unreadDrops) tell(recorder *event.Recorder, limits site.ClientLimits, late time.Duration) {
-	if u.idle+u.head == 0 {
+	if u.head+u.notDealtWith == 0 {
 		return
 	}
-	recorder.Emit(EventUnreadDropped, "idle", u.idle, "head", u.head, "longest", u.longest,
+	recorder.Emit(EventUnreadDropped, "head", u.head, "not_dealt_with", u.notDealtWith, "longest", u.longest,
 		"idle_limit", limits.IdleTime, "head_limit", limits.HeaderTime, "look_late", late)
 }
--- a/httpconn/idle.go
+++ b/httpconn/idle.go
@@ -23,6 +23,23 @@
 // nobody has read yet. It doesn't wait, and may be called beside a pending read.
 func Unread(conn net.Conn) bool { return look(conn) == idleBytes }
 
+// Await waits until a read of the connection would not wait: bytes have come, it
+// has ended, or its read deadline has passed. It takes nothing. It returns
+// false, at once, if the connection doesn't allow such a wait.
+func Await(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return true // it is closed, as the read will say
+	}
+	// An error says that it is closed or that its deadline has passed; so will the read.
+	_ = rc.Read(func(fd uintptr) bool { return peek(int(fd)) != idleQuiet })
+	return true
+}
+
 // look peeks at a connection's next byte without taking it. It goes by
 // Control, as Read would wait for a read that another goroutine has begun.
 func look(conn net.Conn) idleState {
