entry: the end of a stop knows all that was accepted; bounds tested

Change: after closing the listener the stop waits, 0.25 s at most, until its server's accept has returned. The model forgives a cut without an answer only on kept connections, where a request may cross the close; before, on new ones as well. A check made stricter. Tests new: TestHeadWithSomethingUnreadAtEachLookIsCutOff, TestEndOfAStopDoesNotWaitForQuiet- Connections, TestEndOfAStopDoesNotWaitForAQueueThatIsNotAccepted, TestLimitsHoldWithoutAConfiguration (entry), TestAwaitTakesNothing (httpconn).

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -82,7 +82,7 @@
 func (c *clients) Accept() (net.Conn, error) {
 	raw, err := c.Listener.Accept()
 	if errors.Is(err, net.ErrClosed) {
-		<-c.queue.known
+		c.queue.hold()
 	}
 	if err != nil {
 		return nil, err
--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -126,3 +126,17 @@
 	c.look(woken.Add(11*time.Second), clientsLook)
 	g.Eventually(closed(conn)).Should(gomega.BeTrue())
 }
+
+// A process that has no configuration yet, or one without limits, still closes
+// what nobody uses: nothing else does.
+func TestLimitsHoldWithoutAConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := &Entry{holder: site.NewHolder()}
+	own := site.ClientLimits{IdleTime: idleTimeout, HeaderTime: headerTimeout}
+	g.Expect(e.clientLimits()).To(gomega.Equal(own))
+	e.holder.Offer(&site.Versioned{Config: site.New(1, nil, nil, nil, site.ClientLimits{BodyBytes: 9}), Position: 1})
+	own.BodyBytes = 9
+	g.Expect(e.clientLimits()).To(gomega.Equal(own))
+	e.holder.Offer(&site.Versioned{Config: site.New(2, nil, nil, nil, site.ClientLimits{IdleTime: time.Second}), Position: 2})
+	g.Expect(e.clientLimits().IdleTime).To(gomega.Equal(time.Second))
+}
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -52,14 +52,22 @@
 	return len(c.open)
 }
 
-// endQueue accepts what is in the listener's queue and closes the listener.
+// endQueue accepts what is in the listener's queue, closes the listener, and
+// waits until the server has all that was accepted: one that comes just before
+// the close isn't among the open connections yet when it is taken.
 func (c *clients) endQueue(ctx context.Context) {
+	c.within(ctx, c.emptyQueue)
+	_ = c.queue.close(c.Listener) // the server's shutdown closes it again and returns the error
+	c.within(ctx, c.queue.wait)
+}
+
+// within gives a step queueTime, and tells if it is not done by then.
+func (c *clients) within(ctx context.Context, step func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, queueTime)
 	defer cancel()
-	if err := c.emptyQueue(ctx); err != nil {
+	if err := step(ctx); err != nil {
 		c.recorder.Emit(EventQueueLeft, "err", err, "waited", queueTime)
 	}
-	c.queue.close(c.Listener)
 }
 
 // emptyQueue waits until this process has accepted a connection of its own. The
@@ -104,13 +112,33 @@
 // Failure it stops: a server whose listener ends before its shutdown has begun
 // takes that for a failure, and the process would end with requests under way.
 type queueEnd struct {
-	known   chan struct{}
+	ended   chan struct{} // nothing more is accepted
+	known   chan struct{} // the server may know
+	ending  sync.Once
 	telling sync.Once
 	closing sync.Once
 	err     error // of closing
 }
 
-func newQueueEnd() *queueEnd { return &queueEnd{known: make(chan struct{})} }
+func newQueueEnd() *queueEnd {
+	return &queueEnd{ended: make(chan struct{}), known: make(chan struct{})}
+}
+
+// hold keeps the end of the listener from its server.
+func (q *queueEnd) hold() {
+	q.ending.Do(func() { close(q.ended) })
+	<-q.known
+}
+
+// wait returns once hold has begun.
+func (q *queueEnd) wait(ctx context.Context) error {
+	select {
+	case <-q.ended:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "entry: the listener still accepts")
+	}
+}
 
 func (q *queueEnd) tell() { q.telling.Do(func() { close(q.known) }) }
 
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -332,3 +333,53 @@
 	g.Eventually(finished, "2s").Should(gomega.BeClosed())
 	g.Expect(<-served).To(gomega.MatchError(http.ErrServerClosed))
 }
+
+// A caller sends a head byte after byte, and whenever its connection is looked
+// at one of them is unread. It must not hold its connection for good: it is cut
+// off ten seconds over the limit, and a line says that something was unread.
+func TestHeadWithSomethingUnreadAtEachLookIsCutOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newLateProcess(t, lateInRead, 1, site.ClientLimits{IdleTime: time.Minute, HeaderTime: 3 * time.Second})
+	p.recorder = event.NewRecorder(log.NewNopLogger(), 16)
+	conn := dialCaller(t, p.Addr().String())
+	_, _ = io.WriteString(conn, wholeRequest[:10])
+	g.Eventually(p.held.Load).Should(gomega.BeNumerically(">", 0), "the next read waits")
+	_, _ = io.WriteString(conn, "x")
+	g.Eventually(p.sockets.unread).Should(gomega.BeTrue())
+	p.sweep(time.Now().Add(12 * time.Second))
+	g.Consistently(closed(conn), "20ms").Should(gomega.BeFalse())
+	p.sweep(time.Now().Add(14 * time.Second))
+	g.Eventually(closed(conn)).Should(gomega.BeTrue())
+	told := p.recorder.Entries("")
+	g.Expect(told).To(gomega.HaveLen(1))
+	g.Expect(told[0].Fields).To(gomega.HaveKeyWithValue("head", "1"))
+}
+
+// Callers keep connections that they don't use. The end of a planned stop does
+// not wait for them, nor for one whose first request never comes.
+func TestEndOfAStopDoesNotWaitForQuietConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newLateProcess(t, lateInRead, 100, site.ClientLimits{IdleTime: time.Minute, HeaderTime: time.Minute})
+	conn := dialCaller(t, p.Addr().String())
+	_, _ = io.WriteString(conn, wholeRequest)
+	p.end()
+	expectAnswer(t, conn)
+	dialCaller(t, p.Addr().String())
+	g.Eventually(p.in(clientIdle)).Should(gomega.Equal(2))
+	g.Eventually(p.finishing(t, time.Minute), "5s").Should(gomega.BeClosed())
+	g.Expect(closed(conn)()).To(gomega.BeTrue())
+}
+
+// A process that can't get to its queue ends all the same, and says that it has
+// left connections behind.
+func TestEndOfAStopDoesNotWaitForAQueueThatIsNotAccepted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	raw, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	recorder := event.NewRecorder(log.NewNopLogger(), 16)
+	c := newClients(raw, func() site.ClientLimits { return site.ClientLimits{} }, recorder, prometheus.NewRegistry())
+	p := &lateProcess{clients: c, server: &httptest.Server{Config: &http.Server{}}}
+	g.Eventually(p.finishing(t, time.Minute), "5s").Should(gomega.BeClosed())
+	g.Expect(recorder.Entries("")).NotTo(gomega.BeEmpty())
+	g.Expect(recorder.Entries("")[0].Name).To(gomega.Equal(EventQueueLeft.Name))
+}
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -163,8 +163,9 @@
 	return e
 }
 
-// closedUnread is a connection that ends before anything of its answer. A
-// server that shuts down does so to requests that it has not handed on.
+// closedUnread is a connection that ends before anything of its answer. It may
+// happen to a request that crosses the close of a kept connection, which nobody
+// has used for a second.
 const closedUnread = "cut before its head"
 
 // ask sends a request and returns what the caller got.
@@ -230,7 +231,7 @@
 			time.Sleep(wait)
 			id := fmt.Sprint("r", i)
 			got[i] = ask(l, r, id)
-			if _, ran := backend.reached.Load(id); got[i] == closedUnread && !ran {
+			if _, ran := backend.reached.Load(id); got[i] == closedUnread && !ran && r.kept {
 				got[i] = "not run"
 			}
 		})
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -198,3 +198,28 @@
 	g.Expect(keepAlive(http.Header{"Keep-Alive": {"timeout=x"}})).To(gomega.BeZero())
 	g.Expect(keepAlive(http.Header{})).To(gomega.BeZero())
 }
+
+// A connection is watched for its next request without taking any of it: what
+// has come is still there for the read, and the end of the connection ends the wait.
+func TestAwaitTakesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	addr, _ := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+		_, _ = in.ReadByte()
+		_, _ = io.WriteString(conn, "answer")
+	})
+	conn, err := net.Dial("tcp4", addr)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	g.Expect(Unread(conn)).To(gomega.BeFalse())
+	_, _ = io.WriteString(conn, "x")
+	g.Expect(Await(conn)).To(gomega.BeTrue())
+	g.Expect(Unread(conn)).To(gomega.BeTrue())
+	got, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(got)).To(gomega.Equal("answer"))
+	g.Expect(Await(conn)).To(gomega.BeTrue(), "it has ended")
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	g.Expect(Await(near)).To(gomega.BeFalse(), "it can't be looked at")
+}
