inbound: connections of all servers end without losing what has come

Cause: routers and sidecars end their servers by net/http's shutdown, which resets what is in the listener's queue and closes connections with a request unread in them. Ruled out: the same code a second time in node. Change: what entry had for its callers is package inbound (files moved, clients is Listener), and node's servers use it. A client that goes on asking at the end is told "Connection: close" with its next answer, so members' probes don't hold the end up. Changes to tests: those of clients moved with them; constructor calls, types and the recorder only. TestLimitsHoldWithoutAConfiguration stays in entry and compares inbound.Limits, which have no body limit. node.serve takes a recorder; calls in stop_test.go pass one. No check eased. Left: node keeps net/http's deadline of ten seconds for heads, which goes by what was read.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -12,6 +12,7 @@
 	_ "github.com/pearyard/pearyard/exchange"
 	_ "github.com/pearyard/pearyard/fleet"
 	_ "github.com/pearyard/pearyard/gate"
+	_ "github.com/pearyard/pearyard/inbound"
 	_ "github.com/pearyard/pearyard/lease"
 	_ "github.com/pearyard/pearyard/limit"
 	_ "github.com/pearyard/pearyard/membership"
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -9,8 +9,9 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/inbound"
 	"github.com/pearyard/pearyard/retry"
-	"github.com/pearyard/pearyard/site"
 )
 
 const (
@@ -36,12 +37,10 @@
 		return errors.Wrap(err, "entry: listen")
 	}
 	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed, unconfirmed: e.config.Age, allStop: e.duty.AllStop}
-	callers := newClients(listener, e.clientLimits, e.recorder, e.registry)
-	server := &http.Server{
-		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
-		BaseContext: e.cutter.base, MaxHeaderBytes: maxHeader,
-	}
-	background(group, callers.run)
+	callers := e.callers(listener)
+	server := &http.Server{Handler: e.counted(h), BaseContext: e.cutter.base, MaxHeaderBytes: maxHeader}
+	callers.Attach(server)
+	background(group, callers.Run)
 	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server, callers) })
 	return nil
 }
@@ -70,18 +69,32 @@
 	}, func(error) { cancel() })
 }
 
+// callers keeps track of the callers' connections.
+func (e *Entry) callers(l net.Listener) *inbound.Listener {
+	return inbound.New(l, inbound.Options{
+		Limits: e.clientLimits, Recorder: e.recorder, Registerer: e.registry, Metrics: "pearyard_entry_callers",
+		Broken: func(err error) error {
+			if !exchange.IsLinkLost(err) {
+				return nil
+			}
+			return &exchange.End{By: exchange.EndedByCallerLink, Err: err}
+		},
+	})
+}
+
 // clientLimits returns those of the configuration in force; where it has none,
 // and before there is one, those of this program.
-func (e *Entry) clientLimits() site.ClientLimits {
-	limits := site.ClientLimits{}
-	if config := e.holder.Config(); config != nil {
-		limits = config.Limits
+func (e *Entry) clientLimits() inbound.Limits {
+	limits := inbound.Limits{IdleTime: idleTimeout, HeaderTime: headerTimeout}
+	config := e.holder.Config()
+	if config == nil {
+		return limits
 	}
-	if limits.IdleTime <= 0 {
-		limits.IdleTime = idleTimeout
+	if config.Limits.IdleTime > 0 {
+		limits.IdleTime = config.Limits.IdleTime
 	}
-	if limits.HeaderTime <= 0 {
-		limits.HeaderTime = headerTimeout
+	if config.Limits.HeaderTime > 0 {
+		limits.HeaderTime = config.Limits.HeaderTime
 	}
 	return limits
 }
@@ -94,7 +107,7 @@
 	})
 }
 
-func (e *Entry) drain(server *http.Server, callers *clients) {
+func (e *Entry) drain(server *http.Server, callers *inbound.Listener) {
 	began := time.Now()
 	end := began.Add(e.settings.Grace - graceMargin)
 	e.stop.begin(end)
@@ -103,7 +116,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	e.untilQuiet(end.Add(-refusalTime))
-	err := callers.finish(ctx, server)
+	err := callers.Finish(ctx, server)
 	cut := e.cutter.cut(&e.running)
 	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
 }
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/oklog/run"
 	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/inbound"
+	"github.com/pearyard/pearyard/site"
 )
 
 // A process that is stopping has nothing on its way for a moment and shuts its
@@ -56,3 +59,16 @@
 	g.Expect(string(body)).To(gomega.Equal("whole"))
 	g.Expect(<-ended).To(gomega.Succeed())
 }
+
+// A process that has no configuration yet, or one without limits, still closes
+// what nobody uses: nothing else does.
+func TestLimitsHoldWithoutAConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := &Entry{holder: site.NewHolder()}
+	own := inbound.Limits{IdleTime: idleTimeout, HeaderTime: headerTimeout}
+	g.Expect(e.clientLimits()).To(gomega.Equal(own))
+	e.holder.Offer(&site.Versioned{Config: site.New(1, nil, nil, nil, site.ClientLimits{BodyBytes: 9}), Position: 1})
+	g.Expect(e.clientLimits()).To(gomega.Equal(own))
+	e.holder.Offer(&site.Versioned{Config: site.New(2, nil, nil, nil, site.ClientLimits{IdleTime: time.Second}), Position: 2})
+	g.Expect(e.clientLimits().IdleTime).To(gomega.Equal(time.Second))
+}
--- a/entry/events.go
+++ b/entry/events.go
@@ -21,16 +21,6 @@
 var EventRouteRefused = event.Define(2759, "entry_route_refused", event.Warn,
 	"a request was refused because the part of the configuration that describes its route can't be read; it has not run", "write the route anew; see the line site_config_parts")
 
-// Events of callers' connections that are closed with something unread.
-var (
-	EventUnreadDropped = event.Define(2760, "entry_unread_dropped", event.Warn,
-		"callers' connections were closed although bytes had come on them: this process had something unread at every look for ten seconds over the limit for heads; their callers may have got neither an answer nor a refusal",
-		"look whether this process lacks processor time: pearyard_entry_callers_look_late_seconds; if not, a caller sends byte after byte")
-	EventQueueLeft = event.Define(2761, "entry_queue_left", event.Warn,
-		"at the end of a planned stop this process could not make sure that it had accepted all connections that were waiting for it; their callers saw a reset",
-		"look whether this process lacks processor time")
-)
-
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -213,8 +213,9 @@
 	e := modelEntry(stop, backend)
 	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
 	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed}
-	callers := newClients(l, e.clientLimits, e.recorder, e.registry)
-	server := &http.Server{Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context}
+	callers := e.callers(l)
+	server := &http.Server{Handler: e.counted(h)}
+	callers.Attach(server)
 	ctx, signal := context.WithCancel(t.Context())
 	var group run.Group
 	serveUntilDrained(ctx, &group, server, callers, func() { e.drain(server, callers) })
--- a/entry/clientconn.go
+++ b/inbound/conn.go
@@ -1,4 +1,4 @@
-package entry
+package inbound
 
 import (
 	"context"
@@ -6,12 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/httpconn"
-	"github.com/pearyard/pearyard/site"
 )
 
-// clientPhase is what a caller's connection is waited for, or who deals with it.
+// clientPhase is what a client's connection is waited for, or who deals with it.
 type clientPhase = int32
 
 const (
@@ -28,12 +26,12 @@
 // lateTime is how much longer than its limit a head may take while something of
 // it is unread or not dealt with at each look, a hundred looks in all.
 //
-// Failure it stops: a caller that sends byte after byte may by chance have one
+// Failure it stops: a client that sends byte after byte may by chance have one
 // on its way whenever a look comes, and one that doesn't take the server's own
 // refusal holds up its writer. Both would stay for good.
 const lateTime = 100 * clientsLook
 
-// clientConn is a caller's connection. Its phase changes by compare-and-swap
+// clientConn is a client's connection. Its phase changes by compare-and-swap
 // only, so that a request is either served or its connection dropped before it.
 //
 // A read says that it waits before it does, and that something has come before
@@ -41,11 +39,12 @@
 // where a look finds it.
 type clientConn struct {
 	net.Conn
-	zero  time.Time
-	phase atomic.Int32
-	since atomic.Int64            // steady nanoseconds after zero at which the phase began; written before it
-	lost  context.CancelCauseFunc // ends the connection's requests
-	begun bool                    // bytes of a head have come; known to the goroutine that reads heads
+	zero   time.Time
+	phase  atomic.Int32
+	since  atomic.Int64            // steady nanoseconds after zero at which the phase began; written before it
+	lost   context.CancelCauseFunc // ends the connection's requests
+	broken func(error) error
+	begun  bool // bytes of a head have come; known to the goroutine that reads heads
 }
 
 func (c *clientConn) touch(now time.Time) { c.since.Store(int64(now.Sub(c.zero))) }
@@ -57,7 +56,7 @@
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
 	if c.phase.Load() != clientReading {
-		// A body, or the server's watch for the caller's end beside a request.
+		// A body, or the server's watch for the client's end beside a request.
 		return c.read(b)
 	}
 	c.waits()
@@ -80,7 +79,7 @@
 	return n, err
 }
 
-// waits notes that all that was read is dealt with and the caller has its turn.
+// waits notes that all that was read is dealt with and the client has its turn.
 func (c *clientConn) waits() {
 	phase := clientIdle
 	if c.begun {
@@ -109,13 +108,16 @@
 	return n, err
 }
 
-// note ends the connection's requests in the name of its link if that broke.
-// net/http ends them too, a moment later and without a cause, as it does when
-// the caller closes its connection in order: a caller that was still waiting
-// would be said to have left.
+// note ends the connection's requests if an error says that it broke. net/http
+// ends them too, a moment later and without a cause, as it does when the client
+// closes its connection in order: a client that was still waiting would be said
+// to have left.
 func (c *clientConn) note(err error) {
-	if err != nil && exchange.IsLinkLost(err) {
-		c.lost(&exchange.End{By: exchange.EndedByCallerLink, Err: err})
+	if err == nil {
+		return
+	}
+	if cause := c.broken(err); cause != nil {
+		c.lost(cause)
 	}
 }
 
@@ -150,8 +152,8 @@
 )
 
 // look takes the connection out of use if it is over its limit and this process
-// waits for its caller.
-func (c *clientConn) look(limits site.ClientLimits, now time.Time) (clientPhase, finding) {
+// waits for its client.
+func (c *clientConn) look(limits Limits, now time.Time) (clientPhase, finding) {
 	phase := c.phase.Load()
 	limit, took := limitOf(phase, limits), c.inPhase(now)
 	if limit <= 0 || took <= limit {
@@ -171,7 +173,7 @@
 	return phase, dropped
 }
 
-func limitOf(phase clientPhase, limits site.ClientLimits) time.Duration {
+func limitOf(phase clientPhase, limits Limits) time.Duration {
 	switch phase {
 	case clientIdle:
 		return limits.IdleTime
--- a/entry/finish.go
+++ b/inbound/finish.go
@@ -1,4 +1,4 @@
-package entry
+package inbound
 
 import (
 	"context"
@@ -10,11 +10,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/retry"
-	"github.com/pearyard/pearyard/site"
 )
 
 const (
-	// lastTime is what a caller gets at the end of a planned stop to send what it
+	// lastTime is what a client gets at the end of a planned stop to send what it
 	// has begun, or the first request of a new connection: many round trips within
 	// a region. A stop that nothing is sent to takes no longer for it.
 	lastTime = 250 * time.Millisecond
@@ -26,18 +25,20 @@
 )
 
 // lastLimits are those of connections at the end of a planned stop.
-var lastLimits = site.ClientLimits{IdleTime: lastTime, HeaderTime: lastTime}
+var lastLimits = Limits{IdleTime: lastTime, HeaderTime: lastTime}
 
-// finish ends a planned stop, by the end of ctx: connections in the listener's
+// Finish ends a planned stop of server, by the end of ctx: connections in the listener's
 // queue are accepted, requests that have come are served or refused, and each
-// connection is closed once nothing more has come on it.
+// connection is closed once nothing more has come on it. A client that goes on
+// asking is told with its next answer to come back no more.
 //
 // Failure it stops: the server's own shutdown closes the listener with what is in
 // its queue, closes idle connections without looking for a request in them, and
-// answers no request that it reads afterwards. All three callers see a reset or
+// answers no request that it reads afterwards. All three clients see a reset or
 // an end, neither an answer nor a refusal. Here the shutdown comes when no
 // connection is left.
-func (c *clients) finish(ctx context.Context, server *http.Server) error {
+func (c *Listener) Finish(ctx context.Context, server *http.Server) error {
+	c.ending.Store(true)
 	c.endQueue(ctx)
 	for c.count() > 0 && ctx.Err() == nil {
 		c.sweepBy(lastLimits, time.Now())
@@ -46,7 +47,7 @@
 	return server.Shutdown(ctx)
 }
 
-func (c *clients) count() int {
+func (c *Listener) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.open)
@@ -55,18 +56,18 @@
 // endQueue accepts what is in the listener's queue, closes the listener, and
 // waits until the server has all that was accepted: one that comes just before
 // the close isn't among the open connections yet when it is taken.
-func (c *clients) endQueue(ctx context.Context) {
+func (c *Listener) endQueue(ctx context.Context) {
 	c.within(ctx, c.emptyQueue)
 	_ = c.queue.close(c.Listener) // the server's shutdown closes it again and returns the error
 	c.within(ctx, c.queue.wait)
 }
 
 // within gives a step queueTime, and tells if it is not done by then.
-func (c *clients) within(ctx context.Context, step func(context.Context) error) {
+func (c *Listener) within(ctx context.Context, step func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, queueTime)
 	defer cancel()
 	if err := step(ctx); err != nil {
-		c.recorder.Emit(EventQueueLeft, "err", err, "waited", queueTime)
+		c.opts.Recorder.Emit(EventQueueLeft, "err", err, "waited", queueTime)
 	}
 }
 
@@ -74,23 +75,23 @@
 // queue is one of first in, first out, so all that came before it are accepted
 // by then. Nothing else tells: a deadline of the listener may pass, in a process
 // without processor time, before it has looked at the queue at all.
-func (c *clients) emptyQueue(ctx context.Context) error {
+func (c *Listener) emptyQueue(ctx context.Context) error {
 	var dialer net.Dialer
 	own, err := dialer.DialContext(ctx, c.Addr().Network(), c.Addr().String())
 	if err != nil {
-		return errors.Wrap(err, "entry: connect to own listener")
+		return errors.Wrap(err, "inbound: connect to own listener")
 	}
 	defer own.Close()
 	for !c.accepted(own.LocalAddr().String()) {
 		if err := retry.Wait(ctx, queueLook); err != nil {
-			return errors.Wrap(err, "entry: own connection isn't accepted")
+			return errors.Wrap(err, "inbound: own connection isn't accepted")
 		}
 	}
 	return nil
 }
 
 // accepted tells whether a connection from remote is open.
-func (c *clients) accepted(remote string) bool {
+func (c *Listener) accepted(remote string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.open {
@@ -102,7 +103,7 @@
 }
 
 // Close implements net.Listener.
-func (c *clients) Close() error {
+func (c *Listener) Close() error {
 	c.queue.tell()
 	return c.queue.close(c.Listener)
 }
@@ -136,7 +137,7 @@
 	case <-q.ended:
 		return nil
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "entry: the listener still accepts")
+		return errors.Wrap(ctx.Err(), "inbound: the listener still accepts")
 	}
 }
 
--- a/entry/late_test.go
+++ b/inbound/late_test.go
@@ -1,4 +1,4 @@
-package entry
+package inbound
 
 import (
 	"bufio"
@@ -15,11 +15,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/httpconn"
-	"github.com/pearyard/pearyard/site"
 )
 
 // lateness is that of a process which gets no processor time: its reads wait
@@ -116,11 +114,11 @@
 
 // lateProcess serves callers; its reads are late.
 type lateProcess struct {
-	*clients
+	*Listener
 	*lateness
 	server  *httptest.Server
 	sockets *lateListener
-	limits  *site.ClientLimits
+	limits  *Limits
 }
 
 const (
@@ -130,22 +128,22 @@
 
 // newLateProcess starts one whose first reads are in time, and after each answer
 // are late again.
-func newLateProcess(t *testing.T, where string, reads int64, limits site.ClientLimits) *lateProcess {
+func newLateProcess(t *testing.T, where string, reads int64, limits Limits) *lateProcess {
 	t.Helper()
 	p := &lateProcess{lateness: &lateness{release: make(chan struct{})}, limits: &limits}
 	p.reads.Store(reads)
 	p.server = httptest.NewUnstartedServer(nil)
-	current := func() site.ClientLimits { return *p.limits }
+	current := func() Limits { return *p.limits }
 	p.sockets = &lateListener{Listener: p.server.Listener, late: p.lateness}
 	if where == lateInRead {
-		p.clients = newClients(p.sockets, current, event.Discard(), prometheus.NewRegistry())
-		p.server.Listener = p.clients
+		p.Listener = New(p.sockets, Options{Limits: current, Recorder: event.Discard()})
+		p.server.Listener = p.Listener
 	} else {
-		p.clients = newClients(p.server.Listener, current, event.Discard(), prometheus.NewRegistry())
-		p.sockets.Listener = p.clients
+		p.Listener = New(p.server.Listener, Options{Limits: current, Recorder: event.Discard()})
+		p.sockets.Listener = p.Listener
 		p.server.Listener = p.sockets
 	}
-	p.server.Config.Handler = p.refuseDropped(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+	p.server.Config.Handler = p.handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
 	p.server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
 		if state == http.StateIdle {
 			p.reads.Store(0)
@@ -194,7 +192,7 @@
 func TestRequestUnreadOnAKeptConnectionIsServedWhenTheIdleLimitShortens(t *testing.T) {
 	eachLateness(t, func(t *testing.T, where string) {
 		g := gomega.NewWithT(t)
-		p := newLateProcess(t, where, 100, site.ClientLimits{IdleTime: time.Minute, HeaderTime: time.Minute})
+		p := newLateProcess(t, where, 100, Limits{IdleTime: time.Minute, HeaderTime: time.Minute})
 		conn := dialCaller(t, p.Addr().String())
 		_, _ = io.WriteString(conn, wholeRequest)
 		expectAnswer(t, conn)
@@ -212,7 +210,7 @@
 func TestFirstRequestIsServedWhenItIsReadAfterTheIdleLimit(t *testing.T) {
 	eachLateness(t, func(t *testing.T, where string) {
 		g := gomega.NewWithT(t)
-		p := newLateProcess(t, where, 0, site.ClientLimits{IdleTime: 10 * time.Second, HeaderTime: time.Minute})
+		p := newLateProcess(t, where, 0, Limits{IdleTime: 10 * time.Second, HeaderTime: time.Minute})
 		conn := dialCaller(t, p.Addr().String())
 		_, _ = io.WriteString(conn, wholeRequest)
 		g.Eventually(p.sockets.unread).Should(gomega.BeTrue())
@@ -228,7 +226,7 @@
 func TestHeadThatHasComeIsServedWhenItIsReadAfterItsLimit(t *testing.T) {
 	eachLateness(t, func(t *testing.T, where string) {
 		g := gomega.NewWithT(t)
-		p := newLateProcess(t, where, 1, site.ClientLimits{IdleTime: time.Minute, HeaderTime: 3 * time.Second})
+		p := newLateProcess(t, where, 1, Limits{IdleTime: time.Minute, HeaderTime: 3 * time.Second})
 		conn := dialCaller(t, p.Addr().String())
 		_, _ = io.WriteString(conn, wholeRequest[:10])
 		g.Eventually(p.held.Load).Should(gomega.BeNumerically(">", 0), "the next read waits")
@@ -252,7 +250,7 @@
 				if kept {
 					reads = 100
 				}
-				p := newLateProcess(t, where, reads, site.ClientLimits{IdleTime: time.Minute, HeaderTime: time.Minute})
+				p := newLateProcess(t, where, reads, Limits{IdleTime: time.Minute, HeaderTime: time.Minute})
 				conn := dialCaller(t, p.Addr().String())
 				if kept {
 					_, _ = io.WriteString(conn, wholeRequest)
@@ -277,7 +275,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = p.finish(ctx, p.server.Config)
+		_ = p.Finish(ctx, p.server.Config)
 	}()
 	return done
 }
@@ -310,9 +308,10 @@
 	raw, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	queue := &heldQueue{Listener: raw, release: make(chan struct{}), closed: make(chan struct{})}
-	c := newClients(queue, func() site.ClientLimits { return site.ClientLimits{IdleTime: time.Minute} }, event.Discard(), prometheus.NewRegistry())
+	c := New(queue, Options{Recorder: event.Discard()})
 	answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
-	server := &http.Server{Handler: c.refuseDropped(answer), ConnState: c.changed, ConnContext: c.context}
+	server := &http.Server{Handler: answer}
+	c.Attach(server)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(c) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -320,7 +319,7 @@
 	for _, conn := range callers {
 		_, _ = io.WriteString(conn, wholeRequest)
 	}
-	p := &lateProcess{clients: c, server: &httptest.Server{Config: server}}
+	p := &lateProcess{Listener: c, server: &httptest.Server{Config: server}}
 	finished := p.finishing(t, 5*time.Second)
 	select {
 	case <-queue.closed:
@@ -339,8 +338,8 @@
 // off ten seconds over the limit, and a line says that something was unread.
 func TestHeadWithSomethingUnreadAtEachLookIsCutOff(t *testing.T) {
 	g := gomega.NewWithT(t)
-	p := newLateProcess(t, lateInRead, 1, site.ClientLimits{IdleTime: time.Minute, HeaderTime: 3 * time.Second})
-	p.recorder = event.NewRecorder(log.NewNopLogger(), 16)
+	p := newLateProcess(t, lateInRead, 1, Limits{IdleTime: time.Minute, HeaderTime: 3 * time.Second})
+	p.opts.Recorder = event.NewRecorder(log.NewNopLogger(), 16)
 	conn := dialCaller(t, p.Addr().String())
 	_, _ = io.WriteString(conn, wholeRequest[:10])
 	g.Eventually(p.held.Load).Should(gomega.BeNumerically(">", 0), "the next read waits")
@@ -350,7 +349,7 @@
 	g.Consistently(closed(conn), "20ms").Should(gomega.BeFalse())
 	p.sweep(time.Now().Add(14 * time.Second))
 	g.Eventually(closed(conn)).Should(gomega.BeTrue())
-	told := p.recorder.Entries("")
+	told := p.opts.Recorder.Entries("")
 	g.Expect(told).To(gomega.HaveLen(1))
 	g.Expect(told[0].Fields).To(gomega.HaveKeyWithValue("head", "1"))
 }
@@ -359,7 +358,7 @@
 // not wait for them, nor for one whose first request never comes.
 func TestEndOfAStopDoesNotWaitForQuietConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
-	p := newLateProcess(t, lateInRead, 100, site.ClientLimits{IdleTime: time.Minute, HeaderTime: time.Minute})
+	p := newLateProcess(t, lateInRead, 100, Limits{IdleTime: time.Minute, HeaderTime: time.Minute})
 	conn := dialCaller(t, p.Addr().String())
 	_, _ = io.WriteString(conn, wholeRequest)
 	p.end()
@@ -377,8 +376,8 @@
 	raw, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	recorder := event.NewRecorder(log.NewNopLogger(), 16)
-	c := newClients(raw, func() site.ClientLimits { return site.ClientLimits{} }, recorder, prometheus.NewRegistry())
-	p := &lateProcess{clients: c, server: &httptest.Server{Config: &http.Server{}}}
+	c := New(raw, Options{Recorder: recorder})
+	p := &lateProcess{Listener: c, server: &httptest.Server{Config: &http.Server{}}}
 	g.Eventually(p.finishing(t, time.Minute), "5s").Should(gomega.BeClosed())
 	g.Expect(recorder.Entries("")).NotTo(gomega.BeEmpty())
 	g.Expect(recorder.Entries("")[0].Name).To(gomega.Equal(EventQueueLeft.Name))
--- a/entry/clients_test.go
+++ b/inbound/listener_test.go
@@ -1,4 +1,4 @@
-package entry
+package inbound
 
 import (
 	"bufio"
@@ -10,24 +10,22 @@
 	"time"
 
 	"github.com/onsi/gomega"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/site"
 )
 
 // bounded serves callers within limits that a test may change.
-func bounded(t *testing.T, limits *site.ClientLimits, h http.HandlerFunc) (*clients, string) {
+func bounded(t *testing.T, limits *Limits, h http.HandlerFunc) (*Listener, string) {
 	server := httptest.NewUnstartedServer(nil)
-	c := newClients(server.Listener, func() site.ClientLimits { return *limits }, event.Discard(), prometheus.NewRegistry())
-	server.Listener, server.Config.Handler = c, c.refuseDropped(h)
-	server.Config.ConnState, server.Config.ConnContext = c.changed, c.context
+	c := New(server.Listener, Options{Limits: func() Limits { return *limits }, Recorder: event.Discard()})
+	server.Listener, server.Config.Handler = c, h
+	c.Attach(server.Config)
 	server.Start()
 	t.Cleanup(server.Close)
 	return c, c.Addr().String()
 }
 
-func (c *clients) in(phase clientPhase) func() int {
+func (c *Listener) in(phase clientPhase) func() int {
 	return func() int {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -64,7 +62,7 @@
 // not before; a connection that is in use stays.
 func TestIdleConnectionsAreClosedByTheConfigurationsLimit(t *testing.T) {
 	g := gomega.NewWithT(t)
-	limits := site.ClientLimits{IdleTime: time.Minute}
+	limits := Limits{IdleTime: time.Minute}
 	release := make(chan struct{})
 	c, address := bounded(t, &limits, func(http.ResponseWriter, *http.Request) { <-release })
 	idle, busy := dialCaller(t, address), dialCaller(t, address)
@@ -86,7 +84,7 @@
 // nothing of it is handed on even if the rest comes at that moment.
 func TestSlowHeadsAreCutOff(t *testing.T) {
 	g := gomega.NewWithT(t)
-	limits := site.ClientLimits{HeaderTime: 3 * time.Second, IdleTime: time.Minute}
+	limits := Limits{HeaderTime: 3 * time.Second, IdleTime: time.Minute}
 	served := make(chan struct{}, 1)
 	c, address := bounded(t, &limits, func(http.ResponseWriter, *http.Request) { served <- struct{}{} })
 	slow := dialCaller(t, address)
@@ -103,7 +101,7 @@
 // Without a limit, and before there is a configuration, nothing is closed.
 func TestNoLimitClosesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
-	limits := site.ClientLimits{}
+	limits := Limits{}
 	c, address := bounded(t, &limits, func(http.ResponseWriter, *http.Request) {})
 	conn := dialCaller(t, address)
 	g.Eventually(c.in(clientIdle)).Should(gomega.Equal(1))
@@ -115,7 +113,7 @@
 // meanwhile is still unread, so nobody is cut off for it; the limits count anew.
 func TestNobodyIsCutOffForAFreeze(t *testing.T) {
 	g := gomega.NewWithT(t)
-	limits := site.ClientLimits{HeaderTime: 3 * time.Second, IdleTime: 10 * time.Second}
+	limits := Limits{HeaderTime: 3 * time.Second, IdleTime: 10 * time.Second}
 	c, address := bounded(t, &limits, func(http.ResponseWriter, *http.Request) {})
 	conn := dialCaller(t, address)
 	g.Eventually(c.in(clientIdle)).Should(gomega.Equal(1))
@@ -126,17 +124,3 @@
 	c.look(woken.Add(11*time.Second), clientsLook)
 	g.Eventually(closed(conn)).Should(gomega.BeTrue())
 }
-
-// A process that has no configuration yet, or one without limits, still closes
-// what nobody uses: nothing else does.
-func TestLimitsHoldWithoutAConfiguration(t *testing.T) {
-	g := gomega.NewWithT(t)
-	e := &Entry{holder: site.NewHolder()}
-	own := site.ClientLimits{IdleTime: idleTimeout, HeaderTime: headerTimeout}
-	g.Expect(e.clientLimits()).To(gomega.Equal(own))
-	e.holder.Offer(&site.Versioned{Config: site.New(1, nil, nil, nil, site.ClientLimits{BodyBytes: 9}), Position: 1})
-	own.BodyBytes = 9
-	g.Expect(e.clientLimits()).To(gomega.Equal(own))
-	e.holder.Offer(&site.Versioned{Config: site.New(2, nil, nil, nil, site.ClientLimits{IdleTime: time.Second}), Position: 2})
-	g.Expect(e.clientLimits().IdleTime).To(gomega.Equal(time.Second))
-}
--- a/entry/unread.go
+++ b/inbound/unread.go
@@ -1,14 +1,13 @@
-package entry
+package inbound
 
 import (
 	"time"
 
 	"github.com/pearyard/pearyard/event"
-	"github.com/pearyard/pearyard/site"
 )
 
 // unreadDrops are the connections that one look has closed with bytes unread:
-// their callers may have been waiting for an answer. A look tells of them in one
+// their clients may have been waiting for an answer. A look tells of them in one
 // line, whatever their number.
 type unreadDrops struct {
 	head         int // part of a head was read
@@ -27,7 +26,7 @@
 }
 
 // tell emits the line, if there is something to tell.
-func (u *unreadDrops) tell(recorder *event.Recorder, limits site.ClientLimits, late time.Duration) {
+func (u *unreadDrops) tell(recorder *event.Recorder, limits Limits, late time.Duration) {
 	if u.head+u.notDealtWith == 0 {
 		return
 	}
--- a/node/common.go
+++ b/node/common.go
@@ -19,6 +19,7 @@
 	"github.com/pearyard/pearyard/backing"
 	"github.com/pearyard/pearyard/config"
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/inbound"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/membership"
 	"github.com/pearyard/pearyard/peer"
@@ -289,12 +290,14 @@
 // Failure it stops: a request leaves the count of a planned stop when it has run
 // or its handler returns, while its answer is still on its way over a slow link.
 // Closed two seconds later, the answer is cut; of a call that may run at most
-// once the caller then doesn't know the outcome. Shutdown returns as soon as all
+// once the caller then doesn't know the outcome. The end waits only until all
 // answers are out, so a stop without slow ones takes no longer.
-func serve(group *run.Group, listener net.Listener, handler http.Handler, patience func() time.Duration) {
+func serve(group *run.Group, listener net.Listener, handler http.Handler, patience func() time.Duration, recorder *event.Recorder) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	clients := inbound.New(listener, inbound.Options{Recorder: recorder})
+	clients.Attach(server)
 	group.Add(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(clients)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -306,7 +309,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), bound)
 		defer cancel()
-		if server.Shutdown(ctx) != nil {
+		if clients.Finish(ctx, server) != nil {
 			_ = server.Close()
 		}
 	})
--- a/node/router.go
+++ b/node/router.go
@@ -127,10 +127,10 @@
 func (r *Router) Run(ctx context.Context) error {
 	var group run.Group
 	// The callers' server ends first: while their answers get out, the others say how it goes.
-	serve(&group, r.opts.Callers, r.router.Handler(), r.answersPatience)
-	serve(&group, r.opts.Peers, r.mount(nil), shortPatience)
+	serve(&group, r.opts.Callers, r.router.Handler(), r.answersPatience, r.recorder)
+	serve(&group, r.opts.Peers, r.mount(nil), shortPatience, r.recorder)
 	if r.admin != nil {
-		serve(&group, r.opts.Admin, r.admin.Handler(), shortPatience)
+		serve(&group, r.opts.Admin, r.admin.Handler(), shortPatience, r.recorder)
 	}
 	r.actors(&group)
 	actor(&group, r.router.Run)
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -178,7 +178,7 @@
 	defer writer.Close()
 	s.writer.Store(writer)
 	var group run.Group
-	serve(&group, s.opts.Peers, s.mount(s.sidecar.Handler()), s.answersPatience)
+	serve(&group, s.opts.Peers, s.mount(s.sidecar.Handler()), s.answersPatience, s.recorder)
 	s.actors(&group)
 	actor(&group, s.sidecar.Run)
 	actor(&group, s.journal.Run)
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	. "github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/plain"
 	streampb "github.com/pearyard/pearyard/rpc/stream"
 )
@@ -224,7 +225,7 @@
 			serve(&group, callers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				defer close(handled)
 				_, _ = io.Copy(struct{ io.Writer }{w}, struct{ io.Reader }{bytes.NewReader(answer)})
-			}), (&base{}).answersPatience)
+			}), (&base{}).answersPatience, event.Discard())
 			actor(&group, func(context.Context) error {
 				<-handled
 				return nil
--- a/node/unread_test.go
+++ b/node/unread_test.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	. "github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/httpconn"
 )
 
@@ -96,7 +97,7 @@
 func stoppable(t *testing.T, l net.Listener, handler http.HandlerFunc) (end func(), ended chan struct{}) {
 	t.Helper()
 	var group run.Group
-	serve(&group, l, handler, (&base{}).answersPatience)
+	serve(&group, l, handler, (&base{}).answersPatience, event.Discard())
 	stop, stopped := context.WithCancel(t.Context())
 	actor(&group, func(context.Context) error {
 		<-stop.Done()
