--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -159,7 +159,7 @@
 	if limit <= 0 || took <= limit {
 		return phase, inTime
 	}
-	arrived := phase == clientReading || phase == clientTaken || httpconn.Unread(c.Conn)
+	arrived := c.arrivedIn(phase)
 	// An idle connection that is spared becomes one whose head is timed.
 	if arrived && (phase == clientIdle || took <= limit+lateTime) {
 		return phase, spared
@@ -173,6 +173,19 @@
 	return phase, dropped
 }
 
+// arrivedIn tells whether something has come, in a phase in which no request is
+// served, that this process has not dealt with.
+func (c *clientConn) arrivedIn(phase clientPhase) bool {
+	switch phase {
+	case clientReading, clientTaken:
+		return true
+	case clientIdle, clientHead:
+		return httpconn.Unread(c.Conn)
+	default:
+		return false
+	}
+}
+
 func limitOf(phase clientPhase, limits Limits) time.Duration {
 	switch phase {
 	case clientIdle:
--- a/inbound/finish.go
+++ b/inbound/finish.go
@@ -44,9 +44,26 @@
 		c.sweepBy(lastLimits, time.Now())
 		_ = retry.Wait(ctx, finishLook)
 	}
+	c.tellLeft()
 	return server.Shutdown(ctx)
 }
 
+// tellLeft tells of connections that the end of a stop's time closes with
+// something on them that was not dealt with.
+func (c *Listener) tellLeft() {
+	now := time.Now()
+	var unread unreadDrops
+	c.mu.Lock()
+	for conn := range c.open {
+		if phase := conn.phase.Load(); conn.arrivedIn(phase) {
+			unread.add(phase, conn.inPhase(now))
+			c.unread.WithLabelValues(phaseNames[phase]).Inc()
+		}
+	}
+	c.mu.Unlock()
+	unread.tell(c.opts.Recorder, lastLimits, 0)
+}
+
 func (c *Listener) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/inbound/late_test.go
+++ b/inbound/late_test.go
@@ -382,3 +382,18 @@
 	g.Expect(recorder.Entries("")).NotTo(gomega.BeEmpty())
 	g.Expect(recorder.Entries("")[0].Name).To(gomega.Equal(EventQueueLeft.Name))
 }
+
+// A planned stop's time is over, and a request on a connection is still unread.
+// Its caller gets no answer; a line says so.
+func TestEndOfAStopTellsWhatItLeavesUnread(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newLateProcess(t, lateInRead, 0, Limits{})
+	p.opts.Recorder = event.NewRecorder(log.NewNopLogger(), 16)
+	conn := dialCaller(t, p.Addr().String())
+	_, _ = io.WriteString(conn, wholeRequest)
+	g.Eventually(p.sockets.unread).Should(gomega.BeTrue())
+	g.Eventually(p.finishing(t, 200*time.Millisecond), "5s").Should(gomega.BeClosed())
+	told := p.opts.Recorder.Entries("")
+	g.Expect(told).To(gomega.HaveLen(1))
+	g.Expect(told[0].Name).To(gomega.Equal(EventUnreadDropped.Name))
+}
