--- a/entry/write.go
+++ b/entry/write.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/inbound"
 )
 
 // sink writes a stream's answer.
@@ -87,18 +87,7 @@
 // Later callers miss the last chunk.
 func cut(r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
-		resetAtClose(r)
+		inbound.ResetAtClose(r)
 	}
 	panic(http.ErrAbortHandler)
 }
-
-// resetAtClose makes the close of a request's connection a reset.
-func resetAtClose(r *http.Request) {
-	caller, ok := r.Context().Value(clientKey{}).(*clientConn)
-	if !ok {
-		return // a connection of tests
-	}
-	if conn, ok := caller.Conn.(*net.TCPConn); ok {
-		_ = conn.SetLinger(0) // fails on a connection that is closed already
-	}
-}
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -151,6 +151,17 @@
 	return context.WithValue(ctx, clientKey{}, conn)
 }
 
+// ResetAtClose makes the close of a request's connection a reset.
+func ResetAtClose(r *http.Request) {
+	client, ok := r.Context().Value(clientKey{}).(*clientConn)
+	if !ok {
+		return // a connection of tests
+	}
+	if conn, ok := client.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // fails on a connection that is closed already
+	}
+}
+
 // handler hands on the requests of connections that are still open. The answer
 // to one that came just as its connection was closed could not be delivered, so
 // it must not run.
