explain: a pause that a process's streams share is the process's own

Ruled out: a line of the process about its own standstill; there is none, and a freeze is not announced. Change: streams of three servers or more that paused for the same time at one process (to 0.2 s, ended within ten seconds) get process_stood_still. Test: TestSummaryTellsAProcessThatStoodStill (written with the change; without the rule it names five servers).

--- a/explain/causes.go
+++ b/explain/causes.go
@@ -30,6 +30,9 @@
 	CauseWave Cause = "return_wave"
 	// CausePause: nothing failed; its server paused between two events.
 	CausePause Cause = "server_pause"
+	// CauseStoodStill: as server_pause, but streams of several servers paused for the
+	// same time at one process: the process itself, its VM or its network stood still.
+	CauseStoodStill Cause = "process_stood_still"
 	// CauseAdmission: refused, as no server would finish it in time (PY2721).
 	CauseAdmission Cause = "admission"
 	// CauseNoServer: no server is known, or all refused.
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -83,7 +83,11 @@
 	if outcome == InTime || outcome == Left {
 		return nil
 	}
-	p.caused(e.slot(key, outcome, cause), Example{
+	keyed := e.slot(key, outcome, cause)
+	if cause == CausePause {
+		p.paused(keyed.paused, rec.text(fieldServer))
+	}
+	p.caused(keyed, Example{
 		Request: id, Route: rec.text(fieldRoute), Took: e.took, First: e.first, Pause: e.pause, Server: rec.text(fieldServer),
 	})
 	return nil
@@ -228,6 +232,10 @@
 // of its zone: the newest such try, or that which the last line tells of.
 func (e *end) slot(key slot, outcome Outcome, cause Cause) causeSlot {
 	s := causeSlot{slot: key, outcome: outcome, cause: cause}
+	if cause == CausePause {
+		s.paused = pauseOf(e)
+		return s
+	}
 	if cause != CauseServerLost {
 		return s
 	}
--- a/explain/period.go
+++ b/explain/period.go
@@ -37,61 +37,17 @@
 	kinds      map[int32]string // of a route
 	seconds    map[slot]*tally
 	causes     map[causeSlot]*causeTally
-	open       map[string]*trouble // by request
-	losses     map[string][]loss   // by zone
-	lostAt     map[string][]int64  // by server: seconds
-	zones      map[string]string   // of servers that were lost
+	open       map[string]*trouble           // by request
+	losses     map[string][]loss             // by zone
+	lostAt     map[string][]int64            // by server: seconds
+	zones      map[string]string             // of servers that were lost
+	pauses     map[pauseSlot]map[string]bool // servers of streams that paused so
 	processes  map[int32]*processState
 	Lines      int
 	Dropped    int // lines that processes dropped, by their own word
 	bad        map[string]*Bad
 }
 
-// slot is a second of a route.
-type slot struct {
-	second int64
-	route  int32
-}
-
-// tally counts the requests that came in a second on a route.
-type tally struct {
-	counts [outcomes]int32
-	// turned away: 400, 401, 404 and the like; blind: by a process that did not
-	// hear from the store.
-	turned, turnedBlind int32
-}
-
-// causeSlot is a cause in a second of a route. What a server's loss was, a
-// zone's or its own, is decided once all lines are read.
-type causeSlot struct {
-	slot
-	outcome Outcome
-	cause   Cause
-	server  string // whose try failed
-	failed  int64  // second in which it did
-	silent  bool
-}
-
-type causeTally struct {
-	count    int32
-	waited   time.Duration // by all
-	examples []Example
-}
-
-// Example is a request that was not in time.
-type Example struct {
-	Request string        `json:"request"`
-	Route   string        `json:"route"`
-	Cause   Cause         `json:"cause"`
-	Took    time.Duration `json:"took"`
-	First   time.Duration `json:"first,omitempty"` // until the first event
-	Pause   time.Duration `json:"pause,omitempty"` // the longest between events
-	Server  string        `json:"server,omitempty"`
-}
-
-// maxExamples of a cause in a second are kept.
-const maxExamples = 2
-
 // loss is a server that a process found lost.
 type loss struct {
 	second int64
@@ -117,7 +73,7 @@
 		given: given, objectives: map[string]Objective{}, names: interned{numbers: map[string]int32{}},
 		kinds: map[int32]string{}, seconds: map[slot]*tally{}, causes: map[causeSlot]*causeTally{},
 		open: map[string]*trouble{}, losses: map[string][]loss{}, lostAt: map[string][]int64{}, zones: map[string]string{},
-		processes: map[int32]*processState{}, bad: map[string]*Bad{},
+		pauses: map[pauseSlot]map[string]bool{}, processes: map[int32]*processState{}, bad: map[string]*Bad{},
 	}
 }
 
--- a/explain/period_test.go
+++ b/explain/period_test.go
@@ -150,6 +150,24 @@
 	g.Expect(got).To(gomega.Equal(map[Cause]int{CauseQueue: 17, CauseWave: 3}))
 }
 
+// A VM stands still for three seconds, and all streams through it pause. The lines
+// of the process name a pause for each, and five sound servers.
+func TestSummaryTellsAProcessThatStoodStill(t *testing.T) {
+	g := gomega.NewWithT(t)
+	logs := testObjectives
+	for i := range 5 {
+		logs += lineOf("edge-1", fmt.Sprintf("01:%02d.5", 12+i), "PY2720",
+			fmt.Sprintf("request=a%d route=r kind=stream took=6s first=1s pause=3.0%ds server=i-%d ended_by=answer", i, i, i))
+	}
+	logs += lineOf("edge-2", "01:12.5", "PY2720", "request=b route=r kind=stream took=6s first=1s pause=3.02s server=i-1 ended_by=answer")
+	s := read(t, logs).Summary(View{})
+	got := map[Cause]int{}
+	for _, c := range s.Causes {
+		got[c.Cause] = c.Late
+	}
+	g.Expect(got).To(gomega.Equal(map[Cause]int{CauseStoodStill: 5, CausePause: 1}))
+}
+
 // A log's end is cut, a collector mixed two lines, and a line was damaged. What
 // is left is told, and what is missing is counted and named.
 func TestSummaryCountsLinesThatItCannotUse(t *testing.T) {
--- a/explain/rules.go
+++ b/explain/rules.go
@@ -19,6 +19,9 @@
 	// then on: servers are still behind.
 	waveTimes = 2
 	waveLasts = 3
+	// stoodStillServers that pause for the same time at one process don't do so of
+	// themselves.
+	stoodStillServers = 3
 )
 
 // resolve decides what takes the lines of other requests and processes.
@@ -26,6 +29,10 @@
 	switch key.cause {
 	case CauseServerLost:
 		return b.lossOf(key)
+	case CausePause:
+		if len(b.period.pauses[key.paused]) >= stoodStillServers {
+			return CauseStoodStill
+		}
 	case CauseQueue, CauseAdmission:
 		if b.waves[kind][key.second] {
 			return CauseWave
