--- a/explain/causes.go
+++ b/explain/causes.go
@@ -18,8 +18,8 @@
 	CauseServerFailed Cause = "server_failed"
 	// CauseServerFull: it had no room (PY2724 with "busy").
 	CauseServerFull Cause = "server_full"
-	// CauseCopyReplaced: a stream's prompt had to be read again, since its copy was
-	// being replaced when its server was lost (PY2729, PY2725).
+	// CauseCopyReplaced: a stream's server was lost after its copy had been replaced,
+	// or could not be (PY2729, PY2724). A copy made by a call lacks what came after it.
 	CauseCopyReplaced Cause = "copy_replaced"
 	// CauseNoCopy: a stream's prompt had to be read again without a word of its copy.
 	CauseNoCopy Cause = "no_copy"
@@ -70,16 +70,17 @@
 
 // trouble is what lines before its end tell of a request.
 type trouble struct {
-	broken  *failedTry
-	full    bool          // a server had no room
-	failed  bool          // a server answered with its own failure
-	copied  bool          // its copy was replaced
-	reread  bool          // its prompt was read again
-	resumed bool          // it went on elsewhere
-	pause   time.Duration // the longest that going on elsewhere cost
-	process int32
-	running bool  // PY2732 has named it
-	at      int64 // second of the newest line
+	broken   *failedTry
+	full     bool          // a server had no room
+	failed   bool          // a server answered with its own failure
+	copied   bool          // its copy was replaced, or that failed
+	replaced bool          // so it was when a try failed
+	reread   bool          // its prompt was read again
+	resumed  bool          // it went on elsewhere
+	pause    time.Duration // the longest that going on elsewhere cost
+	process  int32
+	running  bool  // PY2732 has named it
+	at       int64 // second of the newest line
 }
 
 // failedTry is an attempt that its server broke off or left without an answer.
@@ -94,7 +95,7 @@
 	switch {
 	case t == nil:
 		return ""
-	case t.reread && t.copied:
+	case t.replaced:
 		return CauseCopyReplaced
 	case t.broken != nil:
 		return CauseServerLost // the summary tells it from that of a zone
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -50,6 +50,7 @@
 	case rec.has(fieldError, wordsStatus):
 		t.failed = true
 	default:
+		t.replaced = t.replaced || t.copied
 		t.broken = &failedTry{rec.text(fieldAfter), rec.at.Unix(), rec.has(fieldError, wordsSilent)}
 	}
 }
