--- a/explain/period_bench_test.go
+++ b/explain/period_bench_test.go
@@ -57,9 +57,10 @@
 }
 
 // BenchmarkPeriod reads as many lines as PEARYARD_BENCH_LINES says, or 200,000.
-// The bound is ten million in a minute and under 1 GB: 10,009,213 lines took
-// 15.7 s and 503 MB of the system's memory, the generator's 128 MB among them, on
-// one core of a loaded machine.
+// The bound is ten million in a minute and under 1 GB: 10,009,213 lines took 20.4 s
+// and 535 MB of the system's memory, the generator's 128 MB among them, on one
+// core of a busy machine. Reading all fields into a map a line, as Read does,
+// would need all lines in memory.
 func BenchmarkPeriod(b *testing.B) {
 	lines := 200_000
 	if n, err := strconv.Atoi(os.Getenv("PEARYARD_BENCH_LINES")); err == nil {
