--- a/explain/ends.go
+++ b/explain/ends.go
@@ -35,6 +35,7 @@
 	wordsLate   = "would finish in time"
 	wordsBusy   = "not run: busy"
 	wordsStatus = "the server answered"
+	wordsAlive  = "alive=true"
 	howReread   = "prompt_read_again"
 )
 
@@ -51,7 +52,13 @@
 		t.failed = true
 	default:
 		t.replaced = t.replaced || t.copied
-		t.broken = &failedTry{rec.text(fieldAfter), rec.at.Unix(), rec.has(fieldError, wordsSilent)}
+		t.broken = tryOf(rec, fieldAfter)
+	}
+}
+
+func tryOf(rec *record, server field) *failedTry {
+	return &failedTry{
+		server: rec.text(server), at: rec.at.Unix(), silent: rec.has(fieldError, wordsSilent), alive: rec.has(fieldError, wordsAlive),
 	}
 }
 
@@ -241,11 +248,10 @@
 		return s
 	}
 	if e.trouble != nil && e.trouble.broken != nil {
-		b := e.trouble.broken
-		s.server, s.failed, s.silent = b.server, b.at, b.silent
+		s.try = *e.trouble.broken
 		return s
 	}
-	s.server, s.failed, s.silent = e.rec.text(fieldServer), e.rec.at.Unix(), e.rec.has(fieldError, wordsSilent)
+	s.try = *tryOf(e.rec, fieldServer)
 	return s
 }
 
--- a/explain/rules.go
+++ b/explain/rules.go
@@ -42,18 +42,19 @@
 }
 
 func (b *builder) lossOf(key causeSlot) Cause {
-	if zone, found := b.period.zones[key.server]; found && b.zoneLosses[zone][key.failed] {
+	try := key.try
+	if zone, found := b.period.zones[try.server]; found && !try.alive && b.zoneLosses[zone][try.at] {
 		return CauseZoneLost
 	}
-	if key.silent && !b.period.wasLost(key) {
+	if try.alive || try.silent && !b.period.wasLost(try) {
 		return CauseServerSilent
 	}
 	return CauseServerLost
 }
 
-func (p *Period) wasLost(key causeSlot) bool {
-	return slices.ContainsFunc(p.lostAt[key.server], func(second int64) bool {
-		return second-lossNear <= key.failed && key.failed <= second+lossNear
+func (p *Period) wasLost(try failedTry) bool {
+	return slices.ContainsFunc(p.lostAt[try.server], func(second int64) bool {
+		return second-lossNear <= try.at && try.at <= second+lossNear
 	})
 }
 
--- a/explain/tally.go
+++ b/explain/tally.go
@@ -22,9 +22,7 @@
 	slot
 	outcome Outcome
 	cause   Cause
-	server  string // whose try failed
-	failed  int64  // second in which it did
-	silent  bool
+	try     failedTry // that its server broke off or left without an answer
 	paused  pauseSlot // of one that its server's pause made late
 }
 
