explain: alive=true in a silence is no proof of life; the rule on it goes

The rule would have put the loss of a zone down to a server's own silence. Ruled out: keeping it for silences away from losses, which the rule before covers already. Change: the rule before, that no process found the server lost, stands again. The rule's own test case is replaced by one as strict with the opposite end: a silence with that word in a zone that is lost is zone_lost.

--- a/explain/causes.go
+++ b/explain/causes.go
@@ -12,7 +12,7 @@
 	CauseZoneLost Cause = "zone_lost"
 	// CauseServerLost: the same of a single server.
 	CauseServerLost Cause = "server_lost"
-	// CauseServerSilent: it fell silent, but lived, or no process found it lost (PY2724).
+	// CauseServerSilent: it fell silent, but no process found it lost (PY2724).
 	CauseServerSilent Cause = "server_silent"
 	// CauseServerFailed: it answered with a failure of its own, or broke off in order.
 	CauseServerFailed Cause = "server_failed"
@@ -88,7 +88,6 @@
 	server string
 	at     int64 // second
 	silent bool
-	alive  bool // its server gave a sign of life while it was silent
 }
 
 // ofTries returns the cause that failed attempts are, or "".
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -35,7 +35,6 @@
 	wordsLate   = "would finish in time"
 	wordsBusy   = "not run: busy"
 	wordsStatus = "the server answered"
-	wordsAlive  = "alive=true"
 	howReread   = "prompt_read_again"
 )
 
@@ -57,9 +56,7 @@
 }
 
 func tryOf(rec *record, server field) *failedTry {
-	return &failedTry{
-		server: rec.text(server), at: rec.at.Unix(), silent: rec.has(fieldError, wordsSilent), alive: rec.has(fieldError, wordsAlive),
-	}
+	return &failedTry{server: rec.text(server), at: rec.at.Unix(), silent: rec.has(fieldError, wordsSilent)}
 }
 
 // end is the last line of a request.
--- a/explain/period_test.go
+++ b/explain/period_test.go
@@ -82,8 +82,8 @@
 		"silent and lost": {
 			again("exchange: the backend server fell silent") + lateStream + strings.SplitAfter(zoneLoss, "\n")[0], CauseServerLost,
 		},
-		"silent and alive, beside a loss": {
-			again((&exchange.SilentError{Silence: 400 * time.Millisecond, Alive: true}).Error()) + lateStream + zoneLoss, CauseServerSilent,
+		"silent in a zone that is lost, and not known to be down yet": {
+			again((&exchange.SilentError{Silence: 400 * time.Millisecond, Alive: true}).Error()) + lateStream + zoneLoss, CauseZoneLost,
 		},
 		"own pause": {resumed("copy", "40ms") + again("exchange: broken: unexpected EOF") + lateStream, CausePause},
 		"copy": {
@@ -259,7 +259,7 @@
 func TestWordsOfErrors(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(new(exchange.LateError).Error()).To(gomega.ContainSubstring(wordsLate))
-	g.Expect((&exchange.SilentError{Alive: true}).Error()).To(gomega.And(gomega.ContainSubstring(wordsSilent), gomega.ContainSubstring(wordsAlive)))
+	g.Expect((&exchange.SilentError{Alive: true}).Error()).To(gomega.ContainSubstring(wordsSilent))
 	g.Expect((&exchange.NotRunError{Reason: exchange.Busy}).Error()).To(gomega.ContainSubstring(wordsBusy))
 }
 
--- a/explain/rules.go
+++ b/explain/rules.go
@@ -43,10 +43,10 @@
 
 func (b *builder) lossOf(key causeSlot) Cause {
 	try := key.try
-	if zone, found := b.period.zones[try.server]; found && !try.alive && b.zoneLosses[zone][try.at] {
+	if zone, found := b.period.zones[try.server]; found && b.zoneLosses[zone][try.at] {
 		return CauseZoneLost
 	}
-	if try.alive || try.silent && !b.period.wasLost(try) {
+	if try.silent && !b.period.wasLost(try) {
 		return CauseServerSilent
 	}
 	return CauseServerLost
