bench: one program measures: pearyard bench route|limit|members|measure

Cause: four programs of their own (pearyard-bench-route, -limit, -members, pearyard-measure), each with its own main, its own reading of signals and, for one, its own library of flags. The change: each bench gives a Command(), package bench lists them, cmd/pearyard takes them in. Flags, defaults and output stay; the routing bench's code moves to route/routebench with its tests unchanged. `measure` starts this binary under the daemons' names as before (measure.AsProgram). Conclusion: five programs are left: pearyard, -entry, -router, -sidecar, -standin.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/urfave/cli/v2"
+
+	"github.com/pearyard/pearyard/route"
+)
+
+// run runs one command line of the benches and returns what it printed.
+func run(t *testing.T, args ...string) string {
+	t.Helper()
+	var out bytes.Buffer
+	app := &cli.App{Name: "pearyard", Writer: &out, ErrWriter: &out, Commands: []*cli.Command{Command()}}
+	if err := app.RunContext(context.Background(), append([]string{"pearyard", "bench"}, args...)); err != nil {
+		t.Fatal(err)
+	}
+	return out.String()
+}
+
+func TestEveryBenchIsThereOnce(t *testing.T) {
+	g := NewWithT(t)
+	var names []string
+	for _, command := range Command().Subcommands {
+		names = append(names, command.Name)
+	}
+	g.Expect(names).To(Equal([]string{"route", "limit", "members", "measure"}))
+}
+
+func TestBenchOfRoutesTakesItsFlags(t *testing.T) {
+	g := NewWithT(t)
+	out := run(t, "route", "--runners", "6", "--seeds", "1", "--case", "steady", "--variant", route.LeastLoad)
+	g.Expect(out).To(ContainSubstring("6 runners, steady"))
+	g.Expect(out).To(ContainSubstring(route.LeastLoad))
+}
+
+func TestBenchOfLimitsPrintsJSON(t *testing.T) {
+	g := NewWithT(t)
+	var result struct{ Seeds int }
+	g.Expect(json.Unmarshal([]byte(run(t, "limit", "--seeds", "1", "--json")), &result)).To(Succeed())
+	g.Expect(result.Seeds).To(Equal(1))
+}
+
+// A run of this bench takes minutes; package memberbench has a test of its own.
+func TestBenchOfMembersKeepsItsFlags(t *testing.T) {
+	g := NewWithT(t)
+	help := run(t, "members", "--help")
+	for _, name := range []string{"--members", "--window", "--rounds"} {
+		g.Expect(help).To(ContainSubstring(name))
+	}
+}
+
+func TestMeasurementsKeepTheirCommands(t *testing.T) {
+	g := NewWithT(t)
+	help := run(t, "measure", "--help")
+	for _, name := range []string{"resume", "dial", "stream", "config", "leave", "idle", "--bin", "--runs", "--json"} {
+		g.Expect(help).To(ContainSubstring(name))
+	}
+}
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,3 @@
+// Package bench is the command `pearyard bench`: which measurements there are.
+// It imports the benches and adds nothing to them.
+package bench
--- a/cli/arguments.go
+++ b/cli/arguments.go
@@ -12,13 +12,14 @@
 
 // flagsFirst moves a command's flags before its arguments, so that operators may
 // write `apply FILE --base 3`: the library stops reading flags at the first
-// argument. What follows "--" stays as it is.
+// argument. What follows "--" stays as it is, and so does the line of a command
+// that has commands below it: which flags belong to which shows only by their order.
 func flagsFirst(args []string, commands []*urfave.Command) []string {
 	if len(args) < 2 || slices.Contains(args, completionFlag) {
 		return args
 	}
 	command := findCommand(args[1], commands)
-	if command == nil {
+	if command == nil || len(command.Subcommands) > 0 {
 		return args
 	}
 	var flags, rest []string
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,6 +26,8 @@
 	HTTP   *http.Client
 	// Demo runs the demonstration; without it there is no such command.
 	Demo func(ctx context.Context, stdout io.Writer) error
+	// Bench measures pearyard itself; without it there is no such command.
+	Bench *urfave.Command
 }
 
 // Names of the flags that every command has, or most.
@@ -131,10 +133,19 @@
 	if p.opts.Demo != nil {
 		commands = append(commands, p.demoCommand())
 	}
+	if p.opts.Bench != nil {
+		commands = append(commands, p.opts.Bench)
+	}
+	tellUsageErrors(commands)
+	return commands
+}
+
+// tellUsageErrors gives wrong flags their exit code, also of commands below commands.
+func tellUsageErrors(commands []*urfave.Command) {
 	for _, command := range commands {
 		command.OnUsageError = func(_ *urfave.Context, err error, _ bool) error { return usageErrorf("%s", err) }
+		tellUsageErrors(command.Subcommands)
 	}
-	return commands
 }
 
 func (p *program) demoCommand() *urfave.Command {
--- a/cli/nested_test.go
+++ b/cli/nested_test.go
@@ -37,3 +37,14 @@
 	g.Expect(app.RunContext(context.Background(), args)).To(gomega.Succeed())
 	g.Expect(got).To(gomega.Equal([]string{"3", "m", "F"}))
 }
+
+// A script that misspells a flag of an inner command is told so by the exit code,
+// as for any other command.
+func TestWrongFlagOfACommandBelowACommandIsWrongUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var got []string
+	opts := Options{Stdout: &bytes.Buffer{}, Stderr: &bytes.Buffer{}, Bench: nested(&got)}
+	g.Expect(Run(context.Background(), []string{"p", "outer", "inner", "--mood", "m"}, opts)).To(gomega.Equal(ExitUsage))
+	g.Expect(Run(context.Background(), []string{"p", "outer", "inner", "--mode", "m"}, opts)).To(gomega.Equal(ExitOK))
+	g.Expect(got).To(gomega.Equal([]string{"", "m"}))
+}
--- a/cmd/pearyard/main.go
+++ b/cmd/pearyard/main.go
@@ -1,4 +1,4 @@
-// Command pearyard is the operators' command line.
+// Command pearyard is the operators' command line, and the developers' benches.
 package main
 
 import (
@@ -8,13 +8,18 @@
 
 	"github.com/oklog/run"
 
+	"github.com/pearyard/pearyard/bench"
 	_ "github.com/pearyard/pearyard/catalogue" // every event, for `pearyard events`
 	"github.com/pearyard/pearyard/cli"
 	"github.com/pearyard/pearyard/demo"
+	"github.com/pearyard/pearyard/measure"
 )
 
 func main() {
-	os.Exit(runCommand(os.Args, cli.Options{Demo: demo.Run}))
+	if code, was := measure.AsProgram(os.Args); was {
+		os.Exit(code)
+	}
+	os.Exit(runCommand(os.Args, cli.Options{Demo: demo.Run, Bench: bench.Command()}))
 }
 
 // runCommand runs one command line until it ends or a signal comes.
--- a/measure/command.go
+++ b/measure/command.go
@@ -1,14 +1,9 @@
 package measure
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
@@ -22,25 +17,17 @@
 	flagJSON = "json"
 )
 
-// Main runs pearyard-measure and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
-	app := &cli.App{
-		Name: "pearyard-measure", Usage: "measures a site of real processes on loopback ports",
-		Writer: stdout, ErrWriter: stderr,
+// Command returns the measurements as a command of a command line.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name: "measure", Usage: "measure a site of real processes on loopback ports",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagBin, Usage: "directory of the programs under test; empty: this binary in their place"},
 			&cli.IntFlag{Name: flagRuns, Value: 5, Usage: "runs of each case"},
 			&cli.StringFlag{Name: flagJSON, Usage: "file for the result"},
 		},
-		Commands: []*cli.Command{resumeCommand(), dialCommand(), streamCommand(), configCommand(), leaveCommand(), idleCommand()},
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := app.RunContext(ctx, args); err != nil {
-		fmt.Fprintln(stderr, err)
-		return 1
+		Subcommands: []*cli.Command{resumeCommand(), dialCommand(), streamCommand(), configCommand(), leaveCommand(), idleCommand()},
 	}
-	return 0
 }
 
 // report writes the result to the file that was asked for.
--- a/cmd/pearyard-bench-route/main.go
+++ b/route/routebench/command.go
@@ -1,7 +1,4 @@
-// Command pearyard-bench-route runs the routing policies in virtual time over
-// modelled runners and prints what they do to prefix caches, load and the time
-// to the first token. It measures the policy code itself, no network and no engine.
-package main
+package routebench
 
 import (
 	"encoding/json"
@@ -15,12 +12,13 @@
 	"github.com/urfave/cli/v2"
 )
 
-func main() {
-	app := &cli.App{
-		Name:  "pearyard-bench-route",
+// Command returns the bench as a command of a command line.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "route",
 		Usage: "measure routing policies over modelled runners, in virtual time",
 		Flags: []cli.Flag{
-			&cli.IntSliceFlag{Name: "runners", Value: cli.NewIntSlice(36, 24)},
+			&cli.IntSliceFlag{Name: "runners", Value: cli.NewIntSlice(36, 24), Usage: "sizes to measure"},
 			&cli.IntFlag{Name: "routers", Value: 3},
 			&cli.Float64Flag{Name: "rate", Value: steadyRate, Usage: "requests a second for each runner"},
 			&cli.IntFlag{Name: "seeds", Value: 5},
@@ -30,14 +28,10 @@
 			&cli.IntFlag{Name: "subset", Usage: "candidates in a router's view; 0: all"},
 			&cli.IntFlag{Name: "groups", Usage: "groups of routers with the same subset; 0: each its own"},
 			&cli.StringSliceFlag{Name: "variant", Usage: "only these variants"},
-			&cli.IntFlag{Name: "parallel", Value: 4},
+			&cli.IntFlag{Name: "parallel", Value: 4, Usage: "runs at a time"},
 		},
 		Action: bench,
 	}
-	if err := app.Run(os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
 }
 
 // row is one variant under one fault: median, least and greatest figures over the seeds.
--- a/cmd/pearyard-bench-route/workload.go
+++ b/route/routebench/workload.go
@@ -1,4 +1,4 @@
-package main
+package routebench
 
 import (
 	"math"
