measure, nursery: both faces do the same work, in one run

Cause: pearyard carries a request in two ways, and which answer a question keeps was argued without a figure for the same work. The nursery's cloud gets a length of streams and a hook that tells of a write; without them it is as before (soak's TestWholePath passes).

--- /dev/null
+++ b/measure/entries_test.go
@@ -0,0 +1,264 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/entry"
+	"github.com/pearyard/pearyard/standin/nursery"
+)
+
+const (
+	programEntry = "pearyard-entry"
+	entryHost    = "faces.example"
+	entryKey     = "k0"
+	entryNet     = "127.0.78."
+)
+
+// TestMain lets the test binary stand in for the programs that it measures.
+func TestMain(m *testing.M) {
+	if code, was := AsProgram(os.Args); was {
+		os.Exit(code)
+	}
+	if filepath.Base(os.Args[0]) == programEntry {
+		os.Exit(entry.Main(os.Args, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// entrySite is entry VMs as processes before the platform's stand-in.
+type entrySite struct {
+	store   *nursery.Store
+	cloud   *nursery.Cloud
+	servers []*nursery.Server
+	entries []*process
+	callers []string
+	peers   []string
+
+	mu     sync.Mutex // guards writes
+	writes map[string]*writes
+}
+
+// entryOptions describe such a site.
+type entryOptions struct {
+	servers, entries, length int
+	gap                      time.Duration
+	copies                   bool // backend servers keep copies of streams for each other
+}
+
+func startEntries(dir string, opts entryOptions) (*entrySite, error) {
+	store, err := nursery.NewStore()
+	if err != nil {
+		return nil, err
+	}
+	s := &entrySite{store: store, cloud: nursery.NewCloud(store), writes: map[string]*writes{}}
+	s.cloud.Length, s.cloud.Wrote = opts.length, s.wrote
+	store.Put("op", "config", []byte(fmt.Sprintf(`{"version":1,"routes":[{"name":"stream","host":%q,"pathPrefix":"/stream/","routeType":"streaming","service":"llm",`+
+		`"streamResume":true,"maxAttempts":5,"timeoutMs":60000,"targetLatencyMs":1000,"targetGapMs":700}],`+
+		`"services":[{"name":"llm","healthPath":"/healthz","inferenceEngine":{"backups":%t,"moves":%t}}],`+
+		`"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"org","apiKeys":[%q]}]}`, entryHost, opts.copies, opts.copies, entryKey)))
+	for i := range opts.servers {
+		server, err := s.cloud.NewServer("llm", fmt.Sprintf("zone-%d", i%zones+1), func(own string) string { return own })
+		if err != nil {
+			s.stop()
+			return nil, err
+		}
+		server.EventGap.Store(int64(opts.gap))
+		s.servers = append(s.servers, server)
+	}
+	if err := s.startAll(dir, opts.entries); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *entrySite) startAll(dir string, n int) error {
+	port, err := freePort()
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		if err := s.startEntry(dir, i, port); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func freePort() (int, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+func (s *entrySite) startEntry(dir string, i, port int) error {
+	ip, name := entryNet+strconv.Itoa(i+1), fmt.Sprintf("edge-%d", i+1)
+	callers, ready := fmt.Sprintf("%s:%d", ip, port+20), fmt.Sprintf("%s:%d", ip, port+21)
+	settings := fmt.Sprintf(`{nodeName: %q, ip: %q, zone: %q, listen: {frontend: %q, ready: %q}, internalPortRange: [%d, %d], seedNodes: ["%s1:%d"],
+limits: {memoryMb: 512}, heartbeatMs: 1200, platform: {address: %q, readsPerS: 2000, writesPerS: 400},
+bounds: {drainTimeoutMs: 2000, gracePeriodS: 3, configApplyMs: 2000, addressReuseS: 2, retryBudgetRatio: 0.2, retryWindowS: 10, retryMinExtra: 200}}
+`, name, ip, fmt.Sprintf("zone-%d", i%zones+1), callers, ready, port, port+9, entryNet, port+1, s.store.Address)
+	path := filepath.Join(dir, name+".yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	p, err := runEntry(name, path, filepath.Join(dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	s.entries = append(s.entries, p)
+	s.callers, s.peers = append(s.callers, callers), append(s.peers, fmt.Sprintf("%s:%d", ip, port))
+	return awaitEntry(p, ready)
+}
+
+func runEntry(name, settings, logPath string) (*process, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	log, err := os.Create(logPath)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	cmd := exec.Command(self)
+	cmd.Args[0] = programEntry
+	cmd.Env = append(os.Environ(), "PEARYARD_SETTINGS="+settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+func awaitEntry(p *process, ready string) error {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end) && p.running(); time.Sleep(readyPoll) {
+		resp, err := scraper.Get("http://" + ready + "/pearyard/readyz")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.Errorf("measure: %s is not ready", p.name)
+}
+
+func (s *entrySite) stop() {
+	for _, p := range s.entries {
+		p.kill()
+	}
+	for _, server := range s.servers {
+		server.Crash()
+	}
+	s.store.Close()
+}
+
+// wrote notes when a server wrote an event.
+func (s *entrySite) wrote(request string, _ int) {
+	s.mu.Lock()
+	noted := s.writes[request]
+	if noted == nil {
+		noted = &writes{}
+		s.writes[request] = noted
+	}
+	s.mu.Unlock()
+	noted.mu.Lock()
+	noted.at = append(noted.at, time.Now())
+	noted.mu.Unlock()
+}
+
+// delays are the times that a request's events took from the server's write on.
+func (s *entrySite) delays(c *entryCall) []time.Duration {
+	s.mu.Lock()
+	noted := s.writes[c.id]
+	s.mu.Unlock()
+	var out []time.Duration
+	for i := warmup; noted != nil && i < min(len(noted.at), len(c.arrivals)); i++ {
+		out = append(out, c.arrivals[i].Sub(noted.at[i]))
+	}
+	return out
+}
+
+// entryCall is one stream as its caller saw it.
+type entryCall struct {
+	id, address string
+	arrivals    []time.Time
+	fault       string // empty: the answer came whole
+}
+
+// startCalls begins n streams, spread over ramp and over the addresses.
+func startCalls(ctx context.Context, wait *sync.WaitGroup, name string, addresses []string, n, length int, ramp time.Duration) []*entryCall {
+	client := &http.Client{Transport: newTransport()}
+	var out []*entryCall
+	for i := range n {
+		c := &entryCall{id: fmt.Sprintf("%s-%d", name, i), address: addresses[i%len(addresses)]}
+		out = append(out, c)
+		wait.Go(func() {
+			time.Sleep(ramp * time.Duration(i) / time.Duration(n))
+			if err := c.run(ctx, client, length); err != nil {
+				c.fault = err.Error()
+			}
+		})
+	}
+	return out
+}
+
+func (c *entryCall) run(ctx context.Context, client *http.Client, length int) error {
+	target := "/stream/" + c.id
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+target, strings.NewReader("a prompt"))
+	if err != nil {
+		return err
+	}
+	req.Host, req.GetBody = entryHost, nil
+	req.Header.Set("Attempt-Id", c.id)
+	req.Header.Set("Deadline-Ms", "60000")
+	req.Header.Set("Authorization", "Token "+entryKey)
+	req.Header.Set("Token-Usage", "200,"+strconv.Itoa(length))
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), dataLine)
+		if !ok {
+			continue
+		}
+		c.arrivals = append(c.arrivals, time.Now())
+		if want := nursery.EventText(target, len(c.arrivals)); data != want {
+			return errors.Errorf("event %q where %q is due", data, want)
+		}
+	}
+	if scanner.Err() == nil && len(c.arrivals) != length {
+		return errors.Errorf("%d events of %d", len(c.arrivals), length)
+	}
+	return scanner.Err()
+}
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -102,6 +102,11 @@
 type Cloud struct {
 	Store  *Store
 	Ledger *Ledger
+	// Length is how many events a stream has; 0: Events. It is set before servers start.
+	Length int
+	// Wrote, if set, is told of each event right before it is written. It is set
+	// before servers start.
+	Wrote func(request string, event int)
 
 	mu     sync.Mutex
 	copies map[string]int // by address/run or address/handle: events made
@@ -352,13 +357,16 @@
 	if own := s.EventGap.Load(); own > 0 {
 		gap = time.Duration(own)
 	}
-	for n := after + 1; n <= Events; n++ {
+	for n := after + 1; n <= s.cloud.length(); n++ {
 		select {
 		case <-r.Context().Done():
 			s.left(r)
 			return
 		case <-time.After(gap):
 		}
+		if s.cloud.Wrote != nil {
+			s.cloud.Wrote(r.Header.Get("Attempt-Id"), n)
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
 			s.left(r)
 			return
@@ -368,6 +376,13 @@
 	s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), Whole)
 }
 
+func (c *Cloud) length() int {
+	if c.Length > 0 {
+		return c.Length
+	}
+	return Events
+}
+
 // left notes that a stream's connection is gone.
 func (s *Server) left(r *http.Request) {
 	how := Abandoned
