--- a/admin/admin.go
+++ b/admin/admin.go
@@ -1,6 +1,3 @@
-// Package admin serves the administration API of a router: commands that change
-// the system and queries that only read it, on a listener of their own behind a
-// bearer token. It is stateless: any router serves any call.
 package admin
 
 import (
--- a/backing/backing.go
+++ b/backing/backing.go
@@ -1,6 +1,3 @@
-// Package platform names what the platform gives (table service, object store,
-// VM list, weight store) as small interfaces with typed errors. Each protocol
-// towards a real service is one file; another protocol is another file.
 package backing
 
 import (
--- /dev/null
+++ b/catalogue/packages_test.go
@@ -0,0 +1,88 @@
+package catalogue
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+const module = "github.com/pearyard/pearyard/"
+
+// allowed is the paragraph of a package's comment that says what it may import.
+var allowed = regexp.MustCompile(`May import of pearyard: ([^.]*)\.`)
+
+// rootPackages returns the folders at the root that hold Go files.
+func rootPackages(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob("../*/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, file := range files {
+		out = append(out, filepath.Base(filepath.Dir(file)))
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// importsOf returns what the files of a root package import of pearyard, tests aside.
+func importsOf(t *testing.T, name string) []string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", name, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, i := range parsed.Imports {
+			path, _ := strconv.Unquote(i.Path.Value)
+			if of, ok := strings.CutPrefix(path, module); ok {
+				out = append(out, of)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// A package takes in another one for a small thing, that one takes in a third,
+// and soon none can be read or changed alone. What a package may import stands
+// in its doc.go; more is a decision and changes that line.
+func TestPackagesImportWhatTheirCommentsAllow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	checked := 0
+	for _, name := range rootPackages(t) {
+		raw, err := os.ReadFile(filepath.Join("..", name, "doc.go"))
+		if err != nil || name == "catalogue" {
+			continue
+		}
+		text := strings.ReplaceAll(string(raw), "\n// ", " ")
+		match := allowed.FindStringSubmatch(text)
+		if match == nil {
+			continue
+		}
+		checked++
+		want := []string{}
+		if match[1] != "none" {
+			want = strings.Split(match[1], ", ")
+		}
+		g.Expect(want).To(gomega.ContainElements(importsOf(t, name)), "%s/doc.go", name)
+	}
+	g.Expect(checked).To(gomega.BeNumerically(">", len(rootPackages(t))/2), "the paragraphs are read")
+}
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -10,4 +10,6 @@
 //
 // Next decides what follows which observation, without I/O, so that the model
 // check searches the code that runs. Package gate is the sidecar's side.
+//
+// May import of pearyard: backing, event, plain, rpc/stream, types.
 package claim
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -1,6 +1,3 @@
-// Package cli is the operators' command line. Each command is one call of the
-// administration API, or works offline on a file; docs/operations/command-line.md
-// describes them and their exit codes.
 package cli
 
 import (
--- /dev/null
+++ b/cli/doc.go
@@ -0,0 +1,7 @@
+// Package cli is the operators' command line. Each command is one call of the
+// administration API, or works offline on a file; docs/operations/command-line.md
+// describes them and their exit codes.
+//
+// May import of pearyard: admin, event, explain, findings, inspect, rpc/admin,
+// text.
+package cli
--- a/config/doc.go
+++ b/config/doc.go
@@ -3,4 +3,6 @@
 // Store commits new revisions by compare-and-swap in the table service; a
 // Spreader brings newer revisions in from the store and from peers, and hands
 // them on. Nothing here ever moves a process back to an older revision.
+//
+// May import of pearyard: backing, event, findings, rpc/config, text, types.
 package config
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,5 +1,3 @@
-// Package daemon is what the thin mains of router and sidecar share: settings,
-// the log, listeners, the platform's clients and signals.
 package daemon
 
 import (
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,5 +1,3 @@
-// Package engine names what a model engine does for its sidecar: generate with
-// resume and cancel, report load, publish cache events, take orders.
 package engine
 
 import (
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -4,4 +4,6 @@
 //
 // DecideCall and DecideVoid decide without I/O, so that the model check in
 // package claim searches the code that runs.
+//
+// May import of pearyard: claim, event, plain, rpc/stream, types.
 package gate
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -11,4 +11,6 @@
 // watched that version stay for the term and a margin. Any write that the
 // waiter has read was sent before, so the holder's count ends first, unless the
 // clocks' rates differ by more than the margin.
+//
+// May import of pearyard: backing, event.
 package lease
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -3,4 +3,6 @@
 // shares slots fairly under pressure, and an honest Retry-After for what it
 // sheds. Limits hold across routers by reports that they exchange, with no
 // shared store on the path of a request.
+//
+// May import of pearyard: event, types.
 package limit
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -6,4 +6,6 @@
 //
 // The package depends on no store: settings name seeds, the platform's VM list
 // only adds candidates and marks leaving members.
+//
+// May import of pearyard: backing, event, rpc/member, types.
 package membership
--- a/node/common.go
+++ b/node/common.go
@@ -1,6 +1,3 @@
-// Package node assembles a router or a sidecar from its parts, as one process
-// or as one of several in a process (package embedded). Thin daemons and the
-// demo start the same code.
 package node
 
 import (
--- a/order/doc.go
+++ b/order/doc.go
@@ -26,4 +26,6 @@
 //  7. A reaches an engine that ignores the number without its sidecar. Nothing
 //     here can prevent it; the engine's port must be reachable from the slot
 //     beside it only. B's next pass corrects the effect.
+//
+// May import of pearyard: backing, engine, event, rpc/order.
 package order
--- a/plain/plain.go
+++ b/plain/plain.go
@@ -1,4 +1,3 @@
-// Package plain names what a plain service does for its sidecar: answer calls.
 package plain
 
 import (
--- a/router/router.go
+++ b/router/router.go
@@ -1,7 +1,3 @@
-// Package router serves callers: it admits a request, chooses a backend
-// server, passes tokens on, resumes a generation whose engine dies, and says
-// truthfully what became of a request that it gives up on. It keeps nothing
-// that must last.
 package router
 
 import (
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -1,6 +1,3 @@
-// Package sidecar is the process in the slot beside each backend server, and
-// the only way into it: it admits work, runs it on the engine or plain service,
-// keeps what was generated, and sees to it that a stop cuts nothing.
 package sidecar
 
 import (
--- a/site/config.go
+++ b/site/config.go
@@ -1,6 +1,3 @@
-// Package site holds the configuration that entry VMs serve by: routes,
-// services, organisations and the limits of clients. A Config is immutable; a
-// Holder keeps the newest one and never goes back.
 package site
 
 import (
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -2,4 +2,7 @@
 // scenarios and in the demo: model engines, plain services and the platform.
 // Each stand-in is an http.Handler whose faults are set by methods and by
 // POST /faults. docs/design/standins.md has the HTTP shapes.
+//
+// May import of pearyard: backing, backing/httpapi, engine, engine/httpapi,
+// types.
 package standin
--- a/tokenlog/doc.go
+++ b/tokenlog/doc.go
@@ -7,4 +7,6 @@
 // branches by lineage; a router's Reader finds the branch that continues what a
 // caller has seen. Nothing here is a replicated store: a peer may forget, and
 // the reader then says so in a typed error.
+//
+// May import of pearyard: event, rpc/journal, rpc/stream, types.
 package tokenlog
