routebench: the entry VMs' choice and their retry window play the same cases

Cause: two answers exist to which backend server gets a request (route, directory) and to how many retries may go (retry.Budget, retry.Window), and no run compared them. The change: variants "directory", "directory; own load alone" and "retries in a window".

--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -68,3 +68,15 @@
 	g.Expect(w.Allow()).To(gomega.BeTrue())
 	g.Expect(w.Allow()).To(gomega.BeFalse())
 }
+
+func BenchmarkWindow(b *testing.B) {
+	w := NewWindow(10*time.Second, nil)
+	w.Bound(DefaultRatio, 10)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			w.First()
+			w.Allow()
+		}
+	})
+}
--- a/route/routebench/cases.go
+++ b/route/routebench/cases.go
@@ -49,6 +49,11 @@
 		}
 	}
 	policies(noFault, rate)
+	listed := func(f fault, rate float64) {
+		add("directory", f, func(o *simOptions) { o.directory = true; o.rate = rate })
+		add("directory; own load alone", f, func(o *simOptions) { o.directory, o.alone = true, true; o.rate = rate })
+	}
+	listed(noFault, rate)
 	tuned := func(name string, change func(*route.Tuning)) {
 		add(name, noFault, func(o *simOptions) { change(&o.tuning) })
 	}
@@ -82,6 +87,7 @@
 	})
 
 	policies(oneSlow, rate)
+	listed(oneSlow, rate)
 	add("affinity; slow not avoided", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = noSlowFactor })
 	add("affinity; slow factor 2", oneSlow, func(o *simOptions) { o.tuning.SlowFactor = 2 })
 
@@ -94,11 +100,19 @@
 
 	policies(zoneGone, rate)
 	policies(zoneLost, rate)
+	listed(zoneLost, rate)
 	add("affinity; no slow start", zoneLost, func(o *simOptions) { o.tuning.SlowStart = noSlowStart })
 	add("affinity; slow start 20 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 20 * time.Second })
 	add("affinity; slow start 10 s", zoneLost, func(o *simOptions) { o.tuning.SlowStart = 10 * time.Second })
 
 	policies(tenthDies, rate*fullRate)
+	listed(tenthDies, rate*fullRate)
+	add("affinity; retries in a window", tenthDies, func(o *simOptions) { o.window = true; o.rate = rate * fullRate })
+	add("two; retries in a window", tenthDies, func(o *simOptions) {
+		o.window = true
+		o.policy = route.PowerOfTwo
+		o.rate = rate * fullRate
+	})
 	add("affinity; retries without budget", tenthDies, func(o *simOptions) { o.unbounded = true; o.rate = rate * fullRate })
 	add("two; retries without budget", tenthDies, func(o *simOptions) {
 		o.unbounded = true
--- a/route/routebench/router.go
+++ b/route/routebench/router.go
@@ -21,8 +21,17 @@
 	viewLag     = 1500 * time.Millisecond
 	maxTries    = 4 // after the first, since the caller came
 	maxReturns  = 5
+	// windowLength is the span in which a window bounds retries; with a floor of
+	// one a second it allows as many as a budget refills.
+	windowLength = 10 * time.Second
 )
 
+// budget bounds retries.
+type budget interface {
+	First()
+	Allow() bool
+}
+
 // router is one router with its own view; it runs the real policy.
 type router struct {
 	sim      *sim
@@ -30,7 +39,8 @@
 	zone     types.Zone
 	policy   route.Policy
 	view     *route.View
-	budget   *retry.Budget
+	listed   *listed // nil: the policy goes by the view
+	budget   budget
 	circuits map[types.ProcessID]*retry.Circuit
 }
 
@@ -39,6 +49,7 @@
 	route.Sent
 	candidate *route.Candidate
 	at        time.Duration
+	load      *load
 }
 
 // rebuild makes the view of the runners that membership knows as alive.
@@ -50,6 +61,9 @@
 		}
 	}
 	members = route.Subset(r.name, members, r.sim.opts.subset)
+	if r.listed != nil {
+		r.listed.list(members)
+	}
 	r.view = route.NewView(r.view, members, r.sim.clock.time())
 }
 
@@ -70,6 +84,9 @@
 
 // send tries one candidate after the other until one accepts, or the budget is spent.
 func (r *router) send(q *request, avoid []types.ProcessID) {
+	if r.listed != nil {
+		r.listed.prompt = len(q.blocks) * tokensPerBlok
+	}
 	query := route.Query{Blocks: q.blocks[:min(len(q.blocks), route.MaxBlocks)], Zone: r.zone, Avoid: avoid}
 	c, ok := r.policy.Pick(&query, r.view)
 	for ok && !r.circuit(c.ID).Allow() {
@@ -81,7 +98,7 @@
 		return
 	}
 	r.sim.result.sent++
-	sent := &sending{candidate: c, Sent: c.Begin(&query)}
+	sent := &sending{candidate: c, Sent: c.Begin(&query), load: r.listed.begun(c.ID, q)}
 	q.first = false
 	hop := time.Duration(0)
 	if c.Zone != r.zone {
@@ -100,7 +117,10 @@
 		return
 	}
 	q.sentTo.End()
-	if !runner.alive {
+	if runner.alive {
+		sent.load.end()
+	} else {
+		sent.load.lost()
 		c.Stats.Failed(r.sim.clock.time())
 		r.circuit(c.ID).Failure()
 	}
@@ -136,6 +156,7 @@
 		return
 	}
 	q.first = true
+	q.sentTo.load.read()
 	took := r.sim.clock.now - q.asked
 	q.sentTo.FirstToken(r.sim.clock.now - q.sentTo.at)
 	c.Stats.Succeeded()
@@ -151,6 +172,7 @@
 
 func (r *router) ended(q *request, _ *runner) {
 	q.sentTo.End()
+	q.sentTo.load.end()
 	r.sim.result.done++
 	r.sim.followUp(q)
 }
@@ -159,6 +181,7 @@
 func (r *router) lost(q *request, _ *runner) {
 	c := q.sentTo.candidate
 	q.sentTo.End()
+	q.sentTo.load.lost()
 	c.Stats.Failed(r.sim.clock.time())
 	r.circuit(c.ID).Failure()
 	r.sim.result.resumed++
--- a/route/routebench/sim.go
+++ b/route/routebench/sim.go
@@ -30,6 +30,9 @@
 	events        bool // cache events reach the routers
 	learn         bool // routers note where they have sent what
 	unbounded     bool // retries without a budget
+	window        bool // retries bounded in any span, by retry.Window
+	directory     bool // choice by package directory in place of a policy
+	alone         bool // routers don't tell each other their load; with directory
 	fault         fault
 	reportEvery   time.Duration
 	subset        int // candidates in a router's view; 0: all
@@ -68,6 +71,9 @@
 	s.clock.every(opts.reportEvery, s.reports)
 	s.clock.every(eventsEvery, s.cacheEvents)
 	s.clock.every(time.Second, func() { s.result.sample(s) })
+	if s.opts.directory && !s.opts.alone {
+		s.clock.every(tellEvery, s.tell)
+	}
 	opts.fault.plan(s)
 	s.clock.run(cmp.Or(opts.until, runFor))
 	return s.result, nil
@@ -94,12 +100,26 @@
 		return err
 	}
 	r.policy = policy
-	r.budget = retry.NewBudget(retry.BudgetOptions{Now: s.clock.time})
+	if s.opts.directory {
+		r.listed = newListed(r.zone, s.clock.time)
+		r.policy = r.listed
+	}
+	r.budget = s.newBudget()
 	r.rebuild()
 	s.routers = append(s.routers, r)
 	return nil
 }
 
+// newBudget returns what bounds a router's retries.
+func (s *sim) newBudget() budget {
+	if !s.opts.window {
+		return retry.NewBudget(retry.BudgetOptions{Now: s.clock.time})
+	}
+	w := retry.NewWindow(windowLength, s.clock.time)
+	w.Bound(retry.DefaultRatio, retry.DefaultPerSecond*windowLength.Seconds())
+	return w
+}
+
 // arrivals is a Poisson process.
 func (s *sim) arrivals() {
 	q := s.workload.fresh()
