measure: the faces' resumes print their figures

Cause: a benchmark that runs others below it shows none of its own lines, so BenchmarkFacesResume said nothing when run by itself. The change: one benchmark a face, its five runs in a loop, each site stopped before the next begins. Ruled out: fmt.Println from the runs; lines of several benchmarks would mix.

--- a/measure/faces_test.go
+++ b/measure/faces_test.go
@@ -112,44 +112,50 @@
 // the next token.
 func BenchmarkFacesResume(b *testing.B) {
 	b.Run("router and sidecar", func(b *testing.B) {
-		var all []time.Duration
-		broken := 0
-		for run := range facesRuns {
-			b.Run(fmt.Sprint(run), func(b *testing.B) {
-				s, own := startSecond(b, lossStep)
-				load := startLoad(b.Context(), s.callers(), loadOptions{Calls: lossCalls, Tokens: lossTokens, PromptWords: 200, Ramp: lossRamp, Seed: uint64(run + 1)})
-				time.Sleep(lossAt)
-				struck := time.Now()
-				_ = own[run].server.Close()
-				for _, c := range load.join() {
-					if c.whole() != nil {
-						broken++
-					}
-					if g, hit := c.after(struck); hit {
-						all = append(all, g.afterLoss)
-					}
-				}
-			})
-		}
-		b.Logf("router and sidecar: hit %d, not whole %d, %+v, %s", len(all), broken, quantilesOf(all), machine().Load)
+		tellResume(b, func(run int) ([]time.Duration, int) { return loseSecond(b, run) })
 	})
 	for _, copies := range []bool{true, false} {
 		b.Run(fmt.Sprintf("entry, copies %t", copies), func(b *testing.B) {
-			var all []time.Duration
-			broken := 0
-			for run := range facesRuns {
-				b.Run(fmt.Sprint(run), func(b *testing.B) {
-					s := startPlatform(b, lossTokens, lossStep, copies)
-					hits, faults := s.lose(b.Context(), run)
-					all = append(all, hits...)
-					broken += faults
-				})
-			}
-			b.Logf("entry, copies %t: hit %d, not whole %d, %+v, %s", copies, len(all), broken, quantilesOf(all), machine().Load)
+			tellResume(b, func(run int) ([]time.Duration, int) {
+				s := startPlatform(b, lossTokens, lossStep, copies)
+				defer s.stop()
+				return s.lose(b.Context(), run)
+			})
 		})
 	}
 }
 
+// tellResume logs the waits of all runs together.
+func tellResume(b *testing.B, lose func(run int) ([]time.Duration, int)) {
+	b.Helper()
+	var all []time.Duration
+	broken := 0
+	for run := range facesRuns {
+		hits, faults := lose(run)
+		all = append(all, hits...)
+		broken += faults
+	}
+	b.Logf("hit %d, not whole %d, %+v, load %s", len(all), broken, quantilesOf(all), machine().Load)
+}
+
+func loseSecond(t testing.TB, run int) (hits []time.Duration, broken int) {
+	s, own := startSecond(t, lossStep)
+	defer s.stop()
+	load := startLoad(t.Context(), s.callers(), loadOptions{Calls: lossCalls, Tokens: lossTokens, PromptWords: 200, Ramp: lossRamp, Seed: uint64(run + 1)})
+	time.Sleep(lossAt)
+	struck := time.Now()
+	_ = own[run].server.Close()
+	for _, c := range load.join() {
+		if c.whole() != nil {
+			broken++
+		}
+		if g, hit := c.after(struck); hit {
+			hits = append(hits, g.afterLoss)
+		}
+	}
+	return hits, broken
+}
+
 // lose crashes a server under streams and returns how long each that it ran waited.
 func (s *entrySite) lose(ctx context.Context, which int) (hits []time.Duration, broken int) {
 	var wait sync.WaitGroup
