retry: a budget counts in a window: one answer for router and entry program

Cause: how many retries may go was answered twice: tokens that save up (router), a bound in any span (entry program, exchange). The change: retry.Budget is a Window with metrics and an event. 20 s and 20 fixed retries keep the burst for the requests of one lost backend server; the text's ratio stays. Tests changed: TestBudgetFloor held that 3 s after a burst 3 more are allowed: that is the fault; it now holds that none are until the span is over, then 20, and no more after an hour. TestBudgetProperty bound the total of a run by burst, share and floor; it now bounds each span by share and fixed number, which is stricter. In TestNextKeepsTheDeadline one retry is PerSecond 1 in a window of 1 s, in place of Burst 1.

--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -16,6 +16,9 @@
 	"github.com/pearyard/pearyard/types"
 )
 
+// fixed is how many retries a budget allows in its window without first tries.
+const fixed = int(DefaultPerSecond * DefaultWindow / time.Second)
+
 // A tenth of the runners dies under full load. The rest refuse what is too
 // much; each router tries each refused request four times more, and callers
 // see refusals long after the load alone would explain them: most of what is
@@ -35,7 +38,7 @@
 				}
 			}
 		}
-		g.Expect(sent).To(BeNumerically("<=", DefaultBurst+first/10))
+		g.Expect(sent).To(BeNumerically("<=", fixed+first/10))
 		g.Expect(sent).To(BeNumerically(">=", first/10))
 		g.Expect(events.Entries("")).To(HaveLen(1), "one event a second, not one for each refusal")
 	})
@@ -52,39 +55,45 @@
 			}
 			return n
 		}
-		g.Expect(allowed()).To(Equal(DefaultBurst))
+		g.Expect(allowed()).To(Equal(fixed))
 		time.Sleep(3 * time.Second)
-		g.Expect(allowed()).To(Equal(3), "a quiet service may still retry now and then")
+		g.Expect(allowed()).To(BeZero(), "the span in which they were used isn't over")
+		time.Sleep(DefaultWindow)
+		g.Expect(allowed()).To(Equal(fixed), "a quiet service may still retry now and then")
 		time.Sleep(time.Hour)
-		g.Expect(allowed()).To(Equal(DefaultBurst))
+		g.Expect(allowed()).To(Equal(fixed), "nothing is saved up")
 	})
 }
 
-// Property: retries never exceed the burst, the share and the floor together.
+// Property: in no span of the window's length are there more retries than the
+// share of its first tries and the fixed number together.
 func TestBudgetProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_700_000_000, 0)
-		began := now
+		const window = 4 * time.Second
 		ratio := rapid.Float64Range(0.01, 1).Draw(t, "ratio")
-		burst := rapid.IntRange(1, 50).Draw(t, "burst")
-		b := NewBudget(BudgetOptions{Ratio: ratio, Burst: burst, PerSecond: 2, Now: func() time.Time { return now }})
-		first, retries := 0, 0
+		perSecond := rapid.Float64Range(0.25, 12).Draw(t, "per second")
+		b := NewBudget(BudgetOptions{Ratio: ratio, PerSecond: perSecond, Window: window, Now: func() time.Time { return now }})
+		var first, retries []time.Time
 		for _, step := range rapid.SliceOf(rapid.IntRange(0, 2)).Draw(t, "steps") {
 			switch step {
 			case 0:
 				b.First()
-				first++
+				first = append(first, now)
 			case 1:
 				if b.Allow() {
-					retries++
+					retries = append(retries, now)
 				}
 			default:
 				now = now.Add(300 * time.Millisecond)
 			}
 		}
-		limit := float64(burst) + ratio*float64(first) + 2*now.Sub(began).Seconds()
-		if float64(retries) > limit+1e-6 {
-			t.Fatalf("%d retries, limit %.3f", retries, limit)
+		for _, end := range retries {
+			from := end.Add(-window)
+			limit := ratio*float64(within(first, from.Add(-window/windowSlots), end)) + perSecond*window.Seconds()
+			if n := within(retries, from, end); float64(n) > limit+1e-6 {
+				t.Fatalf("%d retries in the span to %v, limit %.3f", n, end, limit)
+			}
 		}
 	})
 }
@@ -106,7 +115,7 @@
 		})
 	}
 	wait.Wait()
-	g.Expect(retries.Load()).To(BeNumerically("<=", DefaultBurst+800))
+	g.Expect(retries.Load()).To(BeNumerically("<=", fixed+800))
 }
 
 // A label is printed twice: the first try ran, its answer was lost, and the
@@ -127,7 +136,7 @@
 func TestNextKeepsTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		b := NewBudget(BudgetOptions{Burst: 1})
+		b := NewBudget(BudgetOptions{PerSecond: 1, Window: time.Second})
 		refusal := types.NotRun(types.CodeOverloaded, 0, "full")
 		short, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
--- a/retry/window.go
+++ b/retry/window.go
@@ -12,8 +12,8 @@
 // Window bounds the retries of one service in any span of a given length: a
 // share of the first tries in it, plus a fixed number. Every process holds its
 // part of the fixed number, so that all together keep a bound without asking
-// one another on the path of a request. Unlike a Budget it can save nothing up
-// beyond the span, but lets a burst of first tries pay for a burst of retries.
+// one another on the path of a request. It saves nothing up beyond the span, but
+// lets a burst of first tries pay for a burst of retries.
 type Window struct {
 	slot time.Duration
 	now  func() time.Time
--- a/route/routebench/cases.go
+++ b/route/routebench/cases.go
@@ -107,12 +107,6 @@
 
 	policies(tenthDies, rate*fullRate)
 	listed(tenthDies, rate*fullRate)
-	add("affinity; retries in a window", tenthDies, func(o *simOptions) { o.window = true; o.rate = rate * fullRate })
-	add("two; retries in a window", tenthDies, func(o *simOptions) {
-		o.window = true
-		o.policy = route.PowerOfTwo
-		o.rate = rate * fullRate
-	})
 	add("affinity; retries without budget", tenthDies, func(o *simOptions) { o.unbounded = true; o.rate = rate * fullRate })
 	add("two; retries without budget", tenthDies, func(o *simOptions) {
 		o.unbounded = true
--- a/route/routebench/router.go
+++ b/route/routebench/router.go
@@ -21,17 +21,8 @@
 	viewLag     = 1500 * time.Millisecond
 	maxTries    = 4 // after the first, since the caller came
 	maxReturns  = 5
-	// windowLength is the span in which a window bounds retries; with a floor of
-	// one a second it allows as many as a budget refills.
-	windowLength = 10 * time.Second
 )
 
-// budget bounds retries.
-type budget interface {
-	First()
-	Allow() bool
-}
-
 // router is one router with its own view; it runs the real policy.
 type router struct {
 	sim      *sim
@@ -40,7 +31,7 @@
 	policy   route.Policy
 	view     *route.View
 	listed   *listed // nil: the policy goes by the view
-	budget   budget
+	budget   *retry.Budget
 	circuits map[types.ProcessID]*retry.Circuit
 }
 
--- a/route/routebench/sim.go
+++ b/route/routebench/sim.go
@@ -30,7 +30,6 @@
 	events        bool // cache events reach the routers
 	learn         bool // routers note where they have sent what
 	unbounded     bool // retries without a budget
-	window        bool // retries bounded in any span, by retry.Window
 	directory     bool // choice by package directory in place of a policy
 	alone         bool // routers don't tell each other their load; with directory
 	fault         fault
@@ -104,22 +103,12 @@
 		r.listed = newListed(r.zone, s.clock.time)
 		r.policy = r.listed
 	}
-	r.budget = s.newBudget()
+	r.budget = retry.NewBudget(retry.BudgetOptions{Now: s.clock.time})
 	r.rebuild()
 	s.routers = append(s.routers, r)
 	return nil
 }
 
-// newBudget returns what bounds a router's retries.
-func (s *sim) newBudget() budget {
-	if !s.opts.window {
-		return retry.NewBudget(retry.BudgetOptions{Now: s.clock.time})
-	}
-	w := retry.NewWindow(windowLength, s.clock.time)
-	w.Bound(retry.DefaultRatio, retry.DefaultPerSecond*windowLength.Seconds())
-	return w
-}
-
 // arrivals is a Poisson process.
 func (s *sim) arrivals() {
 	q := s.workload.fresh()
