--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,3 +82,49 @@
 		}
 	})
 }
+
+// A zone fails and all requests of a service ask for a retry in the same moment.
+// However they meet, no more are allowed than the bound; what a crowd left over
+// is there for those that come after.
+func TestWindowHoldsHoweverManyAskAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const extra = 100
+	for range 20 {
+		now := time.Unix(0, 0)
+		w := NewWindow(10*time.Second, func() time.Time { return now })
+		w.Bound(0, extra)
+		var allowed atomic.Int64
+		var crowd sync.WaitGroup
+		for range 16 {
+			crowd.Go(func() {
+				for range 50 {
+					if w.Allow() {
+						allowed.Add(1)
+					}
+				}
+			})
+		}
+		crowd.Wait()
+		g.Expect(allowed.Load()).To(gomega.BeNumerically("<=", extra))
+		for w.Allow() {
+			allowed.Add(1)
+		}
+		g.Expect(allowed.Load()).To(gomega.Equal(int64(extra)))
+	}
+}
+
+// A request that was paused counts in a slot of which the place has been used
+// again since: its count belongs to the newer one, and empties nothing.
+func TestLateCountEmptiesNoSlot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(0, 0)
+	w := NewWindow(10*time.Second, func() time.Time { return now })
+	now = now.Add(25 * time.Second)
+	w.First()
+	w.count(w.current()-windowSlots-1, 1, 0)
+	w.Take()
+	w.count(w.current()-windowSlots-1, 0, -1)
+	first, again := w.Counts()
+	g.Expect(first).To(gomega.Equal(2.0))
+	g.Expect(again).To(gomega.Equal(1.0), "nothing is taken back of a later turn")
+}
