router: views are built for whoever comes before the first ones

Cause: Run joins the text with the members after the text is in force; a request in between found no service and was refused, "not run", without a look at its claim. The change: a request that finds no service of its text has the views built and goes on; a lock makes sure that views of an older text never replace newer ones, now that two may build. Ruled out: to be not ready until the first views: readiness looks at freshness, and a caller may come unasked; reading the claim for this refusal only: the caller of a generation gained nothing.

--- a/router/call.go
+++ b/router/call.go
@@ -88,7 +88,7 @@
 }
 
 func (r *Router) runCall(ctx context.Context, in *admitted, service *text.Service, key string, call plain.Call) (plain.Answer, *types.Refusal) {
-	sf := r.fleet.service(service.Name)
+	sf := r.service(service.Name)
 	if sf == nil {
 		return plain.Answer{}, types.NotRun(types.CodeNoBackend, unconfiguredRetry, "service %s is not ready here yet", service.Name)
 	}
--- a/router/earlier.go
+++ b/router/earlier.go
@@ -63,7 +63,7 @@
 
 // ranAnywhere asks all sidecars of a service; one that doesn't answer counts as a yes.
 func (r *Router) ranAnywhere(ctx context.Context, service, claimKey string) bool {
-	sf := r.fleet.service(service)
+	sf := r.service(service)
 	if sf == nil {
 		return true
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -56,6 +56,8 @@
 	looks    *rate.Limiter // looks for earlier tries of refused calls
 	created  time.Time
 
+	refreshing sync.Mutex // held while views are built of the text in force
+
 	draining  atomic.Bool
 	drainedAt atomic.Int64  // when the drain began, in Unix nanoseconds; 0: not yet
 	stopping  chan struct{} // closed when the drain begins
@@ -131,6 +133,14 @@
 
 // Refresh rebuilds the views from the text and the members now.
 func (r *Router) Refresh() error {
+	r.refreshing.Lock()
+	defer r.refreshing.Unlock()
+	return r.refresh()
+}
+
+// refresh reads the text while it holds refreshing: views of an older text never
+// replace those of a newer one.
+func (r *Router) refresh() error {
 	in := r.opts.Text()
 	if in == nil {
 		return nil
@@ -138,6 +148,27 @@
 	return r.fleet.rebuild(in, r.opts.Members(), time.Now())
 }
 
+// service returns a service of the text; nil if its views can't be built.
+//
+// Failure it stops: a text is in force a moment before Run has joined it with
+// the members. A caller who came in between was refused with "not run", also one
+// whose call had run under its key before. The views are therefore built here
+// for the first caller; the others wait for the same.
+func (r *Router) service(name string) *serviceFleet {
+	if sf := r.fleet.service(name); sf != nil {
+		return sf
+	}
+	r.refreshing.Lock()
+	defer r.refreshing.Unlock()
+	if sf := r.fleet.service(name); sf != nil {
+		return sf
+	}
+	if err := r.refresh(); err != nil {
+		r.opts.Recorder.Emit(eventViewsFailed, "service", name, "err", err)
+	}
+	return r.fleet.service(name)
+}
+
 // waitAny returns when one of the first two channels is closed, or after bound.
 func waitAny(ctx context.Context, changed []<-chan struct{}, bound time.Duration) error {
 	var first, second <-chan struct{}
--- a/router/serve.go
+++ b/router/serve.go
@@ -131,7 +131,7 @@
 
 // generate runs a generation to its final answer.
 func (r *Router) generate(ctx context.Context, w http.ResponseWriter, a *ask, in *admitted) {
-	sf := r.fleet.service(a.service.Name)
+	sf := r.service(a.service.Name)
 	if sf == nil {
 		r.refuse(w, a.requestID, types.NotRun(types.CodeNoBackend, unconfiguredRetry, "service %s is not ready here yet", a.service.Name))
 		return
