--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -100,14 +100,15 @@
 
 // Cloud is all servers with the store that lists them and the copies they hold.
 type Cloud struct {
-	Store  *Store
-	Ledger *Ledger
 	// Length is how many events a stream has; 0: Events. It is set before servers start.
 	Length int
 	// Wrote, if set, is told of each event right before it is written. It is set
 	// before servers start.
 	Wrote func(request string, event int)
 
+	Store  *Store
+	Ledger *Ledger
+
 	mu     sync.Mutex
 	copies map[string]int // by address/run or address/handle: events made
 	next   atomic.Int64
