--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -100,11 +100,7 @@
 
 // Cloud is all servers with the store that lists them and the copies they hold.
 type Cloud struct {
-	// Length is how many events a stream has; 0: Events. It is set before servers start.
-	Length int
-	// Wrote, if set, is told of each event right before it is written. It is set
-	// before servers start.
-	Wrote func(request string, event int)
+	Watch
 
 	Store  *Store
 	Ledger *Ledger
@@ -365,9 +361,7 @@
 			return
 		case <-time.After(gap):
 		}
-		if s.cloud.Wrote != nil {
-			s.cloud.Wrote(r.Header.Get("Attempt-Id"), n)
-		}
+		s.cloud.wrote(r.Header.Get("Attempt-Id"), n)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
 			s.left(r)
 			return
@@ -377,13 +371,6 @@
 	s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), Whole)
 }
 
-func (c *Cloud) length() int {
-	if c.Length > 0 {
-		return c.Length
-	}
-	return Events
-}
-
 // left notes that a stream's connection is gone.
 func (s *Server) left(r *http.Request) {
 	how := Abandoned
