--- a/cmd/pearyard-bench-route/sim.go
+++ b/route/routebench/sim.go
@@ -1,4 +1,4 @@
-package main
+package routebench
 
 import (
 	"cmp"
@@ -30,6 +30,8 @@
 	events        bool // cache events reach the routers
 	learn         bool // routers note where they have sent what
 	unbounded     bool // retries without a budget
+	directory     bool // choice by package directory in place of a policy
+	alone         bool // routers don't tell each other their load; with directory
 	fault         fault
 	reportEvery   time.Duration
 	subset        int // candidates in a router's view; 0: all
@@ -68,6 +70,9 @@
 	s.clock.every(opts.reportEvery, s.reports)
 	s.clock.every(eventsEvery, s.cacheEvents)
 	s.clock.every(time.Second, func() { s.result.sample(s) })
+	if s.opts.directory && !s.opts.alone {
+		s.clock.every(tellEvery, s.tell)
+	}
 	opts.fault.plan(s)
 	s.clock.run(cmp.Or(opts.until, runFor))
 	return s.result, nil
@@ -94,6 +99,10 @@
 		return err
 	}
 	r.policy = policy
+	if s.opts.directory {
+		r.listed = newListed(r.zone, s.clock.time)
+		r.policy = r.listed
+	}
 	r.budget = retry.NewBudget(retry.BudgetOptions{Now: s.clock.time})
 	r.rebuild()
 	s.routers = append(s.routers, r)
--- a/router/events.go
+++ b/router/events.go
@@ -34,4 +34,7 @@
 		"see how many processes were lost at once; more journal peers make this rarer")
 	eventStaleToken = event.Define(2106, "stale_tokens_dropped", event.Warn,
 		"Tokens out of order, or of another attempt, were dropped.", "nothing; the guard did its work")
+	eventViewsFailed = event.Define(2008, "views_not_built", event.Error,
+		"The views of backend servers couldn't be built for a request that came before the first ones; it was refused.",
+		"look at err; the text and the routing policy are at fault")
 )
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -100,6 +100,8 @@
 
 // Cloud is all servers with the store that lists them and the copies they hold.
 type Cloud struct {
+	Watch
+
 	Store  *Store
 	Ledger *Ledger
 
@@ -352,13 +354,14 @@
 	if own := s.EventGap.Load(); own > 0 {
 		gap = time.Duration(own)
 	}
-	for n := after + 1; n <= Events; n++ {
+	for n := after + 1; n <= s.cloud.length(); n++ {
 		select {
 		case <-r.Context().Done():
 			s.left(r)
 			return
 		case <-time.After(gap):
 		}
+		s.cloud.wrote(r.Header.Get("Attempt-Id"), n)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
 			s.left(r)
 			return
