--- a/directory/pick.go
+++ b/directory/pick.go
@@ -57,10 +57,6 @@
 	zoneLossWindow = 5 * time.Second
 	zoneLosses     = 2
 	zoneShare      = 4
-	// zoneUnsure is how long a single loss speaks against its zone where a copy is
-	// placed again. All servers of a zone that went dark were found lost within
-	// 0.38 s of the first and 0.2 s of each other (18 such losses, log lines).
-	zoneUnsure = 600 * time.Millisecond
 )
 
 // Pick returns the server that is expected to begin soonest, or nil. Among
@@ -89,16 +85,15 @@
 // grade is how picky a pass over the servers is. A server in a lost zone or one
 // that failed lately is better than none, so each later pass lets more through.
 type grade struct {
-	unsure, notZone, doubted, faulty, down bool // true: allowed
+	doubted, notZone, faulty, down bool // true: allowed
 }
 
 var grades = []grade{
 	{},
-	{unsure: true},
-	{unsure: true, notZone: true},
-	{unsure: true, notZone: true, doubted: true},
-	{unsure: true, notZone: true, doubted: true, faulty: true},
-	{unsure: true, notZone: true, doubted: true, faulty: true, down: true},
+	{notZone: true},
+	{notZone: true, doubted: true},
+	{notZone: true, doubted: true, faulty: true},
+	{notZone: true, doubted: true, faulty: true, down: true},
 }
 
 func best(list []*Server, q Query, zones losses, g grade, now time.Time) *Server {
@@ -114,9 +109,6 @@
 		if !g.doubted && zones.doubted(s) {
 			continue
 		}
-		if !g.unsure && q.Copy && q.Again && zones.unsure(s, now) {
-			continue
-		}
 		if !g.down && s.IsDown(now) {
 			continue
 		}
@@ -205,21 +197,6 @@
 	return zone != nil && zone.count >= zoneLosses && zone.count*zoneShare >= zone.servers && !s.provenSince(zone.last)
 }
 
-// unsure tells whether a server may belong to a zone that is failing just now:
-// the zone has lost one, and nothing was heard of this server since.
-//
-// Failure it answers for: the first servers of a dark zone are found lost and the
-// copies that they held placed again, at once and at servers of the same zone,
-// which are idle and not known to be lost yet. Those copies never come about, and
-// their streams have none at the next loss: 257 of 8,781 copies on 18 days with
-// losses of zones each three seconds, none of 8,790 with this. A zone that only
-// lost one server is passed over for that while; copies have other places
-// meanwhile, and where they have none it is taken all the same.
-func (z losses) unsure(s *Server, now time.Time) bool {
-	zone := z[s.Zone]
-	return zone != nil && now.Sub(zone.last) < zoneUnsure && !s.provenSince(zone.last)
-}
-
 // Usable tells whether a server that holds something may still be asked for it:
 // it neither leaves nor is lost, alone or with its zone.
 func (d *Directory) Usable(s *Server, now time.Time) bool {
