exchange: a trial goes to an idle server only where its prompt would not be read in time

Cause: the trial of idle servers also took streams whose end would be late because events come slowly there, though another server would be in time. Change: it is for servers whose speed of reading alone speaks against them, which is what a stale measure can be wrong about.

--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -41,6 +41,9 @@
 	return float64(t.end) <= share*float64(left)
 }
 
+// reads tells whether the prompt may be read in the time left.
+func (t estimate) reads(left time.Duration) bool { return float64(t.first) <= idleShare*float64(left) }
+
 // LateError says that no server is expected to finish a request in its time.
 type LateError struct {
 	soonest estimate
@@ -92,8 +95,7 @@
 	if server == nil || s.fits(server, now) {
 		return server, nil
 	}
-	if s.current == nil && server.MayProve(now) {
-		t, _ := s.estimate(server, now)
+	if t, _ := s.estimate(server, now); s.current == nil && !t.reads(s.req.left(now)) && server.MayProve(now) {
 		s.e.opts.Recorder.Emit(EventTrial, event.FieldRequest, s.req.ID, "server", server.ID, "err", &LateError{soonest: t, left: s.req.left(now)})
 		return server, nil
 	}
