--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pearyard/pearyard/directory"
@@ -22,12 +23,20 @@
 	load   *directory.Running // its share of the server's load
 	watch  *watch
 	steps  chan step
-	heard  bool // it has brought an event
+	heard  bool         // it has brought an event
+	offer  atomic.Int32 // what became of its copy: one of the offer constants
 
 	over     chan struct{} // closed when nobody takes its steps any more
 	overOnce sync.Once
 }
 
+// What became of an attempt's copy.
+const (
+	offerNone   = iota // it is where it was placed
+	offerOpen          // it was taken to offer the stream to another server
+	offerUnused        // the same, and the stream stayed: there is no copy now
+)
+
 // step is what an attempt's server has sent.
 type step struct {
 	answer *Answer     // the head that an event or the end belongs to
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -29,16 +29,37 @@
 	mu     sync.Mutex
 	memory *Memory
 	end    func() // takes the copy off its server's load
+	closed bool   // no copy is wanted any more
 }
 
-// set replaces the copy.
+// set replaces the copy. One that comes after the end is given up at once: it was
+// asked for while its stream ran.
 func (k *copyKeeper) set(m *Memory) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.dropLocked()
+	if k.closed {
+		k.giveUp(m)
+		return
+	}
 	k.memory, k.end = m, m.At.CopyBegun()
 }
 
+// close gives the copy up, and all that come later.
+func (k *copyKeeper) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	k.dropLocked()
+}
+
+// giveUp frees a copy that was made by a call.
+func (k *copyKeeper) giveUp(m *Memory) {
+	if m != nil && m.Handle != "" && k.free != nil {
+		k.free(m)
+	}
+}
+
 // take returns the copy, if there is one, for use.
 func (k *copyKeeper) take() *Memory {
 	k.mu.Lock()
@@ -60,9 +81,7 @@
 	if k.end != nil {
 		k.end()
 	}
-	if k.memory != nil && k.memory.Handle != "" && k.free != nil {
-		k.free(k.memory)
-	}
+	k.giveUp(k.memory)
 	k.memory, k.end = nil, nil
 }
 
@@ -131,12 +150,12 @@
 	var asked *directory.Server // whose loss has been answered already; the next look comes by time
 	for {
 		at := a.copies.at()
-		if at == nil {
+		if at == nil && a.offer.Load() == offerNone {
 			return
 		}
-		down := at.Down()
-		if at == asked {
-			down = nil
+		var down <-chan struct{}
+		if at != nil && at != asked {
+			down = at.Down()
 		}
 		select {
 		case <-ctx.Done():
@@ -144,7 +163,10 @@
 		case <-down:
 		case <-look.C:
 		}
-		if s.e.opts.Directory.Usable(at, time.Now()) {
+		if at == nil && a.offer.Load() == offerOpen {
+			continue
+		}
+		if at != nil && s.e.opts.Directory.Usable(at, time.Now()) {
 			continue
 		}
 		asked = at
@@ -172,15 +194,16 @@
 	asking, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	memory, err := s.e.opts.Backend.Copy(asking, s.req, a.server, to)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && err != nil {
 		return false
 	}
-	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", a.server.Start, "lost", lost.Start, "to", to.Start,
+	s.e.opts.Recorder.Emit(EventCopied, event.FieldRequest, s.req.ID, "server", a.server.Start, "lost", idOf(lost), "to", to.Start,
 		"took", time.Since(began), "err", err)
 	if err != nil {
 		return false
 	}
 	a.copies.set(memory)
+	a.offer.Store(offerNone)
 	s.e.metrics.copies.Inc()
 	return true
 }
--- a/exchange/pass.go
+++ b/exchange/pass.go
@@ -130,8 +130,8 @@
 // pass hands one event to the caller. Events must follow each other without a
 // gap: what a server sends after a resume may begin anew or in the wrong place.
 func (s *stream) pass(a *Answer, ev streamEvent) error {
-	if ev.id != 0 && s.last != 0 && ev.id != s.last+1 {
-		return &BrokenError{Err: errors.Wrapf(ErrOrder, "%d after %d", ev.id, s.last)}
+	if err := s.follows(ev); err != nil {
+		return err
 	}
 	if err := s.begin(a); err != nil {
 		return err
@@ -147,7 +147,7 @@
 		s.longest = max(s.longest, now.Sub(s.lastAt))
 	}
 	s.lastAt = now
-	s.refusedNow = 0
+	s.refusedNow, s.turnedDown = 0, 0
 	if ev.id != 0 {
 		s.last = ev.id
 		s.e.paceOf(s.req.Service).reached(s.last, s.req.MaxTokens)
@@ -155,6 +155,14 @@
 	return nil
 }
 
+// follows tells whether an event is the one after the caller's last.
+func (s *stream) follows(ev streamEvent) error {
+	if ev.id != 0 && s.last != 0 && ev.id != s.last+1 {
+		return &BrokenError{Err: errors.Wrapf(ErrOrder, "%d after %d", ev.id, s.last)}
+	}
+	return nil
+}
+
 func (s *stream) begin(a *Answer) error {
 	if s.begun {
 		return nil
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -31,14 +31,23 @@
 	refused  int
 	// refusedNow counts the refusals since the caller's last event.
 	refusedNow int
+	// left counts the servers that were begun beside a silent one and left again:
+	// each may have run the stream.
+	left int
+	// turnedDown counts the refusals of servers that were asked beside the current
+	// one, since the caller's last event. They are no tries of a stream whose
+	// attempt is over.
+	turnedDown int
 	resumed    int
 	cause      error
 	lostZone   string
 
-	current  *streamAttempt // the newest whose events go to the caller; nil before the first
-	next     *streamAttempt // begun beside current while that is silent; nil otherwise
-	quiet    bool           // current is silent, and that has been told
-	sent     bool           // current is under way: it may be running
+	current *streamAttempt // the newest whose events go to the caller; nil before the first
+	next    *streamAttempt // begun beside current while that is silent; nil otherwise
+	quiet   bool           // current is silent, and that has been told
+	// overlap fires when the silent current attempt is to give way to one that has begun.
+	overlap  <-chan time.Time
+	sent     bool // current is under way: it may be running
 	onItsWay *onItsWay
 }
 
@@ -57,7 +66,7 @@
 	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	err = s.run(within)
 	if s.current != nil {
-		s.current.copies.drop()
+		s.current.copies.close()
 	}
 	if err == nil {
 		e.opts.Suspects.Completed(req.Fingerprint())
@@ -126,7 +135,11 @@
 		// What did not run has left no copy.
 		a.copies.drop()
 		s.refused++
-		s.refusedNow++
+		if a == s.current {
+			s.refusedNow++
+		} else {
+			s.turnedDown++
+		}
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 		if !notRun.Unreached() {
 			s.reached()
@@ -174,7 +187,7 @@
 
 // mayGoOn tells whether one more attempt is allowed.
 func (s *stream) mayGoOn() bool {
-	if s.ran >= s.req.Route.Attempts() || s.refusedNow >= 2*notRunTries {
+	if s.ran+s.left >= s.req.Route.Attempts() || s.refusedNow >= 2*notRunTries {
 		return false
 	}
 	if s.ran > 0 && !s.req.Route.Resumable {
@@ -200,7 +213,7 @@
 		return m.At, m, nil
 	}
 	if s.current != nil {
-		s.current.copies.drop()
+		s.current.copies.close()
 	}
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -94,31 +94,37 @@
 // fromNext handles a step of the attempt that was begun beside a silent one.
 func (s *stream) fromNext(ctx context.Context, st step) (done bool, err error) {
 	st.raise()
-	failed := st.err != nil && st.err != io.EOF
-	if !failed && st.reply != nil {
-		failed = s.begun || st.reply.Status >= 500
-		st.err = &BrokenError{Err: errors.Errorf("the server answered %d", st.reply.Status)}
-	}
-	if failed {
-		next := s.next
-		s.next = nil
-		next.end()
-		s.note(next, st.err)
-		next.copies.drop()
+	if err := s.ofNoUse(st); err != nil {
+		next := s.dropNext()
+		s.note(next, err)
 		return false, s.lookForNext(ctx)
 	}
-	if st.reply != nil {
-		st.err = nil
-	}
 	s.promote(&BrokenError{Err: s.current.watch.silence()})
 	return s.take(ctx, st)
 }
 
+// ofNoUse tells why the stream can't go on with what the attempt beside the
+// current one has sent; nil if it can. A server that begins anew, or ends without
+// an event, must not take the place of one that is at work.
+func (s *stream) ofNoUse(st step) error {
+	switch {
+	case st.err == io.EOF:
+		return &BrokenError{Err: ErrCut}
+	case st.err != nil:
+		return st.err
+	case st.reply != nil && (s.begun || st.reply.Status >= 500):
+		return &BrokenError{Err: errors.Errorf("the server answered %d", st.reply.Status)}
+	case st.reply == nil:
+		return s.follows(st.event)
+	}
+	return nil
+}
+
 // promote puts the attempt beside the current one in its place, for the reason given.
 func (s *stream) promote(why error) {
 	s.current.end()
 	s.note(s.current, why)
-	s.current.copies.drop()
+	s.current.copies.close()
 	s.current, s.next, s.quiet = s.next, nil, false
 	s.onItsWay.server.Store(s.current.server)
 }
@@ -148,10 +154,23 @@
 	if s.next == nil {
 		return
 	}
-	s.next.end()
-	s.next.copies.drop()
+	s.dropNext()
+	s.left++
 	s.reached()
+}
+
+// dropNext ends the attempt beside the current one and gives up what it went on
+// from. The current one gets another copy.
+func (s *stream) dropNext() *streamAttempt {
+	next := s.next
 	s.next = nil
+	next.end()
+	next.copies.close()
+	if next.from != nil {
+		next.copies.giveUp(next.from)
+		s.current.offer.Store(offerUnused)
+	}
+	return next
 }
 
 // silent is told that the current attempt's server sends nothing.
@@ -177,8 +196,8 @@
 // stream on. A caller that has got nothing yet loses nothing by an answer that
 // says so, and learns sooner that it may come back.
 func (s *stream) patience() time.Duration {
-	if s.begun {
-		return lostForGood
+	if s.begun || !s.mayTakeOver() {
+		return lostForGood // or no other may run it
 	}
 	return budgetWait
 }
@@ -198,7 +217,7 @@
 
 // mayTakeOver tells whether one more server may run the stream beside the current one.
 func (s *stream) mayTakeOver() bool {
-	return s.req.Route.Resumable && s.ran+1 < s.req.Route.Attempts() && s.refusedNow < 2*notRunTries
+	return s.req.Route.Resumable && s.ran+s.left+1 < s.req.Route.Attempts() && s.turnedDown < 2*notRunTries
 }
 
 // successor returns the server that is to go on with the stream of a silent one,
@@ -212,6 +231,7 @@
 		if !s.payNow() {
 			return nil, nil
 		}
+		s.current.offer.Store(offerOpen)
 		m := s.current.copies.take()
 		return m.At, m
 	}
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -77,10 +77,7 @@
 // holds mu.
 func (w *watch) tell(alive bool) {
 	w.lived = alive
-	select {
-	case <-w.notices:
-	default:
-	}
+	w.forget()
 	w.notices <- notice{alive: alive, unheard: time.Since(w.proven)}
 }
 
@@ -131,6 +128,17 @@
 	w.early, w.learned, w.lived = false, false, true
 	w.since, w.proven = time.Time{}, time.Now()
 	w.timer.Stop()
+	w.forget()
+}
+
+// forget takes back a notice that nobody has taken: the silence is over. Taken
+// later, when the next event is waited for, it ended an answer that went on.
+// The caller holds mu.
+func (w *watch) forget() {
+	select {
+	case <-w.notices:
+	default:
+	}
 }
 
 func (w *watch) pace() *pace { return w.e.paceOf(w.server.Service) }
