nursery: engines that pause streams for prompts, run full and preempt

Cause: beside changes of the configuration answers were given up while their servers were sound; the soak saw nothing of it, since its engines read each prompt beside their streams, had memory for all and refused no copy. Change: Server.SetEngine bounds an engine. One prompt is read at a time, for a time that its id decides, and no stream gets an event meanwhile; without memory a request is answered 503 as not run, also one that goes on from a copy for which there was no room; running streams that outgrow the memory have the newest preempted, which is read in again and goes on. A copy's memory is given back when it is used, its run has ended, or some time after the run broke off.

--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -94,6 +94,8 @@
 	EventGap atomic.Int64
 	listen   string
 	crashed  atomic.Bool
+	is       Engine
+	engine   *engine // of the present start
 	draining bool
 	drainAt  time.Time
 }
@@ -103,14 +105,19 @@
 	Store  *Store
 	Ledger *Ledger
 
-	mu     sync.Mutex
-	copies map[string]int // by address/run or address/handle: events made
-	next   atomic.Int64
+	mu      sync.Mutex
+	copies  map[string]int        // by address/run or address/handle: events made
+	held    map[string][]heldCopy // by request
+	servers map[string]*Server    // by address
+	next    atomic.Int64
 }
 
 // NewCloud returns a cloud over a store.
 func NewCloud(store *Store) *Cloud {
-	return &Cloud{Store: store, Ledger: &Ledger{ends: map[string][]How{}}, copies: map[string]int{}}
+	return &Cloud{
+		Store: store, Ledger: &Ledger{ends: map[string][]How{}},
+		copies: map[string]int{}, held: map[string][]heldCopy{}, servers: map[string]*Server{},
+	}
 }
 
 // NewServer starts a server; front returns the address under which it is
@@ -121,6 +128,9 @@
 		return nil, err
 	}
 	s.Address = front(s.listen)
+	c.mu.Lock()
+	c.servers[s.Address] = s
+	c.mu.Unlock()
 	s.register()
 	return s, nil
 }
@@ -140,7 +150,8 @@
 	s.draining = false
 	s.crashed.Store(false)
 	s.cloud.forget(s.Address)
-	server := &http.Server{Handler: s.handler(s.id, s.born)}
+	s.engine = newEngine(s.is)
+	server := &http.Server{Handler: s.handler(s.engine, s.id, s.born)}
 	s.http = server
 	go func() { _ = server.Serve(listener) }()
 	return nil
@@ -157,6 +168,23 @@
 	}
 }
 
+// SetEngine says what bounds the engine from now on, also after a restart.
+func (s *Server) SetEngine(is Engine) {
+	s.mu.Lock()
+	s.is = is
+	s.mu.Unlock()
+	s.present().set(is)
+}
+
+func (s *Server) present() *engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine
+}
+
+// Busy returns how many requests it is serving.
+func (s *Server) Busy() int64 { return s.busy.Load() }
+
 // Born returns the Unix millisecond of the present start.
 func (s *Server) Born() int64 {
 	s.mu.Lock()
@@ -240,30 +268,39 @@
 	return time.Since(s.drainAt)
 }
 
-func (s *Server) handler(id string, born int64) http.Handler {
+func (s *Server) handler(e *engine, id string, born int64) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /pearyard/report", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, `{"phase":"unified","born":%d}`, born)
 	})
 	mux.HandleFunc("POST /pearyard/kv-move", s.move)
-	mux.HandleFunc("DELETE /pearyard/kv-handle/{handle}", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("DELETE /pearyard/kv-handle/{handle}", func(_ http.ResponseWriter, r *http.Request) {
+		s.cloud.freeCopies(strings.TrimPrefix(r.PathValue("handle"), handlePrefix))
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", id) })
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(id, w, r) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(e, id, w, r) })
 	return mux
 }
 
+const (
+	handlePrefix = "h"
+	// movedTokens is what a copy that was asked for takes; the call doesn't tell.
+	movedTokens = 1200
+)
+
 func (s *Server) move(w http.ResponseWriter, r *http.Request) {
 	var body struct{ ID, To string }
 	_ = json.NewDecoder(r.Body).Decode(&body)
-	handle := "h" + body.ID
-	s.cloud.mu.Lock()
-	s.cloud.copies[body.To+"|"+s.Address+"/"+handle] = 0
-	s.cloud.mu.Unlock()
+	handle := handlePrefix + body.ID
+	if !s.cloud.keepCopy(body.ID, body.To, body.To+"|"+s.Address+"/"+handle, movedTokens, 0) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "created": 0})
 }
 
 // serve answers one request as a backend server does.
-func (s *Server) serve(id string, w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(e *engine, id string, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("Attempt-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	run := Run{Request: request, Server: id, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), After: after}
@@ -274,42 +311,47 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if from := r.Header.Get("Kv-From"); from != "" && !s.cloud.holds(s.Address, from) {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	from := r.Header.Get("Kv-From")
+	if from != "" && !s.cloud.holds(s.Address, from) {
+		refuse(w)
 		return
 	}
 	if s.busy.Add(1) > queueLength {
 		s.busy.Add(-1)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
 	defer s.busy.Add(-1)
+	if from != "" {
+		s.cloud.freeCopies(request) // what it held is the run's own now
+	}
+	taken, ok := e.admit(tokensOf(r, after), from != "")
+	if !ok {
+		refuse(w)
+		return
+	}
+	defer e.leave(taken)
 	s.cloud.Ledger.note(&s.cloud.Ledger.runs, run)
 	w.Header().Set("Response-Signature", id+"."+request)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		s.stream(w, r, after)
+		s.stream(w, r, e, taken, after)
 		return
 	}
 	s.plain(w, r)
 }
 
+// refuse says that a request was not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (l *Ledger) note(list *[]Run, run Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	*list = append(*list, run)
 }
 
-// holds tells whether a copy lies at an address.
-func (c *Cloud) holds(at, from string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, grown := c.copies[from]
-	_, asked := c.copies[at+"|"+from]
-	return grown || asked
-}
-
 func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(plainWork)
@@ -334,40 +376,6 @@
 	return fmt.Sprintf("answer to %s of %d bytes", target, len(body))
 }
 
-// EventText is the data of an event of a stream.
-func EventText(target string, n int) string { return fmt.Sprintf("part %d of %s", n, target) }
-
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, after int) {
-	if backup := r.Header.Get("Kv-Backup"); backup != "" {
-		s.cloud.mu.Lock()
-		s.cloud.copies[backup+"/"+r.Header.Get("Attempt-Id")] = after
-		s.cloud.mu.Unlock()
-	}
-	if r.Header.Get("Kv-From") == "" {
-		time.Sleep(readPrompt)
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	flush := http.NewResponseController(w)
-	gap := eventGap
-	if own := s.EventGap.Load(); own > 0 {
-		gap = time.Duration(own)
-	}
-	for n := after + 1; n <= Events; n++ {
-		select {
-		case <-r.Context().Done():
-			s.left(r)
-			return
-		case <-time.After(gap):
-		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
-			s.left(r)
-			return
-		}
-		_ = flush.Flush()
-	}
-	s.cloud.Ledger.ended(r.Header.Get("Attempt-Id"), Whole)
-}
-
 // left notes that a stream's connection is gone.
 func (s *Server) left(r *http.Request) {
 	how := Abandoned
