soak: calm spans are judged; planned work, load and starved VMs are played

Change: a run's story has the span and kind of each trouble (fault, planned, starving). A call that was sent whole and ends with neither an answer nor a refusal (a 502 or 504 is neither) breaks a promise, unless a fault lies in the 3 s before it or until its end, its deadline or its route's shortest time-out is reached, it was at work when the grace period of its VM's stop ended, or it was not passed on and ended within 0.2 s. New troubles, at the end of the list: changes of six kinds, alone and in quick succession, load, servers that leave and are replaced, stops of all VMs in turn, engines that read long prompts in little memory, pulses of SIGSTOP and SIGCONT beside changes of the idle limit. CalmPlan plays planned work only, StarvingPlan the pulses only; some callers hold their connections idle for up to four fifths of the limit. Checks changed: CutByStop, which no run called, is replaced by the new check, which holds for planned stops too.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,10 +21,10 @@
 type Call struct {
 	ID, Path, VM string
 	Sent, Ended  time.Time
-	Status       int    // 0: no answer
-	Whole        bool   // the answer came to its end
-	Wrong        string // what was wrong with it; empty: nothing
-	Planned      bool   // the VM was stopping as planned when it ended
+	Written      time.Time // when the whole request had been sent; zero: it wasn't
+	Status       int       // 0: no answer
+	Whole        bool      // the answer came to its end
+	Wrong        string    // what was wrong with it; empty: nothing
 }
 
 // Callers send requests to random VMs until they are stopped.
@@ -46,8 +47,21 @@
 	}}}
 }
 
-// Run keeps n callers busy until ctx ends, and lets their last calls end.
-func (c *Callers) Run(ctx context.Context, n int) {
+// Run keeps the site's callers busy until ctx ends, and lets their last calls end.
+func (c *Callers) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, vm := range c.site.VMs {
+		for range c.site.size.Holders {
+			wg.Go(func() { c.hold(ctx, vm) })
+		}
+	}
+	c.busy(ctx, callersOfAVM*c.site.size.VMs)
+	wg.Wait()
+	c.client.CloseIdleConnections()
+}
+
+// busy keeps n callers busy until ctx ends.
+func (c *Callers) busy(ctx context.Context, n int) {
 	var wg sync.WaitGroup
 	for range n {
 		wg.Go(func() {
@@ -58,7 +72,6 @@
 		})
 	}
 	wg.Wait()
-	c.client.CloseIdleConnections()
 }
 
 // Calls returns what became of all attempts so far.
@@ -74,8 +87,11 @@
 	vm := c.site.VMs[c.rng(len(c.site.VMs))]
 	call := Call{ID: fmt.Sprintf("r%06d", c.next.Add(1)), VM: vm.Name}
 	call.Path = kinds[c.rng(len(kinds))] + call.ID
-	c.send(vm, &call, "k0")
-	call.Planned = vm.stopping.Load()
+	c.send(c.client, vm, &call, "k0")
+	c.note(call)
+}
+
+func (c *Callers) note(call Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls = append(c.calls, call)
@@ -83,9 +99,20 @@
 
 const callTimeout = 9 * time.Second
 
-func (c *Callers) send(vm *VM, call *Call, key string) {
+func (c *Callers) send(client *http.Client, vm *VM, call *Call, key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	var written atomic.Int64
+	defer func() {
+		if at := written.Load(); at != 0 {
+			call.Written = time.Unix(0, at)
+		}
+	}()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			written.Store(time.Now().UnixNano())
+		}
+	}})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.Callers+call.Path, strings.NewReader("body of "+call.ID))
 	if err != nil {
 		call.Wrong = err.Error()
@@ -99,7 +126,7 @@
 	req.Header.Set("Authorization", "Token "+key)
 	req.Header.Set("Token-Usage", "1000,200")
 	call.Sent = time.Now()
-	resp, err := c.client.Do(req)
+	resp, err := client.Do(req)
 	call.Ended = time.Now()
 	if err != nil {
 		return
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -81,18 +81,6 @@
 	return broken
 }
 
-// CutByStop returns the calls that a planned stop has cut: taken by a process
-// that was stopping, and ended without an answer.
-func CutByStop(calls []Call) []Call {
-	var cut []Call
-	for _, c := range calls {
-		if c.Planned && c.Status != 0 && !c.Whole {
-			cut = append(cut, c)
-		}
-	}
-	return cut
-}
-
 // Late returns arrivals at a server later than allowed after it said that it leaves.
 func Late(arrivals []nursery.Run, server string, left time.Time) []nursery.Run {
 	var late []nursery.Run
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,72 +15,92 @@
 	vm.signal(syscall.SIGCONT)
 }
 
-// Trouble is one fault with its end; do returns when the fault is over.
+// Kind tells what a trouble excuses.
+type Kind int
+
+// Kinds of trouble.
+const (
+	Fault    Kind = iota // of a server, a link or a VM
+	Planned              // work of the operators, or load: nothing fails
+	Starving             // VMs get little processor time; callers' connections stay as they are
+)
+
+// turn tells which troubles wait for each other.
+type turn int
+
+const (
+	ofOthers turn = iota
+	ofVMs         // a process must not be signalled while another trouble replaces it
+	ofNone        // it waits for no other
+)
+
+// Trouble is one fault, or planned work, with its end; do returns when it is over.
 type Trouble struct {
 	Name string
+	Kind Kind
+	turn turn
 	do   func(s *Site, rng *rand.Rand, hold time.Duration)
 }
 
-// Troubles are all that the soak knows. They may overlap; those of one VM or
-// server take turns by the order in which the run starts them. New ones go to
-// the end: seeds that failed once are played with those that there were then.
-var Troubles = []Trouble{
-	{"server crash", func(s *Site, rng *rand.Rand, hold time.Duration) {
+// Troubles are all that the soak knows, in the order in which they came to be:
+// seeds that failed once are played with those that there were then.
+var Troubles = append(firstTroubles, laterTroubles...)
+
+var firstTroubles = []Trouble{
+	{Name: "server crash", do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		server := s.Servers[rng.IntN(len(s.Servers))]
 		server.Crash()
 		time.Sleep(hold)
 		_ = server.Restart()
 	}},
-	{"server silent", func(s *Site, rng *rand.Rand, hold time.Duration) { s.proxied(rng, Silence, hold) }},
-	{"server one way", func(s *Site, rng *rand.Rand, hold time.Duration) { s.proxied(rng, OneWay, hold) }},
-	{"server delayed", func(s *Site, rng *rand.Rand, hold time.Duration) { s.proxied(rng, Delay, hold) }},
-	{"server connections reset", func(s *Site, rng *rand.Rand, _ time.Duration) {
+	{Name: "server silent", do: func(s *Site, rng *rand.Rand, hold time.Duration) { s.proxied(rng, Silence, hold) }},
+	{Name: "server one way", do: func(s *Site, rng *rand.Rand, hold time.Duration) { s.proxied(rng, OneWay, hold) }},
+	{Name: "server delayed", do: func(s *Site, rng *rand.Rand, hold time.Duration) { s.proxied(rng, Delay, hold) }},
+	{Name: "server connections reset", do: func(s *Site, rng *rand.Rand, _ time.Duration) {
 		s.proxies[s.Servers[rng.IntN(len(s.Servers))]].Reset()
 	}},
-	{"answers lost", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "answers lost", do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		server := s.Servers[s.size.Models+rng.IntN(s.size.Apps)]
 		server.LostAnswers.Store(200)
 		time.Sleep(hold)
 		server.LostAnswers.Store(0)
 	}},
-	{"store busy", func(s *Site, _ *rand.Rand, hold time.Duration) { s.stored(nursery.StoreBusy, hold) }},
-	{"store silent", func(s *Site, _ *rand.Rand, hold time.Duration) { s.stored(nursery.StoreSilent, hold) }},
-	{"store slow", func(s *Site, _ *rand.Rand, hold time.Duration) { s.stored(nursery.StoreSlow, hold) }},
-	{"history dropped", func(s *Site, _ *rand.Rand, _ time.Duration) { s.Store.DropHistory() }},
-	{"VM cut from the store", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "store busy", do: func(s *Site, _ *rand.Rand, hold time.Duration) { s.stored(nursery.StoreBusy, hold) }},
+	{Name: "store silent", do: func(s *Site, _ *rand.Rand, hold time.Duration) { s.stored(nursery.StoreSilent, hold) }},
+	{Name: "store slow", do: func(s *Site, _ *rand.Rand, hold time.Duration) { s.stored(nursery.StoreSlow, hold) }},
+	{Name: "history dropped", do: func(s *Site, _ *rand.Rand, _ time.Duration) { s.Store.DropHistory() }},
+	{Name: "VM cut from the store", turn: ofVMs, do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		vm := s.VMs[rng.IntN(len(s.VMs))]
 		vm.store.Set([]Mode{Silence, Refuse, OneWay}[rng.IntN(3)])
 		time.Sleep(hold)
 		vm.store.Set(Pass)
 	}},
-	{"VM killed", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "VM killed", turn: ofVMs, do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		vm := s.VMs[rng.IntN(len(s.VMs))]
 		vm.kill()
 		time.Sleep(hold / 2)
 		_ = vm.start()
 	}},
-	{"VM paused", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "VM paused", turn: ofVMs, do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		vm := s.VMs[rng.IntN(len(s.VMs))]
 		vm.paused.Store(true)
 		vm.signal(syscall.SIGSTOP)
 		time.Sleep(hold)
 		vm.resume()
 	}},
-	{"VM stopped as planned", func(s *Site, rng *rand.Rand, _ time.Duration) {
+	{Name: "VM stopped as planned", Kind: Planned, turn: ofVMs, do: func(s *Site, rng *rand.Rand, _ time.Duration) {
 		vm := s.VMs[rng.IntN(len(s.VMs))]
 		vm.terminate()
 		_ = vm.start()
 	}},
-	{"SIGHUP", func(s *Site, rng *rand.Rand, _ time.Duration) { s.VMs[rng.IntN(len(s.VMs))].signal(syscall.SIGHUP) }},
-	{"route added", func(s *Site, rng *rand.Rand, _ time.Duration) {
-		s.Configure(func(keys, extra []string) ([]string, []string) {
-			return keys, append(extra, fmt.Sprintf("/extra%d/", rng.Uint32()))
-		})
+	{Name: "SIGHUP", Kind: Planned, turn: ofVMs, do: func(s *Site, rng *rand.Rand, _ time.Duration) { s.VMs[rng.IntN(len(s.VMs))].signal(syscall.SIGHUP) }},
+	{Name: "route added", Kind: Planned, do: func(s *Site, rng *rand.Rand, _ time.Duration) {
+		s.Configure(func(c *Configuration) { c.Extra = append(c.Extra, fmt.Sprintf("/extra%d/", rng.Uint32())) })
 	}},
-	{"zone of servers crash", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "zone of servers crash", do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		s.zoneCrashes(rng, hold, (*nursery.Server).Restart)
 	}},
-	{"VMs all killed", func(s *Site, _ *rand.Rand, hold time.Duration) {
+	{Name: "VMs all killed", turn: ofVMs, do: func(s *Site, _ *rand.Rand, hold time.Duration) {
 		for _, vm := range s.VMs {
 			vm.kill()
 		}
@@ -89,7 +109,7 @@
 			_ = vm.start()
 		}
 	}},
-	{"server crashes and is back under its id", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "server crashes and is back under its id", do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		server := s.Servers[rng.IntN(len(s.Servers))]
 		for range flaps {
 			server.Crash()
@@ -98,7 +118,7 @@
 			time.Sleep(hold / (2 * flaps))
 		}
 	}},
-	{"zone of servers crash and are back under their ids", func(s *Site, rng *rand.Rand, hold time.Duration) {
+	{Name: "zone of servers crash and are back under their ids", do: func(s *Site, rng *rand.Rand, hold time.Duration) {
 		s.zoneCrashes(rng, hold, (*nursery.Server).RestartUnderItsID)
 	}},
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -1,10 +1,9 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
-	"strings"
 	"sync"
+	"time"
 
 	"github.com/pearyard/pearyard/standin/nursery"
 )
@@ -16,17 +15,28 @@
 	plainService = "app"
 )
 
-// Size is how many of each there are in a site.
+// Size is how many of each there are in a site, and what they are like.
 type Size struct {
-	VMs    int // processes of the entry program
-	Models int // servers of the model service
-	Apps   int // servers of the plain service
+	VMs     int // processes of the entry program
+	Models  int // servers of the model service
+	Apps    int // servers of the plain service
+	Holders int // callers of a VM that leave their connection idle between requests
+	// Engine bounds the servers of the model service while troubles go on.
+	Engine nursery.Engine
+	Grace  time.Duration // of a planned stop; 0: the shortest
 }
 
 // DefaultSize is a site that fits beside other tests: each zone has an entry VM
 // and servers of both services.
 var DefaultSize = Size{VMs: 3, Models: 6, Apps: 3}
 
+func (s Size) grace() time.Duration {
+	if s.Grace > 0 {
+		return s.Grace
+	}
+	return shortestGrace
+}
+
 var zones = []string{"a", "b", "c"}
 
 // Site is entry VMs before stand-ins.
@@ -36,12 +46,12 @@
 	VMs     []*VM
 	Servers []*nursery.Server // those of the model service first
 	size    Size
+	callers *Callers
 	proxies map[*nursery.Server]*Proxy
 
-	mu      sync.Mutex
-	version int
-	keys    []string // in force
-	extra   []string // paths of routes beyond the first ones
+	mu            sync.Mutex
+	version       int
+	configuration Configuration
 }
 
 // NewSite starts a site; dir takes settings and logs.
@@ -50,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{Store: store, Cloud: nursery.NewCloud(store), size: size, proxies: map[*nursery.Server]*Proxy{}, keys: []string{"k0", "k1"}}
+	s := &Site{Store: store, Cloud: nursery.NewCloud(store), size: size, proxies: map[*nursery.Server]*Proxy{}, configuration: firstConfiguration()}
 	s.Configure(nil)
 	if err := s.fill(dir); err != nil {
 		// What has been started is ended: left running, it would speak to the
@@ -106,7 +116,7 @@
 		if err != nil {
 			return err
 		}
-		vm, err := newVM(dir, i, zones[i%len(zones)], peerPort, seeds, proxy)
+		vm, err := newVM(dir, i, zones[i%len(zones)], peerPort, seeds, proxy, s.size.grace())
 		if err != nil {
 			return err
 		}
@@ -123,32 +133,11 @@
 	return nil
 }
 
-// Configure writes the next version of the configuration; change may alter keys
-// and extra routes first.
-func (s *Site) Configure(change func(keys, extra []string) ([]string, []string)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if change != nil {
-		s.keys, s.extra = change(s.keys, s.extra)
-	}
-	s.version += 3
-	routes := []string{
-		route("stream", "/stream/", "streaming", modelService, `"streamResume":true,"maxAttempts":5,"timeoutMs":8000,"targetLatencyMs":1000,"targetGapMs":700`),
-		route("once", "/once/", "non_idempotent", plainService, `"maxAttempts":1,"timeoutMs":2000,"targetLatencyMs":300`),
-		route("any", "/any/", "idempotent", plainService, `"maxAttempts":2,"timeoutMs":2000,"targetLatencyMs":300`),
+// bound sets what bounds the engines of the model service.
+func (s *Site) bound(engine nursery.Engine) {
+	for _, server := range s.Servers[:s.size.Models] {
+		server.SetEngine(engine)
 	}
-	for i, path := range s.extra {
-		routes = append(routes, route(fmt.Sprintf("extra-%d", i), path, "idempotent", plainService, `"maxAttempts":2,"timeoutMs":2000`))
-	}
-	keys, _ := json.Marshal(s.keys)
-	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"healthPath":"/healthz","inferenceEngine":{"backups":true,"moves":true}},`+
-		`{"name":%q,"healthPath":"/healthz"}],"limits":{"maxBodyBytes":1000000},"tenants":[{"name":"org","apiKeys":%s}]}`,
-		s.version, strings.Join(routes, ","), modelService, plainService, keys)
-	s.Store.Put("op", "config", []byte(text))
-}
-
-func route(name, path, kind, service, more string) string {
-	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"routeType":%q,"service":%q,%s}`, name, host, path, kind, service, more)
 }
 
 // Close ends every process that the site started, by its id.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,14 @@
 // Whatever order of troubles a seed gives, no promise is broken, and when the
 // troubles are over callers are served again.
 func TestSeeds(t *testing.T) {
+	playSeeds(t, func(seed uint64) Plan {
+		return Plan{Size: usualSize(), Seed: seed, Troubles: played(), Length: *length}
+	})
+}
+
+// playSeeds plays the seeds that are asked for.
+func playSeeds(t *testing.T, plan func(seed uint64) Plan) {
+	t.Helper()
 	from := *first
 	if from == 0 {
 		from = uint64(time.Now().UnixNano())
@@ -49,7 +57,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			play(t, from+uint64(i), played())
+			playPlan(t, plan(from+uint64(i)))
 		})
 	}
 	wg.Wait()
@@ -79,14 +87,26 @@
 }
 
 func play(t *testing.T, seed uint64, troubles []Trouble) {
+	t.Helper()
+	playPlan(t, Plan{Size: usualSize(), Seed: seed, Troubles: troubles, Length: *length})
+}
+
+func usualSize() Size {
+	size := DefaultSize
+	size.VMs, size.Models = *vms, *models
+	return size
+}
+
+func playPlan(t *testing.T, plan Plan) {
+	t.Helper()
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		t.Error(err)
 		return
 	}
-	result, err := Run(dir, Size{VMs: *vms, Models: *models, Apps: DefaultSize.Apps}, seed, troubles, *length)
+	result, err := Run(dir, plan)
 	if err != nil {
-		t.Errorf("seed %d: %v", seed, err)
+		t.Errorf("seed %d: %v", plan.Seed, err)
 		return
 	}
 	t.Log(result)
@@ -94,7 +114,7 @@
 		_ = os.RemoveAll(dir)
 		return
 	}
-	t.Errorf("%v; logs in %s\n%s\n%s", result, dir, strings.Join(result.Broken[:min(10, len(result.Broken))], "\n"), strings.Join(result.Story, "\n"))
+	t.Errorf("%v; logs in %s\n%s\n%s", result, dir, strings.Join(result.Broken[:min(10, len(result.Broken))], "\n"), result.Told())
 }
 
 // A run of 200 entry programs did not begin: one of them was told to take its
@@ -152,7 +172,7 @@
 func sendTo(site *Site, vm *VM, path, key string) Call {
 	c := Call{ID: strings.TrimLeft(path[strings.LastIndexByte(path, '/'):], "/"), Path: path, VM: vm.Name}
 	callers := NewCallers(site)
-	callers.send(vm, &c, key)
+	callers.send(callers.client, vm, &c, key)
 	callers.client.CloseIdleConnections()
 	return c
 }
@@ -187,7 +207,7 @@
 	g.Expect(call.Whole && call.Wrong == "").To(gomega.BeTrue(), "%+v", call)
 
 	// A new route and a revoked key are in force in time.
-	site.Configure(func([]string, []string) ([]string, []string) { return []string{"k1"}, []string{"/extra/"} })
+	site.Configure(func(c *Configuration) { c.Keys, c.Extra = []string{"k1"}, []string{"/extra/"} })
 	time.Sleep(2 * time.Second)
 	g.Expect(sendTo(site, site.VMs[0], "/any/c1", "k0").Status).To(gomega.Equal(401))
 	g.Expect(sendTo(site, site.VMs[0], "/extra/c2", "k1").Status).To(gomega.Equal(200))
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -20,9 +20,9 @@
 	// Program is the variable that makes the test binary run as the entry program.
 	Program = "PEARYARD_SOAK_PROGRAM"
 
-	graceSeconds = 3
-	startTimeout = 10 * time.Second
-	readyLook    = 20 * time.Millisecond
+	shortestGrace = 3 * time.Second
+	startTimeout  = 10 * time.Second
+	readyLook     = 20 * time.Millisecond
 )
 
 // VM is an entry VM: one process and its addresses.
@@ -33,17 +33,18 @@
 	ready   string
 	peers   string
 	dir     string
-	store   *Proxy // this VM's way to the store
-
-	mu       sync.Mutex // guards cmd and done
-	cmd      *exec.Cmd
-	done     chan struct{}
-	meant    atomic.Bool // the process that runs is being ended by the soak
-	stopping atomic.Bool // SIGTERM was sent to the process that runs
-	paused   atomic.Bool
-	started  atomic.Int64 // Unix nanoseconds
-	hup      atomic.Int64 // of the newest SIGHUP
-	ownEnds  atomic.Int64 // processes that ended by themselves
+	store   *Proxy        // this VM's way to the store
+	grace   time.Duration // of a planned stop
+
+	mu      sync.Mutex // guards cmd, done and stops
+	cmd     *exec.Cmd
+	done    chan struct{}
+	stops   []time.Time // when planned stops began
+	meant   atomic.Bool // the process that runs is being ended by the soak
+	paused  atomic.Bool
+	started atomic.Int64 // Unix nanoseconds
+	hup     atomic.Int64 // of the newest SIGHUP
+	ownEnds atomic.Int64 // processes that ended by themselves
 }
 
 // freePorts returns ports that are free on ip now. They are held until all are
@@ -62,8 +63,8 @@
 }
 
 // newVM lays out a VM; peerPort is the same on all.
-func newVM(dir string, n int, zone string, peerPort int, seeds []string, store *Proxy) (*VM, error) {
-	vm := &VM{Name: fmt.Sprintf("edge-%d", n), IP: ipOf(n), dir: dir, store: store}
+func newVM(dir string, n int, zone string, peerPort int, seeds []string, store *Proxy, grace time.Duration) (*VM, error) {
+	vm := &VM{Name: fmt.Sprintf("edge-%d", n), IP: ipOf(n), dir: dir, store: store, grace: grace}
 	ports, err := freePorts(vm.IP, 2)
 	if err != nil {
 		return nil, err
@@ -72,8 +73,8 @@
 	vm.Callers, vm.ready, vm.peers = fmt.Sprintf("%s:%d", vm.IP, callers), fmt.Sprintf("%s:%d", vm.IP, ready), fmt.Sprintf("%s:%d", vm.IP, peerPort)
 	settings := fmt.Sprintf(`{nodeName: %q, ip: %q, zone: %q, listen: {frontend: %q, ready: %q}, internalPortRange: [%d, %d], seedNodes: [%s],
 limits: {memoryMb: 134}, heartbeatMs: 1200, platform: {address: %q, readsPerS: 2000, writesPerS: 400},
-bounds: {drainTimeoutMs: 2000, gracePeriodS: %d, configApplyMs: 2000, addressReuseS: 2, retryBudgetRatio: %v, retryWindowS: %v, retryMinExtra: %d}}
-`, vm.Name, vm.IP, zone, vm.Callers, vm.ready, peerPort, peerPort+9, strings.Join(seeds, ", "), store.Address, graceSeconds,
+bounds: {drainTimeoutMs: 2000, gracePeriodS: %v, configApplyMs: 2000, addressReuseS: 2, retryBudgetRatio: %v, retryWindowS: %v, retryMinExtra: %d}}
+`, vm.Name, vm.IP, zone, vm.Callers, vm.ready, peerPort, peerPort+9, strings.Join(seeds, ", "), store.Address, grace.Seconds(),
 		retryRatio, retryWindow.Seconds(), retryExtra)
 	return vm, os.WriteFile(vm.settings(), []byte(settings), 0o600)
 }
@@ -108,7 +109,6 @@
 	vm.mu.Lock()
 	vm.cmd, vm.done = cmd, done
 	vm.mu.Unlock()
-	vm.stopping.Store(false)
 	vm.meant.Store(false)
 	vm.started.Store(time.Now().UnixNano())
 	go vm.reap(cmd, done)
@@ -188,12 +188,21 @@
 // terminate stops the process as planned and waits for its end.
 func (vm *VM) terminate() {
 	vm.meant.Store(true)
-	vm.stopping.Store(true)
+	vm.mu.Lock()
+	vm.stops = append(vm.stops, time.Now())
+	vm.mu.Unlock()
 	vm.signal(syscall.SIGTERM)
 	_, done := vm.process()
 	select {
 	case <-done:
-	case <-time.After(graceSeconds * time.Second):
+	case <-time.After(vm.grace):
 		vm.kill()
 	}
 }
+
+// stopped returns when its planned stops began.
+func (vm *VM) stopped() []time.Time {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return append([]time.Time(nil), vm.stops...)
+}
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -258,6 +258,14 @@
 	s.register()
 }
 
+// Stay takes back that it leaves.
+func (s *Server) Stay() {
+	s.mu.Lock()
+	s.draining = false
+	s.mu.Unlock()
+	s.register()
+}
+
 // DrainedFor returns for how long it has been leaving; 0: it isn't.
 func (s *Server) DrainedFor() time.Duration {
 	s.mu.Lock()
