soak: all VMs starve together, and more callers hold idle connections

Change: the pulses stop and resume all VMs, each by its own order; every other version sets the shortest idle limit; 30 callers a VM hold connections.

--- a/soak/modes.go
+++ b/soak/modes.go
@@ -8,7 +8,7 @@
 	// besideEachOther is how many kinds of planned work a calm run overlaps.
 	besideEachOther = 4
 	// holders of a VM in a run in which VMs starve.
-	holders = 12
+	holders = 30
 )
 
 // CalmPlan returns a plan of planned work and load only, before engines that pause
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -72,7 +72,7 @@
 		}
 		wg.Wait()
 	}},
-	{Name: "VM gets little processor time while the idle limit changes", Kind: Starving, turn: ofVMs, do: starve},
+	{Name: "VMs get little processor time while the idle limit changes", Kind: Starving, turn: ofVMs, do: starve},
 }...)
 
 func changesAsTroubles() []Trouble {
@@ -146,12 +146,29 @@
 	}
 }
 
-// starve lets a VM run for moments only, while the idle limit is shortened and
+// starve lets VMs run for moments only, while the idle limit is shortened and
 // lengthened.
 func starve(s *Site, rng *rand.Rand, _ time.Duration) {
-	vm := s.VMs[rng.IntN(len(s.VMs))]
+	var wg sync.WaitGroup
+	for _, vm := range s.VMs {
+		own := rand.New(rand.NewPCG(rng.Uint64(), 0))
+		wg.Go(func() { vm.pulse(own) })
+	}
+	for n := range pulses {
+		s.Configure(func(c *Configuration) {
+			changeIdleTime(c, rng)
+			if n%2 == 1 {
+				c.IdleTime = idleTimes[0]
+			}
+		})
+		time.Sleep(longestPulse)
+	}
+	wg.Wait()
+}
+
+// pulse stops and resumes a VM several times.
+func (vm *VM) pulse(rng *rand.Rand) {
 	for range pulses {
-		s.Configure(func(c *Configuration) { changeIdleTime(c, rng) })
 		vm.paused.Store(true)
 		vm.signal(syscall.SIGSTOP)
 		time.Sleep(shortestPulse + time.Duration(rng.Int64N(int64(longestPulse-shortestPulse))))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,13 +51,23 @@
 	if from == 0 {
 		from = uint64(time.Now().UnixNano())
 	}
+	var plans []Plan
+	for i := range *seeds {
+		plans = append(plans, plan(from+uint64(i)))
+	}
+	playBeside(t, plans)
+}
+
+// playBeside plays some plans at a time.
+func playBeside(t *testing.T, plans []Plan) {
+	t.Helper()
 	slots := make(chan struct{}, *beside)
 	var wg sync.WaitGroup
-	for i := range *seeds {
+	for _, plan := range plans {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			playPlan(t, plan(from+uint64(i)))
+			playPlan(t, plan)
 		})
 	}
 	wg.Wait()
