soak: a VM has one process at a time

A process that ended by itself was started again while a trouble, or the site's end, replaced it. Change: starts and ends of a VM are ordered by a lock; start does nothing while a process runs, and none is started once the soak has meant it to end. Ruled out: the program (its second process found the ports of the first taken).

--- a/soak/vm.go
+++ b/soak/vm.go
@@ -36,6 +36,10 @@
 	store   *Proxy        // this VM's way to the store
 	grace   time.Duration // of a planned stop
 
+	// life orders starts and ends. Failure it stops: a process that had ended by
+	// itself was started again beside the one that a trouble had just started, or
+	// after its site had closed, and was left running.
+	life    sync.Mutex
 	mu      sync.Mutex // guards cmd, done and stops
 	cmd     *exec.Cmd
 	done    chan struct{}
@@ -87,9 +91,19 @@
 func (vm *VM) settings() string { return filepath.Join(vm.dir, vm.Name+".yaml") }
 func (vm *VM) log() string      { return filepath.Join(vm.dir, vm.Name+".log") }
 
-// start runs the program. As the platform does, it starts a process again that
-// ends by itself.
+// start runs the program, unless it runs. As the platform does, it starts a
+// process again that ends by itself.
 func (vm *VM) start() error {
+	vm.life.Lock()
+	defer vm.life.Unlock()
+	return vm.startLocked()
+}
+
+func (vm *VM) startLocked() error {
+	vm.meant.Store(false)
+	if _, done := vm.process(); done != nil && !isClosed(done) {
+		return nil
+	}
 	binary, err := os.Executable()
 	if err != nil {
 		return err
@@ -109,7 +123,6 @@
 	vm.mu.Lock()
 	vm.cmd, vm.done = cmd, done
 	vm.mu.Unlock()
-	vm.meant.Store(false)
 	vm.started.Store(time.Now().UnixNano())
 	go vm.reap(cmd, done)
 	return nil
@@ -133,11 +146,30 @@
 		vm.ownEnds.Add(1)
 	}
 	time.Sleep(restartDelay)
+	vm.life.Lock()
+	defer vm.life.Unlock()
 	if !vm.meant.Load() {
-		_ = vm.start()
+		_ = vm.startLocked()
 	}
 }
 
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// mean notes that the soak ends the process that runs, if any does. No other is
+// started until start is called.
+func (vm *VM) mean() {
+	vm.life.Lock()
+	defer vm.life.Unlock()
+	vm.meant.Store(true)
+}
+
 // process returns what runs and the channel that its end closes.
 func (vm *VM) process() (*exec.Cmd, chan struct{}) {
 	vm.mu.Lock()
@@ -178,7 +210,7 @@
 
 // kill ends the process at once.
 func (vm *VM) kill() {
-	vm.meant.Store(true)
+	vm.mean()
 	vm.signal(syscall.SIGKILL)
 	if _, done := vm.process(); done != nil {
 		<-done
@@ -187,7 +219,7 @@
 
 // terminate stops the process as planned and waits for its end.
 func (vm *VM) terminate() {
-	vm.meant.Store(true)
+	vm.mean()
 	vm.mu.Lock()
 	vm.stops = append(vm.stops, time.Now())
 	vm.mu.Unlock()
