--- a/soak/planned.go
+++ b/soak/planned.go
@@ -114,8 +114,8 @@
 	longestBreak  = 250 * time.Millisecond
 )
 
-// busyEngine takes three streams of the callers at a time, reads a prompt as
-// long as a slow engine does, and holds streams up for as long.
+// busyEngine has memory for three streams or copies, and pauses its streams for a
+// prompt as long as an engine does that reads 700 to 5,000 tokens a second.
 var busyEngine = nursery.Engine{ReadLeast: 200 * time.Millisecond, ReadMost: 1500 * time.Millisecond, Memory: 3700}
 
 // idleTimes are the idle limits that operators set.
