soak: a request that nobody sent is named by its target

Traced: an entry program that TestVMHasOneProcess had left running before its mend (started 02:30:01, its store at 127.0.0.1:34855 by its state dump) still asked its store; whatever listens there now gets its questions. Shown by listening there for 4 s: 28 requests, rows of the configuration, the list of servers and the entry VMs. It was ended by its id. Change: the message tells the target, which names such a stray at once. Nothing is allowed that was not before.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -33,7 +33,7 @@
 	}
 	for id, list := range ran {
 		if !seen[id] {
-			broken = append(broken, "a server ran a request that nobody sent: "+id)
+			broken = append(broken, fmt.Sprintf("a server ran a request that nobody sent: %q, target %s", id, list[0].Target))
 		}
 		broken = append(broken, checkRuns(id, list)...)
 	}
