--- a/entry/drain.go
+++ b/entry/drain.go
@@ -9,8 +9,9 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/inbound"
 	"github.com/pearyard/pearyard/retry"
-	"github.com/pearyard/pearyard/site"
 )
 
 const (
@@ -21,6 +22,10 @@
 	// graceMargin is kept back from the grace period for the process's own end.
 	graceMargin = 300 * time.Millisecond
 	drainLook   = 50 * time.Millisecond
+	// refusalTime before the end of its grace a process takes no more connections
+	// and answers what has come, also if something still runs: a refusal takes a
+	// few ms, and without it callers in the queue see a reset.
+	refusalTime = 300 * time.Millisecond
 )
 
 // serveCallers adds the callers' server. The end of ctx begins a planned stop:
@@ -32,13 +37,11 @@
 		return errors.Wrap(err, "entry: listen")
 	}
 	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed, unconfirmed: e.config.Age, allStop: e.duty.AllStop}
-	callers := newClients(listener, e.clientLimits, e.registry)
-	server := &http.Server{
-		Handler: e.counted(callers.refuseDropped(h)), ConnState: callers.changed, ConnContext: callers.context,
-		BaseContext: e.cutter.base, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
-	background(group, callers.run)
-	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server) })
+	callers := e.callers(listener)
+	server := &http.Server{Handler: e.counted(h), BaseContext: e.cutter.base, MaxHeaderBytes: maxHeader}
+	callers.Attach(server)
+	background(group, callers.Run)
+	serveUntilDrained(ctx, group, server, callers, func() { e.drain(server, callers) })
 	return nil
 }
 
@@ -66,12 +69,34 @@
 	}, func(error) { cancel() })
 }
 
-// clientLimits returns those of the configuration in force.
-func (e *Entry) clientLimits() site.ClientLimits {
-	if config := e.holder.Config(); config != nil {
-		return config.Limits
+// callers keeps track of the callers' connections.
+func (e *Entry) callers(l net.Listener) *inbound.Listener {
+	return inbound.New(l, inbound.Options{
+		Limits: e.clientLimits, Recorder: e.recorder, Registerer: e.registry, Metrics: "pearyard_entry_callers",
+		Broken: func(err error) error {
+			if !exchange.IsLinkLost(err) {
+				return nil
+			}
+			return &exchange.End{By: exchange.EndedByCallerLink, Err: err}
+		},
+	})
+}
+
+// clientLimits returns those of the configuration in force; where it has none,
+// and before there is one, those of this program.
+func (e *Entry) clientLimits() inbound.Limits {
+	limits := inbound.Limits{IdleTime: idleTimeout, HeaderTime: headerTimeout}
+	config := e.holder.Config()
+	if config == nil {
+		return limits
 	}
-	return site.ClientLimits{}
+	if config.Limits.IdleTime > 0 {
+		limits.IdleTime = config.Limits.IdleTime
+	}
+	if config.Limits.HeaderTime > 0 {
+		limits.HeaderTime = config.Limits.HeaderTime
+	}
+	return limits
 }
 
 func (e *Entry) counted(next http.Handler) http.Handler {
@@ -82,7 +107,7 @@
 	})
 }
 
-func (e *Entry) drain(server *http.Server) {
+func (e *Entry) drain(server *http.Server, callers *inbound.Listener) {
 	began := time.Now()
 	end := began.Add(e.settings.Grace - graceMargin)
 	e.stop.begin(end)
@@ -90,11 +115,19 @@
 	e.recorder.Emit(EventDraining, "running", e.running.Load(), "grace", e.settings.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	e.untilQuiet(end.Add(-refusalTime))
+	err := callers.Finish(ctx, server)
+	cut := e.cutter.cut(&e.running)
+	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
+}
+
+// untilQuiet returns when callers have stopped coming and nothing runs, at until
+// at the latest.
+func (e *Entry) untilQuiet(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
 	_ = retry.Wait(ctx, rotationTime)
 	for e.running.Load() > 0 && ctx.Err() == nil {
 		_ = retry.Wait(ctx, drainLook)
 	}
-	err := server.Shutdown(ctx)
-	cut := e.cutter.cut(&e.running)
-	e.recorder.Emit(EventStopped, "cut", cut, "took", time.Since(began), "err", err)
 }
--- a/entry/events.go
+++ b/entry/events.go
@@ -21,6 +21,22 @@
 var EventRouteRefused = event.Define(2759, "entry_route_refused", event.Warn,
 	"a request was refused because the part of the configuration that describes its route can't be read; it has not run", "write the route anew; see the line site_config_parts")
 
+// EventPanicked is emitted for a request on whose path the program has a fault.
+var EventPanicked = event.Define(2760, "entry_panicked", event.Error,
+	"a fault of this program ended a request: it was answered 502, or cut if its answer had begun; it may have run",
+	"report the line with its stack; it is a bug")
+
+// EventLate is emitted for a request that was complete only after its time.
+var EventLate = event.Define(2761, "entry_late", event.Info,
+	"a request was refused because its time was over when its last byte came; it has not run",
+	"if there are many, look at the network between callers and this VM")
+
+// EventAttemptPanicked is emitted for an attempt, or another question to a backend
+// server, in which the program has a fault.
+var EventAttemptPanicked = event.Define(2762, "entry_attempt_panicked", event.Error,
+	"a fault of this program ended an attempt or a question to a backend server; the request goes on as if the server had broken it off",
+	"report the line with its stack; it is a bug")
+
 // Events of the process.
 var (
 	EventNoMetrics = event.Define(2757, "entry_no_metrics", event.Warn,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/httpanswer"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/site"
 )
@@ -34,23 +35,33 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a := &httpanswer.Writer{ResponseWriter: w}
+	defer h.answerPanic(a, r)
+	h.take(a, r)
+}
+
+// take serves a caller's request, or refuses it.
+func (h *handler) take(w *httpanswer.Writer, r *http.Request) {
 	if h.stop.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	config := h.holder.Config()
-	var limit int64
-	if config != nil {
-		limit = config.Limits.BodyBytes
-	}
-	call, err := platform.ReadCall(w, r, limit)
+	call, err := platform.ReadCall(r)
 	if err != nil {
+		defer httpanswer.ReadOff(w, r)()
 		h.turnAway(w, r, nil, err, config)
 		return
 	}
 	if config == nil {
+		defer httpanswer.ReadOff(w, r)()
 		h.notYet(w, call, "configuration", comeBack(call.Wait))
 		return
 	}
+	if err := call.ReadBody(w.ResponseWriter, r, config.Limits.BodyBytes); err != nil {
+		defer httpanswer.ReadOff(w, r)()
+		h.turnAway(w, r, call, err, config)
+		return
+	}
 	// The body may have taken a while: go by what is in force now.
 	config = h.holder.Config()
 	if err := route(call, config); err != nil {
@@ -65,6 +76,10 @@
 		h.notYet(w, call, "list of servers", min(comeBack(call.Wait), spreadOut(listWait)))
 		return
 	}
+	if !time.Now().Before(call.Until) {
+		h.refuseLate(w, call)
+		return
+	}
 	defer endWrites(w, r)()
 	h.serve(w, r, call)
 }
@@ -150,7 +165,7 @@
 	w.WriteHeader(reply.Status)
 	_, err = w.Write(reply.Body)
 	if reply.Rest != nil {
-		passRest(w, reply.Rest, err)
+		passRest(w, r, reply.Rest, err)
 	}
 	served = true
 }
@@ -163,7 +178,7 @@
 	case err == nil:
 	case begun:
 		// Ended in an orderly way, the answer would look complete.
-		panic(http.ErrAbortHandler)
+		cut(r)
 	default:
 		fail(w, call.ID, err)
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -7,7 +7,10 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/inbound"
 )
 
 // sink writes a stream's answer.
@@ -40,8 +43,12 @@
 func endWrites(w http.ResponseWriter, r *http.Request) (stop func() bool) {
 	control := http.NewResponseController(w)
 	return context.AfterFunc(r.Context(), func() {
+		deadline := time.Now()
+		if errors.Is(context.Cause(r.Context()), errGraceOver) {
+			deadline = deadline.Add(sayTime)
+		}
 		// Without support for deadlines, as in tests, there is no connection either.
-		_ = control.SetWriteDeadline(time.Now())
+		_ = control.SetWriteDeadline(deadline)
 	})
 }
 
@@ -63,12 +70,24 @@
 
 // passRest copies the rest of a large answer, unless its beginning could not be
 // written; a break in it must not look like an end.
-func passRest(w http.ResponseWriter, rest exchange.Body, err error) {
+func passRest(w http.ResponseWriter, r *http.Request, rest exchange.Body, err error) {
 	defer rest.Close()
 	if err == nil {
 		_, err = io.Copy(w, rest)
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		cut(r)
+	}
+}
+
+// cut ends an answer that has begun so that it doesn't look whole. It doesn't return.
+//
+// Failure it stops: to a caller of HTTP/1.0 an answer without a length ends with
+// its connection. Closed in order, half a draft looked whole; a reset doesn't.
+// Later callers miss the last chunk.
+func cut(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		inbound.ResetAtClose(r)
 	}
+	panic(http.ErrAbortHandler)
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/httpanswer"
 	"github.com/pearyard/pearyard/limit"
 	"github.com/pearyard/pearyard/text"
 	"github.com/pearyard/pearyard/types"
@@ -48,10 +49,13 @@
 }
 
 func (r *Router) guarded(next func(http.ResponseWriter, *http.Request, *admitted)) http.HandlerFunc {
-	return func(w http.ResponseWriter, req *http.Request) {
+	return func(raw http.ResponseWriter, req *http.Request) {
 		in := &admitted{id: types.NewRequestID(), begun: time.Now()}
+		w := &httpanswer.Writer{ResponseWriter: raw}
+		defer r.answerPanic(w, in.id)
 		w.Header().Set(HeaderRequestID, string(in.id))
 		if !r.enter() {
+			defer httpanswer.ReadOff(w, req)()
 			leaving := types.NotRun(types.CodeLeaving, drainRetryAfter, "this router is being stopped; another one serves")
 			r.refuse(w, in.id, r.truthful(req, leaving))
 			return
@@ -60,6 +64,7 @@
 		r.begun.Store(in, nil)
 		defer r.begun.Delete(in)
 		if refusal := r.admitCaller(req, in); refusal != nil {
+			defer httpanswer.ReadOff(w, req)()
 			r.refuse(w, in.id, r.truthful(req, refusal))
 			return
 		}
@@ -90,9 +95,8 @@
 }
 
 func (r *Router) serveGeneration(w http.ResponseWriter, req *http.Request, in *admitted, chat bool) {
-	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
-	if refusal != nil {
-		r.refuse(w, in.id, refusal)
+	body, ok := r.readAdmitted(w, req, in)
+	if !ok {
 		return
 	}
 	a, refusal := parseAsk(req, body, chat, in.text, in.organisation)
@@ -116,6 +120,25 @@
 	r.generate(ctx, w, a, in)
 }
 
+// readAdmitted reads a request's body and admits the request anew; false: it was
+// refused.
+//
+// Failure it stops: a body that comes slowly was judged by the text of its head.
+// A key that had been revoked meanwhile went on working, however long ago that was.
+func (r *Router) readAdmitted(w http.ResponseWriter, req *http.Request, in *admitted) ([]byte, bool) {
+	body, refusal := readBody(w, req, in.text.Limits.MaxBodyBytes)
+	if refusal != nil {
+		defer httpanswer.ReadOff(w, req)()
+		r.refuse(w, in.id, refusal)
+		return nil, false
+	}
+	if refusal := r.admitCaller(req, in); refusal != nil {
+		r.refuse(w, in.id, r.truthful(req, refusal))
+		return nil, false
+	}
+	return body, true
+}
+
 func (r *Router) admitOrganisation(ctx context.Context, a *ask) (func(), *types.Refusal) {
 	// A caller that comes back for the rest of its answer has been admitted
 	// before; shedding it would lose work already paid for.
@@ -167,6 +190,10 @@
 	case refusal == nil || refusal == errAnswered:
 	case refusal == errCallerLeft:
 		r.opts.Recorder.Emit(eventCallerLeft, event.FieldRequest, d.ask.requestID, "generation", d.id, "tokens", d.sent)
+		// Failure it stops: a caller that has only closed its sending side looks as
+		// if it had left. Returning in order, the handler gave it 200 with nothing
+		// in it, or a stream that ended in its middle and looked whole.
+		panic(http.ErrAbortHandler)
 	case d.answer.started():
 		r.countRefusal(d.ask.requestID, refusal)
 		_ = d.answer.fail(refusal)
@@ -189,6 +216,7 @@
 }
 
 func (r *Router) serveUnknown(w http.ResponseWriter, req *http.Request) {
+	defer httpanswer.ReadOff(w, req)()
 	id := types.NewRequestID()
 	w.Header().Set(HeaderRequestID, string(id))
 	r.refuse(w, id, types.Invalid(http.StatusNotFound, types.CodeBadRequest, "nothing is served at %s %s", req.Method, req.URL.Path))
