soak: an end that the soak has meant is judged when it happens

Cause: whether an end was meant was read after its waiters had been told. The count is the soak's own error. Change: it is read before. No own end is excused that was not before. TestEndThatIsMeantIsNoOwnEnd (60 ends and starts) failed before in at least 2 of 12 runs (-race -count=6 -cpu 1,4; -count=2 without these: passed), after in none of 12.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -174,6 +174,19 @@
 	return ids
 }
 
+// A process that the soak had ended counted as one that ended by itself: it was
+// judged only when its VM had been started again, and that is no longer meant.
+func TestEndThatIsMeantIsNoOwnEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site := newSite(t, 1)
+	for range 60 {
+		site.VMs[0].kill()
+		g.Expect(site.VMs[0].start()).To(gomega.Succeed())
+	}
+	time.Sleep(2 * restartDelay)
+	g.Expect(site.VMs[0].ownEnds.Load()).To(gomega.BeZero())
+}
+
 // A process ended by itself, in its first moments by a signal, and just then its
 // VM was stopped as planned and started. It was started twice: the second process
 // found its ports taken and ended, 106 times, and the first was left running when
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -138,8 +138,10 @@
 
 func (vm *VM) reap(cmd *exec.Cmd, done chan struct{}) {
 	_ = cmd.Wait()
+	// Whoever waits for done may start the VM anew, and then nothing is meant.
+	meant := vm.meant.Load()
 	close(done)
-	if vm.meant.Load() {
+	if meant {
 		return
 	}
 	if early := vm.hup.Load() - vm.started.Load(); early < 0 || early > int64(hupGrace) {
