entry: late in a stop only streams are taken that are sure to end before it

Ruled out: a margin on the longest (moves the luck only); refusing all streams from the stop's beginning (callers come for rotationTime, and VMs of a zone stop together). Change: later than 2.9 s into a stop a stream is taken only if its own time is over before the process ends; others are told when VMs are back, as before.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -142,6 +142,9 @@
 	if call.Route.Kind != site.Stream {
 		return true
 	}
+	if h.stop.late(now) && call.Until.After(h.stop.endsAt()) {
+		return false
+	}
 	h.recorder.Emit(EventTakenInStop, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.stop.endsAt().Sub(now))
 	return true
 }
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -15,8 +15,9 @@
 // Invariant: what is taken can be finished before the process ends, by the
 // longest of the requests like it.
 type stopping struct {
-	end atomic.Int64 // steady nanoseconds since at; 0: no stop has begun
-	at  time.Time
+	end   atomic.Int64 // steady nanoseconds since at; 0: no stop has begun
+	began atomic.Int64 // the same, of its beginning
+	at    time.Time
 
 	mu      sync.Mutex
 	byRoute map[routeKind]*durations // how long requests of a route take
@@ -36,6 +37,11 @@
 	// plainNeed is what a plain call needs in all but one case in a hundred,
 	// with finalMargin; none is taken with less.
 	plainNeed = 800 * time.Millisecond
+	// lateInStop is how long after a stop has begun streams are taken by what others
+	// like them took. Callers come for rotationTime, and what takes them out of the
+	// rotation may be a look late; who comes after that comes to a process that has
+	// long said that it isn't ready.
+	lateInStop = rotationTime + 400*time.Millisecond
 	// finalMargin is kept free at the end for plain answers to get out.
 	finalMargin = 300 * time.Millisecond
 )
@@ -71,8 +77,21 @@
 	return d
 }
 
-// begin notes that the process ends at end.
-func (s *stopping) begin(end time.Time) { s.end.Store(int64(end.Sub(s.at))) }
+// begin notes that a stop begins now and the process ends at end.
+func (s *stopping) begin(end time.Time) {
+	s.began.Store(int64(time.Since(s.at)))
+	s.end.Store(int64(end.Sub(s.at)))
+}
+
+// late tells whether the stop has gone on for so long that only what is sure to
+// end before the process is taken.
+//
+// Failure it stops: no measure of streams that have ended bounds the next one. One
+// that took a tenth longer than all of them was taken 4.4 s into a stop, and its
+// caller's answer was cut in the middle, in each of four plays.
+func (s *stopping) late(now time.Time) bool {
+	return s.begun() && now.Sub(s.at)-time.Duration(s.began.Load()) > lateInStop
+}
 
 func (s *stopping) begun() bool { return s.end.Load() != 0 }
 
