--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -11,6 +11,8 @@
 // slow, so that one that still runs keeps the process up, and it takes another
 // one, 4.4 s into its stop, by the time that streams took before. That one is cut
 // in its middle when the grace period ends; refused, it would have gone elsewhere.
+// By hand, where luck decides: -run TestCalmOverlapping -soak.seeds 1
+// -soak.first 1796267060955430510.
 func TestStreamTakenLateInAStopIsWhole(t *testing.T) {
 	g := gomega.NewWithT(t)
 	size := DefaultSize
