--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -42,12 +42,10 @@
 	cause      error
 	lostZone   string
 
-	current *streamAttempt // the newest whose events go to the caller; nil before the first
-	next    *streamAttempt // begun beside current while that is silent; nil otherwise
-	quiet   bool           // current is silent, and that has been told
-	// overlap fires when the silent current attempt is to give way to one that has begun.
-	overlap  <-chan time.Time
-	sent     bool // current is under way: it may be running
+	current  *streamAttempt // the newest whose events go to the caller; nil before the first
+	next     *streamAttempt // begun beside current while that is silent; nil otherwise
+	quiet    bool           // current is silent, and that has been told
+	sent     bool           // current is under way: it may be running
 	onItsWay *onItsWay
 }
 
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -126,7 +126,7 @@
 // listed, given its own.
 func (c *Cloud) NewServer(service, zone string, front func(own string) string) (*Server, error) {
 	s := &Server{Service: service, Zone: zone, cloud: c}
-	if err := s.start("127.0.0.1:0", c.newID()); err != nil {
+	if err := s.start(net.JoinHostPort(serversIP, "0"), c.newID()); err != nil {
 		return nil, err
 	}
 	s.Address = front(s.listen)
@@ -137,6 +137,11 @@
 	return s, nil
 }
 
+// serversIP is a loopback address from which nobody calls. Calls on loopback have
+// 127.0.0.1 and any free port as their own end: one that was made while a server
+// was down took its port there, and it could not start again.
+const serversIP = "127.0.94.1"
+
 func (c *Cloud) newID() string { return fmt.Sprintf("i-%04d", c.next.Add(1)) }
 
 // start starts a process, which holds nothing of what one before it held.
