--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -12,10 +12,9 @@
 )
 
 // lostForGood is how long a server may give no sign of life before an attempt
-// there is ended though no other server takes the stream on. The longest cut of
-// a link that is borne without a word lasts as long as the store's own
-// disturbance, some five seconds; a caller that is cut off then still has most of
-// its time to come back.
+// there is ended though no other server takes the stream on. A full link of this VM
+// kept answers back for 3 s in a hunted day; a caller that is cut off after five has
+// most of its time left, usually 25 s, to come back and go on elsewhere.
 const lostForGood = 5 * time.Second
 
 // errAbandoned: the request ended while its attempt was under way.
@@ -79,7 +78,7 @@
 // beside it is all that is left.
 func (s *stream) fromCurrent(ctx context.Context, st step) (done bool, err error) {
 	st.raise()
-	if st.err == nil && st.reply == nil {
+	if isEvent := st.err == nil && st.reply == nil; isEvent {
 		s.wentOn()
 	}
 	done, err = s.take(ctx, st)
@@ -97,7 +96,8 @@
 	if err := s.ofNoUse(st); err != nil {
 		next := s.dropNext()
 		s.note(next, err)
-		return false, s.lookForNext(ctx)
+		s.lookForNext(ctx)
+		return false, nil
 	}
 	s.promote(&BrokenError{Err: s.current.watch.silence()})
 	return s.take(ctx, st)
@@ -136,6 +136,7 @@
 		return
 	}
 	s.quiet = false
+	delete(s.tried, s.current.server.Start)
 	s.e.opts.Recorder.Emit(EventWentOn, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
 		"reached", s.last, "after", time.Since(s.quietSince()), "beside", s.next.name())
 	s.leaveNext()
@@ -183,9 +184,7 @@
 		s.e.opts.Recorder.Emit(EventSilent, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
 			"reached", s.last, "silent", time.Since(s.quietSince()), "alive", n.alive, "ahead", s.current.server.Unread(), "copy", idOf(s.current.copies.at()))
 	}
-	if err := s.lookForNext(ctx); err != nil {
-		return err
-	}
+	s.lookForNext(ctx)
 	if s.next == nil && n.unheard > s.patience() {
 		return &BrokenError{Err: s.current.watch.silence()}
 	}
@@ -203,16 +202,13 @@
 }
 
 // lookForNext begins an attempt beside the current one if a server is found for it.
-func (s *stream) lookForNext(ctx context.Context) error {
+func (s *stream) lookForNext(ctx context.Context) {
 	if s.next != nil || !s.mayTakeOver() {
-		return nil
+		return
 	}
-	server, from := s.successor()
-	if server == nil {
-		return nil
+	if server, from := s.successor(); server != nil {
+		s.next = s.launch(ctx, server, from)
 	}
-	s.next = s.launch(ctx, server, from)
-	return nil
 }
 
 // mayTakeOver tells whether one more server may run the stream beside the current one.
