exchange: a silent stream that finds the retry budget spent asks again a moment later

Cause: with the takeover a stream whose server is silent asked the budget once and then with the next notice, 0.4 s later; before, it waited for it in steps of 50 ms. In a loss of a zone the part that a process may take is spent within moments and free again soon after, and streams paused for over the 0.7 s that callers allow. Change: for want of budget it looks again after 50 ms, for a second at most. TestSilentStreamWaitsForTheRetryBudget: a pause of 780 ms before, under 650 ms now. go test -race ./exchange: green.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -42,10 +42,12 @@
 	cause      error
 	lostZone   string
 
-	current  *streamAttempt // the newest whose events go to the caller; nil before the first
-	next     *streamAttempt // begun beside current while that is silent; nil otherwise
-	quiet    bool           // current is silent, and that has been told
-	sent     bool           // current is under way: it may be running
+	current *streamAttempt // the newest whose events go to the caller; nil before the first
+	next    *streamAttempt // begun beside current while that is silent; nil otherwise
+	quiet   bool           // current is silent, and that has been told
+	// payAgain fires when the retry budget is to be asked again; nil: it is not.
+	payAgain <-chan time.Time
+	sent     bool // current is under way: it may be running
 	onItsWay *onItsWay
 }
 
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -53,6 +53,8 @@
 			if err := s.silent(ctx, n); err != nil {
 				return err
 			}
+		case <-s.payAgain:
+			s.lookForNext(ctx)
 		case <-ctx.Done():
 			return &BrokenError{Err: errAbandoned}
 		}
@@ -202,12 +204,22 @@
 }
 
 // lookForNext begins an attempt beside the current one if a server is found for it.
+//
+// For want of budget it looks again a moment later. Failure it stops: in a mass
+// loss the part of the budget that a process may take before the others know of it
+// is spent at once and free again soon after; streams that asked again 0.4 s later
+// had paused for longer than the 0.7 s that callers allow.
 func (s *stream) lookForNext(ctx context.Context) {
-	if s.next != nil || !s.mayTakeOver() {
+	s.payAgain = nil
+	if !s.quiet || s.next != nil || !s.mayTakeOver() {
 		return
 	}
-	if server, from := s.successor(); server != nil {
+	server, from, err := s.successor()
+	switch {
+	case server != nil:
 		s.next = s.launch(ctx, server, from)
+	case errors.Is(err, ErrBudget) && time.Since(s.quietSince()) < budgetWait:
+		s.payAgain = time.After(pickAgain)
 	}
 }
 
@@ -216,26 +228,29 @@
 	return s.req.Route.Resumable && s.ran+s.left+1 < s.req.Route.Attempts() && s.turnedDown < 2*notRunTries
 }
 
-// successor returns the server that is to go on with the stream of a silent one,
-// nil if there is none now.
-func (s *stream) successor() (*directory.Server, *Memory) {
+// successor returns the server that is to go on with the stream of a silent one;
+// nil, and why if that is the budget, if there is none now.
+func (s *stream) successor() (*directory.Server, *Memory, error) {
 	s.tried[s.current.server.Start] = true
 	if !s.current.watch.alive() {
 		s.lostZone = s.current.server.Zone
 	}
 	if s.current.heard && s.hasCopy() { // memory is copied once there is an event
 		if !s.payNow() {
-			return nil, nil
+			return nil, nil, ErrBudget
 		}
 		s.current.offer.Store(offerOpen)
 		m := s.current.copies.take()
-		return m.At, m
+		return m.At, m, nil
 	}
 	server, err := s.inTime()
-	if server == nil || err != nil || !s.worthReading(server) || !s.payNow() {
-		return nil, nil
+	if server == nil || err != nil || !s.worthReading(server) {
+		return nil, nil, err
+	}
+	if !s.payNow() {
+		return nil, nil, ErrBudget
 	}
-	return server, nil
+	return server, nil, nil
 }
 
 // worthReading tells whether the prompt is to be read again at another server
--- a/exchange/takeover_bounds_test.go
+++ b/exchange/takeover_bounds_test.go
@@ -52,6 +52,26 @@
 	}
 }
 
+// A zone goes dark, and the streams that ran there fall silent together, more than
+// this VM may send again before the others know. One that finds the budget spent
+// asks again a moment later and goes on within the pause that callers allow; it
+// used to ask 0.4 s later.
+func TestSilentStreamWaitsForTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(firstOf(streams(50, beat, errMute), streams(130, beat, nil)))
+		b.opts.Lender = &stingy{until: time.Now().Add(50*beat + DefaultSilence + 150*time.Millisecond)}
+		for id := range b.backend.scripts {
+			b.backend.probes[id] = errMute
+		}
+		sink, err := runStream(t, b, streamRequest())
+		time.Sleep(time.Second) // questions may be open
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+		g.Expect(sink.longest).To(gomega.BeNumerically("<", 650*time.Millisecond))
+	})
+}
+
 // Servers read a prompt in a second, callers allow pauses of 0.7 s, and there is no
 // copy. A sound server that pauses keeps its draft: read again elsewhere it would
 // be late too, and hold up the drafts there.
