--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -210,9 +210,11 @@
 // sweep closes the connections that are over the limits in force.
 func (c *Listener) sweep(now time.Time) { c.sweepBy(c.opts.Limits(), now) }
 
-// sweepBy closes the connections that are over limits and have nothing for us.
+// sweepBy closes the connections that are over limits and have nothing for us. Each
+// is closed right after its look. Closed together after all looks, a process that
+// got no processor time in between closed two connections on which requests had
+// come meanwhile.
 func (c *Listener) sweepBy(limits Limits, now time.Time) {
-	var over []*clientConn
 	var unread unreadDrops
 	c.mu.Lock()
 	for conn := range c.open {
@@ -226,12 +228,9 @@
 		}
 		if found == dropped || found == droppedUnread {
 			c.dropped.WithLabelValues(phaseNames[phase]).Inc()
-			over = append(over, conn)
+			_ = conn.Close()
 		}
 	}
 	c.mu.Unlock()
-	for _, conn := range over {
-		_ = conn.Close()
-	}
 	unread.tell(c.opts.Recorder, limits, time.Duration(c.lookLate.Load()))
 }
