inbound: the comment on closing says what may happen, not what was seen

The failure that led to the change was inferred from its pattern; the comment told it as seen. Only comment lines change; go vet ./inbound is clean.

--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -211,8 +211,8 @@
 func (c *Listener) sweep(now time.Time) { c.sweepBy(c.opts.Limits(), now) }
 
 // sweepBy closes the connections that are over limits and have nothing for us. Each
-// is closed right after its look. Closed together after all looks, a process that
-// got no processor time in between closed two connections on which requests had
+// is closed right after its look: closed together after all looks, a process that
+// gets no processor time in between closes connections on which requests have
 // come meanwhile.
 func (c *Listener) sweepBy(limits Limits, now time.Time) {
 	var unread unreadDrops
