promptcache, exchange: a caller that comes back goes on where its prompt is kept

Cause: where callers' connections broke, or all entry VMs were lost, streams came back to VMs that did not know where they had run.

Change: package promptcache asks the servers of the service what they keep, two rounds a second at most, for a request that names its last event; the choice of a server and its estimate count only what is left to read there. Port Kept, event 2738.

Ruled out: telling each other where prompts run (nobody knows after the loss of all VMs, and it grows with the traffic); going on from the copy under the former attempt's name (another attempt's memory must not be used).

Tests: TestCallersThatComeBackGoOnWhereTheirPromptIsKept plays the return of 30 callers on model engines: 4 of 30 went on within 0.7 s without the change, all with it.

--- a/directory/pick.go
+++ b/directory/pick.go
@@ -13,8 +13,10 @@
 	// NotZone is passed over while there are servers elsewhere: that of the
 	// run whose copy is placed, or that has just lost several servers.
 	NotZone string
-	Prompt  int  // prompt tokens; 0 for plain calls
-	Copy    bool // a place for a copy of a stream's memory is looked for
+	Prompt  int // prompt tokens; 0 for plain calls
+	// Kept are the tokens of the prompt that servers keep: they need not be read there.
+	Kept map[Start]int
+	Copy bool // a place for a copy of a stream's memory is looked for
 	// Again: what is placed was lost elsewhere. Others place theirs in the same
 	// moment, by the same words of load.
 	Again bool
@@ -142,6 +144,7 @@
 	if age := now.UnixNano() - s.toldAt.Load(); q.Prompt == 0 && age < int64(toldFresh) {
 		score += callWeight * float64(s.told.Load()) * (1 - float64(age)/float64(toldFresh))
 	}
+	score -= float64(q.Kept[s.Start])
 	if now.UnixNano() < s.warmAt.Load() {
 		score += coldWeight
 	}
@@ -197,6 +200,18 @@
 	return zone != nil && zone.count >= zoneLosses && zone.count*zoneShare >= zone.servers && !s.provenSince(zone.last)
 }
 
+// Sound returns the servers of this process's cell that may be asked for something:
+// they neither leave nor are lost.
+func (d *Directory) Sound(service string, now time.Time) []*Server {
+	var sound []*Server
+	for _, s := range d.ownCell(d.view.Load().Service(service)) {
+		if !s.Draining() && !s.IsDown(now) {
+			sound = append(sound, s)
+		}
+	}
+	return sound
+}
+
 // Usable tells whether a server that holds something may still be asked for it:
 // it neither leaves nor is lost, alone or with its zone.
 func (d *Directory) Usable(s *Server, now time.Time) bool {
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -10,6 +10,7 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
+	"github.com/pearyard/pearyard/promptcache"
 )
 
 // guardedBackend turns panics of a backend's methods into errors.
@@ -63,6 +64,12 @@
 	return g.Backend.Probe(ctx, s)
 }
 
+// Kept implements exchange.Backend.
+func (g *guardedBackend) Kept(ctx context.Context, s *directory.Server) (contents promptcache.Contents, err error) {
+	defer g.guard("", s, &err)
+	return g.Backend.Kept(ctx, s)
+}
+
 // guardedBody is the body of an answer of a guardedBackend.
 type guardedBody struct {
 	exchange.Body
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -22,6 +22,7 @@
 	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/fleet"
 	"github.com/pearyard/pearyard/platform"
+	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
 )
@@ -99,6 +100,9 @@
 func (modelServer) Probe(context.Context, *directory.Server) (int64, error) {
 	return 0, nil
 }
+func (modelServer) Kept(context.Context, *directory.Server) (promptcache.Contents, error) {
+	return nil, nil
+}
 func (modelServer) Free(context.Context, *exchange.Memory) error { return nil }
 func (modelServer) Copy(context.Context, *exchange.Request, *directory.Server, *directory.Server) (*exchange.Memory, error) {
 	return nil, io.ErrClosedPipe
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -59,7 +59,7 @@
 
 // launch sends the stream to a server.
 func (s *stream) launch(ctx context.Context, server *directory.Server, from *Memory) *streamAttempt {
-	prompt := s.req.PromptTokens
+	prompt := s.unread(server)
 	if from != nil {
 		prompt = 0
 	} else {
--- /dev/null
+++ b/exchange/enginemodel_test.go
@@ -0,0 +1,370 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/promptcache"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
+)
+
+// The laws of a model engine, those of a batch engine that reads prompts in chunks
+// between the tokens of what runs: a step gives each stream a token, and holds one
+// chunk of the oldest unread prompt.
+const (
+	modelStep       = 6 * time.Millisecond
+	modelChunk      = 200 // prompt tokens a step
+	modelReadSpeed  = 8   // prompt tokens a millisecond
+	modelEvent      = 5   // tokens an event
+	modelCopyAfter  = 400 * time.Millisecond
+	modelCopyTime   = 50 * time.Millisecond
+	modelAnswerTime = 2 * time.Millisecond // of a question to a server
+)
+
+// modelEngine is one backend server's engine.
+type modelEngine struct {
+	slowness float64 // 1: as fast as modelStep and modelReadSpeed say
+
+	mu     sync.Mutex
+	runs   []*modelRun
+	kept   promptcache.Contents
+	down   bool
+	born   int64 // of its newest start
+	read   int // prompt tokens read in all
+	begun  int // runs begun
+	wake   chan struct{}
+	copies map[string]time.Time // by run: from when on it can be gone on from
+}
+
+// modelRun is one stream on an engine.
+type modelRun struct {
+	ctx    context.Context
+	prompt []promptcache.Part
+	unread int
+	tokens int // made since the start of the run
+	last   int // event
+	events int // of the whole stream
+	out    chan []byte
+	ended  error // to be read once out is closed
+}
+
+// modelBackend is a set of model engines in virtual time. Ids begin with a letter
+// that is their zone.
+type modelBackend struct {
+	engines map[string]*modelEngine
+	length  func(id string) int // events of a request's stream
+}
+
+func newModelBackend(ctx context.Context, ids []string, slowness func(i int) float64) *modelBackend {
+	b := &modelBackend{engines: map[string]*modelEngine{}, length: func(string) int { return 130 }}
+	for i, id := range ids {
+		e := &modelEngine{slowness: slowness(i), kept: promptcache.Contents{}, wake: make(chan struct{}, 1), copies: map[string]time.Time{}}
+		b.engines[id] = e
+		go e.work(ctx)
+	}
+	return b
+}
+
+func evenSpeed(int) float64 { return 1 }
+
+// work makes steps for as long as something runs.
+func (e *modelEngine) work(ctx context.Context) {
+	for {
+		e.mu.Lock()
+		idle := len(e.runs) == 0
+		reading := e.reading()
+		e.mu.Unlock()
+		if idle {
+			select {
+			case <-e.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		took, chunk := modelStep, 0
+		if reading != nil {
+			chunk = min(modelChunk, reading.unread)
+			took += time.Duration(chunk) * time.Millisecond / modelReadSpeed
+		}
+		time.Sleep(time.Duration(e.slowness * float64(took)))
+		e.step(reading, chunk)
+	}
+}
+
+func (e *modelEngine) reading() *modelRun {
+	for _, r := range e.runs {
+		if r.unread > 0 {
+			return r
+		}
+	}
+	return nil
+}
+
+func (e *modelEngine) step(reading *modelRun, chunk int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if reading != nil {
+		reading.unread -= chunk
+		e.read += chunk
+		if reading.unread == 0 {
+			e.keep(reading.prompt)
+		}
+	}
+	var left []*modelRun
+	for _, r := range e.runs {
+		if e.stepOf(r) {
+			left = append(left, r)
+		}
+	}
+	e.runs = left
+}
+
+func (e *modelEngine) keep(prompt []promptcache.Part) {
+	for _, part := range prompt {
+		e.kept[part.ID] = part.Tokens
+	}
+}
+
+// stepOf gives a run its token; false if it has ended.
+func (e *modelEngine) stepOf(r *modelRun) bool {
+	if r.ctx.Err() != nil {
+		r.end(r.ctx.Err())
+		return false
+	}
+	if r.unread > 0 {
+		return true
+	}
+	r.tokens++
+	if r.tokens%modelEvent != 0 {
+		return true
+	}
+	r.last++
+	r.out <- fmt.Appendf(nil, "id: %d\ndata: x\n\n", r.last)
+	if r.last < r.events {
+		return true
+	}
+	r.end(io.EOF)
+	return false
+}
+
+func (r *modelRun) end(err error) {
+	r.ended = err
+	close(r.out)
+}
+
+// crash ends all that runs and forgets what is kept; revive begins a new start.
+func (e *modelEngine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for _, r := range e.runs {
+		r.end(io.ErrUnexpectedEOF)
+	}
+	e.runs, e.kept, e.copies = nil, promptcache.Contents{}, map[string]time.Time{}
+}
+
+func (e *modelEngine) revive() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+	e.born++
+}
+
+// Open implements Backend.
+func (b *modelBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
+	r, err := b.engines[a.Server.ID].admit(ctx, a, b.length(a.Request.ID))
+	if err != nil {
+		return nil, err
+	}
+	if a.CopyTo != nil {
+		b.engines[a.CopyTo.ID].expect(a.Request.ID)
+	}
+	body := &modelBody{run: r}
+	select {
+	case first, ok := <-r.out:
+		if !ok {
+			return nil, &BrokenError{Err: r.ended}
+		}
+		body.rest = first
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
+	case <-ctx.Done():
+		return nil, &BrokenError{Err: ctx.Err()}
+	}
+}
+
+func (e *modelEngine) admit(ctx context.Context, a *Attempt, events int) (*modelRun, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, &NotRunError{Reason: Refused, Err: io.ErrClosedPipe}
+	}
+	r := &modelRun{ctx: ctx, prompt: a.Request.Prompt, events: events, out: make(chan []byte, 4096)}
+	_, _ = fmt.Sscan(a.After, &r.last)
+	r.unread = max(0, a.Request.PromptTokens-e.kept.Prefix(r.prompt)) + modelEvent*r.last
+	if a.From != nil {
+		ready, known := e.copies[a.Request.ID]
+		if !known || time.Now().Before(ready) {
+			return nil, &NotRunError{Reason: Busy, Err: io.ErrClosedPipe}
+		}
+		r.unread = 0
+	}
+	e.runs = append(e.runs, r)
+	e.begun++
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return r, nil
+}
+
+// expect notes a copy that a run sends as it grows.
+func (e *modelEngine) expect(request string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.copies[request] = time.Now().Add(time.Second + modelCopyAfter)
+}
+
+// Copy implements Backend.
+func (b *modelBackend) Copy(_ context.Context, req *Request, from, to *directory.Server) (*Memory, error) {
+	time.Sleep(modelCopyTime)
+	e := b.engines[to.ID]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, io.ErrClosedPipe
+	}
+	e.copies[req.ID] = time.Now()
+	return &Memory{At: to, Source: from, Handle: req.ID}, nil
+}
+
+// Free implements Backend.
+func (b *modelBackend) Free(context.Context, *Memory) error { return nil }
+
+// Probe implements Backend.
+func (b *modelBackend) Probe(ctx context.Context, s *directory.Server) (int64, error) {
+	e := b.engines[s.ID]
+	e.mu.Lock()
+	down := e.down
+	e.mu.Unlock()
+	if down {
+		return 0, &NotRunError{Reason: Refused, Err: io.ErrClosedPipe}
+	}
+	time.Sleep(modelAnswerTime)
+	return 0, nil
+}
+
+// Kept implements Backend.
+func (b *modelBackend) Kept(ctx context.Context, s *directory.Server) (promptcache.Contents, error) {
+	time.Sleep(modelAnswerTime)
+	e := b.engines[s.ID]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kept := promptcache.Contents{}
+	for id, tokens := range e.kept {
+		kept[id] = tokens
+	}
+	return kept, nil
+}
+
+// tokensRead returns how many prompt tokens all engines have read.
+func (b *modelBackend) tokensRead() int {
+	sum := 0
+	for _, e := range b.engines {
+		e.mu.Lock()
+		sum += e.read
+		e.mu.Unlock()
+	}
+	return sum
+}
+
+type modelBody struct {
+	run  *modelRun
+	rest []byte
+}
+
+func (b *modelBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		select {
+		case next, ok := <-b.run.out:
+			if !ok {
+				return 0, b.run.ended
+			}
+			b.rest = next
+		case <-b.run.ctx.Done():
+			return 0, b.run.ctx.Err()
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *modelBody) Close() error { return nil }
+
+// modelVM is an entry VM before model engines.
+type modelVM struct {
+	*Exchange
+	dir *directory.Directory
+}
+
+// newModelVM returns a VM that has just started: it knows the list of servers and
+// nothing else.
+func newModelVM(b *modelBackend, ids []string) *modelVM {
+	vm := &modelVM{dir: directory.New()}
+	vm.readList(b, ids)
+	vm.Exchange = New(Options{
+		Zone: "a", Directory: vm.dir, Backend: b, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(),
+		Suspects: suspect.New(suspect.Options{Limit: 3, Quarantine: time.Minute, Window: time.Minute}),
+		Services: func(string) (site.Service, bool) {
+			return site.Service{Name: "s", Copies: true, CopiesOnCall: true}, true
+		},
+		RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 150 },
+	})
+	return vm
+}
+
+// readList takes in what the store tells of the servers.
+func (vm *modelVM) readList(b *modelBackend, ids []string) {
+	var list []directory.Listing
+	for _, id := range ids {
+		e := b.engines[id]
+		e.mu.Lock()
+		list = append(list, directory.Listing{ID: id, Born: e.born, Service: "s", Zone: id[:1], Address: id, Slots: 64})
+		e.mu.Unlock()
+	}
+	vm.dir.Apply(vm.dir.View().Position+1, list, false, time.Now())
+}
+
+// modelServers returns ids of servers in four zones.
+func modelServers(count int) []string {
+	var ids []string
+	for i := range count {
+		ids = append(ids, fmt.Sprintf("%c%d", 'a'+i%4, i))
+	}
+	return ids
+}
+
+// modelRequest is a long prompt's: a short piece that it shares and 7,800 tokens of
+// its own, within a third, as long prompts are. A prompt is as long each time that
+// it is named.
+func modelRequest(name string) *Request {
+	chance := rand.New(rand.NewPCG(xxhash.Sum64String(name), 0))
+	own := int(7800 * (0.7 + 0.6*chance.Float64()))
+	r := streamRequest()
+	r.ID, r.Prompt = name, []promptcache.Part{{ID: "shared", Tokens: 200}, {ID: name, Tokens: own}}
+	r.PromptTokens, r.MaxTokens = 200+own, 1000
+	r.Route.Objective = 4500 * time.Millisecond
+	return r
+}
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -69,7 +69,7 @@
 	if t.speed == 0 {
 		return t, false
 	}
-	tokens := float64(t.unread + int64(s.req.PromptTokens))
+	tokens := float64(t.unread + int64(s.unread(server)))
 	t.first = time.Duration(tokens / t.speed * float64(time.Second))
 	events := max(0, p.events(s.req.MaxTokens)-float64(s.last))
 	t.end = t.first + time.Duration(events*float64(p.event(t.duty)))
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -36,6 +36,8 @@
 		"a stream's server sends nothing; the stream stays there until another server goes on with it", "nothing; if it lasts, there are too few backend servers")
 	EventWentOn = event.Define(2737, "exchange_went_on", event.Info,
 		"a stream's server sends again after a silence; what was begun beside it, if anything, is ended", "nothing")
+	EventLocated = event.Define(2738, "exchange_prompt_located", event.Info,
+		"a caller came back for the rest of its stream; servers were asked which of them keep its prompt", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
 )
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/retry"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
@@ -92,6 +93,7 @@
 	paces   sync.Map // service -> *pace
 	probes  prober
 	running running
+	prompts *promptcache.Locator
 }
 
 // New returns an Exchange.
@@ -102,6 +104,7 @@
 	orDefault(&t.ProbeTimeout, DefaultProbeTimeout)
 	orDefault(&t.WaitForServer, DefaultWaitForServer)
 	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics), running: running{streams: map[*onItsWay]struct{}{}}}
+	e.prompts = promptcache.NewLocator(e.askKept)
 	e.probes = prober{exchange: e, running: map[*directory.Server]*question{}}
 	return e
 }
--- a/exchange/fake_test.go
+++ b/exchange/fake_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
 )
@@ -27,6 +28,8 @@
 	born     map[string]int64 // what the process at a server's address tells of its start
 	copies   []*directory.Server
 	freed    []string
+	kept     map[string]promptcache.Contents // by server id
+	asked    []string                        // ids of servers that were asked what they keep
 }
 
 func (b *fakeBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
@@ -56,6 +59,13 @@
 	return born, err
 }
 
+func (b *fakeBackend) Kept(ctx context.Context, s *directory.Server) (promptcache.Contents, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked = append(b.asked, s.ID)
+	return b.kept[s.ID], nil
+}
+
 func (b *fakeBackend) Copy(_ context.Context, _ *Request, from, to *directory.Server) (*Memory, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/exchange/pass.go
+++ b/exchange/pass.go
@@ -95,7 +95,7 @@
 
 // promptRead takes the prompt off the server's load.
 func (s *stream) promptRead(a *streamAttempt) {
-	if s.ran > 0 || s.req.LastEvent != "" {
+	if s.ran > 0 || s.req.LastEvent != "" || s.kept[a.server.Start] > 0 {
 		a.load.ReadAgain()
 		return
 	}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/types"
 )
@@ -37,6 +38,7 @@
 
 	PromptTokens int
 	MaxTokens    int
+	Prompt       []promptcache.Part // its pieces in order, as far as they are known
 }
 
 // Fingerprint names what is asked for: a request that crashes the servers that
@@ -94,6 +96,8 @@
 	// Probe asks a server for a sign of life, outside its queue. It returns when
 	// the process that answered was born (directory.Start), 0 if that did not tell.
 	Probe(ctx context.Context, s *directory.Server) (born int64, err error)
+	// Kept asks a server which pieces of prompts it keeps.
+	Kept(ctx context.Context, s *directory.Server) (promptcache.Contents, error)
 }
 
 // Sink takes a stream's answer to the caller.
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -41,6 +41,7 @@
 	resumed    int
 	cause      error
 	lostZone   string
+	kept       map[directory.Start]int // tokens of the prompt that servers keep
 
 	current *streamAttempt // the newest whose events go to the caller; nil before the first
 	next    *streamAttempt // begun beside current while that is silent; nil otherwise
@@ -86,6 +87,7 @@
 }
 
 func (s *stream) run(ctx context.Context) error {
+	s.locate(ctx)
 	for {
 		server, from, err := s.choose(ctx)
 		if err != nil {
@@ -273,7 +275,7 @@
 func (s *stream) pick() *directory.Server {
 	return s.e.opts.Directory.Pick(directory.Query{
 		Service: s.req.Service, Zone: s.e.opts.Zone, Avoid: s.tried, Prompt: s.req.PromptTokens, NotZone: s.lostZone,
-		Again: s.arrivals > 0 || s.quiet,
+		Again: s.arrivals > 0 || s.quiet, Kept: s.kept,
 	}, time.Now())
 }
 
