--- a/exchange/events.go
+++ b/exchange/events.go
@@ -38,6 +38,8 @@
 		"a stream's server sends again after a silence; what was begun beside it, if anything, is ended", "nothing")
 	EventLocated = event.Define(2738, "exchange_prompt_located", event.Info,
 		"a caller came back for the rest of its stream; servers were asked which of them keep its prompt", "nothing")
+	EventNotOffered = event.Define(2739, "exchange_not_offered", event.Info,
+		"no other server goes on with a stream whose server sends nothing; err says why", "nothing; with the retry budget or no server as the reason, if it lasts, there are too few backend servers")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server broke off while it ran this request; at several such losses the request is refused", "nothing")
 )
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -43,9 +43,10 @@
 	lostZone   string
 	kept       map[directory.Start]int // tokens of the prompt that servers keep
 
-	current *streamAttempt // the newest whose events go to the caller; nil before the first
-	next    *streamAttempt // begun beside current while that is silent; nil otherwise
-	quiet   bool           // current is silent, and that has been told
+	current  *streamAttempt // the newest whose events go to the caller; nil before the first
+	next     *streamAttempt // begun beside current while that is silent; nil otherwise
+	quiet    bool           // current is silent, and that has been told
+	waitsFor string         // why no other server goes on with it, as told last
 	// payAgain fires when the retry budget is to be asked again; nil: it is not.
 	payAgain <-chan time.Time
 	sent     bool // current is under way: it may be running
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -127,7 +127,7 @@
 	s.current.end()
 	s.note(s.current, why)
 	s.current.copies.close()
-	s.current, s.next, s.quiet = s.next, nil, false
+	s.current, s.next, s.quiet, s.waitsFor = s.next, nil, false, ""
 	s.onItsWay.server.Store(s.current.server)
 }
 
@@ -137,7 +137,7 @@
 	if !s.quiet {
 		return
 	}
-	s.quiet = false
+	s.quiet, s.waitsFor = false, ""
 	delete(s.tried, s.current.server.Start)
 	s.e.opts.Recorder.Emit(EventWentOn, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
 		"reached", s.last, "after", time.Since(s.quietSince()), "beside", s.next.name())
@@ -215,21 +215,42 @@
 		return
 	}
 	server, from, err := s.successor()
-	switch {
-	case server != nil:
+	if server != nil {
 		s.next = s.launch(ctx, server, from)
-	case errors.Is(err, ErrBudget) && time.Since(s.quietSince()) < budgetWait:
+		return
+	}
+	s.notOffered(err)
+	if errors.Is(err, ErrBudget) && time.Since(s.quietSince()) < budgetWait {
 		s.payAgain = time.After(pickAgain)
 	}
 }
 
+// notOffered tells why no other server goes on with a silent stream, once for each
+// reason in a row: it is looked for every 50 ms.
+func (s *stream) notOffered(why error) {
+	reason := why.Error()
+	var late *LateError
+	if errors.As(why, &late) {
+		reason = "late" // its text has the figures of the moment
+	}
+	if s.waitsFor == reason {
+		return
+	}
+	s.waitsFor = reason
+	s.e.opts.Recorder.Emit(EventNotOffered, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
+		"reached", s.last, "silent", time.Since(s.quietSince()), "err", why)
+}
+
 // mayTakeOver tells whether one more server may run the stream beside the current one.
 func (s *stream) mayTakeOver() bool {
 	return s.req.Route.Resumable && s.ran+s.left+1 < s.req.Route.Attempts() && s.turnedDown < 2*notRunTries
 }
 
+// errSooner: the server lives, and the prompt would not be read sooner elsewhere.
+var errSooner = errors.New("exchange: the silent server lives and is expected to go on sooner than another could")
+
 // successor returns the server that is to go on with the stream of a silent one;
-// nil, and why if that is the budget, if there is none now.
+// nil and why, if there is none now.
 func (s *stream) successor() (*directory.Server, *Memory, error) {
 	s.tried[s.current.server.Start] = true
 	if !s.current.watch.alive() {
@@ -244,8 +265,13 @@
 		return m.At, m, nil
 	}
 	server, err := s.inTime()
-	if server == nil || err != nil || !s.worthReading(server) {
+	switch {
+	case err != nil:
 		return nil, nil, err
+	case server == nil:
+		return nil, nil, ErrNoServer
+	case !s.worthReading(server):
+		return nil, nil, errSooner
 	}
 	if !s.payNow() {
 		return nil, nil, ErrBudget
--- a/testdata/variants/derive.sh
+++ b/testdata/variants/derive.sh
@@ -25,3 +25,18 @@
 variant calls 's/(mix = \{ [a-z-]+ = )[0-9.]+(, [a-z-]+ = )[0-9.]+(, [a-z-]+ = )[0-9.]+/\10.6\20.7\30.5/'
 # Shorter bounds: a second to apply and to drain, five of grace.
 variant strict 's/^drain_ms = .*/drain_ms = 1500/; s/^config_ms = .*/config_ms = 1500/; s/^grace_s = .*/grace_s = 5.0/'
+# Servers of uneven speed.
+variant uneven 's/speeds = \[[0-9., ]+\]/speeds = [1.0, 1.6, 2.2]/'
+# Answers twice as long.
+variant long 's/pieces = \{ mean = 1[0-9.]+, spread = ([0-9.]+), max = [0-9.]+ \}/pieces = { mean = 260.0, spread = \1, max = 360.0 }/'
+# Short prompts.
+variant prompts-1500 's/prompt_tokens = \{ mean = [0-9.]+, spread = ([0-9.]+), max = [0-9.]+ \}/prompt_tokens = { mean = 1500.0, spread = \1, max = 2700.0 }/'
+variant prompts-3000 's/prompt_tokens = \{ mean = [0-9.]+, spread = ([0-9.]+), max = [0-9.]+ \}/prompt_tokens = { mean = 3000.0, spread = \1, max = 5400.0 }/'
+# Engines that send no running copies; copies by a call are made.
+variant nobackups 's/backups = true, moves = true/backups = false, moves = true/'
+# Half the memory, and half the engines' speed.
+variant halfmemory 's/kv_tokens = 88000/kv_tokens = 44000/'
+variant halfspeed 's/step_ms = 5.95,/step_ms = 11.9,/; s/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 4.0/'
+# Twice the requests.
+awk '/mix = / { for (i = 1; i < NF; i++) if ($i == "per_s" && $(i+1) == "=") { sub(/,$/, "", $(i+2)); $(i+2) = 2 * $(i+2) "," } } { print }' "$site" >"$out/twice.toml"
+echo "$out/twice.toml"
