promptcache, standin: a prompt read since the last round of questions is found

Cause: the first test of the whole way, over sockets and with a stand-in that lists what it keeps, was red: callers that came back 0.25 s after one another shared one round of questions for half a second, and the prompts of each second one had been read since. They were read again.

The stand-in keeps prompts, lists them, and doesn't read one again.

--- a/standin/nursery/engine.go
+++ b/standin/nursery/engine.go
@@ -32,6 +32,7 @@
 	reads chan struct{} // holds the one who reads a prompt
 
 	mu      sync.Mutex
+	prompts map[string]bool // that are kept, by their pieces
 	is      Engine
 	used    int    // tokens
 	running []*run // in memory, the newest last
@@ -47,7 +48,7 @@
 }
 
 func newEngine(is Engine) *engine {
-	return &engine{is: is, reads: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &engine{is: is, prompts: map[string]bool{}, reads: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 func (e *engine) set(is Engine) {
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -288,6 +288,7 @@
 	mux.HandleFunc("GET /pearyard/report", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, `{"phase":"unified","born":%d}`, born)
 	})
+	mux.HandleFunc("GET /pearyard/kv-list", e.listKept)
 	mux.HandleFunc("POST /pearyard/kv-move", s.move)
 	mux.HandleFunc("DELETE /pearyard/kv-handle/{handle}", func(_ http.ResponseWriter, r *http.Request) {
 		s.cloud.freeCopies(strings.TrimPrefix(r.PathValue("handle"), handlePrefix))
