exchange: a test plays servers of uneven speed on model engines

A load of the issue that no test played: engines of speed 1, 1.6 and 2.2, four long prompts a second. Green on the code as it is, 10 of 10 runs and nine more with the race detector; it holds what is there, no code is changed.

--- a/exchange/load_test.go
+++ b/exchange/load_test.go
@@ -191,3 +191,24 @@
 		others.Wait()
 	})
 }
+
+// A third of the servers is slower by 1.6 and a third by 2.2, and nobody tells. Four
+// long prompts a second come, a quarter of what these servers read. Each caller's
+// first event comes within the objective and no pause is longer than allowed: what a
+// slow server has not read yet counts against it.
+func TestServersOfUnevenSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ids := modelServers(24)
+		engines := newModelBackend(t.Context(), ids, func(i int) float64 { return []float64{1, 1.6, 2.2}[i%3] })
+		vm := newModelVM(engines, ids)
+		for i, o := range vm.play(t, "s", every(250*time.Millisecond, 80)) {
+			g.Expect(o.inTime(modelRequest(""), 130)).To(gomega.BeTrue(), "caller %d: %+v", i, o)
+		}
+		begun := map[float64]int{}
+		for _, e := range engines.engines {
+			begun[e.slowness] += e.begun
+		}
+		g.Expect(begun[2.2]).To(gomega.BeNumerically("<", begun[1]))
+	})
+}
