--- a/router/bed_test.go
+++ b/router/bed_test.go
@@ -24,11 +24,15 @@
 	"github.com/pearyard/pearyard/types"
 )
 
+// testQueue is how many requests wait for an engine's batch before it refuses.
+const testQueue = 32
+
 // site is one engine with its sidecar.
 type site struct {
-	engine  *standin.Engine
-	sidecar *sidecar.Sidecar
-	address string
+	engine    *standin.Engine
+	engineURL string
+	sidecar   *sidecar.Sidecar
+	address   string
 }
 
 func newPeer(id string, address string) *peer.Peer {
@@ -39,7 +43,7 @@
 }
 
 func newSite(t *testing.T, name string) *site {
-	eng := standin.NewEngine(standin.EngineOptions{StepBase: 2 * time.Millisecond})
+	eng := standin.NewEngine(standin.EngineOptions{StepBase: 2 * time.Millisecond, MaxQueue: testQueue})
 	engineServer := httptest.NewServer(eng)
 	t.Cleanup(engineServer.Close)
 	p := newPeer(name, "")
@@ -57,7 +61,7 @@
 	go func() { _ = s.Run(t.Context()) }()
 	server := httptest.NewServer(p.Handler(s.Handler()))
 	t.Cleanup(server.Close)
-	return &site{engine: eng, sidecar: s, address: strings.TrimPrefix(server.URL, "http://")}
+	return &site{engine: eng, engineURL: engineServer.URL, sidecar: s, address: strings.TrimPrefix(server.URL, "http://")}
 }
 
 const siteText = `{"services":[{"name":"m","kind":"model","dependsOn":[{"model":"pear","version":"1"}],"backendServers":[%s]}],
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -58,7 +58,8 @@
 
 	mu       sync.Mutex // guards all below
 	stepping bool
-	slow     float64 // factor on the time of a step
+	held     chan struct{} // nil unless held; closed by Release
+	slow     float64       // factor on the time of a step
 	queue    []*job
 	running  []*job
 	cache    *prefixCache
@@ -123,6 +124,35 @@
 // Thaw lets a frozen engine go on where it stopped.
 func (e *Engine) Thaw() { e.connect.thaw() }
 
+// Hold keeps the engine from making a step, while it answers probes and takes
+// requests: a loop that is stuck, or requests set aside for want of memory.
+func (e *Engine) Hold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held == nil {
+		e.held = make(chan struct{})
+	}
+}
+
+// Release lets a held engine go on where it stopped.
+func (e *Engine) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held != nil {
+		close(e.held)
+		e.held = nil
+	}
+}
+
+func (e *Engine) awaitRelease() {
+	e.mu.Lock()
+	held := e.held
+	e.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 // Cut drops every connection at once; the engine itself goes on.
 func (e *Engine) Cut() { e.connect.cut() }
 
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -17,6 +17,7 @@
 // nothing. Kill crashes the engine as a poisoned request does.
 type EngineFaults struct {
 	Freeze *bool    `json:"freeze,omitempty"`
+	Hold   *bool    `json:"hold,omitempty"` // see Engine.Hold
 	Slow   *float64 `json:"slow,omitempty"`
 	Cut    bool     `json:"cut,omitempty"`
 	Kill   bool     `json:"kill,omitempty"`
@@ -27,12 +28,23 @@
 	if f.Slow != nil {
 		e.Slow(*f.Slow)
 	}
+	if f.Hold != nil {
+		e.hold(*f.Hold)
+	}
 	e.connect.apply(f.Freeze, f.Cut)
 	if f.Kill {
 		e.Crash()
 	}
 }
 
+func (e *Engine) hold(held bool) {
+	if held {
+		e.Hold()
+		return
+	}
+	e.Release()
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
--- a/standin/scheduler.go
+++ b/standin/scheduler.go
@@ -102,6 +102,7 @@
 			time.Sleep(step)
 		}
 		e.connect.awaitThaw(nil)
+		e.awaitRelease()
 		if e.step() {
 			e.Crash()
 		}
