router, sidecar: a generation ends where it runs only when another place has brought a token

What callers saw: an answer set aside by a sound engine had its prompt read again, by the same engine where there was no other; an answer under way at a server that was being stopped ended in resume_exhausted when the other engines were full. Cause: what runs was ended before what is to replace it is certain. The sidecar took 3 s without a token for a death, though only the router that reads knows whether there is another place; the router ended an attempt at the word that its server leaves. Evidence: PY3010, then PY2101 and PY2100 within a millisecond, the same backend server in both; PY2103 before any PY2100 of a successor. Ruled out: a longer bound (a stuck engine and a set-aside generation look the same up to any bound); the engine's own word (the port has none). Mend: the router asks another server beside the attempt; the first of the two to bring a token has the generation, by one compare-and-swap. The sidecar gives up only what nobody reads and nobody may come back for. Holds: nothing is ended on a suspicion, and no token of both is taken.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -21,7 +21,8 @@
 	ended      ending = iota // the answer is whole
 	notStarted               // provably nothing of the attempt ran
 	lost                     // it broke; resume from what was read
-	moving                   // the backend server is leaving; resume elsewhere
+	overtaken                // an offer beside it has the generation now
+	decided                  // an offer has won; its stream is read on later
 	left                     // the caller is gone, or its answer can't be written
 )
 
@@ -47,6 +48,7 @@
 	guard  peer.SentGuard
 	body   io.ReadCloser
 	reader *streampb.Reader
+	put    *streampb.Frame // read already; comes next
 	silence
 }
 
@@ -78,7 +80,14 @@
 	return resp.Body, nil
 }
 
+// putBack makes frame the next one that is read.
+func (f *frames) putBack(frame *streampb.Frame) { f.put = frame }
+
 func (f *frames) read() (*streampb.Frame, error) {
+	if frame := f.put; frame != nil {
+		f.put = nil
+		return frame, nil
+	}
 	if f.reader == nil {
 		body, err := f.open()
 		if err != nil {
@@ -101,15 +110,20 @@
 // onFrame handles the frames of one attempt; a nil result means go on.
 type onFrame func(*streampb.Frame) *attemptResult
 
-// readStream passes frames to handle until it gives a result, the stream
-// breaks, or it is silent for longer than silence.
+// readStream passes frames to handle until it gives a result, and closes the stream.
+func readStream(f *frames, limit time.Duration, handle onFrame) attemptResult {
+	defer f.close()
+	return readFrames(f, limit, handle)
+}
+
+// readFrames passes frames to handle until it gives a result, the stream
+// breaks, or it is silent for longer than limit.
 //
 // Failure it stops: a frozen or cut VM keeps its connections open, so a caller
 // would wait without end. Sidecars write a heartbeat on an idle stream, so
 // silence over several heartbeats means that the way to the engine is gone.
-func readStream(f *frames, limit time.Duration, handle onFrame) attemptResult {
+func readFrames(f *frames, limit time.Duration, handle onFrame) attemptResult {
 	f.watch(limit, f.cancel)
-	defer f.close()
 	lastSign := time.Now()
 	for {
 		frame, event := f.wait()
--- a/router/drive.go
+++ b/router/drive.go
@@ -57,6 +57,8 @@
 	// lastToken is when the newest token was passed on; zero if none was.
 	lastToken time.Time
 	gap       *gap // set from a loss until output goes on
+	// successor is an offer that has won and is to be read on; nil: none.
+	successor *offer
 }
 
 // gap is an interruption that the caller may notice.
@@ -77,11 +79,12 @@
 		// better told that its request is quarantined than that nobody takes it.
 		patience = time.Now().Add(placePatience)
 	}
+	defer d.dropSuccessor()
 	for {
 		if d.complete() {
 			return d.finish(types.FinishLength)
 		}
-		result, refusal := d.place(ctx, patience)
+		result, refusal := d.next(ctx, patience)
 		if refusal != nil {
 			return refusal
 		}
@@ -95,6 +98,15 @@
 	}
 }
 
+// next runs the attempt that has the generation already, or places a new one.
+func (d *drive) next(ctx context.Context, patience time.Time) (attemptResult, *types.Refusal) {
+	if o := d.successor; o != nil {
+		d.successor = nil
+		return d.followOffer(o), nil
+	}
+	return d.place(ctx, patience)
+}
+
 // complete: the engine died after the last token and before it could say so.
 func (d *drive) complete() bool { return len(d.tokens) >= d.ask.maxTokens }
 
@@ -128,7 +140,7 @@
 	if d.gap == nil {
 		d.gap = &gap{since: d.interrupted(result), cause: result.cause}
 	}
-	if result.ending == moving {
+	if result.cause == causeMoved {
 		d.r.opts.Recorder.Emit(eventMoved, event.FieldRequest, d.ask.requestID, "generation", d.id, "tokens", len(d.tokens))
 		return nil
 	}
@@ -144,7 +156,7 @@
 // interrupted dates a loss as the caller sees it: by the last token, since an
 // engine that is frozen falls silent long before its sidecar does.
 func (d *drive) interrupted(result attemptResult) time.Time {
-	if d.lastToken.IsZero() || result.ending == moving {
+	if d.lastToken.IsZero() || result.cause == causeMoved {
 		return result.lastSign
 	}
 	return d.lastToken
@@ -193,11 +205,18 @@
 	d.r.opts.Recorder.Emit(eventPlaced, event.FieldRequest, d.ask.requestID, "generation", d.id,
 		"backend_server", candidate.ID, "emitted", len(d.tokens))
 	stream := d.r.openStream(ctx, candidate.Address, streampb.PathGenerate, d.request(ctx, lineage, query.Suspect))
-	reader := &attemptReader{d: d, candidate: candidate, sent: &sent, attempt: attempt, lineage: lineage, opened: time.Now()}
-	result := readStream(stream, d.text.Recovery.Silence(), reader.handle)
-	result.accepted = reader.accepted
-	result.progressed = reader.progressed
-	d.close(candidate, attempt, &result)
+	return d.follow(&attemptReader{
+		d: d, stream: stream, candidate: candidate, address: candidate.Address, sent: &sent,
+		attempt: attempt, lineage: lineage, opened: time.Now(),
+	})
+}
+
+// follow reads an attempt to its end, or to its successor's first token.
+func (d *drive) follow(a *attemptReader) attemptResult {
+	result := a.handOver(readStream(a.stream, d.text.Recovery.Silence(), a.handle))
+	result.accepted = a.accepted
+	result.progressed = a.progressed
+	d.close(a.candidate, a.attempt, &result)
 	return result
 }
 
--- a/router/events.go
+++ b/router/events.go
@@ -34,6 +34,12 @@
 		"see how many processes were lost at once; more journal peers make this rarer")
 	eventStaleToken = event.Define(2106, "stale_tokens_dropped", event.Warn,
 		"Tokens out of order, or of another attempt, were dropped.", "nothing; the guard did its work")
+	eventOffered = event.Define(2107, "generation_offered", event.Info,
+		"Another backend server is asked to go on with a generation that stands still at its engine, or whose backend server is leaving; the attempt goes on until that one brings a token.",
+		"if cause is still and it is frequent, see what the engine does: stuck, or out of memory")
+	eventNobodyElse = event.Define(2108, "generation_nobody_else", event.Warn,
+		"A generation stands still, or its backend server is leaving, and there is no other backend server to go on with it; it is waited for where it runs.",
+		"if its engine is stuck, stop it; a second backend server of the model would have gone on")
 	eventViewsFailed = event.Define(2008, "views_not_built", event.Error,
 		"The views of backend servers couldn't be built for a request that came before the first ones; it was refused.",
 		"look at err; the text and the routing policy are at fault")
--- a/router/handover_test.go
+++ b/router/handover_test.go
@@ -169,3 +169,30 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Sound engines set generations aside for about as long as it takes until others
+// are asked to go on with them, so that the two attempts of a generation bring
+// tokens at the same moment. One of them has it: no answer is of both.
+func TestAttemptAndOfferBringTokensAtOnce(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const streams = 24
+	bed := newBed(t)
+	bed.sites[1].engine.Slow(30) // an offer stays open for a step of 60 ms
+	got := make(chan answered, streams)
+	for range streams {
+		go func() { got <- ask(t, bed.url, 300, func(int) {}) }()
+	}
+	g.Eventually(bed.requests, "5s", "1ms").Should(BeEquivalentTo(streams))
+	time.Sleep(100 * time.Millisecond) // some tokens
+	for round := range 2 {
+		bed.sites[0].engine.Hold()
+		time.Sleep(1500*time.Millisecond + time.Duration(60+70*round)*time.Millisecond)
+		bed.sites[0].engine.Release()
+		time.Sleep(50 * time.Millisecond)
+	}
+	bed.sites[1].engine.Slow(1)
+	for range streams {
+		(<-got).expectWhole(g, 300)
+	}
+}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -11,6 +11,7 @@
 	causeConnection = "connection"
 	causeSilence    = "silence"
 	causeMoved      = "moved"
+	causeStill      = "still"
 	causeReturn     = "caller_returned"
 )
 
--- a/router/place.go
+++ b/router/place.go
@@ -96,7 +96,7 @@
 	return d.fleet.policy.Pick(d.query(), d.fleet.view.Load())
 }
 
-// close updates what is known of the candidate and frees an attempt that may still run.
+// close notes the end of an attempt in the drive and at its candidate.
 func (d *drive) close(candidate *route.Candidate, attempt types.AttemptTag, result *attemptResult) {
 	d.refusals++
 	if result.ending != notStarted {
@@ -106,6 +106,15 @@
 	// stream broke before its first frame may be with an engine all the same;
 	// only a refusal, or a connection that was never made, proves that it isn't.
 	d.ran = d.ran || result.accepted || result.ending != notStarted
+	d.noteEnd(candidate, attempt, result)
+	if result.ending != ended && result.ending != left {
+		d.avoidNext(candidate.ID)
+	}
+}
+
+// noteEnd updates what is known of the candidate by how an attempt ended there,
+// and frees its engine.
+func (d *drive) noteEnd(candidate *route.Candidate, attempt types.AttemptTag, result *attemptResult) {
 	circuit := d.fleet.circuit(candidate.ID)
 	if result.accepted {
 		circuit.Success()
@@ -113,19 +122,20 @@
 	switch result.ending {
 	case ended:
 		candidate.Stats.Succeeded()
-		return
 	case left:
 		if !d.ask.explicitKey {
 			d.r.cancelAttempt(candidate.Address, d.id, attempt)
 		}
-		return
 	case lost:
 		candidate.Stats.Failed(time.Now())
 		if result.cause != causeEngineDied {
 			circuit.Failure()
 		}
 		d.r.cancelAttempt(candidate.Address, d.id, attempt)
-	case moving:
+	case overtaken:
+		if result.cause == causeStill {
+			candidate.Stats.Failed(time.Now())
+		}
 		d.r.cancelAttempt(candidate.Address, d.id, attempt)
 	case notStarted:
 		if result.refused == nil {
@@ -135,7 +145,6 @@
 			d.r.noteLeaving(d.fleet, candidate)
 		}
 	}
-	d.avoidNext(candidate.ID)
 }
 
 func (d *drive) avoidNext(id types.ProcessID) {
--- a/router/reader.go
+++ b/router/reader.go
@@ -12,6 +12,8 @@
 // attemptReader takes the frames of one attempt into its drive.
 type attemptReader struct {
 	d          *drive
+	stream     *frames
+	address    string           // of the sidecar
 	candidate  *route.Candidate // nil when attached
 	sent       *route.Sent      // nil when attached
 	attempt    types.AttemptTag
@@ -19,10 +21,19 @@
 	opened     time.Time
 	accepted   bool
 	progressed bool
+	handover   handover
 }
 
 func (a *attemptReader) handle(frame *streampb.Frame) *attemptResult {
 	a.reportLoad(frame.GetLoad())
+	if result, dealt := a.beside(frame); dealt || result != nil {
+		return result
+	}
+	return a.act(frame)
+}
+
+// act is handle without a look at what else could go on with the generation.
+func (a *attemptReader) act(frame *streampb.Frame) *attemptResult {
 	switch body := frame.GetBody().(type) {
 	case *streampb.Frame_Accepted:
 		return a.accept(body.Accepted)
@@ -34,8 +45,6 @@
 		return &attemptResult{ending: notStarted, refused: body.Refused}
 	case *streampb.Frame_Lost:
 		return &attemptResult{ending: lost, cause: causeEngineDied, death: body.Lost.GetDeath(), proven: body.Lost.GetProven()}
-	case *streampb.Frame_Moving:
-		return a.move()
 	default:
 		return nil
 	}
@@ -96,18 +105,6 @@
 	return &attemptResult{ending: ended, finish: types.FinishReason(e.GetFinish())}
 }
 
-// move leaves only if there is somewhere to go: a stop never cuts a generation
-// that no other backend server can take.
-func (a *attemptReader) move() *attemptResult {
-	view := a.d.fleet.view.Load()
-	for _, c := range view.Candidates() {
-		if a.candidate == nil || c.ID != a.candidate.ID {
-			return &attemptResult{ending: moving, cause: causeMoved}
-		}
-	}
-	return nil
-}
-
 func (a *attemptReader) reportLoad(l *streampb.Load) {
 	if l == nil || a.candidate == nil {
 		return
--- a/router/reattach.go
+++ b/router/reattach.go
@@ -86,7 +86,7 @@
 	runners := d.runners(ctx, branch, err)
 	for _, addr := range runners {
 		result := d.attach(ctx, addr, want)
-		if result.ending == lost || result.ending == notStarted {
+		if d.successor == nil && (result.ending == lost || result.ending == notStarted) {
 			continue
 		}
 		return d.settle(ctx, result)
@@ -131,8 +131,11 @@
 	stream := d.r.openStream(ctx, addr, streampb.PathAttach, req)
 	kept := d.tokens
 	d.tokens = nil
-	reader := &attachReader{attemptReader: attemptReader{d: d, opened: time.Now()}, want: want}
-	result := readStream(stream, d.text.Recovery.Silence(), reader.handle)
+	reader := &attachReader{attemptReader: attemptReader{d: d, stream: stream, address: addr, opened: time.Now()}, want: want}
+	result := reader.handOver(readStream(stream, d.text.Recovery.Silence(), reader.handle))
+	if result.ending == overtaken {
+		d.r.cancelAttempt(addr, d.id, reader.attempt)
+	}
 	if len(d.tokens) < len(kept) {
 		d.tokens = kept
 	}
--- a/rpc/stream/frame.go
+++ b/rpc/stream/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,10 @@
 	PathAttach   = "/stream/attach"
 )
 
+// HeartbeatInterval is how often a sidecar writes a heartbeat to a stream. A
+// router gives up a stream that is silent for several of them.
+const HeartbeatInterval = 200 * time.Millisecond
+
 // MaxMessageBytes bounds one message of a stream; a larger one is an error.
 const MaxMessageBytes = 64 << 20
 
--- a/scenario/bench.go
+++ b/scenario/bench.go
@@ -209,6 +209,17 @@
 	return errors.Wrap(err, name)
 }
 
+// duration reads a duration, or keeps what stands in into.
+func (o options) duration(name string, into *time.Duration) error {
+	value, ok := o[name]
+	if !ok {
+		return nil
+	}
+	d, err := time.ParseDuration(value)
+	*into = d
+	return errors.Wrap(err, name)
+}
+
 // environment is what `pearyard` needs to reach the routers.
 func (b *bench) environment(ts *testscript.TestScript) {
 	var addresses []string
--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -49,6 +49,8 @@
 	key    string
 	first  int // number of the router that is tried first
 	stream bool
+	// patience is how long the caller waits for the next token until it comes back.
+	patience time.Duration
 }
 
 // generate begins a generation through the routers at addresses.
@@ -61,7 +63,7 @@
 			c.answer, c.err = whole(ctx, httpClient, addresses[ask.first-1], ask)
 			return
 		}
-		opts := client.Options{Routers: addresses, Key: embedded.Key, HTTP: httpClient, Silence: callerSilence}
+		opts := client.Options{Routers: addresses, Key: embedded.Key, HTTP: httpClient, Silence: ask.patience}
 		req := client.Request{Model: embedded.Model, Prompt: ask.prompt, MaxTokens: ask.tokens, IdempotencyKey: ask.key, First: ask.first - 1}
 		c.answer, c.err = client.New(opts).Generate(ctx, req, func(index int, _ string) {
 			c.mu.Lock()
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -67,16 +67,16 @@
 	return nil
 }
 
-// generate: generate NAME [tokens=400] [key=K] [router=1] [prompt=TEXT] [stream=true]; begins a caller
+// generate: generate NAME [tokens=400] [key=K] [router=1] [prompt=TEXT] [stream=true] [patience=2.5s]; begins a caller
 func (b *bench) generate(_ *testscript.TestScript, args []string) error {
 	if len(args) == 0 || b.callers[args[0]] != nil {
 		return errors.New("generate needs a new NAME")
 	}
-	o, err := parseOptions(args[1:], "tokens", "key", "router", "prompt", "stream")
+	o, err := parseOptions(args[1:], "tokens", "key", "router", "prompt", "stream", "patience")
 	if err != nil {
 		return err
 	}
-	ask := generation{prompt: "a lifting plan for " + args[0], tokens: 400, key: o["key"], first: 1, stream: o["stream"] != "false"}
+	ask := generation{prompt: "a lifting plan for " + args[0], tokens: 400, key: o["key"], first: 1, stream: o["stream"] != "false", patience: callerSilence}
 	if prompt, ok := o["prompt"]; ok {
 		ask.prompt = prompt
 	}
@@ -86,6 +86,9 @@
 	if err := o.number("router", &ask.first); err != nil {
 		return err
 	}
+	if err := o.duration("patience", &ask.patience); err != nil {
+		return err
+	}
 	b.callers[args[0]] = generate(b.ctx, b.site.callerAddresses(), ask)
 	return nil
 }
--- a/sidecar/events.go
+++ b/sidecar/events.go
@@ -24,8 +24,8 @@
 	eventEnded = event.Define(3008, "generation_ended", event.Info,
 		"An attempt at a generation ended on this engine.", "nothing")
 	eventStalled = event.Define(3010, "generation_stalled", event.Warn,
-		"A generation stood still although its engine answers; it resumes elsewhere.",
-		"see what the engine does; nothing is needed for the caller")
+		"A generation stands still although its engine answers: the router that reads it asks another backend server to go on with it, and waits if there is none; given_up: no router reads it, and it was ended.",
+		"see what the engine does: stuck, or out of memory")
 	eventRefused = event.Define(3009, "attempt_refused", event.Info,
 		"An attempt was refused before anything of it ran.", "nothing")
 )
--- a/sidecar/runs.go
+++ b/sidecar/runs.go
@@ -29,7 +29,8 @@
 	death       death // set before the log is lost
 	prefilled   int   // set before the log is finished
 
-	mu      sync.Mutex // guards grace and readers
+	mu      sync.Mutex // guards all below
+	stalled int        // tokens of the last stall that was told
 	grace   *time.Timer
 	readers map[*reader]struct{} // connections that read the log now
 }
@@ -77,6 +78,22 @@
 	return len(r.readers) == 0
 }
 
+// awaited reports whether a router reads, or one that has left may be replaced.
+func (r *run) awaited() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.readers) > 0 || r.grace != nil
+}
+
+// firstStallAt reports whether a stall after so many tokens is a new one.
+func (r *run) firstStallAt(tokens int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.stalled != tokens
+	r.stalled = tokens
+	return first
+}
+
 // proven reports whether the request has produced enough tokens on this engine
 // that the engine's death says little against it.
 func (r *run) proven() bool {
--- a/sidecar/set_aside_test.go
+++ b/sidecar/set_aside_test.go
@@ -35,7 +35,9 @@
 
 // A sound engine sets a generation aside for four seconds, as it has run out of
 // memory, and answers probes all the while. The generation was given up after
-// three, before anybody had looked whether another engine would go on with it.
+// three, before anybody had looked whether another engine would go on with it:
+// the sidecar took silence for a death. PY3010 stood at the third second, and the
+// router's PY2100 behind it named the same backend server again.
 func TestGenerationThatIsSetAsideIsNotGivenUpForNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -83,7 +83,7 @@
 		onDeath:  s.engineDied,
 		onBack:   func() { opts.Recorder.Emit(eventEngineBack, "backend_server", opts.BackendServer) },
 	}
-	s.watch.onCheck = s.giveUpStalled
+	s.watch.onCheck = s.lookAtStalled
 	if opts.Calls != nil {
 		s.calls = opts.Calls(s.admission.isLeaving)
 	}
@@ -140,19 +140,29 @@
 // errStalled: an engine that answers probes has stopped working on a request.
 var errStalled = errors.New("sidecar: generation stands still")
 
-// giveUpStalled lets generations that stand still resume elsewhere. An engine
-// whose own loop is stuck, or whose connection is cut one way only, still
-// answers probes; the caller would see its stream stop without end.
-func (s *Sidecar) giveUpStalled() {
+// lookAtStalled tells of generations that stand still, and gives up those that
+// nobody waits for.
+//
+// Failure it stops: an engine whose own loop is stuck, or whose connection is cut
+// one way only, still answers probes; its generations would hold it for good. An
+// engine that has set a generation aside for want of memory looks the same, and
+// goes on with it later: given up here, its answer is lost if there is no other
+// place, or its prompt is read again. Only the router that reads knows whether
+// there is one, so the end is that router's to decide. A run whose reader has
+// left keeps its grace time, for the caller to come back.
+func (s *Sidecar) lookAtStalled() {
 	for _, r := range s.runs.all() {
 		state := r.log.Look(0)
 		if state.Phase != generation.Running || state.Count == r.emitted || time.Since(state.Last) < stallAfter {
 			continue
 		}
-		if r.log.Lose(errStalled) {
-			s.opts.Recorder.Emit(eventStalled, event.FieldRequest, r.request, "generation", r.log.ID(), "tokens", state.Count)
+		given := !r.awaited() && r.log.Lose(errStalled)
+		if given {
 			r.cancel()
 		}
+		if given || r.firstStallAt(state.Count) {
+			s.opts.Recorder.Emit(eventStalled, event.FieldRequest, r.request, "generation", r.log.ID(), "tokens", state.Count, "given_up", given)
+		}
 	}
 }
 
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -14,10 +14,6 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-// heartbeatInterval is how often an idle stream says that its sidecar lives; a
-// router gives up a stream that is silent for several of them.
-const heartbeatInterval = 200 * time.Millisecond
-
 func (s *Sidecar) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	var req streampb.GenerateRequest
 	if err := streampb.NewReader(r.Body).Read(&req); err != nil {
@@ -63,7 +59,7 @@
 	if out.write(&streampb.Frame{Body: &streampb.Frame_Accepted{Accepted: accepted}, Load: s.loadFrame()}) != nil {
 		return
 	}
-	heartbeat := time.NewTicker(heartbeatInterval)
+	heartbeat := time.NewTicker(streampb.HeartbeatInterval)
 	defer heartbeat.Stop()
 	told := false
 	for {
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -16,7 +16,8 @@
 	probeFailuresToDie = 2
 	loadReportMaxAge   = 5 * time.Second
 	// stallAfter is how long a generation that has begun to answer may stand
-	// still before it is given up here, although its engine answers probes.
+	// still, although its engine answers probes, before that is told; without a
+	// reader it is given up here.
 	stallAfter = 3 * time.Second
 )
 
