router, route: requests don't wait for their first token at an engine that is stuck

What callers saw: an engine's loop is stuck while it answers probes; requests sent there, then and later, waited for their first token until their deadlines (1,800 s by default) though another engine was free. Cause: only an attempt that had begun could be told from one in a busy engine's queue. Change: route.Stats knows when a request that had begun stands still with no token from its engine since; waiting attempts there are then offered like the others, within the retry budget, and new ones prefer other servers (a fail is counted). A set-aside generation beside others that go on isn't taken for a stuck engine. Tried and dropped: offers that avoid such engines (a stale word would last for good).

--- a/route/stats.go
+++ b/route/stats.go
@@ -30,6 +30,8 @@
 	fails     atomic.Int64 // in a row
 	failedAt  atomic.Int64 // Unix nanoseconds
 	slow      atomic.Bool
+	tokenAt   atomic.Int64 // Unix nanoseconds of the last token of any request
+	stillAt   atomic.Int64 // Unix nanoseconds at which a request that had begun was last seen standing still
 
 	cacheSequence atomic.Uint64 // of the last cache event
 	cacheGaps     atomic.Uint64
@@ -73,6 +75,16 @@
 	s.fails.Add(1)
 }
 
+// Progressed notes that a request has brought a token.
+func (s *Stats) Progressed(now time.Time) { s.tokenAt.Store(now.UnixNano()) }
+
+// StoodStill notes that a request which had brought tokens brings none any more.
+func (s *Stats) StoodStill(now time.Time) { s.stillAt.Store(now.UnixNano()) }
+
+// Stuck tells whether the candidate, as far as this router sees, makes no step
+// for anybody: one request stands still, and no other has brought a token since.
+func (s *Stats) Stuck() bool { return s.stillAt.Load() > s.tokenAt.Load() }
+
 // InFlight returns the number of this router's requests at the candidate.
 func (s *Stats) InFlight() int { return int(s.inFlight.Load()) }
 
--- a/router/handover.go
+++ b/router/handover.go
@@ -55,10 +55,27 @@
 	h.offerAt = time.Now().Add(h.pause)
 }
 
-// standsStill reports that a generation which has begun to answer has brought
-// nothing for long.
+// standsStill reports that a generation has brought nothing for long: one that
+// has begun to answer, or one that waits to begin at an engine that is stuck.
+//
+// Failure it stops: requests wait for their first token, until their deadlines,
+// at an engine that makes no step any more, while others are free. Without the
+// word of a request that had begun there, a long wait says nothing: it is the
+// queue of a busy engine.
 func (a *attemptReader) standsStill() bool {
-	return a.progressed && a.handover.beats >= stillBeats
+	if a.handover.beats < stillBeats {
+		return false
+	}
+	return a.progressed || a.candidate != nil && a.candidate.Stats.Stuck()
+}
+
+// tellStill lets new requests prefer other candidates while the engine here is stuck.
+func (a *attemptReader) tellStill() {
+	if a.candidate == nil || !a.progressed || !a.standsStill() {
+		return
+	}
+	a.candidate.Stats.StoodStill(time.Now())
+	a.candidate.Stats.Failed(time.Now())
 }
 
 // mayLeave reports that the generation had better go on elsewhere. All that its
@@ -67,7 +84,10 @@
 	if len(a.d.tokens) < a.d.sent {
 		return false
 	}
-	return a.handover.moving || a.standsStill() && a.d.resumes < a.d.text.Recovery.MaxResumes
+	if a.handover.moving {
+		return true
+	}
+	return a.standsStill() && a.d.resumes < a.d.text.Recovery.MaxResumes
 }
 
 // beside acts on a frame of an attempt for the sake of a handover. It reports
@@ -82,6 +102,7 @@
 	switch frame.GetBody().(type) {
 	case *streampb.Frame_Heartbeat:
 		h.beats++
+		a.tellStill()
 		a.offerIfDue()
 	case *streampb.Frame_Moving:
 		h.moving = true
@@ -110,7 +131,9 @@
 	if h.offer != nil || !a.mayLeave() || time.Now().Before(h.offerAt) {
 		return
 	}
-	h.offer = a.d.makeOffer(a.stream.ctx, a.notHere(), a.stream.cancel)
+	if a.inBudget() {
+		h.offer = a.d.makeOffer(a.stream.ctx, a.notHere(), a.stream.cancel)
+	}
 	if h.offer == nil {
 		h.tried = nil
 		h.wait()
@@ -122,6 +145,12 @@
 		"backend_server", h.offer.candidate.ID, "cause", a.cause(), "tokens", len(a.d.tokens))
 }
 
+// inBudget reports whether the retry budget lets the generation be offered: one
+// that has begun has the right to go on.
+func (a *attemptReader) inBudget() bool {
+	return a.progressed || a.handover.moving || a.d.fleet.budget.Allow()
+}
+
 // tellBusy tells that nobody is there to go on with the generation.
 func (a *attemptReader) tellBusy() {
 	if a.handover.toldBusy {
--- a/router/handover_test.go
+++ b/router/handover_test.go
@@ -196,3 +196,48 @@
 		(<-got).expectWhole(g, 300)
 	}
 }
+
+// An engine's loop is stuck with an answer under way, though it answers probes,
+// while another engine is free. Requests that come meanwhile, and those that had
+// just been sent there, waited at the stuck engine until their deadlines.
+func TestStuckEngineHoldsUpNoOthers(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const tokens, others = 400, 16
+	bed := newBed(t)
+	got := make(chan answered, others+1)
+	first := make(chan time.Duration, others)
+	var home *site
+	send := func() {
+		begun := time.Now()
+		got <- ask(t, bed.url, tokens, func(index int) {
+			if index == 0 {
+				first <- time.Since(begun)
+			}
+		})
+	}
+	go func() {
+		got <- ask(t, bed.url, tokens, func(index int) {
+			if index == 50 {
+				home = bed.runner()
+				home.engine.Hold()
+				for range others / 2 {
+					go send()
+				}
+				time.AfterFunc(2*time.Second, func() {
+					for range others / 2 {
+						go send()
+					}
+				})
+			}
+		})
+	}()
+	for range others + 1 {
+		var one answered
+		g.Eventually(got, "12s").Should(Receive(&one))
+		one.expectWhole(g, tokens)
+	}
+	for range others {
+		g.Expect(<-first).To(BeNumerically("<", heldLonger))
+	}
+}
--- a/router/reader.go
+++ b/router/reader.go
@@ -78,6 +78,9 @@
 	}
 	fresh := streampb.ToTokens(t.GetTokens()[have-first:])
 	a.noteProgress()
+	if a.candidate != nil {
+		a.candidate.Stats.Progressed(time.Now())
+	}
 	a.d.lineage = a.lineage
 	a.d.tokens = append(a.d.tokens, fresh...)
 	if err := a.d.send(); err != nil {
