inbound: the line of unread connections tells what came between a look and its close

Now PY1010 says so: a second look just before the close counts what has come since the first. Test: TestRequestBetweenLookAndCloseIsTold (a request comes right after the look), red before for want of the count.

--- a/inbound/late_test.go
+++ b/inbound/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -397,3 +398,50 @@
 	g.Expect(told).To(gomega.HaveLen(1))
 	g.Expect(told[0].Name).To(gomega.Equal(EventUnreadDropped.Name))
 }
+
+// stoppedConn is a connection on which a request comes right after each look.
+type stoppedConn struct {
+	*net.TCPConn
+	send func()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *stoppedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &stoppedRaw{raw, c.send}, err
+}
+
+type stoppedRaw struct {
+	syscall.RawConn
+	send func()
+}
+
+// Control implements syscall.RawConn.
+func (r *stoppedRaw) Control(f func(uintptr)) error {
+	defer r.send()
+	return r.RawConn.Control(f)
+}
+
+// A process gets no processor time between its look at an idle connection, which
+// finds nothing, and the close. The request that comes in between has neither an
+// answer nor a refusal. No line told it from a request that the process never saw.
+func TestRequestBetweenLookAndCloseIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
+	client := dialCaller(t, listener.Addr().String())
+	raw, err := listener.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	send := func() {
+		_, _ = io.WriteString(client, wholeRequest)
+		g.Eventually(func() bool { return httpconn.Unread(raw) }).Should(gomega.BeTrue())
+	}
+	lines := &bytes.Buffer{}
+	l := New(listener, Options{Recorder: event.NewRecorder(log.NewLogfmtLogger(lines), 1)})
+	conn := &clientConn{Conn: &stoppedConn{raw.(*net.TCPConn), send}, zero: l.zero}
+	l.open[conn] = struct{}{}
+	l.sweepBy(Limits{IdleTime: time.Second}, time.Now().Add(time.Minute))
+	g.Expect(lines.String()).To(gomega.ContainSubstring("PY1010"))
+	g.Expect(lines.String()).To(gomega.ContainSubstring("between_look_and_close=1"))
+}
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -226,6 +226,10 @@
 			unread.add(phase, conn.inPhase(now))
 			c.unread.WithLabelValues(phaseNames[phase]).Inc()
 		}
+		if found == dropped && conn.arrivedIn(phase) {
+			unread.betweenLookAndClose++
+			c.unread.WithLabelValues(phaseNames[phase]).Inc()
+		}
 		if found == dropped || found == droppedUnread {
 			c.dropped.WithLabelValues(phaseNames[phase]).Inc()
 			_ = conn.Close()
