--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -55,8 +55,7 @@
 // Weights of load, in prompt tokens.
 const (
 	// streamWeight makes a stream that runs count like a tenth of a long prompt:
-	// a prompt is read nearly as fast beside it, but holds it up. From 300 to
-	// 8,000 the mean worth of twelve days differed by 0.02 at most; 800 had the best.
+	// a prompt is read nearly as fast beside it, but holds it up.
 	streamWeight = 800.0
 	// tieWeight is how far chance may reorder servers.
 	tieWeight = 100.0
@@ -67,14 +66,13 @@
 	copyBesideCopy = 1500.0
 	// callWeight makes one plain call count like a small prompt.
 	callWeight = 1000.0
-	// toldFresh is how long a load told by a server is worth anything.
+	// toldFresh is how long a load told by a server counts.
 	toldFresh = time.Second
 	// faultWeight keeps a server that failed lately out of the way of one that is a
-	// prompt busier. Where a quarter of the servers failed four calls in ten for 6.5 s, 642
-	// of 31,370 calls that run at most once failed with it, 1,007 without. It does not
+	// prompt busier: calls that run at most once fail with it for good. It does not
 	// count for streams that can be resumed: a fault costs them little, most are of
-	// connections that were reset, and a stream that comes back had its prompt read
-	// anew, late by 0.3 to 0.8 s, because of the very break that sent it back.
+	// connections that were reset, and a stream that comes back would have its
+	// prompt read anew because of the very break that sent it back.
 	faultWeight = 8000.0
 	// coldWeight is that of a server that is slow after its start.
 	coldWeight = 2000.0
--- a/directory/speed.go
+++ b/directory/speed.go
@@ -24,7 +24,7 @@
 	medianFor = 250 * time.Millisecond
 	// speedTrust is how long an idle server's measure holds without a new one, and
 	// how often one that is held too slow gets a prompt on trial. Each trial may
-	// make a draft late; a shorter time would risk more of them while servers are
+	// make a stream late; a shorter time would risk more of them while servers are
 	// slow, a longer one leaves servers idle that have recovered.
 	speedTrust = 10 * time.Second
 )
@@ -124,7 +124,7 @@
 // Failure it stops: measures come from a server's own answers alone. All servers
 // of a service had turned slow and recovered; the first one that was seen to be
 // fast got every prompt, and the others, idle, kept the speed of their bad time
-// for good: 14 of 60 drafts were refused for want of a server beside three idle ones.
+// for good: streams were refused for want of a server beside three idle ones.
 func (s *Server) MayProve(now time.Time) bool {
 	if s.Unread() > 0 {
 		return false
--- a/directory/trust.go
+++ b/directory/trust.go
@@ -16,8 +16,7 @@
 // id each time within a second. Each start is a new one with nothing against it,
 // and idle, so it gets work first; its calls that may run only once fail with it.
 // A single crash counts nothing: most servers that come back stay, and after the
-// loss of a zone they are needed at once. With servers that crash three times in
-// a row 57 of 7,928 calls failed without this, 75 of 15,815 with it (stand-in).
+// loss of a zone they are needed at once.
 type crashes struct {
 	count float64 // halved each crashHalfLife
 	at    time.Time
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -26,15 +26,11 @@
 	// spent their one retry before the list was there.
 	listWait = 1300 * time.Millisecond
 	// elsewhere is told to callers of a process that is about to stop: their
-	// next connection goes to another one. A longer wait, in which the platform
-	// takes stopping processes out, gained nothing (mean worth 0.607 after 1.1 s,
-	// 0.613 after 0.15 s).
+	// next connection goes to another one.
 	elsewhere = 150 * time.Millisecond
-	// restartTime is how long after its end a process serves again: 0.5 s until it
-	// is started and 0.6 s until it knows what it needs, or 1.0 s while the store is
-	// slow (PY2755, PY2752, PY2753 of four VMs). Told 0.7 s, callers met the next
-	// VM that stops (5.2 streams of a roll refused for good, 4.0 at 1.2 s); told
-	// 1.7 s they were late (worth 0.626, 0.628 and 0.628 over twelve days).
+	// restartTime is how long after its end a process serves again: it is started,
+	// and reads what it needs from the store. Told less, callers of VMs that stop
+	// one after another meet the next one that stops.
 	restartTime = 1200 * time.Millisecond
 	// returnsOver is the time over which callers are spread that come back to
 	// processes that were all stopped together.
@@ -156,8 +152,7 @@
 //
 // Failure it stops: four VMs were stopped two seconds apart. The last one told its
 // callers when it would be back itself, eight seconds later, though the first was
-// back within 2.4 s, and drafts of two seconds were late or refused for good: the
-// worth of these two was 0.51 of what was owed, 0.99 since (four days with such a roll).
+// back within 2.4 s, and answers of two seconds were late or refused for good.
 func (h *handler) firstBack(now time.Time) time.Time {
 	back := h.stop.drainedBy(now)
 	if h.firstStop != nil {
--- a/entry/write.go
+++ b/entry/write.go
@@ -83,7 +83,7 @@
 // cut ends an answer that has begun so that it doesn't look whole. It doesn't return.
 //
 // Failure it stops: to a caller of HTTP/1.0 an answer without a length ends with
-// its connection. Closed in order, half a draft looked whole; a reset doesn't.
+// its connection. Closed in order, half an answer looked whole; a reset doesn't.
 // Later callers miss the last chunk.
 func cut(r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -206,8 +206,7 @@
 //
 // Failure it stops: a copy that replaced a lost one lacked what came after it. Used
 // seconds later, the rest was read behind others' prompts, and the caller got
-// nothing for over a second: 88 of 580 streams that went on from such a copy paused for
-// longer than the 0.7 s that callers allow, 3 of 585 since (12 days of a grown site).
+// nothing for over a second.
 func (s *stream) renewCopy(ctx context.Context, a *streamAttempt) {
 	old := a.copies.called()
 	if old == nil {
@@ -227,8 +226,8 @@
 // any more; while no place is usable, there may be one later.
 //
 // Failure it stops: servers were few and full, the first place that was asked had no
-// room, and the stream ran on without a copy. The next loss made 80 such streams read
-// their prompts again, over a second each, 32 since (12 days of a grown site).
+// room, and the stream ran on without a copy. After the next loss its prompt was
+// read again, over a second.
 //
 // Failure it stops: after a mass loss the only places left were themselves believed
 // lost. A copy was asked for at one after the other without a pause, each as lost
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -20,9 +20,8 @@
 )
 
 // Budgets lets entry VMs share the retry budget. A fixed part for each holds
-// without a word from anybody, but a loss hits unevenly: of 28 VMs some had
-// their part spent and let 76 streams fail while three quarters of the whole
-// were free.
+// without a word from anybody, but a loss hits unevenly: some VMs had their
+// part spent and let streams fail while most of the whole was free.
 //
 // Invariant: the VMs that hear each other stay within their common bound. What
 // is free by the newest words is divided by the number of VMs, and none takes
@@ -71,7 +70,7 @@
 // forgotten returns the fixed retries that the VM took before its restart, as
 // long as they may be in the window: it has forgotten them, and the backend
 // servers have not. Without them a partial restart in a mass loss freed what was
-// taken, and those that were not killed took it again: 195 of 166 allowed.
+// taken, and those that were not killed took it again, beyond what is allowed.
 func (o *otherBudget) forgotten(service uint32, window time.Duration, now time.Time) float64 {
 	if now.Sub(o.formerAt) >= window {
 		return 0
@@ -111,12 +110,9 @@
 //
 // Failure it stops: all VMs are killed in the middle of a mass loss. What they
 // had sent again is forgotten with them, and the fixed retries of the window
-// were used a second time: of 200 processes 5% more repeats than allowed, 2%
-// where they came back with a process's age. A process knows all that was sent
-// again in the window once it is that old itself. The share of first tries needs
-// no such wait: it begins anew with what was forgotten. On four days with losses
-// and restarts, three seeds on two sites, the mean worth was 0.500 with the growth
-// and is 0.504.
+// were used a second time: more repeats than allowed. A process knows all that
+// was sent again in the window once it is that old itself. The share of first
+// tries needs no such wait: it begins anew with what was forgotten.
 func FixedShare(started time.Time, window time.Duration) float64 {
 	if time.Since(started) < window {
 		return youngShare
--- a/httpanswer/readoff.go
+++ b/httpanswer/readoff.go
@@ -22,9 +22,7 @@
 // Failure it stops: a caller writes all of its body before it reads. The server
 // answered, left the rest of the body unread and closed the connection half a
 // second later. Closing with unread bytes is a reset: the caller's write failed
-// before it had looked at the refusal (on loopback 9 and 10 of 36 bodies of 2 KB
-// to 12 MB, in two runs of TestRefusalOfABodyThatNobodyReadsReachesItsCaller; none
-// below 4 MB). Here the refusal goes out at once, and the body is read and
+// before it had looked at the refusal. Here the refusal goes out at once, and the body is read and
 // forgotten until the caller has written it or the bounds are reached.
 func ReadOff(w http.ResponseWriter, r *http.Request) func() {
 	short := r.ContentLength >= 0 && r.ContentLength <= readByServer
--- a/inbound/finish.go
+++ b/inbound/finish.go
@@ -17,8 +17,8 @@
 	// has begun, or the first request of a new connection: many round trips within
 	// a region. A stop that nothing is sent to takes no longer for it.
 	lastTime = 250 * time.Millisecond
-	// queueTime bounds the wait for the listener's queue. It was enough in each of
-	// 49 stops of VMs with 0.3 of a core, by the absence of EventQueueLeft.
+	// queueTime bounds the wait for the listener's queue, also in a process with
+	// little processor time; EventQueueLeft tells when it was too short.
 	queueTime  = 250 * time.Millisecond
 	queueLook  = 2 * time.Millisecond
 	finishLook = 10 * time.Millisecond
--- a/promptcache/locator.go
+++ b/promptcache/locator.go
@@ -17,8 +17,8 @@
 	// After the loss of an entry VM its callers come back within a second; the
 	// first one's answers hold for nearly all of them, as their streams ended in
 	// the same moment, so that there are few more rounds however many come back. A
-	// prompt that has been read since the last round is missed by it: at 0.5 s, of
-	// callers that came back 0.25 s apart each second one was.
+	// prompt that has been read since the last round is missed by it, so that
+	// rounds are closer together than callers.
 	askEvery = 200 * time.Millisecond
 	// validFor is how long an answer is worth anything. A server with room for
 	// eleven prompts that begins one every 4 s has dropped the oldest after 40 s;
