exchange, inbound: what the wait for a server is for; a line tells of closed connections

Its load: the only server of a service breaks a stream off and has no room for a moment. Test TestStreamWaitsForItsOnlyServer: whole; cut with the wait taken out. - inbound: PY1012 says how many connections a look has closed and the longest time from a look to its close.

--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -432,3 +432,17 @@
 		g.Expect(lender.taken).To(gomega.Equal(1))
 	})
 }
+
+// The only server of a service breaks a stream off and has no room when the
+// stream comes back for it; a moment later it has. The answer had begun: without
+// the wait for a server it would be cut.
+func TestStreamWaitsForItsOnlyServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(map[string][]script{"a1": {streams(50, beat, io.ErrUnexpectedEOF), refuses(Busy), streams(130, beat, nil)}}, "a1")
+		sink, err := runStream(t, b, streamRequest())
+		time.Sleep(crashAlone) // for which other losses of the zone are waited for
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+	})
+}
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -216,8 +216,10 @@
 // come meanwhile.
 func (c *Listener) sweepBy(limits Limits, now time.Time) {
 	var unread unreadDrops
+	var closed closes
 	c.mu.Lock()
 	for conn := range c.open {
+		looked := time.Now()
 		phase, found := conn.look(limits, now)
 		switch found {
 		case spared:
@@ -233,8 +235,10 @@
 		if found == dropped || found == droppedUnread {
 			c.dropped.WithLabelValues(phaseNames[phase]).Inc()
 			_ = conn.Close()
+			closed.add(time.Since(looked))
 		}
 	}
 	c.mu.Unlock()
+	closed.tell(c.opts.Recorder, limits)
 	unread.tell(c.opts.Recorder, limits, time.Duration(c.lookLate.Load()))
 }
--- a/inbound/unread.go
+++ b/inbound/unread.go
@@ -36,3 +36,24 @@
 	recorder.Emit(EventUnreadDropped, "head", u.head, "not_dealt_with", u.notDealtWith, "between_look_and_close", u.betweenLookAndClose, "longest", u.longest,
 		"idle_limit", limits.IdleTime, "head_limit", limits.HeaderTime, "look_late", late)
 }
+
+// closes are the connections that one sweep has closed by the limits in force.
+type closes struct {
+	count   int
+	longest time.Duration // from a connection's look until it was closed
+}
+
+func (c *closes) add(took time.Duration) {
+	c.count++
+	c.longest = max(c.longest, took)
+}
+
+// tell emits the line, if there is something to tell. A client whose request
+// came while this process stood between a look and its close has neither an
+// answer nor a refusal.
+func (c *closes) tell(recorder *event.Recorder, limits Limits) {
+	if c.count > 0 {
+		recorder.Emit(EventClosed, "closed", c.count, "look_to_close", c.longest,
+			"idle_limit", limits.IdleTime, "head_limit", limits.HeaderTime)
+	}
+}
