router: an offer at a stuck engine isn't waited for once the attempt beside it is lost

Found by reading the new code: an attempt whose engine dies while its offer is open waited for the offer until the caller's deadline, though the offer stood at a second stuck engine and a third one was free (TestOfferAtAStuckEngineIsNotWaitedForAfterALoss, 3 of 3 red: nothing within 10 s).

--- a/router/drive.go
+++ b/router/drive.go
@@ -79,7 +79,6 @@
 		// better told that its request is quarantined than that nobody takes it.
 		patience = time.Now().Add(placePatience)
 	}
-	defer d.dropSuccessor()
 	for {
 		if d.complete() {
 			return d.finish(types.FinishLength)
--- a/router/handover.go
+++ b/router/handover.go
@@ -209,13 +209,14 @@
 }
 
 // handOver decides what becomes of an offer when the attempt beside it has
-// ended. For one that is lost the offer is the resume.
+// ended. For one that is lost the offer is the resume, unless it stands still
+// itself: then the generation is placed anew.
 func (a *attemptReader) handOver(result attemptResult) attemptResult {
 	o := a.handover.offer
 	if o == nil {
 		return result
 	}
-	if result.ending == left {
+	if result.ending == left || !o.endsWithin(stillAfter) {
 		o.withdraw()
 	}
 	<-o.ended
--- a/router/handover_test.go
+++ b/router/handover_test.go
@@ -144,6 +144,46 @@
 	g.Expect(home.engine.Counters().Cancelled).To(BeEquivalentTo(1))
 }
 
+// Three engines are stuck, one after the other is released or dies: an answer
+// stands still, is offered to a second engine that is stuck as well, and loses
+// its own. It isn't tied to the second one: the third is free again.
+func TestOfferAtAStuckEngineIsNotWaitedForAfterALoss(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	bed := &bed{sites: []*site{newSite(t, "a"), newSite(t, "b"), newSite(t, "c")}}
+	url := newRouter(t, bed.sites[0].address, bed.sites[1].address, bed.sites[2].address)
+	lose := func() {
+		home := bed.runner()
+		for _, s := range bed.sites {
+			s.engine.Hold()
+			t.Cleanup(s.engine.Release)
+		}
+		for asked := 0; asked < 2; time.Sleep(time.Millisecond) {
+			asked = 0
+			for _, s := range bed.sites {
+				asked += s.engine.Counters().Queued + s.engine.Counters().Running
+			}
+		}
+		for _, s := range bed.sites {
+			if c := s.engine.Counters(); c.Queued+c.Running == 0 {
+				s.engine.Release()
+			}
+		}
+		home.engine.Crash()
+	}
+	got := make(chan answered, 1)
+	go func() {
+		got <- ask(t, url, 200, func(index int) {
+			if index == 100 {
+				go lose()
+			}
+		})
+	}()
+	var one answered
+	g.Eventually(got, "10s").Should(Receive(&one))
+	one.expectWhole(g, 200)
+}
+
 func (b *bed) other(s *site) *site {
 	for _, one := range b.sites {
 		if one != s {
--- a/router/offer.go
+++ b/router/offer.go
@@ -151,6 +151,16 @@
 	return !o.won()
 }
 
+// endsWithin waits for the offer to be decided, for a while.
+func (o *offer) endsWithin(wait time.Duration) bool {
+	select {
+	case <-o.ended:
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
 // closeOffer notes the end of an offer that nobody goes on with.
 func (d *drive) closeOffer(o *offer) {
 	<-o.ended
--- a/router/serve.go
+++ b/router/serve.go
@@ -172,6 +172,7 @@
 
 // start reattaches where the caller returns, and drives the generation to its end.
 func (d *drive) start(ctx context.Context, attach bool) *types.Refusal {
+	defer d.dropSuccessor()
 	if attach {
 		done, refusal := d.reattach(ctx)
 		if done || refusal != nil {
