--- a/soak/callers.go
+++ b/soak/callers.go
@@ -21,10 +21,12 @@
 type Call struct {
 	ID, Path, VM string
 	Sent, Ended  time.Time
-	Written      time.Time // when the whole request had been sent; zero: it wasn't
-	Status       int       // 0: no answer
-	Whole        bool      // the answer came to its end
-	Wrong        string    // what was wrong with it; empty: nothing
+	Written      time.Time     // when the whole request had been sent; zero: it wasn't
+	Idle         time.Duration // for how long its connection had been idle
+	Failed       error         // why it has no answer
+	Status       int           // 0: no answer
+	Whole        bool          // the answer came to its end
+	Wrong        string        // what was wrong with it; empty: nothing
 }
 
 // Callers send requests to random VMs until they are stopped.
@@ -108,7 +110,9 @@
 			call.Written = time.Unix(0, at)
 		}
 	}()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		call.Idle = info.IdleTime
+	}, WroteRequest: func(info httptrace.WroteRequestInfo) {
 		if info.Err == nil {
 			written.Store(time.Now().UnixNano())
 		}
@@ -129,6 +133,7 @@
 	resp, err := client.Do(req)
 	call.Ended = time.Now()
 	if err != nil {
+		call.Failed = err
 		return
 	}
 	defer resp.Body.Close()
--- a/soak/losses.go
+++ b/soak/losses.go
@@ -56,8 +56,8 @@
 		}
 		judged++
 		if l.isLost(c) {
-			lost = append(lost, fmt.Sprintf("%s %s at %s, sent at %.2f s: neither an answer nor a refusal after %.3f s, beside planned work only (status %d, reached a server: %v)",
-				c.ID, c.Path, c.VM, c.Sent.Sub(l.began).Seconds(), c.Ended.Sub(c.Sent).Seconds(), c.Status, l.arrived[c.ID]))
+			lost = append(lost, fmt.Sprintf("%s %s at %s, sent at %.2f s, written after %.3f s on a connection idle for %.3f s: neither an answer nor a refusal after %.3f s (%v), beside planned work only (status %d, reached a server: %v)",
+				c.ID, c.Path, c.VM, c.Sent.Sub(l.began).Seconds(), c.Written.Sub(c.Sent).Seconds(), c.Idle.Seconds(), c.Ended.Sub(c.Sent).Seconds(), c.Failed, c.Status, l.arrived[c.ID]))
 		}
 	}
 	return lost, judged
