--- a/inbound/events.go
+++ b/inbound/events.go
@@ -7,9 +7,9 @@
 	EventUnreadDropped = event.Define(1010, "inbound_unread_dropped", event.Warn,
 		"clients' connections were closed although bytes had come on them: this process had something unread at every look for ten seconds over the limit for heads, or until the end of a planned stop's time, or it got no processor time between a look that found nothing and the close; their clients may have got neither an answer nor a refusal",
 		"look whether this process lacks processor time: the histogram ..._look_late_seconds; if not, a client sends byte after byte")
-	EventClosed = event.Define(1012, "inbound_closed", event.Info,
-		"clients' connections were closed by the limits in force, one line a look; look_to_close is the longest time from a connection's look to its close: a request that came in between has neither an answer nor a refusal",
-		"if look_to_close is long, this process lacks processor time")
+	EventClosedLate = event.Define(1012, "inbound_closed_late", event.Warn,
+		"this process stood still between its look at a client's connection and its close by the limits in force (look_to_close, the longest of this look's): a request that came in between has neither an answer nor a refusal",
+		"look whether this process lacks processor time")
 	EventQueueLeft = event.Define(1011, "inbound_queue_left", event.Warn,
 		"at the end of a planned stop this process could not make sure that it had accepted all connections that were waiting for it; their clients saw a reset",
 		"look whether this process lacks processor time")
--- a/inbound/unread.go
+++ b/inbound/unread.go
@@ -37,6 +37,10 @@
 		"idle_limit", limits.IdleTime, "head_limit", limits.HeaderTime, "look_late", late)
 }
 
+// lateClose is a time from a look to a close in which this process must have
+// stood still.
+const lateClose = 20 * time.Millisecond
+
 // closes are the connections that one sweep has closed by the limits in force.
 type closes struct {
 	count   int
@@ -52,8 +56,8 @@
 // came while this process stood between a look and its close has neither an
 // answer nor a refusal.
 func (c *closes) tell(recorder *event.Recorder, limits Limits) {
-	if c.count > 0 {
-		recorder.Emit(EventClosed, "closed", c.count, "look_to_close", c.longest,
+	if c.longest >= lateClose {
+		recorder.Emit(EventClosedLate, "closed", c.count, "look_to_close", c.longest,
 			"idle_limit", limits.IdleTime, "head_limit", limits.HeaderTime)
 	}
 }
--- a/router/handover.go
+++ b/router/handover.go
@@ -210,7 +210,7 @@
 
 // handOver decides what becomes of an offer when the attempt beside it has
 // ended. For one that is lost the offer is the resume, unless it stands still
-// itself: then the generation is placed anew.
+// itself: then the generation is placed anew, and not there.
 func (a *attemptReader) handOver(result attemptResult) attemptResult {
 	o := a.handover.offer
 	if o == nil {
@@ -223,6 +223,7 @@
 	a.d.successor = o
 	if result.ending == left || !o.won() {
 		a.d.dropSuccessor()
+		a.d.avoidNext(o.candidate.ID)
 		return a.endAlone(result)
 	}
 	if result.ending == overtaken || result.cause == causeConnection {
