directory: a new start is in the view before the old one's loss is told

What callers saw: an answer paused for a whole prompt when its server was lost, as the copy that a server's restart had taken was never replaced. Cause, by a trace of the red runs (server a1, copy to b1#100, no copy asked for): Apply told the loss of the old start while it was building the new view; the stream that waits for it looked into the old one, found the lost start again and gave up on copies.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -129,6 +129,7 @@
 		change.Left = append(change.Left, s.String())
 	}
 	d.view.Store(next)
+	old.replacedBy(next, now)
 	d.othersMu.Lock()
 	defer d.othersMu.Unlock()
 	d.sumOthers(next)
@@ -193,11 +194,24 @@
 	s := newServer(l, now, d.touch)
 	if former != nil {
 		s.after(former, now)
-		former.replace(now)
 	}
 	return s
 }
 
+// replacedBy notes the starts that others of their ids have taken the place of in
+// next, which must be the view by now.
+//
+// Failure it stops: whoever waits for a server's loss is woken while the view
+// still has the old start alone. A stream whose copy was lost looked for another
+// place, found the lost one again, and ran on without a copy to its end.
+func (v *View) replacedBy(next *View, now time.Time) {
+	for id, former := range v.byID {
+		if s := next.byID[id]; s != nil && s != former {
+			former.replace(now)
+		}
+	}
+}
+
 func (v *View) add(s *Server) {
 	v.byID[s.ID] = s
 	v.byHash[s.hash] = s
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -275,3 +276,24 @@
 	g.Expect(got).To(gomega.Equal(map[string]bool{"a1#200": true, "a2#200": true}))
 	g.Expect(d.LostBeside(d.server("a1"), back, 2*time.Second)).To(gomega.Equal(1), "a2's")
 }
+
+// A server starts again under its id. A stream that waits for the loss of the old
+// start, since its copy lies there, is woken and looks for another place at once:
+// the new start must be in the view by then.
+func TestNewStartIsKnownBeforeTheOldOneIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 3000 {
+		d := New()
+		now := time.Now()
+		d.Apply(1, []Listing{{ID: "b1", Service: "s", Address: "127.0.0.1:1", Born: 100}}, false, now)
+		old := d.View().Service("s")[0]
+		found := make(chan int64)
+		go func() {
+			<-old.Down()
+			found <- d.View().Service("s")[0].Born
+		}()
+		runtime.Gosched()
+		d.Apply(2, []Listing{{ID: "b1", Service: "s", Address: "127.0.0.1:1", Born: 200}}, false, now)
+		g.Expect(<-found).To(gomega.BeEquivalentTo(200))
+	}
+}
--- a/exchange/start_test.go
+++ b/exchange/start_test.go
@@ -118,7 +118,9 @@
 // A stream runs, and its copy lies on a server that crashes and is back under its
 // id within moments: nobody sees a connection fail. The copy is gone. The stream
 // used to be sent there when its own server was lost, was refused, and had its
-// caller wait while the prompt was read again.
+// caller wait while the prompt was read again. Later it was seldom red: the loss
+// of the old start was told before the new one was in the view, and the stream
+// found the lost start alone (its red runs had asked for no copy at all).
 func TestCopyOnAReplacedStartIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
