exchange: an attempt that begins after its request's end can be ended; nothing is begun without time

Change: a watch has its timer from the start, and silent does nothing once the attempt has ended. A trial of a server that is expected to be late needs time enough for the answer itself, as if the prompt took none: otherwise it reads a prompt in vain and measures nothing.

Looked at: other places that stop what a branch may not have made (copyKeeper, hedge, cancel funcs): each is made before it is used or guarded.

--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -233,6 +233,9 @@
 // lost. A copy was asked for at one after the other without a pause, each as lost
 // as the one before, which took a processor core for as long as the stream ran.
 func (s *stream) copyAgain(ctx context.Context, a *streamAttempt, lost *directory.Server, avoid map[directory.Start]bool) bool {
+	if !s.req.hasTime(time.Now()) {
+		return false
+	}
 	to := s.copyPlace(a.server, avoid, true)
 	if to == nil || to == lost {
 		return false
--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"syscall"
 	"time"
@@ -54,13 +55,12 @@
 
 // within bounds ctx to the request's time.
 func (r *Request) within(ctx context.Context) (context.Context, context.CancelFunc) {
-	by := r.UntilBy
-	if by == "" {
-		by = EndedByDeadline
-	}
-	return context.WithDeadlineCause(ctx, r.Until, &End{By: by, Err: ErrTimeout})
+	return context.WithDeadlineCause(ctx, r.Until, &End{By: r.untilBy(), Err: ErrTimeout})
 }
 
+// untilBy returns whose time the request's is.
+func (r *Request) untilBy() EndedBy { return cmp.Or(r.UntilBy, EndedByDeadline) }
+
 // endOf returns what ended the request's context. net/http cancels it without a
 // cause when it reads the end of the caller's connection.
 func (r *Request) endOf(ctx context.Context) *End {
@@ -103,6 +103,14 @@
 	return false
 }
 
+// failedBy returns the side that ended the request with an error.
+func (r *Request) failedBy(err error) EndedBy {
+	if errors.Is(err, ErrNoTime) {
+		return r.untilBy()
+	}
+	return failedBy(err)
+}
+
 // failedBy returns the side that an error of the last attempt, or what forbids
 // another one, stands for.
 func failedBy(err error) EndedBy {
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -58,6 +58,8 @@
 	ErrNoServer = errors.New("exchange: no backend server takes the request")
 	// ErrTimeout: the caller's or the route's time is up.
 	ErrTimeout = errors.New("exchange: time is up")
+	// ErrNoTime: no attempt could be answered in the time that is left.
+	ErrNoTime = errors.New("exchange: too little time is left to send the request to a backend server")
 	// ErrQuarantined: the same request crashed too many servers.
 	ErrQuarantined = errors.New("exchange: the request crashed several backend servers")
 )
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -83,6 +83,14 @@
 	return !measured || t.fits(s.req.left(now))
 }
 
+// mayBeWhole tells whether the stream could be whole at a server that takes no time
+// to read its prompt.
+func (s *stream) mayBeWhole(now time.Time) bool {
+	p := s.e.paceOf(s.req.Service)
+	events := max(0, p.events(s.req.MaxTokens)-float64(s.last))
+	return time.Duration(events*float64(p.event(0))) <= s.req.left(now)
+}
+
 // inTime chooses the server for a prompt that has to be read.
 //
 // Failure it answers for: servers read more slowly than prompts come in. All
@@ -95,7 +103,8 @@
 	if server == nil || s.fits(server, now) {
 		return server, nil
 	}
-	if t, _ := s.estimate(server, now); s.current == nil && !t.reads(s.req.left(now)) && server.MayProve(now) {
+	mayTry := s.current == nil && s.mayBeWhole(now)
+	if t, _ := s.estimate(server, now); mayTry && !t.reads(s.req.left(now)) && server.MayProve(now) {
 		s.e.opts.Recorder.Emit(EventTrial, event.FieldRequest, s.req.ID, "server", server.ID, "err", &LateError{soonest: t, left: s.req.left(now)})
 		return server, nil
 	}
@@ -112,7 +121,7 @@
 	}
 	t, _ := s.estimate(soonest, now)
 	late := &LateError{soonest: t, left: s.req.left(now)}
-	if s.current == nil && s.e.paceOf(s.req.Service).mayTry(now) {
+	if mayTry && s.e.paceOf(s.req.Service).mayTry(now) {
 		s.e.opts.Recorder.Emit(EventTrial, event.FieldRequest, s.req.ID, "server", soonest.ID, "err", late)
 		return soonest, nil
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -167,6 +167,9 @@
 	return max(time.Millisecond, r.Until.Sub(now)-leftMargin)
 }
 
+// hasTime tells whether an attempt begun now may still be answered in time.
+func (r *Request) hasTime(now time.Time) bool { return r.Until.Sub(now) > leftMargin }
+
 // failed notes what an attempt's error says about its server.
 func (e *Exchange) failed(s *directory.Server, err error) {
 	now := time.Now()
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -104,6 +104,9 @@
 }
 
 func (c *call) run(ctx context.Context) (*Reply, error) {
+	if !c.req.hasTime(time.Now()) {
+		return nil, c.refusal(ErrNoTime)
+	}
 	if !c.launch(ctx) {
 		return nil, c.refusal(ErrNoServer)
 	}
@@ -157,7 +160,7 @@
 // mayTry tells whether the request may be sent to one more server: those that
 // proved not to have run it don't count against its attempts.
 func (c *call) mayTry() bool {
-	return c.sent+c.pending < c.req.Route.Attempts() && c.refused < notRunTries
+	return c.sent+c.pending < c.req.Route.Attempts() && c.refused < notRunTries && c.req.hasTime(time.Now())
 }
 
 // launchAgain sends the request once more after a failed attempt.
@@ -281,7 +284,7 @@
 }
 
 func (c *call) refusal(err error) *Failure {
-	return &Failure{By: failedBy(err), Ran: c.sent > 0, RetryAfter: retryAfter, Err: err}
+	return &Failure{By: c.req.failedBy(err), Ran: c.sent > 0, RetryAfter: retryAfter, Err: err}
 }
 
 func describe(err error) string {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -61,11 +61,8 @@
 	}
 	within, cancel := req.within(ctx)
 	defer cancel()
-	s := &stream{
-		e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, onItsWay: e.running.begin(req.ID),
-	}
+	s := e.newStream(req, sink)
 	defer e.running.end(s.onItsWay)
-	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	err = s.run(within)
 	if s.current != nil {
 		s.current.copies.close()
@@ -78,6 +75,12 @@
 	return s.begun, err
 }
 
+func (e *Exchange) newStream(req *Request, sink Sink) *stream {
+	s := &stream{e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, onItsWay: e.running.begin(req.ID)}
+	s.last, _ = strconv.ParseUint(req.LastEvent, 10, 64)
+	return s
+}
+
 func (s *stream) summary() []any {
 	first := time.Duration(0)
 	if !s.firstAt.IsZero() {
@@ -202,6 +205,9 @@
 // choose returns the server for the next attempt: the one that holds a copy of
 // the stream's memory, or else the one that is expected to begin soonest.
 func (s *stream) choose(ctx context.Context) (*directory.Server, *Memory, error) {
+	if !s.req.hasTime(time.Now()) {
+		return nil, nil, ErrNoTime
+	}
 	if s.arrivals > 0 && !s.hasCopy() {
 		// A retry that would be late must cost nothing of the budget.
 		if _, err := s.inTime(); err != nil {
@@ -285,7 +291,7 @@
 	if ctx.Err() != nil && !timedOut(ctx) {
 		return s.req.endOf(ctx)
 	}
-	by := failedBy(err)
+	by := s.req.failedBy(err)
 	if s.cause != nil && !errors.Is(err, s.cause) {
 		err = errors.Wrap(err, s.cause.Error())
 	}
@@ -297,5 +303,5 @@
 	if errors.As(err, &late) {
 		after = late.retryAfter()
 	}
-	return &Failure{By: by, Ran: s.ran > 0, RetryAfter: after, Err: err}
+	return &Failure{By: by, Ran: s.ran > 0, TimedOut: errors.Is(err, ErrNoTime), RetryAfter: after, Err: err}
 }
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -252,6 +252,9 @@
 // successor returns the server that is to go on with the stream of a silent one;
 // nil and why, if there is none now.
 func (s *stream) successor() (*directory.Server, *Memory, error) {
+	if !s.req.hasTime(time.Now()) {
+		return nil, nil, ErrNoTime
+	}
 	s.tried[s.current.server.Start] = true
 	if !s.current.watch.alive() {
 		s.lostZone = s.current.server.Zone
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -27,7 +27,7 @@
 	notices chan notice // holds the newest
 
 	mu      sync.Mutex
-	timer   *time.Timer
+	timer   *time.Timer // never nil
 	armed   time.Time
 	wait    time.Duration
 	since   time.Time // when the wait for the next event began; zero while there is none
@@ -48,7 +48,8 @@
 	w := &watch{e: e, server: server, notices: make(chan notice, 1), early: true, since: now, proven: now, lived: true}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
-	w.arm(e.opts.Timings.ProbeAfter)
+	w.armed, w.wait = now, e.opts.Timings.ProbeAfter
+	w.timer = time.AfterFunc(w.wait, w.silent)
 	w.mu.Unlock()
 	go w.untilDown(server.Try())
 	return w
@@ -106,15 +107,12 @@
 	return e
 }
 
+// arm has silent called after a wait. The caller holds mu.
 func (w *watch) arm(wait time.Duration) {
 	if w.ctx.Err() != nil {
 		return
 	}
 	w.armed, w.wait = time.Now(), wait
-	if w.timer == nil {
-		w.timer = time.AfterFunc(wait, w.silent)
-		return
-	}
 	w.timer.Reset(wait)
 }
 
@@ -157,6 +155,9 @@
 const lateTimer = 150 * time.Millisecond
 
 func (w *watch) silent() {
+	if w.ctx.Err() != nil {
+		return
+	}
 	w.mu.Lock()
 	late := time.Since(w.armed)-w.wait > lateTimer
 	if late {
