--- a/directory/follow.go
+++ b/directory/follow.go
@@ -63,8 +63,8 @@
 		Read: f.list, Next: f.changes, Wait: longPoll, Pace: pace, Share: f.Share, Failed: f.Failed,
 		MustRead: func() bool { return f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery },
 		// A peer's word does not tell which of the entries that are awaited are gone.
-		MayCover: func() bool { return !f.kept.Load() },
-		Lost:     func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.listedAt)) },
+		MayDelegate: func() bool { return !f.kept.Load() },
+		Lost:        func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.listedAt)) },
 		Regained: func(o follow.Outage) {
 			f.Recorder.Emit(EventListRegained, "failures", o.Failures, "away", o.Away, "longest_wait", o.Longest)
 		},
@@ -90,7 +90,7 @@
 // forgiving tells whether entries that are missing may only have lapsed.
 func (f *Follower) forgiving() bool { return f.loop.Load().FailedWithin(forgiveFor) }
 
-func (f *Follower) changes(ctx context.Context, wait time.Duration) (follow.Take, error) {
+func (f *Follower) changes(ctx context.Context, wait time.Duration) (follow.Update, error) {
 	position, changed, gone, err := f.Source.Changes(ctx, f.position.Load(), wait)
 	if errors.Is(err, ErrTooOld) {
 		return f.list(ctx)
@@ -106,7 +106,7 @@
 	}, nil
 }
 
-func (f *Follower) list(ctx context.Context) (follow.Take, error) {
+func (f *Follower) list(ctx context.Context) (follow.Update, error) {
 	position, list, err := f.Source.List(ctx)
 	if err != nil {
 		return nil, err
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: listen")
 	}
-	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed, unconfirmed: e.config.Age, allStop: e.duty.AllStop, firstStop: e.duty.FirstStop}
+	h := &handler{holder: e.holder, exchange: e.exchange, recorder: e.recorder, stop: e.stop, listed: e.listed, unconfirmed: e.config.Age, allStop: e.election.AllStop, firstStop: e.election.FirstStop}
 	callers := e.callers(listener)
 	server := &http.Server{Handler: e.counted(h), BaseContext: e.cutter.base, MaxHeaderBytes: maxHeader}
 	callers.Attach(server)
@@ -111,7 +111,7 @@
 	began := time.Now()
 	end := began.Add(e.settings.Grace - graceMargin)
 	e.stop.begin(end)
-	e.duty.Stopping()
+	e.election.Stopping()
 	e.directory.Hasten()
 	e.recorder.Emit(EventDraining, "running", e.running.Load(), "grace", e.settings.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,7 +69,7 @@
 	fleet     *fleet.Fleet
 	socket    *fleet.Socket
 	loads     *fleet.Loads
-	duty      *fleet.Duty
+	election  *fleet.Election
 	budgets   *fleet.Budgets
 	suspects  *suspect.Ledger
 	news      *suspect.Spreader
@@ -139,14 +139,14 @@
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
 	e.socket.Report(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
-	e.duty = fleet.NewDuty(fleet.DutyOptions{
+	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Size: e.fleet.Size, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
 	})
 	e.budgets = fleet.NewBudgets(fleet.BudgetsOptions{
 		Socket: e.socket, Near: e.fleet.Near, Size: e.fleet.Size,
 		Ratio: retryShare * e.settings.RetryRatio, Extra: retryShare * e.settings.RetryExtra, Window: e.settings.RetryWindow,
 	})
-	e.config.Share, e.servers.Share = e.duty.For(fleet.Config), e.duty.For(fleet.List)
+	e.config.Share, e.servers.Share = e.election.For(fleet.Config), e.election.For(fleet.List)
 }
 
 func (e *Entry) position(s fleet.Subject) uint64 {
@@ -234,7 +234,7 @@
 	background(&group, e.fleet.Run)
 	background(&group, e.socket.Run)
 	background(&group, e.loads.Run)
-	background(&group, e.duty.Run)
+	background(&group, e.election.Run)
 	background(&group, e.budgets.Run)
 	background(&group, e.suspects.Run)
 	background(&group, e.news.Run)
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -149,7 +149,7 @@
 		holder: site.NewHolder(), directory: directory.New(), stop: stop, cutter: newCutter(),
 	}
 	e.config = &site.Follower{Holder: e.holder, Recorder: e.recorder}
-	e.duty = fleet.NewDuty(fleet.DutyOptions{
+	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Socket: fleet.NewSocket("", func() []string { return nil }, nil), Recorder: e.recorder,
 		Position: func(fleet.Subject) uint64 { return 1 }, Size: func() int { return 1 },
 	})
--- a/entry/wired_test.go
+++ b/entry/wired_test.go
@@ -17,7 +17,7 @@
 
 // besideAnother starts a world of two entry VMs; the other one only says
 // whether it stops, and hears whether the process does.
-func besideAnother(t *testing.T) (*world, *fleet.Duty) {
+func besideAnother(t *testing.T) (*world, *fleet.Election) {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	other, own := "", ""
@@ -28,7 +28,7 @@
 	})
 	metrics := prometheus.NewRegistry()
 	socket := fleet.NewSocket(other, func() []string { return []string{own} }, metrics)
-	duty := fleet.NewDuty(fleet.DutyOptions{
+	election := fleet.NewElection(fleet.ElectionOptions{
 		Address: other, Socket: socket, Recorder: event.Discard(), Size: func() int { return 2 },
 		Position: func(fleet.Subject) uint64 { return 0 }, Fetch: func(context.Context, string) {},
 	})
@@ -37,7 +37,7 @@
 	go func() { ended <- socket.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
 	g.Eventually(func() float64 { return received(t, metrics) }, "10s", "10ms").Should(gomega.BeNumerically(">", 0), "each hears the other")
-	return w, duty
+	return w, election
 }
 
 func received(t *testing.T, metrics prometheus.Gatherer) float64 {
--- a/fleet/age_test.go
+++ b/fleet/age_test.go
@@ -22,15 +22,15 @@
 	const leaveWithin = 2 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
+		b := newElectionBed()
 		var store atomic.Uint64
 		store.Store(1)
-		read := func(context.Context) (follow.Take, error) {
+		read := func(context.Context) (follow.Update, error) {
 			place := store.Load()
 			return func() { b.position[List].Store(place) }, nil
 		}
 		loop := &follow.Loop{Wait: time.Second, Share: b.For(List), Read: read,
-			Next: func(ctx context.Context, wait time.Duration) (follow.Take, error) {
+			Next: func(ctx context.Context, wait time.Duration) (follow.Update, error) {
 				for end := time.Now().Add(wait); time.Now().Before(end) && store.Load() == b.position[List].Load(); {
 					if err := retry.Wait(ctx, 20*time.Millisecond); err != nil {
 						return nil, err
@@ -43,13 +43,13 @@
 		go func() { done <- loop.Run(ctx) }()
 		for range 10 { // both read
 			time.Sleep(500 * time.Millisecond)
-			b.hear("p", fit(1))
-			b.hear("q", fit(1))
+			b.hear("p", healthy(1))
+			b.hear("q", healthy(1))
 		}
 		asked := time.Now() // p asks for the whole list; q is killed
 		store.Store(2)
 		time.Sleep(1300 * time.Millisecond)
-		b.hear("p", word{fit: true, listReadNow: 1300*time.Millisecond <= maxAge, listed: 1})
+		b.hear("p", announcement{healthy: true, listReadNow: 1300*time.Millisecond <= maxAge, listed: 1})
 		time.Sleep(leaveWithin - time.Since(asked))
 		known := b.position[List].Load()
 		stop()
--- a/fleet/duty_test.go
+++ b/fleet/election_test.go
@@ -16,9 +16,9 @@
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 )
 
-// dutyBed is a Duty whose peers are played by the test.
-type dutyBed struct {
-	*Duty
+// electionBed is a Election whose peers are played by the test.
+type electionBed struct {
+	*Election
 	position [subjects]atomic.Uint64
 	fetched  atomic.Int32
 	onFetch  func()
@@ -26,9 +26,9 @@
 	size     int // of the site
 }
 
-func newDutyBed() *dutyBed {
-	b := &dutyBed{}
-	b.Duty = NewDuty(DutyOptions{
+func newElectionBed() *electionBed {
+	b := &electionBed{}
+	b.Election = NewElection(ElectionOptions{
 		Address: "self", Socket: NewSocket("", func() []string { return nil }, nil), Recorder: event.Discard(),
 		Position: func(s Subject) uint64 { return b.position[s].Load() },
 		Size:     func() int { return b.size },
@@ -40,38 +40,40 @@
 		},
 	})
 	// Two peers of lower rank read for all.
-	b.self = 1 << 63
+	b.rank = 1 << 63
 	return b
 }
 
 // hear plays a word of a peer that ranks before this process.
-func (b *dutyBed) hear(from string, w word) {
+func (b *electionBed) hear(from string, w announcement) {
 	b.seq++
-	b.take(from, head{life: 1, seq: b.seq}, encodeWord(w).raw, time.Now())
+	b.receive(from, head{life: 1, seq: b.seq}, encodeAnnouncement(w).raw, time.Now())
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.there[from].rank = 1
+	b.members[from].rank = 1
 }
 
-func fit(list uint64) word { return word{fit: true, listReadNow: true, listed: list} }
+func healthy(list uint64) announcement {
+	return announcement{healthy: true, listReadNow: true, listed: list}
+}
 
 // Two entry VMs read the store for all. The others look themselves only when
 // neither has said anything for a while: both may have been lost at once.
 func TestReadersStandForTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
-		g.Expect(b.Covered(List)).To(gomega.BeZero(), "alone")
-		b.hear("p", fit(0))
-		g.Expect(b.Covered(List)).To(gomega.BeZero(), "one reader is too few")
-		b.hear("q", fit(0))
-		g.Expect(b.Covered(List)).To(gomega.BeNumerically("~", Cover, 10*time.Millisecond))
-		g.Expect(b.Covered(Config)).To(gomega.BeZero(), "nothing was said of it")
-		time.Sleep(Cover + time.Millisecond)
-		g.Expect(b.Covered(List)).To(gomega.BeZero())
-		b.hear("p", fit(0))
-		time.Sleep(presence + time.Millisecond)
-		g.Expect(b.Reads()).To(gomega.BeTrue(), "nobody else is there")
+		b := newElectionBed()
+		g.Expect(b.Delegated(List)).To(gomega.BeZero(), "alone")
+		b.hear("p", healthy(0))
+		g.Expect(b.Delegated(List)).To(gomega.BeZero(), "one reader is too few")
+		b.hear("q", healthy(0))
+		g.Expect(b.Delegated(List)).To(gomega.BeNumerically("~", leaseTime, 10*time.Millisecond))
+		g.Expect(b.Delegated(Config)).To(gomega.BeZero(), "nothing was said of it")
+		time.Sleep(leaseTime + time.Millisecond)
+		g.Expect(b.Delegated(List)).To(gomega.BeZero())
+		b.hear("p", healthy(0))
+		time.Sleep(memberTimeout + time.Millisecond)
+		g.Expect(b.Watches()).To(gomega.BeTrue(), "nobody else is there")
 	})
 }
 
@@ -79,12 +81,12 @@
 func TestReaderThatTheStoreTurnsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
-		b.hear("p", fit(0))
-		b.hear("q", fit(0))
-		g.Expect(b.Reads()).To(gomega.BeFalse())
-		b.hear("q", word{})
-		g.Expect(b.Reads()).To(gomega.BeTrue())
+		b := newElectionBed()
+		b.hear("p", healthy(0))
+		b.hear("q", healthy(0))
+		g.Expect(b.Watches()).To(gomega.BeFalse())
+		b.hear("q", announcement{})
+		g.Expect(b.Watches()).To(gomega.BeTrue())
 	})
 }
 
@@ -93,19 +95,19 @@
 func TestWordOfSomethingNewer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
-		b.hear("p", fit(7))
+		b := newElectionBed()
+		b.hear("p", healthy(7))
 		synctest.Wait()
-		b.hear("q", fit(7))
+		b.hear("q", healthy(7))
 		synctest.Wait()
 		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 2))
-		g.Expect(b.Covered(List)).To(gomega.BeZero(), "the peers did not answer")
-		g.Expect(b.news[List]).To(gomega.Receive(), "then the store is asked")
+		g.Expect(b.Delegated(List)).To(gomega.BeZero(), "the peers did not answer")
+		g.Expect(b.updates[List]).To(gomega.Receive(), "then the store is asked")
 		b.onFetch = func() { b.position[List].Store(7) }
-		b.hear("p", fit(7))
+		b.hear("p", healthy(7))
 		synctest.Wait()
-		g.Expect(b.Covered(List)).To(gomega.BeNumerically(">", 0))
-		b.hear("q", fit(5))
+		g.Expect(b.Delegated(List)).To(gomega.BeNumerically(">", 0))
+		b.hear("q", healthy(5))
 		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 3), "older news is none")
 	})
 }
@@ -116,15 +118,15 @@
 func TestConfigurationIsReadFromTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
-		b.hear("p", word{fit: true, configReadNow: true})
-		b.hear("q", word{fit: true, configReadNow: true})
-		g.Expect(b.Covered(Config)).To(gomega.BeNumerically(">", 0))
-		b.hear("q", word{fit: true, configReadNow: true, config: 9})
+		b := newElectionBed()
+		b.hear("p", announcement{healthy: true, configReadNow: true})
+		b.hear("q", announcement{healthy: true, configReadNow: true})
+		g.Expect(b.Delegated(Config)).To(gomega.BeNumerically(">", 0))
+		b.hear("q", announcement{healthy: true, configReadNow: true, config: 9})
 		synctest.Wait()
 		g.Expect(b.fetched.Load()).To(gomega.BeZero())
-		g.Expect(b.Covered(Config)).To(gomega.BeZero())
-		g.Expect(b.news[Config]).To(gomega.Receive())
+		g.Expect(b.Delegated(Config)).To(gomega.BeZero())
+		g.Expect(b.updates[Config]).To(gomega.Receive())
 
 		v := newVM(t, "reader")
 		text, _ := decode1(9, []byte("text"))
@@ -137,7 +139,7 @@
 }
 
 // said returns a bed whose words go to a peer on loopback, and what that hears.
-func said(t *testing.T) (*dutyBed, func() word) {
+func said(t *testing.T) (*electionBed, func() announcement) {
 	t.Helper()
 	open := func() *net.UDPConn {
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -148,10 +150,10 @@
 		return conn
 	}
 	own, peer := open(), open()
-	b := newDutyBed()
+	b := newElectionBed()
 	b.opts.Socket.conn.Store(own)
 	b.opts.Socket.peers = func() []string { return []string{peer.LocalAddr().String()} }
-	return b, func() word {
+	return b, func() announcement {
 		t.Helper()
 		raw := make([]byte, 2*maxDatagram)
 		_ = peer.SetReadDeadline(time.Now().Add(10 * time.Second))
@@ -160,9 +162,9 @@
 			t.Fatal(err)
 		}
 		k, _, rest, ok := decodeHead(raw[:n])
-		w, okWord := decodeWord(rest)
-		if !ok || !okWord || k != kindWord {
-			t.Fatalf("not a word: %x", raw[:n])
+		w, okWord := decodeAnnouncement(rest)
+		if !ok || !okWord || k != kindAnnouncement {
+			t.Fatalf("not an announcement: %x", raw[:n])
 		}
 		return w
 	}
@@ -176,13 +178,13 @@
 	g := gomega.NewWithT(t)
 	b, hear := said(t)
 	b.Read(List, maxAge+time.Millisecond)
-	g.Expect(hear()).To(gomega.Equal(word{}))
+	g.Expect(hear()).To(gomega.Equal(announcement{}))
 	b.Read(Config, maxAge+time.Millisecond)
-	g.Expect(hear()).To(gomega.Equal(word{fit: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true}))
 	b.Read(List, maxAge)
-	g.Expect(hear()).To(gomega.Equal(word{fit: true, listReadNow: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, listReadNow: true}))
 	b.Read(Config, 0)
-	g.Expect(hear()).To(gomega.Equal(word{fit: true, configReadNow: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, configReadNow: true}))
 }
 
 // A VM that stops is counted as stopping by what it says, and beyond the first
@@ -191,9 +193,9 @@
 	g := gomega.NewWithT(t)
 	b, hear := said(t)
 	b.Stopping()
-	g.Expect(hear()).To(gomega.Equal(word{stopping: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{stopping: true}))
 	b.Read(List, 0)
-	g.Expect(hear()).To(gomega.Equal(word{stopping: true, listReadNow: true}), "each word after it says so too")
+	g.Expect(hear()).To(gomega.Equal(announcement{stopping: true, listReadNow: true}), "each announcement after it says so too")
 }
 
 // What one entry VM finds at a lost server's address is told to the others;
@@ -214,11 +216,11 @@
 	g.Expect(s.Address).To(gomega.Equal("x:1"))
 }
 
-func FuzzDecodeWord(f *testing.F) {
-	f.Add(encodeWord(word{fit: true, config: 1, listed: 2}).raw)
+func FuzzDecodeAnnouncement(f *testing.F) {
+	f.Add(encodeAnnouncement(announcement{healthy: true, config: 1, listed: 2}).raw)
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		if w, ok := decodeWord(raw); ok && raw[0] < 8 && string(encodeWord(w).raw) != string(raw) {
+		if w, ok := decodeAnnouncement(raw); ok && raw[0] < 8 && string(encodeAnnouncement(w).raw) != string(raw) {
 			t.Fatalf("%x", raw)
 		}
 	})
@@ -230,22 +232,22 @@
 func TestAllStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
+		b := newElectionBed()
 		b.size = 3
 		g.Expect(b.AllStop()).To(gomega.BeFalse(), "nobody is heard")
-		b.hear("p", word{fit: true, stopping: true})
+		b.hear("p", announcement{healthy: true, stopping: true})
 		g.Expect(b.AllStop()).To(gomega.BeFalse(), "one is silent")
-		b.hear("q", word{fit: true})
+		b.hear("q", announcement{healthy: true})
 		g.Expect(b.AllStop()).To(gomega.BeFalse())
-		b.hear("q", word{fit: true, stopping: true})
+		b.hear("q", announcement{healthy: true, stopping: true})
 		g.Expect(b.AllStop()).To(gomega.BeTrue())
-		b.hear("p", word{})
+		b.hear("p", announcement{})
 		g.Expect(b.AllStop()).To(gomega.BeFalse(), "started again")
-		b.hear("p", word{stopping: true})
-		time.Sleep(stopLife)
+		b.hear("p", announcement{stopping: true})
+		time.Sleep(stopTimeout)
 		g.Expect(b.AllStop()).To(gomega.BeFalse(), "their words are old")
 		b.Stopping()
-		w, ok := decodeWord(encodeWord(word{stopping: b.stop.Load()}).raw)
+		w, ok := decodeAnnouncement(encodeAnnouncement(announcement{stopping: b.stopping.Load()}).raw)
 		g.Expect(ok).To(gomega.BeTrue())
 		g.Expect(w.stopping).To(gomega.BeTrue())
 	})
@@ -256,20 +258,20 @@
 func TestFirstStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
+		b := newElectionBed()
 		g.Expect(b.FirstStop()).To(gomega.BeZero())
-		b.hear("p", word{fit: true, stopping: true})
+		b.hear("p", announcement{healthy: true, stopping: true})
 		first := time.Now()
 		time.Sleep(2 * time.Second)
-		b.hear("q", word{stopping: true})
+		b.hear("q", announcement{stopping: true})
 		second := time.Now()
-		b.hear("p", word{stopping: true})
+		b.hear("p", announcement{stopping: true})
 		g.Expect(b.FirstStop()).To(gomega.Equal(first))
-		b.hear("p", word{fit: true})
+		b.hear("p", announcement{healthy: true})
 		g.Expect(b.FirstStop()).To(gomega.Equal(second), "started again")
-		b.hear("p", word{stopping: true})
+		b.hear("p", announcement{stopping: true})
 		g.Expect(b.FirstStop()).To(gomega.Equal(second), "stopped once more")
-		time.Sleep(stopLife)
+		time.Sleep(stopTimeout)
 		g.Expect(b.FirstStop()).To(gomega.BeZero(), "their words are old")
 	})
 }
@@ -282,16 +284,16 @@
 func TestAllStopIsNotSaidWhileSilentVMsServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		b := newDutyBed()
+		b := newElectionBed()
 		b.size = 12
-		silent := newDutyBed() // one of the four, to show that it says nothing
+		silent := newElectionBed() // one of the four, to show that it says nothing
 		for i := range candidates {
-			silent.hear(fmt.Sprint("c", i), word{fit: true, stopping: true})
+			silent.hear(fmt.Sprint("c", i), announcement{healthy: true, stopping: true})
 		}
 		g.Expect(silent.before()).To(gomega.BeNumerically(">=", candidates), "it stands behind the candidates, so Run says nothing")
-		g.Expect(silent.stop.Load()).To(gomega.BeFalse(), "and it serves")
+		g.Expect(silent.stopping.Load()).To(gomega.BeFalse(), "and it serves")
 		for i := range candidates - 1 {
-			b.hear(fmt.Sprint("c", i), word{fit: true, stopping: true})
+			b.hear(fmt.Sprint("c", i), announcement{healthy: true, stopping: true})
 		}
 		b.Stopping()
 		g.Expect(b.AllStop()).To(gomega.BeFalse(), "four of twelve VMs serve; they are silent by design")
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -2,31 +2,31 @@
 
 import "time"
 
-// share is a Duty for one subject.
+// share is an Election for one subject.
 type share struct {
-	duty    *Duty
-	subject Subject
+	election *Election
+	subject  Subject
 }
 
-// For returns the duty's part for one subject, as followers know it.
-func (d *Duty) For(s Subject) *share { return &share{duty: d, subject: s} }
+// For returns the election's part for one subject, as followers know it.
+func (e *Election) For(s Subject) *share { return &share{election: e, subject: s} }
 
-// Covered implements follow.Share.
-func (s *share) Covered() time.Duration { return s.duty.Covered(s.subject) }
+// Delegated implements follow.Share.
+func (s *share) Delegated() time.Duration { return s.election.Delegated(s.subject) }
 
 // Wait implements follow.Share.
 func (s *share) Wait(alone time.Duration) time.Duration {
-	if s.duty.Alone() {
+	if s.election.Alone() {
 		return alone
 	}
-	return ReaderWait
+	return pollTimeout
 }
 
 // Read implements follow.Share.
-func (s *share) Read(age time.Duration) { s.duty.Read(s.subject, age) }
+func (s *share) Read(age time.Duration) { s.election.Read(s.subject, age) }
 
 // Failed implements follow.Share.
-func (s *share) Failed() { s.duty.Failed(s.subject) }
+func (s *share) Failed() { s.election.Failed(s.subject) }
 
-// News implements follow.Share.
-func (s *share) News() <-chan struct{} { return s.duty.news[s.subject] }
+// Updates implements follow.Share.
+func (s *share) Updates() <-chan struct{} { return s.election.updates[s.subject] }
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -11,23 +11,23 @@
 // life of the sender (8, grows with each start), sequence number (4). Loads:
 // number of loads (2), number of lost servers (2), for each load server (4),
 // streams (1), copies (1), prompt tokens in units (2), for each lost server 4
-// bytes. Words: flags (1), places of configuration and list (8 each). Restarts: server (4),
+// bytes. Announcements: flags (1), places of configuration and list (8 each). Restarts: server (4),
 // when its new start was born (8), the id of that. Budgets: for each service its name's hash (4), first tries and
 // retries (2 each). JSON would
 // be three times as long, and bytes between zones are priced.
 const (
-	kindLoads  kind = 1
-	kindWord   kind = 2
-	kindBudget kind = 4
+	kindLoads        kind = 1
+	kindAnnouncement kind = 2
+	kindBudget       kind = 4
 	// kindRestart is not 3, which names the new start by its id alone: an entry
 	// VM of an older release would take the time of birth for part of the id.
 	kindRestart kind = 5
 
-	headBytes  = 13
-	countBytes = 4
-	loadBytes  = 8
-	lostBytes  = 4
-	wordBytes  = 17
+	headBytes         = 13
+	countBytes        = 4
+	loadBytes         = 8
+	lostBytes         = 4
+	announcementBytes = 17
 	// restartBytes is what stands before the id.
 	restartBytes = lostBytes + 8
 
@@ -117,9 +117,9 @@
 	return loads, lost, true
 }
 
-// word is what a VM says of the store.
-type word struct {
-	fit            bool // the store answers it
+// announcement is what a VM tells of itself and of the store.
+type announcement struct {
+	healthy        bool // the store answers it
 	configReadNow  bool // the store has just confirmed the configuration
 	listReadNow    bool // and the list
 	stopping       bool // a planned stop has begun: it takes little that is new
@@ -127,35 +127,35 @@
 }
 
 const (
-	flagFit = 1 << iota
+	flagHealthy = 1 << iota
 	flagConfig
 	flagList
 	flagStopping
 )
 
-func encodeWord(w word) body {
+func encodeAnnouncement(w announcement) body {
 	var flags byte
 	for _, f := range []struct {
 		set  bool
 		flag byte
-	}{{w.fit, flagFit}, {w.configReadNow, flagConfig}, {w.listReadNow, flagList}, {w.stopping, flagStopping}} {
+	}{{w.healthy, flagHealthy}, {w.configReadNow, flagConfig}, {w.listReadNow, flagList}, {w.stopping, flagStopping}} {
 		if f.set {
 			flags |= f.flag
 		}
 	}
-	out := make([]byte, 0, wordBytes)
+	out := make([]byte, 0, announcementBytes)
 	out = append(out, flags)
 	out = binary.BigEndian.AppendUint64(out, w.config)
-	return body{kindWord, binary.BigEndian.AppendUint64(out, w.listed)}
+	return body{kindAnnouncement, binary.BigEndian.AppendUint64(out, w.listed)}
 }
 
-func decodeWord(raw []byte) (word, bool) {
-	if len(raw) != wordBytes {
-		return word{}, false
+func decodeAnnouncement(raw []byte) (announcement, bool) {
+	if len(raw) != announcementBytes {
+		return announcement{}, false
 	}
 	flags := raw[0]
-	return word{
-		fit: flags&flagFit != 0, configReadNow: flags&flagConfig != 0, listReadNow: flags&flagList != 0, stopping: flags&flagStopping != 0,
+	return announcement{
+		healthy: flags&flagHealthy != 0, configReadNow: flags&flagConfig != 0, listReadNow: flags&flagList != 0, stopping: flags&flagStopping != 0,
 		config: binary.BigEndian.Uint64(raw[1:]), listed: binary.BigEndian.Uint64(raw[9:]),
 	}, true
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -34,10 +34,10 @@
 
 // Share tells what other processes have read.
 type Share interface {
-	// Covered returns for how long nothing needs to be read.
-	Covered() time.Duration
-	// News holds a token when another process has read something newer.
-	News() <-chan struct{}
+	// Delegated returns for how long nothing needs to be read here.
+	Delegated() time.Duration
+	// Updates holds a token when another process has read something newer.
+	Updates() <-chan struct{}
 	// Wait returns how long a question waits at the store.
 	Wait(alone time.Duration) time.Duration
 	// Read notes an answer that may be so old, Failed the lack of one.
@@ -69,13 +69,13 @@
 type Loop struct {
 	// Read reads the subject whole; Next waits up to wait for a change. Several
 	// may be on their way at once; what they return is called by Run alone.
-	Read func(ctx context.Context) (Take, error)
-	Next func(ctx context.Context, wait time.Duration) (Take, error)
+	Read func(ctx context.Context) (Update, error)
+	Next func(ctx context.Context, wait time.Duration) (Update, error)
 	// MustRead tells whether a wait for changes would miss something.
 	MustRead func() bool
 
-	// MayCover tells whether others' word can stand for a question of this process's own.
-	MayCover func() bool
+	// MayDelegate tells whether others' word can stand for a question of this process's own.
+	MayDelegate func() bool
 
 	// Wait is how long a question waits at the store. A connection that went
 	// silent is noticed this much later at most, plus half a second.
@@ -104,7 +104,7 @@
 func (l *Loop) Run(ctx context.Context) error {
 	l.open = newRound(ctx)
 	for ctx.Err() == nil {
-		if l.covered(ctx) {
+		if l.delegated(ctx) {
 			continue
 		}
 		began := time.Now()
@@ -158,12 +158,12 @@
 	return l.Failing() || (at != 0 && time.Since(time.Unix(0, at)) < d)
 }
 
-// covered waits while others' word stands for a question of this process's own.
-func (l *Loop) covered(ctx context.Context) bool {
-	if l.Share == nil || !l.begun || (l.MayCover != nil && !l.MayCover()) {
+// delegated waits while others' word stands for a question of this process's own.
+func (l *Loop) delegated(ctx context.Context) bool {
+	if l.Share == nil || !l.begun || (l.MayDelegate != nil && !l.MayDelegate()) {
 		return false
 	}
-	wait := l.Share.Covered()
+	wait := l.Share.Delegated()
 	if wait <= 0 {
 		return false
 	}
@@ -174,7 +174,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-l.Share.News():
+	case <-l.Share.Updates():
 	}
 	return true
 }
@@ -190,7 +190,7 @@
 	if l.Share != nil {
 		wait = l.Share.Wait(wait)
 	}
-	next := func(ctx context.Context) (Take, error) { return l.Next(ctx, wait) }
+	next := func(ctx context.Context) (Update, error) { return l.Next(ctx, wait) }
 	return l.open.put(wait, next), wait + answerWithin
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -21,7 +21,7 @@
 	<-done
 }
 
-func waitOut(ctx context.Context, wait time.Duration) (Take, error) {
+func waitOut(ctx context.Context, wait time.Duration) (Update, error) {
 	select {
 	case <-time.After(wait):
 		return func() {}, nil
@@ -37,7 +37,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		reads, taken := atomic.Int32{}, atomic.Int32{}
-		loop := &Loop{Wait: time.Second, Next: waitOut, Read: func(ctx context.Context) (Take, error) {
+		loop := &Loop{Wait: time.Second, Next: waitOut, Read: func(ctx context.Context) (Update, error) {
 			reads.Add(1)
 			for range 5 {
 				if _, err := waitOut(ctx, 400*time.Millisecond); err != nil {
@@ -63,7 +63,7 @@
 		began := time.Now()
 		var again, given atomic.Int64 // since began
 		reads := atomic.Int32{}
-		loop := &Loop{Wait: time.Second, Next: waitOut, Read: func(ctx context.Context) (Take, error) {
+		loop := &Loop{Wait: time.Second, Next: waitOut, Read: func(ctx context.Context) (Update, error) {
 			if reads.Add(1) > 1 {
 				again.CompareAndSwap(0, int64(time.Since(began)))
 				<-ctx.Done()
@@ -92,7 +92,7 @@
 		var longest time.Duration
 		reads, open, most := 0, atomic.Int32{}, int32(0)
 		asked := make(chan struct{}, 1000)
-		loop := &Loop{Wait: time.Second, Next: waitOut, Read: func(ctx context.Context) (Take, error) {
+		loop := &Loop{Wait: time.Second, Next: waitOut, Read: func(ctx context.Context) (Update, error) {
 			open.Add(1)
 			defer open.Add(-1)
 			asked <- struct{}{}
--- a/follow/question.go
+++ b/follow/question.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Take puts in force what an answer said.
-type Take func()
+// Update puts in force what an answer said.
+type Update func()
 
 const (
 	// questionLife is how long a question stays open after the last sign that an
@@ -45,7 +45,7 @@
 // answer is what came of a question.
 type answer struct {
 	question *question
-	take     Take
+	take     Update
 	err      error
 }
 
@@ -96,7 +96,7 @@
 }
 
 // put asks a question that waits up to wait at the store.
-func (r *round) put(wait time.Duration, ask func(context.Context) (Take, error)) *question {
+func (r *round) put(wait time.Duration, ask func(context.Context) (Update, error)) *question {
 	r.makeRoom()
 	q := &question{began: time.Now(), wait: wait, heard: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(r.ctx)
--- a/site/follow.go
+++ b/site/follow.go
@@ -72,17 +72,17 @@
 	return 0
 }
 
-func (f *Follower) read(ctx context.Context) (follow.Take, error) {
+func (f *Follower) read(ctx context.Context) (follow.Update, error) {
 	v, reached, err := f.Source.Read(ctx)
 	return f.answer(v, reached, err)
 }
 
-func (f *Follower) next(ctx context.Context, wait time.Duration) (follow.Take, error) {
+func (f *Follower) next(ctx context.Context, wait time.Duration) (follow.Update, error) {
 	v, reached, err := f.Source.Next(ctx, f.reached.Load(), wait)
 	return f.answer(v, reached, err)
 }
 
-func (f *Follower) answer(v *Versioned, reached uint64, err error) (follow.Take, error) {
+func (f *Follower) answer(v *Versioned, reached uint64, err error) (follow.Update, error) {
 	var bad *UnreadableError
 	if errors.As(err, &bad) {
 		f.tellUnreadable(bad, reached)
