--- a/directory/directory.go
+++ b/directory/directory.go
@@ -106,7 +106,9 @@
 	}
 	list, change.Late = old.current(list)
 	d.dropped.Add(uint64(len(change.Late)))
-	d.remember(old, position, list)
+	if !d.remember(old, position, list) {
+		position = old.Position
+	}
 	next := emptyView(position)
 	next.Listings = list
 	invalid := d.invalidIn(old, list, &change)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -50,17 +50,18 @@
 	Recorder  *event.Recorder
 	Failed    func(ctx context.Context) // called after each failure; it may ask peers
 	Share     follow.Share              // may be nil
+	Turns     *follow.Turns             // of all that ask the same store; may be nil
 
 	loop     atomic.Pointer[follow.Loop]
 	listedAt time.Time
-	position atomic.Uint64 // up to which changes were read; written by Run alone
+	position atomic.Uint64 // up to which changes are known
 	kept     atomic.Bool   // servers are in use that the newest list does not have
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	loop := &follow.Loop{
-		Read: f.list, Next: f.changes, Wait: longPoll, Pace: pace, Share: f.Share, Failed: f.Failed,
+		Read: f.list, Next: f.changes, Wait: longPoll, Pace: pace, Share: f.Share, Turns: f.Turns, Failed: f.Failed,
 		MustRead: func() bool { return f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery },
 		// A peer's word does not tell which of the entries that are awaited are gone.
 		MayDelegate: func() bool { return !f.kept.Load() },
@@ -99,7 +100,7 @@
 		return nil, err
 	}
 	return func() {
-		f.position.Store(max(f.position.Load(), position))
+		f.reach(position)
 		if len(changed)+len(gone) > 0 {
 			f.take(position, merge(f.Directory.View().Listings, changed, gone), f.forgiving(), "store")
 		}
@@ -112,7 +113,7 @@
 		return nil, err
 	}
 	return func() {
-		f.position.Store(max(f.position.Load(), position))
+		f.reach(position)
 		f.listedAt = time.Now()
 		f.take(position, list, f.forgiving(), "store")
 	}, nil
@@ -133,15 +134,30 @@
 	return slices.Collect(maps.Values(byID))
 }
 
+// reach notes up to which position changes are known.
+func (f *Follower) reach(position uint64) {
+	for {
+		known := f.position.Load()
+		if position <= known || f.position.CompareAndSwap(known, position) {
+			return
+		}
+	}
+}
+
+// Reached returns the position up to which there is nothing newer than what is in force.
+func (f *Follower) Reached() uint64 { return f.position.Load() }
+
 // Take puts a list in force that a peer had from the store. What is missing
 // from it is gone if the list is settled: the store had not been away for the peer.
 func (f *Follower) Take(position uint64, list []Listing, settled bool, from string) {
 	f.take(position, list, !settled, from)
+	f.reach(position)
 }
 
 // TakeChanges is Take for what has changed since the list in force here.
 func (f *Follower) TakeChanges(position uint64, changed []Listing, gone []string, settled bool, from string) {
 	f.take(position, merge(f.Directory.View().Listings, changed, gone), !settled, from)
+	f.reach(position)
 }
 
 // Settled tells whether no entry of the newest list is awaited any more.
--- a/directory/history.go
+++ b/directory/history.go
@@ -17,9 +17,11 @@
 // remember keeps what a list changed; it is called under the lock of Apply. The
 // first list is no change: others that were restarted in the same moment, and
 // are behind by one position, would be handed thousands of servers as changes.
-func (d *Directory) remember(old *View, position uint64, list []Listing) {
+//
+// It reports false if the list says what the one before it said.
+func (d *Directory) remember(old *View, position uint64, list []Listing) bool {
 	if old.Position == 0 {
-		return
+		return true
 	}
 	before := make(map[string]Listing, len(old.Listings))
 	for _, l := range old.Listings {
@@ -35,14 +37,14 @@
 	for id := range before {
 		change.gone = append(change.gone, id)
 	}
-	if len(change.changed)+len(change.gone) == 0 && len(d.history) > 0 {
-		d.history[len(d.history)-1].to = position
-		return
+	if len(change.changed)+len(change.gone) == 0 {
+		return false
 	}
 	d.history = append(d.history, change)
 	if len(d.history) > historyLength {
 		d.history = d.history[1:]
 	}
+	return true
 }
 
 // Since returns what has changed since a position, and the position that it
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/fleet"
+	"github.com/pearyard/pearyard/follow"
 	"github.com/pearyard/pearyard/httpconn"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/platform"
@@ -140,12 +141,16 @@
 	e.socket.Report(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
 	e.election = fleet.NewElection(fleet.ElectionOptions{
-		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Size: e.fleet.Size, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
+		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Reached: e.reached, Size: e.fleet.Size, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
 	})
 	e.budgets = fleet.NewBudgets(fleet.BudgetsOptions{
 		Socket: e.socket, Near: e.fleet.Near, Size: e.fleet.Size,
 		Ratio: retryShare * e.settings.RetryRatio, Extra: retryShare * e.settings.RetryExtra, Window: e.settings.RetryWindow,
 	})
+	e.fleet.UseElection(e.election)
+	e.config.Applied = e.fleet.Applied
+	turns := follow.NewTurns()
+	e.config.Turns, e.servers.Turns = turns, turns
 	e.config.Share, e.servers.Share = e.election.For(fleet.Config), e.election.For(fleet.List)
 }
 
@@ -156,6 +161,14 @@
 	return e.directory.View().Position
 }
 
+// reached returns the place in the store's history up to which there is nothing newer.
+func (e *Entry) reached(s fleet.Subject) uint64 {
+	if s == fleet.Config {
+		return e.holder.Position()
+	}
+	return e.servers.Reached()
+}
+
 func (e *Entry) newSuspects(client *http.Client) {
 	e.suspects = suspect.New(suspect.Options{
 		Self: types.ProcessID(e.settings.Name), Limit: crashLimit, Quarantine: quarantine, Window: crashWindow,
--- a/entry/wired_test.go
+++ b/entry/wired_test.go
@@ -30,7 +30,7 @@
 	socket := fleet.NewSocket(other, func() []string { return []string{own} }, metrics)
 	election := fleet.NewElection(fleet.ElectionOptions{
 		Address: other, Socket: socket, Recorder: event.Discard(), Size: func() int { return 2 },
-		Position: func(fleet.Subject) uint64 { return 0 }, Fetch: func(context.Context, string) {},
+		Position: func(fleet.Subject) uint64 { return 0 }, Fetch: func(context.Context, string, uint64) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/fleet/age_test.go
+++ b/fleet/age_test.go
@@ -49,7 +49,7 @@
 		asked := time.Now() // p asks for the whole list; q is killed
 		store.Store(2)
 		time.Sleep(1300 * time.Millisecond)
-		b.hear("p", announcement{healthy: true, listReadNow: 1300*time.Millisecond <= maxAge, listed: 1})
+		b.hear("p", announcement{healthy: true, listReadNow: 1300*time.Millisecond <= maxAge, list: at(1)})
 		time.Sleep(leaveWithin - time.Since(asked))
 		known := b.position[List].Load()
 		stop()
--- a/fleet/election.go
+++ b/fleet/election.go
@@ -23,6 +23,12 @@
 	announceEvery = time.Second
 	// firstAnnouncement leaves time for reading the addresses of the others.
 	firstAnnouncement = 150 * time.Millisecond
+	// electionTime is how long after its start a VM watches nothing: until it has
+	// heard who the others are it would take itself for one of the first.
+	electionTime = 2 * firstAnnouncement
+	// membersLeaseTime is how long a watcher's look at the registry of entry VMs
+	// stands for one of this process's own; it covers lost datagrams.
+	membersLeaseTime = 3 * lookEvery
 	// memberTimeout is how long an announcement counts; it covers a lost datagram.
 	memberTimeout = 2500 * time.Millisecond
 	// stopTimeout is how long the announcement of a planned stop counts: the grace
@@ -35,6 +41,11 @@
 	// pollTimeout is how long a watcher's question waits at the store. It must be
 	// shorter than leaseTime.
 	pollTimeout = 900 * time.Millisecond
+	// idlePause is how long a VM waits between two questions to a store that is away
+	// while others ask as well. It covers the loss of those others.
+	idlePause = 2 * time.Second
+	// idleLoopPause is the same for a loop whose VM asks by another one.
+	idleLoopPause = 4 * idlePause
 	// maxAge is how old an answer may be to be announced as the present.
 	maxAge = 550 * time.Millisecond
 )
@@ -60,13 +71,21 @@
 	rank     uint64
 	healthy  [subjects]atomic.Bool // the store answers
 	stopping atomic.Bool           // a planned stop has begun
+	elected  atomic.Bool           // electionTime has passed
+	digest   atomic.Uint64         // of the entry VMs, as read last; 0: not yet
 
 	mu        sync.Mutex
 	members   map[string]*member // by address
 	delegated [subjects]time.Time
-	asking    map[string]bool
+	confirmed [subjects]span     // by watchers
+	asking    map[string]*wanted // by the peer that is asked
+	// membersUntil is how long a watcher's look at the registry stands.
+	membersUntil time.Time
 
-	updates [subjects]chan struct{} // hold a token when something newer is to be read
+	updates    [subjects]chan struct{} // hold a token when something newer is to be read
+	newMembers chan struct{}           // holds one when the registry is to be read
+	// watchersChanged holds one when a member has become or ceased to be fit to watch.
+	watchersChanged chan struct{}
 }
 
 // ElectionOptions of an Election.
@@ -74,12 +93,22 @@
 	Address  string
 	Socket   *Socket
 	Position func(Subject) uint64 // place of what is in force here
+	Reached  func(Subject) uint64 // place up to which there is nothing newer; nil: Position
 	Size     func() int           // all VMs, this one included; very many until that is known
-	// Fetch asks a peer for changes of the list.
-	Fetch    func(ctx context.Context, peer string)
+	// Fetch asks a peer for changes, of the list since a position.
+	Fetch    func(ctx context.Context, peer string, since uint64)
 	Recorder *event.Recorder
 }
 
+// span is the part of the store's history in which what is in force at a process is
+// the newest. Positions are of the whole store: two processes that read the same
+// list at different moments know it by different positions.
+type span struct{ from, to uint64 }
+
+// sameAs tells whether two processes with these spans have the same in force: there
+// is a moment at which both were the newest.
+func (s span) sameAs(other span) bool { return s.from <= other.to && other.from <= s.to }
+
 // member is another entry VM, as it announced itself.
 type member struct {
 	head     head
@@ -90,9 +119,12 @@
 	rank     uint64
 }
 
+// mayWatch tells whether the store answers the VM and it will be there.
+func (m *member) mayWatch() bool { return m.healthy && !m.stopping }
+
 // NewElection returns an Election.
 func NewElection(opts ElectionOptions) *Election {
-	e := &Election{opts: opts, rank: xxhash.Sum64String(opts.Address), members: map[string]*member{}, asking: map[string]bool{}}
+	e := &Election{opts: opts, rank: xxhash.Sum64String(opts.Address), members: map[string]*member{}, asking: map[string]*wanted{}, newMembers: make(chan struct{}, 1), watchersChanged: make(chan struct{}, 1)}
 	for s := range subjects {
 		e.updates[s] = make(chan struct{}, 1)
 	}
@@ -102,27 +134,69 @@
 
 // Run announces this VM, if it is a candidate, until ctx ends.
 func (e *Election) Run(ctx context.Context) error {
-	for wait := firstAnnouncement; retry.Wait(ctx, wait) == nil; wait = announceEvery {
-		if e.before() < candidates {
-			e.announce(announcement{})
+	if retry.Wait(ctx, firstAnnouncement) == nil && e.before() < candidates {
+		e.announce(announcement{})
+	}
+	if retry.Wait(ctx, electionTime-firstAnnouncement) == nil {
+		e.elected.Store(true)
+	}
+	again := time.NewTicker(announceEvery)
+	defer again.Stop()
+	watched := false
+	for {
+		watched = e.takeOver(watched)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.watchersChanged:
+		case <-again.C:
+			if e.before() < candidates {
+				e.announce(announcement{})
+			}
 		}
 	}
-	return ctx.Err()
+}
+
+// takeOver begins to watch if this VM has become a watcher, and reports whether it is one.
+func (e *Election) takeOver(watched bool) bool {
+	watches := e.Watches()
+	if watches && !watched {
+		// Nobody reads for this VM any more.
+		e.notify(Config)
+		e.notify(List)
+	}
+	return watches
 }
 
 func (e *Election) announce(a announcement) {
-	a.healthy, a.stopping = e.isHealthy(), e.stopping.Load()
-	a.config, a.listed = e.opts.Position(Config), e.opts.Position(List)
+	a.healthy, a.watches, a.stopping = e.isHealthy(), e.Watches(), e.stopping.Load()
+	a.config, a.list, a.members = e.span(Config), e.span(List), e.digest.Load()
 	e.opts.Socket.Send(encodeAnnouncement(a))
 }
 
+// span returns that of what is in force here, as the store and watchers confirmed it.
+func (e *Election) span(s Subject) span {
+	from := e.opts.Position(s)
+	to := from
+	if e.opts.Reached != nil {
+		to = max(to, e.opts.Reached(s))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.confirmed[s].from == from {
+		to = max(to, e.confirmed[s].to)
+	}
+	return span{from, to}
+}
+
 func (e *Election) isHealthy() bool { return e.healthy[Config].Load() && e.healthy[List].Load() }
 
-// Read notes that the store answered, with what may be so old, and tells the
-// others if this VM is a watcher.
+// Read notes that the store answered, with what may be so old. A watcher tells the
+// others; for another VM its own answer stands as long as a watcher's would.
 func (e *Election) Read(s Subject, age time.Duration) {
 	e.healthy[s].Store(true)
 	if !e.Watches() {
+		e.delegate(s, time.Now().Add(-age))
 		return
 	}
 	fresh := age <= maxAge
@@ -137,7 +211,66 @@
 }
 
 // Watches tells whether this VM is one of the watchers.
-func (e *Election) Watches() bool { return e.before() < watchers }
+func (e *Election) Watches() bool {
+	return e.elected.Load() && e.rankedBefore((*member).mayWatch) < watchers
+}
+
+// watchesNow tells whether this VM is a watcher that the store answers.
+func (e *Election) watchesNow() bool { return e.Watches() && e.isHealthy() }
+
+// Pause returns how long to wait after a question that the store did not answer, in
+// place of the time given. While it answers nobody, a few VMs find out when it is back
+// and tell the others; at each VM one loop asks.
+func (e *Election) Pause(d time.Duration, others bool) time.Duration {
+	switch {
+	case !e.elected.Load(), e.rankedBefore(func(vm *member) bool { return !vm.stopping }) < watchers:
+		return d
+	case others:
+		return max(d, idleLoopPause)
+	default:
+		return max(d, idlePause)
+	}
+}
+
+// MembersRead notes what the registry of entry VMs says, by a digest, and tells the
+// others if this VM is a watcher.
+func (e *Election) MembersRead(digest uint64) {
+	e.digest.Store(digest)
+	e.delegateMembers(time.Now())
+	if e.Watches() {
+		e.announce(announcement{membersReadNow: true})
+	}
+}
+
+// MembersDelegated tells whether a watcher has lately read the registry and found
+// what is known here.
+func (e *Election) MembersDelegated() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.membersUntil)
+}
+
+// NewMembers holds a token when a watcher has found other entry VMs than are known here.
+func (e *Election) NewMembers() <-chan struct{} { return e.newMembers }
+
+// receiveMembers takes in what a watcher has read of the registry.
+func (e *Election) receiveMembers(digest uint64, now time.Time) {
+	own := e.digest.Load()
+	if own == 0 {
+		return // it is being read
+	}
+	if digest != own {
+		signal(e.newMembers)
+		return
+	}
+	e.delegateMembers(now)
+}
+
+func (e *Election) delegateMembers(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.membersUntil = at.Add(membersLeaseTime)
+}
 
 // Stopping notes that a planned stop of this VM has begun, and announces it.
 func (e *Election) Stopping() {
@@ -180,12 +313,16 @@
 
 // before counts the healthy members that rank before this VM.
 func (e *Election) before() int {
+	return e.rankedBefore(func(vm *member) bool { return vm.healthy })
+}
+
+func (e *Election) rankedBefore(counts func(*member) bool) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	before := 0
 	for _, vm := range e.members {
-		if vm.healthy && now.Sub(vm.at) < memberTimeout && vm.rank < e.rank {
+		if counts(vm) && now.Sub(vm.at) < memberTimeout && vm.rank < e.rank {
 			before++
 		}
 	}
@@ -225,9 +362,15 @@
 		return ok
 	}
 	read := [subjects]bool{Config: a.configReadNow, List: a.listReadNow}
-	place := [subjects]uint64{Config: a.config, List: a.listed}
+	// What other candidates know is no newer than what the watchers know.
+	if a.membersReadNow {
+		e.receiveMembers(a.members, now)
+	}
+	theirs := [subjects]span{Config: a.config, List: a.list}
 	for s := range subjects {
-		e.receiveSubject(from, s, read[s], place[s], now)
+		if a.watches || read[s] {
+			e.receiveSubject(from, s, read[s], theirs[s], now)
+		}
 	}
 	return true
 }
@@ -251,7 +394,11 @@
 	case !vm.stopping:
 		vm.stopAt = now
 	}
+	before := vm.mayWatch()
 	vm.head, vm.at, vm.healthy, vm.stopping = h, now, a.healthy, a.stopping
+	if vm.mayWatch() != before {
+		signal(e.watchersChanged)
+	}
 	for address, other := range e.members {
 		if now.Sub(other.at) > forgetSender {
 			delete(e.members, address)
@@ -260,24 +407,33 @@
 	return true
 }
 
-func (e *Election) receiveSubject(from string, s Subject, read bool, place uint64, now time.Time) {
-	own := e.opts.Position(s)
+func (e *Election) receiveSubject(from string, s Subject, read bool, theirs span, now time.Time) {
+	own := e.span(s)
 	switch {
-	case place > own && s == List:
-		e.fetch(from, read, now)
-		return
-	case place > own:
-		e.notify(s)
-		return
-	}
-	if read && place == own {
+	case theirs.from > own.to:
+		e.fetch(from, s, read, theirs, now)
+	case read && theirs.sameAs(own):
+		e.confirm(s, span{own.from, theirs.to})
 		e.delegate(s, now)
 	}
 }
 
+// confirm notes up to which place a watcher has found nothing newer.
+func (e *Election) confirm(s Subject, newest span) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if known := e.confirmed[s]; newest.from > known.from || newest.to > known.to {
+		e.confirmed[s] = newest
+	}
+}
+
 func (e *Election) delegate(s Subject, at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !time.Now().Before(e.delegated[s]) {
+		// A loop that waits for the store's return need not ask it any more.
+		signal(e.updates[s])
+	}
 	if until := at.Add(leaseTime); until.After(e.delegated[s]) {
 		e.delegated[s] = until
 	}
@@ -288,35 +444,60 @@
 	e.mu.Lock()
 	e.delegated[s] = time.Time{}
 	e.mu.Unlock()
+	signal(e.updates[s])
+}
+
+// signal puts a token into a channel that holds one.
+func signal(c chan<- struct{}) {
 	select {
-	case e.updates[s] <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// fetch asks a peer for changes of the list, one question a peer at a time.
-// What it can't tell as changes is read from the store.
-func (e *Election) fetch(peer string, read bool, at time.Time) {
-	e.mu.Lock()
-	busy := e.asking[peer]
-	e.asking[peer] = true
-	e.mu.Unlock()
-	if busy {
+// fetch asks a peer for changes, one question a peer at a time. What it can't tell
+// as changes is read from the store.
+func (e *Election) fetch(peer string, s Subject, read bool, theirs span, at time.Time) {
+	if !e.beginFetch(peer, s, theirs) {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), helpTimeout)
 		defer cancel()
-		before := e.opts.Position(List)
-		e.opts.Fetch(ctx, peer)
-		switch newer := e.opts.Position(List) > before; {
-		case !newer:
-			e.notify(List)
-		case read:
-			e.delegate(List, at)
+		e.opts.Fetch(ctx, peer, e.span(List).to)
+		for subject, wanted := range e.endFetch(peer) {
+			if e.span(Subject(subject)).to < wanted {
+				e.notify(Subject(subject))
+			}
+		}
+		if now := e.span(s); read && theirs.sameAs(now) {
+			e.confirm(s, span{now.from, theirs.to})
+			e.delegate(s, at)
 		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		delete(e.asking, peer)
 	}()
 }
+
+// wanted are the places up to which a peer is asked for changes.
+type wanted [subjects]uint64
+
+// beginFetch reports whether a peer is to be asked. If a question to it is open, its
+// answer will show whether more is needed.
+func (e *Election) beginFetch(peer string, s Subject, theirs span) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open, busy := e.asking[peer]
+	if !busy {
+		open = &wanted{}
+		e.asking[peer] = open
+	}
+	open[s] = max(open[s], theirs.from)
+	return !busy
+}
+
+func (e *Election) endFetch(peer string) wanted {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open := e.asking[peer]
+	delete(e.asking, peer)
+	return *open
+}
--- a/fleet/election_test.go
+++ b/fleet/election_test.go
@@ -32,13 +32,14 @@
 		Address: "self", Socket: NewSocket("", func() []string { return nil }, nil), Recorder: event.Discard(),
 		Position: func(s Subject) uint64 { return b.position[s].Load() },
 		Size:     func() int { return b.size },
-		Fetch: func(context.Context, string) {
+		Fetch: func(context.Context, string, uint64) {
 			b.fetched.Add(1)
 			if b.onFetch != nil {
 				b.onFetch()
 			}
 		},
 	})
+	b.elected.Store(true)
 	// Two peers of lower rank read for all.
 	b.rank = 1 << 63
 	return b
@@ -53,8 +54,11 @@
 	b.members[from].rank = 1
 }
 
+// at is the span of what was read at one place.
+func at(place uint64) span { return span{place, place} }
+
 func healthy(list uint64) announcement {
-	return announcement{healthy: true, listReadNow: true, listed: list}
+	return announcement{healthy: true, listReadNow: true, list: at(list)}
 }
 
 // Two entry VMs read the store for all. The others look themselves only when
@@ -112,9 +116,9 @@
 	})
 }
 
-// A configuration of several hundred routes is over 100 KB. A reader on a link
-// of 10 Mbit/s that handed each version to 27 others choked its own streams, and
-// took sound servers for lost. Those who hear of a newer one read it themselves.
+// Guards against watchers that hand a whole configuration to all others: one on a
+// slow link has no room left for its streams. What is no small change is read
+// from the store by each VM itself.
 func TestConfigurationIsReadFromTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -122,18 +126,27 @@
 		b.hear("p", announcement{healthy: true, configReadNow: true})
 		b.hear("q", announcement{healthy: true, configReadNow: true})
 		g.Expect(b.Delegated(Config)).To(gomega.BeNumerically(">", 0))
-		b.hear("q", announcement{healthy: true, configReadNow: true, config: 9})
+		b.hear("q", announcement{healthy: true, configReadNow: true, config: at(9)})
 		synctest.Wait()
-		g.Expect(b.fetched.Load()).To(gomega.BeZero())
-		g.Expect(b.Delegated(Config)).To(gomega.BeZero())
+		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 1))
+		g.Expect(b.Delegated(Config)).To(gomega.BeZero(), "the peer told no change")
 		g.Expect(b.updates[Config]).To(gomega.Receive())
 
 		v := newVM(t, "reader")
-		text, _ := decode1(9, []byte("text"))
-		v.holder.Offer(text)
-		answer, err := v.Newest(t.Context(), &fleetpb.NewestRequest{ChangesOnly: true})
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(answer.GetConfig()).To(gomega.BeEmpty())
+		handedOn := func(since uint64) []byte {
+			answer, err := v.Newest(t.Context(), &fleetpb.NewestRequest{ConfigPosition: since, ChangesOnly: true})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			return answer.GetConfig()
+		}
+		put := func(position uint64, raw []byte) {
+			text, _ := decode1(position, raw)
+			v.holder.Offer(text)
+			v.Applied(text)
+		}
+		put(9, []byte("text"))
+		g.Expect(handedOn(0)).To(gomega.BeEmpty())
+		put(10, randomText(20*maxDelta))
+		g.Expect(handedOn(9)).To(gomega.BeEmpty(), "it is another text altogether")
 		v.server.Close()
 	})
 }
@@ -178,13 +191,13 @@
 	g := gomega.NewWithT(t)
 	b, hear := said(t)
 	b.Read(List, maxAge+time.Millisecond)
-	g.Expect(hear()).To(gomega.Equal(announcement{}))
+	g.Expect(hear()).To(gomega.Equal(announcement{watches: true}))
 	b.Read(Config, maxAge+time.Millisecond)
-	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, watches: true}))
 	b.Read(List, maxAge)
-	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, listReadNow: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, watches: true, listReadNow: true}))
 	b.Read(Config, 0)
-	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, configReadNow: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{healthy: true, watches: true, configReadNow: true}))
 }
 
 // A VM that stops is counted as stopping by what it says, and beyond the first
@@ -193,9 +206,9 @@
 	g := gomega.NewWithT(t)
 	b, hear := said(t)
 	b.Stopping()
-	g.Expect(hear()).To(gomega.Equal(announcement{stopping: true}))
+	g.Expect(hear()).To(gomega.Equal(announcement{watches: true, stopping: true}))
 	b.Read(List, 0)
-	g.Expect(hear()).To(gomega.Equal(announcement{stopping: true, listReadNow: true}), "each announcement after it says so too")
+	g.Expect(hear()).To(gomega.Equal(announcement{watches: true, stopping: true, listReadNow: true}), "each announcement after it says so too")
 }
 
 // What one entry VM finds at a lost server's address is told to the others;
@@ -217,7 +230,7 @@
 }
 
 func FuzzDecodeAnnouncement(f *testing.F) {
-	f.Add(encodeAnnouncement(announcement{healthy: true, config: 1, listed: 2}).raw)
+	f.Add(encodeAnnouncement(announcement{healthy: true, config: at(1), list: at(2)}).raw)
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if w, ok := decodeAnnouncement(raw); ok && raw[0] < 8 && string(encodeAnnouncement(w).raw) != string(raw) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pearyard/pearyard/directory"
@@ -75,6 +77,9 @@
 	size  atomic.Int64 // 0 until the registry has been read
 	pace  pace
 
+	election *Election // nil: each process reads the registry
+
+	texts      texts
 	unreadable atomic.Uint64 // position of the newest configuration of a peer that can't be read
 
 	strange []string // rows that name no VM, as last told; used by Run alone
@@ -142,15 +147,51 @@
 		err := f.exchangeRows(ctx, &announced)
 		if err == nil {
 			failures = 0
-			_ = retry.Wait(ctx, lookEvery)
+			f.rest(ctx)
 			continue
 		}
 		failures++
-		_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, failures))
+		f.pause(ctx, failures)
 	}
 	return ctx.Err()
 }
 
+// pause waits after the registry could not be read. Once the others are known there
+// is no hurry: VMs are added seldom.
+func (f *Fleet) pause(ctx context.Context, failures int) {
+	if f.size.Load() > 0 {
+		_ = retry.Wait(ctx, lookEvery)
+		return
+	}
+	_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, failures))
+}
+
+// UseElection sets who picks the entry VMs that read the registry; it is called
+// before Run. Without one each reads it.
+func (f *Fleet) UseElection(e *Election) { f.election = e }
+
+// rest waits until the registry is to be read again.
+func (f *Fleet) rest(ctx context.Context) {
+	if f.election == nil {
+		_ = retry.Wait(ctx, lookEvery)
+		return
+	}
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.election.NewMembers():
+			return
+		case <-look.C:
+		}
+		if f.election.watchesNow() || !f.election.MembersDelegated() {
+			return
+		}
+	}
+}
+
 func (f *Fleet) exchangeRows(ctx context.Context, announced *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
@@ -168,9 +209,19 @@
 	*announced = directory.ValidAddress(string(rows[f.opts.Name]))
 	f.setPeers(f.addresses(rows))
 	f.size.Store(int64(len(f.Peers())) + 1)
+	if f.election != nil {
+		f.election.MembersRead(f.digest())
+	}
 	return nil
 }
 
+// digest returns a hash of all entry VMs, this one included.
+func (f *Fleet) digest() uint64 {
+	all := append(slices.Clone(f.Peers()), f.opts.Address)
+	slices.Sort(all)
+	return xxhash.Sum64String(strings.Join(all, " "))
+}
+
 // addresses returns those that rows name. Any program may write a row; one that
 // is no ip:port would be looked up as a name for each datagram, and count as a VM
 // that shares the retry budget.
@@ -211,22 +262,24 @@
 	var group errgroup.Group
 	for _, i := range rand.Perm(len(peers))[:min(helpers, len(peers))] {
 		group.Go(func() error {
-			f.ask(ctx, peers[i], false)
+			f.ask(ctx, peers[i], f.opts.Directory.View().Position, false)
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
-// AskChanges asks one peer for what has changed in the list. It gets no
-// configuration: one of a few hundred routes is over 100 KB, and a reader on a
-// link of 10 Mbit/s that handed it to 27 others had no room left for its streams.
-func (f *Fleet) AskChanges(ctx context.Context, peer string) { f.ask(ctx, peer, true) }
+// AskChanges asks one peer for what has changed in the configuration, and in the
+// list since a position. It gets nothing whole: a watcher that handed a large text
+// to all others would have no room left on its link.
+func (f *Fleet) AskChanges(ctx context.Context, peer string, since uint64) {
+	f.ask(ctx, peer, since, true)
+}
 
-func (f *Fleet) ask(ctx context.Context, peer string, changesOnly bool) {
+func (f *Fleet) ask(ctx context.Context, peer string, since uint64, changesOnly bool) {
 	client := fleetpb.NewFleetProtobufClient("http://"+peer, f.opts.Client)
 	answer, err := client.Newest(ctx, &fleetpb.NewestRequest{
-		Sender: f.opts.Address, ConfigPosition: f.opts.Holder.Position(), ListPosition: f.opts.Directory.View().Position,
+		Sender: f.opts.Address, ConfigPosition: f.opts.Holder.Position(), ListPosition: since,
 		ChangesOnly: changesOnly,
 	})
 	if err != nil {
@@ -254,7 +307,12 @@
 	if answer.GetConfigPosition() <= f.opts.Holder.Position() {
 		return
 	}
-	v, err := f.opts.Decode(answer.GetConfigPosition(), answer.GetConfig())
+	raw, err := f.configText(answer)
+	if err != nil {
+		f.opts.Recorder.Emit(EventDeltaUnusable, "from", peer, "position", answer.GetConfigPosition(), "err", err)
+		return
+	}
+	v, err := f.opts.Decode(answer.GetConfigPosition(), raw)
 	if err != nil {
 		if f.unreadable.Swap(answer.GetConfigPosition()) != answer.GetConfigPosition() {
 			f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "position", answer.GetConfigPosition(), "err", err)
@@ -262,9 +320,30 @@
 		return
 	}
 	f.opts.OfferConfig(v, peer)
+	if answer.GetConfigIsDelta() {
+		return
+	}
 	f.opts.Recorder.Emit(EventHelped, "peer", peer, "config_position", v.Position)
 }
 
+// configText returns the text of a peer's configuration.
+func (f *Fleet) configText(answer *fleetpb.NewestResponse) ([]byte, error) {
+	if !answer.GetConfigIsDelta() {
+		return answer.GetConfig(), nil
+	}
+	own := f.opts.Holder.Current()
+	if own == nil {
+		return nil, errNoText
+	}
+	return applyDelta(own.Raw, answer.GetConfig())
+}
+
+// errNoText: a delta came to a process that has no configuration.
+var errNoText = errors.New("fleet: a delta for no text")
+
+// Applied notes that a configuration is in force here, for others that ask.
+func (f *Fleet) Applied(v *site.Versioned) { f.texts.add(v) }
+
 // Handler serves peers.
 func (f *Fleet) Handler() http.Handler { return fleetpb.NewFleetServer(f) }
 
@@ -276,6 +355,9 @@
 	if behind {
 		behind = !f.changes(answer, r.GetListPosition())
 	}
+	if delta, newest := f.texts.since(r.GetConfigPosition()); delta != nil {
+		answer.ConfigPosition, answer.Config, answer.ConfigIsDelta = newest.Position, delta, true
+	}
 	if !r.GetChangesOnly() {
 		f.whole(answer, f.configAfter(r.GetConfigPosition()), view, behind)
 	}
@@ -303,6 +385,9 @@
 // whole answers with a whole configuration, a whole list or both, if this
 // process may hand on that much now.
 func (f *Fleet) whole(answer *fleetpb.NewestResponse, config *site.Versioned, view *directory.View, list bool) {
+	if answer.ConfigIsDelta {
+		config = nil
+	}
 	bytes := 0
 	if config != nil {
 		bytes += len(config.Raw)
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -36,7 +36,7 @@
 	h := head{life: 3, seq: 4}
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
-		encodeAnnouncement(announcement{healthy: true, config: 1 << 63, listed: 0}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), encodeBudget([]spent{{1, 2, 3}}),
+		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), encodeBudget([]spent{{1, 2, 3}}),
 	} {
 		f.Add(append(encodeHead(b.kind, h), b.raw...))
 	}
@@ -49,7 +49,7 @@
 		NewRestarts(s, d)
 		NewBudgets(BudgetsOptions{Socket: s, Near: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
 		NewElection(ElectionOptions{
-			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string) {},
+			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, uint64) {},
 			Position: func(Subject) uint64 { return 1 },
 		})
 		s.take("p", raw, time.Now())
--- /dev/null
+++ b/fleet/herd_test.go
@@ -0,0 +1,574 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/follow"
+	"github.com/pearyard/pearyard/retry"
+	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
+	"github.com/pearyard/pearyard/site"
+)
+
+// Times of the model of a site.
+const (
+	herdLink      = 1400 * time.Microsecond // one way between two VMs
+	herdStore     = 4 * time.Millisecond    // an answer of the store
+	herdHeartbeat = 20 * time.Millisecond   // between two writes of other tables
+)
+
+// unanswered counts the calls of VMs that the store does not answer, beside their kinds.
+const unanswered = "unanswered"
+
+// storeChange is one change of the list of servers; gone if it has no address.
+type storeChange struct {
+	at      uint64
+	listing directory.Listing
+}
+
+// herdStoreModel is the platform's store in virtual time. It counts calls.
+type herdStoreModel struct {
+	mu       sync.Mutex
+	position uint64 // grows with each write to any table
+	config   *site.Versioned
+	servers  map[string]directory.Listing
+	changes  []storeChange
+	rows     map[string][]byte
+	calls    map[string]int
+	changed  chan struct{} // closed at the next change of configuration or list
+}
+
+func newHerdStore(ctx context.Context, servers int) *herdStoreModel {
+	s := &herdStoreModel{servers: map[string]directory.Listing{}, rows: map[string][]byte{}, calls: map[string]int{}, changed: make(chan struct{})}
+	s.position = 1
+	s.setConfig()
+	for i := range servers {
+		s.setServer(directory.Listing{ID: fmt.Sprint("s", i), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Zone: "a", Slots: 8})
+	}
+	go func() {
+		for retry.Wait(ctx, herdHeartbeat) == nil {
+			s.mu.Lock()
+			s.position++
+			s.mu.Unlock()
+		}
+	}()
+	return s
+}
+
+func (s *herdStoreModel) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *herdStoreModel) setConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position++
+	s.config, _ = decode1(s.position, []byte("text"))
+	s.wake()
+}
+
+func (s *herdStoreModel) setServer(l directory.Listing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position++
+	s.servers[l.ID] = l
+	s.changes = append(s.changes, storeChange{s.position, l})
+	s.wake()
+}
+
+// called counts a call, and returns the calls so far by kind.
+func (s *herdStoreModel) called(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[what]++
+}
+
+func (s *herdStoreModel) counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// since returns the calls that were made after counts were taken, by kind, and their sum.
+func (s *herdStoreModel) since(before map[string]int) (map[string]int, int) {
+	now, sum := s.counts(), 0
+	for what := range now {
+		now[what] -= before[what]
+		if what != unanswered {
+			sum += now[what]
+		}
+	}
+	return now, sum
+}
+
+// herdSource is the store as one VM reaches it.
+type herdSource struct {
+	*herdStoreModel
+	cut func() bool
+}
+
+func (s herdSource) call(ctx context.Context, what string) error {
+	s.called(what)
+	if s.cut() {
+		s.called(unanswered)
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(herdStore):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s herdSource) Read(ctx context.Context) (*site.Versioned, uint64, error) {
+	if err := s.call(ctx, "read configuration"); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config, s.position, nil
+}
+
+// await waits until found reports something, or for that long.
+func (s herdSource) await(ctx context.Context, wait time.Duration, found func() bool) error {
+	over := time.After(wait)
+	for {
+		s.mu.Lock()
+		done, changed := found(), s.changed
+		s.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s herdSource) Next(ctx context.Context, after uint64, wait time.Duration) (*site.Versioned, uint64, error) {
+	if err := s.call(ctx, "wait for configuration"); err != nil {
+		return nil, 0, err
+	}
+	if err := s.await(ctx, wait, func() bool { return s.config.Position > after }); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.Position > after {
+		return s.config, s.position, nil
+	}
+	return nil, s.position, nil
+}
+
+func (s herdSource) List(ctx context.Context) (uint64, []directory.Listing, error) {
+	if err := s.call(ctx, "read servers"); err != nil {
+		return 0, nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []directory.Listing
+	for _, l := range s.servers {
+		list = append(list, l)
+	}
+	return s.position, list, nil
+}
+
+func (s herdSource) changedAfter(after uint64) (changed []directory.Listing) {
+	for _, c := range s.changes {
+		if c.at > after {
+			changed = append(changed, c.listing)
+		}
+	}
+	return changed
+}
+
+func (s herdSource) Changes(ctx context.Context, after uint64, wait time.Duration) (uint64, []directory.Listing, []string, error) {
+	if err := s.call(ctx, "wait for servers"); err != nil {
+		return 0, nil, nil, err
+	}
+	if err := s.await(ctx, wait, func() bool { return len(s.changedAfter(after)) > 0 }); err != nil {
+		return 0, nil, nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position, s.changedAfter(after), nil, nil
+}
+
+func (s herdSource) Put(ctx context.Context, _, key string, value []byte) error {
+	if err := s.call(ctx, "write row"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position++
+	s.rows[key] = value
+	return nil
+}
+
+func (s herdSource) Rows(ctx context.Context, _ string) (map[string][]byte, error) {
+	if err := s.call(ctx, "read entry VMs"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows), nil
+}
+
+// herd is a site's entry VMs, each with all that it uses the store for, in virtual
+// time and without a network.
+type herd struct {
+	ctx   context.Context
+	store *herdStoreModel
+	mu    sync.Mutex
+	vms   map[string]*herdVM // by address
+	cut   map[string]bool    // addresses that the store does not answer
+}
+
+type herdVM struct {
+	*Fleet
+	holder   *site.Holder
+	dir      *directory.Directory
+	socket   *Socket
+	inbox    chan herdDatagram
+	election *Election
+	stop     context.CancelFunc
+}
+
+func newHerd(ctx context.Context, servers int) *herd {
+	return &herd{ctx: ctx, store: newHerdStore(ctx, servers), vms: map[string]*herdVM{}, cut: map[string]bool{}}
+}
+
+func herdAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1) }
+
+func (h *herd) at(address string) *herdVM {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.vms[address]
+}
+
+func (h *herd) isCut(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cut[address]
+}
+
+func (h *herd) setCut(cut bool, addresses ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range addresses {
+		h.cut[a] = cut
+	}
+}
+
+// herdDatagram is a datagram on its way.
+type herdDatagram struct {
+	from string
+	raw  []byte
+	at   time.Time // when it arrives
+}
+
+// herdInbox bounds what is on its way to one VM.
+const herdInbox = 1 << 12
+
+// send carries a datagram, in order; one to a VM that is not there is lost.
+func (h *herd) send(from string) func(raw []byte, peer string) bool {
+	return func(raw []byte, peer string) bool {
+		vm := h.at(peer)
+		if vm == nil {
+			return true
+		}
+		select {
+		case vm.inbox <- herdDatagram{from, raw, time.Now().Add(herdLink)}:
+			return true
+		default:
+			return false
+		}
+	}
+}
+
+func (vm *herdVM) receive(ctx context.Context) error {
+	for {
+		select {
+		case d := <-vm.inbox:
+			time.Sleep(time.Until(d.at))
+			vm.socket.take(d.from, d.raw, time.Now())
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// ask carries a question for changes of the list.
+func (h *herd) ask(vm *herdVM, peer string, since uint64) {
+	other := h.at(peer)
+	time.Sleep(2 * herdLink)
+	if other == nil {
+		return
+	}
+	answer, err := other.Newest(h.ctx, &fleetpb.NewestRequest{ConfigPosition: vm.holder.Position(), ListPosition: since, ChangesOnly: true})
+	if err == nil {
+		vm.Fleet.take(peer, answer)
+	}
+}
+
+// start starts the VM of that number; it knows two others' addresses.
+func (h *herd) start(i int) {
+	address := herdAddress(i)
+	source := herdSource{h.store, func() bool { return h.isCut(address) }}
+	vm := &herdVM{holder: site.NewHolder(), dir: directory.New(), inbox: make(chan herdDatagram, herdInbox)}
+	config := &site.Follower{Holder: vm.holder, Source: source, Recorder: event.Discard()}
+	servers := &directory.Follower{Directory: vm.dir, Source: source, Recorder: event.Discard()}
+	vm.Fleet = New(Options{
+		Name: address, Address: address, Seeds: []string{herdAddress(0), herdAddress(1)}, Registry: source,
+		Holder: vm.holder, Directory: vm.dir, Decode: decode1, OfferConfig: config.Offer, OfferList: servers.Take, OfferChanges: servers.TakeChanges,
+		Settled: servers.Settled, Client: http.DefaultClient, Recorder: event.Discard(),
+	})
+	vm.socket = NewSocket(address, vm.Fleet.Peers, nil)
+	vm.socket.write = h.send(address)
+	vm.election = NewElection(ElectionOptions{
+		Address: address, Socket: vm.socket, Size: vm.Fleet.Size, Recorder: event.Discard(),
+		Fetch: func(_ context.Context, peer string, since uint64) { h.ask(vm, peer, since) },
+		Reached: func(s Subject) uint64 {
+			if s == Config {
+				return vm.holder.Position()
+			}
+			return servers.Reached()
+		},
+		Position: func(s Subject) uint64 {
+			if s == Config {
+				return vm.holder.Position()
+			}
+			return vm.dir.View().Position
+		},
+	})
+	h.wire(vm, config, servers)
+	ctx, stop := context.WithCancel(h.ctx)
+	vm.stop = stop
+	h.mu.Lock()
+	h.vms[address] = vm
+	h.mu.Unlock()
+	for _, run := range []func(context.Context) error{config.Run, servers.Run, vm.Fleet.Run, vm.election.Run, vm.receive} {
+		go func() { _ = run(ctx) }()
+	}
+}
+
+// wire ties a VM's followers to its election.
+func (h *herd) wire(vm *herdVM, config *site.Follower, servers *directory.Follower) {
+	vm.Fleet.UseElection(vm.election)
+	config.Applied = vm.Fleet.Applied
+	turns := follow.NewTurns()
+	config.Turns, servers.Turns = turns, turns
+	config.Share, servers.Share = vm.election.For(Config), vm.election.For(List)
+}
+
+// startAll starts VMs a millisecond apart.
+func (h *herd) startAll(count int) {
+	for i := range count {
+		h.start(i)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// kill ends the VMs that are picked, without a word.
+func (h *herd) kill(picked func(*herdVM) bool) (killed int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, vm := range h.vms {
+		if picked(vm) {
+			vm.stop()
+			delete(h.vms, address)
+			killed++
+		}
+	}
+	return killed
+}
+
+func (h *herd) all(holds func(*herdVM) bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, vm := range h.vms {
+		if !holds(vm) {
+			return false
+		}
+	}
+	return true
+}
+
+// inForceWithin tells how long it takes until something holds at all VMs.
+func (h *herd) inForceWithin(holds func(*herdVM) bool) time.Duration {
+	began := time.Now()
+	for !h.all(holds) && time.Since(began) < time.Minute {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// herdSettles is how long after their start all VMs know each other: one look of the
+// watchers at the registry, and the moment in which the others follow.
+const herdSettles = lookEvery + 2*time.Second
+
+// watched returns how many calls the watchers may make in a time in which nothing changes.
+func watched(d time.Duration) int {
+	return watchers * (2*(int(d/pollTimeout)+2) + int(d/lookEvery) + 2)
+}
+
+// herdSizes are those of sites: a small one, a large one, and the target's.
+var herdSizes = []int{18, 103, 400}
+
+func forHerds(t *testing.T, play func(g *gomega.WithT, h *herd, size int)) {
+	for _, size := range herdSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() {
+					cancel()
+					time.Sleep(time.Second) // whoever asks a peer has its answer
+				}()
+				h := newHerd(ctx, 20)
+				h.startAll(size)
+				time.Sleep(herdSettles)
+				play(gomega.NewWithT(t), h, size)
+			})
+		})
+	}
+}
+
+// Guards against calls to the store that grow with the number of entry VMs while
+// nothing changes.
+func TestStoreCallsDoNotGrowWithTheVMs(t *testing.T) {
+	const steady = 20 * time.Second
+	forHerds(t, func(g *gomega.WithT, h *herd, size int) {
+		before := h.store.counts()
+		time.Sleep(steady)
+		by, sum := h.store.since(before)
+		g.Expect(sum).To(gomega.BeNumerically("<=", watched(steady)), "%v", by)
+	})
+}
+
+// Guards against a herd that asks for seconds after all VMs were lost at once.
+func TestStoreCallsOfAHerdThatStarts(t *testing.T) {
+	forHerds(t, func(g *gomega.WithT, h *herd, size int) {
+		const span = 12 * time.Second // longer than relistEvery of package directory
+		h.kill(func(*herdVM) bool { return true })
+		time.Sleep(time.Second)
+		before := h.store.counts()
+		h.startAll(size)
+		time.Sleep(span)
+		by, sum := h.store.since(before)
+		// Each VM writes its row and reads three subjects; one more question shows that
+		// its list is as new as the watchers'.
+		g.Expect(sum).To(gomega.BeNumerically("<=", 5*size+watched(span)), "%v", by)
+	})
+}
+
+// Guards against changes that are late because somebody else reads the store.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	forHerds(t, func(g *gomega.WithT, h *herd, size int) {
+		before := h.store.counts()
+		h.store.setConfig()
+		g.Expect(h.inForceWithin(func(vm *herdVM) bool { return vm.holder.Position() == h.store.config.Position })).To(gomega.BeNumerically("<", 200*time.Millisecond))
+		h.store.setServer(directory.Listing{ID: "s1", Service: "s", Address: "10.1.0.1:80", Zone: "a", Slots: 8, Draining: true})
+		drains := func(vm *herdVM) bool {
+			return vm.dir.Pick(directory.Query{Service: "s", Avoid: othersThan(vm.dir, "s1")}, time.Now()) == nil
+		}
+		g.Expect(h.inForceWithin(drains)).To(gomega.BeNumerically("<", 600*time.Millisecond))
+		time.Sleep(time.Second)
+		by, sum := h.store.since(before)
+		// A configuration is read by each VM itself; changes of the list are handed on.
+		g.Expect(sum).To(gomega.BeNumerically("<=", size+size/4+40), "%v", by)
+	})
+}
+
+func othersThan(d *directory.Directory, id string) map[directory.Start]bool {
+	others := map[directory.Start]bool{}
+	for _, l := range d.View().Listings {
+		if l.ID != id {
+			others[l.Start()] = true
+		}
+	}
+	return others
+}
+
+// Guards against changes that nobody reads when all watchers are lost just before.
+func TestChangeIsInForceWhenTheWatchersAreLost(t *testing.T) {
+	forHerds(t, func(g *gomega.WithT, h *herd, size int) {
+		g.Expect(h.kill(func(vm *herdVM) bool { return vm.election.Watches() })).To(gomega.Equal(watchers))
+		h.store.setConfig()
+		h.store.setServer(directory.Listing{ID: "s1", Service: "s", Address: "10.1.0.1:80", Zone: "a", Slots: 8, Draining: true})
+		g.Expect(h.inForceWithin(func(vm *herdVM) bool { return vm.holder.Position() == h.store.config.Position })).To(gomega.BeNumerically("<", 2*time.Second))
+		drains := func(vm *herdVM) bool {
+			return vm.dir.Pick(directory.Query{Service: "s", Avoid: othersThan(vm.dir, "s1")}, time.Now()) == nil
+		}
+		g.Expect(h.inForceWithin(drains)).To(gomega.BeNumerically("<", 500*time.Millisecond), "both are known within two seconds")
+	})
+}
+
+// Guards against VMs that the store turns away and that ask it all the while for each
+// of the things that they read there, though others tell them what is new.
+func TestVMsThatTheStoreTurnsAway(t *testing.T) {
+	const away = 9 * time.Second
+	forHerds(t, func(g *gomega.WithT, h *herd, size int) {
+		var cut []string
+		for i := range size / 3 {
+			cut = append(cut, herdAddress(i*3))
+		}
+		h.setCut(true, cut...)
+		before := h.store.counts()
+		time.Sleep(away / 2)
+		h.store.setConfig()
+		g.Expect(h.inForceWithin(func(vm *herdVM) bool { return vm.holder.Position() == h.store.config.Position })).To(gomega.BeNumerically("<", 2*time.Second))
+		time.Sleep(away / 2)
+		by, _ := h.store.since(before)
+		h.setCut(false, cut...)
+		// Each asks once for both subjects, and once a second in the two seconds in which
+		// others take over from watchers that are cut off.
+		g.Expect(by[unanswered]).To(gomega.BeNumerically("<=", 4*len(cut)+watchers*4), "%v", by)
+		h.store.setConfig()
+		g.Expect(h.inForceWithin(func(vm *herdVM) bool { return vm.holder.Position() == h.store.config.Position })).To(gomega.BeNumerically("<", 2*time.Second))
+	})
+}
+
+// Guards against a store that is away and gets the questions of all VMs all the while,
+// and against VMs that are late after its return because they left the asking to others.
+func TestStoreThatIsAwayIsAskedByFew(t *testing.T) {
+	const away = 9 * time.Second
+	forHerds(t, func(g *gomega.WithT, h *herd, size int) {
+		var all []string
+		for i := range size {
+			all = append(all, herdAddress(i))
+		}
+		h.setCut(true, all...)
+		before := h.store.counts()
+		time.Sleep(away)
+		by, sum := h.store.since(before)
+		h.setCut(false, all...)
+		// At each VM one loop asks at once and in each idlePause with the half second in
+		// which no answer came, the other one twice; the first VMs ask once a second for each.
+		perVM := 1 + int(away/(idlePause+500*time.Millisecond)) + 2
+		g.Expect(sum).To(gomega.BeNumerically("<=", perVM*size+watchers*2*9), "%v", by)
+		h.store.setConfig()
+		h.store.setServer(directory.Listing{ID: "s1", Service: "s", Address: "10.1.0.1:80", Zone: "a", Slots: 8, Draining: true})
+		g.Expect(h.inForceWithin(func(vm *herdVM) bool { return vm.holder.Position() == h.store.config.Position })).To(gomega.BeNumerically("<", 1200*time.Millisecond))
+		drains := func(vm *herdVM) bool {
+			return vm.dir.Pick(directory.Query{Service: "s", Avoid: othersThan(vm.dir, "s1")}, time.Now()) == nil
+		}
+		g.Expect(h.inForceWithin(drains)).To(gomega.BeNumerically("<", 800*time.Millisecond))
+	})
+}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -22,6 +22,9 @@
 	return pollTimeout
 }
 
+// Pause implements follow.Share.
+func (s *share) Pause(d time.Duration, others bool) time.Duration { return s.election.Pause(d, others) }
+
 // Read implements follow.Share.
 func (s *share) Read(age time.Duration) { s.election.Read(s.subject, age) }
 
--- a/fleet/socket.go
+++ b/fleet/socket.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +19,10 @@
 	address  string
 	peers    func() []string
 	life     uint64
+	order    sync.Mutex // held while a datagram is sent: a receiver drops one that a later one overtook
 	seq      atomic.Uint32
 	conn     atomic.Pointer[net.UDPConn]
+	write    func(raw []byte, peer string) bool // writeUDP, or a test's own network
 	handlers map[kind]handler
 	recorder *event.Recorder // may be nil
 	sent     prometheus.Counter
@@ -47,6 +50,7 @@
 		got:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_received_total", Help: "Datagrams from other entry VMs."}),
 		bad:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pearyard_fleet_datagrams_unreadable_total", Help: "Datagrams that can't be read or are of no known kind."}),
 	}
+	s.write = s.writeUDP
 	if metrics != nil {
 		metrics.MustRegister(s.sent, s.got, s.bad)
 	}
@@ -112,18 +116,26 @@
 
 // SendTo sends a datagram to some peers.
 func (s *Socket) SendTo(b body, peers []string) {
-	conn := s.conn.Load()
-	if conn == nil {
-		return
-	}
+	s.order.Lock()
+	defer s.order.Unlock()
 	raw := append(encodeHead(b.kind, head{life: s.life, seq: s.seq.Add(1)}), b.raw...)
 	for _, peer := range peers {
-		addr, err := net.ResolveUDPAddr("udp4", peer)
-		if err != nil {
-			continue
-		}
-		if _, err := conn.WriteToUDP(raw, addr); err == nil {
+		if s.write(raw, peer) {
 			s.sent.Inc()
 		}
 	}
 }
+
+// writeUDP reports whether a datagram was sent.
+func (s *Socket) writeUDP(raw []byte, peer string) bool {
+	conn := s.conn.Load()
+	if conn == nil {
+		return false
+	}
+	addr, err := net.ResolveUDPAddr("udp4", peer)
+	if err != nil {
+		return false
+	}
+	_, err = conn.WriteToUDP(raw, addr)
+	return err == nil
+}
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -81,7 +81,7 @@
 	moved := bornAt("i1", 100)
 	moved.Slots = 9
 	well.dir.Apply(4, []directory.Listing{moved}, false, time.Now())
-	cut.AskChanges(t.Context(), well.opts.Address)
+	cut.AskChanges(t.Context(), well.opts.Address, cut.dir.View().Position)
 	g.Expect(cut.dir.View().Position).To(gomega.BeNumerically("==", 4))
 	g.Expect(cut.dir.View().Service("s")[0].Start).To(gomega.Equal(directory.Start{ID: "i1", Born: 200}))
 }
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -11,23 +11,25 @@
 // life of the sender (8, grows with each start), sequence number (4). Loads:
 // number of loads (2), number of lost servers (2), for each load server (4),
 // streams (1), copies (1), prompt tokens in units (2), for each lost server 4
-// bytes. Announcements: flags (1), places of configuration and list (8 each). Restarts: server (4),
+// bytes. Announcements: flags (1), spans of configuration and list (first and
+// last place, 8 each), digest of the entry VMs (8). Restarts: server (4),
 // when its new start was born (8), the id of that. Budgets: for each service its name's hash (4), first tries and
 // retries (2 each). JSON would
 // be three times as long, and bytes between zones are priced.
 const (
-	kindLoads        kind = 1
-	kindAnnouncement kind = 2
-	kindBudget       kind = 4
+	kindLoads  kind = 1
+	kindBudget kind = 4
 	// kindRestart is not 3, which names the new start by its id alone: an entry
 	// VM of an older release would take the time of birth for part of the id.
 	kindRestart kind = 5
+	// kindAnnouncement is not 2, which has single places in place of spans.
+	kindAnnouncement kind = 6
 
 	headBytes         = 13
 	countBytes        = 4
 	loadBytes         = 8
 	lostBytes         = 4
-	announcementBytes = 17
+	announcementBytes = 41
 	// restartBytes is what stands before the id.
 	restartBytes = lostBytes + 8
 
@@ -120,10 +122,14 @@
 // announcement is what a VM tells of itself and of the store.
 type announcement struct {
 	healthy        bool // the store answers it
+	watches        bool // it is one of the watchers
 	configReadNow  bool // the store has just confirmed the configuration
 	listReadNow    bool // and the list
+	membersReadNow bool // the store has just told who the entry VMs are
 	stopping       bool // a planned stop has begun: it takes little that is new
-	config, listed uint64
+	// Where in the store's history the sender's configuration and list are the newest.
+	config, list span
+	members      uint64 // digest of the entry VMs that the sender knows; 0: none read yet
 }
 
 const (
@@ -131,6 +137,8 @@
 	flagConfig
 	flagList
 	flagStopping
+	flagMembers
+	flagWatches
 )
 
 func encodeAnnouncement(w announcement) body {
@@ -138,15 +146,17 @@
 	for _, f := range []struct {
 		set  bool
 		flag byte
-	}{{w.healthy, flagHealthy}, {w.configReadNow, flagConfig}, {w.listReadNow, flagList}, {w.stopping, flagStopping}} {
+	}{{w.healthy, flagHealthy}, {w.configReadNow, flagConfig}, {w.listReadNow, flagList}, {w.stopping, flagStopping}, {w.membersReadNow, flagMembers}, {w.watches, flagWatches}} {
 		if f.set {
 			flags |= f.flag
 		}
 	}
 	out := make([]byte, 0, announcementBytes)
 	out = append(out, flags)
-	out = binary.BigEndian.AppendUint64(out, w.config)
-	return body{kindAnnouncement, binary.BigEndian.AppendUint64(out, w.listed)}
+	for _, place := range []uint64{w.config.from, w.config.to, w.list.from, w.list.to, w.members} {
+		out = binary.BigEndian.AppendUint64(out, place)
+	}
+	return body{kindAnnouncement, out}
 }
 
 func decodeAnnouncement(raw []byte) (announcement, bool) {
@@ -154,10 +164,13 @@
 		return announcement{}, false
 	}
 	flags := raw[0]
-	return announcement{
-		healthy: flags&flagHealthy != 0, configReadNow: flags&flagConfig != 0, listReadNow: flags&flagList != 0, stopping: flags&flagStopping != 0,
-		config: binary.BigEndian.Uint64(raw[1:]), listed: binary.BigEndian.Uint64(raw[9:]),
-	}, true
+	number := func(i int) uint64 { return binary.BigEndian.Uint64(raw[1+8*i:]) }
+	w := announcement{
+		healthy: flags&flagHealthy != 0, watches: flags&flagWatches != 0, configReadNow: flags&flagConfig != 0, listReadNow: flags&flagList != 0,
+		membersReadNow: flags&flagMembers != 0, stopping: flags&flagStopping != 0,
+		config: span{number(0), number(1)}, list: span{number(2), number(3)}, members: number(4),
+	}
+	return w, w.config.from <= w.config.to && w.list.from <= w.list.to
 }
 
 func encodeRestart(server uint32, start directory.Start) body {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -40,6 +40,9 @@
 	Updates() <-chan struct{}
 	// Wait returns how long a question waits at the store.
 	Wait(alone time.Duration) time.Duration
+	// Pause returns how long to wait after a failure, in place of the time given;
+	// others: another loop asks the same store.
+	Pause(d time.Duration, others bool) time.Duration
 	// Read notes an answer that may be so old, Failed the lack of one.
 	Read(age time.Duration)
 	Failed()
@@ -84,6 +87,7 @@
 	Pace time.Duration
 
 	Share Share
+	Turns *Turns // of all loops that ask the same store; may be nil
 	// Failed is called after each failure; it may ask peers.
 	Failed func(ctx context.Context)
 	// Lost and Regained tell of the store's loss and return.
@@ -167,6 +171,7 @@
 	if wait <= 0 {
 		return false
 	}
+	l.Turns.leave(l)
 	l.stale = true
 	l.confirmedAt.Store(time.Now().UnixNano())
 	timer := time.NewTimer(wait)
@@ -197,6 +202,7 @@
 // answered takes an answer in; what else is asked is no longer needed.
 func (l *Loop) answered(a answer) {
 	l.open = l.open.renew()
+	l.Turns.answered()
 	a.take()
 	if l.failures >= lostAfter && l.Regained != nil {
 		l.Regained(Outage{Failures: l.failures, Away: l.Age(), Longest: l.longest})
@@ -231,8 +237,20 @@
 	l.pause(ctx, retry.BackoffBetween(retryPause, maxPause, l.failures))
 }
 
-// pause waits, but not longer than for an answer to a question that is still open.
+// pause waits, and until another loop that asks the same store has an answer, but not
+// longer than for an answer to a question that is still open.
 func (l *Loop) pause(ctx context.Context, d time.Duration) {
+	back := l.Turns.take(l)
+	switch {
+	case back != nil:
+		d = turnTimeout
+	case l.Turns != nil:
+		d = min(d, turnPause)
+	}
+	var updates <-chan struct{}
+	if l.Share != nil {
+		d, updates = l.Share.Pause(d, back != nil), l.Share.Updates()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for {
@@ -241,6 +259,10 @@
 			return
 		case <-timer.C:
 			return
+		case <-back:
+			return
+		case <-updates:
+			return
 		case a := <-l.open.answers:
 			l.open.over(a.question)
 			if a.err == nil {
--- a/site/follow.go
+++ b/site/follow.go
@@ -44,6 +44,8 @@
 	Recorder *event.Recorder
 	Failed   func(ctx context.Context) // called after each failure; it may ask peers
 	Share    follow.Share              // may be nil
+	Turns    *follow.Turns             // of all that ask the same store; may be nil
+	Applied  func(v *Versioned)        // called with each version that is put in force; may be nil
 
 	loop       atomic.Pointer[follow.Loop]
 	reached    atomic.Uint64 // place in the history up to which changes were read; written by Run alone
@@ -53,7 +55,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	loop := &follow.Loop{
-		Read: f.read, Next: f.next, Wait: longPoll, Pace: minPace, Share: f.Share, Failed: f.Failed,
+		Read: f.read, Next: f.next, Wait: longPoll, Pace: minPace, Share: f.Share, Turns: f.Turns, Failed: f.Failed,
 		MustRead: func() bool { return f.Holder.Position() == 0 },
 		Lost:     func(err error) { f.Recorder.Emit(EventStoreLost, "err", err, "position", f.Holder.Position()) },
 		Regained: func(o follow.Outage) {
@@ -129,6 +131,9 @@
 	if v == nil || !f.Holder.Offer(v) {
 		return
 	}
+	if f.Applied != nil {
+		f.Applied(v)
+	}
 	f.Recorder.Emit(EventApplied, "version", v.Config.Version, "position", v.Position,
 		"routes", v.Config.Routes(), "from", from, "objectives", v.Config.Objectives())
 	if faults := v.Config.Faults; len(faults) > 0 {
