directory: a server whose address is listed for a later start is not kept

Cause: while the store forgives missing entries after its return, servers that are missing stay in use for 2.2 s.

Change: an address that is listed for a start born no earlier is proof that the server there has ended. An entry of an earlier start proves nothing.

TestServerWhoseAddressIsTakenIsNotKept, red before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -118,11 +118,12 @@
 			next.add(d.listed(old, l, now, &change))
 		}
 	}
+	taken := addressesOf(list)
 	for id, s := range old.byID {
 		if _, still := next.byID[id]; still {
 			continue
 		}
-		if forgiving && !s.Draining() && !invalid[id] {
+		if forgiving && !s.Draining() && !invalid[id] && !taken.fromServer(s) {
 			change.Kept = append(change.Kept, s.String())
 			next.add(s)
 			continue
@@ -138,6 +139,26 @@
 	return change
 }
 
+// addresses tells when the servers at them were born.
+type addresses map[string]int64
+
+func addressesOf(list []Listing) addresses {
+	born := make(addresses, len(list))
+	for _, l := range list {
+		if l.Invalid == "" {
+			born[l.Address] = max(born[l.Address], l.Born)
+		}
+	}
+	return born
+}
+
+// fromServer tells whether a later start is listed at a server's address: then its
+// own entry has not lapsed, the server has ended.
+func (a addresses) fromServer(s *Server) bool {
+	born, listed := a[s.Address]
+	return listed && born >= s.Born
+}
+
 // invalidIn returns the entries of a list that name no server, and notes those
 // of which that is news.
 func (d *Directory) invalidIn(old *View, list []Listing, change *Change) map[string]bool {
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -298,3 +298,17 @@
 		g.Expect(<-found).To(gomega.BeEquivalentTo(200))
 	}
 }
+
+// Guards against a server that is kept while the store forgives missing entries though
+// its address is listed for a later start: each request sent there is answered 421.
+func TestServerWhoseAddressIsTakenIsNotKept(t *testing.T) {
+	listing := func(id string, born int64, address string) Listing {
+		return Listing{ID: id, Born: born, Service: "s", Address: address, Zone: "a", Slots: 8}
+	}
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply(1, []Listing{listing("old", 100, "a:1"), listing("lapsed", 100, "a:2"), listing("newer", 300, "a:3"), listing("untold", 0, "a:4")}, false, time.Now())
+	change := d.Apply(2, []Listing{listing("next", 200, "a:1"), listing("late", 200, "a:3"), listing("other", 0, "a:4")}, true, time.Now())
+	g.Expect(change.Left).To(gomega.ConsistOf(Start{"old", 100}.String(), Start{"untold", 0}.String()))
+	g.Expect(change.Kept).To(gomega.ConsistOf(Start{"lapsed", 100}.String(), Start{"newer", 300}.String()), "nobody, or an earlier start, is listed there")
+}
