directory, fleet: what is reached is in force before it is told

Cause, by reading the new election: an update moved the place up to which the list is known before the directory had the change. An announcement in between, or a span whose ends were read in the other order, would have told others that their old list was the newest up to that place; they would never have asked for the change.

Change: the directory first, then the place; readers ask for the place first.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -59,7 +59,9 @@
 }
 
 // Run follows until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
+func (f *Follower) Run(ctx context.Context) error { return f.newLoop().Run(ctx) }
+
+func (f *Follower) newLoop() *follow.Loop {
 	loop := &follow.Loop{
 		Read: f.list, Next: f.changes, Wait: longPoll, Pace: pace, Share: f.Share, Turns: f.Turns, Failed: f.Failed,
 		MustRead: func() bool { return f.forgiving() || f.kept.Load() || time.Since(f.listedAt) > relistEvery },
@@ -71,7 +73,7 @@
 		},
 	}
 	f.loop.Store(loop)
-	return loop.Run(ctx)
+	return loop
 }
 
 // Age returns for how long nobody has confirmed the list; 0 before Run.
@@ -100,10 +102,10 @@
 		return nil, err
 	}
 	return func() {
-		f.reach(position)
 		if len(changed)+len(gone) > 0 {
 			f.take(position, merge(f.Directory.View().Listings, changed, gone), f.forgiving(), "store")
 		}
+		f.reach(position)
 	}, nil
 }
 
@@ -113,9 +115,9 @@
 		return nil, err
 	}
 	return func() {
-		f.reach(position)
 		f.listedAt = time.Now()
 		f.take(position, list, f.forgiving(), "store")
+		f.reach(position)
 	}, nil
 }
 
@@ -144,7 +146,9 @@
 	}
 }
 
-// Reached returns the position up to which there is nothing newer than what is in force.
+// Reached returns the position up to which there is nothing newer than what is in
+// force. Invariant: what came up to it is in the directory already; a reader of both
+// asks for this one first.
 func (f *Follower) Reached() uint64 { return f.position.Load() }
 
 // Take puts a list in force that a peer had from the store. What is missing
--- /dev/null
+++ b/directory/reached_test.go
@@ -0,0 +1,52 @@
+package directory
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/event"
+)
+
+// countingSource has one server more with each change.
+type countingSource struct{ position uint64 }
+
+func (s *countingSource) List(context.Context) (uint64, []Listing, error) {
+	return s.position, nil, nil
+}
+
+func (s *countingSource) Changes(context.Context, uint64, time.Duration) (uint64, []Listing, []string, error) {
+	s.position++
+	id := strconv.FormatUint(s.position, 10)
+	return s.position, []Listing{{ID: id, Service: "s", Address: "10.0.0.1:" + id, Slots: 1}}, nil, nil
+}
+
+// Guards against a position that is reached before the list says what came up to it:
+// others that are told so in between never ask for the change.
+func TestWhatIsReachedIsInForce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := &Follower{Directory: New(), Source: &countingSource{}, Recorder: event.Discard()}
+	f.newLoop()
+	ctx, cancel := context.WithCancel(t.Context())
+	var late uint64
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		for ctx.Err() == nil {
+			if reached := f.Reached(); reached > f.Directory.View().Position {
+				late++
+			}
+		}
+	})
+	for range 400 {
+		update, err := f.changes(ctx, 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		update()
+	}
+	cancel()
+	reader.Wait()
+	g.Expect(late).To(gomega.BeZero())
+}
--- a/fleet/election.go
+++ b/fleet/election.go
@@ -176,11 +176,13 @@
 
 // span returns that of what is in force here, as the store and watchers confirmed it.
 func (e *Election) span(s Subject) span {
-	from := e.opts.Position(s)
-	to := from
+	// Read in this order: a change in between must not seem to be in force already.
+	to := uint64(0)
 	if e.opts.Reached != nil {
-		to = max(to, e.opts.Reached(s))
+		to = e.opts.Reached(s)
 	}
+	from := e.opts.Position(s)
+	to = max(to, from)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.confirmed[s].from == from {
