--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// toldNow returns what a server's own word on others' calls is worth now. It counts
+// toldNow returns what a server's own word on others' calls counts now. It does so
 // for plain calls alone: of streams entry VMs tell each other something newer.
 func (s *Server) toldNow(q Query, now time.Time) float64 {
 	age := now.UnixNano() - s.toldAt.Load()
@@ -76,7 +76,7 @@
 	faultWeight = 8000.0
 	// coldWeight is that of a server that is slow after its start.
 	coldWeight = 2000.0
-	// otherZoneWeight breaks ties in favour of the process's own zone: bytes between zones are priced.
+	// otherZoneWeight breaks ties in favour of the process's own zone.
 	otherZoneWeight = 150.0
 	// maxFaults is where a server gets work only if there is no other.
 	maxFaults = 2.5
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -224,9 +224,7 @@
 // replacedBy notes the starts that others of their ids have taken the place of in
 // next, which must be the view by now.
 //
-// Failure it stops: whoever waits for a server's loss is woken while the view
-// still has the old start alone. A stream whose copy was lost looked for another
-// place, found the lost one again, and ran on without a copy to its end.
+// Whoever waits for the loss of such a start must find the new one in the view.
 func (v *View) replacedBy(next *View, now time.Time) {
 	for id, former := range v.byID {
 		if s := next.byID[id]; s != nil && s != former {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -29,12 +29,11 @@
 var ErrTooOld = errors.New("directory: the position is too old for changes")
 
 const (
-	// longPoll is how long one question waits at the store. A longer wait saves
-	// calls, which are priced.
+	// longPoll is how long one question waits at the store.
 	longPoll = 2 * time.Second
 	// pace is the time between two questions while changes come: many servers
-	// change in the same moments, and one answer carries them all. It is well
-	// under the two seconds in which a leaving server must get no new work.
+	// change in the same moments, and one answer carries them all. It must be well
+	// under the time in which a leaving server must get no new work.
 	pace = 400 * time.Millisecond
 	// relistEvery bounds how long a list is kept up by changes alone.
 	relistEvery = 10 * time.Second
--- a/directory/listing.go
+++ b/directory/listing.go
@@ -74,8 +74,7 @@
 
 // ValidID tells whether an id can be sent as a header's value: printable ASCII.
 //
-// Failure it stops: an id with a line break would end the header, and the rest of
-// it would be read as headers of the request, such as another organisation's name.
+// The rest of an id with a line break would be read as headers of the request.
 func ValidID(id string) bool {
 	if id == "" || len(id) > maxID {
 		return false
--- a/directory/portion.go
+++ b/directory/portion.go
@@ -8,11 +8,8 @@
 
 // portion is one process's part of the servers.
 //
-// Failure it answers for: a zone is lost, and all entry VMs place its streams
-// anew within milliseconds, sooner than they can tell each other. Each sees the
-// same idle servers and takes the same ones: four prompts of a second each on
-// one server, while others had none. Each process therefore prefers servers of
-// its own portion for what it places again, and knows at once what it put there.
+// After the loss of a zone all entry VMs place its streams within milliseconds, sooner
+// than they can tell each other. Different portions keep them from the same idle servers.
 type portion struct{ index, of int }
 
 // SetPortion says which of how many processes this one is.
--- a/directory/speed.go
+++ b/directory/speed.go
@@ -121,10 +121,8 @@
 // MayProve takes the right to send a prompt on trial to a server that is held too
 // slow for it.
 //
-// Failure it stops: measures come from a server's own answers alone. All servers
-// of a service had turned slow and recovered; the first one that was seen to be
-// fast got every prompt, and the others, idle, kept the speed of their bad time
-// for good: streams were refused for want of a server beside three idle ones.
+// Measures come from a server's own answers alone: without a trial one that has recovered
+// would stay idle.
 func (s *Server) MayProve(now time.Time) bool {
 	if s.Unread() > 0 {
 		return false
--- a/directory/start.go
+++ b/directory/start.go
@@ -98,9 +98,7 @@
 // current returns a list in which entries of starts before those known are
 // replaced by what is known, and the starts that were replaced so.
 //
-// Failure it stops: a write that the old process had sent reaches the store after
-// the new one's, or a peer that lags hands on its list; the process that runs
-// would be taken for ended, and its streams be cut off.
+// Such a write may reach the store after the new start's, or come from a peer that lags.
 func (v *View) current(list []Listing) (current []Listing, late []string) {
 	for i, l := range list {
 		s := v.byID[l.ID]
--- a/directory/trust.go
+++ b/directory/trust.go
@@ -12,11 +12,8 @@
 
 // crashes counts the recent crashes of a server's starts, by its id.
 //
-// Failure it answers for: a server crashes again and again and is back under its
-// id each time within a second. Each start is a new one with nothing against it,
-// and idle, so it gets work first; its calls that may run only once fail with it.
-// A single crash counts nothing: most servers that come back stay, and after the
-// loss of a zone they are needed at once.
+// A server that crashes again and again is idle after each start, and would get work
+// first. A single crash counts nothing: after the loss of a zone its servers are needed.
 type crashes struct {
 	count float64 // halved each crashHalfLife
 	at    time.Time
--- a/directory/urgent.go
+++ b/directory/urgent.go
@@ -9,11 +9,8 @@
 // about to stop: from now on each weighs as much as a long prompt where prompts are
 // placed, here and at the processes that are told of it.
 //
-// Failure it stops: servers were few, each prompt that came held up the streams that
-// ran there, and streams took 8 to 12 s. Those of entry VMs that were stopped meanwhile
-// outlasted the grace of 8 s and were cut, up to ten in one stop of two VMs. A stop
-// also took as long as the grace, and VMs that were stopped one after the other
-// were all away at once.
+// A prompt that is read beside a stream holds it up, and a stream that outlasts the grace
+// period is cut.
 func (d *Directory) Hasten() {
 	d.urgent.Store(true)
 	d.touch()
--- a/entry/cutter.go
+++ b/entry/cutter.go
@@ -27,10 +27,8 @@
 
 // cutter ends what still runs at the end of a planned stop, in the stop's name.
 //
-// Failure it stops: the server's own Close takes the callers' connections away,
-// which looks to each request as if its caller had left, and the process ends
-// before all of them have written their last line. The callers were blamed, and
-// what the stop had cut was counted nowhere.
+// The server's own Close would look to each request as if its caller had left, and would
+// not wait for their last lines.
 type cutter struct {
 	all context.Context // of all callers' requests
 	end context.CancelCauseFunc
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -48,9 +48,8 @@
 // serveUntilDrained adds a server that ends with the group or, after ctx, once
 // drain has returned; drain shuts the server down.
 //
-// Failure it stops: Serve returns as soon as the listener is closed, while
-// Shutdown still waits for requests that came in the same moment. Ended by the
-// former, the group closed their connections unanswered.
+// Serve returns as soon as the listener is closed, while Shutdown still waits for
+// requests that came in the same moment.
 func serveUntilDrained(ctx context.Context, group *run.Group, server *http.Server, l net.Listener, drain func()) {
 	stop, cancel := context.WithCancel(ctx)
 	drained := make(chan struct{})
--- a/entry/durations.go
+++ b/entry/durations.go
@@ -20,13 +20,9 @@
 // durations knows how long requests of a sort take, to tell whether one that
 // begins now can be finished by a certain time.
 //
-// Failure it stops: a process that was to end in 4.16 s took a stream because
-// the two that had ended took 3.94 and 4.81 s, of which the shorter was held
-// typical. It was cut after 4.16 s, six others with it after up to 5.4 s. What
-// has ended is a sample of the short ones, the more so the younger the process
-// is, and typical requests say nothing of the one that takes longest. So
-// requests that still run count with the time that they have taken, and the
-// longest stands for the next.
+// What has ended is a sample of the short ones, the more so the younger the process is.
+// So requests that still run count with the time that they have taken, and the longest
+// stands for the next.
 type durations struct {
 	unknown time.Duration // what one may take while too few have ended
 
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -15,9 +15,8 @@
 
 // guardedBackend turns panics of a backend's methods into errors.
 //
-// Failure it stops: attempts of plain calls, copies and probes run beside the
-// requests that they are made for, where a panic ends the process with all that
-// runs through it. It costs the one attempt, which may have run.
+// Such goroutines run beside the requests that they are made for; a panic there would
+// end the process with all that runs through it.
 type guardedBackend struct {
 	exchange.Backend
 	recorder *event.Recorder
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -30,9 +30,8 @@
 
 // listed tells whether a server is listed of a service that a route leads to.
 //
-// Failure it stops: anyone may write into the list. A process that knew nothing
-// but servers of a service without routes reported itself ready, and refused all
-// callers that came.
+// Servers of services without routes do not make a process ready: it would refuse all
+// callers.
 func (e *Entry) listed() bool {
 	return e.serves(func(*directory.Server) bool { return true })
 }
--- a/entry/panics.go
+++ b/entry/panics.go
@@ -23,9 +23,7 @@
 // deferred. http.ErrAbortHandler goes on to the server: with it handlers cut
 // answers.
 //
-// Failure it stops: the server recovers a panic by closing the connection. The
-// caller had neither an answer nor a refusal, and the stack on standard error
-// named no request.
+// The server's own recovery closes the connection without an answer.
 func (h *handler) answerPanic(w *httpanswer.Writer, r *http.Request) {
 	why := recover()
 	if why == nil {
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -21,16 +21,14 @@
 	comeBackShare = 0.25
 	maxComeBack   = 2500 * time.Millisecond
 	// listWait is when a caller may come back to a process that knows its
-	// configuration but no servers yet: a list of 3,000 takes 0.9 s over a link
-	// of 10 Mbit/s. Told to come back in 0.4 s, as when servers are full, callers
-	// spent their one retry before the list was there.
+	// configuration but no servers yet. It covers a long list over a slow link:
+	// sooner, callers would use up their retries before the list is there.
 	listWait = 1300 * time.Millisecond
 	// elsewhere is told to callers of a process that is about to stop: their
 	// next connection goes to another one.
 	elsewhere = 150 * time.Millisecond
 	// restartTime is how long after its end a process serves again: it is started,
-	// and reads what it needs from the store. Told less, callers of VMs that stop
-	// one after another meet the next one that stops.
+	// and reads what it needs from the store.
 	restartTime = 1200 * time.Millisecond
 	// returnsOver is the time over which callers are spread that come back to
 	// processes that were all stopped together.
@@ -65,9 +63,8 @@
 // refuseLate refuses a request that was complete only after its time; it has not
 // run.
 //
-// Failure it stops: such a request was sent to a backend server with a millisecond
-// to go, and its caller was told that it may have run. Of calls that must not run
-// twice that is the end.
+// Sent to a backend server with no time left it could only be answered that it may have
+// run.
 func (h *handler) refuseLate(w http.ResponseWriter, call *platform.Call) {
 	h.exchange.Refused(call.Route, call.UntilBy)
 	h.recorder.Emit(EventLate, event.FieldRequest, call.ID, "route", call.Route.Name, "version", call.Version,
@@ -133,11 +130,9 @@
 
 // afterStop returns when a caller may come back whom a stopping process refuses.
 //
-// Failure it stops: all entry VMs were stopped within a second. Each sent its
-// callers on to the others at once, which refused them as well, and they had no
-// retry left when the first VM served again: 5% of the requests of a day with two
-// such stops were refused for good, none of those that are told when VMs are
-// back. Plain calls go on at once: stopping processes take them nearly to the end.
+// If every peer is draining too, that is when the first of them is back: retrying sooner
+// would only use up the caller's retries. Plain calls go on at once, since stopping
+// processes take them nearly to the end.
 func (h *handler) afterStop(call *platform.Call, now time.Time) time.Duration {
 	if call.Route.Kind != site.Stream || h.allStop == nil || !h.allStop() {
 		return spreadOut(elsewhere)
@@ -150,9 +145,7 @@
 // firstBack returns when the first of the VMs that all stop serves again: this one
 // when what runs here has ended, another one at the end of its grace.
 //
-// Failure it stops: four VMs were stopped two seconds apart. The last one told its
-// callers when it would be back itself, eight seconds later, though the first was
-// back within 2.4 s, and answers of two seconds were late or refused for good.
+// VMs that are stopped one after another are back in that order.
 func (h *handler) firstBack(now time.Time) time.Time {
 	back := h.stop.drainedBy(now)
 	if h.firstStop != nil {
@@ -194,9 +187,7 @@
 
 // sayCut answers a request that this process's stop cuts before its head.
 //
-// Failure it stops: the caller is still there, but its connection was closed
-// without a word, as if the process had been killed. The flush is needed since
-// the process ends as soon as the last handler has returned.
+// The flush is needed since the process ends as soon as the last handler has returned.
 func sayCut(w http.ResponseWriter, id string, end *exchange.End) {
 	platform.WriteFailure(w, id, &exchange.Failure{Ran: true, By: end.By, Err: end})
 	// An error is a caller's that doesn't read, or that has left meanwhile.
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -31,8 +31,7 @@
 }
 
 const (
-	// streamUnknown is assumed of streams before enough have ended: a second for
-	// the prompt, a second for one read before it, and 130 events of 36 ms.
+	// streamUnknown is assumed of streams before enough have ended.
 	streamUnknown = 7 * time.Second
 	// plainNeed is what a plain call needs in all but one case in a hundred,
 	// with finalMargin; none is taken with less.
@@ -54,9 +53,7 @@
 // has. Routes come and go with configurations; past it all are learned anew.
 const maxRoutes = 4096
 
-// of returns how long requests of a route take. One sample for all routes let a
-// report of six seconds stand for a check of 60 ms, and the checks were refused
-// for the rest of the stop.
+// of returns how long requests of a route take. Routes differ too much to share samples.
 func (s *stopping) of(r *site.Route) *durations {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,9 +83,7 @@
 // late tells whether the stop has gone on for so long that only what is sure to
 // end before the process is taken.
 //
-// Failure it stops: no measure of streams that have ended bounds the next one. One
-// that took a tenth longer than all of them was taken 4.4 s into a stop, and its
-// caller's answer was cut in the middle, in each of four plays.
+// No measure of streams that have ended bounds the next one.
 func (s *stopping) late(now time.Time) bool {
 	return s.begun() && now.Sub(s.at)-time.Duration(s.began.Load()) > lateInStop
 }
--- a/entry/write.go
+++ b/entry/write.go
@@ -37,9 +37,8 @@
 // endWrites ends writes to a caller once its request has been ended by its
 // leaving or by this process's stop; the function returned calls that off.
 //
-// Failure it stops: a caller that had stopped reading closed its side. The write
-// to its full connection never ended, and with it neither did the request: it
-// had no last line, and held its memory for as long as the connection stayed.
+// A write to a caller that has stopped reading would never end, and neither would its
+// request.
 func endWrites(w http.ResponseWriter, r *http.Request) (stop func() bool) {
 	control := http.NewResponseController(w)
 	return context.AfterFunc(r.Context(), func() {
@@ -82,9 +81,8 @@
 
 // cut ends an answer that has begun so that it doesn't look whole. It doesn't return.
 //
-// Failure it stops: to a caller of HTTP/1.0 an answer without a length ends with
-// its connection. Closed in order, half an answer looked whole; a reset doesn't.
-// Later callers miss the last chunk.
+// To a caller of HTTP/1.0 an answer without a length ends with its connection: closed in
+// order, half an answer would look whole.
 func cut(r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		inbound.ResetAtClose(r)
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -21,9 +21,8 @@
 
 // copyKeeper knows where the memory of a stream's running attempt is copied to.
 type copyKeeper struct {
-	// free is told of copies that nobody will use. One that was asked for keeps
-	// its memory set aside for seconds otherwise: without it 1.2% of what was
-	// earned went into that, and streams found no room.
+	// free releases a copy that will not be used; its server reserves memory for it
+	// until then.
 	free func(*Memory)
 
 	mu     sync.Mutex
@@ -204,9 +203,7 @@
 // renewCopy brings a copy that was made by a call up to date; a copy that the run
 // itself sends grows with it.
 //
-// Failure it stops: a copy that replaced a lost one lacked what came after it. Used
-// seconds later, the rest was read behind others' prompts, and the caller got
-// nothing for over a second.
+// What an old copy lacks would have to be read behind other prompts.
 func (s *stream) renewCopy(ctx context.Context, a *streamAttempt) {
 	old := a.copies.called()
 	if old == nil {
@@ -225,13 +222,9 @@
 // copyAgain asks for a copy in another place. It reports false if none can be had
 // any more; while no place is usable, there may be one later.
 //
-// Failure it stops: servers were few and full, the first place that was asked had no
-// room, and the stream ran on without a copy. After the next loss its prompt was
-// read again, over a second.
+// A place without room does not leave the stream without a copy.
 //
-// Failure it stops: after a mass loss the only places left were themselves believed
-// lost. A copy was asked for at one after the other without a pause, each as lost
-// as the one before, which took a processor core for as long as the stream ran.
+// It does not ask at servers that are themselves believed lost.
 func (s *stream) copyAgain(ctx context.Context, a *streamAttempt, lost *directory.Server, avoid map[directory.Start]bool) bool {
 	if !s.req.hasTime(time.Now()) {
 		return false
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -105,10 +105,8 @@
 
 // inTime chooses the server for a prompt that has to be read.
 //
-// Failure it answers for: servers read more slowly than prompts come in. All
-// wait in queues until their deadlines pass, each has cost its server the time
-// of another that could have been whole, and callers learn nothing until then.
-// Here each server takes on what it can finish, and the rest is refused at once.
+// While servers read more slowly than prompts come in, each takes on what it can finish
+// and the rest is refused at once, so that queues do not grow to the deadline.
 func (s *stream) inTime() (*directory.Server, error) {
 	now := time.Now()
 	server := s.pick()
--- a/exchange/kept.go
+++ b/exchange/kept.go
@@ -13,10 +13,8 @@
 // for a caller that comes back for the rest of a stream: a new prompt is kept
 // nowhere, and one of a caller who got nothing yet looks new.
 //
-// Failure it answers for: callers' connections broke, or all entry VMs were killed,
-// and their streams came back to VMs that didn't know where they had run. Each
-// read its prompt of 8,000 tokens again, a second in which the caller got nothing
-// and other prompts waited, though the server that had read it kept it.
+// A server that still keeps the prompt goes on at once, where another one would read it
+// again.
 func (s *stream) locate(ctx context.Context) {
 	if len(s.req.Prompt) == 0 {
 		return
--- a/exchange/pass.go
+++ b/exchange/pass.go
@@ -66,8 +66,7 @@
 // passRest hands on what follows in an answer that is too large to be held. A
 // break in it ends the stream: its caller has a part already.
 //
-// Failure it stops: a server explained its refusal in 300 KB, and the caller got
-// the first 256 KB of it, ended as if that were all.
+// A failure that is longer than what is held must not end as if it were whole.
 func (s *stream) passRest(rest Body) error {
 	if rest == nil {
 		return nil
--- a/exchange/pauses.go
+++ b/exchange/pauses.go
@@ -35,11 +35,8 @@
 // pauses learns how long the sound engines of a service pause between events
 // while they read prompts. It takes no lock: every stream writes to it.
 //
-// Failure it answers for: engines that read at half the usual speed pause for
-// longer than the bound of silence. Each such pause counted as a loss, the
-// prompt was read again elsewhere and held up the streams there, until nearly
-// no stream ended in its time: 474 attempts of one minute were given up so, and
-// prompts read in vain cost 0.9 of what was to be earned.
+// Healthy servers that are slow pause for long; they must not be mistaken for failed
+// ones, since each takeover makes others read the prompt again.
 type pauses struct {
 	kept  [pausesKept]atomic.Int64 // nanoseconds, the oldest replaced first
 	count atomic.Uint64
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -44,9 +44,7 @@
 	case err != nil:
 		p.exchange.failed(s, err)
 	case s.EndedBy(born):
-		// Failure it stops: a server lost power and was started again under its id.
-		// It answers, but its streams are gone: their callers waited for a first
-		// event until their time was up.
+		// The process that answers knows nothing of the streams of the one before.
 		p.exchange.ended(s, errors.Wrapf(ErrOtherStart, "born %d", born))
 		p.exchange.opts.Restarts.confirm(p.exchange, s)
 	default:
--- a/exchange/rest.go
+++ b/exchange/rest.go
@@ -15,8 +15,7 @@
 // rest is what follows in an answer too large to be held. The request is on its
 // way until all of it has been handed on: only its end says who ended it.
 //
-// Failure it stops: the request's context was cancelled when the answer began,
-// which closed the server's connection, and each such answer was cut.
+// The request's context must live until then: the rest comes on its connection.
 type rest struct {
 	Body
 	call   *call
--- a/exchange/running.go
+++ b/exchange/running.go
@@ -24,10 +24,8 @@
 
 // running knows the streams that are on their way here.
 //
-// Failure it answers for: a process ends without a word, and with it the
-// streams that ran through it without trouble. No line named them, and nobody
-// could tell such a request's cause from the logs. Each is named once, together
-// with others, so that a stream still costs less than a line more.
+// A process that is killed writes no last line; each stream is named once before, together
+// with others.
 type running struct {
 	mu      sync.Mutex
 	streams map[*onItsWay]struct{}
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -11,10 +11,9 @@
 	"github.com/pearyard/pearyard/event"
 )
 
-// lostForGood is how long a server may give no sign of life before an attempt
-// there is ended though no other server takes the stream on. A full link of this VM
-// kept answers back for 3 s in a hunted day; a caller that is cut off after five has
-// most of its time left, usually 25 s, to come back and go on elsewhere.
+// lostForGood is how long a server may give no sign of life before an attempt there is
+// ended though no other server takes the stream on. It must be longer than a full link
+// of this VM keeps answers back, and leave the caller time to come back.
 const lostForGood = 5 * time.Second
 
 // errAbandoned: the request ended while its attempt was under way.
@@ -24,13 +23,9 @@
 // whole (nil) or the attempt is over. While that server is silent, the stream is
 // offered to another one beside it.
 //
-// Failure it stops: a server that pauses for other prompts was taken for lost, the
-// attempt was ended first, and the copy's server refused for want of room. No
-// other could be in time, and the caller's answer was cut in the middle, on a day
-// without any failure: 1 to 15 answers of a day with too few servers. Silence
-// alone ends nothing now: an attempt goes on until another one has brought an
-// event in its place, its connection breaks, or its server has given no sign of
-// life for lostForGood.
+// Silence alone ends nothing, since a server that pauses for other prompts is as silent
+// as a lost one: an attempt goes on until another one has brought an event in its place,
+// its connection breaks, or its server has given no sign of life for lostForGood.
 //
 // Invariant: events reach the caller from the current attempt alone, and an attempt
 // that becomes the current one goes on after the caller's last event.
@@ -205,10 +200,8 @@
 
 // lookForNext begins an attempt beside the current one if a server is found for it.
 //
-// For want of budget it looks again a moment later. Failure it stops: in a mass
-// loss the part of the budget that a process may take before the others know of it
-// is spent at once and free again soon after; streams that asked again 0.4 s later
-// had paused for longer than the 0.7 s that callers allow.
+// For want of budget it looks again a moment later: in a mass loss a process's part of
+// it is spent at once and free again soon after.
 func (s *stream) lookForNext(ctx context.Context) {
 	s.payAgain = nil
 	if !s.quiet || s.next != nil || !s.mayTakeOver() {
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -19,9 +19,8 @@
 	unknownFor = 200 * time.Millisecond
 )
 
-// Budgets lets entry VMs share the retry budget. A fixed part for each holds
-// without a word from anybody, but a loss hits unevenly: some VMs had their
-// part spent and let streams fail while most of the whole was free.
+// Budgets lets entry VMs share the retry budget. A fixed part for each would hold
+// without a datagram from anybody, but losses hit VMs unevenly.
 //
 // Invariant: the VMs that hear each other stay within their common bound. What
 // is free by the newest words is divided by the number of VMs, and none takes
@@ -69,8 +68,7 @@
 
 // forgotten returns the fixed retries that the VM took before its restart, as
 // long as they may be in the window: it has forgotten them, and the backend
-// servers have not. Without them a partial restart in a mass loss freed what was
-// taken, and those that were not killed took it again, beyond what is allowed.
+// servers have not.
 func (o *otherBudget) forgotten(service uint32, window time.Duration, now time.Time) float64 {
 	if now.Sub(o.formerAt) >= window {
 		return 0
@@ -108,10 +106,8 @@
 // FixedShare returns the part of the fixed retries that a process may use: all
 // of them once it is as old as the window, youngShare before.
 //
-// Failure it stops: all VMs are killed in the middle of a mass loss. What they
-// had sent again is forgotten with them, and the fixed retries of the window
-// were used a second time: more repeats than allowed. A process knows all that
-// was sent again in the window once it is that old itself. The share of first
+// What a process sent again before it was killed still counts at the servers, so it
+// must be as old as the window before it uses its whole fixed part. The share of first
 // tries needs no such wait: it begins anew with what was forgotten.
 func FixedShare(started time.Time, window time.Duration) float64 {
 	if time.Since(started) < window {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,10 +34,8 @@
 
 const (
 	registryTable = "entry_vms"
-	// lookEvery is how often the registry is read: VMs are added seldom, and
-	// each look is a priced call.
-	lookEvery = 5 * time.Second
-	// registryTimeout bounds one call to the registry.
+	// lookEvery is how often the watchers read the registry: VMs are added seldom.
+	lookEvery       = 5 * time.Second
 	registryTimeout = 2 * time.Second
 	retryPause      = 200 * time.Millisecond
 	maxPause        = time.Second
@@ -128,10 +126,8 @@
 // Size returns how many entry VMs there are, this one included; very many until
 // that is known.
 //
-// Failure it stops: a process that has just started knows its seeds alone. 200
-// that were killed together each took themselves for one of four, each used a
-// quarter of the retry budget, and backend servers got 604 repeats in ten
-// seconds where 507 were allowed.
+// Until then the seeds alone are known, far fewer than there are; what all may do
+// together is divided by their number.
 func (f *Fleet) Size() int {
 	if size := f.size.Load(); size > 0 {
 		return int(size)
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -15,11 +15,8 @@
 
 // pace spreads large answers to peers.
 //
-// Failure it stops: the store fails for many entry VMs at once, or all were
-// restarted, and each asks its peers for everything. At 300 VMs and 3,000
-// backend servers the peers' links were full of lists that came too late to be
-// taken, and nobody took callers for seconds. Who gets nothing asks another
-// peer a moment later.
+// After an outage or a mass restart all ask at once; links full of lists that come too
+// late would leave no room for callers. Who gets nothing asks another peer.
 type pace struct {
 	mu   sync.Mutex
 	next time.Time // when the next answer may be begun
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -15,7 +15,7 @@
 // last place, 8 each), digest of the entry VMs (8). Restarts: server (4),
 // when its new start was born (8), the id of that. Budgets: for each service its name's hash (4), first tries and
 // retries (2 each). JSON would
-// be three times as long, and bytes between zones are priced.
+// be three times as long.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -12,19 +12,15 @@
 
 const (
 	// answerWithin is how long an answer of the store is waited for, on top of a wait
-	// there, before another question is put beside the one that is open. It is
-	// many times what an answer takes on a link of 10 Mbit/s.
+	// there, before another question is put beside the one that is open.
 	answerWithin = 500 * time.Millisecond
 	// nextPage is how long the next part of an answer is waited for that has begun
-	// to come. A page of 500 servers takes 0.7 s over a link that is squeezed to
-	// 1.2 Mbit/s; with the pause after it the next question still comes under the
-	// two seconds in which a change must be in force.
+	// to come, also over a squeezed link. With the pause after it the next question
+	// must come within the time in which a change must be in force.
 	nextPage = 1200 * time.Millisecond
 	// retryPause is the shortest wait after a failure; with jitter it grows to
-	// retryPause + maxPause. With answerWithin the time between two questions stays
-	// under 1.1 s: what the store says first after an outage is known within that
-	// time, half of the two seconds in which a change must be in force. Calls are
-	// priced, refused ones too.
+	// retryPause + maxPause. With answerWithin it bounds how late the store's return
+	// is noticed, which must be well within the time in which a change must be in force.
 	retryPause = 150 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
 	// lostAfter is how many failures in a row are told as the store's loss: one
@@ -61,12 +57,8 @@
 // Loop follows one subject. A question that has had no answer in time stays
 // open and another is put beside it.
 //
-// Failure it stops: the store was silent for five seconds, and each question
-// that ran out of time let the next one wait twice as long. The fourth waited
-// four seconds for an answer that the outage had swallowed, and a change that
-// was made after the store's return was in force three seconds later. Questions
-// put beside each other need no patience that grows: a store that is slow
-// answers the older one, a store that is back answers the newest.
+// Questions beside each other need no patience that grows: a store that is slow answers
+// the older one, a store that is back answers the newest.
 //
 // All funcs but Read and Next may be nil.
 type Loop struct {
--- a/promptcache/locator.go
+++ b/promptcache/locator.go
@@ -9,26 +9,19 @@
 )
 
 const (
-	// askTimeout bounds a question to one server: it answers within 3 ms between
-	// zones, twice that on a new connection. A lost server answers never, and the
-	// caller, who allows 700 ms between two tokens, waits meanwhile.
+	// askTimeout bounds a question to one server. A lost server answers never, and the
+	// caller waits meanwhile.
 	askTimeout = 60 * time.Millisecond
-	// askEvery is the least time between two rounds of questions about a service.
-	// After the loss of an entry VM its callers come back within a second; the
-	// first one's answers hold for nearly all of them, as their streams ended in
-	// the same moment, so that there are few more rounds however many come back. A
-	// prompt that has been read since the last round is missed by it, so that
-	// rounds are closer together than callers.
+	// askEvery is the least time between two rounds of questions about a service. The
+	// callers of a lost entry VM come back together, and one round serves them all; a
+	// prompt that has been read since is missed.
 	askEvery = 200 * time.Millisecond
-	// validFor is how long an answer is worth anything. A server with room for
-	// eleven prompts that begins one every 4 s has dropped the oldest after 40 s;
-	// a wrong answer costs no more than none, the prompt is read.
+	// validFor is how long an answer is used: servers drop the oldest prompts. A wrong
+	// answer costs no more than none.
 	validFor = 10 * time.Second
-	// maxAsked bounds the servers of one round. At 100 servers the answers of a
-	// round have 100 KB, which take 80 ms on a link of 10 Mbit/s.
+	// maxAsked bounds the servers of one round, and so the bytes of its answers.
 	maxAsked = 128
-	// nearlyAll of a prompt is as good as all of it: servers keep whole blocks of 16
-	// tokens, and the rest of a prompt of 8,000 tokens is read within a millisecond.
+	// nearlyAll of a prompt is as good as all of it: servers keep whole blocks.
 	nearlyAll = 0.9
 )
 
