exchange, directory, fleet, promptcache: names of the field

hand -> deliver, notice -> silenceAlert, pay, payNow, payAgain -> reserveRetry, tryReserveRetry, retryAvailable, ofNoUse -> unusable, notFor -> excludedFor, leaveNext -> abandonNext, lostForGood -> silenceTimeout, signOfLife -> probeTimeout, nearlyAll -> sufficientPrefix, portions -> hash ranges, toldNow -> reportedLoad, tellsMore -> isNewReason, strange -> invalidRows. Renames only.

--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -14,37 +14,37 @@
 	distrust float64 // crashes of earlier starts, see Server.distrust
 	kept     int     // tokens of the prompt that need not be read there
 
-	cold         bool // slow after its start
-	otherZone    bool // not in the zone of this process
-	otherPortion bool // not of this process's portion, where that counts
-	passedOver   bool // in the zone that the query passes over
-	doubted      bool // in a zone that has lost many servers
-	down         bool // believed lost
+	cold       bool // slow after its start
+	otherZone  bool // not in the zone of this process
+	otherRange bool // not of this process's portion, where that counts
+	passedOver bool // in the zone that the query passes over
+	doubted    bool // in a zone that has lost many servers
+	down       bool // believed lost
 }
 
 // candidate returns what is known of the server now.
 func (s *Server) candidate(q Query, zones losses, now time.Time) candidate {
 	return candidate{
-		unread:       s.prefill.Load() + s.otherPrefill.Load(),
-		streams:      weightOfStreams(s.streams.Load(), q.urgent) + s.otherStreams.Load(),
-		copies:       s.copies.Load() + s.otherCopies.Load(),
-		calls:        s.calls.Load(),
-		told:         s.toldNow(q, now),
-		faults:       s.Faults(now),
-		distrust:     s.distrust(now),
-		kept:         q.Kept[s.Start],
-		cold:         now.UnixNano() < s.warmAt.Load(),
-		otherZone:    s.Zone != q.Zone,
-		otherPortion: q.Again && !q.portion.has(s),
-		passedOver:   q.NotZone != "" && s.Zone == q.NotZone,
-		doubted:      zones.doubted(s),
-		down:         s.IsDown(now),
+		unread:     s.prefill.Load() + s.otherPrefill.Load(),
+		streams:    weightOfStreams(s.streams.Load(), q.urgent) + s.otherStreams.Load(),
+		copies:     s.copies.Load() + s.otherCopies.Load(),
+		calls:      s.calls.Load(),
+		told:       s.reportedLoad(q, now),
+		faults:     s.Faults(now),
+		distrust:   s.distrust(now),
+		kept:       q.Kept[s.Start],
+		cold:       now.UnixNano() < s.warmAt.Load(),
+		otherZone:  s.Zone != q.Zone,
+		otherRange: q.Again && !q.hashRange.has(s),
+		passedOver: q.NotZone != "" && s.Zone == q.NotZone,
+		doubted:    zones.doubted(s),
+		down:       s.IsDown(now),
 	}
 }
 
-// toldNow returns what a server's own word on others' calls counts now. It does so
+// reportedLoad returns what a server's own word on others' calls counts now. It does so
 // for plain calls alone: of streams entry VMs tell each other something newer.
-func (s *Server) toldNow(q Query, now time.Time) float64 {
+func (s *Server) reportedLoad(q Query, now time.Time) float64 {
 	age := now.UnixNano() - s.toldAt.Load()
 	if q.Prompt != 0 || age >= int64(toldFresh) {
 		return 0
@@ -80,9 +80,9 @@
 	otherZoneWeight = 150.0
 	// maxFaults is where a server gets work only if there is no other.
 	maxFaults = 2.5
-	// otherPortionWeight keeps processes apart that place again at the same time: as
+	// otherRangeWeight keeps processes apart that place again at the same time: as
 	// much as a long prompt, which takes a second to be read.
-	otherPortionWeight = 8000.0
+	otherRangeWeight = 8000.0
 )
 
 // score is the load of a candidate for what is looked for, in prompt tokens.
@@ -101,8 +101,8 @@
 	if c.otherZone {
 		score += otherZoneWeight
 	}
-	if c.otherPortion {
-		score += otherPortionWeight
+	if c.otherRange {
+		score += otherRangeWeight
 	}
 	return score
 }
--- a/directory/candidate_test.go
+++ b/directory/candidate_test.go
@@ -25,7 +25,7 @@
 		"a copy lies apart from other copies":                                {Query{Prompt: 8000, Copy: true}, candidate{streams: 1}, candidate{copies: 1}},
 		"a plain call goes where fewer calls run, by the server's word also": {Query{}, candidate{calls: 1}, candidate{told: 1.5}},
 		"away from a server that has just failed":                            {Query{}, candidate{calls: 5}, candidate{faults: 1}},
-		"what is placed again keeps to its portion unless a prompt is ahead": {Query{Prompt: 8000, Again: true}, candidate{unread: 7000}, candidate{otherPortion: true}},
+		"what is placed again keeps to its portion unless a prompt is ahead": {Query{Prompt: 8000, Again: true}, candidate{unread: 7000}, candidate{otherRange: true}},
 		"into the own zone among equals":                                     {prompt, candidate{}, candidate{otherZone: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -62,8 +62,8 @@
 	now := time.Now()
 	s := newServer(Listing{ID: "a", Slots: 8}, now, func() {})
 	s.Told(now, 4, 0)
-	g.Expect(s.toldNow(Query{}, now)).To(gomega.BeNumerically("~", 4, 0.01))
-	g.Expect(s.toldNow(Query{}, now.Add(toldFresh/2))).To(gomega.BeNumerically("~", 2, 0.01))
-	g.Expect(s.toldNow(Query{}, now.Add(toldFresh))).To(gomega.BeZero())
-	g.Expect(s.toldNow(Query{Prompt: 8000}, now)).To(gomega.BeZero())
+	g.Expect(s.reportedLoad(Query{}, now)).To(gomega.BeNumerically("~", 4, 0.01))
+	g.Expect(s.reportedLoad(Query{}, now.Add(toldFresh/2))).To(gomega.BeNumerically("~", 2, 0.01))
+	g.Expect(s.reportedLoad(Query{}, now.Add(toldFresh))).To(gomega.BeZero())
+	g.Expect(s.reportedLoad(Query{Prompt: 8000}, now)).To(gomega.BeZero())
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -180,17 +180,17 @@
 		known[l.ID] = l.Invalid
 	}
 	for _, l := range list {
-		if l.Invalid != "" && tellsMore(known[l.ID], l.Invalid) {
+		if l.Invalid != "" && isNewReason(known[l.ID], l.Invalid) {
 			change.Invalid = append(change.Invalid, l)
 		}
 	}
 	return invalid
 }
 
-// tellsMore tells whether a reason why an entry names no server is news. A peer
+// isNewReason tells whether a reason why an entry names no server is news. A peer
 // hands on no reason, so that one read from the store and one from a peer would
 // take turns in the log.
-func tellsMore(known, reason string) bool {
+func isNewReason(known, reason string) bool {
 	return known == "" || (known != reason && known != FaultNoService && reason != FaultNoService)
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -396,7 +396,7 @@
 	prompts := map[string]int{}
 	for vm := range vms {
 		d := withServers(ids...)
-		d.SetPortion(vm, vms)
+		d.SetHashRange(vm, vms)
 		var told []Load
 		for _, id := range ids[1:] {
 			told = append(told, Load{Server: Hash(id), Streams: 2})
--- a/directory/portion.go
+++ b/directory/hashrange.go
@@ -12,12 +12,12 @@
 // than they can tell each other. Different portions keep them from the same idle servers.
 type portion struct{ index, of int }
 
-// SetPortion says which of how many processes this one is.
-func (d *Directory) SetPortion(index, of int) { d.portion.Store(&portion{index, of}) }
+// SetHashRange says which of how many processes this one is.
+func (d *Directory) SetHashRange(index, of int) { d.portion.Store(&portion{index, of}) }
 
-// portionOf returns the hashes of this process's portion of a list, first and last.
+// hashRangeOf returns the hashes of this process's portion of a list, first and last.
 // Portions are equal, since processes that know the same servers sort them alike.
-func (d *Directory) portionOf(list []*Server, now time.Time) hashRange {
+func (d *Directory) hashRangeOf(list []*Server, now time.Time) hashRange {
 	mine := d.portion.Load()
 	if mine == nil || mine.of <= 1 {
 		return everyHash
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -23,8 +23,8 @@
 	// moment, by the same words of load.
 	Again bool
 
-	urgent  bool      // the streams of this process must end soon; set by Pick
-	portion hashRange // of this process; set by Pick for what is placed again
+	urgent    bool      // the streams of this process must end soon; set by Pick
+	hashRange hashRange // of this process; set by Pick for what is placed again
 }
 
 // Pick returns the server that is expected to begin soonest, or nil. Among
@@ -36,7 +36,7 @@
 	zones := lossesOf(list, now)
 	q.urgent = d.urgent.Load()
 	if q.Again {
-		q.portion = d.portionOf(list, now)
+		q.hashRange = d.hashRangeOf(list, now)
 	}
 	if own := d.ownCell(list); len(own) < len(list) {
 		if s := best(own, q, zones, grades[0], now); s != nil {
--- a/directory/pick_bench_test.go
+++ b/directory/pick_bench_test.go
@@ -18,7 +18,7 @@
 					ids = append(ids, fmt.Sprintf("%c-%06d", 'a'+i%4, i))
 				}
 				d := withServers(ids...)
-				d.SetPortion(3, 300)
+				d.SetHashRange(3, 300)
 				now := time.Now().Add(time.Second)
 				for b.Loop() {
 					d.Pick(Query{Service: "s", Zone: "a", Prompt: 8000, Again: again}, now)
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -80,18 +80,18 @@
 func (a *streamAttempt) read(backend Backend, sending *Attempt) {
 	defer func() {
 		if why := recover(); why != nil {
-			a.hand(step{fault: &Fault{Why: why, Stack: debug.Stack()}})
+			a.deliver(step{fault: &Fault{Why: why, Stack: debug.Stack()}})
 		}
 	}()
 	answer, err := backend.Open(a.watch.ctx, sending)
 	if err != nil {
-		a.hand(step{err: a.watch.explain(err)})
+		a.deliver(step{err: a.watch.explain(err)})
 		return
 	}
 	defer answer.Body.Close()
 	if answer.Status >= 300 || answer.Status < 200 {
 		reply, err := whole(answer)
-		if a.hand(step{reply: reply, err: err}) && err == nil && reply.Rest != nil {
+		if a.deliver(step{reply: reply, err: err}) && err == nil && reply.Rest != nil {
 			<-a.over // the rest is read by whoever took the step
 		}
 		return
@@ -100,13 +100,13 @@
 	for {
 		ev, err := events.next()
 		if err != nil {
-			a.hand(step{answer: answer, err: a.ending(err)})
+			a.deliver(step{answer: answer, err: a.ending(err)})
 			return
 		}
 		a.watch.heard()
 		a.server.Heard(time.Now())
 		ev.raw = bytes.Clone(ev.raw) // the next one is read while this is passed on
-		if !a.hand(step{answer: answer, event: ev}) {
+		if !a.deliver(step{answer: answer, event: ev}) {
 			return
 		}
 		a.watch.listen()
@@ -120,8 +120,8 @@
 	return a.watch.explain(&BrokenError{Err: err})
 }
 
-// hand reports whether the step was taken.
-func (a *streamAttempt) hand(st step) bool {
+// deliver reports whether the step was taken.
+func (a *streamAttempt) deliver(st step) bool {
 	select {
 	case a.steps <- st:
 		return true
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -138,8 +138,8 @@
 	}, time.Now())
 }
 
-// notFor returns the servers that are no place for the copy of a run on server.
-func (s *stream) notFor(server *directory.Server) map[directory.Start]bool {
+// excludedFor returns the servers that are no place for the copy of a run on server.
+func (s *stream) excludedFor(server *directory.Server) map[directory.Start]bool {
 	avoid := maps.Clone(s.tried)
 	avoid[server.Start] = true
 	return avoid
@@ -151,7 +151,7 @@
 	if !ok || !service.Copies || !s.req.Route.Resumable {
 		return nil
 	}
-	to := s.copyPlace(a.server, s.notFor(a.server), false)
+	to := s.copyPlace(a.server, s.excludedFor(a.server), false)
 	if to != nil {
 		a.copies.set(&Memory{At: to})
 	}
--- a/exchange/pass.go
+++ b/exchange/pass.go
@@ -38,7 +38,7 @@
 		a.heard = true
 		s.promptRead(a)
 		s.started(a)
-		go s.keepCopy(a.watch.ctx, a, s.notFor(a.server))
+		go s.keepCopy(a.watch.ctx, a, s.excludedFor(a.server))
 	}
 	return false, s.pass(st.answer, st.event)
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -26,7 +26,7 @@
 	longest  time.Duration
 	tried    map[directory.Start]bool // servers that proved not to run it, or that broke
 	arrivals int                      // sendings that reached a server
-	paid     bool                     // the budget holds a retry that has reached no server yet
+	reserved bool                     // the budget holds a retry that has reached no server yet
 	ran      int                      // attempts that may have run
 	refused  int
 	// refusedNow counts the refusals since the caller's last event.
@@ -47,10 +47,10 @@
 	next     *streamAttempt // begun beside current while that is silent; nil otherwise
 	quiet    bool           // current is silent, and that has been told
 	waitsFor string         // why no other server goes on with it, as told last
-	// payAgain fires when the retry budget is to be asked again; nil: it is not.
-	payAgain <-chan time.Time
-	sent     bool // current is under way: it may be running
-	onItsWay *onItsWay
+	// retryAvailable fires when the retry budget is to be asked again; nil: it is not.
+	retryAvailable <-chan time.Time
+	sent           bool // current is under way: it may be running
+	onItsWay       *onItsWay
 }
 
 // Stream serves a streaming request into sink. A *Failure before the head is
@@ -175,7 +175,7 @@
 // reached counts an attempt that reached its server: the next one is a retry.
 func (s *stream) reached() {
 	s.arrivals++
-	s.paid = false
+	s.reserved = false
 }
 
 // again says that an attempt failed and another may follow.
@@ -214,7 +214,7 @@
 			return nil, nil, err
 		}
 	}
-	if s.arrivals > 0 && !s.pay(ctx) {
+	if s.arrivals > 0 && !s.reserveRetry(ctx) {
 		return nil, nil, ErrBudget
 	}
 	if s.hasCopy() {
@@ -249,14 +249,14 @@
 	return at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now())
 }
 
-// pay takes the next sending out of the retry budget, unless what was taken
+// reserveRetry takes the next sending out of the retry budget, unless what was taken
 // for the last one is still unused: a server that has ended takes no connection,
 // so nobody there got a retry. In a mass loss the streams find many such servers.
-func (s *stream) pay(ctx context.Context) bool {
-	if !s.paid {
-		s.paid = s.awaitBudget(ctx)
+func (s *stream) reserveRetry(ctx context.Context) bool {
+	if !s.reserved {
+		s.reserved = s.awaitBudget(ctx)
 	}
-	return s.paid
+	return s.reserved
 }
 
 // awaitBudget takes one more sending out of the budget. In a mass loss the part
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -11,10 +11,10 @@
 	"github.com/pearyard/pearyard/event"
 )
 
-// lostForGood is how long a server may give no sign of life before an attempt there is
+// silenceTimeout is how long a server may give no sign of life before an attempt there is
 // ended though no other server takes the stream on. It must be longer than a full link
 // of this VM keeps answers back, and leave the caller time to come back.
-const lostForGood = 5 * time.Second
+const silenceTimeout = 5 * time.Second
 
 // errAbandoned: the request ended while its attempt was under way.
 var errAbandoned = errors.New("exchange: the request ended before its answer")
@@ -25,12 +25,12 @@
 //
 // Silence alone ends nothing, since a server that pauses for other prompts is as silent
 // as a lost one: an attempt goes on until another one has brought an event in its place,
-// its connection breaks, or its server has given no sign of life for lostForGood.
+// its connection breaks, or its server has given no sign of life for silenceTimeout.
 //
 // Invariant: events reach the caller from the current attempt alone, and an attempt
 // that becomes the current one goes on after the caller's last event.
 func (s *stream) follow(ctx context.Context) error {
-	defer s.leaveNext()
+	defer s.abandonNext()
 	defer func() { s.current.end() }()
 	for {
 		select {
@@ -39,16 +39,16 @@
 			if done || err != nil {
 				return err
 			}
-		case st := <-s.next.handed():
+		case st := <-stepsOf(s.next):
 			done, err := s.fromNext(ctx, st)
 			if done || err != nil {
 				return err
 			}
-		case n := <-s.current.watch.notices:
+		case n := <-s.current.watch.alerts:
 			if err := s.silent(ctx, n); err != nil {
 				return err
 			}
-		case <-s.payAgain:
+		case <-s.retryAvailable:
 			s.lookForNext(ctx)
 		case <-ctx.Done():
 			return &BrokenError{Err: errAbandoned}
@@ -56,8 +56,8 @@
 	}
 }
 
-// handed returns the attempt's steps; none come without one.
-func (a *streamAttempt) handed() <-chan step {
+// stepsOf returns the attempt's steps; none come without one.
+func stepsOf(a *streamAttempt) <-chan step {
 	if a == nil {
 		return nil
 	}
@@ -90,7 +90,7 @@
 // fromNext handles a step of the attempt that was begun beside a silent one.
 func (s *stream) fromNext(ctx context.Context, st step) (done bool, err error) {
 	st.raise()
-	if err := s.ofNoUse(st); err != nil {
+	if err := s.unusable(st); err != nil {
 		next := s.dropNext()
 		s.note(next, err)
 		s.lookForNext(ctx)
@@ -100,10 +100,10 @@
 	return s.take(ctx, st)
 }
 
-// ofNoUse tells why the stream can't go on with what the attempt beside the
+// unusable tells why the stream can't go on with what the attempt beside the
 // current one has sent; nil if it can. A server that begins anew, or ends without
 // an event, must not take the place of one that is at work.
-func (s *stream) ofNoUse(st step) error {
+func (s *stream) unusable(st step) error {
 	switch {
 	case st.err == io.EOF:
 		return &BrokenError{Err: ErrCut}
@@ -136,7 +136,7 @@
 	delete(s.tried, s.current.server.Start)
 	s.e.opts.Recorder.Emit(EventWentOn, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
 		"reached", s.last, "after", time.Since(s.quietSince()), "beside", s.next.name())
-	s.leaveNext()
+	s.abandonNext()
 }
 
 func (a *streamAttempt) name() string {
@@ -146,9 +146,9 @@
 	return a.server.String()
 }
 
-// leaveNext ends the attempt beside the current one. It counts as a retry: its
+// abandonNext ends the attempt beside the current one. It counts as a retry: its
 // server may have begun with it.
-func (s *stream) leaveNext() {
+func (s *stream) abandonNext() {
 	if s.next == nil {
 		return
 	}
@@ -172,17 +172,17 @@
 }
 
 // silent is told that the current attempt's server sends nothing.
-func (s *stream) silent(ctx context.Context, n notice) error {
+func (s *stream) silent(ctx context.Context, alert silenceAlert) error {
 	if !s.current.watch.isSilent() {
 		return nil // an event has come meanwhile
 	}
 	if !s.quiet {
 		s.quiet = true
 		s.e.opts.Recorder.Emit(EventSilent, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", s.current.server.Start,
-			"reached", s.last, "silent", time.Since(s.quietSince()), "alive", n.alive, "ahead", s.current.server.Unread(), "copy", idOf(s.current.copies.at()))
+			"reached", s.last, "silent", time.Since(s.quietSince()), "alive", alert.alive, "ahead", s.current.server.Unread(), "copy", idOf(s.current.copies.at()))
 	}
 	s.lookForNext(ctx)
-	if s.next == nil && n.unheard > s.patience() {
+	if s.next == nil && alert.unheard > s.patience() {
 		return &BrokenError{Err: s.current.watch.silence()}
 	}
 	return nil
@@ -193,7 +193,7 @@
 // says so, and learns sooner that it may come back.
 func (s *stream) patience() time.Duration {
 	if s.begun || !s.mayTakeOver() {
-		return lostForGood // or no other may run it
+		return silenceTimeout // or no other may run it
 	}
 	return budgetWait
 }
@@ -203,7 +203,7 @@
 // For want of budget it looks again a moment later: in a mass loss a process's part of
 // it is spent at once and free again soon after.
 func (s *stream) lookForNext(ctx context.Context) {
-	s.payAgain = nil
+	s.retryAvailable = nil
 	if !s.quiet || s.next != nil || !s.mayTakeOver() {
 		return
 	}
@@ -214,7 +214,7 @@
 	}
 	s.notOffered(err)
 	if errors.Is(err, ErrBudget) && time.Since(s.quietSince()) < budgetWait {
-		s.payAgain = time.After(pickAgain)
+		s.retryAvailable = time.After(pickAgain)
 	}
 }
 
@@ -253,7 +253,7 @@
 		s.lostZone = s.current.server.Zone
 	}
 	if s.current.heard && s.hasCopy() { // memory is copied once there is an event
-		if !s.payNow() {
+		if !s.tryReserveRetry() {
 			return nil, nil, ErrBudget
 		}
 		s.current.offer.Store(offerOpen)
@@ -269,7 +269,7 @@
 	case !s.worthReading(server):
 		return nil, nil, errSooner
 	}
-	if !s.payNow() {
+	if !s.tryReserveRetry() {
 		return nil, nil, ErrBudget
 	}
 	return server, nil, nil
@@ -290,10 +290,10 @@
 	return !measured || gap <= 0 || quiet+t.first <= gap
 }
 
-// payNow is pay without a wait: the current attempt may go on any moment.
-func (s *stream) payNow() bool {
-	if !s.paid {
-		s.paid = s.e.allowRetry(s.req.Service)
+// tryReserveRetry is reserveRetry without a wait: the current attempt may go on any moment.
+func (s *stream) tryReserveRetry() bool {
+	if !s.reserved {
+		s.reserved = s.e.allowRetry(s.req.Service)
 	}
-	return s.paid
+	return s.reserved
 }
--- a/exchange/takeover_test.go
+++ b/exchange/takeover_test.go
@@ -134,7 +134,7 @@
 }
 
 // A server is gone without a word, and no other has room. The caller is cut off
-// after lostForGood, not held until its time is up: it may come back for the rest.
+// after silenceTimeout, not held until its time is up: it may come back for the rest.
 func TestLostServerIsNotWaitedForToTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -149,8 +149,8 @@
 		var failure *Failure
 		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
 		g.Expect(failure.Ran).To(gomega.BeTrue())
-		g.Expect(took).To(gomega.BeNumerically(">", 50*beat+lostForGood))
-		g.Expect(took).To(gomega.BeNumerically("<", 50*beat+lostForGood+2*time.Second))
+		g.Expect(took).To(gomega.BeNumerically(">", 50*beat+silenceTimeout))
+		g.Expect(took).To(gomega.BeNumerically("<", 50*beat+silenceTimeout+2*time.Second))
 	})
 }
 
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -20,11 +20,11 @@
 // the server is asked for a sign of life instead. After it, events come in a
 // steady beat and their absence is enough.
 type watch struct {
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	e       *Exchange
-	server  *directory.Server
-	notices chan notice // holds the newest
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	e      *Exchange
+	server *directory.Server
+	alerts chan silenceAlert // holds the newest
 
 	mu      sync.Mutex
 	timer   *time.Timer // never nil
@@ -33,19 +33,19 @@
 	since   time.Time // when the wait for the next event began; zero while there is none
 	early   bool      // no event has come yet
 	proven  time.Time // the server's newest sign of life
-	lived   bool      // what the newest notice said
+	lived   bool      // what the newest alert said
 	learned bool      // this wait has been counted as a pause
 }
 
-// notice says that a server sends nothing.
-type notice struct {
+// silenceAlert says that a server sends nothing.
+type silenceAlert struct {
 	alive   bool          // nothing is known against it but that
 	unheard time.Duration // since its newest sign of life
 }
 
 func newWatch(ctx context.Context, e *Exchange, server *directory.Server) *watch {
 	now := time.Now()
-	w := &watch{e: e, server: server, notices: make(chan notice, 1), early: true, since: now, proven: now, lived: true}
+	w := &watch{e: e, server: server, alerts: make(chan silenceAlert, 1), early: true, since: now, proven: now, lived: true}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
 	w.armed, w.wait = now, e.opts.Timings.ProbeAfter
@@ -74,15 +74,15 @@
 	}
 }
 
-// tell puts the newest notice in place of one that was not taken yet. The caller
+// tell puts the newest alert in place of one that was not taken yet. The caller
 // holds mu.
 func (w *watch) tell(alive bool) {
 	w.lived = alive
 	w.forget()
-	w.notices <- notice{alive: alive, unheard: time.Since(w.proven)}
+	w.alerts <- silenceAlert{alive: alive, unheard: time.Since(w.proven)}
 }
 
-// alive tells what the newest notice said; true without one.
+// alive tells what the newest alert said; true without one.
 func (w *watch) alive() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -129,12 +129,12 @@
 	w.forget()
 }
 
-// forget takes back a notice that nobody has taken: the silence is over. Taken
+// forget takes back an alert that nobody has taken: the silence is over. Taken
 // later, when the next event is waited for, it ended an answer that went on.
 // The caller holds mu.
 func (w *watch) forget() {
 	select {
-	case <-w.notices:
+	case <-w.alerts:
 	default:
 	}
 }
@@ -228,17 +228,17 @@
 	}
 }
 
-// signOfLife is how long a server may take to give one while a stream waits: an
+// probeTimeout is how long a server may take to give one while a stream waits: an
 // answer takes 3 ms between zones, twice that on a new connection, and the caller
 // allows 700 ms without an event, in which the stream has to go on elsewhere.
-const signOfLife = 100 * time.Millisecond
+const probeTimeout = 100 * time.Millisecond
 
 // answers tells whether the server answers the question that was asked.
 func (w *watch) answers(asked *question) bool {
 	select {
 	case <-asked.done:
 		return asked.alive
-	case <-time.After(signOfLife):
+	case <-time.After(probeTimeout):
 		return false
 	case <-w.ctx.Done():
 		return true
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,7 +80,7 @@
 	texts      texts
 	unreadable atomic.Uint64 // position of the newest configuration of a peer that can't be read
 
-	strange []string // rows that name no VM, as last told; used by Run alone
+	invalidRows []string // rows that name no VM, as last told; used by Run alone
 }
 
 // unknownSize stands for the number of entry VMs until it is known: more than
@@ -114,7 +114,7 @@
 	}
 	f.near.Store(&near)
 	place, _ := slices.BinarySearch(peers, f.opts.Address)
-	f.opts.Directory.SetPortion(place, len(peers)+1)
+	f.opts.Directory.SetHashRange(place, len(peers)+1)
 }
 
 // Peers returns the addresses of the others.
@@ -223,28 +223,28 @@
 // that shares the retry budget.
 func (f *Fleet) addresses(rows map[string][]byte) []string {
 	addresses := make([]string, 0, len(rows))
-	var strange []string
+	var invalid []string
 	for key, value := range rows {
 		if directory.ValidAddress(string(value)) {
 			addresses = append(addresses, string(value))
 			continue
 		}
-		strange = append(strange, fmt.Sprintf("%.60q: %.60q", key, value))
+		invalid = append(invalid, fmt.Sprintf("%.60q: %.60q", key, value))
 	}
-	f.tellStrange(strange)
+	f.logInvalidRows(invalid)
 	return addresses
 }
 
 // loggedRows is how many rows that name no VM a log line shows.
 const loggedRows = 8
 
-// tellStrange tells of rows that name no VM, once as long as they stay the same.
-func (f *Fleet) tellStrange(rows []string) {
+// logInvalidRows tells of rows that name no VM, once as long as they stay the same.
+func (f *Fleet) logInvalidRows(rows []string) {
 	slices.Sort(rows)
-	if slices.Equal(rows, f.strange) {
+	if slices.Equal(rows, f.invalidRows) {
 		return
 	}
-	f.strange = rows
+	f.invalidRows = rows
 	if len(rows) > 0 {
 		f.opts.Recorder.Emit(EventNoPeer, "rows", strings.Join(rows[:min(len(rows), loggedRows)], "; "), "count", len(rows))
 	}
--- a/promptcache/locator.go
+++ b/promptcache/locator.go
@@ -21,8 +21,8 @@
 	validFor = 10 * time.Second
 	// maxAsked bounds the servers of one round, and so the bytes of its answers.
 	maxAsked = 128
-	// nearlyAll of a prompt is as good as all of it: servers keep whole blocks.
-	nearlyAll = 0.9
+	// sufficientPrefix of a prompt is as good as all of it: servers keep whole blocks.
+	sufficientPrefix = 0.9
 )
 
 // Asker asks a server what it keeps.
@@ -72,7 +72,7 @@
 // Find returns the servers that keep a prompt. Unless one is known to keep nearly
 // all of it, it asks the servers given, and returns as soon as one says so.
 func (l *Locator) Find(ctx context.Context, service string, servers []*directory.Server, prompt []Part) Found {
-	enough := int(nearlyAll * float64(Tokens(prompt)))
+	enough := int(sufficientPrefix * float64(Tokens(prompt)))
 	if known := l.Known(service, prompt); enough == 0 || known.Most() >= enough {
 		return known
 	}
