directory, fleet: the newest position of a list and the beginning of its span are two things

(1) A whole read without a change kept the view's position, so that an older answer that came late (between the two reads) would have been taken for newer. The view has its newest position again, and the position from which on the list says what it says beside it; announcements begin with the latter. (2) A wrong announcement (a datagram that nobody signs) with a place far ahead would have kept a VM from asking for changes until its next start; a confirmation counts for 2.5 s now. TestUnchangedListIsNotReplacedByAnOlderOne, TestWrongConfirmationIsForgotten: red without each.

--- a/directory/adopt.go
+++ b/directory/adopt.go
@@ -25,7 +25,7 @@
 	}
 	old.Dead(now)
 	next := &View{
-		Position: view.Position, Listings: view.Listings, invalid: view.invalid,
+		Position: view.Position, From: view.From, Listings: view.Listings, invalid: view.invalid,
 		byService: make(map[string][]*Server, len(view.byService)), byID: maps.Clone(view.byID), byHash: maps.Clone(view.byHash),
 	}
 	for service, list := range view.byService {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,6 +9,7 @@
 // View is an immutable list of servers.
 type View struct {
 	Position  uint64 // of the list in the store's history
+	From      uint64 // position from which on the list says what it says
 	byService map[string][]*Server
 	byID      map[string]*Server // the one start that is known of each
 	byHash    map[uint32]*Server // by the hash of that start
@@ -57,7 +58,7 @@
 }
 
 func emptyView(position uint64) *View {
-	return &View{Position: position, byService: map[string][]*Server{}, byID: map[string]*Server{}, byHash: map[uint32]*Server{}}
+	return &View{Position: position, From: position, byService: map[string][]*Server{}, byID: map[string]*Server{}, byHash: map[uint32]*Server{}}
 }
 
 // LoadChanged returns a channel that holds a token after the load that this
@@ -106,10 +107,10 @@
 	}
 	list, change.Late = old.current(list)
 	d.dropped.Add(uint64(len(change.Late)))
+	next := emptyView(position)
 	if !d.remember(old, position, list) {
-		position = old.Position
+		next.From = old.From
 	}
-	next := emptyView(position)
 	next.Listings = list
 	invalid := d.invalidIn(old, list, &change)
 	next.invalid = len(invalid)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -455,3 +455,19 @@
 	f.Take(61, list, true, "store")
 	g.Expect(told()).To(gomega.HaveLen(2))
 }
+
+// Guards against an older list that replaces a newer one which says the same as the
+// list before both.
+func TestUnchangedListIsNotReplacedByAnOlderOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	list := []Listing{{ID: "i1", Service: "s", Address: "a:1"}}
+	d.Apply(10, list, false, time.Now())
+	d.Apply(20, list, false, time.Now())
+	g.Expect(d.View().From).To(gomega.BeNumerically("==", 10))
+	g.Expect(d.View().Position).To(gomega.BeNumerically("==", 20))
+	g.Expect(d.Apply(15, nil, false, time.Now()).Older).To(gomega.BeTrue())
+	g.Expect(d.View().Len()).To(gomega.Equal(1))
+	d.Apply(25, nil, false, time.Now())
+	g.Expect(d.View().From).To(gomega.BeNumerically("==", 25))
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -146,8 +146,8 @@
 }
 
 // Reached returns the position up to which there is nothing newer than what is in
-// force. Invariant: what came up to it is in the directory already; a reader of both
-// asks for this one first.
+// force. Invariant: what came up to it is in the directory already; who asks for the
+// view's position as well asks for this one first.
 func (f *Follower) Reached() uint64 { return f.position.Load() }
 
 // Take puts a list in force that a peer had from the store. What is missing
--- a/directory/history.go
+++ b/directory/history.go
@@ -37,14 +37,16 @@
 	for id := range before {
 		change.gone = append(change.gone, id)
 	}
-	if len(change.changed)+len(change.gone) == 0 {
+	changes := len(change.changed)+len(change.gone) > 0
+	if !changes && len(d.history) > 0 {
+		d.history[len(d.history)-1].to = position
 		return false
 	}
 	d.history = append(d.history, change)
 	if len(d.history) > historyLength {
 		d.history = d.history[1:]
 	}
-	return true
+	return changes
 }
 
 // Since returns what has changed since a position, and the position that it
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -143,8 +143,7 @@
 	g.Expect(s.Replaced()).To(gomega.BeFalse())
 	g.Expect(d.DroppedWords()).To(gomega.BeNumerically("==", 3))
 	g.Expect(d.View().Listings[0].Start()).To(gomega.Equal(Start{"a1", 200}))
-	g.Expect(f.Reached()).To(gomega.BeNumerically("==", 4))
-	g.Expect(d.View().Position).To(gomega.BeNumerically("==", 1), "nothing has changed since")
+	g.Expect(d.View().Position).To(gomega.BeNumerically("==", 4))
 }
 
 // The clock of a server is set back, and it starts again under its id with an
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,7 +158,7 @@
 	if s == fleet.Config {
 		return e.holder.Position()
 	}
-	return e.directory.View().Position
+	return e.directory.View().From
 }
 
 // reached returns the place in the store's history up to which there is nothing newer.
--- a/fleet/election.go
+++ b/fleet/election.go
@@ -77,7 +77,7 @@
 	mu        sync.Mutex
 	members   map[string]*member // by address
 	delegated [subjects]time.Time
-	confirmed [subjects]span     // by watchers
+	confirmed [subjects]confirmation
 	asking    map[string]*wanted // by the peer that is asked
 	// membersUntil is how long a watcher's look at the registry stands.
 	membersUntil time.Time
@@ -90,11 +90,13 @@
 
 // ElectionOptions of an Election.
 type ElectionOptions struct {
-	Address  string
-	Socket   *Socket
-	Position func(Subject) uint64 // place of what is in force here
-	Reached  func(Subject) uint64 // place up to which there is nothing newer; nil: Position
-	Size     func() int           // all VMs, this one included; very many until that is known
+	Address string
+	Socket  *Socket
+	// Position is the place in the store's history from which on what is in force here
+	// is as it is, Reached that up to which there is nothing newer; nil: Position.
+	Position func(Subject) uint64
+	Reached  func(Subject) uint64
+	Size     func() int // all VMs, this one included; very many until that is known
 	// Fetch asks a peer for changes, of the list since a position.
 	Fetch    func(ctx context.Context, peer string, since uint64)
 	Recorder *event.Recorder
@@ -109,6 +111,13 @@
 // is a moment at which both were the newest.
 func (s span) sameAs(other span) bool { return s.from <= other.to && other.from <= s.to }
 
+// confirmation is what a watcher has said of a span here. It counts for memberTimeout,
+// so that one that was wrong does not keep this process from asking for good.
+type confirmation struct {
+	span
+	at time.Time
+}
+
 // member is another entry VM, as it announced itself.
 type member struct {
 	head     head
@@ -185,8 +194,8 @@
 	to = max(to, from)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.confirmed[s].from == from {
-		to = max(to, e.confirmed[s].to)
+	if known := e.confirmed[s]; known.from == from && time.Since(known.at) < memberTimeout {
+		to = max(to, known.to)
 	}
 	return span{from, to}
 }
@@ -415,18 +424,16 @@
 	case theirs.from > own.to:
 		e.fetch(from, s, read, theirs, now)
 	case read && theirs.sameAs(own):
-		e.confirm(s, span{own.from, theirs.to})
+		e.confirm(s, span{own.from, theirs.to}, now)
 		e.delegate(s, now)
 	}
 }
 
 // confirm notes up to which place a watcher has found nothing newer.
-func (e *Election) confirm(s Subject, newest span) {
+func (e *Election) confirm(s Subject, newest span, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if known := e.confirmed[s]; newest.from > known.from || newest.to > known.to {
-		e.confirmed[s] = newest
-	}
+	e.confirmed[s] = confirmation{newest, now}
 }
 
 func (e *Election) delegate(s Subject, at time.Time) {
@@ -473,7 +480,7 @@
 			}
 		}
 		if now := e.span(s); read && theirs.sameAs(now) {
-			e.confirm(s, span{now.from, theirs.to})
+			e.confirm(s, span{now.from, theirs.to}, at)
 			e.delegate(s, at)
 		}
 	}()
--- a/fleet/election_test.go
+++ b/fleet/election_test.go
@@ -116,6 +116,25 @@
 	})
 }
 
+// Guards against an announcement that names a wrong place and keeps a VM from asking
+// for changes for good.
+func TestWrongConfirmationIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newElectionBed()
+		wrong := healthy(0)
+		wrong.list.to = 1 << 60
+		b.hear("p", wrong)
+		b.hear("p", healthy(7))
+		synctest.Wait()
+		g.Expect(b.fetched.Load()).To(gomega.BeZero(), "for the moment it is taken for the newest")
+		time.Sleep(memberTimeout)
+		b.hear("p", healthy(7))
+		synctest.Wait()
+		g.Expect(b.fetched.Load()).To(gomega.BeNumerically("==", 1))
+	})
+}
+
 // Guards against watchers that hand a whole configuration to all others: one on a
 // slow link has no room left for its streams. What is no small change is read
 // from the store by each VM itself.
--- a/fleet/herd_test.go
+++ b/fleet/herd_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"net/http"
 	"sync"
 	"testing"
@@ -355,7 +356,7 @@
 			if s == Config {
 				return vm.holder.Position()
 			}
-			return vm.dir.View().Position
+			return vm.dir.View().From
 		},
 	})
 	h.wire(vm, config, servers)
@@ -561,7 +562,7 @@
 		h.setCut(false, all...)
 		// At each VM one loop asks at once and in each idlePause with the half second in
 		// which no answer came, the other one twice; the first VMs ask once a second for each.
-		perVM := 1 + int(away/(idlePause+500*time.Millisecond)) + 2
+		perVM := 1 + int(math.Ceil(float64(away)/float64(idlePause+500*time.Millisecond))) + 2
 		g.Expect(sum).To(gomega.BeNumerically("<=", perVM*size+watchers*2*9), "%v", by)
 		h.store.setConfig()
 		h.store.setServer(directory.Listing{ID: "s1", Service: "s", Address: "10.1.0.1:80", Zone: "a", Slots: 8, Draining: true})
