soak: runs beside each other take blocks of ports that no connection gets

TestPortsDiffer takes the place of TestPortsOfAVMDiffer, which looked at the function that is gone; it asks for more: blocks of twenty runs differ, each port can be listened on, a block given back is taken again.

--- a/soak/site.go
+++ b/soak/site.go
@@ -48,6 +48,7 @@
 	size    Size
 	callers *Callers
 	proxies map[*nursery.Server]*Proxy
+	ports   *portBlock // nil until VMs are laid out
 
 	mu            sync.Mutex
 	version       int
@@ -102,21 +103,20 @@
 }
 
 func (s *Site) addVMs(dir string, n int) error {
-	ports, err := freePorts("0.0.0.0", 1)
-	if err != nil {
+	var err error
+	if s.ports, err = takePorts(); err != nil {
 		return err
 	}
-	peerPort := ports[0]
 	var seeds []string
 	for i := range min(n, 3) {
-		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", ipOf(i), peerPort+1))
+		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", ipOf(i), s.ports.peers()+1))
 	}
 	for i := range n {
 		proxy, err := NewProxy(s.Store.Address)
 		if err != nil {
 			return err
 		}
-		vm, err := newVM(dir, i, zones[i%len(zones)], peerPort, seeds, proxy, s.size.grace())
+		vm, err := newVM(dir, i, zones[i%len(zones)], s.ports, seeds, proxy, s.size.grace())
 		if err != nil {
 			return err
 		}
@@ -156,4 +156,5 @@
 		server.Crash()
 	}
 	s.Store.Close()
+	s.ports.free()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -126,17 +127,37 @@
 	t.Errorf("%v; logs in %s\n%s\n%s", result, dir, strings.Join(result.Broken[:min(10, len(result.Broken))], "\n"), result.Told())
 }
 
-// A run of 200 entry programs did not begin: one of them was told to take its
-// callers and the platform's questions on the same port. A port had been found
-// free, given back and found again.
-func TestPortsOfAVMDiffer(t *testing.T) {
+// Guards against programs of one run, or of runs beside each other, that are told to
+// listen on the same port.
+func TestPortsDiffer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	ports, err := freePorts("127.0.0.1", 500)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
 	seen := map[int]bool{}
-	for _, port := range ports {
-		g.Expect(seen[port]).To(gomega.BeFalse(), "%d", port)
-		seen[port] = true
+	var blocks []*portBlock
+	for range 20 {
+		block, err := takePorts()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		blocks = append(blocks, block)
+		ports := []int{block.callers(), block.ready()}
+		for i := range peerPorts {
+			ports = append(ports, block.peers()+i)
+		}
+		for _, port := range ports {
+			g.Expect(seen[port]).To(gomega.BeFalse(), "%d", port)
+			seen[port] = true
+			listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+			g.Expect(err).NotTo(gomega.HaveOccurred(), "no connection has it")
+			_ = listener.Close()
+		}
+	}
+	blocks[3].free()
+	again, err := takePorts()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again.first).To(gomega.BeNumerically("<=", blocks[3].first), "what is given back is taken again")
+	again.free()
+	for i, block := range blocks {
+		if i != 3 {
+			block.free()
+		}
 	}
 }
 
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -36,9 +35,8 @@
 	store   *Proxy        // this VM's way to the store
 	grace   time.Duration // of a planned stop
 
-	// life orders starts and ends. Failure it stops: a process that had ended by
-	// itself was started again beside the one that a trouble had just started, or
-	// after its site had closed, and was left running.
+	// life orders starts and ends: a VM has one process at a time, and none once its
+	// site has closed.
 	life    sync.Mutex
 	mu      sync.Mutex // guards cmd, done and stops
 	cmd     *exec.Cmd
@@ -51,34 +49,15 @@
 	ownEnds atomic.Int64 // processes that ended by themselves
 }
 
-// freePorts returns ports that are free on ip now. They are held until all are
-// found: one that is given back may be found again.
-func freePorts(ip string, n int) ([]int, error) {
-	var ports []int
-	for range n {
-		listener, err := net.Listen("tcp4", ip+":0")
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
-	}
-	return ports, nil
-}
-
-// newVM lays out a VM; peerPort is the same on all.
-func newVM(dir string, n int, zone string, peerPort int, seeds []string, store *Proxy, grace time.Duration) (*VM, error) {
+// newVM lays out a VM; the ports are the same on all.
+func newVM(dir string, n int, zone string, ports *portBlock, seeds []string, store *Proxy, grace time.Duration) (*VM, error) {
 	vm := &VM{Name: fmt.Sprintf("edge-%d", n), IP: ipOf(n), dir: dir, store: store, grace: grace}
-	ports, err := freePorts(vm.IP, 2)
-	if err != nil {
-		return nil, err
-	}
-	callers, ready := ports[0], ports[1]
-	vm.Callers, vm.ready, vm.peers = fmt.Sprintf("%s:%d", vm.IP, callers), fmt.Sprintf("%s:%d", vm.IP, ready), fmt.Sprintf("%s:%d", vm.IP, peerPort)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", vm.IP, port) }
+	vm.Callers, vm.ready, vm.peers = at(ports.callers()), at(ports.ready()), at(ports.peers())
 	settings := fmt.Sprintf(`{nodeName: %q, ip: %q, zone: %q, listen: {frontend: %q, ready: %q}, internalPortRange: [%d, %d], seedNodes: [%s],
 limits: {memoryMb: 134}, heartbeatMs: 1200, platform: {address: %q, readsPerS: 2000, writesPerS: 400},
 bounds: {drainTimeoutMs: 2000, gracePeriodS: %v, configApplyMs: 2000, addressReuseS: 2, retryBudgetRatio: %v, retryWindowS: %v, retryMinExtra: %d}}
-`, vm.Name, vm.IP, zone, vm.Callers, vm.ready, peerPort, peerPort+9, strings.Join(seeds, ", "), store.Address, grace.Seconds(),
+`, vm.Name, vm.IP, zone, vm.Callers, vm.ready, ports.peers(), ports.peers()+peerPorts-1, strings.Join(seeds, ", "), store.Address, grace.Seconds(),
 		retryRatio, retryWindow.Seconds(), retryExtra)
 	return vm, os.WriteFile(vm.settings(), []byte(settings), 0o600)
 }
