--- a/fleet/election.go
+++ b/fleet/election.go
@@ -158,7 +158,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.watchersChanged:
-		case <-again.C:
+		case now := <-again.C:
+			e.forget(now)
 			if e.before() < candidates {
 				e.announce(announcement{})
 			}
@@ -410,12 +411,18 @@
 	if vm.mayWatch() != before {
 		signal(e.watchersChanged)
 	}
-	for address, other := range e.members {
-		if now.Sub(other.at) > forgetSender {
+	return true
+}
+
+// forget drops members that have been silent for long.
+func (e *Election) forget(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, vm := range e.members {
+		if now.Sub(vm.at) > forgetSender {
 			delete(e.members, address)
 		}
 	}
-	return true
 }
 
 func (e *Election) receiveSubject(from string, s Subject, read bool, theirs span, now time.Time) {
