soak, exchange: ports stay taken while a program has them; a test reads engines under their lock

The programs inherit the lock now. TestPortsAreTakenWhileAProgramHasThem. (2) TestTrialNeedsTimeForTheAnswer: the race detector saw the test read a counter of an engine at work. It is read under the engine's lock.

--- a/exchange/estimate_test.go
+++ b/exchange/estimate_test.go
@@ -90,7 +90,9 @@
 
 func reads(engines map[string]*fakeEngine) (sum int) {
 	for _, e := range engines {
+		e.mu.Lock()
 		sum += e.reads
+		e.mu.Unlock()
 	}
 	return sum
 }
--- a/soak/ports.go
+++ b/soak/ports.go
@@ -24,7 +24,7 @@
 // address of its own, so all VMs of a site share one.
 type portBlock struct {
 	first int
-	lock  *os.File // the kernel frees it when the process ends
+	lock  *os.File // freed by the kernel when this process and all that inherit it have ended
 }
 
 // takePorts takes a block that is free.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -161,6 +162,28 @@
 	}
 }
 
+// Guards against ports that are given to the next run while a program of a run that was
+// killed still listens on them.
+func TestPortsAreTakenWhileAProgramHasThem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	block, err := takePorts()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	program := exec.Command("sleep", "60")
+	program.ExtraFiles = []*os.File{block.lock}
+	g.Expect(program.Start()).To(gomega.Succeed())
+	i := (block.first - firstPort) / blockSize
+	block.free()
+	again, err := lockBlock(i)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again).To(gomega.BeNil())
+	g.Expect(program.Process.Kill()).To(gomega.Succeed())
+	_ = program.Wait()
+	again, err = lockBlock(i)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(again).NotTo(gomega.BeNil())
+	again.free()
+}
+
 // A site of 200 could not begin because one program did not get ready, and the
 // other 199 were left running: they spoke to the ports of the next run, whose
 // servers saw requests that nobody had sent.
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -33,6 +33,7 @@
 	peers   string
 	dir     string
 	store   *Proxy        // this VM's way to the store
+	ports   *portBlock
 	grace   time.Duration // of a planned stop
 
 	// life orders starts and ends: a VM has one process at a time, and none once its
@@ -51,7 +52,7 @@
 
 // newVM lays out a VM; the ports are the same on all.
 func newVM(dir string, n int, zone string, ports *portBlock, seeds []string, store *Proxy, grace time.Duration) (*VM, error) {
-	vm := &VM{Name: fmt.Sprintf("edge-%d", n), IP: ipOf(n), dir: dir, store: store, grace: grace}
+	vm := &VM{Name: fmt.Sprintf("edge-%d", n), IP: ipOf(n), dir: dir, store: store, ports: ports, grace: grace}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", vm.IP, port) }
 	vm.Callers, vm.ready, vm.peers = at(ports.callers()), at(ports.ready()), at(ports.peers())
 	settings := fmt.Sprintf(`{nodeName: %q, ip: %q, zone: %q, listen: {frontend: %q, ready: %q}, internalPortRange: [%d, %d], seedNodes: [%s],
@@ -95,6 +96,7 @@
 	cmd := exec.Command(binary)
 	cmd.Env = append(os.Environ(), Program+"=1", "PEARYARD_SETTINGS="+vm.settings())
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.ExtraFiles = []*os.File{vm.ports.lock} // also if this process is killed, the block is taken until the program ends
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak: start")
 	}
