--- a/soak/vm.go
+++ b/soak/vm.go
@@ -32,7 +32,7 @@
 	ready   string
 	peers   string
 	dir     string
-	store   *Proxy        // this VM's way to the store
+	store   *Proxy // this VM's way to the store
 	ports   *portBlock
 	grace   time.Duration // of a planned stop
 
