--- a/scenario/look.go
+++ b/scenario/look.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -73,6 +74,7 @@
 // runner returns the number of the sidecar under which the caller's generation
 // runs now; 0 if none does.
 func (s *site) runner(c *caller) int {
+	found, youngest := 0, math.Inf(1)
 	for i := range s.size.engines {
 		if !s.processes[sidecarName(i+1)].running() || !s.processes[engineName(i+1)].running() {
 			continue
@@ -82,16 +84,18 @@
 				Generation string
 				Request    types.RequestID
 				Phase      string
+				AgeSeconds float64
 			}
 		}
 		if s.dump(sidecarName(i+1), "sidecar", &state) != nil {
 			continue
 		}
 		for _, run := range state.Runs {
-			if run.Phase == genlog.Running.String() && c.isServedBy(run.Request, run.Generation) {
-				return i + 1
+			// A run that moves is at two places until the former one has been ended.
+			if run.AgeSeconds < youngest && run.Phase == genlog.Running.String() && c.isServedBy(run.Request, run.Generation) {
+				found, youngest = i+1, run.AgeSeconds
 			}
 		}
 	}
-	return 0
+	return found
 }
