--- a/fleet/election.go
+++ b/fleet/election.go
@@ -102,22 +102,6 @@
 	Recorder *event.Recorder
 }
 
-// span is the part of the store's history in which what is in force at a process is
-// the newest. Positions are of the whole store: two processes that read the same
-// list at different moments know it by different positions.
-type span struct{ from, to uint64 }
-
-// sameAs tells whether two processes with these spans have the same in force: there
-// is a moment at which both were the newest.
-func (s span) sameAs(other span) bool { return s.from <= other.to && other.from <= s.to }
-
-// confirmation is what a watcher has said of a span here. It counts for memberTimeout,
-// so that one that was wrong does not keep this process from asking for good.
-type confirmation struct {
-	span
-	at time.Time
-}
-
 // member is another entry VM, as it announced itself.
 type member struct {
 	head     head
@@ -184,23 +168,6 @@
 	e.opts.Socket.Send(encodeAnnouncement(a))
 }
 
-// span returns that of what is in force here, as the store and watchers confirmed it.
-func (e *Election) span(s Subject) span {
-	// Read in this order: a change in between must not seem to be in force already.
-	to := uint64(0)
-	if e.opts.Reached != nil {
-		to = e.opts.Reached(s)
-	}
-	from := e.opts.Position(s)
-	to = max(to, from)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if known := e.confirmed[s]; known.from == from && time.Since(known.at) < memberTimeout {
-		to = max(to, known.to)
-	}
-	return span{from, to}
-}
-
 func (e *Election) isHealthy() bool { return e.healthy[Config].Load() && e.healthy[List].Load() }
 
 // Read notes that the store answered, with what may be so old. A watcher tells the
@@ -244,85 +211,6 @@
 	}
 }
 
-// MembersRead notes what the registry of entry VMs says, by a digest, and tells the
-// others if this VM is a watcher.
-func (e *Election) MembersRead(digest uint64) {
-	e.digest.Store(digest)
-	e.delegateMembers(time.Now())
-	if e.Watches() {
-		e.announce(announcement{membersReadNow: true})
-	}
-}
-
-// MembersDelegated tells whether a watcher has lately read the registry and found
-// what is known here.
-func (e *Election) MembersDelegated() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return time.Now().Before(e.membersUntil)
-}
-
-// NewMembers holds a token when a watcher has found other entry VMs than are known here.
-func (e *Election) NewMembers() <-chan struct{} { return e.newMembers }
-
-// receiveMembers takes in what a watcher has read of the registry.
-func (e *Election) receiveMembers(digest uint64, now time.Time) {
-	own := e.digest.Load()
-	if own == 0 {
-		return // it is being read
-	}
-	if digest != own {
-		signal(e.newMembers)
-		return
-	}
-	e.delegateMembers(now)
-}
-
-func (e *Election) delegateMembers(at time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.membersUntil = at.Add(membersLeaseTime)
-}
-
-// Stopping notes that a planned stop of this VM has begun, and announces it.
-func (e *Election) Stopping() {
-	e.stopping.Store(true)
-	e.announce(announcement{})
-}
-
-// AllStop tells whether all other VMs have announced that they stop. Those that are
-// silent serve: beyond the candidates VMs announce nothing while they do, and
-// datagrams may be lost. A VM that stops announces it once at least.
-func (e *Election) AllStop() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	stopping := 0
-	for _, vm := range e.members {
-		if vm.stopping && now.Sub(vm.at) < stopTimeout {
-			stopping++
-		}
-	}
-	return stopping > 0 && stopping+1 >= e.opts.Size()
-}
-
-// FirstStop returns when the first of the other VMs that stop announced it; zero if
-// none does. It is the one that is back first.
-func (e *Election) FirstStop() (first time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	for _, vm := range e.members {
-		if !vm.stopping || now.Sub(vm.at) >= stopTimeout {
-			continue
-		}
-		if first.IsZero() || vm.stopAt.Before(first) {
-			first = vm.stopAt
-		}
-	}
-	return first
-}
-
 // before counts the healthy members that rank before this VM.
 func (e *Election) before() int {
 	return e.rankedBefore(func(vm *member) bool { return vm.healthy })
@@ -356,17 +244,6 @@
 	return there <= watchers
 }
 
-// Delegated returns for how long nothing has to be read: a watcher has just
-// announced that what is in force here is the newest.
-func (e *Election) Delegated(s Subject) time.Duration {
-	if e.Watches() {
-		return 0
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return max(0, time.Until(e.delegated[s]))
-}
-
 // receive takes in another VM's announcement.
 func (e *Election) receive(from string, h head, raw []byte, now time.Time) bool {
 	a, ok := decodeAnnouncement(raw)
@@ -424,96 +301,3 @@
 		}
 	}
 }
-
-func (e *Election) receiveSubject(from string, s Subject, read bool, theirs span, now time.Time) {
-	own := e.span(s)
-	switch {
-	case theirs.from > own.to:
-		e.fetch(from, s, read, theirs, now)
-	case read && theirs.sameAs(own):
-		e.confirm(s, span{own.from, theirs.to}, now)
-		e.delegate(s, now)
-	}
-}
-
-// confirm notes up to which place a watcher has found nothing newer.
-func (e *Election) confirm(s Subject, newest span, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.confirmed[s] = confirmation{newest, now}
-}
-
-func (e *Election) delegate(s Subject, at time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !time.Now().Before(e.delegated[s]) {
-		// A loop that waits for the store's return need not ask it any more.
-		signal(e.updates[s])
-	}
-	if until := at.Add(leaseTime); until.After(e.delegated[s]) {
-		e.delegated[s] = until
-	}
-}
-
-// notify has the subject read from the store here.
-func (e *Election) notify(s Subject) {
-	e.mu.Lock()
-	e.delegated[s] = time.Time{}
-	e.mu.Unlock()
-	signal(e.updates[s])
-}
-
-// signal puts a token into a channel that holds one.
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// fetch asks a peer for changes, one question a peer at a time. What it can't tell
-// as changes is read from the store.
-func (e *Election) fetch(peer string, s Subject, read bool, theirs span, at time.Time) {
-	if !e.beginFetch(peer, s, theirs) {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), helpTimeout)
-		defer cancel()
-		e.opts.Fetch(ctx, peer, e.span(List).to)
-		for subject, wanted := range e.endFetch(peer) {
-			if e.span(Subject(subject)).to < wanted {
-				e.notify(Subject(subject))
-			}
-		}
-		if now := e.span(s); read && theirs.sameAs(now) {
-			e.confirm(s, span{now.from, theirs.to}, at)
-			e.delegate(s, at)
-		}
-	}()
-}
-
-// wanted are the places up to which a peer is asked for changes.
-type wanted [subjects]uint64
-
-// beginFetch reports whether a peer is to be asked. If a question to it is open, its
-// answer will show whether more is needed.
-func (e *Election) beginFetch(peer string, s Subject, theirs span) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	open, busy := e.asking[peer]
-	if !busy {
-		open = &wanted{}
-		e.asking[peer] = open
-	}
-	open[s] = max(open[s], theirs.from)
-	return !busy
-}
-
-func (e *Election) endFetch(peer string) wanted {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	open := e.asking[peer]
-	delete(e.asking, peer)
-	return *open
-}
