--- a/claim/finish.go
+++ b/claim/finish.go
@@ -50,9 +50,8 @@
 
 // run writes until ctx ends, and then what still waits, until saving ends.
 //
-// Failure it stops: a router ends with a call that has just been answered, and
-// its outcome is lost with it. When the sidecar that remembers the answer is
-// stopped too, it shows as an unknown outcome of a call that ran and was answered.
+// Without the outcome a call that was answered would be reported as unknown once the
+// sidecar that remembers the answer has stopped too.
 func (f *finisher) run(ctx, saving context.Context) error {
 	var workers sync.WaitGroup
 	for range saveWorkers {
--- a/cli/client.go
+++ b/cli/client.go
@@ -71,11 +71,7 @@
 // query asks one router after the other until one answers. It is for calls that
 // may run twice.
 //
-// Failure it stops: a router answers an apply with its own failure and closes the
-// connection a moment later. The next question went out on that connection and
-// broke with it; with one router there was no other to ask, and an apply whose
-// history could have been read ended as "may have been accepted". A router that
-// lives answers on a new connection.
+// A router that closes a kept connection after its answer may live; it answers on a new one.
 func query[T any](ctx context.Context, c *client, extra time.Duration, ask func(context.Context, string) (T, error)) (T, error) {
 	var answer T
 	var err error
--- a/client/client.go
+++ b/client/client.go
@@ -195,8 +195,7 @@
 
 // watch ends a connection that is silent for too long.
 //
-// Failure it stops: a frozen router keeps its callers' connections open, so a
-// caller would wait without end although another router could go on at once.
+// A frozen router keeps connections open, so the caller has to leave it by time.
 func (s *stream) watch(giveUp func()) (alive, stop func()) {
 	silence := s.client.opts.Silence
 	if silence == 0 {
--- a/config/asked.go
+++ b/config/asked.go
@@ -8,11 +8,8 @@
 
 // asked remembers which processes were asked for a text that isn't in force yet.
 //
-// Failure it stops: a frozen process, which others go on naming, takes the one
-// place for who is asked next, and a sound process that names the text is
-// forgotten. It shows as a text that is fetched from the same silent processes
-// again and again. One that is being asked gets no place, and one that was asked
-// in vain gives way to any other; it is asked again if nobody else is named.
+// A process that is being asked gets no place, and one that was asked in vain gives way to
+// any other, so that a frozen one that others go on naming does not take it.
 type asked struct{ byAddress sync.Map } // to *attempt
 
 // attempt is one question for a text.
--- a/config/poll.go
+++ b/config/poll.go
@@ -36,10 +36,8 @@
 // end notes how a poll ended, and reports whether that says something new of
 // the store.
 //
-// Failure it stops: a question that a silent store has swallowed runs out of
-// time after a later one was answered, seen as an event that the store can't be
-// reached, with no other that it can. Only the newest poll that has ended says
-// how the store is.
+// An older question may run out of time after a later one was answered: only the newest
+// poll that has ended says how the store is.
 func (o *pollOrder) end(number int, down bool) (changed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/config/turn.go
+++ b/config/turn.go
@@ -17,11 +17,8 @@
 // text on a slow link takes longer than ShortTimeout, and a second one beside it
 // would make both slower.
 //
-// Failure it stops: a silent store and a frozen peer are waited out one after
-// the other, while a sound peer names the text on every message. It shows as a
-// text that is in force later than promised in processes that its push missed.
-// A silent one now costs ShortTimeout of the promise of four seconds, whatever
-// CallTimeout is. As long as all answer, there is one question at a time.
+// A silent store or peer costs ShortTimeout, whatever CallTimeout is, so that a sound one is
+// asked within the promised time. As long as all answer, there is one question at a time.
 func (s *Spreader) inTurn(ctx context.Context, ask func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 	heard := make(chan struct{}, 1)
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -26,9 +26,7 @@
 // lateTime is how much longer than its limit a head may take while something of
 // it is unread or not dealt with at each look, a hundred looks in all.
 //
-// Failure it stops: a client that sends byte after byte may by chance have one
-// on its way whenever a look comes, and one that doesn't take the server's own
-// refusal holds up its writer. Both would stay for good.
+// A client that sends byte after byte, or does not take the refusal, must not stay for good.
 const lateTime = 100 * clientsLook
 
 // clientConn is a client's connection. Its phase changes by compare-and-swap
--- a/inbound/finish.go
+++ b/inbound/finish.go
@@ -32,11 +32,8 @@
 // and each connection is closed once nothing more has come on it. A client that
 // goes on asking is told with its next answer to come back no more.
 //
-// Failure it stops: the server's own shutdown closes the listener with what is in
-// its queue, closes idle connections without looking for a request in them, and
-// answers no request that it reads afterwards. All three clients see a reset or
-// an end, neither an answer nor a refusal. Here the shutdown comes when no
-// connection is left.
+// The server's own shutdown closes the listener's queue and idle connections without looking
+// for requests in them, so it comes when no connection is left.
 func (c *Listener) Finish(ctx context.Context, server *http.Server) error {
 	c.ending.Store(true)
 	c.endQueue(ctx)
@@ -127,8 +124,7 @@
 
 // queueEnd is the end of a listener, and whether the listener's server may know.
 //
-// Failure it stops: a server whose listener ends before its shutdown has begun
-// takes that for a failure, and the process would end with requests under way.
+// A server whose listener ends before its shutdown has begun takes that for a failure.
 type queueEnd struct {
 	ended   chan struct{} // nothing more is accepted
 	known   chan struct{} // the server may know
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -47,14 +47,12 @@
 // request, longer than the limits in force allow. net/http's own limits can't
 // take their place: they are fixed when a server starts, and go by what was read.
 //
-// Failure it stops: connections that nobody uses any more, and heads that come
-// byte by byte, take a process's descriptors until no client gets in.
+// Connections that nobody uses any more, and heads that come byte by byte, would take a
+// process's descriptors.
 //
 // Invariant: a connection is given up only while this process waits for its
-// client, in a read that has begun, and nothing has come. Given up by what had
-// been read, a connection was closed with a whole request in it when the limit
-// was shortened or the process had no processor time: the client saw a reset,
-// neither an answer nor a refusal.
+// client, in a read that has begun, and nothing has come. What has been read so far
+// says too little: a whole request may lie unread in the socket.
 type Listener struct {
 	net.Listener
 	opts     Options
