--- a/standin/nursery/restart_test.go
+++ b/standin/nursery/restart_test.go
@@ -2,32 +2,55 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 )
 
-// A server is down for a moment, and a call that some process makes just then has
-// the server's port as its own end. The server could not start again: "address
-// already in use", in two of many runs of a test that starts servers again.
+// tries bounds how many servers are started until one has a port that is free on the
+// callers' address.
+const tries = 20
+
+// Guards against a server that can't start again since a call made while it was down has
+// its port as the call's own end.
 func TestServerStartsAgainThoughACallHasItsPort(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store, err := NewStore()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer store.Close()
-	server, err := NewCloud(store).NewServer("s", "a", func(own string) string { return own })
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, port, err := net.SplitHostPort(server.Address)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	server.Crash()
-	own, err := net.ResolveTCPAddr("tcp4", "127.0.0.1:"+port)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	var call net.Conn
-	g.Eventually(func() (err error) {
-		call, err = (&net.Dialer{LocalAddr: own}).Dial("tcp4", store.Address)
-		return err
-	}).Should(gomega.Succeed(), "the listener's close takes a moment")
+	server, call := crashedServerWithACallFromItsPort(g, store)
 	defer call.Close()
 	g.Expect(server.RestartUnderItsID()).To(gomega.Succeed())
 	server.Crash()
 }
+
+func crashedServerWithACallFromItsPort(g *gomega.WithT, store *Store) (*Server, net.Conn) {
+	cloud := NewCloud(store)
+	for range tries {
+		server, err := cloud.NewServer("s", "a", func(own string) string { return own })
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		server.Crash()
+		call, err := callFromPortOf(server, store.Address)
+		if err == nil {
+			return server, call
+		}
+		// A connection of another process, or what is left of one, has the port.
+		g.Expect(errors.Is(err, syscall.EADDRINUSE)).To(gomega.BeTrue(), err.Error())
+	}
+	g.Fail("no server's port was free on the callers' address")
+	return nil, nil
+}
+
+func callFromPortOf(server *Server, to string) (net.Conn, error) {
+	_, port, err := net.SplitHostPort(server.Address)
+	if err != nil {
+		return nil, err
+	}
+	own, err := net.ResolveTCPAddr("tcp4", "127.0.0.1:"+port)
+	if err != nil {
+		return nil, err
+	}
+	return (&net.Dialer{LocalAddr: own}).Dial("tcp4", to)
+}
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -86,7 +86,9 @@
 	id    string
 	born  int64 // Unix milliseconds of the present start
 	http  *http.Server
-	busy  atomic.Int64
+	// listener is closed beside http, which doesn't know it until Serve has run.
+	listener net.Listener
+	busy     atomic.Int64
 	// LostAnswers is the share of a thousand answers that are cut after the run.
 	LostAnswers atomic.Int64
 	answers     atomic.Int64
@@ -137,9 +139,8 @@
 	return s, nil
 }
 
-// serversIP is a loopback address from which nobody calls. Calls on loopback have
-// 127.0.0.1 and any free port as their own end: one that was made while a server
-// was down took its port there, and it could not start again.
+// serversIP is a loopback address from which nobody calls: calls have 127.0.0.1 and any
+// free port as their own end, which a server that is down needs to start again.
 const serversIP = "127.0.94.1"
 
 func (c *Cloud) newID() string { return fmt.Sprintf("i-%04d", c.next.Add(1)) }
@@ -159,7 +160,7 @@
 	s.cloud.forget(s.Address)
 	s.engine = newEngine(s.is)
 	server := &http.Server{Handler: s.handler(s.engine, s.id, s.born)}
-	s.http = server
+	s.http, s.listener = server, listener
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
@@ -224,9 +225,10 @@
 // Crash ends the process with all its connections; its entry stays for a while.
 func (s *Server) Crash() {
 	s.mu.Lock()
-	server := s.http
+	server, listener := s.http, s.listener
 	s.mu.Unlock()
 	s.crashed.Store(true)
+	_ = listener.Close()
 	_ = server.Close()
 }
 
