directory: the choice goes by time, with servers' speeds measured alone and told

Cause: load was counted in tokens, and nearly every placement finds a server without a prompt ahead, so that the slowest third spent 0.74 of its time with reading (the fastest 0.53); events there take 110 to 140 ms and streams end at the deadline.

Change: prompts that found nothing ahead measure a server; measures are told (kind 7 of datagrams), the median of the newest five counts, for 30 s, and outlives restarts at an address. The choice multiplies own prompt, prompts ahead and streams by the slowness beside the median server; estimates and the bound on silences go by the server's own pace, too.

--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -13,6 +13,7 @@
 	faults   float64 // recent ones, see Server.Faults
 	distrust float64 // crashes of earlier starts, see Server.distrust
 	kept     int     // tokens of the prompt that need not be read there
+	slowness float64 // how much longer it takes for prompts and streams than the median server
 
 	cold       bool // slow after its start
 	otherZone  bool // not in the zone of this process
@@ -33,6 +34,7 @@
 		faults:     s.Faults(now),
 		distrust:   s.distrust(now),
 		kept:       q.Kept[s.Start],
+		slowness:   s.Slowness(),
 		cold:       now.UnixNano() < s.warmAt.Load(),
 		otherZone:  s.Zone != q.Zone,
 		otherRange: q.Again && !q.hashRange.has(s),
@@ -54,9 +56,10 @@
 
 // Weights of load, in prompt tokens.
 const (
-	// streamWeight makes a stream that runs count like a tenth of a long prompt:
-	// a prompt is read nearly as fast beside it, but holds it up.
-	streamWeight = 800.0
+	// streamWeight makes a stream that runs count like a sixth of a long prompt: a prompt
+	// is read nearly as fast beside it, but holds it up. With less, servers that are twice
+	// as fast as others get so many prompts that their streams stand still.
+	streamWeight = 1300.0
 	// tieWeight is how far chance may reorder servers.
 	tieWeight = 100.0
 	// copyWeight: a copy takes memory but no time until it is used.
@@ -90,6 +93,12 @@
 	score := float64(c.unread - int64(c.kept))
 	score += streamWeight * float64(c.streams)
 	score += q.weightOfCopies() * float64(c.copies)
+	if !q.Copy {
+		score += float64(q.Prompt)
+	}
+	if q.Prompt > 0 {
+		score *= c.slowness
+	}
 	score += callWeight * (float64(c.calls) + c.told)
 	score += faultWeight * c.distrust
 	if !q.Resumes {
--- a/directory/candidate_test.go
+++ b/directory/candidate_test.go
@@ -15,26 +15,36 @@
 		query         Query
 		first, second candidate
 	}{
-		"a long prompt goes where none is read":                              {prompt, candidate{streams: 3}, candidate{unread: 4000}},
-		"beside fewer streams, which it holds up":                            {prompt, candidate{streams: 1}, candidate{streams: 2}},
-		"away from the stream of a stopping VM, though a prompt is read":     {prompt, candidate{unread: 7000}, candidate{streams: urgentWeight}},
-		"where it is kept, though streams run there":                         {prompt, candidate{kept: 7984, streams: 4}, candidate{}},
-		"where it is kept, though a connection broke there":                  {prompt, candidate{kept: 7984, faults: 1}, candidate{}},
-		"not where it is kept behind two long prompts":                       {prompt, candidate{}, candidate{kept: 7984, unread: 16000}},
-		"a stream that can't be resumed goes away from a failing server":     {Query{Prompt: 8000}, candidate{unread: 7000}, candidate{faults: 1}},
-		"a copy lies apart from other copies":                                {Query{Prompt: 8000, Copy: true}, candidate{streams: 1}, candidate{copies: 1}},
-		"a plain call goes where fewer calls run, by the server's word also": {Query{}, candidate{calls: 1}, candidate{told: 1.5}},
-		"away from a server that has just failed":                            {Query{}, candidate{calls: 5}, candidate{faults: 1}},
-		"what is placed again keeps to its portion unless a prompt is ahead": {Query{Prompt: 8000, Again: true}, candidate{unread: 7000}, candidate{otherRange: true}},
-		"into the own zone among equals":                                     {prompt, candidate{}, candidate{otherZone: true}},
+		"a long prompt goes where none is read":                                    {prompt, candidate{streams: 3}, candidate{unread: 4000}},
+		"beside fewer streams, which it holds up":                                  {prompt, candidate{streams: 1}, candidate{streams: 2}},
+		"away from the stream of a stopping VM, though a prompt is read":           {prompt, candidate{unread: 7000}, candidate{streams: urgentWeight}},
+		"where it is kept, though streams run there":                               {prompt, candidate{kept: 7984, streams: 4}, candidate{}},
+		"where it is kept, though a connection broke there":                        {prompt, candidate{kept: 7984, faults: 1}, candidate{}},
+		"not where it is kept behind two long prompts":                             {prompt, candidate{}, candidate{kept: 7984, unread: 16000}},
+		"a stream that can't be resumed goes away from a failing server":           {Query{Prompt: 8000}, candidate{unread: 7000}, candidate{faults: 1}},
+		"a copy lies apart from other copies":                                      {Query{Prompt: 8000, Copy: true}, candidate{streams: 1}, candidate{copies: 1}},
+		"a plain call goes where fewer calls run, by the server's word also":       {Query{}, candidate{calls: 1}, candidate{told: 1.5}},
+		"away from a server that has just failed":                                  {Query{}, candidate{calls: 5}, candidate{faults: 1}},
+		"what is placed again keeps to its portion unless a prompt is ahead":       {Query{Prompt: 8000, Again: true}, candidate{unread: 7000}, candidate{otherRange: true}},
+		"beside streams of a fast server before an idle one that is twice as slow": {prompt, candidate{streams: 4, slowness: 0.8}, candidate{slowness: 2}},
+		"to an idle slow server before a fast one's prompt and streams":            {prompt, candidate{slowness: 1.6}, candidate{unread: 8000, streams: 4, slowness: 0.8}},
+		"into the own zone among equals":                                           {prompt, candidate{}, candidate{otherZone: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			g.Expect(c.first.score(c.query)).To(gomega.BeNumerically("<", c.second.score(c.query)))
+			g.Expect(c.first.ofSpeed().score(c.query)).To(gomega.BeNumerically("<", c.second.ofSpeed().score(c.query)))
 		})
 	}
 }
 
+// ofSpeed makes a candidate whose speed a row leaves open an ordinary one.
+func (c candidate) ofSpeed() candidate {
+	if c.slowness == 0 {
+		c.slowness = 1
+	}
+	return c
+}
+
 // A server that may be gone is better than none: each pass lets more through.
 func TestGradesLetMoreThroughInTurn(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,13 +33,18 @@
 
 	loadChanged chan struct{} // holds one token after a change of load
 
-	mu      sync.Mutex // one Apply at a time; guards history
-	history []diff
+	mu        sync.Mutex // one Apply at a time; guards the fields below
+	history   []diff
+	readTimes map[string]*readTimes // by address
 
 	cell, cells atomic.Int32 // of this process, and how many there are
 	portion     atomic.Pointer[portion]
 	urgent      atomic.Bool // the streams of this process must end soon
 	medians     sync.Map    // service -> speedAt
+	comparedAt  sync.Map    // service -> time.Time of the newest comparison of its servers' speeds
+
+	untoldMu sync.Mutex
+	untold   []ReadTime // measured here since UntoldReadTimes was last called
 
 	othersMu sync.Mutex
 	others   map[string][]Load // what other processes told last
@@ -52,7 +57,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{loadChanged: make(chan struct{}, 1), others: map[string][]Load{}}
+	d := &Directory{loadChanged: make(chan struct{}, 1), others: map[string][]Load{}, readTimes: map[string]*readTimes{}}
 	d.view.Store(emptyView(0))
 	return d
 }
@@ -134,6 +139,7 @@
 	}
 	d.view.Store(next)
 	old.replacedBy(next, now)
+	d.forgetTimes(next, now)
 	d.othersMu.Lock()
 	defer d.othersMu.Unlock()
 	d.sumOthers(next)
@@ -216,6 +222,7 @@
 // one of its id; that is nil if there is none.
 func (d *Directory) joined(former *Server, l Listing, now time.Time) *Server {
 	s := newServer(l, now, d.touch)
+	s.times, s.measured = d.timesOf(l.Address), d.measuredHere
 	if former != nil {
 		s.after(former, now)
 	}
--- /dev/null
+++ b/directory/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package directory
+
+const raceDetector = false
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -35,6 +35,9 @@
 	list := d.view.Load().Service(q.Service)
 	zones := lossesOf(list, now)
 	q.urgent = d.urgent.Load()
+	if q.Prompt > 0 {
+		d.compareSpeeds(q.Service, list, now)
+	}
 	if q.Again {
 		q.hashRange = d.hashRangeOf(list, now)
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -40,7 +40,10 @@
 	told         atomic.Int64 // others' load by its last answer, in requests
 	toldAt       atomic.Int64
 
-	reading reading // of prompts
+	reading  reading    // of prompts
+	times    *readTimes // of all starts at its address
+	measured func(ReadTime)
+	slowness atomic.Uint64 // bits of a float64, see compareSpeeds; 0: not compared yet
 
 	// uneasy is set while there is anything against the server. A choice looks
 	// at all servers, thousands on a large site, and takes the lock only of
@@ -62,7 +65,7 @@
 func newServer(l Listing, now time.Time, changed func()) *Server {
 	s := &Server{
 		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
-		down: make(chan struct{}), faultAt: now, hash: l.Start().Hash(), place: Hash(l.ID), changed: changed,
+		down: make(chan struct{}), faultAt: now, hash: l.Start().Hash(), place: Hash(l.ID), changed: changed, times: &readTimes{},
 	}
 	s.provenAt.Store(now.UnixNano())
 	return s
--- a/directory/speed.go
+++ b/directory/speed.go
@@ -136,9 +136,13 @@
 	return true
 }
 
-// ReadSpeed returns how many prompt tokens a server reads a second: as measured
-// there, or else the median of its service's measured servers, 0 without any.
+// ReadSpeed returns how many prompt tokens a server reads a second: as measured there
+// by any process, or else by this one behind other prompts, or else the median of its
+// service's measured servers, 0 without any.
 func (d *Directory) ReadSpeed(s *Server, now time.Time) float64 {
+	if token := s.times.typical(now); token > 0 {
+		return 1 / token.Seconds()
+	}
 	if speed := s.ownSpeed(); speed > 0 {
 		return speed
 	}
--- a/directory/work.go
+++ b/directory/work.go
@@ -37,7 +37,11 @@
 	if r.prompt == 0 {
 		return
 	}
-	r.server.reading.measured(r.toRead, time.Since(r.begun))
+	took := time.Since(r.begun)
+	r.server.reading.measured(r.toRead, took)
+	if r.toRead == r.prompt {
+		r.server.readIn(r.prompt, took)
+	}
 	r.take()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,7 @@
 	fleet     *fleet.Fleet
 	socket    *fleet.Socket
 	loads     *fleet.Loads
+	readTimes *fleet.ReadTimes
 	election  *fleet.Election
 	budgets   *fleet.Budgets
 	suspects  *suspect.Ledger
@@ -140,6 +141,7 @@
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
 	e.socket.Report(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, Near: e.fleet.Near, Directory: e.directory})
+	e.readTimes = fleet.NewReadTimes(e.socket, e.fleet.Near, e.directory)
 	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Address: e.settings.Peers, Socket: e.socket, Position: e.position, Reached: e.reached, Size: e.fleet.Size, Fetch: e.fleet.AskChanges, Recorder: e.recorder,
 	})
@@ -247,6 +249,7 @@
 	background(&group, e.fleet.Run)
 	background(&group, e.socket.Run)
 	background(&group, e.loads.Run)
+	background(&group, e.readTimes.Run)
 	background(&group, e.election.Run)
 	background(&group, e.budgets.Run)
 	background(&group, e.suspects.Run)
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -71,7 +71,7 @@
 	}
 	tokens := float64(t.unread + int64(s.unread(server)))
 	t.first = time.Duration(tokens / t.speed * float64(time.Second))
-	t.end = t.first + time.Duration(s.eventsLeft(p)*float64(p.event(t.duty)))
+	t.end = t.first + time.Duration(s.eventsLeft(p)*server.Slowness()*float64(p.event(t.duty)))
 	p.reads(t.speed)
 	return t, true
 }
--- a/exchange/estimate_test.go
+++ b/exchange/estimate_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/directory"
 )
 
 // fakeEngine reads prompts one after the other; its events come slowly meanwhile.
@@ -278,3 +280,30 @@
 		}
 	})
 }
+
+// Guards against streams that are sent to a server whose own pace lets none of them end in
+// time, by the pace of faster ones.
+func TestEstimateGoesByTheServersOwnPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newBed(everywhere(paced(130, beat)))
+		servers := b.dir.View().Service("s")
+		for i, seconds := range []time.Duration{1, 1, 1, 3} {
+			prompt := servers[i].StreamBegun(8000)
+			time.Sleep(seconds * time.Second)
+			prompt.Read()
+			prompt.End()
+		}
+		p := b.paceOf("s")
+		for range 1000 {
+			p.seen(beat)
+		}
+		p.ended(130, 600)
+		b.dir.Pick(directory.Query{Service: "s", Prompt: 8000}, time.Now())
+		s := &stream{e: b.Exchange, req: streamRequest()}
+		fast, _ := s.estimate(servers[0], time.Now())
+		slow, _ := s.estimate(servers[3], time.Now())
+		g.Expect(slow.first).To(gomega.BeNumerically("~", 3*fast.first, fast.first/20))
+		g.Expect(slow.end).To(gomega.BeNumerically("~", 3*fast.end, fast.end/3), "the duty of the slow one is higher, too")
+	})
+}
--- a/exchange/pace.go
+++ b/exchange/pace.go
@@ -20,7 +20,8 @@
 	shortLength = 0.7
 )
 
-// pace is what has been learned of the streams of one service. It takes no lock.
+// pace is what has been learned of the streams of one service, on its median server. It
+// takes no lock.
 type pace struct {
 	pauses pauses
 	alone  atomic.Int64  // nanoseconds an event beside no prompt; 0: not measured
@@ -90,8 +91,8 @@
 	return shortLength * length * float64(maxTokens)
 }
 
-// event returns how long an event takes at a server that spends this share of
-// its time with reading prompts.
+// event returns how long an event takes at a median server that spends this share of its
+// time with reading prompts.
 func (p *pace) event(duty float64) time.Duration {
 	alone := float64(p.alone.Load())
 	beside := max(alone, float64(p.pauses.usual.Load()))
--- a/exchange/pauses.go
+++ b/exchange/pauses.go
@@ -62,12 +62,12 @@
 }
 
 // bound returns how long a stream of a server that gives signs of life may be
-// silent: least, or more if pauses are longer than usual, or unknown and the
-// server reads a prompt.
-func (p *pauses) bound(least time.Duration, reads bool) time.Duration {
+// silent: least, or more if pauses are longer than usual there, or unknown and the
+// server reads a prompt. slowness is the server's, beside the median one.
+func (p *pauses) bound(least time.Duration, reads bool, slowness float64) time.Duration {
 	usual := p.usual.Load()
 	if usual == 0 && reads {
 		return unknownFactor * least
 	}
-	return max(least, min(time.Duration(silenceFactor*float64(usual)), maxSilence))
+	return max(least, min(time.Duration(silenceFactor*slowness*float64(usual)), maxSilence))
 }
--- a/exchange/pauses_test.go
+++ b/exchange/pauses_test.go
@@ -121,7 +121,7 @@
 	for range 1000 {
 		p.seen(200 * time.Millisecond)
 	}
-	gomega.NewWithT(t).Expect(p.bound(DefaultSilence, true)).To(gomega.Equal(DefaultSilence))
+	gomega.NewWithT(t).Expect(p.bound(DefaultSilence, true, 1)).To(gomega.Equal(DefaultSilence))
 }
 
 // This VM is frozen for seconds, and every stream seems to have paused so long.
@@ -134,5 +134,19 @@
 	for range 3 {
 		p.seen(5 * time.Second)
 	}
-	gomega.NewWithT(t).Expect(p.bound(DefaultSilence, true)).To(gomega.Equal(DefaultSilence))
+	gomega.NewWithT(t).Expect(p.bound(DefaultSilence, true, 1)).To(gomega.Equal(DefaultSilence))
+}
+
+// Guards against streams of a slow server that are taken for lost: its pauses beside a
+// prompt are as much longer as it reads more slowly.
+func TestPausesOfASlowServerAreBorne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p pauses
+	for range pausesKept {
+		p.seen(300 * time.Millisecond)
+	}
+	usual := p.bound(DefaultSilence, true, 1)
+	g.Expect(p.bound(DefaultSilence, true, 2.2)).To(gomega.BeNumerically("~", 22*usual/10, time.Millisecond))
+	g.Expect(p.bound(DefaultSilence, true, 0.6)).To(gomega.BeNumerically(">=", DefaultSilence))
+	g.Expect(p.bound(DefaultSilence, true, 100)).To(gomega.Equal(maxSilence))
 }
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -121,7 +121,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.early && !w.learned {
-		w.pace().seen(time.Since(w.since))
+		w.pace().seen(w.atUsualPace(time.Since(w.since)))
 	}
 	w.early, w.learned, w.lived = false, false, true
 	w.since, w.proven = time.Time{}, time.Now()
@@ -141,6 +141,11 @@
 
 func (w *watch) pace() *pace { return w.e.paceOf(w.server.Service) }
 
+// atUsualPace returns how long the median server of the service would have paused.
+func (w *watch) atUsualPace(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) / w.server.Slowness())
+}
+
 // listen waits for the next event.
 func (w *watch) listen() {
 	w.mu.Lock()
@@ -204,7 +209,7 @@
 		return // an event has come just now
 	}
 	silence := time.Since(since)
-	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence, w.server.Unread() > 0) - silence
+	rest := w.pace().pauses.bound(w.e.opts.Timings.Silence, w.server.Unread() > 0, w.server.Slowness()) - silence
 	tooLong := rest <= 0
 	if tooLong {
 		w.tell(w.lived)
@@ -254,7 +259,7 @@
 		return
 	}
 	w.learned = true
-	w.pace().pauses.seen(silence)
+	w.pace().pauses.seen(w.atUsualPace(silence))
 }
 
 // explain puts the watch's own reason in place of the error that closing the
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -36,7 +36,7 @@
 	h := head{life: 3, seq: 4}
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
-		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), encodeBudget([]spent{{1, 2, 3}}),
+		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), encodeBudget([]spent{{1, 2, 3}}), encodeReadTimes([]directory.ReadTime{{Server: directory.Hash("a1"), Token: time.Millisecond}}),
 	} {
 		f.Add(append(encodeHead(b.kind, h), b.raw...))
 	}
@@ -47,6 +47,7 @@
 		s := NewSocket("", func() []string { return nil }, nil)
 		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
 		NewRestarts(s, d)
+		NewReadTimes(s, func() []string { return nil }, d)
 		NewBudgets(BudgetsOptions{Socket: s, Near: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
 		NewElection(ElectionOptions{
 			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, uint64) {},
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
 	"github.com/pearyard/pearyard/directory"
 )
@@ -14,8 +15,8 @@
 // bytes. Announcements: flags (1), spans of configuration and list (first and
 // last place, 8 each), digest of the entry VMs (8). Restarts: server (4),
 // when its new start was born (8), the id of that. Budgets: for each service its name's hash (4), first tries and
-// retries (2 each). JSON would
-// be three times as long.
+// retries (2 each). Read times: for each server its hash (4), nanoseconds a prompt token (4).
+// JSON would be three times as long.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
@@ -24,12 +25,14 @@
 	kindRestart kind = 5
 	// kindAnnouncement is not 2, which has single places in place of spans.
 	kindAnnouncement kind = 6
+	kindReadTimes    kind = 7
 
 	headBytes         = 13
 	countBytes        = 4
 	loadBytes         = 8
 	lostBytes         = 4
 	announcementBytes = 41
+	readTimeBytes     = 8
 	// restartBytes is what stands before the id.
 	restartBytes = lostBytes + 8
 
@@ -173,6 +176,31 @@
 	return w, w.config.from <= w.config.to && w.list.from <= w.list.to
 }
 
+func encodeReadTimes(times []directory.ReadTime) body {
+	times = times[:min(len(times), (maxDatagram-headBytes)/readTimeBytes)]
+	out := make([]byte, 0, len(times)*readTimeBytes)
+	for _, t := range times {
+		out = binary.BigEndian.AppendUint32(out, t.Server)
+		out = binary.BigEndian.AppendUint32(out, uint32(min(t.Token.Nanoseconds(), math.MaxUint32)))
+	}
+	return body{kindReadTimes, out}
+}
+
+func decodeReadTimes(raw []byte) ([]directory.ReadTime, bool) {
+	if len(raw)%readTimeBytes != 0 {
+		return nil, false
+	}
+	times := make([]directory.ReadTime, len(raw)/readTimeBytes)
+	for i := range times {
+		at := raw[i*readTimeBytes:]
+		times[i] = directory.ReadTime{
+			Server: binary.BigEndian.Uint32(at),
+			Token:  time.Duration(binary.BigEndian.Uint32(at[4:])),
+		}
+	}
+	return times, true
+}
+
 func encodeRestart(server uint32, start directory.Start) body {
 	out := binary.BigEndian.AppendUint32(nil, server)
 	out = binary.BigEndian.AppendUint64(out, uint64(start.Born))
