--- a/directory/slowness.go
+++ b/directory/slowness.go
@@ -15,7 +15,8 @@
 	// ordinary one: one that has recovered gets prompts again.
 	readTimeLife = 30 * time.Second
 	// keptShare of what its server or the median one usually takes is too short for a
-	// prompt to have been read: the server kept it, unknown to this process.
+	// prompt to have been read: the server kept it, unknown to this process. One that
+	// really reads so fast counts as an ordinary server.
 	keptShare = 0.5
 	// untoldKept bounds the measures that wait to be told: more go into no datagram.
 	untoldKept = 160
