--- a/directory/heavyload_test.go
+++ b/directory/heavyload_test.go
@@ -11,6 +11,19 @@
 
 func evenSpeed(int) float64 { return 1 }
 
+// expectServedInTime plays what is to come: no stream may miss its deadline, and one in 20
+// at most may begin late.
+func expectServedInTime(t *testing.T, site *modelSite) {
+	t.Helper()
+	begun := time.Now()
+	site.run()
+	late, failed, all := site.outcomes(begun)
+	t.Logf("%d streams, %d late, %d not whole in time", all, late, failed)
+	g := gomega.NewWithT(t)
+	g.Expect(failed).To(gomega.BeZero())
+	g.Expect(late).To(gomega.BeNumerically("<=", all/20))
+}
+
 // A zone of 60 servers loses 55 of them every 3.2 s, another one each time, and 103 VMs
 // decide at once where what ran there goes on. Guards against streams that pile up on the
 // same servers while others are idle.
@@ -27,13 +40,7 @@
 			zone := string(rune('a' + i%modelZones))
 			site.after(time.Duration(i)*every, func() { site.lose(zone, servers, away) })
 		}
-		begun := time.Now()
-		site.run()
-		late, failed, all := site.outcomes(begun)
-		t.Logf("%d streams, %d late, %d not whole in time", all, late, failed)
-		g := gomega.NewWithT(t)
-		g.Expect(failed).To(gomega.BeZero())
-		g.Expect(late).To(gomega.BeNumerically("<=", all/20))
+		expectServedInTime(t, site)
 	})
 }
 
@@ -45,13 +52,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				site := newModelSite(vms, 3.5, evenSpeed)
 				site.arrive(2, time.Second)
-				begun := time.Now()
-				site.run()
-				late, failed, all := site.outcomes(begun)
-				t.Logf("%d streams, %d late, %d not whole in time", all, late, failed)
-				g := gomega.NewWithT(t)
-				g.Expect(failed).To(gomega.BeZero())
-				g.Expect(late).To(gomega.BeNumerically("<=", all/20))
+				expectServedInTime(t, site)
 			})
 		})
 	}
