--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -15,7 +15,6 @@
 	"github.com/pearyard/pearyard/rollout"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
-	"github.com/pearyard/pearyard/types"
 )
 
 // Options configures an Exchange. Metrics, Timings, SharedBudget and Restarts are
@@ -205,35 +204,6 @@
 	}
 }
 
-// checkCrash probes a server that broke off while it ran a request, and blames the
-// request if the server has died. When a zone fails as a whole, many servers are lost
-// at once, which says nothing about the requests that they ran.
-func (e *Exchange) checkCrash(req *Request, s *directory.Server) {
-	go func() {
-		<-e.probes.start(s).done
-		if !s.IsDown(time.Now()) {
-			return
-		}
-		time.Sleep(crashConfirmDelay)
-		if s.Draining() || e.opts.Directory.OtherLossesInZone(s, time.Now(), zoneLossWindow) > 0 {
-			// A server that was to leave has been stopped: a completed roll-out stops the old
-			// ones without draining.
-			return
-		}
-		e.opts.Suspects.RecordDeath(s.String(), []types.Fingerprint{req.Fingerprint()})
-		e.opts.Recorder.Emit(EventCrashNoted, event.FieldRequest, req.ID, "server", s.Start, "zone", s.Zone, "fingerprint", req.Fingerprint())
-	}()
-}
-
-const (
-	// crashConfirmDelay is how long to wait for other losses in the zone before a
-	// request is blamed: the time in which several entry VMs notice a loss and report
-	// it.
-	crashConfirmDelay = 600 * time.Millisecond
-	// zoneLossWindow is how close in time two losses in a zone count as one failure.
-	zoneLossWindow = 2 * time.Second
-)
-
 // busyFaultWeight is the weight of a refusal; that of a broken attempt is 1. A full
 // server is healthy, but one that refuses although it has room will do so again.
 const busyFaultWeight = 0.3
