--- a/exchange/enginemodel_test.go
+++ b/exchange/enginemodel_test.go
@@ -68,6 +68,7 @@
 	tokens int         // generated since the start of the run
 	last   int         // id of the newest event
 	events int         // of the whole stream
+	mute   bool        // it generates nothing
 	out    chan []byte // its events, and closed at its end
 	ended  error       // valid once out is closed
 }
@@ -76,7 +77,8 @@
 // its zone.
 type modelBackend struct {
 	engines map[string]*modelEngine
-	length  func(id string) int // events of a request's stream
+	length  func(id string) int           // events of a request's stream
+	arrived func(*modelEngine, *modelRun) // called with each run that an engine admits; may be nil
 }
 
 func newModelBackend(ctx context.Context, ids []string, slowness func(i int) float64) *modelBackend {
@@ -161,7 +163,7 @@
 		r.end(r.ctx.Err())
 		return false
 	}
-	if r.unread > 0 {
+	if r.unread > 0 || r.mute {
 		return true
 	}
 	r.tokens++
@@ -206,6 +208,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if b.arrived != nil {
+		b.arrived(b.engines[a.Server.ID], r)
+	}
 	if a.CopyTo != nil {
 		b.engines[a.CopyTo.ID].expectCopy(a.Request.ID)
 	}
@@ -295,13 +300,13 @@
 func (b *modelBackend) Probe(ctx context.Context, s *directory.Server) (int64, error) {
 	e := b.engines[s.ID]
 	e.mu.Lock()
-	down := e.down
+	down, born := e.down, e.born
 	e.mu.Unlock()
 	if down {
 		return 0, &NotRunError{Reason: Refused, Err: io.ErrClosedPipe}
 	}
 	time.Sleep(modelAnswerTime)
-	return 0, nil
+	return born, nil
 }
 
 // CachedPrompts implements Backend.
@@ -355,17 +360,18 @@
 // modelVM is an entry VM in front of model engines.
 type modelVM struct {
 	*Exchange
-	dir *directory.Directory
+	dir      *directory.Directory
+	suspects *suspect.Ledger
 }
 
 // newModelVM returns a VM that has just started: it knows the list of servers and
 // nothing else.
 func newModelVM(b *modelBackend, ids []string) *modelVM {
-	vm := &modelVM{dir: directory.New()}
+	vm := &modelVM{dir: directory.New(), suspects: suspect.New(suspect.Options{Limit: 3, Quarantine: time.Minute, Window: time.Minute})}
 	vm.readList(b, ids)
 	vm.Exchange = New(Options{
 		Zone: "a", Directory: vm.dir, Backend: b, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(),
-		Suspects: suspect.New(suspect.Options{Limit: 3, Quarantine: time.Minute, Window: time.Minute}),
+		Suspects: vm.suspects,
 		Services: func(string) (site.Service, bool) {
 			return site.Service{Name: "s", Copies: true, CopiesOnDemand: true}, true
 		},
@@ -402,7 +408,8 @@
 	chance := rand.New(rand.NewPCG(xxhash.Sum64String(name), 0))
 	own := int(7800 * (0.7 + 0.6*chance.Float64()))
 	r := streamRequest()
-	r.ID, r.Prompt = name, []promptcache.Part{{ID: "shared", Tokens: 200}, {ID: name, Tokens: own}}
+	r.ID, r.Body = name, []byte(name)
+	r.Prompt = []promptcache.Part{{ID: "shared", Tokens: 200}, {ID: name, Tokens: own}}
 	r.PromptTokens, r.MaxTokens = 200+own, 1000
 	r.Route.Objective = 4500 * time.Millisecond
 	return r
