exchange: crashes of poisoned requests in one zone no longer excuse each other

Cause: a crash was dropped when any other server of the zone was lost within two seconds. Two poisoned requests excused each other. Class: evidence that is thrown away because something else failed at about the same time, without asking whether that explains it.

A crash is excused now only if two thirds of the zone's servers were lost. Servers that gave a sign of life since the loss count as alive; if what is known doesn't decide, up to eight of the others are asked, once a zone however many requests were lost. And a crash of a server that had sent a part of the response counts half (RecordWeightedDeath, which the own interface has had). A server that started again under its id no longer counts as leaving.

--- a/directory/load.go
+++ b/directory/load.go
@@ -115,15 +115,3 @@
 	}
 	return out
 }
-
-// OtherLossesInZone counts the other servers of a server's zone and service that were lost
-// within the given time.
-func (d *Directory) OtherLossesInZone(s *Server, now time.Time, within time.Duration) int {
-	count := 0
-	for _, other := range d.view.Load().Service(s.Service) {
-		if other.ID != s.ID && other.Zone == s.Zone && other.WasDownWithin(now, within) {
-			count++
-		}
-	}
-	return count
-}
--- a/directory/server.go
+++ b/directory/server.go
@@ -103,6 +103,12 @@
 // Draining reports whether it takes no new work.
 func (s *Server) Draining() bool { return s.draining.Load() || s.removed.Load() }
 
+// Leaving reports whether its end is planned: it was draining, or was taken off the list
+// without another start in its place.
+func (s *Server) Leaving() bool {
+	return s.draining.Load() || (s.removed.Load() && !s.replaced.Load())
+}
+
 // Ended reports whether its process is known to have ended.
 func (s *Server) Ended() bool {
 	if !s.hasIssues.Load() {
--- a/directory/zoneloss.go
+++ b/directory/zoneloss.go
@@ -1,6 +1,11 @@
 package directory
 
-import "time"
+import (
+	"iter"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// A zone is considered lost as a whole if it lost at least minZoneLosses of its
@@ -53,3 +58,42 @@
 	zone := z[s.Zone]
 	return zone != nil && zone.count >= minZoneLosses && zone.count*zoneLossShare >= zone.servers && !s.heardSince(zone.last)
 }
+
+// ZoneLosses is what is known of the servers of a zone just after one of them was lost.
+type ZoneLosses struct {
+	Lost    int       // lost within the window, that server included
+	Alive   int       // gave a sign of life after that loss
+	Unknown []*Server // neither
+}
+
+// Servers returns the number of servers.
+func (z ZoneLosses) Servers() int { return z.Lost + z.Alive + len(z.Unknown) }
+
+// LossesInZone returns what is known of the servers in a lost server's zone: those of its
+// service, or of all services if it is the only one. Losses count that are no older than
+// within.
+func (d *Directory) LossesInZone(s *Server, now time.Time, within time.Duration) ZoneLosses {
+	lostAt, _ := s.recentLoss(now, within)
+	view := d.view.Load()
+	out := zoneLossesAmong(slices.Values(view.Service(s.Service)), s, lostAt, now, within)
+	if out.Servers() == 1 {
+		return zoneLossesAmong(maps.Values(view.byID), s, lostAt, now, within)
+	}
+	return out
+}
+
+func zoneLossesAmong(list iter.Seq[*Server], s *Server, lostAt, now time.Time, within time.Duration) ZoneLosses {
+	out := ZoneLosses{Lost: 1}
+	for other := range list {
+		switch {
+		case other.ID == s.ID || other.Zone != s.Zone || other.Draining():
+		case other.WasDownWithin(now, within):
+			out.Lost++
+		case other.heardSince(lostAt):
+			out.Alive++
+		default:
+			out.Unknown = append(out.Unknown, other)
+		}
+	}
+	return out
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,7 +36,7 @@
 	// garbage collector's soft limit.
 	memoryLimitRatio = 0.7
 	// crashLimit is how many backend servers a request may crash before it is
-	// quarantined.
+	// quarantined. A server that had sent a part of the response counts half.
 	crashLimit = 3
 	// crashWindow is how long a crash counts against a request.
 	crashWindow = 2 * time.Minute
@@ -200,7 +200,7 @@
 // distribution to the other entry VMs.
 func (e *Entry) newSuspects(client *http.Client) {
 	e.suspects = suspect.New(suspect.Options{
-		Self: types.ProcessID(e.settings.Name), Limit: crashLimit, Quarantine: quarantineTime, Window: crashWindow,
+		Self: types.ProcessID(e.settings.Name), Limit: suspect.LedgerLimit(crashLimit), Quarantine: quarantineTime, Window: crashWindow,
 		Recorder: e.recorder, Registerer: e.registry,
 		OnQuarantine: func(fp types.Fingerprint, _ suspect.Verdict) { e.exchange.EndQuarantined(fp) },
 	})
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -100,6 +100,7 @@
 	budgets sync.Map // service -> *retry.Window
 	paces   sync.Map // service -> *pace
 	probes  prober
+	zones   zoneChecker
 	active  activeStreams
 	prompts *promptcache.Locator
 }
@@ -116,6 +117,7 @@
 	if opts.PromptPeers != nil {
 		e.prompts.UsePeers(opts.PromptPeers)
 	}
+	e.zones = zoneChecker{exchange: e, inFlight: map[zoneKey]*zoneCheck{}}
 	e.probes = prober{exchange: e, inFlight: map[*directory.Server]*probe{}}
 	return e
 }
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -270,7 +270,7 @@
 		c.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 	} else {
 		c.ran++
-		c.e.checkCrash(c.req, r.server)
+		c.e.checkCrash(c.req, r.server, false)
 		c.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
 	c.e.recordFailure(r.server, r.err)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -178,7 +178,7 @@
 			// resume from an earlier copy refuses, which costs a retry of the budget.
 			a.copies.drop()
 		}
-		s.e.checkCrash(s.req, a.server)
+		s.e.checkCrash(s.req, a.server, a.gotEvent)
 		s.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
 	s.tried[a.server.Start] = true
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -40,11 +40,11 @@
 // there. So a long generation isn't quarantined when its engines are killed twice,
 // while a request that crashes engines immediately crashes no more than the limit.
 func (l *Ledger) RecordWeightedDeath(death string, fp types.Fingerprint, proven bool) {
-	fps := []types.Fingerprint{fp}
-	l.RecordDeath(death, fps)
+	ids := []string{death}
 	if !proven {
-		l.RecordDeath(death+"/unproven", fps)
+		ids = append(ids, death+"/unproven")
 	}
+	l.recordDeaths(ids, []types.Fingerprint{fp})
 }
 
 // StrongEvidence reports whether there is strong evidence against the request: at
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -101,16 +101,23 @@
 // processes must use the same id for the same death, such as the backend server's
 // address and the engine's incarnation.
 func (l *Ledger) RecordDeath(death string, fps []types.Fingerprint) {
-	if len(fps) == 0 {
-		return
+	if len(fps) > 0 {
+		l.recordDeaths([]string{death}, fps)
 	}
+}
+
+// recordDeaths records one death, which counts as many times as it has ids.
+func (l *Ledger) recordDeaths(ids []string, fps []types.Fingerprint) {
 	at := l.opts.Now().Round(0)
 	entries := make([]Entry, len(fps))
 	for i, fp := range fps {
-		entries[i] = Entry{Fingerprint: fp, Deaths: []Death{{ID: death, At: at}}}
+		entries[i].Fingerprint = fp
+		for _, id := range ids {
+			entries[i].Deaths = append(entries[i].Deaths, Death{ID: id, At: at})
+		}
 	}
 	l.metrics.deaths.Inc()
-	l.opts.Recorder.Emit(eventDeath, "death", death, "requests", len(fps))
+	l.opts.Recorder.Emit(eventDeath, "death", ids[0], "requests", len(fps))
 	l.apply(entries, true)
 }
 
