exchange: a plain call that is answered clears the crashes under its content

Streams that complete clear the crashes that their content is suspected of; plain calls did not. Calls with the same content, such as an organisation's lookups, are one fingerprint, so three crashes within two minutes, each under some other call of it, quarantined all of them for ten minutes.

TestAnsweredCallClearsCrashesUnderItsContent fails without the change (the fourth call is refused) and passes with it.

--- a/exchange/crash_test.go
+++ b/exchange/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -167,3 +168,18 @@
 		g.Expect(b.backend.sent()).To(gomega.HaveLen(1))
 	})
 }
+
+// Guards against calls with the same content, such as an organisation's lookups, that are
+// quarantined because servers crashed now and then while one of them ran.
+func TestAnsweredCallClearsCrashesUnderItsContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newTestbed(everywhere(answers(http.StatusOK, "ok", time.Millisecond)))
+		for i := range 2 * modelCrashLimit {
+			req := request(site.Idempotent)
+			_, err := b.Call(t.Context(), req)
+			g.Expect(err).NotTo(gomega.HaveOccurred(), "call %d", i)
+			b.suspects.RecordWeightedDeath(fmt.Sprint("death", i), req.Fingerprint(), false)
+		}
+	})
+}
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -288,6 +288,7 @@
 		return
 	}
 	r.server.MarkAlive(time.Now())
+	c.e.opts.Suspects.RecordCompletion(c.fingerprint)
 }
 
 // interrupted returns the outcome when the time is up or the caller has left. An error
