directory: a zone with few servers of a service is judged by all its servers

With two servers of the service in a zone, two poisoned requests crash all of the zone, which excused them.

Where a service has fewer than three servers in a zone, those of all services there say whether the zone is lost.

--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -324,17 +324,19 @@
 	g.Expect(d.server("a3").Leaving()).To(gomega.BeFalse())
 }
 
-// Guards against a server that is the only one of its service in its zone: the others of
-// the zone say whether the zone is lost.
-func TestLossesInZoneOfTheOnlyServer(t *testing.T) {
+// Guards against the crashes of one or two servers of a service that count as the loss of
+// their zone although its other servers are alive.
+func TestLossesInZoneOfFewServers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := New()
 	d.Apply(1, []Listing{
 		{ID: "a1", Service: "s", Zone: "a"}, {ID: "b1", Service: "s", Zone: "b"}, {ID: "a2", Service: "other", Zone: "a"}, {ID: "a3", Service: "other", Zone: "a"},
+		{ID: "a4", Service: "s", Zone: "a"},
 	}, false, time.Now())
 	lostAt := time.Now()
 	d.server("a1").MarkLost(lostAt)
+	d.server("a4").MarkLost(lostAt)
 	d.server("a2").MarkHeard(lostAt.Add(time.Millisecond))
 	losses := d.LossesInZone(d.server("a1"), lostAt.Add(time.Second), 2*time.Second)
-	g.Expect(losses).To(gomega.Equal(ZoneLosses{Lost: 1, Alive: 1, Unknown: []*Server{d.server("a3")}}))
+	g.Expect(losses).To(gomega.Equal(ZoneLosses{Lost: 2, Alive: 1, Unknown: []*Server{d.server("a3")}}))
 }
--- a/directory/zoneloss.go
+++ b/directory/zoneloss.go
@@ -69,14 +69,18 @@
 // Servers returns the number of servers.
 func (z ZoneLosses) Servers() int { return z.Lost + z.Alive + len(z.Unknown) }
 
+// minZoneServers is how many servers of a service in a zone say whether the zone is lost.
+// One or two are easily lost one by one at about the same time.
+const minZoneServers = 3
+
 // LossesInZone returns what is known of the servers in a lost server's zone: those of its
-// service, or of all services if it is the only one. Losses count that are no older than
-// within.
+// service, or of all services if there are fewer than minZoneServers of them. Losses count
+// that are no older than within.
 func (d *Directory) LossesInZone(s *Server, now time.Time, within time.Duration) ZoneLosses {
 	lostAt, _ := s.recentLoss(now, within)
 	view := d.view.Load()
 	out := zoneLossesAmong(slices.Values(view.Service(s.Service)), s, lostAt, now, within)
-	if out.Servers() == 1 {
+	if out.Servers() < minZoneServers {
 		return zoneLossesAmong(maps.Values(view.byID), s, lostAt, now, within)
 	}
 	return out
