soak, stand-in: requests that crash servers, several at once, beside lost zones and restarts

Checked: after its third crash and three seconds a content reaches servers in at most three more tries; the other callers' promises as before.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -132,14 +132,7 @@
 		call.Mismatch = err.Error()
 		return
 	}
-	req.Host = host
-	// With GetBody set, the client could retry the request by itself, which would look
-	// like a second run of a request that was sent once.
-	req.GetBody = nil
-	req.Header.Set("Attempt-Id", call.ID)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Token "+key)
-	req.Header.Set("Token-Usage", "1000,200")
+	c.setHeaders(req, call.ID, key)
 	call.Sent = time.Now()
 	resp, err := client.Do(req)
 	call.Ended = time.Now()
@@ -162,6 +155,18 @@
 	call.Ended = time.Now()
 }
 
+// setHeaders completes a request of a caller.
+func (c *Callers) setHeaders(req *http.Request, id, key string) {
+	req.Host = host
+	// With GetBody set, the client could retry the request by itself, which would look
+	// like a second run of a request that was sent once.
+	req.GetBody = nil
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("Token-Usage", "1000,200")
+}
+
 // checkResponse reads a response with status 200 and compares it with what the server
 // must have sent.
 func (c *Callers) checkResponse(call *Call, resp *http.Response) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -38,14 +38,15 @@
 	Served      int // calls with a complete response of status 200
 	LossChecked int // calls that were sent completely and that no fault may have affected
 	Violations  []string
+	Crashes     int    // of servers under poisoned requests
 	Timeline    []Span // disruptions by their start
 	start       time.Time
 }
 
 // String returns a one-line summary.
 func (r Result) String() string {
-	return fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d disruptions, %d violations",
-		r.Seed, r.Calls, r.Served, r.LossChecked, len(r.Timeline), len(r.Violations))
+	return fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d disruptions, %d crashes under poisoned requests, %d violations",
+		r.Seed, r.Calls, r.Served, r.LossChecked, len(r.Timeline), r.Crashes, len(r.Violations))
 }
 
 // FormatTimeline returns the disruptions, one per line.
@@ -98,8 +99,10 @@
 func (r *Result) check(site *Site, calls []Call, settled time.Time) {
 	runs := site.Cloud.Ledger.Runs()
 	r.Calls = len(calls)
+	r.Crashes = len(site.Cloud.Ledger.Crashes())
 	r.Violations = Violations(calls, runs)
 	r.Violations = append(r.Violations, retryBudgetViolations(calls, runs)...)
+	r.Violations = append(r.Violations, crashViolations(site.Cloud.Ledger.Crashes(), site.Cloud.Ledger.Arrivals())...)
 	r.Violations = append(r.Violations, recoveryViolations(calls, settled)...)
 	for _, vm := range site.VMs {
 		if n := vm.unexpectedExits.Load(); n > 0 {
--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -19,6 +19,7 @@
 	runs     []Run
 	arrivals []Run // including refused requests
 	ends     map[string][]RunEnd
+	crashes  []Crash // under poisoned requests
 }
 
 // RunEnd tells how a run ended, as its server saw it.
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -331,6 +331,10 @@
 	defer e.release(memory)
 	s.cloud.Ledger.record(&s.cloud.Ledger.runs, run)
 	w.Header().Set("Response-Signature", id+"."+request)
+	if isPoisoned(r) {
+		s.crashUnder(id, r)
+		panic(http.ErrAbortHandler)
+	}
 	if s.fails(request) {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
