suspect, platform: a quarantine outlives the loss of all VMs

What lasts lives on the platform: the ledger's table, which the own interface has had, is now in the platform's store too (platform.Table implements backing.Table). Only quarantines are written, at once; suspects are not, since the loss of a zone makes many of them for some seconds and each costs two calls. A row that would not change is not written again. A VM reads the table once at its start; one call. A quarantine within the last milliseconds before the loss of all VMs, or while the store is away, can still be lost. The stand-in's store takes removals.

TestTable plays the translation, TestQuarantineOutlivesAllVMs the whole.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,7 +116,7 @@
 	client := &http.Client{Timeout: peerTimeout}
 	e.newFleet(store, client)
 	e.newPeerState()
-	e.newSuspects(client)
+	e.newSuspects(store, client)
 	e.newRollouts(store)
 	e.newExchange()
 	e.registerGauges(opts.Dropped)
@@ -198,10 +198,10 @@
 
 // newSuspects sets up the ledger of requests that crash backend servers, and its
 // distribution to the other entry VMs.
-func (e *Entry) newSuspects(client *http.Client) {
+func (e *Entry) newSuspects(store *platform.Store, client *http.Client) {
 	e.suspects = suspect.New(suspect.Options{
 		Self: types.ProcessID(e.settings.Name), Limit: suspect.LedgerLimit(crashLimit), Quarantine: quarantineTime, Window: crashWindow,
-		Recorder: e.recorder, Registerer: e.registry,
+		Recorder: e.recorder, Registerer: e.registry, Table: platform.NewSuspectTable(store), QuarantinesOnly: true,
 		OnQuarantine: func(fp types.Fingerprint, _ suspect.Verdict) { e.exchange.EndQuarantined(fp) },
 	})
 	e.suspectGossiper = suspect.NewGossiper(e.suspects, suspect.GossiperOptions{
--- a/standin/nursery/store.go
+++ b/standin/nursery/store.go
@@ -156,12 +156,17 @@
 func (s *Store) tx(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Write    []row `json:"write"`
+		Remove   []row `json:"remove"`
 		Expected []row `json:"expectedRevision"`
 	}
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, x := range body.Remove {
+		x.Deleted = true
+		body.Write = append(body.Write, x)
+	}
 	for _, write := range body.Write {
 		if write.Table == "op" || write.Table == "servers" {
 			w.WriteHeader(http.StatusForbidden)
@@ -183,13 +188,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range expected {
-		if found := s.rows[x.Table+"/"+x.Key]; found.Version != x.Version {
+		found := s.rows[x.Table+"/"+x.Key]
+		if found.Deleted {
+			found.Version = 0
+		}
+		if found.Version != x.Version {
 			return false
 		}
 	}
 	s.version++
 	for _, x := range write {
-		s.rows[x.Table+"/"+x.Key] = row{Table: x.Table, Key: x.Key, Value: x.Value, Version: s.version}
+		s.rows[x.Table+"/"+x.Key] = row{Table: x.Table, Key: x.Key, Value: x.Value, Version: s.version, Deleted: x.Deleted}
 	}
 	s.notifyWatchers()
 	return true
--- a/suspect/expiry.go
+++ b/suspect/expiry.go
@@ -32,7 +32,7 @@
 func (l *Ledger) removeLocked(fp types.Fingerprint, r *record) {
 	delete(l.records, fp)
 	delete(l.dirty, fp)
-	if r.local {
+	if r.local && (!l.opts.QuarantinesOnly || !r.until.IsZero()) {
 		l.toDelete[fp] = struct{}{}
 	}
 }
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -35,6 +35,7 @@
 	coordinator coordinator
 	views       atomic.Pointer[map[types.Fingerprint]view]
 	changed     chan struct{} // receives a value when there is something to push or renew
+	quarantined chan struct{} // receives a value when a quarantine is to be written to the table service
 	// releaseGrant is set by a Gossiper. It is called when the last run of a
 	// fingerprint in this process ends.
 	releaseGrant atomic.Pointer[func(types.Fingerprint)]
@@ -50,13 +51,14 @@
 func New(opts Options) *Ledger {
 	opts = opts.withDefaults()
 	l := &Ledger{
-		opts:     opts,
-		policy:   quarantinePolicy{limit: opts.Limit, quarantine: opts.Quarantine, window: opts.Window},
-		instance: rand.Uint64(),
-		changed:  make(chan struct{}, 1),
-		records:  map[types.Fingerprint]*record{},
-		dirty:    map[types.Fingerprint]struct{}{},
-		toDelete: map[types.Fingerprint]struct{}{},
+		opts:        opts,
+		policy:      quarantinePolicy{limit: opts.Limit, quarantine: opts.Quarantine, window: opts.Window},
+		instance:    rand.Uint64(),
+		changed:     make(chan struct{}, 1),
+		quarantined: make(chan struct{}, 1),
+		records:     map[types.Fingerprint]*record{},
+		dirty:       map[types.Fingerprint]struct{}{},
+		toDelete:    map[types.Fingerprint]struct{}{},
 	}
 	l.views.Store(&map[types.Fingerprint]view{})
 	l.coordinator.grants = map[types.Fingerprint]*grant{}
@@ -226,15 +228,18 @@
 	}
 	l.metrics.quarantined.Inc()
 	l.opts.Recorder.Emit(eventQuarantined, "fingerprint", fp.String(), "deaths", verdict.Deaths, "until", verdict.Until.UTC())
+	notify(l.quarantined)
 	if l.opts.OnQuarantine != nil {
 		l.opts.OnQuarantine(fp, verdict)
 	}
 }
 
 // notifyChanged makes the Gossiper push changes and renew grants soon.
-func (l *Ledger) notifyChanged() {
+func (l *Ledger) notifyChanged() { notify(l.changed) }
+
+func notify(c chan struct{}) {
 	select {
-	case l.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/suspect/options.go
+++ b/suspect/options.go
@@ -22,6 +22,10 @@
 	Probation time.Duration
 	Max       int           // maximum number of fingerprints
 	Table     backing.Table // nil: suspicions aren't persisted
+	// QuarantinesOnly is set if only quarantined fingerprints are persisted. After the loss
+	// of a zone many requests are suspects for some seconds, and each costs two calls to
+	// the table service.
+	QuarantinesOnly bool
 	// OnQuarantine is called for each new or extended quarantine, so that a running copy can
 	// be cancelled before it crashes another engine.
 	OnQuarantine func(types.Fingerprint, Verdict)
--- a/suspect/store.go
+++ b/suspect/store.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -41,6 +42,10 @@
 			return nil
 		case <-expire.C:
 			l.expire()
+		case <-l.quarantined:
+			if loaded && l.opts.Table != nil {
+				l.flush(ctx, &table)
+			}
 		case <-flush.C:
 			if !loaded {
 				loaded = l.load(ctx, &table)
@@ -132,7 +137,7 @@
 		if len(b.dirty) == maxFlushRows {
 			break
 		}
-		if l.records[fp].local {
+		if l.persistsLocked(l.records[fp]) {
 			b.dirty = append(b.dirty, fp)
 		}
 		delete(l.dirty, fp) // records of other processes are written by them
@@ -147,6 +152,11 @@
 	return b
 }
 
+// persistsLocked reports whether this process writes a record to the table service.
+func (l *Ledger) persistsLocked(r *record) bool {
+	return r.local && (!l.opts.QuarantinesOnly || r.until.After(l.opts.Now()))
+}
+
 // returnBatch makes the rows of a batch pending again.
 func (l *Ledger) returnBatch(b batch) {
 	l.mu.Lock()
@@ -177,7 +187,7 @@
 			l.Merge([]Entry{stored})
 		}
 		value, ok := l.encodeRow(fp)
-		if !ok {
+		if !ok || bytes.Equal(value, row.Value) {
 			continue
 		}
 		addWrite(&txn, fp, row.Version, backing.Write{Value: value})
