directory, platform, fleet: the rate limit that a server names is read and logged

Now each answer's limit is recorded with its server, with the time at which it was said; an answer to a request sent before the limit was last named does not end it, and a new start has none. PY2745 when one is named or changed, PY2746 when it ends, PY2763 (at most one a second) for a value that can't be read: negative, not a number, absurdly large, or two of them; it has no effect. No decision uses the limit yet.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,7 +40,8 @@
 type Directory struct {
 	view atomic.Pointer[View]
 
-	loadChanged chan struct{} // holds one token after a change of load
+	loadChanged  chan struct{} // holds one token after a change of load
+	limitChanged chan struct{} // holds one token after a change of a server's rate limit
 
 	mu      sync.Mutex // serialises changes of the view; guards history and samples
 	history []listDiff
@@ -67,7 +68,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{loadChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}}
+	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}}
 	d.view.Store(emptyView(0))
 	return d
 }
@@ -238,7 +239,7 @@
 // of the same id, nil if there is none.
 func (d *Directory) newStart(former *Server, l Listing, now time.Time) *Server {
 	s := newServer(l, now, d.notifyLoadChanged)
-	s.samples, s.onSample = d.samplesAt(l.Address), d.queueUnsent
+	s.samples, s.onSample, s.onLimitChange = d.samplesAt(l.Address), d.queueUnsent, d.notifyLimitChanged
 	if former != nil {
 		s.inheritCrash(former, now)
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -19,7 +19,8 @@
 	Zone    string
 	Slots   int // number of requests that it runs at a time
 
-	version    atomic.Pointer[string] // of its software; nil: unknown
+	version    atomic.Pointer[string]    // of its software; nil: unknown
+	rateLimit  atomic.Pointer[RateLimit] // nil: it has never named one
 	draining   atomic.Bool
 	removed    atomic.Bool  // it was dropped from the view, or another start replaced it
 	replaced   atomic.Bool  // another start of its id is known: this process has ended
@@ -38,6 +39,7 @@
 	startHash        uint32       // of the start; identifies it among entry VMs
 	idHash           uint32       // of the id, the same for all its starts; determines its cell and partition
 	onLoadChange     func()       // called when the load of streams here changes
+	onLimitChange    func()       // called when its rate limit changes
 	reportedCalls    atomic.Int64 // other processes' requests according to its last response
 	reportedAt       atomic.Int64 // Unix nanoseconds of that response
 
@@ -66,7 +68,7 @@
 func newServer(l Listing, now time.Time, onLoadChange func()) *Server {
 	s := &Server{
 		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
-		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, samples: &prefillSamples{},
+		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, samples: &prefillSamples{},
 	}
 	s.lastSignAt.Store(now.UnixNano())
 	s.setVersion(l.Version)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -42,6 +43,9 @@
 	crashWindow = 2 * time.Minute
 	// quarantineTime is how long a request that reached crashLimit is refused.
 	quarantineTime = 10 * time.Minute
+	// invalidLimitInterval is the shortest time between two log lines on invalid limits, as
+	// each answer may hold one.
+	invalidLimitInterval = time.Second
 	// retryBudgetShare is the fraction of the retry budget that is used. The rest is a
 	// margin: whoever counts retries may assign a retry and the first tries that
 	// allowed it to different windows.
@@ -86,6 +90,7 @@
 	readTimes       *fleet.PrefillTimes
 	election        *fleet.Election
 	budgets         *fleet.Budgets
+	serverLimits    *fleet.ServerLimits
 	suspects        *suspect.Ledger
 	suspectGossiper *suspect.Gossiper
 	rollouts        *rollout.Controller
@@ -98,6 +103,7 @@
 	startedAt       time.Time
 	shutdown        *shutdownState
 	canceller       *requestCanceller
+	invalidLimitAt  atomic.Int64 // Unix nanoseconds of the newest log line on an invalid limit
 	wasReady        atomic.Bool
 	runningRequests atomic.Int64
 }
@@ -171,6 +177,7 @@
 		Socket: e.socket, CellPeers: e.fleet.CellPeers, Size: e.fleet.Size,
 		Ratio: retryBudgetShare * e.settings.RetryRatio, Extra: retryBudgetShare * e.settings.RetryExtra, Window: e.settings.RetryWindow,
 	})
+	e.serverLimits = fleet.NewServerLimits(fleet.ServerLimitsOptions{Directory: e.directory, Recorder: e.recorder})
 	e.fleet.UseElection(e.election)
 	e.configFollower.OnApplied = e.configApplied
 	probes := follow.NewProbeGroup()
@@ -212,6 +219,17 @@
 	})
 }
 
+// reportInvalidLimit logs a rate limit of a backend server that can't be read. It has no
+// effect.
+func (e *Entry) reportInvalidLimit(s *directory.Server, values []string) {
+	now := time.Now().UnixNano()
+	last := e.invalidLimitAt.Load()
+	if now-last < int64(invalidLimitInterval) || !e.invalidLimitAt.CompareAndSwap(last, now) {
+		return
+	}
+	e.recorder.Emit(EventInvalidLimit, "server", s.Start, "values", fmt.Sprintf("%.100q", values))
+}
+
 // newRollouts sets up the roll-outs that the configuration in force orders.
 func (e *Entry) newRollouts(store *platform.Store) {
 	e.rollouts = rollout.New(rollout.Options{
@@ -234,6 +252,7 @@
 	e.pool = httpconn.NewPool(httpconn.Options{MaxIdle: maxConnIdle})
 	s := e.settings
 	backend := platform.NewBackend(e.pool)
+	backend.OnInvalidLimit = e.reportInvalidLimit
 	e.exchange = exchange.New(exchange.Options{
 		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, Rollouts: e.rollouts, PromptPeers: e.prompts,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
@@ -317,6 +336,7 @@
 	addBackground(&group, e.awaitServing)
 	addBackground(&group, e.election.Run)
 	addBackground(&group, e.budgets.Run)
+	addBackground(&group, e.serverLimits.Run)
 	addBackground(&group, e.rolloutMessages.Run)
 	addBackground(&group, e.decider.Run)
 	addBackground(&group, e.suspects.Run)
--- a/entry/events.go
+++ b/entry/events.go
@@ -52,3 +52,8 @@
 	EventStopped = event.Define(2755, "entry_stopped", event.Info,
 		"the process ends; cut is the number of requests that it could not finish", "if cut is over 0, look at the lines of these requests and at the entry_stop_taken line of each")
 )
+
+// EventInvalidLimit is emitted for a rate limit of a backend server that can't be read.
+var EventInvalidLimit = event.Define(2763, "entry_invalid_limit", event.Warn,
+	"an answer of a backend server holds a rate limit that can't be read, or more than one; it has no effect",
+	"look at the server: it asks for less work, and gets as much as before")
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -24,3 +24,13 @@
 // once per unreadableInterval.
 var EventDatagramUnreadable = event.Define(2743, "fleet_datagram_unreadable", event.Warn,
 	"a datagram to the port of entry VMs can't be decoded; others is the number of further ones since the last line", "find out what sends from the address in the line, unless VMs run different versions")
+
+// EventServerLimit and EventServerLimitLifted are emitted when a backend server names a
+// rate limit or another one, and when it names none any more or is gone.
+var (
+	EventServerLimit = event.Define(2745, "fleet_server_limit", event.Warn,
+		"a backend server has named how many requests a second it takes from all entry VMs together; before is the former limit, 0 if there was none",
+		"look at the server; if many servers of a service do so, the service needs more of them")
+	EventServerLimitLifted = event.Define(2746, "fleet_server_limit_lifted", event.Info,
+		"a backend server names no rate limit any more, or is gone", "nothing")
+)
