--- a/fleet/budgets_test.go
+++ b/fleet/budgets_test.go
@@ -44,7 +44,7 @@
 func exchangeCounts(vms []*budgetVM) {
 	for i, from := range vms {
 		from.seq++
-		raw := encodeBudget(from.ownCounts()).raw
+		raw := encodeTryCounts(from.ownCounts())
 		for j, to := range vms {
 			if i != j {
 				to.receive(string(rune('a'+i)), header{incarnation: 1, seq: from.seq}, raw, time.Now())
@@ -116,7 +116,7 @@
 		g := gomega.NewWithT(t)
 		vms := newBudgetVMs()
 		exchangeCounts(vms)
-		time.Sleep(budgetReportTTL + time.Second)
+		time.Sleep(countsTTL + time.Second)
 		n := 0
 		for vms[0].retry() {
 			n++
@@ -126,11 +126,11 @@
 }
 
 func FuzzDecodeBudget(f *testing.F) {
-	f.Add(encodeBudget([]tryCounts{{1, 2, 3}}).raw)
+	f.Add(encodeTryCounts([]tryCounts{{1, 2, 3}}))
 	f.Add([]byte{1})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		if list, ok := decodeBudget(raw); ok && len(raw) < maxDatagram-headerBytes && string(encodeBudget(list).raw) != string(raw) {
-			t.Fatalf("%x became %x", raw, encodeBudget(list).raw)
+		if list, ok := decodeTryCounts(raw); ok && len(raw) < maxDatagram-headerBytes && string(encodeTryCounts(list)) != string(raw) {
+			t.Fatalf("%x became %x", raw, encodeTryCounts(list))
 		}
 	})
 }
@@ -231,7 +231,7 @@
 		exchangeCounts := func() {
 			for i, from := range vms {
 				from.seq++
-				raw := encodeBudget(from.ownCounts()).raw
+				raw := encodeTryCounts(from.ownCounts())
 				for j, to := range vms {
 					if i != j {
 						to.receive(string(rune('a'+i)), header{incarnation: incarnation, seq: from.seq}, raw, time.Now())
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -36,7 +36,7 @@
 	h := header{incarnation: 3, seq: 4}
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
-		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), encodeBudget([]tryCounts{{1, 2, 3}}), encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
+		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
 	} {
 		f.Add(append(encodeHeader(b.kind, h), b.raw...))
 	}
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -27,6 +27,9 @@
 //
 // Budget: for each service the hash of its name (4), first tries and retries (2 each).
 //
+// Server counts: the same for each server that has a rate limit, by its start; all of its
+// requests count as retries.
+//
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
@@ -45,6 +48,7 @@
 	kindRolloutNotice kind = 9
 	kindPromptQuery   kind = 10
 	kindPromptAnswer  kind = 11
+	kindServerCounts  kind = 12
 
 	headerBytes       = 13
 	countBytes        = 4
@@ -236,26 +240,29 @@
 	return binary.BigEndian.Uint32(raw), start, true
 }
 
-// tryCounts is what one process has counted of a service's tries.
+// tryCounts is what one process has counted of the tries of a service or a server.
 type tryCounts struct {
-	service             uint32 // hash of its name
+	key                 uint32 // hash of its name
 	firstTries, retries uint16
 }
 
-const tryCountsBytes = 8
+const (
+	tryCountsBytes = 8
+	maxTryCounts   = (maxDatagram - headerBytes) / tryCountsBytes // in a datagram
+)
 
-func encodeBudget(list []tryCounts) body {
-	list = list[:min(len(list), (maxDatagram-headerBytes)/tryCountsBytes)]
+func encodeTryCounts(list []tryCounts) []byte {
+	list = list[:min(len(list), maxTryCounts)]
 	out := make([]byte, 0, len(list)*tryCountsBytes)
 	for _, s := range list {
-		out = binary.BigEndian.AppendUint32(out, s.service)
+		out = binary.BigEndian.AppendUint32(out, s.key)
 		out = binary.BigEndian.AppendUint16(out, s.firstTries)
 		out = binary.BigEndian.AppendUint16(out, s.retries)
 	}
-	return body{kindBudget, out}
+	return out
 }
 
-func decodeBudget(raw []byte) ([]tryCounts, bool) {
+func decodeTryCounts(raw []byte) ([]tryCounts, bool) {
 	if len(raw)%tryCountsBytes != 0 {
 		return nil, false
 	}
