fleet, exchange: the rate limits that servers name are kept by all VMs together

Cause: the header was not read by anybody; a missing capability, not a fault of a decision. Class: what a server says of itself has to reach every VM's choice.

What a server says is told to the other VMs within 20 ms, with its age; the newest word wins, an answer to an earlier request does not end a limit, a new start has none. Every delivery to a server counts (first tries, retries, hedges, resumed streams, takeovers, refused ones) in a window of two seconds that also holds what was sent before the limit was named. The bound is shared by reports like the retry budget (sharedBounds); a VM whose share is below one draws, so a limit below one request a second holds at 31 VMs too. A server with a limit ranks behind others and is asked again two seconds after it last named it, at 0.25 a second at least, or nobody would hear that it has recovered. If all servers of a service are at their limits, a request is refused at once, not run, with a Retry-After that lets the refused come back one after the other at the VM's part of the rate. explain names server_limit; the metric pearyard_exchange_server_limit_held_total counts what was held back.

Also tested: other servers take the work without a refusal, restarts of each VM and VMs cut off from each other, recovery from limits of 0, 0.05 and 2.6. On the way: a window dropped while its server was limited let 31 VMs send 28 where 6.8 are allowed; a rank alone left the limited server without any request.

Not done: order of priority among those refused; more than 173 limited servers at a time are reported in several datagrams of which only the last counts.

--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -22,6 +22,7 @@
 	inAvoidedZone    bool // in the zone that the query avoids
 	inSuspectZone    bool // in a zone that has lost many servers
 	down             bool // considered lost
+	limited          bool // has just named a rate limit
 }
 
 // candidate returns what is known of the server now.
@@ -42,6 +43,7 @@
 		inAvoidedZone:    q.AvoidZone != "" && s.Zone == q.AvoidZone,
 		inSuspectZone:    zones.suspects(s),
 		down:             s.IsDown(now),
+		limited:          s.RateLimit().inForceAt(now),
 	}
 }
 
@@ -85,6 +87,9 @@
 	faultWeight = 8000.0
 	// coldWeight applies to a server that is still slow after its start.
 	coldWeight = 2000.0
+	// limitedWeight applies to a server that has just named a rate limit: it is in need, and
+	// others take the work first.
+	limitedWeight = 2000.0
 	// otherZoneWeight breaks ties in favour of the process's own zone.
 	otherZoneWeight = 150.0
 	// maxFaults is the number of recent faults above which a server is used only if no
@@ -115,6 +120,9 @@
 	if c.cold {
 		score += coldWeight
 	}
+	if c.limited {
+		score += limitedWeight
+	}
 	if c.otherZone {
 		score += otherZoneWeight
 	}
--- a/directory/ratelimit.go
+++ b/directory/ratelimit.go
@@ -8,6 +8,16 @@
 	Limited   bool
 	PerSecond float64   // requests a second from all entry VMs together; 0 unless Limited
 	At        time.Time // when the server said so
+	ByPeer    bool      // it said so to a peer
+}
+
+// limitTrialInterval is how long a server that has named a limit is avoided. Then it gets
+// the next request that its limit allows: only its answers tell whether it has recovered.
+const limitTrialInterval = 2 * time.Second
+
+// inForceAt reports whether the server has named the limit a short time ago.
+func (l RateLimit) inForceAt(now time.Time) bool {
+	return l.Limited && now.Sub(l.At) < limitTrialInterval
 }
 
 // liftedLimitTTL is how long the end of a limit is kept, to be told to other entry VMs.
@@ -69,13 +79,14 @@
 	return out
 }
 
-// RecordPeerRateLimit records what a peer knows of a server's limit.
+// RecordPeerRateLimit records what a server has said of its limit to a peer.
 func (d *Directory) RecordPeerRateLimit(server uint32, l RateLimit) {
 	s := d.view.Load().byHash[server]
 	if s == nil {
 		d.droppedReports.Add(1)
 		return
 	}
+	l.ByPeer = true
 	s.setRateLimit(l)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,9 @@
 		Socket: e.socket, CellPeers: e.fleet.CellPeers, Size: e.fleet.Size,
 		Ratio: retryBudgetShare * e.settings.RetryRatio, Extra: retryBudgetShare * e.settings.RetryExtra, Window: e.settings.RetryWindow,
 	})
-	e.serverLimits = fleet.NewServerLimits(fleet.ServerLimitsOptions{Directory: e.directory, Recorder: e.recorder})
+	e.serverLimits = fleet.NewServerLimits(fleet.ServerLimitsOptions{
+		Socket: e.socket, Peers: e.fleet.Peers, Size: e.fleet.Size, Directory: e.directory, Recorder: e.recorder,
+	})
 	e.fleet.UseElection(e.election)
 	e.configFollower.OnApplied = e.configApplied
 	probes := follow.NewProbeGroup()
@@ -254,7 +256,7 @@
 	backend := platform.NewBackend(e.pool)
 	backend.OnInvalidLimit = e.reportInvalidLimit
 	e.exchange = exchange.New(exchange.Options{
-		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, Rollouts: e.rollouts, PromptPeers: e.prompts,
+		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryBudgetShare * s.RetryRatio,
--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -29,7 +29,7 @@
 	EndedByNoServer      EndedBy = "no_server"     // all servers that were asked refused, or none is known
 	EndedByDeadline      EndedBy = "deadline"      // the caller's
 	EndedByRouteTimeout  EndedBy = "route_timeout" // the route's
-	EndedByLimit         EndedBy = "limit"         // size of a body, retry budget, quarantine
+	EndedByLimit         EndedBy = "limit"         // size of a body, retry budget, quarantine, rate limits of servers
 	EndedByConfiguration EndedBy = "configuration" // the current one has no such route or key
 	EndedByStop          EndedBy = "stop"          // this process's planned stop
 	EndedByStart         EndedBy = "start"         // this process had just started and was not ready for the request
@@ -120,7 +120,7 @@
 	switch {
 	case errors.As(err, &late):
 		return EndedByNoServer
-	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined):
+	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined), errors.Is(err, ErrServerLimits):
 		return EndedByLimit
 	case errors.Is(err, ErrNoServer):
 		return EndedByNoServer
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -59,6 +59,8 @@
 	ErrBudget = errors.New("exchange: retry budget spent")
 	// ErrNoServer: no backend server is available for the request.
 	ErrNoServer = errors.New("exchange: no backend server takes the request")
+	// ErrServerLimits: the rate limits that the backend servers have named leave no room.
+	ErrServerLimits = errors.New("exchange: the backend servers are at the rate limits that they have named")
 	// ErrTimeout: the deadline of the caller or of the route has passed.
 	ErrTimeout = errors.New("exchange: time is up")
 	// ErrNoTime: too little time is left for an attempt to be answered.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,6 +35,8 @@
 	RetryExtra  func() float64
 	// SharedBudget, if set, enforces the retry budget jointly with other processes.
 	SharedBudget SharedBudget
+	// ServerLimits, if set, enforces the rate limits that servers name.
+	ServerLimits ServerLimits
 	// Rollouts, if set, assigns requests to versions of backend servers.
 	Rollouts *rollout.Controller
 	// PromptPeers, if set, asks other processes for cached prompts.
@@ -53,6 +55,16 @@
 	First(service string, w *retry.Window)
 }
 
+// ServerLimits enforces the rate limits that servers name jointly with other processes.
+type ServerLimits interface {
+	// Take reports whether a request may be sent to a server now, and counts it if so.
+	Take(s *directory.Server) bool
+	// RetryAfter returns when a request may come again that the limits of a service's
+	// servers leave no room for. Each call returns a later time, so that the callers come
+	// one after the other.
+	RetryAfter(service string) time.Duration
+}
+
 // Timings are the timeouts of an Exchange. Zero fields take the defaults.
 type Timings struct {
 	// Silence is how long a started stream waits for an event before its server is
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -15,6 +15,7 @@
 	refreshesFailed prometheus.Counter
 	probes          prometheus.Counter
 	budgetSpent     prometheus.Counter
+	limitHeld       prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -50,7 +51,9 @@
 			Name: "pearyard_exchange_probes_total", Help: "Questions to backend servers for a sign of life."}),
 		budgetSpent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pearyard_exchange_retry_budget_spent_total", Help: "Retries that the budget did not allow."}),
+		limitHeld: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_exchange_server_limit_held_total", Help: "Requests that were not sent to a backend server because of the rate limit that it had named."}),
 	}
-	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.refreshesFailed, m.copiesReplaced, m.probes, m.budgetSpent)
+	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.refreshesFailed, m.copiesReplaced, m.probes, m.budgetSpent, m.limitHeld)
 	return m
 }
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -116,8 +116,8 @@
 	if !c.req.hasTime(time.Now()) {
 		return nil, c.refusal(ErrNoTime)
 	}
-	if !c.launch(ctx) {
-		return nil, c.refusal(ErrNoServer)
+	if err := c.launch(ctx); err != nil {
+		return nil, c.refusal(err)
 	}
 	hedge := c.hedgeTimer()
 	defer hedge.Stop()
@@ -141,7 +141,7 @@
 			}
 		case <-hedge.C:
 			if c.mayTry() && c.pending > 0 && c.e.allowRetry(c.req.Service) {
-				c.launch(ctx)
+				_ = c.launch(ctx) // without a second server the first one's answer is awaited
 			}
 		case <-ctx.Done():
 			return c.interrupted(ctx)
@@ -184,8 +184,8 @@
 		c.lastErr = errors.Wrap(ErrBudget, c.lastErr.Error())
 		return false
 	}
-	if !c.launch(ctx) {
-		return false
+	if c.launch(ctx) != nil {
+		return false // the failure of the attempt before is the reason that counts
 	}
 	c.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, c.req.ID, "route", c.req.Route.Name,
 		"after", r.server.Start, "err", c.lastErr, "since", time.Since(c.req.Arrived))
@@ -199,11 +199,22 @@
 	return errors.As(err, &notRun) && notRun.Unreached()
 }
 
-// launch sends the request to one more server, and reports whether there is one.
-func (c *call) launch(ctx context.Context) bool {
-	s := c.e.pick(directory.Query{Service: c.req.Service, Zone: c.e.opts.Zone, Exclude: c.tried}, c.versions)
-	if s == nil {
-		return false
+// chooseServer returns the server for the next attempt.
+func (c *call) chooseServer() (*directory.Server, error) {
+	server, err := c.e.pickWithinLimit(func() (*directory.Server, error) {
+		return c.e.pick(directory.Query{Service: c.req.Service, Zone: c.e.opts.Zone, Exclude: c.tried}, c.versions), nil
+	}, func(s *directory.Server) { c.tried[s.Start] = true })
+	if server == nil && err == nil {
+		err = ErrNoServer
+	}
+	return server, err
+}
+
+// launch sends the request to one more server. It fails if there is none.
+func (c *call) launch(ctx context.Context) error {
+	s, err := c.chooseServer()
+	if err != nil {
+		return err
 	}
 	c.versions.Sent(s)
 	c.tried[s.Start] = true
@@ -212,7 +223,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	c.cancel[s.Start] = cancel
 	go func() { c.results <- c.attempt(attemptCtx, s) }()
-	return true
+	return nil
 }
 
 func (c *call) attempt(ctx context.Context, s *directory.Server) result {
@@ -306,8 +317,11 @@
 
 func (c *call) refusal(err error) *Failure {
 	after := retryAfter
-	if errors.Is(err, ErrQuarantined) {
+	switch {
+	case errors.Is(err, ErrQuarantined):
 		after = quarantineRetryAfter
+	case errors.Is(err, ErrServerLimits):
+		after = c.e.limitRetryAfter(c.req.Service)
 	}
 	return &Failure{By: c.req.failedBy(err), Ran: c.ran > 0, RetryAfter: after, Err: err}
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -235,7 +235,7 @@
 	if s.isQuarantined() {
 		return nil, nil, ErrQuarantined
 	}
-	if s.hasCopy() {
+	if s.hasCopy() && s.e.takeLimit(s.current.copies.holder()) {
 		c := s.current.copies.take()
 		return c.Server, c, nil
 	}
@@ -244,7 +244,7 @@
 	}
 	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
 	for {
-		server, err := s.pickInTime()
+		server, err := s.pickWithinLimit()
 		if server != nil || err != nil {
 			return server, nil, err
 		}
@@ -261,6 +261,11 @@
 	}
 }
 
+// pickWithinLimit is pickInTime among the servers whose rate limits leave room.
+func (s *stream) pickWithinLimit() (*directory.Server, error) {
+	return s.e.pickWithinLimit(s.pickInTime, func(server *directory.Server) { s.tried[server.Start] = true })
+}
+
 // hasCopy reports whether there is a copy of the stream's KV cache to resume from.
 func (s *stream) hasCopy() bool {
 	if s.current == nil {
@@ -330,6 +335,8 @@
 		after = late.retryAfter()
 	case errors.Is(err, ErrQuarantined):
 		after = quarantineRetryAfter
+	case errors.Is(err, ErrServerLimits):
+		after = s.e.limitRetryAfter(s.req.Service)
 	}
 	return &Failure{By: by, Ran: s.inProgress || s.ran > 0, TimedOut: errors.Is(err, ErrNoTime), RetryAfter: after, Err: err}
 }
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -268,6 +268,9 @@
 		if !s.tryReserveRetry() {
 			return nil, nil, ErrBudget
 		}
+		if !s.e.takeLimit(s.current.copies.holder()) {
+			return nil, nil, ErrServerLimits
+		}
 		s.current.copyState.Store(copyTaken)
 		c := s.current.copies.take()
 		return c.Server, c, nil
@@ -284,6 +287,10 @@
 	if !s.tryReserveRetry() {
 		return nil, nil, ErrBudget
 	}
+	if !s.e.takeLimit(server) {
+		s.tried[server.Start] = true
+		return nil, nil, ErrServerLimits
+	}
 	return server, nil, nil
 }
 
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -42,6 +42,9 @@
 	CauseNoServer Cause = "no_server"
 	// CauseRetryBudget: the retry budget was spent.
 	CauseRetryBudget Cause = "out_of_retries"
+	// CauseServerLimit: the backend servers were at the rate limits that they had named
+	// (PY2745).
+	CauseServerLimit Cause = "server_limit"
 	// CauseQuarantined: refused or ended, because the request had crashed several servers (PY2727).
 	CauseQuarantined Cause = "crashes_servers"
 	// CauseStop: a planned stop refused or interrupted the request (PY2756, PY2734).
--- a/explain/endedby.go
+++ b/explain/endedby.go
@@ -69,6 +69,9 @@
 		why = "no backend server could be reached, "
 	case exchange.EndedByLimit:
 		why = "a limit forbade another try, "
+		if strings.Contains(last.Fields["err"], textServerLimit) {
+			why = "the backend servers were at the rate limits that they had named, "
+		}
 	case exchange.EndedByDeadline:
 		why = "its caller's deadline passed, "
 	case exchange.EndedByRouteTimeout:
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -42,6 +42,7 @@
 	textSilent      = exchange.ErrSilent.Error()
 	textBudget      = exchange.ErrBudget.Error()
 	textQuarantined = exchange.ErrQuarantined.Error()
+	textServerLimit = exchange.ErrServerLimits.Error()
 )
 
 func (o *openRequest) recordFailedAttempt(rec *record) {
@@ -217,10 +218,14 @@
 
 // limitCause returns which limit ended a request.
 func (e *requestEnd) limitCause() Cause {
-	if e.rec.contains(fieldError, textQuarantined) {
+	switch {
+	case e.rec.contains(fieldError, textQuarantined):
 		return CauseQuarantined
+	case e.rec.contains(fieldError, textServerLimit):
+		return CauseServerLimit
+	default:
+		return CauseRetryBudget
 	}
-	return CauseRetryBudget
 }
 
 // attemptCauseOr returns the cause that failed attempts indicate, or else the
--- a/fleet/limitmodel_test.go
+++ b/fleet/limitmodel_test.go
@@ -22,12 +22,12 @@
 	"github.com/pearyard/pearyard/suspect"
 )
 
-// A backend server that has named a limit may get, limitGrace after it first did so, half as
-// much again and limitExtra requests in any limitSpan. The platform counts only what VMs
-// send that have passed on such an answer; the tests count all.
+// A backend server that has named a limit may get half as much again and limitExtra requests
+// in any limitSpan. What is sent later than limitGrace after it first named the limit counts.
+// The platform excuses VMs that have not passed on such an answer; the tests don't.
 const (
 	limitSpan  = 4 * time.Second
-	limitGrace = 3 * time.Second
+	limitGrace = 500 * time.Millisecond
 	limitExtra = 5
 	// modelCallTime is how long a request takes at a server.
 	modelCallTime = 40 * time.Millisecond
@@ -72,19 +72,16 @@
 	return n
 }
 
-// mostInSpan returns the largest number of requests in any limitSpan that ends later than
-// limitGrace after the limit was named.
+// mostInSpan returns the largest number of requests in any limitSpan that counts.
 func (s *limitedServer) mostInSpan() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most, first := 0, 0
 	for last, at := range s.arrivals {
-		for s.arrivals[first].Before(at.Add(-limitSpan)) {
+		for s.arrivals[first].Before(at.Add(-limitSpan)) || s.arrivals[first].Before(s.namedAt.Add(limitGrace)) && first < last {
 			first++
 		}
-		if at.Sub(s.namedAt) > limitGrace {
-			most = max(most, last-first+1)
-		}
+		most = max(most, last-first+1)
 	}
 	return most
 }
@@ -98,6 +95,7 @@
 type limitSite struct {
 	servers map[string]*limitedServer
 	ids     []string
+	size    int // number of VMs
 
 	mu  sync.Mutex
 	vms []*limitVM
@@ -113,7 +111,7 @@
 }
 
 func newLimitSite(t *testing.T, vms, servers int) *limitSite {
-	m := &limitSite{servers: map[string]*limitedServer{}}
+	m := &limitSite{servers: map[string]*limitedServer{}, size: vms}
 	for i := range servers {
 		id := fmt.Sprintf("s%d", i)
 		m.ids = append(m.ids, id)
@@ -136,18 +134,22 @@
 	vm.dir.Apply(1, list, false, time.Now())
 	vm.socket = NewSocket(vm.address, m.addresses, nil)
 	vm.socket.write = func(raw []byte, to string) bool { return m.deliver(vm, raw, to) }
-	vm.Exchange = exchange.New(vm.options(ctx, m, zoneOf(i)))
+	limits := NewServerLimits(ServerLimitsOptions{
+		Socket: vm.socket, Peers: m.addresses, Size: func() int { return m.size }, Directory: vm.dir, Recorder: event.Discard(),
+	})
+	go func() { _ = limits.Run(ctx) }()
+	vm.Exchange = exchange.New(vm.options(m, limits, zoneOf(i)))
 	return vm
 }
 
 // zoneOf spreads VMs and servers over four zones.
 func zoneOf(i int) string { return string(rune('a' + i%4)) }
 
-func (vm *limitVM) options(_ context.Context, m *limitSite, zone string) exchange.Options {
+func (vm *limitVM) options(m *limitSite, limits *ServerLimits, zone string) exchange.Options {
 	return exchange.Options{
 		Zone: zone, Directory: vm.dir, Backend: m, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(),
 		Suspects: suspect.New(suspect.Options{}), Services: func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
-		RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 20 },
+		ServerLimits: limits, RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 20 },
 	}
 }
 
@@ -174,6 +176,13 @@
 	return true
 }
 
+// setCut cuts VMs off from each other, or ends that.
+func (m *limitSite) setCut(cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
 // restart replaces a VM by a new process that knows nothing.
 func (m *limitSite) restart(t *testing.T, i int) {
 	m.vms[i].stop()
--- a/fleet/sharedbounds.go
+++ b/fleet/sharedbounds.go
@@ -170,6 +170,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	own := b.ownLocked(key, w)
+	w = own.window // the one that is reported
 	free, vms := b.availableLocked(key, w, now)
 	if vms < 2 {
 		return w.Allow() || b.allowAlone(key, own, now)
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -30,6 +30,9 @@
 // Server counts: the same for each server that has a rate limit, by its start; all of its
 // requests count as retries.
 //
+// Server limits: for each server its start (4), requests a second as a float, negative if
+// it names no limit any more (4), milliseconds since it said so (4).
+//
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
@@ -49,6 +52,7 @@
 	kindPromptQuery   kind = 10
 	kindPromptAnswer  kind = 11
 	kindServerCounts  kind = 12
+	kindServerLimits  kind = 13
 
 	headerBytes       = 13
 	countBytes        = 4
@@ -273,3 +277,51 @@
 	}
 	return list, true
 }
+
+// reportedLimit is what a server has said of its rate limit to the sender.
+type reportedLimit struct {
+	server    uint32 // hash of its start
+	limited   bool
+	perSecond float64
+	age       time.Duration // since it said so
+}
+
+const (
+	reportedLimitBytes = 12
+	maxReportedLimits  = (maxDatagram - headerBytes) / reportedLimitBytes // in a datagram
+)
+
+func encodeServerLimits(list []reportedLimit) body {
+	list = list[:min(len(list), maxReportedLimits)]
+	out := make([]byte, 0, len(list)*reportedLimitBytes)
+	for _, r := range list {
+		perSecond := float32(r.perSecond)
+		if !r.limited {
+			perSecond = -1
+		}
+		out = binary.BigEndian.AppendUint32(out, r.server)
+		out = binary.BigEndian.AppendUint32(out, math.Float32bits(perSecond))
+		out = binary.BigEndian.AppendUint32(out, uint32(min(max(0, r.age.Milliseconds()), math.MaxUint32)))
+	}
+	return body{kindServerLimits, out}
+}
+
+// decodeServerLimits returns false if a limit is not a number.
+func decodeServerLimits(raw []byte) ([]reportedLimit, bool) {
+	if len(raw)%reportedLimitBytes != 0 {
+		return nil, false
+	}
+	list := make([]reportedLimit, len(raw)/reportedLimitBytes)
+	for i := range list {
+		at := raw[i*reportedLimitBytes:]
+		perSecond := float64(math.Float32frombits(binary.BigEndian.Uint32(at[4:])))
+		if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) {
+			return nil, false
+		}
+		list[i] = reportedLimit{
+			server: binary.BigEndian.Uint32(at), limited: perSecond >= 0, perSecond: max(0, perSecond),
+			age: time.Duration(binary.BigEndian.Uint32(at[8:])) * time.Millisecond,
+		}
+	}
+	return list, true
+}
