soak, stand-in: servers that name limits, beside restarts, crashes and load

The stand-in's servers can name a rate limit; the soak's LimitPlan has one or all of them do so for seven seconds or more, beside VMs killed, all VMs killed, planned stops, crashes, changes and load. Checked from the servers' arrivals by the platform's bound, over all VMs, killed ones too.

--- /dev/null
+++ b/soak/limits.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pearyard/pearyard/standin/nursery"
+)
+
+// A server that names a limit may get half as much again and limitExtra requests in any
+// limitSpan that ends later than crashContactTime after it first did so. What is sent later
+// than limitGrace after that counts.
+const (
+	limitSpan  = 4 * time.Second
+	limitGrace = 500 * time.Millisecond
+	limitExtra = 5
+	// limitTime is how long a server names a limit at least: long enough to be checked.
+	limitTime = crashContactTime + limitSpan
+)
+
+// LimitPlan returns a plan of servers that name limits, beside restarts of VMs, crashes of
+// servers and load.
+func LimitPlan(size Size, seed uint64, length time.Duration) Plan {
+	disruptions := []Disruption{limitDisruption, limitDisruption}
+	for _, d := range Disruptions {
+		switch d.Name {
+		case "server crash", "server crashes and is back under its id", "VM killed", "VMs all killed", "VM stopped as planned", "route added", "load":
+			disruptions = append(disruptions, d)
+		}
+	}
+	return Plan{Size: size, Seed: seed, Disruptions: disruptions, Length: length}
+}
+
+var limitDisruption = Disruption{Name: "servers name limits", group: noGroup, run: func(s *Site, rng *rand.Rand, duration time.Duration) {
+	servers := slices.Clone(s.Servers)
+	rng.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	servers = servers[:1+rng.IntN(len(servers))]
+	limit := 0.2 + 6*rng.Float64()
+	for _, server := range servers {
+		server.NameRateLimit(limit)
+	}
+	time.Sleep(limitTime + duration)
+	for _, server := range servers {
+		server.NameRateLimit(-1)
+	}
+}}
+
+// limitViolations describes the servers that got more than the limits that they named.
+func limitViolations(arrivals []nursery.Run) []string {
+	byServer := map[string][]nursery.Run{}
+	for _, a := range arrivals {
+		byServer[a.Server] = append(byServer[a.Server], a)
+	}
+	var violations []string
+	for server, list := range byServer {
+		slices.SortFunc(list, func(a, b nursery.Run) int { return a.At.Compare(b.At) })
+		for len(list) > 0 {
+			var period []nursery.Run
+			period, list = limitPeriod(list)
+			if excess := limitExcess(period); excess != "" {
+				violations = append(violations, fmt.Sprintf("server %s: %s", server, excess))
+			}
+		}
+	}
+	return violations
+}
+
+// limitPeriod splits off the first arrivals with the same limit.
+func limitPeriod(list []nursery.Run) (period, rest []nursery.Run) {
+	n := 1
+	for n < len(list) && sameLimit(list[0], list[n]) {
+		n++
+	}
+	return list[:n], list[n:]
+}
+
+func sameLimit(a, b nursery.Run) bool {
+	if a.RateLimit == nil || b.RateLimit == nil {
+		return a.RateLimit == b.RateLimit
+	}
+	return *a.RateLimit == *b.RateLimit
+}
+
+// limitExcess describes the first span in which a server with a limit got too many requests;
+// empty: none.
+func limitExcess(period []nursery.Run) string {
+	if period[0].RateLimit == nil {
+		return ""
+	}
+	named, first := period[0].At, 0
+	allowed := 1.5**period[0].RateLimit*limitSpan.Seconds() + limitExtra
+	for last, a := range period {
+		for period[first].At.Before(a.At.Add(-limitSpan)) || (period[first].At.Sub(named) < limitGrace && first < last) {
+			first++
+		}
+		if n := last - first + 1; a.At.Sub(named) > crashContactTime && float64(n) > allowed {
+			return fmt.Sprintf("%d requests within %v at a limit of %.2f a second, %.0f allowed", n, limitSpan, *period[0].RateLimit, allowed)
+		}
+	}
+	return ""
+}
--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -11,6 +11,7 @@
 	Request, Server, Target, Organisation string    // Attempt-Id, id of the incarnation, request URI, Tenant
 	At                                    time.Time // when the request arrived
 	ResumedAfter                          int       // event after which it resumed; 0 for a fresh run
+	RateLimit                             *float64  // that the server's answer names, requests a second; nil: none
 }
 
 // Ledger records what the servers ran, for the checks of the tests.
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -53,6 +53,7 @@
 	// means 1.
 	FailedPerMille atomic.Int64
 	SlowFactor     atomic.Int64
+	rateLimit      atomic.Pointer[float64] // that its answers name; nil: none
 
 	ownAddress string // that the server listens on
 	crashed    atomic.Bool
@@ -167,6 +168,16 @@
 	return s.engine
 }
 
+// NameRateLimit makes the server's answers name how many requests a second it takes. A
+// negative limit ends that.
+func (s *Server) NameRateLimit(perSecond float64) {
+	if perSecond < 0 {
+		s.rateLimit.Store(nil)
+		return
+	}
+	s.rateLimit.Store(&perSecond)
+}
+
 // ActiveRequests returns how many requests the server is serving.
 func (s *Server) ActiveRequests() int64 { return s.active.Load() }
 
@@ -301,7 +312,10 @@
 func (s *Server) serve(e *engine, id string, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("Attempt-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	run := Run{Request: request, Server: id, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), ResumedAfter: after}
+	run := Run{Request: request, Server: id, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), ResumedAfter: after, RateLimit: s.rateLimit.Load()}
+	if run.RateLimit != nil {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(*run.RateLimit, 'f', -1, 64))
+	}
 	s.cloud.Ledger.record(&s.cloud.Ledger.arrivals, run)
 	w.Header().Set("Attempt-Id", request)
 	if want := r.Header.Get("Target-Instance"); want != "" && want != id {
