fleet: counts of more servers with limits than fit into a datagram

Found by reading: a report of more than 173 keys went out in several datagrams, and each replaced what the one before had said, so a site with 366 servers in need would have counted half of them as idle. A full datagram is now followed by another one, which adds to it. The retry budget's reports, a few services, are as before. TestCountsOfManyServersAreReported plays 172, 173, 174 and 396 servers; without the change it sees 1 of 174 and 50 of 396.

Also names: contactTime in the soak, threshold in the judgement of zones.

--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -88,8 +88,8 @@
 // needsAsking reports whether the servers that nothing is known of decide whether the zone
 // is lost.
 func (z zoneState) needsAsking() bool {
-	half := zoneLossShare * float64(z.Servers())
-	return float64(z.Lost) <= half && float64(z.Lost+len(z.Unknown)) > half
+	threshold := zoneLossShare * float64(z.Servers())
+	return float64(z.Lost) <= threshold && float64(z.Lost+len(z.Unknown)) > threshold
 }
 
 func (z zoneState) fields() []any {
--- a/fleet/limitmodel_test.go
+++ b/fleet/limitmodel_test.go
@@ -107,6 +107,7 @@
 	address string
 	dir     *directory.Directory
 	socket  *Socket
+	limits  *ServerLimits
 	stop    context.CancelFunc
 }
 
@@ -134,22 +135,22 @@
 	vm.dir.Apply(1, list, false, time.Now())
 	vm.socket = NewSocket(vm.address, m.addresses, nil)
 	vm.socket.write = func(raw []byte, to string) bool { return m.deliver(vm, raw, to) }
-	limits := NewServerLimits(ServerLimitsOptions{
+	vm.limits = NewServerLimits(ServerLimitsOptions{
 		Socket: vm.socket, Peers: m.addresses, Size: func() int { return m.size }, Directory: vm.dir, Recorder: event.Discard(),
 	})
-	go func() { _ = limits.Run(ctx) }()
-	vm.Exchange = exchange.New(vm.options(m, limits, zoneOf(i)))
+	go func() { _ = vm.limits.Run(ctx) }()
+	vm.Exchange = exchange.New(vm.options(m, zoneOf(i)))
 	return vm
 }
 
 // zoneOf spreads VMs and servers over four zones.
 func zoneOf(i int) string { return string(rune('a' + i%4)) }
 
-func (vm *limitVM) options(m *limitSite, limits *ServerLimits, zone string) exchange.Options {
+func (vm *limitVM) options(m *limitSite, zone string) exchange.Options {
 	return exchange.Options{
 		Zone: zone, Directory: vm.dir, Backend: m, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(),
 		Suspects: suspect.New(suspect.Options{}), Services: func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
-		ServerLimits: limits, RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 20 },
+		ServerLimits: vm.limits, RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 20 },
 	}
 }
 
--- a/fleet/serverlimits_test.go
+++ b/fleet/serverlimits_test.go
@@ -151,6 +151,39 @@
 	})
 }
 
+// Guards against counts that are dropped because there are more servers with limits than fit
+// into a datagram.
+func TestCountsOfManyServersAreReported(t *testing.T) {
+	for _, servers := range []int{maxTryCounts - 1, maxTryCounts, maxTryCounts + 1, 2*maxTryCounts + 50} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				m := newLimitSite(t, 2, servers)
+				list := m.vms[0].dir.View().Service("s")
+				for range 2 { // a second report replaces the first one
+					for _, s := range list {
+						s.ReportRateLimit(1000, time.Now())
+						g.Expect(m.vms[0].limits.Take(s)).To(gomega.BeTrue())
+					}
+					time.Sleep(limitWindow)
+				}
+				for _, s := range list {
+					g.Expect(m.vms[0].limits.Take(s)).To(gomega.BeTrue())
+				}
+				time.Sleep(resendInterval + 2*minSendInterval)
+				bounds := m.vms[1].limits.bounds
+				bounds.mu.Lock()
+				defer bounds.mu.Unlock()
+				counts := bounds.peers[m.vms[0].address].counts
+				g.Expect(counts).To(gomega.HaveLen(servers))
+				for _, c := range counts {
+					g.Expect(c.retries).To(gomega.BeEquivalentTo(1))
+				}
+			})
+		})
+	}
+}
+
 func FuzzDecodeServerLimits(f *testing.F) {
 	f.Add(encodeServerLimits([]reportedLimit{{1, true, 2.5, time.Second}, {server: 2}}).raw)
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/fleet/sharedbounds.go
+++ b/fleet/sharedbounds.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +80,7 @@
 	header header
 	at     time.Time            // when the newest report arrived
 	counts map[uint32]tryCounts // by hash of the key
+	more   bool                 // the newest datagram was full: the next one adds to it
 
 	// Fixed tries that the VM sent before its restarts, by hash of the key, and when the
 	// newest restart was detected.
@@ -122,10 +122,18 @@
 	}
 }
 
+// report sends the counts of this VM. A full datagram is followed by another one, which may
+// be empty.
 func (b *sharedBounds) report() {
-	for list := range slices.Chunk(b.ownCounts(), maxTryCounts) {
-		b.opts.Socket.SendTo(body{b.opts.Kind, encodeTryCounts(list)}, b.opts.Peers())
+	list := b.ownCounts()
+	if len(list) == 0 {
+		return
 	}
+	peers := b.opts.Peers()
+	for ; len(list) >= maxTryCounts; list = list[maxTryCounts:] {
+		b.opts.Socket.SendTo(body{b.opts.Kind, encodeTryCounts(list[:maxTryCounts])}, peers)
+	}
+	b.opts.Socket.SendTo(body{b.opts.Kind, encodeTryCounts(list)}, peers)
 }
 
 // ownCounts returns the counts of this VM to report.
@@ -287,7 +295,11 @@
 	if h.incarnation > p.header.incarnation && p.counts != nil {
 		b.recordRestart(p, now)
 	}
-	p.header, p.at, p.counts = h, now, make(map[uint32]tryCounts, len(list))
+	p.header, p.at = h, now
+	if !p.more {
+		p.counts = make(map[uint32]tryCounts, len(list))
+	}
+	p.more = len(list) == maxTryCounts
 	for _, s := range list {
 		p.counts[s.key] = s
 	}
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -10,14 +10,14 @@
 )
 
 // A server that names a limit may get half as much again and limitExtra requests in any
-// limitSpan that ends later than crashContactTime after it first did so. What is sent later
+// limitSpan that ends later than contactTime after it first did so. What is sent later
 // than limitGrace after that counts.
 const (
 	limitSpan  = 4 * time.Second
 	limitGrace = 500 * time.Millisecond
 	limitExtra = 5
 	// limitTime is how long a server names a limit at least: long enough to be checked.
-	limitTime = crashContactTime + limitSpan
+	limitTime = contactTime + limitSpan
 )
 
 // LimitPlan returns a plan of servers that name limits, beside restarts of VMs, crashes of
@@ -95,7 +95,7 @@
 		for period[first].At.Before(a.At.Add(-limitSpan)) || (period[first].At.Sub(named) < limitGrace && first < last) {
 			first++
 		}
-		if n := last - first + 1; a.At.Sub(named) > crashContactTime && float64(n) > allowed {
+		if n := last - first + 1; a.At.Sub(named) > contactTime && float64(n) > allowed {
 			return fmt.Sprintf("%d requests within %v at a limit of %.2f a second, %.0f allowed", n, limitSpan, *period[0].RateLimit, allowed)
 		}
 	}
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -19,11 +19,11 @@
 	maxPoisoned = 4
 	// poisonRetryPause is the time between two tries of such a caller.
 	poisonRetryPause = 50 * time.Millisecond
-	// After its third crash and crashContactTime, a request may reach servers in
+	// After its third crash and contactTime, a request may reach servers in
 	// maxLateArrivals more tries.
-	crashesAllowed   = 3
-	crashContactTime = 3 * time.Second
-	maxLateArrivals  = 3
+	crashesAllowed  = 3
+	contactTime     = 3 * time.Second
+	maxLateArrivals = 3
 )
 
 // PoisonPlan returns a plan of requests that crash servers, several at once, beside crashes
@@ -54,7 +54,7 @@
 
 // poisonTime is long enough for a poisoned request to crash three servers one after the
 // other, each of which is found out within a second, and to come back after
-// crashContactTime.
+// contactTime.
 const poisonTime = 7 * time.Second
 
 // insist sends the same request to one VM after the other until a time. Its outcomes are
@@ -96,14 +96,14 @@
 	}
 	late := map[string]int{}
 	for _, a := range arrivals {
-		if at, known := third[a.Target]; known && a.At.Sub(at) > crashContactTime {
+		if at, known := third[a.Target]; known && a.At.Sub(at) > contactTime {
 			late[a.Target]++
 		}
 	}
 	var violations []string
 	for target, n := range late {
 		if n > maxLateArrivals {
-			violations = append(violations, fmt.Sprintf("%s reached servers %d times later than %v after it had crashed three; %d crashes in all", target, n, crashContactTime, count[target]))
+			violations = append(violations, fmt.Sprintf("%s reached servers %d times later than %v after it had crashed three; %d crashes in all", target, n, contactTime, count[target]))
 		}
 	}
 	return violations
