fleet: counts that come in several datagrams may overtake each other

Not load: the model delivers two datagrams of the same instant in any order, as a network may, and the receiver drops one that arrives after a later one. So a report in two parts could lose one of them for a second.

Counts of servers with limits are now kept by key, each with the header it came with; a key that is no longer reported is dropped after 2.5 s. What a full datagram meant is gone. The retry budget, whose reports are one datagram and leave out what is zero, replaces them as before.

--- a/fleet/sharedbounds.go
+++ b/fleet/sharedbounds.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,9 +80,8 @@
 // peerCounts holds what another VM has reported.
 type peerCounts struct {
 	header header
-	at     time.Time            // when the newest report arrived
-	counts map[uint32]tryCounts // by hash of the key
-	more   bool                 // the newest datagram was full: the next one adds to it
+	at     time.Time                 // when the newest report arrived
+	counts map[uint32]reportedCounts // by hash of the key
 
 	// Fixed tries that the VM sent before its restarts, by hash of the key, and when the
 	// newest restart was detected.
@@ -88,6 +89,13 @@
 	restartedAt        time.Time
 }
 
+// reportedCounts is a report on one key.
+type reportedCounts struct {
+	tryCounts
+	header header
+	at     time.Time
+}
+
 // forgottenTries returns the fixed tries that the VM sent before its restart, as long as
 // they may fall into the window. The restarted VM no longer counts them, but the backend
 // servers have received them.
@@ -122,18 +130,10 @@
 	}
 }
 
-// report sends the counts of this VM. A full datagram is followed by another one, which may
-// be empty.
 func (b *sharedBounds) report() {
-	list := b.ownCounts()
-	if len(list) == 0 {
-		return
-	}
-	peers := b.opts.Peers()
-	for ; len(list) >= maxTryCounts; list = list[maxTryCounts:] {
-		b.opts.Socket.SendTo(body{b.opts.Kind, encodeTryCounts(list[:maxTryCounts])}, peers)
+	for list := range slices.Chunk(b.ownCounts(), maxTryCounts) {
+		b.opts.Socket.SendTo(body{b.opts.Kind, encodeTryCounts(list)}, b.opts.Peers())
 	}
-	b.opts.Socket.SendTo(body{b.opts.Kind, encodeTryCounts(list)}, peers)
 }
 
 // ownCounts returns the counts of this VM to report.
@@ -276,6 +276,21 @@
 	}
 }
 
+// update adds the counts of a datagram. The counts of many keys come in several datagrams,
+// which may overtake each other.
+func (p *peerCounts) update(h header, list []tryCounts, now time.Time) {
+	for _, s := range list {
+		if old, known := p.counts[s.key]; !known || h.newerThan(old.header) {
+			p.counts[s.key] = reportedCounts{tryCounts: s, header: h, at: now}
+		}
+	}
+	if h.newerThan(p.header) {
+		p.header = h
+	}
+	p.at = now
+	maps.DeleteFunc(p.counts, func(_ uint32, c reportedCounts) bool { return now.Sub(c.at) > countsTTL })
+}
+
 // receive handles the counts reported by another VM.
 func (b *sharedBounds) receive(from string, h header, raw []byte, now time.Time) bool {
 	list, ok := decodeTryCounts(raw)
@@ -286,23 +301,20 @@
 	defer b.mu.Unlock()
 	p := b.peers[from]
 	if p == nil {
-		p = &peerCounts{}
+		p = &peerCounts{counts: map[uint32]reportedCounts{}}
 		b.peers[from] = p
 	}
-	if !h.newerThan(p.header) {
+	restarted := h.incarnation > p.header.incarnation && !p.at.IsZero()
+	switch {
+	case h.incarnation < p.header.incarnation, !b.opts.Small && !h.newerThan(p.header):
 		return true
-	}
-	if h.incarnation > p.header.incarnation && p.counts != nil {
+	case restarted:
 		b.recordRestart(p, now)
 	}
-	p.header, p.at = h, now
-	if !p.more {
-		p.counts = make(map[uint32]tryCounts, len(list))
-	}
-	p.more = len(list) == maxTryCounts
-	for _, s := range list {
-		p.counts[s.key] = s
+	if !b.opts.Small || restarted {
+		clear(p.counts)
 	}
+	p.update(h, list, now)
 	for sender, other := range b.peers {
 		if now.Sub(other.at) > senderTTL {
 			delete(b.peers, sender)
