--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -27,8 +27,8 @@
 }
 
 // lossSeeds are seeds with which requests got neither an answer nor a refusal, crashed too
-// many servers, or a server got more than its limit. Seeds 1 and 2 of most plans did so too; the tests above run them by
-// default.
+// many servers, or a server got more than its limit. Seeds 1 and 2 of most plans did so
+// too; the tests above run them by default.
 var lossSeeds = []struct {
 	plan  func(Size, uint64, time.Duration) Plan
 	seeds []uint64
