fleet: a limit told to another VM keeps its value

A limit was sent as a float of four bytes, so each VM's own word and its peers' differed by the rounding, and every answer looked like a change that is logged and told at once. It is sent with eight bytes now. TestLimitIsToldToOtherVMs expects the very value, where it allowed for the rounding before.

--- a/fleet/serverlimits_test.go
+++ b/fleet/serverlimits_test.go
@@ -137,7 +137,8 @@
 	}
 }
 
-// Guards against a VM that learns of a limit only from its own requests.
+// Guards against a VM that learns of a limit only from its own requests, and against a limit
+// that changes by being told.
 func TestLimitIsToldToOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -146,7 +147,7 @@
 		m.vms[0].dir.View().Service("s")[0].ReportRateLimit(2.6, time.Now())
 		time.Sleep(minSendInterval + 2*linkDelay)
 		for _, vm := range m.vms {
-			g.Expect(vm.dir.View().Service("s")[0].RateLimit().PerSecond).To(gomega.BeNumerically("~", 2.6, 1e-6))
+			g.Expect(vm.dir.View().Service("s")[0].RateLimit().PerSecond).To(gomega.Equal(2.6))
 		}
 	})
 }
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -30,8 +30,10 @@
 // Server counts: the same for each server that has a rate limit, by its start; all of its
 // requests count as retries.
 //
-// Server limits: for each server its start (4), requests a second as a float, negative if
-// it names no limit any more (4), milliseconds since it said so (4).
+// Server limits: for each server its start (4), milliseconds since it last spoke of its limit
+// (4), requests a second as a float, negative if it names no limit any more (8). With a float
+// of four bytes a limit differed from itself by its rounding, and VMs told it to each other
+// as a new one.
 //
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
@@ -287,7 +289,7 @@
 }
 
 const (
-	reportedLimitBytes = 12
+	reportedLimitBytes = 16
 	maxReportedLimits  = (maxDatagram - headerBytes) / reportedLimitBytes // in a datagram
 )
 
@@ -295,13 +297,13 @@
 	list = list[:min(len(list), maxReportedLimits)]
 	out := make([]byte, 0, len(list)*reportedLimitBytes)
 	for _, r := range list {
-		perSecond := float32(r.perSecond)
+		perSecond := r.perSecond
 		if !r.limited {
 			perSecond = -1
 		}
 		out = binary.BigEndian.AppendUint32(out, r.server)
-		out = binary.BigEndian.AppendUint32(out, math.Float32bits(perSecond))
 		out = binary.BigEndian.AppendUint32(out, uint32(min(max(0, r.age.Milliseconds()), math.MaxUint32)))
+		out = binary.BigEndian.AppendUint64(out, math.Float64bits(perSecond))
 	}
 	return body{kindServerLimits, out}
 }
@@ -314,13 +316,13 @@
 	list := make([]reportedLimit, len(raw)/reportedLimitBytes)
 	for i := range list {
 		at := raw[i*reportedLimitBytes:]
-		perSecond := float64(math.Float32frombits(binary.BigEndian.Uint32(at[4:])))
+		perSecond := math.Float64frombits(binary.BigEndian.Uint64(at[8:]))
 		if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) {
 			return nil, false
 		}
 		list[i] = reportedLimit{
 			server: binary.BigEndian.Uint32(at), limited: perSecond >= 0, perSecond: max(0, perSecond),
-			age: time.Duration(binary.BigEndian.Uint32(at[8:])) * time.Millisecond,
+			age: time.Duration(binary.BigEndian.Uint32(at[4:])) * time.Millisecond,
 		}
 	}
 	return list, true
