--- a/soak/limits.go
+++ b/soak/limits.go
@@ -57,10 +57,11 @@
 
 // limitViolations describes the servers that got more than the limits that they named.
 func limitViolations(arrivals []nursery.Run, timeline []Span) []string {
-	byServer := map[string][]nursery.Run{}
+	byServer := map[string][]nursery.Run{} // by start: a new one has named no limit
 	for _, a := range arrivals {
 		if !restartedBefore(timeline, a.At) {
-			byServer[a.Server] = append(byServer[a.Server], a)
+			start := fmt.Sprintf("%s#%d", a.Server, a.StartMillis)
+			byServer[start] = append(byServer[start], a)
 		}
 	}
 	var violations []string
--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -9,6 +9,7 @@
 // reached a server, whether it ran or not.
 type Run struct {
 	Request, Server, Target, Organisation string    // Attempt-Id, id of the incarnation, request URI, Tenant
+	StartMillis                           int64     // start of that incarnation, Unix milliseconds
 	At                                    time.Time // when the request arrived
 	ResumedAfter                          int       // event after which it resumed; 0 for a fresh run
 	RateLimit                             *float64  // that the server's answer names, requests a second; nil: none
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -285,7 +285,7 @@
 		s.cloud.freeCopies(strings.TrimPrefix(r.PathValue("handle"), handlePrefix))
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", id) })
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(e, id, w, r) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(e, id, startMillis, w, r) })
 	return mux
 }
 
@@ -309,10 +309,10 @@
 }
 
 // serve handles one request as a backend server does.
-func (s *Server) serve(e *engine, id string, w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(e *engine, id string, startMillis int64, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("Attempt-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	run := Run{Request: request, Server: id, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), ResumedAfter: after, RateLimit: s.rateLimit.Load()}
+	run := Run{Request: request, Server: id, StartMillis: startMillis, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), ResumedAfter: after, RateLimit: s.rateLimit.Load()}
 	if run.RateLimit != nil {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(*run.RateLimit, 'f', -1, 64))
 	}
