soak: late sends of poisoned requests don't count while a VM that was restarted is excused

Traced by the VMs' logs: all VMs were killed at 1.5 and 2.6 s and one more at 3.35 s, before the content had enough crashes against it; what was held against it was lost each time. The last sends came at about 18.0, the quarantine at 18.3 (log time), the VMs had started at 15.83 and 16.61, so each of them was within the three seconds for which the platform excuses a restarted machine. After that all copies were refused (PY2727).

As for limits, nothing counts for three seconds after a VM's restart.

--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -39,6 +39,7 @@
 	{CPUStarvationPlan, []uint64{6}, "an idle connection was closed with an unread request"},
 	{LimitPlan, []uint64{329, 434}, "all VMs were killed and knew nothing of the limits; the check did not excuse them; starts of a server under one id were checked as one"},
 	{PoisonPlan, []uint64{3, 5}, "poisoned requests crashed both servers of a zone, which counted as the loss of the zone"},
+	{PoisonPlan, []uint64{442}, "all VMs were killed twice before the third crash counted; the check did not excuse them"},
 }
 
 // Repeats the seeds that lost requests before.
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -21,7 +21,8 @@
 	// poisonRetryPause is the time between two tries of such a caller.
 	poisonRetryPause = 50 * time.Millisecond
 	// After its third crash and contactTime, a request may reach servers in
-	// maxLateArrivals more tries.
+	// maxLateArrivals more tries. Nothing counts for contactTime after the restart of a VM,
+	// see limitViolations.
 	crashesAllowed  = 3
 	contactTime     = 3 * time.Second
 	maxLateArrivals = 3
@@ -82,7 +83,7 @@
 
 // crashViolations describes the poisoned requests that reached servers too often after
 // they had crashed several.
-func crashViolations(crashes []nursery.Crash, arrivals []nursery.Run) []string {
+func crashViolations(crashes []nursery.Crash, arrivals []nursery.Run, timeline []Span) []string {
 	count, third := map[string]int{}, map[string]time.Time{}
 	for _, c := range crashes {
 		if count[c.Target]++; count[c.Target] == crashesAllowed {
@@ -91,7 +92,7 @@
 	}
 	late := map[string]int{}
 	for _, a := range arrivals {
-		if at, known := third[a.Target]; known && a.At.Sub(at) > contactTime {
+		if at, known := third[a.Target]; known && a.At.Sub(at) > contactTime && !restartedBefore(timeline, a.At) {
 			late[a.Target]++
 		}
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -102,7 +102,7 @@
 	r.Crashes = len(site.Cloud.Ledger.Crashes())
 	r.Violations = Violations(calls, runs)
 	r.Violations = append(r.Violations, retryBudgetViolations(calls, runs)...)
-	r.Violations = append(r.Violations, crashViolations(site.Cloud.Ledger.Crashes(), site.Cloud.Ledger.Arrivals())...)
+	r.Violations = append(r.Violations, crashViolations(site.Cloud.Ledger.Crashes(), site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, limitViolations(site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, recoveryViolations(calls, settled)...)
 	for _, vm := range site.VMs {
