--- a/exchange/events.go
+++ b/exchange/events.go
@@ -38,6 +38,8 @@
 		"a stream's server resumed sending after a silence; a takeover by another server, if there was one, is ended", "nothing")
 	EventLocated = event.Define(2738, "exchange_prompt_located", event.Info,
 		"a caller came back for the rest of its stream; servers were asked which of them have its prompt cached", "nothing")
+	EventReturned = event.Define(2780, "exchange_returned", event.Info,
+		"a caller came back for the rest of its stream; resumes names its attempt that brought the first event", "nothing; if resumes is empty, the caller names none, or none that is valid")
 	EventNotOffered = event.Define(2739, "exchange_not_offered", event.Info,
 		"no other server takes over a stream whose server sends nothing; err says why", "nothing; if it persists with the retry budget or no server as the reason, there are too few backend servers")
 	EventCrashExcused = event.Define(2731, "exchange_crash_excused", event.Info,
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -120,7 +120,7 @@
 	s.e.metrics.resumes.WithLabelValues(how).Inc()
 	s.e.metrics.resumeTime.Observe(time.Since(since).Seconds())
 	s.e.opts.Recorder.Emit(EventResumed, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "server", a.server.Start,
-		"reached", s.lastEvent, "how", how, "after", time.Since(since))
+		"software", a.server.Version(), "reached", s.lastEvent, "how", how, "after", time.Since(since))
 }
 
 // silentSince returns when the caller last got an event; if it got none, when its request
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -38,7 +38,10 @@
 	Service      string
 	Organisation string // empty if no key was needed
 	LastEvent    string // id of the last event that the caller has from an earlier request; empty: none
-	Version      uint64 // of the configuration that the route and the service come from
+	// Resumes is the id of the caller's attempt that brought the first event of the stream
+	// that this request resumes; empty: none is named, or the id is invalid.
+	Resumes string
+	Version uint64 // of the configuration that the route and the service come from
 
 	PromptTokens int
 	MaxTokens    int
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -90,6 +90,9 @@
 	s.quarantined = s.active.quarantined
 	s.versions = e.opts.Rollouts.Assign(req.Service, req.ID)
 	s.lastEvent, _ = strconv.ParseUint(req.LastEvent, 10, 64)
+	if req.LastEvent != "" {
+		e.opts.Recorder.Emit(EventReturned, event.FieldRequest, req.ID, "route", req.Route.Name, "resumes", req.Resumes, "after", req.LastEvent)
+	}
 	return s
 }
 
@@ -99,7 +102,7 @@
 		first = s.firstEventAt.Sub(s.req.Arrived)
 	}
 	return []any{"first", first, "pause", s.longestPause, "reached", s.lastEvent, "ran", s.ran, "refused", s.refused,
-		"resumed", s.resumed, "begun", s.headSent, "server", s.current.serverName(), "last", s.lastErr}
+		"resumed", s.resumed, "begun", s.headSent, "server", s.current.serverName(), "software", s.current.softwareVersion(), "last", s.lastErr}
 }
 
 func (s *stream) run(ctx context.Context) error {
@@ -195,7 +198,7 @@
 // logRetry logs that an attempt failed and another may follow.
 func (s *stream) logRetry(a *streamAttempt, err error) {
 	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", a.server.Start,
-		"reached", s.lastEvent, "err", err, "since", time.Since(s.req.Arrived), "copy", serverName(a.copies.holder()))
+		"software", a.server.Version(), "reached", s.lastEvent, "err", err, "since", time.Since(s.req.Arrived), "copy", serverName(a.copies.holder()))
 }
 
 func serverName(s *directory.Server) string {
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -154,6 +154,13 @@
 	return a.server.String()
 }
 
+func (a *streamAttempt) softwareVersion() string {
+	if a == nil {
+		return ""
+	}
+	return a.server.Version()
+}
+
 // abandonNext ends the takeover attempt, if there is one, since it is no longer needed.
 // It counts as a retry, since its server may have started to run the stream.
 func (s *stream) abandonNext() {
