--- a/entry/env_test.go
+++ b/entry/env_test.go
@@ -36,6 +36,7 @@
 	entry         *entry.Entry
 	callerAddr    string
 	readyAddr     string
+	peerAddr      string // for other entry processes
 	logs          lockedBuffer
 	stop          context.CancelFunc // begins a planned stop, as SIGTERM does
 	ended         chan struct{}
@@ -101,14 +102,32 @@
 	for range servers {
 		env.addServer("s")
 	}
+	env.startEntry("edge-1", change)
+	return env
+}
+
+// startPeer starts another entry process in front of the same servers.
+func (env *testEnv) startPeer(name string) *testEnv {
+	env.t.Helper()
+	peer := &testEnv{t: env.t, store: env.store, cloud: env.cloud, servers: env.servers, serverProxies: env.serverProxies, ended: make(chan struct{})}
+	peer.startEntry(name, func(s *platform.Settings) { s.Seeds = []string{env.peerAddr} })
+	gomega.NewWithT(env.t).Eventually(peer.isReady, "10s", "10ms").Should(gomega.BeTrue())
+	return peer
+}
+
+// startEntry starts the process of an environment.
+func (env *testEnv) startEntry(name string, change func(*platform.Settings)) {
+	env.t.Helper()
+	t, g := env.t, gomega.NewWithT(env.t)
 	ip := fmt.Sprintf("127.0.93.%d", envCount.Add(1))
 	addresses := freeAddresses(t, ip, 3)
-	env.callerAddr, env.readyAddr = addresses[0], addresses[1]
+	env.callerAddr, env.readyAddr, env.peerAddr = addresses[0], addresses[1], addresses[2]
+	var err error
 	env.entryProxy, err = soak.NewProxy(env.callerAddr)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(env.entryProxy.Close)
 	settings := platform.Settings{
-		Name: "edge-1", Zone: "a", IP: ip, Callers: env.callerAddr, Ready: env.readyAddr, Peers: addresses[2], Store: store.Address,
+		Name: name, Zone: "a", IP: ip, Callers: env.callerAddr, Ready: env.readyAddr, Peers: env.peerAddr, Store: env.store.Address,
 		Grace: 2 * time.Second, LeaveWithin: 2 * time.Second, ConfigWithin: 2 * time.Second,
 		RetryRatio: 0.8, RetryExtra: 150, RetryWindow: 10 * time.Second, AddressReuse: 2 * time.Second,
 	}
@@ -126,7 +145,6 @@
 		}
 	}()
 	t.Cleanup(func() { env.stop(); <-env.ended })
-	return env
 }
 
 // startServing starts an environment with a configuration and waits until it is ready.
@@ -158,9 +176,11 @@
 }
 
 // addServer starts a backend server with a proxy in front of it.
-func (env *testEnv) addServer(service string) {
+func (env *testEnv) addServer(service string) { env.addServerOfVersion(service, "v1") }
+
+func (env *testEnv) addServerOfVersion(service, version string) {
 	var link *soak.Proxy
-	server, err := env.cloud.NewServer(service, "a", func(own string) string {
+	server, err := env.cloud.NewServerOfVersion(service, "a", version, func(own string) string {
 		var err error
 		if link, err = soak.NewProxy(own); err != nil {
 			env.t.Fatal(err)
--- /dev/null
+++ b/entry/returning_test.go
@@ -0,0 +1,73 @@
+package entry_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/standin/nursery"
+)
+
+// readEvent reads the next event and returns the version of the server that wrote it.
+func (c *testCaller) readEvent() (version string) {
+	for c.Err == nil {
+		var line string
+		line, c.Err = c.body.ReadString('\n')
+		c.Lines++
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			return nursery.EventVersion(strings.TrimSpace(data))
+		}
+	}
+	return ""
+}
+
+// crashServerOf crashes the server that ran a request and returns it.
+func (env *testEnv) crashServerOf(request string) *nursery.Server {
+	for _, run := range env.cloud.Ledger.Runs() {
+		for _, s := range env.servers {
+			if run.Request == request && run.Server == s.ID() {
+				s.Crash()
+				return s
+			}
+		}
+	}
+	env.t.Fatalf("no server ran %s", request)
+	return nil
+}
+
+// Guards against a stream whose caller comes back, with the attempt that began it named, and
+// that goes on at a server of another version: through the VM that it began at, and through
+// another one.
+func TestReturningCallerGoesOnAtTheVersionThatBeganItsStream(t *testing.T) {
+	for name, other := range map[string]bool{"through the same VM": false, "through another VM": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			env := startServing(t, 2, nil)
+			for range 3 {
+				env.addServerOfVersion("s", "v2")
+			}
+			g.Eventually(env.logs.text, "10s", "10ms").Should(gomega.MatchRegexp("event=PY2710 .*listed=5 "))
+			back := env
+			if other {
+				back = env.startPeer("edge-2")
+			}
+			for i := range 6 {
+				path := fmt.Sprintf("/stream/again/%d", i)
+				first := env.send(testRequest{id: fmt.Sprint("first-", i), path: path}).readHead()
+				version := first.readEvent()
+				first.readEvent()
+				g.Expect(first.Err).NotTo(gomega.HaveOccurred())
+				g.Expect(first.conn.Close()).To(gomega.Succeed())
+				crashed := env.crashServerOf(first.id)
+				again := back.send(testRequest{id: fmt.Sprint("again-", i), path: path, extraHeader: "Last-Event-Id: 2\r\nResumes: " + first.id + "\r\n"}).readHead()
+				g.Expect(again.Status).To(gomega.Equal(200))
+				g.Expect(again.readEvent()).To(gomega.Equal(version), "version that goes on")
+				g.Expect(again.conn.Close()).To(gomega.Succeed())
+				g.Expect(crashed.Restart()).To(gomega.Succeed())
+				g.Eventually(back.logs.text, "10s", "10ms").Should(gomega.MatchRegexp("event=PY2710 .*joined=%s", startName(crashed)))
+			}
+		})
+	}
+}
--- a/exchange/enginemodel_test.go
+++ b/exchange/enginemodel_test.go
@@ -41,6 +41,7 @@
 // modelEngine is one backend server's engine.
 type modelEngine struct {
 	slowness float64 // 1: as fast as modelStep and modelReadSpeed say
+	version  string  // of its software; its events name it
 
 	mu      sync.Mutex
 	runs    []*modelRun
@@ -172,7 +173,7 @@
 		return true
 	}
 	r.last++
-	r.out <- fmt.Appendf(nil, "id: %d\ndata: x\n\n", r.last)
+	r.out <- fmt.Appendf(nil, "id: %d\ndata: %s\n\n", r.last, e.version)
 	if r.last < r.events {
 		return true
 	}
@@ -185,6 +186,16 @@
 	close(r.out)
 }
 
+// fallSilent makes the runs on an engine generate nothing more, and probes of it fail.
+func (e *modelEngine) fallSilent() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		r.mute = true
+	}
+	e.down = true
+}
+
 // crash ends all runs and drops the cache and the copies; revive begins a new start.
 func (e *modelEngine) crash() {
 	e.mu.Lock()
@@ -391,7 +402,7 @@
 	for _, id := range ids {
 		e := b.engines[id]
 		e.mu.Lock()
-		list = append(list, directory.Listing{ID: id, Born: e.born, Service: "s", Zone: id[:1], Address: id, Slots: 64})
+		list = append(list, directory.Listing{ID: id, Born: e.born, Service: "s", Zone: id[:1], Address: id, Slots: 64, Version: e.version})
 		e.mu.Unlock()
 	}
 	vm.dir.Apply(vm.dir.View().Position+1, list, false, time.Now())
--- a/measure/entries_test.go
+++ b/measure/entries_test.go
@@ -264,7 +264,7 @@
 			continue
 		}
 		c.arrivals = append(c.arrivals, time.Now())
-		if want := nursery.EventText(target, len(c.arrivals)); data != want {
+		if want := nursery.EventText(target, nursery.EventVersion(data), len(c.arrivals)); data != want {
 			return errors.Errorf("event %q, expected %q", data, want)
 		}
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		last++
-		if want := nursery.EventText(call.Path, last); data != want {
+		if want := nursery.EventText(call.Path, nursery.EventVersion(data), last); data != want {
 			call.Mismatch = fmt.Sprintf("event %q, expected %q", data, want)
 			return
 		}
--- a/standin/nursery/stream.go
+++ b/standin/nursery/stream.go
@@ -8,8 +8,21 @@
 	"time"
 )
 
-// EventText returns the data of event n of a stream.
-func EventText(target string, n int) string { return fmt.Sprintf("part %d of %s", n, target) }
+// EventText returns the data of event n of a stream. What servers of two versions write
+// differs.
+func EventText(target, version string, n int) string {
+	return fmt.Sprintf("part %d of %s%s%s", n, target, versionSeparator, version)
+}
+
+// versionSeparator precedes the version in the data of an event.
+const versionSeparator = " by "
+
+// EventVersion returns the version of the server that wrote an event with the given data,
+// "" if the data names none.
+func EventVersion(data string) string {
+	_, version, _ := strings.Cut(data, versionSeparator)
+	return version
+}
 
 // incompleteCopyRetention is how long the KV copies of a run that didn't complete are
 // kept.
@@ -52,7 +65,7 @@
 			return false
 		}
 		s.cloud.notifyEvent(request, n)
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, n)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, s.Version, n)); err != nil {
 			return false
 		}
 		_ = flush.Flush()
