exchange: a stream goes on at the version that began it, within one answer

Seen by callers: after the loss of a server a stream's rest came from a server of another software version. What two versions write does not fit together. Cause: the choice of the next server (pick, Soonest, a takeover, the use of a copy) never asked which version had sent the caller's events. Copies are placed at the same version, which hid it as long as there was one. The stream is bound to the server that sent its first event: each later choice admits servers of that version only. A roll-out's share still counts: an attempt that resumes at the version on trial takes one request of it.

--- a/directory/versions.go
+++ b/directory/versions.go
@@ -18,6 +18,16 @@
 	}
 }
 
+// RunsVersion reports whether a server runs a version of its service's software. Where
+// entries name no versions all servers are taken to run the same one, of which the name is
+// empty.
+func (v *View) RunsVersion(s *Server, version string) bool {
+	if s.Version() != version {
+		return false
+	}
+	return version != "" || len(v.Versions(s.Service)) == 1
+}
+
 // RetireOtherVersions records that the servers of a service are about to be stopped unless
 // they have the given version. They get no new work, and their end does not count as the
 // loss of their zones.
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -138,7 +138,7 @@
 // lost one.
 func (s *stream) pickCopyServer(server *directory.Server, avoid map[directory.Start]bool, again bool) *directory.Server {
 	return s.e.opts.Directory.Pick(directory.Query{
-		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: avoid, AvoidZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true, AfterDisruption: again, Admits: sameVersion(server),
+		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: avoid, AvoidZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true, AfterDisruption: again, Admits: s.e.sameVersion(server),
 	}, time.Now())
 }
 
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -61,6 +61,8 @@
 	ErrNoServer = errors.New("exchange: no backend server takes the request")
 	// ErrServerLimits: the rate limits that the backend servers have named leave no room.
 	ErrServerLimits = errors.New("exchange: the backend servers are at the rate limits that they have named")
+	// ErrVersionGone: of the version that began a stream no backend server is left.
+	ErrVersionGone = errors.New("exchange: no backend server of the version that began the stream is left")
 	// ErrTimeout: the deadline of the caller or of the route has passed.
 	ErrTimeout = errors.New("exchange: time is up")
 	// ErrNoTime: too little time is left for an attempt to be answered.
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -40,6 +40,9 @@
 	s.observeEvent(a)
 	if !a.gotEvent {
 		a.gotEvent = true
+		if s.begunBy == nil {
+			s.begunBy = a.server
+		}
 		s.promptRead(a)
 		s.logResumed(a)
 		go s.maintainCopy(a.watch.ctx, a, s.excludedFor(a.server))
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -45,6 +45,7 @@
 	cachedTokens     map[directory.Start]int // tokens of the prompt that servers have cached
 
 	versions *rollout.Assignment // versions of servers that may run it
+	begunBy  *directory.Server   // server that sent the caller's first event; nil: none has
 
 	current          *streamAttempt // attempt whose events go to the caller; nil before the first
 	next             *streamAttempt // takeover attempt beside a silent current one; nil otherwise
@@ -245,12 +246,15 @@
 	if s.current != nil {
 		s.current.copies.close()
 	}
-	giveUp := time.Now().Add(s.e.opts.Timings.WaitForServer)
+	giveUp := time.Now().Add(s.waitForServer())
 	for {
 		server, err := s.pickWithinLimit()
 		if server != nil || err != nil {
 			return server, nil, err
 		}
+		if !s.hasVersion() {
+			return nil, nil, ErrVersionGone
+		}
 		if time.Now().After(giveUp) {
 			return nil, nil, ErrNoServer
 		}
@@ -275,7 +279,7 @@
 		return false
 	}
 	at := s.current.copies.holder()
-	return at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now()) && s.versions.MayResume(at)
+	return at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now()) && s.maySend(at)
 }
 
 // reserveRetry takes the next attempt out of the retry budget, unless the last attempt
@@ -313,10 +317,15 @@
 // pick returns the server that is expected to start soonest on the stream; nil: there is
 // none.
 func (s *stream) pick() *directory.Server {
-	return s.e.pick(directory.Query{
+	q := directory.Query{
 		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: s.tried, Prompt: s.req.PromptTokens, AvoidZone: s.lostZone,
 		AfterDisruption: s.delivered > 0 || s.isSilent, CachedTokens: s.cachedTokens, Resumable: s.req.Route.Resumable,
-	}, s.versions)
+	}
+	if _, bound := s.versionBoundTo(); bound {
+		q.Admits = s.admits()
+		return s.e.opts.Directory.Pick(q, time.Now())
+	}
+	return s.e.pick(q, s.versions)
 }
 
 // failure returns the outcome of a stream that can't continue.
--- a/exchange/streamversions_test.go
+++ b/exchange/streamversions_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/suspect"
 )
 
 // versionSink records the versions of the software that wrote a caller's events.
@@ -68,6 +69,9 @@
 				vm.opts.Services = func(string) (site.Service, bool) {
 					return site.Service{Name: "s", Copies: c.copies, CopiesOnDemand: c.copies}, true
 				}
+				// A third of the servers is lost within two seconds, so that three losses may hit
+				// one stream, which would be quarantined.
+				vm.opts.Suspects = suspect.New(suspect.Options{Limit: suspect.LedgerLimit(servers), Quarantine: time.Minute, Window: time.Minute})
 				go func() {
 					time.Sleep(2 * time.Second)
 					for i := 0; i < servers; i += 3 {
@@ -75,19 +79,20 @@
 						time.Sleep(150 * time.Millisecond)
 					}
 				}()
-				mixed, whole := runVersionStreams(ctx, b, vm, streams)
+				mixed, whole, errs := runVersionStreams(ctx, b, vm, streams)
 				stop()
 				time.Sleep(time.Second) // what is in progress ends
 				gomega.NewWithT(t).Expect(mixed).To(gomega.BeZero(), "streams with events of two versions")
-				gomega.NewWithT(t).Expect(whole).To(gomega.BeNumerically(">=", c.complete), "streams that end whole")
+				gomega.NewWithT(t).Expect(whole).To(gomega.BeNumerically(">=", c.complete), "streams that end whole: %v", errs)
 			})
 		})
 	}
 }
 
 // runVersionStreams runs streams of 300 events, one begun each 40 ms. It returns how many
-// callers got events of two versions, and how many got all events.
-func runVersionStreams(ctx context.Context, b *modelBackend, vm *modelVM, streams int) (mixed, whole int) {
+// callers got events of two versions, and how many got all events, and the
+// errors of the others.
+func runVersionStreams(ctx context.Context, b *modelBackend, vm *modelVM, streams int) (mixed, whole int, errs []error) {
 	const events = 300
 	b.length = func(string) int { return events }
 	var group sync.WaitGroup
@@ -96,17 +101,21 @@
 		group.Go(func() {
 			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
 			sink := newVersionSink()
-			_, err := vm.Stream(ctx, modelRequest(fmt.Sprint("stream", i)), sink)
+			req := modelRequest(fmt.Sprint("stream", i))
+			req.Route.MaxAttempts = len(b.engines) // one stream may lose several servers in a row
+			_, err := vm.Stream(ctx, req, sink)
 			mu.Lock()
 			defer mu.Unlock()
 			if len(sink.versions) > 1 {
 				mixed++
 			}
-			if err == nil && sink.events == events {
+			if err != nil {
+				errs = append(errs, err)
+			} else if sink.events == events {
 				whole++
 			}
 		})
 	}
 	group.Wait()
-	return mixed, whole
+	return mixed, whole, errs
 }
--- a/exchange/versions.go
+++ b/exchange/versions.go
@@ -24,12 +24,6 @@
 	return e.opts.Directory.Pick(q, now)
 }
 
-// sameVersion returns the servers that can use the KV cache of a run on server: nothing
-// says that another version of the software can.
-func sameVersion(server *directory.Server) func(*directory.Server) bool {
-	return func(s *directory.Server) bool { return s.Version() == server.Version() }
-}
-
 // observeAnswer records how the response to a plain request ended, and how long it took.
 // The time of an error says nothing about that of an answer.
 func (c *call) observeAnswer(r result) {
--- a/rollout/assignment.go
+++ b/rollout/assignment.go
@@ -87,13 +87,17 @@
 	}
 }
 
-// MayResume reports whether an attempt may resume a stream at a server that holds a copy
-// of its KV cache. At a version on trial this is one more request.
-func (a *Assignment) MayResume(s *directory.Server) bool {
-	if a == nil || a.Admits()(s) {
+// MayResume reports whether an attempt may resume a stream at servers of a version, the one
+// that began it. At a version on trial this is one more request.
+func (a *Assignment) MayResume(version string) bool {
+	if a == nil {
+		return true
+	}
+	allowed := a.controller.versions(a.service, a.state)
+	if allowed.Allows(version, false) {
 		return true
 	}
-	if a.state == nil || s.Version() != a.state.order.Version || !a.controller.versions(a.service, a.state).Allows(s.Version(), true) {
+	if a.state == nil || version != a.state.order.Version || !allowed.Allows(version, true) {
 		return false
 	}
 	if a.reserved.Load() {
