fleet, exchange: a caller that comes back goes on at the version that began its stream

Cause: nothing read Resumes, and no VM told another which version had begun a stream. Class: work is carried from one server to another, or from one VM to another, without the version that it belongs to. The version is found by the attempt that brought the first event: in the process's own records, at the VMs that hold them (all at up to nine VMs, else three by hash), in the store, or inferred: while a service has had a single version in five minutes nothing is sent or stored. When a second one is listed, VMs tell the streams in progress, and from then on each before its first event leaves. A VM that would hold a record and has none knows that the stream began before. What is known nowhere is refused at once, not run.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -63,6 +63,8 @@
 	totalsAt    time.Time
 	totalsStale atomic.Bool // a peer has reported since the totals were computed
 
+	onApplied func(*View) // called with each list that comes into force; may be nil
+
 	droppedReports atomic.Uint64 // reports dropped because they name a start that is not the known one
 }
 
@@ -88,6 +90,10 @@
 	}
 }
 
+// OnApplied sets a function that is called with each list, right before any request sees it.
+// It must not call the Directory, and must be set before the first list.
+func (d *Directory) OnApplied(f func(*View)) { d.onApplied = f }
+
 // View returns the servers known now.
 func (d *Directory) View() *View { return d.view.Load() }
 
@@ -150,6 +156,9 @@
 		change.Left = append(change.Left, s.String())
 	}
 	next.indexVersions()
+	if d.onApplied != nil {
+		d.onApplied(next)
+	}
 	d.view.Store(next)
 	if next.Len() > 0 {
 		d.firstListAt.CompareAndSwap(0, now.UnixNano())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,7 @@
 	rolloutMessages *fleet.Rollouts
 	decider         *rollout.Decider
 	prompts         *fleet.Prompts
+	streamVersions  *fleet.StreamVersions
 	exchange        *exchange.Exchange
 	pool            *httpconn.Pool
 	inspect         *inspect.Registry
@@ -121,7 +122,7 @@
 	e.serverFollower = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, OnFailure: e.askPeers}
 	client := &http.Client{Timeout: peerTimeout}
 	e.newFleet(store, client)
-	e.newPeerState()
+	e.newPeerState(store)
 	e.newSuspects(store, client)
 	e.newRollouts(store)
 	e.newExchange()
@@ -164,7 +165,7 @@
 // newPeerState sets up what entry VMs exchange by datagrams: the load of backend
 // servers and how fast they read prompts, retry budgets, and the election of the VM
 // that reads the store for all.
-func (e *Entry) newPeerState() {
+func (e *Entry) newPeerState(store *platform.Store) {
 	e.socket = fleet.NewSocket(e.settings.Peers, e.fleet.Peers, e.registry)
 	e.socket.SetRecorder(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Directory: e.directory})
@@ -180,6 +181,10 @@
 	e.serverLimits = fleet.NewServerLimits(fleet.ServerLimitsOptions{
 		Socket: e.socket, Peers: e.fleet.Peers, Size: e.fleet.Size, Directory: e.directory, Recorder: e.recorder,
 	})
+	e.streamVersions = fleet.NewStreamVersions(fleet.StreamVersionsOptions{
+		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory,
+		ListAge: e.serverFollower.Age, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
+	})
 	e.fleet.UseElection(e.election)
 	e.configFollower.OnApplied = e.configApplied
 	probes := follow.NewProbeGroup()
@@ -256,7 +261,7 @@
 	backend := platform.NewBackend(e.pool)
 	backend.OnInvalidLimit = e.reportInvalidLimit
 	e.exchange = exchange.New(exchange.Options{
-		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts,
+		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts, StreamVersions: e.streamVersions,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
 		Suspects: e.suspects, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryBudgetShare * s.RetryRatio,
@@ -335,6 +340,7 @@
 	addBackground(&group, e.loads.Run)
 	addBackground(&group, e.readTimes.Run)
 	addBackground(&group, e.prompts.Run)
+	addBackground(&group, e.streamVersions.Run)
 	addBackground(&group, e.awaitServing)
 	addBackground(&group, e.election.Run)
 	addBackground(&group, e.budgets.Run)
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -63,6 +63,9 @@
 	ErrServerLimits = errors.New("exchange: the backend servers are at the rate limits that they have named")
 	// ErrVersionGone: of the version that began a stream no backend server is left.
 	ErrVersionGone = errors.New("exchange: no backend server of the version that began the stream is left")
+	// ErrVersionUnknown: it isn't known which version began the stream of a caller that came
+	// back, and several have served.
+	ErrVersionUnknown = errors.New("exchange: it is not known which version of the backend servers began the stream")
 	// ErrTimeout: the deadline of the caller or of the route has passed.
 	ErrTimeout = errors.New("exchange: time is up")
 	// ErrNoTime: too little time is left for an attempt to be answered.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -41,6 +41,8 @@
 	Rollouts *rollout.Controller
 	// PromptPeers, if set, asks other processes for cached prompts.
 	PromptPeers promptcache.Peers
+	// StreamVersions, if set, knows the versions of streams that other processes began.
+	StreamVersions StreamVersions
 	// Restarts, if set, detects restarted servers while the store can't report them.
 	Restarts *RestartDetector
 }
@@ -65,6 +67,18 @@
 	RetryAfter(service string) time.Duration
 }
 
+// StreamVersions knows which version of the servers' software began a stream, for callers
+// that come back for its rest through any entry VM. A stream is named by
+// streamversion.StreamID.
+type StreamVersions interface {
+	// Record records the version that began a stream, before its first event is sent to the
+	// caller. It is kept until the caller has stopped to come back.
+	Record(service string, stream uint64, version string, until time.Time)
+	// Find returns the version that began a stream which is no older than maxAge, and how
+	// that is known; false: it isn't.
+	Find(ctx context.Context, service string, stream uint64, maxAge time.Duration) (version, how string, ok bool)
+}
+
 // Timings are the timeouts of an Exchange. Zero fields take the defaults.
 type Timings struct {
 	// Silence is how long a started stream waits for an event before its server is
@@ -100,6 +114,10 @@
 	retryAfter = 400 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After time for a request that crashes servers.
 	quarantineRetryAfter = 30 * time.Second
+	// versionRetryAfter is the Retry-After time for a stream whose version has no server left
+	// or isn't known: about the time until a server that crashed is listed again, and until a
+	// process that has just started knows what the others know.
+	versionRetryAfter = 2 * time.Second
 	// responseMargin is subtracted from the time that a server is given, so that its
 	// response still reaches the caller.
 	responseMargin = 20 * time.Millisecond
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -42,6 +42,7 @@
 		a.gotEvent = true
 		if s.begunBy == nil {
 			s.begunBy = a.server
+			s.recordOrigin(a.server)
 		}
 		s.promptRead(a)
 		s.logResumed(a)
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -73,7 +73,7 @@
 	}
 	within, cancel := req.withDeadline(ctx)
 	c := &call{e: e, req: req, cancel: map[directory.Start]context.CancelFunc{}, results: make(chan result, maxNotRunTries+req.Route.Attempts()+1), tried: map[directory.Start]bool{}, fingerprint: req.Fingerprint()}
-	c.versions = e.opts.Rollouts.Assign(req.Service, req.ID)
+	c.versions = e.opts.Rollouts.Assign(req.Service, req.ID, true)
 	reply, err := c.run(within)
 	c.versions.Release()
 	c.cancelLosers(reply)
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -40,8 +40,9 @@
 	LastEvent    string // id of the last event that the caller has from an earlier request; empty: none
 	// Resumes is the id of the caller's attempt that brought the first event of the stream
 	// that this request resumes; empty: none is named, or the id is invalid.
-	Resumes string
-	Version uint64 // of the configuration that the route and the service come from
+	Resumes        string
+	ResumesInvalid bool   // an attempt is named, and its id is invalid
+	Version        uint64 // of the configuration that the route and the service come from
 
 	PromptTokens int
 	MaxTokens    int
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -45,7 +45,10 @@
 	cachedTokens     map[directory.Start]int // tokens of the prompt that servers have cached
 
 	versions *rollout.Assignment // versions of servers that may run it
-	begunBy  *directory.Server   // server that sent the caller's first event; nil: none has
+	begunBy  *directory.Server   // server that sent the first event of this answer; nil: none has
+	// origin is the version that began the stream of a caller that came back; nil: the caller
+	// has no event yet, or names no attempt.
+	origin *string
 
 	current          *streamAttempt // attempt whose events go to the caller; nil before the first
 	next             *streamAttempt // takeover attempt beside a silent current one; nil otherwise
@@ -89,11 +92,8 @@
 func (e *Exchange) newStream(req *Request, sink Sink) *stream {
 	s := &stream{e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, active: e.active.add(req.ID, req.Fingerprint())}
 	s.quarantined = s.active.quarantined
-	s.versions = e.opts.Rollouts.Assign(req.Service, req.ID)
+	s.versions = e.opts.Rollouts.Assign(req.Service, req.ID, req.LastEvent == "")
 	s.lastEvent, _ = strconv.ParseUint(req.LastEvent, 10, 64)
-	if req.LastEvent != "" {
-		e.opts.Recorder.Emit(EventReturned, event.FieldRequest, req.ID, "route", req.Route.Name, "resumes", req.Resumes, "after", req.LastEvent)
-	}
 	return s
 }
 
@@ -107,6 +107,9 @@
 }
 
 func (s *stream) run(ctx context.Context) error {
+	if err := s.findOrigin(ctx); err != nil {
+		return s.failure(ctx, err)
+	}
 	s.locatePrompt(ctx)
 	for {
 		server, from, err := s.chooseServer(ctx)
@@ -253,6 +256,7 @@
 			return server, nil, err
 		}
 		if !s.hasVersion() {
+			s.e.metrics.versionGone.Inc()
 			return nil, nil, ErrVersionGone
 		}
 		if time.Now().After(giveUp) {
@@ -347,6 +351,8 @@
 		after = late.retryAfter()
 	case errors.Is(err, ErrQuarantined):
 		after = quarantineRetryAfter
+	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
+		after = versionRetryAfter
 	case errors.Is(err, ErrServerLimits):
 		after = s.e.limitRetryAfter(s.req.Service)
 	}
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -1,9 +1,13 @@
 package exchange
 
 import (
+	"context"
 	"time"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/streamversion"
 )
 
 // What two versions of the servers' software write does not fit together. A stream goes on
@@ -12,10 +16,86 @@
 // versionBoundTo returns the version that the rest of the stream must come from. bound is
 // false if the caller has no event yet.
 func (s *stream) versionBoundTo() (version string, bound bool) {
-	if s.begunBy == nil {
+	switch {
+	case s.origin != nil:
+		return *s.origin, true
+	case s.begunBy != nil:
+		return s.begunBy.Version(), true // by now, as the list may name a version late
+	default:
 		return "", false
 	}
-	return s.begunBy.Version(), true // by now, as the list may name a version late
+}
+
+// findOrigin finds out which version began the stream of a caller that came back. A caller
+// that names no attempt does not know of versions, and is served as if its stream were new.
+func (s *stream) findOrigin(ctx context.Context) error {
+	if s.req.LastEvent == "" {
+		return nil
+	}
+	began := time.Now()
+	version, how, known := "", originUnnamed, true
+	if s.req.Resumes != "" || s.req.ResumesInvalid {
+		version, how, known = s.e.findOrigin(ctx, s.req)
+		s.origin = &version
+	}
+	s.e.opts.Recorder.Emit(EventReturned, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "resumes", s.req.Resumes, "after", s.req.LastEvent,
+		"software", version, "how", how, "took", time.Since(began))
+	if !known {
+		s.e.metrics.versionUnknown.Inc()
+		return ErrVersionUnknown
+	}
+	return nil
+}
+
+// How the version that began a stream is known, in log lines, beside what StreamVersions
+// says.
+const (
+	originUnnamed    = "not_named"    // the caller names no attempt
+	originSoleListed = "sole_version" // the servers that are listed have one version
+	originUnknown    = "unknown"
+)
+
+func (e *Exchange) findOrigin(ctx context.Context, req *Request) (version, how string, known bool) {
+	if e.opts.StreamVersions != nil {
+		return e.opts.StreamVersions.Find(ctx, req.Service, req.streamID(), maxStreamAge(req.Route))
+	}
+	if listed := e.opts.Directory.View().Versions(req.Service); len(listed) == 1 {
+		return listed[0], originSoleListed, true
+	}
+	return "", originUnknown, false
+}
+
+// maxStreamAge returns how long after its start a stream's caller may come back: it may have
+// come back before.
+func maxStreamAge(route *site.Route) time.Duration {
+	if route.Timeout <= 0 {
+		return streamversion.Retention
+	}
+	return min(2*route.Timeout, streamversion.Retention)
+}
+
+// streamID returns the id of the request's stream, which is that of the caller's attempt that
+// brought its first event.
+func (r *Request) streamID() uint64 {
+	attempt := r.ID
+	if r.LastEvent != "" && (r.Resumes != "" || r.ResumesInvalid) {
+		attempt = r.Resumes
+	}
+	return streamversion.StreamID(r.Organisation, attempt)
+}
+
+// returnPeriod is how long after a request's deadline its stream's version is kept: the
+// route's deadline may pass before the caller's own.
+const returnPeriod = 30 * time.Second
+
+// recordOrigin records the version that sends the first event, before the caller gets it. For
+// a caller that came back that prolongs the record.
+func (s *stream) recordOrigin(server *directory.Server) {
+	version := server.Version()
+	if s.e.opts.StreamVersions == nil || s.req.ResumesInvalid || !s.e.opts.Directory.View().RunsVersion(server, version) {
+		return
+	}
+	s.e.opts.StreamVersions.Record(s.req.Service, s.req.streamID(), version, s.req.Deadline.Add(returnPeriod))
 }
 
 // admits returns which servers may get the stream's next attempt, nil for all.
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -40,6 +40,9 @@
 	CauseAdmission Cause = "admission"
 	// CauseNoServer: no server was known, or all refused the request.
 	CauseNoServer Cause = "no_server"
+	// CauseVersion: no server was left of the version that began the stream, or it was not
+	// known which one did (PY2780).
+	CauseVersion Cause = "version"
 	// CauseRetryBudget: the retry budget was spent.
 	CauseRetryBudget Cause = "out_of_retries"
 	// CauseServerLimit: the backend servers were at the rate limits that they had named
--- a/explain/endedby.go
+++ b/explain/endedby.go
@@ -23,6 +23,8 @@
 		return fmt.Sprintf("The connection to its backend server %s %s", server, describeLinkLoss(last))
 	case exchange.EndedByNoServer:
 		return "No backend server took it any more, and it ended"
+	case exchange.EndedByVersion:
+		return "No backend server of the version that began it was left, and it ended"
 	case exchange.EndedByDeadline:
 		return "Its caller's deadline passed"
 	case exchange.EndedByRouteTimeout:
@@ -65,6 +67,8 @@
 	switch endedBy(last) {
 	case exchange.EndedByNoServer:
 		why = "no backend server took it, "
+	case exchange.EndedByVersion:
+		why = "only the version that began the stream may go on with it, "
 	case exchange.EndedByServerLink:
 		why = "no backend server could be reached, "
 	case exchange.EndedByLimit:
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -183,6 +183,8 @@
 		return CauseAdmission
 	case e.by == exchange.EndedByStop:
 		return CauseStop
+	case e.by == exchange.EndedByVersion:
+		return CauseVersion
 	case e.by == exchange.EndedByLimit, e.rec.contains(fieldError, textBudget):
 		return e.limitCause()
 	case e.by == exchange.EndedByDeadline, e.by == exchange.EndedByRouteTimeout:
@@ -198,6 +200,8 @@
 	switch e.by {
 	case exchange.EndedByLimit:
 		return e.limitCause()
+	case exchange.EndedByVersion:
+		return CauseVersion
 	case exchange.EndedByStop:
 		return CauseStop
 	case exchange.EndedByDeadline, exchange.EndedByRouteTimeout:
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -34,3 +34,12 @@
 	EventServerLimitLifted = event.Define(2746, "fleet_server_limit_lifted", event.Info,
 		"a backend server names no rate limit any more, or is gone", "nothing")
 )
+
+// EventVersionsNotSaved and EventVersionsNotRead are emitted when a call to the store for
+// the versions of streams fails.
+var (
+	EventVersionsNotSaved = event.Define(2747, "fleet_stream_versions_not_saved", event.Warn,
+		"which versions began this process's streams could not be written to the store; it is tried again", "check the store; if all entry VMs are lost meanwhile, callers that come back for these streams are refused")
+	EventVersionsNotRead = event.Define(2748, "fleet_stream_versions_not_read", event.Warn,
+		"which versions began the streams of other entry VMs could not be read from the store", "check the store; callers that come back are refused if no other entry VM knows the version of their stream")
+)
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -22,5 +22,9 @@
 
 func (in *reader) uint32() uint32 { return binary.BigEndian.Uint32(in.take(4)) }
 
+func (in *reader) uint16() uint16 { return binary.BigEndian.Uint16(in.take(2)) }
+
+func (in *reader) uint64() uint64 { return binary.BigEndian.Uint64(in.take(8)) }
+
 // text reads a text that follows its length.
 func (in *reader) text() string { return string(in.take(in.byte())) }
--- /dev/null
+++ b/fleet/streamrows.go
@@ -0,0 +1,267 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/streamversion"
+)
+
+// VersionStore keeps one row for each entry VM, with the versions of its streams. Times are
+// those of the store's clock, which all VMs share.
+type VersionStore interface {
+	Save(ctx context.Context, name string, value []byte) (now time.Duration, err error)
+	Load(ctx context.Context) (rows map[string][]byte, now time.Duration, err error)
+	Remove(ctx context.Context, names []string) error
+}
+
+const (
+	// saveInterval is the shortest time between two writes of a VM's row: what began within
+	// it is unknown after the loss of all VMs. At more than saveVMsPerSecond VMs it grows, so
+	// that all of them together stay within what the store carries.
+	saveInterval     = 500 * time.Millisecond
+	saveVMsPerSecond = 50
+	// reloadInterval is the shortest time between two reads of all rows. Callers whose
+	// records nobody has come back together.
+	reloadInterval = 500 * time.Millisecond
+	// storeCallTimeout bounds a call to the store.
+	storeCallTimeout = 500 * time.Millisecond
+	// maxRemovedRows is how many rows the store removes in one call.
+	maxRemovedRows = 100
+	// maxRowStreams bounds a row to 45 KB; the store takes 64 KB.
+	maxRowStreams = 1200
+)
+
+// versionRow is the value of a VM's row.
+type versionRow struct {
+	Versions []rowVersion `json:"versions"`
+}
+
+// rowVersion holds the streams of one version of a service, by id, with the second of the
+// store's clock at which each expires.
+type rowVersion struct {
+	Service       uint32           `json:"service"` // hash of its name
+	Version       string           `json:"version"`
+	ServedUntilMs int64            `json:"servedUntilMs"` // when it was last listed, by the store's clock
+	Streams       map[uint64]int64 `json:"streams"`
+}
+
+// versionRows keeps the records of this process in the store, and reads those of others.
+type versionRows struct {
+	of      *StreamVersions
+	changed chan struct{} // holds a token when there is something to write
+
+	readMu  sync.Mutex // held during a read; guards the fields below
+	read    bool       // the rows have been read
+	readAt  time.Time  // of the newest attempt
+	readErr error      // of the newest attempt
+
+	clock atomic.Pointer[storeClock] // nil before the first answer of the store
+}
+
+// storeClock relates the store's clock to the local one.
+type storeClock struct {
+	store time.Duration // at the local time
+	local time.Time
+}
+
+func (c *storeClock) toStore(t time.Time) time.Duration { return c.store + t.Sub(c.local) }
+
+func (c *storeClock) toLocal(d time.Duration) time.Time { return c.local.Add(d - c.store) }
+
+func newVersionRows(v *StreamVersions) *versionRows {
+	return &versionRows{of: v, changed: make(chan struct{}, 1)}
+}
+
+func (r *versionRows) markChanged() { signal(r.changed) }
+
+// run writes this process's row while several versions of a service have served, and removes
+// it afterwards, until ctx ends. What is unwritten then is written once more.
+func (r *versionRows) run(ctx context.Context) error {
+	if r.of.opts.Store == nil {
+		return nil
+	}
+	hasRow := false
+	tick := time.NewTicker(streamversion.Retention / 10)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.saveLast(ctx)
+			return ctx.Err()
+		case <-r.changed:
+			hasRow = true
+			r.save(ctx)
+		case <-tick.C:
+			if hasRow && !r.of.history.AnyMixed(time.Now()) {
+				hasRow = r.remove(ctx, []string{r.name()}) != nil
+			}
+		}
+		_ = retry.Wait(ctx, r.interval())
+	}
+}
+
+func (r *versionRows) name() string { return r.of.opts.Address }
+
+// interval returns the pause between two writes.
+func (r *versionRows) interval() time.Duration {
+	return max(saveInterval, time.Second*time.Duration(len(r.of.opts.Peers())+1)/saveVMsPerSecond)
+}
+
+// saveLast writes what changed since the last write, as this process stops.
+func (r *versionRows) saveLast(ctx context.Context) {
+	select {
+	case <-r.changed:
+		r.save(context.WithoutCancel(ctx))
+	default:
+	}
+}
+
+// save writes this process's row. The rows are read before the first write, which would
+// otherwise overwrite what the former process of this VM has recorded.
+func (r *versionRows) save(ctx context.Context) {
+	err := r.loadOnce(ctx)
+	if err == nil {
+		err = r.write(ctx)
+	}
+	result := "ok"
+	if err != nil {
+		result = "failed"
+		r.markChanged() // tried again after the interval
+		r.of.opts.Recorder.Emit(EventVersionsNotSaved, "err", err)
+	}
+	r.of.metrics.saves.WithLabelValues(result).Inc()
+}
+
+func (r *versionRows) write(ctx context.Context) error {
+	value, err := json.Marshal(r.encode(time.Now()))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	now, err := r.of.opts.Store.Save(ctx, r.name(), value)
+	if err == nil {
+		r.clock.Store(&storeClock{now, time.Now()})
+	}
+	return err
+}
+
+func (r *versionRows) remove(ctx context.Context, names []string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	err := r.of.opts.Store.Remove(ctx, names[:min(len(names), maxRemovedRows)])
+	if err != nil {
+		r.of.opts.Recorder.Emit(EventVersionsNotSaved, "err", err)
+	}
+	return err
+}
+
+// encode returns this process's row: the versions that have served, and its own streams of
+// services with several. The rows must have been read, which sets the clock.
+func (r *versionRows) encode(now time.Time) versionRow {
+	own := r.of.table.Select(now, func(rec streamversion.Record) bool { return rec.Own && r.of.history.Mixed(rec.Service, now) })
+	// The streams that expire last have begun last.
+	slices.SortFunc(own, func(a, b streamversion.Record) int { return cmp.Compare(b.Until.UnixNano(), a.Until.UnixNano()) })
+	own = own[:min(len(own), maxRowStreams)]
+	clock := r.clock.Load()
+	var row versionRow
+	for _, l := range r.of.history.Served(now) {
+		if !r.of.history.Mixed(l.Service, now) {
+			continue
+		}
+		entry := rowVersion{Service: l.Service, Version: l.Version, ServedUntilMs: clock.toStore(l.At).Milliseconds(), Streams: map[uint64]int64{}}
+		for _, rec := range own {
+			if rec.Service == l.Service && rec.Version == l.Version {
+				entry.Streams[rec.Stream] = int64(clock.toStore(rec.Until).Seconds()) + 1
+			}
+		}
+		row.Versions = append(row.Versions, entry)
+	}
+	return row
+}
+
+// load reads the rows of all VMs, unless that has just been done.
+func (r *versionRows) load(ctx context.Context) error {
+	if r.of.opts.Store == nil {
+		return nil
+	}
+	r.readMu.Lock()
+	defer r.readMu.Unlock()
+	if !r.readAt.IsZero() && time.Since(r.readAt) < reloadInterval {
+		return r.readErr
+	}
+	return r.loadLocked(ctx)
+}
+
+// loadOnce reads the rows of all VMs unless they have been read.
+func (r *versionRows) loadOnce(ctx context.Context) error {
+	r.readMu.Lock()
+	defer r.readMu.Unlock()
+	if r.read {
+		return nil
+	}
+	return r.loadLocked(ctx)
+}
+
+func (r *versionRows) loadLocked(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeCallTimeout)
+	defer cancel()
+	rows, now, err := r.of.opts.Store.Load(ctx)
+	r.readAt, r.readErr = time.Now(), err
+	if err != nil {
+		r.of.opts.Recorder.Emit(EventVersionsNotRead, "err", err)
+		return err
+	}
+	r.read = true
+	clock := &storeClock{now, time.Now()}
+	r.clock.Store(clock)
+	var expired []string
+	for name, value := range rows {
+		if !r.merge(clock, value, name == r.name()) {
+			expired = append(expired, name)
+		}
+	}
+	if len(expired) > 0 {
+		go func() { _ = r.remove(context.WithoutCancel(ctx), expired) }()
+	}
+	return nil
+}
+
+// merge takes over what a row says. It reports whether the row is still needed.
+func (r *versionRows) merge(clock *storeClock, value []byte, own bool) (needed bool) {
+	var row versionRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		r.of.opts.Recorder.Emit(EventVersionsNotRead, "err", err)
+		return false
+	}
+	now := time.Now()
+	for _, entry := range row.Versions {
+		listedAt := clock.toLocal(time.Duration(entry.ServedUntilMs) * time.Millisecond)
+		needed = needed || now.Sub(listedAt) < streamversion.Retention
+		if r.of.history.Merge(entry.Service, entry.Version, minTime(listedAt, now), now) {
+			r.of.publishOwn(entry.Service, now)
+		}
+		for stream, expires := range entry.Streams {
+			until := clock.toLocal(time.Duration(expires) * time.Second)
+			record := streamversion.Record{Key: streamversion.Key{Service: entry.Service, Stream: stream}, Version: entry.Version, Until: until, Own: own}
+			if until.After(now) && !r.of.table.Put(record, now) {
+				r.of.metrics.dropped.Inc()
+			}
+		}
+	}
+	return needed
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/fleet/streamversions.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/streamversion"
+)
+
+const (
+	// streamReplicas is how many VMs, beside the one that serves a stream, hold its record.
+	streamReplicas = 3
+	// smallSite is the number of VMs up to which all of them hold each record.
+	smallSite = 9
+	// askedForStream is how many VMs are asked for a record: more than hold it, as some may
+	// have been added or removed since.
+	askedForStream = 6
+	// streamAnswerWait is how long the answers of peers are awaited, and how often they are
+	// asked: a datagram may be lost, and a VM that was killed never answers.
+	streamAnswerWait = 40 * time.Millisecond
+	streamAskRounds  = 2
+	// recentList is the age of the list of servers up to which a version that is listed alone
+	// counts without asking others, freshList that without an answer of others. A VM that is
+	// cut off has an older list.
+	recentList = time.Second
+	freshList  = 3 * time.Second
+	// startupWait bounds the wait of a returning caller for what this process learns at its
+	// start: the time of a few calls to the store.
+	startupWait = 300 * time.Millisecond
+	// pullWait is how long a process that starts waits for the records of its peers before it
+	// reads those in the store.
+	pullWait = 100 * time.Millisecond
+	// tableInterval is how often expired records are dropped.
+	tableInterval = time.Second
+)
+
+// StreamVersionsOptions configures a StreamVersions.
+type StreamVersionsOptions struct {
+	Address   string // of this process
+	Socket    *Socket
+	Peers     func() []string // addresses of the other entry VMs
+	Known     <-chan struct{} // closed once the other entry VMs are known
+	Directory *directory.Directory
+	// ListAge returns the time since the list of servers was last confirmed.
+	ListAge func() time.Duration
+	// Store keeps records beyond the loss of all VMs; nil: nothing does.
+	Store    VersionStore
+	Recorder *event.Recorder
+	Metrics  prometheus.Registerer
+}
+
+// StreamVersions lets entry VMs share which version of the servers' software began each
+// stream.
+//
+// While a service has had a single version nothing is sent or stored. From the moment at
+// which a second one is listed, a VM tells the record of each of its streams to a few others
+// before the stream's first event leaves, and keeps its records in the store, which matters
+// when all VMs are lost. A VM without a record that would hold it, had the stream begun since
+// then, knows that the stream began before.
+type StreamVersions struct {
+	opts    StreamVersionsOptions
+	table   *streamversion.Table
+	history *streamversion.History
+	rows    *versionRows
+	metrics streamVersionMetrics
+
+	loaded     chan struct{} // closed when it is known what served before this process started
+	loadedOnce sync.Once
+
+	mu      sync.Mutex
+	waiting map[streamversion.Key]map[*versionQuery]struct{} // queries in progress
+}
+
+// NewStreamVersions returns a StreamVersions.
+func NewStreamVersions(opts StreamVersionsOptions) *StreamVersions {
+	v := &StreamVersions{
+		opts: opts, table: streamversion.NewTable(), history: streamversion.NewHistory(), loaded: make(chan struct{}),
+		waiting: map[streamversion.Key]map[*versionQuery]struct{}{}, metrics: newStreamVersionMetrics(opts.Metrics),
+	}
+	v.rows = newVersionRows(v)
+	opts.Directory.OnApplied(v.observe)
+	opts.Socket.handle(kindStreamRecords, v.receiveRecords)
+	opts.Socket.handle(kindStreamQuery, v.receiveQuery)
+	opts.Socket.handle(kindStreamAnswer, v.receiveAnswer)
+	opts.Socket.handle(kindStreamPull, v.receivePull)
+	opts.Socket.handle(kindServedVersions, v.receiveServed)
+	return v
+}
+
+// Run learns the records of others, and keeps those of this process until ctx ends.
+func (v *StreamVersions) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return v.rows.run(ctx) })
+	group.Go(func() error {
+		v.load(ctx)
+		for retry.Wait(ctx, tableInterval) == nil {
+			v.metrics.records.Set(float64(v.table.Expire(time.Now())))
+		}
+		return ctx.Err()
+	})
+	return group.Wait()
+}
+
+// load learns what other VMs and the store know. A peer that knows which versions served
+// before this process started saves the call to the store.
+func (v *StreamVersions) load(ctx context.Context) {
+	v.await(ctx, v.opts.Known, pullWait)
+	for tries := 0; ctx.Err() == nil; tries++ {
+		if peers := v.opts.Peers(); len(peers) > 0 {
+			v.opts.Socket.SendTo(body{kindStreamPull, nil}, peers)
+			v.await(ctx, v.loaded, pullWait)
+		}
+		if v.history.Complete() {
+			return
+		}
+		if v.rows.load(ctx) == nil {
+			v.setComplete(time.Now())
+			return
+		}
+		_ = retry.Wait(ctx, retry.BackoffBetween(retryPause, maxPause, tries))
+	}
+}
+
+// await waits until a channel is closed, but not for long.
+func (v *StreamVersions) await(ctx context.Context, closed <-chan struct{}, atMost time.Duration) {
+	timer := time.NewTimer(atMost)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// setComplete records that it is known what served before this process started.
+func (v *StreamVersions) setComplete(now time.Time) {
+	v.history.SetComplete(now)
+	v.loadedOnce.Do(func() { close(v.loaded) })
+}
+
+// observe is called with each list of servers. When a second version appears, the streams
+// in progress are told to others: they have begun without a record there.
+func (v *StreamVersions) observe(view *directory.View) {
+	now := time.Now()
+	for _, name := range view.Services() {
+		service := directory.Hash(name)
+		if v.history.Observe(service, view.Versions(name), now) {
+			v.publishOwn(service, now)
+		}
+	}
+}
+
+func (v *StreamVersions) publishOwn(service uint32, now time.Time) {
+	v.publish(v.table.Select(now, func(r streamversion.Record) bool { return r.Own && r.Service == service }))
+	v.rows.markChanged()
+}
+
+// Record implements exchange.StreamVersions. Other VMs have been told when it returns.
+func (v *StreamVersions) Record(service string, stream uint64, version string, until time.Time) {
+	now := time.Now()
+	r := streamversion.Record{Key: streamversion.Key{Service: directory.Hash(service), Stream: stream}, Version: version, Until: until, Own: true}
+	if !v.table.Put(r, now) {
+		v.metrics.dropped.Inc()
+	}
+	if v.history.Mixed(r.Service, now) {
+		v.publish([]streamversion.Record{r})
+		v.rows.markChanged()
+	}
+}
+
+// publish sends records to the VMs that hold them.
+func (v *StreamVersions) publish(records []streamversion.Record) {
+	v.sendRecords(records, func(r streamversion.Record) []string { return v.holders(r.Stream, streamReplicas) })
+}
+
+// holders returns the first VMs but this one in the order in which they hold a stream's
+// record; at a small site all.
+func (v *StreamVersions) holders(stream uint64, count int) []string {
+	peers := v.opts.Peers()
+	if len(peers)+1 <= smallSite {
+		return peers
+	}
+	return rankedVMs(stream, peers)[:count]
+}
+
+// isHolder reports whether this VM gets the record of a stream from any VM that serves it.
+func (v *StreamVersions) isHolder(stream uint64) bool {
+	return v.holds(v.opts.Address, stream)
+}
+
+// holds reports whether a VM gets the record of a stream from any VM that serves it.
+func (v *StreamVersions) holds(address string, stream uint64) bool {
+	all := append(slices.Clone(v.opts.Peers()), v.opts.Address)
+	if len(all) <= smallSite {
+		return true
+	}
+	return slices.Contains(rankedVMs(stream, all)[:streamReplicas], address)
+}
+
+// rankedVMs returns addresses in the order in which they hold a stream's record. Each stream
+// has an order of its own, which changes little when VMs are added or removed.
+func rankedVMs(stream uint64, addresses []string) []string {
+	type ranked struct {
+		address string
+		rank    uint64
+	}
+	all := make([]ranked, len(addresses))
+	var buf []byte
+	for i, a := range addresses {
+		buf = append(binary.BigEndian.AppendUint64(buf[:0], stream), a...)
+		all[i] = ranked{a, xxhash.Sum64(buf)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	sorted := make([]string, len(all))
+	for i, r := range all {
+		sorted[i] = r.address
+	}
+	return sorted
+}
+
+// streamVersionMetrics are the metrics of a StreamVersions.
+type streamVersionMetrics struct {
+	found   *prometheus.CounterVec // by how
+	records prometheus.Gauge
+	dropped prometheus.Counter
+	saves   *prometheus.CounterVec // by result
+}
+
+func newStreamVersionMetrics(reg prometheus.Registerer) streamVersionMetrics {
+	m := streamVersionMetrics{
+		found: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_stream_versions_found_total", Help: "Streams of callers that came back, by how it became known which version of the servers' software began them; unknown: it did not."}, []string{"how"}),
+		records: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pearyard_stream_versions", Help: "Streams of which this process knows the version that began them."}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearyard_stream_versions_dropped_total", Help: "Streams whose version was not recorded, since there were too many."}),
+		saves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearyard_stream_versions_saves_total", Help: "Writes of the versions of this process's streams to the store by result."}, []string{"result"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.found, m.records, m.dropped, m.saves)
+	}
+	return m
+}
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -38,7 +38,8 @@
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
-// prompts and their answers: see appendPromptQuery and appendPromptAnswer.
+// prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
+// versions that began streams: see streamwire.go.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
@@ -55,6 +56,12 @@
 	kindPromptAnswer  kind = 11
 	kindServerCounts  kind = 12
 	kindServerLimits  kind = 13
+	kindStreamRecords kind = 14
+	kindStreamQuery   kind = 15
+	kindStreamAnswer  kind = 16
+	// kindStreamPull has no body.
+	kindStreamPull     kind = 17
+	kindServedVersions kind = 18
 
 	headerBytes       = 13
 	countBytes        = 4
--- a/rollout/assignment.go
+++ b/rollout/assignment.go
@@ -20,8 +20,9 @@
 }
 
 // Assign counts a new request for a service and assigns it to versions. It returns nil if
-// all servers may run it.
-func (c *Controller) Assign(service, request string) *Assignment {
+// all servers may run it. mayTrial is false for a request that must not be chosen for the
+// version on trial: the rest of a stream goes to the version that began it.
+func (c *Controller) Assign(service, request string, mayTrial bool) *Assignment {
 	if c == nil {
 		return nil
 	}
@@ -36,7 +37,7 @@
 	}
 	requests := s.requests.Add(1)
 	phase := s.current()
-	if !slices.Contains(c.opts.Directory.View().Versions(service), s.order.Version) || !a.reserve(requests, time.Now()) {
+	if !mayTrial || !slices.Contains(c.opts.Directory.View().Versions(service), s.order.Version) || !a.reserve(requests, time.Now()) {
 		return a
 	}
 	a.trial = true
--- a/rollout/decider_test.go
+++ b/rollout/decider_test.go
@@ -125,7 +125,7 @@
 	p := &testProcess{Controller: New(Options{Share: 0.1, Tolerance: 50, Size: func() int { return 1 }, Directory: d, Recorder: recorder})}
 	p.rank.Store(int64(rank))
 	p.ApplyConfig(site.New(1, nil, nil, nil, site.ClientLimits{}))
-	p.Assign("s", "first")
+	p.Assign("s", "first", true)
 	p.ApplyConfig(testConfig(5))
 	d.Apply(2, append(list, directory.Listing{ID: "new", Service: "s", Address: "10.0.0.2:1", Version: "v2"}), false, time.Now())
 	p.decider = NewDecider(DeciderOptions{Controller: p.Controller, Store: store, Rank: func() int { return int(p.rank.Load()) }, Recorder: recorder})
@@ -143,7 +143,7 @@
 
 // observe records answers of one version.
 func (p *testProcess) observe(id string, answers, failed int) {
-	a := p.Assign("s", "observed")
+	a := p.Assign("s", "observed", true)
 	for i := range answers {
 		a.Observe("r", p.server(id), Observation{Ended: true, Failed: i < failed, First: 20 * time.Millisecond})
 	}
@@ -221,7 +221,7 @@
 		time.Sleep(2 * decideInterval)
 		g.Expect(p.Orders()[0].Phase).To(gomega.Equal(Stopped))
 		for range 1000 {
-			g.Expect(p.Assign("s", "later").AdmitsTrial()).To(gomega.BeNil())
+			g.Expect(p.Assign("s", "later", true).AdmitsTrial()).To(gomega.BeNil())
 		}
 		store.setAway(false)
 		time.Sleep(storeTimeout + storeRetryInterval)
@@ -262,7 +262,7 @@
 		chosen := func() int {
 			n := 0
 			for range 300 {
-				if p.Assign("s", "r").AdmitsTrial() != nil {
+				if p.Assign("s", "r", true).AdmitsTrial() != nil {
 					n++
 				}
 			}
