--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -11,6 +11,7 @@
 	"github.com/pearyard/pearyard/event"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/streamversion"
 )
 
 func FuzzDecodeRestart(f *testing.F) {
@@ -37,6 +38,10 @@
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
 		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
+		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
+		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
+		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
+		{kindServedVersions, encodeServedVersions(true, []streamversion.Listed{{Service: 1, Version: "v1", At: time.Now()}}, time.Now())[0]},
 	} {
 		f.Add(append(encodeHeader(b.kind, h), b.raw...))
 	}
@@ -53,6 +58,10 @@
 			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, uint64) {},
 			Position: func(Subject) uint64 { return 1 },
 		})
+		NewStreamVersions(StreamVersionsOptions{
+			Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
+			ListAge: func() time.Duration { return 0 },
+		})
 		s.dispatch("p", raw, time.Now())
 		s.dispatch("p", raw, time.Now())
 		loads.expire(time.Now())
--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,10 +56,10 @@
 	of      *StreamVersions
 	changed chan struct{} // holds a token when there is something to write
 
-	readMu  sync.Mutex // held during a read; guards the fields below
-	read    bool       // the rows have been read
-	readAt  time.Time  // of the newest attempt
-	readErr error      // of the newest attempt
+	reading chan struct{} // semaphore of size 1, held during a read; guards the fields below
+	read    bool          // the rows have been read
+	readAt  time.Time     // of the newest attempt
+	readErr error         // of the newest attempt
 
 	clock atomic.Pointer[storeClock] // nil before the first answer of the store
 }
@@ -76,7 +75,7 @@
 func (c *storeClock) toLocal(d time.Duration) time.Time { return c.local.Add(d - c.store) }
 
 func newVersionRows(v *StreamVersions) *versionRows {
-	return &versionRows{of: v, changed: make(chan struct{}, 1)}
+	return &versionRows{of: v, changed: make(chan struct{}, 1), reading: make(chan struct{}, 1)}
 }
 
 func (r *versionRows) markChanged() { signal(r.changed) }
@@ -192,8 +191,8 @@
 	if r.of.opts.Store == nil {
 		return nil
 	}
-	r.readMu.Lock()
-	defer r.readMu.Unlock()
+	r.reading <- struct{}{}
+	defer func() { <-r.reading }()
 	if !r.readAt.IsZero() && time.Since(r.readAt) < reloadInterval {
 		return r.readErr
 	}
@@ -202,8 +201,8 @@
 
 // loadOnce reads the rows of all VMs unless they have been read.
 func (r *versionRows) loadOnce(ctx context.Context) error {
-	r.readMu.Lock()
-	defer r.readMu.Unlock()
+	r.reading <- struct{}{}
+	defer func() { <-r.reading }()
 	if r.read {
 		return nil
 	}
