--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -176,16 +176,16 @@
 	}
 	vm.versions = NewStreamVersions(opts)
 	vm.readList()
-	m.mu.Lock()
-	m.vms = append(m.vms, vm)
-	m.mu.Unlock()
-	go func() { _ = vm.versions.Run(ctx) }()
-	go vm.followList()
 	vm.Exchange = exchange.New(exchange.Options{
 		Zone: "a", Directory: vm.dir, Backend: m, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(), StreamVersions: vm.versions,
 		Suspects: suspect.New(suspect.Options{}), Services: func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
 		RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 150 },
 	})
+	m.mu.Lock()
+	m.vms = append(m.vms, vm)
+	m.mu.Unlock()
+	go func() { _ = vm.versions.Run(ctx) }()
+	go vm.followList()
 	return vm
 }
 
