directory, exchange: the version of a process found at an address is an assumption

While the service has a single version the assumption stands, so that servers which come back during an outage of the store go on with streams as before; beside another version only the list can tell. TestVersionOfAProcessFoundAtAnAddressIsAssumed red in 2 of 3 cases before, green after.

--- a/directory/restart.go
+++ b/directory/restart.go
@@ -34,7 +34,9 @@
 	}
 	next.remove(known)
 	listing := Listing{ID: start.ID, Born: start.Born, Service: old.Service, Address: old.Address, Zone: old.Zone, Slots: old.Slots, Version: old.Version()}
-	next.add(d.newStart(known, listing, now))
+	started := d.newStart(known, listing, now)
+	started.versionAssumed.Store(true)
+	next.add(started)
 	d.view.Store(next)
 	d.totalsStale.Store(true) // peers may have reported load for it already
 	return true
--- a/directory/server.go
+++ b/directory/server.go
@@ -19,13 +19,16 @@
 	Zone    string
 	Slots   int // number of requests that it runs at a time
 
-	version    atomic.Pointer[string]    // of its software; nil: unknown
-	rateLimit  atomic.Pointer[RateLimit] // nil: it has never named one
-	draining   atomic.Bool
-	removed    atomic.Bool  // it was dropped from the view, or another start replaced it
-	replaced   atomic.Bool  // another start of its id is known: this process has ended
-	warmAt     atomic.Int64 // Unix nanoseconds at which it is no longer cold
-	lastSignAt atomic.Int64 // Unix nanoseconds of its newest sign of life
+	version atomic.Pointer[string] // of its software; nil: unknown
+	// versionAssumed is set if the version is that of the process which had the address
+	// before, since the store can't be read.
+	versionAssumed atomic.Bool
+	rateLimit      atomic.Pointer[RateLimit] // nil: it has never named one
+	draining       atomic.Bool
+	removed        atomic.Bool  // it was dropped from the view, or another start replaced it
+	replaced       atomic.Bool  // another start of its id is known: this process has ended
+	warmAt         atomic.Int64 // Unix nanoseconds at which it is no longer cold
+	lastSignAt     atomic.Int64 // Unix nanoseconds of its newest sign of life
 
 	// Load that this process has put there.
 	calls        atomic.Int64 // plain calls in flight
@@ -97,9 +100,13 @@
 // setVersion records the version that an entry names. Entries passed on by older programs
 // name none.
 func (s *Server) setVersion(version string) {
-	if version != "" && version != s.Version() {
+	if version == "" {
+		return
+	}
+	if version != s.Version() {
 		s.version.Store(&version)
 	}
+	s.versionAssumed.Store(false)
 }
 
 // Draining reports whether it takes no new work.
--- a/directory/versions.go
+++ b/directory/versions.go
@@ -18,14 +18,16 @@
 	}
 }
 
-// RunsVersion reports whether a server runs a version of its service's software. Where
-// entries name no versions all servers are taken to run the same one, of which the name is
-// empty.
+// RunsVersion reports whether a server is known to run a version of its service's software.
+//
+// Where entries name no versions all servers are taken to run the same one, of which the
+// name is empty. A process that was found at a known address is taken to run the version of
+// the one before it only while the service has no other.
 func (v *View) RunsVersion(s *Server, version string) bool {
 	if s.Version() != version {
 		return false
 	}
-	return version != "" || len(v.Versions(s.Service)) == 1
+	return (version != "" && !s.versionAssumed.Load()) || len(v.Versions(s.Service)) == 1
 }
 
 // RetireOtherVersions records that the servers of a service are about to be stopped unless
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -20,3 +20,31 @@
 	d.Apply(2, []Listing{versionListing("a1", 100, "v1")}, false, time.Now())
 	g.Expect(d.View().Listings).To(gomega.Equal([]Listing{versionListing("a1", 200, "v2")}))
 }
+
+// Guards against a stream that goes on at a process which was found at a known address while
+// the store was away, and which may run another version than the process before it.
+func TestVersionOfAProcessFoundAtAnAddressIsAssumed(t *testing.T) {
+	for name, c := range map[string]struct {
+		other     string // version of another server
+		runs      bool   // the process counts as one of the former version
+		confirmed string // version that the list names later
+		runsLater bool
+	}{
+		"several versions serve": {"v2", false, "v1", true},
+		"it runs another one":    {"v2", false, "v2", false},
+		"a single version":       {"v1", true, "v1", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d, now := New(), time.Now()
+			list := []Listing{versionListing("a1", 100, "v1"), versionListing("a2", 100, c.other)}
+			d.Apply(1, list, false, now)
+			g.Expect(d.RecordRestart(d.View().byID["a1"], Start{"a3", 200}, now)).To(gomega.BeTrue())
+			g.Expect(d.View().RunsVersion(d.View().byID["a3"], "v1")).To(gomega.Equal(c.runs))
+			restarted := versionListing("a3", 200, c.confirmed)
+			restarted.Address = list[0].Address
+			d.Apply(2, []Listing{restarted, list[1]}, false, now)
+			g.Expect(d.View().RunsVersion(d.View().byID["a3"], "v1")).To(gomega.Equal(c.runsLater))
+		})
+	}
+}
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -104,10 +104,20 @@
 	if !bound {
 		return s.versions.Admits()
 	}
-	view, mayResume := s.e.opts.Directory.View(), s.versions.MayResume(version)
-	return func(server *directory.Server) bool {
-		return mayResume && (server == s.begunBy || view.RunsVersion(server, version))
+	if !s.versions.MayResume(version) {
+		return func(*directory.Server) bool { return false }
 	}
+	return s.canGoOnAt(version)
+}
+
+// canGoOnAt returns the servers that run the version that the stream is bound to. While that
+// of the server that began it is only assumed, these are that server alone.
+func (s *stream) canGoOnAt(version string) func(*directory.Server) bool {
+	if s.origin == nil {
+		return s.e.sameVersion(s.begunBy)
+	}
+	view := s.e.opts.Directory.View()
+	return func(server *directory.Server) bool { return view.RunsVersion(server, version) }
 }
 
 // maySend reports whether a server may get the stream's next attempt.
@@ -120,7 +130,8 @@
 // says that another version of the software can.
 func (e *Exchange) sameVersion(server *directory.Server) func(*directory.Server) bool {
 	view, version := e.opts.Directory.View(), server.Version()
-	return func(s *directory.Server) bool { return view.RunsVersion(s, version) }
+	known := view.RunsVersion(server, version)
+	return func(s *directory.Server) bool { return s == server || known && view.RunsVersion(s, version) }
 }
 
 // hasVersion reports whether a server of the version that began the stream may still take
@@ -131,9 +142,9 @@
 	if !bound {
 		return true
 	}
-	view := s.e.opts.Directory.View()
-	for _, server := range view.Service(s.req.Service) {
-		if !server.Draining() && view.RunsVersion(server, version) {
+	canGoOn := s.canGoOnAt(version)
+	for _, server := range s.e.opts.Directory.View().Service(s.req.Service) {
+		if !server.Draining() && canGoOn(server) {
 			return true
 		}
 	}
