--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -92,7 +92,7 @@
 // a caller that came back that prolongs the record.
 func (s *stream) recordOrigin(server *directory.Server) {
 	version := server.Version()
-	if s.e.opts.StreamVersions == nil || s.req.ResumesInvalid || !s.e.opts.Directory.View().RunsVersion(server, version) {
+	if s.e.opts.StreamVersions == nil || !s.req.Route.Resumable || s.req.ResumesInvalid || !s.e.opts.Directory.View().RunsVersion(server, version) {
 		return
 	}
 	s.e.opts.StreamVersions.Record(s.req.Service, s.req.streamID(), version, s.req.Deadline.Add(returnPeriod))
--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -26,6 +26,8 @@
 	// that all of them together stay within what the store carries.
 	saveInterval     = 500 * time.Millisecond
 	saveVMsPerSecond = 50
+	// saveRetryPause is the pause after a write that failed.
+	saveRetryPause = 2 * time.Second
 	// reloadInterval is the shortest time between two reads of all rows. Callers whose
 	// records nobody has come back together.
 	reloadInterval = 500 * time.Millisecond
@@ -90,19 +92,22 @@
 	tick := time.NewTicker(streamversion.Retention / 10)
 	defer tick.Stop()
 	for {
+		pause := r.interval()
 		select {
 		case <-ctx.Done():
 			r.saveLast(ctx)
 			return ctx.Err()
 		case <-r.changed:
 			hasRow = true
-			r.save(ctx)
+			if !r.save(ctx) {
+				pause = saveRetryPause
+			}
 		case <-tick.C:
 			if hasRow && !r.of.history.AnyMixed(time.Now()) {
 				hasRow = r.remove(ctx, []string{r.name()}) != nil
 			}
 		}
-		_ = retry.Wait(ctx, r.interval())
+		_ = retry.Wait(ctx, pause)
 	}
 }
 
@@ -122,9 +127,10 @@
 	}
 }
 
-// save writes this process's row. The rows are read before the first write, which would
-// otherwise overwrite what the former process of this VM has recorded.
-func (r *versionRows) save(ctx context.Context) {
+// save writes this process's row and reports whether that succeeded. The rows are read before
+// the first write, which would otherwise overwrite what the former process of this VM has
+// recorded.
+func (r *versionRows) save(ctx context.Context) bool {
 	err := r.loadOnce(ctx)
 	if err == nil {
 		err = r.write(ctx)
@@ -132,10 +138,11 @@
 	result := "ok"
 	if err != nil {
 		result = "failed"
-		r.markChanged() // tried again after the interval
+		r.markChanged() // tried again after the pause
 		r.of.opts.Recorder.Emit(EventVersionsNotSaved, "err", err)
 	}
 	r.of.metrics.saves.WithLabelValues(result).Inc()
+	return err == nil
 }
 
 func (r *versionRows) write(ctx context.Context) error {
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -191,39 +191,41 @@
 	if len(peers)+1 <= smallSite {
 		return peers
 	}
-	return rankedVMs(stream, peers)[:count]
+	return firstHolders(stream, peers, count)
 }
 
 // isHolder reports whether this VM gets the record of a stream from any VM that serves it.
-func (v *StreamVersions) isHolder(stream uint64) bool {
-	return v.holds(v.opts.Address, stream)
-}
+func (v *StreamVersions) isHolder(stream uint64) bool { return v.holds(v.opts.Address, stream) }
 
 // holds reports whether a VM gets the record of a stream from any VM that serves it.
 func (v *StreamVersions) holds(address string, stream uint64) bool {
-	all := append(slices.Clone(v.opts.Peers()), v.opts.Address)
-	if len(all) <= smallSite {
+	peers := v.opts.Peers()
+	if len(peers)+1 <= smallSite {
 		return true
 	}
-	return slices.Contains(rankedVMs(stream, all)[:streamReplicas], address)
+	return slices.Contains(firstHolders(stream, append(slices.Clone(peers), v.opts.Address), streamReplicas), address)
 }
 
-// rankedVMs returns addresses in the order in which they hold a stream's record. Each stream
-// has an order of its own, which changes little when VMs are added or removed.
-func rankedVMs(stream uint64, addresses []string) []string {
+// firstHolders returns the first addresses in the order in which VMs hold a stream's record.
+// Each stream has an order of its own, which changes little when VMs are added or removed.
+func firstHolders(stream uint64, addresses []string, count int) []string {
 	type ranked struct {
 		address string
 		rank    uint64
 	}
-	all := make([]ranked, len(addresses))
+	first := make([]ranked, 0, count+1)
 	var buf []byte
-	for i, a := range addresses {
+	for _, a := range addresses {
 		buf = append(binary.BigEndian.AppendUint64(buf[:0], stream), a...)
-		all[i] = ranked{a, xxhash.Sum64(buf)}
+		r := ranked{a, xxhash.Sum64(buf)}
+		i, _ := slices.BinarySearchFunc(first, r, func(x, y ranked) int { return cmp.Compare(x.rank, y.rank) })
+		if i < count {
+			first = slices.Insert(first, i, r)
+			first = first[:min(len(first), count)]
+		}
 	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	sorted := make([]string, len(all))
-	for i, r := range all {
+	sorted := make([]string, len(first))
+	for i, r := range first {
 		sorted[i] = r.address
 	}
 	return sorted
