soak, stand-in: servers of two versions, whose texts differ, and callers that come back

Callers of the new plan break off their streams or lose them and come back through any VM, naming the attempt that began them; the soak checks that all events of a stream, over all tries, are of one version, in order and once each, and that callers that come back go on at least half as often as new streams begin. Beside it VMs are killed, alone and all, stopped and paused, servers crash, are replaced by ones of the other version, and the store is away.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,7 +26,10 @@
 	Err          error         // why there is no response; nil if there is one
 	Status       int           // HTTP status; 0 if there is no response
 	Complete     bool          // the response was read to its end
-	Mismatch     string        // how the response differs from the expected one, or why the request is invalid; empty otherwise
+	leaveAfter   int           // events after which the caller closes its connection; 0: it doesn't
+	before       int           // events of the stream that the caller had before
+	got          streamProgress
+	Mismatch     string // how the response differs from the expected one, or why the request is invalid; empty otherwise
 }
 
 // Callers generates load: it sends requests to random VMs and records their outcomes.
@@ -58,6 +61,9 @@
 			wg.Go(func() { c.runIdleCaller(ctx, vm) })
 		}
 	}
+	for range c.site.size.ReturningCallers * c.site.size.VMs {
+		wg.Go(func() { c.runReturningCaller(ctx) })
+	}
 	c.generateLoad(ctx, callersPerVM*c.site.size.VMs)
 	wg.Wait()
 	c.client.CloseIdleConnections()
@@ -133,6 +139,7 @@
 		return
 	}
 	c.setHeaders(req, call.ID, key)
+	call.got.setHeaders(req.Header)
 	call.Sent = time.Now()
 	resp, err := client.Do(req)
 	call.Ended = time.Now()
@@ -186,23 +193,28 @@
 	c.checkStream(call, resp.Body)
 }
 
-// checkStream checks that a stream has all events of the server, in order and once each.
+// checkStream checks that a stream has all events of the server that the caller lacks, in
+// order, once each and of one version.
 func (c *Callers) checkStream(call *Call, body io.Reader) {
 	scanner := bufio.NewScanner(body)
-	last := 0
+	event := ""
 	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
-		if !ok {
-			continue
+		if data, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
+			event = data
+		}
+		if scanner.Text() != "" || event == "" {
+			continue // an event that is cut off has no empty line behind it
+		}
+		if call.Mismatch = call.got.add(call.Path, event); call.Mismatch != "" {
+			return
 		}
-		last++
-		if want := nursery.EventText(call.Path, nursery.EventVersion(data), last); data != want {
-			call.Mismatch = fmt.Sprintf("event %q, expected %q", data, want)
+		event = ""
+		if call.got.events == call.leaveAfter {
 			return
 		}
 	}
 	call.Complete = scanner.Err() == nil
-	if call.Complete && last != nursery.Events {
-		call.Mismatch = fmt.Sprintf("complete stream has %d events, expected %d", last, nursery.Events)
+	if call.Complete && call.got.events != nursery.Events {
+		call.Mismatch = fmt.Sprintf("complete stream has %d events, expected %d", call.got.events, nursery.Events)
 	}
 }
--- a/soak/loss_detector.go
+++ b/soak/loss_detector.go
@@ -55,7 +55,7 @@
 // were sent completely and that no fault may have affected.
 func (d *lossDetector) find(calls []Call) (lost []string, checked int) {
 	for _, c := range calls {
-		if d.nearFault(c) || c.Written.IsZero() {
+		if d.nearFault(c) || c.Written.IsZero() || c.left() {
 			continue
 		}
 		checked++
--- a/soak/run.go
+++ b/soak/run.go
@@ -38,15 +38,16 @@
 	Served      int // calls with a complete response of status 200
 	LossChecked int // calls that were sent completely and that no fault may have affected
 	Violations  []string
-	Crashes     int    // of servers under poisoned requests
+	Crashes     int // of servers under poisoned requests
+	Returns     returnCounts
 	Timeline    []Span // disruptions by their start
 	start       time.Time
 }
 
 // String returns a one-line summary.
 func (r Result) String() string {
-	return fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d disruptions, %d crashes under poisoned requests, %d violations",
-		r.Seed, r.Calls, r.Served, r.LossChecked, len(r.Timeline), r.Crashes, len(r.Violations))
+	return fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d of %d callers that came back went on, %d disruptions, %d crashes under poisoned requests, %d violations",
+		r.Seed, r.Calls, r.Served, r.LossChecked, r.Returns.wentOn, r.Returns.returned, len(r.Timeline), r.Crashes, len(r.Violations))
 }
 
 // FormatTimeline returns the disruptions, one per line.
@@ -104,6 +105,8 @@
 	r.Violations = append(r.Violations, retryBudgetViolations(calls, runs)...)
 	r.Violations = append(r.Violations, crashViolations(site.Cloud.Ledger.Crashes(), site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, limitViolations(site.Cloud.Ledger.Arrivals(), r.Timeline)...)
+	r.Returns = countReturns(calls)
+	r.Violations = append(r.Violations, r.Returns.violations()...)
 	r.Violations = append(r.Violations, recoveryViolations(calls, settled)...)
 	for _, vm := range site.VMs {
 		if n := vm.unexpectedExits.Load(); n > 0 {
@@ -125,7 +128,7 @@
 func recoveryViolations(calls []Call, since time.Time) []string {
 	sent, served := 0, 0
 	for _, c := range calls {
-		if c.Sent.Before(since) {
+		if c.Sent.Before(since) || c.left() {
 			continue
 		}
 		sent++
--- a/soak/site.go
+++ b/soak/site.go
@@ -21,6 +21,9 @@
 	ModelServers int // servers of the model service
 	PlainServers int // servers of the plain service
 	IdleCallers  int // callers per VM that leave their connection idle between requests
+	// Versions of the software of the model servers, by turns; empty: all have the same.
+	Versions         []string
+	ReturningCallers int // callers per VM that come back for the rest of a stream that was cut off
 	// Engine has the limits of the engines of the model service while disruptions go on;
 	// afterwards they have none.
 	Engine nursery.EngineLimits
@@ -88,7 +91,11 @@
 	}
 	var proxy *Proxy
 	var proxyErr error
-	server, err := s.Cloud.NewServer(service, zones[i%len(zones)], func(ownAddress string) string {
+	version := nursery.DefaultVersion
+	if n := len(s.size.Versions); n > 0 && service == modelService {
+		version = s.size.Versions[i/len(zones)%n] // each zone has all of them
+	}
+	server, err := s.Cloud.NewServerOfVersion(service, zones[i%len(zones)], version, func(ownAddress string) string {
 		if proxy, proxyErr = NewProxy(ownAddress); proxyErr != nil {
 			return ownAddress
 		}
