--- a/entry/returning_test.go
+++ b/entry/returning_test.go
@@ -71,3 +71,71 @@
 		})
 	}
 }
+
+// startWithTwoVersions starts a process in front of two servers of each of two versions.
+func startWithTwoVersions(t *testing.T) *testEnv {
+	env := startServing(t, 2, nil)
+	env.addServerOfVersion("s", "v2")
+	env.addServerOfVersion("s", "v2")
+	gomega.NewWithT(t).Eventually(env.logs.text, "10s", "10ms").Should(gomega.MatchRegexp("event=PY2710 .*listed=4 "))
+	return env
+}
+
+// replaceProcess ends a process and starts another one, which knows what the store has.
+func (env *testEnv) replaceProcess() *testEnv {
+	env.stop()
+	<-env.ended
+	return env.startPeer("edge-1")
+}
+
+// Guards against streams whose callers are refused after the loss of all entry VMs.
+func TestVersionsOfStreamsOutliveAllProcesses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	env := startWithTwoVersions(t)
+	began := map[string]string{}
+	for i := range 6 {
+		id := fmt.Sprint("first-", i)
+		first := env.send(testRequest{id: id, path: fmt.Sprintf("/stream/again/%d", i)}).readHead()
+		began[id] = first.readEvent()
+		g.Expect(first.Err).NotTo(gomega.HaveOccurred())
+		g.Expect(first.conn.Close()).To(gomega.Succeed())
+	}
+	later := env.replaceProcess()
+	for i := range 6 {
+		id := fmt.Sprint("first-", i)
+		again := later.send(testRequest{id: fmt.Sprint("again-", i), path: fmt.Sprintf("/stream/again/%d", i), extraHeader: "Last-Event-Id: 1\r\nResumes: " + id + "\r\n"}).readHead()
+		g.Expect(again.Status).To(gomega.Equal(200))
+		g.Expect(again.readEvent()).To(gomega.Equal(began[id]))
+	}
+}
+
+// Guards against a guess: beside two versions, a caller that names an attempt which is not
+// known, or in a way that can't be read, is refused, and nothing runs.
+func TestCallerThatNamesAnUnknownAttemptIsRefused(t *testing.T) {
+	env := startWithTwoVersions(t).replaceProcess()
+	for name, header := range map[string]string{
+		"unknown": "Resumes: nobody\r\n", "empty": "Resumes: \r\n", "itself": "Resumes: again-itself\r\n", "repeated": "Resumes: a\r\nResumes: a\r\n",
+		"oversized": "Resumes: " + strings.Repeat("a", 201) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			again := env.send(testRequest{id: "again-" + name, path: "/stream/again/1", extraHeader: "Last-Event-Id: 1\r\n" + header}).readHead()
+			g.Expect(again.Status).To(gomega.Equal(503))
+			g.Expect(again.Header.Get("Retry-After")).To(gomega.Equal("2.000"))
+			g.Expect(env.lastLine(again.id).Fields).To(gomega.HaveKeyWithValue("ended_by", "version"))
+			g.Expect(env.logs.text()).To(gomega.MatchRegexp("event=PY2780 .*request=%s .*how=unknown", again.id))
+			for _, run := range env.cloud.Ledger.Runs() {
+				g.Expect(run.Request).NotTo(gomega.Equal(again.id))
+			}
+		})
+	}
+}
+
+// Guards against refusing callers that do not know of versions.
+func TestCallerThatNamesNoAttemptGoesOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	env := startWithTwoVersions(t).replaceProcess()
+	again := env.send(testRequest{id: "again", path: "/stream/again/1", extraHeader: "Last-Event-Id: 1\r\n"}).readHead()
+	g.Expect(again.Status).To(gomega.Equal(200))
+	g.Expect(again.readEvent()).NotTo(gomega.BeEmpty())
+}
