--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,7 +25,7 @@
 	seeds           = flag.Int("soak.seeds", 2, "number of seeds that each test runs")
 	firstSeed       = flag.Uint64("soak.first", 1, "first seed; 0: the current time")
 	length          = flag.Duration("soak.length", 4*time.Second, "how long disruptions go on in a run")
-	parallel        = flag.Int("soak.beside", 3, "number of runs at a time, over all tests")
+	parallel        = flag.Int("soak.beside", 2, "number of runs at a time")
 	vms             = flag.Int("soak.vms", DefaultSize.VMs, "number of entry programs per run")
 	disruptionCount = flag.Int("soak.troubles", 0, "use only the first so many disruptions, to repeat a seed that failed before others were added; 0: all")
 	models          = flag.Int("soak.models", DefaultSize.ModelServers, "number of servers of the model service per run")
@@ -61,18 +61,15 @@
 	runPlans(t, plans)
 }
 
-// runSlots is a semaphore for as many runs as the flag soak.beside says.
-var runSlots = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *parallel) })
-
-// runPlans runs plans beside those of other tests.
+// runPlans runs plans, as many at a time as the flag soak.beside says.
 func runPlans(t *testing.T, plans []Plan) {
 	t.Helper()
-	t.Parallel()
+	slots := make(chan struct{}, *parallel)
 	var wg sync.WaitGroup
 	for _, plan := range plans {
+		slots <- struct{}{}
 		wg.Go(func() {
-			runSlots() <- struct{}{}
-			defer func() { <-runSlots() }()
+			defer func() { <-slots }()
 			runPlan(t, plan)
 		})
 	}
