--- a/fleet/limitmodel_test.go
+++ b/fleet/limitmodel_test.go
@@ -17,7 +17,6 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
-	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
 )
@@ -93,6 +92,8 @@
 
 // limitSite is a site of VMs in front of servers that may name limits, in virtual time.
 type limitSite struct {
+	modelBackend
+
 	servers map[string]*limitedServer
 	ids     []string
 	size    int // number of VMs
@@ -210,22 +211,6 @@
 	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewBufferString("x"))}, nil
 }
 
-// Probe implements exchange.Backend.
-func (m *limitSite) Probe(context.Context, *directory.Server) (int64, error) { return 0, nil }
-
-// CachedPrompts implements exchange.Backend.
-func (m *limitSite) CachedPrompts(context.Context, *directory.Server) (promptcache.Contents, error) {
-	return nil, nil
-}
-
-// Free implements exchange.Backend.
-func (m *limitSite) Free(context.Context, *exchange.KVCopy) error { return nil }
-
-// Copy implements exchange.Backend.
-func (m *limitSite) Copy(context.Context, *exchange.Request, *directory.Server, *directory.Server) (*exchange.KVCopy, error) {
-	return nil, io.ErrClosedPipe
-}
-
 // limitOutcome is what callers got.
 type limitOutcome struct {
 	served, refused int
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -19,7 +19,6 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
-	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/retry"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
@@ -38,6 +37,8 @@
 
 // versionSite is a site of VMs in front of servers of several versions, in virtual time.
 type versionSite struct {
+	modelBackend
+
 	store *versionStoreModel
 	// design switches parts of StreamVersions off, to compare designs.
 	design versionDesign
@@ -305,22 +306,6 @@
 	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: r}, nil
 }
 
-// Probe implements exchange.Backend.
-func (m *versionSite) Probe(context.Context, *directory.Server) (int64, error) { return 0, nil }
-
-// CachedPrompts implements exchange.Backend.
-func (m *versionSite) CachedPrompts(context.Context, *directory.Server) (promptcache.Contents, error) {
-	return nil, nil
-}
-
-// Free implements exchange.Backend.
-func (m *versionSite) Free(context.Context, *exchange.KVCopy) error { return nil }
-
-// Copy implements exchange.Backend.
-func (m *versionSite) Copy(context.Context, *exchange.Request, *directory.Server, *directory.Server) (*exchange.KVCopy, error) {
-	return nil, io.ErrClosedPipe
-}
-
 // versionCaller is a caller and what it has got, over all of its tries.
 type versionCaller struct {
 	first    string // id of the attempt that brought the first event
