--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -32,6 +32,7 @@
 const (
 	excusedDraining = "draining"  // the server was to leave: a completed roll-out stops the old ones without draining
 	excusedZoneLoss = "zone_lost" // most servers of its zone were lost, which says nothing about the requests
+	excusedAlive    = "alive"     // the same start answers a probe: it broke off one request, or was cut off for a moment
 )
 
 // checkCrash probes a server that broke off while it ran a request, and blames the
@@ -41,6 +42,7 @@
 	go func() {
 		<-e.probes.start(s).done
 		if !s.IsDown(time.Now()) {
+			e.excuseCrash(req, s, excusedAlive, zoneState{})
 			return
 		}
 		time.Sleep(crashConfirmDelay)
