platform, directory, fleet: what servers' answers say of their leaving is read, logged and told to other VMs

The adapter now reads the header in one place, in answers to requests and to all other calls but 421, which another server sends; the first such answer of each start is logged (PY2749), here and at the other VMs, which are told by datagrams. Values that can't be read are logged (PY2764).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,7 @@
 type Directory struct {
 	view atomic.Pointer[View]
 
+	leaving      leavingStarts
 	loadChanged  chan struct{} // holds one token after a change of load
 	limitChanged chan struct{} // holds one token after a change of a server's rate limit
 
@@ -71,6 +72,7 @@
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}}
+	d.leaving = leavingStarts{at: map[Start]time.Time{}, ready: make(chan struct{}, 1)}
 	d.view.Store(emptyView(0))
 	return d
 }
@@ -248,7 +250,7 @@
 // of the same id, nil if there is none.
 func (d *Directory) newStart(former *Server, l Listing, now time.Time) *Server {
 	s := newServer(l, now, d.notifyLoadChanged)
-	s.samples, s.onSample, s.onLimitChange = d.samplesAt(l.Address), d.queueUnsent, d.notifyLimitChanged
+	s.samples, s.onSample, s.onLimitChange, s.onLeaving = d.samplesAt(l.Address), d.queueUnsent, d.notifyLimitChanged, d.recordLeaving
 	if former != nil {
 		s.inheritCrash(former, now)
 	}
--- /dev/null
+++ b/directory/leaving.go
@@ -0,0 +1,93 @@
+package directory
+
+import (
+	"sync"
+	"time"
+)
+
+// leavingMemory is how long a start that has said that it leaves is remembered after it has
+// been dropped from the list. Its entry may come back as it was before, from the store after
+// an outage or from another entry VM, while the process still runs.
+const leavingMemory = 10 * time.Minute
+
+// LeavingNews is a server that has said in an answer that it leaves.
+type LeavingNews struct {
+	*Server
+	ByPeer bool // the answer was one to another entry VM
+}
+
+// leavingStarts remembers the starts that have said that they leave.
+type leavingStarts struct {
+	mu    sync.Mutex
+	at    map[Start]time.Time
+	news  []LeavingNews // not yet taken
+	ready chan struct{} // holds one token while there is news
+}
+
+// ReportLeaving records that an answer of the server has said that it leaves. Only another
+// start of the server ends that.
+func (s *Server) ReportLeaving(now time.Time) { s.reportLeaving(now, false) }
+
+func (s *Server) reportLeaving(now time.Time, byPeer bool) {
+	if s.saidLeaving.CompareAndSwap(false, true) {
+		s.onLeaving(LeavingNews{s, byPeer}, now)
+	}
+}
+
+// SaidLeaving reports whether the server has said in an answer that it leaves.
+func (s *Server) SaidLeaving() bool { return s.saidLeaving.Load() }
+
+// RecordPeerLeaving records that a server, given by the hash of its start, has said to
+// another entry VM that it leaves.
+func (d *Directory) RecordPeerLeaving(server uint32, now time.Time) {
+	s := d.view.Load().byHash[server]
+	if s == nil {
+		d.droppedReports.Add(1)
+		return
+	}
+	s.reportLeaving(now, true)
+}
+
+func (d *Directory) recordLeaving(news LeavingNews, now time.Time) {
+	l := &d.leaving
+	l.mu.Lock()
+	l.at[news.Start] = now
+	l.news = append(l.news, news)
+	l.mu.Unlock()
+	select {
+	case l.ready <- struct{}{}:
+	default:
+	}
+}
+
+// LeavingChanged returns a channel that holds a token while TakeLeavingNews has something.
+func (d *Directory) LeavingChanged() <-chan struct{} { return d.leaving.ready }
+
+// TakeLeavingNews returns the servers that have said that they leave since the last call.
+func (d *Directory) TakeLeavingNews() []LeavingNews {
+	l := &d.leaving
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	news := l.news
+	l.news = nil
+	return news
+}
+
+// knows reports whether a start has said that it leaves.
+func (l *leavingStarts) knows(start Start) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.at[start]
+	return ok
+}
+
+// expire forgets the starts that said so before now-leavingMemory and that no view holds.
+func (l *leavingStarts) expire(view *View, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for start, at := range l.at {
+		if s := view.byID[start.ID]; (s == nil || s.Start != start) && now.Sub(at) > leavingMemory {
+			delete(l.at, start)
+		}
+	}
+}
--- a/directory/server.go
+++ b/directory/server.go
@@ -25,6 +25,7 @@
 	versionAssumed atomic.Bool
 	rateLimit      atomic.Pointer[RateLimit] // nil: it has never named one
 	draining       atomic.Bool
+	saidLeaving    atomic.Bool  // it has said in an answer that it leaves
 	removed        atomic.Bool  // it was dropped from the view, or another start replaced it
 	replaced       atomic.Bool  // another start of its id is known: this process has ended
 	warmAt         atomic.Int64 // Unix nanoseconds at which it is no longer cold
@@ -39,12 +40,14 @@
 	peerStreams      atomic.Int64
 	peerCopies       atomic.Int64
 	peerQueuedTokens atomic.Int64
-	startHash        uint32       // of the start; identifies it among entry VMs
-	idHash           uint32       // of the id, the same for all its starts; determines its cell and partition
-	onLoadChange     func()       // called when the load of streams here changes
-	onLimitChange    func()       // called when its rate limit changes
-	reportedCalls    atomic.Int64 // other processes' requests according to its last response
-	reportedAt       atomic.Int64 // Unix nanoseconds of that response
+	startHash        uint32 // of the start; identifies it among entry VMs
+	idHash           uint32 // of the id, the same for all its starts; determines its cell and partition
+	onLoadChange     func() // called when the load of streams here changes
+	onLimitChange    func() // called when its rate limit changes
+	// onLeaving is called once, when it is first known to have said that it leaves.
+	onLeaving     func(LeavingNews, time.Time)
+	reportedCalls atomic.Int64 // other processes' requests according to its last response
+	reportedAt    atomic.Int64 // Unix nanoseconds of that response
 
 	prefillStats prefillStats
 	samples      *prefillSamples   // shared by all starts at its address
@@ -73,7 +76,7 @@
 func newServer(l Listing, now time.Time, onLoadChange func()) *Server {
 	s := &Server{
 		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
-		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, samples: &prefillSamples{},
+		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, onLeaving: func(LeavingNews, time.Time) {}, samples: &prefillSamples{},
 	}
 	s.lastSignAt.Store(now.UnixNano())
 	s.setVersion(l.Version)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,6 +91,7 @@
 	election        *fleet.Election
 	budgets         *fleet.Budgets
 	serverLimits    *fleet.ServerLimits
+	leaving         *fleet.Leaving
 	suspects        *suspect.Ledger
 	suspectGossiper *suspect.Gossiper
 	rollouts        *rollout.Controller
@@ -105,6 +106,7 @@
 	shutdown        *shutdownState
 	canceller       *requestCanceller
 	invalidLimitAt  atomic.Int64 // Unix nanoseconds of the newest log line on an invalid limit
+	invalidHeaderAt atomic.Int64 // the same on another invalid header of an answer
 	wasReady        atomic.Bool
 	runningRequests atomic.Int64
 }
@@ -181,6 +183,7 @@
 	e.serverLimits = fleet.NewServerLimits(fleet.ServerLimitsOptions{
 		Socket: e.socket, Peers: e.fleet.Peers, Size: e.fleet.Size, Directory: e.directory, Recorder: e.recorder,
 	})
+	e.leaving = fleet.NewLeaving(fleet.LeavingOptions{Socket: e.socket, Directory: e.directory, Recorder: e.recorder})
 	e.streamVersions = fleet.NewStreamVersions(fleet.StreamVersionsOptions{
 		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory,
 		ListAge: e.serverFollower.Age, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
@@ -237,6 +240,17 @@
 	e.recorder.Emit(EventInvalidLimit, "server", s.Start, "values", fmt.Sprintf("%.100q", values))
 }
 
+// reportInvalidHeader logs an answer's header, other than a rate limit, that can't be read. It
+// has no effect.
+func (e *Entry) reportInvalidHeader(s *directory.Server, header string, values []string) {
+	now := time.Now().UnixNano()
+	last := e.invalidHeaderAt.Load()
+	if now-last < int64(invalidLimitInterval) || !e.invalidHeaderAt.CompareAndSwap(last, now) {
+		return
+	}
+	e.recorder.Emit(EventInvalidHeader, "server", s.Start, "header", header, "values", fmt.Sprintf("%.100q", values))
+}
+
 // newRollouts sets up the roll-outs that the configuration in force orders.
 func (e *Entry) newRollouts(store *platform.Store) {
 	e.rollouts = rollout.New(rollout.Options{
@@ -260,6 +274,7 @@
 	s := e.settings
 	backend := platform.NewBackend(e.pool)
 	backend.OnInvalidLimit = e.reportInvalidLimit
+	backend.OnInvalidHeader = e.reportInvalidHeader
 	e.exchange = exchange.New(exchange.Options{
 		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts, StreamVersions: e.streamVersions,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
@@ -345,6 +360,7 @@
 	addBackground(&group, e.election.Run)
 	addBackground(&group, e.budgets.Run)
 	addBackground(&group, e.serverLimits.Run)
+	addBackground(&group, e.leaving.Run)
 	addBackground(&group, e.rolloutMessages.Run)
 	addBackground(&group, e.decider.Run)
 	addBackground(&group, e.suspects.Run)
--- a/entry/events.go
+++ b/entry/events.go
@@ -57,3 +57,8 @@
 var EventInvalidLimit = event.Define(2763, "entry_invalid_limit", event.Warn,
 	"an answer of a backend server holds a rate limit that can't be read, or more than one; it has no effect",
 	"look at the server: it asks for less work, and gets as much as before")
+
+// EventInvalidHeader is emitted for another header in which an answer says something of its
+// backend server and that can't be read.
+var EventInvalidHeader = event.Define(2764, "entry_invalid_header", event.Warn,
+	"an answer of a backend server says something of that server that can't be read; it has no effect", "look at the server: it may ask for rest, or say that it leaves")
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -43,3 +43,8 @@
 	EventVersionsNotRead = event.Define(2748, "fleet_stream_versions_not_read", event.Warn,
 		"which versions began the streams of other entry VMs could not be read from the store", "check the store; callers that come back are refused if no other entry VM knows the version of their stream")
 )
+
+// EventServerLeaves is emitted once for each start of a backend server that is known to have
+// said in an answer that it leaves.
+var EventServerLeaves = event.Define(2749, "fleet_server_leaves", event.Info,
+	"a backend server has said in an answer that it leaves, to this process or to another entry VM (by_peer); it gets no new work, whatever the store lists", "nothing")
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -39,7 +39,7 @@
 //
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
-// versions that began streams: see streamwire.go.
+// versions that began streams: see streamwire.go. Servers that leave: see encodeLeaving.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
@@ -62,6 +62,7 @@
 	// kindStreamPull has no body.
 	kindStreamPull     kind = 17
 	kindServedVersions kind = 18
+	kindLeaving        kind = 19
 
 	headerBytes       = 13
 	countBytes        = 4
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -53,6 +53,7 @@
 	FailedPerMille atomic.Int64
 	SlowFactor     atomic.Int64
 	rateLimit      atomic.Pointer[float64] // that its answers name; nil: none
+	saysLeaving    atomic.Bool             // its answers say that it leaves
 
 	ownAddress string // that the server listens on
 	crashed    atomic.Bool
@@ -133,6 +134,7 @@
 	s.ownAddress = listener.Addr().String()
 	s.id, s.startMillis = id, max(s.startMillis+1, time.Now().UnixMilli())
 	s.draining = false
+	s.saysLeaving.Store(false)
 	s.crashed.Store(false)
 	s.cloud.forgetCopies(s.Address)
 	s.engine = newEngine(s.limits, s.version)
@@ -184,6 +186,10 @@
 	s.rateLimit.Store(&perSecond)
 }
 
+// SayLeaving makes all answers of this incarnation say that it leaves. Its entry stays as it
+// is.
+func (s *Server) SayLeaving() { s.saysLeaving.Store(true) }
+
 // ActiveRequests returns how many requests the server is serving.
 func (s *Server) ActiveRequests() int64 { return s.active.Load() }
 
@@ -292,7 +298,17 @@
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", id) })
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(e, id, startMillis, w, r) })
-	return mux
+	return s.announceLeaving(mux)
+}
+
+// announceLeaving adds to each answer that the server leaves, if it does.
+func (s *Server) announceLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.saysLeaving.Load() {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 const (
