--- a/exchange/stream_test.go
+++ b/exchange/stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/site"
 )
 
 // eventInterval is the time between two events of a healthy server that reads no prompt.
@@ -274,6 +275,30 @@
 	})
 }
 
+// Guards against a stream that resumes from the copy on a server that has said in an answer
+// that it leaves, and against one that keeps its copy there.
+func TestCopyOnAServerThatSaysItLeavesIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newTestbed(inOrder(streams(50, eventInterval, io.ErrUnexpectedEOF), streams(130, eventInterval, nil)))
+		b.opts.Services = func(string) (site.Service, bool) {
+			return site.Service{Name: "s", Copies: true, CopiesOnDemand: true}, true
+		}
+		var copyAt *directory.Server
+		time.AfterFunc(20*eventInterval, func() {
+			copyAt = b.backend.sent()[0].CopyTo
+			copyAt.ReportLeaving(time.Now())
+		})
+		sink, err := runStream(t, b, streamRequest())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
+		sent := b.backend.sent()
+		g.Expect(sent).To(gomega.HaveLen(2))
+		g.Expect(sent[1].Server).NotTo(gomega.Equal(copyAt))
+		g.Expect(sent[1].ResumeFrom).NotTo(gomega.BeNil(), "it resumed from the copy that replaced that one")
+	})
+}
+
 // The server that holds a stream's copy starts to leave, and seconds later the stream's
 // own server is lost. The leaving server gets nothing new, not even the stream that it
 // holds a copy of.
