directory: a server that says in an answer that it leaves gets no new work, whatever is listed

What callers saw: requests went to a server for seconds after it had said that it leaves; what it can't finish before it ends is lost or begins anew.

Class: what a server says of itself does not reach the choice.

The state belongs to the start: it is set once, and no list, entry of another VM or later answer ends it. Starts that are dropped from the list while the store is away and come back as ready are remembered. All that asks Draining follows: choices, retries, hedges, takeovers, holders and targets of copies, cached prompts, streams bound to a version. Streams that run there go on. The VM that got the answer tells the others, once a second for as long as a new VM takes to be known.

Ways weighed: taking it for a fault (a server with faults is still used as a last resort: requests would reach it when all others are at their limits); putting it into the list that VMs pass on (the next list of the store would undo it); a state of the start (kept).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -167,6 +167,7 @@
 	}
 	old.markReplaced(next, now)
 	d.dropOldSamples(next, now)
+	d.leaving.expire(next, now)
 	d.peerLoadsMu.Lock()
 	defer d.peerLoadsMu.Unlock()
 	d.computePeerTotals(next)
@@ -251,6 +252,7 @@
 func (d *Directory) newStart(former *Server, l Listing, now time.Time) *Server {
 	s := newServer(l, now, d.notifyLoadChanged)
 	s.samples, s.onSample, s.onLimitChange, s.onLeaving = d.samplesAt(l.Address), d.queueUnsent, d.notifyLimitChanged, d.recordLeaving
+	s.saidLeaving.Store(d.leaving.knows(s.Start))
 	if former != nil {
 		s.inheritCrash(former, now)
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -115,14 +115,17 @@
 }
 
 // Draining reports whether it takes no new work.
-func (s *Server) Draining() bool { return s.draining.Load() || s.removed.Load() }
+func (s *Server) Draining() bool { return s.isToLeave() || s.removed.Load() }
 
-// Leaving reports whether its end is planned: it was draining, or was taken off the list
+// Leaving reports whether its end is planned: it was to leave, or was taken off the list
 // without another start in its place.
 func (s *Server) Leaving() bool {
-	return s.draining.Load() || (s.removed.Load() && !s.replaced.Load())
+	return s.isToLeave() || (s.removed.Load() && !s.replaced.Load())
 }
 
+// isToLeave reports whether its entry or an answer of its own has said that it leaves.
+func (s *Server) isToLeave() bool { return s.draining.Load() || s.saidLeaving.Load() }
+
 // Ended reports whether its process is known to have ended.
 func (s *Server) Ended() bool {
 	if !s.hasIssues.Load() {
--- a/directory/start.go
+++ b/directory/start.go
@@ -126,7 +126,7 @@
 // toListing returns the server's entry as it is known here.
 func (s *Server) toListing() Listing {
 	return Listing{
-		ID: s.ID, Born: s.Born, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Version: s.Version(), Draining: s.draining.Load(),
+		ID: s.ID, Born: s.Born, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Version: s.Version(), Draining: s.isToLeave(),
 	}
 }
 
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -9,9 +9,9 @@
 	"github.com/pearyard/pearyard/event"
 )
 
-// leavingRepeats is how many times it is told that a server leaves, a resendInterval apart:
-// a datagram may be lost.
-const leavingRepeats = 3
+// leavingRepeats is how many times it is told that a server leaves, a resendInterval apart: a
+// datagram may be lost, and a VM that has just joined is known after registryPollInterval.
+const leavingRepeats = 2 + int(registryPollInterval/resendInterval)
 
 // LeavingOptions configures a Leaving.
 type LeavingOptions struct {
