platform, directory: how long servers ask for rest is read and logged

The adapter reads what a 503 names, with or without the word that the request was not run, and the directory keeps the longest of a start; a new rest is logged (PY2765), values that can't be read too (PY2764): dates (clocks differ), negative ones, words. Of several values the longest that can be read holds, and none is longer than five minutes. No decision uses it yet.

--- a/directory/server.go
+++ b/directory/server.go
@@ -25,11 +25,12 @@
 	versionAssumed atomic.Bool
 	rateLimit      atomic.Pointer[RateLimit] // nil: it has never named one
 	draining       atomic.Bool
-	saidLeaving    atomic.Bool  // it has said in an answer that it leaves
-	removed        atomic.Bool  // it was dropped from the view, or another start replaced it
-	replaced       atomic.Bool  // another start of its id is known: this process has ended
-	warmAt         atomic.Int64 // Unix nanoseconds at which it is no longer cold
-	lastSignAt     atomic.Int64 // Unix nanoseconds of its newest sign of life
+	saidLeaving    atomic.Bool          // it has said in an answer that it leaves
+	rest           atomic.Pointer[rest] // nil: it has asked for none, or has taken a request since
+	removed        atomic.Bool          // it was dropped from the view, or another start replaced it
+	replaced       atomic.Bool          // another start of its id is known: this process has ended
+	warmAt         atomic.Int64         // Unix nanoseconds at which it is no longer cold
+	lastSignAt     atomic.Int64         // Unix nanoseconds of its newest sign of life
 
 	// Load that this process has put there.
 	calls        atomic.Int64 // plain calls in flight
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -275,6 +275,9 @@
 	backend := platform.NewBackend(e.pool)
 	backend.OnInvalidLimit = e.reportInvalidLimit
 	backend.OnInvalidHeader = e.reportInvalidHeader
+	backend.OnRest = func(s *directory.Server, asked, granted time.Duration) {
+		e.recorder.Emit(EventServerRests, "server", s.Start, "service", s.Service, "zone", s.Zone, "asked", asked, "granted", granted)
+	}
 	e.exchange = exchange.New(exchange.Options{
 		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts, StreamVersions: e.streamVersions,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
--- a/entry/events.go
+++ b/entry/events.go
@@ -62,3 +62,9 @@
 // backend server and that can't be read.
 var EventInvalidHeader = event.Define(2764, "entry_invalid_header", event.Warn,
 	"an answer of a backend server says something of that server that can't be read; it has no effect", "look at the server: it may ask for rest, or say that it leaves")
+
+// EventServerRests is emitted when a backend server turns a request away and asks for rest,
+// once for each rest.
+var EventServerRests = event.Define(2765, "entry_server_rests", event.Info,
+	"a backend server has turned a request away and wants nothing from this process for a time; asked is what it named, granted how long it gets nothing",
+	"if many servers of a service do so, the service needs more of them")
--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -22,6 +22,28 @@
 	arrivals []Run // including refused requests
 	ends     map[string][]RunEnd
 	crashes  []Crash // under poisoned requests
+	rests    []Rest
+}
+
+// Rest is a request that a server turned away with a wish for rest.
+type Rest struct {
+	Request, Server string
+	StartMillis     int64
+	At              time.Time
+	For             time.Duration
+}
+
+func (l *Ledger) recordRest(r Rest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rests = append(l.rests, r)
+}
+
+// Rests returns the requests that servers turned away with a wish for rest.
+func (l *Ledger) Rests() []Rest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Rest(nil), l.rests...)
 }
 
 // RunEnd tells how a run ended, as its server saw it.
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -54,6 +54,7 @@
 	SlowFactor     atomic.Int64
 	rateLimit      atomic.Pointer[float64] // that its answers name; nil: none
 	saysLeaving    atomic.Bool             // its answers say that it leaves
+	turnsAway      atomic.Int64            // the rest that it asks for while it turns requests away, in nanoseconds; 0: it takes them
 
 	ownAddress string // that the server listens on
 	crashed    atomic.Bool
@@ -135,6 +136,7 @@
 	s.id, s.startMillis = id, max(s.startMillis+1, time.Now().UnixMilli())
 	s.draining = false
 	s.saysLeaving.Store(false)
+	s.turnsAway.Store(0)
 	s.crashed.Store(false)
 	s.cloud.forgetCopies(s.Address)
 	s.engine = newEngine(s.limits, s.version)
@@ -190,6 +192,10 @@
 // is.
 func (s *Server) SayLeaving() { s.saysLeaving.Store(true) }
 
+// TurnAway makes the server turn requests away, each with a wish for rest. A time of 0 ends
+// that.
+func (s *Server) TurnAway(rest time.Duration) { s.turnsAway.Store(int64(rest)) }
+
 // ActiveRequests returns how many requests the server is serving.
 func (s *Server) ActiveRequests() int64 { return s.active.Load() }
 
@@ -345,6 +351,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if rest := time.Duration(s.turnsAway.Load()); rest > 0 {
+		s.cloud.Ledger.recordRest(Rest{Request: request, Server: id, StartMillis: startMillis, At: time.Now(), For: rest})
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		refuse(w)
+		return
+	}
 	from := r.Header.Get("Kv-From")
 	if from != "" && !s.cloud.hasCopy(s.Address, from) {
 		refuse(w)
