directory, exchange, platform: a server that asks for rest gets nothing until the rest is over

What callers saw: requests were sent to servers that had just asked for rest, turned away again and retried, and servers in need got no relief.

Cause: nothing read how long a server asks for; a 503 was a fault of weight 0.3, which does not count for streams that can be resumed. Class: what a server says of itself does not reach the choice.

The rest belongs to one start and one VM, is the longest that was asked for, and bars the server from each choice: first attempts, retries, hedges, takeovers, copies, queries for cached prompts. No answer ends it before its time. Afterwards the server gets one request each 250 ms until it has answered one. A refusal in a rest is no fault of the server, its version or its speed, and starts no probe. Where all servers of a service rest, a caller waits if the soonest end leaves half of its objective, else it is refused at once, to come back at that end, spread over 0.8 s. A lost server is no choice while one that is alive rests. A rate limit that a server names counts beside it: first the rest, then the limit.

--- a/directory/pick.go
+++ b/directory/pick.go
@@ -75,6 +75,9 @@
 		}
 	}
 	for _, grade := range grades {
+		if grade.down && anyRests(list, now) {
+			return nil // one that is alive and rests is soon of more use than one that is lost
+		}
 		if s := best(list, q, zones, grade, now); s != nil {
 			return s
 		}
@@ -101,13 +104,18 @@
 	return (g.avoidedZone || !c.inAvoidedZone) && (g.suspectZone || !c.inSuspectZone) && (g.down || !c.down) && (g.faulty || c.faults <= maxFaults)
 }
 
+// anyRests reports whether one of the servers could take a request if it did not rest.
+func anyRests(list []*Server, now time.Time) bool {
+	return slices.ContainsFunc(list, func(s *Server) bool { return s.Resting(now) && !s.Draining() && !s.IsDown(now) })
+}
+
 // best returns the candidate with the lowest score among those that a grade allows.
 func best(list []*Server, q Query, zones lossesByZone, g grade, now time.Time) *Server {
 	var found *Server
 	var least float64
 	q.sampleShare = sampleShare(len(list))
 	for _, s := range list {
-		if s.Draining() || s.Ended() || !q.admits(s) {
+		if s.Draining() || s.Ended() || s.Resting(now) || !q.admits(s) {
 			continue
 		}
 		c := s.candidate(q, zones, now)
@@ -123,11 +131,12 @@
 	return found
 }
 
-// Healthy returns the servers of this process's cell that are neither draining nor lost.
+// Healthy returns the servers of this process's cell that are neither draining nor lost and
+// do not rest.
 func (d *Directory) Healthy(service string, now time.Time) []*Server {
 	var healthy []*Server
 	for _, s := range d.serversInOwnCell(d.view.Load().Service(service)) {
-		if !s.Draining() && !s.IsDown(now) {
+		if !s.Draining() && !s.IsDown(now) && !s.Resting(now) {
 			healthy = append(healthy, s)
 		}
 	}
@@ -135,7 +144,8 @@
 }
 
 // Usable reports whether a server that holds state, such as a copy or a cached prompt,
-// may still be used: it is neither draining nor lost, alone or with its zone.
+// may still be used: it is neither draining nor lost, alone or with its zone. It may rest,
+// which is over before the state is lost.
 func (d *Directory) Usable(s *Server, now time.Time) bool {
 	if s.Draining() || s.Ended() || s.IsDown(now) {
 		return false
--- a/directory/speed.go
+++ b/directory/speed.go
@@ -186,7 +186,7 @@
 	var found *Server
 	var least time.Duration
 	for _, s := range d.serversInOwnCell(list) {
-		if q.Exclude[s.Start] || s.Draining() || !q.admits(s) || s.IsDown(now) || zones.suspects(s) || s.RecentFaults(now) > maxFaults {
+		if q.Exclude[s.Start] || s.Draining() || s.Resting(now) || !q.admits(s) || s.IsDown(now) || zones.suspects(s) || s.RecentFaults(now) > maxFaults {
 			continue
 		}
 		if t := end(s); found == nil || t < least {
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -196,6 +196,9 @@
 		if at == nil && a.copyState.Load() == copyTaken {
 			continue
 		}
+		if a.server.Resting(time.Now()) {
+			continue // it would be the one to send a copy
+		}
 		if at != nil && s.e.opts.Directory.Usable(at, time.Now()) {
 			s.refreshCopy(ctx, a)
 			continue
@@ -214,7 +217,7 @@
 // prompts.
 func (s *stream) refreshCopy(ctx context.Context, a *streamAttempt) {
 	old := a.copies.requested()
-	if old == nil {
+	if old == nil || old.Server.Resting(time.Now()) {
 		return
 	}
 	copyCtx, cancel := context.WithTimeout(ctx, copyTimeout)
--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -39,6 +39,16 @@
 	verdictAlive   = "alive"   // the same start answers a probe: it broke off one request, or was cut off for a moment
 )
 
+// checkBroken looks for the crash of a server that broke off a run, unless it is known to be
+// alive.
+func (e *Exchange) checkBroken(req *Request, s *directory.Server, run *trackedRun, err error, proven bool) {
+	if askedForRest(err) {
+		run.end()
+		return
+	}
+	e.checkCrash(req, s, run, proven)
+}
+
 // checkCrash probes a server that broke off while it ran a request, and blames the
 // request if the server has died. It ends the run once that is judged. proven is set if the
 // server had sent a part of the response: then more likely another request crashed it.
--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -121,7 +121,7 @@
 	switch {
 	case errors.As(err, &late):
 		return EndedByNoServer
-	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined), errors.Is(err, ErrHeld), errors.Is(err, ErrServerLimits):
+	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined), errors.Is(err, ErrHeld), errors.Is(err, ErrServerLimits), errors.Is(err, ErrServersRest):
 		return EndedByLimit
 	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
 		return EndedByVersion
--- a/exchange/enginemodel_test.go
+++ b/exchange/enginemodel_test.go
@@ -82,6 +82,9 @@
 	engines map[string]*modelEngine
 	length  func(id string) int           // events of a request's stream
 	arrived func(*modelEngine, *modelRun) // called with each run that an engine admits; may be nil
+	// turnsAway is called with each request that reaches an engine and reports whether it is
+	// turned away; may be nil.
+	turnsAway func(*directory.Server) bool
 }
 
 func newModelBackend(ctx context.Context, ids []string, slowness func(i int) float64) *modelBackend {
@@ -217,6 +220,10 @@
 
 // Open implements Backend.
 func (b *modelBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
+	sentAt := time.Now()
+	if b.turnsAway != nil && b.turnsAway(a.Server) {
+		return nil, &NotRunError{Reason: Busy, Err: io.ErrClosedPipe}
+	}
 	r, err := b.engines[a.Server.ID].admit(ctx, a, b.length(a.Request.ID))
 	if err != nil {
 		return nil, err
@@ -234,6 +241,7 @@
 			return nil, &BrokenError{Err: r.ended}
 		}
 		body.rest = first
+		a.Server.ReportServed(sentAt)
 		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
 	case <-ctx.Done():
 		return nil, &BrokenError{Err: ctx.Err()}
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -34,7 +34,12 @@
 
 // BrokenError says that the attempt was sent but got no complete response: it may have
 // run.
-type BrokenError struct{ Err error }
+type BrokenError struct {
+	Err error
+	// AskedForRest is set if the server turned the request away and asked for rest, but did
+	// not say that it has not run it.
+	AskedForRest bool
+}
 
 // Error implements error.
 func (e *BrokenError) Error() string { return "exchange: broken: " + e.Err.Error() }
@@ -59,6 +64,8 @@
 	ErrBudget = errors.New("exchange: retry budget spent")
 	// ErrNoServer: no backend server is available for the request.
 	ErrNoServer = errors.New("exchange: no backend server takes the request")
+	// ErrServersRest: all backend servers of the service have asked this process for rest.
+	ErrServersRest = errors.New("exchange: the backend servers have asked for rest")
 	// ErrServerLimits: the rate limits that the backend servers have named leave no room.
 	ErrServerLimits = errors.New("exchange: the backend servers are at the rate limits that they have named")
 	// ErrVersionGone: of the version that began a stream no backend server is left.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -214,6 +214,8 @@
 		e.markEnded(s, err)
 	case errors.As(err, &notRun) && notRun.Reason == Unreachable:
 		e.markLost(s, err)
+	case s.Resting(now) && (errors.As(err, &notRun) || askedForRest(err)):
+		// It gets nothing until its rest is over, and is as good as the others then.
 	case errors.As(err, &notRun):
 		s.RecordFault(now, busyFaultWeight)
 	case errors.Is(err, ErrServerLost):
--- a/exchange/limits.go
+++ b/exchange/limits.go
@@ -10,9 +10,12 @@
 // a large service a choice looks at hundreds of servers.
 const maxLimitedTries = 8
 
-// takeLimit reports whether a server's rate limit leaves room for a request, and counts the
-// request if so.
+// takeLimit reports whether a server's rate limit leaves room for a request, and whether it
+// is the request's turn if the server's rest is just over. It counts the request if so.
 func (e *Exchange) takeLimit(s *directory.Server) bool {
+	if !s.TakeTurn(time.Now()) {
+		return false
+	}
 	if e.opts.ServerLimits == nil || e.opts.ServerLimits.Take(s) {
 		return true
 	}
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -120,7 +120,7 @@
 	if !c.req.hasTime(time.Now()) {
 		return nil, c.refusal(ErrNoTime)
 	}
-	if err := c.launch(ctx); err != nil {
+	if err := c.launchFirst(ctx); err != nil {
 		return nil, c.refusal(err)
 	}
 	hedge := c.hedgeTimer()
@@ -208,6 +208,9 @@
 	server, err := c.e.pickWithinLimit(func() (*directory.Server, error) {
 		return c.e.pick(directory.Query{Service: c.req.Service, Zone: c.e.opts.Zone, Exclude: c.tried}, c.versions), nil
 	}, func(s *directory.Server) { c.tried[s.Start] = true })
+	if _, rest := c.allRestUntil(); server == nil && err == nil && rest {
+		return nil, ErrServersRest
+	}
 	if server == nil && err == nil {
 		err = ErrNoServer
 	}
@@ -299,7 +302,7 @@
 		c.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
 	} else {
 		c.ran++
-		c.e.checkCrash(c.req, r.server, c.takeRun(r.run), false)
+		c.e.checkBroken(c.req, r.server, c.takeRun(r.run), r.err, false)
 		c.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
 	c.e.recordFailure(r.server, r.err)
@@ -355,6 +358,8 @@
 		after = heldRetryAfter
 	case errors.Is(err, ErrServerLimits):
 		after = c.e.limitRetryAfter(c.req.Service)
+	default:
+		after = max(after, c.e.restRetryAfter(c.restQuery()))
 	}
 	return &Failure{By: c.req.failedBy(err), Ran: c.ran > 0, RetryAfter: after, Err: err}
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -187,7 +187,7 @@
 			// resume from an earlier copy refuses, which costs a retry of the budget.
 			a.copies.drop()
 		}
-		s.e.checkCrash(s.req, a.server, a.run, a.gotEvent)
+		s.e.checkBroken(s.req, a.server, a.run, err, a.gotEvent)
 		a.run = nil
 		s.e.metrics.attempts.WithLabelValues("broken").Inc()
 	}
@@ -217,7 +217,7 @@
 
 // mayRetry reports whether one more attempt is allowed.
 func (s *stream) mayRetry() bool {
-	if s.ran+s.abandoned >= s.req.Route.Attempts() || s.refusedSinceEvent >= 2*maxNotRunTries {
+	if s.ran+s.abandoned >= s.req.Route.Attempts() || (s.refusedSinceEvent >= 2*maxNotRunTries && !s.mayAwaitRest()) {
 		return false
 	}
 	if s.ran > 0 && !s.req.Route.Resumable {
@@ -286,6 +286,12 @@
 			s.e.metrics.versionGone.Inc()
 			return nil, nil, ErrVersionGone
 		}
+		if end, rest := s.allRestUntil(); rest {
+			if !s.req.canWaitUntil(end) {
+				return nil, nil, ErrServersRest
+			}
+			giveUp = later(giveUp, end.Add(afterRestWait))
+		}
 		if time.Now().After(giveUp) {
 			return nil, nil, ErrNoServer
 		}
@@ -310,7 +316,7 @@
 		return false
 	}
 	at := s.current.copies.holder()
-	return at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now()) && s.maySend(at)
+	return at != nil && !s.tried[at.Start] && s.e.opts.Directory.Usable(at, time.Now()) && !at.Resting(time.Now()) && s.maySend(at)
 }
 
 // reserveRetry takes the next attempt out of the retry budget, unless the last attempt
@@ -384,6 +390,8 @@
 		after = versionRetryAfter
 	case errors.Is(err, ErrServerLimits):
 		after = s.e.limitRetryAfter(s.req.Service)
+	default:
+		after = max(after, s.e.restRetryAfter(s.restQuery()))
 	}
 	return &Failure{By: by, Ran: s.inProgress || s.ran > 0, TimedOut: errors.Is(err, ErrNoTime), RetryAfter: after, Err: err}
 }
--- a/exchange/versions.go
+++ b/exchange/versions.go
@@ -40,11 +40,11 @@
 }
 
 // brokenObservation returns what an attempt without a complete response shows of its
-// server's version. Attempts that did not run and those whose server is lost show nothing:
-// servers are lost with every version.
+// server's version. Attempts that did not run, or whose server asked for rest or is lost, show
+// nothing: that happens with every version.
 func brokenObservation(s *directory.Server, err error) rollout.Observation {
 	var notRun *NotRunError
-	if errors.As(err, &notRun) || errors.Is(err, ErrServerLost) || s.IsDown(time.Now()) {
+	if errors.As(err, &notRun) || askedForRest(err) || errors.Is(err, ErrServerLost) || s.IsDown(time.Now()) {
 		return rollout.Observation{}
 	}
 	return rollout.Observation{Ended: true, Failed: true}
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -48,6 +48,8 @@
 	// CauseServerLimit: the backend servers were at the rate limits that they had named
 	// (PY2745).
 	CauseServerLimit Cause = "server_limit"
+	// CauseServerRest: all backend servers had asked for rest (PY2765).
+	CauseServerRest Cause = "server_rest"
 	// CauseQuarantined: refused or ended, because the request had crashed several servers (PY2727),
 	// or may have and another copy of it was running (PY2721).
 	CauseQuarantined Cause = "crashes_servers"
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -44,6 +44,7 @@
 	textQuarantined = exchange.ErrQuarantined.Error()
 	textHeld        = exchange.ErrHeld.Error()
 	textServerLimit = exchange.ErrServerLimits.Error()
+	textServerRest  = exchange.ErrServersRest.Error()
 )
 
 func (o *openRequest) recordFailedAttempt(rec *record) {
@@ -228,6 +229,8 @@
 		return CauseQuarantined
 	case e.rec.contains(fieldError, textServerLimit):
 		return CauseServerLimit
+	case e.rec.contains(fieldError, textServerRest):
+		return CauseServerRest
 	default:
 		return CauseRetryBudget
 	}
