--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,7 @@
 	Err          error         // why there is no response; nil if there is one
 	Status       int           // HTTP status; 0 if there is no response
 	Complete     bool          // the response was read to its end
+	ToldLeaving  time.Time     // when the response's head came, if it says that its server leaves
 	leaveAfter   int           // events after which the caller closes its connection; 0: it doesn't
 	before       int           // events of the stream that the caller had before
 	got          streamProgress
@@ -149,6 +150,9 @@
 	}
 	defer resp.Body.Close()
 	call.Status = resp.StatusCode
+	if resp.Header.Get("Server-Leaving") != "" {
+		call.ToldLeaving = call.Ended
+	}
 	if id := resp.Header.Get("Attempt-Id"); id != call.ID {
 		call.Mismatch = fmt.Sprintf("the response has Attempt-Id %q", id)
 		return
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -36,17 +36,44 @@
 	return Plan{Size: size, Seed: seed, Disruptions: append(disruptions, disruptionsNamed(others)...), Length: length}
 }
 
+// MassPoisonPlan returns a plan of so many copies of poisoned requests that they crash whole
+// zones, beside lost zones, servers that leave or rest, outages of the store and restarts of
+// VMs.
+func MassPoisonPlan(size Size, seed uint64, length time.Duration) Plan {
+	size.ModelServers = max(size.ModelServers, massModelServers)
+	disruptions := []Disruption{massPoisonDisruption, massPoisonDisruption, leavingDisruption, restDisruption}
+	others := append(slices.Clone(vmRestarts), "server crash", "zone of servers crash", "zone of servers crash and are back under their ids", "store silent", "history dropped", "load")
+	return Plan{Size: size, Seed: seed, Disruptions: append(disruptions, disruptionsNamed(others)...), Length: length}
+}
+
+const (
+	// massModelServers is large enough for a zone in which several servers crash one after the
+	// other.
+	massModelServers = 12
+	maxMassContents  = 6
+	maxMassCopies    = 12
+)
+
 var poisonDisruption = Disruption{Name: "poisoned requests", group: noGroup, run: func(s *Site, rng *rand.Rand, duration time.Duration) {
+	s.poison(rng, 1+rng.IntN(maxPoisoned), poisonedCopies, poisonTime+duration)
+}}
+
+var massPoisonDisruption = Disruption{Name: "poisoned requests that crash whole zones", group: noGroup, run: func(s *Site, rng *rand.Rand, duration time.Duration) {
+	s.poison(rng, 1+rng.IntN(maxMassContents), poisonedCopies+rng.IntN(maxMassCopies), poisonTime+duration)
+}}
+
+// poison has callers send copies of some poisoned requests again and again for a time.
+func (s *Site) poison(rng *rand.Rand, contents, copies int, d time.Duration) {
 	var callers sync.WaitGroup
-	end := time.Now().Add(poisonTime + duration)
-	for range 1 + rng.IntN(maxPoisoned) {
+	end := time.Now().Add(d)
+	for range contents {
 		path := fmt.Sprintf("%s%08x", nursery.PoisonPath, rng.Uint32())
-		for copy := range poisonedCopies {
+		for copy := range copies {
 			callers.Go(func() { s.callers.insist(path, copy, end) })
 		}
 	}
 	callers.Wait()
-}}
+}
 
 // poisonTime is long enough for a poisoned request to crash three servers one after the
 // other, each of which is found out within a second, and to come back after
--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -13,6 +13,7 @@
 	At                                    time.Time // when the request arrived
 	ResumedAfter                          int       // event after which it resumed; 0 for a fresh run
 	RateLimit                             *float64  // that the server's answer names, requests a second; nil: none
+	Leaving                               bool      // the server's answer says that it leaves
 }
 
 // Ledger records what the servers ran, for the checks of the tests.
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -340,7 +340,7 @@
 func (s *Server) serve(e *engine, id string, startMillis int64, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("Attempt-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	run := Run{Request: request, Server: id, StartMillis: startMillis, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), ResumedAfter: after, RateLimit: s.rateLimit.Load()}
+	run := Run{Request: request, Server: id, StartMillis: startMillis, Target: r.RequestURI, Organisation: r.Header.Get("Tenant"), At: time.Now(), ResumedAfter: after, RateLimit: s.rateLimit.Load(), Leaving: s.saysLeaving.Load()}
 	if run.RateLimit != nil {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(*run.RateLimit, 'f', -1, 64))
 	}
