suspect, exchange: excused crashes of requests that have survived lately are not told; runs end with their request

Runs of a request whose handler panics stayed on record; they end with the request now. An accused call is not hedged, which could have delayed its answer by the second that it waits for its turn. Tests of ./suspect ./exchange green.

--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -76,11 +76,11 @@
 	}
 	within, cancel := req.withDeadline(ctx)
 	c := &call{e: e, req: req, cancel: map[directory.Start]context.CancelFunc{}, results: make(chan result, maxNotRunTries+req.Route.Attempts()+1), tried: map[directory.Start]bool{}, fingerprint: req.Fingerprint()}
+	defer c.endRuns()
 	c.versions = e.opts.Rollouts.Assign(req.Service, req.ID, true)
 	reply, err := c.run(within)
 	c.versions.Release()
 	c.cancelLosers(reply)
-	c.endRuns()
 	if reply != nil && reply.Rest != nil {
 		reply.Rest = &trackedRest{Body: reply.Rest, call: c, status: reply.Status, ctx: within, cancel: cancel}
 		return reply, nil
@@ -144,7 +144,7 @@
 				return c.fallback()
 			}
 		case <-hedge.C:
-			if c.mayTry() && c.pending > 0 && c.e.allowRetry(c.req.Service) {
+			if c.mayTry() && c.pending > 0 && !c.e.opts.Suspects.Accused(c.fingerprint) && c.e.allowRetry(c.req.Service) {
 				_ = c.launch(ctx) // without a second server the first one's answer is awaited
 			}
 		case <-ctx.Done():
@@ -315,7 +315,7 @@
 	return run
 }
 
-// endRuns ends the runs of all attempts.
+// endRuns ends the runs of the attempts that are not over.
 func (c *call) endRuns() {
 	for _, run := range c.runs {
 		run.end()
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -76,11 +76,11 @@
 	defer cancel()
 	s := e.newStream(req, sink)
 	defer e.active.remove(s.active)
+	defer s.endRuns()
 	err = s.run(within)
 	s.versions.Release()
 	if s.current != nil {
 		s.current.copies.close()
-		s.current.run.end()
 	}
 	if err == nil {
 		e.opts.Suspects.RecordCompletion(req.Fingerprint())
@@ -226,6 +226,15 @@
 	return true
 }
 
+// endRuns ends the runs of the attempts that are not over.
+func (s *stream) endRuns() {
+	for _, a := range []*streamAttempt{s.current, s.next} {
+		if a != nil {
+			a.run.end()
+		}
+	}
+}
+
 // nextRun begins the run of the next attempt: it returns its server, and the copy of the
 // KV cache to resume from, if there is one.
 func (s *stream) nextRun(ctx context.Context) (*directory.Server, *KVCopy, *trackedRun, error) {
--- a/suspect/accusation.go
+++ b/suspect/accusation.go
@@ -63,8 +63,8 @@
 // Involved reports whether an accused request ran on an engine when it died.
 func (a *Accusations) Involved(death string) bool { return a.ran[death] > 0 }
 
-// AlwaysBesideOthers reports whether another accused request ran on each engine that died
-// under an accused one: any of them may have crashed it.
+// AlwaysBesideOthers reports whether this request is accused and another accused one ran on
+// each engine that died under it: any of them may have crashed these engines.
 func (a *Accusations) AlwaysBesideOthers(fp types.Fingerprint) bool {
 	for _, death := range a.accused[fp] {
 		if a.ran[death] < 2 {
--- a/suspect/completions.go
+++ b/suspect/completions.go
@@ -7,15 +7,15 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-// completions holds when requests last ran to completion through this process. Writers
-// share no lock.
+// completions holds when requests last ran to completion, or made progress, through this
+// process. Writers share no lock.
 type completions struct {
 	at sync.Map // types.Fingerprint -> time.Time
 }
 
 func (c *completions) record(fp types.Fingerprint, now time.Time) { c.at.Store(fp, now) }
 
-// since reports whether a request ran to completion after t.
+// since reports whether a request ran to completion or made progress after t.
 func (c *completions) since(fp types.Fingerprint, t time.Time) bool {
 	at, ok := c.at.Load(fp)
 	return ok && at.(time.Time).After(t)
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -45,10 +45,15 @@
 }
 
 // ExcuseDeath records that an engine died while it ran a request and that this does not
-// count against the request. RecordWeightedDeath for the same death makes it count.
+// count against the request. RecordWeightedDeath for the same death makes it count. Requests
+// that can't be accused are passed over: the loss of a zone ends many streams, and all
+// processes would be told of each.
 func (l *Ledger) ExcuseDeath(death string, fp types.Fingerprint, proven bool, why Excuse) {
-	entry := Entry{Fingerprint: fp}
 	at := l.opts.Now().Round(0)
+	if l.completions.since(fp, at.Add(-accusationWindow)) {
+		return
+	}
+	entry := Entry{Fingerprint: fp}
 	for _, id := range weightedIDs(death, proven) {
 		entry.Deaths = append(entry.Deaths, Death{ID: id, At: at, Excuse: why})
 	}
