--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,7 +25,7 @@
 	seeds           = flag.Int("soak.seeds", 2, "number of seeds that each test runs")
 	firstSeed       = flag.Uint64("soak.first", 1, "first seed; 0: the current time")
 	length          = flag.Duration("soak.length", 4*time.Second, "how long disruptions go on in a run")
-	parallel        = flag.Int("soak.beside", 2, "number of runs at a time")
+	parallel        = flag.Int("soak.beside", 2, "number of runs at a time, of all tests together")
 	vms             = flag.Int("soak.vms", DefaultSize.VMs, "number of entry programs per run")
 	disruptionCount = flag.Int("soak.troubles", 0, "use only the first so many disruptions, to repeat a seed that failed before others were added; 0: all")
 	models          = flag.Int("soak.models", DefaultSize.ModelServers, "number of servers of the model service per run")
@@ -61,14 +61,16 @@
 	runPlans(t, plans)
 }
 
-// runPlans runs plans, as many at a time as the flag soak.beside says.
+// runPlans runs plans beside those of other tests, as many at a time in all as the flag
+// soak.beside says.
 func runPlans(t *testing.T, plans []Plan) {
 	t.Helper()
-	slots := make(chan struct{}, *parallel)
+	t.Parallel()
+	slots := runSlots()
 	var wg sync.WaitGroup
 	for _, plan := range plans {
-		slots <- struct{}{}
 		wg.Go(func() {
+			slots <- struct{}{}
 			defer func() { <-slots }()
 			runPlan(t, plan)
 		})
@@ -76,6 +78,9 @@
 	wg.Wait()
 }
 
+// runSlots returns a channel that has room for the runs in progress.
+var runSlots = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *parallel) })
+
 // selectedDisruptions returns the disruptions that the flag soak.troubles selects.
 func selectedDisruptions() []Disruption {
 	if *disruptionCount > 0 {
