directory: an answer that says that its server leaves counts if the server was listed anew meanwhile

Found in reading: the state was set at the server that the request had been sent to. If its entry had been dropped and listed again while the request was under way, the new record of the same start knew nothing of it. Test red before: TestAnswerToRequestSentBeforeServerWasListedAnew. go test ./directory -run 'Leav|Listed|Peer|Start' green.

--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -54,6 +54,10 @@
 	l.at[news.Start] = now
 	l.news = append(l.news, news)
 	l.mu.Unlock()
+	// It may have been listed anew since the request was sent.
+	if s := d.view.Load().byID[news.ID]; s != nil && s.Start == news.Start {
+		s.saidLeaving.Store(true)
+	}
 	select {
 	case l.ready <- struct{}{}:
 	default:
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -43,6 +43,19 @@
 	})
 }
 
+// Guards against a start that is listed anew while a request is under way to it, whose answer
+// says that it leaves.
+func TestAnswerToRequestSentBeforeServerWasListedAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withStarts(Start{"a1", 100}, Start{"a2", 100})
+	asked := d.server("a1")
+	d.Apply(2, listingsOf(Start{"a2", 100}), false, time.Now())
+	d.Apply(3, listingsOf(Start{"a1", 100}, Start{"a2", 100}), false, time.Now())
+	g.Expect(d.server("a1")).NotTo(gomega.BeIdenticalTo(asked))
+	asked.ReportLeaving(time.Now())
+	g.Expect(d.server("a1").Draining()).To(gomega.BeTrue())
+}
+
 // Guards against what another VM has heard of one start of a server that is held against
 // another start.
 func TestPeerSaysThatServerLeaves(t *testing.T) {
