--- a/standin/nursery/store.go
+++ b/standin/nursery/store.go
@@ -49,6 +49,7 @@
 	rows    map[string]row // by table/key; deleted rows stay as tombstones
 	version uint64         // of the newest change in any table
 	dropped uint64         // changes up to this version can't be read any more
+	era     uint64         // how many times the store has come back from a copy
 	changed chan struct{}  // closed and replaced at each change
 	fault   StoreFault
 
@@ -96,6 +97,7 @@
 		s.mu.Lock()
 		fault := s.fault
 		s.mu.Unlock()
+		setEra(w, s.Era())
 		switch fault {
 		case StoreBusy:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -180,7 +182,7 @@
 	if s.losesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	s.answer(w, nil)
+	s.answer(w, s.selectRows(func(row) bool { return false }))
 }
 
 // writeIf writes rows if others have their expected versions, and reports whether it did.
@@ -222,13 +224,19 @@
 	}))
 }
 
-func (s *Store) selectRows(match func(row) bool) []row {
+// result is what a call reads, as of a single moment.
+type result struct {
+	rows         []row
+	version, era uint64
+}
+
+func (s *Store) selectRows(match func(row) bool) result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []row
+	found := result{rows: []row{}, version: s.version, era: s.era}
 	for _, x := range s.rows {
 		if match(x) {
-			found = append(found, x)
+			found.rows = append(found.rows, x)
 		}
 	}
 	return found
@@ -243,21 +251,23 @@
 	end := time.After(min(maxWait, time.Duration(waitMs)*time.Millisecond))
 	for {
 		s.mu.Lock()
-		changed, gone := s.changed, since < s.dropped
+		changed, dropped := s.changed, s.dropped
 		s.mu.Unlock()
-		if gone {
+		found := s.selectRows(func(x row) bool { return x.Table == q.Get("table") && x.Version > since })
+		// A version after the newest one was given out before the store came back from a copy.
+		if since < dropped || since > found.version {
+			setEra(w, found.era)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		rows := s.selectRows(func(x row) bool { return x.Table == q.Get("table") && x.Version > since })
-		if len(rows) > 0 {
-			s.answer(w, rows)
+		if len(found.rows) > 0 {
+			s.answer(w, found)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			s.answer(w, nil)
+			s.answer(w, found)
 			return
 		case <-r.Context().Done():
 			return
@@ -265,13 +275,13 @@
 	}
 }
 
-func (s *Store) answer(w http.ResponseWriter, rows []row) {
-	s.mu.Lock()
-	version := s.version
-	s.mu.Unlock()
-	if rows == nil {
-		rows = []row{}
-	}
+func (s *Store) answer(w http.ResponseWriter, found result) {
+	setEra(w, found.era)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "hasMore": false, "rowVersion": version, "currentTimeMs": time.Since(s.startedAt).Milliseconds()})
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": found.rows, "hasMore": false, "rowVersion": found.version, "currentTimeMs": time.Since(s.startedAt).Milliseconds()})
+}
+
+// setEra names the store's era in an answer.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 }
