platform, site, directory: the store's era, and what is refused for its position, are logged

The record can't tell whether the store was away with a new era, nor that an offered version was refused for its position (hypotheses 1, 2 and 4 of docs/incidents/store-from-a-copy.md). No logic changes: the era is read, compared with nothing, and logged.

PY2766 the store names another era; PY2767 an answer names an earlier or invalid one, or none although others do, at most each 10 s; PY2705 a configuration with another number is not taken, with the reason, once for each number; PY2716 a list of the store is ignored, at most each 2 s.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -43,6 +43,9 @@
 	retainPeriod = 2200 * time.Millisecond
 )
 
+// fromStore is the origin of a list in log lines, unless it is a peer's address.
+const fromStore = "store"
+
 // Follower keeps a Directory up to date with a Source.
 type Follower struct {
 	Directory  *Directory
@@ -52,10 +55,11 @@
 	Share      follow.Share              // may be nil
 	ProbeGroup *follow.ProbeGroup        // shared by all followers of the same store; may be nil
 
-	loop     atomic.Pointer[follow.Loop]
-	listedAt time.Time     // time of the newest whole list; used by Run alone
-	position atomic.Uint64 // up to which changes are known
-	retained atomic.Bool   // servers are in use that are missing from the newest list
+	loop      atomic.Pointer[follow.Loop]
+	listedAt  time.Time     // time of the newest whole list; used by Run alone
+	position  atomic.Uint64 // up to which changes are known
+	ignoredAt atomic.Int64  // Unix nanoseconds of the newest log line on an ignored list
+	retained  atomic.Bool   // servers are in use that are missing from the newest list
 }
 
 // Run follows the source until ctx ends.
@@ -103,7 +107,7 @@
 	}
 	return func() {
 		if len(changed)+len(gone) > 0 {
-			f.apply(position, merge(f.Directory.View().Listings, changed, gone), f.retaining(), "store")
+			f.apply(position, merge(f.Directory.View().Listings, changed, gone), f.retaining(), fromStore)
 		}
 		f.advance(position)
 	}, nil
@@ -116,7 +120,7 @@
 	}
 	return func() {
 		f.listedAt = time.Now()
-		f.apply(position, list, f.retaining(), "store")
+		f.apply(position, list, f.retaining(), fromStore)
 		f.advance(position)
 	}, nil
 }
@@ -177,6 +181,7 @@
 	change := f.Directory.Apply(position, list, retainMissing, time.Now())
 	if change.Ignored {
 		// An ignored list says nothing about the servers that are retained now.
+		f.reportIgnored(position, from)
 		return
 	}
 	f.retained.Store(len(change.Retained) > 0)
@@ -195,6 +200,23 @@
 	}
 }
 
+// ignoredInterval is the shortest time between two log lines on lists of the store that are
+// ignored: it is read up to 2.5 times a second.
+const ignoredInterval = 2 * time.Second
+
+// reportIgnored logs that a list of the store is ignored. A peer's may well be older.
+func (f *Follower) reportIgnored(position uint64, from string) {
+	if from != fromStore {
+		return
+	}
+	now := time.Now().UnixNano()
+	last := f.ignoredAt.Load()
+	if now-last < int64(ignoredInterval) || !f.ignoredAt.CompareAndSwap(last, now) {
+		return
+	}
+	f.Recorder.Emit(EventIgnored, "position", position, "in_force", f.Directory.View().Position)
+}
+
 // maxLoggedIDs is the number of ids in a log line, enough for the loss of a zone of a
 // typical site. Unbounded, a process's first list of thousands makes a line of 40 KB.
 const maxLoggedIDs = 40
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,9 @@
 	// invalidLimitInterval is the shortest time between two log lines on invalid limits, as
 	// each answer may hold one.
 	invalidLimitInterval = time.Second
+	// invalidEraInterval is the shortest time between two log lines on eras of the store
+	// that are not used, as each answer may have one.
+	invalidEraInterval = 10 * time.Second
 	// retryBudgetShare is the fraction of the retry budget that is used. The rest is a
 	// margin: whoever counts retries may assign a retry and the first tries that
 	// allowed it to different windows.
@@ -107,6 +110,7 @@
 	canceller       *requestCanceller
 	invalidLimitAt  atomic.Int64 // Unix nanoseconds of the newest log line on an invalid limit
 	invalidHeaderAt atomic.Int64 // the same on another invalid header of an answer
+	invalidEraAt    atomic.Int64 // the same on an era of the store that is not used
 	wasReady        atomic.Bool
 	runningRequests atomic.Int64
 }
@@ -120,6 +124,7 @@
 	e := &Entry{settings: s, callers: opts.Callers, serving: make(chan struct{}), registry: prometheus.NewRegistry(), startedAt: time.Now(), shutdown: newShutdownState(), canceller: newRequestCanceller(), configHolder: site.NewHolder(), directory: directory.New()}
 	e.recorder = event.NewRecorder(log.With(opts.Logger, "ts", log.DefaultTimestampUTC, "process", s.Name), eventRingSize)
 	store := platform.NewStore(s.Store, e.registry)
+	store.OnEra(e.reportEra, e.reportInvalidEra)
 	e.configFollower = &site.Follower{Holder: e.configHolder, Source: store, Recorder: e.recorder, OnFailure: e.askPeers}
 	e.serverFollower = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, OnFailure: e.askPeers}
 	client := &http.Client{Timeout: peerTimeout}
@@ -229,6 +234,21 @@
 	})
 }
 
+// reportEra logs that the store names another era.
+func (e *Entry) reportEra(c platform.EraChange) {
+	e.recorder.Emit(EventStoreEra, "era", c.Era, "was", c.Known, "config_position", e.configHolder.Position(), "list_position", e.directory.View().Position)
+}
+
+// reportInvalidEra logs an answer of the store whose era is not used.
+func (e *Entry) reportInvalidEra(c platform.EraChange) {
+	now := time.Now().UnixNano()
+	last := e.invalidEraAt.Load()
+	if now-last < int64(invalidEraInterval) || !e.invalidEraAt.CompareAndSwap(last, now) {
+		return
+	}
+	e.recorder.Emit(EventInvalidEra, "era", c.Era, "known", c.Known, "values", fmt.Sprintf("%.100q", c.Values))
+}
+
 // reportInvalidLimit logs a rate limit of a backend server that can't be read. It has no
 // effect.
 func (e *Entry) reportInvalidLimit(s *directory.Server, values []string) {
--- a/entry/events.go
+++ b/entry/events.go
@@ -68,3 +68,11 @@
 var EventServerRests = event.Define(2765, "entry_server_rests", event.Info,
 	"a backend server has turned a request away and wants nothing from this process for a time; asked is what it named, granted how long it gets nothing",
 	"if many servers of a service do so, the service needs more of them")
+
+// Events of the store's era.
+var (
+	EventStoreEra = event.Define(2766, "entry_store_era", event.Warn,
+		"the store names an era for the first time: either the first one that this process sees, or the store has come back from a copy that lacks changes it had accepted", "if was is not 0: what was written in the last seconds before is written again by its writers; see docs/OPERATIONS.md")
+	EventInvalidEra = event.Define(2767, "entry_store_era_invalid", event.Warn,
+		"an answer of the store names an earlier era, an invalid one, or none although others do", "check what answers at the store's address")
+)
--- a/site/events.go
+++ b/site/events.go
@@ -12,6 +12,8 @@
 		"the store no longer provides the configuration to this process; peers are asked instead", "check whether other processes lost it too; see docs/OPERATIONS.md")
 	EventStoreRegained = event.Define(2703, "site_store_regained", event.Info,
 		"the store provides the configuration to this process again", "nothing")
+	EventRefused = event.Define(2705, "site_config_refused", event.Info,
+		"a configuration with another version number than the one in force is not taken", "nothing if by says version: a newer one is known; see docs/OPERATIONS.md otherwise")
 	EventPartlyUnreadable = event.Define(2704, "site_config_parts", event.Error,
 		"parts of the configuration in force can't be read: requests of the routes concerned are refused, all else is in force", "compare the named parts with the previous version")
 )
--- a/site/follow.go
+++ b/site/follow.go
@@ -51,6 +51,7 @@
 	loop       atomic.Pointer[follow.Loop]
 	reached    atomic.Uint64 // position up to which changes were read; written by Run alone
 	unreadable atomic.Uint64 // position of the newest unreadable version that was logged
+	refused    atomic.Uint64 // version number of the newest refused version that was logged
 }
 
 // Run follows the source until ctx ends.
@@ -129,9 +130,28 @@
 	f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
 }
 
+// reportRefused logs a version that is not taken although its number differs from that of
+// the version in force. A number is logged once in a row: each read returns it again.
+func (f *Follower) reportRefused(v *Versioned, from string) {
+	inForce := f.Holder.Current()
+	if v.Config.Version == inForce.Config.Version || f.refused.Swap(v.Config.Version) == v.Config.Version {
+		return
+	}
+	by := "position"
+	if v.Config.Version < inForce.Config.Version {
+		by = "version"
+	}
+	f.Recorder.Emit(EventRefused, "version", v.Config.Version, "position", v.Position, "in_force", inForce.Config.Version,
+		"in_force_position", inForce.Position, "by", by, "from", from)
+}
+
 // Offer puts a version in force if it is newer, and logs it.
 func (f *Follower) Offer(v *Versioned, from string) {
-	if v == nil || !f.Holder.Offer(v) {
+	if v == nil {
+		return
+	}
+	if !f.Holder.Offer(v) {
+		f.reportRefused(v, from)
 		return
 	}
 	if f.OnApplied != nil {
