entry: failing test of changes of the configuration after the store came back from a copy

Two VMs, the store back from a copy that lacks the newest configuration and a server, both written again at once. 1.5 s later a route is added and a key revoked.

--- /dev/null
+++ b/entry/storecopy_test.go
@@ -0,0 +1,95 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/standin/nursery"
+)
+
+// lostCopy is how the store comes back from a copy.
+type lostCopy struct {
+	lost      int // versions that it had given out after the copy
+	caughtUp  int // versions that it gives out again right after its return
+	perSecond int // versions that others' writes take each second from then on
+	away      time.Duration
+}
+
+func (c lostCopy) String() string {
+	return fmt.Sprintf("%d lost, %d at once, %d/s, away %v", c.lost, c.caughtUp, c.perSecond, c.away)
+}
+
+// lostCopies are cases in which the store's versions stay behind those known before, catch up
+// later, or have caught up before anybody asks again.
+var lostCopies = []lostCopy{
+	{lost: 60, caughtUp: 2, away: 400 * time.Millisecond},
+	{lost: 6, away: 300 * time.Millisecond},
+	{lost: 30, caughtUp: 2, perSecond: 50, away: 100 * time.Millisecond},
+	{lost: 60, caughtUp: 2, away: 4 * time.Second},
+	{lost: 20, caughtUp: 60, away: 300 * time.Millisecond},
+	{lost: 20, caughtUp: 20},
+}
+
+// writeOthers lets others write n times.
+func (env *testEnv) writeOthers(n int) {
+	for i := range n {
+		env.store.Put("other", fmt.Sprint(i), nil)
+	}
+}
+
+// comeBack plays a loss of the store. What change writes after the copy is lost, as are the
+// newest configuration and a server's entry, which are written again at once.
+func (env *testEnv) comeBack(c lostCopy, change func()) nursery.LostRows {
+	from := env.store.Copy()
+	env.writeOthers(c.lost)
+	env.configure(2, `"k0","k1"`, testRoutes...)
+	env.addServer("s")
+	again := env.store.LostSince(from)
+	change()
+	// The VMs see the highest version.
+	time.Sleep(500 * time.Millisecond)
+	if c.away > 0 {
+		env.store.SetFault(nursery.StoreBusy)
+		time.Sleep(c.away)
+	}
+	lost := env.store.LostSince(from)
+	env.store.ComeBack(from)
+	env.writeOthers(c.caughtUp)
+	env.store.WriteAgain(again)
+	env.store.SetFault(nursery.StoreHealthy)
+	if c.perSecond > 0 {
+		go func() {
+			for range 4 * c.perSecond {
+				time.Sleep(time.Second / time.Duration(c.perSecond))
+				env.writeOthers(1)
+			}
+		}()
+	}
+	return lost
+}
+
+// changeLimit is how long a change may take until it is in force.
+const changeLimit = 2 * time.Second
+
+// Guards against a configuration that is not in force because the store, back from a copy,
+// names it by a position before the one of the configuration in force.
+func TestChangeAfterStoreCameBackFromCopyIsInForce(t *testing.T) {
+	for _, c := range lostCopies {
+		t.Run(c.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			env := startServing(t, 2, nil)
+			peer := env.startPeer("edge-2")
+			env.comeBack(c, func() {})
+			time.Sleep(1500 * time.Millisecond)
+			env.configure(3, `"k0"`, append(testRoutes, testRoute("/added/", "non_idempotent", `"maxAttempts":1,"timeoutMs":8000`))...)
+			time.Sleep(changeLimit)
+			for _, vm := range []*testEnv{env, peer} {
+				g.Expect(vm.send(testRequest{id: "added" + vm.callerAddr, path: "/added/1"}).readHead().Status).To(gomega.Equal(200), "a route was added")
+				g.Expect(vm.send(testRequest{id: "revoked" + vm.callerAddr, path: "/once/1", key: "k1"}).readHead().Status).To(gomega.Equal(401), "a key was revoked")
+			}
+		})
+	}
+}
--- a/standin/nursery/copies.go
+++ b/standin/nursery/copies.go
@@ -22,10 +22,8 @@
 	copied map[string]uint64 // version of the row in the copy, by table/key
 }
 
-// ComeBack replaces the store's state by a copy, in a new era. Versions given out since the
-// copy are given out again. It returns what the operator and the backend servers have
-// written since; what others have written since is gone.
-func (s *Store) ComeBack(from StoreCopy) LostRows {
+// LostSince returns what the operator and the backend servers have written since a copy.
+func (s *Store) LostSince(from StoreCopy) LostRows {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lost := LostRows{copied: map[string]uint64{}}
@@ -35,10 +33,17 @@
 			lost.copied[key] = known.Version
 		}
 	}
+	return lost
+}
+
+// ComeBack replaces the store's state by a copy, in a new era. Versions given out since the
+// copy are given out again, and what was written since is gone.
+func (s *Store) ComeBack(from StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.rows, s.version, s.dropped = maps.Clone(from.rows), from.version, min(s.dropped, from.version)
 	s.era++
 	s.notifyWatchers()
-	return lost
 }
 
 // WriteAgain writes the lost rows that have not been written since the store came back.
