--- a/entry/storecopy_test.go
+++ b/entry/storecopy_test.go
@@ -93,3 +93,22 @@
 		})
 	}
 }
+
+// Guards against new work for a server that leaves after the store, back from a copy, names
+// its list by a position before the one of the list in force.
+func TestServerThatLeavesAfterStoreCameBackFromCopyGetsNoNewWork(t *testing.T) {
+	for _, c := range lostCopies {
+		t.Run(c.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			env := startServing(t, 2, nil)
+			peer := env.startPeer("edge-2")
+			env.comeBack(c, func() {})
+			time.Sleep(1500 * time.Millisecond)
+			env.servers[0].Drain()
+			time.Sleep(changeLimit)
+			since := time.Now()
+			g.Expect(sendFor(time.Second, "/once/then/", env, peer)).To(gomega.BeZero())
+			g.Expect(env.arrivalsSince(env.servers[0], since)).To(gomega.BeZero())
+		})
+	}
+}
