--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,12 +6,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pearyard/pearyard/types"
 )
 
 // View is an immutable list of servers.
 type View struct {
-	Position       uint64 // of the list in the store's history
-	UnchangedSince uint64 // the oldest position at which the list had the same content
+	Position       types.Position // of the list in the store's history
+	UnchangedSince types.Position // the oldest position at which the list had the same content
 	byService      map[string][]*Server
 	byID           map[string]*Server  // the known start of each id
 	byHash         map[uint32]*Server  // the same servers by the hash of their start
@@ -77,7 +79,7 @@
 	return d
 }
 
-func emptyView(position uint64) *View {
+func emptyView(position types.Position) *View {
 	return &View{Position: position, UnchangedSince: position, byService: map[string][]*Server{}, byID: map[string]*Server{}, byHash: map[uint32]*Server{}, versions: map[string][]string{}}
 }
 
@@ -121,7 +123,7 @@
 // An invalid entry has not expired: it was overwritten, and the store returns its current
 // content. Its server is removed at once, whatever retainMissing is: otherwise it would
 // get new work for seconds after another writer replaced the entry.
-func (d *Directory) Apply(position uint64, list []Listing, retainMissing bool, now time.Time) Change {
+func (d *Directory) Apply(position types.Position, list []Listing, retainMissing bool, now time.Time) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.view.Load()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 func listing(ids ...string) []Listing {
@@ -222,26 +223,26 @@
 // fakeStore is a Source that can fail.
 type fakeStore struct {
 	mu       sync.Mutex
-	position uint64
+	position types.Position
 	list     []Listing
 	err      error
 	tooOld   bool
 }
 
 // set changes what the store responds from now on.
-func (s *fakeStore) set(position uint64, list []Listing, err error, tooOld bool) {
+func (s *fakeStore) set(position types.Position, list []Listing, err error, tooOld bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position, s.list, s.err, s.tooOld = position, list, err, tooOld
 }
 
-func (s *fakeStore) List(context.Context) (uint64, []Listing, error) {
+func (s *fakeStore) List(context.Context) (types.Position, []Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.position, s.list, s.err
 }
 
-func (s *fakeStore) Changes(ctx context.Context, after uint64, wait time.Duration) (uint64, []Listing, []string, error) {
+func (s *fakeStore) Changes(ctx context.Context, after types.Position, wait time.Duration) (types.Position, []Listing, []string, error) {
 	s.mu.Lock()
 	err, tooOld := s.err, s.tooOld
 	s.tooOld = false
@@ -436,7 +437,7 @@
 		}
 		return lines
 	}
-	for position := range uint64(50) {
+	for position := range types.Position(50) {
 		f.ApplyPeerList(position+1, list, true, "store")
 	}
 	g.Expect(logged()).To(gomega.HaveLen(1))
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -13,16 +13,17 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/follow"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Source provides the list of backend servers.
 type Source interface {
 	// List returns the whole list and its position in the store's history.
-	List(ctx context.Context) (position uint64, list []Listing, err error)
+	List(ctx context.Context) (position types.Position, list []Listing, err error)
 	// Changes waits up to wait for changes after a position. Without any it returns the
 	// position reached and nothing else. It returns ErrTooOld if the store no longer has
 	// all changes since then.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (position uint64, changed []Listing, gone []string, err error)
+	Changes(ctx context.Context, after types.Position, wait time.Duration) (position types.Position, changed []Listing, gone []string, err error)
 }
 
 // ErrTooOld is returned when the changes since a position are no longer available.
@@ -56,10 +57,10 @@
 	ProbeGroup *follow.ProbeGroup        // shared by all followers of the same store; may be nil
 
 	loop      atomic.Pointer[follow.Loop]
-	listedAt  time.Time     // time of the newest whole list; used by Run alone
-	position  atomic.Uint64 // up to which changes are known
-	ignoredAt atomic.Int64  // Unix nanoseconds of the newest log line on an ignored list
-	retained  atomic.Bool   // servers are in use that are missing from the newest list
+	listedAt  time.Time            // time of the newest whole list; used by Run alone
+	position  types.AtomicPosition // up to which changes are known
+	ignoredAt atomic.Int64         // Unix nanoseconds of the newest log line on an ignored list
+	retained  atomic.Bool          // servers are in use that are missing from the newest list
 }
 
 // Run follows the source until ctx ends.
@@ -141,30 +142,23 @@
 }
 
 // advance records the position up to which changes are known.
-func (f *Follower) advance(position uint64) {
-	for {
-		known := f.position.Load()
-		if position <= known || f.position.CompareAndSwap(known, position) {
-			return
-		}
-	}
-}
+func (f *Follower) advance(position types.Position) { f.position.Advance(position) }
 
 // Reached returns the position up to which all changes are in force. Invariant: the
 // directory already holds everything up to it. A caller that needs the view as well must
 // call Reached first: a view taken before may lack changes up to the position.
-func (f *Follower) Reached() uint64 { return f.position.Load() }
+func (f *Follower) Reached() types.Position { return f.position.Load() }
 
 // ApplyPeerList puts in force a list that a peer read from the store. If the list is
 // settled, meaning that the peer had no outage of the store, servers missing from it are
 // removed.
-func (f *Follower) ApplyPeerList(position uint64, list []Listing, settled bool, from string) {
+func (f *Follower) ApplyPeerList(position types.Position, list []Listing, settled bool, from string) {
 	f.apply(position, list, !settled, from)
 	f.advance(position)
 }
 
 // ApplyPeerChanges is ApplyPeerList for the changes since the list in force here.
-func (f *Follower) ApplyPeerChanges(position uint64, changed []Listing, gone []string, settled bool, from string) {
+func (f *Follower) ApplyPeerChanges(position types.Position, changed []Listing, gone []string, settled bool, from string) {
 	f.apply(position, merge(f.Directory.View().Listings, changed, gone), !settled, from)
 	f.advance(position)
 }
@@ -177,7 +171,7 @@
 }
 
 // apply puts a list in force and logs what changed.
-func (f *Follower) apply(position uint64, list []Listing, retainMissing bool, from string) {
+func (f *Follower) apply(position types.Position, list []Listing, retainMissing bool, from string) {
 	change := f.Directory.Apply(position, list, retainMissing, time.Now())
 	if change.Ignored {
 		// An ignored list says nothing about the servers that are retained now.
@@ -205,7 +199,7 @@
 const ignoredInterval = 2 * time.Second
 
 // reportIgnored logs that a list of the store is ignored. A peer's may well be older.
-func (f *Follower) reportIgnored(position uint64, from string) {
+func (f *Follower) reportIgnored(position types.Position, from string) {
 	if from != fromStore {
 		return
 	}
--- a/directory/history.go
+++ b/directory/history.go
@@ -1,6 +1,10 @@
 package directory
 
-import "maps"
+import (
+	"maps"
+
+	"github.com/pearyard/pearyard/types"
+)
 
 // historyLength is the number of differences kept for peers that lag. Each comes from one
 // applied list, and the store is read at most every 400 ms, so those of a minute take a
@@ -9,7 +13,7 @@
 
 // listDiff is the difference between two successive lists.
 type listDiff struct {
-	from, to uint64 // positions before and after
+	from, to types.Position // positions before and after
 	changed  []Listing
 	gone     []string
 }
@@ -19,7 +23,7 @@
 // by one position would otherwise get thousands of servers as changes.
 //
 // It returns false if the list has the same content as the previous one.
-func (d *Directory) recordChange(old *View, position uint64, list []Listing) bool {
+func (d *Directory) recordChange(old *View, position types.Position, list []Listing) bool {
 	if old.Position == 0 {
 		return true
 	}
@@ -54,7 +58,7 @@
 // to. It reports false if those changes are no longer known; then the whole list is
 // needed. The result may include changes from before the position. They do no harm, since
 // each holds the current state of an entry.
-func (d *Directory) ChangesSince(position uint64) (to uint64, changed []Listing, gone []string, ok bool) {
+func (d *Directory) ChangesSince(position types.Position) (to types.Position, changed []Listing, gone []string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.history) == 0 || position < d.history[0].from || position == 0 {
--- a/directory/outage_test.go
+++ b/directory/outage_test.go
@@ -11,13 +11,14 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 // silentStore drops requests that arrive or wait while it is silent: it responds to them
 // neither then nor after its return.
 type silentStore struct {
 	mu       sync.Mutex
-	position uint64
+	position types.Position
 	list     []Listing
 	silences int // started so far
 	silent   bool
@@ -29,13 +30,13 @@
 	f()
 }
 
-func (s *silentStore) now() (position uint64, list []Listing, silences int, ok bool) {
+func (s *silentStore) now() (position types.Position, list []Listing, silences int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.position, s.list, s.silences, !s.silent
 }
 
-func (s *silentStore) List(ctx context.Context) (uint64, []Listing, error) {
+func (s *silentStore) List(ctx context.Context) (types.Position, []Listing, error) {
 	position, list, _, ok := s.now()
 	if ok {
 		return position, list, nil
@@ -44,7 +45,7 @@
 	return 0, nil, ctx.Err()
 }
 
-func (s *silentStore) Changes(ctx context.Context, after uint64, wait time.Duration) (uint64, []Listing, []string, error) {
+func (s *silentStore) Changes(ctx context.Context, after types.Position, wait time.Duration) (types.Position, []Listing, []string, error) {
 	_, _, silencesBefore, ok := s.now()
 	for end := time.Now().Add(wait); ok; {
 		position, list, silences, _ := s.now()
--- a/directory/reached_test.go
+++ b/directory/reached_test.go
@@ -10,18 +10,19 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 // countingSource adds one server with each change.
-type countingSource struct{ position uint64 }
+type countingSource struct{ position types.Position }
 
-func (s *countingSource) List(context.Context) (uint64, []Listing, error) {
+func (s *countingSource) List(context.Context) (types.Position, []Listing, error) {
 	return s.position, nil, nil
 }
 
-func (s *countingSource) Changes(context.Context, uint64, time.Duration) (uint64, []Listing, []string, error) {
+func (s *countingSource) Changes(context.Context, types.Position, time.Duration) (types.Position, []Listing, []string, error) {
 	s.position++
-	id := strconv.FormatUint(s.position, 10)
+	id := strconv.FormatUint(uint64(s.position), 10)
 	return s.position, []Listing{{ID: id, Service: "s", Address: "10.0.0.1:" + id, Slots: 1}}, nil, nil
 }
 
@@ -32,7 +33,7 @@
 	f := &Follower{Directory: New(), Source: &countingSource{}, Recorder: event.Discard()}
 	f.newLoop()
 	ctx, cancel := context.WithCancel(t.Context())
-	var late uint64
+	var late types.Position
 	var reader sync.WaitGroup
 	reader.Go(func() {
 		for ctx.Err() == nil {
--- a/directory/slowness_test.go
+++ b/directory/slowness_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/types"
 )
 
 // prefillAlone has each server prefill one prompt, with none ahead of it, in the given
@@ -106,7 +108,7 @@
 		d := withServers("a1")
 		for i := range 50 {
 			time.Sleep(sampleTTL)
-			d.Apply(uint64(i+2), listing(fmt.Sprint("b", i)), false, time.Now())
+			d.Apply(types.Position(i+2), listing(fmt.Sprint("b", i)), false, time.Now())
 			prefillIn(d.server(fmt.Sprint("b", i)), 8000, time.Second)
 		}
 		gomega.NewWithT(t).Expect(len(d.samples)).To(gomega.BeNumerically("<=", 4))
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 // listingsOf returns listings of the given starts.
@@ -234,7 +235,7 @@
 	crash := func(n int64) {
 		now = now.Add(time.Second)
 		d.server("a1").MarkEnded(now)
-		d.Apply(uint64(n), listingsOf(Start{"a1", 100 + n}, Start{"a2", 100}), false, now)
+		d.Apply(types.Position(n), listingsOf(Start{"a1", 100 + n}, Start{"a2", 100}), false, now)
 	}
 	crash(2)
 	g.Expect(picked()).To(gomega.HaveLen(2))
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -23,6 +23,7 @@
 	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
 )
 
 const (
@@ -167,13 +168,13 @@
 	if s.undescribed {
 		services = nil
 	}
-	e.configHolder.Offer(&site.Versioned{Position: version, Config: site.New(version, routes, services, organisations, site.ClientLimits{BodyBytes: s.maxBody})})
+	e.configHolder.Offer(&site.Versioned{Position: types.Position(version), Config: site.New(version, routes, services, organisations, site.ClientLimits{BodyBytes: s.maxBody})})
 	list := []directory.Listing{{ID: "t1", Service: "t", Address: "t1:1", Zone: "a", Slots: 64}, {ID: "t2", Service: "t", Address: "t2:1", Zone: "b", Slots: 64}}
 	if s.listed {
 		list = append(list, directory.Listing{ID: "s1", Service: "s", Address: "s1:1", Zone: "a", Slots: 64, Draining: s.draining},
 			directory.Listing{ID: "s2", Service: "s", Address: "s2:1", Zone: "b", Slots: 64, Draining: s.draining})
 	}
-	e.directory.Apply(version, list, false, time.Now())
+	e.directory.Apply(types.Position(version), list, false, time.Now())
 }
 
 // changeStep is a change and its time after a request's head.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -202,7 +202,7 @@
 
 // position returns the version, as a position in the store's history, of what is
 // known of a subject.
-func (e *Entry) position(s fleet.Subject) uint64 {
+func (e *Entry) position(s fleet.Subject) types.Position {
 	if s == fleet.Config {
 		return e.configHolder.Position()
 	}
@@ -211,7 +211,7 @@
 
 // checkedPosition returns the position in the store's history up to which a subject is known
 // to have no newer version.
-func (e *Entry) checkedPosition(s fleet.Subject) uint64 {
+func (e *Entry) checkedPosition(s fleet.Subject) types.Position {
 	if s == fleet.Config {
 		return e.configHolder.Position()
 	}
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -25,6 +25,7 @@
 	"github.com/pearyard/pearyard/promptcache"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
 )
 
 const (
@@ -154,7 +155,7 @@
 	e.configFollower = &site.Follower{Holder: e.configHolder, Recorder: e.recorder}
 	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Socket: fleet.NewSocket("", func() []string { return nil }, nil), Recorder: e.recorder,
-		Position: func(fleet.Subject) uint64 { return 1 }, Size: func() int { return 1 },
+		Position: func(fleet.Subject) types.Position { return 1 }, Size: func() int { return 1 },
 	})
 	target := []site.Target{{Service: "s", Weight: 1}}
 	e.configHolder.Offer(&site.Versioned{Position: 1, Config: site.New(1, []site.Route{
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -13,6 +13,7 @@
 	"github.com/pearyard/pearyard/fleet"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/standin/nursery"
+	"github.com/pearyard/pearyard/types"
 )
 
 // startWithPeer starts an environment with a second entry VM that only takes part in the
@@ -30,7 +31,7 @@
 	socket := fleet.NewSocket(other, func() []string { return []string{own} }, metrics)
 	election := fleet.NewElection(fleet.ElectionOptions{
 		Address: other, Socket: socket, Recorder: event.Discard(), Size: func() int { return 2 },
-		Position: func(fleet.Subject) uint64 { return 0 }, Fetch: func(context.Context, string, uint64) {},
+		Position: func(fleet.Subject) types.Position { return 0 }, Fetch: func(context.Context, string, types.Position) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/entry/ready_test.go
+++ b/entry/ready_test.go
@@ -10,6 +10,7 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // newEntry returns an Entry that isn't running.
@@ -25,7 +26,7 @@
 // offerConfig applies a configuration with a single route to a service.
 func offerConfig(e *Entry, version uint64, service string) {
 	route := site.Route{Host: "h", Prefix: "/x/", Targets: []site.Target{{Service: service, Weight: 1}}}
-	e.configHolder.Offer(&site.Versioned{Config: site.New(version, []site.Route{route}, nil, nil, site.ClientLimits{}), Position: version})
+	e.configHolder.Offer(&site.Versioned{Config: site.New(version, []site.Route{route}, nil, nil, site.ClientLimits{}), Position: types.Position(version)})
 }
 
 // An entry VM starts while the list has no server that it can use: entries without a
--- a/exchange/start_test.go
+++ b/exchange/start_test.go
@@ -12,10 +12,11 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
 )
 
 // list applies a list of servers, all with the same start time but those given in born.
-func (b *testbed) list(position uint64, born map[string]int64, ids ...string) {
+func (b *testbed) list(position types.Position, born map[string]int64, ids ...string) {
 	var list []directory.Listing
 	for _, id := range ids {
 		at := int64(100)
@@ -170,7 +171,7 @@
 		g := gomega.NewWithT(t)
 		b := newTestbed(map[string][]script{"a1": {breaks()}}, "a1")
 		for n := range int64(3) {
-			b.list(uint64(2+n), map[string]int64{"a1": 100 + n}, "a1")
+			b.list(types.Position(2+n), map[string]int64{"a1": 100 + n}, "a1")
 			b.backend.mu.Lock()
 			b.backend.born["a1"] = 100 + n + 1
 			b.backend.mu.Unlock()
--- a/fleet/cluster_model_test.go
+++ b/fleet/cluster_model_test.go
@@ -14,6 +14,7 @@
 	"github.com/pearyard/pearyard/retry"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Durations of the simulated site.
@@ -30,14 +31,14 @@
 // storeChange is one change of the list of servers. A listing without an address means
 // that the server is gone.
 type storeChange struct {
-	position uint64
+	position types.Position
 	listing  directory.Listing
 }
 
 // storeModel simulates the platform's store in virtual time and counts calls.
 type storeModel struct {
 	mu       sync.Mutex
-	position uint64 // grows with each write to any table
+	position types.Position // grows with each write to any table
 	config   *site.Versioned
 	servers  map[string]directory.Listing
 	changes  []storeChange
@@ -132,7 +133,7 @@
 	}
 }
 
-func (s storeClient) Read(ctx context.Context) (*site.Versioned, uint64, error) {
+func (s storeClient) Read(ctx context.Context) (*site.Versioned, types.Position, error) {
 	if err := s.roundTrip(ctx, "read configuration"); err != nil {
 		return nil, 0, err
 	}
@@ -161,7 +162,7 @@
 	}
 }
 
-func (s storeClient) Next(ctx context.Context, after uint64, wait time.Duration) (*site.Versioned, uint64, error) {
+func (s storeClient) Next(ctx context.Context, after types.Position, wait time.Duration) (*site.Versioned, types.Position, error) {
 	if err := s.roundTrip(ctx, "wait for configuration"); err != nil {
 		return nil, 0, err
 	}
@@ -176,7 +177,7 @@
 	return nil, s.position, nil
 }
 
-func (s storeClient) List(ctx context.Context) (uint64, []directory.Listing, error) {
+func (s storeClient) List(ctx context.Context) (types.Position, []directory.Listing, error) {
 	if err := s.roundTrip(ctx, "read servers"); err != nil {
 		return 0, nil, err
 	}
@@ -189,7 +190,7 @@
 	return s.position, list, nil
 }
 
-func (s storeClient) changedAfter(after uint64) (changed []directory.Listing) {
+func (s storeClient) changedAfter(after types.Position) (changed []directory.Listing) {
 	for _, c := range s.changes {
 		if c.position > after {
 			changed = append(changed, c.listing)
@@ -198,7 +199,7 @@
 	return changed
 }
 
-func (s storeClient) Changes(ctx context.Context, after uint64, wait time.Duration) (uint64, []directory.Listing, []string, error) {
+func (s storeClient) Changes(ctx context.Context, after types.Position, wait time.Duration) (types.Position, []directory.Listing, []string, error) {
 	if err := s.roundTrip(ctx, "wait for servers"); err != nil {
 		return 0, nil, nil, err
 	}
@@ -336,13 +337,13 @@
 }
 
 // fetchChanges queries a peer for changes on behalf of vm.
-func (c *cluster) fetchChanges(vm *clusterVM, peer string, since uint64) {
+func (c *cluster) fetchChanges(vm *clusterVM, peer string, since types.Position) {
 	other := c.at(peer)
 	time.Sleep(2 * linkDelay)
 	if other == nil {
 		return
 	}
-	answer, err := other.Newest(c.ctx, &fleetpb.NewestRequest{ConfigPosition: vm.holder.Position(), ListPosition: since, ChangesOnly: true})
+	answer, err := other.Newest(c.ctx, &fleetpb.NewestRequest{ConfigPosition: uint64(vm.holder.Position()), ListPosition: uint64(since), ChangesOnly: true})
 	if err == nil {
 		vm.Fleet.applyAnswer(peer, answer)
 	}
@@ -364,14 +365,14 @@
 	vm.socket.write = c.send(address)
 	vm.election = NewElection(ElectionOptions{
 		Address: address, Socket: vm.socket, Size: vm.Fleet.Size, Recorder: event.Discard(),
-		Fetch: func(_ context.Context, peer string, since uint64) { c.fetchChanges(vm, peer, since) },
-		Reached: func(s Subject) uint64 {
+		Fetch: func(_ context.Context, peer string, since types.Position) { c.fetchChanges(vm, peer, since) },
+		Reached: func(s Subject) types.Position {
 			if s == Config {
 				return vm.holder.Position()
 			}
 			return servers.Reached()
 		},
-		Position: func(s Subject) uint64 {
+		Position: func(s Subject) types.Position {
 			if s == Config {
 				return vm.holder.Position()
 			}
--- a/fleet/confighistory.go
+++ b/fleet/confighistory.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // maxOldVersions is how many versions before the newest a VM can send deltas from: changes
@@ -14,8 +15,8 @@
 // them gets a delta and need not read the newest from the store.
 type configHistory struct {
 	mu       sync.Mutex
-	versions []*site.Versioned // oldest first
-	deltas   map[uint64][]byte // to the newest version, by the position of the old one; nil: too long
+	versions []*site.Versioned         // oldest first
+	deltas   map[types.Position][]byte // to the newest version, by the position of the old one; nil: too long
 }
 
 // add appends a version unless it is no newer than the newest.
@@ -27,13 +28,13 @@
 	}
 	h.versions = append(h.versions, v)
 	h.versions = h.versions[max(0, len(h.versions)-1-maxOldVersions):]
-	h.deltas = map[uint64][]byte{}
+	h.deltas = map[types.Position][]byte{}
 }
 
 // deltaSince returns the delta from the version at a position to the newest, and the
 // newest version. Both are nil if that version is unknown or is the newest itself; the
 // delta is nil if it would be too long.
-func (h *configHistory) deltaSince(position uint64) ([]byte, *site.Versioned) {
+func (h *configHistory) deltaSince(position types.Position) ([]byte, *site.Versioned) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i, v := range h.versions {
--- a/fleet/deciders_test.go
+++ b/fleet/deciders_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/types"
 )
 
 // electionAmong returns the election of a VM that has heard of others.
 func electionAmong(address string, healthy bool, others map[string]announcement) *Election {
 	socket := NewSocket(address, func() []string { return nil }, nil)
-	e := NewElection(ElectionOptions{Address: address, Socket: socket, Position: func(Subject) uint64 { return 1 }, Size: func() int { return 1 + len(others) }})
+	e := NewElection(ElectionOptions{Address: address, Socket: socket, Position: func(Subject) types.Position { return 1 }, Size: func() int { return 1 + len(others) }})
 	e.elected.Store(true)
 	for s := range subjects {
 		e.healthy[s].Store(healthy)
--- a/fleet/delegation.go
+++ b/fleet/delegation.go
@@ -1,11 +1,15 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/pearyard/pearyard/types"
+)
 
 // span is the range of store positions at which the data in force in a process is the
 // newest. Positions count changes of the whole store, so two processes that read the same
 // list at different moments know it by different positions.
-type span struct{ from, to uint64 }
+type span struct{ from, to types.Position }
 
 // overlaps reports whether two processes with these spans have the same data in force:
 // there is a position at which both were the newest.
@@ -24,7 +28,7 @@
 func (e *Election) span(s Subject) span {
 	// Reached is read before Position: a change in between must not appear to be in force
 	// already.
-	to := uint64(0)
+	to := types.Position(0)
 	if e.opts.Reached != nil {
 		to = e.opts.Reached(s)
 	}
--- a/fleet/delta_test.go
+++ b/fleet/delta_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
+	"github.com/pearyard/pearyard/types"
 )
 
 // randomText returns a text that compresses to no less than half.
@@ -75,12 +76,12 @@
 	g := gomega.NewWithT(t)
 	ahead, behind := newVM(t, "ahead"), newVM(t, "behind")
 	for i := range maxOldVersions + 2 {
-		text, _ := decodeConfig(uint64(5+i), configText(100, i))
+		text, _ := decodeConfig(types.Position(5+i), configText(100, i))
 		ahead.holder.Offer(text)
 		ahead.Applied(text)
 	}
-	query := func(since uint64) *fleetpb.NewestResponse {
-		answer, err := ahead.Newest(t.Context(), &fleetpb.NewestRequest{ConfigPosition: since, ChangesOnly: true})
+	query := func(since types.Position) *fleetpb.NewestResponse {
+		answer, err := ahead.Newest(t.Context(), &fleetpb.NewestRequest{ConfigPosition: uint64(since), ChangesOnly: true})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		return answer
 	}
--- a/fleet/election.go
+++ b/fleet/election.go
@@ -10,6 +10,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/types"
 )
 
 const (
@@ -96,11 +97,11 @@
 	Socket  *Socket
 	// Position returns the store position since which the data in force here is unchanged.
 	// Reached returns the position up to which nothing newer is known; nil: Position.
-	Position func(Subject) uint64
-	Reached  func(Subject) uint64
+	Position func(Subject) types.Position
+	Reached  func(Subject) types.Position
 	Size     func() int // number of all VMs, including this one; very large until it is known
 	// Fetch asks a peer for changes; for the list, for those since a position.
-	Fetch    func(ctx context.Context, peer string, since uint64)
+	Fetch    func(ctx context.Context, peer string, since types.Position)
 	Recorder *event.Recorder
 }
 
--- a/fleet/election_test.go
+++ b/fleet/election_test.go
@@ -14,6 +14,7 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
+	"github.com/pearyard/pearyard/types"
 )
 
 // testElection is an Election whose peers are played by the test.
@@ -30,9 +31,9 @@
 	e := &testElection{}
 	e.Election = NewElection(ElectionOptions{
 		Address: "self", Socket: NewSocket("", func() []string { return nil }, nil), Recorder: event.Discard(),
-		Position: func(s Subject) uint64 { return e.position[s].Load() },
+		Position: func(s Subject) types.Position { return types.Position(e.position[s].Load()) },
 		Size:     func() int { return e.size },
-		Fetch: func(context.Context, string, uint64) {
+		Fetch: func(context.Context, string, types.Position) {
 			e.fetched.Add(1)
 			if e.onFetch != nil {
 				e.onFetch()
@@ -55,9 +56,9 @@
 }
 
 // at returns the span of data that was read at one position.
-func at(position uint64) span { return span{position, position} }
+func at(position types.Position) span { return span{position, position} }
 
-func healthy(list uint64) announcement {
+func healthy(list types.Position) announcement {
 	return announcement{healthy: true, listReadNow: true, list: at(list)}
 }
 
@@ -152,12 +153,12 @@
 		g.Expect(e.updates[Config]).To(gomega.Receive())
 
 		v := newVM(t, "reader")
-		sentConfig := func(since uint64) []byte {
-			answer, err := v.Newest(t.Context(), &fleetpb.NewestRequest{ConfigPosition: since, ChangesOnly: true})
+		sentConfig := func(since types.Position) []byte {
+			answer, err := v.Newest(t.Context(), &fleetpb.NewestRequest{ConfigPosition: uint64(since), ChangesOnly: true})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			return answer.GetConfig()
 		}
-		apply := func(position uint64, raw []byte) {
+		apply := func(position types.Position, raw []byte) {
 			text, _ := decodeConfig(position, raw)
 			v.holder.Offer(text)
 			v.Applied(text)
--- a/fleet/fetch.go
+++ b/fleet/fetch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pearyard/pearyard/types"
 )
 
 // fetch asks a peer for changes, with at most one query per peer at a time. What the peer
@@ -29,7 +31,7 @@
 }
 
 // wantedPositions holds, by subject, the position up to which a peer is asked for changes.
-type wantedPositions [subjects]uint64
+type wantedPositions [subjects]types.Position
 
 // beginFetch records which position is wanted and reports whether the peer has to be
 // queried. If a query to it is running, its answer will show whether more is needed.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/pearyard/pearyard/retry"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Registry is a table with a row for each entry VM.
@@ -59,12 +60,12 @@
 	Holder    *site.Holder
 	Directory *directory.Directory
 	// Decode decodes a configuration as the store holds it.
-	Decode func(position uint64, raw []byte) (*site.Versioned, error)
+	Decode func(position types.Position, raw []byte) (*site.Versioned, error)
 	// OfferConfig and OfferList apply a configuration and a list that a peer sent.
 	OfferConfig func(v *site.Versioned, from string)
-	OfferList   func(position uint64, list []directory.Listing, settled bool, from string)
+	OfferList   func(position types.Position, list []directory.Listing, settled bool, from string)
 	// OfferChanges applies the changes since the list of this process.
-	OfferChanges func(position uint64, changed []directory.Listing, gone []string, settled bool, from string)
+	OfferChanges func(position types.Position, changed []directory.Listing, gone []string, settled bool, from string)
 	// Settled reports whether the list of this process was read from a store that had not
 	// been unavailable, so that a server missing from it is gone.
 	Settled  func() bool
@@ -85,7 +86,7 @@
 	election *Election // nil: this process reads the registry itself
 
 	configHistory      configHistory
-	unreadablePosition atomic.Uint64 // position of the newest configuration from a peer that could not be decoded
+	unreadablePosition types.AtomicPosition // position of the newest configuration from a peer that could not be decoded
 
 	invalidRows []string // invalid rows in the last log line; only Run's goroutine uses it
 }
@@ -238,16 +239,16 @@
 // FetchChanges asks one peer for the changes of the configuration, and of the list since a
 // position. The answer never holds a full configuration or list: a watcher that sent a
 // large text to all others would saturate its link.
-func (f *Fleet) FetchChanges(ctx context.Context, peer string, since uint64) {
+func (f *Fleet) FetchChanges(ctx context.Context, peer string, since types.Position) {
 	f.query(ctx, peer, since, true)
 }
 
 // query asks a peer for what is newer than the configuration in force here and than the list
 // at a position, and applies the answer.
-func (f *Fleet) query(ctx context.Context, peer string, since uint64, changesOnly bool) {
+func (f *Fleet) query(ctx context.Context, peer string, since types.Position, changesOnly bool) {
 	client := fleetpb.NewFleetProtobufClient("http://"+peer, f.opts.Client)
 	answer, err := client.Newest(ctx, &fleetpb.NewestRequest{
-		Sender: f.opts.Address, ConfigPosition: f.opts.Holder.Position(), ListPosition: since,
+		Sender: f.opts.Address, ConfigPosition: uint64(f.opts.Holder.Position()), ListPosition: uint64(since),
 		ChangesOnly: changesOnly,
 	})
 	if err != nil {
@@ -260,31 +261,33 @@
 // applyAnswer applies what is newer in a peer's answer than the data in force here.
 func (f *Fleet) applyAnswer(peer string, answer *fleetpb.NewestResponse) {
 	f.applyConfig(peer, answer)
-	if answer.GetListPosition() <= f.opts.Directory.View().Position {
+	position := types.Position(answer.GetListPosition())
+	if position <= f.opts.Directory.View().Position {
 		return
 	}
 	if answer.GetDelta() {
-		f.opts.OfferChanges(answer.GetListPosition(), listingsFromProto(answer.GetServers()), answer.GetGone(), answer.GetSettled(), peer)
+		f.opts.OfferChanges(position, listingsFromProto(answer.GetServers()), answer.GetGone(), answer.GetSettled(), peer)
 	} else {
-		f.opts.OfferList(answer.GetListPosition(), listingsFromProto(answer.GetServers()), answer.GetSettled(), peer)
+		f.opts.OfferList(position, listingsFromProto(answer.GetServers()), answer.GetSettled(), peer)
 	}
 }
 
 // applyConfig applies a newer configuration. One that can't be decoded is logged once and
 // does not keep the list of servers in the same answer from being applied.
 func (f *Fleet) applyConfig(peer string, answer *fleetpb.NewestResponse) {
-	if answer.GetConfigPosition() <= f.opts.Holder.Position() {
+	position := types.Position(answer.GetConfigPosition())
+	if position <= f.opts.Holder.Position() {
 		return
 	}
 	raw, err := f.configText(answer)
 	if err != nil {
-		f.opts.Recorder.Emit(EventDeltaUnusable, "from", peer, "position", answer.GetConfigPosition(), "err", err)
+		f.opts.Recorder.Emit(EventDeltaUnusable, "from", peer, "position", position, "err", err)
 		return
 	}
-	v, err := f.opts.Decode(answer.GetConfigPosition(), raw)
+	v, err := f.opts.Decode(position, raw)
 	if err != nil {
-		if f.unreadablePosition.Swap(answer.GetConfigPosition()) != answer.GetConfigPosition() {
-			f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "position", answer.GetConfigPosition(), "err", err)
+		if f.unreadablePosition.Advance(position) {
+			f.opts.Recorder.Emit(site.EventUnreadable, "from", peer, "position", position, "err", err)
 		}
 		return
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/pearyard/pearyard/event"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // fakeRegistry is a registry that can be unavailable.
@@ -41,11 +42,11 @@
 	server *httptest.Server
 }
 
-func decodeConfig(position uint64, raw []byte) (*site.Versioned, error) {
+func decodeConfig(position types.Position, raw []byte) (*site.Versioned, error) {
 	if string(raw) == "bad" {
 		return nil, errors.New("bad")
 	}
-	return &site.Versioned{Config: site.New(position, nil, nil, nil, site.ClientLimits{}), Position: position, Raw: raw}, nil
+	return &site.Versioned{Config: site.New(uint64(position), nil, nil, nil, site.ClientLimits{}), Position: position, Raw: raw}, nil
 }
 
 func newVM(t *testing.T, name string, seeds ...string) *vm {
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -12,6 +12,7 @@
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/streamversion"
+	"github.com/pearyard/pearyard/types"
 )
 
 func FuzzDecodeRestart(f *testing.F) {
@@ -55,8 +56,8 @@
 		NewPrefillTimes(s, func() []string { return nil }, d)
 		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
 		NewElection(ElectionOptions{
-			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, uint64) {},
-			Position: func(Subject) uint64 { return 1 },
+			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position) {},
+			Position: func(Subject) types.Position { return 1 },
 		})
 		NewStreamVersions(StreamVersionsOptions{
 			Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
--- a/fleet/newest.go
+++ b/fleet/newest.go
@@ -8,6 +8,7 @@
 	"github.com/pearyard/pearyard/directory"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Handler serves the queries of peers.
@@ -17,15 +18,16 @@
 func (f *Fleet) Newest(_ context.Context, r *fleetpb.NewestRequest) (*fleetpb.NewestResponse, error) {
 	answer := &fleetpb.NewestResponse{Settled: f.opts.Settled()}
 	view := f.opts.Directory.View()
-	needsFullList := view.Position > r.GetListPosition()
+	listPosition, configPosition := types.Position(r.GetListPosition()), types.Position(r.GetConfigPosition())
+	needsFullList := view.Position > listPosition
 	if needsFullList {
-		needsFullList = !f.addListChanges(answer, r.GetListPosition())
+		needsFullList = !f.addListChanges(answer, listPosition)
 	}
-	if delta, newest := f.configHistory.deltaSince(r.GetConfigPosition()); delta != nil {
-		answer.ConfigPosition, answer.Config, answer.ConfigIsDelta = newest.Position, delta, true
+	if delta, newest := f.configHistory.deltaSince(configPosition); delta != nil {
+		answer.ConfigPosition, answer.Config, answer.ConfigIsDelta = uint64(newest.Position), delta, true
 	}
 	if !r.GetChangesOnly() {
-		f.addFull(answer, f.configAfter(r.GetConfigPosition()), view, needsFullList)
+		f.addFull(answer, f.configAfter(configPosition), view, needsFullList)
 	}
 	return answer, nil
 }
@@ -33,16 +35,16 @@
 // addListChanges adds the changes of the list since a position to the answer. It reports
 // false if those changes are no longer known. At 3,000 servers a list is 300 KB, a change
 // a few hundred bytes.
-func (f *Fleet) addListChanges(answer *fleetpb.NewestResponse, since uint64) bool {
+func (f *Fleet) addListChanges(answer *fleetpb.NewestResponse, since types.Position) bool {
 	position, changed, gone, ok := f.opts.Directory.ChangesSince(since)
 	if ok {
-		answer.ListPosition, answer.Servers, answer.Gone, answer.Delta = position, toProto(changed), gone, true
+		answer.ListPosition, answer.Servers, answer.Gone, answer.Delta = uint64(position), toProto(changed), gone, true
 	}
 	return ok
 }
 
 // configAfter returns the configuration in force if it is newer than a position, else nil.
-func (f *Fleet) configAfter(position uint64) *site.Versioned {
+func (f *Fleet) configAfter(position types.Position) *site.Versioned {
 	if v := f.opts.Holder.Current(); v != nil && v.Position > position {
 		return v
 	}
@@ -66,10 +68,10 @@
 		return
 	}
 	if config != nil {
-		answer.ConfigPosition, answer.Config = config.Position, config.Raw
+		answer.ConfigPosition, answer.Config = uint64(config.Position), config.Raw
 	}
 	if list {
-		answer.ListPosition, answer.Servers = view.Position, toProto(view.Listings)
+		answer.ListPosition, answer.Servers = uint64(view.Position), toProto(view.Listings)
 	}
 }
 
--- a/fleet/rollouts.go
+++ b/fleet/rollouts.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/rollout"
+	"github.com/pearyard/pearyard/types"
 )
 
 const (
@@ -121,7 +122,7 @@
 	out := make([]byte, 0, len(list)*noticeBytes)
 	for _, n := range list {
 		out = binary.BigEndian.AppendUint32(out, n.Service)
-		out = binary.BigEndian.AppendUint64(out, n.Position)
+		out = binary.BigEndian.AppendUint64(out, uint64(n.Position))
 		out = append(out, byte(n.Phase))
 	}
 	return body{kindRolloutNotice, out}
@@ -134,7 +135,7 @@
 	list := make([]rollout.Notice, len(raw)/noticeBytes)
 	for i := range list {
 		at := raw[i*noticeBytes:]
-		list[i] = rollout.Notice{Service: binary.BigEndian.Uint32(at), Position: binary.BigEndian.Uint64(at[4:]), Phase: rollout.Phase(at[12])}
+		list[i] = rollout.Notice{Service: binary.BigEndian.Uint32(at), Position: types.Position(binary.BigEndian.Uint64(at[4:])), Phase: rollout.Phase(at[12])}
 	}
 	return list, true
 }
@@ -150,7 +151,7 @@
 func encodeReport(r rollout.Report) body {
 	out := make([]byte, 0, maxDatagram-headerBytes)
 	out = binary.BigEndian.AppendUint32(out, r.Service)
-	out = binary.BigEndian.AppendUint64(out, r.Position)
+	out = binary.BigEndian.AppendUint64(out, uint64(r.Position))
 	stopped := byte(0)
 	if r.Stopped {
 		stopped = 1
@@ -200,7 +201,7 @@
 		return rollout.Report{}, false
 	}
 	r := rollout.Report{
-		Service: binary.BigEndian.Uint32(raw), Position: binary.BigEndian.Uint64(raw[4:]), Stopped: raw[12] != 0, Evidence: rollout.Evidence{},
+		Service: binary.BigEndian.Uint32(raw), Position: types.Position(binary.BigEndian.Uint64(raw[4:])), Stopped: raw[12] != 0, Evidence: rollout.Evidence{},
 	}
 	in := reader{raw: raw[reportHeadBytes:], ok: true}
 	for len(in.raw) > 0 && in.ok {
--- a/fleet/rollouts_test.go
+++ b/fleet/rollouts_test.go
@@ -7,10 +7,11 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/rollout"
+	"github.com/pearyard/pearyard/types"
 )
 
 func randomReport(rng *rand.Rand) rollout.Report {
-	r := rollout.Report{Service: rng.Uint32(), Position: rng.Uint64(), Stopped: rng.IntN(2) == 0, Evidence: rollout.Evidence{}}
+	r := rollout.Report{Service: rng.Uint32(), Position: types.Position(rng.Uint64()), Stopped: rng.IntN(2) == 0, Evidence: rollout.Evidence{}}
 	for range rng.IntN(6) {
 		c := &rollout.Comparison{}
 		for _, s := range []*rollout.Sample{&c.Established, &c.New} {
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -22,6 +22,7 @@
 	"github.com/pearyard/pearyard/retry"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Parameters of the model of callers that come back.
@@ -47,7 +48,7 @@
 	mu      sync.Mutex
 	servers map[string]*versionServer
 	nextID  int
-	list    uint64 // position of the newest list
+	list    types.Position // position of the newest list
 	vms     []*versionVM
 	cut     map[string]bool // addresses of VMs that reach neither others nor the store
 	results versionResults
@@ -125,7 +126,7 @@
 	return n
 }
 
-func (m *versionSite) listings() (uint64, []directory.Listing) {
+func (m *versionSite) listings() (types.Position, []directory.Listing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []directory.Listing
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Datagrams between entry VMs, all numbers big endian. JSON would be three times as long.
@@ -195,7 +196,7 @@
 	}
 	out := make([]byte, 0, announcementBytes)
 	out = append(out, flags)
-	for _, number := range []uint64{a.config.from, a.config.to, a.list.from, a.list.to, a.membersDigest} {
+	for _, number := range []uint64{uint64(a.config.from), uint64(a.config.to), uint64(a.list.from), uint64(a.list.to), a.membersDigest} {
 		out = binary.BigEndian.AppendUint64(out, number)
 	}
 	return body{kindAnnouncement, out}
@@ -210,7 +211,7 @@
 	a := announcement{
 		healthy: flags&flagHealthy != 0, isWatcher: flags&flagWatcher != 0, configReadNow: flags&flagConfigRead != 0, listReadNow: flags&flagListRead != 0,
 		membersReadNow: flags&flagMembersRead != 0, stopping: flags&flagStopping != 0,
-		config: span{number(0), number(1)}, list: span{number(2), number(3)}, membersDigest: number(4),
+		config: span{types.Position(number(0)), types.Position(number(1))}, list: span{types.Position(number(2)), types.Position(number(3))}, membersDigest: number(4),
 	}
 	return a, a.config.from <= a.config.to && a.list.from <= a.list.to
 }
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -11,6 +11,7 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // confirmationTTL is how long a decider's word that a trial goes on is valid. It covers
@@ -148,7 +149,7 @@
 
 // SetPhase records a phase of the roll-out that an order began, as a decider or the store
 // says. It returns the phase that is known afterwards.
-func (c *Controller) SetPhase(service string, position uint64, p Phase, from string, now time.Time) Phase {
+func (c *Controller) SetPhase(service string, position types.Position, p Phase, from string, now time.Time) Phase {
 	s := (*c.states.Load())[service]
 	if s == nil || s.order.Position != position {
 		return Unknown
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 const (
@@ -44,7 +45,7 @@
 
 // task is a decider's work on one roll-out.
 type task struct {
-	position uint64
+	position types.Position
 	saved    Saved
 	loaded   bool
 	deadline time.Time // zero until the record of this order is known
--- a/rollout/decider_test.go
+++ b/rollout/decider_test.go
@@ -18,6 +18,7 @@
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // fakeStore keeps one record. It loses answers and carries out writes late, as the
@@ -102,7 +103,7 @@
 const testDuration = 20 * time.Second
 
 // testConfig returns a configuration with one order.
-func testConfig(position uint64) *site.Config {
+func testConfig(position types.Position) *site.Config {
 	config := site.New(1, nil, nil, nil, site.ClientLimits{})
 	config.Rollouts = map[string]site.RolloutOrder{"s": {Service: "s", Version: "v2", Duration: testDuration, Position: position}}
 	return config
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -8,5 +8,5 @@
 // judge the version and tell the others which phase the roll-out is in. A decider writes
 // the outcome to the store on the condition that no other outcome has been written.
 //
-// May import of pearyard: directory, event, site.
+// May import of pearyard: directory, event, site, types.
 package rollout
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -5,15 +5,17 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/types"
 )
 
 // Record is what the store keeps of a service's newest roll-out, for processes that have
 // not seen it.
 type Record struct {
 	Service  string
-	Position uint64 // of the order
-	Version  string // that the order moves to
-	Phase    Phase  // Trial, Completed or Reverted
+	Position types.Position // of the order
+	Version  string         // that the order moves to
+	Phase    Phase          // Trial, Completed or Reverted
 	Began    time.Duration
 }
 
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -6,21 +6,22 @@
 	"time"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Report is what one process has observed of a roll-out since it knows the order. It
 // replaces the former report of the same start of the process.
 type Report struct {
-	Service  uint32 // hash of its name
-	Position uint64 // of the order
-	Stopped  bool   // the process knows that the version is bad
+	Service  uint32         // hash of its name
+	Position types.Position // of the order
+	Stopped  bool           // the process knows that the version is bad
 	Evidence Evidence
 }
 
 // Notice is what a decider tells of a roll-out.
 type Notice struct {
-	Service  uint32 // hash of its name
-	Position uint64 // of the order
+	Service  uint32         // hash of its name
+	Position types.Position // of the order
 	Phase    Phase
 }
 
@@ -102,7 +103,7 @@
 
 // find returns the roll-out that an order began, nil if it is not the newest of its
 // service here.
-func (c *Controller) find(service uint32, position uint64) *state {
+func (c *Controller) find(service uint32, position types.Position) *state {
 	for name, s := range *c.states.Load() {
 		if directory.Hash(name) == service && s.order.Position == position {
 			return s
--- a/route/routebench/directory.go
+++ b/route/routebench/directory.go
@@ -23,7 +23,7 @@
 	directory    *directory.Directory
 	zone         types.Zone
 	now          func() time.Time
-	position     uint64
+	position     types.Position
 	promptTokens int // tokens of the request being placed
 }
 
--- a/site/follow.go
+++ b/site/follow.go
@@ -11,16 +11,17 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/follow"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Source provides the configuration.
 type Source interface {
 	// Read returns the newest configuration, nil if there is none, and the position in
 	// the store's history at which it was read.
-	Read(ctx context.Context) (v *Versioned, reached uint64, err error)
+	Read(ctx context.Context) (v *Versioned, reached types.Position, err error)
 	// Next waits up to wait for a configuration after a position. It returns nil if none
 	// came, and the position up to which there is no other.
-	Next(ctx context.Context, after uint64, wait time.Duration) (v *Versioned, reached uint64, err error)
+	Next(ctx context.Context, after types.Position, wait time.Duration) (v *Versioned, reached types.Position, err error)
 }
 
 const (
@@ -49,9 +50,9 @@
 	OnApplied  func(v *Versioned)        // called with each version that is put in force; may be nil
 
 	loop       atomic.Pointer[follow.Loop]
-	reached    atomic.Uint64 // position up to which changes were read; written by Run alone
-	unreadable atomic.Uint64 // position of the newest unreadable version that was logged
-	refused    atomic.Uint64 // version number of the newest refused version that was logged
+	reached    types.AtomicPosition // position up to which changes were read; written by Run alone
+	unreadable types.AtomicPosition // position of the newest unreadable version that was logged
+	refused    atomic.Uint64        // version number of the newest refused version that was logged
 }
 
 // Run follows the source until ctx ends.
@@ -87,7 +88,7 @@
 }
 
 // handleResponse returns the update for a result of the Source.
-func (f *Follower) handleResponse(v *Versioned, reached uint64, err error) (follow.Update, error) {
+func (f *Follower) handleResponse(v *Versioned, reached types.Position, err error) (follow.Update, error) {
 	var bad *UnreadableError
 	if errors.As(err, &bad) {
 		f.reportUnreadable(bad, reached)
@@ -112,20 +113,13 @@
 
 // advance records the position up to which changes were read. A response to an earlier
 // request may arrive after one to a newer request.
-func (f *Follower) advance(position uint64) { f.reached.Store(max(f.reached.Load(), position)) }
+func (f *Follower) advance(position types.Position) { f.reached.Advance(position) }
 
 // reportUnreadable logs an unreadable version once, although several requests may have
 // returned it.
-func (f *Follower) reportUnreadable(bad *UnreadableError, reached uint64) {
-	position := cmp.Or(bad.Position, reached) // bad.Position is 0 if it is unknown
-	for {
-		known := f.unreadable.Load()
-		if position <= known {
-			return
-		}
-		if f.unreadable.CompareAndSwap(known, position) {
-			break
-		}
+func (f *Follower) reportUnreadable(bad *UnreadableError, reached types.Position) {
+	if !f.unreadable.Advance(cmp.Or(bad.Position, reached)) { // bad.Position is 0 if it is unknown
+		return
 	}
 	f.Recorder.Emit(EventUnreadable, "position", bad.Position, "in_force", f.Holder.Position(), "err", bad.Err)
 }
--- a/site/holder.go
+++ b/site/holder.go
@@ -3,26 +3,28 @@
 import (
 	"fmt"
 	"sync/atomic"
+
+	"github.com/pearyard/pearyard/types"
 )
 
 // Versioned is a configuration with its position in the store's history.
 type Versioned struct {
 	Config *Config
 	// Position is the store's revision of the entry; it grows with each change.
-	Position uint64
+	Position types.Position
 	// Raw is the encoded configuration as stored, to be passed on to peers.
 	Raw []byte
 }
 
 // UnreadableError is returned for a version in the store that can't be read.
 type UnreadableError struct {
-	Position uint64 // of the version; 0 if it is unknown
+	Position types.Position // of the version; 0 if it is unknown
 	Err      error
 }
 
 // Error implements error.
 func (e *UnreadableError) Error() string {
-	return fmt.Sprintf("site: the configuration at position %d of the store can't be read: %v", e.Position, e.Err)
+	return fmt.Sprintf("site: the configuration at position %v of the store can't be read: %v", e.Position, e.Err)
 }
 
 // Unwrap returns the cause.
@@ -52,7 +54,7 @@
 }
 
 // Position returns the position of the version in force, 0 before the first one.
-func (h *Holder) Position() uint64 {
+func (h *Holder) Position() types.Position {
 	if v := h.current.Load(); v != nil {
 		return v.Position
 	}
--- a/site/model_test.go
+++ b/site/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 // step is an event in the life of a process that follows the configuration.
@@ -66,16 +67,16 @@
 	return s.version, s.lost, s.silent, s.changed
 }
 
-func (s *modelStore) Read(ctx context.Context) (*Versioned, uint64, error) {
+func (s *modelStore) Read(ctx context.Context) (*Versioned, types.Position, error) {
 	version, _, silent, _ := s.state()
 	if silent {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	return versionAt(version, version), version, nil
+	return versionAt(types.Position(version), version), types.Position(version), nil
 }
 
-func (s *modelStore) Next(ctx context.Context, after uint64, wait time.Duration) (*Versioned, uint64, error) {
+func (s *modelStore) Next(ctx context.Context, after types.Position, wait time.Duration) (*Versioned, types.Position, error) {
 	_, lostBefore, _, _ := s.state()
 	end := time.NewTimer(wait)
 	defer end.Stop()
@@ -85,8 +86,8 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		}
-		if version > after {
-			return versionAt(version, version), version, nil
+		if types.Position(version) > after {
+			return versionAt(types.Position(version), version), types.Position(version), nil
 		}
 		select {
 		case <-ctx.Done():
@@ -105,9 +106,9 @@
 	follower *Follower
 	end      func()
 
-	acknowledgedAt time.Time // time at which the store acknowledged the newest version
-	disturbedAt    time.Time // time of the newest silence, loss or start
-	highest        uint64    // highest position in force since the start
+	acknowledgedAt time.Time      // time at which the store acknowledged the newest version
+	disturbedAt    time.Time      // time of the newest silence, loss or start
+	highest        types.Position // highest position in force since the start
 	offer          func(h *Holder, v *Versioned)
 	source         func(*modelStore) Source
 }
@@ -141,9 +142,9 @@
 		m.store.change(func() { m.store.silent = !m.store.silent; m.store.lost++ })
 		m.disturbedAt = time.Now()
 	case stepNewest:
-		m.offer(m.holder, versionAt(m.store.version, m.store.version))
+		m.offer(m.holder, versionAt(types.Position(m.store.version), m.store.version))
 	case stepOlder:
-		m.offer(m.holder, versionAt(m.store.version-1, m.store.version-1))
+		m.offer(m.holder, versionAt(types.Position(m.store.version-1), m.store.version-1))
 	case stepRestart:
 		m.end()
 		m.start()
@@ -160,7 +161,7 @@
 	if m.store.silent || time.Since(m.acknowledgedAt) <= applyWithin || time.Since(m.disturbedAt) <= disturbancePeriod {
 		return ""
 	}
-	if position < m.store.version {
+	if position < types.Position(m.store.version) {
 		return fmt.Sprintf("%d is in force %v after %d was acknowledged", position, time.Since(m.acknowledgedAt), m.store.version)
 	}
 	return ""
@@ -276,7 +277,7 @@
 // unawareSource never returns a change while it waits for one.
 type unawareSource struct{ *modelStore }
 
-func (s unawareSource) Next(ctx context.Context, after uint64, wait time.Duration) (*Versioned, uint64, error) {
+func (s unawareSource) Next(ctx context.Context, after types.Position, wait time.Duration) (*Versioned, types.Position, error) {
 	select {
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
--- a/site/outage_test.go
+++ b/site/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
 // silentStore drops requests that arrive or wait while it is silent: it responds to them
@@ -38,7 +39,7 @@
 	return s.version, s.silences, !s.silent
 }
 
-func (s *silentStore) Read(ctx context.Context) (*Versioned, uint64, error) {
+func (s *silentStore) Read(ctx context.Context) (*Versioned, types.Position, error) {
 	s.set(func() { s.requests++ })
 	version, _, ok := s.newest()
 	if !ok {
@@ -47,13 +48,13 @@
 	}
 	select {
 	case <-time.After(s.slow):
-		return versionAt(version, version), version, nil
+		return versionAt(types.Position(version), version), types.Position(version), nil
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
 	}
 }
 
-func (s *silentStore) Next(ctx context.Context, after uint64, wait time.Duration) (*Versioned, uint64, error) {
+func (s *silentStore) Next(ctx context.Context, after types.Position, wait time.Duration) (*Versioned, types.Position, error) {
 	s.set(func() { s.requests++ })
 	_, silencesBefore, ok := s.newest()
 	for end := time.Now().Add(wait + s.slow); ok; {
@@ -61,8 +62,8 @@
 		if silences > silencesBefore {
 			break
 		}
-		if version > after {
-			return versionAt(version, version), version, nil
+		if types.Position(version) > after {
+			return versionAt(types.Position(version), version), types.Position(version), nil
 		}
 		if time.Now().After(end) {
 			return nil, after, nil
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -12,9 +12,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/types"
 )
 
-func versionAt(position, version uint64) *Versioned {
+func versionAt(position types.Position, version uint64) *Versioned {
 	return &Versioned{Config: New(version, nil, nil, nil, ClientLimits{}), Position: position}
 }
 
@@ -37,7 +38,7 @@
 	h := NewHolder()
 	var wg sync.WaitGroup
 	for i := uint64(1); i <= 100; i++ {
-		wg.Go(func() { h.Offer(versionAt(i, i)) })
+		wg.Go(func() { h.Offer(versionAt(types.Position(i), i)) })
 	}
 	wg.Wait()
 	g.Expect(h.Position()).To(gomega.BeNumerically("==", 100))
@@ -50,19 +51,19 @@
 	version      uint64
 	silent       bool
 	err          error
-	historyStart uint64 // the history up to this position is gone
+	historyStart types.Position // the history up to this position is gone
 	reads        int
 }
 
-func (s *hungSource) historyStartNow() uint64 {
+func (s *hungSource) historyStartNow() types.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.historyStart
 }
 
-func (s *hungSource) now() *Versioned { return versionAt(s.version, s.version) }
+func (s *hungSource) now() *Versioned { return versionAt(types.Position(s.version), s.version) }
 
-func (s *hungSource) Read(context.Context) (*Versioned, uint64, error) {
+func (s *hungSource) Read(context.Context) (*Versioned, types.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -70,10 +71,10 @@
 		return nil, 0, s.err
 	}
 	s.silent = false
-	return s.now(), max(s.version, s.historyStart), nil
+	return s.now(), max(types.Position(s.version), s.historyStart), nil
 }
 
-func (s *hungSource) Next(ctx context.Context, after uint64, wait time.Duration) (*Versioned, uint64, error) {
+func (s *hungSource) Next(ctx context.Context, after types.Position, wait time.Duration) (*Versioned, types.Position, error) {
 	if after < s.historyStartNow() {
 		return s.Read(ctx)
 	}
