directory, platform: a list of a later era is newer, whatever its revision

Requests reached servers more than two seconds after the store had accepted that they leave (2.02 to 2.29 s in the record; the list was ignored for 5 s after the return, PY2716).

- The adapter gives positions of the list the era; a wait after one of another era is a whole read.
- The first list of an era applies.
- The span of positions at which a list is the newest never reaches into another era, and changes lead across eras only for peers whose list this process knows to have had: another may have seen more of the era before.
All others still get them as changes, so a return doesn't make each VM read the list.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -42,6 +42,7 @@
 type Directory struct {
 	view atomic.Pointer[View]
 
+	reached      types.AtomicPosition // see Reached
 	leaving      leavingStarts
 	loadChanged  chan struct{} // holds one token after a change of load
 	limitChanged chan struct{} // holds one token after a change of a server's rate limit
@@ -98,6 +99,14 @@
 // It must not call the Directory, and must be set before the first list.
 func (d *Directory) OnApplied(f func(*View)) { d.onApplied = f }
 
+// Advance records that all changes up to a position are in force.
+func (d *Directory) Advance(position types.Position) { d.reached.Advance(position) }
+
+// Reached returns the position up to which all changes are in force. Invariant: the
+// directory already holds everything up to it. A caller that needs the view as well must
+// call Reached first: a view taken before may lack changes up to the position.
+func (d *Directory) Reached() types.Position { return d.reached.Load() }
+
 // View returns the servers known now.
 func (d *Directory) View() *View { return d.view.Load() }
 
--- a/directory/events.go
+++ b/directory/events.go
@@ -11,7 +11,7 @@
 	EventListRegained = event.Define(2712, "servers_list_regained", event.Info,
 		"the store provides the list of backend servers to this process again", "nothing")
 	EventRetained = event.Define(2713, "servers_kept", event.Warn,
-		"entries expired during an outage of the store; their servers stay in use until two seconds after its return", "nothing")
+		"entries expired during an outage of the store, or are missing from the copy that it came back from; their servers stay in use until two seconds after its return", "nothing")
 	EventOutdatedEntry = event.Define(2714, "servers_late_entry", event.Info,
 		"entries were dropped because later starts of the same backend servers are known", "nothing")
 	EventIgnored = event.Define(2716, "servers_list_ignored", event.Info,
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -57,10 +57,10 @@
 	ProbeGroup *follow.ProbeGroup        // shared by all followers of the same store; may be nil
 
 	loop      atomic.Pointer[follow.Loop]
-	listedAt  time.Time            // time of the newest whole list; used by Run alone
-	position  types.AtomicPosition // up to which changes are known
-	ignoredAt atomic.Int64         // Unix nanoseconds of the newest log line on an ignored list
-	retained  atomic.Bool          // servers are in use that are missing from the newest list
+	listedAt  time.Time    // time of the newest whole list; used by Run alone
+	ignoredAt atomic.Int64 // Unix nanoseconds of the newest log line on an ignored list
+	retained  atomic.Bool  // servers are in use that are missing from the newest list
+	eraSince  atomic.Int64 // Unix nanoseconds of the first list of the newest era, unless it was the first list of all; 0: none
 }
 
 // Run follows the source until ctx ends.
@@ -95,11 +95,20 @@
 	return loop != nil && loop.Failing()
 }
 
-// retaining reports whether missing entries may merely have expired during an outage.
-func (f *Follower) retaining() bool { return f.loop.Load().FailedWithin(retainPeriod) }
+// retaining reports whether missing entries may merely have expired during an outage, or may
+// be missing from the copy that the store has come back from.
+func (f *Follower) retaining() bool {
+	return f.loop.Load().FailedWithin(retainPeriod) || f.isNewEra()
+}
+
+// isNewEra reports whether the store has come back from a copy at most retainPeriod ago.
+func (f *Follower) isNewEra() bool {
+	at := f.eraSince.Load()
+	return at != 0 && time.Since(time.Unix(0, at)) < retainPeriod
+}
 
 func (f *Follower) changes(ctx context.Context, wait time.Duration) (follow.Update, error) {
-	position, changed, gone, err := f.Source.Changes(ctx, f.position.Load(), wait)
+	position, changed, gone, err := f.Source.Changes(ctx, f.Directory.Reached(), wait)
 	if errors.Is(err, ErrTooOld) {
 		return f.list(ctx)
 	}
@@ -110,7 +119,7 @@
 		if len(changed)+len(gone) > 0 {
 			f.apply(position, merge(f.Directory.View().Listings, changed, gone), f.retaining(), fromStore)
 		}
-		f.advance(position)
+		f.Directory.Advance(position)
 	}, nil
 }
 
@@ -122,7 +131,7 @@
 	return func() {
 		f.listedAt = time.Now()
 		f.apply(position, list, f.retaining(), fromStore)
-		f.advance(position)
+		f.Directory.Advance(position)
 	}, nil
 }
 
@@ -141,37 +150,39 @@
 	return slices.Collect(maps.Values(byID))
 }
 
-// advance records the position up to which changes are known.
-func (f *Follower) advance(position types.Position) { f.position.Advance(position) }
-
-// Reached returns the position up to which all changes are in force. Invariant: the
-// directory already holds everything up to it. A caller that needs the view as well must
-// call Reached first: a view taken before may lack changes up to the position.
-func (f *Follower) Reached() types.Position { return f.position.Load() }
-
 // ApplyPeerList puts in force a list that a peer read from the store. If the list is
 // settled, meaning that the peer had no outage of the store, servers missing from it are
 // removed.
 func (f *Follower) ApplyPeerList(position types.Position, list []Listing, settled bool, from string) {
 	f.apply(position, list, !settled, from)
-	f.advance(position)
+	f.Directory.Advance(position)
 }
 
 // ApplyPeerChanges is ApplyPeerList for the changes since the list in force here.
 func (f *Follower) ApplyPeerChanges(position types.Position, changed []Listing, gone []string, settled bool, from string) {
 	f.apply(position, merge(f.Directory.View().Listings, changed, gone), !settled, from)
-	f.advance(position)
+	f.Directory.Advance(position)
 }
 
-// Settled reports whether the newest list is complete: no recent outage, and no server is
-// retained that is missing from it.
+// Settled reports whether the newest list is complete: no recent outage, no recent return
+// from a copy, and no server is retained that is missing from it.
 func (f *Follower) Settled() bool {
 	loop := f.loop.Load()
-	return loop != nil && !loop.FailedWithin(retainPeriod) && !f.retained.Load()
+	return loop != nil && !f.retaining() && !f.retained.Load()
+}
+
+// beginsEra reports whether a position is of a later era than the list in force.
+func (f *Follower) beginsEra(position types.Position) bool {
+	known := f.Directory.View().Position
+	return known != 0 && position.Era() > known.Era()
 }
 
 // apply puts a list in force and logs what changed.
 func (f *Follower) apply(position types.Position, list []Listing, retainMissing bool, from string) {
+	if f.beginsEra(position) && (retainMissing || from == fromStore) {
+		retainMissing = true
+		f.eraSince.Store(time.Now().UnixNano())
+	}
 	change := f.Directory.Apply(position, list, retainMissing, time.Now())
 	if change.Ignored {
 		// An ignored list says nothing about the servers that are retained now.
--- a/directory/history.go
+++ b/directory/history.go
@@ -14,15 +14,19 @@
 // listDiff is the difference between two successive lists.
 type listDiff struct {
 	from, to types.Position // positions before and after
-	changed  []Listing
-	gone     []string
+	// formerUntil is the position up to which the former list was known to be in force.
+	formerUntil types.Position
+	changed     []Listing
+	gone        []string
 }
 
 // recordChange appends the difference to the previous list to the history; d.mu must be
 // held. The first list is not recorded: peers that restarted at the same moment and lag
 // by one position would otherwise get thousands of servers as changes.
 //
-// It returns false if the list has the same content as the previous one.
+// It returns false if the list has the same content as the previous one and is of the same
+// era: an era may have had lists that this process has not seen, so a span of positions that
+// goes beyond it would claim too much.
 func (d *Directory) recordChange(old *View, position types.Position, list []Listing) bool {
 	if old.Position == 0 {
 		return true
@@ -31,7 +35,8 @@
 	for _, l := range old.Listings {
 		before[l.ID] = l
 	}
-	change := listDiff{from: old.Position, to: position}
+	change := listDiff{from: old.Position, to: position, formerUntil: max(old.Position, d.reached.Load())}
+	newEra := position.Era() != old.Position.Era()
 	for _, l := range list {
 		if before[l.ID] != l {
 			change.changed = append(change.changed, l)
@@ -42,7 +47,7 @@
 		change.gone = append(change.gone, id)
 	}
 	changes := len(change.changed)+len(change.gone) > 0
-	if !changes && len(d.history) > 0 {
+	if !changes && len(d.history) > 0 && !newEra {
 		// The newest difference leads to this position as well.
 		d.history[len(d.history)-1].to = position
 		return false
@@ -51,7 +56,19 @@
 	if len(d.history) > historyLength {
 		d.history = d.history[1:]
 	}
-	return changes
+	return changes || newEra
+}
+
+// leadsFromLocked reports whether the history leads from the list at a position to the one in
+// force; d.mu must be held. If the era has changed since, the list that this process knew
+// last in the position's era must be the one at the position.
+func (d *Directory) leadsFromLocked(position types.Position) bool {
+	for _, change := range d.history {
+		if change.to.Era() > position.Era() {
+			return change.from.Era() == position.Era() && position <= change.formerUntil
+		}
+	}
+	return true
 }
 
 // ChangesSince returns what has changed since a position, and the position that it leads
@@ -61,7 +78,7 @@
 func (d *Directory) ChangesSince(position types.Position) (to types.Position, changed []Listing, gone []string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.history) == 0 || position < d.history[0].from || position == 0 {
+	if len(d.history) == 0 || position < d.history[0].from || position == 0 || !d.leadsFromLocked(position) {
 		return 0, nil, nil, false
 	}
 	changedByID, goneIDs := map[string]Listing{}, map[string]bool{}
--- a/directory/reached_test.go
+++ b/directory/reached_test.go
@@ -37,7 +37,7 @@
 	var reader sync.WaitGroup
 	reader.Go(func() {
 		for ctx.Err() == nil {
-			if reached := f.Reached(); reached > f.Directory.View().Position {
+			if reached := f.Directory.Reached(); reached > f.Directory.View().Position {
 				late++
 			}
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -214,7 +214,7 @@
 	if s == fleet.Config {
 		return e.configHolder.Position()
 	}
-	return e.serverFollower.Reached()
+	return e.directory.Reached()
 }
 
 // newSuspects sets up the ledger of requests that crash backend servers, and its
--- a/fleet/cluster_model_test.go
+++ b/fleet/cluster_model_test.go
@@ -40,6 +40,7 @@
 type storeModel struct {
 	mu       sync.Mutex
 	position types.Position // grows with each write to any table
+	version  uint64         // newest one of the configuration that the operator has written
 	config   *site.Versioned
 	servers  map[string]directory.Listing
 	changes  []storeChange
@@ -74,7 +75,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position++
-	s.config, _ = decodeConfig(s.position, []byte("text"))
+	s.version++
+	s.config, _ = decodeConfig(s.position, fmt.Appendf(nil, "version %d", s.version))
 	s.notifyWaiters()
 }
 
@@ -172,7 +174,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config.Position > after {
+	if s.config.Position > after || s.position.Era() != after.Era() {
 		return s.config, s.position, nil
 	}
 	return nil, s.position, nil
@@ -209,6 +211,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.position.Era() != after.Era() {
+		return 0, nil, nil, directory.ErrTooOld
+	}
 	return s.position, s.changedAfter(after), nil, nil
 }
 
@@ -377,7 +382,7 @@
 			if s == Config {
 				return vm.holder.Position()
 			}
-			return servers.Reached()
+			return vm.dir.Reached()
 		},
 		Mark: func(s Subject) Mark {
 			if s == Config {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -42,11 +43,15 @@
 	server *httptest.Server
 }
 
+// decodeConfig decodes a configuration whose text names its version, or else has that of its
+// position.
 func decodeConfig(position types.Position, raw []byte) (*site.Versioned, error) {
 	if string(raw) == "bad" {
 		return nil, errors.New("bad")
 	}
-	return &site.Versioned{Config: site.New(uint64(position), nil, nil, nil, site.ClientLimits{}), Position: position, Raw: raw}, nil
+	version := uint64(position)
+	_, _ = fmt.Sscanf(string(raw), "version %d", &version)
+	return &site.Versioned{Config: site.New(version, nil, nil, nil, site.ClientLimits{}), Position: position, Raw: raw}, nil
 }
 
 func newVM(t *testing.T, name string, seeds ...string) *vm {
