entry: failing test of what a copy brings back though it is known better

The copy has a revoked key, as ready a server that had said it leaves, and a server whose entry had been removed; all is written again 3 s after the return.

--- a/entry/storecopy_test.go
+++ b/entry/storecopy_test.go
@@ -112,3 +112,55 @@
 		})
 	}
 }
+
+// knownBetter is how long the store has what VMs know better before its writers write it again.
+const knownBetter = 3 * time.Second
+
+// Guards against what the copy brings back though it is known better: a revoked key, a server
+// that leaves, and one that has left the list and still runs. At VMs that run, and at one that
+// starts before all this is written again and asks the others.
+func TestCopyBringsNothingBack(t *testing.T) {
+	for _, away := range []time.Duration{0, 400 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(away.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			env := startServing(t, 4, nil)
+			peer := env.startPeer("edge-2")
+			leaves, left := env.servers[0], env.servers[1]
+			var again nursery.LostRows
+			from := env.store.Copy()
+			env.configure(2, `"k0"`, testRoutes...)
+			leaves.Drain()
+			env.store.Remove("servers", left.ID())
+			again = env.store.LostSince(from)
+			time.Sleep(2500 * time.Millisecond) // the list without the server is settled
+			if away > 0 {
+				env.store.SetFault(nursery.StoreBusy)
+				time.Sleep(away)
+			}
+			env.store.ComeBack(from)
+			env.store.SetFault(nursery.StoreHealthy)
+			returned := time.Now()
+			started := env.startPeer("edge-3")
+			time.Sleep(100 * time.Millisecond) // its question to the others
+			since := time.Now()
+			served := 0
+			for n := 0; time.Since(returned) < knownBetter; n++ {
+				for _, vm := range []*testEnv{env, peer, started} {
+					id := fmt.Sprint(vm.callerAddr, "-", n)
+					g.Expect(vm.send(testRequest{id: "kept" + id, path: "/once/" + id}).readHead().Status).To(gomega.Equal(200))
+					if vm.send(testRequest{id: "revoked" + id, path: "/once/" + id, key: "k1"}).readHead().Status == 200 {
+						served++
+					}
+				}
+			}
+			g.Expect(served).To(gomega.BeZero(), "requests with the revoked key were served")
+			g.Expect(env.arrivalsSince(leaves, since)).To(gomega.BeZero(), "a server that leaves got requests")
+			g.Expect(env.arrivalsSince(left, since)).To(gomega.BeZero(), "a server that has left the list got requests")
+			env.store.WriteAgain(again)
+			time.Sleep(changeLimit)
+			since = time.Now()
+			g.Expect(sendFor(500*time.Millisecond, "/once/then/", env, peer, started)).To(gomega.BeZero())
+			g.Expect(env.arrivalsSince(leaves, since) + env.arrivalsSince(left, since)).To(gomega.BeZero())
+		})
+	}
+}
