suspect: quarantined requests are written again after the table service came back from a copy

The ledger writes changed rows once and loads them at the start: a row that the copy lacks stayed lost, and after a loss of all processes the request ran again.

--- a/suspect/events.go
+++ b/suspect/events.go
@@ -22,6 +22,8 @@
 		"suspicions are written to the table service again", "nothing")
 	eventHeld = event.Define(2406, "suspect_copy_held", event.Info,
 		"a copy of a suspect was held back because another copy is running or the chosen backend server already runs a suspect", "nothing")
+	eventAdopted = event.Define(2410, "suspect_rows_adopted", event.Info,
+		"the table service came back from a copy without rows of quarantined requests whose processes have ended; this process writes them again", "nothing")
 	eventPeer = event.Define(2407, "suspect_peer_unreachable", event.Info,
 		"suspicions or grants could not be exchanged with a peer; other peers relay suspicions to it", "nothing; membership reports lost peers")
 )
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -39,6 +39,7 @@
 	views       atomic.Pointer[map[types.Fingerprint]view]
 	changed     chan struct{} // receives a value when there is something to push or renew
 	quarantined chan struct{} // receives a value when a quarantine is to be written to the table service
+	returned    chan struct{} // receives a value when the table service has come back from a copy
 	// releaseGrant is set by a Gossiper. It is called when the last run of a
 	// fingerprint in this process ends.
 	releaseGrant atomic.Pointer[func(types.Fingerprint)]
@@ -59,6 +60,7 @@
 		instance:    rand.Uint64(),
 		changed:     make(chan struct{}, 1),
 		quarantined: make(chan struct{}, 1),
+		returned:    make(chan struct{}, 1),
 		records:     map[types.Fingerprint]*record{},
 		dirty:       map[types.Fingerprint]struct{}{},
 		toDelete:    map[types.Fingerprint]struct{}{},
--- a/suspect/options.go
+++ b/suspect/options.go
@@ -29,6 +29,9 @@
 	// HoldAccused is set if requests are held back that are accused, see Ledger.Accused,
 	// instead of those with a death that counts.
 	HoldAccused bool
+	// Adopts reports whether this process writes the rows again whose owners have ended when
+	// the table service came back from a copy; nil: it does not.
+	Adopts func() bool
 	// OnQuarantine is called for each new or extended quarantine, so that a running copy can
 	// be cancelled before it crashes another engine.
 	OnQuarantine func(types.Fingerprint, Verdict)
--- a/suspect/store.go
+++ b/suspect/store.go
@@ -26,8 +26,9 @@
 	expireInterval = 10 * time.Second
 )
 
-// Run loads the stored entries from the table service, then writes changes to it
-// and removes expired records until ctx ends. Verdicts and gossip continue while
+// Run loads the stored entries from the table service, then writes changes to it,
+// writes them again after it has come back from a copy, and removes expired records until
+// ctx ends. Verdicts and gossip continue while
 // the table service is unavailable.
 func (l *Ledger) Run(ctx context.Context) error {
 	flush := time.NewTicker(flushInterval)
@@ -36,12 +37,23 @@
 	defer expire.Stop()
 	table := tableState{}
 	loaded := l.opts.Table == nil || l.load(ctx, &table)
+	var due rewriting
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-expire.C:
 			l.expire()
+		case <-l.returned:
+			due = newRewriting()
+		case <-due.own:
+			due.own = nil
+			l.rewriteOwn()
+		case <-due.missing:
+			due.missing = nil
+			if l.adopts() && !l.adoptMissing(ctx, &table) {
+				due.missing = time.After(tableTimeout)
+			}
 		case <-l.quarantined:
 			if loaded && l.opts.Table != nil {
 				l.flush(ctx, &table)
