fleet, entry: entry VMs missing from a copy stay known, rows of VMs and of streams' versions are written again

Peers without a row are retained for two reads of the registry; the watchers read it at once, and the digest, now of the rows alone, has the VM write its row again. A VM's row of streams' versions was written again only with the next stream that began there: it is scheduled within the interval between two writes. TestEntryVMsMissingFromACopyStayKnown, red before; TestVersionsOfStreamsAreWrittenAgainAfterReturnFromCopy.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -222,7 +222,7 @@
 func (e *Entry) newSuspects(store *platform.Store, client *http.Client) {
 	e.suspects = suspect.New(suspect.Options{
 		Self: types.ProcessID(e.settings.Name), Limit: suspect.LedgerLimit(crashLimit), Quarantine: quarantineTime, Window: crashWindow,
-		Recorder: e.recorder, Registerer: e.registry, Table: platform.NewSuspectTable(store), QuarantinesOnly: true, HoldAccused: true,
+		Recorder: e.recorder, Registerer: e.registry, Table: platform.NewSuspectTable(store), QuarantinesOnly: true, HoldAccused: true, Adopts: e.election.IsWatcher,
 		OnQuarantine: func(fp types.Fingerprint, _ suspect.Verdict) { e.exchange.EndQuarantined(fp) },
 	})
 	e.suspectGossiper = suspect.NewGossiper(e.suspects, suspect.GossiperOptions{
@@ -369,6 +369,7 @@
 	addBackground(&group, e.serverFollower.Run)
 	addBackground(&group, e.fleet.Run)
 	addBackground(&group, e.fleet.AskKnownBetter)
+	addBackground(&group, e.followEras)
 	addBackground(&group, e.socket.Run)
 	addBackground(&group, e.loads.Run)
 	addBackground(&group, e.readTimes.Run)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,9 @@
 	// read for the first time.
 	retryPause = 200 * time.Millisecond
 	maxPause   = time.Second
+	// registryRetainPeriod is how long peers are retained whose rows are missing after the store
+	// came back from a copy: two reads of the watchers, between which they write them again.
+	registryRetainPeriod = 2 * registryPollInterval
 	// peersPerQuery is how many peers are asked at once: more than one, as the store may
 	// not answer a peer either.
 	peersPerQuery = 2
@@ -76,14 +79,18 @@
 
 // Fleet tracks the other entry VMs, queries them and answers their queries.
 type Fleet struct {
-	opts        Options
-	peers       atomic.Pointer[[]string]   // addresses of the other entry VMs, sorted
-	cellPeers   atomic.Pointer[[]string]   // those in the cell of this process
-	otherCells  atomic.Pointer[[][]string] // see OtherCells
-	known       chan struct{}              // closed when the registry has been read
-	eraChanged  chan struct{}              // holds a token after EraChanged
-	size        atomic.Int64               // number of entry VMs; 0 until the registry has been read
-	sendLimiter rateLimiter
+	opts       Options
+	peers      atomic.Pointer[[]string]   // addresses of the other entry VMs, sorted
+	cellPeers  atomic.Pointer[[]string]   // those in the cell of this process
+	otherCells atomic.Pointer[[][]string] // see OtherCells
+	known      chan struct{}              // closed when the registry has been read
+	eraChanged chan struct{}              // holds a token after EraChanged, for AskKnownBetter
+	// registryReturned is the same for Run. Rows that the copy lacks are written again by
+	// their VMs, which learn of it from the digest that the watchers announce.
+	registryReturned chan struct{}
+	retainUntil      atomic.Int64 // Unix nanoseconds until which peers without a row are retained
+	size             atomic.Int64 // number of entry VMs; 0 until the registry has been read
+	sendLimiter      rateLimiter
 
 	election *Election // nil: this process reads the registry itself
 
@@ -101,7 +108,7 @@
 
 // New returns a Fleet whose only peers are the seeds.
 func New(opts Options) *Fleet {
-	f := &Fleet{opts: opts, known: make(chan struct{}), eraChanged: make(chan struct{}, 1)}
+	f := &Fleet{opts: opts, known: make(chan struct{}), eraChanged: make(chan struct{}, 1), registryReturned: make(chan struct{}, 1)}
 	f.setPeers(opts.Seeds)
 	return f
 }
@@ -151,6 +158,10 @@
 			return
 		case <-f.election.NewMembers():
 			return
+		case <-f.registryReturned:
+			if f.election.IsWatcher() {
+				return
+			}
 		case <-ticker.C:
 		}
 		if f.election.isHealthyWatcher() || !f.election.MembersDelegated() {
@@ -180,20 +191,26 @@
 			return err
 		}
 	}
-	f.setPeers(f.addresses(rows))
+	addresses := f.addresses(rows)
+	if time.Now().UnixNano() < f.retainUntil.Load() {
+		f.setPeers(append(slices.Clone(addresses), f.Peers()...))
+	} else {
+		f.setPeers(addresses)
+	}
 	if f.size.Swap(int64(len(f.Peers()))+1) == 0 {
 		close(f.known)
 	}
 	if f.election != nil {
-		f.election.MembersRead(f.digest())
+		f.election.MembersRead(f.digest(addresses))
 	}
 	return nil
 }
 
-// digest returns a hash of the addresses of all entry VMs, including this one.
-func (f *Fleet) digest() uint64 {
-	all := append(slices.Clone(f.Peers()), f.opts.Address)
+// digest returns a hash of the addresses in the registry and that of this process.
+func (f *Fleet) digest(addresses []string) uint64 {
+	all := append(slices.Clone(addresses), f.opts.Address)
 	slices.Sort(all)
+	all = slices.Compact(all)
 	return xxhash.Sum64String(strings.Join(all, " "))
 }
 
--- a/fleet/knownbetter.go
+++ b/fleet/knownbetter.go
@@ -16,7 +16,11 @@
 )
 
 // EraChanged tells that the store has come back from a copy.
-func (f *Fleet) EraChanged() { signal(f.eraChanged) }
+func (f *Fleet) EraChanged() {
+	f.retainUntil.Store(time.Now().Add(registryRetainPeriod).UnixNano())
+	signal(f.eraChanged)
+	signal(f.registryReturned)
+}
 
 // AskKnownBetter asks peers for what the store may lack until ctx ends: once this process has
 // read the store after its start, once it knows all peers, and after each EraChanged.
--- a/fleet/storecopy_test.go
+++ b/fleet/storecopy_test.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -133,3 +135,62 @@
 		}
 	})
 }
+
+// Guards against an entry VM that is unknown to the others, which then count too few VMs and
+// tell it nothing, since the copy lacks its row.
+func TestEntryVMsMissingFromACopyStayKnown(t *testing.T) {
+	forEachSize(t, func(g *gomega.WithT, c *cluster, size int) {
+		from := c.store.copy()
+		c.start(size)
+		added := vmAddress(size)
+		knowsAdded := func(vm *clusterVM) bool { return vm.opts.Address == added || slices.Contains(vm.Peers(), added) }
+		g.Expect(c.timeUntilAll(knowsAdded)).To(gomega.BeNumerically("<", settleTime))
+		c.store.comeBack(from)
+		for range 100 {
+			g.Expect(c.timeUntilAll(knowsAdded)).To(gomega.BeZero())
+			time.Sleep(150 * time.Millisecond)
+		}
+		g.Expect(c.store.copy().rows).To(gomega.HaveKey(added), "it has written its row again")
+	})
+}
+
+// Guards against streams whose version nobody knows after a loss of all VMs: the store came
+// back from a copy without their rows, and VMs on which no stream began since did not write
+// theirs again.
+func TestVersionsOfStreamsAreWrittenAgainAfterReturnFromCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer func() {
+			stop()
+			time.Sleep(time.Second)
+		}()
+		m := newVersionSite(versionDesign{peers: true, store: true})
+		m.addServers("v1", 2)
+		m.addServers("v2", 2)
+		m.startVMs(ctx, 5)
+		for i, vm := range m.running() {
+			vm.versions.Record("s", uint64(i), "v1", time.Now().Add(time.Minute))
+		}
+		time.Sleep(2 * saveInterval)
+		g.Expect(m.store.rowNames()).To(gomega.HaveLen(5))
+		m.store.clear()
+		for _, vm := range m.running() {
+			vm.versions.StoreReturned()
+		}
+		time.Sleep(2 * saveInterval)
+		g.Expect(m.store.rowNames()).To(gomega.HaveLen(5))
+	})
+}
+
+func (s *versionStoreModel) rowNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.rows))
+}
+
+func (s *versionStoreModel) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.rows)
+}
--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,14 @@
 
 func (r *versionRows) markChanged() { signal(r.changed) }
 
+// storeReturned has the row written again, at a moment that spreads the rows of all VMs over
+// the interval between two writes.
+func (r *versionRows) storeReturned() {
+	if r.of.history.AnyMixed(time.Now()) {
+		time.AfterFunc(rand.N(r.interval()), r.markChanged)
+	}
+}
+
 // run writes this process's row while several versions of a service have served, and removes
 // it afterwards, until ctx ends. What is unwritten then is written once more.
 func (r *versionRows) run(ctx context.Context) error {
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -255,3 +255,7 @@
 	}
 	return m
 }
+
+// StoreReturned tells that the store has come back from a copy, which may lack this process's
+// row.
+func (v *StreamVersions) StoreReturned() { v.rows.storeReturned() }
