rollout, platform, fleet: verdicts and deadlines of roll-outs outlive a return of the store from a copy

An order is known by its position. The copy has it at another one, or the operator writes it again at another one: a version that had been found bad was tried again, a completed roll-out began anew, a trial got a new deadline, and what the operator reads was gone. Class: the identity of a thing that outlives the store is a place in it.

- An order of a later era that asks for the same goes on with the same roll-out; one that a configuration of a later era lacks stays; one that this process knows to have been followed by another is not taken for the newest.
- The deciders write a record again after the return, with the outcome, or with the time at which the trial began; an outcome in the copy's record counts.
A VM that knows an outcome tells a decider that does not.
- A record is not written on the condition of a revision of another era.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -280,7 +280,7 @@
 // configApplied is called with each configuration that comes into force.
 func (e *Entry) configApplied(v *site.Versioned) {
 	e.fleet.Applied(v)
-	e.rollouts.ApplyConfig(v.Config)
+	e.rollouts.ApplyConfig(v)
 }
 
 func (e *Entry) newExchange() {
--- a/entry/storecopy.go
+++ b/entry/storecopy.go
@@ -41,4 +41,5 @@
 	e.fleet.EraChanged()
 	e.suspects.TableReturned()
 	e.streamVersions.StoreReturned()
+	e.decider.StoreReturned()
 }
--- a/fleet/rollouts.go
+++ b/fleet/rollouts.go
@@ -109,7 +109,9 @@
 func (r *Rollouts) receiveNotice(from string, _ header, raw []byte, now time.Time) bool {
 	notices, ok := decodeNotices(raw)
 	for _, n := range notices {
-		r.controller.ReceiveNotice(from, n, now)
+		if outcome, unknown := r.controller.ReceiveNotice(from, n, now); unknown {
+			r.socket.SendTo(encodeNotices([]rollout.Notice{outcome}), []string{from})
+		}
 	}
 	return ok
 }
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -47,9 +47,11 @@
 
 // state is one roll-out in this process.
 type state struct {
-	order     site.RolloutOrder
-	restarted bool    // this process started after the order
-	carry     float64 // see Allowance
+	order      site.RolloutOrder    // as first read
+	readAt     types.AtomicPosition // see position
+	superseded []site.RolloutOrder  // former orders of the service, oldest first
+	restarted  bool                 // this process started after the order
+	carry      float64              // see Allowance
 
 	phase       atomic.Uint32
 	phaseSince  atomic.Int64 // Unix nanoseconds since when this process knows the phase
@@ -88,25 +90,41 @@
 }
 
 // ApplyConfig takes over the orders of a configuration that has come into force.
-func (c *Controller) ApplyConfig(config *site.Config) {
+//
+// An order that a configuration of a later era lacks is missing from the copy that the store
+// has come back from: its roll-out stays.
+func (c *Controller) ApplyConfig(v *site.Versioned) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := *c.states.Load()
-	next := make(map[string]*state, len(config.Rollouts))
-	for service, order := range config.Rollouts {
-		if known := old[service]; known != nil && known.order.Position >= order.Position {
+	next := make(map[string]*state, len(v.Config.Rollouts))
+	for service, known := range old {
+		if known.position().Era() < v.Position.Era() {
 			next[service] = known
-			continue
 		}
-		next[service] = c.begin(order)
+	}
+	for service, order := range v.Config.Rollouts {
+		known := old[service]
+		switch {
+		case known == nil:
+			next[service] = c.begin(order, nil)
+		case known.continues(order):
+			known.readAt.Advance(order.Position)
+			next[service] = known
+		case known.isSuperseded(order):
+			next[service] = known
+		default:
+			next[service] = c.begin(order, known.ordersBefore())
+		}
 	}
 	c.configured = true
 	c.states.Store(&next)
 	c.notify()
 }
 
-func (c *Controller) begin(order site.RolloutOrder) *state {
-	s := &state{order: order, restarted: !c.configured, carry: rand.Float64(), pending: map[*Pending]struct{}{}, evidence: Evidence{}, peers: map[reporter]*Report{}}
+func (c *Controller) begin(order site.RolloutOrder, superseded []site.RolloutOrder) *state {
+	s := &state{order: order, superseded: superseded, restarted: !c.configured, carry: rand.Float64(), pending: map[*Pending]struct{}{}, evidence: Evidence{}, peers: map[reporter]*Report{}}
+	s.readAt.Advance(order.Position)
 	c.opts.Recorder.Emit(EventOrdered, "service", order.Service, "version", order.Version, "within", order.Duration, "position", order.Position,
 		"restarted", s.restarted, "established", c.establishedVersions(order.Service), "listed", c.opts.Directory.View().Versions(order.Service))
 	return s
@@ -151,7 +169,7 @@
 // says. It returns the phase that is known afterwards.
 func (c *Controller) SetPhase(service string, position types.Position, p Phase, from string, now time.Time) Phase {
 	s := (*c.states.Load())[service]
-	if s == nil || s.order.Position != position {
+	if s == nil || s.position() != position {
 		return Unknown
 	}
 	s.confirmedAt.Store(now.UnixNano())
@@ -176,7 +194,7 @@
 		c.opts.Directory.RetireOtherVersions(s.order.Service, s.order.Version)
 	}
 	total := s.total().total()
-	c.opts.Recorder.Emit(EventPhase, "service", s.order.Service, "version", s.order.Version, "phase", now, "was", old, "from", from, "position", s.order.Position,
+	c.opts.Recorder.Emit(EventPhase, "service", s.order.Service, "version", s.order.Version, "phase", now, "was", old, "from", from, "position", s.position(),
 		"requests", s.requests.Load(), "sent", s.sent.Load(),
 		"ended", total.New.Ended, "failed", total.New.Failed, "established_ended", total.Established.Ended, "established_failed", total.Established.Failed)
 	c.notify()
@@ -192,7 +210,9 @@
 func (c *Controller) Orders() []Order {
 	var list []Order
 	for _, s := range *c.states.Load() {
-		list = append(list, Order{RolloutOrder: s.order, Phase: s.current()})
+		order := Order{RolloutOrder: s.order, Phase: s.current()}
+		order.Position = s.position()
+		list = append(list, order)
 	}
 	return list
 }
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -39,15 +41,18 @@
 // may judge differently; the store accepts one outcome, as each write depends on the
 // revision of the record before it.
 type Decider struct {
-	opts  DeciderOptions
-	tasks map[string]*task // by service
+	opts     DeciderOptions
+	returned atomic.Bool      // StoreReturned was called
+	tasks    map[string]*task // by service
 }
 
 // task is a decider's work on one roll-out.
 type task struct {
 	position types.Position
+	order    site.RolloutOrder // as first seen
 	saved    Saved
 	loaded   bool
+	recorded bool      // the store has the outcome
 	deadline time.Time // zero until the record of this order is known
 	dueSince time.Time // since when a write has been due; zero: none is
 	retryAt  time.Time // no call to the store before
@@ -65,7 +70,7 @@
 	defer tick.Stop()
 	for {
 		due := tick.C
-		if !d.opts.Controller.InProgress() {
+		if !d.opts.Controller.InProgress() && !d.hasUnrecorded() {
 			due = nil
 		}
 		select {
@@ -81,15 +86,20 @@
 // Decide takes the next step of each roll-out.
 func (d *Decider) Decide(ctx context.Context) {
 	rank := d.opts.Rank()
+	d.forgetRecords()
 	for _, order := range d.opts.Controller.Orders() {
 		if rank < 0 {
 			delete(d.tasks, order.Service)
 			continue
 		}
 		t := d.tasks[order.Service]
-		if t == nil || t.position != order.Position {
-			t = &task{position: order.Position}
+		switch {
+		case t == nil, t.position.Era() == order.Position.Era() && t.position != order.Position, !isRewritten(t.order, order.RolloutOrder):
+			t = &task{position: order.Position, order: order.RolloutOrder}
 			d.tasks[order.Service] = t
+		case t.position != order.Position:
+			// The order was written again after the store came back from a copy.
+			t.position, t.loaded, t.recorded = order.Position, false, false
 		}
 		d.advance(ctx, t, order, rank)
 	}
@@ -99,6 +109,7 @@
 func (d *Decider) advance(ctx context.Context, t *task, order Order, rank int) {
 	now := time.Now()
 	if order.Phase.Final() {
+		d.keepRecord(ctx, t, order, rank, now)
 		return
 	}
 	if t.deadline.IsZero() && !d.open(ctx, t, order, rank, now) {
@@ -141,11 +152,25 @@
 		return false
 	}
 	if t.saved.Position != order.Position {
-		d.write(ctx, t, order, Trial)
+		d.write(ctx, t, order, max(order.Phase, Trial))
 	}
 	return t.saved.Position == order.Position && !t.saved.Phase.Final()
 }
 
+// keepRecord writes the outcome of a roll-out if the store, which may have come back from a
+// copy, does not have it.
+func (d *Decider) keepRecord(ctx context.Context, t *task, order Order, rank int, now time.Time) {
+	if t.recorded || !t.due(rank, now) {
+		return
+	}
+	if !t.loaded && !d.load(ctx, t, order) {
+		return
+	}
+	if !t.recorded {
+		d.write(ctx, t, order, order.Phase)
+	}
+}
+
 func (d *Decider) load(ctx context.Context, t *task, order Order) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -169,9 +194,13 @@
 	if t.saved.Position == order.Position && t.saved.Phase.Final() {
 		return
 	}
+	// An outcome in the record of an earlier era is one that the copy has.
+	if t.saved.isOf(order) && t.saved.Phase.Final() {
+		p = t.saved.Phase
+	}
 	record := Record{Service: order.Service, Position: order.Position, Version: order.Version, Phase: p, Began: t.saved.Began}
-	if t.saved.Position != order.Position {
-		record.Began = t.saved.Now
+	if !t.saved.isOf(order) {
+		record.Began = t.saved.Now - t.elapsed(order)
 	}
 	saved, err := d.opts.Store.Save(ctx, record, t.saved)
 	switch {
@@ -195,10 +224,16 @@
 func (d *Decider) adopt(t *task, order Order, saved Saved) {
 	now := time.Now()
 	t.saved, t.loaded = saved, true
+	if !saved.isOf(order) {
+		return
+	}
+	if t.deadline.IsZero() {
+		t.deadline = now.Add(saved.Began + order.Duration - saved.Now)
+	}
 	if saved.Position != order.Position {
 		return
 	}
-	t.deadline = now.Add(saved.Began + order.Duration - saved.Now)
 	t.dueSince = time.Time{}
-	d.opts.Controller.SetPhase(order.Service, order.Position, saved.Phase, "store", now)
+	known := d.opts.Controller.SetPhase(order.Service, order.Position, saved.Phase, "store", now)
+	t.recorded = saved.Phase.Final() && saved.Phase == known
 }
--- a/rollout/decider_test.go
+++ b/rollout/decider_test.go
@@ -76,7 +76,7 @@
 	return saved, err
 }
 
-func (s *fakeStore) writeLocked(r Record, revision uint64) (Saved, error) {
+func (s *fakeStore) writeLocked(r Record, revision types.Position) (Saved, error) {
 	if s.saved.Revision != revision {
 		return Saved{}, ErrConflict
 	}
@@ -103,10 +103,10 @@
 const testDuration = 20 * time.Second
 
 // testConfig returns a configuration with one order.
-func testConfig(position types.Position) *site.Config {
+func testConfig(position types.Position) *site.Versioned {
 	config := site.New(1, nil, nil, nil, site.ClientLimits{})
 	config.Rollouts = map[string]site.RolloutOrder{"s": {Service: "s", Version: "v2", Duration: testDuration, Position: position}}
-	return config
+	return &site.Versioned{Config: config, Position: position}
 }
 
 // testProcess is a process that may be a decider.
@@ -125,7 +125,7 @@
 	recorder := event.NewRecorder(log.NewNopLogger(), 1)
 	p := &testProcess{Controller: New(Options{Share: 0.1, Tolerance: 50, Size: func() int { return 1 }, Directory: d, Recorder: recorder})}
 	p.rank.Store(int64(rank))
-	p.ApplyConfig(site.New(1, nil, nil, nil, site.ClientLimits{}))
+	p.ApplyConfig(&site.Versioned{Config: site.New(1, nil, nil, nil, site.ClientLimits{}), Position: 1})
 	p.Assign("s", "first", true)
 	p.ApplyConfig(testConfig(5))
 	d.Apply(2, append(list, directory.Listing{ID: "new", Service: "s", Address: "10.0.0.2:1", Version: "v2"}), false, time.Now())
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -22,8 +22,8 @@
 // Saved is a record as the store holds it.
 type Saved struct {
 	Record
-	Revision uint64        // of the record in the store; 0: there is none
-	Now      time.Duration // the store's steady clock, which Record.Began is read from as well
+	Revision types.Position // of the record in the store; 0: there is none
+	Now      time.Duration  // the store's steady clock, which Record.Began is read from as well
 }
 
 // ErrConflict is returned by Store.Save if the record has changed since its revision.
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -32,7 +32,7 @@
 		if s.current().Final() {
 			continue
 		}
-		list = append(list, Report{Service: directory.Hash(service), Position: s.order.Position, Stopped: s.current() == Stopped, Evidence: s.own(time.Now())})
+		list = append(list, Report{Service: directory.Hash(service), Position: s.position(), Stopped: s.current() == Stopped, Evidence: s.own(time.Now())})
 	}
 	return list
 }
@@ -57,7 +57,7 @@
 	var list []Notice
 	for service, s := range *c.states.Load() {
 		if p := s.current(); p != Unknown {
-			list = append(list, Notice{Service: directory.Hash(service), Position: s.order.Position, Phase: p})
+			list = append(list, Notice{Service: directory.Hash(service), Position: s.position(), Phase: p})
 		}
 	}
 	slices.SortFunc(list, func(a, b Notice) int { return cmp.Compare(a.Service, b.Service) })
@@ -94,18 +94,23 @@
 	}
 }
 
-// ReceiveNotice records what a decider tells.
-func (c *Controller) ReceiveNotice(peer string, n Notice, now time.Time) {
-	if s := c.find(n.Service, n.Position); s != nil && n.Phase.Valid() {
-		c.SetPhase(s.order.Service, n.Position, n.Phase, peer, now)
+// ReceiveNotice records what a decider tells. If the outcome is known here but not to the
+// decider, outcome is the notice to send back: the store may have come back from a copy that
+// lacks the record.
+func (c *Controller) ReceiveNotice(peer string, n Notice, now time.Time) (outcome Notice, unknown bool) {
+	s := c.find(n.Service, n.Position)
+	if s == nil || !n.Phase.Valid() {
+		return Notice{}, false
 	}
+	n.Phase, unknown = c.SetPhase(s.order.Service, n.Position, n.Phase, peer, now), !n.Phase.Final()
+	return n, unknown && n.Phase.Final()
 }
 
 // find returns the roll-out that an order began, nil if it is not the newest of its
 // service here.
 func (c *Controller) find(service uint32, position types.Position) *state {
 	for name, s := range *c.states.Load() {
-		if directory.Hash(name) == service && s.order.Position == position {
+		if directory.Hash(name) == service && s.position() == position {
 			return s
 		}
 	}
