--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,7 +148,7 @@
 	gauge("pearyard_server_list_age_seconds", "Time since the store or a reader confirmed the list of backend servers, seconds.",
 		func() float64 { return e.serverFollower.Age().Seconds() })
 	gauge("pearyard_config_position", "Place of the configuration in force in the store's history.",
-		func() float64 { return float64(e.configHolder.Position()) })
+		func() float64 { return float64(e.configHolder.Position().Revision()) })
 	e.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "pearyard_server_words_dropped_total",
 		Help: "Entries of backend servers and losses told of them that were dropped, as another start is the known one.",
@@ -345,7 +345,7 @@
 func (e *Entry) newInspect() error {
 	registry, err := inspect.New(inspect.Options{
 		Identity: inspect.Identity{Process: types.ProcessID(e.settings.Name), Role: types.RoleRouter, Zone: types.Zone(e.settings.Zone)},
-		Revision: func() types.Revision { return types.Revision(e.configHolder.Position()) }, Recorder: e.recorder, Gatherer: e.registry, Registerer: e.registry,
+		Revision: func() types.Revision { return types.Revision(e.configHolder.Position().Revision()) }, Recorder: e.recorder, Gatherer: e.registry, Registerer: e.registry,
 	})
 	if err != nil {
 		return errors.Wrap(err, "entry: inspect")
