soak: the store comes back from copies

Beside restarts and cuts of VMs, revoked keys, other changes, crashes, poisoned requests, servers of two versions and load: the store is copied, a key is revoked and a server leaves, the store goes away or not and comes back from the copy; what was lost is written again within two seconds; 1.5 s after the return a route is added and another server leaves. Checked at VMs that nothing has disturbed: the revoked key is never served, the route is after two seconds, no server that has left gets anything.

--- a/soak/run.go
+++ b/soak/run.go
@@ -107,6 +107,7 @@
 	r.Violations = append(r.Violations, limitViolations(site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, leavingViolations(calls, site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, restViolations(calls, site.Cloud.Ledger.Rests(), site.Cloud.Ledger.Arrivals(), r.Timeline)...)
+	r.Violations = append(r.Violations, site.copyViolations(site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Returns = countReturns(calls)
 	r.Violations = append(r.Violations, r.Returns.violations()...)
 	r.Violations = append(r.Violations, recoveryViolations(calls, settled)...)
--- a/soak/site.go
+++ b/soak/site.go
@@ -57,6 +57,8 @@
 	mu            sync.Mutex
 	version       int // of the newest configuration
 	configuration Configuration
+	probes        []probe  // sent so far
+	leavers       []leaver // starts that have left so far
 }
 
 // NewSite starts a site and waits until its VMs are ready. Settings and logs are written to dir.
--- a/soak/violations.go
+++ b/soak/violations.go
@@ -34,8 +34,8 @@
 		violations = append(violations, checkCall(c, ran[c.ID])...)
 	}
 	for id, list := range ran {
-		if strings.HasPrefix(id, poisonIDPrefix) {
-			continue // checked by crashViolations
+		if strings.HasPrefix(id, poisonIDPrefix) || strings.HasPrefix(id, probeIDPrefix) {
+			continue // checked by crashViolations and copyViolations
 		}
 		if !seen[id] {
 			violations = append(violations, fmt.Sprintf("a server ran request %q, target %s, which no caller sent", id, list[0].Target))
