directory: a peer's first list of an era retains missing servers, a server that writes its entry again is used

Two faults of the mend, found by reading. A VM that starts right after the return calls the copy's list settled, so others dropped servers that were merely missing from it: the first list of an era retains them, whoever sends it. And a server that was dropped because the copy lacked it counted as one that had left before, so it got nothing for 6 s after it had written its entry again: it left with the list that lacks it. TestServersMissingFromACopyAreRetained (extended) and TestServerThatWritesItsEntryAgainIsUsed, both red before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		s.removed.Store(true)
-		d.left.add(s.Start, old.Position.Era(), now)
+		d.left.add(s.Start, position.Era(), now)
 		change.Left = append(change.Left, s.String())
 	}
 	next.indexVersions()
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -79,5 +79,21 @@
 		time.Sleep(3 * time.Second)
 		g.Expect(f.Directory.View().Len()).To(gomega.Equal(1))
 		g.Expect(f.Settled()).To(gomega.BeTrue())
+		f.ApplyPeerList(types.NewPosition(2, 45), nil, true, "a peer that has just started")
+		g.Expect(f.Directory.View().Len()).To(gomega.Equal(1))
 	})
 }
+
+// Guards against a server that gets nothing for seconds although it has written its entry
+// again: it was missing from the copy, and this process had dropped it.
+func TestServerThatWritesItsEntryAgainIsUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply(60, listed("", "a", "b"), false, time.Now())
+	d.Apply(second(45), listed("", "a"), false, time.Now())
+	d.Apply(second(47), listed("", "a", "b"), false, time.Now())
+	g.Expect(d.View().byID["b"].Draining()).To(gomega.BeFalse())
+	d.Apply(second(50), listed("", "a"), false, time.Now())
+	d.Apply(types.NewPosition(2, 48), listed("", "a", "b"), false, time.Now())
+	g.Expect(d.View().byID["b"].Draining()).To(gomega.BeTrue(), "it left before the copy brought it back")
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -179,7 +179,8 @@
 
 // apply puts a list in force and logs what changed.
 func (f *Follower) apply(position types.Position, list []Listing, retainMissing bool, from string) {
-	if f.beginsEra(position) && (retainMissing || from == fromStore) {
+	if f.beginsEra(position) {
+		// A peer that has just started does not know that servers may be missing.
 		retainMissing = true
 		f.eraSince.Store(time.Now().UnixNano())
 	}
