membership: members declared dead count as failed probes of whoever declared them

TestPartitionHeals was red by chance (2 of 200, today 1 of 100): the smaller side of a partition, 4 of 16, declared 7 of 12 dead, 4 are allowed. Cause: the dead are not probed any more, so each death by chance raises the share of answered probes, the member takes itself for reliable again, and the next death is likelier, at every renewed deadline for two minutes. A probe that would have hit a member that was declared dead lately now counts as failed; the share at which a process stops to suspect is then the same before and after a death. Ruled out: the check of a majority, which allows 7 by design.

--- a/membership/health.go
+++ b/membership/health.go
@@ -39,9 +39,13 @@
 // once the partition heals. A process most of whose latest probes failed therefore
 // suspects nobody. On the larger side few probes fail, so dead members are still
 // found there.
-func (h *health) reliable() bool {
+//
+// lost of the others were declared dead lately and are not probed any more. A probe that
+// would have hit one of them counts as failed: otherwise each member that the smaller side
+// declares dead by chance makes it take itself for more reliable, and the next death likelier.
+func (h *health) reliable(lost, others int) bool {
 	for _, window := range []int{shortWindow, middleWindow, longWindow} {
-		if h.failuresAmong(window) > window/2 {
+		if h.failuresAmong(window)*(others-lost)+window*lost > window*others/2 {
 			return false
 		}
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -152,7 +152,7 @@
 	m.lock()
 	defer m.unlock()
 	now := time.Now()
-	if m.isValid(target, epoch) && m.health.reliable() && m.table.majority(now) {
+	if m.isValid(target, epoch) && m.health.reliable(m.table.recentDeaths(now)) && m.table.majority(now) {
 		m.table.suspect(now, target.ID, target.Incarnation)
 	}
 }
--- a/membership/schedule.go
+++ b/membership/schedule.go
@@ -145,7 +145,7 @@
 	defer m.unlock()
 	now := time.Now()
 	frozen := m.detectFreeze(now)
-	m.table.expire(now, m.health.reliable())
+	m.table.expire(now, m.health.reliable(m.table.recentDeaths(now)))
 	m.updateOwnRevision()
 	m.updateCutOff(now)
 	if m.table.dirty {
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -65,7 +65,7 @@
 		switch {
 		case e.Condition == conditionAlive || e.contactedSince():
 			alive++
-		case e.Leaving || e.Condition == conditionDead && now.Sub(e.since) > deathWindow:
+		case e.Leaving || e.isOldDeath(now):
 		default:
 			lost++
 		}
@@ -73,6 +73,26 @@
 	return alive > lost
 }
 
+// recentDeaths returns how many of the other members were declared dead within deathWindow,
+// and the number of others without those that leave or have been dead for longer.
+func (t *table) recentDeaths(now time.Time) (dead, others int) {
+	for id, e := range t.entries {
+		switch {
+		case id == t.self || e.Leaving || e.isOldDeath(now):
+		case e.Condition == conditionDead:
+			dead++
+			others++
+		default:
+			others++
+		}
+	}
+	return dead, others
+}
+
+func (e *entry) isOldDeath(now time.Time) bool {
+	return e.Condition == conditionDead && now.Sub(e.since) > deathWindow
+}
+
 // restartSuspicions gives every suspicion its full time again.
 func (t *table) restartSuspicions(now time.Time) {
 	for _, e := range t.entries {
