--- a/directory/directory.go
+++ b/directory/directory.go
@@ -254,7 +254,7 @@
 		}
 		s = d.newStart(s, l, now)
 		if d.left.before(s.Start, era) {
-			s.doubtedUntil.Store(now.Add(returnDoubt).UnixNano())
+			s.doubtedUntil.Store(now.Add(doubtPeriod).UnixNano())
 		}
 		change.Joined = append(change.Joined, s.String())
 	}
--- a/directory/left.go
+++ b/directory/left.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// returnDoubt is how long a start that has left the list gets no work after the store, back
+// doubtPeriod is how long a start that has left the list gets no work after the store, back
 // from a copy, lists it again. The entry of a server that has ended expires after three
 // heartbeats, of 1.2 s each at the usual setting; one that is still listed then belongs to a
 // server that lives.
-const returnDoubt = 6 * time.Second
+const doubtPeriod = 6 * time.Second
 
 // leftStarts remembers the starts that have left the list, by the era in which they did. The
 // Directory's mu guards it.
@@ -51,7 +51,7 @@
 	doubted := map[uint32]time.Duration{}
 	for start, left := range d.left {
 		if left.era < era && now.Sub(left.at) < copyAge {
-			doubted[start.Hash()] = returnDoubt
+			doubted[start.Hash()] = doubtPeriod
 		}
 	}
 	for hash, s := range d.view.Load().byHash {
@@ -66,7 +66,7 @@
 // another entry VM knows that it had left the list.
 func (d *Directory) RecordPeerDoubt(start uint32, left time.Duration, now time.Time) {
 	if s := d.view.Load().byHash[start]; s != nil && s.doubtedUntil.Load() == 0 {
-		s.doubtedUntil.Store(now.Add(min(left, returnDoubt)).UnixNano())
+		s.doubtedUntil.Store(now.Add(min(left, doubtPeriod)).UnixNano())
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -368,7 +368,7 @@
 	addBackground(&group, e.configFollower.Run)
 	addBackground(&group, e.serverFollower.Run)
 	addBackground(&group, e.fleet.Run)
-	addBackground(&group, e.fleet.AskKnownBetter)
+	addBackground(&group, e.fleet.CatchUpWithPeers)
 	addBackground(&group, e.followEras)
 	addBackground(&group, e.socket.Run)
 	addBackground(&group, e.loads.Run)
--- a/fleet/knownbetter.go
+++ b/fleet/catchup.go
@@ -10,9 +10,9 @@
 const (
 	// firstReadInterval is how often a process that starts checks whether it has read the store.
 	firstReadInterval = 2 * time.Millisecond
-	// secondQuestionDelay is how long after the first question about an era the peers are asked
+	// secondQueryDelay is how long after the first queries of an era the peers are queried
 	// again: some may have been about to learn of the era as well.
-	secondQuestionDelay = time.Second
+	secondQueryDelay = time.Second
 )
 
 // EraChanged tells that the store has come back from a copy.
@@ -22,9 +22,9 @@
 	signal(f.registryReturned)
 }
 
-// AskKnownBetter asks peers for what the store may lack until ctx ends: once this process has
+// CatchUpWithPeers queries peers for what the store may lack until ctx ends: once this process has
 // read the store after its start, once it knows all peers, and after each EraChanged.
-func (f *Fleet) AskKnownBetter(ctx context.Context) error {
+func (f *Fleet) CatchUpWithPeers(ctx context.Context) error {
 	for f.opts.Holder.Position() == 0 || f.opts.Directory.View().Position == 0 {
 		if err := retry.Wait(ctx, firstReadInterval); err != nil {
 			return err
@@ -41,7 +41,7 @@
 			f.askPeers(ctx, true)
 		case <-f.eraChanged:
 			f.askPeers(ctx, true)
-			if err := retry.Wait(ctx, secondQuestionDelay); err != nil {
+			if err := retry.Wait(ctx, secondQueryDelay); err != nil {
 				return err
 			}
 			f.askPeers(ctx, true)
--- a/fleet/cluster_model_test.go
+++ b/fleet/cluster_model_test.go
@@ -437,7 +437,7 @@
 	c.mu.Lock()
 	c.vms[address] = vm
 	c.mu.Unlock()
-	for _, run := range []func(context.Context) error{config.Run, servers.Run, vm.Fleet.Run, vm.AskKnownBetter, vm.election.Run, vm.receive} {
+	for _, run := range []func(context.Context) error{config.Run, servers.Run, vm.Fleet.Run, vm.CatchUpWithPeers, vm.election.Run, vm.receive} {
 		go func() { _ = run(ctx) }()
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,7 +87,7 @@
 	cellPeers  atomic.Pointer[[]string]   // those in the cell of this process
 	otherCells atomic.Pointer[[][]string] // see OtherCells
 	known      chan struct{}              // closed when the registry has been read
-	eraChanged chan struct{}              // holds a token after EraChanged, for AskKnownBetter
+	eraChanged chan struct{}              // holds a token after EraChanged, for CatchUpWithPeers
 	// registryReturned is the same for Run. Rows that the copy lacks are written again by
 	// their VMs, which learn of it from the digest that the watchers announce.
 	registryReturned chan struct{}
@@ -357,8 +357,9 @@
 	}
 }
 
-// applyConfig applies the configuration in an answer if it is newer. One that can't be decoded is logged once and
-// does not keep the list of servers in the same answer from being applied.
+// applyConfig applies the configuration in an answer if it is newer. One that can't be
+// decoded is logged once and does not keep the list of servers in the same answer from being
+// applied.
 func (f *Fleet) applyConfig(peer string, answer *fleetpb.NewestResponse) {
 	position := types.Position(answer.GetConfigPosition())
 	known := f.opts.Holder.Position()
