--- a/entry/storecopy_test.go
+++ b/entry/storecopy_test.go
@@ -40,22 +40,20 @@
 	}
 }
 
-// comeBack plays a loss of the store. What change writes after the copy is lost, as are the
-// newest configuration and a server's entry, which are written again at once.
-func (env *testEnv) comeBack(c lostCopy, change func()) nursery.LostRows {
+// comeBack plays a loss of the store. The newest configuration and a server's entry are lost
+// and written again at once.
+func (env *testEnv) comeBack(c lostCopy) {
 	from := env.store.Copy()
 	env.writeOthers(c.lost)
 	env.configure(2, `"k0","k1"`, testRoutes...)
 	env.addServer("s")
 	again := env.store.LostSince(from)
-	change()
 	// The VMs see the highest version.
 	time.Sleep(500 * time.Millisecond)
 	if c.away > 0 {
 		env.store.SetFault(nursery.StoreBusy)
 		time.Sleep(c.away)
 	}
-	lost := env.store.LostSince(from)
 	env.store.ComeBack(from)
 	env.writeOthers(c.caughtUp)
 	env.store.WriteAgain(again)
@@ -68,7 +66,16 @@
 			}
 		}()
 	}
-	return lost
+}
+
+// startAfterReturn starts two VMs in front of a store that came back from a copy 1.5 s ago.
+func startAfterReturn(t *testing.T, c lostCopy) (env, peer *testEnv) {
+	t.Helper()
+	env = startServing(t, 2, nil)
+	peer = env.startPeer("edge-2")
+	env.comeBack(c)
+	time.Sleep(1500 * time.Millisecond)
+	return env, peer
 }
 
 // changeLimit is how long a change may take until it is in force.
@@ -80,10 +87,7 @@
 	for _, c := range lostCopies {
 		t.Run(c.String(), func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			env := startServing(t, 2, nil)
-			peer := env.startPeer("edge-2")
-			env.comeBack(c, func() {})
-			time.Sleep(1500 * time.Millisecond)
+			env, peer := startAfterReturn(t, c)
 			env.configure(3, `"k0"`, append(testRoutes, testRoute("/added/", "non_idempotent", `"maxAttempts":1,"timeoutMs":8000`))...)
 			time.Sleep(changeLimit)
 			for _, vm := range []*testEnv{env, peer} {
@@ -100,10 +104,7 @@
 	for _, c := range lostCopies {
 		t.Run(c.String(), func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			env := startServing(t, 2, nil)
-			peer := env.startPeer("edge-2")
-			env.comeBack(c, func() {})
-			time.Sleep(1500 * time.Millisecond)
+			env, peer := startAfterReturn(t, c)
 			env.servers[0].Drain()
 			time.Sleep(changeLimit)
 			since := time.Now()
