--- a/entry/handler.go
+++ b/entry/handler.go
@@ -129,14 +129,16 @@
 		// Whether the route is public can't be read either, so the key isn't checked.
 		return nil
 	}
+	var owner *site.Organisation
 	if config.RequiresKeys() && !call.Route.Public {
-		owner := config.Owner(call.APIKey)
+		owner = config.Owner(call.APIKey)
 		if owner == nil {
 			return &platform.RequestError{Status: http.StatusUnauthorized, By: exchange.EndedByConfiguration, Err: errors.New("entry: the key is unknown")}
 		}
 		call.Organisation = owner.Name
 	}
 	call.Service = call.Route.Pick()
+	call.Urgency, call.Competition = site.UrgencyOf(call.Route, owner), config.Competition(call.Service)
 	timeout, by := requestTimeout(call.Timeout, call.Route.Timeout)
 	call.Deadline, call.DeadlineBy = call.Arrived.Add(timeout), by
 	return nil
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -44,8 +44,16 @@
 	ResumesInvalid bool   // an attempt is named, and its id is invalid
 	Version        uint64 // of the configuration that the route and the service come from
 
+	// Urgency orders the request among those that compete for the service's servers. It has
+	// an effect only if Competition is set.
+	Urgency site.Urgency
+	// Competition lists the classes of streams that compete for the service's servers; nil:
+	// the configuration puts none before another.
+	Competition *site.Competition
+
 	PromptTokens int
 	MaxTokens    int
+	LengthHint   int                // tokens that the caller expects in the response; 0: it says nothing
 	Prompt       []promptcache.Part // the parts of the prompt in order, as far as they are known
 }
 
--- a/site/config.go
+++ b/site/config.go
@@ -117,6 +117,11 @@
 	Copies bool
 	// CopiesOnDemand is set if such a copy can also be requested while the stream runs.
 	CopiesOnDemand bool
+	// Memory is the number of tokens that one backend server can hold: of prompts, of what it
+	// has generated for them and of copies; 0: unknown or unlimited.
+	Memory int
+	// EventTokens is the number of tokens that an event of a stream holds; 0: unknown.
+	EventTokens int
 }
 
 // Organisation is a holder of keys.
@@ -141,6 +146,8 @@
 	ReadErrors []string                // parts that can't be read, with their places
 	Rollouts   map[string]RolloutOrder // the newest order of each service; nil if there is none
 
+	competitions map[string]*Competition // by service; see Competition
+
 	routes  int
 	targets []string                 // services that routes lead to, without duplicates
 	byHost  map[string][]*Route      // by host in lower case; longest prefix first
@@ -164,6 +171,7 @@
 		c.Services[s.Name] = s
 	}
 	c.targets = targetsOf(routes)
+	c.competitions = findCompetitions(routes, organisations)
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		c.byHost[host] = append(c.byHost[host], &routes[i])
