--- a/directory/directory.go
+++ b/directory/directory.go
@@ -68,6 +68,8 @@
 	totalsAt    time.Time
 	totalsStale atomic.Bool // a peer has reported since the totals were computed
 
+	memory peerMemory
+
 	onApplied func(*View) // called with each list that comes into force; may be nil
 
 	droppedReports atomic.Uint64 // reports dropped because they name a start that is not the known one
@@ -75,7 +77,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}}
+	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}, memory: newPeerMemory()}
 	d.leaving = leavingStarts{at: map[Start]time.Time{}, ready: make(chan struct{}, 1)}
 	d.view.Store(emptyView(0))
 	return d
@@ -272,6 +274,7 @@
 func (d *Directory) newStart(former *Server, l Listing, now time.Time) *Server {
 	s := newServer(l, now, d.notifyLoadChanged)
 	s.samples, s.onSample, s.onLimitChange, s.onLeaving = d.samplesAt(l.Address), d.queueUnsent, d.notifyLimitChanged, d.recordLeaving
+	s.memory.changed = d.memory.changed
 	s.saidLeaving.Store(d.leaving.knows(s.Start))
 	if former != nil {
 		s.inheritCrash(former, now)
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -28,8 +28,13 @@
 	// load.
 	AfterDisruption bool
 
-	stopping  bool      // this process is stopping; set by Pick
-	hashRange hashRange // this process's partition; set by Pick if AfterDisruption is set
+	// Memory is how many tokens of a server's memory the request needs, and MemoryLimit up to
+	// how many a server may be filled by it. Memory 0: memory is not accounted.
+	Memory, MemoryLimit int
+
+	peerMemory map[uint32]int64 // what other processes use, by start hash; set if Memory is
+	stopping   bool             // this process is stopping; set by Pick
+	hashRange  hashRange        // this process's partition; set by Pick if AfterDisruption is set
 	// sampleShare is the probability with which a server outside the partition is
 	// considered; set by best.
 	sampleShare float64
@@ -59,6 +64,7 @@
 	list := d.view.Load().Service(q.Service)
 	zones := countZoneLosses(list, now)
 	q.stopping = d.stopping.Load()
+	q = d.withMemory(q, now)
 	if q.Prompt > 0 {
 		d.compareSpeeds(q.Service, list, now)
 	}
@@ -115,7 +121,7 @@
 	var least float64
 	q.sampleShare = sampleShare(len(list))
 	for _, s := range list {
-		if s.Draining() || s.Ended() || s.Resting(now) || !q.admits(s) {
+		if s.Draining() || s.Ended() || s.Resting(now) || !q.admits(s) || !q.hasRoom(s, now) {
 			continue
 		}
 		c := s.candidate(q, zones, now)
--- a/directory/server.go
+++ b/directory/server.go
@@ -51,6 +51,7 @@
 	reportedCalls atomic.Int64 // other processes' requests according to its last response
 	reportedAt    atomic.Int64 // Unix nanoseconds of that response
 
+	memory       serverMemory
 	prefillStats prefillStats
 	samples      *prefillSamples   // shared by all starts at its address
 	onSample     func(PrefillTime) // called with each sample of this process; may be nil
--- a/directory/speed.go
+++ b/directory/speed.go
@@ -183,10 +183,11 @@
 func (d *Directory) Soonest(q Query, now time.Time, end func(*Server) time.Duration) *Server {
 	list := d.view.Load().Service(q.Service)
 	zones := countZoneLosses(list, now)
+	q = d.withMemory(q, now)
 	var found *Server
 	var least time.Duration
 	for _, s := range d.serversInOwnCell(list) {
-		if q.Exclude[s.Start] || s.Draining() || s.Resting(now) || !q.admits(s) || s.IsDown(now) || zones.suspects(s) || s.RecentFaults(now) > maxFaults {
+		if q.Exclude[s.Start] || s.Draining() || s.Resting(now) || !q.admits(s) || !q.hasRoom(s, now) || s.IsDown(now) || zones.suspects(s) || s.RecentFaults(now) > maxFaults {
 			continue
 		}
 		if t := end(s); found == nil || t < least {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,6 +90,7 @@
 	fleet           *fleet.Fleet
 	socket          *fleet.Socket
 	loads           *fleet.Loads
+	memory          *fleet.Memory
 	readTimes       *fleet.PrefillTimes
 	election        *fleet.Election
 	budgets         *fleet.Budgets
@@ -177,6 +178,7 @@
 	e.socket.SetRecorder(e.recorder)
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Directory: e.directory})
 	e.prompts = fleet.NewPrompts(fleet.PromptsOptions{Socket: e.socket, Known: e.fleet.Known(), OtherCells: e.fleet.OtherCells, Directory: e.directory})
+	e.memory = fleet.NewMemory(fleet.MemoryOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Peers: e.fleet.Peers, Directory: e.directory})
 	e.readTimes = fleet.NewPrefillTimes(e.socket, e.fleet.CellPeers, e.directory)
 	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Address: e.settings.Peers, Socket: e.socket, Mark: e.mark, Reached: e.checkedPosition, Size: e.fleet.Size, Fetch: e.fleet.Fetch, Recorder: e.recorder,
@@ -372,6 +374,7 @@
 	addBackground(&group, e.followEras)
 	addBackground(&group, e.socket.Run)
 	addBackground(&group, e.loads.Run)
+	addBackground(&group, e.memory.Run)
 	addBackground(&group, e.readTimes.Run)
 	addBackground(&group, e.prompts.Run)
 	addBackground(&group, e.streamVersions.Run)
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -23,6 +23,7 @@
 	from     *KVCopy               // copy to resume from; nil: the server reads the prompt
 	copies   copyTracker           // where its KV cache is copied to
 	load     *directory.StreamLoad // its share of the server's load
+	memory   *directory.MemoryHold // its share of the server's memory
 	watch    *silenceWatch
 	steps    chan step
 	gotEvent bool // an event has been received
@@ -74,8 +75,9 @@
 	}
 	s.versions.Sent(server)
 	a := &streamAttempt{
-		server: server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy}, load: server.BeginStream(prompt),
-		watch: newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}),
+		server: server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent)}, load: server.BeginStream(prompt),
+		memory: server.HoldMemory(s.memory.tokens(s.lastEvent)),
+		watch:  newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}),
 	}
 	attempt := &Attempt{
 		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from,
@@ -147,5 +149,6 @@
 	a.doneOnce.Do(func() { close(a.done) })
 	a.watch.stop()
 	a.load.End()
+	a.memory.End()
 	a.pending.Done()
 }
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -29,7 +29,9 @@
 	mu      sync.Mutex
 	current *KVCopy
 	endLoad func() // removes the copy from its server's load
-	closed  bool   // no copy is needed any more
+	tokens  int    // of memory that a copy takes; 0: not accounted
+	memory  *directory.MemoryHold
+	closed  bool // no copy is needed any more
 }
 
 // set replaces the copy. A copy that arrives after close is released at once: it was
@@ -42,7 +44,7 @@
 		t.release(c)
 		return
 	}
-	t.current, t.endLoad = c, c.Server.BeginCopy()
+	t.current, t.endLoad, t.memory = c, c.Server.BeginCopy(), c.Server.HoldMemory(t.tokens)
 }
 
 // close releases the copy, and all that arrive later.
@@ -82,8 +84,24 @@
 	if t.endLoad != nil {
 		t.endLoad()
 	}
+	t.memory.End()
 	t.release(t.current)
-	t.current, t.endLoad = nil, nil
+	t.current, t.endLoad, t.memory = nil, nil, nil
+}
+
+// grow raises the memory that a copy takes.
+func (t *copyTracker) grow(tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tokens = max(t.tokens, tokens)
+	t.memory.Grow(t.tokens)
+}
+
+// size returns the memory that a copy takes.
+func (t *copyTracker) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tokens
 }
 
 // requested returns the copy if it was made by Backend.Copy; nil otherwise.
@@ -136,10 +154,23 @@
 // pickCopyServer chooses the server for the copy of a run on server: one in another
 // zone if possible, since zones fail as a whole. again is set for a copy that replaces a
 // lost one.
-func (s *stream) pickCopyServer(server *directory.Server, avoid map[directory.Start]bool, again bool) *directory.Server {
-	return s.e.opts.Directory.Pick(directory.Query{
-		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: avoid, AvoidZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true, AfterDisruption: again, Admits: s.e.sameVersion(server),
-	}, time.Now())
+//
+// lacksMemory reports that a server was found only without regard to memory: the copy is not
+// made, and leaves the memory to streams.
+func (s *stream) pickCopyServer(a *streamAttempt, avoid map[directory.Start]bool, again bool) (to *directory.Server, lacksMemory bool) {
+	q := directory.Query{
+		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: avoid, AvoidZone: a.server.Zone, Prompt: s.req.PromptTokens, Copy: true, AfterDisruption: again, Admits: s.e.sameVersion(a.server),
+	}
+	if s.memory != nil {
+		q.Memory, q.MemoryLimit = a.copies.size(), s.memory.copyLimit
+	}
+	to = s.e.opts.Directory.Pick(q, time.Now())
+	if to != nil || s.memory == nil {
+		return to, false
+	}
+	q.Memory = 0
+	lacksMemory = s.e.opts.Directory.Pick(q, time.Now()) != nil
+	return nil, lacksMemory
 }
 
 // excludedFor returns the servers that can't hold the copy of a run on server.
@@ -155,7 +186,10 @@
 	if !ok || !service.Copies || !s.req.Route.Resumable {
 		return nil
 	}
-	to := s.pickCopyServer(a.server, s.excludedFor(a.server), false)
+	to, lacksMemory := s.pickCopyServer(a, s.excludedFor(a.server), false)
+	if lacksMemory {
+		s.e.metrics.memory.copiesNotPlaced.Inc()
+	}
 	if to != nil {
 		a.copies.set(&KVCopy{Server: to})
 	}
@@ -239,7 +273,10 @@
 	if !s.req.hasTime(time.Now()) {
 		return false
 	}
-	to := s.pickCopyServer(a.server, avoid, true)
+	to, lacksMemory := s.pickCopyServer(a, avoid, true)
+	if lacksMemory {
+		return true // the next check finds out whether there is room
+	}
 	if to == nil || to == lost {
 		return false
 	}
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -64,6 +64,8 @@
 	ErrBudget = errors.New("exchange: retry budget spent")
 	// ErrNoServer: no backend server is available for the request.
 	ErrNoServer = errors.New("exchange: no backend server takes the request")
+	// ErrNoMemory: no backend server has memory for the stream beside what it holds.
+	ErrNoMemory = errors.New("exchange: no backend server has memory for the stream")
 	// ErrServersRest: all backend servers of the service have asked this process for rest.
 	ErrServersRest = errors.New("exchange: the backend servers have asked for rest")
 	// ErrServerLimits: the rate limits that the backend servers have named leave no room.
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -129,7 +129,7 @@
 		est, _ := s.estimate(other, now)
 		return est.end
 	}
-	soonest := s.e.opts.Directory.Soonest(directory.Query{Service: s.req.Service, Exclude: s.tried, Admits: s.admits()}, now, end)
+	soonest := s.e.opts.Directory.Soonest(s.withMemory(directory.Query{Service: s.req.Service, Exclude: s.tried, Admits: s.admits()}), now, end)
 	if soonest == nil {
 		soonest = server
 	}
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -44,6 +44,10 @@
 		"no other server takes over a stream whose server sends nothing; err says why", "nothing; if it persists with the retry budget or no server as the reason, there are too few backend servers")
 	EventCrashExcused = event.Define(2731, "exchange_crash_excused", event.Info,
 		"a backend server was lost while it ran this request, and that does not count against the request; why: the server was leaving, its zone was lost, or another request that is accused of crashes ran there (other)", "nothing")
+	EventMemoryShort = event.Define(2794, "exchange_memory_short", event.Warn,
+		"the streams of a service begin to find no backend server with memory for them; they wait, and are refused if none has room in time", "nothing if it ends within seconds; otherwise there are too few backend servers: see docs/OPERATIONS.md")
+	EventMemoryFound = event.Define(2795, "exchange_memory_found", event.Info,
+		"the streams of a service find memory at backend servers again, for five seconds without exception; short_for is how long they did not", "nothing")
 	EventCrashNoted = event.Define(2728, "exchange_crash_noted", event.Warn,
 		"a backend server was lost while it ran this request; after several such losses the request is refused", "nothing")
 )
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -145,7 +145,7 @@
 	orDefault(&t.ProbeAfter, DefaultProbeAfter)
 	orDefault(&t.ProbeTimeout, DefaultProbeTimeout)
 	orDefault(&t.WaitForServer, DefaultWaitForServer)
-	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics), active: activeStreams{streams: map[*activeStream]struct{}{}}}
+	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics, opts.Directory), active: activeStreams{streams: map[*activeStream]struct{}{}}}
 	e.prompts = promptcache.NewLocator(e.askCached)
 	if opts.PromptPeers != nil {
 		e.prompts.UsePeers(opts.PromptPeers)
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -30,6 +30,7 @@
 		s.versions.Observe(s.req.Route.Name, s.current.server, rollout.Observation{Ended: true})
 		s.e.metrics.attempts.WithLabelValues("answered").Inc()
 		s.e.paceFor(s.req.Service).observeLength(s.lastEvent, s.req.MaxTokens)
+		s.recordLength()
 		return true, s.sendHead(st.answer)
 	case st.err != nil:
 		return false, st.err
@@ -38,6 +39,7 @@
 	}
 	a := s.current
 	s.observeEvent(a)
+	s.growMemory(a)
 	if !a.gotEvent {
 		a.gotEvent = true
 		if s.begunBy == nil {
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -1,6 +1,10 @@
 package exchange
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearyard/pearyard/directory"
+)
 
 type metrics struct {
 	requests        *prometheus.CounterVec   // by kind, outcome and the side that ended them
@@ -19,13 +23,15 @@
 	limitHeld       prometheus.Counter
 	versionGone     prometheus.Counter
 	versionUnknown  prometheus.Counter
+	memory          memoryMetrics
 }
 
-func newMetrics(reg prometheus.Registerer) *metrics {
+func newMetrics(reg prometheus.Registerer, d *directory.Directory) *metrics {
 	if reg == nil {
 		reg = prometheus.NewRegistry()
 	}
 	m := &metrics{
+		memory: newMemoryMetrics(reg, d),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearyard_exchange_requests_total", Help: "Requests by kind, by what their callers got, and by the side that ended them."}, []string{"kind", "outcome", "ended_by"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
--- a/exchange/pace.go
+++ b/exchange/pace.go
@@ -24,13 +24,15 @@
 )
 
 // pace holds what has been measured of the streams of one service, normalized to its
-// median server. It takes no lock.
+// median server. Only lengths and memory take a lock.
 type pace struct {
 	pauses           pauses
 	unloaded         atomic.Int64  // nanoseconds per event while the server reads no prompt; 0: not measured
 	lengthRatio      atomic.Uint64 // bits of a float64: events per token that may be generated
 	leastLengthRatio atomic.Uint64 // the same, of the longest stream so far; used until a stream is complete
 	lastSent         atomic.Int64  // Unix nanoseconds of the newest prompt sent
+	lengths          answerLengths
+	memory           memoryWatch
 	topSpeed         atomic.Uint64 // bits of a float64: highest estimate of a server's prompt tokens per second
 }
 
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -59,6 +59,9 @@
 	retryAvailable <-chan time.Time
 	inProgress     bool          // current is in progress and may be running
 	active         *activeStream // its entry in Exchange.active
+	memory         *memoryNeed   // nil: its memory at servers isn't accounted
+	lacksMemory    bool          // the last choice found no server with enough memory
+	heldForMemory  bool          // that has happened
 	// quarantined fires when the request is quarantined while it is in progress; nil once
 	// that has been handled.
 	quarantined <-chan struct{}
@@ -93,6 +96,7 @@
 func (e *Exchange) newStream(req *Request, sink Sink) *stream {
 	s := &stream{e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, active: e.active.add(req.ID, req.Fingerprint())}
 	s.quarantined = s.active.quarantined
+	s.memory = e.memoryNeed(req)
 	s.versions = e.opts.Rollouts.Assign(req.Service, req.ID, req.LastEvent == "")
 	s.lastEvent, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	return s
@@ -263,6 +267,9 @@
 	if !s.req.hasTime(time.Now()) {
 		return nil, nil, ErrNoTime
 	}
+	if s.memory.tooLarge() {
+		return nil, nil, errTooLarge
+	}
 	if s.delivered > 0 && !s.hasCopy() {
 		// A retry that would be late must not cost any budget.
 		if _, err := s.pickInTime(); err != nil {
@@ -302,7 +309,7 @@
 			giveUp = later(giveUp, end.Add(afterRestWait))
 		}
 		if time.Now().After(giveUp) {
-			return nil, nil, ErrNoServer
+			return nil, nil, s.noServer()
 		}
 		if err := retry.Wait(ctx, pickInterval); err != nil {
 			return nil, nil, err
@@ -367,6 +374,13 @@
 		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: s.tried, Prompt: s.req.PromptTokens, AvoidZone: s.lostZone,
 		AfterDisruption: s.delivered > 0 || s.isSilent, CachedTokens: s.cachedTokens, Resumable: s.req.Route.Resumable,
 	}
+	server := s.pickFor(s.withMemory(q))
+	s.recordPick(server, func() *directory.Server { return s.pickFor(q) })
+	return server
+}
+
+// pickFor returns the server for a query among the versions that may run the stream.
+func (s *stream) pickFor(q directory.Query) *directory.Server {
 	if _, bound := s.versionBoundTo(); bound {
 		q.Admits = s.admits()
 		return s.e.opts.Directory.Pick(q, time.Now())
@@ -397,6 +411,8 @@
 		after = heldRetryAfter
 	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
 		after = versionRetryAfter
+	case errors.Is(err, ErrNoMemory):
+		after = noMemoryRetryAfter
 	case errors.Is(err, ErrServerLimits):
 		after = s.e.limitRetryAfter(s.req.Service)
 	default:
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -295,7 +295,7 @@
 	case err != nil:
 		return nil, nil, err
 	case server == nil:
-		return nil, nil, ErrNoServer
+		return nil, nil, s.noServer()
 	case !s.worthRereading(server):
 		return nil, nil, errCurrentSooner
 	}
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -50,6 +50,8 @@
 	CauseServerLimit Cause = "server_limit"
 	// CauseServerRest: all backend servers had asked for rest (PY2765).
 	CauseServerRest Cause = "server_rest"
+	// CauseMemory: no backend server had memory for the stream (PY2721 or PY2722, PY2794).
+	CauseMemory Cause = "server_memory"
 	// CauseQuarantined: refused or ended, because the request had crashed several servers (PY2727),
 	// or may have and another copy of it was running (PY2721).
 	CauseQuarantined Cause = "crashes_servers"
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -44,6 +44,7 @@
 	textQuarantined = exchange.ErrQuarantined.Error()
 	textHeld        = exchange.ErrHeld.Error()
 	textServerLimit = exchange.ErrServerLimits.Error()
+	textMemory      = exchange.ErrNoMemory.Error()
 	textServerRest  = exchange.ErrServersRest.Error()
 )
 
@@ -183,6 +184,8 @@
 	switch {
 	case e.rec.contains(fieldError, textLate):
 		return CauseAdmission
+	case e.rec.contains(fieldError, textMemory):
+		return CauseMemory
 	case e.by == exchange.EndedByStop:
 		return CauseStop
 	case e.by == exchange.EndedByVersion:
@@ -216,6 +219,9 @@
 		if e.rec.contains(fieldError, textLate) {
 			return e.attemptCauseOr(CauseAdmission)
 		}
+		if e.rec.contains(fieldError, textMemory) {
+			return e.attemptCauseOr(CauseMemory)
+		}
 		return e.attemptCauseOr(CauseNoServer)
 	default:
 		return e.attemptCauseOr(CauseUnclear)
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -38,6 +38,9 @@
 //
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
+// Memory: first and last server of a range (4 each), for each server of the range where the
+// sender uses memory its start (4) and tokens in units of memoryUnit (2).
+//
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
 // versions that began streams: see streamwire.go. Servers that leave: see encodeLeaving.
@@ -65,6 +68,7 @@
 	// spans, nor 6, whose positions lack the era and which has no version: VMs of an older
 	// release would take these positions for ones far ahead.
 	kindAnnouncement kind = 20
+	kindMemory       kind = 21
 
 	headerBytes       = 13
 	countBytes        = 4
