--- a/directory/memory.go
+++ b/directory/memory.go
@@ -122,29 +122,74 @@
 
 // hasRoom reports whether the server has room for what a query is for.
 func (q Query) hasRoom(s *Server, now time.Time) bool {
-	return q.Memory == 0 || s.memoryState(q.peerMemory, now).fits(q)
+	if q.Memory == 0 {
+		return true
+	}
+	m := s.memoryState(q.peerMemory, now)
+	return m.fits(q) && (q.turns == nil || !m.isLastRoom(q) || q.turns.isOurs(s, now))
 }
 
-// withMemory returns the query with what other processes use of the servers' memory.
-func (d *Directory) withMemory(q Query, now time.Time) Query {
-	if q.Memory > 0 {
-		q.peerMemory = d.peerMemory(now)
+// withMemory returns the query with what other processes use of the servers' memory, and
+// whether the last room at a server is taken in turn.
+//
+// A copy may exceed its limit by a race, and a stream that was lost can't wait for its turn.
+func (d *Directory) withMemory(q Query, list []*Server, now time.Time) Query {
+	if q.Memory == 0 {
+		return q
+	}
+	q.peerMemory = d.peerMemory(now)
+	p := d.partition.Load()
+	if q.Copy || q.AfterDisruption || p == nil || p.count <= 1 {
+		return q
+	}
+	rooms := 0
+	for _, s := range list {
+		if !s.Draining() && q.hasRoom(s, now) {
+			rooms++
+		}
+	}
+	if rooms < p.count {
+		q.turns = p
 	}
 	return q
 }
 
+// isLastRoom reports whether no other such stream would fit beside what a query is for.
+func (m memoryState) isLastRoom(q Query) bool {
+	return m.inUse()+2*int64(q.Memory) > int64(q.MemoryLimit)
+}
+
+const (
+	// turnTime is how long a process may take the last room at a server before it is the
+	// next one's turn. It exceeds turnGuard by more than the interval at which a waiting
+	// stream looks for a server.
+	turnTime = 100 * time.Millisecond
+	// turnGuard is the time at the start of a turn in which nobody may take the room: what
+	// the process before took is known to the others after it.
+	turnGuard = 40 * time.Millisecond
+)
+
+// isOurs reports whether it is this process's turn to take the last room at a server. It
+// answers the load of more streams than fit into the servers' memory, at many processes: all
+// would choose the same server where some comes free, before they know of each other's choice.
+// Where clocks differ, two processes may have the same turn, which is no worse than none.
+func (p *partition) isOurs(s *Server, now time.Time) bool {
+	turn, since := now.UnixNano()/int64(turnTime), time.Duration(now.UnixNano()%int64(turnTime))
+	return since >= turnGuard && (int64(s.idHash)+turn)%int64(p.count) == int64(p.index)
+}
+
 // MemoryUse is the memory that one process uses at a server.
 type MemoryUse struct {
 	Server uint32 // hash of its start
 	Tokens int
 }
 
-// MemoryRange is the part of a process's report that concerns the servers whose hashes are
-// from First to Last. A report replaces the former one range by range, so that it may take
-// several datagrams.
-type MemoryRange struct {
+// MemoryReport is what a process reports of the memory that it uses. It replaces what is known
+// of the servers whose hashes are from First to Last, so that a report on all servers may take
+// several datagrams. With First after Last it changes only the servers in Uses.
+type MemoryReport struct {
 	First, Last uint32
-	Uses        []MemoryUse // by ascending Server
+	Uses        []MemoryUse // by ascending Server; 0 tokens: none any more
 }
 
 // peerMemory holds the newest reports of the other processes on the servers' memory.
@@ -205,8 +250,8 @@
 	return false
 }
 
-// SetPeerMemory replaces what a peer has reported of a range of servers.
-func (d *Directory) SetPeerMemory(from string, r MemoryRange) {
+// SetPeerMemory applies a peer's report.
+func (d *Directory) SetPeerMemory(from string, r MemoryReport) {
 	m := &d.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -221,7 +266,9 @@
 		}
 	}
 	for _, use := range r.Uses {
-		known[use.Server] = use.Tokens
+		if known[use.Server] = use.Tokens; use.Tokens == 0 {
+			delete(known, use.Server)
+		}
 	}
 	if len(known) == 0 {
 		delete(m.byPeer, from)
--- a/directory/memory_test.go
+++ b/directory/memory_test.go
@@ -12,7 +12,9 @@
 // memoryQuery is for a stream of 30 tokens where a server may be filled up to 95.
 func memoryQuery() Query { return Query{Service: "s", Prompt: 20, Memory: 30, MemoryLimit: 95} }
 
-func allServers(uses ...MemoryUse) MemoryRange { return MemoryRange{Last: math.MaxUint32, Uses: uses} }
+func allServers(uses ...MemoryUse) MemoryReport {
+	return MemoryReport{Last: math.MaxUint32, Uses: uses}
+}
 
 func (d *Directory) hash(id string) uint32 { return d.server(id).startHash }
 
@@ -120,14 +122,14 @@
 		g := gomega.NewWithT(t)
 		d := withServers("a1", "a2")
 		low, high := min(d.hash("a1"), d.hash("a2")), max(d.hash("a1"), d.hash("a2"))
-		set := func(from string, r MemoryRange) {
+		set := func(from string, r MemoryReport) {
 			d.SetPeerMemory(from, r)
 			time.Sleep(totalsInterval)
 		}
 		set("p", allServers(MemoryUse{low, 40}, MemoryUse{high, 70}))
 		set("q", allServers(MemoryUse{low, 30}))
 		g.Expect(d.Pick(memoryQuery(), time.Now())).To(gomega.BeNil())
-		set("p", MemoryRange{First: high, Last: math.MaxUint32})
+		set("p", MemoryReport{First: high, Last: math.MaxUint32})
 		g.Expect(d.Pick(memoryQuery(), time.Now()).startHash).To(gomega.Equal(high))
 		d.server("a1").HoldMemory(70)
 		d.server("a2").HoldMemory(70)
@@ -150,6 +152,52 @@
 	g.Expect(d.Pick(memoryQuery(), now.Add(reportedMemoryTTL))).NotTo(gomega.BeNil())
 }
 
+// Guards against two processes that take the last room at a server at the same time, and
+// against rooms that none may take.
+func TestLastRoomIsTakenInTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := withServers("a1", "a2", "b1")
+	const count = 5
+	begin := time.Unix(1000, 0)
+	for _, s := range d.View().Service("s") {
+		turns := map[int]int{}
+		for at := begin; at.Before(begin.Add(count * turnTime)); at = at.Add(turnTime / 10) {
+			var ours []int
+			for i := range count {
+				if (&partition{i, count}).isOurs(s, at) {
+					ours = append(ours, i)
+					turns[i]++
+				}
+			}
+			guarded := at.Sub(begin)%turnTime < turnGuard
+			g.Expect(len(ours)).To(gomega.Equal(map[bool]int{true: 0, false: 1}[guarded]), "%v: %v", at, ours)
+		}
+		g.Expect(turns).To(gomega.HaveLen(count))
+	}
+}
+
+// Turns cost time, so they are for a shortage alone. Guards against streams that wait for one
+// although there is room at many servers, or although they can't wait.
+func TestTurnsOnlyWhileMemoryIsShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, now := withServers("a1", "a2", "b1"), time.Unix(1000, 0)
+	list := d.View().Service("s")
+	d.SetPartition(0, 3)
+	g.Expect(d.withMemory(memoryQuery(), list, now).turns).To(gomega.BeNil(), "as many servers with room as processes")
+	d.server("a1").HoldMemory(90)
+	g.Expect(d.withMemory(memoryQuery(), list, now).turns).NotTo(gomega.BeNil())
+	q := memoryQuery()
+	q.AfterDisruption = true
+	g.Expect(d.withMemory(q, list, now).turns).To(gomega.BeNil(), "a stream that was lost")
+	g.Expect(d.Pick(memoryQuery(), now)).NotTo(gomega.BeNil(), "room for two streams is nobody's turn")
+	d.server("a2").HoldMemory(40)
+	d.server("b1").HoldMemory(40)
+	g.Expect(d.Pick(memoryQuery(), now)).To(gomega.BeNil(), "in the guard time")
+	g.Expect(d.Pick(q, now)).NotTo(gomega.BeNil())
+	d.SetPartition(0, 1)
+	g.Expect(d.Pick(memoryQuery(), now)).NotTo(gomega.BeNil(), "there is no other process")
+}
+
 // Servers too few to be divided are used by the processes of all cells.
 func TestSharesMemory(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -33,6 +33,7 @@
 	Memory, MemoryLimit int
 
 	peerMemory map[uint32]int64 // what other processes use, by start hash; set if Memory is
+	turns      *partition       // this process, if the last room at a server is taken in turn; nil otherwise
 	stopping   bool             // this process is stopping; set by Pick
 	hashRange  hashRange        // this process's partition; set by Pick if AfterDisruption is set
 	// sampleShare is the probability with which a server outside the partition is
@@ -64,7 +65,7 @@
 	list := d.view.Load().Service(q.Service)
 	zones := countZoneLosses(list, now)
 	q.stopping = d.stopping.Load()
-	q = d.withMemory(q, now)
+	q = d.withMemory(q, list, now)
 	if q.Prompt > 0 {
 		d.compareSpeeds(q.Service, list, now)
 	}
--- a/directory/speed.go
+++ b/directory/speed.go
@@ -183,7 +183,7 @@
 func (d *Directory) Soonest(q Query, now time.Time, end func(*Server) time.Duration) *Server {
 	list := d.view.Load().Service(q.Service)
 	zones := countZoneLosses(list, now)
-	q = d.withMemory(q, now)
+	q = d.withMemory(q, list, now)
 	var found *Server
 	var least time.Duration
 	for _, s := range d.serversInOwnCell(list) {
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -23,6 +23,9 @@
 	// more urgent classes leave less, in equal steps. With half of the memory free, the
 	// streams there may double while the copy lasts, as in a burst, and still find room.
 	copyReserve = 0.5
+	// memoryGrowth is by how many tokens more than generated a stream counts whose answer is
+	// longer than expected, so that it isn't reported to other VMs with each event.
+	memoryGrowth = 256
 	// noMemoryRetryAfter is the Retry-After time for a stream that found no room. Streams
 	// last for seconds, so among a service's servers some end within it.
 	noMemoryRetryAfter = time.Second
@@ -201,8 +204,8 @@
 // longer than expected.
 func (s *stream) growMemory(a *streamAttempt) {
 	if need := s.memory.tokens(s.lastEvent); need > a.memory.Tokens() {
-		a.memory.Grow(need)
-		a.copies.grow(need)
+		a.memory.Grow(need + memoryGrowth)
+		a.copies.grow(need + memoryGrowth)
 	}
 }
 
--- a/exchange/memory_load_test.go
+++ b/exchange/memory_load_test.go
@@ -1,14 +1,21 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/retry"
 	"github.com/pearyard/pearyard/site"
 )
 
@@ -21,6 +28,7 @@
 	mu   sync.Mutex
 	held map[string]int // tokens that the runs on an engine need until their ends
 	peak map[string]int
+	over int // runs that began at an engine without room
 }
 
 const (
@@ -55,6 +63,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[id] += tokens
+	if tokens > 0 && s.held[id] > memorySiteTokens {
+		s.over++
+	}
 	s.peak[id] = max(s.peak[id], s.held[id])
 }
 
@@ -67,13 +78,18 @@
 	return r
 }
 
-// burst sends streams within a second and returns their errors once all have ended.
-func (s *memorySite) burst(t *testing.T, name string, streams int) []error {
+// burst sends streams within a time and returns their errors once all have ended.
+func (s *memorySite) burst(t *testing.T, name string, streams int, within time.Duration) []error {
+	chance := rand.New(rand.NewPCG(xxhash.Sum64String(name), 0))
+	arrivals := make([]time.Duration, streams)
+	for i := range arrivals {
+		arrivals[i] = time.Duration(chance.Float64() * float64(within))
+	}
 	errs := make([]error, streams)
 	var callers sync.WaitGroup
 	for i := range streams {
 		callers.Go(func() {
-			time.Sleep(time.Duration(i) * time.Second / time.Duration(streams))
+			time.Sleep(arrivals[i])
 			_, errs[i] = s.Stream(t.Context(), memoryRequest(fmt.Sprint(name, i), 0), &recordingSink{start: time.Now()})
 		})
 	}
@@ -89,7 +105,7 @@
 		g := gomega.NewWithT(t)
 		s := newMemorySite(t, 6)
 		served := 0
-		for i, err := range s.burst(t, "s", 48) {
+		for i, err := range s.burst(t, "s", 48, time.Second) {
 			if err == nil {
 				served++
 				continue
@@ -115,17 +131,66 @@
 		g := gomega.NewWithT(t)
 		s := newMemorySite(t, 6)
 		for round := range 4 {
-			for i, err := range s.burst(t, fmt.Sprint("round", round, "-"), 2*len(s.ids)) {
+			for i, err := range s.burst(t, fmt.Sprint("round", round, "-"), 2*len(s.ids), time.Second) {
 				g.Expect(err).NotTo(gomega.HaveOccurred(), "round %d, stream %d", round, i)
 			}
 			go func() { // streams that are lost with their servers
 				time.Sleep(3 * time.Second)
 				s.engines.forZone("a", (*modelEngine).crash)
 			}()
-			_ = s.burst(t, fmt.Sprint("lost", round, "-"), len(s.ids))
+			_ = s.burst(t, fmt.Sprint("lost", round, "-"), len(s.ids), time.Second)
 			s.engines.forZone("a", (*modelEngine).revive)
 			s.readList(s.engines, s.ids)
 			time.Sleep(10 * time.Second)
 		}
 	})
 }
+
+// reportMemory reports what one VM uses of the servers' memory to another, as often as VMs do.
+func reportMemory(ctx context.Context, from, to *modelVM, name string) {
+	for retry.Wait(ctx, 20*time.Millisecond) == nil {
+		to.dir.SetPeerMemory(name, directory.MemoryReport{Last: math.MaxUint32, Uses: from.dir.OwnMemory()})
+	}
+}
+
+// Eight VMs share the servers, and three times as many streams come as fit, for eight seconds.
+// Guards against VMs that together send a server more than it holds: all of them have streams
+// that wait, and would choose the same server when a stream there ends.
+func TestVMsTakeFreeMemoryInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const count, streams = 8, 60
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newMemorySite(t, 24)
+		vms := []*memorySite{s}
+		for range count - 1 {
+			vm := &memorySite{modelVM: newModelVM(s.engines, s.ids)}
+			vm.opts.Services = s.opts.Services
+			vms = append(vms, vm)
+		}
+		for i, from := range vms {
+			from.dir.SetPartition(i, count)
+			for _, to := range vms {
+				if from != to {
+					go reportMemory(ctx, from.modelVM, to.modelVM, fmt.Sprint(i))
+				}
+			}
+		}
+		var bursts sync.WaitGroup
+		var served atomic.Int64
+		for i, vm := range vms {
+			bursts.Go(func() {
+				for _, err := range vm.burst(t, fmt.Sprint("vm", i, "-"), streams, 8*time.Second) {
+					if err == nil {
+						served.Add(1)
+					}
+				}
+			})
+		}
+		bursts.Wait()
+		t.Logf("%d streams served, %d sent to a server without room", served.Load(), s.over)
+		g.Expect(s.over).To(gomega.BeNumerically("<=", served.Load()/20))
+		g.Expect(served.Load()).To(gomega.BeNumerically(">=", 2*2*len(s.ids)-4), "the memory is used twice in that time")
+	})
+}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -379,15 +379,6 @@
 	return server
 }
 
-// pickFor returns the server for a query among the versions that may run the stream.
-func (s *stream) pickFor(q directory.Query) *directory.Server {
-	if _, bound := s.versionBoundTo(); bound {
-		q.Admits = s.admits()
-		return s.e.opts.Directory.Pick(q, time.Now())
-	}
-	return s.e.pick(q, s.versions)
-}
-
 // failure returns the outcome of a stream that can't continue.
 func (s *stream) failure(ctx context.Context, err error) error {
 	if ctx.Err() != nil && !timedOut(ctx) {
--- a/exchange/versions.go
+++ b/exchange/versions.go
@@ -24,6 +24,15 @@
 	return e.opts.Directory.Pick(q, now)
 }
 
+// pickFor returns the server for a query among the versions that may run the stream.
+func (s *stream) pickFor(q directory.Query) *directory.Server {
+	if _, bound := s.versionBoundTo(); bound {
+		q.Admits = s.admits()
+		return s.e.opts.Directory.Pick(q, time.Now())
+	}
+	return s.e.pick(q, s.versions)
+}
+
 // observeAnswer records how the response to a plain request ended, and how long it took.
 // The time of an error says nothing about that of an answer.
 func (c *call) observeAnswer(r result) {
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -40,7 +40,7 @@
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
 		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
-		encodeMemory(directory.MemoryRange{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: directory.Hash("a1"), Tokens: 640}}}),
+		encodeMemory(directory.MemoryReport{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: directory.Hash("a1"), Tokens: 640}}}),
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
 		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
 		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
--- a/fleet/memory_test.go
+++ b/fleet/memory_test.go
@@ -80,6 +80,7 @@
 		hold.End()
 		time.Sleep(2 * minSendInterval)
 		g.Expect(n.vms["b"].full()).To(gomega.BeFalse())
+		time.Sleep(resendInterval)
 		before := n.sent.Load()
 		time.Sleep(time.Minute)
 		g.Expect(n.sent.Load()).To(gomega.Equal(before), "nothing is sent while no memory is used")
@@ -124,20 +125,58 @@
 		g := gomega.NewWithT(t)
 		vm := newMemoryNet(t, "b").vms["b"]
 		server := directory.Start{ID: "i1", Born: 100}.Hash()
-		deliver := func(h header, r directory.MemoryRange) {
+		deliver := func(h header, r directory.MemoryReport) {
 			b := encodeMemory(r)
 			vm.socket.dispatch("a", append(encodeHeader(b.kind, h), b.raw...), time.Now())
 			time.Sleep(20 * time.Millisecond)
 		}
-		used := directory.MemoryRange{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: server, Tokens: 8000}}}
+		used := directory.MemoryReport{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: server, Tokens: 8000}}}
 		deliver(header{incarnation: 1, seq: 2}, used)
-		deliver(header{incarnation: 1, seq: 1}, directory.MemoryRange{Last: math.MaxUint32})
+		deliver(header{incarnation: 1, seq: 1}, directory.MemoryReport{Last: math.MaxUint32})
 		g.Expect(vm.full()).To(gomega.BeTrue())
-		deliver(header{incarnation: 2, seq: 1}, directory.MemoryRange{First: server + 1, Last: math.MaxUint32})
+		deliver(header{incarnation: 2, seq: 1}, directory.MemoryReport{First: server + 1, Last: math.MaxUint32})
 		g.Expect(vm.full()).To(gomega.BeFalse(), "it has started again")
 	})
 }
 
+// A change is reported by the servers that it concerns. Guards against a report that grows with
+// the streams of a VM for each that begins, and against servers that stay full at the others
+// when a change that is lost was the last one.
+func TestChangesOfMemoryAreReportedAlone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMemory(MemoryOptions{Socket: NewSocket("", nil, nil)})
+	use := func(server uint32, tokens int) directory.MemoryUse {
+		return directory.MemoryUse{Server: server, Tokens: tokens}
+	}
+	g.Expect(m.changes([]directory.MemoryUse{use(1, 10), use(5, 10), use(9, 10)})).To(gomega.HaveLen(3))
+	g.Expect(m.changes([]directory.MemoryUse{use(1, 10), use(5, 20), use(7, 10)})).To(gomega.Equal([]directory.MemoryUse{use(5, 20), use(7, 10), use(9, 0)}))
+	g.Expect(memoryChanges(m.changes([]directory.MemoryUse{use(1, 10), use(5, 20), use(7, 10)}))).To(gomega.BeEmpty())
+
+	d := directory.New()
+	d.Apply(1, []directory.Listing{listingBornAt("i1", 100)}, false, time.Now())
+	server := directory.Start{ID: "i1", Born: 100}.Hash()
+	full := func() bool {
+		time.Sleep(12 * time.Millisecond)
+		return d.Pick(directory.Query{Service: "s", Prompt: 1, Memory: 30, MemoryLimit: 100}, time.Now()) == nil
+	}
+	apply := func(reports []directory.MemoryReport) {
+		for _, r := range reports {
+			decoded, ok := decodeMemory(encodeMemory(r).raw)
+			g.Expect(ok).To(gomega.BeTrue())
+			d.SetPeerMemory("p", decoded)
+		}
+	}
+	apply(memoryRanges([]directory.MemoryUse{use(server, 100)}))
+	apply(memoryChanges([]directory.MemoryUse{use(server/2, 100)}))
+	g.Expect(full()).To(gomega.BeTrue(), "a change of another server leaves it")
+	apply(memoryChanges([]directory.MemoryUse{use(server, 0)}))
+	g.Expect(full()).To(gomega.BeFalse())
+	apply(memoryChanges([]directory.MemoryUse{use(server, 100)}))
+	g.Expect(full()).To(gomega.BeTrue())
+	apply(memoryRanges(nil)) // the repetition, after a change that was lost
+	g.Expect(full()).To(gomega.BeFalse())
+}
+
 // A VM of an older release has no handler for these datagrams. Guards against a change of the
 // number of the kind, and against one that an older release would read as another kind.
 func TestOlderVMsIgnoreReportsOfMemory(t *testing.T) {
@@ -145,7 +184,7 @@
 	d := directory.New()
 	s := NewSocket("", nil, nil)
 	NewLoads(LoadsOptions{Directory: d, Socket: s})
-	b := encodeMemory(directory.MemoryRange{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: 7, Tokens: 8000}}})
+	b := encodeMemory(directory.MemoryReport{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: 7, Tokens: 8000}}})
 	g.Expect(b.kind).To(gomega.BeEquivalentTo(21))
 	s.dispatch("a", append(encodeHeader(b.kind, header{incarnation: 1, seq: 1}), b.raw...), time.Now())
 	g.Expect(d.MemoryByService()).To(gomega.BeEmpty())
@@ -155,18 +194,18 @@
 // servers out of use.
 func TestUnreadableReportOfMemory(t *testing.T) {
 	g := gomega.NewWithT(t)
-	valid := encodeMemory(directory.MemoryRange{First: 5, Last: 20, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}, {Server: 9, Tokens: 1 << 40}}}).raw
+	valid := encodeMemory(directory.MemoryReport{First: 5, Last: 20, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}, {Server: 9, Tokens: 1 << 40}}}).raw
 	r, ok := decodeMemory(valid)
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(r.Uses).To(gomega.Equal([]directory.MemoryUse{{Server: 7, Tokens: memoryUnit}, {Server: 9, Tokens: math.MaxUint16 * memoryUnit}}))
 	for name, raw := range map[string][]byte{
-		"nothing":         nil,
-		"cut":             valid[:len(valid)-1],
-		"without a range": valid[:7],
-		"reversed range":  encodeMemory(directory.MemoryRange{First: 6, Last: 5}).raw,
-		"below the range": encodeMemory(directory.MemoryRange{First: 8, Last: 9, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}}}).raw,
-		"above the range": encodeMemory(directory.MemoryRange{First: 8, Last: 9, Uses: []directory.MemoryUse{{Server: 10, Tokens: 1}}}).raw,
-		"a server twice":  encodeMemory(directory.MemoryRange{Last: 9, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}, {Server: 7, Tokens: 1}}}).raw,
+		"nothing":             nil,
+		"cut":                 valid[:len(valid)-1],
+		"without a range":     valid[:7],
+		"below the range":     encodeMemory(directory.MemoryReport{First: 8, Last: 9, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}}}).raw,
+		"above the range":     encodeMemory(directory.MemoryReport{First: 8, Last: 9, Uses: []directory.MemoryUse{{Server: 10, Tokens: 1}}}).raw,
+		"changes in disorder": encodeMemory(directory.MemoryReport{First: 1, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}, {Server: 6}}}).raw,
+		"a server twice":      encodeMemory(directory.MemoryReport{Last: 9, Uses: []directory.MemoryUse{{Server: 7, Tokens: 1}, {Server: 7, Tokens: 1}}}).raw,
 	} {
 		_, ok := decodeMemory(raw)
 		g.Expect(ok).To(gomega.BeFalse(), name)
@@ -195,5 +234,5 @@
 	}
 	g.Expect(next).To(gomega.BeZero())
 	g.Expect(got).To(gomega.Equal(uses))
-	g.Expect(memoryRanges(nil)).To(gomega.Equal([]directory.MemoryRange{{Last: math.MaxUint32}}))
+	g.Expect(memoryRanges(nil)).To(gomega.Equal([]directory.MemoryReport{{Last: math.MaxUint32}}))
 }
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -39,7 +39,8 @@
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
 // Memory: first and last server of a range (4 each), for each server of the range where the
-// sender uses memory its start (4) and tokens in units of memoryUnit (2).
+// sender uses memory its start (4) and tokens in units of memoryUnit (2). With the first after
+// the last there is no range, and only the servers named have changed.
 //
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
