--- a/directory/memory.go
+++ b/directory/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -198,13 +199,14 @@
 
 	mu       sync.Mutex
 	byPeer   map[string]map[uint32]int
+	sums     map[uint32]int64 // over byPeer, by start hash, without servers where none is used
 	totalsAt time.Time
-	stale    atomic.Bool                      // a report has come since the totals were computed
-	totals   atomic.Pointer[map[uint32]int64] // by start hash; nil: nothing has been reported
+	stale    atomic.Bool                      // a report has come since totals was copied from sums
+	totals   atomic.Pointer[map[uint32]int64] // nil: nothing has been reported
 }
 
 func newPeerMemory() peerMemory {
-	return peerMemory{changed: make(chan struct{}, 1), byPeer: map[string]map[uint32]int{}}
+	return peerMemory{changed: make(chan struct{}, 1), byPeer: map[string]map[uint32]int{}, sums: map[uint32]int64{}}
 }
 
 // MemoryChanged returns a channel that holds a token after the memory that this process uses
@@ -262,13 +264,11 @@
 	}
 	for server := range known {
 		if server >= r.First && server <= r.Last {
-			delete(known, server)
+			m.set(known, server, 0)
 		}
 	}
 	for _, use := range r.Uses {
-		if known[use.Server] = use.Tokens; use.Tokens == 0 {
-			delete(known, use.Server)
-		}
+		m.set(known, use.Server, use.Tokens)
 	}
 	if len(known) == 0 {
 		delete(m.byPeer, from)
@@ -280,16 +280,30 @@
 func (d *Directory) DropPeerMemory(from string) {
 	d.memory.mu.Lock()
 	defer d.memory.mu.Unlock()
+	known := d.memory.byPeer[from]
+	for server := range known {
+		d.memory.set(known, server, 0)
+	}
 	delete(d.memory.byPeer, from)
 	d.memory.stale.Store(true)
 }
 
+// set records what a peer uses at a server. The caller must hold mu.
+func (m *peerMemory) set(known map[uint32]int, server uint32, tokens int) {
+	if m.sums[server] += int64(tokens - known[server]); m.sums[server] == 0 {
+		delete(m.sums, server)
+	}
+	if known[server] = tokens; tokens == 0 {
+		delete(known, server)
+	}
+}
+
 // peerMemory returns the memory that other processes have reported to use, by start hash.
 // Reports on starts that aren't known here have no effect.
 func (d *Directory) peerMemory(now time.Time) map[uint32]int64 {
 	m := &d.memory
 	if m.stale.Load() {
-		m.computeTotals(now)
+		m.copyTotals(now)
 	}
 	if totals := m.totals.Load(); totals != nil {
 		return *totals
@@ -297,8 +311,8 @@
 	return nil
 }
 
-// computeTotals adds up the newest reports of all peers, at most once each totalsInterval.
-func (m *peerMemory) computeTotals(now time.Time) {
+// copyTotals makes the newest sums visible to choices, at most once each totalsInterval.
+func (m *peerMemory) copyTotals(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now.Sub(m.totalsAt) < totalsInterval {
@@ -306,11 +320,6 @@
 	}
 	m.totalsAt = now
 	m.stale.Store(false)
-	totals := map[uint32]int64{}
-	for _, uses := range m.byPeer {
-		for server, tokens := range uses {
-			totals[server] += int64(tokens)
-		}
-	}
+	totals := maps.Clone(m.sums)
 	m.totals.Store(&totals)
 }
--- a/directory/memory_test.go
+++ b/directory/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,6 +143,36 @@
 	})
 }
 
+// Guards against sums that drift from what the peers have reported, which would keep servers
+// out of use for good.
+func TestPeersMemoryAddsUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, chance := New(), rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		from := string(rune('a' + chance.IntN(5)))
+		r := MemoryReport{First: chance.Uint32N(20), Last: chance.Uint32N(20)}
+		for server := uint32(0); server < 20; server += 1 + chance.Uint32N(5) {
+			if r.First > r.Last || (server >= r.First && server <= r.Last) {
+				r.Uses = append(r.Uses, MemoryUse{server, chance.IntN(3) * 64})
+			}
+		}
+		if d.SetPeerMemory(from, r); chance.IntN(10) == 0 {
+			d.DropPeerMemory(from)
+		}
+		want := map[uint32]int64{}
+		for _, uses := range d.memory.byPeer {
+			for server, tokens := range uses {
+				want[server] += int64(tokens)
+			}
+		}
+		g.Expect(d.memory.sums).To(gomega.Equal(want))
+	}
+	for _, from := range []string{"a", "b", "c", "d", "e"} {
+		d.DropPeerMemory(from)
+	}
+	g.Expect(d.memory.sums).To(gomega.BeEmpty())
+}
+
 // A server's report counts for a second. Guards against an old or false one that keeps a
 // server out of use.
 func TestReportedMemoryExpires(t *testing.T) {
