--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -75,7 +75,7 @@
 	}
 	s.versions.Sent(server)
 	a := &streamAttempt{
-		server: server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent)}, load: server.BeginStream(prompt),
+		server: server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent), ttl: s.memory.keptFor()}, load: server.BeginStream(prompt),
 		memory: server.HoldMemory(s.memory.tokens(s.lastEvent)),
 		watch:  newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}),
 	}
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -31,7 +31,9 @@
 	endLoad func() // removes the copy from its server's load
 	tokens  int    // of memory that a copy takes; 0: not accounted
 	memory  *directory.MemoryHold
-	closed  bool // no copy is needed any more
+	sent    bool          // the run has had an event, from which on it sends its copy
+	ttl     time.Duration // how long a server keeps a sent copy whose run did not end successfully
+	closed  bool          // no copy is needed any more
 }
 
 // set replaces the copy. A copy that arrives after close is released at once: it was
@@ -84,11 +86,37 @@
 	if t.endLoad != nil {
 		t.endLoad()
 	}
-	t.memory.End()
+	t.endMemory()
 	t.release(t.current)
 	t.current, t.endLoad, t.memory = nil, nil, nil
 }
 
+// endMemory removes the copy from the memory of its server once that drops it. A copy that was
+// requested is freed at once, and one of a run without an event does not exist.
+func (t *copyTracker) endMemory() {
+	if t.sent && t.ttl > 0 && t.memory != nil && t.current != nil && t.current.Handle == "" {
+		time.AfterFunc(t.ttl, t.memory.End)
+		return
+	}
+	t.memory.End()
+}
+
+// finish releases the copy of a run that is over. whole is set if it ended successfully, upon
+// which a server drops the copy.
+func (t *copyTracker) finish(whole bool) {
+	t.mu.Lock()
+	t.sent = t.sent && !whole
+	t.mu.Unlock()
+	t.close()
+}
+
+// markSent records that the run sends its copy from now on.
+func (t *copyTracker) markSent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent = true
+}
+
 // grow raises the memory that a copy takes.
 func (t *copyTracker) grow(tokens int) {
 	t.mu.Lock()
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -35,10 +35,11 @@
 // immutable. A nil memoryNeed is that of a stream whose memory isn't accounted.
 type memoryNeed struct {
 	prompt      int
-	answer      int // expected
-	eventTokens int // in an event
-	capacity    int // of a server
-	copyLimit   int // up to which a server may be filled by a copy of the stream
+	answer      int           // expected
+	eventTokens int           // in an event
+	capacity    int           // of a server
+	copyLimit   int           // up to which a server may be filled by a copy of the stream
+	copyTTL     time.Duration // how long a server keeps a copy whose run did not end successfully
 }
 
 // newMemoryNeed returns how a request's memory is accounted: only where the configuration
@@ -51,6 +52,7 @@
 	return &memoryNeed{
 		prompt: req.PromptTokens, answer: lengths.expect(req.LengthHint, req.MaxTokens),
 		eventTokens: max(1, service.EventTokens), capacity: service.Memory, copyLimit: copyLimit(service.Memory, rank, req.Competition.Ranks()),
+		copyTTL: service.CopyTTL,
 	}
 }
 
@@ -84,6 +86,14 @@
 	return int(memoryShare * float64(n.capacity))
 }
 
+// keptFor returns how long a server keeps a copy whose run did not end successfully.
+func (n *memoryNeed) keptFor() time.Duration {
+	if n == nil {
+		return 0
+	}
+	return n.copyTTL
+}
+
 // tooLarge reports whether the stream can't fit into any server. The answer doesn't count:
 // its length is an estimate, which must not turn a stream away for good.
 func (n *memoryNeed) tooLarge() bool { return n != nil && n.prompt >= n.capacity }
@@ -200,9 +210,12 @@
 	}
 }
 
-// growMemory raises what an attempt and its copy count at their servers once the answer is
+// growMemory records an event: it raises what an attempt and its copy count at their servers once the answer is
 // longer than expected.
 func (s *stream) growMemory(a *streamAttempt) {
+	if a.events == 1 {
+		a.copies.markSent()
+	}
 	if need := s.memory.tokens(s.lastEvent); need > a.memory.Tokens() {
 		a.memory.Grow(need + memoryGrowth)
 		a.copies.grow(need + memoryGrowth)
--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -201,6 +201,37 @@
 	})
 }
 
+// A server keeps the copy of a run that did not end well for some seconds. Guards against
+// streams that are sent there meanwhile, and against memory that stays counted after it or for
+// copies that were never sent.
+func TestCopyOfABrokenRunIsCountedUntilItsServerDropsIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		at1  script
+		left int64 // tokens counted after the end
+	}{
+		"broken":           {streams(3, time.Millisecond, io.ErrUnexpectedEOF), memorySitePrompt + memorySiteEvents*modelEvent},
+		"whole":            {streams(3, time.Millisecond, nil), 0},
+		"without an event": {breaks(), 0},
+		"not run":          {refuses(Busy), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				b := newMemoryTestbed(map[string][]script{"a1": {c.at1}, "b1": {refuses(Busy)}}, "a1", "b1")
+				b.opts.Services = func(string) (site.Service, bool) {
+					return site.Service{Name: "s", Copies: true, Memory: memorySiteTokens, EventTokens: modelEvent, CopyTTL: 4 * time.Second}, true
+				}
+				req := memoryRequest("r1", 0)
+				req.Route.MaxAttempts = 1
+				_, _ = b.Stream(t.Context(), req, &recordingSink{})
+				g.Expect(b.committed()).To(gomega.Equal(c.left))
+				time.Sleep(5 * time.Second)
+				g.Expect(b.committed()).To(gomega.BeZero())
+			})
+		})
+	}
+}
+
 // Guards against answers longer than expected that are counted as short until their end.
 func TestLongAnswerIsCountedAsItGrows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -83,7 +83,7 @@
 	err = s.run(within)
 	s.versions.Release()
 	if s.current != nil {
-		s.current.copies.close()
+		s.current.copies.finish(err == nil)
 	}
 	if err == nil {
 		e.opts.Suspects.RecordCompletion(req.Fingerprint())
--- a/site/config.go
+++ b/site/config.go
@@ -120,6 +120,9 @@
 	// Memory is the number of tokens that one backend server can hold: of prompts, of what it
 	// has generated for them and of copies; 0: unknown or unlimited.
 	Memory int
+	// CopyTTL is how long a server keeps the copy that a run sent if the run does not end
+	// successfully; 0: unknown.
+	CopyTTL time.Duration
 	// EventTokens is the number of tokens that an event of a stream holds; 0: unknown.
 	EventTokens int
 }
