--- a/directory/memory.go
+++ b/directory/memory.go
@@ -148,10 +148,11 @@
 		if !s.Draining() && q.hasRoom(s, now) {
 			rooms++
 		}
+		if rooms == p.count {
+			return q
+		}
 	}
-	if rooms < p.count {
-		q.turns = p
-	}
+	q.turns = p
 	return q
 }
 
--- a/directory/pick_bench_test.go
+++ b/directory/pick_bench_test.go
@@ -27,3 +27,25 @@
 		}
 	}
 }
+
+// BenchmarkPickWithMemory picks a server for a stream whose memory is accounted, while half of
+// the servers have no room.
+func BenchmarkPickWithMemory(b *testing.B) {
+	for _, n := range []int{100, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var ids []string
+			for i := range n {
+				ids = append(ids, fmt.Sprintf("%c-%06d", 'a'+i%4, i))
+			}
+			d := withServers(ids...)
+			d.SetPartition(3, 32)
+			now := time.Now().Add(time.Second)
+			for i, s := range d.View().Service("s") {
+				d.SetPeerMemory("p", MemoryReport{First: 1, Uses: []MemoryUse{{s.startHash, 40 + 40*(i%2)}}})
+			}
+			for b.Loop() {
+				d.Pick(Query{Service: "s", Zone: "a", Prompt: 8000, Memory: 30, MemoryLimit: 95}, now)
+			}
+		})
+	}
+}
--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -1,14 +1,20 @@
 package exchange
 
 import (
+	"bytes"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/site"
 )
 
@@ -232,6 +238,68 @@
 	}
 }
 
+// The server that holds a copy is lost while no other has room. Guards against a stream that
+// stays without a copy for good though memory becomes free, and against a copy that takes it
+// before.
+func TestLostCopyIsReplacedOnceThereIsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newMemoryTestbed(map[string][]script{"a1": {streams(500, 10*time.Millisecond, nil)}}, "a1", "b1", "b2")
+		end := b.uses(memorySiteTokens, "b2")
+		done := make(chan error)
+		go func() {
+			_, err := b.Stream(t.Context(), memoryRequest("r1", 0), &recordingSink{})
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(b.backend.sent()[0].CopyTo.ID).To(gomega.Equal("b1"))
+		b.backend.sent()[0].CopyTo.MarkLost(time.Now())
+		time.Sleep(2 * time.Second)
+		g.Expect(b.backend.copyPlaces()).To(gomega.BeEmpty())
+		end()
+		time.Sleep(time.Second)
+		g.Expect(b.backend.copyPlaces()).To(gomega.HaveLen(1))
+		g.Expect(<-done).NotTo(gomega.HaveOccurred())
+		g.Expect(b.committed()).To(gomega.BeZero())
+	})
+}
+
+// Operators see how much memory is taken, what it holds back, and when a shortage begins and
+// ends.
+func TestShortageOfMemoryIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var logged bytes.Buffer
+		registry := prometheus.NewRegistry()
+		b := newMemoryTestbed(everywhere(streams(5, time.Millisecond, nil)))
+		b.opts.Recorder = event.NewRecorder(log.NewLogfmtLogger(&logged), 16)
+		b.Exchange.metrics = newMetrics(registry, b.dir)
+		end := b.uses(memorySiteTokens-memorySitePrompt, "a1", "a2", "b1", "b2")
+		for range 2 {
+			_, err := b.Stream(t.Context(), memoryRequest("r1", 0), &recordingSink{})
+			g.Expect(err).To(gomega.MatchError(ErrNoMemory))
+		}
+		g.Expect(testutil.ToFloat64(b.metrics.memory.held)).To(gomega.BeEquivalentTo(2))
+		g.Expect(testutil.GatherAndCompare(registry, strings.NewReader(`
+# HELP pearyard_exchange_memory_committed_tokens Memory of backend servers that streams and copies of this process hold or will hold, by service.
+# TYPE pearyard_exchange_memory_committed_tokens gauge
+pearyard_exchange_memory_committed_tokens{service="s"} 48000
+`), "pearyard_exchange_memory_committed_tokens")).To(gomega.Succeed())
+		end()
+		time.Sleep(memoryCalm)
+		for range 2 {
+			_, err := b.Stream(t.Context(), memoryRequest("r1", 0), &recordingSink{})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		g.Expect(strings.Count(logged.String(), EventMemoryShort.ID())).To(gomega.Equal(1))
+		g.Expect(strings.Count(logged.String(), EventMemoryFound.ID())).To(gomega.Equal(1))
+		b.uses(memorySiteTokens/2, "a1", "a2", "b1", "b2")
+		_, err := b.Stream(t.Context(), memoryRequest("r2", 1), &recordingSink{})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(testutil.ToFloat64(b.metrics.memory.copiesNotPlaced)).To(gomega.BeEquivalentTo(1))
+	})
+}
+
 // Guards against answers longer than expected that are counted as short until their end.
 func TestLongAnswerIsCountedAsItGrows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/memory_test.go
+++ b/fleet/memory_test.go
@@ -107,11 +107,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		n := newMemoryNet(t, "a", "b")
-		lost := true
-		n.drops = func() bool { return lost }
+		var lost atomic.Bool
+		lost.Store(true)
+		n.drops = lost.Load
 		n.vms["a"].hold(8000)
 		time.Sleep(minSendInterval)
-		lost = false
+		lost.Store(false)
 		g.Expect(n.vms["b"].full()).To(gomega.BeFalse())
 		time.Sleep(resendInterval + minSendInterval)
 		g.Expect(n.vms["b"].full()).To(gomega.BeTrue())
