--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -29,7 +29,11 @@
 	mu      sync.Mutex
 	current *KVCopy
 	endLoad func() // removes the copy from its server's load
-	closed  bool   // no copy is needed any more
+	tokens  int    // of memory that a copy takes; 0: not accounted
+	memory  *directory.MemoryHold
+	sent    bool          // the run has had an event, from which on it sends its copy
+	ttl     time.Duration // how long a server keeps a sent copy whose run did not end successfully
+	closed  bool          // no copy is needed any more
 }
 
 // set replaces the copy. A copy that arrives after close is released at once: it was
@@ -42,7 +46,7 @@
 		t.release(c)
 		return
 	}
-	t.current, t.endLoad = c, c.Server.BeginCopy()
+	t.current, t.endLoad, t.memory = c, c.Server.BeginCopy(), c.Server.HoldMemory(t.tokens)
 }
 
 // close releases the copy, and all that arrive later.
@@ -82,8 +86,50 @@
 	if t.endLoad != nil {
 		t.endLoad()
 	}
+	t.endMemory()
 	t.release(t.current)
-	t.current, t.endLoad = nil, nil
+	t.current, t.endLoad, t.memory = nil, nil, nil
+}
+
+// endMemory removes the copy from the memory of its server once that drops it. A copy that was
+// requested is freed at once, and one of a run without an event does not exist.
+func (t *copyTracker) endMemory() {
+	if t.sent && t.ttl > 0 && t.memory != nil && t.current != nil && t.current.Handle == "" {
+		time.AfterFunc(t.ttl, t.memory.End)
+		return
+	}
+	t.memory.End()
+}
+
+// finish releases the copy of a run that is over. whole is set if it ended successfully, upon
+// which a server drops the copy.
+func (t *copyTracker) finish(whole bool) {
+	t.mu.Lock()
+	t.sent = t.sent && !whole
+	t.mu.Unlock()
+	t.close()
+}
+
+// markSent records that the run sends its copy from now on.
+func (t *copyTracker) markSent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent = true
+}
+
+// grow raises the memory that a copy takes.
+func (t *copyTracker) grow(tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tokens = max(t.tokens, tokens)
+	t.memory.Grow(t.tokens)
+}
+
+// size returns the memory that a copy takes.
+func (t *copyTracker) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tokens
 }
 
 // requested returns the copy if it was made by Backend.Copy; nil otherwise.
@@ -136,10 +182,23 @@
 // pickCopyServer chooses the server for the copy of a run on server: one in another
 // zone if possible, since zones fail as a whole. again is set for a copy that replaces a
 // lost one.
-func (s *stream) pickCopyServer(server *directory.Server, avoid map[directory.Start]bool, again bool) *directory.Server {
-	return s.e.opts.Directory.Pick(directory.Query{
-		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: avoid, AvoidZone: server.Zone, Prompt: s.req.PromptTokens, Copy: true, AfterDisruption: again, Admits: s.e.sameVersion(server),
-	}, time.Now())
+//
+// lacksMemory reports that a server was found only without regard to memory: the copy is not
+// made, and leaves the memory to streams.
+func (s *stream) pickCopyServer(a *streamAttempt, avoid map[directory.Start]bool, again bool) (to *directory.Server, lacksMemory bool) {
+	q := directory.Query{
+		Service: s.req.Service, Zone: s.e.opts.Zone, Exclude: avoid, AvoidZone: a.server.Zone, Prompt: s.req.PromptTokens, Copy: true, AfterDisruption: again, Admits: s.e.sameVersion(a.server),
+	}
+	if s.memory != nil {
+		q.Memory, q.MemoryLimit = a.copies.size(), s.memory.copyLimit
+	}
+	to = s.e.opts.Directory.Pick(q, time.Now())
+	if to != nil || s.memory == nil {
+		return to, false
+	}
+	q.Memory = 0
+	lacksMemory = s.e.opts.Directory.Pick(q, time.Now()) != nil
+	return nil, lacksMemory
 }
 
 // excludedFor returns the servers that can't hold the copy of a run on server.
@@ -155,7 +214,10 @@
 	if !ok || !service.Copies || !s.req.Route.Resumable {
 		return nil
 	}
-	to := s.pickCopyServer(a.server, s.excludedFor(a.server), false)
+	to, lacksMemory := s.pickCopyServer(a, s.excludedFor(a.server), false)
+	if lacksMemory {
+		s.e.metrics.memory.copiesNotPlaced.Inc()
+	}
 	if to != nil {
 		a.copies.set(&KVCopy{Server: to})
 	}
@@ -239,7 +301,10 @@
 	if !s.req.hasTime(time.Now()) {
 		return false
 	}
-	to := s.pickCopyServer(a.server, avoid, true)
+	to, lacksMemory := s.pickCopyServer(a, avoid, true)
+	if lacksMemory {
+		return true // the next check finds out whether there is room
+	}
 	if to == nil || to == lost {
 		return false
 	}
