admission, exchange: streams of competing classes start, wait or are refused before they are sent

Cause: streams are sent at once whatever the servers hold, so that under overload the queues at the servers grow until those of every class are late, and urgency has no effect. Ruled out: ageing and strict order.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -123,6 +123,7 @@
 	e.shutdown.begin(end)
 	e.election.AnnounceStop()
 	e.directory.SetStopping()
+	e.exchange.StopWaiting()
 	e.recorder.Emit(EventDraining, "running", e.runningRequests.Load(), "grace", e.settings.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -118,9 +118,12 @@
 func failedBy(err error) EndedBy {
 	var notRun *NotRunError
 	var late *LateError
+	var overload *OverloadError
 	switch {
-	case errors.As(err, &late):
+	case errors.As(err, &late), errors.As(err, &overload):
 		return EndedByNoServer
+	case errors.Is(err, ErrStopping):
+		return EndedByStop
 	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined), errors.Is(err, ErrHeld), errors.Is(err, ErrServerLimits), errors.Is(err, ErrServersRest):
 		return EndedByLimit
 	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -73,6 +73,8 @@
 	// ErrVersionUnknown: it isn't known which version began the stream of a caller that came
 	// back, and several have served.
 	ErrVersionUnknown = errors.New("exchange: it is not known which version of the backend servers began the stream")
+	// ErrStopping: the stream waited for its turn when this process's planned stop began.
+	ErrStopping = errors.New("exchange: this process is about to stop, and the stream has waited for its turn")
 	// ErrTimeout: the deadline of the caller or of the route has passed.
 	ErrTimeout = errors.New("exchange: time is up")
 	// ErrNoTime: too little time is left for an attempt to be answered.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -136,6 +136,8 @@
 	zones   zoneChecker
 	active  activeStreams
 	prompts *promptcache.Locator
+	queues  sync.Map // service -> *admission.Queue
+	stop    stopSignal
 }
 
 // New returns an Exchange.
@@ -146,6 +148,7 @@
 	orDefault(&t.ProbeTimeout, DefaultProbeTimeout)
 	orDefault(&t.WaitForServer, DefaultWaitForServer)
 	e := &Exchange{opts: opts, metrics: newMetrics(opts.Metrics), active: activeStreams{streams: map[*activeStream]struct{}{}}}
+	e.stop.begun = make(chan struct{})
 	e.prompts = promptcache.NewLocator(e.askCached)
 	if opts.PromptPeers != nil {
 		e.prompts.UsePeers(opts.PromptPeers)
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -19,6 +19,7 @@
 	limitHeld       prometheus.Counter
 	versionGone     prometheus.Counter
 	versionUnknown  prometheus.Counter
+	admission       *admissionMetrics
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -62,6 +63,7 @@
 	versionRefused := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pearyard_exchange_version_refused_total", Help: "Streams that ended since of the version that began them no backend server was left (gone), or since it was not known (unknown)."}, []string{"why"})
 	m.versionGone, m.versionUnknown = versionRefused.WithLabelValues("gone"), versionRefused.WithLabelValues("unknown")
+	m.admission = newAdmissionMetrics(reg)
 	reg.MustRegister(versionRefused, m.crashesJudged)
 	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.refreshesFailed, m.copiesReplaced, m.probes, m.budgetSpent, m.limitHeld)
 	return m
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -43,6 +44,7 @@
 	lastErr          error                   // of the last attempt that failed; nil: none
 	lostZone         string                  // zone of the last server that broke off or is probably lost; empty: none
 	cachedTokens     map[directory.Start]int // tokens of the prompt that servers have cached
+	spread           float64                 // from 0 to 1, at random; see admission.Offer
 
 	versions *rollout.Assignment // versions of servers that may run it
 	begunBy  *directory.Server   // server that sent the first event of this answer; nil: none has
@@ -92,7 +94,7 @@
 
 func (e *Exchange) newStream(req *Request, sink Sink) *stream {
 	s := &stream{e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, active: e.active.add(req.ID, req.Fingerprint())}
-	s.quarantined = s.active.quarantined
+	s.quarantined, s.spread = s.active.quarantined, rand.Float64()
 	s.versions = e.opts.Rollouts.Assign(req.Service, req.ID, req.LastEvent == "")
 	s.lastEvent, _ = strconv.ParseUint(req.LastEvent, 10, 64)
 	return s
@@ -263,6 +265,9 @@
 	if !s.req.hasTime(time.Now()) {
 		return nil, nil, ErrNoTime
 	}
+	if err := s.awaitAdmission(ctx); err != nil {
+		return nil, nil, err
+	}
 	if s.delivered > 0 && !s.hasCopy() {
 		// A retry that would be late must not cost any budget.
 		if _, err := s.pickInTime(); err != nil {
@@ -388,9 +393,14 @@
 	}
 	after := retryAfter
 	var late *LateError
+	var overload *OverloadError
 	switch {
 	case errors.As(err, &late):
 		after = late.retryAfter()
+	case errors.As(err, &overload):
+		after = overload.retryAfter(s.req, time.Now())
+	case errors.Is(err, ErrStopping):
+		after = stopRetryAfter
 	case errors.Is(err, ErrQuarantined):
 		after = quarantineRetryAfter
 	case errors.Is(err, ErrHeld):
