--- a/admission/decide.go
+++ b/admission/decide.go
@@ -60,7 +60,7 @@
 type Decision struct {
 	Verdict    Verdict
 	RetryAfter time.Duration // of a refusal
-	Expected   time.Duration // from the stream's arrival to its first event, as estimated
+	Expected   time.Duration // from the stream's arrival to its first event; 0: it starts whatever that is
 	Limit      time.Duration // up to which First may be for the stream to start
 }
 
@@ -97,15 +97,17 @@
 	if o.Resumes {
 		return Decision{Verdict: Start}
 	}
+	if !l.Measured || !l.Backlog {
+		l.First = 0 // an idle server is slow to every stream, and refusing them helps none
+	}
 	d := Decision{Limit: o.limit(l)}
 	queued := max(time.Duration(l.Ahead)*l.Interval, l.Closed)
-	if l.Ahead == 0 && l.Room && (!l.Measured || !l.Backlog) {
-		d.Expected = waited + l.First
+	switch {
+	case l.Ahead == 0 && l.Room && l.First == 0:
 		return d
-	}
-	if l.opens(d.Limit) {
+	case l.opens(d.Limit):
 		d.Expected = waited + queued + l.First
-	} else {
+	default:
 		d.Expected = waited + max(queued, l.First-d.Limit) + min(l.First, d.Limit)
 	}
 	latest := o.Objective
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -42,6 +42,8 @@
 	g := gomega.NewWithT(t)
 	slow := Outlook{Room: true, Measured: true, First: 30 * time.Second, Reading: 30 * time.Second}
 	g.Expect(Decide(offerOf(0), slow, epoch).Verdict).To(gomega.Equal(Start), "a late response is better than none")
+	slow.Ahead = 1
+	g.Expect(Decide(offerOf(0), slow, epoch).Verdict).To(gomega.Equal(Wait), "another stream is about to start")
 	goesOn := offerOf(2)
 	goesOn.Resumes = true
 	g.Expect(Decide(goesOn, behind(time.Minute), epoch.Add(time.Minute)).Verdict).To(gomega.Equal(Start))
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -36,7 +36,8 @@
 	// CauseProcessStalled: as server_pause, but streams of several servers paused for
 	// the same time in one process: the process, its VM or its network stalled.
 	CauseProcessStalled Cause = "process_stood_still"
-	// CauseAdmission: refused, because no server would have finished it in time (PY2721).
+	// CauseAdmission: refused, because no server would have finished it in time, or it would
+	// have begun after its objective behind more urgent ones (PY2721, PY2790).
 	CauseAdmission Cause = "admission"
 	// CauseNoServer: no server was known, or all refused the request.
 	CauseNoServer Cause = "no_server"
--- a/explain/endedby.go
+++ b/explain/endedby.go
@@ -67,6 +67,9 @@
 	switch endedBy(last) {
 	case exchange.EndedByNoServer:
 		why = "no backend server took it, "
+		if strings.Contains(last.Fields["err"], textOverload) {
+			why = "by its urgency others went before it, "
+		}
 	case exchange.EndedByVersion:
 		why = "only the version that began the stream may go on with it, "
 	case exchange.EndedByServerLink:
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -32,10 +32,12 @@
 
 // Texts in log lines that the rules match.
 const (
-	textLate   = "would finish in time" // of exchange.LateError
-	textBusy   = "not run: busy"        // of exchange.NotRunError
-	textStatus = "the server answered"  // with an error status
-	howReread  = "prompt_read_again"    // field how of PY2725
+	textLate = "would finish in time" // of exchange.LateError
+	// textOverload is of exchange.OverloadError.
+	textOverload = "would begin too late behind others"
+	textBusy     = "not run: busy"       // of exchange.NotRunError
+	textStatus   = "the server answered" // with an error status
+	howReread    = "prompt_read_again"   // field how of PY2725
 )
 
 var (
@@ -181,7 +183,7 @@
 
 func (e *requestEnd) refusalCause() Cause {
 	switch {
-	case e.rec.contains(fieldError, textLate):
+	case (e.rec.contains(fieldError, textLate) || e.rec.contains(fieldError, textOverload)):
 		return CauseAdmission
 	case e.by == exchange.EndedByStop:
 		return CauseStop
@@ -213,7 +215,7 @@
 	case exchange.EndedByServer:
 		return e.attemptCauseOr(CauseServerFailed)
 	case exchange.EndedByNoServer:
-		if e.rec.contains(fieldError, textLate) {
+		if e.rec.contains(fieldError, textLate) || e.rec.contains(fieldError, textOverload) {
 			return e.attemptCauseOr(CauseAdmission)
 		}
 		return e.attemptCauseOr(CauseNoServer)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -27,6 +27,7 @@
 level=warn ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2750 name=entry_turned_away request=r11 status=400 ended_by=caller version=9 err="platform: body: unexpected EOF"
 level=info ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2723 name=exchange_caller_left request=r12 kind=stream took=18s first=0s ran=0 refused=0 server=i-6 ended_by=caller err="context canceled"
 level=info ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2723 name=exchange_caller_left request=r13 kind=stream took=3s first=1s ran=0 refused=0 server=i-6 ended_by=caller err="context canceled"
+level=warn ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2721 name=exchange_refused request=r15 ended_by=no_server err="exchange: the stream would begin too late behind others: expected after 6s"
 level=error ts=2026-10-02T12:44:09.000000000Z process=edge-1 event=PY2722 name=exchange_failed request=r14 kind=at_most_once took=2s sent=0 pending=1 refused=0 server=i-6 ended_by=route_timeout err="no answer yet: exchange: time is up"
 `
 
@@ -50,6 +51,7 @@
 		"r12": {"closed the connection after 18s; its backend server i-6 had sent nothing yet"},
 		"r13": {"closed the connection after 3s."},
 		"r14": {"route's timeout passed after 2s: no answer yet: exchange: time is up; its backend server i-6 had sent nothing yet"},
+		"r15": {"has not run: by its urgency others went before it", "expected after 6s"},
 		"r7":  {"backend server's own status 500, at try 2"},
 	} {
 		for _, w := range words {
--- a/explain/period_test.go
+++ b/explain/period_test.go
@@ -123,7 +123,8 @@
 		"gone": {
 			lineOf("edge-1", "01:02.0", "PY2732", "requests=a@i-1") + lineOf("edge-2", "01:02.5", "PY2752", "") + lineOf("edge-1", "01:03.0", "PY2752", ""), CauseProcessLost,
 		},
-		"admission": {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=stream took=8ms first=0s pause=0s ended_by=no_server err="`+new(exchange.LateError).Error()+`"`), CauseAdmission},
+		"admission":     {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=stream took=8ms first=0s pause=0s ended_by=no_server err="`+new(exchange.LateError).Error()+`"`), CauseAdmission},
+		"behind others": {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=stream took=8ms first=0s pause=0s ended_by=no_server err="`+new(exchange.OverloadError).Error()+`"`), CauseAdmission},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -265,6 +266,7 @@
 func TestErrorTextsThatRulesMatch(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(new(exchange.LateError).Error()).To(gomega.ContainSubstring(textLate))
+	g.Expect(new(exchange.OverloadError).Error()).To(gomega.ContainSubstring(textOverload))
 	g.Expect((&exchange.SilentError{Alive: true}).Error()).To(gomega.ContainSubstring(textSilent))
 	g.Expect((&exchange.NotRunError{Reason: exchange.Busy}).Error()).To(gomega.ContainSubstring(textBusy))
 }
