--- a/admission/decide.go
+++ b/admission/decide.go
@@ -70,10 +70,10 @@
 	// Half of an objective holds the prompts that several processes send there before they
 	// learn of each other's.
 	leastUrgentHeadroom = 0.5
-	// newWaitShare of the objective is how late a stream may be expected to begin to be told to
-	// wait. More urgent ones may still overtake it: with less of a margin it would be refused
-	// after a long wait, when its caller has no time left.
-	newWaitShare = 0.75
+	// newWaitMargin is by how much the wait behind others is taken to be longer for a stream that
+	// has not waited yet. More urgent ones may overtake it, and without a margin it would be
+	// refused after a long wait, when its caller has no time left.
+	newWaitMargin = 1.33
 	// minRetryAfter is the shortest Retry-After: about the time in which a server reads half
 	// a long prompt.
 	minRetryAfter = 400 * time.Millisecond
@@ -101,7 +101,7 @@
 		l.First = 0 // an idle server is slow to every stream, and refusing them helps none
 	}
 	d := Decision{Limit: o.limit(l)}
-	queued := max(time.Duration(l.Ahead)*l.Interval, l.Closed)
+	queued := max(l.behindOthers(), l.Closed)
 	switch {
 	case l.Ahead == 0 && l.Room && l.First == 0:
 		return d
@@ -110,20 +110,25 @@
 	default:
 		d.Expected = waited + max(queued, l.First-d.Limit) + min(l.First, d.Limit)
 	}
-	latest := o.Objective
 	if l.Ahead > 0 || !l.opens(d.Limit) {
 		d.Verdict = Wait
-		if !l.Waits {
-			latest = time.Duration(newWaitShare * float64(latest))
-		}
 	}
-	if o.Objective > 0 && d.Expected > latest {
+	if o.Objective > 0 && d.Expected > o.Objective {
 		d.Verdict = Refuse
 		d.RetryAfter = o.retryAfter(max(queued, l.First-min(d.Limit, o.Objective)))
 	}
 	return d
 }
 
+// behindOthers returns how long the stream waits for those ahead of it.
+func (l Outlook) behindOthers() time.Duration {
+	wait := float64(l.Ahead) * float64(l.Interval)
+	if !l.Waits {
+		wait *= newWaitMargin
+	}
+	return time.Duration(wait)
+}
+
 // limit returns up to which time to its first event the stream may be put behind a backlog.
 func (o Offer) limit(l Outlook) time.Duration {
 	switch {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -350,6 +350,7 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: inspect")
 	}
+	registry.Add("admission", func() any { return e.exchange.Waiting() })
 	e.inspect = registry
 	return nil
 }
--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -66,6 +66,16 @@
 	return q.(*admission.Queue)
 }
 
+// Waiting returns, by service, how many streams of each rank wait to be sent to a server.
+func (e *Exchange) Waiting() map[string][]int {
+	waiting := map[string][]int{}
+	e.queues.Range(func(service, q any) bool {
+		waiting[service.(string)] = q.(*admission.Queue).Waiting()
+		return true
+	})
+	return waiting
+}
+
 // offer returns what admission knows of the stream.
 func (s *stream) offer() admission.Offer {
 	r := s.req
--- a/exchange/admit_test.go
+++ b/exchange/admit_test.go
@@ -175,6 +175,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
 			time.Sleep(100 * time.Millisecond)
+			g.Expect(vm.Waiting()).To(gomega.Equal(map[string][]int{"s": {0, 0, 1}}))
 			cancel()
 		}()
 		o := vm.playAs(ctx, "s", every(0, 1), competing(2))[0]
@@ -182,7 +183,7 @@
 		g.Expect(errors.As(o.err, &end)).To(gomega.BeTrue())
 		g.Expect(end.By).To(gomega.Equal(EndedByCaller))
 		g.Expect(o.took).To(gomega.Equal(100 * time.Millisecond))
-		g.Expect(vm.queue("s").Waiting()).To(gomega.Equal([]int{0, 0, 0}))
+		g.Expect(vm.Waiting()).To(gomega.Equal(map[string][]int{"s": {0, 0, 0}}))
 	})
 }
 
