platform: servers aren't told the rank

A server's own order starves the least urgent streams, which hold no memory yet while more urgent ones pass and preempt. Reverting this commit sends it again, which is to be weighed anew once streams are only sent where there is memory.

--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -79,7 +79,7 @@
 // offer returns what admission knows of the stream.
 func (s *stream) offer() admission.Offer {
 	r := s.req
-	rank := r.rank()
+	rank := r.Competition.Rank(r.Urgency)
 	_, bound := s.versionBoundTo()
 	o := admission.Offer{
 		Rank: rank, Ranks: r.Competition.Ranks(), Objective: r.Route.Objective, Arrived: r.Arrived,
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -78,7 +78,7 @@
 		watch: newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}),
 	}
 	attempt := &Attempt{
-		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from, Rank: s.req.rank(),
+		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from,
 	}
 	go a.read(s.e.opts.Backend, attempt)
 	return a
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -251,7 +251,7 @@
 	defer s.BeginCall()()
 	began := time.Now()
 	defer c.versions.Started(c.req.Route.Name, s).Done()
-	answer, err := c.e.opts.Backend.Open(ctx, &Attempt{Request: c.req, Server: s, Timeout: c.req.timeLeft(time.Now()), Rank: -1})
+	answer, err := c.e.opts.Backend.Open(ctx, &Attempt{Request: c.req, Server: s, Timeout: c.req.timeLeft(time.Now())})
 	if err != nil {
 		return result{server: s, err: err}
 	}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -79,9 +79,6 @@
 	CopyTo *directory.Server
 	// ResumeFrom is the copy to resume from instead of reading the prompt; nil: none.
 	ResumeFrom *KVCopy
-	// Rank is the position of the request's class among those that compete for the service's
-	// servers: 0 is the most urgent, -1 means that none goes before another.
-	Rank int
 }
 
 // KVCopy is a copy of a running stream's KV cache.
@@ -131,11 +128,3 @@
 	// Event sends one complete event immediately.
 	Event(raw []byte) error
 }
-
-// rank returns the position of the request's class, see Attempt.Rank.
-func (r *Request) rank() int {
-	if r.Competition == nil {
-		return -1
-	}
-	return r.Competition.Rank(r.Urgency)
-}
