fleet, exchange: callers that come back after a refusal are known at other VMs

Cause: a refused caller comes back to another VM with another id, and is a new one there. Without the entry in Options.Refusals TestCallerThatComesBackGoesFirst fails.

--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -23,6 +23,8 @@
 	stopRetryAfter = 100 * time.Millisecond
 	// honouredShare of the time left is how long callers wait at most before they come back.
 	honouredShare = 1.0 / 3
+	// returnSlack is how long after their Retry-After refused callers are still expected.
+	returnSlack = 3 * time.Second
 	// objectiveShare of the time that a stream without an objective may take is taken for
 	// its objective.
 	objectiveShare = 0.5
@@ -83,7 +85,7 @@
 	_, bound := s.versionBoundTo()
 	o := admission.Offer{
 		Rank: rank, Ranks: r.Competition.Ranks(), Objective: r.Route.Objective, Arrived: r.Arrived,
-		Retried: s.refused > 0, Bound: bound, Spread: s.spread,
+		Retried: s.refused > 0, Returns: s.e.opts.Refusals != nil && s.e.opts.Refusals.Returns(s.active.fingerprint), Bound: bound, Spread: s.spread,
 	}
 	if rank > 0 {
 		o.UrgentObjective = r.Competition.TightestObjective(rank - 1)
@@ -187,6 +189,9 @@
 }
 
 func (s *stream) notAdmitted(o admission.Offer, l admission.Outlook, d admission.Decision, now time.Time) error {
+	if s.e.opts.Refusals != nil {
+		s.e.opts.Refusals.Record(s.active.fingerprint, now.Add(d.RetryAfter+returnSlack))
+	}
 	err := &OverloadError{Rank: o.Rank, Ranks: o.Ranks, Objective: o.Objective, Waited: now.Sub(o.Arrived), outlook: l, decision: d}
 	s.e.opts.Recorder.Emit(EventNotAdmitted, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "rank", o.Rank, "ranks", o.Ranks,
 		"expected", d.Expected, "objective", o.Objective, "waited", err.Waited, "first", l.First, "limit", d.Limit,
--- a/exchange/admit_test.go
+++ b/exchange/admit_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/site"
+	"github.com/pearyard/pearyard/types"
 )
 
 // threeClasses is a service's competition of three kinds of streams.
@@ -231,3 +232,54 @@
 		g.Expect(o.first).To(gomega.BeNumerically("<", 1500*time.Millisecond))
 	})
 }
+
+// knownRefusals is a Refusals of a single process.
+type knownRefusals struct {
+	mu    sync.Mutex
+	until map[types.Fingerprint]time.Time
+}
+
+func (k *knownRefusals) Record(fp types.Fingerprint, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.until[fp] = until
+}
+
+func (k *knownRefusals) Returns(fp types.Fingerprint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Now().Before(k.until[fp])
+}
+
+// A refused caller comes back after its Retry-After, with another id, and starts before a
+// stream of its class that came earlier.
+func TestCallerThatComesBackGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		vm, _ := newWarmVM(t, 1)
+		vm.opts.Refusals = &knownRefusals{until: map[types.Fingerprint]time.Time{}}
+		load := vm.dir.View().Service("s")[0].BeginStream(100000)
+		refused := vm.playAs(t.Context(), "back", every(0, 1), competing(2))[0]
+		var f *Failure
+		g.Expect(errors.As(refused.err, &f)).To(gomega.BeTrue())
+		load.End()
+		time.Sleep(f.RetryAfter)
+		load = vm.dir.View().Service("s")[0].BeginStream(16000)
+		var started sync.Map // name -> when its first event came
+		var callers sync.WaitGroup
+		for i, name := range []string{"new", "back"} {
+			callers.Go(func() {
+				at := every(time.Duration(i)*10*time.Millisecond, 2)[1]
+				o := vm.playAs(t.Context(), name, []time.Duration{at}, competing(2))[0]
+				g.Expect(o.err).NotTo(gomega.HaveOccurred())
+				started.Store(name, at+o.first)
+			})
+		}
+		time.Sleep(time.Second)
+		load.End()
+		callers.Wait()
+		back, _ := started.Load("back")
+		other, _ := started.Load("new")
+		g.Expect(back).To(gomega.BeNumerically("<", other))
+	})
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/pearyard/pearyard/rollout"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
+	"github.com/pearyard/pearyard/types"
 )
 
 // Options configures an Exchange. Metrics, Timings, SharedBudget and Restarts are
@@ -46,6 +47,8 @@
 	PromptPeers promptcache.Peers
 	// StreamVersions, if set, knows the versions of streams that other processes began.
 	StreamVersions StreamVersions
+	// Refusals, if set, knows the callers that come back after a refusal.
+	Refusals Refusals
 	// Restarts, if set, detects restarted servers while the store can't report them.
 	Restarts *RestartDetector
 }
@@ -70,6 +73,15 @@
 	RetryAfter(service string) time.Duration
 }
 
+// Refusals knows which requests were refused because they would have begun too late, by any
+// process.
+type Refusals interface {
+	// Record records that a request was refused whose caller may come back until then.
+	Record(fp types.Fingerprint, until time.Time)
+	// Returns reports whether a request's caller comes back after a refusal.
+	Returns(fp types.Fingerprint) bool
+}
+
 // StreamVersions knows which version of the servers' software began a stream, for callers
 // that come back for its rest through any entry VM. A stream is named by
 // streamversion.StreamID.
