exchange: estimates of the first event learn from how the recent ones came

Change: each VM keeps by how much first events took longer than estimated; admission multiplies the estimate by it, where classes compete.

--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/admission"
+	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
 )
 
@@ -108,13 +109,23 @@
 		return admission.Outlook{}, s.anyAvailable(now)
 	}
 	est, measured := s.estimate(server, now)
-	l := admission.Outlook{Room: true, Measured: measured, Backlog: est.unread > 0, First: est.first}
+	l := admission.Outlook{Room: true, Measured: measured, Backlog: est.unread > 0, First: s.e.paceFor(s.req.Service).likelyFirst(est.first)}
 	if measured {
 		l.Reading = time.Duration(float64(s.unreadTokens(server)) / est.speed * float64(time.Second))
 	}
 	return l, true
 }
 
+// expectedFirst returns the estimated time to the first event at a server; 0: it isn't known,
+// or nobody asks.
+func (s *stream) expectedFirst(server *directory.Server, now time.Time) time.Duration {
+	if s.req.Competition == nil {
+		return 0
+	}
+	est, _ := s.estimate(server, now)
+	return est.first
+}
+
 // anyAvailable reports whether a server could be chosen if it had room.
 func (s *stream) anyAvailable(now time.Time) bool {
 	admits := s.admits()
--- a/exchange/admit_test.go
+++ b/exchange/admit_test.go
@@ -283,3 +283,23 @@
 		g.Expect(back).To(gomega.BeNumerically("<", other))
 	})
 }
+
+// Two VMs send to the same servers and don't hear of each other's load. Each expects first
+// events at half the time that they take.
+func TestEstimatesLearnFromWhatCame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		vm, engines := newWarmVM(t, 10)
+		other := newModelVM(engines, modelServers(10))
+		other.play(t, "warm too", every(0, 10))
+		var one, two []received
+		var vms sync.WaitGroup
+		vms.Go(func() { one = vm.playAs(t.Context(), "one", every(80*time.Millisecond, 250), competing(0)) })
+		vms.Go(func() { two = other.playAs(t.Context(), "two", every(80*time.Millisecond, 250), competing(0)) })
+		vms.Wait()
+		inTime, late, refused := begun(append(one[100:], two[100:]...), 4*time.Second) // after eight seconds
+		t.Logf("%d in time, %d late, %d refused", inTime, late, refused)
+		g.Expect(late).To(gomega.BeNumerically("<=", inTime/2))
+		g.Expect(inTime).To(gomega.BeNumerically(">=", 60), "half of what the servers can begin")
+	})
+}
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -30,6 +30,7 @@
 	sentAt, firstEventAt time.Time
 	events               int
 	pending              *rollout.Pending // until the first event
+	expectedFirst        time.Duration    // estimated time from sentAt to the first event; 0: not known
 	copyState            atomic.Int32     // copyPlaced, copyTaken or copyUsedUp
 
 	done     chan struct{} // closed when its steps are no longer received
@@ -74,7 +75,8 @@
 	}
 	s.versions.Sent(server)
 	a := &streamAttempt{
-		server: server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy}, load: server.BeginStream(prompt),
+		expectedFirst: s.expectedFirst(server, time.Now()),
+		server:        server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy}, load: server.BeginStream(prompt),
 		watch: newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}),
 	}
 	attempt := &Attempt{
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -108,6 +108,7 @@
 		return
 	}
 	a.load.PromptPrefilled()
+	s.e.paceFor(s.req.Service).observeFirst(a.expectedFirst, time.Since(a.sentAt))
 }
 
 // logResumed records the first event of an attempt that resumes the stream.
--- a/exchange/pace.go
+++ b/exchange/pace.go
@@ -17,6 +17,10 @@
 	unloadedStep = 0.02
 	// lengthWeight is the weight of a new measurement of how many events a stream has.
 	lengthWeight = 0.1
+	// ratioWeight is the weight of a new measurement of how much longer a first event took
+	// than estimated, maxRatio the largest one that counts.
+	ratioWeight = 0.3
+	maxRatio    = 4
 	// shortLengthShare of the mean length is what estimates assume, so that few streams
 	// are expected to be longer than they are: streams are 0.63 to 1.45 times as long as
 	// the mean, a tenth of them shorter than 0.79.
@@ -32,6 +36,7 @@
 	leastLengthRatio atomic.Uint64 // the same, of the longest stream so far; used until a stream is complete
 	lastSent         atomic.Int64  // Unix nanoseconds of the newest prompt sent
 	topSpeed         atomic.Uint64 // bits of a float64: highest estimate of a server's prompt tokens per second
+	firstRatio       atomic.Uint64 // bits of a float64: how much longer first events took lately than estimated; 0: not measured
 }
 
 // observePause records a pause after which a stream continued.
@@ -83,6 +88,26 @@
 	}
 }
 
+// observeFirst records how long a first event took that was expected after some time. An
+// estimate knows neither what other processes send at the same moment nor what waits for
+// memory at a server.
+func (p *pace) observeFirst(expected, took time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := min(maxRatio, float64(took)/float64(expected))
+	if before := math.Float64frombits(p.firstRatio.Load()); before != 0 {
+		ratio = before + ratioWeight*(ratio-before)
+	}
+	p.firstRatio.Store(math.Float64bits(ratio))
+}
+
+// likelyFirst returns how long a first event will take that is estimated to take some time:
+// longer by as much as the recent ones.
+func (p *pace) likelyFirst(estimated time.Duration) time.Duration {
+	return time.Duration(max(1, math.Float64frombits(p.firstRatio.Load())) * float64(estimated))
+}
+
 // fastest returns the highest estimate of a server's prompt tokens per second.
 func (p *pace) fastest() float64 { return math.Float64frombits(p.topSpeed.Load()) }
 
