--- a/admission/decide.go
+++ b/admission/decide.go
@@ -16,8 +16,6 @@
 	Arrived         time.Time
 	Retried         bool // a backend server has turned it away
 	Returns         bool // its caller comes back after a refusal
-	// Resumes is set if the stream goes on after a loss, or its caller has events already.
-	Resumes bool
 	// Bound is set if only some of the servers may run it, so that those behind it need not
 	// wait for it.
 	Bound bool
@@ -90,13 +88,10 @@
 // begin in time there. Beyond that it waits, where a more urgent one overtakes it, and a
 // stream that is expected to begin late is refused while its caller can still try again.
 //
-// A stream that goes on after a loss always starts. So does one that finds an idle server,
-// however slow that is: it delays no other, and a late response is better than none.
+// A stream that finds an idle server starts, however slow that is: it delays no other, and a
+// late response is better than none. Those that go on after a loss are not asked about.
 func Decide(o Offer, l Outlook, now time.Time) Decision {
 	waited := now.Sub(o.Arrived)
-	if o.Resumes {
-		return Decision{Verdict: Start}
-	}
 	if !l.Measured || !l.Backlog {
 		l.First = 0 // an idle server is slow to every stream, and refusing them helps none
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -104,8 +104,8 @@
 	q.observe(t.offer, l, now)
 	l.Ahead, l.Kept, l.Waits = q.ahead(t), q.nextKept() == t, t.waited
 	l.Closed, l.Interval = q.closedFor(t.offer.Rank, now), q.meanInterval(now)
-	if l.Kept {
-		l.Closed = 0
+	if l.Kept || t.offer.Bound {
+		l.Closed = 0 // what holds up its class doesn't hold up the stream
 	}
 	d := Decide(t.offer, l, now)
 	switch d.Verdict {
@@ -190,7 +190,7 @@
 // observe records whether streams of an offer's class can start. If they can, so can more
 // urgent ones, and if they can't, neither can less urgent ones.
 func (q *Queue) observe(o Offer, l Outlook, now time.Time) {
-	if o.Bound || o.Resumes {
+	if o.Bound {
 		return
 	}
 	if l.opens(o.limit(l)) {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -56,6 +56,20 @@
 	g.Expect(d.Verdict).To(gomega.Equal(Start))
 }
 
+// Guards against a bound stream that is refused since others of its class can't start.
+func TestBoundStreamIsNotRefusedForOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := &Queue{}
+	q.Enter(offerOf(2), epoch).Decide(behind(2*time.Second), epoch)
+	later := epoch.Add(time.Second)
+	q.Enter(offerOf(2), epoch).Decide(behind(2*time.Second), later)
+	q.classes[2].closedAt = epoch.Add(-time.Minute)
+	bound := offerOf(2)
+	bound.Arrived, bound.Bound = later, true
+	d, _ := q.Enter(bound, later).Decide(behind(2*time.Second), later)
+	g.Expect(d.Verdict).To(gomega.Equal(Wait))
+}
+
 func TestNextStreamIsTold(t *testing.T) {
 	g := gomega.NewWithT(t)
 	q := &Queue{}
