--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -43,6 +44,7 @@
 	lastErr          error                   // of the last attempt that failed; nil: none
 	lostZone         string                  // zone of the last server that broke off or is probably lost; empty: none
 	cachedTokens     map[directory.Start]int // tokens of the prompt that servers have cached
+	spread           float64                 // from 0 to 1, at random; see admission.Offer
 
 	versions *rollout.Assignment // versions of servers that may run it
 	begunBy  *directory.Server   // server that sent the first event of this answer; nil: none has
@@ -95,7 +97,7 @@
 
 func (e *Exchange) newStream(req *Request, sink Sink) *stream {
 	s := &stream{e: e, req: req, sink: sink, tried: map[directory.Start]bool{}, active: e.active.add(req.ID, req.Fingerprint())}
-	s.quarantined = s.active.quarantined
+	s.quarantined, s.spread = s.active.quarantined, rand.Float64()
 	s.memory = e.memoryNeed(req)
 	s.versions = e.opts.Rollouts.Assign(req.Service, req.ID, req.LastEvent == "")
 	s.lastEvent, _ = strconv.ParseUint(req.LastEvent, 10, 64)
@@ -270,6 +272,9 @@
 	if s.memory.tooLarge() {
 		return nil, nil, errTooLarge
 	}
+	if err := s.awaitAdmission(ctx); err != nil {
+		return nil, nil, err
+	}
 	if s.delivered > 0 && !s.hasCopy() {
 		// A retry that would be late must not cost any budget.
 		if _, err := s.pickInTime(); err != nil {
@@ -378,36 +383,3 @@
 	s.recordPick(server, func() *directory.Server { return s.pickFor(q) })
 	return server
 }
-
-// failure returns the outcome of a stream that can't continue.
-func (s *stream) failure(ctx context.Context, err error) error {
-	if ctx.Err() != nil && !timedOut(ctx) {
-		return s.req.endOf(ctx)
-	}
-	by := s.req.failedBy(err)
-	if s.lastErr != nil && !errors.Is(err, s.lastErr) {
-		err = errors.Wrap(err, s.lastErr.Error())
-	}
-	if ctx.Err() != nil {
-		return &Failure{By: s.req.endOf(ctx).By, Ran: s.inProgress || s.ran > 0, TimedOut: true, RetryAfter: retryAfter, Err: errors.Wrap(ErrTimeout, err.Error())}
-	}
-	after := retryAfter
-	var late *LateError
-	switch {
-	case errors.As(err, &late):
-		after = late.retryAfter()
-	case errors.Is(err, ErrQuarantined):
-		after = quarantineRetryAfter
-	case errors.Is(err, ErrHeld):
-		after = heldRetryAfter
-	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
-		after = versionRetryAfter
-	case errors.Is(err, ErrNoMemory):
-		after = noMemoryRetryAfter
-	case errors.Is(err, ErrServerLimits):
-		after = s.e.limitRetryAfter(s.req.Service)
-	default:
-		after = max(after, s.e.restRetryAfter(s.restQuery()))
-	}
-	return &Failure{By: by, Ran: s.inProgress || s.ran > 0, TimedOut: errors.Is(err, ErrNoTime), RetryAfter: after, Err: err}
-}
