--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -190,10 +190,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		b := newMemoryTestbed(map[string][]script{"a1": {streams(3, 10*time.Millisecond, io.ErrUnexpectedEOF)}, "b1": {streams(6, 10*time.Millisecond, nil)}}, "a1", "b1")
-		var end func()
+		ends := make(chan func(), 1)
 		go func() {
 			time.Sleep(15 * time.Millisecond)
-			end = b.uses(memorySiteTokens, "a1", "b1")
+			ends <- b.uses(memorySiteTokens, "a1", "b1")
 		}()
 		sink := &recordingSink{}
 		_, err := b.Stream(t.Context(), memoryRequest("r1", 0), sink)
@@ -202,7 +202,7 @@
 		sent := b.backend.sent()
 		g.Expect(sent).To(gomega.HaveLen(2))
 		g.Expect(sent[1].ResumeFrom).NotTo(gomega.BeNil())
-		end()
+		(<-ends)()
 		g.Expect(b.committed()).To(gomega.BeZero(), "neither the stream nor its copy is counted any more")
 	})
 }
