--- a/fleet/refusals.go
+++ b/fleet/refusals.go
@@ -21,6 +21,8 @@
 	// maxRefusals bounds how many refused requests are remembered. Those beyond it are
 	// treated like new ones when their callers come back.
 	maxRefusals = 16384
+	// pruneInterval is the shortest time between two passes over all of them.
+	pruneInterval = time.Second
 )
 
 // Refusals remembers which requests entry VMs have refused because they would begin too late.
@@ -31,6 +33,7 @@
 
 	mu      sync.Mutex
 	until   map[types.Fingerprint]time.Time
+	pruned  time.Time // when those that are over were last dropped
 	pending []refusal
 	changed chan struct{}
 }
@@ -87,7 +90,8 @@
 
 // remember requires mu.
 func (r *Refusals) remember(fp types.Fingerprint, until, now time.Time) {
-	if len(r.until) >= maxRefusals {
+	if len(r.until) >= maxRefusals && now.Sub(r.pruned) >= pruneInterval {
+		r.pruned = now
 		for other, end := range r.until {
 			if !now.Before(end) {
 				delete(r.until, other)
