exchange: a copy leaves room for streams as large as its own; a refusal for lack of memory says so

Cause: a copy of the least urgent class was made only where half of a server's memory stayed free. Change: the reserve counts streams, not a share.

--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -56,6 +56,14 @@
 		e.decision.Expected, e.Objective, e.Rank, e.Ranks, e.Waited, e.outlook.First, e.decision.Limit, e.outlook.Ahead, e.outlook.Closed)
 }
 
+// Unwrap returns ErrNoMemory if that is why the stream could not start.
+func (e *OverloadError) Unwrap() error {
+	if !e.outlook.Room {
+		return ErrNoMemory
+	}
+	return nil
+}
+
 // retryAfter returns when the caller may come back, but no later than callers do.
 func (e *OverloadError) retryAfter(r *Request, now time.Time) time.Duration {
 	return min(e.decision.RetryAfter, max(retryAfter, time.Duration(honouredShare*float64(r.Deadline.Sub(now)))))
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -19,10 +19,12 @@
 	// runs out interrupts a stream for longer than its route's allowed pause and reads its
 	// prompt again; a stream that is held back has lost nothing yet.
 	memoryShare = 0.95
-	// copyReserve of a server's memory stays free beside a copy of the least urgent class;
-	// more urgent classes leave less, in equal steps. With half of the memory free, the
-	// streams there may double while the copy lasts, as in a burst, and still find room.
-	copyReserve = 0.5
+	// copyReserve is how many streams as large as its own a copy of the least urgent class
+	// leaves room for; more urgent classes leave less, in equal steps. With room for two, the
+	// streams that come to the server while the copy lasts are seldom held back by it. A share
+	// of the memory would cost copies where memory is ample, and without a copy a lost
+	// stream's prompt is read again.
+	copyReserve = 2
 	// memoryGrowth is by how many tokens more than generated a stream counts whose answer is
 	// longer than expected, so that it isn't reported to other VMs with each event.
 	memoryGrowth = 256
@@ -49,19 +51,21 @@
 		return nil
 	}
 	rank := req.Competition.Rank(req.Urgency)
-	return &memoryNeed{
+	n := &memoryNeed{
 		prompt: req.PromptTokens, answer: lengths.expect(req.LengthHint, req.MaxTokens),
-		eventTokens: max(1, service.EventTokens), capacity: service.Memory, copyLimit: copyLimit(service.Memory, rank, req.Competition.Ranks()),
-		copyTTL: service.CopyTTL,
+		eventTokens: max(1, service.EventTokens), capacity: service.Memory, copyTTL: service.CopyTTL,
 	}
+	n.copyLimit = copyLimit(n.capacity, n.prompt+n.answer, rank, req.Competition.Ranks())
+	return n
 }
 
 // copyLimit returns up to how many tokens a server's memory may be filled by a copy of a
-// stream, by the rank of its class. It answers the load of more streams and copies than the
-// servers' memory holds: copies of the least urgent class are the first that are not made.
-func copyLimit(capacity, rank, ranks int) int {
-	free := copyReserve * float64(rank+1) / float64(ranks)
-	return int(memoryShare * (1 - free) * float64(capacity))
+// stream of that many tokens, by the rank of its class. It answers the load of more streams
+// and copies than the servers' memory holds: copies of the least urgent class are the first
+// that are not made.
+func copyLimit(capacity, stream, rank, ranks int) int {
+	free := copyReserve * float64(stream) * float64(rank+1) / float64(ranks)
+	return max(0, int(memoryShare*float64(capacity)-free))
 }
 
 // tokens returns how much the stream needs at a server once the caller has its events up to
