directory, exchange, fleet: VMs share the places in use at servers of plain calls, calls wait at their VM, a hanging server is left alone

Cause: thirty VMs choose alone among a few servers; what they send at the same moment meets in one server's queue.

--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -51,6 +51,9 @@
 // linearly by its age. It counts for plain calls only: for streams, the load that entry
 // VMs exchange is more recent.
 func (s *Server) reportedLoad(q Query, now time.Time) float64 {
+	if q.sharesPlaces {
+		return s.callsOfOthers(now)
+	}
 	age := now.UnixNano() - s.reportedAt.Load()
 	if q.Prompt != 0 || age >= int64(reportedLoadTTL) {
 		return 0
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -70,12 +70,14 @@
 
 	onApplied func(*View) // called with each list that comes into force; may be nil
 
+	places *placesState
+
 	droppedReports atomic.Uint64 // reports dropped because they name a start that is not the known one
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}}
+	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}, places: newPlacesState()}
 	d.leaving = leavingStarts{at: map[Start]time.Time{}, ready: make(chan struct{}, 1)}
 	d.view.Store(emptyView(0))
 	return d
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -28,6 +28,11 @@
 	// load.
 	AfterDisruption bool
 
+	// Repeatable is set if a plain call may be sent a second time.
+	Repeatable bool
+
+	sharesPlaces bool // see SharesPlaces; set by Pick
+
 	stopping  bool      // this process is stopping; set by Pick
 	hashRange hashRange // this process's partition; set by Pick if AfterDisruption is set
 	// sampleShare is the probability with which a server outside the partition is
@@ -62,6 +67,11 @@
 	if q.Prompt > 0 {
 		d.compareSpeeds(q.Service, list, now)
 	}
+	if q.Prompt == 0 && !q.Copy && d.SharesPlaces(q.Service) {
+		if s := d.sharePlaces(&q, list, now); s != nil {
+			return s
+		}
+	}
 	own := d.serversInOwnCell(list)
 	q.AfterDisruption = q.AfterDisruption || d.inStartup(now)
 	if q.AfterDisruption {
--- /dev/null
+++ b/directory/places.go
@@ -0,0 +1,396 @@
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// placesTTL is how long a peer's report of its calls counts: a VM that is gone must not
+	// occupy places for longer.
+	placesTTL = time.Second
+	// placeTotalsInterval is the shortest time between two computations of the peers' totals.
+	placeTotalsInterval = 5 * time.Millisecond
+	// placeTotalsAge is when the totals are computed again although no peer has reported, so
+	// that old reports expire.
+	placeTotalsAge = 100 * time.Millisecond
+	// reportedPlacesTTL is how long a server's own report of its load counts beside what VMs
+	// report: about the time until they have reported the same.
+	reportedPlacesTTL = 100 * time.Millisecond
+	// spareShare of its places is how many calls more than it has places a server is sent, so
+	// that a place which becomes free is used while the VMs learn of it.
+	spareShare = 1.0 / 3
+)
+
+// PlaceReport is what one process reports of its plain calls at a server.
+type PlaceReport struct {
+	Server      uint32 // hash of its start
+	Calls       int    // in progress
+	Overdue     int    // of them, without an answer for longer than a healthy server takes
+	Good        int    // good answers in a row since it was found to hang
+	SinceAnswer time.Duration
+}
+
+// PlaceReports is what one process reports of its plain calls.
+type PlaceReports struct {
+	Servers []PlaceReport
+	Waiting map[uint32]int // calls that wait for a place, by hash of the service's name
+}
+
+// placesState is what a Directory knows of the places of plain services.
+type placesState struct {
+	forAll   atomic.Bool
+	services sync.Map      // name -> *placeService
+	changed  chan struct{} // holds a token after a change of what this process reports
+
+	mu       sync.Mutex
+	peers    map[string]peerPlaces
+	totals   map[uint32]bool // servers with calls of peers
+	stale    atomic.Bool     // a peer has reported since the totals were computed
+	totalsAt atomic.Int64    // Unix nanoseconds
+	onHang   func(s *Server, hangs bool, overdue int, sinceAnswer time.Duration)
+}
+
+type peerPlaces struct {
+	reports PlaceReports
+	at      time.Time
+}
+
+// placeService is a service whose places are shared, or may be.
+type placeService struct {
+	name         string
+	hash         uint32
+	shared       atomic.Bool  // switched on for this service
+	usualTime    atomic.Int64 // nanoseconds of a call, as measured; 0: not yet
+	limit        atomic.Int64 // nanoseconds within which a healthy server answers, for the newest call
+	waiting      atomic.Int64 // calls of this process that wait for a place
+	peersWaiting atomic.Int64
+}
+
+func newPlacesState() *placesState {
+	return &placesState{changed: make(chan struct{}, 1), peers: map[string]peerPlaces{}, totals: map[uint32]bool{}, onHang: func(*Server, bool, int, time.Duration) {}}
+}
+
+// SharePlaces has this process share with its peers what it knows of the places of a
+// service's servers.
+func (d *Directory) SharePlaces(service string) {
+	if p := d.placeService(service); !p.shared.Load() {
+		p.shared.Store(true)
+	}
+}
+
+// SharePlacesOfAll does the same for all services, or no longer.
+func (d *Directory) SharePlacesOfAll(share bool) { d.places.forAll.Store(share) }
+
+// SharesPlaces reports whether the places of a service's servers are shared.
+func (d *Directory) SharesPlaces(service string) bool {
+	if d.places.forAll.Load() {
+		return true
+	}
+	p, known := d.places.services.Load(service)
+	return known && p.(*placeService).shared.Load()
+}
+
+func (d *Directory) placeService(name string) *placeService {
+	if p, ok := d.places.services.Load(name); ok {
+		return p.(*placeService)
+	}
+	p, _ := d.places.services.LoadOrStore(name, &placeService{name: name, hash: Hash(name)})
+	return p.(*placeService)
+}
+
+// PlacesChanged returns a channel that holds a token after a change of OwnPlaces.
+func (d *Directory) PlacesChanged() <-chan struct{} { return d.places.changed }
+
+func (p *placesState) notify() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// OwnPlaces returns what this process has to report of its plain calls: those at servers of
+// which half the places or more are taken, since with fewer any choice finds a free one.
+func (d *Directory) OwnPlaces(now time.Time) PlaceReports {
+	out := PlaceReports{Waiting: map[uint32]int{}}
+	view := d.view.Load()
+	d.places.services.Range(func(name, value any) bool {
+		p := value.(*placeService)
+		if !d.SharesPlaces(p.name) {
+			return true
+		}
+		if n := p.waiting.Load(); n > 0 {
+			out.Waiting[p.hash] = int(n)
+		}
+		for _, s := range view.Service(p.name) {
+			if r := s.placeReport(now); s.worthReport(r, now) {
+				out.Servers = append(out.Servers, r)
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// worthReport reports whether the peers need to know of this process's calls at the server.
+func (s *Server) worthReport(r PlaceReport, now time.Time) bool {
+	return r.Overdue+r.Good > 0 || (r.Calls > 0 && (s.Hangs() || 2*s.CallsThere(now) >= s.places()))
+}
+
+func (s *Server) placeReport(now time.Time) PlaceReport {
+	return PlaceReport{
+		Server: s.startHash, Calls: int(s.calls.Load()), Overdue: int(s.hanging.overdue.Load()), Good: s.hanging.goodAnswers(now),
+		SinceAnswer: now.Sub(time.Unix(0, s.hanging.answeredAt.Load())),
+	}
+}
+
+// SetPeerPlaces records what a peer reports of its plain calls.
+func (d *Directory) SetPeerPlaces(from string, reports PlaceReports, now time.Time) {
+	d.places.mu.Lock()
+	defer d.places.mu.Unlock()
+	if len(reports.Servers)+len(reports.Waiting) == 0 {
+		delete(d.places.peers, from)
+	} else {
+		d.places.peers[from] = peerPlaces{reports, now}
+	}
+	d.places.stale.Store(true)
+}
+
+// refreshPlaces computes the totals of the peers' reports if any has come or grown old, and
+// finds out from them which servers hang.
+func (d *Directory) refreshPlaces(now time.Time) {
+	age := now.UnixNano() - d.places.totalsAt.Load()
+	if age < int64(placeTotalsInterval) || (!d.places.stale.Load() && age < int64(placeTotalsAge)) {
+		return
+	}
+	d.places.mu.Lock()
+	defer d.places.mu.Unlock()
+	d.places.totalsAt.Store(now.UnixNano())
+	d.places.stale.Store(false)
+	d.computePlaces(d.view.Load(), now)
+}
+
+// computePlaces adds up the newest reports of all peers, always from zero.
+func (d *Directory) computePlaces(view *View, now time.Time) {
+	sums, waiting := map[uint32]PlaceReport{}, map[uint32]int{}
+	for from, p := range d.places.peers {
+		if now.Sub(p.at) >= placesTTL {
+			delete(d.places.peers, from)
+			continue
+		}
+		for _, r := range p.reports.Servers {
+			if s := view.byHash[r.Server]; s != nil {
+				sums[r.Server] = sums[r.Server].add(r, s.Slots)
+				s.hanging.recordAnswerAt(p.at.Add(-r.SinceAnswer))
+			}
+		}
+		for service, n := range p.reports.Waiting {
+			waiting[service] += n
+		}
+	}
+	for hash := range d.places.totals {
+		if s := view.byHash[hash]; s != nil && sums[hash].Server == 0 {
+			s.setPeerPlaces(PlaceReport{})
+		}
+	}
+	clear(d.places.totals)
+	for hash, sum := range sums {
+		view.byHash[hash].setPeerPlaces(sum)
+		d.places.totals[hash] = true
+	}
+	d.places.services.Range(func(_, value any) bool {
+		p := value.(*placeService)
+		p.peersWaiting.Store(int64(waiting[p.hash]))
+		for _, s := range view.Service(p.name) {
+			d.judgeHanging(p, s, now)
+		}
+		return true
+	})
+}
+
+// add adds one peer's report. What a peer says of its calls counts up to the number of places
+// of the server: no more can run there, and one wrong report must not close it to all.
+func (r PlaceReport) add(other PlaceReport, slots int) PlaceReport {
+	r.Server = other.Server
+	r.Calls += min(other.Calls, slots)
+	r.Overdue += min(other.Overdue, slots)
+	r.Good += other.Good
+	return r
+}
+
+func (s *Server) setPeerPlaces(sum PlaceReport) {
+	s.peerCalls.Store(int64(sum.Calls))
+	s.hanging.peersOverdue.Store(int64(sum.Overdue))
+	s.hanging.peersGood.Store(int64(sum.Good))
+}
+
+// callsOfOthers returns the calls that other processes have at the server: what they report,
+// or what the server itself has just reported if that is more. A process of another cell
+// reports nothing here.
+func (s *Server) callsOfOthers(now time.Time) float64 {
+	told := float64(s.peerCalls.Load())
+	age := now.UnixNano() - s.reportedAt.Load()
+	if age >= int64(reportedPlacesTTL) {
+		return told
+	}
+	return max(told, float64(s.reportedCalls.Load())*(1-float64(age)/float64(reportedPlacesTTL)))
+}
+
+// CallsThere returns the number of plain calls of all processes that the server is believed to
+// have.
+func (s *Server) CallsThere(now time.Time) int {
+	return int(s.calls.Load()) + int(s.callsOfOthers(now))
+}
+
+// places returns how many calls at a time the server runs. Its entry may state too few.
+func (s *Server) places() int { return max(s.Slots, int(s.mostRunning.Load())) }
+
+// Places is what is believed of the places of a service's servers.
+type Places struct {
+	Servers  int // that may be used
+	Total    int // places of these servers
+	Free     int // calls that they can be sent until all places and the spare ones are taken
+	LeastLag int // calls ahead of a new one at the server with the fewest for its places
+	LagOf    int // places of that server
+	// Waiting and PeersWaiting are the calls that wait for a place here and at the peers.
+	Waiting, PeersWaiting int
+	UsualTime             time.Duration // of a call; 0: not measured
+}
+
+// Places returns what is believed of the places of the servers that a query admits. Servers
+// that hang are left out.
+func (d *Directory) Places(q Query, now time.Time) Places {
+	d.refreshPlaces(now)
+	p := d.placeService(q.Service)
+	out := Places{Waiting: int(p.waiting.Load()), PeersWaiting: int(p.peersWaiting.Load()), UsualTime: time.Duration(p.usualTime.Load())}
+	for _, s := range d.view.Load().Service(q.Service) {
+		if !s.takesCalls(q, now) || s.Hangs() {
+			continue
+		}
+		places, there := s.places(), s.CallsThere(now)
+		out.Servers++
+		out.Total += places
+		out.Free += max(0, places+spare(places)-there)
+		if out.LagOf == 0 || there*out.LagOf < out.LeastLag*places {
+			out.LeastLag, out.LagOf = there, places
+		}
+	}
+	return out
+}
+
+func spare(places int) int { return max(1, int(spareShare*float64(places))) }
+
+// takesCalls reports whether the server may get plain calls now.
+func (s *Server) takesCalls(q Query, now time.Time) bool {
+	return !s.Draining() && !s.Ended() && !s.IsDown(now) && !s.Resting(now) && q.admits(s) && !q.Exclude[s.Start]
+}
+
+// PlaceUse is a plain call at a server of a service whose places are shared.
+type PlaceUse struct {
+	directory *Directory
+	service   *placeService
+	server    *Server
+	began     time.Time
+	limit     time.Duration
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	overdue bool
+	ended   bool
+}
+
+// BeginPlace counts a plain call until its End. objective is that of its route, 0 without one.
+func (d *Directory) BeginPlace(s *Server, objective time.Duration) *PlaceUse {
+	p := d.placeService(s.Service)
+	u := &PlaceUse{directory: d, service: p, server: s, began: time.Now(), limit: hangLimit(time.Duration(p.usualTime.Load()), objective)}
+	s.calls.Add(1)
+	d.places.notify()
+	if u.limit > 0 {
+		p.limit.Store(int64(u.limit))
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.timer = time.AfterFunc(u.limit, u.confirm)
+	}
+	return u
+}
+
+// confirm waits for the answer a little longer.
+func (u *PlaceUse) confirm() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.ended {
+		u.timer = time.AfterFunc(overdueConfirmation, u.becomeOverdue)
+	}
+}
+
+func (u *PlaceUse) becomeOverdue() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		return
+	}
+	u.overdue = true
+	u.server.hanging.overdue.Add(1)
+	u.server.hanging.good.Store(0)
+	u.directory.judgeHanging(u.service, u.server, time.Now())
+	u.directory.places.notify()
+}
+
+// End ends the call. good is set if the server has answered it, and not with an error.
+func (u *PlaceUse) End(good bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		return
+	}
+	u.ended = true
+	if u.timer != nil {
+		u.timer.Stop()
+	}
+	u.server.calls.Add(-1)
+	if u.overdue {
+		u.server.hanging.overdue.Add(-1)
+	}
+	if good {
+		u.recordAnswer(time.Now())
+	}
+	u.directory.places.notify()
+}
+
+// recordAnswer records a good answer and its time.
+func (u *PlaceUse) recordAnswer(now time.Time) {
+	took := now.Sub(u.began)
+	h := &u.server.hanging
+	h.recordAnswerAt(now)
+	if h.since.Load() == 0 {
+		u.service.recordTime(took)
+		return
+	}
+	if u.overdue {
+		return
+	}
+	h.good.Add(1)
+	h.trialAt.Store(now.UnixNano()) // the next one may follow at once
+	u.directory.judgeHanging(u.service, u.server, now)
+}
+
+// recordTime records the time of a call. Concurrent measurements may replace each other.
+func (p *placeService) recordTime(took time.Duration) {
+	usual := p.usualTime.Load()
+	if usual == 0 {
+		p.usualTime.Store(int64(took))
+		return
+	}
+	sample := min(int64(took), usualTimeClip*usual)
+	p.usualTime.Store(usual + int64(usualTimeGain*float64(sample-usual)))
+}
+
+// AddWaiting counts calls of this process that wait for a place of a service.
+func (d *Directory) AddWaiting(service string, n int) {
+	d.placeService(service).waiting.Add(int64(n))
+	d.places.notify()
+}
+
+// Stopping reports whether this process is about to stop.
+func (d *Directory) Stopping() bool { return d.stopping.Load() }
--- a/directory/server.go
+++ b/directory/server.go
@@ -50,6 +50,9 @@
 	onLeaving     func(LeavingNews, time.Time)
 	reportedCalls atomic.Int64 // other processes' requests according to its last response
 	reportedAt    atomic.Int64 // Unix nanoseconds of that response
+	mostRunning   atomic.Int64 // the most requests that it has reported to run
+	peerCalls     atomic.Int64 // plain calls that other entry VMs have reported to have there
+	hanging       hangingState
 
 	prefillStats prefillStats
 	samples      *prefillSamples   // shared by all starts at its address
--- a/directory/streamload.go
+++ b/directory/streamload.go
@@ -90,4 +90,7 @@
 	others := int64(running+waiting) - s.calls.Load() - s.streams.Load()
 	s.reportedCalls.Store(max(0, others))
 	s.reportedAt.Store(now.UnixNano())
+	if int64(running) > s.mostRunning.Load() {
+		s.mostRunning.Store(int64(running))
+	}
 }
--- a/event/page.go
+++ b/event/page.go
@@ -32,6 +32,7 @@
 	{2750, 2769, "Entry program"},
 	{2770, 2779, "Roll-outs"},
 	{2780, 2789, "Versions of the streams of callers that come back"},
+	{2797, 2799, "Places of backend servers"},
 	{3000, 3099, "Sidecar and stops"},
 	{3100, 3199, "Leases and orders"},
 	{4000, 4099, "Administration"},
--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -125,7 +125,9 @@
 		return EndedByLimit
 	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
 		return EndedByVersion
-	case errors.Is(err, ErrNoServer):
+	case errors.Is(err, ErrStopWaiting):
+		return EndedByStop
+	case errors.Is(err, ErrNoServer), errors.Is(err, ErrPlacesTaken):
 		return EndedByNoServer
 	case errors.Is(err, ErrSilent), errors.Is(err, ErrServerLost):
 		return EndedByServerLink
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -132,6 +132,7 @@
 	metrics *metrics
 	budgets sync.Map // service -> *retry.Window
 	paces   sync.Map // service -> *pace
+	rooms   sync.Map // service -> *waitingRoom
 	probes  prober
 	zones   zoneChecker
 	active  activeStreams
@@ -152,6 +153,7 @@
 	}
 	e.zones = zoneChecker{exchange: e, inFlight: map[zoneKey]*zoneCheck{}}
 	e.probes = prober{exchange: e, inFlight: map[*directory.Server]*probe{}}
+	opts.Directory.OnHanging(e.reportHanging)
 	return e
 }
 
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -19,6 +19,10 @@
 	limitHeld       prometheus.Counter
 	versionGone     prometheus.Counter
 	versionUnknown  prometheus.Counter
+	placeWaiting    prometheus.Gauge
+	placeWait       prometheus.Histogram
+	placesRefused   prometheus.Counter
+	serversHung     prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -62,6 +66,16 @@
 	versionRefused := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pearyard_exchange_version_refused_total", Help: "Streams that ended since of the version that began them no backend server was left (gone), or since it was not known (unknown)."}, []string{"why"})
 	m.versionGone, m.versionUnknown = versionRefused.WithLabelValues("gone"), versionRefused.WithLabelValues("unknown")
+	m.placeWaiting = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "pearyard_exchange_place_waiting", Help: "Plain calls that wait here for a place at a backend server."})
+	m.placeWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "pearyard_exchange_place_wait_seconds", Help: "Time that a plain call has waited here for a place at a backend server, seconds.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 9)})
+	m.placesRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pearyard_exchange_places_refused_total", Help: "Plain calls that were refused because all places of the backend servers were taken."})
+	m.serversHung = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pearyard_exchange_servers_hung_total", Help: "Backend servers that were found to accept calls and answer none."})
+	reg.MustRegister(m.placeWaiting, m.placeWait, m.placesRefused, m.serversHung)
 	reg.MustRegister(versionRefused, m.crashesJudged)
 	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.refreshesFailed, m.copiesReplaced, m.probes, m.budgetSpent, m.limitHeld)
 	return m
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -120,7 +120,9 @@
 	if !c.req.hasTime(time.Now()) {
 		return nil, c.refusal(ErrNoTime)
 	}
-	if err := c.launchFirst(ctx); err != nil {
+	if err := c.launchFirst(ctx); errors.Is(err, errWaitEnded) {
+		return c.interrupted(ctx)
+	} else if err != nil {
 		return nil, c.refusal(err)
 	}
 	hedge := c.hedgeTimer()
@@ -206,7 +208,7 @@
 // chooseServer returns the server for the next attempt.
 func (c *call) chooseServer() (*directory.Server, error) {
 	server, err := c.e.pickWithinLimit(func() (*directory.Server, error) {
-		return c.e.pick(directory.Query{Service: c.req.Service, Zone: c.e.opts.Zone, Exclude: c.tried}, c.versions), nil
+		return c.e.pick(directory.Query{Service: c.req.Service, Zone: c.e.opts.Zone, Exclude: c.tried, Repeatable: c.req.Route.Repeatable()}, c.versions), nil
 	}, func(s *directory.Server) { c.tried[s.Start] = true })
 	if _, rest := c.allRestUntil(); server == nil && err == nil && rest {
 		return nil, ErrServersRest
@@ -219,6 +221,9 @@
 
 // launch sends the request to one more server. It fails if there is none.
 func (c *call) launch(ctx context.Context) error {
+	if err := c.awaitPlace(ctx); err != nil {
+		return err
+	}
 	if err := c.e.awaitTurn(ctx, c.fingerprint); err != nil {
 		return err
 	}
@@ -248,7 +253,8 @@
 }
 
 func (c *call) attempt(ctx context.Context, s *directory.Server) result {
-	defer s.BeginCall()()
+	status, end := 0, c.beginCall(s)
+	defer func() { end(status) }()
 	began := time.Now()
 	defer c.versions.Started(c.req.Route.Name, s).Done()
 	answer, err := c.e.opts.Backend.Open(ctx, &Attempt{Request: c.req, Server: s, Timeout: c.req.timeLeft(time.Now())})
@@ -259,7 +265,7 @@
 	if err != nil {
 		return result{server: s, err: err}
 	}
-	reply.server = s
+	reply.server, status = s, reply.Status
 	return result{server: s, reply: reply, took: time.Since(began)}
 }
 
@@ -358,6 +364,8 @@
 		after = heldRetryAfter
 	case errors.Is(err, ErrServerLimits):
 		after = c.e.limitRetryAfter(c.req.Service)
+	case errors.Is(err, ErrPlacesTaken):
+		after = c.e.placeRetryAfter(c.req.Service, c.req.Route.Objective)
 	default:
 		after = max(after, c.e.restRetryAfter(c.restQuery()))
 	}
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -38,6 +38,11 @@
 //
 // Prefill times: for each server (4), nanoseconds per prompt token (4).
 //
+// Places: number of servers (2), number of services (2), for each server its start (4), plain
+// calls in progress (2), calls without an answer for too long (1), good answers since it was
+// found to hang (1), age of its newest answer in units of answerAgeUnit (2), then for each
+// service the hash of its name (4), calls that wait (2).
+//
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
 // versions that began streams: see streamwire.go. Servers that leave: see encodeLeaving.
@@ -65,6 +70,7 @@
 	// spans, nor 6, whose positions lack the era and which has no version: VMs of an older
 	// release would take these positions for ones far ahead.
 	kindAnnouncement kind = 20
+	kindPlaces       kind = 22
 
 	headerBytes       = 13
 	countBytes        = 4
