--- a/directory/hanging.go
+++ b/directory/hanging.go
@@ -20,7 +20,7 @@
 	// answers that have come meanwhile.
 	overdueConfirmation = 20 * time.Millisecond
 	// trustedAnswers is how many good answers in a row make a server that hung count as usable.
-	trustedAnswers = 3
+	trustedAnswers = 5
 	// minShutOut is the shortest time for which a server counts as hanging. By then the peers
 	// have forgotten the good answers from before.
 	minShutOut = 200 * time.Millisecond
--- a/directory/places.go
+++ b/directory/places.go
@@ -271,6 +271,9 @@
 		places, there := s.places(), s.CallsThere(now)
 		out.Servers++
 		out.Total += places
+		if !s.slotsStated {
+			places = max(places, there+1) // no call waits for places of which nothing is known
+		}
 		out.Free += max(0, places+spare(places)-there)
 		if out.LagOf == 0 || there*out.LagOf < out.LeastLag*places {
 			out.LeastLag, out.LagOf = there, places
--- a/directory/server.go
+++ b/directory/server.go
@@ -18,6 +18,8 @@
 	Address string
 	Zone    string
 	Slots   int // number of requests that it runs at a time
+	// slotsStated is set if its entry states that number, which is 1 otherwise.
+	slotsStated bool
 
 	version atomic.Pointer[string] // of its software; nil: unknown
 	// versionAssumed is set if the version is that of the process which had the address
@@ -80,7 +82,7 @@
 
 func newServer(l Listing, now time.Time, onLoadChange func()) *Server {
 	s := &Server{
-		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
+		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots), slotsStated: l.Slots > 0,
 		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, onLeaving: func(LeavingNews, time.Time) {}, samples: &prefillSamples{},
 	}
 	s.lastSignAt.Store(now.UnixNano())
--- a/exchange/places.go
+++ b/exchange/places.go
@@ -22,7 +22,7 @@
 	maxWaitingCalls = 256
 	// lateRounds is how many calls may be ahead of a late one at its server, as a multiple of
 	// the server's places: it must not make the calls behind it late as well.
-	lateRounds = 1.0
+	lateRounds = 2.0
 )
 
 var (
