directory, exchange, fleet: tests of shared places; slow calls and answers beside overdue ones are reported

A VM reports its calls also if they take longer than usual: while no server answers, none is believed to be busy, and nothing was reported. Four overdue calls are needed in place of three. A report waits 2 ms, so that a place which the next call takes at once isn't reported as free.

--- a/directory/hanging.go
+++ b/directory/hanging.go
@@ -14,18 +14,24 @@
 	// usualShare of the objective is what a call is taken to need until that is measured.
 	usualShare = 0.2
 	// hangingCalls is how many calls of all VMs without an answer show that a server hangs.
-	hangingCalls = 3
+	hangingCalls = 4
 	// overdueConfirmation is how long a call must still be without its answer after it has
 	// become overdue: a process that was frozen finds its timers ended before it reads the
 	// answers that have come meanwhile.
 	overdueConfirmation = 20 * time.Millisecond
+	// goodTrialWait is within which time a good answer of a server that hung is followed by more
+	// trials.
+	goodTrialWait = 250 * time.Millisecond
 	// trustedAnswers is how many good answers in a row make a server that hung count as usable.
 	trustedAnswers = 5
 	// minShutOut is the shortest time for which a server counts as hanging. By then the peers
 	// have forgotten the good answers from before.
 	minShutOut = 200 * time.Millisecond
-	// hangTrialInterval is the time between two trials of a server that hangs, by all VMs together.
+	// hangTrialInterval is the least time between two trials of a server that hangs. Each VM adds
+	// a random part of hangTrialSpread, so that the others see the trial of the first one before
+	// their turn.
 	hangTrialInterval = time.Second
+	hangTrialSpread   = 2 * time.Second
 	// costlyTrialFactor is how many times as long a server is left alone until a call that can't
 	// be repeated is used for the trial.
 	costlyTrialFactor = 4
@@ -39,8 +45,10 @@
 type hangingState struct {
 	since        atomic.Int64 // Unix nanoseconds since which it counts as hanging; 0: it doesn't
 	trialAt      atomic.Int64 // Unix nanoseconds of the next trial
-	overdue      atomic.Int64 // calls of this process without an answer
+	slow         atomic.Int64 // calls of this process that take longer than usual
+	overdue      atomic.Int64 // calls of this process without an answer within the limit
 	good         atomic.Int64 // good answers in a row to this process since it was found to hang
+	knownGood    atomic.Int64 // good answers in a row to all processes when that was last looked at
 	answeredAt   atomic.Int64 // Unix nanoseconds of its newest good answer to any process
 	trustedAt    atomic.Int64 // Unix nanoseconds since which it no longer counts as hanging; 0: it never did
 	peersOverdue atomic.Int64
@@ -121,9 +129,7 @@
 		overdue: int(h.overdue.Load() + h.peersOverdue.Load()), sinceAnswer: now.Sub(time.Unix(0, h.answeredAt.Load())),
 		limit: time.Duration(p.limit.Load()), hangs: since != 0, hangsFor: now.Sub(time.Unix(0, since)), good: int(h.good.Load() + h.peersGood.Load()),
 	}
-	if r.hangs && s.peerCalls.Load() > h.peersOverdue.Load() {
-		h.postponeTrial(now) // a peer tries it
-	}
+	h.scheduleTrial(r, s.peerCalls.Load() > h.peersOverdue.Load(), now)
 	switch hangs := r.hangsNow(); {
 	case hangs == r.hangs:
 		return
@@ -143,6 +149,19 @@
 	d.places.notify()
 }
 
+// scheduleTrial postpones the next trial while a peer tries the server, and has it follow soon
+// after a good answer.
+func (h *hangingState) scheduleTrial(r responsiveness, peerTries bool, now time.Time) {
+	known := h.knownGood.Swap(int64(r.good))
+	switch {
+	case !r.hangs:
+	case int64(r.good) > known:
+		h.trialAt.Store(now.Add(rand.N(goodTrialWait)).UnixNano())
+	case peerTries && r.good == 0:
+		h.postponeTrial(now)
+	}
+}
+
 // goodAnswers returns the good answers in a row that are reported to the peers, until they
 // have had time to trust the server as well.
 func (h *hangingState) goodAnswers(now time.Time) int {
@@ -152,14 +171,13 @@
 	return int(h.good.Load())
 }
 
-// postponeTrial sets the time of the next trial to a random one after half an interval, so that
-// one VM tries and the others see it before their turn.
+// postponeTrial sets the time of the next trial.
 func (h *hangingState) postponeTrial(now time.Time) {
 	h.trialAt.Store(nextTrial(now))
 }
 
 func nextTrial(now time.Time) int64 {
-	return now.Add(hangTrialInterval/2 + rand.N(hangTrialInterval)).UnixNano()
+	return now.Add(hangTrialInterval + rand.N(hangTrialSpread)).UnixNano()
 }
 
 // takeTrial reports whether a call may be sent to the server that hangs, and postpones the
--- a/directory/places.go
+++ b/directory/places.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,11 +26,11 @@
 
 // PlaceReport is what one process reports of its plain calls at a server.
 type PlaceReport struct {
-	Server      uint32 // hash of its start
-	Calls       int    // in progress
-	Overdue     int    // of them, without an answer for longer than a healthy server takes
-	Good        int    // good answers in a row since it was found to hang
-	SinceAnswer time.Duration
+	Server      uint32        // hash of its start
+	Calls       int           // in progress
+	Overdue     int           // of them, without an answer for longer than a healthy server takes
+	Good        int           // good answers in a row since it was found to hang
+	SinceAnswer time.Duration // since its newest good answer
 }
 
 // PlaceReports is what one process reports of its plain calls.
@@ -111,7 +112,8 @@
 }
 
 // OwnPlaces returns what this process has to report of its plain calls: those at servers of
-// which half the places or more are taken, since with fewer any choice finds a free one.
+// which half the places or more are taken, since with fewer any choice finds a free one, and
+// those at servers that answer slowly.
 func (d *Directory) OwnPlaces(now time.Time) PlaceReports {
 	out := PlaceReports{Waiting: map[uint32]int{}}
 	view := d.view.Load()
@@ -133,9 +135,11 @@
 	return out
 }
 
-// worthReport reports whether the peers need to know of this process's calls at the server.
+// worthReport reports whether the peers need to know of this process's calls at the server, or
+// of an answer while other calls get none.
 func (s *Server) worthReport(r PlaceReport, now time.Time) bool {
-	return r.Overdue+r.Good > 0 || (r.Calls > 0 && (s.Hangs() || 2*s.CallsThere(now) >= s.places()))
+	overdue := r.Overdue + int(s.hanging.peersOverdue.Load())
+	return r.Overdue+r.Good > 0 || (r.Calls > 0 && (s.Hangs() || s.hanging.slow.Load() > 0 || 2*s.CallsThere(now) >= s.places())) || (overdue > 0 && r.SinceAnswer < placesTTL)
 }
 
 func (s *Server) placeReport(now time.Time) PlaceReport {
@@ -147,14 +151,21 @@
 
 // SetPeerPlaces records what a peer reports of its plain calls.
 func (d *Directory) SetPeerPlaces(from string, reports PlaceReports, now time.Time) {
-	d.places.mu.Lock()
-	defer d.places.mu.Unlock()
+	d.places.set(from, reports, now)
+	if slices.ContainsFunc(reports.Servers, func(r PlaceReport) bool { return r.Overdue > 0 }) {
+		d.refreshPlaces(now) // this process may know of an answer, which the peers need to know
+	}
+}
+
+func (p *placesState) set(from string, reports PlaceReports, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if len(reports.Servers)+len(reports.Waiting) == 0 {
-		delete(d.places.peers, from)
+		delete(p.peers, from)
 	} else {
-		d.places.peers[from] = peerPlaces{reports, now}
+		p.peers[from] = peerPlaces{reports, now}
 	}
-	d.places.stale.Store(true)
+	p.stale.Store(true)
 }
 
 // refreshPlaces computes the totals of the peers' reports if any has come or grown old, and
@@ -196,7 +207,11 @@
 	}
 	clear(d.places.totals)
 	for hash, sum := range sums {
-		view.byHash[hash].setPeerPlaces(sum)
+		s := view.byHash[hash]
+		if sum.Overdue > int(s.hanging.peersOverdue.Load()) {
+			d.places.notify()
+		}
+		s.setPeerPlaces(sum)
 		d.places.totals[hash] = true
 	}
 	d.places.services.Range(func(_, value any) bool {
@@ -210,11 +225,12 @@
 }
 
 // add adds one peer's report. What a peer says of its calls counts up to the number of places
-// of the server: no more can run there, and one wrong report must not close it to all.
+// of the server: no more can run there, and one wrong report must not close it to all. Calls of
+// one peer alone don't show that it hangs: the peer may be cut off from it.
 func (r PlaceReport) add(other PlaceReport, slots int) PlaceReport {
 	r.Server = other.Server
 	r.Calls += min(other.Calls, slots)
-	r.Overdue += min(other.Overdue, slots)
+	r.Overdue += min(other.Overdue, hangingCalls-1)
 	r.Good += other.Good
 	return r
 }
@@ -263,7 +279,7 @@
 func (d *Directory) Places(q Query, now time.Time) Places {
 	d.refreshPlaces(now)
 	p := d.placeService(q.Service)
-	out := Places{Waiting: int(p.waiting.Load()), PeersWaiting: int(p.peersWaiting.Load()), UsualTime: time.Duration(p.usualTime.Load())}
+	out := Places{Waiting: int(p.waiting.Load()), PeersWaiting: int(p.peersWaiting.Load()), UsualTime: p.usual()}
 	for _, s := range d.view.Load().Service(q.Service) {
 		if !s.takesCalls(q, now) || s.Hangs() {
 			continue
@@ -289,106 +305,6 @@
 	return !s.Draining() && !s.Ended() && !s.IsDown(now) && !s.Resting(now) && q.admits(s) && !q.Exclude[s.Start]
 }
 
-// PlaceUse is a plain call at a server of a service whose places are shared.
-type PlaceUse struct {
-	directory *Directory
-	service   *placeService
-	server    *Server
-	began     time.Time
-	limit     time.Duration
-
-	mu      sync.Mutex
-	timer   *time.Timer
-	overdue bool
-	ended   bool
-}
-
-// BeginPlace counts a plain call until its End. objective is that of its route, 0 without one.
-func (d *Directory) BeginPlace(s *Server, objective time.Duration) *PlaceUse {
-	p := d.placeService(s.Service)
-	u := &PlaceUse{directory: d, service: p, server: s, began: time.Now(), limit: hangLimit(time.Duration(p.usualTime.Load()), objective)}
-	s.calls.Add(1)
-	d.places.notify()
-	if u.limit > 0 {
-		p.limit.Store(int64(u.limit))
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		u.timer = time.AfterFunc(u.limit, u.confirm)
-	}
-	return u
-}
-
-// confirm waits for the answer a little longer.
-func (u *PlaceUse) confirm() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.ended {
-		u.timer = time.AfterFunc(overdueConfirmation, u.becomeOverdue)
-	}
-}
-
-func (u *PlaceUse) becomeOverdue() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.ended {
-		return
-	}
-	u.overdue = true
-	u.server.hanging.overdue.Add(1)
-	u.server.hanging.good.Store(0)
-	u.directory.judgeHanging(u.service, u.server, time.Now())
-	u.directory.places.notify()
-}
-
-// End ends the call. good is set if the server has answered it, and not with an error.
-func (u *PlaceUse) End(good bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.ended {
-		return
-	}
-	u.ended = true
-	if u.timer != nil {
-		u.timer.Stop()
-	}
-	u.server.calls.Add(-1)
-	if u.overdue {
-		u.server.hanging.overdue.Add(-1)
-	}
-	if good {
-		u.recordAnswer(time.Now())
-	}
-	u.directory.places.notify()
-}
-
-// recordAnswer records a good answer and its time.
-func (u *PlaceUse) recordAnswer(now time.Time) {
-	took := now.Sub(u.began)
-	h := &u.server.hanging
-	h.recordAnswerAt(now)
-	if h.since.Load() == 0 {
-		u.service.recordTime(took)
-		return
-	}
-	if u.overdue {
-		return
-	}
-	h.good.Add(1)
-	h.trialAt.Store(now.UnixNano()) // the next one may follow at once
-	u.directory.judgeHanging(u.service, u.server, now)
-}
-
-// recordTime records the time of a call. Concurrent measurements may replace each other.
-func (p *placeService) recordTime(took time.Duration) {
-	usual := p.usualTime.Load()
-	if usual == 0 {
-		p.usualTime.Store(int64(took))
-		return
-	}
-	sample := min(int64(took), usualTimeClip*usual)
-	p.usualTime.Store(usual + int64(usualTimeGain*float64(sample-usual)))
-}
-
 // AddWaiting counts calls of this process that wait for a place of a service.
 func (d *Directory) AddWaiting(service string, n int) {
 	d.placeService(service).waiting.Add(int64(n))
--- a/exchange/places.go
+++ b/exchange/places.go
@@ -16,7 +16,7 @@
 	// placeCheckInterval is how often waiting calls look for places that the servers' other
 	// users have left. It is about the time until VMs know of each other's calls: a shorter one
 	// would send several calls to the same place.
-	placeCheckInterval = 10 * time.Millisecond
+	placeCheckInterval = 20 * time.Millisecond
 	// maxWaitingCalls bounds the calls of a service that wait here; beyond it they are refused
 	// at once.
 	maxWaitingCalls = 256
--- a/exchange/placesmodel_test.go
+++ b/exchange/placesmodel_test.go
@@ -40,8 +40,9 @@
 	running  int
 	queue    []chan struct{}
 	shed     int
-	started  int
+	arrived  int
 	ids      map[string]int // calls that it has run, by id
+	cut      chan struct{}  // closed to end the work of all calls
 }
 
 // placeBackend is a set of such servers in virtual time.
@@ -75,6 +76,7 @@
 // enter waits for a place. It returns false if the queue is full or the caller has left.
 func (e *placeServer) enter(ctx context.Context) bool {
 	e.mu.Lock()
+	e.arrived++
 	if e.running < fewPlaces {
 		e.running++
 		e.mu.Unlock()
@@ -124,10 +126,9 @@
 // run works on a call. It returns false if the caller has left.
 func (e *placeServer) run(ctx context.Context, id string) bool {
 	e.mu.Lock()
-	e.started++
 	e.ids[id]++
 	work := time.Duration(float64(fewWork) * e.slowness * math.Exp(0.4*rand.NormFloat64()-0.08))
-	hangs := e.hangs
+	hangs, cut := e.hangs, e.cut
 	e.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
@@ -136,6 +137,8 @@
 	select {
 	case <-time.After(work):
 		return true
+	case <-cut:
+		return true
 	case <-ctx.Done():
 		return false
 	}
@@ -161,9 +164,10 @@
 	cancel  context.CancelFunc
 	lost    func(from, to int) bool // reports that are lost; nil: none
 
-	mu       sync.Mutex
-	outcomes []placeOutcome
-	callers  sync.WaitGroup
+	mu         sync.Mutex
+	outcomes   []placeOutcome
+	repeatable map[string]bool // ids of calls that may run twice
+	callers    sync.WaitGroup
 }
 
 type placeVM struct {
@@ -184,12 +188,12 @@
 
 func newPlaceSite(t *testing.T, shared bool, vms, servers int) *placeSite {
 	ctx, cancel := context.WithCancel(t.Context())
-	m := &placeSite{servers: map[string]*placeServer{}, ctx: ctx}
+	m := &placeSite{servers: map[string]*placeServer{}, ctx: ctx, repeatable: map[string]bool{}}
 	m.cancel = cancel
 	var list []directory.Listing
 	for i := range servers {
 		id := fmt.Sprint("s", i)
-		m.servers[id] = &placeServer{slowness: 1, ids: map[string]int{}}
+		m.servers[id] = &placeServer{slowness: 1, ids: map[string]int{}, cut: make(chan struct{})}
 		list = append(list, directory.Listing{ID: id, Service: "s", Zone: "a", Address: id, Slots: fewPlaces})
 	}
 	for range vms {
@@ -201,8 +205,8 @@
 		vm := &placeVM{dir: dir, backend: &placeBackend{servers: m.servers}}
 		vm.Exchange = New(Options{
 			Zone: "a", Directory: dir, Backend: vm.backend, Recorder: event.Discard(),
-			Suspects: suspect.New(suspect.Options{Limit: suspect.LedgerLimit(3), Quarantine: time.Minute, Window: time.Minute}),
-			Services: func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
+			Suspects:    suspect.New(suspect.Options{Limit: suspect.LedgerLimit(3), Quarantine: time.Minute, Window: time.Minute}),
+			Services:    func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
 			RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 5 },
 		})
 		m.vms = append(m.vms, vm)
@@ -230,6 +234,7 @@
 		case <-m.ctx.Done():
 			return
 		case <-vm.dir.PlacesChanged():
+			time.Sleep(2 * time.Millisecond)
 		case <-ticker.C:
 		}
 		own := vm.dir.OwnPlaces(time.Now())
@@ -243,12 +248,15 @@
 				}
 			}
 		})
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(18 * time.Millisecond)
 	}
 }
 
 // call sends one call through a VM.
 func (m *placeSite) call(vm *placeVM, id string, kind site.Kind, urgency int) {
+	m.mu.Lock()
+	m.repeatable[id] = kind == site.Idempotent
+	m.mu.Unlock()
 	m.callers.Go(func() {
 		req := &Request{
 			ID: id, Method: http.MethodPost, Target: "/x/" + id, Header: http.Header{}, Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(fewDeadline),
@@ -316,3 +324,41 @@
 	}
 	return r
 }
+
+// free ends the work of all calls that run at the server.
+func (e *placeServer) free() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.cut)
+	e.cut = make(chan struct{})
+}
+
+func (e *placeServer) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
+}
+
+// held returns the number of calls that run or are queued.
+func (e *placeServer) held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running + len(e.queue)
+}
+
+// runTwice returns the calls that may run once and have run more often.
+func (m *placeSite) runTwice() []string {
+	runs := map[string]int{}
+	for _, s := range m.servers {
+		for id, n := range s.ids {
+			runs[id] += n
+		}
+	}
+	var twice []string
+	for id, n := range runs {
+		if n > 1 && !m.repeatable[id] {
+			twice = append(twice, id)
+		}
+	}
+	return twice
+}
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -39,6 +39,7 @@
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
 		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
+		encodePlaces(directory.PlaceReports{Servers: []directory.PlaceReport{{Server: directory.Hash("a1"), Calls: 3, Overdue: 1}}, Waiting: map[uint32]int{directory.Hash("s"): 2}}),
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
 		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
 		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
@@ -52,6 +53,8 @@
 		d.Apply(1, []directory.Listing{{ID: "a1", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, false, time.Now())
 		s := NewSocket("", func() []string { return nil }, nil)
 		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
+		d.SharePlaces("s")
+		NewPlaces(s, func() []string { return nil }, d)
 		NewRestarts(s, d)
 		NewPrefillTimes(s, func() []string { return nil }, d)
 		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
@@ -67,6 +70,8 @@
 		s.dispatch("p", raw, time.Now())
 		loads.expire(time.Now())
 		d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now())
+		d.Pick(directory.Query{Service: "s"}, time.Now())
+		d.Places(directory.Query{Service: "s"}, time.Now())
 		for _, server := range d.View().Service("s") {
 			if !directory.ValidID(server.ID) {
 				t.Fatalf("invalid server ID %q", server.ID)
--- a/fleet/places.go
+++ b/fleet/places.go
@@ -16,6 +16,10 @@
 	// reported again it counts for no longer than a second at the peers.
 	placesResendInterval = 250 * time.Millisecond
 
+	// placesSettleTime is how long after a change a report is sent: a place that a call has left
+	// is often taken by the next one at once, and peers must not take it for free until then.
+	placesSettleTime = 2 * time.Millisecond
+
 	placeReportBytes  = 10
 	placeWaitingBytes = 6
 	// answerAgeUnit is the granularity of the age of a server's newest answer, which takes two
@@ -54,6 +58,9 @@
 		case <-ticker.C:
 			p.forget(time.Now())
 		case <-p.directory.PlacesChanged():
+			if err := retry.Wait(ctx, placesSettleTime); err != nil {
+				return err
+			}
 		}
 		own := p.directory.OwnPlaces(time.Now())
 		empty := len(own.Servers)+len(own.Waiting) == 0
@@ -62,7 +69,7 @@
 		}
 		idle = empty
 		p.socket.SendTo(encodePlaces(own), p.peers())
-		if err := retry.Wait(ctx, minSendInterval); err != nil {
+		if err := retry.Wait(ctx, minSendInterval-placesSettleTime); err != nil {
 			return err
 		}
 	}
