directory: a VM goes on to report its calls for half a second after a server was busy

VMs that stop to report at once take each other's silence for free places: each has a call there and believes the server is empty.

--- a/directory/places.go
+++ b/directory/places.go
@@ -16,6 +16,10 @@
 	// placeTotalsAge is when the totals are computed again although no peer has reported, so
 	// that old reports expire.
 	placeTotalsAge = 100 * time.Millisecond
+	// placesBusyTime is how long the calls of a service are reported after a server was last
+	// believed to be half full. If VMs stopped at once, each would believe that the server is
+	// empty, since the others have stopped too.
+	placesBusyTime = 500 * time.Millisecond
 	// reportedPlacesTTL is how long a server's own report of its load counts beside what VMs
 	// report: about the time until they have reported the same.
 	reportedPlacesTTL = 100 * time.Millisecond
@@ -65,6 +69,7 @@
 	shared       atomic.Bool  // switched on for this service
 	usualTime    atomic.Int64 // nanoseconds of a call, as measured; 0: not yet
 	limit        atomic.Int64 // nanoseconds within which a healthy server answers, for the newest call
+	busyUntil    atomic.Int64 // Unix nanoseconds until which this process reports its calls
 	waiting      atomic.Int64 // calls of this process that wait for a place
 	peersWaiting atomic.Int64
 }
@@ -111,13 +116,13 @@
 	}
 }
 
-// OwnPlaces returns what this process has to report of its plain calls: those at servers of
-// which half the places or more are taken, since with fewer any choice finds a free one, and
-// those at servers that answer slowly.
+// OwnPlaces returns what this process has to report of its plain calls: those of services that
+// have a server of which half the places or more are taken, since with fewer any choice finds a
+// free one, or a server that answers slowly.
 func (d *Directory) OwnPlaces(now time.Time) PlaceReports {
 	out := PlaceReports{Waiting: map[uint32]int{}}
 	view := d.view.Load()
-	d.places.services.Range(func(name, value any) bool {
+	d.places.services.Range(func(_, value any) bool {
 		p := value.(*placeService)
 		if !d.SharesPlaces(p.name) {
 			return true
@@ -125,8 +130,12 @@
 		if n := p.waiting.Load(); n > 0 {
 			out.Waiting[p.hash] = int(n)
 		}
-		for _, s := range view.Service(p.name) {
-			if r := s.placeReport(now); s.worthReport(r, now) {
+		servers := view.Service(p.name)
+		if slices.ContainsFunc(servers, func(s *Server) bool { return s.isBusy(now) }) {
+			p.busyUntil.Store(now.Add(placesBusyTime).UnixNano())
+		}
+		for _, s := range servers {
+			if r := s.placeReport(now); r.isNews(s) || (r.Calls > 0 && now.UnixNano() < p.busyUntil.Load()) {
 				out.Servers = append(out.Servers, r)
 			}
 		}
@@ -135,11 +144,16 @@
 	return out
 }
 
-// worthReport reports whether the peers need to know of this process's calls at the server, or
-// of an answer while other calls get none.
-func (s *Server) worthReport(r PlaceReport, now time.Time) bool {
+// isBusy reports whether the peers need to know of this process's calls at the server.
+func (s *Server) isBusy(now time.Time) bool {
+	return s.calls.Load() > 0 && (s.Hangs() || s.hanging.slow.Load() > 0 || 2*s.CallsThere(now) >= s.places())
+}
+
+// isNews reports whether the report says something of the server's answers: that some don't
+// come, or that one has come while others don't.
+func (r PlaceReport) isNews(s *Server) bool {
 	overdue := r.Overdue + int(s.hanging.peersOverdue.Load())
-	return r.Overdue+r.Good > 0 || (r.Calls > 0 && (s.Hangs() || s.hanging.slow.Load() > 0 || 2*s.CallsThere(now) >= s.places())) || (overdue > 0 && r.SinceAnswer < placesTTL)
+	return r.Overdue+r.Good > 0 || (overdue > 0 && r.SinceAnswer < placesTTL)
 }
 
 func (s *Server) placeReport(now time.Time) PlaceReport {
