--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -22,7 +22,6 @@
 	placeWaiting    prometheus.Gauge
 	placeWait       prometheus.Histogram
 	placesRefused   prometheus.Counter
-	serversHung     prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -73,10 +72,18 @@
 		Buckets: prometheus.ExponentialBuckets(0.005, 2, 9)})
 	m.placesRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "pearyard_exchange_places_refused_total", Help: "Plain calls that were refused because all places of the backend servers were taken."})
-	m.serversHung = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "pearyard_exchange_servers_hung_total", Help: "Backend servers that were found to accept calls and answer none."})
-	reg.MustRegister(m.placeWaiting, m.placeWait, m.placesRefused, m.serversHung)
+	reg.MustRegister(m.placeWaiting, m.placeWait, m.placesRefused)
 	reg.MustRegister(versionRefused, m.crashesJudged)
 	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.refreshesFailed, m.copiesReplaced, m.probes, m.budgetSpent, m.limitHeld)
 	return m
 }
+
+// registerHanging registers the number of servers that count as hanging.
+func registerHanging(reg prometheus.Registerer, count func() int) {
+	if reg == nil {
+		return
+	}
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pearyard_exchange_servers_hanging", Help: "Backend servers that accept calls and answer none, as this process believes."},
+		func() float64 { return float64(count()) }))
+}
--- a/exchange/places.go
+++ b/exchange/places.go
@@ -23,6 +23,9 @@
 	// lateRounds is how many calls may be ahead of a late one at its server, as a multiple of
 	// the server's places: it must not make the calls behind it late as well.
 	lateRounds = 2.0
+	// lateYield is the part of its objective for which the calls that wait at other VMs may need
+	// the places if a late call goes before them: with more, they would be late as well.
+	lateYield = 1.0 / 3
 )
 
 var (
@@ -65,9 +68,10 @@
 
 // lateCall is what is known of a call that has waited for as long as its objective allows.
 type lateCall struct {
-	places directory.Places
-	inTime int           // calls that wait here and may still be answered in time
-	left   time.Duration // until its deadline
+	places    directory.Places
+	inTime    int           // calls that wait here and may still be answered in time
+	left      time.Duration // until its deadline
+	objective time.Duration // of its route
 }
 
 // maySend reports whether the call is sent although it will be late: its server's queue serves
@@ -79,6 +83,10 @@
 	if l.places.LagOf == 0 || l.inTime > 0 {
 		return false
 	}
+	peersWait := float64(l.places.PeersWaiting) / float64(l.places.Total) * float64(l.places.UsualTime)
+	if peersWait > lateYield*float64(l.objective) {
+		return false
+	}
 	rounds := float64(l.places.LeastLag-l.places.LagOf+1) / float64(l.places.LagOf)
 	if rounds > lateRounds {
 		return false
@@ -113,7 +121,7 @@
 	if d.Stopping() {
 		return ErrStopWaiting
 	}
-	w := &waiter{urgency: c.req.Urgency, deadline: c.req.Deadline, latest: c.req.latestStart(places.UsualTime), ready: make(chan error, 1)}
+	w := &waiter{urgency: c.req.Urgency, deadline: c.req.Deadline, latest: c.req.latestStart(places.UsualTime), objective: c.req.Route.Objective, ready: make(chan error, 1)}
 	room := c.e.waitingRoom(c.req.Service)
 	err := ErrPlacesTaken
 	if room.join(w, now) {
@@ -162,7 +170,6 @@
 	kind := EventServerAnswers
 	if hangs {
 		kind = EventServerHangs
-		e.metrics.serversHung.Inc()
 	}
 	e.opts.Recorder.Emit(kind, "server", s.Start, "service", s.Service, "zone", s.Zone, "overdue", overdue, "since_answer", sinceAnswer.Round(time.Millisecond))
 }
--- a/exchange/places_test.go
+++ b/exchange/places_test.go
@@ -95,17 +95,25 @@
 	full := func(ahead int) directory.Places {
 		return directory.Places{Servers: 3, Total: 18, LeastLag: ahead, LagOf: 6, UsualTime: usual}
 	}
+	waiting := func(peers int) directory.Places {
+		p := full(8)
+		p.PeersWaiting = peers
+		return p
+	}
 	for name, c := range map[string]struct {
 		is   lateCall
 		want bool
 	}{
 		"the server's queue serves it":                    {lateCall{places: full(12), left: time.Second}, true},
 		"it would delay a call that may still be in time": {lateCall{places: full(8), inTime: 1, left: time.Second}, false},
+		"few wait at peers":                               {lateCall{places: waiting(20), left: time.Second}, true},
+		"those that wait at peers would be late":          {lateCall{places: waiting(50), left: time.Second}, false},
 		"the queue is too long":                           {lateCall{places: full(25), left: time.Second}, false},
 		"it would end after its deadline":                 {lateCall{places: full(12), left: 50 * time.Millisecond}, false},
 		"there is no server":                              {lateCall{left: time.Second}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			c.is.objective = fewObjective
 			gomega.NewWithT(t).Expect(c.is.maySend()).To(gomega.Equal(c.want))
 		})
 	}
--- a/exchange/waitingroom.go
+++ b/exchange/waitingroom.go
@@ -171,7 +171,7 @@
 		switch {
 		case now.Before(w.latest):
 			i++
-		case lateCall{places: places, inTime: inTime, left: w.deadline.Sub(now)}.maySend():
+		case lateCall{places: places, inTime: inTime, left: w.deadline.Sub(now), objective: w.objective}.maySend():
 			places.LeastLag++
 			r.end(i, nil)
 		default:
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -50,6 +50,9 @@
 	CauseServerLimit Cause = "server_limit"
 	// CauseServerRest: all backend servers had asked for rest (PY2765).
 	CauseServerRest Cause = "server_rest"
+	// CausePlaces: a plain call was refused, because all places of the backend servers were
+	// taken and none became free in time (PY2721).
+	CausePlaces Cause = "places_taken"
 	// CauseQuarantined: refused or ended, because the request had crashed several servers (PY2727),
 	// or may have and another copy of it was running (PY2721).
 	CauseQuarantined Cause = "crashes_servers"
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -45,6 +45,7 @@
 	textHeld        = exchange.ErrHeld.Error()
 	textServerLimit = exchange.ErrServerLimits.Error()
 	textServerRest  = exchange.ErrServersRest.Error()
+	textPlaces      = exchange.ErrPlacesTaken.Error()
 )
 
 func (o *openRequest) recordFailedAttempt(rec *record) {
@@ -185,6 +186,8 @@
 		return CauseAdmission
 	case e.by == exchange.EndedByStop:
 		return CauseStop
+	case e.rec.contains(fieldError, textPlaces):
+		return CausePlaces
 	case e.by == exchange.EndedByVersion:
 		return CauseVersion
 	case e.by == exchange.EndedByLimit, e.rec.contains(fieldError, textBudget):
--- a/explain/period_test.go
+++ b/explain/period_test.go
@@ -106,6 +106,8 @@
 		"stop":           {lineOf("edge-1", "01:08.0", "PY2756", "request=a route=r need=7s left=1s ended_by=stop"), CauseStop},
 		"server limits":  {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=idempotent took=1ms err="`+exchange.ErrServerLimits.Error()+`" ended_by=limit`), CauseServerLimit},
 		"servers rest":   {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=idempotent took=1ms err="`+exchange.ErrServersRest.Error()+`" ended_by=limit`), CauseServerRest},
+		"places taken":   {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=at_most_once took=100ms err="`+exchange.ErrPlacesTaken.Error()+`" ended_by=no_server`), CausePlaces},
+		"waited, stop":   {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=at_most_once took=20ms err="`+exchange.ErrStopWaiting.Error()+`" ended_by=stop`), CauseStop},
 		"version gone":   {lineOf("edge-1", "01:08.0", "PY2721", `request=a route=r kind=stream took=1ms first=0s pause=0s err="`+exchange.ErrVersionGone.Error()+`" ended_by=version`), CauseVersion},
 		"version cut":    {lineOf("edge-1", "01:08.0", "PY2722", `request=a route=r kind=stream took=1ms first=0s pause=0s err="`+exchange.ErrVersionGone.Error()+`" ended_by=version`), CauseVersion},
 		"crashes, ended": {again("exchange: broken: x") + lineOf("edge-1", "01:08.0", "PY2722", `request=a route=r kind=stream took=6s first=0s pause=0s server=i-1 err="exchange: broken: x: `+exchange.ErrQuarantined.Error()+`" ended_by=limit`), CauseQuarantined},
