--- a/exchange/waitingroom.go
+++ b/exchange/waitingroom.go
@@ -15,10 +15,11 @@
 
 // waiter is a call that waits for a place.
 type waiter struct {
-	urgency  site.Urgency
-	deadline time.Time
-	latest   time.Time  // until when it may wait
-	ready    chan error // gets nil when the call goes, or why it is refused; holds one
+	urgency   site.Urgency
+	deadline  time.Time
+	latest    time.Time     // until when it may wait
+	objective time.Duration // of its route
+	ready     chan error    // gets nil when the call goes, or why it is refused; holds one
 }
 
 // before reports whether a call gets a place before another: by urgency, then by deadline.
