--- a/directory/places.go
+++ b/directory/places.go
@@ -231,6 +231,9 @@
 	d.places.services.Range(func(_, value any) bool {
 		p := value.(*placeService)
 		p.peersWaiting.Store(int64(waiting[p.hash]))
+		if !d.SharesPlaces(p.name) {
+			return true
+		}
 		for _, s := range view.Service(p.name) {
 			d.judgeHanging(p, s, now)
 		}
--- a/exchange/places_test.go
+++ b/exchange/places_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,15 +208,15 @@
 func TestSlowServerIsNotTakenForOneThatHangs(t *testing.T) {
 	for _, slowness := range []float64{2.5, 4} {
 		playPlaces(t, fewVMs, 3, func(g *gomega.WithT, m *placeSite) {
-			hung := 0
+			var hung atomic.Int64
 			for _, vm := range m.vms {
-				vm.dir.OnHanging(func(*directory.Server, bool, int, time.Duration) { hung++ })
+				vm.dir.OnHanging(func(*directory.Server, bool, int, time.Duration) { hung.Add(1) })
 			}
 			m.load("c", fewLoad, time.Second)
 			m.servers["s0"].set(slowness, false)
 			m.load("d", fewLoad, 2*time.Second)
 			m.callers.Wait()
-			g.Expect(hung).To(gomega.BeZero(), "%g times as slow", slowness)
+			g.Expect(hung.Load()).To(gomega.BeZero(), "%g times as slow", slowness)
 		})
 	}
 }
@@ -249,11 +250,11 @@
 		for _, s := range dead.dir.View().Service("s") {
 			lie.Servers = append(lie.Servers, directory.PlaceReport{Server: s.Start.Hash(), Calls: fewPlaces + 2})
 		}
-		dead.gone = true
+		dead.gone.Store(true)
 		for _, vm := range m.vms[1:] {
 			vm.dir.SetPeerPlaces("vm0", lie, time.Now())
 		}
-		m.vms = m.vms[1:]
+		m.dead = 1
 		time.Sleep(time.Second)
 		begun := time.Now()
 		m.load("c", fewLoad, time.Second)
@@ -265,7 +266,7 @@
 // Three of ten datagrams are lost: choices are worse, but a burst is still served.
 func TestLostPlaceReports(t *testing.T) {
 	playPlaces(t, fewVMs, 3, func(g *gomega.WithT, m *placeSite) {
-		m.lost = func(int, int) bool { return rand.Float64() < 0.3 }
+		m.loss.Store(30)
 		m.load("c", 1.5*fewLoad, 2*time.Second)
 		r := m.result(time.Time{})
 		g.Expect(r.inTime).To(gomega.BeNumerically(">=", 0.95), "%+v", r)
@@ -389,7 +390,7 @@
 		g := gomega.NewWithT(t)
 		m := newPlaceSite(t, true, 8, 3)
 		defer m.close()
-		m.lost = func(int, int) bool { return true }
+		m.loss.Store(100)
 		m.load("c", 4*fewLoad, time.Second)
 		r := m.result(time.Time{})
 		g.Expect(r.failed).To(gomega.BeZero(), "%+v", r)
--- a/exchange/placesmodel_test.go
+++ b/exchange/placesmodel_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,7 +163,8 @@
 	vms     []*placeVM
 	ctx     context.Context
 	cancel  context.CancelFunc
-	lost    func(from, to int) bool // reports that are lost; nil: none
+	dead    int          // VMs, the first ones, that callers no longer reach
+	loss    atomic.Int64 // percentage of reports that are lost
 
 	mu         sync.Mutex
 	outcomes   []placeOutcome
@@ -174,7 +176,7 @@
 	*Exchange
 	dir     *directory.Directory
 	backend *placeBackend
-	gone    bool // its reports are no longer sent
+	gone    atomic.Bool // its reports are no longer sent
 }
 
 type placeOutcome struct {
@@ -238,12 +240,12 @@
 		case <-ticker.C:
 		}
 		own := vm.dir.OwnPlaces(time.Now())
-		if vm.gone {
+		if vm.gone.Load() {
 			return
 		}
 		time.AfterFunc(linkDelay, func() {
 			for to, other := range m.vms {
-				if to != from && (m.lost == nil || !m.lost(from, to)) {
+				if to != from && rand.Int64N(100) >= m.loss.Load() {
 					other.dir.SetPeerPlaces(fmt.Sprint("vm", from), own, time.Now())
 				}
 			}
@@ -284,7 +286,7 @@
 		if i%5 == 0 {
 			kind = site.Idempotent
 		}
-		m.call(m.vms[rand.IntN(len(m.vms))], fmt.Sprint(name, i), kind, 0)
+		m.call(m.vms[m.dead+rand.IntN(len(m.vms)-m.dead)], fmt.Sprint(name, i), kind, 0)
 		time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
 	}
 }
--- a/fleet/places_test.go
+++ b/fleet/places_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,33 +88,41 @@
 		g := gomega.NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		d, server := placesDirectory()
-		var sent []directory.PlaceReports
+		var mu sync.Mutex
+		var all []directory.PlaceReports
+		sent := func() []directory.PlaceReports {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(all)
+		}
 		s := NewSocket("", func() []string { return nil }, nil)
 		s.write = func(raw []byte, _ string) bool {
 			r, ok := decodePlaces(raw[headerBytes:])
 			g.Expect(ok).To(gomega.BeTrue())
-			sent = append(sent, r)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, r)
 			return true
 		}
 		go func() { _ = NewPlaces(s, func() []string { return []string{"p"} }, d).Run(ctx) }()
 		time.Sleep(5 * time.Second)
-		g.Expect(sent).To(gomega.BeEmpty(), "nothing is in progress")
+		g.Expect(sent()).To(gomega.BeEmpty(), "nothing is in progress")
 		var uses []*directory.PlaceUse
 		for range 5 {
 			uses = append(uses, d.BeginPlace(server, time.Hour))
 			time.Sleep(2 * time.Millisecond)
 		}
 		time.Sleep(50 * time.Millisecond)
-		g.Expect(len(sent)).To(gomega.BeNumerically("<=", 3))
-		g.Expect(sent[len(sent)-1].Servers[0].Calls).To(gomega.Equal(5))
+		g.Expect(len(sent())).To(gomega.BeNumerically("<=", 3))
+		g.Expect(sent()[len(sent())-1].Servers[0].Calls).To(gomega.Equal(5))
 		for _, u := range uses {
 			u.End(true)
 		}
 		time.Sleep(100 * time.Millisecond)
-		g.Expect(sent[len(sent)-1].Servers).To(gomega.BeEmpty())
-		before := len(sent)
+		g.Expect(sent()[len(sent())-1].Servers).To(gomega.BeEmpty())
+		before := len(sent())
 		time.Sleep(5 * time.Second)
-		g.Expect(sent).To(gomega.HaveLen(before))
+		g.Expect(sent()).To(gomega.HaveLen(before))
 		cancel()
 		time.Sleep(time.Second)
 	})
