--- a/directory/places.go
+++ b/directory/places.go
@@ -144,6 +144,22 @@
 	return out
 }
 
+// PlacesTight reports whether calls wait for places here or at a peer, or a server with calls of
+// this process is believed to be full: then what this process reports decides at the peers
+// where calls go and whether they wait.
+func (d *Directory) PlacesTight(now time.Time) bool {
+	tight := false
+	view := d.view.Load()
+	d.places.services.Range(func(_, value any) bool {
+		p := value.(*placeService)
+		tight = p.waiting.Load()+p.peersWaiting.Load() > 0 || slices.ContainsFunc(view.Service(p.name), func(s *Server) bool {
+			return s.calls.Load() > 0 && s.CallsThere(now) >= s.places()
+		})
+		return !tight
+	})
+	return tight
+}
+
 // isBusy reports whether the peers need to know of this process's calls at the server.
 func (s *Server) isBusy(now time.Time) bool {
 	return s.calls.Load() > 0 && (s.Hangs() || s.hanging.slow.Load() > 0 || 2*s.CallsThere(now) >= s.places())
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -153,8 +153,10 @@
 	}
 	e.zones = zoneChecker{exchange: e, inFlight: map[zoneKey]*zoneCheck{}}
 	e.probes = prober{exchange: e, inFlight: map[*directory.Server]*probe{}}
-	opts.Directory.OnHanging(e.reportHanging)
-	registerHanging(opts.Metrics, opts.Directory.HangingServers)
+	if opts.Directory != nil {
+		opts.Directory.OnHanging(e.reportHanging)
+		registerHanging(opts.Metrics, opts.Directory.HangingServers)
+	}
 	return e
 }
 
--- a/exchange/placesmodel_test.go
+++ b/exchange/placesmodel_test.go
@@ -250,7 +250,11 @@
 				}
 			}
 		})
-		time.Sleep(18 * time.Millisecond)
+		if vm.dir.PlacesTight(time.Now()) {
+			time.Sleep(18 * time.Millisecond)
+		} else {
+			time.Sleep(58 * time.Millisecond)
+		}
 	}
 }
 
--- a/fleet/places.go
+++ b/fleet/places.go
@@ -16,6 +16,9 @@
 	// reported again it counts for no longer than a second at the peers.
 	placesResendInterval = 250 * time.Millisecond
 
+	// calmPlacesInterval is the shortest time between two reports while no server is full: they
+	// then spread calls a little better and are not worth as much.
+	calmPlacesInterval = 60 * time.Millisecond
 	// placesSettleTime is how long after a change a report is sent: a place that a call has left
 	// is often taken by the next one at once, and peers must not take it for free until then.
 	placesSettleTime = 2 * time.Millisecond
@@ -69,7 +72,11 @@
 		}
 		idle = empty
 		p.socket.SendTo(encodePlaces(own), p.peers())
-		if err := retry.Wait(ctx, minSendInterval-placesSettleTime); err != nil {
+		interval := calmPlacesInterval
+		if p.directory.PlacesTight(time.Now()) {
+			interval = minSendInterval
+		}
+		if err := retry.Wait(ctx, interval-placesSettleTime); err != nil {
 			return err
 		}
 	}
