--- a/directory/pick.go
+++ b/directory/pick.go
@@ -28,6 +28,11 @@
 	// load.
 	AfterDisruption bool
 
+	// Repeatable is set if a plain call may be sent a second time.
+	Repeatable bool
+
+	sharesPlaces bool // see SharesPlaces; set by Pick
+
 	// Memory is how many tokens of a server's memory the request needs, and MemoryLimit up to
 	// how many a server may be filled by it. Memory 0: memory is not accounted.
 	Memory, MemoryLimit int
@@ -69,6 +74,11 @@
 	if q.Prompt > 0 {
 		d.compareSpeeds(q.Service, list, now)
 	}
+	if q.Prompt == 0 && !q.Copy && d.SharesPlaces(q.Service) {
+		if s := d.sharePlaces(&q, list, now); s != nil {
+			return s
+		}
+	}
 	own := d.serversInOwnCell(list)
 	q.AfterDisruption = q.AfterDisruption || d.inStartup(now)
 	if q.AfterDisruption {
--- a/directory/server.go
+++ b/directory/server.go
@@ -18,6 +18,8 @@
 	Address string
 	Zone    string
 	Slots   int // number of requests that it runs at a time
+	// slotsStated is set if its entry states that number, which is 1 otherwise.
+	slotsStated bool
 
 	version atomic.Pointer[string] // of its software; nil: unknown
 	// versionAssumed is set if the version is that of the process which had the address
@@ -50,6 +52,9 @@
 	onLeaving     func(LeavingNews, time.Time)
 	reportedCalls atomic.Int64 // other processes' requests according to its last response
 	reportedAt    atomic.Int64 // Unix nanoseconds of that response
+	mostRunning   atomic.Int64 // the most requests that it has reported to run
+	peerCalls     atomic.Int64 // plain calls that other entry VMs have reported to have there
+	hanging       hangingState
 
 	memory       serverMemory
 	prefillStats prefillStats
@@ -78,7 +83,7 @@
 
 func newServer(l Listing, now time.Time, onLoadChange func()) *Server {
 	s := &Server{
-		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
+		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots), slotsStated: l.Slots > 0,
 		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, onLeaving: func(LeavingNews, time.Time) {}, samples: &prefillSamples{},
 	}
 	s.lastSignAt.Store(now.UnixNano())
--- a/event/page.go
+++ b/event/page.go
@@ -34,6 +34,7 @@
 	{2780, 2789, "Versions of the streams of callers that come back"},
 	{2790, 2793, "Urgency and refusing in time"},
 	{2794, 2796, "Memory of backend servers"},
+	{2797, 2799, "Places of backend servers"},
 	{3000, 3099, "Sidecar and stops"},
 	{3100, 3199, "Leases and orders"},
 	{4000, 4099, "Administration"},
--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -122,13 +122,13 @@
 	switch {
 	case errors.As(err, &late), errors.As(err, &overload):
 		return EndedByNoServer
-	case errors.Is(err, ErrStopping):
+	case errors.Is(err, ErrStopping), errors.Is(err, ErrStopWaiting):
 		return EndedByStop
 	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined), errors.Is(err, ErrHeld), errors.Is(err, ErrServerLimits), errors.Is(err, ErrServersRest):
 		return EndedByLimit
 	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
 		return EndedByVersion
-	case errors.Is(err, ErrNoServer), errors.Is(err, ErrNoMemory):
+	case errors.Is(err, ErrNoServer), errors.Is(err, ErrNoMemory), errors.Is(err, ErrPlacesTaken):
 		return EndedByNoServer
 	case errors.Is(err, ErrSilent), errors.Is(err, ErrServerLost):
 		return EndedByServerLink
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -144,6 +144,7 @@
 	metrics *metrics
 	budgets sync.Map // service -> *retry.Window
 	paces   sync.Map // service -> *pace
+	rooms   sync.Map // service -> *waitingRoom
 	probes  prober
 	zones   zoneChecker
 	active  activeStreams
@@ -167,6 +168,10 @@
 	}
 	e.zones = zoneChecker{exchange: e, inFlight: map[zoneKey]*zoneCheck{}}
 	e.probes = prober{exchange: e, inFlight: map[*directory.Server]*probe{}}
+	if opts.Directory != nil {
+		opts.Directory.OnHanging(e.reportHanging)
+		registerHanging(opts.Metrics, opts.Directory.HangingServers)
+	}
 	return e
 }
 
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -25,6 +25,9 @@
 	versionUnknown  prometheus.Counter
 	memory          memoryMetrics
 	admission       *admissionMetrics
+	placeWaiting    prometheus.Gauge
+	placeWait       prometheus.Histogram
+	placesRefused   prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer, d *directory.Directory) *metrics {
@@ -70,7 +73,25 @@
 		Name: "pearyard_exchange_version_refused_total", Help: "Streams that ended since of the version that began them no backend server was left (gone), or since it was not known (unknown)."}, []string{"why"})
 	m.versionGone, m.versionUnknown = versionRefused.WithLabelValues("gone"), versionRefused.WithLabelValues("unknown")
 	m.admission = newAdmissionMetrics(reg)
+	m.placeWaiting = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "pearyard_exchange_place_waiting", Help: "Plain calls that wait here for a place at a backend server."})
+	m.placeWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "pearyard_exchange_place_wait_seconds", Help: "Time that a plain call has waited here for a place at a backend server, seconds.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 9)})
+	m.placesRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pearyard_exchange_places_refused_total", Help: "Plain calls that were refused because all places of the backend servers were taken."})
+	reg.MustRegister(m.placeWaiting, m.placeWait, m.placesRefused)
 	reg.MustRegister(versionRefused, m.crashesJudged)
 	reg.MustRegister(m.requests, m.duration, m.firstEvent, m.longestPause, m.resumes, m.resumeTime, m.attempts, m.freesFailed, m.refreshesFailed, m.copiesReplaced, m.probes, m.budgetSpent, m.limitHeld)
 	return m
 }
+
+// registerHanging registers the number of servers that count as hanging.
+func registerHanging(reg prometheus.Registerer, count func() int) {
+	if reg == nil {
+		return
+	}
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pearyard_exchange_servers_hanging", Help: "Backend servers that accept calls and answer none, as this process believes."},
+		func() float64 { return float64(count()) }))
+}
--- a/explain/causes.go
+++ b/explain/causes.go
@@ -53,6 +53,9 @@
 	CauseServerRest Cause = "server_rest"
 	// CauseMemory: no backend server had memory for the stream (PY2721 or PY2722, PY2794).
 	CauseMemory Cause = "server_memory"
+	// CausePlaces: a plain call was refused, because all places of the backend servers were
+	// taken and none became free in time (PY2721).
+	CausePlaces Cause = "places_taken"
 	// CauseQuarantined: refused or ended, because the request had crashed several servers (PY2727),
 	// or may have and another copy of it was running (PY2721).
 	CauseQuarantined Cause = "crashes_servers"
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -48,6 +48,7 @@
 	textServerLimit = exchange.ErrServerLimits.Error()
 	textMemory      = exchange.ErrNoMemory.Error()
 	textServerRest  = exchange.ErrServersRest.Error()
+	textPlaces      = exchange.ErrPlacesTaken.Error()
 )
 
 func (o *openRequest) recordFailedAttempt(rec *record) {
@@ -190,6 +191,8 @@
 		return CauseMemory
 	case e.by == exchange.EndedByStop:
 		return CauseStop
+	case e.rec.contains(fieldError, textPlaces):
+		return CausePlaces
 	case e.by == exchange.EndedByVersion:
 		return CauseVersion
 	case e.by == exchange.EndedByLimit, e.rec.contains(fieldError, textBudget):
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -42,6 +42,7 @@
 		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
 		encodeMemory(directory.MemoryReport{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: directory.Hash("a1"), Tokens: 640}}}),
 		encodeRefusals([]refusal{{7, time.Second}}),
+		encodePlaces(directory.PlaceReports{Servers: []directory.PlaceReport{{Server: directory.Hash("a1"), Calls: 3, Overdue: 1}}, Waiting: map[uint32]int{directory.Hash("s"): 2}}),
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
 		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
 		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
@@ -56,6 +57,8 @@
 		s := NewSocket("", func() []string { return nil }, nil)
 		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
 		memory := NewMemory(MemoryOptions{Directory: d, Socket: s})
+		d.SharePlaces("s")
+		NewPlaces(s, func() []string { return nil }, d)
 		NewRestarts(s, d)
 		NewRefusals(s)
 		NewPrefillTimes(s, func() []string { return nil }, d)
@@ -74,6 +77,8 @@
 		memory.expire(time.Now())
 		d.Pick(directory.Query{Service: "s", Prompt: 1, Memory: 64, MemoryLimit: 128}, time.Now())
 		d.Pick(directory.Query{Service: "s", Prompt: 1}, time.Now())
+		d.Pick(directory.Query{Service: "s"}, time.Now())
+		d.Places(directory.Query{Service: "s"}, time.Now())
 		for _, server := range d.View().Service("s") {
 			if !directory.ValidID(server.ID) {
 				t.Fatalf("invalid server ID %q", server.ID)
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -41,6 +41,10 @@
 // Memory: first and last server of a range (4 each), for each server of the range where the
 // sender uses memory its start (4) and tokens in units of memoryUnit (2). With the first after
 // the last there is no range, and only the servers named have changed.
+// Places: number of servers (2), number of services (2), for each server its start (4), plain
+// calls in progress (2), calls without an answer for too long (1), good answers since it was
+// found to hang (1), age of its newest answer in units of answerAgeUnit (2), then for each
+// service the hash of its name (4), calls that wait (2).
 //
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
@@ -72,6 +76,7 @@
 	kindAnnouncement kind = 20
 	kindMemory       kind = 21
 	kindRefusals     kind = 24
+	kindPlaces       kind = 22
 
 	headerBytes       = 13
 	countBytes        = 4
