directory, fleet, platform: figure of a server's machine, shared between VMs

Cause: servers share their machines with others. A trial that used it at each VM alone gained nothing: a VM hears of a server about once a second, a disturbance lasts less.

Change: the figure is read from each answer, also refusals, health checks and calls for copies, and counts relative to the server's usual one, falling with its age by a decay time found from how successive reports agree. VMs tell each other the figures that the others don't expect (datagram kind 23). It is a factor on a plain call's own time and the calls ahead, and on the prompts ahead of a stream, averaged over the work. Servers that send three figures are chosen as before.

Ruled out: the figure per VM (the row "unshared" of the model gained little); half of a server's slots as a call's own time in place of all of them and of one call: all crowd one server, one hardly avoids a disturbed one.

Tests: both mistakes in virtual time against the same play without reports, wrong reports, lost, late, duplicated and unreadable datagrams, an older release, another start.

--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -14,6 +14,8 @@
 	excessCrashes float64 // recent crashes of earlier starts, see Server.excessCrashes
 	cachedTokens  int     // prompt tokens in the server's cache, which need no prefill there
 	slowness      float64 // see Server.Slowness; measured by prefill, but applied to streams too
+	disturbance   float64 // share by which work takes longer there than usual, see Server.DisturbanceFactor
+	slots         int
 
 	cold             bool // still slow after its start
 	otherZone        bool // not in the zone of this process
@@ -27,7 +29,7 @@
 
 // candidate returns what is known of the server now.
 func (s *Server) candidate(q Query, zones lossesByZone, now time.Time) candidate {
-	return candidate{
+	c := candidate{
 		queuedTokens:     s.queuedTokens.Load() + s.peerQueuedTokens.Load(),
 		streams:          weightedStreams(s.streams.Load(), q.stopping) + s.peerStreams.Load(),
 		copies:           s.copies.Load() + s.peerCopies.Load(),
@@ -37,6 +39,7 @@
 		excessCrashes:    s.excessCrashes(now),
 		cachedTokens:     q.CachedTokens[s.Start],
 		slowness:         s.Slowness(),
+		slots:            s.Slots,
 		cold:             now.UnixNano() < s.warmAt.Load(),
 		otherZone:        s.Zone != q.Zone,
 		outsidePartition: q.AfterDisruption && q.CachedTokens[s.Start] == 0 && !q.hashRange.contains(s),
@@ -45,6 +48,15 @@
 		down:             s.IsDown(now),
 		limited:          s.RateLimit().inForceAt(now),
 	}
+	if !q.Copy { // which takes no processing time until it is used
+		c.disturbance = s.DisturbanceFactor(time.Duration(c.prefillTokens(q))*s.prefillTime(), now) - 1
+	}
+	return c
+}
+
+// prefillTokens returns the prompt tokens to be prefilled before a stream's first event.
+func (c candidate) prefillTokens(q Query) int64 {
+	return max(0, c.queuedTokens-int64(c.cachedTokens)+int64(q.Prompt))
 }
 
 // reportedLoad returns the server's own report of other processes' calls, weighted down
@@ -110,9 +122,9 @@
 		score += float64(q.Prompt)
 	}
 	if q.Prompt > 0 {
-		score *= c.slowness
+		score *= c.slowness * (1 + c.disturbance)
 	}
-	score += callWeight * (float64(c.calls) + c.reportedCalls)
+	score += callWeight * c.callScore(q)
 	score += faultWeight * c.excessCrashes
 	if !q.Resumable {
 		score += faultWeight * c.faults
@@ -135,6 +147,18 @@
 	return score
 }
 
+// callScore returns how long a plain call takes at the server, in calls ahead of it on a
+// server that is as usual. A disturbance delays the calls ahead and the call itself, whose
+// own time is that of as many calls as the server has slots if one of them is free, and of
+// one call if not; half the slots stand between them, as others' calls are known late.
+func (c candidate) callScore(q Query) float64 {
+	ahead := float64(c.calls) + c.reportedCalls
+	if q.Prompt > 0 {
+		return ahead
+	}
+	return ahead + c.disturbance*(ahead+float64(c.slots)/2)
+}
+
 // perCopyWeight returns the weight of each copy that a server holds already.
 func (q Query) perCopyWeight() float64 {
 	if q.Copy {
--- a/directory/candidate_test.go
+++ b/directory/candidate_test.go
@@ -28,6 +28,11 @@
 		"a prompt prefers a fast server with streams to an idle one that is twice as slow": {prompt, candidate{streams: 4, slowness: 0.8}, candidate{slowness: 2}},
 		"a prompt prefers an idle slow server to a fast one with a prompt and streams":     {prompt, candidate{slowness: 1.6}, candidate{queuedTokens: 8000, streams: 4, slowness: 0.8}},
 		"a prompt prefers the own zone among equal servers":                                {prompt, candidate{}, candidate{otherZone: true}},
+		"a plain call prefers calls ahead to a disturbed idle server":                      {Query{}, candidate{calls: 4, slots: 6}, candidate{disturbance: 1.5, slots: 6}},
+		"a plain call prefers a disturbed server to one with far more calls":               {Query{}, candidate{disturbance: 1.5, slots: 6}, candidate{calls: 6, slots: 6}},
+		"a plain call avoids calls on a disturbed server":                                  {Query{}, candidate{calls: 2, disturbance: 0.5, slots: 6}, candidate{calls: 3, disturbance: 0.5, slots: 6}},
+		"a prompt avoids a disturbed server":                                               {prompt, candidate{streams: 1}, candidate{disturbance: 0.5}},
+		"a prompt prefers a disturbed server to a queued prompt":                           {prompt, candidate{disturbance: 0.5}, candidate{queuedTokens: 8000}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -59,8 +59,13 @@
 	medianSpeeds sync.Map     // service -> cachedMedian
 	comparedAt   sync.Map     // service -> time.Time of the newest comparison of its servers' speeds
 
-	unsentMu    sync.Mutex
-	unsentTimes []PrefillTime // measured here since TakeUnsentPrefillTimes was last called
+	disturbances          sync.Map             // service -> *disturbances
+	disturbanceChanged    chan struct{}        // holds one token after a report that peers don't expect
+	onDisturbanceReported func(service string) // may be nil
+
+	unsentMu           sync.Mutex
+	unsentTimes        []PrefillTime      // measured here since TakeUnsentPrefillTimes was last called
+	unsentDisturbances map[uint32]*Server // that have reported a figure that peers don't expect, by start hash
 
 	peerLoadsMu sync.Mutex
 	peerLoads   map[string][]Load // newest report of each peer
@@ -76,6 +81,7 @@
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{loadChanged: make(chan struct{}, 1), limitChanged: make(chan struct{}, 1), peerLoads: map[string][]Load{}, samples: map[string]*prefillSamples{}}
+	d.disturbanceChanged, d.unsentDisturbances = make(chan struct{}, 1), map[uint32]*Server{}
 	d.leaving = leavingStarts{at: map[Start]time.Time{}, ready: make(chan struct{}, 1)}
 	d.view.Store(emptyView(0))
 	return d
@@ -273,6 +279,7 @@
 	s := newServer(l, now, d.notifyLoadChanged)
 	s.samples, s.onSample, s.onLimitChange, s.onLeaving = d.samplesAt(l.Address), d.queueUnsent, d.notifyLimitChanged, d.recordLeaving
 	s.saidLeaving.Store(d.leaving.knows(s.Start))
+	s.disturbances, s.onDisturbance = d.disturbancesOf(s.Service), d.queueDisturbance
 	if former != nil {
 		s.inheritCrash(former, now)
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -51,10 +51,15 @@
 	reportedCalls atomic.Int64 // other processes' requests according to its last response
 	reportedAt    atomic.Int64 // Unix nanoseconds of that response
 
+	disturbance   atomic.Pointer[disturbance] // nil: it has never reported one
+	disturbances  *disturbances               // shared by all servers of the service
+	onDisturbance func(*Server)               // called when it has reported a figure that peers don't expect
+
 	prefillStats prefillStats
 	samples      *prefillSamples   // shared by all starts at its address
 	onSample     func(PrefillTime) // called with each sample of this process; may be nil
 	slowness     atomic.Uint64     // bits of a float64, see compareSpeeds; 0: not compared yet
+	perToken     atomic.Int64      // nanoseconds, see prefillTime
 
 	// hasIssues is set while there is a loss, fault or crash on record. A choice looks at
 	// all servers, thousands at a large site, and takes the lock of only those with
@@ -79,6 +84,7 @@
 	s := &Server{
 		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots),
 		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, onLeaving: func(LeavingNews, time.Time) {}, samples: &prefillSamples{},
+		disturbances: newDisturbances(), onDisturbance: func(*Server) {},
 	}
 	s.lastSignAt.Store(now.UnixNano())
 	s.setVersion(l.Version)
--- a/directory/slowness.go
+++ b/directory/slowness.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -186,6 +187,7 @@
 	medianTime := median(measured)
 	for i, s := range list {
 		s.setSlowness(typical[i], medianTime)
+		s.perToken.Store(int64(cmp.Or(typical[i], medianTime)))
 		s.samples.setCachedTime(maxCachedTime(medianTime))
 	}
 }
@@ -198,6 +200,10 @@
 	s.slowness.Store(math.Float64bits(slowness))
 }
 
+// prefillTime returns the server's time per prompt token, or else that of the median server
+// of its service; 0 without measurements.
+func (s *Server) prefillTime() time.Duration { return time.Duration(s.perToken.Load()) }
+
 // Slowness returns the ratio of the server's prefill time to that of the median server of
 // its service; 1 for a server without samples.
 func (s *Server) Slowness() float64 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,6 +91,7 @@
 	socket          *fleet.Socket
 	loads           *fleet.Loads
 	readTimes       *fleet.PrefillTimes
+	disturbances    *fleet.Disturbances
 	election        *fleet.Election
 	budgets         *fleet.Budgets
 	serverLimits    *fleet.ServerLimits
@@ -178,6 +179,7 @@
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Directory: e.directory})
 	e.prompts = fleet.NewPrompts(fleet.PromptsOptions{Socket: e.socket, Known: e.fleet.Known(), OtherCells: e.fleet.OtherCells, Directory: e.directory})
 	e.readTimes = fleet.NewPrefillTimes(e.socket, e.fleet.CellPeers, e.directory)
+	e.disturbances = fleet.NewDisturbances(e.socket, e.fleet.CellPeers, e.directory)
 	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Address: e.settings.Peers, Socket: e.socket, Mark: e.mark, Reached: e.checkedPosition, Size: e.fleet.Size, Fetch: e.fleet.Fetch, Recorder: e.recorder,
 	})
@@ -373,6 +375,7 @@
 	addBackground(&group, e.socket.Run)
 	addBackground(&group, e.loads.Run)
 	addBackground(&group, e.readTimes.Run)
+	addBackground(&group, e.disturbances.Run)
 	addBackground(&group, e.prompts.Run)
 	addBackground(&group, e.streamVersions.Run)
 	addBackground(&group, e.awaitServing)
--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -72,6 +72,7 @@
 	}
 	tokens := float64(est.unread + int64(s.unreadTokens(server)))
 	est.first = time.Duration(tokens / est.speed * float64(time.Second))
+	est.first = time.Duration(float64(est.first) * server.DisturbanceFactor(est.first, now))
 	est.end = est.first + time.Duration(s.eventsLeft(p)*server.Slowness()*float64(p.eventTime(est.utilization)))
 	p.observeSpeed(est.speed)
 	return est, true
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -39,6 +39,7 @@
 	for _, b := range []body{
 		encodeLoads([]directory.Load{{Server: directory.Hash("a1"), Streams: 2, Prefill: 64}}, []uint32{directory.Hash("a1")}),
 		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
+		encodeDisturbances([]directory.DisturbanceReport{{Server: directory.Hash("a1"), Figure: 250, Age: time.Second}}),
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
 		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
 		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
@@ -54,6 +55,7 @@
 		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
 		NewRestarts(s, d)
 		NewPrefillTimes(s, func() []string { return nil }, d)
+		NewDisturbances(s, func() []string { return nil }, d)
 		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
 		NewElection(ElectionOptions{
 			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position, bool) {},
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -41,6 +41,7 @@
 // Reports and notices on roll-outs: see encodeReport and encodeNotices. Queries for cached
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
 // versions that began streams: see streamwire.go. Servers that leave: see encodeLeaving.
+// Disturbances of servers: see encodeDisturbances.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
@@ -65,6 +66,7 @@
 	// spans, nor 6, whose positions lack the era and which has no version: VMs of an older
 	// release would take these positions for ones far ahead.
 	kindAnnouncement kind = 20
+	kindDisturbances kind = 23
 
 	headerBytes       = 13
 	countBytes        = 4
