--- a/directory/speedmodel_test.go
+++ b/directory/speedmodel_test.go
@@ -128,9 +128,11 @@
 	}
 }
 
-func (m *modelSite) begin() {
+func (m *modelSite) begin() { m.beginAt(m.vms[m.random.IntN(len(m.vms))]) }
+
+func (m *modelSite) beginAt(vm *modelVM) {
 	s := &modelStream{
-		vm: m.vms[m.random.IntN(len(m.vms))], begun: time.Now(),
+		vm: vm, begun: time.Now(),
 		prompt: int(8000 * math.Exp(0.3*m.random.NormFloat64())), tokens: int(650 * math.Exp(0.2*m.random.NormFloat64())),
 	}
 	s.toPrefill = s.prompt
