fleet, directory: peers are told of a disturbance that goes on; metrics, event

Cause: whether peers expect a figure was judged by the newest figure of this VM, also one that was not told. With answers in quick succession none of them differed from the one before, and peers took the disturbance for over.

Change: the newest figure that peers know is kept beside the newest one. A server's reports are recorded under its own lock; the service's lock is taken only to compare figures that differ.

--- a/directory/disturbance.go
+++ b/directory/disturbance.go
@@ -27,28 +27,41 @@
 	// notableDeviation is the share of the usual time from which another figure changes a
 	// choice. Calls vary by as much from one to the next.
 	notableDeviation = 0.2
+	// disturbedFactor is the factor from which a server counts as disturbed for operators.
+	disturbedFactor = 1.5
+	// longDisturbance is far longer than disturbances last that pass by themselves.
+	longDisturbance = 5 * time.Second
 )
 
+// figure is what a server has reported of its machine at a time.
+type figure struct {
+	value float64
+	at    time.Time
+}
+
 // disturbance is what a start of a server has reported of its machine. It is immutable.
 type disturbance struct {
-	figure float64   // newest one
-	at     time.Time // of that figure
+	newest figure
+	shared figure    // newest one that peers know
 	usual  float64   // geometric mean of the figures, see usualTime
 	usedAt time.Time // of the newest figure in usual
 	count  int       // of the figures in usual, up to firstReports
+	since  time.Time // first of the figures in a row with at least disturbedFactor; zero: the newest has less
 }
 
 // factor returns how long work took at the time of the newest figure, relative to the
 // server's usual time. Lasting speed is no part of it: Slowness measures that.
-func (r *disturbance) factor() float64 {
-	return min(max(r.figure/r.usual, minDisturbanceFactor), maxDisturbanceFactor)
+func (r *disturbance) factor() float64 { return r.factorOf(r.newest) }
+
+func (r *disturbance) factorOf(f figure) float64 {
+	return min(max(f.value/r.usual, minDisturbanceFactor), maxDisturbanceFactor)
 }
 
 // factorAt returns how long work is expected to take that begins now and would take work
 // on a server as usual, relative to that. A disturbance ends while work goes on, so long
 // work is delayed less than short work.
 func (r *disturbance) factorAt(now time.Time, work, decay time.Duration) float64 {
-	share := remaining(now.Sub(r.at), decay)
+	share := remaining(now.Sub(r.newest.at), decay)
 	if work > 0 {
 		periods := float64(work) / float64(decay)
 		share *= -math.Expm1(-periods) / periods
@@ -63,30 +76,36 @@
 
 // with returns the state after a newer figure. Only figures that are an unbiased sample
 // count in the usual one: peers tell mostly those that differ from it.
-func (r *disturbance) with(figure float64, at time.Time, unbiased bool) *disturbance {
+func (r *disturbance) with(f figure, unbiased bool) *disturbance {
 	if r == nil {
-		return &disturbance{figure: figure, at: at, usual: figure, usedAt: at, count: 1}
+		return &disturbance{newest: f, shared: f, usual: f.value, usedAt: f.at, count: 1}
 	}
 	next := *r
-	next.figure, next.at = figure, at
+	next.newest = f
 	weight := 0.0
 	switch {
 	case r.count < firstReports:
 		next.count++
 		weight = 1 / float64(next.count)
 	case unbiased:
-		weight = min(1.0/firstReports, -math.Expm1(-float64(at.Sub(r.usedAt))/float64(usualTime)))
+		weight = min(1.0/firstReports, -math.Expm1(-float64(f.at.Sub(r.usedAt))/float64(usualTime)))
 	}
 	if weight > 0 {
-		next.usual *= math.Pow(figure/r.usual, weight)
-		next.usedAt = at
+		next.usual *= math.Pow(f.value/r.usual, weight)
+		next.usedAt = f.at
+	}
+	switch {
+	case next.factor() < disturbedFactor:
+		next.since = time.Time{}
+	case r.since.IsZero():
+		next.since = f.at
 	}
 	return &next
 }
 
 // disturbances holds what all servers of a service have in common.
 type disturbances struct {
-	mu       sync.Mutex // held while a report is recorded
+	mu       sync.Mutex // guards decay
 	decay    decayEstimate
 	current  atomic.Int64 // decay time, for readers without the lock
 	reported atomic.Bool  // a server of the service has reported a figure
@@ -114,9 +133,6 @@
 
 // compare records that a server's factor was before, and after an age is now.
 func (e *decayEstimate) compare(before, now float64, age time.Duration) {
-	if math.Abs(before-1) < notableDeviation {
-		return // the prediction is the usual time, whatever the decay
-	}
 	for i, decay := range decayTimes {
 		wrong := (now - 1) - (before-1)*remaining(age, decay)
 		e[i] += wrong*wrong - e[i]/decayMemory
@@ -144,56 +160,77 @@
 	return d
 }
 
+// compare improves the decay time by how a server's factor was before, and is after an age.
+func (d *disturbances) compare(before, now float64, age time.Duration) {
+	if math.Abs(before-1) < notableDeviation {
+		return // the prediction is the usual time, whatever the decay
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decay.compare(before, now, age)
+	d.current.Store(int64(d.decay.best()))
+}
+
 func (d *disturbances) decayTime() time.Duration { return time.Duration(d.current.Load()) }
 
 // RecordDisturbance records the figure with which an answer to this process has said how
 // long work takes on the server's machine.
-func (s *Server) RecordDisturbance(figure float64, now time.Time) {
-	if !(figure >= 1 && figure <= MaxDisturbance) {
+func (s *Server) RecordDisturbance(value float64, now time.Time) {
+	if !isFigure(value) {
 		return
 	}
-	shared := s.disturbances
-	shared.mu.Lock()
+	if s.recordDisturbance(value, now) {
+		s.onDisturbance(s)
+	}
+}
+
+// recordDisturbance reports whether peers are to know the figure.
+func (s *Server) recordDisturbance(value float64, now time.Time) bool {
+	s.disturbanceMu.Lock()
+	defer s.disturbanceMu.Unlock()
 	old := s.disturbance.Load()
-	if old != nil && now.Before(old.at) {
-		now = old.at // another answer was recorded first
+	if old != nil && now.Before(old.newest.at) {
+		now = old.newest.at // another answer was recorded first
 	}
-	next := old.with(figure, now, true)
-	s.disturbance.Store(next)
+	next := old.with(figure{value, now}, true)
 	if old != nil && old.count == firstReports {
-		shared.decay.compare(old.factor(), next.factor(), now.Sub(old.at))
-		shared.current.Store(int64(shared.decay.best()))
+		s.disturbances.compare(old.factor(), next.factor(), now.Sub(old.newest.at))
 	}
-	tell := old == nil || old.count < firstReports || old.surprisedBy(next, shared.decayTime())
-	shared.mu.Unlock()
+	tell := old == nil || old.count < firstReports || next.surprisesPeers(s.disturbances.decayTime())
 	if tell {
-		s.onDisturbance(s)
+		next.shared = next.newest
 	}
+	s.disturbance.Store(next)
+	return tell
 }
 
-// surprisedBy reports whether peers that know the old state expect a notably different
-// time than the next one shows.
-func (r *disturbance) surprisedBy(next *disturbance, decay time.Duration) bool {
-	expected := r.factorAt(next.at, 0, decay)
-	return math.Abs(next.factor()-expected) > notableDeviation*expected
+// surprisesPeers reports whether peers expect a notably different time than the newest figure
+// shows.
+func (r *disturbance) surprisesPeers(decay time.Duration) bool {
+	expected := 1 + (r.factorOf(r.shared)-1)*remaining(r.newest.at.Sub(r.shared.at), decay)
+	return math.Abs(r.factor()-expected) > notableDeviation*expected
 }
 
 // recordPeerDisturbance records a figure that the server has reported to a peer, unless a
 // newer one is known. It reports whether it did.
-func (s *Server) recordPeerDisturbance(figure float64, at time.Time) bool {
-	if !(figure >= 1 && figure <= MaxDisturbance) {
+func (s *Server) recordPeerDisturbance(f figure) bool {
+	if !isFigure(f.value) {
 		return false
 	}
-	s.disturbances.mu.Lock()
-	defer s.disturbances.mu.Unlock()
+	s.disturbanceMu.Lock()
+	defer s.disturbanceMu.Unlock()
 	old := s.disturbance.Load()
-	if old != nil && !at.After(old.at) {
+	if old != nil && !f.at.After(old.newest.at) {
 		return false
 	}
-	s.disturbance.Store(old.with(figure, at, false))
+	next := old.with(f, false)
+	next.shared = f
+	s.disturbance.Store(next)
 	return true
 }
 
+func isFigure(value float64) bool { return value >= 1 && value <= MaxDisturbance }
+
 // DisturbanceFactor returns how long work is expected to take that begins now and would
 // take work on the server as usual, relative to that; 1 for a server that has not reported
 // lately or never.
--- a/directory/disturbance_test.go
+++ b/directory/disturbance_test.go
@@ -203,6 +203,10 @@
 	g.Expect(sent(110, time.Millisecond)).To(gomega.Equal(0))
 	g.Expect(sent(250, time.Millisecond)).To(gomega.Equal(1))
 	g.Expect(sent(250, time.Millisecond)).To(gomega.Equal(0), "as expected a moment later")
+	for range 100 {
+		sent(250, 2*time.Millisecond)
+	}
+	g.Expect(s.disturbance.Load().shared.at).To(gomega.BeTemporally("~", now, defaultDecay), "peers are told that it goes on")
 	g.Expect(sent(250, time.Second)).To(gomega.Equal(1), "expected to be over by now")
 	g.Expect(sent(100, 10*time.Millisecond)).To(gomega.Equal(1), "over earlier than expected")
 	g.Expect(sent(100, time.Second)).To(gomega.Equal(0))
--- a/directory/disturbancereports.go
+++ b/directory/disturbancereports.go
@@ -70,7 +70,7 @@
 		}
 		delete(d.unsentDisturbances, hash)
 		r := s.disturbance.Load()
-		reports = append(reports, DisturbanceReport{Server: hash, Figure: r.figure, Age: max(0, now.Sub(r.at))})
+		reports = append(reports, DisturbanceReport{Server: hash, Figure: r.newest.value, Age: max(0, now.Sub(r.newest.at))})
 	}
 	return reports, false
 }
@@ -83,7 +83,54 @@
 		d.droppedReports.Add(1)
 		return
 	}
-	if s.recordPeerDisturbance(r.Figure, now.Add(-r.Age)) {
+	if s.recordPeerDisturbance(figure{r.Figure, now.Add(-r.Age)}) {
 		d.noteDisturbanceReported(s)
 	}
 }
+
+// ServiceDisturbance summarises what the servers of a service have reported.
+type ServiceDisturbance struct {
+	Service   string
+	Disturbed int           // servers on which work is expected to take notably longer than usual
+	Decay     time.Duration // after which a report has lost most of its meaning
+}
+
+// Disturbances returns a summary for each service whose servers report.
+func (d *Directory) Disturbances(now time.Time) []ServiceDisturbance {
+	var all []ServiceDisturbance
+	view := d.view.Load()
+	for _, service := range view.Services() {
+		if !d.ReportsDisturbance(service) {
+			continue
+		}
+		summary := ServiceDisturbance{Service: service, Decay: d.disturbancesOf(service).decayTime()}
+		for _, s := range view.Service(service) {
+			if s.DisturbanceFactor(0, now) >= disturbedFactor {
+				summary.Disturbed++
+			}
+		}
+		all = append(all, summary)
+	}
+	return all
+}
+
+// LongDisturbance is a server whose reports have said for long that its machine is disturbed.
+type LongDisturbance struct {
+	*Server
+	Figure, Usual float64
+	For           time.Duration
+}
+
+// LongDisturbances returns the servers whose reports have said for longDisturbance, without
+// one that says otherwise, that work takes notably longer than usual.
+func (d *Directory) LongDisturbances(now time.Time) []LongDisturbance {
+	var long []LongDisturbance
+	for _, s := range d.view.Load().byID {
+		r := s.disturbance.Load()
+		if r == nil || r.since.IsZero() || r.newest.at.Sub(r.since) < longDisturbance || now.Sub(r.newest.at) > longDisturbance {
+			continue
+		}
+		long = append(long, LongDisturbance{Server: s, Figure: r.newest.value, Usual: r.usual, For: now.Sub(r.since)})
+	}
+	return long
+}
--- a/directory/server.go
+++ b/directory/server.go
@@ -51,6 +51,7 @@
 	reportedCalls atomic.Int64 // other processes' requests according to its last response
 	reportedAt    atomic.Int64 // Unix nanoseconds of that response
 
+	disturbanceMu sync.Mutex                  // held while a report is recorded
 	disturbance   atomic.Pointer[disturbance] // nil: it has never reported one
 	disturbances  *disturbances               // shared by all servers of the service
 	onDisturbance func(*Server)               // called when it has reported a figure that peers don't expect
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -179,7 +179,7 @@
 	e.loads = fleet.NewLoads(fleet.LoadsOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Directory: e.directory})
 	e.prompts = fleet.NewPrompts(fleet.PromptsOptions{Socket: e.socket, Known: e.fleet.Known(), OtherCells: e.fleet.OtherCells, Directory: e.directory})
 	e.readTimes = fleet.NewPrefillTimes(e.socket, e.fleet.CellPeers, e.directory)
-	e.disturbances = fleet.NewDisturbances(e.socket, e.fleet.CellPeers, e.directory)
+	e.disturbances = fleet.NewDisturbances(fleet.DisturbancesOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Directory: e.directory, Recorder: e.recorder, Metrics: e.registry})
 	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Address: e.settings.Peers, Socket: e.socket, Mark: e.mark, Reached: e.checkedPosition, Size: e.fleet.Size, Fetch: e.fleet.Fetch, Recorder: e.recorder,
 	})
--- a/fleet/disturbances_test.go
+++ b/fleet/disturbances_test.go
@@ -1,13 +1,18 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/event"
 )
 
 // disturbancePair is a VM that sends reports, and one that receives them over a network that
@@ -17,12 +22,14 @@
 	receiver    *Socket
 	sent        [][]byte
 	deliver     bool
+	log         *event.Recorder
+	metrics     *prometheus.Registry
 }
 
 func newDisturbancePair(t *testing.T) *disturbancePair {
 	p := &disturbancePair{here: newThreeServers(), there: newThreeServers(), deliver: true}
 	p.receiver = NewSocket("there", func() []string { return nil }, nil)
-	NewDisturbances(p.receiver, func() []string { return nil }, p.there)
+	NewDisturbances(DisturbancesOptions{Socket: p.receiver, Directory: p.there, Recorder: event.Discard()})
 	sender := NewSocket("here", func() []string { return nil }, nil)
 	sender.write = func(raw []byte, _ string) bool {
 		p.sent = append(p.sent, raw)
@@ -31,9 +38,9 @@
 		}
 		return true
 	}
-	go func() {
-		_ = NewDisturbances(sender, func() []string { return []string{"there"} }, p.here).Run(t.Context())
-	}()
+	p.log, p.metrics = event.NewRecorder(log.NewNopLogger(), 100), prometheus.NewRegistry()
+	d := NewDisturbances(DisturbancesOptions{Socket: sender, CellPeers: func() []string { return []string{"there"} }, Directory: p.here, Recorder: p.log, Metrics: p.metrics})
+	go func() { _ = d.Run(t.Context()) }()
 	synctest.Wait()
 	return p
 }
@@ -154,13 +161,56 @@
 // Guards against a list of senders that grows with each VM that ever was.
 func TestSilentSendersOfDisturbancesAreForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
-	r := NewDisturbances(NewSocket("x", func() []string { return nil }, nil), nil, newThreeServers())
+	r := NewDisturbances(DisturbancesOptions{Socket: NewSocket("x", func() []string { return nil }, nil), Directory: newThreeServers()})
 	now := time.Now()
 	g.Expect(r.isNews("a", header{1, 1}, now)).To(gomega.BeTrue())
 	g.Expect(r.isNews("b", header{1, 1}, now.Add(2*senderTTL))).To(gomega.BeTrue())
 	g.Expect(r.senders).To(gomega.HaveLen(1))
 }
 
+// Operators see servers that are disturbed now and those that are for long, each at most once
+// a minute.
+func TestOperatorsSeeDisturbedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		p := newDisturbancePair(t)
+		p.settle()
+		lines := func() (n int) {
+			for _, entry := range p.log.Entries("") {
+				if entry.ID == EventServerDisturbed.ID() {
+					n++
+				}
+			}
+			return n
+		}
+		report := func(figure float64, during time.Duration) {
+			for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+				server(p.here).RecordDisturbance(figure, time.Now())
+			}
+		}
+		report(250, 2*time.Second)
+		report(100, time.Second)
+		report(250, 2*time.Second)
+		g.Expect(lines()).To(gomega.BeZero())
+		time.Sleep(4 * time.Second)
+		g.Expect(testutil.GatherAndCompare(p.metrics, strings.NewReader(`
+# HELP pearyard_servers_disturbed Backend servers on whose machines work is expected to take half as long again as usual, or more.
+# TYPE pearyard_servers_disturbed gauge
+pearyard_servers_disturbed{service="s"} 0
+`), "pearyard_servers_disturbed")).To(gomega.Succeed(), "the newest report is old")
+		server(p.here).RecordDisturbance(250, time.Now())
+		g.Expect(testutil.GatherAndCompare(p.metrics, strings.NewReader(`
+# HELP pearyard_servers_disturbed Backend servers on whose machines work is expected to take half as long again as usual, or more.
+# TYPE pearyard_servers_disturbed gauge
+pearyard_servers_disturbed{service="s"} 1
+`), "pearyard_servers_disturbed")).To(gomega.Succeed())
+		report(400, 10*time.Second)
+		g.Expect(lines()).To(gomega.Equal(1))
+		report(4000, 50*time.Second)
+		g.Expect(lines()).To(gomega.Equal(1), "within a minute")
+	})
+}
+
 func FuzzDecodeDisturbances(f *testing.F) {
 	f.Add(encodeDisturbances([]directory.DisturbanceReport{{Server: 3, Figure: 250, Age: time.Second}, {Server: 4, Figure: 55, Age: time.Hour}}).raw)
 	f.Add([]byte{1, 2, 3})
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -48,3 +48,8 @@
 // said in an answer that it leaves.
 var EventServerLeaves = event.Define(2749, "fleet_server_leaves", event.Info,
 	"a backend server has said in an answer that it leaves, to this process or to another entry VM (by_peer); it gets no new work, whatever the store lists", "nothing")
+
+// EventServerDisturbed is emitted when a backend server's reports have said for long that
+// work takes notably longer than usual on its machine.
+var EventServerDisturbed = event.Define(2786, "fleet_server_disturbed", event.Warn,
+	"a backend server has reported for seconds on end that work takes longer than usual on its machine, which it shares with others; figure is the newest report, usual the usual one, 100 a machine without others", "find out what else runs on the machine; if it stays, move the server")
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -55,7 +55,7 @@
 		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
 		NewRestarts(s, d)
 		NewPrefillTimes(s, func() []string { return nil }, d)
-		NewDisturbances(s, func() []string { return nil }, d)
+		NewDisturbances(DisturbancesOptions{Socket: s, Directory: d, Recorder: event.Discard()})
 		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
 		NewElection(ElectionOptions{
 			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position, bool) {},
