--- a/exchange/estimate_test.go
+++ b/exchange/estimate_test.go
@@ -312,3 +312,33 @@
 		g.Expect(slow.end).To(gomega.BeNumerically("~", 3*fast.end, fast.end/3), "the utilization of the slow one is higher, too")
 	})
 }
+
+// Guards against a stream's estimate that is too short behind little work on a disturbed
+// machine, and against one that takes a moment's disturbance for all of a long prompt's time.
+func TestEstimateOfFirstEventOnADisturbedMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newTestbed(nil, "a1")
+		server := b.dir.View().Service("s")[0]
+		prompt := server.BeginStream(8000)
+		time.Sleep(time.Second)
+		prompt.PromptPrefilled()
+		prompt.End()
+		first := func(tokens int) float64 {
+			s := &stream{e: b.Exchange, req: &Request{Service: "s", PromptTokens: tokens}}
+			est, measured := s.estimate(server, time.Now())
+			g.Expect(measured).To(gomega.BeTrue())
+			return est.first.Seconds()
+		}
+		for range 20 {
+			server.RecordDisturbance(directory.UsualDisturbance, time.Now())
+			time.Sleep(time.Second)
+		}
+		short, long := first(80), first(80_000)
+		server.RecordDisturbance(300, time.Now())
+		g.Expect(first(80) / short).To(gomega.BeNumerically(">", 2.5))
+		g.Expect(first(80_000) / long).To(gomega.BeNumerically("<", 1.1))
+		time.Sleep(5 * time.Second)
+		g.Expect(first(80) / short).To(gomega.BeNumerically("~", 1, 0.05))
+	})
+}
--- a/fleet/disturbances_test.go
+++ b/fleet/disturbances_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,20 +22,23 @@
 type disturbancePair struct {
 	here, there *directory.Directory
 	receiver    *Socket
+	mu          sync.Mutex // guards the fields below
 	sent        [][]byte
-	deliver     bool
+	lost        bool // datagrams are
 	log         *event.Recorder
 	metrics     *prometheus.Registry
 }
 
 func newDisturbancePair(t *testing.T) *disturbancePair {
-	p := &disturbancePair{here: newThreeServers(), there: newThreeServers(), deliver: true}
+	p := &disturbancePair{here: newThreeServers(), there: newThreeServers()}
 	p.receiver = NewSocket("there", func() []string { return nil }, nil)
 	NewDisturbances(DisturbancesOptions{Socket: p.receiver, Directory: p.there, Recorder: event.Discard()})
 	sender := NewSocket("here", func() []string { return nil }, nil)
 	sender.write = func(raw []byte, _ string) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.sent = append(p.sent, raw)
-		if p.deliver {
+		if !p.lost {
 			p.receiver.dispatch("here", raw, time.Now())
 		}
 		return true
@@ -53,9 +58,23 @@
 		server(p.here).RecordDisturbance(directory.UsualDisturbance, time.Now())
 		time.Sleep(time.Second)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.sent = nil
 }
 
+func (p *disturbancePair) datagrams() [][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.sent)
+}
+
+func (p *disturbancePair) lose(lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = lost
+}
+
 func factor(d *directory.Directory) float64 { return server(d).DisturbanceFactor(0, time.Now()) }
 
 // Guards against a VM that takes a disturbed server for one that is as usual until it has
@@ -75,7 +94,7 @@
 		time.Sleep(minSendInterval)
 		g.Expect(factor(p.there)).To(gomega.BeNumerically("~", 1, 0.05))
 		time.Sleep(time.Minute)
-		g.Expect(p.sent).To(gomega.HaveLen(2), "one each for the beginning and the end")
+		g.Expect(p.datagrams()).To(gomega.HaveLen(2), "one each for the beginning and the end")
 	})
 }
 
@@ -85,7 +104,7 @@
 		p := newDisturbancePair(t)
 		server(p.here).RecordReportedLoad(time.Now(), 3, 0)
 		time.Sleep(time.Minute)
-		gomega.NewWithT(t).Expect(p.sent).To(gomega.BeEmpty())
+		gomega.NewWithT(t).Expect(p.datagrams()).To(gomega.BeEmpty())
 	})
 }
 
@@ -95,11 +114,11 @@
 		g := gomega.NewWithT(t)
 		p := newDisturbancePair(t)
 		p.settle()
-		p.deliver = false
+		p.lose(true)
 		server(p.here).RecordDisturbance(300, time.Now())
 		time.Sleep(200 * time.Millisecond)
 		g.Expect(factor(p.there)).To(gomega.BeNumerically("~", 1, 0.05))
-		p.deliver = true
+		p.lose(false)
 		server(p.here).RecordDisturbance(300, time.Now())
 		time.Sleep(minSendInterval)
 		g.Expect(factor(p.there)).To(gomega.BeNumerically(">", 2))
@@ -115,17 +134,17 @@
 		p.settle()
 		server(p.here).RecordDisturbance(300, time.Now())
 		time.Sleep(2 * time.Second)
-		g.Expect(p.sent).To(gomega.HaveLen(1))
-		p.receiver.dispatch("here", p.sent[0], time.Now())
+		g.Expect(p.datagrams()).To(gomega.HaveLen(1))
+		p.receiver.dispatch("here", p.datagrams()[0], time.Now())
 		g.Expect(factor(p.there)).To(gomega.BeNumerically("~", 1, 0.05), "twice")
-		p.deliver = false
+		p.lose(true)
 		server(p.here).RecordDisturbance(300, time.Now())
 		time.Sleep(minSendInterval)
-		p.deliver = true
+		p.lose(false)
 		server(p.here).RecordDisturbance(directory.UsualDisturbance, time.Now())
 		time.Sleep(minSendInterval)
-		g.Expect(p.sent).To(gomega.HaveLen(3))
-		p.receiver.dispatch("here", p.sent[1], time.Now())
+		g.Expect(p.datagrams()).To(gomega.HaveLen(3))
+		p.receiver.dispatch("here", p.datagrams()[1], time.Now())
 		g.Expect(factor(p.there)).To(gomega.BeNumerically("~", 1, 0.05), "late")
 	})
 }
@@ -151,7 +170,7 @@
 		loads := NewLoads(LoadsOptions{Directory: p.there, Socket: p.receiver})
 		server(p.here).RecordDisturbance(300, time.Now())
 		time.Sleep(minSendInterval)
-		g.Expect(p.sent).To(gomega.HaveLen(1))
+		g.Expect(p.datagrams()).To(gomega.HaveLen(1))
 		g.Expect(factor(p.there)).To(gomega.Equal(1.0))
 		p.receiver.dispatch("here", append(encodeHeader(kindLoads, header{incarnation: p.receiver.incarnation + 1, seq: 9}), encodeLoads([]directory.Load{{Server: server(p.there).Hash(), Streams: 1}}, nil).raw...), time.Now())
 		g.Expect(loads.senders).To(gomega.HaveKey("here"))
