--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -48,7 +48,7 @@
 		down:             s.IsDown(now),
 		limited:          s.RateLimit().inForceAt(now),
 	}
-	if !q.Copy { // which takes no processing time until it is used
+	if !q.Copy && s.ReportsDisturbance() { // a copy takes no processing time until it is used
 		c.disturbance = s.DisturbanceFactor(time.Duration(c.prefillTokens(q))*s.prefillTime(), now) - 1
 	}
 	return c
--- a/directory/disturbance.go
+++ b/directory/disturbance.go
@@ -231,6 +231,10 @@
 
 func isFigure(value float64) bool { return value >= 1 && value <= MaxDisturbance }
 
+// ReportsDisturbance reports whether the server has reported how long work takes on its
+// machine.
+func (s *Server) ReportsDisturbance() bool { return s.disturbance.Load() != nil }
+
 // DisturbanceFactor returns how long work is expected to take that begins now and would
 // take work on the server as usual, relative to that; 1 for a server that has not reported
 // lately or never.
