--- a/directory/pick.go
+++ b/directory/pick.go
@@ -40,7 +40,10 @@
 	peerMemory map[uint32]int64 // what other processes use, by start hash; set if Memory is
 	turns      *partition       // this process, if the last room at a server is taken in turn; nil otherwise
 	stopping   bool             // this process is stopping; set by Pick
-	hashRange  hashRange        // this process's partition; set by Pick if AfterDisruption is set
+	// sharedMachines is set by Pick if the service's servers report how long work takes on
+	// their machines.
+	sharedMachines bool
+	hashRange      hashRange // this process's partition; set by Pick if AfterDisruption is set
 	// sampleShare is the probability with which a server outside the partition is
 	// considered; set by best.
 	sampleShare float64
@@ -69,7 +72,7 @@
 	d.refreshPeerTotals(now)
 	list := d.view.Load().Service(q.Service)
 	zones := countZoneLosses(list, now)
-	q.stopping = d.stopping.Load()
+	q.stopping, q.sharedMachines = d.stopping.Load(), d.ReportsDisturbance(q.Service)
 	q = d.withMemory(q, list, now)
 	if q.Prompt > 0 {
 		d.compareSpeeds(q.Service, list, now)
--- a/directory/server.go
+++ b/directory/server.go
@@ -56,11 +56,17 @@
 	peerCalls     atomic.Int64 // plain calls that other entry VMs have reported to have there
 	hanging       hangingState
 
-	memory       serverMemory
+	memory        serverMemory
+	disturbanceMu sync.Mutex                  // held while a report is recorded
+	disturbance   atomic.Pointer[disturbance] // nil: it has never reported one
+	disturbances  *disturbances               // shared by all servers of the service
+	onDisturbance func(*Server)               // called when it has reported a figure that peers don't expect
+
 	prefillStats prefillStats
 	samples      *prefillSamples   // shared by all starts at its address
 	onSample     func(PrefillTime) // called with each sample of this process; may be nil
 	slowness     atomic.Uint64     // bits of a float64, see compareSpeeds; 0: not compared yet
+	perToken     atomic.Int64      // nanoseconds, see prefillTime
 
 	// hasIssues is set while there is a loss, fault or crash on record. A choice looks at
 	// all servers, thousands at a large site, and takes the lock of only those with
@@ -85,6 +91,7 @@
 	s := &Server{
 		Start: l.Start(), Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: max(1, l.Slots), slotsStated: l.Slots > 0,
 		down: make(chan struct{}), faultAt: now, startHash: l.Start().Hash(), idHash: Hash(l.ID), onLoadChange: onLoadChange, onLimitChange: func() {}, onLeaving: func(LeavingNews, time.Time) {}, samples: &prefillSamples{},
+		disturbances: newDisturbances(), onDisturbance: func(*Server) {},
 	}
 	s.lastSignAt.Store(now.UnixNano())
 	s.setVersion(l.Version)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,7 @@
 	memory          *fleet.Memory
 	readTimes       *fleet.PrefillTimes
 	places          *fleet.Places
+	disturbances    *fleet.Disturbances
 	election        *fleet.Election
 	budgets         *fleet.Budgets
 	serverLimits    *fleet.ServerLimits
@@ -183,6 +184,8 @@
 	e.memory = fleet.NewMemory(fleet.MemoryOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Peers: e.fleet.Peers, Directory: e.directory})
 	e.readTimes = fleet.NewPrefillTimes(e.socket, e.fleet.CellPeers, e.directory)
 	e.places = fleet.NewPlaces(e.socket, e.fleet.CellPeers, e.directory)
+	e.directory.OnDisturbanceReported(e.directory.SharePlaces)
+	e.disturbances = fleet.NewDisturbances(fleet.DisturbancesOptions{Socket: e.socket, CellPeers: e.fleet.CellPeers, Directory: e.directory, Recorder: e.recorder, Metrics: e.registry})
 	e.election = fleet.NewElection(fleet.ElectionOptions{
 		Address: e.settings.Peers, Socket: e.socket, Mark: e.mark, Reached: e.checkedPosition, Size: e.fleet.Size, Fetch: e.fleet.Fetch, Recorder: e.recorder,
 	})
@@ -383,6 +386,7 @@
 	addBackground(&group, e.memory.Run)
 	addBackground(&group, e.readTimes.Run)
 	addBackground(&group, e.places.Run)
+	addBackground(&group, e.disturbances.Run)
 	addBackground(&group, e.prompts.Run)
 	addBackground(&group, e.streamVersions.Run)
 	addBackground(&group, e.awaitServing)
--- a/event/page.go
+++ b/event/page.go
@@ -35,6 +35,8 @@
 	{2790, 2793, "Urgency and refusing in time"},
 	{2794, 2796, "Memory of backend servers"},
 	{2797, 2799, "Places of backend servers"},
+	{2780, 2785, "Versions of the streams of callers that come back"},
+	{2786, 2789, "Machines of backend servers that are shared with others"},
 	{3000, 3099, "Sidecar and stops"},
 	{3100, 3199, "Leases and orders"},
 	{4000, 4099, "Administration"},
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -43,6 +43,7 @@
 		encodeMemory(directory.MemoryReport{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: directory.Hash("a1"), Tokens: 640}}}),
 		encodeRefusals([]refusal{{7, time.Second}}),
 		encodePlaces(directory.PlaceReports{Servers: []directory.PlaceReport{{Server: directory.Hash("a1"), Calls: 3, Overdue: 1}}, Waiting: map[uint32]int{directory.Hash("s"): 2}}),
+		encodeDisturbances([]directory.DisturbanceReport{{Server: directory.Hash("a1"), Figure: 250, Age: time.Second}}),
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
 		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
 		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
@@ -62,6 +63,7 @@
 		NewRestarts(s, d)
 		NewRefusals(s)
 		NewPrefillTimes(s, func() []string { return nil }, d)
+		NewDisturbances(DisturbancesOptions{Socket: s, Directory: d, Recorder: event.Discard()})
 		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
 		NewElection(ElectionOptions{
 			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position, bool) {},
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -50,6 +50,7 @@
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
 // versions that began streams: see streamwire.go. Servers that leave: see encodeLeaving.
 // Requests that were refused: see encodeRefusals.
+// Disturbances of servers: see encodeDisturbances.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
@@ -77,6 +78,7 @@
 	kindMemory       kind = 21
 	kindRefusals     kind = 24
 	kindPlaces       kind = 22
+	kindDisturbances kind = 23
 
 	headerBytes       = 13
 	countBytes        = 4
