--- a/standin/nursery/engine.go
+++ b/standin/nursery/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 )
@@ -17,9 +16,14 @@
 	// meanwhile.
 	MinPrefill, MaxPrefill time.Duration
 	// Memory is the space for prompts, events and KV copies, in tokens; 0 means
-	// unlimited. A request that doesn't fit is refused. When running requests
-	// outgrow the memory, the newest is preempted.
+	// unlimited. A request that doesn't fit waits or is refused. When running requests
+	// outgrow the memory, the newest of the least urgent ones is preempted.
 	Memory int
+	// Places is how many requests run at a time; 0 means unlimited.
+	Places int
+	// Queue is how many requests wait for memory or a place, the most urgent first; more
+	// are refused.
+	Queue int
 }
 
 const (
@@ -35,25 +39,27 @@
 type engine struct {
 	version     string        // of the software; events name it
 	prefillSlot chan struct{} // semaphore of size 1, held during a prefill
+	// disturbed returns how long work takes at this moment. onPreempt is called when a
+	// request is preempted.
+	disturbed func(time.Duration) time.Duration
+	onPreempt func()
 
 	mu            sync.Mutex      // guards the fields below
 	cachedPrompts map[string]bool // by the parts of the prompt, see promptParts
 	limits        EngineLimits
 	used          int           // memory in use by requests and KV copies, in tokens
 	running       []*allocation // of requests that hold memory, the newest last
-	waiting       int           // preempted requests
+	waiting       []*allocation // of preempted and of new requests, which hold nothing
+	arrivals      int           // requests so far
 	changed       chan struct{} // closed and replaced when memory is freed or the limits change
 	prefillEnd    time.Time     // streams are paused until then
 }
 
-// allocation is the engine memory that a request holds.
-type allocation struct {
-	tokens    int
-	preempted bool
-}
-
 func newEngine(limits EngineLimits, version string) *engine {
-	return &engine{version: version, limits: limits, cachedPrompts: map[string]bool{}, prefillSlot: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &engine{
+		version: version, limits: limits, cachedPrompts: map[string]bool{}, prefillSlot: make(chan struct{}, 1), changed: make(chan struct{}),
+		disturbed: func(d time.Duration) time.Duration { return d }, onPreempt: func() {},
+	}
 }
 
 func (e *engine) setLimits(limits EngineLimits) {
@@ -72,42 +78,6 @@
 	return e.limits.Memory <= 0 || e.used+tokens <= e.limits.Memory
 }
 
-// admit allocates memory for a request; it returns false if the engine is full.
-// A request that resumes from a KV copy takes precedence over preempted requests;
-// any other request is refused while a preempted one waits.
-func (e *engine) admit(tokens int, fromCopy bool) (*allocation, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.fitsLocked(tokens) || (e.waiting > 0 && !fromCopy) {
-		return nil, false
-	}
-	a := &allocation{tokens: tokens}
-	e.addLocked(a)
-	return a, true
-}
-
-func (e *engine) addLocked(a *allocation) {
-	e.used += a.tokens
-	e.running = append(e.running, a)
-}
-
-// release frees a request's memory.
-func (e *engine) release(a *allocation) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if a.preempted {
-		e.waiting--
-	} else {
-		e.removeLocked(a)
-	}
-	e.notifyChangedLocked()
-}
-
-func (e *engine) removeLocked(a *allocation) {
-	e.used -= a.tokens
-	e.running = slices.DeleteFunc(e.running, func(x *allocation) bool { return x == a })
-}
-
 // reserveCopy allocates memory for a KV copy. free releases it; it is nil if the
 // engine's memory is unlimited.
 func (e *engine) reserveCopy(tokens int) (free func(), ok bool) {
@@ -150,45 +120,6 @@
 	}
 }
 
-// growLocked adds the memory of one event. It preempts the newest streams until
-// the rest fits again; one stream always keeps running.
-func (e *engine) growLocked(a *allocation) {
-	a.tokens += eventTokens
-	e.used += eventTokens
-	for !e.fitsLocked(0) && len(e.running) > 1 {
-		newest := e.running[len(e.running)-1]
-		e.removeLocked(newest)
-		newest.preempted = true
-		e.waiting++
-	}
-}
-
-// readmit waits until a preempted stream has memory again and then prefills it
-// again. It returns false if the caller disconnected.
-func (e *engine) readmit(ctx context.Context, a *allocation, request string) bool {
-	for {
-		e.mu.Lock()
-		changed := e.changed
-		// Copies alone never block a stream. Otherwise two engines, each full of
-		// the other's copies, would wait for each other forever.
-		fits := e.fitsLocked(a.tokens) || len(e.running) == 0
-		if fits {
-			e.waiting--
-			a.preempted = false
-			e.addLocked(a)
-		}
-		e.mu.Unlock()
-		if fits {
-			return e.prefill(ctx, request)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
 // prefill simulates the prefill of a request's prompt. It returns false if the
 // caller disconnected meanwhile.
 func (e *engine) prefill(ctx context.Context, request string) bool {
@@ -196,7 +127,7 @@
 	limits := e.limits
 	e.mu.Unlock()
 	if limits.MaxPrefill <= 0 {
-		time.Sleep(defaultPrefill)
+		time.Sleep(e.disturbed(defaultPrefill))
 		return true
 	}
 	select {
@@ -208,7 +139,7 @@
 	if !sleep(ctx, prefillGap) {
 		return false
 	}
-	duration := limits.prefillTime(request)
+	duration := e.disturbed(limits.prefillTime(request))
 	e.pauseStreamsUntil(time.Now().Add(duration))
 	finished := sleep(ctx, duration)
 	e.pauseStreamsUntil(time.Now())
--- a/standin/nursery/engine_test.go
+++ b/standin/nursery/engine_test.go
@@ -157,13 +157,13 @@
 	t.Parallel()
 	g := gomega.NewWithT(t)
 	e := newEngine(EngineLimits{Memory: 2010}, DefaultVersion) // two prompts and two events; the third event preempts b
-	a, _ := e.admit(1000, false)
-	b, _ := e.admit(1000, false)
+	a, _ := e.admit(t.Context(), 1000, neutralPriority, false)
+	b, _ := e.admit(t.Context(), 1000, neutralPriority, false)
 	for range 3 {
 		g.Expect(e.step(t.Context(), a, "a")).To(gomega.BeTrue())
 	}
 	g.Expect(b.preempted).To(gomega.BeTrue())
-	_, ok := e.admit(1, false)
+	_, ok := e.admit(t.Context(), 1, neutralPriority, false)
 	g.Expect(ok).To(gomega.BeFalse())
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -171,6 +171,6 @@
 	e.release(b)
 	e.release(a)
 	g.Expect(e.used).To(gomega.BeZero())
-	_, ok = e.admit(2000, false)
+	_, ok = e.admit(t.Context(), 2000, neutralPriority, false)
 	g.Expect(ok).To(gomega.BeTrue())
 }
--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -24,6 +24,8 @@
 	ends     map[string][]RunEnd
 	crashes  []Crash // under poisoned requests
 	rests    []Rest
+
+	preemptions int
 }
 
 // Rest is a request that a server turned away with a wish for rest.
@@ -47,6 +49,19 @@
 	return append([]Rest(nil), l.rests...)
 }
 
+func (l *Ledger) recordPreemption() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.preemptions++
+}
+
+// Preemptions returns how often an engine preempted a request for want of memory.
+func (l *Ledger) Preemptions() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.preemptions
+}
+
 // RunEnd tells how a run ended, as its server saw it.
 type RunEnd string
 
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -55,6 +54,8 @@
 	rateLimit      atomic.Pointer[float64] // that its answers name; nil: none
 	saysLeaving    atomic.Bool             // its answers say that it leaves
 	turnsAway      atomic.Int64            // the rest that it asks for while it turns requests away, in nanoseconds; 0: it takes them
+	disturbance    atomic.Int64            // see Disturb
+	hangs          atomic.Bool             // see Hang
 
 	ownAddress string // that the server listens on
 	crashed    atomic.Bool
@@ -137,9 +138,11 @@
 	s.draining = false
 	s.saysLeaving.Store(false)
 	s.turnsAway.Store(0)
+	s.hangs.Store(false)
 	s.crashed.Store(false)
 	s.cloud.forgetCopies(s.Address)
 	s.engine = newEngine(s.limits, s.version)
+	s.engine.disturbed, s.engine.onPreempt = s.disturbed, s.cloud.Ledger.recordPreemption
 	server := &http.Server{Handler: s.handler(s.engine, s.id, s.startMillis)}
 	s.http, s.listener = server, listener
 	go func() { _ = server.Serve(listener) }()
@@ -302,7 +305,10 @@
 	mux.HandleFunc("DELETE /pearyard/kv-handle/{handle}", func(_ http.ResponseWriter, r *http.Request) {
 		s.cloud.freeCopies(strings.TrimPrefix(r.PathValue("handle"), handlePrefix))
 	})
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", id) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Instance-Id", id)
+		s.reportLoad(w, e)
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(e, id, startMillis, w, r) })
 	return s.announceLeaving(mux)
 }
@@ -317,25 +323,6 @@
 	})
 }
 
-const (
-	handlePrefix = "h"
-	// moveTokens is the memory of a KV copy made by a move; the call doesn't give
-	// its size.
-	moveTokens = 1200
-)
-
-// move copies the KV cache of a running request to another server.
-func (s *Server) move(w http.ResponseWriter, r *http.Request) {
-	var body struct{ ID, To string }
-	_ = json.NewDecoder(r.Body).Decode(&body)
-	handle := handlePrefix + body.ID
-	if !s.cloud.keepCopy(body.ID, body.To, body.To+"|"+s.Address+"/"+handle, moveTokens, 0) {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "created": 0})
-}
-
 // serve handles one request as a backend server does.
 func (s *Server) serve(e *engine, id string, startMillis int64, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("Attempt-Id")
@@ -368,11 +355,15 @@
 		return
 	}
 	defer s.active.Add(-1)
+	if s.hangs.Load() {
+		s.hang(r, run)
+	}
 	if from != "" {
 		s.cloud.freeCopies(request) // the run's own allocation replaces them
 	}
-	memory, ok := e.admit(requestTokens(r, after), from != "")
+	memory, ok := s.admit(e, r, after)
 	if !ok {
+		s.reportLoad(w, e)
 		refuse(w)
 		return
 	}
@@ -391,7 +382,7 @@
 		s.stream(w, r, e, memory, after)
 		return
 	}
-	s.plain(w, r)
+	s.plain(w, r, e)
 }
 
 // fails reports whether a request is answered with an error.
@@ -410,38 +401,3 @@
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// plain answers a request that isn't a stream. It drops LostAnswersPerMille of each
-// thousand responses, evenly spread.
-func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
-	time.Sleep(s.slowed(plainDuration))
-	if lost := s.LostAnswersPerMille.Load(); lost > 0 && s.plainAnswers.Add(1)*lost%1000 < lost {
-		s.cloud.Ledger.recordEnd(r.Header.Get("Attempt-Id"), Interrupted)
-		panic(http.ErrAbortHandler)
-	}
-	answer := PlainAnswer(r.RequestURI, body)
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	if _, err := io.WriteString(w, answer); err != nil {
-		s.recordDisconnect(r)
-		return
-	}
-	s.cloud.Ledger.recordEnd(r.Header.Get("Attempt-Id"), Completed)
-}
-
-// PlainAnswer returns the body of the response to a plain request.
-func PlainAnswer(target string, body []byte) string {
-	if strings.HasPrefix(target, "/large/") {
-		return strings.Repeat("x", LargeAnswerBytes)
-	}
-	return fmt.Sprintf("answer to %s of %d bytes", target, len(body))
-}
-
-// recordDisconnect records that a run ended because its connection closed.
-func (s *Server) recordDisconnect(r *http.Request) {
-	end := Abandoned
-	if s.crashed.Load() {
-		end = Interrupted
-	}
-	s.cloud.Ledger.recordEnd(r.Header.Get("Attempt-Id"), end)
-}
--- a/standin/nursery/stream.go
+++ b/standin/nursery/stream.go
@@ -1,6 +1,7 @@
 package nursery
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -54,6 +55,7 @@
 	}
 	e.cachePrompt(promptParts(r))
 	w.Header().Set("Content-Type", "text/event-stream")
+	s.reportLoad(w, e)
 	flush := http.NewResponseController(w)
 	gap := eventGap
 	if own := s.EventGap.Load(); own > 0 {
@@ -61,7 +63,7 @@
 	}
 	gap = s.slowed(gap)
 	for n := after + 1; n <= s.cloud.length(); n++ {
-		if !sleep(r.Context(), gap) || !e.step(r.Context(), memory, request) {
+		if !sleep(r.Context(), s.disturbed(gap)) || !e.step(r.Context(), memory, request) {
 			return false
 		}
 		s.cloud.notifyEvent(request, n)
@@ -73,6 +75,25 @@
 	return true
 }
 
+const (
+	handlePrefix = "h"
+	// moveTokens is the memory of a KV copy made by a move; the call doesn't give
+	// its size.
+	moveTokens = 1200
+)
+
+// move copies the KV cache of a running request to another server.
+func (s *Server) move(w http.ResponseWriter, r *http.Request) {
+	var body struct{ ID, To string }
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	handle := handlePrefix + body.ID
+	if !s.cloud.keepCopy(body.ID, body.To, body.To+"|"+s.Address+"/"+handle, moveTokens, 0) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "created": 0})
+}
+
 // requestTokens returns the memory of a request that has produced the given number
 // of events, in tokens.
 func requestTokens(r *http.Request, events int) int {
