soak: callers of different urgency compete for servers with little memory and few places

No plan had routes or organisations of different priorities, short memory beside few places, disturbed machines or servers that hang, so that urgency, refusing, the memory ledger and places could be wrong without a red run.

ContentionPlan has three stream routes and two organisations of different priorities, engines with memory for four prompts and three whole streams, plain servers with a place and a short queue, bursts of two to four times the callers (short and long, also overlapping), disturbed servers, servers that hang, kills, stops, cuts, pauses and servers that are back under their id. One caller of eight leaves early; refused callers stay away as Retry-After says.

New checks, of all plans: a refusal names a Retry-After above 0; 2 s after the last caller has left no gauge of waiting requests of a VM (name with waiting, queue, in_flight or in_progress) is above 0. There is none such gauge today; recovery shows by answers (at least 90% served 3 s after the disruptions), as before. Of this plan: the most urgent streams, by route and by organisation, are not served in time (whole, begun within the objective of 1 s) less often than the least urgent ones, by more than four standard errors. The margin is for chance alone, the promise is a share at least as large. Calls that met a VM that was down count for neither kind. "Answered 503 and has run", "runs twice" and the rest are checked as in all plans.

Checks changed: checkRuns expects the second organisation for ids of its callers, "org" for all others as before. left() also says so of a caller whose own patience is over; callers of other plans have none.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -27,6 +27,9 @@
 	Status       int           // HTTP status; 0 if there is no response
 	Complete     bool          // the response was read to its end
 	ToldLeaving  time.Time     // when the response's head came, if it says that its server leaves
+	Begun        time.Time     // when the response's head came; zero if there is none
+	RetryAfter   string        // header of the response
+	patience     time.Duration // after which the caller closes its connection; 0: only at callTimeout
 	leaveAfter   int           // events after which the caller closes its connection; 0: it doesn't
 	before       int           // events of the stream that the caller had before
 	got          streamProgress
@@ -77,14 +80,20 @@
 	for range n {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				c.sendOne()
-				time.Sleep(callerPause)
+				time.Sleep(max(callerPause, c.sendOne()))
 			}
 		})
 	}
 	wg.Wait()
 }
 
+// generateLoadFor is generateLoad for a time.
+func (c *Callers) generateLoadFor(d time.Duration, n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	c.generateLoad(ctx, n)
+}
+
 // Calls returns the calls completed so far.
 func (c *Callers) Calls() []Call {
 	c.mu.Lock()
@@ -96,13 +105,26 @@
 // idempotent route.
 var pathPrefixes = []string{"/stream/", "/once/", "/any/"}
 
-// sendOne sends one request of a random route to a random VM and records it.
-func (c *Callers) sendOne() {
+// sendOne sends one request of a random route to a random VM and records it. It returns how
+// long the caller is to wait before the next one, if it honours Retry-After.
+func (c *Callers) sendOne() time.Duration {
 	vm := c.site.VMs[c.randIntN(len(c.site.VMs))]
-	call := Call{ID: fmt.Sprintf("r%06d", c.nextID.Add(1)), VM: vm.Name}
+	if c.site.size.Contended {
+		call, key := c.contendedCall()
+		return pauseAfter(c.sendTo(vm, call, key))
+	}
+	call := Call{ID: fmt.Sprintf("r%06d", c.nextID.Add(1))}
 	call.Path = pathPrefixes[c.randIntN(len(pathPrefixes))] + call.ID
-	c.send(c.client, vm, &call, "k0")
+	c.sendTo(vm, call, "k0")
+	return 0
+}
+
+// sendTo sends a request to a VM, records it and returns it with its outcome.
+func (c *Callers) sendTo(vm *VM, call Call, key string) Call {
+	call.VM = vm.Name
+	c.send(c.client, vm, &call, key)
 	c.record(call)
+	return call
 }
 
 func (c *Callers) record(call Call) {
@@ -118,7 +140,7 @@
 // send sends one request with an API key, reads and checks the response, and fills in
 // the outcome of call.
 func (c *Callers) send(client *http.Client, vm *VM, call *Call, key string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), call.patienceOr(callTimeout))
 	defer cancel()
 	// The transport calls WroteRequest in a goroutine of its own.
 	var written atomic.Int64 // Unix nanoseconds
@@ -149,7 +171,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	call.Status = resp.StatusCode
+	call.Status, call.Begun, call.RetryAfter = resp.StatusCode, call.Ended, resp.Header.Get("Retry-After")
 	if resp.Header.Get("Server-Leaving") != "" {
 		call.ToldLeaving = call.Ended
 	}
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/pearyard/pearyard/standin/nursery"
 )
 
 // Configuration holds the values in which the versions of a site's configuration differ.
@@ -19,6 +21,7 @@
 	Weights     [2]int // of the two backends of the idempotent route, both the plain service
 	Priority    int    // of the organisation
 	BodyBytes   int    // maximum size of a request body, in bytes
+	Contended   bool   // see Size
 	Connections int    // maximum number of connections per server of the plain service
 }
 
@@ -60,11 +63,16 @@
 	plainBackend := fmt.Sprintf(`"service":%q`, plainService)
 	weightedBackends := fmt.Sprintf(`"backends":[{"service":%q,"weight":%d},{"service":%q,"weight":%d}]`, plainService, c.Weights[0], plainService, c.Weights[1])
 	routes := []string{
-		route("stream", "/stream/", "streaming", fmt.Sprintf(`"service":%q`, modelService), fmt.Sprintf(
-			`"streamResume":true,"maxAttempts":5,"timeoutMs":%d,"targetLatencyMs":1000,"targetGapMs":700`, c.StreamTimeout.Milliseconds())),
+		c.streamRoute("stream", streamPath, 0),
 		route("once", "/once/", "non_idempotent", plainBackend, `"maxAttempts":1,"targetLatencyMs":300,`+plainTimeout),
 		route("any", "/any/", "idempotent", weightedBackends, `"maxAttempts":2,"targetLatencyMs":300,`+plainTimeout),
 	}
+	engine, second := `"backups":true,"moves":true`, ""
+	if c.Contended {
+		routes = append(routes, c.contendedRoutes()...)
+		engine += fmt.Sprintf(`,"kvCapacityTokens":%d,"stride":%d`, contendedEngine.Memory, nursery.EventTokens)
+		second = fmt.Sprintf(`,{"name":%q,"apiKeys":[%q],"priority":%d}`, secondOrganisation, secondKey, c.Priority+1)
+	}
 	for i, path := range c.Extra {
 		routes = append(routes, route(fmt.Sprintf("extra-%d", i), path, "idempotent", plainBackend, `"maxAttempts":2,`+plainTimeout))
 	}
@@ -73,9 +81,24 @@
 		limits += fmt.Sprintf(`,"idleTimeoutMs":%d`, c.IdleTimeout.Milliseconds())
 	}
 	keys, _ := json.Marshal(c.Keys)
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"healthPath":"/healthz","inferenceEngine":{"backups":true,"moves":true}},`+
-		`{"name":%q,"healthPath":"/healthz","maxConnections":%d}],"limits":{%s},"tenants":[{"name":"org","apiKeys":%s,"priority":%d}]}`,
-		version, strings.Join(routes, ","), modelService, plainService, c.Connections, limits, keys, c.Priority)
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"healthPath":"/healthz","inferenceEngine":{%s}},`+
+		`{"name":%q,"healthPath":"/healthz","maxConnections":%d}],"limits":{%s},"tenants":[{"name":"org","apiKeys":%s,"priority":%d}%s]}`,
+		version, strings.Join(routes, ","), modelService, engine, plainService, c.Connections, limits, keys, c.Priority, second)
+}
+
+// streamRoute returns the route of streams of a priority.
+func (c *Configuration) streamRoute(name, path string, priority int) string {
+	return route(name, path, "streaming", fmt.Sprintf(`"service":%q`, modelService), fmt.Sprintf(
+		`"streamResume":true,"maxAttempts":5,"timeoutMs":%d,"targetLatencyMs":%d,"targetGapMs":700,"priority":%d`, c.StreamTimeout.Milliseconds(), inTime.Milliseconds(), priority))
+}
+
+// contendedRoutes returns the less urgent stream routes of a contended site.
+func (c *Configuration) contendedRoutes() []string {
+	var routes []string
+	for priority, path := range contendedPaths[1:] {
+		routes = append(routes, c.streamRoute(fmt.Sprintf("stream-%d", priority+1), path, priority+1))
+	}
+	return routes
 }
 
 // route returns a route as JSON. target and options are fields of the route.
--- a/soak/planned_disruptions.go
+++ b/soak/planned_disruptions.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -46,9 +45,7 @@
 		}
 	}},
 	{Name: "load", Kind: Planned, group: noGroup, run: func(s *Site, _ *rand.Rand, duration time.Duration) {
-		ctx, cancel := context.WithTimeout(context.Background(), duration)
-		defer cancel()
-		s.callers.generateLoad(ctx, loadFactor*callersPerVM*s.size.VMs)
+		s.callers.generateLoadFor(duration, loadFactor*callersPerVM*s.size.VMs)
 	}},
 	{Name: "engines read long prompts in little memory", Kind: Planned, group: noGroup, run: func(s *Site, _ *rand.Rand, duration time.Duration) {
 		s.limitEngines(constrainedEngine)
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,6 +39,8 @@
 	LossChecked int // calls that were sent completely and that no fault may have affected
 	Violations  []string
 	Crashes     int // of servers under poisoned requests
+	Preemptions int // of streams, for want of memory
+	Urgency     urgencyShares
 	Returns     returnCounts
 	Timeline    []Span // disruptions by their start
 	start       time.Time
@@ -46,8 +48,12 @@
 
 // String returns a one-line summary.
 func (r Result) String() string {
-	return fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d of %d callers that came back went on, %d disruptions, %d crashes under poisoned requests, %d violations",
+	line := fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d of %d callers that came back went on, %d disruptions, %d crashes under poisoned requests, %d violations",
 		r.Seed, r.Calls, r.Served, r.LossChecked, r.Returns.wentOn, r.Returns.returned, len(r.Timeline), r.Crashes, len(r.Violations))
+	if r.Urgency != (urgencyShares{}) {
+		line += fmt.Sprintf("; %d preempted; %v", r.Preemptions, r.Urgency)
+	}
+	return line
 }
 
 // FormatTimeline returns the disruptions, one per line.
@@ -85,14 +91,21 @@
 	var calling sync.WaitGroup
 	calling.Go(func() { callers.Run(ctx) })
 	site.limitEngines(plan.Size.Engine)
+	site.limitPlainServers(plan.Size.Plain)
 	result.Timeline = runDisruptions(site, plan)
 	site.limitEngines(nursery.EngineLimits{})
+	site.limitPlainServers(nursery.EngineLimits{})
+	over := time.Now()
 	time.Sleep(settleTime)
 	settled := time.Now()
 	time.Sleep(time.Second) // the calls of this second show whether the site has recovered
 	stop()
 	calling.Wait()
 	result.check(site, callers.Calls(), settled)
+	if plan.Size.Contended {
+		result.Urgency = countByUrgency(callers.Calls(), over)
+		result.Violations = append(result.Violations, result.Urgency.violations()...)
+	}
 	return result, nil
 }
 
@@ -111,6 +124,9 @@
 	r.Returns = countReturns(calls)
 	r.Violations = append(r.Violations, r.Returns.violations()...)
 	r.Violations = append(r.Violations, recoveryViolations(calls, settled)...)
+	r.Violations = append(r.Violations, refusalViolations(calls)...)
+	r.Violations = append(r.Violations, site.queueViolations()...)
+	r.Preemptions = site.Cloud.Ledger.Preemptions()
 	for _, vm := range site.VMs {
 		if n := vm.unexpectedExits.Load(); n > 0 {
 			r.Violations = append(r.Violations, fmt.Sprintf("%s exited unexpectedly %d times", vm.Name, n))
--- a/soak/site.go
+++ b/soak/site.go
@@ -27,7 +27,11 @@
 	// Engine has the limits of the engines of the model service while disruptions go on;
 	// afterwards they have none.
 	Engine nursery.EngineLimits
-	Grace  time.Duration // time from SIGTERM to SIGKILL at a planned stop; 0 means defaultGrace
+	// Plain has the limits of the servers of the plain service in the same time.
+	Plain nursery.EngineLimits
+	// Contended means several stream routes and two organisations of different priorities.
+	Contended bool
+	Grace     time.Duration // time from SIGTERM to SIGKILL at a planned stop; 0 means defaultGrace
 }
 
 // DefaultSize is small enough to run beside other tests: each zone has an entry VM and
@@ -68,6 +72,7 @@
 		return nil, err
 	}
 	s := &Site{Store: store, Cloud: nursery.NewCloud(store), size: size, proxies: map[*nursery.Server]*Proxy{}, configuration: initialConfiguration()}
+	s.configuration.Contended = size.Contended
 	s.Configure(nil)
 	if err := s.startAll(dir); err != nil {
 		// Processes left running would send requests to the ports of later sites.
@@ -151,6 +156,13 @@
 	}
 }
 
+// limitPlainServers sets the limits of the servers of the plain service.
+func (s *Site) limitPlainServers(limits nursery.EngineLimits) {
+	for _, server := range s.Servers[s.size.ModelServers:] {
+		server.SetEngineLimits(limits)
+	}
+}
+
 // Close ends every process that the site started, by its process id.
 func (s *Site) Close() {
 	for _, vm := range s.VMs {
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -84,7 +84,8 @@
 
 // left reports whether the caller itself closed its connection in the middle of a stream.
 func (c Call) left() bool {
-	return c.leaveAfter > 0 && c.got.events == c.leaveAfter && !c.Complete
+	ranOut := c.patience > 0 && c.Ended.Sub(c.Sent) >= c.patience
+	return !c.Complete && (ranOut || (c.leaveAfter > 0 && c.got.events == c.leaveAfter))
 }
 
 // setHeaders names the stream that a request resumes.
--- a/soak/violations.go
+++ b/soak/violations.go
@@ -80,8 +80,8 @@
 		if !strings.HasSuffix(r.Target, id) {
 			violations = append(violations, fmt.Sprintf("%s ran with target %s, which does not end in its id", id, r.Target))
 		}
-		if r.Organisation != "org" {
-			violations = append(violations, fmt.Sprintf("%s ran for organisation %q, expected \"org\"", id, r.Organisation))
+		if want := organisationOf(id); r.Organisation != want {
+			violations = append(violations, fmt.Sprintf("%s ran for organisation %q, expected %q", id, r.Organisation, want))
 		}
 	}
 	if len(runs) > 1 && strings.HasPrefix(runs[0].Target, "/once/") {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -179,6 +180,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// metrics returns the metrics of the VM as text, empty if it doesn't answer.
+func (vm *VM) metrics() string {
+	client := http.Client{Timeout: 500 * time.Millisecond}
+	resp, err := client.Get("http://" + vm.peerAddress + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
 // awaitReady waits until the VM is ready, for at most startTimeout.
 func (vm *VM) awaitReady() error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(readyPollInterval) {
--- a/standin/nursery/admission.go
+++ b/standin/nursery/admission.go
@@ -123,8 +123,8 @@
 // growLocked adds the memory of one event. It preempts the newest of the least urgent
 // requests until the rest fits again; one always keeps running.
 func (e *engine) growLocked(a *allocation) {
-	a.tokens += eventTokens
-	e.used += eventTokens
+	a.tokens += EventTokens
+	e.used += EventTokens
 	for !e.fitsLocked(0) && len(e.running) > 1 {
 		last := e.running[0]
 		for _, x := range e.running[1:] {
--- a/standin/nursery/engine.go
+++ b/standin/nursery/engine.go
@@ -31,8 +31,8 @@
 	// events. Without it, a queue of prompts would stop all streams until the queue
 	// is empty.
 	prefillGap = 80 * time.Millisecond
-	// eventTokens is the memory that one event adds to a stream.
-	eventTokens = 5
+	// EventTokens is the memory that one event adds to a stream.
+	EventTokens = 5
 )
 
 // engine simulates the memory and the compute of one incarnation of a server.
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -395,9 +395,3 @@
 func (s *Server) slowed(d time.Duration) time.Duration {
 	return time.Duration(max(1, s.SlowFactor.Load())) * d
 }
-
-// refuse answers that the request was not executed.
-func refuse(w http.ResponseWriter) {
-	w.Header().Set("Not-Executed", "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
--- a/standin/nursery/stream.go
+++ b/standin/nursery/stream.go
@@ -99,7 +99,7 @@
 func requestTokens(r *http.Request, events int) int {
 	prompt, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
 	n, _ := strconv.Atoi(prompt)
-	return n + events*eventTokens
+	return n + events*EventTokens
 }
 
 // reservedCopy is a KV copy that occupies memory of an engine with limited memory.
--- a/standin/nursery/trouble.go
+++ b/standin/nursery/trouble.go
@@ -82,3 +82,9 @@
 	defer cancel()
 	return e.admit(ctx, requestTokens(r, after), requestPriority(r), r.Header.Get("Kv-From") != "")
 }
+
+// refuse answers that the request was not executed.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
