--- a/soak/doc.go
+++ b/soak/doc.go
@@ -26,4 +26,8 @@
 // A fourth part exposes requests that are lost when their connection is closed as idle:
 // some callers leave their connections idle for most of the idle timeout. Callers that
 // use their connections all the time never reach it.
+//
+// In a contended site stream routes and organisations have different priorities, and while
+// capacity is short the most urgent streams must not be served in time less often than the
+// least urgent ones.
 package soak
