soak: the urgent stream routes have the tighter objectives; shares within a route's own objective are reported

The three stream routes had the same objective, while the customers' most urgent callers can wait least: harbour fixes 4 s, craft guides 10 s. Objectives are 1, 1.25 and 2.5 s now. What counts as a violation is as before, the share that begins within 1 s; the share within the own objective is in the line of the run.

--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -89,7 +89,7 @@
 // streamRoute returns the route of streams of a priority.
 func (c *Configuration) streamRoute(name, path string, priority int) string {
 	return route(name, path, "streaming", fmt.Sprintf(`"service":%q`, modelService), fmt.Sprintf(
-		`"streamResume":true,"maxAttempts":5,"timeoutMs":%d,"targetLatencyMs":%d,"targetGapMs":700,"priority":%d`, c.StreamTimeout.Milliseconds(), inTime.Milliseconds(), priority))
+		`"streamResume":true,"maxAttempts":5,"timeoutMs":%d,"targetLatencyMs":%d,"targetGapMs":700,"priority":%d`, c.StreamTimeout.Milliseconds(), streamObjectives[priority].Milliseconds(), priority))
 }
 
 // contendedRoutes returns the less urgent stream routes of a contended site.
--- a/soak/contention.go
+++ b/soak/contention.go
@@ -22,6 +22,10 @@
 // urgent first.
 var contendedPaths = []string{streamPath, "/stream/1/", "/stream/2/"}
 
+// streamObjectives are the objectives of these routes: the most urgent callers are those that
+// can wait least.
+var streamObjectives = []time.Duration{inTime, inTime * 5 / 4, inTime * 5 / 2}
+
 const (
 	// The second organisation of a contended site comes after the first one. The ids of its
 	// requests have a prefix of their own.
@@ -41,7 +45,7 @@
 	// reconnectPause is the pause of a caller whose VM was down.
 	reconnectPause = 200 * time.Millisecond
 
-	// inTime is how soon a stream must begin; the routes' objective has the same value.
+	// inTime is how soon a stream must begin; it is the objective of the most urgent route.
 	inTime = time.Second
 	// minCompared is the number of streams of either kind from which on kinds are compared.
 	minCompared = 30
@@ -140,12 +144,15 @@
 	return "org"
 }
 
-// streamShare counts the streams of a kind and those of them that were served in time.
-type streamShare struct{ sent, served int }
+// streamShare counts the streams of a kind, those of them that were served in time, and
+// those that were served within the objective of their own route.
+type streamShare struct{ sent, served, withinOwn int }
 
 func (s streamShare) value() float64 { return float64(s.served) / float64(max(1, s.sent)) }
 
-func (s streamShare) String() string { return fmt.Sprintf("%.2f of %d", s.value(), s.sent) }
+func (s streamShare) String() string {
+	return fmt.Sprintf("%.2f (own objective %.2f) of %d", s.value(), streamShare{s.sent, s.withinOwn, 0}.value(), s.sent)
+}
 
 // urgencyShares are the shares of the most and the least urgent streams of a contended site,
 // by route and by organisation.
@@ -164,21 +171,13 @@
 		if !strings.HasPrefix(c.Path, streamPath) || c.left() || !c.answeredByVM() || !c.Sent.Before(before) {
 			continue
 		}
-		route, organisation := &shares.firstRoute, &shares.firstOrganisation
-		switch {
-		case strings.HasPrefix(c.Path, contendedPaths[2]):
-			route = &shares.lastRoute
-		case strings.HasPrefix(c.Path, contendedPaths[1]):
-			route = &streamShare{}
-		}
+		priority := routePriority(c.Path)
+		route, organisation := []*streamShare{&shares.firstRoute, {}, &shares.lastRoute}[priority], &shares.firstOrganisation
 		if organisationOf(c.ID) == secondOrganisation {
 			organisation = &shares.lastOrganisation
 		}
 		for _, share := range []*streamShare{route, organisation} {
-			share.sent++
-			if c.Status == 200 && c.Complete && c.Begun.Sub(c.Sent) <= inTime {
-				share.served++
-			}
+			share.add(c, streamObjectives[priority])
 		}
 	}
 	return shares
@@ -188,6 +187,30 @@
 	return fmt.Sprintf("streams in time, first and last route: %v, %v; first and last organisation: %v, %v", u.firstRoute, u.lastRoute, u.firstOrganisation, u.lastOrganisation)
 }
 
+// routePriority returns the priority of the stream route of a path.
+func routePriority(path string) int {
+	for priority, prefix := range slices.Backward(contendedPaths) {
+		if strings.HasPrefix(path, prefix) {
+			return priority
+		}
+	}
+	return 0
+}
+
+// add counts a call to a route with an objective.
+func (s *streamShare) add(c Call, objective time.Duration) {
+	s.sent++
+	if c.Status != 200 || !c.Complete {
+		return
+	}
+	if c.Begun.Sub(c.Sent) <= inTime {
+		s.served++
+	}
+	if c.Begun.Sub(c.Sent) <= objective {
+		s.withinOwn++
+	}
+}
+
 // violations returns a violation for each kind that was served worse than a less urgent one.
 func (u urgencyShares) violations() []string {
 	var violations []string
@@ -196,7 +219,7 @@
 		if min(first.sent, last.sent) < minCompared {
 			continue
 		}
-		all := streamShare{first.sent + last.sent, first.served + last.served}.value()
+		all := streamShare{first.sent + last.sent, first.served + last.served, 0}.value()
 		standardError := math.Sqrt(all * (1 - all) * (1/float64(first.sent) + 1/float64(last.sent)))
 		if first.value() < last.value()-urgencyMargin*standardError {
 			violations = append(violations, fmt.Sprintf("more urgent streams were served worse: %v in time, %v of the less urgent ones", first, last))
