--- a/entry/disturbance_test.go
+++ b/entry/disturbance_test.go
@@ -14,10 +14,10 @@
 	env := startServing(t, 2, nil)
 	peer := env.startPeer("edge-2")
 	for _, s := range env.servers {
-		s.SayDisturbed(100)
+		s.Disturb(100)
 	}
 	g.Expect(sendFor(2*time.Second, "/once/before/", env, peer)).To(gomega.BeZero())
-	env.servers[0].SayDisturbed(400)
+	env.servers[0].Disturb(400)
 	since := time.Now()
 	g.Expect(sendFor(2*time.Second, "/once/during/", env, peer)).To(gomega.BeZero())
 	disturbed, other := env.arrivalsSince(env.servers[0], since), env.arrivalsSince(env.servers[1], since)
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -53,7 +53,6 @@
 	SlowFactor     atomic.Int64
 	rateLimit      atomic.Pointer[float64] // that its answers name; nil: none
 	saysLeaving    atomic.Bool             // its answers say that it leaves
-	disturbance    atomic.Int64            // fourth figure of its load header; 0: its answers have no such header
 	turnsAway      atomic.Int64            // the rest that it asks for while it turns requests away, in nanoseconds; 0: it takes them
 	disturbance    atomic.Int64            // see Disturb
 	hangs          atomic.Bool             // see Hang
@@ -196,10 +195,6 @@
 // is.
 func (s *Server) SayLeaving() { s.saysLeaving.Store(true) }
 
-// SayDisturbed makes all answers say how long work takes on the server's machine, 100 as
-// usual.
-func (s *Server) SayDisturbed(figure int) { s.disturbance.Store(int64(figure)) }
-
 // TurnAway makes the server turn requests away, each with a wish for rest. A time of 0 ends
 // that.
 func (s *Server) TurnAway(rest time.Duration) { s.turnsAway.Store(int64(rest)) }
@@ -315,19 +310,15 @@
 		s.reportLoad(w, e)
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.serve(e, id, startMillis, w, r) })
-	return s.describeItself(mux)
+	return s.announceLeaving(mux)
 }
 
-// describeItself adds to each answer that the server leaves, if it does, and how disturbed its
-// machine is, if it says so.
-func (s *Server) describeItself(next http.Handler) http.Handler {
+// announceLeaving adds to each answer that the server leaves, if it does.
+func (s *Server) announceLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.saysLeaving.Load() {
 			w.Header().Set("Server-Leaving", "1")
 		}
-		if figure := s.disturbance.Load(); figure > 0 {
-			w.Header().Set("Instance-Load", fmt.Sprintf("0,0,6,%d", figure))
-		}
 		next.ServeHTTP(w, r)
 	})
 }
