fleet, admission: less urgent streams give way to more urgent ones of other VMs

Cause: thirty VMs get less than one stream a second each, so that the queue of a VM seldom holds two and its order decides little. Change: a VM tells the others the most urgent class that it holds back; where one is held back, less urgent streams start at idle servers and by their kept share only. Ruled out: lower limits for less urgent classes (they would leave servers idle when no urgent stream comes).

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -29,6 +29,9 @@
 	Room     bool // a server has memory for the stream
 	Measured bool // First and Reading are known
 	Backlog  bool // prompts are queued at the best server
+	// UrgentHeld is set if a more urgent stream is held back at another process: it waits, or
+	// was refused a moment ago.
+	UrgentHeld bool
 	// First is the time to the first event at the best server, Reading the part of it in
 	// which the stream's own prompt is read.
 	First, Reading time.Duration
@@ -135,6 +138,9 @@
 	if l.Kept {
 		return o.UrgentObjective
 	}
+	if l.UrgentHeld {
+		return 0 // it may have an idle server, but no place in a backlog
+	}
 	free := leastUrgentHeadroom * float64(o.Rank) / float64(max(1, o.Ranks-1))
 	return min(time.Duration((1-free)*float64(o.UrgentObjective)), o.UrgentObjective-l.Reading)
 }
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -80,3 +80,18 @@
 	ahead.Interval = time.Second
 	g.Expect(Decide(offerOf(2), ahead, epoch).Verdict).To(gomega.Equal(Wait))
 }
+
+// Guards against a less urgent stream that starts while a more urgent one is refused at another
+// process.
+func TestLessUrgentStreamGivesWayToOtherProcesses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	held := behind(500 * time.Millisecond)
+	g.Expect(Decide(offerOf(2), held, epoch).Verdict).To(gomega.Equal(Start))
+	held.UrgentHeld = true
+	g.Expect(Decide(offerOf(2), held, epoch).Verdict).To(gomega.Equal(Wait))
+	idle := behind(0)
+	idle.UrgentHeld = true
+	g.Expect(Decide(offerOf(2), idle, epoch).Verdict).To(gomega.Equal(Start), "an idle server is of use to nobody else")
+	held.Kept = true
+	g.Expect(Decide(offerOf(2), held, epoch).Verdict).To(gomega.Equal(Start), "its class has a share")
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,6 +99,7 @@
 	serverLimits    *fleet.ServerLimits
 	leaving         *fleet.Leaving
 	refusals        *fleet.Refusals
+	pressure        *fleet.Pressure
 	suspects        *suspect.Ledger
 	suspectGossiper *suspect.Gossiper
 	rollouts        *rollout.Controller
@@ -198,6 +199,7 @@
 	})
 	e.leaving = fleet.NewLeaving(fleet.LeavingOptions{Socket: e.socket, Directory: e.directory, Recorder: e.recorder})
 	e.refusals = fleet.NewRefusals(e.socket)
+	e.pressure = fleet.NewPressure(e.socket, e.fleet.CellPeers)
 	e.streamVersions = fleet.NewStreamVersions(fleet.StreamVersionsOptions{
 		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory,
 		ListAge: e.serverFollower.Age, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
@@ -303,7 +305,7 @@
 		e.recorder.Emit(EventServerRests, "server", s.Start, "service", s.Service, "zone", s.Zone, "asked", asked, "granted", granted)
 	}
 	e.exchange = exchange.New(exchange.Options{
-		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts, Refusals: e.refusals, StreamVersions: e.streamVersions,
+		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts, Refusals: e.refusals, Pressure: e.pressure, StreamVersions: e.streamVersions,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
 		Suspects: e.suspects, Grants: e.suspectGossiper, Recorder: e.recorder, Metrics: e.registry,
 		RetryWindow: s.RetryWindow, RetryRatio: retryBudgetShare * s.RetryRatio,
@@ -395,6 +397,7 @@
 	addBackground(&group, e.serverLimits.Run)
 	addBackground(&group, e.leaving.Run)
 	addBackground(&group, e.refusals.Run)
+	addBackground(&group, e.pressure.Run)
 	addBackground(&group, e.rolloutMessages.Run)
 	addBackground(&group, e.decider.Run)
 	addBackground(&group, e.suspects.Run)
--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -163,7 +163,11 @@
 		if !available {
 			return nil // whoever chooses the server waits for one
 		}
+		look.UrgentHeld = s.e.holdsBackBefore(s.req.Service, offer.Rank)
 		d, l := ticket.Decide(look, now)
+		if d.Verdict != admission.Start && !offer.Bound {
+			s.e.reportHeldBack(s.req.Service, offer.Rank)
+		}
 		switch d.Verdict {
 		case admission.Start:
 			m.started(waits, now.Sub(began))
@@ -182,6 +186,23 @@
 	}
 }
 
+// holdsBackBefore reports whether another process holds back a stream that is more urgent than
+// a rank.
+func (e *Exchange) holdsBackBefore(service string, rank int) bool {
+	if e.opts.Pressure == nil {
+		return false
+	}
+	urgent, ok := e.opts.Pressure.MostUrgent(service)
+	return ok && urgent < rank
+}
+
+// reportHeldBack tells other processes that this one holds back a stream of a rank.
+func (e *Exchange) reportHeldBack(service string, rank int) {
+	if e.opts.Pressure != nil {
+		e.opts.Pressure.HoldBack(service, rank)
+	}
+}
+
 // awaitLook waits until the stream is to be looked at again.
 func (s *stream) awaitLook(ctx context.Context, t *admission.Ticket) error {
 	interval := behindInterval
--- a/exchange/admit_test.go
+++ b/exchange/admit_test.go
@@ -303,3 +303,38 @@
 		g.Expect(inTime).To(gomega.BeNumerically(">=", 60), "half of what the servers can begin")
 	})
 }
+
+// heldElsewhere is a Pressure of which other processes hold back a rank.
+type heldElsewhere struct {
+	rank int
+	mu   sync.Mutex
+	own  []int
+}
+
+func (p *heldElsewhere) HoldBack(_ string, rank int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.own = append(p.own, rank)
+}
+
+func (p *heldElsewhere) MostUrgent(string) (int, bool) { return p.rank, true }
+
+// The load is one stream of each class while another process refuses streams of the second one.
+func TestStreamsGiveWayToMoreUrgentOnesOfOtherProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		vm, _ := newWarmVM(t, 1)
+		pressure := &heldElsewhere{rank: 1}
+		vm.opts.Pressure = pressure
+		first := vm.playAs(t.Context(), "first", []time.Duration{0}, competing(0))
+		g.Expect(first[0].err).NotTo(gomega.HaveOccurred())
+		go vm.playAs(t.Context(), "busy", []time.Duration{0}, competing(1))
+		time.Sleep(10 * time.Millisecond)
+		last := vm.playAs(t.Context(), "last", []time.Duration{0}, competing(2))
+		g.Expect(last[0].err).NotTo(gomega.HaveOccurred())
+		pressure.mu.Lock()
+		defer pressure.mu.Unlock()
+		g.Expect(pressure.own).To(gomega.HaveEach(2), "the stream of the second class starts at once, the last one waits")
+		g.Expect(pressure.own).NotTo(gomega.BeEmpty())
+	})
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -49,6 +49,8 @@
 	StreamVersions StreamVersions
 	// Refusals, if set, knows the callers that come back after a refusal.
 	Refusals Refusals
+	// Pressure, if set, knows the classes of streams that other processes hold back.
+	Pressure Pressure
 	// Restarts, if set, detects restarted servers while the store can't report them.
 	Restarts *RestartDetector
 }
@@ -73,6 +75,15 @@
 	RetryAfter(service string) time.Duration
 }
 
+// Pressure knows which classes of a service's streams processes hold back: they wait for a
+// server, or were refused for lack of one.
+type Pressure interface {
+	// HoldBack records that this process holds back a stream of a rank.
+	HoldBack(service string, rank int)
+	// MostUrgent returns the most urgent rank that other processes hold back; false: none.
+	MostUrgent(service string) (rank int, ok bool)
+}
+
 // Refusals knows which requests were refused because they would have begun too late, by any
 // process.
 type Refusals interface {
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -42,6 +42,7 @@
 		encodeAnnouncement(announcement{healthy: true, config: at(1 << 63)}), encodeRestart(directory.Hash("a1"), directory.Start{ID: "a2"}), {kindBudget, encodeTryCounts([]tryCounts{{1, 2, 3}})}, encodePrefillTimes([]directory.PrefillTime{{Server: directory.Hash("a1"), PerToken: time.Millisecond}}),
 		encodeMemory(directory.MemoryReport{Last: math.MaxUint32, Uses: []directory.MemoryUse{{Server: directory.Hash("a1"), Tokens: 640}}}),
 		encodeRefusals([]refusal{{7, time.Second}}),
+		encodePressure(map[uint32]uint8{7: 3}),
 		encodePlaces(directory.PlaceReports{Servers: []directory.PlaceReport{{Server: directory.Hash("a1"), Calls: 3, Overdue: 1}}, Waiting: map[uint32]int{directory.Hash("s"): 2}}),
 		encodeDisturbances([]directory.DisturbanceReport{{Server: directory.Hash("a1"), Figure: 250, Age: time.Second}}),
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
@@ -62,6 +63,7 @@
 		NewPlaces(s, func() []string { return nil }, d)
 		NewRestarts(s, d)
 		NewRefusals(s)
+		NewPressure(s, func() []string { return nil })
 		NewPrefillTimes(s, func() []string { return nil }, d)
 		NewDisturbances(DisturbancesOptions{Socket: s, Directory: d, Recorder: event.Discard()})
 		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -77,6 +77,7 @@
 	kindAnnouncement kind = 20
 	kindMemory       kind = 21
 	kindRefusals     kind = 24
+	kindPressure     kind = 25
 	kindPlaces       kind = 22
 	kindDisturbances kind = 23
 
