--- a/entry/urgency_test.go
+++ b/entry/urgency_test.go
@@ -33,10 +33,11 @@
 		patient.Replace(testRoute("/last/", "streaming", `"maxAttempts":1,"timeoutMs":20000,"priority":2`)))
 	g.Eventually(env.isReady, "10s", "10ms").Should(gomega.BeTrue())
 	server := env.servers[0]
-	server.EventGap.Store(int64(fastGap))
-	g.Expect(env.send(testRequest{id: "measures", path: "/first/1", extraHeader: "Token-Usage: 100,40\r\n"}).readHead().readRest().Err).To(gomega.Succeed())
+	// A prompt of 20,000 tokens is expected to take 20 times as long as the first event of this
+	// stream: a second or more.
+	g.Expect(env.send(testRequest{id: "measures", path: "/first/1", extraHeader: "Token-Usage: 1000,40\r\n"}).readHead().readRest().Err).To(gomega.Succeed())
 	server.EventGap.Store(int64(time.Hour))
-	env.send(testRequest{id: "long", path: "/first/2", extraHeader: "Token-Usage: 100000,40\r\n"})
+	env.send(testRequest{id: "long", path: "/first/2", extraHeader: "Token-Usage: 20000,40\r\n"})
 	g.Eventually(server.ActiveRequests, "5s", "5ms").Should(gomega.BeEquivalentTo(1))
 	waits := env.send(testRequest{id: "waits", path: "/last/1", extraHeader: "Token-Usage: 10,40\r\n"})
 	g.Eventually(func() float64 { return env.gaugeOf("pearyard_admission_waiting") }, "5s", "5ms").Should(gomega.BeEquivalentTo(1))
--- a/fleet/refusals_test.go
+++ b/fleet/refusals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,12 +13,12 @@
 )
 
 // twoRefusals returns the refusals of two VMs that reach each other while up is true.
-func twoRefusals(ctx context.Context, up *bool) (a, b *Refusals) {
+func twoRefusals(ctx context.Context, up *atomic.Bool) (a, b *Refusals) {
 	sockets := map[string]*Socket{}
 	vm := func(name, other string) *Refusals {
 		s := NewSocket(name, func() []string { return []string{other} }, nil)
 		s.write = func(raw []byte, to string) bool {
-			if *up {
+			if up.Load() {
 				sockets[to].dispatch(name, raw, time.Now())
 			}
 			return true
@@ -33,7 +34,8 @@
 func TestRefusedCallerIsKnownAtOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		up := true
+		var up atomic.Bool
+		up.Store(true)
 		a, b := twoRefusals(t.Context(), &up)
 		a.Record(7, time.Now().Add(3*time.Second))
 		a.Record(8, time.Now().Add(3*time.Second))
@@ -52,11 +54,11 @@
 func TestLostReportOfRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		up := false
+		var up atomic.Bool
 		a, b := twoRefusals(t.Context(), &up)
 		a.Record(7, time.Now().Add(time.Minute))
 		time.Sleep(time.Second)
-		up = true
+		up.Store(true)
 		a.Record(8, time.Now().Add(time.Minute))
 		time.Sleep(time.Second)
 		g.Expect(b.Returns(7)).To(gomega.BeFalse())
