--- a/directory/places.go
+++ b/directory/places.go
@@ -278,12 +278,12 @@
 // or what the server itself has just reported if that is more. A process of another cell
 // reports nothing here.
 func (s *Server) callsOfOthers(now time.Time) float64 {
-	told := float64(s.peerCalls.Load())
+	byPeers := float64(s.peerCalls.Load())
 	age := now.UnixNano() - s.reportedAt.Load()
 	if age >= int64(reportedPlacesTTL) {
-		return told
+		return byPeers
 	}
-	return max(told, float64(s.reportedCalls.Load())*(1-float64(age)/float64(reportedPlacesTTL)))
+	return max(byPeers, float64(s.reportedCalls.Load())*(1-float64(age)/float64(reportedPlacesTTL)))
 }
 
 // CallsThere returns the number of plain calls of all processes that the server is believed to
@@ -297,11 +297,11 @@
 
 // Places is what is believed of the places of a service's servers.
 type Places struct {
-	Servers  int // that may be used
-	Total    int // places of these servers
-	Free     int // calls that they can be sent until all places and the spare ones are taken
-	LeastLag int // calls ahead of a new one at the server with the fewest for its places
-	LagOf    int // places of that server
+	Servers     int // that may be used
+	Total       int // places of these servers
+	Free        int // calls that they can be sent until all places and the spare ones are taken
+	Ahead       int // calls ahead of a new one at the server with the fewest for its places
+	AheadPlaces int // places of that server
 	// Waiting and PeersWaiting are the calls that wait for a place here and at the peers.
 	Waiting, PeersWaiting int
 	UsualTime             time.Duration // of a call; 0: not measured
@@ -324,8 +324,8 @@
 			places = max(places, there+1) // no call waits for places of which nothing is known
 		}
 		out.Free += max(0, places+spare(places)-there)
-		if out.LagOf == 0 || there*out.LagOf < out.LeastLag*places {
-			out.LeastLag, out.LagOf = there, places
+		if out.AheadPlaces == 0 || there*out.AheadPlaces < out.Ahead*places {
+			out.Ahead, out.AheadPlaces = there, places
 		}
 	}
 	return out
--- a/exchange/places.go
+++ b/exchange/places.go
@@ -80,14 +80,14 @@
 // It answers servers whose places are all taken for longer than the objective. If late calls
 // went first whenever there are more calls than places, all of them would be late.
 func (l lateCall) maySend() bool {
-	if l.places.LagOf == 0 || l.inTime > 0 {
+	if l.places.AheadPlaces == 0 || l.inTime > 0 {
 		return false
 	}
 	peersWait := float64(l.places.PeersWaiting) / float64(l.places.Total) * float64(l.places.UsualTime)
 	if peersWait > lateYield*float64(l.objective) {
 		return false
 	}
-	rounds := float64(l.places.LeastLag-l.places.LagOf+1) / float64(l.places.LagOf)
+	rounds := float64(l.places.Ahead-l.places.AheadPlaces+1) / float64(l.places.AheadPlaces)
 	if rounds > lateRounds {
 		return false
 	}
--- a/exchange/places_test.go
+++ b/exchange/places_test.go
@@ -95,7 +95,7 @@
 func TestLateCalls(t *testing.T) {
 	usual := 30 * time.Millisecond
 	full := func(ahead int) directory.Places {
-		return directory.Places{Servers: 3, Total: 18, LeastLag: ahead, LagOf: 6, UsualTime: usual}
+		return directory.Places{Servers: 3, Total: 18, Ahead: ahead, AheadPlaces: 6, UsualTime: usual}
 	}
 	waiting := func(peers int) directory.Places {
 		p := full(8)
--- a/exchange/waitingroom.go
+++ b/exchange/waitingroom.go
@@ -149,7 +149,7 @@
 	for range going {
 		r.end(0, nil)
 	}
-	places.LeastLag += going
+	places.Ahead += going
 	r.endLate(places, now)
 }
 
@@ -173,7 +173,7 @@
 		case now.Before(w.latest):
 			i++
 		case lateCall{places: places, inTime: inTime, left: w.deadline.Sub(now), objective: w.objective}.maySend():
-			places.LeastLag++
+			places.Ahead++
 			r.end(i, nil)
 		default:
 			r.end(i, ErrPlacesTaken)
