--- a/exchange/placesmodel_test.go
+++ b/exchange/placesmodel_test.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	slowness float64 // how many times as long work takes
 	hangs    bool
+	hangPart float64 // of its calls that get no answer
 	running  int
 	queue    []chan struct{}
 	shed     int
@@ -129,7 +130,7 @@
 	e.mu.Lock()
 	e.ids[id]++
 	work := time.Duration(float64(fewWork) * e.slowness * math.Exp(0.4*rand.NormFloat64()-0.08))
-	hangs, cut := e.hangs, e.cut
+	hangs, cut := e.hangs || rand.Float64() < e.hangPart, e.cut
 	e.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
