directory, admission: scarce room is taken in turn; a class is not taken to be held back between two streams

Cause, first: streams wait longer with the admission queue than alone (up to half of their objective in place of 0.4 s), so that more VMs have some when a server becomes empty; three of them sent a stream each to a server that holds two. Cause, second: a class that was seen to be held back counted as held back for 2 s after. A VM with less than one stream a second saw it at arrivals only, and refused each of them without a wait, though the class could start in between; classes with longer objectives waited and took the room.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -15,9 +15,11 @@
 	// Priority that grows with the time waited would not do: streams that are expected to
 	// begin late are refused at once, so that they never grow old.
 	keptShare = 0.2
-	// gateMemory is for how long it is assumed that a class which could not start still
-	// can't. It bridges the time between two streams at a process that gets few.
-	gateMemory = 2 * time.Second
+	// gateMemory is for how long a class that could not start is assumed to be unable to. Streams
+	// that wait look more often than that. It must not bridge the time between two streams at
+	// a process that gets few: a class that was looked at seldom may have been able to start
+	// meanwhile, and each of its streams would be refused without a wait.
+	gateMemory = 500 * time.Millisecond
 	// rateWindow is the time constant with which starts from the queue are forgotten.
 	rateWindow = 5 * time.Second
 	// minStarts is from how many starts on their mean interval is known. Servers that took
--- a/directory/memory.go
+++ b/directory/memory.go
@@ -127,11 +127,11 @@
 		return true
 	}
 	m := s.memoryState(q.peerMemory, now)
-	return m.fits(q) && (q.turns == nil || !m.isLastRoom(q) || q.turns.isOurs(s, now))
+	return m.fits(q) && (q.turns == nil || !m.isScarce(q) || q.turns.isOurs(s, now))
 }
 
 // withMemory returns the query with what other processes use of the servers' memory, and
-// whether the last room at a server is taken in turn.
+// whether scarce room at a server is taken in turn.
 //
 // A copy may exceed its limit by a race, and a stream that was lost can't wait for its turn.
 func (d *Directory) withMemory(q Query, list []*Server, now time.Time) Query {
@@ -156,13 +156,17 @@
 	return q
 }
 
-// isLastRoom reports whether no other such stream would fit beside what a query is for.
-func (m memoryState) isLastRoom(q Query) bool {
-	return m.inUse()+2*int64(q.Memory) > int64(q.MemoryLimit)
+// scarceRooms is for how many streams a server has room at most where it is taken in turn. More
+// processes than two seldom send a stream to the same server before they know of each other's.
+const scarceRooms = 2
+
+// isScarce reports whether a server has room for no more than scarceRooms such streams.
+func (m memoryState) isScarce(q Query) bool {
+	return m.inUse()+(scarceRooms+1)*int64(q.Memory) > int64(q.MemoryLimit)
 }
 
 const (
-	// turnTime is how long a process may take the last room at a server before it is the
+	// turnTime is how long a process may take scarce room at a server before it is the
 	// next one's turn. It exceeds turnGuard by more than the interval at which a waiting
 	// stream looks for a server.
 	turnTime = 100 * time.Millisecond
@@ -171,7 +175,7 @@
 	turnGuard = 40 * time.Millisecond
 )
 
-// isOurs reports whether it is this process's turn to take the last room at a server. It
+// isOurs reports whether it is this process's turn to take scarce room at a server. It
 // answers the load of more streams than fit into the servers' memory, at many processes: all
 // would choose the same server where some comes free, before they know of each other's choice.
 // Where clocks differ, two processes may have the same turn, which is no worse than none.
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -38,7 +38,7 @@
 	Memory, MemoryLimit int
 
 	peerMemory map[uint32]int64 // what other processes use, by start hash; set if Memory is
-	turns      *partition       // this process, if the last room at a server is taken in turn; nil otherwise
+	turns      *partition       // this process, if scarce room at a server is taken in turn; nil otherwise
 	stopping   bool             // this process is stopping; set by Pick
 	// sharedMachines is set by Pick if the service's servers report how long work takes on
 	// their machines.
