directory: streams go to other zones as before; the weight of zones taken out

The test of demand that moves keeps its load and both checks that the choice has to meet: nobody waits behind a full zone while another has room, and most stay while all have room.

--- a/directory/candidate.go
+++ b/directory/candidate.go
@@ -104,11 +104,6 @@
 	limitedWeight = 2000.0
 	// otherZoneWeight breaks ties in favour of the process's own zone.
 	otherZoneWeight = 150.0
-	// otherZoneStreamWeight takes its place for streams of services whose servers share their
-	// machines. It equals two running streams: VMs of several zones that see the same idle
-	// servers crowd them, and an event crosses zones for each that a caller gets. It is below
-	// a queued prompt, so that none waits for one while another zone has room.
-	otherZoneStreamWeight = 2 * streamWeight
 	// maxFaults is the number of recent faults above which a server is used only if no
 	// other is available.
 	maxFaults = 2.5
@@ -141,7 +136,7 @@
 		score += limitedWeight
 	}
 	if c.otherZone {
-		score += q.otherZoneWeight()
+		score += otherZoneWeight
 	}
 	if c.outsidePartition {
 		score += outsidePartitionWeight
@@ -164,13 +159,6 @@
 	return ahead + c.disturbance*(ahead+float64(c.slots)/2)
 }
 
-func (q Query) otherZoneWeight() float64 {
-	if q.sharedMachines && q.Prompt > 0 && !q.Copy {
-		return otherZoneStreamWeight
-	}
-	return otherZoneWeight
-}
-
 // perCopyWeight returns the weight of each copy that a server holds already.
 func (q Query) perCopyWeight() float64 {
 	if q.Copy {
--- a/directory/pick.go
+++ b/directory/pick.go
@@ -28,11 +28,8 @@
 	// load.
 	AfterDisruption bool
 
-	stopping bool // this process is stopping; set by Pick
-	// sharedMachines is set by Pick if the service's servers report how long work takes on
-	// their machines.
-	sharedMachines bool
-	hashRange      hashRange // this process's partition; set by Pick if AfterDisruption is set
+	stopping  bool      // this process is stopping; set by Pick
+	hashRange hashRange // this process's partition; set by Pick if AfterDisruption is set
 	// sampleShare is the probability with which a server outside the partition is
 	// considered; set by best.
 	sampleShare float64
@@ -61,7 +58,7 @@
 	d.refreshPeerTotals(now)
 	list := d.view.Load().Service(q.Service)
 	zones := countZoneLosses(list, now)
-	q.stopping, q.sharedMachines = d.stopping.Load(), d.ReportsDisturbance(q.Service)
+	q.stopping = d.stopping.Load()
 	if q.Prompt > 0 {
 		d.compareSpeeds(q.Service, list, now)
 	}
