admission, exchange, directory, fleet: mends after two reviews by others than the authors

- A stream with a kept start that it can't use, and one that no server has memory for, held up all that wait behind them (seen in tests of the reviewer's; TestKeptStartThatCannotBeUsedHoldsUpNobody, TestStreamWithoutMemoryHoldsUpNobody).
- A caller's maximum of tokens could overflow the sum of prompt and answer (TestMemoryOfAbsurdNumbers).
- A VM without a call of its own took two peers' overdue calls for a server that hangs (TestNothingIsJudgedWithoutALimit).
- One VM's good answers could make a hanging server trusted; a server's report could make it look free for good; a held back class that was reported within 50 ms of the last report was not sent; memory reports of two starts with the same hash were unreadable; short prompts taught the estimates of long ones; a copy's memory stayed counted after a panic; a server that refused once was not asked again while its stream waited; a call whose caller left while it waited for a retry's place counted as its server's failure.
These were found by reading and have no test of their own, but for the ones there are.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -136,7 +136,7 @@
 		return math.MaxInt64
 	}
 	if l.Kept {
-		return o.UrgentObjective
+		return o.keptLimit()
 	}
 	if l.UrgentHeld {
 		return 0 // it may have an idle server, but no place in a backlog
@@ -145,6 +145,9 @@
 	return min(time.Duration((1-free)*float64(o.UrgentObjective)), o.UrgentObjective-l.Reading)
 }
 
+// keptLimit is the limit of a stream that starts by the share that is kept for its class.
+func (o Offer) keptLimit() time.Duration { return o.UrgentObjective }
+
 // opens reports whether a stream with this limit may be sent to the best server.
 func (l Outlook) opens(limit time.Duration) bool {
 	return l.Room && (!l.Measured || !l.Backlog || l.First <= limit)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -51,11 +51,14 @@
 	offer  Offer
 	turn   chan struct{}
 	waited bool // it has been told to wait
+	// Of its last look: a server had memory for it, and it could start by its kept share. Until
+	// then both are assumed.
+	hadRoom, keptOpens bool
 }
 
 // Enter adds a stream.
 func (q *Queue) Enter(o Offer, now time.Time) *Ticket {
-	t := &Ticket{queue: q, offer: o, turn: make(chan struct{}, 1)}
+	t := &Ticket{queue: q, offer: o, turn: make(chan struct{}, 1), hadRoom: true, keptOpens: true}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if missing := o.Ranks - len(q.classes); missing > 0 {
@@ -104,6 +107,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.observe(t.offer, l, now)
+	t.hadRoom, t.keptOpens = l.Room, l.opens(t.offer.keptLimit())
 	l.Ahead, l.Kept, l.Waits = q.ahead(t), q.nextKept() == t, t.waited
 	l.Closed, l.Interval = q.closedFor(t.offer.Rank, now), q.meanInterval(now)
 	if l.Kept || t.offer.Bound {
@@ -147,21 +151,28 @@
 	}
 	q.waiting = slices.Delete(q.waiting, at, at+1)
 	for _, next := range q.waiting {
-		if q.ahead(next) == 0 {
-			select {
-			case next.turn <- struct{}{}:
-			default:
-			}
+		if q.ahead(next) > 0 {
+			continue
+		}
+		select {
+		case next.turn <- struct{}{}:
+		default:
+		}
+		if !next.holdsUpNobody() {
 			return
 		}
 	}
 }
 
+// holdsUpNobody reports whether streams behind this one need not wait for it: only some of the
+// servers may run it, or none had memory for it, which smaller ones may find.
+func (t *Ticket) holdsUpNobody() bool { return t.offer.Bound || !t.hadRoom }
+
 // nextKept returns the first stream that may start by the share that is kept for its class;
 // nil: there is none.
 func (q *Queue) nextKept() *Ticket {
 	for _, t := range q.waiting {
-		if t.offer.Rank > 0 && q.classes[t.offer.Rank].kept >= 1 && !t.offer.Bound {
+		if t.offer.Rank > 0 && q.classes[t.offer.Rank].kept >= 1 && t.keptOpens && !t.holdsUpNobody() {
 			return t
 		}
 	}
@@ -182,7 +193,7 @@
 		if other == t {
 			break
 		}
-		if !other.offer.Bound {
+		if !other.holdsUpNobody() {
 			n++
 		}
 	}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -275,3 +275,34 @@
 	g.Expect(q.closedFor(2, epoch.Add(1800*time.Millisecond))).To(gomega.Equal(1800 * time.Millisecond))
 	g.Expect(q.closedFor(2, epoch.Add(2350*time.Millisecond))).To(gomega.BeZero())
 }
+
+// Guards against a stream that has the next kept start, can't use it, and holds up more urgent
+// ones.
+func TestKeptStartThatCannotBeUsedHoldsUpNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := &Queue{}
+	low := q.Enter(offerOf(2), epoch)
+	low.Decide(behind(5*time.Second), epoch)
+	q.classes[2].kept = 1
+	d, _ := low.Decide(behind(5*time.Second), epoch)
+	g.Expect(d.Verdict).To(gomega.Equal(Wait))
+	d, l := q.Enter(offerOf(0), epoch).Decide(behind(time.Second), epoch)
+	g.Expect(l.Ahead).To(gomega.BeZero())
+	g.Expect(d.Verdict).To(gomega.Equal(Start))
+	d, _ = low.Decide(behind(2500*time.Millisecond), epoch)
+	g.Expect(d.Verdict).To(gomega.Equal(Start), "it starts once its kept start is of use")
+}
+
+// Guards against a large stream for which no server has memory, and smaller ones that wait
+// behind it beside an idle server.
+func TestStreamWithoutMemoryHoldsUpNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := &Queue{}
+	large := q.Enter(offerOf(0), epoch)
+	d, _ := large.Decide(Outlook{}, epoch)
+	g.Expect(d.Verdict).To(gomega.Equal(Wait))
+	d, _ = q.Enter(offerOf(2), epoch).Decide(behind(0), epoch)
+	g.Expect(d.Verdict).To(gomega.Equal(Start))
+	d, _ = large.Decide(behind(0), epoch)
+	g.Expect(d.Verdict).To(gomega.Equal(Start))
+}
--- a/directory/disturbance.go
+++ b/directory/disturbance.go
@@ -18,7 +18,7 @@
 	// disturbance, and short enough for one that has become its lasting speed.
 	usualTime = 30 * time.Second
 	// firstReports is the number of a start's reports that count alike in its usual figure,
-	// and that VMs tell each other whatever they say.
+	// and that VMs report to each other whatever they are.
 	firstReports = 8
 	// The range of the factor on a server's work bounds the effect of a report that is
 	// wrong: at the least, work there counts as half of what it is.
@@ -75,7 +75,7 @@
 }
 
 // with returns the state after a newer figure. Only figures that are an unbiased sample
-// count in the usual one: peers tell mostly those that differ from it.
+// count in the usual one: peers report mostly those that differ from it.
 func (r *disturbance) with(f figure, unbiased bool) *disturbance {
 	if r == nil {
 		return &disturbance{newest: f, shared: f, usual: f.value, usedAt: f.at, count: 1}
@@ -196,12 +196,12 @@
 	if old != nil && old.count == firstReports {
 		s.disturbances.compare(old.factor(), next.factor(), now.Sub(old.newest.at))
 	}
-	tell := old == nil || old.count < firstReports || next.surprisesPeers(s.disturbances.decayTime())
-	if tell {
+	share := old == nil || old.count < firstReports || next.surprisesPeers(s.disturbances.decayTime())
+	if share {
 		next.shared = next.newest
 	}
 	s.disturbance.Store(next)
-	return tell
+	return share
 }
 
 // surprisesPeers reports whether peers expect a notably different time than the newest figure
--- a/directory/hanging.go
+++ b/directory/hanging.go
@@ -85,7 +85,7 @@
 	if r.hangs {
 		return r.hangsFor < minShutOut || r.good < trustedAnswers
 	}
-	return r.overdue >= hangingCalls && r.sinceAnswer >= r.limit
+	return r.limit > 0 && r.overdue >= hangingCalls && r.sinceAnswer >= r.limit
 }
 
 // hangLimit returns within which time a healthy server answers a call.
--- a/directory/memory.go
+++ b/directory/memory.go
@@ -228,6 +228,20 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b MemoryUse) int { return cmp.Compare(a.Server, b.Server) })
+	return mergeSameHash(out)
+}
+
+// mergeSameHash adds up the uses of different starts with the same hash, which reports can't
+// tell apart. The list is sorted.
+func mergeSameHash(uses []MemoryUse) []MemoryUse {
+	var out []MemoryUse
+	for _, use := range uses {
+		if n := len(out); n > 0 && out[n-1].Server == use.Server {
+			out[n-1].Tokens += use.Tokens
+			continue
+		}
+		out = append(out, use)
+	}
 	return out
 }
 
--- a/directory/places.go
+++ b/directory/places.go
@@ -23,6 +23,9 @@
 	// reportedPlacesTTL is how long a server's own report of its load counts beside what VMs
 	// report: about the time until they have reported the same.
 	reportedPlacesTTL = 100 * time.Millisecond
+	// maxPlacesFactor bounds the places that a server's reports show, as a multiple of those that
+	// its entry states: a wrong report must not make it look free for good.
+	maxPlacesFactor = 4
 	// spareShare of its places is how many calls more than it has places a server is sent, so
 	// that a place which becomes free is used while the VMs learn of it.
 	spareShare = 1.0 / 3
@@ -259,12 +262,13 @@
 
 // add adds one peer's report. What a peer says of its calls counts up to the number of places
 // of the server: no more can run there, and one wrong report must not close it to all. Calls of
-// one peer alone don't show that it hangs: the peer may be cut off from it.
+// one peer alone don't show that it hangs, since the peer may be cut off from it, nor do its good
+// answers show that it no longer does.
 func (r PlaceReport) add(other PlaceReport, slots int) PlaceReport {
 	r.Server = other.Server
 	r.Calls += min(other.Calls, slots)
 	r.Overdue += min(other.Overdue, hangingCalls-1)
-	r.Good += other.Good
+	r.Good += min(other.Good, trustedAnswers-1)
 	return r
 }
 
@@ -293,7 +297,9 @@
 }
 
 // places returns how many calls at a time the server runs. Its entry may state too few.
-func (s *Server) places() int { return max(s.Slots, int(s.mostRunning.Load())) }
+func (s *Server) places() int {
+	return min(max(s.Slots, int(s.mostRunning.Load())), maxPlacesFactor*s.Slots)
+}
 
 // Places is what is believed of the places of a service's servers.
 type Places struct {
--- a/directory/places_test.go
+++ b/directory/places_test.go
@@ -200,3 +200,13 @@
 		g.Expect(d.Pick(Query{Service: "s"}, time.Now()).ID).To(gomega.Equal("a"))
 	})
 }
+
+// Guards against a VM that has sent no call yet and takes peers' overdue calls for a server that
+// hangs.
+func TestNothingIsJudgedWithoutALimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := responsiveness{overdue: 2 * hangingCalls}
+	g.Expect(r.hangsNow()).To(gomega.BeFalse())
+	r.limit, r.sinceAnswer = time.Second, time.Second
+	g.Expect(r.hangsNow()).To(gomega.BeTrue())
+}
--- a/directory/placeuse.go
+++ b/directory/placeuse.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// slowShare is the part of the limit after which a call takes longer than usual: the peers are
-// told of it even if its server is believed to have free places.
+// slowShare is the part of the limit after which a call takes longer than usual: it is
+// reported to peers even if its server is believed to have free places.
 const slowShare = 1.0 / 3
 
 // PlaceUse is a plain call at a server of a service whose places are shared.
--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -183,6 +183,7 @@
 		if err := s.awaitLook(ctx, ticket); err != nil {
 			return err
 		}
+		clear(s.tried) // a server that refused may have room by now
 	}
 }
 
--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -208,6 +208,14 @@
 	return avoid
 }
 
+// closeCopies releases the copy of the current attempt, also when the request's goroutine
+// panics. It has no effect after finish.
+func (s *stream) closeCopies() {
+	if s.current != nil {
+		s.current.copies.close()
+	}
+}
+
 // placeCopy chooses the server for the copy that a new run sends as it grows.
 func (s *stream) placeCopy(a *streamAttempt) *directory.Server {
 	service, ok := s.e.opts.Services(s.req.Service)
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -55,7 +55,7 @@
 		prompt: req.PromptTokens, answer: lengths.expect(req.LengthHint, req.MaxTokens),
 		eventTokens: max(1, service.EventTokens), capacity: service.Memory, copyTTL: service.CopyTTL,
 	}
-	n.copyLimit = copyLimit(n.capacity, n.prompt+n.answer, rank, req.Competition.Ranks())
+	n.copyLimit = copyLimit(n.capacity, n.tokens(0), rank, req.Competition.Ranks())
 	return n
 }
 
@@ -75,7 +75,7 @@
 		return 0
 	}
 	generated := min(float64(n.capacity), float64(lastEvent+1)*float64(n.eventTokens))
-	return max(1, min(n.capacity, n.prompt+max(n.answer, int(generated))))
+	return max(1, min(n.capacity, min(n.prompt, n.capacity)+max(n.answer, int(generated))))
 }
 
 // limit returns up to how many tokens a server may be filled by the stream. One that goes on
@@ -150,7 +150,7 @@
 	case l.mean > 0:
 		return boundedLength(int(math.Ceil(l.mean)), maxTokens)
 	default:
-		return max(0, maxTokens)
+		return boundedLength(max(0, maxTokens), 0)
 	}
 }
 
--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -341,3 +342,15 @@
 	g.Expect(w.lasted()).To(gomega.Equal(50 * memoryCalm))
 	g.Expect(w.record(true, false, at.Add(memoryCalm))).To(gomega.Equal(memoryUnchanged))
 }
+
+// Guards against a caller's numbers that overflow the sum of a prompt and its answer.
+func TestMemoryOfAbsurdNumbers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	req := memoryRequest("r", 0)
+	req.LengthHint, req.MaxTokens = 0, math.MaxInt
+	n := newMemoryNeed(req, site.Service{Memory: memorySiteTokens}, &answerLengths{})
+	g.Expect(n.tokens(0)).To(gomega.Equal(memorySiteTokens))
+	g.Expect(n.copyLimit).To(gomega.BeNumerically("<", memorySiteTokens))
+	req.PromptTokens = math.MaxInt
+	g.Expect(newMemoryNeed(req, site.Service{Memory: memorySiteTokens}, &answerLengths{}).tokens(0)).To(gomega.Equal(memorySiteTokens))
+}
--- a/exchange/pace.go
+++ b/exchange/pace.go
@@ -90,11 +90,15 @@
 	}
 }
 
+// minExpectedFirst is the shortest expected time that is compared with how long a first event
+// took: of less, connections take as much as prompts.
+const minExpectedFirst = 100 * time.Millisecond
+
 // observeFirst records how long a first event took that was expected after some time. An
 // estimate knows neither what other processes send at the same moment nor what waits for
 // memory at a server.
 func (p *pace) observeFirst(expected, took time.Duration) {
-	if expected <= 0 {
+	if expected < minExpectedFirst {
 		return
 	}
 	ratio := min(maxRatio, float64(took)/float64(expected))
--- a/exchange/places.go
+++ b/exchange/places.go
@@ -29,12 +29,12 @@
 )
 
 var (
-	// ErrPlacesTaken: all places of the service's backend servers are taken, and none became
-	// free in time.
+	// ErrPlacesTaken is returned when all places of the service's backend servers are taken and
+	// none became free in time.
 	ErrPlacesTaken = errors.New("exchange: all places of the backend servers are taken")
-	// errWaitEnded: the request ended while the call waited for a place.
+	// errWaitEnded is returned when the request ended while the call waited for a place.
 	errWaitEnded = errors.New("exchange: the request ended while it waited for a place")
-	// ErrStopWaiting: the call waited for a place when this process began to stop.
+	// ErrStopWaiting is returned when the call waited for a place as this process began to stop.
 	ErrStopWaiting = errors.New("exchange: all places of the backend servers are taken and this process stops")
 )
 
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -142,6 +142,9 @@
 			if c.mayTry() && c.relaunch(ctx, r) {
 				continue
 			}
+			if ctx.Err() != nil {
+				return c.interrupted(ctx) // while it waited for a place
+			}
 			if c.pending == 0 {
 				return c.fallback()
 			}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -82,6 +82,7 @@
 	s := e.newStream(req, sink)
 	defer e.active.remove(s.active)
 	defer s.endRuns()
+	defer s.closeCopies()
 	err = s.run(within)
 	s.versions.Release()
 	if s.current != nil {
--- a/fleet/disturbances.go
+++ b/fleet/disturbances.go
@@ -27,7 +27,7 @@
 	Metrics   prometheus.Registerer // may be nil
 }
 
-// Disturbances tells the other entry VMs what backend servers have reported of their
+// Disturbances reports to the other entry VMs what backend servers have reported of their
 // machines in answers to this one, and receives their reports. Disturbances last some
 // hundred milliseconds, and a single VM gets an answer of a server too rarely to know them.
 //
--- a/fleet/pressure.go
+++ b/fleet/pressure.go
@@ -21,7 +21,7 @@
 	pressureBytes = 5
 )
 
-// Pressure tells entry VMs which classes of streams are held back at others: they wait for a
+// Pressure reports to entry VMs which classes of streams are held back at others: they wait for a
 // server, or were refused for lack of one. Each VM has few streams of its own, so that a less
 // urgent one would otherwise start at one VM while a more urgent one is refused at another.
 //
@@ -69,7 +69,8 @@
 // HoldBack records that this VM holds back a stream of a rank.
 func (p *Pressure) HoldBack(service string, rank int) {
 	now := time.Now()
-	key, held := directory.Hash(service), heldClass{uint8(min(max(0, rank), math.MaxUint8)), now.Add(pressureInterval)}
+	// It lasts until the next report, which may be due an interval after the last one.
+	key, held := directory.Hash(service), heldClass{uint8(min(max(0, rank), math.MaxUint8)), now.Add(2 * pressureInterval)}
 	p.mu.Lock()
 	if known, ok := p.own[key]; ok && known.rank < held.rank && now.Before(known.until) {
 		held = known
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -76,10 +76,10 @@
 	// release would take these positions for ones far ahead.
 	kindAnnouncement kind = 20
 	kindMemory       kind = 21
-	kindRefusals     kind = 24
-	kindPressure     kind = 25
 	kindPlaces       kind = 22
 	kindDisturbances kind = 23
+	kindRefusals     kind = 24
+	kindPressure     kind = 25
 
 	headerBytes       = 13
 	countBytes        = 4
