--- a/exchange/memory_test.go
+++ b/exchange/memory_test.go
@@ -123,7 +123,7 @@
 		g.Expect(failure.Ran).To(gomega.BeFalse())
 		g.Expect(failure.By).To(gomega.Equal(EndedByNoServer))
 		g.Expect(failure.RetryAfter).To(gomega.BeNumerically(">=", noMemoryRetryAfter))
-		g.Expect(failure.RetryAfter).To(gomega.BeNumerically("<=", memoryRequest("r1", 0).Deadline.Sub(time.Now())/3), "callers wait no longer")
+		g.Expect(failure.RetryAfter).To(gomega.BeNumerically("<=", time.Until(memoryRequest("r1", 0).Deadline)/3), "callers wait no longer")
 		g.Expect(b.backend.sent()).To(gomega.BeEmpty())
 	})
 }
--- a/exchange/waitingroom_test.go
+++ b/exchange/waitingroom_test.go
@@ -53,12 +53,12 @@
 	room.endAll(nil)
 }
 
-// waitingCall sends a call that waits for a place and returns its outcome.
-func waitingCall(ctx context.Context, vm *placeVM, deadline time.Duration) (error, time.Duration) {
+// waitingCall sends a call that waits for a place and returns how long it took and its outcome.
+func waitingCall(ctx context.Context, vm *placeVM, deadline time.Duration) (time.Duration, error) {
 	req := request(site.AtMostOnce)
 	req.ID, req.Deadline, req.Route.Objective = "waits", req.Arrived.Add(deadline), fewObjective
 	_, err := vm.Call(ctx, req)
-	return err, time.Since(req.Arrived)
+	return time.Since(req.Arrived), err
 }
 
 // A wait ends at once when the caller leaves, and nothing is sent for it.
@@ -67,7 +67,7 @@
 		fillPlaces(m)
 		ctx, cancel := context.WithCancel(m.ctx)
 		time.AfterFunc(40*time.Millisecond, cancel)
-		err, took := waitingCall(ctx, m.vms[0], time.Second)
+		took, err := waitingCall(ctx, m.vms[0], time.Second)
 		var end *End
 		g.Expect(errors.As(err, &end)).To(gomega.BeTrue(), "%v", err)
 		g.Expect(end.By).To(gomega.Equal(EndedByCaller))
@@ -82,7 +82,7 @@
 func TestDeadlineWhileACallWaits(t *testing.T) {
 	playPlaces(t, 1, 1, func(g *gomega.WithT, m *placeSite) {
 		fillPlaces(m)
-		err, took := waitingCall(m.ctx, m.vms[0], 60*time.Millisecond)
+		took, err := waitingCall(m.ctx, m.vms[0], 60*time.Millisecond)
 		var failure *Failure
 		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "%v", err)
 		g.Expect(failure.Ran).To(gomega.BeFalse())
@@ -97,7 +97,7 @@
 	playPlaces(t, 1, 1, func(g *gomega.WithT, m *placeSite) {
 		fillPlaces(m)
 		time.AfterFunc(30*time.Millisecond, m.vms[0].dir.SetStopping)
-		err, took := waitingCall(m.ctx, m.vms[0], time.Second)
+		took, err := waitingCall(m.ctx, m.vms[0], time.Second)
 		var failure *Failure
 		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "%v", err)
 		g.Expect(failure.Ran).To(gomega.BeFalse())
@@ -156,7 +156,7 @@
 			}
 		}
 		time.Sleep(time.Millisecond)
-		err, took := waitingCall(m.ctx, m.vms[1], fewDeadline)
+		took, err := waitingCall(m.ctx, m.vms[1], fewDeadline)
 		var failure *Failure
 		g.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "%v", err)
 		g.Expect(failure.Ran).To(gomega.BeFalse())
