--- a/fleet/pressure_test.go
+++ b/fleet/pressure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,12 +11,12 @@
 )
 
 // twoPressures returns the Pressures of two VMs that reach each other while up is true.
-func twoPressures(ctx context.Context, up *bool) (a, b *Pressure) {
+func twoPressures(ctx context.Context, up *atomic.Bool) (a, b *Pressure) {
 	sockets := map[string]*Socket{}
 	vm := func(name, other string) *Pressure {
 		s := NewSocket(name, func() []string { return []string{other} }, nil)
 		s.write = func(raw []byte, to string) bool {
-			if *up {
+			if up.Load() {
 				sockets[to].dispatch(name, raw, time.Now())
 			}
 			return true
@@ -31,7 +32,8 @@
 func TestHeldBackClassIsKnownAtOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		up := true
+		var up atomic.Bool
+		up.Store(true)
 		a, b := twoPressures(t.Context(), &up)
 		a.HoldBack("s", 3)
 		a.HoldBack("s", 1)
@@ -51,7 +53,8 @@
 func TestHeldBackClassIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		up := true
+		var up atomic.Bool
+		up.Store(true)
 		a, b := twoPressures(t.Context(), &up)
 		a.HoldBack("s", 0)
 		synctest.Wait()
@@ -62,10 +65,10 @@
 		_, ok = b.MostUrgent("s")
 		g.Expect(ok).To(gomega.BeFalse())
 
-		up = false
+		up.Store(false)
 		a.HoldBack("s", 0)
 		time.Sleep(3 * pressureInterval)
-		up = true
+		up.Store(true)
 		time.Sleep(time.Second)
 		_, ok = b.MostUrgent("s")
 		g.Expect(ok).To(gomega.BeFalse(), "an old report is not sent later")
