fleet: tests of what two VMs tell each other share how they are linked

Cause: the tests of refusals and of held back classes had the same two linked sockets written twice.

--- a/fleet/pressure_test.go
+++ b/fleet/pressure_test.go
@@ -12,21 +12,13 @@
 
 // twoPressures returns the Pressures of two VMs that reach each other while up is true.
 func twoPressures(ctx context.Context, up *atomic.Bool) (a, b *Pressure) {
-	sockets := map[string]*Socket{}
-	vm := func(name, other string) *Pressure {
-		s := NewSocket(name, func() []string { return []string{other} }, nil)
-		s.write = func(raw []byte, to string) bool {
-			if up.Load() {
-				sockets[to].dispatch(name, raw, time.Now())
-			}
-			return true
-		}
-		sockets[name] = s
-		p := NewPressure(s, func() []string { return []string{other} })
+	start := func(s *Socket, peer string) *Pressure {
+		p := NewPressure(s, func() []string { return []string{peer} })
 		go func() { _ = p.Run(ctx) }()
 		return p
 	}
-	return vm("a", "b"), vm("b", "a")
+	first, second := linkedSockets(up)
+	return start(first, "b"), start(second, "a")
 }
 
 func TestHeldBackClassIsKnownAtOtherVMs(t *testing.T) {
--- a/fleet/refusals_test.go
+++ b/fleet/refusals_test.go
@@ -14,21 +14,13 @@
 
 // twoRefusals returns the refusals of two VMs that reach each other while up is true.
 func twoRefusals(ctx context.Context, up *atomic.Bool) (a, b *Refusals) {
-	sockets := map[string]*Socket{}
-	vm := func(name, other string) *Refusals {
-		s := NewSocket(name, func() []string { return []string{other} }, nil)
-		s.write = func(raw []byte, to string) bool {
-			if up.Load() {
-				sockets[to].dispatch(name, raw, time.Now())
-			}
-			return true
-		}
-		sockets[name] = s
+	start := func(s *Socket) *Refusals {
 		r := NewRefusals(s)
 		go func() { _ = r.Run(ctx) }()
 		return r
 	}
-	return vm("a", "b"), vm("b", "a")
+	first, second := linkedSockets(up)
+	return start(first), start(second)
 }
 
 func TestRefusedCallerIsKnownAtOtherVMs(t *testing.T) {
