--- a/review/standin/stale/main.go
+++ b/review/standin/stale/main.go
@@ -19,12 +19,12 @@
 	entries    = 4
 	runners    = 2
 	slots      = 3
-	events     = 7
-	eventGap   = 13 * time.Millisecond
+	events     = 4
+	eventGap   = 11 * time.Millisecond
 	playTime   = 100 * time.Second
 	clump      = 8 // streams that come at once, where the runners run six
-	clumpGap   = 270 * time.Millisecond
-	extraShare = 0.03 // of a faulty runner's answers are sent twice; the pages' bench names up to 0.05
+	clumpGap   = 170 * time.Millisecond
+	extraShare = 0.03 // of a faulty runner's refusals are sent twice
 	deadline   = 8 * time.Second
 )
 
