review: case 6, a request that crashes a whole zone of runners is never refused

Cause: a crash is excused as the loss of the zone also where the crashing request itself ran on each of the zone's lost runners, and excused crashes accuse a request for ten seconds only.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if rule BUDGET is broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 plays the same with a sound request in place of the crashing one.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/pearyard-entry ] && [ -x target/review2-crasher ] || exit 2
+timeout --signal=KILL 110 target/review2-crasher target/pearyard-entry review/6/record.txt "${TROUBLE:-1}"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
