--- a/review/standin2/refusedlink/main.go
+++ b/review/second/standin/refusedlink/main.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/pearyard/pearyard/review/standin2/lab"
+	"github.com/pearyard/pearyard/review/second/standin/lab"
 )
 
 const (
