--- a/review/second/standin/crasher/main.go
+++ b/review/second/standin/crasher/main.go
@@ -32,17 +32,27 @@
 
 func main() {
 	zones := []string{"errol-shed", "errol-shed", "errol-shed"}
-	if len(os.Args) > 4 && os.Args[4] == "zones" { // for comparison: each runner in a zone of its own
+	mode := ""
+	if len(os.Args) > 4 { // for comparison
+		mode = os.Args[4]
+	}
+	switch mode {
+	case "zones": // each runner in a zone of its own
 		zones = []string{"errol-shed", "coupar-hall", "blair-depot"}
+	case "event": // three runners in each of four zones, which send one event before they crash
+		zones = nil
+		for range 3 {
+			zones = append(zones, "errol-shed", "coupar-hall", "blair-depot", "inch-office")
+		}
 	}
-	code, err := play(os.Args[1], os.Args[2], os.Args[3] != "0", zones)
+	code, err := play(os.Args[1], os.Args[2], os.Args[3] != "0", zones, mode == "event")
 	if err != nil {
 		fmt.Println("could not run:", err)
 	}
 	os.Exit(code)
 }
 
-func play(program, recordPath string, trouble bool, zones []string) (int, error) {
+func play(program, recordPath string, trouble bool, zones []string, eventFirst bool) (int, error) {
 	dir, err := os.MkdirTemp("", "review-case")
 	if err != nil {
 		return 2, err
@@ -59,9 +69,11 @@
 	}
 	store.Put("op", "config", []byte(config))
 	for i, zone := range zones {
-		if _, err := lab.NewEngine(store, record, "127.0.62.101", fmt.Sprintf("model%d", i), "pear-models", zone, down); err != nil {
+		engine, err := lab.NewEngine(store, record, "127.0.62.101", fmt.Sprintf("model%d", i), "pear-models", zone, down)
+		if err != nil {
 			return 2, err
 		}
+		engine.EventFirst = eventFirst
 	}
 	ports, ok := lab.FreePorts(nodeIPs...)
 	if !ok {
--- a/review/second/standin/lab/engine.go
+++ b/review/second/standin/lab/engine.go
@@ -16,6 +16,7 @@
 // it as soon as it begins to run it.
 type Engine struct {
 	Service, Zone, Address string
+	EventFirst             bool // it sends one event before a request crashes it
 
 	store  *Store
 	record *Record
@@ -110,7 +111,8 @@
 		return
 	}
 	e.record.Add("run", attempt, id, r.RequestURI)
-	if strings.HasPrefix(r.URL.Path, CrashPath) {
+	crashes := strings.HasPrefix(r.URL.Path, CrashPath)
+	if crashes && !e.EventFirst {
 		e.crash(id)
 		panic(http.ErrAbortHandler)
 	}
@@ -118,6 +120,10 @@
 	w.Header().Set("Response-Signature", id+"."+attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := after + 1; n <= Events; n++ {
+		if crashes && n == after+2 {
+			e.crash(id)
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 30)); err != nil {
 			return
 		}
--- a/review/second/standin/lab/runner.go
+++ b/review/second/standin/lab/runner.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// weights is the version of the weights of all runners.
+const weights = "1"
+
 // Runner is a runner that answers plain requests.
 type Runner struct {
 	ID, Service, Zone string
@@ -75,6 +78,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if want := req.Header.Get("Expected-Version"); want != "" && want != weights {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	body, _ := io.ReadAll(req.Body)
 	select {
 	case r.slots <- struct{}{}:
@@ -86,6 +93,7 @@
 	time.Sleep(r.Work)
 	answer := fmt.Sprintf("%s ran %s of %d bytes", r.ID, req.RequestURI, len(body))
 	w.Header().Set("Response-Signature", r.ID+"."+id)
+	w.Header().Set("Weight-Versions", weights)
 	w.Header().Set("Instance-Load", fmt.Sprintf("%d,0,%d", len(r.slots), r.Slots))
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 	_, _ = io.WriteString(w, answer)
--- a/review/second/standin/refusedlink/main.go
+++ b/review/second/standin/refusedlink/main.go
@@ -43,14 +43,17 @@
 type count struct{ sent, served int }
 
 func main() {
-	code, err := play(os.Args[1], os.Args[2], os.Args[3] != "0")
+	version := len(os.Args) > 4 && os.Args[4] == "version" // for comparison: see play
+	code, err := play(os.Args[1], os.Args[2], os.Args[3] != "0", version)
 	if err != nil {
 		fmt.Println("could not run:", err)
 	}
 	os.Exit(code)
 }
 
-func play(program, recordPath string, trouble bool) (int, error) {
+// play plays the case. With version set nothing is cut: instead one request to each node carries
+// an Expected-Version that the runner doesn't have.
+func play(program, recordPath string, trouble, version bool) (int, error) {
 	dir, err := os.MkdirTemp("", "review-case")
 	if err != nil {
 		return 2, err
@@ -121,13 +124,18 @@
 	}{
 		{addedAt, func() { record.Add("configuration 7 adds route /labels/"); store.Put("op", "config", config(7, true)) }},
 		{cutAt, func() {
-			if trouble {
+			switch {
+			case trouble && version:
+				for _, n := range nodes {
+					client.Send(n.Frontend, "GET", "/labels/1", nil, deadline, "Expected-Version", "2")
+				}
+			case trouble:
 				record.Add("runner i-label0 is cut off from the nodes: connections are refused")
 				label.Link().Refuse()
 			}
 		}},
 		{cutAt + cutFor, func() {
-			if trouble {
+			if trouble && !version {
 				if err := label.Link().Heal(); err != nil {
 					record.Add("cut could not be ended:", err.Error())
 					return
