--- a/review/second/standin/refusedlink/main.go
+++ b/review/second/standin/refusedlink/main.go
@@ -1,12 +1,11 @@
-// Command refusedlink plays a site of two entry nodes and six runners on loopback. The runner of
-// a service whose route came with a later configuration is cut off from the nodes for a while.
-// It exits with 1 if rule CONFIG is broken, 0 if it held, 2 if the case could not run.
+// Command refusedlink plays a site of two entry nodes and six runners on loopback. Both nodes are
+// killed and start again, and a runner is cut off from them for the first seconds. It exits with 1
+// if rule RECOVER is broken, 0 if it held, 2 if the case could not run.
 package main
 
 import (
 	"fmt"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,34 +13,29 @@
 )
 
 const (
-	addedAt  = 4 * time.Second  // when the later configuration is written
-	cutAt    = 9 * time.Second  // of the runner
-	cutFor   = 5 * time.Second  // within the 5.5 s of the site file
-	judgedAt = 24 * time.Second // ten seconds after the cut; contactMs is 3 s
-	endAt    = 54 * time.Second
-	interval = 100 * time.Millisecond // between two requests on each of the routes at each node
+	killedAt = 8 * time.Second // the final fault
+	backAt   = 9 * time.Second
+	cutAt    = 8500 * time.Millisecond // of the runner
+	cutFor   = 5 * time.Second
+	judgedAt = backAt + 12*time.Second // recoveryS
+	endAt    = 41 * time.Second
 	deadline = 4 * time.Second
+	interval = 100 * time.Millisecond // between two requests for labels at each node
+	perStock = 10                     // as many of them come for each one for stock
 )
 
 var nodeIPs = []string{"127.0.61.1", "127.0.61.2"}
 
-func config(version int, added bool) []byte {
-	route := func(name, prefix, service string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"lab.example","pathPrefix":%q,"routeType":"idempotent","service":%q,"timeoutMs":2000,"targetLatencyMs":300,"priority":2,"maxAttempts":2,"public":false}`, name, prefix, service)
-	}
-	routes := []string{route("stock", "/stock/", "depot-apps")}
-	if added {
-		routes = append(routes, route("labels", "/labels/", "label-apps"))
-	}
-	service := func(name string) string {
-		return fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false}`, name)
-	}
-	return []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s,%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"t1","apiKeys":["k1"],"priority":1}]}`,
-		version, strings.Join(routes, ","), service("depot-apps"), service("label-apps")))
-}
+const config = `{"version":3,"routes":[` +
+	`{"name":"stock","host":"lab.example","pathPrefix":"/stock/","routeType":"idempotent","service":"depot-apps","timeoutMs":2000,"targetLatencyMs":300,"priority":2,"maxAttempts":2,"public":false},` +
+	`{"name":"labels","host":"lab.example","pathPrefix":"/labels/","routeType":"non_idempotent","service":"label-apps","timeoutMs":2000,"targetLatencyMs":300,"priority":2,"maxAttempts":1,"public":false}],` +
+	`"services":[{"name":"depot-apps","healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false},{"name":"label-apps","healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false}],` +
+	`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"t1","apiKeys":["k1"],"priority":1}]}`
 
 type count struct{ sent, served int }
 
+func (c count) String() string { return fmt.Sprintf("%d of %d", c.served, c.sent) }
+
 func main() {
 	version := len(os.Args) > 4 && os.Args[4] == "version" // for comparison: see play
 	code, err := play(os.Args[1], os.Args[2], os.Args[3] != "0", version)
@@ -68,7 +62,7 @@
 	if err != nil {
 		return 2, err
 	}
-	store.Put("op", "config", config(3, false))
+	store.Put("op", "config", []byte(config))
 	for i := range 5 {
 		if _, err := lab.NewRunner(store, record, "127.0.61.101", fmt.Sprintf("i-stock%d", i), "depot-apps", "errol-shed"); err != nil {
 			return 2, err
@@ -99,54 +93,73 @@
 			return 2, fmt.Errorf("%s isn't ready", n.Name)
 		}
 	}
+	client := lab.NewClient(record, "lab.example", "k1")
 	began := time.Now()
 	var mu sync.Mutex
-	counts := map[string]*count{"/stock/": {}, "/labels/": {}}
+	var before, after, labels count
 	var wg sync.WaitGroup
-	client := lab.NewClient(record, "lab.example", "k1")
 	send := func(n *lab.Node, prefix string) {
 		defer wg.Done()
 		at := time.Since(began)
 		a := client.Send(n.Frontend, "GET", prefix+"1", nil, deadline)
-		if at < judgedAt {
-			return
-		}
 		mu.Lock()
 		defer mu.Unlock()
-		counts[prefix].sent++
-		if a.Status == 200 && a.Signature != "" {
-			counts[prefix].served++
+		for _, c := range []struct {
+			counts bool
+			to     *count
+		}{{at < killedAt, &before}, {at >= judgedAt, &after}, {at >= judgedAt && prefix == "/labels/", &labels}} {
+			if !c.counts {
+				continue
+			}
+			c.to.sent++
+			if a.Status == 200 && a.Signature != "" {
+				c.to.served++
+			}
 		}
 	}
+	var failed error
 	events := []struct {
 		at time.Duration
 		do func()
 	}{
-		{addedAt, func() { record.Add("configuration 7 adds route /labels/"); store.Put("op", "config", config(7, true)) }},
+		{killedAt, func() {
+			record.Add("both nodes are killed")
+			for _, n := range nodes {
+				n.Kill()
+			}
+		}},
 		{cutAt, func() {
-			switch {
-			case trouble && version:
-				for _, n := range nodes {
-					client.Send(n.Frontend, "GET", "/labels/1", nil, deadline, "Expected-Version", "2")
-				}
-			case trouble:
-				record.Add("runner i-label0 is cut off from the nodes: connections are refused")
+			if trouble && !version {
+				record.Add("runner i-label0 is cut off from the nodes: connections are reset and refused")
 				label.Link().Refuse()
 			}
 		}},
+		{backAt, func() {
+			record.Add("both nodes start again")
+			for _, n := range nodes {
+				if err := n.Start(program); err != nil {
+					failed = err
+				}
+			}
+		}},
+		{backAt + 2*time.Second, func() {
+			if !trouble || !version {
+				return
+			}
+			for _, n := range nodes {
+				client.Send(n.Frontend, "GET", "/labels/1", nil, deadline, "Expected-Version", "2")
+			}
+		}},
 		{cutAt + cutFor, func() {
 			if trouble && !version {
-				if err := label.Link().Heal(); err != nil {
-					record.Add("cut could not be ended:", err.Error())
-					return
-				}
+				failed = label.Link().Heal()
 				record.Add("runner i-label0 is reached again")
 			}
 		}},
 	}
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
-	for time.Since(began) < endAt {
+	for i := 0; time.Since(began) < endAt && failed == nil; i++ {
 		<-tick.C
 		for len(events) > 0 && time.Since(began) >= events[0].at {
 			events[0].do()
@@ -154,24 +167,26 @@
 		}
 		for _, n := range nodes {
 			wg.Add(1)
-			go send(n, "/stock/")
-			if time.Since(began) >= addedAt+3*time.Second {
+			go send(n, "/labels/")
+			if i%perStock == 0 {
 				wg.Add(1)
-				go send(n, "/labels/")
+				go send(n, "/stock/")
 			}
 		}
 	}
 	wg.Wait()
+	if failed != nil {
+		return 2, failed
+	}
 	direct := client.Send(label.Address, "GET", "/labels/direct", nil, deadline)
-	first, later := counts["/stock/"], counts["/labels/"]
-	summary := fmt.Sprintf("from %v to %v: first route served %d of %d, later route served %d of %d; the runner asked directly answers %d", judgedAt, endAt, first.served, first.sent, later.served, later.sent, direct.Status)
+	summary := fmt.Sprintf("served before the final fault %v; of those sent from %v to %v %v, labels alone %v; the runner asked directly answers %d", before, judgedAt, endAt, after, labels, direct.Status)
 	record.Add(summary)
 	fmt.Println(summary)
-	if first.sent == 0 || direct.Status != 200 || first.served*4 < first.sent*3 {
+	if before.sent == 0 || after.sent == 0 || direct.Status != 200 || before.served*4 < before.sent {
 		return 2, fmt.Errorf("the site doesn't work without the case")
 	}
-	if later.sent >= 20 && 4*later.served*first.sent < first.served*later.sent {
-		fmt.Println("CONFIG broken")
+	if after.served*4 < after.sent {
+		fmt.Println("RECOVER broken")
 		return 1, nil
 	}
 	return 0, nil
