exchange: callers that come back are not sent as trials

Callers saw a stream that could not be done in time run until their deadline, and others at the same server were delayed by its prompt. A stream that would be late is sent now and then to measure its server's speed again; but the time of a caller that came back is never taken as a measurement, since its prompt may be kept: the trial costs and shows nothing.

Trials of new streams are as before.

--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -110,7 +110,7 @@
 // pickInTime chooses the server for a prompt that has to be read. It returns nil without
 // an error if there is no server, and a *LateError if none is expected to finish in time.
 // A stream that would be late may be sent nevertheless, as a trial that measures a
-// server's speed again.
+// server's speed again. That of a caller that comes back measures nothing.
 //
 // While prompts arrive faster than servers read them, each server accepts what it can
 // finish and the rest is refused at once. Otherwise the wait in the queues would grow up
@@ -121,7 +121,7 @@
 	if server == nil || s.fits(server, now) {
 		return server, nil
 	}
-	mayTry := s.current == nil && s.worthTrial(now)
+	mayTry := s.current == nil && s.req.LastEvent == "" && s.worthTrial(now)
 	if est, _ := s.estimate(server, now); mayTry && !est.readsInTime(s.req.timeLeft(now)) && server.GrantTrial(now) {
 		s.e.opts.Recorder.Emit(EventTrial, event.FieldRequest, s.req.ID, "server", server.ID, "err", &LateError{soonest: est, left: s.req.timeLeft(now)})
 		return server, nil
--- a/exchange/returning_test.go
+++ b/exchange/returning_test.go
@@ -127,3 +127,16 @@
 		g.Expect(ends["short"].failure).To(gomega.BeNil())
 	})
 }
+
+// Guards against trials that measure nothing: the time of a prompt that may be kept says nothing of its server's speed.
+func TestReturningCallerIsNotSentAsATrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ids := modelServers(4)
+		engines := newModelBackend(t.Context(), ids, evenSpeed)
+		vm := newMeasuredVM(t, engines, ids)
+		time.Sleep(2 * trialInterval)
+		caller := returning{"late", 10, 2500 * time.Millisecond, 0}
+		g.Expect(refused(comeBack(t, vm, []returning{caller})["late"])).To(gomega.BeTrue())
+	})
+}
