exchange: a prompt is read again only for a rest that will probably be whole

Callers saw: after the loss of all entry VMs they came back with 2 to 5 s left; those that were sent had their text cut at the deadline, others were refused behind a queue although their server kept the prompt.

Cause: the estimate errs towards sending, by a quarter where no prompt is queued and by a length that only the shortest streams have, since a prompt sent in vain to an idle server was taken to delay nobody. When many come back at once that is wrong: a prompt is read for 1.2 s beside streams that run, which have a fifth of their events meanwhile. And a stream whose prompt is kept was judged as if it lengthened the queue.

Now: a caller's rest whose prompt has to be read again is sent if it is expected to be whole at the mean length, within the share that holds behind queues; one whose prompt is kept gets the wide share also behind a queue.

--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -6,11 +6,16 @@
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/promptcache"
 )
 
 // estimate says when a stream is expected to be complete on a server.
 type estimate struct {
 	first, end time.Duration // from now to the first event, to the last one
+	// promptKept is set if the server has the prompt cached, but for its last block.
+	promptKept bool
+	// readsAgain is set if the stream has events already and its prompt is to be read once more.
+	readsAgain bool
 	// What it is based on.
 	unread      int64   // prompt tokens queued at the server
 	speed       float64 // prompt tokens read per second
@@ -21,8 +26,8 @@
 // Estimates are accurate to a quarter: streams are 0.63 to 1.45 times as long as the
 // mean, and future prompts are extrapolated from those of the last ten seconds.
 const (
-	// idleShare applies where no prompt is queued. It errs towards sending: a prompt
-	// sent in vain there delays no other stream.
+	// idleShare applies where no prompt is queued, or where the prompt is kept. It errs
+	// towards sending: a stream sent in vain there makes no other wait for its prompt.
 	idleShare = 1.25
 	// queueShare applies behind other prompts. While more prompts arrive than servers
 	// can finish, queues grow until the estimate reaches this share, and every stream
@@ -34,7 +39,7 @@
 // fits reports whether the stream may still be complete in the time left.
 func (e estimate) fits(left time.Duration) bool {
 	share := queueShare
-	if e.unread == 0 {
+	if e.promptKept || e.unread == 0 && !e.readsAgain {
 		share = idleShare
 	}
 	return float64(e.end) <= share*float64(left)
@@ -70,10 +75,16 @@
 	if est.speed == 0 {
 		return est, false
 	}
+	est.promptKept = s.keepsPrompt(server)
+	est.readsAgain = s.lastEvent > 0 && !est.promptKept
 	tokens := float64(est.unread + int64(s.unreadTokens(server)))
 	est.first = time.Duration(tokens / est.speed * float64(time.Second))
 	est.first = time.Duration(float64(est.first) * server.DisturbanceFactor(est.first, now))
-	est.end = est.first + time.Duration(s.eventsLeft(p)*server.Slowness()*float64(p.eventTime(est.utilization)))
+	events := s.eventsLeft(p)
+	if est.readsAgain {
+		events = s.meanEventsLeft(p)
+	}
+	est.end = est.first + time.Duration(events*server.Slowness()*float64(p.eventTime(est.utilization)))
 	p.observeSpeed(est.speed)
 	return est, true
 }
@@ -85,11 +96,26 @@
 	return !measured || est.fits(s.req.timeLeft(now))
 }
 
-// eventsLeft returns how many more events of the stream are expected.
+// eventsLeft returns how many more events of the stream are expected, unless it is among the
+// shortest.
 func (s *stream) eventsLeft(p *pace) float64 {
 	return max(0, p.expectedEvents(s.req.MaxTokens)-float64(s.lastEvent))
 }
 
+// meanEventsLeft returns how many more events of the stream are expected if it is as long as
+// the mean. A prompt that is read again slows the streams beside it down to a fifth of their
+// pace, and many callers come back at once after a loss: the servers' time goes to streams
+// that will probably be whole.
+func (s *stream) meanEventsLeft(p *pace) float64 {
+	return max(0, p.meanEvents(s.req.MaxTokens)-float64(s.lastEvent))
+}
+
+// keepsPrompt reports whether a server is known to have the stream's prompt cached.
+func (s *stream) keepsPrompt(server *directory.Server) bool {
+	cached := s.cachedTokens[server.Start]
+	return cached > 0 && cached >= promptcache.Sufficient(s.req.Prompt)
+}
+
 // worthTrial reports whether a trial of a server can succeed: the stream has at least
 // trialShare of its route's timeout left, or would be complete if the server read as
 // fast as any has.
--- a/exchange/pace.go
+++ b/exchange/pace.go
@@ -119,11 +119,20 @@
 
 // expectedEvents returns how many events a stream has, unless it is among the shortest.
 func (p *pace) expectedEvents(maxTokens int) float64 {
+	if p.lengthRatio.Load() == 0 {
+		return p.meanEvents(maxTokens)
+	}
+	return shortLengthShare * p.meanEvents(maxTokens)
+}
+
+// meanEvents returns how many events a stream has that is as long as the mean. Until one is
+// complete, it is how far one has come.
+func (p *pace) meanEvents(maxTokens int) float64 {
 	length := math.Float64frombits(p.lengthRatio.Load())
 	if length == 0 {
-		return math.Float64frombits(p.leastLengthRatio.Load()) * float64(maxTokens)
+		length = math.Float64frombits(p.leastLengthRatio.Load())
 	}
-	return shortLengthShare * length * float64(maxTokens)
+	return length * float64(maxTokens)
 }
 
 // eventTime returns how long an event takes on a median server that spends this share
--- a/promptcache/locator.go
+++ b/promptcache/locator.go
@@ -104,7 +104,7 @@
 // started, asks peers, and returns as soon as one server is found that has it. If ctx ends
 // first, it returns nothing.
 func (l *Locator) Find(ctx context.Context, service string, servers func() []*directory.Server, prompt []Part) Found {
-	enough := sufficient(prompt)
+	enough := Sufficient(prompt)
 	if known := l.Known(service, prompt); enough == 0 || known.Most() >= enough {
 		return known
 	}
@@ -142,7 +142,7 @@
 // AnswerPeer finds servers that have nearly all of a prompt cached for a peer. It calls reply
 // with each that is known, or else with the first that the given servers' answers show.
 func (l *Locator) AnswerPeer(service string, servers func() []*directory.Server, prompt []Part, reply func(s directory.Start, tokens int)) {
-	enough := sufficient(prompt)
+	enough := Sufficient(prompt)
 	if enough == 0 {
 		return
 	}
@@ -176,5 +176,5 @@
 	}
 }
 
-// sufficient returns how many cached tokens of a prompt are as good as all of it.
-func sufficient(prompt []Part) int { return int(sufficientPrefix * float64(Tokens(prompt))) }
+// Sufficient returns how many cached tokens of a prompt are as good as all of it.
+func Sufficient(prompt []Part) int { return int(sufficientPrefix * float64(Tokens(prompt))) }
--- a/promptcache/service.go
+++ b/promptcache/service.go
@@ -43,7 +43,7 @@
 func (h hit) tokens() map[directory.Start]int { return map[directory.Start]int{h.start: h.cached} }
 
 func newQuery(prompt []Part, expires time.Time) *query {
-	return &query{prompt: prompt, enough: sufficient(prompt), hits: make(chan hit, 1), expires: expires}
+	return &query{prompt: prompt, enough: Sufficient(prompt), hits: make(chan hit, 1), expires: expires}
 }
 
 // deliver hands over a hit unless there has been one.
