exchange: a stream that ends before its first event is not whole

Callers could get a 200 with an empty body framed as whole. An answer without a length ends with its connection; if its server is lost between the head and the first event and the connection ends cleanly, the answer looked complete. A stream has events, so such an end is a broken attempt now: another server begins it, or, where it must run once, it fails (502). A rest that is empty stays whole: its caller may have all events.

Still open, as nothing tells them apart: a plain answer, or a stream's later part, without a length whose connection ends cleanly in its middle.

--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -25,6 +26,8 @@
 // complete; an error ends the attempt.
 func (s *stream) handleStep(ctx context.Context, st step) (done bool, err error) {
 	switch {
+	case st.err == io.EOF && s.isEmpty(st.answer):
+		return false, &BrokenError{Err: ErrCut}
 	case st.err == io.EOF:
 		s.ran++
 		s.versions.Observe(s.req.Route.Name, s.current.server, rollout.Observation{Ended: true})
@@ -53,6 +56,12 @@
 	return false, s.forwardEvent(st.answer, st.event)
 }
 
+// isEmpty reports whether a stream has ended without an event. An answer without a length
+// ends with its connection, and looks like this if its server is lost after the head.
+func (s *stream) isEmpty(a *Answer) bool {
+	return a.Status == http.StatusOK && !s.current.gotEvent && s.resumeAfter() == ""
+}
+
 // forwardReply handles a response that is not a stream.
 func (s *stream) forwardReply(reply *Reply) error {
 	if s.headSent {
