httpconn: the head of a response has a bound

A server in trouble may send bytes without end where the head of its response is due: a line, fields, a continued field, informational responses. The parser has no bound, so each attempt took what came until its deadline; some of them beside each other fill the process (141 MB were seen by hand in a process that may have 134). Now reading a head fails after 64 KiB, informational ones included, and the attempt is broken: it may have run.

All calls to backend servers read through this; the store and other VMs are read by the library, with its own bound of 10 MiB.

--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -78,7 +78,8 @@
 	net.Conn
 	pool             *Pool
 	addr             string
-	reader           *bufio.Reader
+	head             *headLimit
+	reader           *bufio.Reader // from head
 	PriorRequests    int           // requests completed before the current one
 	idleSince        time.Time     // set while in the pool
 	keepAliveTimeout time.Duration // idle timeout announced by the server; 0: none
@@ -119,7 +120,8 @@
 	if err != nil {
 		return nil, &ConnectError{Err: err}
 	}
-	return &Conn{Conn: raw, pool: p, addr: addr, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	head := &headLimit{Conn: raw}
+	return &Conn{Conn: raw, pool: p, addr: addr, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // isUsable reports whether an idle connection may carry another request: it was not
@@ -190,8 +192,11 @@
 	return nil
 }
 
-// Receive reads the head of the next response that isn't informational (1xx).
+// Receive reads the head of the next response that isn't informational (1xx). The error is
+// ErrHeadTooLong if that takes more than maxHeadBytes.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.head.start()
+	defer c.head.stop()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	for err == nil && resp.StatusCode >= 100 && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -225,3 +225,39 @@
 	defer far.Close()
 	g.Expect(WaitReadable(near)).To(gomega.BeFalse(), "a pipe can't be peeked at")
 }
+
+// Guards against a process that is filled by a server that sends bytes without end where the head of its response is due.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	line := strings.Repeat("x", 1000)
+	for name, endless := range map[string]struct{ begin, again string }{
+		"one line":                     {"HTTP/1.1 200 ", line},
+		"one field":                    {"HTTP/1.1 200 OK\r\nA: ", line},
+		"a continued field":            {"HTTP/1.1 200 OK\r\nA: b\r\n", " " + line + "\r\n"},
+		"fields":                       {"HTTP/1.1 200 OK\r\n", "A: " + line + "\r\n"},
+		"informational responses":      {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"informational ones with much": {"", "HTTP/1.1 103 Early Hints\r\nA: " + line + "\r\n\r\n"},
+		"bytes that are no response":   {"", line},
+		"empty lines":                  {"", "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var sent atomic.Int64
+			ended := make(chan struct{})
+			addr, _ := rawServer(t, func(conn net.Conn, in *bufio.Reader) {
+				defer close(ended)
+				readRequest(in)
+				n, err := io.WriteString(conn, endless.begin)
+				for err == nil && sent.Add(int64(n)) < endlessBytes {
+					n, err = io.WriteString(conn, endless.again)
+				}
+			})
+			_, err := roundTrip(t, NewPool(Options{}), addr, nil)
+			g.Expect(err).To(gomega.HaveOccurred())
+			<-ended
+			g.Expect(sent.Load()).To(gomega.BeNumerically("<", endlessBytes), "bytes taken from the server")
+		})
+	}
+}
+
+// endlessBytes stands for no end: more than the sockets' buffers and a head hold.
+const endlessBytes = 64 << 20
