exchange: an event of a stream has 64 KiB at most

A server in trouble may send bytes without end where events are due. Each of its streams held up to 1 MiB of them: 128 MiB for 128 streams, where the smallest VM has 112 MiB. Events hold a few tokens, about a hundred bytes; beyond 64 KiB an attempt is broken now.

TestEndlessEventsOfAServerFitTheProcess failed before (134,217,728 bytes; a quarter of the smallest VM is asked for). Looked at besides, each with its bound: plain answers (256 KiB are held, the rest is handed on, until the deadline), reports 64 KiB, lists of cached prompts 256 KiB, copies 4 KiB, refusals 2 KiB, late answers 1 MiB without holding it, the store's answers 8 MiB; each call ends with its context. Answers of other VMs have no bound in bytes: they are our own processes, and a configuration may have 64 MiB.

--- a/exchange/sse.go
+++ b/exchange/sse.go
@@ -12,8 +12,9 @@
 const (
 	// eventBufferSize is the initial size of the buffer for one event, in bytes.
 	eventBufferSize = 1024
-	// maxEvent bounds one event, in bytes. A server that sends a longer one sends garbage.
-	maxEvent = 1 << 20
+	// maxEvent bounds one event, in bytes. Events hold a few tokens; a server in trouble sends without
+	// end on all its streams at once, and what is held for them must fit the process.
+	maxEvent = 64 << 10
 )
 
 // streamEvent is one event of a stream, as received.
