fleet: the store knows which version serves also while it is a single one

Reported from a like system, and shown here: streams that callers took up again after the loss of all entry VMs were answered 200 and ran to the end, joined from two versions.

Cause: while a service had a single version, nothing of it was stored. VMs that all start together know only the list and the store: a version that replaced the former one while all were down, or within the half second before that, was the only one that had ever served, so each caller that came back was sent to it. Class: what is not recorded is taken not to have been.

Now three VMs, the first by hash, write their rows with the versions that serve when these change and each 30 s. That also ends the suspicion that a row is not written for five minutes beside two versions.

The model of VMs hid it: a VM that was killed there still wrote its row, as in a planned stop. It no longer does. Cost: three writes each 30 s a site, and three at a start.

--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -38,6 +38,12 @@
 	maxRemovedRows = 100
 	// maxRowStreams bounds a row to 45 KB; the store takes 64 KB.
 	maxRowStreams = 1200
+	// servedKeepers is how many VMs keep in the store which versions serve, also while it is a
+	// single one: without it, VMs that all start together would take a version that has replaced
+	// the former one meanwhile for the only one that has served.
+	servedKeepers = 3
+	// servedInterval is how often they do so.
+	servedInterval = streamversion.Retention / 10
 )
 
 // versionRow is the value of a VM's row.
@@ -64,7 +70,8 @@
 	readAt  time.Time     // of the newest attempt
 	readErr error         // of the newest attempt
 
-	clock atomic.Pointer[storeClock] // nil before the first answer of the store
+	clock  atomic.Pointer[storeClock] // nil before the first answer of the store
+	served atomic.Int64               // versions of all services that had served at the last list
 }
 
 // storeClock relates the store's clock to the local one.
@@ -83,6 +90,20 @@
 
 func (r *versionRows) markChanged() { signal(r.changed) }
 
+// keepsServed reports whether this VM keeps in the store which versions serve.
+func (r *versionRows) keepsServed() bool {
+	self := r.of.opts.Address
+	return slices.Contains(firstHolders(0, append(slices.Clone(r.of.opts.Peers()), self), servedKeepers), self)
+}
+
+// observe is called with each list of servers. It has the row written if other versions serve.
+func (r *versionRows) observe(now time.Time) {
+	served := int64(len(r.of.history.Served(now)))
+	if r.served.Swap(served) != served && r.keepsServed() {
+		r.markChanged()
+	}
+}
+
 // storeReturned has the row written again, at a moment that spreads the rows of all VMs over
 // the interval between two writes.
 func (r *versionRows) storeReturned() {
@@ -91,14 +112,15 @@
 	}
 }
 
-// run writes this process's row while several versions of a service have served, and removes
-// it afterwards, until ctx ends. What is unwritten then is written once more.
+// run writes this process's row while several versions of a service have served or this VM keeps
+// which ones serve, and removes it afterwards, until ctx ends. What is unwritten then is written
+// once more.
 func (r *versionRows) run(ctx context.Context) error {
 	if r.of.opts.Store == nil {
 		return nil
 	}
 	hasRow := false
-	tick := time.NewTicker(streamversion.Retention / 10)
+	tick := time.NewTicker(servedInterval)
 	defer tick.Stop()
 	for {
 		pause := r.interval()
@@ -112,9 +134,13 @@
 				pause = saveRetryPause
 			}
 		case <-tick.C:
-			if hasRow && !r.of.history.AnyMixed(time.Now()) {
+			switch {
+			case r.keepsServed():
+				r.markChanged()
+			case hasRow && !r.of.history.AnyMixed(time.Now()):
 				hasRow = r.remove(ctx, []string{r.name()}) != nil
 			}
+			continue
 		}
 		_ = retry.Wait(ctx, pause)
 	}
@@ -188,9 +214,6 @@
 	clock := r.clock.Load()
 	var row versionRow
 	for _, l := range r.of.history.Served(now) {
-		if !r.of.history.Mixed(l.Service, now) {
-			continue
-		}
 		entry := rowVersion{Service: l.Service, Version: l.Version, ServedUntilMs: clock.toStore(l.At).Milliseconds(), Streams: map[uint64]int64{}}
 		for _, rec := range own {
 			if rec.Service == l.Service && rec.Version == l.Version {
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -63,8 +63,8 @@
 // StreamVersions lets entry VMs share which version of the servers' software began each
 // stream.
 //
-// While a service has had a single version nothing is sent or stored. From the moment at
-// which a second one is listed, a VM tells the record of each of its streams to a few others
+// While a service has had a single version nothing is sent, and a few VMs store which one it
+// is. From the moment at which a second one is listed, a VM tells the record of each of its streams to a few others
 // before the stream's first event leaves, and keeps its records in the store, which matters
 // when all VMs are lost. A VM without a record that would hold it, had the stream begun since
 // then, knows that the stream began before.
@@ -159,6 +159,7 @@
 			v.publishOwn(service, now)
 		}
 	}
+	v.rows.observe(now)
 }
 
 func (v *StreamVersions) publishOwn(service uint32, now time.Time) {
--- a/fleet/streamversions_test.go
+++ b/fleet/streamversions_test.go
@@ -102,6 +102,21 @@
 		time.Sleep(100 * time.Millisecond)
 		m.restart(ctx, 500*time.Millisecond, m.running()...)
 	}},
+	"the only version is replaced while all VMs are down": {vms: 5, prepare: oneVersion, lost: true, play: func(ctx context.Context, m *versionSite) {
+		for _, vm := range m.running() {
+			m.kill(vm)
+		}
+		m.addServers("v2", 8)
+		m.removeServers("v1")
+		time.Sleep(500 * time.Millisecond)
+		m.startVMs(ctx, 5)
+	}},
+	"the only version is replaced at once as all VMs are killed": {vms: 5, prepare: oneVersion, lost: true, play: func(ctx context.Context, m *versionSite) {
+		m.addServers("v2", 8)
+		m.removeServers("v1")
+		time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
+		m.restart(ctx, 500*time.Millisecond, m.running()...)
+	}},
 	"servers crash and VMs are killed": {vms: 5, play: func(_ context.Context, m *versionSite) {
 		for i := range 6 {
 			m.crashServer()
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -173,7 +173,7 @@
 		opts.Peers = func() []string { return m.peersOf(address) }
 	}
 	if m.design.store {
-		opts.Store = &versionStoreClient{m.store, func() bool { return m.isCut(address) }}
+		opts.Store = &versionStoreClient{m.store, func() bool { return m.isCut(address) || ctx.Err() != nil }} // a killed process writes nothing
 	}
 	vm.versions = NewStreamVersions(opts)
 	vm.readList()
