--- a/exchange/endless_event_test.go
+++ b/exchange/endless_event_test.go
@@ -29,5 +29,5 @@
 	in := &endlessReader{}
 	_, err := newEventReader(in).next()
 	g.Expect(err).To(gomega.HaveOccurred())
-	g.Expect(in.read*streamsOfAServer).To(gomega.BeNumerically("<", smallestVM/4))
+	g.Expect(in.read * streamsOfAServer).To(gomega.BeNumerically("<", smallestVM/4))
 }
