--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -14,7 +14,7 @@
 	first, end time.Duration // from now to the first event, to the last one
 	// promptKept is set if the server has the prompt cached, but for its last block.
 	promptKept bool
-	// readsAgain is set if the stream has events already and its prompt is to be read once more.
+	// readsAgain is set if the caller has events already and the prompt is to be read once more.
 	readsAgain bool
 	// What it is based on.
 	unread      int64   // prompt tokens queued at the server
--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -107,7 +107,7 @@
 // storeReturned has the row written again, at a moment that spreads the rows of all VMs over
 // the interval between two writes.
 func (r *versionRows) storeReturned() {
-	if r.of.history.AnyMixed(time.Now()) {
+	if r.keepsServed() || r.of.history.AnyMixed(time.Now()) {
 		time.AfterFunc(rand.N(r.interval()), r.markChanged)
 	}
 }
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -64,10 +64,10 @@
 // stream.
 //
 // While a service has had a single version nothing is sent, and a few VMs store which one it
-// is. From the moment at which a second one is listed, a VM tells the record of each of its streams to a few others
-// before the stream's first event leaves, and keeps its records in the store, which matters
-// when all VMs are lost. A VM without a record that would hold it, had the stream begun since
-// then, knows that the stream began before.
+// is. From the moment at which a second one is listed, a VM tells the record of each of its
+// streams to a few others before the stream's first event leaves, and keeps its records in the
+// store, which matters when all VMs are lost. A VM without a record that would hold it, had the
+// stream begun since then, knows that the stream began before.
 type StreamVersions struct {
 	opts    StreamVersionsOptions
 	table   *streamversion.Table
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"io"
 	"net"
 
 	"github.com/pkg/errors"
@@ -40,5 +39,3 @@
 	l.left -= n
 	return n, err
 }
-
-var _ io.Reader = (*headLimit)(nil)
