exchange: PY2782 says how a takeover ended and how long both attempts ran

The logs couldn't tell a takeover that is dropped because the former server resumed (hypothesis 1) from one that is promoted late (2) or whose connection closes late (3): no line said when a takeover was sent, which attempt was ended, how long both were in progress, and how long the close took. PY2782 exchange_takeover says all four. No decision changes.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -36,6 +36,7 @@
 
 	done     chan struct{} // closed when its steps are no longer received
 	doneOnce sync.Once
+	closed   chan struct{} // closed when its connection is closed, or given back to the pool
 }
 
 // States of the copy of an attempt's KV cache.
@@ -79,7 +80,7 @@
 		expectedFirst: s.expectedFirst(server, time.Now()),
 		server:        server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent), ttl: s.memory.keptFor()}, load: server.BeginStream(prompt),
 		memory: server.HoldMemory(s.memory.tokens(s.lastEvent)),
-		watch:  newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}),
+		watch:  newWatch(ctx, s.e, server), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}),
 	}
 	attempt := &Attempt{
 		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from,
@@ -91,6 +92,7 @@
 // read delivers what the server sends, until the response ends or the steps are no
 // longer received.
 func (a *streamAttempt) read(backend Backend, attempt *Attempt) {
+	defer close(a.closed)
 	defer func() {
 		if value := recover(); value != nil {
 			a.deliver(step{panicked: &PanicError{Value: value, Stack: debug.Stack()}})
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -36,6 +36,8 @@
 		"a stream's server sends nothing; the stream stays there until another server takes it over", "nothing; if it persists, there are too few backend servers")
 	EventWentOn = event.Define(2737, "exchange_went_on", event.Info,
 		"a stream's server resumed sending after a silence; a takeover by another server, if there was one, is ended", "nothing")
+	EventTakeover = event.Define(2782, "exchange_takeover", event.Info,
+		"a stream's server was silent, another one was asked to take the stream over, and one of the two attempts has been ended: outcome is promoted if the former one (former) was, dropped if the new one (server) was, failed if that refused or broke. both is how long both were in progress, closed how long the connection of the ended one took to close", "nothing; if both exceeds 400 ms, two servers worked on one stream: report it to the vendor")
 	EventLocated = event.Define(2738, "exchange_prompt_located", event.Info,
 		"a caller came back for the rest of its stream; servers were asked which of them have its prompt cached", "nothing")
 	EventReturned = event.Define(2780, "exchange_returned", event.Info,
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -98,7 +98,7 @@
 func (s *stream) handleNext(ctx context.Context, st step) (done bool, err error) {
 	st.rethrow()
 	if err := s.checkTakeover(st); err != nil {
-		next := s.dropNext()
+		next := s.dropNext(takeoverFailed)
 		s.handleFailure(next, err)
 		s.tryTakeover(ctx)
 		return false, nil
@@ -128,6 +128,7 @@
 // the former one.
 func (s *stream) promote(why error) {
 	s.current.end()
+	go s.e.logTakeover(s.req, s.current, s.next, takeoverPromoted, time.Now())
 	s.handleFailure(s.current, why)
 	s.current.copies.close()
 	s.current, s.next, s.isSilent, s.noTakeoverReason = s.next, nil, false, ""
@@ -167,17 +168,18 @@
 	if s.next == nil {
 		return
 	}
-	s.dropNext()
+	s.dropNext(takeoverDropped)
 	s.abandoned++
 	s.countDelivered()
 }
 
 // dropNext ends the takeover attempt and releases the copy that it resumed from. The
 // current attempt gets another copy.
-func (s *stream) dropNext() *streamAttempt {
+func (s *stream) dropNext(outcome string) *streamAttempt {
 	next := s.next
 	s.next = nil
 	next.end()
+	go s.e.logTakeover(s.req, s.current, next, outcome, time.Now())
 	next.run.end()
 	next.copies.close()
 	if next.from != nil {
@@ -187,6 +189,25 @@
 	return next
 }
 
+// Outcomes of a takeover, in log lines.
+const (
+	takeoverPromoted = "promoted"
+	takeoverDropped  = "dropped"
+	takeoverFailed   = "failed" // it was refused, or broke before its first event
+)
+
+// logTakeover logs the outcome of a takeover, decided at endedAt, once the connection of the
+// attempt that was ended is closed.
+func (e *Exchange) logTakeover(req *Request, former, next *streamAttempt, outcome string, endedAt time.Time) {
+	ended := former
+	if outcome != takeoverPromoted {
+		ended = next
+	}
+	<-ended.closed
+	e.opts.Recorder.Emit(EventTakeover, event.FieldRequest, req.ID, "former", former.server.Start, "server", next.server.Start, "copy", next.from != nil,
+		"outcome", outcome, "both", endedAt.Sub(next.sentAt), "closed", time.Since(endedAt))
+}
+
 // onSilence handles an alert that the current attempt's server sends nothing.
 func (s *stream) onSilence(ctx context.Context, alert silenceAlert) error {
 	if !s.current.watch.isWaiting() {
