--- a/exchange/takeover_test.go
+++ b/exchange/takeover_test.go
@@ -25,6 +25,7 @@
 // workSpan is the work of one server on a stream.
 type workSpan struct {
 	server string
+	begun  time.Time // the server began to work on it
 	first  time.Time // its first event; zero: none
 	broke  time.Time // the server broke it off; zero: it didn't
 	ended  time.Time // the attempt was ended; zero: still running
@@ -37,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		run := &workSpan{server: a.Server.ID}
+		run := &workSpan{server: a.Server.ID, begun: time.Now()}
 		w.mu.Lock()
 		w.runs = append(w.runs, run)
 		w.mu.Unlock()
@@ -98,6 +99,22 @@
 	return longest
 }
 
+// together returns the longest time for which two servers worked on the stream.
+func (w *workLog) together() (longest time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, run := range w.runs {
+		for _, former := range w.runs[:i] {
+			until := former.ended
+			if !former.broke.IsZero() {
+				until = former.broke
+			}
+			longest = max(longest, until.Sub(run.begun))
+		}
+	}
+	return longest
+}
+
 // A server pauses for over a second in the middle of a stream, and another one holds a
 // copy of its KV cache. The stream resumes there within the pause that callers allow,
 // and the first server's work ends with the first event of the other: two servers on
