--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -31,6 +31,7 @@
 
 // askSuccessor sends the stream to another server.
 func (s *stream) askSuccessor(ctx context.Context, server *directory.Server, from *KVCopy, run *trackedRun) {
+	s.silence = s.current.watch.silenceError()
 	s.successor = s.launch(ctx, server, from, run)
 	s.acceptanceDue = time.After(acceptanceTime)
 }
@@ -84,7 +85,7 @@
 
 // succeed ends the attempt at the silent server and makes the successor the current one.
 func (s *stream) succeed() {
-	former, silence, ended := s.current, s.current.watch.silenceError(), time.Now()
+	former, silence, ended := s.current, s.silence, time.Now()
 	former.close()
 	closed := time.Now()
 	s.handleFailure(former, &BrokenError{Err: silence})
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -52,6 +52,7 @@
 	current          *streamAttempt   // attempt whose events go to the caller; nil before the first
 	successor        *streamAttempt   // attempt that is to replace a silent current one, and may still be refused; nil: none
 	acceptanceDue    <-chan time.Time // fires when successor counts as accepted; nil without one
+	silence          *SilentError     // why the successor was asked
 	isSilent         bool             // current sends nothing, and that has been logged
 	noHandoverReason string           // why the stream stays at a silent server, as last logged
 	// retryAvailable fires when a handover is to be tried again after the retry budget was
