--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -66,6 +66,18 @@
 	return s.handleStep(ctx, st)
 }
 
+// onAcceptanceDue ends the wait for the successor's first step. One that has arrived goes first:
+// after a stall of this process both may be ready.
+func (s *stream) onAcceptanceDue(ctx context.Context) (done bool, err error) {
+	select {
+	case st := <-s.successor.steps:
+		return s.handleSuccessor(ctx, st)
+	default:
+		s.succeed()
+		return false, nil
+	}
+}
+
 // checkAcceptance returns why the stream stays with the former server after the successor's
 // first step; nil if it continues at the successor. A server that starts over, or ends without
 // an event, must not replace one that is working.
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -47,7 +47,10 @@
 				return err
 			}
 		case <-s.acceptanceDue:
-			s.succeed()
+			done, err := s.onAcceptanceDue(ctx)
+			if done || err != nil {
+				return err
+			}
 		case alert := <-s.current.watch.alerts:
 			if err := s.onSilence(ctx, alert); err != nil {
 				return err
