standin/nursery: a stream ends with its connection, also while its prompt is read

Cause: the HTTP server of Go sees that a caller has left only once the body of the request is read. A stream's handler did not read it before its first event, so a server read the prompt of a stream, up to 1.5 s, for a caller that was gone; the default prefill did not look at the connection at all. Change: the handler reads the body first; the default prefill ends with the connection. Poisoned requests are as before.

--- a/standin/nursery/engine.go
+++ b/standin/nursery/engine.go
@@ -127,8 +127,7 @@
 	limits := e.limits
 	e.mu.Unlock()
 	if limits.MaxPrefill <= 0 {
-		time.Sleep(e.disturbed(defaultPrefill))
-		return true
+		return sleep(ctx, e.disturbed(defaultPrefill))
 	}
 	select {
 	case e.prefillSlot <- struct{}{}:
--- a/standin/nursery/stream.go
+++ b/standin/nursery/stream.go
@@ -31,6 +31,7 @@
 
 // stream answers a request for a stream with the events after the given one.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, e *engine, memory *allocation, after int) {
+	bufferBody(r)
 	request := r.Header.Get("Attempt-Id")
 	if backup := r.Header.Get("Kv-Backup"); backup != "" {
 		s.cloud.keepCopy(request, backup, backup+"/"+request, requestTokens(r, s.cloud.length()), after)
