standin/nursery: the ledger keeps the time of each run

Ruled out: Run.At with Ends: At is the arrival, which may wait, and an end names no server. Change: Ledger.Works() has server, begin, end, events, whether from a copy and after which event. Work begins with the admission, which is before the first token, and ends with the answer, the connection or the crash of the server. Figures: go test -race -count=1 ./standin/nursery passes.

--- a/standin/nursery/ledger.go
+++ b/standin/nursery/ledger.go
@@ -20,6 +20,7 @@
 type Ledger struct {
 	mu       sync.Mutex
 	runs     []Run
+	works    []*Work
 	arrivals []Run // including refused requests
 	ends     map[string][]RunEnd
 	crashes  []Crash // under poisoned requests
--- a/standin/nursery/server.go
+++ b/standin/nursery/server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,6 +55,7 @@
 	turnsAway      atomic.Int64            // the rest that it asks for while it turns requests away, in nanoseconds; 0: it takes them
 	disturbance    atomic.Int64            // see Disturb
 	hangs          atomic.Bool             // see Hang
+	worksOn        atomic.Int64            // see WorkOn, in nanoseconds
 
 	ownAddress string // that the server listens on
 	crashed    atomic.Bool
@@ -238,6 +238,7 @@
 	server, listener := s.http, s.listener
 	s.mu.Unlock()
 	s.crashed.Store(true)
+	s.cloud.Ledger.endWorkAt(s.Address)
 	_ = listener.Close()
 	_ = server.Close()
 }
@@ -369,6 +370,8 @@
 	}
 	defer e.release(memory)
 	s.cloud.Ledger.record(&s.cloud.Ledger.runs, run)
+	work := s.beginWork(run, from != "")
+	defer s.cloud.Ledger.endWork(work)
 	w.Header().Set("Response-Signature", id+"."+request)
 	if isPoisoned(r) {
 		s.crashUnder(id, r)
@@ -379,19 +382,8 @@
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		s.stream(w, r, e, memory, after)
+		s.stream(w, r, e, memory, work)
 		return
 	}
 	s.plain(w, r, e)
 }
-
-// fails reports whether a request is answered with an error.
-func (s *Server) fails(request string) bool {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(request))
-	return int64(hash.Sum64()%1000) < s.FailedPerMille.Load()
-}
-
-func (s *Server) slowed(d time.Duration) time.Duration {
-	return time.Duration(max(1, s.SlowFactor.Load())) * d
-}
--- a/standin/nursery/stream.go
+++ b/standin/nursery/stream.go
@@ -29,15 +29,17 @@
 // kept.
 const incompleteCopyRetention = 3 * time.Second
 
-// stream answers a request for a stream with the events after the given one.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, e *engine, memory *allocation, after int) {
+// stream answers a request for a stream with the events after the one that work resumes
+// after.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, e *engine, memory *allocation, work *Work) {
 	bufferBody(r)
-	request := r.Header.Get("Attempt-Id")
+	request := work.Request
 	if backup := r.Header.Get("Kv-Backup"); backup != "" {
-		s.cloud.keepCopy(request, backup, backup+"/"+request, requestTokens(r, s.cloud.length()), after)
+		s.cloud.keepCopy(request, backup, backup+"/"+request, requestTokens(r, s.cloud.length()), work.ResumedAfter)
 	}
-	completed := s.writeEvents(w, r, e, memory, after)
+	completed := s.writeEvents(w, r, e, memory, work)
 	if !completed {
+		s.workOn(r, e, memory, work)
 		s.recordDisconnect(r)
 		time.AfterFunc(incompleteCopyRetention, func() { s.cloud.freeCopies(request) })
 		return
@@ -49,8 +51,8 @@
 // writeEvents writes a stream to its end; it returns false if the connection closed
 // first. The prompt is prefilled unless the engine has cached it or the run resumes from
 // a KV copy.
-func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, e *engine, memory *allocation, after int) bool {
-	request := r.Header.Get("Attempt-Id")
+func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, e *engine, memory *allocation, work *Work) bool {
+	request := work.Request
 	if r.Header.Get("Kv-From") == "" && !e.hasCached(promptParts(r)) && !e.prefill(r.Context(), request) {
 		return false
 	}
@@ -58,15 +60,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	s.reportLoad(w, e)
 	flush := http.NewResponseController(w)
-	gap := eventGap
-	if own := s.EventGap.Load(); own > 0 {
-		gap = time.Duration(own)
-	}
-	gap = s.slowed(gap)
-	for n := after + 1; n <= s.cloud.length(); n++ {
+	gap := s.gap()
+	for s.cloud.Ledger.eventsSoFar(work) < s.cloud.length() {
 		if !sleep(r.Context(), s.disturbed(gap)) || !e.step(r.Context(), memory, request) {
 			return false
 		}
+		n := s.cloud.Ledger.countEvent(work)
 		s.cloud.notifyEvent(request, n)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(r.RequestURI, e.version, n)); err != nil {
 			return false
@@ -76,6 +75,15 @@
 	return true
 }
 
+// gap returns the time between two events of a stream.
+func (s *Server) gap() time.Duration {
+	gap := eventGap
+	if own := s.EventGap.Load(); own > 0 {
+		gap = time.Duration(own)
+	}
+	return s.slowed(gap)
+}
+
 const (
 	handlePrefix = "h"
 	// moveTokens is the memory of a KV copy made by a move; the call doesn't give
--- a/standin/nursery/trouble.go
+++ b/standin/nursery/trouble.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,6 +51,8 @@
 // run, since nobody can tell that it is none.
 func (s *Server) hang(r *http.Request, run Run) {
 	s.cloud.Ledger.record(&s.cloud.Ledger.runs, run)
+	work := s.beginWork(run, r.Header.Get("Kv-From") != "")
+	defer s.cloud.Ledger.endWork(work)
 	bufferBody(r)
 	<-r.Context().Done()
 	s.recordDisconnect(r)
@@ -88,3 +91,14 @@
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// fails reports whether a request is answered with an error.
+func (s *Server) fails(request string) bool {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(request))
+	return int64(hash.Sum64()%1000) < s.FailedPerMille.Load()
+}
+
+func (s *Server) slowed(d time.Duration) time.Duration {
+	return time.Duration(max(1, s.SlowFactor.Load())) * d
+}
