soak: no two servers work on a request for more than 400 ms

Ruled out: the spans of the timeline as the excuse: they name no VM and no server, and would excuse all VMs for one. Change: overlapViolations in every plan and in TestWholePath. Excused is only what disturbs the VM that sent the request (SIGSTOP, SIGKILL, SIGTERM until the next start) or the path to one of both servers (any mode of its proxy, a reset), from contactTime before the later run begins until 400 ms after it. The VM and the proxy record that themselves. The store, load and disturbed servers excuse nothing. A summary line has the number of runs from a copy.

--- a/soak/disruptions.go
+++ b/soak/disruptions.go
@@ -13,6 +13,7 @@
 func (vm *VM) resume() {
 	vm.paused.Store(false)
 	vm.signal(syscall.SIGCONT)
+	vm.disturbed.end()
 }
 
 // Kind classifies disruptions by the failures that they excuse.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -30,9 +30,10 @@
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[net.Conn]struct{}
+	mu        sync.Mutex
+	mode      Mode
+	conns     map[net.Conn]struct{}
+	disturbed disturbanceLog
 }
 
 // NewProxy starts a proxy to target on a free port of loopback.
@@ -48,16 +49,23 @@
 
 // Set changes the mode, also for existing connections.
 func (p *Proxy) Set(m Mode) {
+	if m != Pass {
+		p.disturbed.begin()
+	}
 	p.mu.Lock()
 	p.mode = m
 	p.mu.Unlock()
-	if m == Refuse {
+	switch m {
+	case Pass:
+		p.disturbed.end()
+	case Refuse:
 		p.Reset()
 	}
 }
 
 // Reset closes all connections, to clients and to the target, with a TCP reset.
 func (p *Proxy) Reset() {
+	p.disturbed.moment()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
--- a/soak/run.go
+++ b/soak/run.go
@@ -40,6 +40,7 @@
 	Violations  []string
 	Crashes     int // of servers under poisoned requests
 	Preemptions int // of streams, for want of memory
+	FromCopy    int // runs that resumed from a copy
 	Urgency     urgencyShares
 	Returns     returnCounts
 	Timeline    []Span // disruptions by their start
@@ -48,8 +49,8 @@
 
 // String returns a one-line summary.
 func (r Result) String() string {
-	line := fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d of %d callers that came back went on, %d disruptions, %d crashes under poisoned requests, %d violations",
-		r.Seed, r.Calls, r.Served, r.LossChecked, r.Returns.wentOn, r.Returns.returned, len(r.Timeline), r.Crashes, len(r.Violations))
+	line := fmt.Sprintf("seed %d: %d calls, %d served, %d checked for loss, %d of %d callers that came back went on, %d disruptions, %d crashes under poisoned requests, %d runs from a copy, %d violations",
+		r.Seed, r.Calls, r.Served, r.LossChecked, r.Returns.wentOn, r.Returns.returned, len(r.Timeline), r.Crashes, r.FromCopy, len(r.Violations))
 	if r.Urgency != (urgencyShares{}) {
 		line += fmt.Sprintf("; %d preempted; %v", r.Preemptions, r.Urgency)
 	}
@@ -121,6 +122,8 @@
 	r.Violations = append(r.Violations, leavingViolations(calls, site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, restViolations(calls, site.Cloud.Ledger.Rests(), site.Cloud.Ledger.Arrivals(), r.Timeline)...)
 	r.Violations = append(r.Violations, site.copyViolations(site.Cloud.Ledger.Arrivals(), r.Timeline)...)
+	r.FromCopy = countFromCopy(site.Cloud.Ledger.Works())
+	r.Violations = append(r.Violations, overlapViolations(site.Cloud.Ledger.Works(), calls, site.disturbances())...)
 	r.Returns = countReturns(calls)
 	r.Violations = append(r.Violations, r.Returns.violations()...)
 	r.Violations = append(r.Violations, recoveryViolations(calls, settled)...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -291,6 +291,7 @@
 func TestWholePath(t *testing.T) {
 	g := gomega.NewWithT(t)
 	site := newSite(t, 2)
+	var streams []Call
 
 	// A stream outlives its server.
 	running := make(chan Call, 1)
@@ -307,6 +308,7 @@
 	g.Expect(call.Mismatch).To(gomega.BeEmpty())
 	g.Expect(call.Complete).To(gomega.BeTrue())
 	g.Expect(site.Cloud.Ledger.Runs()).To(gomega.HaveLen(2))
+	streams = append(streams, call)
 
 	// A planned stop cuts no stream.
 	go func() { running <- sendTo(site, site.VMs[1], "/stream/s2", "k0") }()
@@ -314,6 +316,8 @@
 	site.VMs[1].terminate()
 	call = <-running
 	g.Expect(call.Complete && call.Mismatch == "").To(gomega.BeTrue(), "%+v", call)
+	streams = append(streams, call)
+	g.Expect(overlapViolations(site.Cloud.Ledger.Works(), streams, site.disturbances())).To(gomega.BeEmpty())
 
 	// A new route and a revoked key take effect within two seconds.
 	site.Configure(func(c *Configuration) { c.Keys, c.Extra = []string{"k1"}, []string{"/extra/"} })
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -50,6 +50,7 @@
 	startedAt       atomic.Int64  // time of the newest start, in Unix nanoseconds
 	lastHUP         atomic.Int64  // time of the newest SIGHUP, in Unix nanoseconds
 	unexpectedExits atomic.Int64  // processes that ended without the soak ending them
+	disturbed       disturbanceLog
 }
 
 // newVM writes the settings of a VM. All VMs use the same ports, each on its own IP address.
@@ -110,6 +111,7 @@
 	vm.cmd, vm.done = cmd, done
 	vm.mu.Unlock()
 	vm.startedAt.Store(time.Now().UnixNano())
+	vm.disturbed.end()
 	go vm.reap(cmd, done)
 	return nil
 }
@@ -208,8 +210,11 @@
 	if cmd == nil {
 		return // never started
 	}
-	if s == syscall.SIGHUP {
+	switch s {
+	case syscall.SIGHUP:
 		vm.lastHUP.Store(time.Now().UnixNano())
+	case syscall.SIGSTOP, syscall.SIGTERM, syscall.SIGKILL:
+		vm.disturbed.begin()
 	}
 	_ = cmd.Process.Signal(s)
 }
