--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -18,21 +18,26 @@
 // server sends and passes it on as steps; everything else is done by the stream that
 // owns the attempt.
 type streamAttempt struct {
-	server   *directory.Server
-	run      *trackedRun           // nil once its crash is judged, which ends it
-	from     *KVCopy               // copy to resume from; nil: the server reads the prompt
-	copies   copyTracker           // where its KV cache is copied to
-	load     *directory.StreamLoad // its share of the server's load
-	memory   *directory.MemoryHold // its share of the server's memory
-	watch    *silenceWatch
-	steps    chan step
-	gotEvent bool // an event has been received
+	server *directory.Server
+	run    *trackedRun // nil once its crash is judged, which ends it
+	from   *KVCopy     // copy to resume from; nil: the server reads the prompt
+	// sourceReleased is set once from has been freed.
+	sourceReleased bool
+	copies         copyTracker           // where its KV cache is copied to
+	load           *directory.StreamLoad // its share of the server's load
+	memory         *directory.MemoryHold // its share of the server's memory
+	watch          *silenceWatch
+	steps          chan step
+	gotEvent       bool // an event has been received
 	// When it was sent and when its first event came, and the number of its events so far.
 	sentAt, firstEventAt time.Time
 	events               int
 	pending              *rollout.Pending // until the first event
 	expectedFirst        time.Duration    // estimated time from sentAt to the first event; 0: not known
 	copyState            atomic.Int32     // copyPlaced, copyTaken or copyUsedUp
+	sent                 chan struct{}    // closed when the request is about to be sent
+	sentHandled          bool             // the stream has handled that
+	tookOver             bool             // it replaced an attempt at a silent server
 
 	done     chan struct{} // closed when its steps are no longer received
 	doneOnce sync.Once
@@ -80,10 +85,11 @@
 		expectedFirst: s.expectedFirst(server, time.Now()),
 		server:        server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent), ttl: s.memory.keptFor()}, load: server.BeginStream(prompt),
 		memory: server.HoldMemory(s.memory.tokens(s.lastEvent)),
-		watch:  newWatch(ctx, s.e, server, s.req.Route.MaxGap), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}),
+		watch:  newWatch(ctx, s.e, server, s.req.Route.MaxGap), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}), sent: make(chan struct{}),
 	}
 	attempt := &Attempt{
 		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from,
+		OnSend: sync.OnceFunc(func() { close(a.sent) }),
 	}
 	go a.read(s.e.opts.Backend, attempt)
 	return a
@@ -162,3 +168,12 @@
 	a.end()
 	<-a.closed
 }
+
+// releaseSource frees the copy that the attempt was to resume from: its server has refused, or
+// the stream has ended before.
+func (a *streamAttempt) releaseSource() {
+	if !a.sourceReleased {
+		a.sourceReleased = true
+		a.copies.release(a.from)
+	}
+}
--- a/exchange/enginemodel_test.go
+++ b/exchange/enginemodel_test.go
@@ -220,6 +220,7 @@
 
 // Open implements Backend.
 func (b *modelBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
+	a.MarkSent()
 	sentAt := time.Now()
 	if b.turnsAway != nil && b.turnsAway(a.Server) {
 		return nil, &NotRunError{Reason: Busy, Err: io.ErrClosedPipe}
--- a/exchange/fake_test.go
+++ b/exchange/fake_test.go
@@ -31,11 +31,20 @@
 	refusals int                             // how many of the next copies are refused
 	cached   map[string]promptcache.Contents // by server id
 	asked    []string                        // ids of servers that were asked what they have cached
+	connect  func(n int) error               // connects for the attempt with this number, from 1; nil: at once
 }
 
 func (b *fakeBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
 	b.mu.Lock()
 	b.attempts = append(b.attempts, *a)
+	if n := len(b.attempts); b.connect != nil {
+		b.mu.Unlock()
+		if err := b.connect(n); err != nil {
+			return nil, err
+		}
+		b.mu.Lock()
+	}
+	a.MarkSent()
 	list := b.scripts[a.Server.ID]
 	if len(list) == 0 {
 		b.mu.Unlock()
@@ -229,6 +238,16 @@
 	return b
 }
 
+// measurePrompts lets each server in turn read a prompt of 8,000 tokens in the given time.
+func (b *testbed) measurePrompts(took time.Duration) {
+	for _, s := range b.dir.View().Service("s") {
+		load := s.BeginStream(8000)
+		time.Sleep(took)
+		load.PromptPrefilled()
+		load.End()
+	}
+}
+
 func request(kind site.Kind) *Request {
 	return &Request{
 		ID: "r1", Method: http.MethodPost, Target: "/x/1", Header: http.Header{}, Service: "s", PromptTokens: 8000, MaxTokens: 600,
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -58,9 +58,10 @@
 }
 
 // isEmpty reports whether a stream has ended without an event. An answer without a length
-// ends with its connection, and looks like this if its server is lost after the head.
+// ends with its connection, and looks like this if its server is lost after the head. The rest
+// of a stream may be empty, but not where it was taken from a silent server.
 func (s *stream) isEmpty(a *Answer) bool {
-	return a.Status == http.StatusOK && !s.current.gotEvent && s.resumeAfter() == ""
+	return a.Status == http.StatusOK && !s.current.gotEvent && (s.resumeAfter() == "" || s.current.tookOver)
 }
 
 // forwardReply handles a response that is not a stream.
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -15,14 +15,17 @@
 // two don't work on it side by side. A server that is asked to continue from a copy of the
 // KV cache begins at once, ahead of all requests that wait there, and may have begun long
 // before that is seen here. Therefore nothing that the former server sends after the
-// successor was asked counts, unless the successor refuses: its first event, or acceptanceTime
-// without a refusal, ends the former attempt.
+// successor was asked counts, unless the successor refuses: its first event, its failure, or
+// acceptanceTime without a refusal ends the former attempt.
 
-// acceptanceTime is how long the former attempt is kept after the successor was asked. A
-// refusal comes within a round trip, on a new connection within two, and leaves the stream
-// where it is. Servers may work on a stream side by side for 400 ms, the travel to and from
-// both included.
-const acceptanceTime = 100 * time.Millisecond
+// acceptanceTime is how long the former attempt is kept after the request was sent to the
+// successor. A refusal comes within a round trip and leaves the stream where it is. Servers may
+// work on a stream side by side for 400 ms, the travel to and from both included.
+const acceptanceTime = 200 * time.Millisecond
+
+// maxSendTime bounds the time until the request is sent: a connection that isn't established by
+// then is given up.
+const maxSendTime = 300 * time.Millisecond
 
 // handoverTime is how long a stream takes at most to continue at the server that has a copy
 // of its KV cache, on healthy VMs. A server that answers probes keeps its stream until that
@@ -33,6 +36,21 @@
 func (s *stream) askSuccessor(ctx context.Context, server *directory.Server, from *KVCopy, run *trackedRun) {
 	s.silence = s.current.watch.silenceError()
 	s.successor = s.launch(ctx, server, from, run)
+	s.acceptanceDue = time.After(maxSendTime + acceptanceTime)
+}
+
+// successorSent is closed when the request has been sent to the successor; nil without one, or if
+// that has been handled.
+func (s *stream) successorSent() <-chan struct{} {
+	if s.successor == nil || s.successor.sentHandled {
+		return nil
+	}
+	return s.successor.sent
+}
+
+// awaitAcceptance waits for a refusal for acceptanceTime from now on.
+func (s *stream) awaitAcceptance() {
+	s.successor.sentHandled = true
 	s.acceptanceDue = time.After(acceptanceTime)
 }
 
@@ -57,15 +75,29 @@
 func (s *stream) handleSuccessor(ctx context.Context, st step) (done bool, err error) {
 	st.rethrow()
 	if err := s.checkAcceptance(st); err != nil {
-		successor := s.dropSuccessor()
-		s.handleFailure(successor, err)
-		s.tryHandover(ctx)
-		return false, nil
+		return false, s.onSuccessorFailed(ctx, err)
 	}
 	s.succeed()
 	return s.handleStep(ctx, st)
 }
 
+// onSuccessorFailed drops a successor that sent nothing to continue with. If it has refused, the
+// stream stays at the former server. If it may have begun, the former attempt is ended too, which
+// the returned error says, unless no further attempt is allowed: a server that works is better
+// for the caller than none.
+func (s *stream) onSuccessorFailed(ctx context.Context, err error) error {
+	s.handleFailure(s.dropSuccessor(), err)
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
+		s.tryHandover(ctx)
+		return nil
+	}
+	if s.ran+1 < s.req.Route.Attempts() && s.tryReserveRetry() {
+		return &BrokenError{Err: s.silence}
+	}
+	return nil
+}
+
 // onAcceptanceDue ends the wait for the successor's first step. One that has arrived goes first:
 // after a stall of this process both may be ready.
 func (s *stream) onAcceptanceDue(ctx context.Context) (done bool, err error) {
@@ -103,6 +135,7 @@
 	s.handleFailure(former, &BrokenError{Err: silence})
 	former.copies.close()
 	s.current, s.successor, s.acceptanceDue, s.isSilent, s.noHandoverReason = s.successor, nil, nil, false, ""
+	s.current.tookOver = true
 	s.active.server.Store(s.current.server)
 	s.e.opts.Recorder.Emit(EventTakeover, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "former", former.server.Start, "server", s.current.server.Start,
 		"copy", s.current.from != nil, "reached", s.lastEvent, "silent", silence.Silence, "alive", silence.Alive, "both", closed.Sub(s.current.sentAt), "closed", closed.Sub(ended))
@@ -120,7 +153,7 @@
 	a.run.end()
 	a.copies.close()
 	if a.from != nil {
-		a.copies.release(a.from)
+		a.releaseSource()
 		s.current.copyState.Store(copyUsedUp)
 	}
 	return a
--- a/exchange/quarantine.go
+++ b/exchange/quarantine.go
@@ -38,7 +38,6 @@
 // onQuarantine ends the stream unless its current attempt has sent events: a server that
 // generates the stream has survived its prompt.
 func (s *stream) onQuarantine(ctx context.Context) error {
-	s.dropSuccessor()
 	if s.current.gotEvent {
 		return nil
 	}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -3,9 +3,9 @@
 // on another server, and what a caller is told when nothing more can be done. It
 // reaches callers and backend servers through interfaces and knows no protocol.
 //
-// An attempt is one delivery of a request to one server. While the server of a stream's
-// attempt sends nothing, another server may be asked to take the stream over, and the
-// attempt that delivers the next event goes on. To read a prompt is to compute its KV
+// An attempt is one delivery of a request to one server. If the server of a stream's attempt
+// sends nothing, the stream is handed over: another server is asked to continue it, and unless
+// that refuses, the former attempt is ended. To read a prompt is to compute its KV
 // cache (prefill); a server that holds a copy of that cache resumes a stream at once.
 package exchange
 
@@ -79,6 +79,16 @@
 	CopyTo *directory.Server
 	// ResumeFrom is the copy to resume from instead of reading the prompt; nil: none.
 	ResumeFrom *KVCopy
+	// OnSend, if set, is called just before the first byte is sent; see MarkSent.
+	OnSend func()
+}
+
+// MarkSent must be called by a Backend just before it sends the request: from then on the
+// server may run it.
+func (a *Attempt) MarkSent() {
+	if a.OnSend != nil {
+		a.OnSend()
+	}
 }
 
 // KVCopy is a copy of a running stream's KV cache.
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -165,8 +165,9 @@
 	var notRun *NotRunError
 	s.versions.Observe(s.req.Route.Name, a.server, brokenObservation(a.server, err))
 	if errors.As(err, &notRun) {
-		// An attempt that did not run has left no copy.
+		// An attempt that did not run has left no copy, and has not used the one that it had.
 		a.copies.drop()
+		a.releaseSource()
 		a.run.end()
 		s.refused++
 		if a == s.current {
--- a/exchange/takeover.go
+++ b/exchange/takeover.go
@@ -46,6 +46,8 @@
 			if done || err != nil {
 				return err
 			}
+		case <-s.successorSent():
+			s.awaitAcceptance()
 		case <-s.acceptanceDue:
 			done, err := s.onAcceptanceDue(ctx)
 			if done || err != nil {
@@ -239,7 +241,7 @@
 	silence := time.Since(s.silentSince())
 	est, measured := s.estimate(server, time.Now())
 	gap := s.req.Route.MaxGap
-	inTime := s.current.gotEvent && (!measured || gap <= 0 || silence+est.first <= gap)
+	inTime := s.current.gotEvent && measured && silence+est.first <= gap
 	if inTime || silence >= silenceTimeout {
 		return nil
 	}
@@ -252,7 +254,8 @@
 // server after the other would be given up while it reads, and the answer be cut off.
 func (s *stream) checkLoss() error {
 	confirmed, sinceProof := s.current.watch.lossConfirmed()
-	if confirmed && (!s.headSent || s.current.gotEvent || sinceProof >= silenceTimeout) {
+	readsAgain := s.headSent && !s.current.gotEvent && s.current.from == nil
+	if confirmed && (!readsAgain || sinceProof >= silenceTimeout) {
 		return nil
 	}
 	return errNotConfirmed
--- a/exchange/takeover_abandoned_test.go
+++ b/exchange/takeover_abandoned_test.go
@@ -9,13 +9,12 @@
 	"github.com/onsi/gomega"
 )
 
-// A healthy server pauses, the one that holds the copy is asked to take over, and the
-// first one resumes by itself. Later it breaks off. Guards against having no copy then,
-// since the abandoned takeover used it up: the prompt was read again.
-func TestAbandonedTakeoverLeavesACopy(t *testing.T) {
+// A healthy server pauses, the one that holds the copy is asked to continue the stream and refuses,
+// and the first one resumes by itself. Later it breaks off. Guards against having no copy then,
+// since the refused request used it up: the prompt was read again.
+func TestRefusedSuccessorLeavesACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		slow := func(ctx context.Context, a *Attempt) (*Answer, error) { return paced(130, 5*time.Second)(ctx, a) }
 		resumesAndBreaks := func(ctx context.Context, a *Attempt) (*Answer, error) {
 			ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 			context.AfterFunc(ctx, cancel)
@@ -26,7 +25,8 @@
 			pauses[51] = 600 * time.Millisecond
 			return paced(400, pauses...)(ctx, a)
 		}
-		b := newTestbed(inOrder(resumesAndBreaks, slow, streams(400, eventInterval, nil)))
+		b := newTestbed(inOrder(resumesAndBreaks, refuses(Busy), streams(400, eventInterval, nil)))
+		b.measurePrompts(time.Second) // too long to read one again meanwhile
 		sink, err := runStream(t, b, streamRequest())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 400)))
--- a/exchange/takeover_bounds_test.go
+++ b/exchange/takeover_bounds_test.go
@@ -81,12 +81,7 @@
 		g := gomega.NewWithT(t)
 		b := newTestbed(inOrder(pausing(preemption), streams(130, eventInterval, nil)))
 		b.opts.Services = func(string) (site.Service, bool) { return site.Service{Name: "s"}, true }
-		for _, s := range b.dir.View().Service("s") {
-			load := s.BeginStream(8000)
-			time.Sleep(time.Second)
-			load.PromptPrefilled()
-			load.End()
-		}
+		b.measurePrompts(time.Second)
 		sink, err := runStream(t, b, streamRequest())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(sink.ids).To(gomega.Equal(consecutive(1, 130)))
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -51,7 +51,7 @@
 // newWatch starts the watch of an attempt. gap is the pause that the caller allows; 0: any.
 func newWatch(ctx context.Context, e *Exchange, server *directory.Server, gap time.Duration) *silenceWatch {
 	now := time.Now()
-	w := &silenceWatch{e: e, server: server, tolerated: min(gap-handoverTime, maxSilence), alerts: make(chan silenceAlert, 1), beforeFirst: true, waitingSince: now, lastProof: now, presumedAlive: true}
+	w := &silenceWatch{e: e, server: server, tolerated: toleratedSilence(gap), alerts: make(chan silenceAlert, 1), beforeFirst: true, waitingSince: now, lastProof: now, presumedAlive: true}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
 	w.armedAt, w.wait = now, e.opts.Timings.ProbeAfter
@@ -61,6 +61,13 @@
 	return w
 }
 
+func toleratedSilence(gap time.Duration) time.Duration {
+	if gap <= 0 {
+		return maxSilence
+	}
+	return min(gap-handoverTime, maxSilence)
+}
+
 // watchDown raises an alert when the server was found lost by other requests or
 // processes. Once events flow, the attempt's own events are better evidence, except for
 // a later start of the server: then the process that ran the stream has ended.
