directory: a start time that can't be one is unknown

Cause: an entry, a report, a peer's list or a restart datagram that names a born of became the newest start of its id. replaceOutdated then took each true entry for that of an earlier start: the mended entry had no effect until the process ended, and by a report or datagram the true start counted as ended with its streams. Ruled out: every other odd value of the list (80 that describe no server, 94 with odd optional fields, 15 undecodable rows; nesting 10,000 and 30,000 deep, 400 digits, 1e999, odd ports and addresses): skipped or used, followers went on, log lines bounded. Change: CheckedBorn turns a start time below 0 or after 2248 into unknown; listings and reports are checked by it, restarts with such a time are ignored. A wrong time within that range can't be told from a true one. The stand-in's store pages its answers, can hold rows of any text and answer with text that is no JSON.

--- a/directory/listing.go
+++ b/directory/listing.go
@@ -50,6 +50,7 @@
 	}
 	l.Slots = min(max(0, l.Slots), maxSlots)
 	l.Cold = min(max(0, l.Cold), maxCold)
+	l.Born = CheckedBorn(l.Born)
 	return l
 }
 
--- a/directory/restart.go
+++ b/directory/restart.go
@@ -8,10 +8,10 @@
 
 // RecordRestart records that a server was restarted at its address, under the same id or
 // another one, before the store reports it. It reports whether that was new information.
-// Starts with an invalid id are ignored: the id comes from the server itself or from a
-// peer's datagram.
+// Starts with an invalid id or start time are ignored: they come from the server itself or
+// from a peer's datagram.
 func (d *Directory) RecordRestart(old *Server, start Start, now time.Time) bool {
-	if !ValidID(start.ID) {
+	if !ValidID(start.ID) || start.Born != CheckedBorn(start.Born) {
 		return false
 	}
 	d.mu.Lock()
--- a/directory/start.go
+++ b/directory/start.go
@@ -20,6 +20,19 @@
 	Born int64
 }
 
+// maxBorn is in the year 2248. A larger start time is a mistake: all true starts of the server
+// would count as earlier ones.
+const maxBorn = 1 << 43 // Unix milliseconds
+
+// CheckedBorn returns a start time as read from an entry or an answer, and 0 (unknown) if it
+// can't be one. Every decoder of start times must call it.
+func CheckedBorn(born int64) int64 {
+	if born < 0 || born > maxBorn {
+		return 0
+	}
+	return born
+}
+
 // startSeparator separates id and start time in a start's name. It differs from
 // event.ServerSeparator, which precedes a server's name.
 const startSeparator = "#"
--- a/standin/nursery/store.go
+++ b/standin/nursery/store.go
@@ -7,9 +7,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,6 +26,7 @@
 	StoreBusy                      // answers 503
 	StoreSilent                    // never answers
 	StoreSlow                      // answers after slowAnswer
+	StoreGarbled                   // answers with text that is no JSON
 )
 
 const (
@@ -38,6 +42,17 @@
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"rowVersion"`
 	Deleted bool   `json:"deleted,omitempty"`
+
+	text string // JSON text of the row in answers, if it is not that of the fields above
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r row) MarshalJSON() ([]byte, error) {
+	if r.text != "" {
+		return []byte(r.text), nil
+	}
+	type fields row
+	return json.Marshal(fields(r))
 }
 
 // Store is a stand-in for the platform's store.
@@ -107,6 +122,9 @@
 			panic(http.ErrAbortHandler)
 		case StoreSlow:
 			time.Sleep(slowAnswer)
+		case StoreGarbled:
+			_, _ = io.WriteString(w, `{"rows":[[[`)
+			return
 		case StoreHealthy:
 		}
 		next.ServeHTTP(w, r)
@@ -129,6 +147,16 @@
 	return s.version
 }
 
+// PutText writes a row whose JSON text in answers is given, such as one with a value that is
+// not base64.
+func (s *Store) PutText(table, key, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[table+"/"+key] = row{Table: table, Key: key, Version: s.version, text: text}
+	s.notifyWatchers()
+}
+
 // Remove deletes a row.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
@@ -216,17 +244,24 @@
 	return true
 }
 
-// get answers with the rows of a table whose keys are in a range.
+// get answers with the rows of a table whose keys are in a range, in the order of the keys, up
+// to the caller's limit.
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	s.answer(w, s.selectRows(func(x row) bool {
+	found := s.selectRows(func(x row) bool {
 		return x.Table == q.Get("table") && !x.Deleted && x.Key >= q.Get("source") && (q.Get("to") == "" || x.Key < q.Get("to"))
-	}))
+	})
+	slices.SortFunc(found.rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	if limit, _ := strconv.Atoi(q.Get("limit")); limit > 0 && len(found.rows) > limit {
+		found.rows, found.more = found.rows[:limit], true
+	}
+	s.answer(w, found)
 }
 
 // result is what a call reads, as of a single moment.
 type result struct {
 	rows         []row
+	more         bool // there are further rows in the range
 	version, era uint64
 }
 
@@ -278,7 +313,7 @@
 func (s *Store) answer(w http.ResponseWriter, found result) {
 	setEra(w, found.era)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": found.rows, "hasMore": false, "rowVersion": found.version, "currentTimeMs": time.Since(s.startedAt).Milliseconds()})
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": found.rows, "hasMore": found.more, "rowVersion": found.version, "currentTimeMs": time.Since(s.startedAt).Milliseconds()})
 }
 
 // setEra names the store's era in an answer.
