entry: a log line shows at most four values of a header that can't be read

Cause: the lines on invalid eras, limits and headers bounded each value, not their number. An answer that repeats a header 10,000 times made a line of 110,001 bytes (at most one a second). Change: at most four values; the three reports go to invalid.go.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -244,38 +243,6 @@
 	})
 }
 
-// reportInvalidEra logs an answer of the store whose era is not used.
-func (e *Entry) reportInvalidEra(c platform.EraChange) {
-	now := time.Now().UnixNano()
-	last := e.invalidEraAt.Load()
-	if now-last < int64(invalidEraInterval) || !e.invalidEraAt.CompareAndSwap(last, now) {
-		return
-	}
-	e.recorder.Emit(EventInvalidEra, "era", c.Era, "known", c.Known, "values", fmt.Sprintf("%.100q", c.Values))
-}
-
-// reportInvalidLimit logs a rate limit of a backend server that can't be read. It has no
-// effect.
-func (e *Entry) reportInvalidLimit(s *directory.Server, values []string) {
-	now := time.Now().UnixNano()
-	last := e.invalidLimitAt.Load()
-	if now-last < int64(invalidLimitInterval) || !e.invalidLimitAt.CompareAndSwap(last, now) {
-		return
-	}
-	e.recorder.Emit(EventInvalidLimit, "server", s.Start, "values", fmt.Sprintf("%.100q", values))
-}
-
-// reportInvalidHeader logs an answer's header, other than a rate limit, that can't be read. It
-// has no effect.
-func (e *Entry) reportInvalidHeader(s *directory.Server, header string, values []string) {
-	now := time.Now().UnixNano()
-	last := e.invalidHeaderAt.Load()
-	if now-last < int64(invalidLimitInterval) || !e.invalidHeaderAt.CompareAndSwap(last, now) {
-		return
-	}
-	e.recorder.Emit(EventInvalidHeader, "server", s.Start, "header", header, "values", fmt.Sprintf("%.100q", values))
-}
-
 // newRollouts sets up the roll-outs that the configuration in force orders.
 func (e *Entry) newRollouts(store *platform.Store) {
 	e.rollouts = rollout.New(rollout.Options{
