fleet: a row of stream versions with impossible times is not taken over

Cause: times of a row were taken as they were. A stream that expires in years stayed in the table for as long as the process ran, and in the VM's own row it stood before all true streams: with 1,200 of them, no true one was written any more, by later processes neither. A version that served in years counted as one that serves now, and its row was never removed. Numbers that no duration holds became arbitrary times. Ruled out: 400 digits, 1e999, texts, lists, nesting 10,000 deep: the row is skipped with one line and removed, as before; that line quoted all of a number and is now bounded. Change: a version or stream whose time is over 65,535 s ahead (the longest that a datagram can say) is skipped; conversions are bounded.

--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -46,6 +48,10 @@
 	servedInterval = streamversion.Retention / 10
 )
 
+// maxRecordLife is the longest time for which a datagram can announce a record. A later end in
+// a row is a mistake, and would stand before all true ones in the rows that are written.
+const maxRecordLife = math.MaxUint16 * time.Second
+
 // versionRow is the value of a VM's row.
 type versionRow struct {
 	Versions []rowVersion `json:"versions"`
@@ -84,6 +90,13 @@
 
 func (c *storeClock) toLocal(d time.Duration) time.Time { return c.local.Add(d - c.store) }
 
+// fromRow returns the local time of a number of units of the store's clock in a row. One that
+// no time.Duration can hold becomes the nearest that it can.
+func (c *storeClock) fromRow(n int64, unit time.Duration) time.Time {
+	limit := math.MaxInt64 / int64(unit)
+	return c.toLocal(time.Duration(min(max(n, 0), limit)) * unit)
+}
+
 func newVersionRows(v *StreamVersions) *versionRows {
 	return &versionRows{of: v, changed: make(chan struct{}, 1), reading: make(chan struct{}, 1)}
 }
@@ -276,18 +289,24 @@
 func (r *versionRows) merge(clock *storeClock, value []byte, own bool) (needed bool) {
 	var row versionRow
 	if err := json.Unmarshal(value, &row); err != nil {
-		r.of.opts.Recorder.Emit(EventVersionsNotRead, "err", err)
+		r.of.opts.Recorder.Emit(EventVersionsNotRead, "err", fmt.Sprintf("%.160s", err.Error()))
 		return false
 	}
 	now := time.Now()
 	for _, entry := range row.Versions {
-		listedAt := clock.toLocal(time.Duration(entry.ServedUntilMs) * time.Millisecond)
+		listedAt := clock.fromRow(entry.ServedUntilMs, time.Millisecond)
+		if listedAt.Sub(now) > maxRecordLife {
+			continue
+		}
 		needed = needed || now.Sub(listedAt) < streamversion.Retention
 		if r.of.history.Merge(entry.Service, entry.Version, minTime(listedAt, now), now) {
 			r.of.publishOwn(entry.Service, now)
 		}
 		for stream, expires := range entry.Streams {
-			until := clock.toLocal(time.Duration(expires) * time.Second)
+			until := clock.fromRow(expires, time.Second)
+			if until.Sub(now) > maxRecordLife {
+				continue
+			}
 			record := streamversion.Record{Key: streamversion.Key{Service: entry.Service, Stream: stream}, Version: entry.Version, Until: until, Own: own}
 			if until.After(now) && !r.of.table.Put(record, now) {
 				r.of.metrics.dropped.Inc()
