suspect: a row or peer that names a time years ahead quarantines no request

Cause: the end of a quarantine and the times of deaths were merged as they were. One odd row, or entry of a peer, refused its request until 9999 at all VMs (the ledgers pass it on and write it again), since the times only grow; a time after 9999 could not be written. Ruled out: nesting 100,000 deep, 1 MB of brackets, 400 digits, 1e999, other types, invalid UTF-8, nil entries of a peer: the row is skipped, all others are in force. Change: deaths more than the longest quarantine ahead, and ends more than twice that, are not merged.

--- a/suspect/entry.go
+++ b/suspect/entry.go
@@ -81,15 +81,17 @@
 )
 
 // merge merges e into r and returns the kind of change. Deaths before oldest are
-// dropped, so that a peer whose clock is slow can't revive them.
-func (r *record) merge(e Entry, oldest time.Time) change {
+// dropped, so that a peer whose clock is slow can't revive them, and times further ahead than
+// a quarantine lasts: a row or peer with a wrong time would refuse the request for years.
+func (r *record) merge(e Entry, oldest, now time.Time, p quarantinePolicy) change {
 	changed := noChange
+	latest := now.Add(p.longest())
 	for _, d := range e.Deaths {
-		if !d.At.Before(oldest) {
+		if !d.At.Before(oldest) && !d.At.After(latest) {
 			changed = max(changed, r.mergeDeath(d))
 		}
 	}
-	if e.Until.After(r.until) {
+	if e.Until.After(r.until) && !e.Until.After(latest.Add(p.longest())) {
 		r.until = e.Until
 		changed = urgentChange
 	}
@@ -148,9 +150,12 @@
 	for i := p.limit; i < deaths && length < p.window; i++ {
 		length *= 2
 	}
-	return min(length, max(p.window, p.quarantine))
+	return min(length, p.longest())
 }
 
+// longest returns the length of the longest quarantine.
+func (p quarantinePolicy) longest() time.Duration { return max(p.window, p.quarantine) }
+
 // openDeaths returns the number of open deaths, which are those that are neither
 // cleared nor excused, and the time of the last one.
 func (r *record) openDeaths() (int, time.Time) {
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -235,7 +235,7 @@
 		r = &record{deaths: map[string]Death{}}
 	}
 	before := r.until
-	changed = r.merge(e, oldest)
+	changed = r.merge(e, oldest, now, l.policy)
 	if r.extendQuarantine(l.policy) {
 		changed = urgentChange
 	}
