suspect: rows of quarantines that can't be read are logged

Rows that can't be read were skipped without a word, against the rule of one line for what changes what a process believes. PY2408 names at most eight of them once per load. Before: go test ./suspect -run TestOddRowsOfQuarantines (no such event). After: green.

--- a/suspect/events.go
+++ b/suspect/events.go
@@ -22,6 +22,8 @@
 		"suspicions are written to the table service again", "nothing")
 	eventHeld = event.Define(2406, "suspect_copy_held", event.Info,
 		"a copy of a suspect was held back because another copy is running or the chosen backend server already runs a suspect", "nothing")
+	eventRowsInvalid = event.Define(2408, "suspect_rows_invalid", event.Warn,
+		"rows of the table of suspicions can't be read and are skipped; all others are in force", "find the program that writes the named rows; they are overwritten once their requests are quarantined again")
 	eventAdopted = event.Define(2410, "suspect_rows_adopted", event.Info,
 		"the table service came back from a copy without rows of quarantined requests whose processes have ended; this process writes them again", "nothing")
 	eventPeer = event.Define(2407, "suspect_peer_unreachable", event.Info,
--- a/suspect/odd_rows_test.go
+++ b/suspect/odd_rows_test.go
@@ -46,7 +46,9 @@
 	g.Expect(l.Verdict(poison).State).To(gomega.Equal(Quarantined))
 	g.Expect(l.Verdict(7).State).To(gomega.Equal(Clear))
 	l.flush(t.Context(), &tableState{})
-	for _, e := range recorder.Entries("") {
+	logged := recorder.Entries("")
+	g.Expect(logged).To(gomega.ContainElement(gomega.HaveField("ID", eventRowsInvalid.ID())))
+	for _, e := range logged {
 		g.Expect(len(fmt.Sprint(e.Fields))).To(gomega.BeNumerically("<", 4096), e.Name)
 	}
 }
--- a/suspect/store.go
+++ b/suspect/store.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +24,8 @@
 	maxFlushRows  = 16
 	// tableTimeout bounds a load from, or a flush to, the table service.
 	tableTimeout = 2 * time.Second
+	// maxLoggedRows is how many invalid rows a log line names.
+	maxLoggedRows = 8
 	// expireInterval is how often expired records are removed.
 	expireInterval = 10 * time.Second
 )
@@ -101,10 +105,17 @@
 		return false
 	}
 	entries := make([]Entry, 0, len(rows))
+	var invalid []string
 	for _, row := range rows {
-		if e, err := decodeRow(row.Value); err == nil {
-			entries = append(entries, e)
+		e, err := decodeRow(row.Value)
+		if err != nil {
+			invalid = append(invalid, fmt.Sprintf("%.60q", row.Key))
+			continue
 		}
+		entries = append(entries, e)
+	}
+	if len(invalid) > 0 {
+		l.opts.Recorder.Emit(eventRowsInvalid, "rows", strings.Join(invalid[:min(len(invalid), maxLoggedRows)], ","), "count", len(invalid))
 	}
 	l.Merge(entries)
 	l.mu.Lock()
