fleet: fuzz seeds of odd datagrams; peers' answers and rows of stream versions are fuzzed

FuzzDatagram gets for each kind, and two unknown ones, ten bodies of least, greatest and no numbers. FuzzPeersAnswer and FuzzVersionRow are new.

--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"testing"
@@ -34,6 +35,15 @@
 	})
 }
 
+// lastKind is the greatest kind of datagrams.
+const lastKind = int(kindPressure)
+
+// oddBodies are bodies of datagrams whose numbers are the least, the greatest and no numbers.
+var oddBodies = [][]byte{
+	nil, {0}, {0xff}, bytes.Repeat([]byte{0}, maxDatagram-headerBytes), bytes.Repeat([]byte{0xff}, maxDatagram-headerBytes), bytes.Repeat([]byte{0xff}, maxDatagram-headerBytes-5),
+	bytes.Repeat([]byte{0x7f, 0xf0, 0, 0, 0, 0, 0, 0}, 173), bytes.Repeat([]byte{0x80, 0, 0, 0}, 346), bytes.Repeat([]byte{0x7f, 0xff, 0xff, 0xff}, 12), bytes.Repeat([]byte{0, 0, 0, 1}, 40),
+}
+
 // FuzzDatagram dispatches a whole datagram to all handlers.
 func FuzzDatagram(f *testing.F) {
 	h := header{incarnation: 3, seq: 4}
@@ -53,6 +63,12 @@
 		f.Add(append(encodeHeader(b.kind, h), b.raw...))
 	}
 	f.Add([]byte{0, 1})
+	for k := range kind(lastKind + 2) {
+		for _, odd := range oddBodies {
+			f.Add(append(encodeHeader(k, h), odd...))
+			f.Add(append(encodeHeader(k, header{incarnation: math.MaxUint64, seq: math.MaxUint32}), odd...))
+		}
+	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		d := directory.New()
 		d.Apply(1, []directory.Listing{{ID: "a1", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, false, time.Now())
@@ -144,3 +160,64 @@
 		}
 	})
 }
+
+// FuzzPeersAnswer applies a whole answer of a peer.
+func FuzzPeersAnswer(f *testing.F) {
+	for _, answer := range []*fleetpb.NewestResponse{
+		{ListPosition: math.MaxUint64, Servers: []*fleetpb.Server{nil, validServer("a1")}}, {ListPosition: 5, Delta: true, Gone: []string{"a1", "", "\r\n"}, Servers: []*fleetpb.Server{{Id: "a1", Service: "s", Address: "1.2.3.4:5", Born: math.MaxInt64, Slots: math.MinInt32, ColdNano: math.MinInt64}}},
+		{ConfigPosition: math.MaxUint64, Config: []byte("{"), ConfigIsDelta: true, ListPosition: 5, Servers: []*fleetpb.Server{validServer("a1")}}, {Leaving: []uint32{0, math.MaxUint32}, Doubted: []*fleetpb.Doubted{nil, {Start: directory.Hash("a1"), ForMs: math.MaxUint32}}},
+	} {
+		raw, err := proto.Marshal(answer)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var answer fleetpb.NewestResponse
+		if proto.Unmarshal(raw, &answer) != nil {
+			return
+		}
+		v := newVM(t, "a")
+		v.opts.Recorder = event.Discard()
+		v.dir.Apply(1, listingsFromProto([]*fleetpb.Server{validServer("a1")}), false, time.Now())
+		v.applyAnswer("p", &answer)
+		for _, l := range v.dir.View().Listings {
+			if l.Invalid == "" && (!directory.ValidID(l.ID) || !directory.ValidAddress(l.Address) || l.Born != directory.CheckedBorn(l.Born)) {
+				t.Fatalf("invalid server accepted: %+v", l)
+			}
+		}
+		if _, err := v.Newest(t.Context(), &fleetpb.NewestRequest{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzVersionRow reads a VM's row of stream versions.
+func FuzzVersionRow(f *testing.F) {
+	for _, number := range oddNumbers {
+		if len(number) < 1000 {
+			f.Add(versionRowWith(number, number), true)
+			f.Add([]byte(number), false)
+		}
+	}
+	f.Fuzz(func(t *testing.T, value []byte, own bool) {
+		v := benchVersions("v1", "v2")
+		now := time.Now()
+		clock := &storeClock{100 * time.Second, now}
+		v.rows.clock.Store(clock)
+		v.rows.merge(clock, value, own)
+		v.Record("s", 8, "v1", now.Add(time.Minute))
+		for _, r := range v.table.Select(now, func(streamversion.Record) bool { return true }) {
+			if r.Until.Sub(now) > maxRecordLife+time.Second {
+				t.Fatalf("a record until %v", r.Until)
+			}
+		}
+		for _, l := range v.rows.encode(now).Versions {
+			if _, kept := l.Streams[8]; kept {
+				return
+			}
+		}
+		t.Fatal("the true stream is not written")
+	})
+}
