fleet: tests of odd rows of entry VMs and of odd datagrams

35 odd values of rows (ports, names, 400 digits, nesting, 1 MB, invalid UTF-8) beside two valid ones: the valid ones are the peers, one line is logged. Ten odd bodies for each kind of datagram, and two unknown kinds: the server stays known and in use, at most one line a second.

--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -44,6 +44,29 @@
 	bytes.Repeat([]byte{0x7f, 0xf0, 0, 0, 0, 0, 0, 0}, 173), bytes.Repeat([]byte{0x80, 0, 0, 0}, 346), bytes.Repeat([]byte{0x7f, 0xff, 0xff, 0xff}, 12), bytes.Repeat([]byte{0, 0, 0, 1}, 40),
 }
 
+// handleAll sets the handlers of all kinds of datagrams.
+func handleAll(s *Socket, d *directory.Directory) (*Loads, *Memory) {
+	loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
+	memory := NewMemory(MemoryOptions{Directory: d, Socket: s})
+	d.SharePlaces("s")
+	NewPlaces(s, func() []string { return nil }, d)
+	NewRestarts(s, d)
+	NewRefusals(s)
+	NewPressure(s, func() []string { return nil })
+	NewPrefillTimes(s, func() []string { return nil }, d)
+	NewDisturbances(DisturbancesOptions{Socket: s, Directory: d, Recorder: event.Discard()})
+	NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
+	NewElection(ElectionOptions{
+		Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position, bool) {},
+		Mark: func(Subject) Mark { return Mark{Position: 1} },
+	})
+	NewStreamVersions(StreamVersionsOptions{
+		Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
+		ListAge: func() time.Duration { return 0 },
+	})
+	return loads, memory
+}
+
 // FuzzDatagram dispatches a whole datagram to all handlers.
 func FuzzDatagram(f *testing.F) {
 	h := header{incarnation: 3, seq: 4}
@@ -73,24 +96,7 @@
 		d := directory.New()
 		d.Apply(1, []directory.Listing{{ID: "a1", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, false, time.Now())
 		s := NewSocket("", func() []string { return nil }, nil)
-		loads := NewLoads(LoadsOptions{Directory: d, Socket: s})
-		memory := NewMemory(MemoryOptions{Directory: d, Socket: s})
-		d.SharePlaces("s")
-		NewPlaces(s, func() []string { return nil }, d)
-		NewRestarts(s, d)
-		NewRefusals(s)
-		NewPressure(s, func() []string { return nil })
-		NewPrefillTimes(s, func() []string { return nil }, d)
-		NewDisturbances(DisturbancesOptions{Socket: s, Directory: d, Recorder: event.Discard()})
-		NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
-		NewElection(ElectionOptions{
-			Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position, bool) {},
-			Mark: func(Subject) Mark { return Mark{Position: 1} },
-		})
-		NewStreamVersions(StreamVersionsOptions{
-			Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
-			ListAge: func() time.Duration { return 0 },
-		})
+		loads, memory := handleAll(s, d)
 		s.dispatch("p", raw, time.Now())
 		s.dispatch("p", raw, time.Now())
 		loads.expire(time.Now())
--- a/fleet/odd_rows_test.go
+++ b/fleet/odd_rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -79,3 +80,51 @@
 		g.Expect(v.table.Select(time.Now(), func(streamversion.Record) bool { return true })).To(gomega.BeEmpty())
 	}
 }
+
+// Another writer leaves odd rows in the table of entry VMs. Guards against peers that can't be
+// reached, true ones that are missing, and a long log line.
+func TestOddRowsOfEntryVMs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := newVM(t, "a", "1.1.1.1:1")
+	v.opts.Recorder = event.Discard()
+	registry := v.opts.Registry.(*fakeRegistry)
+	odd := append([]string{"", "2.2.2.2:0", "2.2.2.2:-1", "2.2.2.2:65536", "2.2.2.2:99999999", "2.2.2.2:" + strings.Repeat("9", 400), "2.2.2.2", ":1", "host:1", "[::]:1", "[fe80::1%x]:1", "224.0.0.1:1", "255.255.255.255", "\xff\xfe",
+		`"2.2.2.2:2"`, "2.2.2.2:2\n", strings.Repeat("[", 100_000), strings.Repeat("x", 1<<20)}, oddNumbers...)
+	for i, value := range odd {
+		registry.rows[fmt.Sprint(strings.Repeat("k", 300), i)] = []byte(value)
+		registry.rows[fmt.Sprint("\xff\x00", i)] = nil
+	}
+	registry.rows["b"] = []byte("2.2.2.2:2")
+	registry.rows["c"] = []byte("[2001:db8::1]:3")
+	for range 3 {
+		g.Expect(v.syncRegistry(t.Context())).To(gomega.Succeed())
+	}
+	g.Expect(v.Peers()).To(gomega.ConsistOf("2.2.2.2:2", "[2001:db8::1]:3"))
+	logged := v.opts.Recorder.Entries("")
+	g.Expect(logged).To(gomega.HaveLen(1))
+	g.Expect(len(fmt.Sprint(logged[0].Fields))).To(gomega.BeNumerically("<", 4096))
+}
+
+// Guards against a datagram of impossible numbers that ends the process or takes a server out of
+// use. Loads and places that a VM reports are believed, as true ones are.
+func TestOddDatagrams(t *testing.T) {
+	for k := range kind(lastKind + 2) {
+		for i, odd := range oddBodies {
+			t.Run(fmt.Sprint(k, " ", i), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				d := directory.New()
+				now := time.Now()
+				d.Apply(1, []directory.Listing{{ID: "a1", Born: 100, Service: "s", Address: "10.0.0.1:80", Slots: 1}}, false, now)
+				s := NewSocket("", func() []string { return nil }, nil)
+				s.SetRecorder(event.Discard())
+				handleAll(s, d)
+				for _, h := range []header{{incarnation: 3, seq: 4}, {incarnation: math.MaxUint64, seq: math.MaxUint32}} {
+					s.dispatch("p", append(encodeHeader(k, h), odd...), now)
+				}
+				g.Expect(d.View().Len()).To(gomega.Equal(1))
+				g.Expect(d.Pick(directory.Query{Service: "s"}, now.Add(time.Minute))).NotTo(gomega.BeNil())
+				g.Expect(len(s.recorder.Entries(""))).To(gomega.BeNumerically("<=", 1))
+			})
+		}
+	}
+}
