fleet: a datagram of an impossible incarnation is not read

Cause: an incarnation is the sender's start time, and a datagram with an earlier one counts as late. One with the greatest number made all later datagrams of its sender count as late: its loads until it has been silent long enough to be forgotten, its reports on roll-outs for as long as the process runs. Ruled out: any other odd number of a datagram, see TestOddDatagrams, which now has the handlers of all kinds. Change: a datagram whose incarnation is over ten years ahead of this VM's clock is unreadable, and reported as such (at most one line a second). Before: go test ./fleet -run TestImpossibleIncarnation: the header of the odd one stayed. After: green, and go test ./fleet.

--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -7,10 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pearyard/pearyard/directory"
 	"github.com/pearyard/pearyard/event"
+	"github.com/pearyard/pearyard/promptcache"
+	"github.com/pearyard/pearyard/rollout"
 	fleetpb "github.com/pearyard/pearyard/rpc/fleet"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/streamversion"
@@ -56,10 +59,15 @@
 	NewPrefillTimes(s, func() []string { return nil }, d)
 	NewDisturbances(DisturbancesOptions{Socket: s, Directory: d, Recorder: event.Discard()})
 	NewBudgets(BudgetsOptions{Socket: s, CellPeers: func() []string { return nil }, Size: func() int { return 2 }, Ratio: 1, Extra: 1})
-	NewElection(ElectionOptions{
+	election := NewElection(ElectionOptions{
 		Address: "self", Socket: s, Recorder: event.Discard(), Fetch: func(context.Context, string, types.Position, bool) {},
 		Mark: func(Subject) Mark { return Mark{Position: 1} },
 	})
+	NewLeaving(LeavingOptions{Socket: s, Directory: d, Recorder: event.Discard()})
+	NewServerLimits(ServerLimitsOptions{Socket: s, Peers: func() []string { return nil }, Size: func() int { return 2 }, Directory: d, Recorder: event.Discard()})
+	NewRollouts(s, election, rollout.New(rollout.Options{Size: func() int { return 2 }, Directory: d, Recorder: event.Discard(), Metrics: prometheus.NewRegistry()}))
+	prompts := NewPrompts(PromptsOptions{Socket: s, OtherCells: func() [][]string { return nil }, Directory: d})
+	prompts.UseLocator(promptcache.NewLocator(func(context.Context, *directory.Server) (promptcache.Contents, error) { return nil, nil }))
 	NewStreamVersions(StreamVersionsOptions{
 		Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
 		ListAge: func() time.Duration { return 0 },
--- a/fleet/odd_rows_test.go
+++ b/fleet/odd_rows_test.go
@@ -128,3 +128,21 @@
 		}
 	}
 }
+
+// A datagram names an incarnation that no clock has given. Guards against all later datagrams of
+// its sender, and of whoever gets its address, counting as late ones.
+func TestImpossibleIncarnationBlocksNoSender(t *testing.T) {
+	for _, incarnation := range []uint64{math.MaxUint64, math.MaxInt64} {
+		g := gomega.NewWithT(t)
+		d := directory.New()
+		now := time.Now()
+		d.Apply(1, []directory.Listing{{ID: "a1", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, false, now)
+		s := NewSocket("", func() []string { return nil }, nil)
+		loads, _ := handleAll(s, d)
+		latest := header{incarnation: uint64(now.UnixNano()), seq: 1}
+		for _, h := range []header{{incarnation: incarnation, seq: math.MaxUint32}, latest} {
+			s.dispatch("p", append(encodeHeader(kindLoads, h), encodeLoads(nil, nil).raw...), now)
+		}
+		g.Expect(loads.senders["p"].header).To(gomega.Equal(latest))
+	}
+}
--- a/fleet/socket.go
+++ b/fleet/socket.go
@@ -42,6 +42,9 @@
 // Any program may send to the port at any rate.
 const unreadableInterval = time.Second
 
+// maxClockError is more than clocks of two entry VMs may differ.
+const maxClockError = 10 * 365 * 24 * time.Hour
+
 // NewSocket returns a socket that listens at a UDP address (ip:port) and sends to peers.
 func NewSocket(address string, peers func() []string, metrics prometheus.Registerer) *Socket {
 	s := &Socket{
@@ -94,6 +97,8 @@
 // dispatch passes the body of a datagram to the handler of its kind and counts the datagram.
 func (s *Socket) dispatch(from string, raw []byte, now time.Time) {
 	k, h, rest, ok := decodeHeader(raw)
+	// A later incarnation is a mistake, and the true ones of the sender would count as earlier.
+	ok = ok && h.incarnation <= uint64(now.Add(maxClockError).UnixNano())
 	if handle := s.handlers[k]; ok && handle != nil && handle(from, h, rest, now) {
 		s.received.Inc()
 		return
