directory: names of an entry over 200 bytes are not taken

Cause: zone, version and service of an entry were taken at any length. Each line that names a server's zone (such as exchange_server_lost) had 60 KB beside an entry with such a zone; a version over 255 bytes is cut in datagrams between VMs and then is that of no server. Ruled out: the entry's id, address and state, which were bounded; followers and other entries, see TestOddEntriesInTheListOfServers. Change: zones and versions over 200 bytes count as unknown, an entry with such a service is invalid. Before: go test ./directory -run TestLongNamesOfAnEntry: red. After: green.

--- a/directory/listing.go
+++ b/directory/listing.go
@@ -33,13 +33,16 @@
 	maxCold = time.Hour
 	// maxIDLength is the length limit of an id in bytes: that of a row's key in the store.
 	maxIDLength = 200
+	// maxNameLength is the length limit of other names in bytes. Log lines show them, and
+	// datagrams hold 255 bytes.
+	maxNameLength = 200
 	// maxReasonLength is the length limit of a reason in bytes: errors quote the value that
 	// could not be parsed, which may be a number of 100 KB.
 	maxReasonLength = 160
 )
 
 // Checked returns the listing with Invalid set if it can't be used, and otherwise with
-// its numbers within bounds. Every decoder of listings must call it: entries may come
+// its numbers and names within bounds. Every decoder of listings must call it: entries may come
 // from any writer, and requests sent to a server without an address would fail.
 func (l Listing) Checked() Listing {
 	if l.Invalid == "" {
@@ -51,9 +54,18 @@
 	l.Slots = min(max(0, l.Slots), maxSlots)
 	l.Cold = min(max(0, l.Cold), maxCold)
 	l.Born = CheckedBorn(l.Born)
+	l.Zone, l.Version = checkedName(l.Zone), checkedName(l.Version)
 	return l
 }
 
+// checkedName returns a name, and "" (unknown) for one that is too long.
+func checkedName(name string) string {
+	if len(name) > maxNameLength {
+		return ""
+	}
+	return name
+}
+
 // invalidReason returns the reason why a server of this listing can't be called, or "".
 func (l Listing) invalidReason() string {
 	switch {
@@ -61,6 +73,8 @@
 		return "its id can't be a header's value"
 	case l.Service == "":
 		return ReasonNoService
+	case len(l.Service) > maxNameLength:
+		return "its service's name is too long"
 	case l.Address == "":
 		return "it has no address"
 	case !ValidAddress(l.Address):
--- a/directory/odd_start_test.go
+++ b/directory/odd_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,3 +32,17 @@
 		g.Expect(d.View().Service("s")[0].Born).To(gomega.BeEquivalentTo(200))
 	}
 }
+
+// Guards against log lines of 60 KB for each event of a server, and against a version that is cut
+// in datagrams and then is that of no server.
+func TestLongNamesOfAnEntry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	long := strings.Repeat("x", 60_000)
+	l := directory.Listing{ID: "i1", Service: "s", Address: "10.0.0.1:80", Zone: long, Version: long}.Checked()
+	g.Expect(l.Invalid).To(gomega.BeEmpty())
+	g.Expect(l.Zone).To(gomega.BeEmpty())
+	g.Expect(l.Version).To(gomega.BeEmpty())
+	g.Expect(directory.Listing{ID: "i1", Service: long, Address: "10.0.0.1:80"}.Checked().Invalid).NotTo(gomega.BeEmpty())
+	l = directory.Listing{ID: "i1", Service: "s", Address: "10.0.0.1:80", Zone: long[:200], Version: long[:200]}.Checked()
+	g.Expect(l.Zone + l.Version).To(gomega.HaveLen(400))
+}
