platform: a late second answer is not that of the same request sent again

A faulty server sends a refusal twice; the second copy came after the same request had been sent again on the kept connection and passed for the refusal of that second send, which the server ran. Late successes and errors passed in the same way: the caller got the body of the earlier run.

Cause: an answer was told from a late one by its Attempt-Id alone, which all sends of one request share, and the connection of a refused send was used for the next send of the request.

Change: a connection carries a request id once (Pool.GetFor), so that on it the id names one send, whatever the answer, its delay or its pieces. It knows the hashes of the ids that it carried, 4 KiB at most, and is closed after 512 requests rather than forget one.

Cost: a new connection where a request is sent again to a server to which no other idle connection is kept, and one in 512 requests on one connection. Ruled out: to close each connection on which a refusal came (a new connection for each refusal under overload).

--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -35,6 +37,8 @@
 	// read. A longer one is written concurrently: a server may respond before it
 	// has read the whole request, and if both ends only wrote they would deadlock.
 	maxSyncBody = 2048
+	// maxConnRequests is how many requests a connection carries: it knows the keys of all, 8 bytes each.
+	maxConnRequests = 512
 )
 
 // ErrUnexpectedData says that data arrived on a connection before a request was sent on
@@ -80,6 +84,7 @@
 	addr             string
 	head             *headLimit
 	reader           *bufio.Reader // from head
+	carried          []uint64      // hashes of the keys of its requests
 	PriorRequests    int           // requests completed before the current one
 	idleSince        time.Time     // set while in the pool
 	keepAliveTimeout time.Duration // idle timeout announced by the server; 0: none
@@ -90,8 +95,23 @@
 
 // Get returns an idle connection to addr that is usable, or a new one.
 func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
+	return p.get(ctx, addr, func(*Conn) bool { return true })
+}
+
+// GetFor is Get for a request that its answers name by key. No connection carries a key twice:
+// a second answer to the first request would be taken for that to the second one.
+func (p *Pool) GetFor(ctx context.Context, addr, key string) (*Conn, error) {
+	hash := xxhash.Sum64String(key) // an equal hash of another key costs a connection
+	c, err := p.get(ctx, addr, func(c *Conn) bool { return !slices.Contains(c.carried, hash) })
+	if err == nil {
+		c.carried = append(c.carried, hash)
+	}
+	return c, err
+}
+
+func (p *Pool) get(ctx context.Context, addr string, fits func(*Conn) bool) (*Conn, error) {
 	for {
-		c := p.takeIdle(addr)
+		c := p.takeIdle(addr, fits)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -102,17 +122,18 @@
 	}
 }
 
-func (p *Pool) takeIdle(addr string) *Conn {
+// takeIdle takes the idle connection that was used last among those that fit; nil: none does.
+func (p *Pool) takeIdle(addr string, fits func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if fits(c) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
@@ -241,7 +262,7 @@
 	c.body = nil
 	p.mu.Lock()
 	list := p.idle[c.addr]
-	if len(list) < p.opts.MaxIdlePerAddr {
+	if len(list) < p.opts.MaxIdlePerAddr && len(c.carried) < maxConnRequests {
 		p.idle[c.addr] = append(list, c)
 		p.mu.Unlock()
 		return
