exchange: a second refusal by one server does not prove that a stream has not run

Change: a request remembers the starts that it was sent to. A stream that must run once is sent to a start once, but again after a send that did not reach it, and to a new start at once.

Ruled out: to trust a refusal by its speed; to send no stream to a server that refused it (a full server has room 50 ms later).

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -166,6 +166,7 @@
 
 // New returns an Exchange.
 func New(opts Options) *Exchange {
+	opts.Backend = sendRecorder{opts.Backend}
 	t := &opts.Timings
 	orDefault(&t.Silence, DefaultSilence)
 	orDefault(&t.ProbeAfter, DefaultProbeAfter)
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -55,6 +55,8 @@
 	MaxTokens    int
 	LengthHint   int                // tokens that the caller expects in the response; 0: it says nothing
 	Prompt       []promptcache.Part // the parts of the prompt in order, as far as they are known
+
+	sends sends
 }
 
 // Fingerprint identifies the content of a request. A request that crashes the servers
@@ -79,6 +81,9 @@
 	CopyTo *directory.Server
 	// ResumeFrom is the copy to resume from instead of reading the prompt; nil: none.
 	ResumeFrom *KVCopy
+	// SentBefore is set if the request has been sent to the server before. A refusal may then be
+	// a late one of the earlier send, while the server runs this one.
+	SentBefore bool
 }
 
 // KVCopy is a copy of a running stream's KV cache.
--- /dev/null
+++ b/exchange/sends.go
@@ -0,0 +1,74 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pearyard/pearyard/directory"
+)
+
+// sends are the servers to which a request has been sent.
+type sends struct {
+	mu sync.Mutex
+	to map[directory.Start]bool // nil: none
+}
+
+// record records a send and reports whether the server had one before.
+func (s *sends) record(to directory.Start) (again bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	again = s.to[to]
+	if s.to == nil {
+		s.to = map[directory.Start]bool{}
+	}
+	s.to[to] = true
+	return again
+}
+
+// forget removes a server's only send, which has not reached it.
+func (s *sends) forget(to directory.Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.to, to)
+}
+
+func (s *sends) has(to directory.Start) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.to[to]
+}
+
+// sendRecorder is a Backend that records to which servers requests are sent.
+type sendRecorder struct{ Backend }
+
+// Open implements Backend.
+func (b sendRecorder) Open(ctx context.Context, a *Attempt) (*Answer, error) {
+	a.SentBefore = a.Request.sends.record(a.Server.Start)
+	answer, err := b.Backend.Open(ctx, a)
+	if !a.SentBefore && unreached(err) {
+		a.Request.sends.forget(a.Server.Start)
+	}
+	return answer, err
+}
+
+// mayRepeatAt returns the servers that may get the stream as far as earlier sends are concerned;
+// nil: all. A server's second refusal doesn't prove that the second send has not run: it may be
+// the first one, late. A stream that must run once is therefore sent to a server once.
+func (s *stream) mayRepeatAt() func(*directory.Server) bool {
+	if s.req.Route.Repeatable() {
+		return nil
+	}
+	return func(server *directory.Server) bool { return !s.req.sends.has(server.Start) }
+}
+
+// admitsBoth returns the servers that both conditions admit; nil admits all.
+func admitsBoth(a, b func(*directory.Server) bool) func(*directory.Server) bool {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	default:
+		return func(s *directory.Server) bool { return a(s) && b(s) }
+	}
+}
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -102,7 +102,7 @@
 func (s *stream) admits() func(*directory.Server) bool {
 	version, bound := s.versionBoundTo()
 	if !bound {
-		return s.versions.Admits()
+		return admitsBoth(s.versions.Admits(), s.mayRepeatAt())
 	}
 	if !s.versions.MayResume(version) {
 		return func(*directory.Server) bool { return false }
--- a/exchange/versions.go
+++ b/exchange/versions.go
@@ -13,14 +13,14 @@
 // that was chosen for a version on trial goes to the established ones if no server of that
 // version is available.
 func (e *Exchange) pick(q directory.Query, a *rollout.Assignment) *directory.Server {
-	now := time.Now()
+	now, admits := time.Now(), q.Admits
 	if trial := a.AdmitsTrial(); trial != nil {
-		q.Admits = trial
+		q.Admits = admitsBoth(trial, admits)
 		if s := e.opts.Directory.Pick(q, now); s != nil {
 			return s
 		}
 	}
-	q.Admits = a.Admits()
+	q.Admits = admitsBoth(a.Admits(), admits)
 	return e.opts.Directory.Pick(q, now)
 }
 
@@ -30,6 +30,7 @@
 		q.Admits = s.admits()
 		return s.e.opts.Directory.Pick(q, time.Now())
 	}
+	q.Admits = s.mayRepeatAt()
 	return s.e.pick(q, s.versions)
 }
 
