platform: a copy call's late answer is told by its handle, not by a connection of its own

Change: a connection knows which request got a handle on it; an answer with another request's handle is discarded.

--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -37,7 +37,8 @@
 	// read. A longer one is written concurrently: a server may respond before it
 	// has read the whole request, and if both ends only wrote they would deadlock.
 	maxSyncBody = 2048
-	// maxConnRequests is how many requests a connection carries: it knows the keys of all, 8 bytes each.
+	// maxConnRequests is how many requests a connection carries: it knows the keys of all, 8 bytes
+	// each, and what answers named.
 	maxConnRequests = 512
 )
 
@@ -83,14 +84,15 @@
 	pool             *Pool
 	addr             string
 	head             *headLimit
-	reader           *bufio.Reader // from head
-	carried          []uint64      // hashes of the keys of its requests
-	PriorRequests    int           // requests completed before the current one
-	idleSince        time.Time     // set while in the pool
-	keepAliveTimeout time.Duration // idle timeout announced by the server; 0: none
-	stopWatch        func() bool   // stops watching the request's context
-	writeResult      chan error    // result of writing a long request concurrently
-	body             *Body         // of the last response received; nil while in the pool
+	reader           *bufio.Reader     // from head
+	carried          []uint64          // hashes of the keys of its requests
+	claims           map[string]string // what answers on it named, by request
+	PriorRequests    int               // requests completed before the current one
+	idleSince        time.Time         // set while in the pool
+	keepAliveTimeout time.Duration     // idle timeout announced by the server; 0: none
+	stopWatch        func() bool       // stops watching the request's context
+	writeResult      chan error        // result of writing a long request concurrently
+	body             *Body             // of the last response received; nil while in the pool
 }
 
 // Get returns an idle connection to addr that is usable, or a new one.
@@ -245,6 +247,33 @@
 	return errors.Wrap(err, "httpconn: skip")
 }
 
+// ReadBody reads the body of the last response received without ending it: the connection is
+// given back once the response's own body is read to its end.
+func (c *Conn) ReadBody(limit int64) ([]byte, error) {
+	if c.body == nil {
+		return nil, errors.New("httpconn: no response to read")
+	}
+	raw, err := io.ReadAll(io.LimitReader(c.body.raw, limit+1))
+	if err == nil && int64(len(raw)) > limit {
+		err = errors.New("httpconn: the body is too long")
+	}
+	return raw, errors.Wrap(err, "httpconn: read body")
+}
+
+// Claim records that an answer on the connection named something for a request; false: another
+// request has it, so that the answer is not this one's.
+func (c *Conn) Claim(name, request string) bool {
+	owner, known := c.claims[name]
+	if known {
+		return owner == request
+	}
+	if c.claims == nil {
+		c.claims = map[string]string{}
+	}
+	c.claims[name] = request
+	return true
+}
+
 // maxSkipBytes bounds how much of an unwanted response is read.
 const maxSkipBytes = 1 << 20
 
@@ -262,7 +291,7 @@
 	c.body = nil
 	p.mu.Lock()
 	list := p.idle[c.addr]
-	if len(list) < p.opts.MaxIdlePerAddr && len(c.carried) < maxConnRequests {
+	if len(list) < p.opts.MaxIdlePerAddr && len(c.carried)+len(c.claims) < maxConnRequests {
 		p.idle[c.addr] = append(list, c)
 		p.mu.Unlock()
 		return
