directory: a server whose address refused connections is tried again

Cause: a refused connection or a 421 counted as the proof that the process had ended.

Change: it suspends the server, for 0.5 s at first and at most 4 s at a time. Then it gets one request each 250 ms as a trial; a failed one doubles the time, an answer of the server itself ends the suspension. A failed trial is no new loss, so that it dates no loss of a zone anew, and a peer's report of the loss doesn't either. A start that another one has replaced stays ended. A 421 to a request with Expected-Version that names no other server says nothing of the server.

--- a/directory/pick.go
+++ b/directory/pick.go
@@ -123,7 +123,9 @@
 
 // anyRests reports whether one of the servers could take a request if it did not rest.
 func anyRests(list []*Server, now time.Time) bool {
-	return slices.ContainsFunc(list, func(s *Server) bool { return s.Resting(now) && !s.Draining() && !s.IsDown(now) })
+	return slices.ContainsFunc(list, func(s *Server) bool {
+		return s.Resting(now) && s.suspended.Load() == nil && !s.Draining() && !s.IsDown(now)
+	})
 }
 
 // best returns the candidate with the lowest score among those that a grade allows.
@@ -132,7 +134,7 @@
 	var least float64
 	q.sampleShare = sampleShare(len(list))
 	for _, s := range list {
-		if s.Draining() || s.Ended() || s.Resting(now) || !q.admits(s) || !q.hasRoom(s, now) {
+		if s.Draining() || s.Replaced() || s.Resting(now) || !q.admits(s) || !q.hasRoom(s, now) {
 			continue
 		}
 		c := s.candidate(q, zones, now)
@@ -164,7 +166,7 @@
 // may still be used: it is neither draining nor lost, alone or with its zone. It may rest,
 // which is over before the state is lost.
 func (d *Directory) Usable(s *Server, now time.Time) bool {
-	if s.Draining() || s.Ended() || s.IsDown(now) {
+	if s.Draining() || s.isSuspended(now) || s.IsDown(now) {
 		return false
 	}
 	return !countZoneLosses(d.view.Load().Service(s.Service), now).suspects(s)
--- a/directory/places.go
+++ b/directory/places.go
@@ -341,7 +341,7 @@
 
 // takesCalls reports whether the server may get plain calls now.
 func (s *Server) takesCalls(q Query, now time.Time) bool {
-	return !s.Draining() && !s.Ended() && !s.IsDown(now) && !s.Resting(now) && q.admits(s) && !q.Exclude[s.Start]
+	return !s.Draining() && !s.IsDown(now) && !s.Resting(now) && q.admits(s) && !q.Exclude[s.Start]
 }
 
 // AddWaiting counts calls of this process that wait for a place of a service.
--- a/directory/rest.go
+++ b/directory/rest.go
@@ -44,22 +44,25 @@
 	}
 }
 
-// Resting reports whether the server gets no request now: it rests, or has got one after its
-// rest a moment ago and has not answered yet.
+// Resting reports whether the server gets no request now: it rests or is suspended, or has got
+// one after that a moment ago and has not answered yet.
 func (s *Server) Resting(now time.Time) bool {
+	if s.isSuspended(now) {
+		return true
+	}
 	r := s.rest.Load()
 	return r != nil && (now.Before(r.until) || now.Sub(r.trialAt) < afterRestInterval)
 }
 
 // TakeTurn reports whether a request may be sent to the server now, and takes the turn if
-// the server's rest is just over.
+// the server's rest or suspension is just over.
 func (s *Server) TakeTurn(now time.Time) bool {
 	r := s.rest.Load()
 	switch {
+	case s.Resting(now) || !s.takeTrial(now):
+		return false
 	case r == nil:
 		return true
-	case s.Resting(now):
-		return false
 	default:
 		return s.rest.CompareAndSwap(r, &rest{until: r.until, trialAt: now})
 	}
--- a/directory/server.go
+++ b/directory/server.go
@@ -55,6 +55,7 @@
 	mostRunning   atomic.Int64 // the most requests that it has reported to run
 	peerCalls     atomic.Int64 // plain calls that other entry VMs have reported to have there
 	hanging       hangingState
+	suspended     atomic.Pointer[suspension] // nil: it has answered since its address last refused
 
 	memory        serverMemory
 	disturbanceMu sync.Mutex                  // held while a report is recorded
@@ -77,7 +78,7 @@
 	down       chan struct{} // closed when it is found lost; replaced when the loss is cleared
 	downAt     time.Time     // time of the recorded loss; zero without one
 	lossByPeer bool          // the loss was reported by a peer, not found here
-	ended      bool          // its process is known to have ended
+	ended      bool          // its process has probably ended, see suspension
 	// previousLossAt is when the previous start was found lost, which was previousLost; zero
 	// if none was.
 	previousLossAt time.Time
@@ -147,7 +148,8 @@
 	return until != 0 && time.Now().UnixNano() < until
 }
 
-// Ended reports whether its process is known to have ended.
+// Ended reports whether its process has probably ended: nothing was sent to it since its address
+// refused connections or answered 421, or another start has replaced it.
 func (s *Server) Ended() bool {
 	if !s.hasIssues.Load() {
 		return false
@@ -202,7 +204,7 @@
 func (s *Server) markDownByPeer(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.downLocked(now) {
+	if s.ended || s.downLocked(now) {
 		return
 	}
 	s.lossByPeer = true
@@ -227,21 +229,22 @@
 	s.clearLoss()
 }
 
-// MarkEnded records that the process has ended: its address refuses connections or
-// belongs to another start. Unlike after MarkLost, it is not tried again after a while.
-// MarkEnded reports whether its loss was new information.
+// MarkEnded records that the process has probably ended: its address refuses connections or
+// belongs to another start. It gets single requests as trials then, while it is listed.
+// MarkEnded reports whether its loss was new information; a failed trial is none.
 func (s *Server) MarkEnded(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	isNew := s.suspend(now)
 	s.hasIssues.Store(true)
 	s.ended = true
 	if !s.downAt.IsZero() {
 		// Keep the time of its loss, which dates the loss of its zone.
 		return false
 	}
-	s.downAt = now
+	s.downAt = s.suspended.Load().since
 	close(s.down)
-	return true
+	return isNew
 }
 
 // clearLoss removes a recorded loss, also that of a process thought to have ended. Only a
@@ -272,7 +275,11 @@
 }
 
 func (s *Server) downLocked(now time.Time) bool {
-	return s.ended || (!s.downAt.IsZero() && now.Sub(s.downAt) < lossRetryDelay)
+	if s.ended {
+		p := s.suspended.Load()
+		return s.replaced.Load() || p != nil && now.Before(p.until)
+	}
+	return !s.downAt.IsZero() && now.Sub(s.downAt) < lossRetryDelay
 }
 
 // MarkHeard records a sign of life of a server in use. It takes no lock.
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -13,9 +13,12 @@
 // Reasons of a NotRunError.
 const (
 	Unreachable NotRunReason = "unreachable" // nothing was sent
-	Refused     NotRunReason = "refused"     // its address refuses connections: the process has ended
+	Refused     NotRunReason = "refused"     // its address refuses connections: the process has probably ended
 	Busy        NotRunReason = "busy"        // the server had no room, or not the copy to resume from
 	Misdirected NotRunReason = "misdirected" // another server has the address now
+	// WrongVersion: the request asks for a version of the weights that the server doesn't have. That
+	// says nothing of the server.
+	WrongVersion NotRunReason = "wrong_version"
 )
 
 // NotRunError says that the attempt provably did not run.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -244,6 +244,7 @@
 	switch {
 	case errors.As(err, &notRun) && (notRun.Reason == Misdirected || notRun.Reason == Refused):
 		e.markEnded(s, err)
+	case errors.As(err, &notRun) && notRun.Reason == WrongVersion:
 	case errors.As(err, &notRun) && notRun.Reason == Unreachable:
 		e.markLost(s, err)
 	case s.Resting(now) && (errors.As(err, &notRun) || askedForRest(err)):
@@ -261,7 +262,7 @@
 // server is healthy, but one that refuses although it has room will do so again.
 const busyFaultWeight = 0.3
 
-// markEnded records that a server's process has ended.
+// markEnded records that a server's process has probably ended.
 func (e *Exchange) markEnded(s *directory.Server, err error) {
 	if s.MarkEnded(time.Now()) {
 		e.opts.Restarts.watchAddress(e, s)
--- a/exchange/sends.go
+++ b/exchange/sends.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/directory"
 )
@@ -38,7 +41,7 @@
 	return s.to[to]
 }
 
-// sendRecorder is a Backend that records to which servers requests are sent.
+// sendRecorder is a Backend that records to which servers requests are sent, and which answer.
 type sendRecorder struct{ Backend }
 
 // Open implements Backend.
@@ -48,9 +51,18 @@
 	if !a.SentBefore && unreached(err) {
 		a.Request.sends.forget(a.Server.Start)
 	}
+	if isOwnAnswer(err) {
+		a.Server.MarkReached(time.Now())
+	}
 	return answer, err
 }
 
+// isOwnAnswer reports whether an attempt that ended with err got an answer of the server itself.
+func isOwnAnswer(err error) bool {
+	var notRun *NotRunError
+	return err == nil || errors.As(err, &notRun) && notRun.Reason == Busy
+}
+
 // mayRepeatAt returns the servers that may get the stream as far as earlier sends are concerned;
 // nil: all. A server's second refusal doesn't prove that the second send has not run: it may be
 // the first one, late. A stream that must run once is therefore sent to a server once.
