exchange: a process at a dead server's address is known by its id or by a proof that is fresh

A process killed and started again while the store was down read the entry of a server that had died; another service's process had its address, and was taken for its restart.

Cause: the moment at which an entry was read first counted as a proof that its server ran, and the time at which an answer came as the time at which its server ran. When the store was back, the entry of the other service's server didn't correct the one of the same start.

Change: a server is known to have run when a request was sent that it answered itself with success, by the clock that doesn't step too. Another id at its address counts only within the time in which an address isn't given away after that; its own id counts at any time, and what never answered stays unknown. An entry that names another service or address for a start makes that start known anew, and what waits at the wrong one ends.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -258,6 +258,11 @@
 // applyListing returns the server of a listing in a list of an era.
 func (d *Directory) applyListing(old *View, l Listing, era uint64, now time.Time, change *Change) *Server {
 	s := old.byID[l.ID]
+	if s != nil && s.Start == l.Start() && (s.Service != l.Service || s.Address != l.Address) {
+		// It was taken for a server of another service while the store could not say.
+		change.Left = append(change.Left, s.String())
+		s = nil
+	}
 	if s == nil || s.Start != l.Start() {
 		if s != nil {
 			change.Left = append(change.Left, s.String())
--- a/directory/server.go
+++ b/directory/server.go
@@ -27,13 +27,14 @@
 	versionAssumed atomic.Bool
 	rateLimit      atomic.Pointer[RateLimit] // nil: it has never named one
 	draining       atomic.Bool
-	saidLeaving    atomic.Bool          // it has said in an answer that it leaves, or was known to before the store came back from a copy
-	doubtedUntil   atomic.Int64         // Unix nanoseconds until which its entry counts as one of a server that has left; 0: it doesn't
-	rest           atomic.Pointer[rest] // nil: it has asked for none, or has taken a request since
-	removed        atomic.Bool          // it was dropped from the view, or another start replaced it
-	replaced       atomic.Bool          // another start of its id is known: this process has ended
-	warmAt         atomic.Int64         // Unix nanoseconds at which it is no longer cold
-	lastSignAt     atomic.Int64         // Unix nanoseconds of its newest sign of life
+	saidLeaving    atomic.Bool               // it has said in an answer that it leaves, or was known to before the store came back from a copy
+	doubtedUntil   atomic.Int64              // Unix nanoseconds until which its entry counts as one of a server that has left; 0: it doesn't
+	rest           atomic.Pointer[rest]      // nil: it has asked for none, or has taken a request since
+	removed        atomic.Bool               // it was dropped from the view, or another start replaced it
+	replaced       atomic.Bool               // another start of its id is known: this process has ended
+	warmAt         atomic.Int64              // Unix nanoseconds at which it is no longer cold
+	lastSignAt     atomic.Int64              // Unix nanoseconds of its newest sign of life, or of when its entry was read first
+	ranAt          atomic.Pointer[time.Time] // newest moment at which it ran for certain; nil: none is known
 
 	// Load that this process has put there.
 	calls        atomic.Int64 // plain calls in flight
@@ -285,6 +286,25 @@
 // MarkHeard records a sign of life of a server in use. It takes no lock.
 func (s *Server) MarkHeard(now time.Time) { s.lastSignAt.Store(now.UnixNano()) }
 
+// RecordAnswer records that the server itself has answered a request that was sent at sentAt. It
+// ran then; when the answer was received says nothing, since it may have been under way for long.
+func (s *Server) RecordAnswer(sentAt time.Time) {
+	for {
+		old := s.ranAt.Load()
+		if old != nil && !sentAt.After(*old) || s.ranAt.CompareAndSwap(old, &sentAt) {
+			return
+		}
+	}
+}
+
+// RanAt returns the newest moment at which it ran for certain, by both clocks; zero: none is known.
+func (s *Server) RanAt() time.Time {
+	if at := s.ranAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // LastHeard returns when it last gave a sign of life to this process.
 func (s *Server) LastHeard() time.Time { return time.Unix(0, s.lastSignAt.Load()) }
 
--- a/exchange/restarts.go
+++ b/exchange/restarts.go
@@ -14,9 +14,10 @@
 // zones half of the servers stay unused.
 //
 // A server's address may be given to another service, but not sooner than Reuse after
-// the server's end. A process that answers there within Reuse of the last proof of life
-// of the former one is therefore of the same service. Both clocks must say so: the
-// monotonic one stands still while this VM is suspended.
+// the server's end. A process that answers there within Reuse of a moment at which the former
+// one ran for certain is therefore of the same service; one that answers with the former
+// one's id is so at any time. That an entry was read is no proof: its server may be dead.
+// Both clocks must say so: the monotonic one stands still while this VM is suspended.
 type RestartDetector struct {
 	// Reuse is how long an address is not given to another service.
 	Reuse time.Duration
@@ -43,12 +44,12 @@
 	if r == nil || r.Reuse <= 0 {
 		return
 	}
-	lastProof := s.LastHeard()
-	monotonic := time.Now().Add(-time.Since(lastProof))
+	heard := s.LastHeard()
+	heard = time.Now().Add(-time.Since(heard)) // by both clocks
 	go func() {
-		time.Sleep(time.Until(monotonic.Add(restartFirstDelay)))
-		for r.withinReuse(lastProof, monotonic) {
-			if r.StoreUnavailable() && r.poll(e, s, lastProof, monotonic) {
+		time.Sleep(time.Until(heard.Add(restartFirstDelay)))
+		for r.withinReuse(heard) {
+			if r.StoreUnavailable() && r.poll(e, s, heard) {
 				return
 			}
 			time.Sleep(restartPollInterval)
@@ -56,10 +57,10 @@
 	}()
 }
 
-// withinReuse reports whether a process that answers now must be of the same service.
-func (r *RestartDetector) withinReuse(lastProof, monotonic time.Time) bool {
+// withinReuse reports whether less than Reuse has passed since a moment, by both clocks.
+func (r *RestartDetector) withinReuse(since time.Time) bool {
 	limit := r.Reuse - reuseMargin
-	return time.Since(monotonic) < limit && time.Now().Round(0).Sub(lastProof.Round(0)) < limit
+	return time.Since(since) < limit && time.Now().Round(0).Sub(since.Round(0)) < limit
 }
 
 // confirm puts a later start that answers at a server's address to use, if it has the
@@ -88,13 +89,14 @@
 }
 
 // poll reports whether another start answers at a server's address.
-func (r *RestartDetector) poll(e *Exchange, s *directory.Server, lastProof, monotonic time.Time) bool {
+func (r *RestartDetector) poll(e *Exchange, s *directory.Server, heard time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Timings.ProbeTimeout)
 	defer cancel()
 	e.metrics.probes.Inc()
 	start, err := r.Identify(ctx, s)
-	another := start.ID != s.ID || start.LaterThan(s.Start)
-	if err != nil || start.ID == "" || !another || !r.withinReuse(lastProof, monotonic) {
+	ran := s.RanAt()
+	sameService := start.LaterThan(s.Start) || start.ID != s.ID && !ran.IsZero() && r.withinReuse(ran)
+	if err != nil || start.ID == "" || !sameService || !r.withinReuse(heard) {
 		// It is not back yet; the server's loss has been recorded already.
 		return false
 	}
--- a/exchange/restarts_test.go
+++ b/exchange/restarts_test.go
@@ -10,12 +10,14 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pearyard/pearyard/directory"
+	"github.com/pearyard/pearyard/site"
 )
 
-// newRestartTestbed returns a testbed with one server that is lost, and a process at its
+// newRestartTestbed returns a testbed with one server that is lost, answered a request when it
+// was last heard unless it never has, and a process at its
 // address that answers with another id, a2, once backAfter has passed. found waits and
 // returns the id of the restart that was detected; empty: none.
-func newRestartTestbed(storeUnavailable bool, backAfter time.Duration) (b *testbed, found func() string) {
+func newRestartTestbed(storeUnavailable, hasAnswered bool, backAfter time.Duration) (b *testbed, found func() string) {
 	b = newTestbed(nil, "a1")
 	lost := time.Now()
 	got := make(chan string, 1)
@@ -32,6 +34,9 @@
 	}
 	s := b.dir.View().Service("s")[0]
 	s.MarkHeard(lost)
+	if hasAnswered {
+		s.RecordAnswer(lost)
+	}
 	b.recordFailure(s, &NotRunError{Reason: Refused, Err: io.ErrClosedPipe})
 	return b, func() string {
 		time.Sleep(3 * time.Second)
@@ -48,7 +53,7 @@
 // that no list has. It must be detected at its address.
 func TestRestartIsDetectedWhileTheStoreIsUnavailable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, found := newRestartTestbed(true, 1200*time.Millisecond)
+		_, found := newRestartTestbed(true, true, 1200*time.Millisecond)
 		gomega.NewWithT(t).Expect(found()).To(gomega.Equal("a2"))
 	})
 }
@@ -57,7 +62,7 @@
 // answers there then must not be taken for the server.
 func TestAddressIsNotPolledOnceItMayBeReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, found := newRestartTestbed(true, 2100*time.Millisecond)
+		_, found := newRestartTestbed(true, true, 2100*time.Millisecond)
 		gomega.NewWithT(t).Expect(found()).To(gomega.BeEmpty())
 	})
 }
@@ -65,7 +70,41 @@
 // While the store is available, its list alone says which servers there are.
 func TestRestartIsNotLookedForWhileTheStoreIsAvailable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, found := newRestartTestbed(false, 1200*time.Millisecond)
+		_, found := newRestartTestbed(false, true, 1200*time.Millisecond)
+		gomega.NewWithT(t).Expect(found()).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against another service's process at the address of a server that had died before this process started: its
+// entry has been read a moment ago, and it has never answered.
+func TestProcessAtTheAddressOfAServerThatNeverAnsweredIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, found := newRestartTestbed(true, false, 1200*time.Millisecond)
 		gomega.NewWithT(t).Expect(found()).To(gomega.BeEmpty())
 	})
 }
+
+// Guards against an answer that was under way for long being taken for the proof that its server ran when it came.
+func TestServerRanWhenItsRequestWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := newTestbed(everywhere(answers(200, "ok", 1500*time.Millisecond)), "a1")
+		sent := time.Now()
+		_, err := b.Call(t.Context(), request(site.AtMostOnce))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(b.dir.View().Service("s")[0].RanAt()).To(gomega.BeTemporally("==", sent))
+	})
+}
+
+// Guards against a refusal, which another service's process may send, being taken for a proof that the server runs.
+func TestRefusalIsNoProofThatTheServerRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		for _, play := range []script{refuses(Busy), refuses(Misdirected), refuses(WrongVersion), breaks(), answers(400, "no", 0)} {
+			b := newTestbed(everywhere(play), "a1")
+			_, _ = b.Call(t.Context(), request(site.AtMostOnce))
+			g.Expect(b.dir.View().Service("s")[0].RanAt()).To(gomega.BeZero())
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/exchange/sends.go
+++ b/exchange/sends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -47,7 +48,11 @@
 // Open implements Backend.
 func (b sendRecorder) Open(ctx context.Context, a *Attempt) (*Answer, error) {
 	a.SentBefore = a.Request.sends.record(a.Server.Start)
+	sentAt := time.Now()
 	answer, err := b.Backend.Open(ctx, a)
+	if err == nil && answer.Status < http.StatusMultipleChoices { // signed by the server
+		a.Server.RecordAnswer(sentAt)
+	}
 	if !a.SentBefore && unreached(err) {
 		a.Request.sends.forget(a.Server.Start)
 	}
