directory: a suspended server whose address another one has gets no trials

A trial at the address of a server that crashed and started again with another id is answered 421: an arrival for nothing, which takes a retry of the budget.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -182,6 +182,7 @@
 		change.Left = append(change.Left, s.String())
 	}
 	next.indexVersions()
+	next.linkSameAddress()
 	if d.onApplied != nil {
 		d.onApplied(next)
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -38,7 +38,7 @@
 	g := gomega.NewWithT(t)
 	d := withServers("a1")
 	now := time.Now()
-	d.server("a1").MarkEnded(now)
+	d.server("a1").MarkRefused(now)
 	for after := time.Duration(0); after < firstSuspension; after += 10 * time.Millisecond {
 		g.Expect(d.Pick(Query{Service: "s"}, now.Add(after)) == nil).To(gomega.BeTrue(), "after %v", after)
 	}
--- a/directory/restart.go
+++ b/directory/restart.go
@@ -37,6 +37,7 @@
 	started := d.newStart(known, listing, now)
 	started.versionAssumed.Store(true)
 	next.add(started)
+	old.sameAddress.Store(started)
 	d.view.Store(next)
 	d.totalsStale.Store(true) // peers may have reported load for it already
 	return true
--- a/directory/server.go
+++ b/directory/server.go
@@ -33,6 +33,7 @@
 	removed        atomic.Bool               // it was dropped from the view, or another start replaced it
 	replaced       atomic.Bool               // another start of its id is known: this process has ended
 	warmAt         atomic.Int64              // Unix nanoseconds at which it is no longer cold
+	sameAddress    atomic.Pointer[Server]    // another server that is listed at its address; nil: none
 	lastSignAt     atomic.Int64              // Unix nanoseconds of its newest sign of life, or of when its entry was read first
 	ranAt          atomic.Pointer[time.Time] // newest moment at which it ran for certain; nil: none is known
 
@@ -230,13 +231,18 @@
 	s.clearLoss()
 }
 
-// MarkEnded records that the process has probably ended: its address refuses connections or
-// belongs to another start. It gets single requests as trials then, while it is listed.
-// MarkEnded reports whether its loss was new information; a failed trial is none.
-func (s *Server) MarkEnded(now time.Time) bool {
+// MarkEnded records that the process has probably ended, as another one has answered at its
+// address. It gets single requests as trials then, while it is listed. MarkEnded reports whether
+// its loss was new information; a failed trial is none.
+func (s *Server) MarkEnded(now time.Time) bool { return s.markEnded(now, maxSuspension) }
+
+// MarkRefused is MarkEnded for a server whose address refuses connections.
+func (s *Server) MarkRefused(now time.Time) bool { return s.markEnded(now, firstSuspension) }
+
+func (s *Server) markEnded(now time.Time, wait time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isNew := s.suspend(now)
+	isNew := s.suspend(now, wait)
 	s.hasIssues.Store(true)
 	s.ended = true
 	if !s.downAt.IsZero() {
--- a/directory/suspension_test.go
+++ b/directory/suspension_test.go
@@ -15,7 +15,7 @@
 		if s := d.Pick(Query{Service: "s"}, now); s != nil && s.ID == id && s.TakeTurn(now) {
 			at = append(at, after)
 			s.BeginAttempt()
-			s.MarkEnded(now)
+			s.MarkRefused(now)
 		}
 	}
 	return at
@@ -48,7 +48,7 @@
 	g := gomega.NewWithT(t)
 	d, now := withServers("a1"), time.Now()
 	s := d.server("a1")
-	s.MarkEnded(now)
+	s.MarkRefused(now)
 	now = now.Add(firstSuspension)
 	taken := 0
 	for range 20 {
@@ -67,7 +67,7 @@
 	g := gomega.NewWithT(t)
 	d, now := withServers("a1"), time.Now()
 	for i := range 100 {
-		d.server("a1").MarkEnded(now.Add(time.Duration(i) * time.Millisecond))
+		d.server("a1").MarkRefused(now.Add(time.Duration(i) * time.Millisecond))
 	}
 	g.Expect(d.Pick(Query{Service: "s"}, now.Add(firstSuspension))).NotTo(gomega.BeNil())
 }
@@ -77,16 +77,16 @@
 	g := gomega.NewWithT(t)
 	d, now := withServers("a1"), time.Now()
 	s := d.server("a1")
-	g.Expect(s.MarkEnded(now)).To(gomega.BeTrue())
+	g.Expect(s.MarkRefused(now)).To(gomega.BeTrue())
 	trial := now.Add(firstSuspension)
 	g.Expect(s.TakeTurn(trial)).To(gomega.BeTrue())
 	down := s.BeginAttempt()
-	g.Expect(s.MarkEnded(trial)).To(gomega.BeFalse())
+	g.Expect(s.MarkRefused(trial)).To(gomega.BeFalse())
 	g.Expect(down).To(gomega.BeClosed())
 	lost, _ := s.recentLoss(trial, time.Minute)
 	g.Expect(lost.at).To(gomega.Equal(now))
 	s.MarkReached(trial)
-	g.Expect(s.MarkEnded(trial.Add(time.Second))).To(gomega.BeTrue(), "a loss after an answer is new")
+	g.Expect(s.MarkRefused(trial.Add(time.Second))).To(gomega.BeTrue(), "a loss after an answer is new")
 }
 
 // Guards against trials of a start that another one has replaced: that one has its address.
@@ -101,3 +101,32 @@
 	g.Expect(s.IsDown(now.Add(time.Minute))).To(gomega.BeTrue())
 	g.Expect(d.Usable(s, now.Add(time.Minute))).To(gomega.BeFalse())
 }
+
+// Guards against trials that another process at the address turns away: each is an arrival for nothing.
+func TestServerWhoseAddressAnotherHasGetsNoTrials(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, now := withServers("a1"), time.Now()
+	list := []Listing{{ID: "a1", Service: "s", Zone: "a", Address: "x:1"}, {ID: "a2", Service: "s", Zone: "a", Address: "x:1"}}
+	d.Apply(2, list, false, now)
+	old, successor := d.server("a1"), d.server("a2")
+	old.MarkRefused(now)
+	later := now.Add(time.Minute)
+	for range 20 {
+		g.Expect(d.Pick(Query{Service: "s"}, later) == successor).To(gomega.BeTrue())
+	}
+	g.Expect(old.TakeTurn(later)).To(gomega.BeFalse())
+	successor.MarkRefused(now)
+	g.Expect(old.TakeTurn(later)).To(gomega.BeTrue(), "either may have the address if both refuse")
+	successor.MarkReached(now)
+	d.Apply(3, list[:1], false, now)
+	g.Expect(d.server("a1").TakeTurn(later.Add(time.Second))).To(gomega.BeTrue(), "once it is listed alone there")
+}
+
+// Guards against a process that answers 421 in place of the server being asked again at once.
+func TestServerWhoseAddressAnsweredMisdirectedIsTriedLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, now := withServers("a1"), time.Now()
+	d.server("a1").MarkEnded(now)
+	g.Expect(d.server("a1").TakeTurn(now.Add(maxSuspension - time.Millisecond))).To(gomega.BeFalse())
+	g.Expect(d.server("a1").TakeTurn(now.Add(maxSuspension))).To(gomega.BeTrue())
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -242,11 +242,13 @@
 	now := time.Now()
 	var notRun *NotRunError
 	switch {
-	case errors.As(err, &notRun) && (notRun.Reason == Misdirected || notRun.Reason == Refused):
-		e.markEnded(s, err)
+	case errors.As(err, &notRun) && notRun.Reason == Misdirected:
+		e.recordLoss(s, s.MarkEnded(now), err)
+	case errors.As(err, &notRun) && notRun.Reason == Refused:
+		e.recordLoss(s, s.MarkRefused(now), err)
 	case errors.As(err, &notRun) && notRun.Reason == WrongVersion:
 	case errors.As(err, &notRun) && notRun.Reason == Unreachable:
-		e.markLost(s, err)
+		e.recordLoss(s, s.MarkLost(now), err)
 	case s.Resting(now) && (errors.As(err, &notRun) || askedForRest(err)):
 		// It gets nothing until its rest is over, and is as good as the others then.
 	case errors.As(err, &notRun):
@@ -262,17 +264,9 @@
 // server is healthy, but one that refuses although it has room will do so again.
 const busyFaultWeight = 0.3
 
-// markEnded records that a server's process has probably ended.
-func (e *Exchange) markEnded(s *directory.Server, err error) {
-	if s.MarkEnded(time.Now()) {
-		e.opts.Restarts.watchAddress(e, s)
-		e.opts.Recorder.Emit(EventServerLost, "server", s.Start, "service", s.Service, "zone", s.Zone, "err", err)
-	}
-}
-
-// markLost records that a server can't be reached.
-func (e *Exchange) markLost(s *directory.Server, err error) {
-	if s.MarkLost(time.Now()) {
+// recordLoss watches the address of a server whose loss is new information, and logs it.
+func (e *Exchange) recordLoss(s *directory.Server, isNew bool, err error) {
+	if isNew {
 		e.opts.Restarts.watchAddress(e, s)
 		e.opts.Recorder.Emit(EventServerLost, "server", s.Start, "service", s.Service, "zone", s.Zone, "err", err)
 	}
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -48,7 +49,7 @@
 	case s.EndedBy(born):
 		// The process that answers is a later start, which knows nothing of the streams
 		// of the one before.
-		p.exchange.markEnded(s, errors.Wrapf(ErrOtherStart, "born %d", born))
+		p.exchange.recordLoss(s, s.MarkEnded(time.Now()), errors.Wrapf(ErrOtherStart, "born %d", born))
 		p.exchange.opts.Restarts.confirm(p.exchange, s)
 	default:
 		pr.alive = true
