--- a/directory/server.go
+++ b/directory/server.go
@@ -27,13 +27,15 @@
 	versionAssumed atomic.Bool
 	rateLimit      atomic.Pointer[RateLimit] // nil: it has never named one
 	draining       atomic.Bool
-	saidLeaving    atomic.Bool          // it has said in an answer that it leaves, or was known to before the store came back from a copy
-	doubtedUntil   atomic.Int64         // Unix nanoseconds until which its entry counts as one of a server that has left; 0: it doesn't
-	rest           atomic.Pointer[rest] // nil: it has asked for none, or has taken a request since
-	removed        atomic.Bool          // it was dropped from the view, or another start replaced it
-	replaced       atomic.Bool          // another start of its id is known: this process has ended
-	warmAt         atomic.Int64         // Unix nanoseconds at which it is no longer cold
-	lastSignAt     atomic.Int64         // Unix nanoseconds of its newest sign of life
+	saidLeaving    atomic.Bool               // it has said in an answer that it leaves, or was known to before the store came back from a copy
+	doubtedUntil   atomic.Int64              // Unix nanoseconds until which its entry counts as one of a server that has left; 0: it doesn't
+	rest           atomic.Pointer[rest]      // nil: it has asked for none, or has taken a request since
+	removed        atomic.Bool               // it was dropped from the view, or another start replaced it
+	replaced       atomic.Bool               // another start of its id is known: this process has ended
+	warmAt         atomic.Int64              // Unix nanoseconds at which it is no longer cold
+	sameAddress    atomic.Pointer[Server]    // another server that is listed at its address; nil: none
+	lastSignAt     atomic.Int64              // Unix nanoseconds of its newest sign of life, or of when its entry was read first
+	ranAt          atomic.Pointer[time.Time] // newest moment at which it ran for certain; nil: none is known
 
 	// Load that this process has put there.
 	calls        atomic.Int64 // plain calls in flight
@@ -55,6 +57,7 @@
 	mostRunning   atomic.Int64 // the most requests that it has reported to run
 	peerCalls     atomic.Int64 // plain calls that other entry VMs have reported to have there
 	hanging       hangingState
+	suspended     atomic.Pointer[suspension] // nil: it has answered since its address last refused
 
 	memory        serverMemory
 	disturbanceMu sync.Mutex                  // held while a report is recorded
@@ -77,7 +80,7 @@
 	down       chan struct{} // closed when it is found lost; replaced when the loss is cleared
 	downAt     time.Time     // time of the recorded loss; zero without one
 	lossByPeer bool          // the loss was reported by a peer, not found here
-	ended      bool          // its process is known to have ended
+	ended      bool          // its process has probably ended, see suspension
 	// previousLossAt is when the previous start was found lost, which was previousLost; zero
 	// if none was.
 	previousLossAt time.Time
@@ -147,7 +150,8 @@
 	return until != 0 && time.Now().UnixNano() < until
 }
 
-// Ended reports whether its process is known to have ended.
+// Ended reports whether its process has probably ended: nothing was sent to it since its address
+// refused connections or answered 421, or another start has replaced it.
 func (s *Server) Ended() bool {
 	if !s.hasIssues.Load() {
 		return false
@@ -202,7 +206,7 @@
 func (s *Server) markDownByPeer(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.downLocked(now) {
+	if s.ended || s.downLocked(now) {
 		return
 	}
 	s.lossByPeer = true
@@ -227,21 +231,27 @@
 	s.clearLoss()
 }
 
-// MarkEnded records that the process has ended: its address refuses connections or
-// belongs to another start. Unlike after MarkLost, it is not tried again after a while.
-// MarkEnded reports whether its loss was new information.
-func (s *Server) MarkEnded(now time.Time) bool {
+// MarkEnded records that the process has probably ended, as another one has answered at its
+// address. It gets single requests as trials then, while it is listed. MarkEnded reports whether
+// its loss was new information; a failed trial is none.
+func (s *Server) MarkEnded(now time.Time) bool { return s.markEnded(now, maxSuspension) }
+
+// MarkRefused is MarkEnded for a server whose address refuses connections.
+func (s *Server) MarkRefused(now time.Time) bool { return s.markEnded(now, firstSuspension) }
+
+func (s *Server) markEnded(now time.Time, wait time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	isNew := s.suspend(now, wait)
 	s.hasIssues.Store(true)
 	s.ended = true
 	if !s.downAt.IsZero() {
 		// Keep the time of its loss, which dates the loss of its zone.
 		return false
 	}
-	s.downAt = now
+	s.downAt = s.suspended.Load().since
 	close(s.down)
-	return true
+	return isNew
 }
 
 // clearLoss removes a recorded loss, also that of a process thought to have ended. Only a
@@ -272,12 +282,35 @@
 }
 
 func (s *Server) downLocked(now time.Time) bool {
-	return s.ended || (!s.downAt.IsZero() && now.Sub(s.downAt) < lossRetryDelay)
+	if s.ended {
+		p := s.suspended.Load()
+		return s.replaced.Load() || p != nil && now.Before(p.until)
+	}
+	return !s.downAt.IsZero() && now.Sub(s.downAt) < lossRetryDelay
 }
 
 // MarkHeard records a sign of life of a server in use. It takes no lock.
 func (s *Server) MarkHeard(now time.Time) { s.lastSignAt.Store(now.UnixNano()) }
 
+// RecordAnswer records that the server itself has answered a request that was sent at sentAt. It
+// ran then; when the answer was received says nothing, since it may have been under way for long.
+func (s *Server) RecordAnswer(sentAt time.Time) {
+	for {
+		old := s.ranAt.Load()
+		if old != nil && !sentAt.After(*old) || s.ranAt.CompareAndSwap(old, &sentAt) {
+			return
+		}
+	}
+}
+
+// RanAt returns the newest moment at which it ran for certain, by both clocks; zero: none is known.
+func (s *Server) RanAt() time.Time {
+	if at := s.ranAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // LastHeard returns when it last gave a sign of life to this process.
 func (s *Server) LastHeard() time.Time { return time.Unix(0, s.lastSignAt.Load()) }
 
