fleet: a model of a VM out of step as a second version appears, failing

A report of other operators: during a release one edge VM was out of step for a few seconds while servers of a new version joined; streams that had begun there through other VMs broke, were taken up at that VM and went on at another version.

The model of returning callers now reads the list by directory.Follower (the age of the list is the code's own, not the model's), and a VM may stand still, or be cut off from the other VMs, the store or both, from a chosen point of its read on: before the request, before the answer is formed, with the answer on its way, after it is applied, at any moment. What is on a connection arrives late, datagrams to a VM that is cut off are lost, those to one that stands still wait for it. 5 VMs, 20 streams a second, the only version is joined by a second one within half a second of that; 0.5 to 3 s later the connections of the callers of other VMs are reset, or one or all other VMs are killed, and half of the callers come back to the VM.

--- a/fleet/streamversions_test.go
+++ b/fleet/streamversions_test.go
@@ -184,6 +184,7 @@
 			if s.vms <= smallSite && !raceDetector {
 				sum = sum.plus(playVersions(t, s, versionDesign{peers: true, store: true}))
 			}
+			t.Logf("%v", sum)
 			g := gomega.NewWithT(t)
 			g.Expect(sum.mixed).To(gomega.BeZero(), "%v", sum)
 			// The platform asks for half of the share of new streams that begin, where two
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -30,7 +30,7 @@
 	modelStreamEvents = 150
 	modelEventGap     = 30 * time.Millisecond
 	modelFirstEvent   = 300 * time.Millisecond // of a new run
-	modelListInterval = 400 * time.Millisecond // between two reads of the list by a VM
+	modelFeedWait     = 400 * time.Millisecond // of a wait for changes of the list, on average
 	modelDeadline     = 25 * time.Second       // of a caller
 	modelTries        = 3                      // of a caller, the first one included
 	modelReturnDelay  = 250 * time.Millisecond // of a caller whose stream was cut, on average
@@ -40,7 +40,8 @@
 type versionSite struct {
 	modelBackend
 
-	store *versionStoreModel
+	store    *versionStoreModel
+	returnTo *versionVM // VM to which half of the callers come back; nil: they come back to any
 	// design switches parts of StreamVersions off, to compare designs.
 	design versionDesign
 	loss   float64 // share of datagrams that are lost
@@ -51,6 +52,7 @@
 	list    types.Position // position of the newest list
 	vms     []*versionVM
 	cut     map[string]bool // addresses of VMs that reach neither others nor the store
+	links   map[string]*versionLink
 	results versionResults
 }
 
@@ -74,7 +76,7 @@
 }
 
 func newVersionSite(design versionDesign) *versionSite {
-	return &versionSite{store: newVersionStoreModel(), design: design, servers: map[string]*versionServer{}, cut: map[string]bool{}, list: 1, results: versionResults{failures: map[string]int{}}}
+	return &versionSite{store: newVersionStoreModel(), design: design, servers: map[string]*versionServer{}, cut: map[string]bool{}, links: map[string]*versionLink{}, list: 1, results: versionResults{failures: map[string]int{}}}
 }
 
 // addServers starts servers of a version.
@@ -142,9 +144,10 @@
 	site     *versionSite
 	address  string
 	dir      *directory.Directory
+	follower *directory.Follower
+	link     *versionLink
 	socket   *Socket
 	versions *StreamVersions
-	listedAt time.Time // guarded by site.mu
 	ctx      context.Context
 	stop     context.CancelFunc
 }
@@ -160,23 +163,25 @@
 // startVM starts a VM, or a new process on one that was killed.
 func (m *versionSite) startVM(ctx context.Context, address string) *versionVM {
 	ctx, stop := context.WithCancel(ctx)
-	vm := &versionVM{site: m, address: address, dir: directory.New(), ctx: ctx, stop: stop}
+	vm := &versionVM{site: m, address: address, dir: directory.New(), link: m.linkOf(address), ctx: ctx, stop: stop}
+	vm.follower = &directory.Follower{Directory: vm.dir, Source: &versionListSource{vm}, Recorder: event.Discard()}
 	vm.socket = NewSocket(address, nil, nil)
 	vm.socket.write = func(raw []byte, to string) bool { return m.deliver(address, raw, to) }
 	known := make(chan struct{})
 	close(known)
 	opts := StreamVersionsOptions{
 		Address: address, Socket: vm.socket, Known: known, Directory: vm.dir, Recorder: event.Discard(),
-		Peers: func() []string { return nil }, ListAge: vm.listAge,
+		Peers: func() []string { return nil }, ListAge: vm.follower.Age,
 	}
 	if m.design.peers {
 		opts.Peers = func() []string { return m.peersOf(address) }
 	}
 	if m.design.store {
-		opts.Store = &versionStoreClient{m.store, func() bool { return m.isCut(address) || ctx.Err() != nil }} // a killed process writes nothing
+		opts.Store = &versionStoreClient{m.store, func() bool { return m.isCut(address) || vm.link.isCutFromStore() || ctx.Err() != nil }} // a killed process writes nothing
 	}
 	vm.versions = NewStreamVersions(opts)
-	vm.readList()
+	go func() { _ = vm.follower.Run(ctx) }()
+	vm.awaitList()
 	vm.Exchange = exchange.New(exchange.Options{
 		Zone: "a", Directory: vm.dir, Backend: m, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(), StreamVersions: vm.versions,
 		Suspects: suspect.New(suspect.Options{}), Services: func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
@@ -186,32 +191,9 @@
 	m.vms = append(m.vms, vm)
 	m.mu.Unlock()
 	go func() { _ = vm.versions.Run(ctx) }()
-	go vm.followList()
 	return vm
 }
 
-func (vm *versionVM) listAge() time.Duration {
-	vm.site.mu.Lock()
-	defer vm.site.mu.Unlock()
-	return time.Since(vm.listedAt)
-}
-
-func (vm *versionVM) readList() {
-	position, list := vm.site.listings()
-	vm.dir.Apply(position, list, false, time.Now())
-	vm.site.mu.Lock()
-	defer vm.site.mu.Unlock()
-	vm.listedAt = time.Now()
-}
-
-func (vm *versionVM) followList() {
-	for retry.Wait(vm.ctx, time.Duration((0.5+rand.Float64())*float64(modelListInterval))) == nil {
-		if !vm.site.isCut(vm.address) {
-			vm.readList()
-		}
-	}
-}
-
 // kill ends a VM's process; the streams that it serves are cut.
 func (m *versionSite) kill(vm *versionVM) {
 	m.mu.Lock()
@@ -263,10 +245,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, vm := range m.vms {
-		if vm.address == to && !m.cut[from] && !m.cut[to] && rand.Float64() >= m.loss {
+		if vm.address == to && !m.cut[from] && !m.cut[to] && !vm.link.losesDatagrams() && !m.links[from].losesDatagrams() && rand.Float64() >= m.loss {
 			raw := bytes.Clone(raw)
 			time.AfterFunc(linkDelay, func() {
-				if vm.ctx.Err() == nil {
+				if vm.link.awaitWake(vm.ctx) == nil {
 					vm.socket.dispatch(from, raw, time.Now())
 				}
 			})
@@ -349,6 +331,9 @@
 		before, returns := c.last, c.last > 0
 		served := returns && m.countServers(slices.Collect(maps.Keys(c.versions))[0]) >= 2
 		vm := vms[rand.IntN(len(vms))]
+		if to := m.returnsTo(); to != nil && returns && rand.IntN(2) == 0 {
+			vm = to
+		}
 		err := m.try(ctx, vm, c, deadline)
 		m.record(c, try, served && vm.ctx.Err() == nil && !m.isCut(vm.address), c.last > before, returns, err)
 		if err == nil || time.Now().After(deadline) {
@@ -362,6 +347,12 @@
 	}
 }
 
+func (m *versionSite) returnsTo() *versionVM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.returnTo
+}
+
 // try sends one attempt of a caller.
 func (m *versionSite) try(ctx context.Context, vm *versionVM, c *versionCaller, deadline time.Time) error {
 	r := &exchange.Request{
@@ -378,6 +369,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(vm.ctx, cancel)()
+	defer vm.link.onReset(cancel)()
+	if err := vm.link.awaitWake(ctx); err != nil {
+		return err
+	}
 	_, err := vm.Stream(ctx, r, c)
 	return err
 }
