fleet: a VM out of step no longer takes returning callers as of the version that it knew

Cause, two holes of the same kind: the VM took its own word for it. - "The only version, if the list is at most a second old": the age counted from the moment at which an answer was applied. An answer formed before the second version was listed, and held up for seconds since the process stood still or the link was cut, made the list look fresh. (The age also went by the time of day, and a VM for which others read counted as confirmed whenever it looked; neither is used for a decision any more.) - "The version before, if the list is at most three seconds old and this VM would hold the record": a VM that reaches the store but not the other VMs has a fresh list of two versions and none of the records told meanwhile.

Change: no step uses the age of the list. The only version counts if the list, read by a request that is sent after the caller came back (directory.Follower.Refresh; callers share a read), names no other, or if the store doesn't answer and another VM that would hold the record has none. The version before counts only if another VM that would hold the record has none; a VM without any peer in the registry needs none. Peers are always asked, beside the read of the list, and the table of records is looked at again after they have answered. ListAge is gone from the options.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -57,7 +57,8 @@
 	ProbeGroup *follow.ProbeGroup        // shared by all followers of the same store; may be nil
 
 	loop      atomic.Pointer[follow.Loop]
-	listedAt  time.Time    // time of the newest whole list; used by Run alone
+	refreshes refreshes
+	listedAt  atomic.Int64 // Unix nanoseconds of the newest whole list
 	ignoredAt atomic.Int64 // Unix nanoseconds of the newest log line on an ignored list
 	retained  atomic.Bool  // servers are in use that are missing from the newest list
 	eraSince  atomic.Int64 // Unix nanoseconds of the first list of the newest era, unless it was the first list of all; 0: none
@@ -69,10 +70,10 @@
 func (f *Follower) newLoop() *follow.Loop {
 	loop := &follow.Loop{
 		Read: f.list, Next: f.changes, LongPoll: longPoll, MinInterval: minInterval, Share: f.Share, ProbeGroup: f.ProbeGroup, OnFailure: f.OnFailure,
-		MustRead: func() bool { return f.retaining() || f.retained.Load() || time.Since(f.listedAt) > relistInterval },
+		MustRead: func() bool { return f.retaining() || f.retained.Load() || f.sinceListed() > relistInterval },
 		// A peer's list does not tell which of the retained servers are gone.
 		MayDelegate: func() bool { return !f.retained.Load() },
-		OnLost:      func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", time.Since(f.listedAt)) },
+		OnLost:      func(err error) { f.Recorder.Emit(EventListLost, "err", err, "age", f.sinceListed()) },
 		OnRegained: func(o follow.Outage) {
 			f.Recorder.Emit(EventListRegained, "failures", o.Failures, "away", o.Duration, "longest_wait", o.LongestWait)
 		},
@@ -81,6 +82,9 @@
 	return loop
 }
 
+// sinceListed returns the time since the newest whole list.
+func (f *Follower) sinceListed() time.Duration { return time.Since(time.Unix(0, f.listedAt.Load())) }
+
 // Age returns the time since the list was last confirmed; 0 before Run.
 func (f *Follower) Age() time.Duration {
 	if loop := f.loop.Load(); loop != nil {
@@ -129,7 +133,7 @@
 		return nil, err
 	}
 	return func() {
-		f.listedAt = time.Now()
+		f.listedAt.Store(time.Now().UnixNano())
 		f.apply(position, list, f.retaining(), fromStore)
 		f.Directory.Advance(position)
 	}, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -202,7 +202,7 @@
 	e.pressure = fleet.NewPressure(e.socket, e.fleet.CellPeers)
 	e.streamVersions = fleet.NewStreamVersions(fleet.StreamVersionsOptions{
 		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory,
-		ListAge: e.serverFollower.Age, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
+		ReadList: e.serverFollower.Refresh, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
 	})
 	e.fleet.UseElection(e.election)
 	e.configFollower.OnApplied = e.configApplied
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -73,7 +73,7 @@
 		})
 		NewStreamVersions(StreamVersionsOptions{
 			Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
-			ListAge: func() time.Duration { return 0 },
+			ReadList: func(context.Context) error { return nil },
 		})
 		s.dispatch("p", raw, time.Now())
 		s.dispatch("p", raw, time.Now())
--- a/fleet/streamquery.go
+++ b/fleet/streamquery.go
@@ -43,18 +43,18 @@
 	if r, known := v.table.Get(k, time.Now()); known {
 		return r.Version, foundHere
 	}
-	if inferred, ok := v.history.Infer(k.Service, maxAge, time.Now()); ok && !inferred.Before && v.opts.ListAge() <= recentList {
-		return inferred.Version, foundSole
-	}
 	v.await(ctx, v.loaded, startupWait)
-	if r, known := v.table.Get(k, time.Now()); known {
-		return r.Version, foundHere
-	}
+	listRead := v.readListIfSole(ctx, k, maxAge)
 	answer, answered := v.askPeers(ctx, k, maxAge)
 	if answer.known {
 		return answer.version, foundByPeer
 	}
-	if inferred, ok := v.inferHere(k, maxAge, answered); ok && (!answer.inferred || answer.version == inferred.Version) {
+	current := <-listRead
+	// What others sent before their answers has been received by now.
+	if r, known := v.table.Get(k, time.Now()); known {
+		return r.Version, foundHere
+	}
+	if inferred, ok := v.inferHere(k, maxAge, answered, current); ok && (!answer.inferred || answer.version == inferred.Version) {
 		return inferred.Version, howInferred(inferred)
 	}
 	if answer.inferred && v.mayHaveBegun(k.Service, answer.version) {
@@ -68,6 +68,18 @@
 	return "", foundNowhere
 }
 
+// readListIfSole reads the list of servers if a single version is known to have served. The
+// channel tells whether the list in force then holds all servers that were listed at the call.
+func (v *StreamVersions) readListIfSole(ctx context.Context, k streamversion.Key, maxAge time.Duration) <-chan bool {
+	current := make(chan bool, 1)
+	if inferred, ok := v.history.Infer(k.Service, maxAge, time.Now()); !ok || inferred.Before {
+		current <- false
+		return current
+	}
+	go func() { current <- v.opts.ReadList(ctx) == nil }()
+	return current
+}
+
 func howInferred(i streamversion.Inference) string {
 	if i.Before {
 		return foundBefore
@@ -86,18 +98,18 @@
 }
 
 // inferHere infers the version of a stream without a record from the versions that have
-// served. That another version began the stream is ruled out if this VM or one that has
-// answered would hold the record, or if the list of servers is fresh.
-func (v *StreamVersions) inferHere(k streamversion.Key, maxAge time.Duration, answered bool) (streamversion.Inference, bool) {
+// served. That another version began the stream is ruled out if no other one is in a list
+// which was read after its caller came back, or if a VM that has answered would hold the
+// record. It isn't by the word of this VM alone: it may have been cut off from the others.
+func (v *StreamVersions) inferHere(k streamversion.Key, maxAge time.Duration, answered, current bool) (streamversion.Inference, bool) {
 	inferred, ok := v.history.Infer(k.Service, maxAge, time.Now())
 	if !ok {
 		return inferred, false
 	}
-	fresh := v.opts.ListAge() <= freshList
 	if inferred.Before {
-		return inferred, v.isHolder(k.Stream) && (answered || fresh)
+		return inferred, v.isHolder(k.Stream) && (answered || len(v.opts.Peers()) == 0)
 	}
-	return inferred, answered || fresh
+	return inferred, answered || current
 }
 
 // askPeers asks the VMs that may hold the record of a stream. answered reports whether one of
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -30,11 +30,6 @@
 	// asked: a datagram may be lost, and a VM that was killed never answers.
 	streamAnswerWait = 40 * time.Millisecond
 	streamAskRounds  = 2
-	// recentList is the age of the list of servers up to which a version that is listed alone
-	// counts without asking others, freshList that without an answer of others. A VM that is
-	// cut off has an older list.
-	recentList = time.Second
-	freshList  = 3 * time.Second
 	// startupWait bounds the wait of a returning caller for what this process learns at its
 	// start: the time of a few calls to the store.
 	startupWait = 300 * time.Millisecond
@@ -52,8 +47,8 @@
 	Peers     func() []string // addresses of the other entry VMs
 	Known     <-chan struct{} // closed once the other entry VMs are known
 	Directory *directory.Directory
-	// ListAge returns the time since the list of servers was last confirmed.
-	ListAge func() time.Duration
+	// ReadList reads the list of servers by a request that is sent after the call.
+	ReadList func(ctx context.Context) error
 	// Store keeps records beyond the loss of all VMs; nil: nothing does.
 	Store    VersionStore
 	Recorder *event.Recorder
--- a/fleet/streamversions_bench_test.go
+++ b/fleet/streamversions_bench_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 	s := NewSocket(vmAddress(399), func() []string { return peers }, nil)
 	s.write = func([]byte, string) bool { return true }
 	v := NewStreamVersions(StreamVersionsOptions{
-		Address: vmAddress(399), Socket: s, Peers: func() []string { return peers }, Directory: directory.New(), Recorder: event.Discard(), ListAge: func() time.Duration { return 0 },
+		Address: vmAddress(399), Socket: s, Peers: func() []string { return peers }, Directory: directory.New(), Recorder: event.Discard(), ReadList: func(context.Context) error { return nil },
 	})
 	v.setComplete(time.Now())
 	v.history.Observe(directory.Hash("s"), versions, time.Now())
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -171,7 +171,7 @@
 	close(known)
 	opts := StreamVersionsOptions{
 		Address: address, Socket: vm.socket, Known: known, Directory: vm.dir, Recorder: event.Discard(),
-		Peers: func() []string { return nil }, ListAge: vm.follower.Age,
+		Peers: func() []string { return nil }, ReadList: vm.follower.Refresh,
 	}
 	if m.design.peers {
 		opts.Peers = func() []string { return m.peersOf(address) }
