directory: a process found at a known address takes no stream that has begun until its version is listed

A VM that does not reach the store, or has an old list, finds a new process at the address of a lost server and assumed that it runs the former one's version as long as its own list named a single version. In a release the process may be the next version's, and that list is the one that lacks it: streams within an answer, and of callers that came back, went on there.

Change: an assumed version is never a known one where entries name versions. A stream whose only servers are of its version by assumption waits for the list as for a server that crashed, up to three seconds, in place of an end at once (which it had with two versions, too).

Price: while the store is away, streams that broke go on only at servers that the list has named, not at restarts.

--- a/directory/versions.go
+++ b/directory/versions.go
@@ -21,13 +21,18 @@
 // RunsVersion reports whether a server is known to run a version of its service's software.
 //
 // Where entries name no versions all servers are taken to run the same one, of which the
-// name is empty. A process that was found at a known address is taken to run the version of
-// the one before it only while the service has no other.
+// name is empty. A process that was found at a known address may run another version than
+// the one before it, also while this process knows of a single one: its list may be old.
 func (v *View) RunsVersion(s *Server, version string) bool {
-	if s.Version() != version {
-		return false
+	if version == "" {
+		return s.Version() == "" && len(v.Versions(s.Service)) == 1
 	}
-	return (version != "" && !s.versionAssumed.Load()) || len(v.Versions(s.Service)) == 1
+	return s.Version() == version && !s.versionAssumed.Load()
+}
+
+// MayRunVersion reports whether a server is known, or assumed, to run a version.
+func (v *View) MayRunVersion(s *Server, version string) bool {
+	return v.RunsVersion(s, version) || version != "" && s.Version() == version
 }
 
 // RetireOtherVersions records that the servers of a service are about to be stopped unless
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -136,15 +136,15 @@
 
 // hasVersion reports whether a server of the version that began the stream may still take
 // it: one that is listed and not leaving, even if it is lost, since a server that crashed is
-// back within seconds.
+// back within seconds, or if its version is only assumed, since the list may confirm it.
 func (s *stream) hasVersion() bool {
 	version, bound := s.versionBoundTo()
 	if !bound {
 		return true
 	}
-	canGoOn := s.canGoOnAt(version)
-	for _, server := range s.e.opts.Directory.View().Service(s.req.Service) {
-		if !server.Draining() && canGoOn(server) {
+	canGoOn, view := s.canGoOnAt(version), s.e.opts.Directory.View()
+	for _, server := range view.Service(s.req.Service) {
+		if !server.Draining() && (canGoOn(server) || view.MayRunVersion(server, version)) {
 			return true
 		}
 	}
