exchange: a stream begun at a process of an assumed version is recorded by its start

A stream whose first event came from a process that the list did not name yet had no record, as its version was only assumed. Its caller, when it came back, counted as one of a stream without a record: of the only version, or of the one before. If the process ran the next version, the rest came from the former one.

Evidence: TestStreamThatBeganAtAnAssumedVersionIsOfTheVersionListedLater, red before: v1 in place of v2, and known in place of unknown once the process is gone.

Change: the record names the start of the server in place of a version, and the version is looked up when the caller comes back; unknown, and refused, if the start is not listed then. A named version replaces such a record. The records are told to other VMs like all, and not stored.

--- a/exchange/assumed_version_test.go
+++ b/exchange/assumed_version_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +56,61 @@
 		})
 	}
 }
+
+// recordedVersions holds records, and knows a stream without one as of v1.
+type recordedVersions map[uint64]string
+
+// Record implements StreamVersions.
+func (r recordedVersions) Record(_ string, stream uint64, version string, _ time.Time) {
+	r[stream] = version
+}
+
+// Find implements StreamVersions.
+func (r recordedVersions) Find(_ context.Context, _ string, stream uint64, _ time.Duration) (version, how string, ok bool) {
+	if version, ok = r[stream]; ok {
+		return version, "record", true
+	}
+	return "v1", "before", true
+}
+
+// A stream that began at a process of an assumed version has no record, and its caller comes
+// back as one of a stream of the former version.
+func TestStreamThatBeganAtAnAssumedVersionIsOfTheVersionListedLater(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed, version string // version of the process in the list later; "": it is not listed
+		known           bool
+	}{
+		"it ran the next version":   {"v2", "v2", true},
+		"it ran the former version": {"v1", "v1", true},
+		"it is gone":                {"", "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				b := newTestbed(map[string][]script{"a1": {streams(5, 30*time.Millisecond, errors.New("reset"))}}, "a1")
+				b.opts.StreamVersions = recordedVersions{}
+				b.listVersion(2, 100, "v1")
+				b.dir.RecordRestart(b.dir.View().Service("s")[0], directory.Start{ID: "a1", Born: 200}, time.Now())
+				b.backend.mu.Lock()
+				b.backend.born["a1"] = 200
+				b.backend.mu.Unlock()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				sink := &recordingSink{start: time.Now()}
+				_, _ = b.Stream(ctx, streamRequest(), sink)
+				g.Expect(sink.ids).NotTo(gomega.BeEmpty())
+				if c.listed != "" {
+					b.listVersion(3, 200, c.listed)
+				} else {
+					b.dir.Apply(3, nil, false, time.Now())
+				}
+				returns := streamRequest()
+				returns.ID, returns.LastEvent, returns.Resumes = "r2", "3", "r1"
+				version, _, known := b.findOrigin(t.Context(), returns)
+				g.Expect(known).To(gomega.Equal(c.known))
+				g.Expect(version).To(gomega.Equal(c.version))
+				time.Sleep(time.Minute) // what is in progress ends
+			})
+		})
+	}
+}
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -57,7 +57,11 @@
 
 func (e *Exchange) findOrigin(ctx context.Context, req *Request) (version, how string, known bool) {
 	if e.opts.StreamVersions != nil {
-		return e.opts.StreamVersions.Find(ctx, req.Service, req.streamID(), maxStreamAge(req.Route))
+		version, how, known = e.opts.StreamVersions.Find(ctx, req.Service, req.streamID(), maxStreamAge(req.Route))
+		if start, unnamed := streamversion.StartOf(version); known && unnamed {
+			return e.versionOfStart(start, how)
+		}
+		return version, how, known
 	}
 	if listed := e.opts.Directory.View().Versions(req.Service); len(listed) == 1 {
 		return listed[0], originSoleListed, true
@@ -65,6 +69,16 @@
 	return "", originUnknown, false
 }
 
+// versionOfStart returns the version of a server's start that a record names.
+func (e *Exchange) versionOfStart(start, recorded string) (version, how string, known bool) {
+	view := e.opts.Directory.View()
+	server := view.ByHash(directory.Hash(start))
+	if server == nil || server.Start.String() != start || !view.RunsVersion(server, server.Version()) {
+		return "", originUnknown, false
+	}
+	return server.Version(), recorded, true
+}
+
 // maxStreamAge returns how long after its start a stream's caller may come back: it may have
 // come back before.
 func maxStreamAge(route *site.Route) time.Duration {
@@ -89,12 +103,16 @@
 const returnPeriod = 30 * time.Second
 
 // recordOrigin records the version that sends the first event, before the caller gets it. For
-// a caller that came back that prolongs the record.
+// a caller that came back that prolongs the record. While the version is not known, the record
+// names the server's start: without one the stream would count as of another version.
 func (s *stream) recordOrigin(server *directory.Server) {
-	version := server.Version()
-	if s.e.opts.StreamVersions == nil || !s.req.Route.Resumable || s.req.ResumesInvalid || !s.e.opts.Directory.View().RunsVersion(server, version) {
+	if s.e.opts.StreamVersions == nil || !s.req.Route.Resumable || s.req.ResumesInvalid {
 		return
 	}
+	version := server.Version()
+	if !s.e.opts.Directory.View().RunsVersion(server, version) {
+		version = streamversion.OfStart(server.Start.String())
+	}
 	s.e.opts.StreamVersions.Record(s.req.Service, s.req.streamID(), version, s.req.Deadline.Add(returnPeriod))
 }
 
--- a/streamversion/table.go
+++ b/streamversion/table.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,17 @@
 	Own     bool      // this process has served the stream
 }
 
+// startPrefix begins what names a start in place of a version. No version of a list begins
+// with it.
+const startPrefix = "\x00"
+
+// OfStart returns what a record has as its version while only the start of the server that
+// began the stream is known, not its version.
+func OfStart(start string) string { return startPrefix + start }
+
+// StartOf returns the start that a record names in place of a version.
+func StartOf(version string) (start string, ok bool) { return strings.CutPrefix(version, startPrefix) }
+
 // maxRecords bounds a Table to about 6 MB. At 13 streams a second and VM, four VMs that know
 // of each, and a minute until a record expires, there are 3,000.
 const maxRecords = 1 << 16
@@ -43,14 +55,17 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: map[Key]Record{}} }
 
-// Put adds a record. The version of a known record stays: only the first event of a stream
-// decides. Put returns false if the table is full.
+// Put adds a record. The version of a known record stays, unless it names a start: only the
+// first event of a stream decides. Put returns false if the table is full.
 func (t *Table) Put(r Record, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.records[r.Key]
 	if known = known && old.Until.After(now); known {
-		r.Version, r.Own = old.Version, r.Own || old.Own
+		if _, unnamed := StartOf(old.Version); !unnamed {
+			r.Version = old.Version
+		}
+		r.Own = r.Own || old.Own
 		if old.Until.After(r.Until) {
 			r.Until = old.Until
 		}
--- a/streamversion/table_test.go
+++ b/streamversion/table_test.go
@@ -44,3 +44,15 @@
 	g.Expect(table.Put(Record{Key: Key{2, 0}, Until: now.Add(3 * time.Minute)}, now.Add(2*time.Minute))).To(gomega.BeTrue(), "expired records make room")
 	g.Expect(table.Expire(now.Add(2 * time.Minute))).To(gomega.Equal(1))
 }
+
+// A record that names a start keeps its caller from the version that became known later.
+func TestRecordOfAStartTakesTheVersionThatIsKnownLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, now := NewTable(), time.Now()
+	key := Key{Service: 1, Stream: 2}
+	for _, version := range []string{OfStart("a1#200"), "v2", "v1"} {
+		table.Put(Record{Key: key, Version: version, Until: now.Add(time.Minute)}, now)
+	}
+	r, _ := table.Get(key, now)
+	g.Expect(r.Version).To(gomega.Equal("v2"))
+}
