--- a/fleet/outofstep_test.go
+++ b/fleet/outofstep_test.go
@@ -21,6 +21,7 @@
 var outOfStepWays = map[string]outOfStep{
 	"stands still":             {func(l *versionLink) { l.standing = true }, func(l *versionLink) { l.standing = false }},
 	"reaches no other VM":      {func(l *versionLink) { l.cutPeers = true }, func(l *versionLink) { l.cutPeers = false }},
+	"reads answers 3 s behind": {func(l *versionLink) { l.behind = 3 * time.Second }, func(l *versionLink) { l.behind = 0 }},
 	"does not reach the store": {func(l *versionLink) { l.cutStore = true }, func(l *versionLink) { l.cutStore = false }},
 	"is cut off":               {func(l *versionLink) { l.cutPeers, l.cutStore = true, true }, func(l *versionLink) { l.cutPeers, l.cutStore = false, false }},
 }
--- a/fleet/versionlink_test.go
+++ b/fleet/versionlink_test.go
@@ -30,7 +30,8 @@
 	standing  bool // the process stands still
 	cutPeers  bool
 	cutStore  bool
-	trapPoint readPoint // of the next read, at which trap is called; 0: none
+	behind    time.Duration // of the store's answers
+	trapPoint readPoint     // of the next read, at which trap is called; 0: none
 	trap      func()
 	changed   chan struct{} // closed at a change of the fields above
 	resets    map[int]context.CancelFunc
@@ -122,6 +123,12 @@
 // resendDelay is the longest time until what a cut has held up is sent again.
 const resendDelay = 300 * time.Millisecond
 
+func (l *versionLink) staleness() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.behind
+}
+
 func (l *versionLink) losesDatagrams() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,7 +201,7 @@
 	if err := retry.Wait(ctx, wait+storeDelay/2); err != nil {
 		return 0, nil, err
 	}
-	position, list := s.vm.site.listings()
+	position, list := s.vm.site.staleListings(link.staleness())
 	if err := retry.Wait(ctx, storeDelay/2); err != nil {
 		return 0, nil, err
 	}
@@ -212,3 +219,22 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// staleListings returns the list as it was a while ago.
+func (m *versionSite) staleListings(behind time.Duration) (types.Position, []directory.Listing) {
+	position, list := m.listings()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for ; position > 1 && time.Since(m.lists[position].since) < behind; position-- {
+		if former := m.lists[position-1].list; former != nil {
+			list = former
+		}
+	}
+	return position, list
+}
+
+// versionList is a list of servers that was in force since a moment.
+type versionList struct {
+	list  []directory.Listing
+	since time.Time
+}
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -54,6 +54,7 @@
 	vms     []*versionVM
 	cut     map[string]bool // addresses of VMs that reach neither others nor the store
 	links   map[string]*versionLink
+	lists   map[types.Position]versionList // by position
 	results versionResults
 }
 
@@ -77,7 +78,7 @@
 }
 
 func newVersionSite(design versionDesign) *versionSite {
-	return &versionSite{store: newVersionStoreModel(), design: design, servers: map[string]*versionServer{}, cut: map[string]bool{}, links: map[string]*versionLink{}, list: 1, results: versionResults{failures: map[string]int{}}}
+	return &versionSite{store: newVersionStoreModel(), design: design, servers: map[string]*versionServer{}, cut: map[string]bool{}, links: map[string]*versionLink{}, lists: map[types.Position]versionList{}, list: 1, results: versionResults{failures: map[string]int{}}}
 }
 
 // addServers starts servers of a version.
@@ -132,11 +133,18 @@
 func (m *versionSite) listings() (types.Position, []directory.Listing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.lists[m.list].list == nil {
+		m.lists[m.list] = versionList{m.listLocked(), time.Now()}
+	}
+	return m.list, m.lists[m.list].list
+}
+
+func (m *versionSite) listLocked() []directory.Listing {
 	var list []directory.Listing
 	for i, id := range slices.Sorted(maps.Keys(m.servers)) {
 		list = append(list, directory.Listing{ID: id, Service: "s", Address: id, Zone: zoneOf(i), Slots: 64, Version: m.servers[id].version})
 	}
-	return m.list, list
+	return list
 }
 
 // versionVM is one entry VM.
