--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -70,7 +70,7 @@
 	prompts.UseLocator(promptcache.NewLocator(func(context.Context, *directory.Server) (promptcache.Contents, error) { return nil, nil }))
 	NewStreamVersions(StreamVersionsOptions{
 		Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
-		ListAge: func() time.Duration { return 0 },
+		ReadList: func(context.Context) error { return nil },
 	})
 	return loads, memory
 }
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -30,11 +30,6 @@
 	// asked: a datagram may be lost, and a VM that was killed never answers.
 	streamAnswerWait = 40 * time.Millisecond
 	streamAskRounds  = 2
-	// recentList is the age of the list of servers up to which a version that is listed alone
-	// counts without asking others, freshList that without an answer of others. A VM that is
-	// cut off has an older list.
-	recentList = time.Second
-	freshList  = 3 * time.Second
 	// startupWait bounds the wait of a returning caller for what this process learns at its
 	// start: the time of a few calls to the store.
 	startupWait = 300 * time.Millisecond
@@ -52,8 +47,8 @@
 	Peers     func() []string // addresses of the other entry VMs
 	Known     <-chan struct{} // closed once the other entry VMs are known
 	Directory *directory.Directory
-	// ListAge returns the time since the list of servers was last confirmed.
-	ListAge func() time.Duration
+	// ReadList reads the list of servers by a request that is sent after the call.
+	ReadList func(ctx context.Context) error
 	// Store keeps records beyond the loss of all VMs; nil: nothing does.
 	Store    VersionStore
 	Recorder *event.Recorder
@@ -90,6 +85,7 @@
 	}
 	v.rows = newVersionRows(v)
 	opts.Directory.OnApplied(v.observe)
+	opts.Socket.onRegained = v.pull
 	opts.Socket.handle(kindStreamRecords, v.receiveRecords)
 	opts.Socket.handle(kindStreamQuery, v.receiveQuery)
 	opts.Socket.handle(kindStreamAnswer, v.receiveAnswer)
@@ -117,8 +113,8 @@
 func (v *StreamVersions) load(ctx context.Context) {
 	v.await(ctx, v.opts.Known, pullWait)
 	for tries := 0; ctx.Err() == nil; tries++ {
-		if peers := v.opts.Peers(); len(peers) > 0 {
-			v.opts.Socket.SendTo(body{kindStreamPull, nil}, peers)
+		if len(v.opts.Peers()) > 0 {
+			v.pull()
 			v.await(ctx, v.loaded, pullWait)
 		}
 		if v.history.Complete() {
@@ -132,6 +128,9 @@
 	}
 }
 
+// pull asks the other VMs for the records that this one would hold.
+func (v *StreamVersions) pull() { v.opts.Socket.SendTo(body{kindStreamPull, nil}, v.opts.Peers()) }
+
 // await waits until a channel is closed, but not for long.
 func (v *StreamVersions) await(ctx context.Context, closed <-chan struct{}, atMost time.Duration) {
 	timer := time.NewTimer(atMost)
