fleet: a VM that has not read the registry of VMs does not count as alone

A VM that is alone takes a stream without a record as of the version before by its own word, since nobody else can have served it. Before it has read the registry it only doesn't know the others. Not seen; found in reading. The part "a second version is known, the peers are not" of TestStreamWithoutARecordIsOfTheOnlyVersionByEvidenceOnly was red before.

--- a/fleet/streamfind_test.go
+++ b/fleet/streamfind_test.go
@@ -53,6 +53,7 @@
 	}
 	for name, c := range map[string]struct {
 		peers         []string
+		unregistered  bool // the registry of VMs has not been read
 		second        bool // a second version is known at first
 		asked         func(*findSite)
 		read          func(*findSite) error
@@ -72,6 +73,7 @@
 		}},
 		"a second version is known, nobody answers":       {peers: []string{"10.0.0.2:1"}, second: true, read: same, want: foundNowhere},
 		"a second version is known, a peer has no record": {peers: []string{"10.0.0.2:1"}, second: true, read: same, asked: inferred("v1"), version: "v1", want: foundBefore},
+		"a second version is known, the peers are not":    {unregistered: true, second: true, read: same, want: foundNowhere},
 		"a second version is known, there are no peers":   {second: true, read: same, version: "v1", want: foundBefore},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -84,8 +86,12 @@
 					}
 					return true
 				}
+				known := make(chan struct{})
+				if !c.unregistered {
+					close(known)
+				}
 				f.v = NewStreamVersions(StreamVersionsOptions{
-					Address: "10.0.0.1:1", Socket: socket, Peers: func() []string { return f.peers }, Directory: directory.New(), Recorder: event.Discard(),
+					Address: "10.0.0.1:1", Socket: socket, Peers: func() []string { return f.peers }, Directory: directory.New(), Recorder: event.Discard(), Known: known,
 					ReadList: func(context.Context) error { return c.read(f) },
 				})
 				f.list("v1")
--- a/fleet/streamquery.go
+++ b/fleet/streamquery.go
@@ -107,11 +107,21 @@
 		return inferred, false
 	}
 	if inferred.Before {
-		return inferred, v.isHolder(k.Stream) && (answered || len(v.opts.Peers()) == 0)
+		return inferred, v.isHolder(k.Stream) && (answered || v.isAlone())
 	}
 	return inferred, answered || current
 }
 
+// isAlone reports whether the registry, which has been read, names no other VM.
+func (v *StreamVersions) isAlone() bool {
+	select {
+	case <-v.opts.Known:
+		return len(v.opts.Peers()) == 0
+	default:
+		return false
+	}
+}
+
 // askPeers asks the VMs that may hold the record of a stream. answered reports whether one of
 // them would hold it, and does not.
 func (v *StreamVersions) askPeers(ctx context.Context, k streamversion.Key, maxAge time.Duration) (answer versionAnswer, answered bool) {
