--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -63,6 +63,10 @@
 	}
 }
 
+// maxKeepAliveSeconds is far above what connections are kept for, and far below what a Duration
+// holds.
+const maxKeepAliveSeconds = 24 * 3600
+
 // parseKeepAlive returns the idle timeout that the server announced, or 0 if it
 // announced none.
 func parseKeepAlive(h http.Header) time.Duration {
@@ -70,7 +74,7 @@
 		for _, part := range splitComma(field) {
 			if s, ok := cutPrefixFold(part, "timeout="); ok {
 				if n, err := strconv.Atoi(s); err == nil && n > 0 {
-					return time.Duration(n) * time.Second
+					return time.Duration(min(n, maxKeepAliveSeconds)) * time.Second
 				}
 			}
 		}
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -199,6 +199,9 @@
 	g.Expect(parseKeepAlive(http.Header{"Keep-Alive": {"max=5, Timeout=3"}})).To(gomega.Equal(3 * time.Second))
 	g.Expect(parseKeepAlive(http.Header{"Keep-Alive": {"timeout=x"}})).To(gomega.BeZero())
 	g.Expect(parseKeepAlive(http.Header{})).To(gomega.BeZero())
+	for _, seconds := range []string{"3000000000", "18446744074"} { // more than a Duration holds
+		g.Expect(parseKeepAlive(http.Header{"Keep-Alive": {"timeout=" + seconds}})).To(gomega.Equal(maxKeepAliveSeconds * time.Second))
+	}
 }
 
 // Waiting for data consumes none of it: what has arrived is still there for the
