soak: the proxy's close reaches the server also while a VM is being started

With the closes logged: the proxy read the end of the connection at 12:42:53.4168 and closed both sides, the server's context ended at 12:42:54.13, and a VM process was started in that time. Between fork and exec the new process has copies of the proxy's descriptors, and a closed socket stays open as long as any copy is.

Change: the proxy shuts the connections down before it closes them. TestProxyTellsACloseBesideAStartingProcess, with a copy of the descriptors held: red before (no end within 5 s), green 3 of 3.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -116,6 +116,16 @@
 	go p.copy(out, in, false, done)
 	go p.copy(in, out, true, done)
 	<-done
+	shutDown(in)
+	shutDown(out)
+}
+
+// shutDown ends a connection for its peer, also while a process that is being started has a
+// copy of its descriptor, which a close alone would wait for.
+func shutDown(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
 }
 
 // copy forwards data as the mode allows. Data that the mode holds back passes once the mode
