--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -77,7 +77,7 @@
 	if err := s.checkAcceptance(st); err != nil {
 		return false, s.onSuccessorFailed(ctx, err)
 	}
-	s.succeed()
+	s.completeHandover()
 	return s.handleStep(ctx, st)
 }
 
@@ -105,7 +105,7 @@
 	case st := <-s.successor.steps:
 		return s.handleSuccessor(ctx, st)
 	default:
-		s.succeed()
+		s.completeHandover()
 		return false, nil
 	}
 }
@@ -127,8 +127,8 @@
 	return nil
 }
 
-// succeed ends the attempt at the silent server and makes the successor the current one.
-func (s *stream) succeed() {
+// completeHandover ends the attempt at the silent server and makes the successor the current one.
+func (s *stream) completeHandover() {
 	former, silence, ended := s.current, s.silence, time.Now()
 	former.close()
 	closed := time.Now()
--- a/exchange/sends.go
+++ b/exchange/sends.go
@@ -78,9 +78,9 @@
 	return func(server *directory.Server) bool { return !s.req.sends.has(server.Start) }
 }
 
-// allHadIt reports whether a stream that must run once has been sent to all servers, so that it
+// wasSentToAll reports whether a stream that must run once has been sent to all servers, so that it
 // would wait for one in vain.
-func (s *stream) allHadIt() bool {
+func (s *stream) wasSentToAll() bool {
 	mayRepeat, found := s.mayRepeatAt(), false
 	if mayRepeat == nil {
 		return false
