exchange: a reported loss of a copy's server is handled once

Two of its ways back do not mark the loss as handled: that of a resting server, and that of a server that is usable again.

Change: a channel that has fired is not waited for again, whichever way the loop comes back. A new loss has a new channel.

--- a/exchange/copies.go
+++ b/exchange/copies.go
@@ -247,20 +247,24 @@
 	}
 	check := time.NewTicker(copyCheckInterval)
 	defer check.Stop()
-	var handled *directory.Server // its loss has been handled; further checks are by the ticker alone
+	var seen <-chan struct{} // a reported loss that has been handled; it stays closed while the server is tried again
 	for {
 		at := a.copies.holder()
 		if at == nil && a.copyState.Load() == copyPlaced {
 			return
 		}
 		var down <-chan struct{}
-		if at != nil && at != handled {
+		if at != nil {
 			down = at.Down()
 		}
+		if down == seen {
+			down = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-down:
+			seen = down
 		case <-check.C:
 		}
 		if at == nil && a.copyState.Load() == copyTaken {
@@ -273,7 +277,6 @@
 			s.refreshCopy(ctx, a)
 			continue
 		}
-		handled = at
 		if !s.replaceCopy(ctx, a, at, avoid) {
 			return
 		}
