soak: a reset by the proxy reaches both peers as a reset

Cause: since a proxy's connection is shut down, with an ordinary end, once one side has ended. Proxy.Reset closes its connections one after the other; the first one's end was passed on to the other peer as an ordinary end before Reset came to it. Before the close in untrack waited for the lock that Reset holds. A fault of the soak's proxy alone: a VM that gets an ordinary end rightly reports that its caller left.

Change: the shutdown takes the lock too, so that a reset in progress is complete first.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -116,15 +116,18 @@
 	go p.copy(out, in, false, done)
 	go p.copy(in, out, true, done)
 	<-done
-	shutDown(in)
-	shutDown(out)
+	p.shutDown(in, out)
 }
 
-// shutDown ends a connection for its peer, also while a process that is being started has a
-// copy of its descriptor, which a close alone would wait for.
-func shutDown(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+// shutDown ends connections for their peers, also while a process that is being started has a
+// copy of their descriptors, which a close alone would wait for. A reset in progress goes first.
+func (p *Proxy) shutDown(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
 	}
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,3 +37,33 @@
 	_, err = server.Read(make([]byte, 1))
 	g.Expect(err).To(gomega.Equal(io.EOF))
 }
+
+// Guards against a reset that one of the two peers sees as an ordinary end of the connection.
+func TestProxyResetsBothPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer target.Close()
+	proxy, err := NewProxy(target.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer proxy.Close()
+	for range 500 {
+		caller, err := net.Dial("tcp4", proxy.Address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		server, err := target.Accept()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		for _, pair := range [][2]net.Conn{{caller, server}, {server, caller}} {
+			_, err = pair[0].Write([]byte("x"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = pair[1].Read(make([]byte, 1))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		proxy.Reset()
+		for _, peer := range []net.Conn{caller, server} {
+			g.Expect(peer.SetReadDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+			_, err = peer.Read(make([]byte, 1))
+			g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
+			g.Expect(peer.Close()).To(gomega.Succeed())
+		}
+	}
+}
