exchange: a reserved retry belongs to the attempt that it is for

A caller's stream was cut off although its server worked: its successor broke off, a retry was reserved before the former attempt was ended, and ending it cleared the reservation, so that the next attempt needed a second retry of a spent budget. And the other way round: a retry that was taken for an attempt that broke off earlier counted again for a handover of the next one, which then took nothing from the budget that all VMs share (BUDGET).

Cause: the reservation was a field of the stream that any failed attempt that had reached its server cleared, and that an attempt that did reach its server kept until it failed. The attempt has it now from its launch on; it comes back only if the server was not reached.

TestRetryReservedForAFailedHandoverIsUsed and TestHandoverOfARetryTakesARetryOfItsOwn failed before.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -38,6 +38,7 @@
 	sent                 chan struct{}    // closed when the request is about to be sent
 	sentHandled          bool             // the stream has handled that
 	tookOver             bool             // it replaced an attempt at a silent server
+	isRetry              bool             // it was taken from the retry budget
 
 	done     chan struct{} // closed when its steps are no longer received
 	doneOnce sync.Once
@@ -84,9 +85,11 @@
 	a := &streamAttempt{
 		expectedFirst: s.expectedFirst(server, time.Now()),
 		server:        server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent), ttl: s.memory.keptFor()}, load: server.BeginStream(prompt),
-		memory: server.HoldMemory(s.memory.tokens(s.lastEvent)),
-		watch:  newWatch(ctx, s.e, server, s.req.Route.MaxGap), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}), sent: make(chan struct{}),
+		memory:  server.HoldMemory(s.memory.tokens(s.lastEvent)),
+		isRetry: s.retryReserved,
+		watch:   newWatch(ctx, s.e, server, s.req.Route.MaxGap), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}), sent: make(chan struct{}),
 	}
+	s.retryReserved = false
 	attempt := &Attempt{
 		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from,
 		OnSend: sync.OnceFunc(func() { close(a.sent) }),
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -28,7 +28,7 @@
 	longestPause  time.Duration
 	tried         map[directory.Start]bool // servers that are not asked: they refused, broke off or are silent
 	delivered     int                      // attempts that reached a server
-	retryReserved bool                     // a retry was taken from the budget and has not reached a server yet
+	retryReserved bool                     // a retry was taken from the budget for the next attempt
 	ran           int                      // attempts that may have run
 	refused       int                      // attempts that provably did not run, successors included
 	// refusedSinceEvent counts those of them since the caller's last event that were not
@@ -176,8 +176,10 @@
 			s.successorsRefused++
 		}
 		s.e.metrics.attempts.WithLabelValues(string(notRun.Reason)).Inc()
-		if !notRun.Unreached() {
-			s.countDelivered()
+		if notRun.Unreached() {
+			s.retryReserved = s.retryReserved || a.isRetry // no server got it
+		} else {
+			s.delivered++
 		}
 		if a.from != nil && notRun.Reason == Busy {
 			// The server did not have the copy, or no room for it: it may still be
@@ -187,7 +189,7 @@
 		}
 	} else {
 		s.ran++
-		s.countDelivered()
+		s.delivered++
 		if !isAlive(err) {
 			s.lostZone = a.server.Zone
 		}
@@ -205,12 +207,6 @@
 	s.logRetry(a, err)
 }
 
-// countDelivered counts an attempt that reached its server: the next one is a retry.
-func (s *stream) countDelivered() {
-	s.delivered++
-	s.retryReserved = false
-}
-
 // logRetry logs that an attempt failed and another may follow.
 func (s *stream) logRetry(a *streamAttempt, err error) {
 	s.e.opts.Recorder.Emit(EventAgain, event.FieldRequest, s.req.ID, "route", s.req.Route.Name, "after", a.server.Start,
