exchange: the wait for a refusal runs from the send of the request

Two servers could work on one stream for the length of a stall of this process plus 200 ms: the wait began when the stream handled that the request had been sent, not when it was sent. A stall of 200 ms between the two, as a VM with a third of a core has, exceeded the 400 ms of the rule TWICE although the stall was over.

The attempt keeps the time of the send, and the wait is what is left of acceptanceTime; at least 10 ms, so that a refusal that came meanwhile is read first.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -36,6 +36,7 @@
 	expectedFirst        time.Duration    // estimated time from sentAt to the first event; 0: not known
 	copyState            atomic.Int32     // copyPlaced, copyTaken or copyUsedUp
 	sent                 chan struct{}    // closed when the request is about to be sent
+	requestSentAt        time.Time        // when sent was closed
 	sentHandled          bool             // the stream has handled that
 	tookOver             bool             // it replaced an attempt at a silent server
 	isRetry              bool             // it was taken from the retry budget
@@ -92,12 +93,18 @@
 	s.retryReserved = false
 	attempt := &Attempt{
 		Request: s.req, Server: server, Timeout: s.req.timeLeft(time.Now()), ResumeAfter: s.resumeAfter(), CopyTo: s.placeCopy(a), ResumeFrom: from,
-		OnSend: sync.OnceFunc(func() { close(a.sent) }),
+		OnSend: sync.OnceFunc(a.markSent),
 	}
 	go a.read(s.e.opts.Backend, attempt)
 	return a
 }
 
+// markSent records that the request is about to be sent.
+func (a *streamAttempt) markSent() {
+	a.requestSentAt = time.Now()
+	close(a.sent)
+}
+
 // read delivers what the server sends, until the response ends or the steps are no
 // longer received.
 func (a *streamAttempt) read(backend Backend, attempt *Attempt) {
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -23,6 +23,9 @@
 // work on a stream side by side for 400 ms, the travel to and from both included.
 const acceptanceTime = 200 * time.Millisecond
 
+// readTime is how long a refusal that has arrived may take to be read after a stall of this process.
+const readTime = 10 * time.Millisecond
+
 // maxSendTime bounds the time until the request is sent: a connection that isn't established by
 // then is given up.
 const maxSendTime = 300 * time.Millisecond
@@ -48,10 +51,10 @@
 	return s.successor.sent
 }
 
-// awaitAcceptance waits for a refusal for acceptanceTime from now on.
+// awaitAcceptance waits for a refusal until acceptanceTime after the request was sent.
 func (s *stream) awaitAcceptance() {
 	s.successor.sentHandled = true
-	s.acceptanceDue = time.After(acceptanceTime)
+	s.acceptanceDue = time.After(max(readTime, acceptanceTime-time.Since(s.successor.requestSentAt)))
 }
 
 // currentSteps returns the steps of the current attempt; nil, which blocks, while a successor
