--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -88,7 +88,7 @@
 		server:        server, run: run, from: from, sentAt: time.Now(), pending: s.versions.Started(s.req.Route.Name, server), copies: copyTracker{free: s.e.freeCopy, tokens: s.memory.tokens(s.lastEvent), ttl: s.memory.keptFor()}, load: server.BeginStream(prompt),
 		memory:  server.HoldMemory(s.memory.tokens(s.lastEvent)),
 		isRetry: s.retryReserved,
-		watch:   newWatch(ctx, s.e, server, s.req.Route.MaxGap), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}), sent: make(chan struct{}),
+		watch:   newWatch(ctx, s.e, server, s.req.Route.MaxGap, from != nil), steps: make(chan step), done: make(chan struct{}), closed: make(chan struct{}), sent: make(chan struct{}),
 	}
 	s.retryReserved = false
 	attempt := &Attempt{
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -28,6 +28,7 @@
 	// tolerated is the silence of a live server that leaves time for a handover within the
 	// pause that the caller allows.
 	tolerated time.Duration
+	fromCopy  bool // the server continues from a copy: it reads no prompt before the first event
 
 	mu            sync.Mutex
 	timer         *time.Timer   // never nil
@@ -48,10 +49,11 @@
 	sinceProof time.Duration // since its newest proof of life
 }
 
-// newWatch starts the watch of an attempt. gap is the pause that the caller allows; 0: any.
-func newWatch(ctx context.Context, e *Exchange, server *directory.Server, gap time.Duration) *silenceWatch {
+// newWatch starts the watch of an attempt, which may continue from a copy. gap is the pause that
+// the caller allows; 0: any.
+func newWatch(ctx context.Context, e *Exchange, server *directory.Server, gap time.Duration, fromCopy bool) *silenceWatch {
 	now := time.Now()
-	w := &silenceWatch{e: e, server: server, tolerated: toleratedSilence(gap), alerts: make(chan silenceAlert, 1), beforeFirst: true, waitingSince: now, lastProof: now, presumedAlive: true}
+	w := &silenceWatch{e: e, server: server, tolerated: toleratedSilence(gap), fromCopy: fromCopy, alerts: make(chan silenceAlert, 1), beforeFirst: true, waitingSince: now, lastProof: now, presumedAlive: true}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
 	w.armedAt, w.wait = now, e.opts.Timings.ProbeAfter
@@ -205,7 +207,8 @@
 const maxTimerDelay = 150 * time.Millisecond
 
 // onTimer handles the end of a wait. Before the first event it probes the server and
-// raises an alert if the probe fails.
+// raises an alert if the probe fails, or if the server was to continue from a copy and has sent
+// nothing for silenceTimeout.
 func (w *silenceWatch) onTimer() {
 	if w.ctx.Err() != nil {
 		return
@@ -236,11 +239,14 @@
 		return
 	}
 	w.arm(w.e.opts.Timings.ProbeAfter)
-	if probe.alive {
-		w.proofReceived()
+	if !probe.alive {
+		w.probeFailed(probe)
 		return
 	}
-	w.probeFailed(probe)
+	w.proofReceived()
+	if w.fromCopy && time.Since(w.waitingSince) >= silenceTimeout {
+		w.alert(true)
+	}
 }
 
 // silentBetweenEvents raises an alert for a silence between two events that is longer
