platform: a refusal is known 50 ms after its head at the latest

A stream could lose a server that works to one that had refused it: a refusal was handed on only after its body, for which nothing bounded the wait. If the body is late, or never comes on a link with losses or from a faulty server, the handover counts as accepted after 200 ms, the former attempt is ended, and the stream then waits at a server that does not run it.

The rest of a body that nobody reads gets 50 ms now, then its connection is closed. The deadline is cleared before the connection serves another request.

--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -27,6 +27,21 @@
 	return n, err
 }
 
+// maxDrainBytes is how long a body may be that Drain reads to its end.
+const maxDrainBytes = 2048
+
+// Drain reads a short body to its end, so that the connection can be reused, or closes the
+// connection if that takes longer than within.
+func (b *Body) Drain(within time.Duration) {
+	if b.done {
+		return
+	}
+	b.conn.drains = true
+	_ = b.conn.SetReadDeadline(time.Now().Add(within))
+	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDrainBytes+1))
+	_ = b.Close()
+}
+
 // Close closes the connection unless the body was read to its end.
 func (b *Body) Close() error {
 	if !b.done {
@@ -44,6 +59,10 @@
 		_ = c.Conn.Close()
 		return
 	}
+	if c.drains {
+		c.drains = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
 	c.keepAliveTimeout = b.keepAliveTimeout
 	c.pool.release(c)
 }
--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -92,6 +92,7 @@
 	keepAliveTimeout time.Duration     // idle timeout announced by the server; 0: none
 	stopWatch        func() bool       // stops watching the request's context
 	writeResult      chan error        // result of writing a long request concurrently
+	drains           bool              // reads have the deadline of Drain
 	body             *Body             // of the last response received; nil while in the pool
 }
 
