exchange: the former server is ended also if its successor fails while the retry budget is spent

Two servers could work on one stream for as long as the former one had left, 3.1 s in the test: a successor that had begun broke off, started over or answered 500 within the wait, and the former attempt was kept because the retry budget was spent at that moment.

Cause: the former attempt was ended only if a retry could be reserved at once. Its stream does not need one at once: the next attempt waits up to a second for the budget, as after any other failure. A caller loses its stream if the budget stays spent for longer. A route that allows no further attempt still leaves the former server at work.

TestFormerServerEndsAlsoIfTheBudgetIsSpentForAMoment failed before, all 3 parts.

--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -95,7 +95,7 @@
 		s.tryHandover(ctx)
 		return nil
 	}
-	if s.ran+1 < s.req.Route.Attempts() && s.tryReserveRetry() {
+	if s.ran+1 < s.req.Route.Attempts() {
 		return &BrokenError{Err: s.silence}
 	}
 	return nil
