exchange: no retry is taken from the budget for a second server that there is not

Callers were refused for the retry budget although no retry had been sent: a call that was to be hedged or sent again while its service had one server took a retry of the budget that all VMs share, and found then that there was no other server.

Cause: the retry was taken first and the server chosen after, and a retry can't be given back. It is taken now only if a server is listed that has not had the request. One that is listed and can't be used still costs a retry.

--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -149,7 +149,7 @@
 				return c.fallback()
 			}
 		case <-hedge.C:
-			if c.mayTry() && c.pending > 0 && !c.e.opts.Suspects.Accused(c.fingerprint) && c.e.allowRetry(c.req.Service) {
+			if c.mayTry() && c.pending > 0 && !c.e.opts.Suspects.Accused(c.fingerprint) && c.hasUntried() && c.e.allowRetry(c.req.Service) {
 				_ = c.launch(ctx) // without a second server the first one's answer is awaited
 			}
 		case <-ctx.Done():
@@ -187,8 +187,17 @@
 	return c.ran+c.pending < c.req.Route.Attempts() && c.refused < maxNotRunTries && c.req.hasTime(time.Now()) && !c.isQuarantined()
 }
 
+// hasUntried reports whether there is a server to which the request has not been sent: a retry of
+// the budget that no server gets is lost to others.
+func (c *call) hasUntried() bool {
+	return slices.ContainsFunc(c.e.opts.Directory.View().Service(c.req.Service), func(s *directory.Server) bool { return !c.tried[s.Start] })
+}
+
 // relaunch sends the request to another server after a failed attempt.
 func (c *call) relaunch(ctx context.Context, r result) bool {
+	if !c.hasUntried() {
+		return false
+	}
 	if !unreached(r.err) && !c.e.allowRetry(c.req.Service) {
 		c.lastErr = errors.Wrap(ErrBudget, c.lastErr.Error())
 		return false
