soak: garbage is collected only while no program is started

Cause: between fork and exec the thread that starts a VM keeps its P, and a garbage collection that stops the world waits for it with all other goroutines stopped: the proxies and the stand-ins of all runs of the process stand still while the VMs, which are processes of their own, give up and send elsewhere.

--- a/soak/vm.go
+++ b/soak/vm.go
@@ -103,7 +103,10 @@
 	cmd.Env = append(os.Environ(), ProgramVariable+"=1", "PEARYARD_SETTINGS="+vm.settingsPath())
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.ExtraFiles = []*os.File{vm.ports.lock} // keeps the block locked until the program ends, even if this process is killed
-	if err := cmd.Start(); err != nil {
+	starts.RLock()
+	err = cmd.Start()
+	starts.RUnlock()
+	if err != nil {
 		return errors.Wrapf(err, "soak: start entry program of %s", vm.Name)
 	}
 	done := make(chan struct{})
