soak: the proxy drops what it reads after its client has closed

Cause: a proxy whose process gets no processor time reads a request late, forwards it and only then reads the close. On a path without disturbance the server would have been told of both a second earlier.

Ruled out: the product. The VM had closed; httpconn's close sends what is written before, as any TCP close does, and a reset would not take back what the proxy's kernel holds.

Change: once it has read a client's data, the proxy looks whether the client has closed and forwards nothing then. What a mode holds back is forwarded as before, also after a close, as on a path that is cut.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Mode determines what a proxy does with its connections.
@@ -129,7 +132,7 @@
 }
 
 // copy forwards data as the mode allows. Data that the mode holds back passes once the mode
-// changes.
+// changes, also if the client closes meanwhile, as on a path that is cut.
 func (p *Proxy) copy(to, from net.Conn, toClient bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, proxyBufferSize)
@@ -138,6 +141,9 @@
 		if err != nil {
 			return
 		}
+		if !toClient && hasClosed(from) {
+			return // read late: the target would begin what the client has already given up
+		}
 		for mode := p.currentMode(); mode == Silence || (mode == OneWay && toClient); mode = p.currentMode() {
 			time.Sleep(proxyPollInterval)
 		}
@@ -150,6 +156,25 @@
 	}
 }
 
+// hasClosed reports whether the peer has closed or reset the connection and all of its data
+// has been read.
+func hasClosed(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
+		n, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || (n <= 0 && !errors.Is(peekErr, syscall.EAGAIN))
+}
+
 func (p *Proxy) track(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
