soak: stalls of the soak's own process don't count as work beside a later run

Cause: proxies and servers are goroutines of the soak. While its process gets no processor time they can't notice a close, and the ledger counts the time as work. The check took it for the product's.

Ruled out: a collection that waits for a start (none over 0.1 s then). A process of the VM that stalls is not excused.

The 400 ms remain, and the span in which a stall counts is the overlap alone, not the time of contact before it. New cases of TestWhatCountsAsTwoServersOnOneRequest: a stall that covers all but 400 ms, less, before, and too late; TestStallsAreRecorded.

--- a/soak/overlap.go
+++ b/soak/overlap.go
@@ -14,7 +14,7 @@
 const maxOverlap = 400 * time.Millisecond
 
 // disturbances are the times in which VMs, by name, and the paths to servers, by address, were
-// disturbed. A span without an end lasts.
+// disturbed, and those in which the soak stalled, by soakProcess and in order. A span without an end lasts.
 type disturbances map[string][]Span
 
 func (d disturbances) between(name string, from, to time.Time) bool {
@@ -25,7 +25,7 @@
 
 // disturbances returns those of the site so far.
 func (s *Site) disturbances() disturbances {
-	d := disturbances{}
+	d := disturbances{soakProcess: stalls.all()}
 	for _, vm := range s.VMs {
 		d[vm.Name] = vm.disturbed.all()
 	}
@@ -81,13 +81,14 @@
 
 // overlapViolations describes the runs that began at a server while another one worked on the
 // same request for more than maxOverlap. All works must be of one site, as ids repeat between
-// sites, and sorted by their begin. The VM, and the paths to both servers, must have been undisturbed for contactTime. A
-// request whose call is not recorded, as a probe, has no VM that could excuse it.
+// sites, and sorted by their begin. The VM, and the paths to both servers, must have been undisturbed for contactTime.
+// Stalls of the soak don't count as work. A request whose call is not recorded, as a probe, has no
+// VM that could excuse it.
 func overlapViolations(works []nursery.Work, calls []Call, disturbed disturbances) []string {
 	sent, former := sendersOf(calls), map[string][]nursery.Work{}
 	var violations []string
 	for _, next := range works {
-		until := next.Begin.Add(maxOverlap)
+		until := disturbed.after(next.Begin, maxOverlap)
 		for _, f := range former[next.Request] {
 			excused := slices.ContainsFunc([]string{sent[next.Request].VM, f.Address, next.Address}, func(name string) bool {
 				return disturbed.between(name, next.Begin.Add(-contactTime), until)
--- a/soak/overlap_test.go
+++ b/soak/overlap_test.go
@@ -56,6 +56,11 @@
 		"its VM is stopped when the rule is broken already":      {works: []nursery.Work{former, next}, disturbs: "edge-0", from: 10.81, count: 1},
 		"another VM is stopped":                                  {works: []nursery.Work{former, next}, disturbs: "edge-1", from: 10.1, count: 1},
 		"another path is cut":                                    {works: []nursery.Work{former, next}, disturbs: "c", from: 10.1, count: 1},
+		"the soak stalls for all but 400 ms of the overlap":      {works: []nursery.Work{work("a", 10, 11.19), next}, disturbs: soakProcess, from: 10.5, to: 10.9},
+		"the soak stalls for less":                               {works: []nursery.Work{work("a", 10, 11.19), next}, disturbs: soakProcess, from: 10.5, to: 10.85, count: 1},
+		"the soak stalls before the later run, too":              {works: []nursery.Work{work("a", 10, 11.19), next}, disturbs: soakProcess, from: 9, to: 10.75, count: 1},
+		"the soak stalled before":                                {works: []nursery.Work{former, next}, disturbs: soakProcess, from: 9, to: 10.3, count: 1},
+		"the soak stalls when the rule is broken already":        {works: []nursery.Work{former, next}, disturbs: soakProcess, from: 10.81, to: 12, count: 1},
 		"a request whose caller is not known, all VMs disturbed": {works: []nursery.Work{of("probe1", former), of("probe1", next)}, disturbs: "edge-0", from: 10.1, count: 1},
 	} {
 		g := gomega.NewWithT(t)
@@ -72,6 +77,20 @@
 	}
 }
 
+// Guards against stalls that are not recorded, or that are where there is none.
+func TestStallsAreRecorded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var log stallLog
+	at := time.Unix(1000, 0)
+	log.beat(at, at.Add(minStall-1))
+	g.Expect(log.all()).To(gomega.BeEmpty())
+	log.beat(at, at.Add(minStall))
+	g.Expect(log.all()).To(gomega.Equal([]Span{{From: at, To: at.Add(minStall)}}))
+	g.Expect(newSite(t, 1).disturbances()).To(gomega.HaveKey(soakProcess))
+	d := disturbances{soakProcess: {{From: at, To: at.Add(time.Second)}, {From: at.Add(1100 * time.Millisecond), To: at.Add(2 * time.Second)}}}
+	g.Expect(d.after(at, 200*time.Millisecond)).To(gomega.Equal(at.Add(2100 * time.Millisecond)))
+}
+
 // Guards against disturbances that the soak doesn't record, or that have no end.
 func TestDisturbancesAreRecorded(t *testing.T) {
 	t.Parallel()
--- a/soak/site.go
+++ b/soak/site.go
@@ -68,6 +68,7 @@
 // NewSite starts a site and waits until its VMs are ready. Settings and logs are written to dir.
 func NewSite(dir string, size Size) (*Site, error) {
 	collectBetweenStarts()
+	stalls.watch()
 	store, err := nursery.NewStore()
 	if err != nil {
 		return nil, err
