soak: a stall of the soak's own process is a fault for the check of lost calls

Cause: all servers of a site are goroutines of the soak. In a stall none sends an event or answers a probe; each VM takes them all for lost, and the retry budget is spent at once, as it should be. The check took that for planned work only.

Ruled out: the retry budget's own rules; the first alert in these logs is PY2736 with alive=false, and PY2731 says zone_lost.

Change: stalls as long as the silence after which a VM looks for another server (350 ms) are faults, with the same tail as others. TestStallOfTheSoakIsAFault has a shorter stall and a call sent long after one, both still lost.

--- a/soak/loss_detector.go
+++ b/soak/loss_detector.go
@@ -27,7 +27,7 @@
 
 // lossDetector finds requests that a VM read, or left unread, and that got neither an
 // answer nor a refusal although nothing had failed: planned work, load and engines that
-// pause are no excuse.
+// pause are no excuse. A stall of the soak, with all servers, is a fault.
 type lossDetector struct {
 	start   time.Time // of the run
 	faults  []Span
@@ -36,7 +36,7 @@
 }
 
 func newLossDetector(site *Site, r *Result) *lossDetector {
-	d := &lossDetector{start: r.start, arrived: map[string]bool{}, vms: map[string]*VM{}}
+	d := &lossDetector{start: r.start, faults: stalls.faults(), arrived: map[string]bool{}, vms: map[string]*VM{}}
 	for _, s := range r.Timeline {
 		if s.Kind == Fault {
 			d.faults = append(d.faults, s)
--- a/soak/loss_detector_test.go
+++ b/soak/loss_detector_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/pearyard/pearyard/exchange"
 )
 
 // A call without an answer is a loss unless a fault, its deadline or the end of a
@@ -55,6 +58,27 @@
 	}
 }
 
+// Guards against lost calls that count although the soak, with all servers, stood still, and
+// against ones that a short stall or one long before excuses.
+func TestStallOfTheSoakIsAFault(t *testing.T) {
+	g := gomega.NewWithT(t)
+	site := newSite(t, 1)
+	at := time.Unix(1000, 0)
+	t.Cleanup(func() {
+		stalls.mu.Lock()
+		defer stalls.mu.Unlock()
+		stalls.spans = slices.DeleteFunc(stalls.spans, func(s Span) bool { return s.From.Equal(at) })
+	})
+	lostAt := func(stall time.Duration, sent time.Time) int {
+		stalls.beat(at, at.Add(stall))
+		lost, _ := newLossDetector(site, &Result{}).find([]Call{{ID: "r", Path: "/stream/r", VM: site.VMs[0].Name, Sent: sent, Written: sent, Ended: sent.Add(time.Second), Status: 502, Complete: true}})
+		return len(lost)
+	}
+	g.Expect(lostAt(exchange.DefaultSilence-1, at)).To(gomega.Equal(1))
+	g.Expect(lostAt(exchange.DefaultSilence, at)).To(gomega.BeZero())
+	g.Expect(lostAt(exchange.DefaultSilence, at.Add(exchange.DefaultSilence+faultTail))).To(gomega.Equal(1))
+}
+
 // Planned work and load excuse nothing. Guards against a fault that is classified as
 // planned work, and the reverse.
 func TestPlannedWorkIsNoFault(t *testing.T) {
--- a/soak/overlap_test.go
+++ b/soak/overlap_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/standin/nursery"
 )
 
@@ -87,6 +88,11 @@
 	log.beat(at, at.Add(minStall))
 	g.Expect(log.all()).To(gomega.Equal([]Span{{From: at, To: at.Add(minStall)}}))
 	g.Expect(newSite(t, 1).disturbances()).To(gomega.HaveKey(soakProcess))
+	g.Expect(log.faults()).To(gomega.BeEmpty())
+	log.beat(at, at.Add(exchange.DefaultSilence-1))
+	g.Expect(log.faults()).To(gomega.BeEmpty())
+	log.beat(at, at.Add(exchange.DefaultSilence))
+	g.Expect(log.faults()).To(gomega.Equal([]Span{{From: at, To: at.Add(exchange.DefaultSilence)}}))
 	d := disturbances{soakProcess: {{From: at, To: at.Add(time.Second)}, {From: at.Add(1100 * time.Millisecond), To: at.Add(2 * time.Second)}}}
 	g.Expect(d.after(at, 200*time.Millisecond)).To(gomega.Equal(at.Add(2100 * time.Millisecond)))
 }
--- a/soak/stalls.go
+++ b/soak/stalls.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/pearyard/pearyard/exchange"
 )
 
 const (
@@ -50,7 +53,12 @@
 func (l *stallLog) all() []Span {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Span(nil), l.spans...)
+	return slices.Clone(l.spans)
+}
+
+// faults returns the stalls in which VMs may have taken all servers of the soak for silent.
+func (l *stallLog) faults() []Span {
+	return slices.DeleteFunc(l.all(), func(s Span) bool { return s.To.Sub(s.From) < exchange.DefaultSilence })
 }
 
 // after returns when a duration from a moment on is over, not counting the stalls of the soak
