exchange: a probe during which this process was frozen is repeated

Cause: a probe whose timeout of 250 ms passes while the process is frozen fails as soon as the process runs, before its answer is read. Its server counts as lost in the whole process, and a stream that awaits its first event is given up, as the time without a sign of life, freeze included, is over a second. The timer of the silence has a bound for this (maxTimerDelay, 150 ms); the probe had none.

Ruled out: the servers (others answered through the same time) and the retry budget, which is spent by what follows.

Change: a probe that fails later than its timeout and maxTimerDelay is sent again, twice at most, before it says anything. A server that is lost is found with the next one.

--- a/exchange/fake_test.go
+++ b/exchange/fake_test.go
@@ -32,6 +32,7 @@
 	cached   map[string]promptcache.Contents // by server id
 	asked    []string                        // ids of servers that were asked what they have cached
 	connect  func(n int) error               // connects for the attempt with this number, from 1; nil: at once
+	frozen   time.Duration                   // how long the process is frozen during the next probe, which gets no answer in time
 }
 
 func (b *fakeBackend) Open(ctx context.Context, a *Attempt) (*Answer, error) {
@@ -60,8 +61,13 @@
 
 func (b *fakeBackend) Probe(ctx context.Context, s *directory.Server) (int64, error) {
 	b.mu.Lock()
-	err, born := b.probes[s.ID], b.born[s.ID]
+	err, born, frozen := b.probes[s.ID], b.born[s.ID], b.frozen
+	b.frozen = 0
 	b.mu.Unlock()
+	if frozen > 0 {
+		time.Sleep(frozen)
+		return 0, &NotRunError{Reason: Unreachable, Err: context.DeadlineExceeded}
+	}
 	if err == errHang {
 		<-ctx.Done()
 		return 0, &NotRunError{Reason: Unreachable, Err: ctx.Err()}
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -37,12 +37,13 @@
 	return pr
 }
 
-// run sends a probe and records what it says about the server.
+// run sends a probe and records what it says about the server. A late failure says more about
+// this process than about the server.
 func (p *prober) run(s *directory.Server, pr *probe) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.exchange.opts.Timings.ProbeTimeout)
-	defer cancel()
-	p.exchange.metrics.probes.Inc()
-	born, err := p.exchange.opts.Backend.Probe(ctx, s)
+	born, late, err := p.send(s)
+	for n := 0; late && err != nil && n < maxProbeRepeats; n++ {
+		born, late, err = p.send(s)
+	}
 	switch {
 	case err != nil:
 		p.exchange.recordFailure(s, err)
@@ -59,3 +60,17 @@
 	p.mu.Unlock()
 	close(pr.done)
 }
+
+// maxProbeRepeats bounds how many more probes are sent in place of late ones.
+const maxProbeRepeats = 2
+
+// send sends a probe. late means that it ended long after its timeout: this process was
+// frozen, and the answer may have arrived meanwhile.
+func (p *prober) send(s *directory.Server) (born int64, late bool, err error) {
+	timeout, sent := p.exchange.opts.Timings.ProbeTimeout, time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	p.exchange.metrics.probes.Inc()
+	born, err = p.exchange.opts.Backend.Probe(ctx, s)
+	return born, time.Since(sent) > timeout+maxTimerDelay, err
+}
