router: a replaced attempt is cancelled until its sidecar has heard of it

Callers see nothing; engines see two sidecars at work on one generation. Nothing was sent to the former sidecar, which worked on until RouterGrace (10 s by default) after its reader had left. - A connection breaks and the cancellation is lost with it: it was sent once. The sidecar is reachable again 300 ms later and works on.

Cancel spares an attempt that another router reads, as before.

Ruled out: ending a run as soon as its last reader leaves; the next router reads on from it after a router's death.

Price: up to 50 calls a replaced attempt whose sidecar refuses connections (RouterGrace 10 s), about 9 where it never answers; not measured at size. Not covered: a cancellation that arrives before its own Generate call.

--- a/router/cluster_test.go
+++ b/router/cluster_test.go
@@ -32,6 +32,7 @@
 	engine    *standin.Engine
 	engineURL string
 	sidecar   *sidecar.Sidecar
+	path      *sidecarPath
 	address   string
 }
 
@@ -42,11 +43,16 @@
 	})
 }
 
-func newBackend(t *testing.T, name string) *backend {
+func newBackend(t *testing.T, name string) *backend { return newJournalledBackend(t, name, nil) }
+
+// newJournalledBackend returns a backend whose generations are in journal, unless that is nil.
+func newJournalledBackend(t *testing.T, name string, journal *testJournal) *backend {
 	eng := standin.NewEngine(standin.EngineOptions{StepBase: 2 * time.Millisecond, MaxQueue: testQueue})
 	engineServer := httptest.NewServer(eng)
 	t.Cleanup(engineServer.Close)
-	p := newPeer(name, "")
+	path := &sidecarPath{server: httptest.NewUnstartedServer(nil)}
+	address := path.server.Listener.Addr().String()
+	p := newPeer(name, address)
 	s := sidecar.New(sidecar.Options{
 		Peer:          p,
 		BackendServer: name,
@@ -54,14 +60,17 @@
 		Recovery: func() sidecar.RecoverySettings {
 			return sidecar.RecoverySettings{RouterGrace: time.Second, Retention: time.Second, MoveAfter: time.Second}
 		},
-		Revision:   func() types.Revision { return 1 },
-		Recorder:   event.Discard(),
-		Registerer: prometheus.NewRegistry(),
+		OpenJournal: journal.open(address),
+		Revision:    func() types.Revision { return 1 },
+		Recorder:    event.Discard(),
+		Registerer:  prometheus.NewRegistry(),
 	})
 	go func() { _ = s.Run(t.Context()) }()
-	server := httptest.NewServer(p.Handler(s.Handler()))
-	t.Cleanup(server.Close)
-	return &backend{engine: eng, engineURL: engineServer.URL, sidecar: s, address: strings.TrimPrefix(server.URL, "http://")}
+	path.next = p.Handler(journal.serveBeside(s.Handler()))
+	path.server.Config.Handler = path
+	path.server.Start()
+	t.Cleanup(path.server.Close)
+	return &backend{engine: eng, engineURL: engineServer.URL, sidecar: s, path: path, address: address}
 }
 
 const configFormat = `{"services":[{"name":"m","kind":"model","dependsOn":[{"model":"pear","version":"1"}],"backendServers":[%s]}],
--- a/router/reattach.go
+++ b/router/reattach.go
@@ -137,7 +137,7 @@
 	g.tokens = nil
 	reader := &attachReader{attemptReader: attemptReader{run: g, stream: stream, address: addr, openedAt: time.Now()}, lastSeen: lastSeen}
 	result := reader.resolveHandover(readStream(stream, g.text.Recovery.Silence(), reader.handle))
-	if result.end == endSuperseded {
+	if result.end == endSuperseded || result.end == endLost && reader.accepted {
 		g.router.cancelAttempt(addr, g.id, reader.attempt)
 	}
 	if len(g.tokens) < len(earlier) {
@@ -193,6 +193,10 @@
 	if len(branch.Tokens) < g.delivered {
 		return g.generationLost(tokenlog.ErrTooShort)
 	}
+	if branch.Runner != "" && len(branch.Lineage) > 0 && branch.Finish == "" {
+		// Its sidecar may be alive and work on, although its log can't be read.
+		g.router.cancelAttempt(branch.Runner, g.id, branch.Lineage.Last())
+	}
 	g.tokens, g.lineage = branch.Tokens, branch.Lineage
 	if sendErr := g.deliver(); sendErr != nil {
 		return callerLeftRefusal
--- a/router/sidecars.go
+++ b/router/sidecars.go
@@ -15,7 +15,11 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-const cancelTimeout = time.Second
+const (
+	cancelTimeout = time.Second
+	// cancelRetryInterval is the pause between tries to cancel an attempt.
+	cancelRetryInterval = 200 * time.Millisecond
+)
 
 // sidecars calls sidecars by address. It implements claim.SidecarClient and
 // the client of package tokenlog.
@@ -68,10 +72,24 @@
 
 // cancelAttempt frees an engine from an attempt that nobody reads any more. It runs
 // in the background: the caller's stream doesn't wait for a sidecar that may be dead.
+//
+// It retries until the sidecar answers or has ended the attempt by itself, which it does
+// RouterGrace after its reader has left: a sidecar that was cut off briefly would work on
+// beside the attempt that replaces this one.
 func (r *Router) cancelAttempt(addr string, id types.GenerationID, attempt types.AttemptTag) {
+	req := &streampb.CancelRequest{Generation: id.String(), Attempt: uint32(attempt)}
+	giveUpAt := time.Now().Add(r.opts.Text().Recovery.RouterGrace())
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		_, _ = r.sidecars.at(addr).Cancel(peer.Repeatable(ctx), &streampb.CancelRequest{Generation: id.String(), Attempt: uint32(attempt)})
+		for !r.sidecars.cancel(addr, req) && time.Now().Before(giveUpAt) {
+			time.Sleep(cancelRetryInterval)
+		}
 	}()
 }
+
+// cancel reports whether the sidecar at addr has answered the request.
+func (s sidecars) cancel(addr string, req *streampb.CancelRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_, err := s.at(addr).Cancel(peer.Repeatable(ctx), req)
+	return err == nil
+}
