exchange: failing test of poisoned requests that send events before each crash

Cause: eight events clear what accuses the request and make ExcuseDeath drop its crashes; a crash after the first event counts half; and a stream that another server ends after a resume counts as a completion and clears the crashes of its first part.

--- a/exchange/crashmodel_test.go
+++ b/exchange/crashmodel_test.go
@@ -42,6 +42,9 @@
 	// whenRun is set if the delay counts from the moment at which the server begins to read
 	// the prompt, after those that arrived before; else it counts from the arrival.
 	whenRun bool
+	// generates is set if poisoned requests send events until the crash. The delay then
+	// counts from the moment at which the prompt has been read.
+	generates bool
 
 	mu      sync.Mutex
 	sent    map[string][]time.Time // by request: when it reached a server
@@ -62,12 +65,15 @@
 	p.sent[r.id] = append(p.sent[r.id], time.Now())
 	p.mu.Unlock()
 	e.mu.Lock()
-	r.mute = true
+	r.mute = !p.generates
 	e.mu.Unlock()
 	go func() {
 		if p.whenRun {
 			e.awaitTurn(r)
 		}
+		if p.generates {
+			e.awaitPrompt(r)
+		}
 		time.Sleep(p.delay)
 		if r.ctx.Err() != nil || !e.isRunning(r) {
 			return
@@ -93,6 +99,19 @@
 	}
 }
 
+// awaitPrompt waits until the engine has read the prompt of r, or r has ended.
+func (e *modelEngine) awaitPrompt(r *modelRun) {
+	for r.ctx.Err() == nil && e.isRunning(r) {
+		e.mu.Lock()
+		unread := r.unread
+		e.mu.Unlock()
+		if unread == 0 {
+			return
+		}
+		time.Sleep(modelStep)
+	}
+}
+
 // isRunning reports whether the engine still runs r.
 func (e *modelEngine) isRunning(r *modelRun) bool {
 	e.mu.Lock()
@@ -164,9 +183,14 @@
 }
 
 func newCrashModel(t *testing.T, servers int, delay time.Duration) *crashModel {
+	return newCrashModelOf(t, modelServers(servers), delay)
+}
+
+// newCrashModelOf returns a site with the given servers; the first letter of an id is its zone.
+func newCrashModelOf(t *testing.T, ids []string, delay time.Duration) *crashModel {
 	ctx := t.Context()
 	t.Cleanup(func() { time.Sleep(time.Second + delay) }) // what is in progress ends
-	m := &crashModel{ids: modelServers(servers), poison: newPoisoning(delay)}
+	m := &crashModel{ids: ids, poison: newPoisoning(delay)}
 	m.engines = newModelBackend(ctx, m.ids, evenSpeed)
 	m.engines.arrived = m.poison.arrived
 	for _, e := range m.engines.engines {
