--- a/suspect/accusation.go
+++ b/suspect/accusation.go
@@ -9,11 +9,12 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-// accusationWindow is how long a run that completed, or progressed, speaks for a request
-// against deaths that are told later.
+// accusationWindow is how long an excused death may accuse a request. Copies of a request
+// that crashes engines within seconds crash several of them in that time; a sound request
+// loses its engine a second time only if another failure follows.
 const accusationWindow = 10 * time.Second
 
-// Accusations is what deaths say of requests if none of them is excused. A request
+// Accusations is what recent deaths say of requests if none of them is excused. A request
 // is accused if it would be quarantined then. Accusations are immutable.
 //
 // An excuse is worth nothing if the accused can cause it, as requests do that crash so many
@@ -36,8 +37,8 @@
 }
 
 // accusedUntil returns until when a request with these deaths is accused; zero if it isn't.
-func (r *record) accusedUntil(p quarantinePolicy) time.Time {
-	if len(r.deaths) < p.limit {
+func (r *record) accusedUntil(limit int) time.Time {
+	if len(r.deaths) < limit {
 		return time.Time{}
 	}
 	var times []time.Time
@@ -46,11 +47,11 @@
 			times = append(times, d.At)
 		}
 	}
-	if len(times) < p.limit {
+	if len(times) < limit {
 		return time.Time{}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[len(times)-p.limit].Add(p.window)
+	return times[len(times)-limit].Add(accusationWindow)
 }
 
 // Accused reports whether a request is accused.
@@ -73,8 +74,8 @@
 	return a.Accused(fp)
 }
 
-// Accusations returns what the deaths of the last Options.Window say. Requests that ran to
-// completion or made progress within accusationWindow are not accused.
+// Accusations returns what the deaths of the last accusationWindow say. Requests that ran
+// to completion or made progress within that time are not accused.
 func (l *Ledger) Accusations() *Accusations {
 	now := l.opts.Now()
 	l.mu.Lock()
@@ -84,20 +85,20 @@
 		if len(r.deaths) < l.policy.limit || l.completions.since(fp, now.Add(-accusationWindow)) {
 			continue
 		}
-		out.add(fp, r, now, l.policy)
+		out.add(fp, r, now, l.policy.limit)
 	}
 	return out
 }
 
 // add adds a request if its deaths reach the limit.
-func (a *Accusations) add(fp types.Fingerprint, r *record, now time.Time, p quarantinePolicy) {
+func (a *Accusations) add(fp types.Fingerprint, r *record, now time.Time, limit int) {
 	var recent []string
 	for id, d := range r.deaths {
-		if !d.Cleared && now.Sub(d.At) <= p.window {
+		if !d.Cleared && now.Sub(d.At) <= accusationWindow {
 			recent = append(recent, id)
 		}
 	}
-	if len(recent) < p.limit {
+	if len(recent) < limit {
 		return
 	}
 	deaths := map[string]bool{}
