exchange: a stream that must run once is sent again to a server that was full

Cause: sent such a stream to a server once, against a late refusal that comes on another connection than the first.

Change: mayRepeatAt and wasSentToAll are gone. The connection of a second refusal is still closed. Weighed: a new connection for each repeated send (a full server resets connections beyond its limit, and what was sent on one that is reset may have run; the caller would get 502), a fresh id (servers get the caller's), waiting in place of asking (other VMs' requests are not seen).

--- a/exchange/estimate.go
+++ b/exchange/estimate.go
@@ -144,9 +144,6 @@
 func (s *stream) pickInTime() (*directory.Server, error) {
 	now := time.Now()
 	server := s.pick()
-	if server == nil && s.wasSentToAll() {
-		return nil, ErrNoServer
-	}
 	if server == nil || s.fits(server, now) {
 		return server, nil
 	}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -81,8 +81,7 @@
 	CopyTo *directory.Server
 	// ResumeFrom is the copy to resume from instead of reading the prompt; nil: none.
 	ResumeFrom *KVCopy
-	// SentBefore is set if the request has been sent to the server before. A refusal may then be
-	// a late one of the earlier send, while the server runs this one.
+	// SentBefore is set if the request has been sent to the server before.
 	SentBefore bool
 	// OnSend, if set, is called just before the first byte is sent; see MarkSent.
 	OnSend func()
--- a/exchange/sends.go
+++ b/exchange/sends.go
@@ -36,12 +36,6 @@
 	delete(s.to, to)
 }
 
-func (s *sends) has(to directory.Start) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.to[to]
-}
-
 // sendRecorder is a Backend that records to which servers requests are sent, and which answer.
 type sendRecorder struct{ Backend }
 
@@ -68,31 +62,6 @@
 	return err == nil || errors.As(err, &notRun) && notRun.Reason == Busy
 }
 
-// mayRepeatAt returns the servers that may get the stream as far as earlier sends are concerned;
-// nil: all. A server's second refusal doesn't prove that the second send has not run: it may be
-// the first one, late. A stream that must run once is therefore sent to a server once.
-func (s *stream) mayRepeatAt() func(*directory.Server) bool {
-	if s.req.Route.Repeatable() {
-		return nil
-	}
-	return func(server *directory.Server) bool { return !s.req.sends.has(server.Start) }
-}
-
-// wasSentToAll reports whether a stream that must run once has been sent to all servers, so that it
-// would wait for one in vain.
-func (s *stream) wasSentToAll() bool {
-	mayRepeat, found := s.mayRepeatAt(), false
-	if mayRepeat == nil {
-		return false
-	}
-	for _, server := range s.e.opts.Directory.View().Service(s.req.Service) {
-		if found = true; mayRepeat(server) {
-			return false
-		}
-	}
-	return found
-}
-
 // admitsBoth returns the servers that both conditions admit; nil admits all.
 func admitsBoth(a, b func(*directory.Server) bool) func(*directory.Server) bool {
 	switch {
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -120,7 +120,7 @@
 func (s *stream) admits() func(*directory.Server) bool {
 	version, bound := s.versionBoundTo()
 	if !bound {
-		return admitsBoth(s.versions.Admits(), s.mayRepeatAt())
+		return s.versions.Admits()
 	}
 	if !s.versions.MayResume(version) {
 		return func(*directory.Server) bool { return false }
--- a/exchange/versions.go
+++ b/exchange/versions.go
@@ -30,7 +30,6 @@
 		q.Admits = s.admits()
 		return s.e.opts.Directory.Pick(q, time.Now())
 	}
-	q.Admits = s.mayRepeatAt()
 	return s.e.pick(q, s.versions)
 }
 
