suspect, exchange: a request is on trial as long as its crashes are known

Cause: the loss of its own zone excuses its crashes, and excused crashes accused it for ten seconds only. The window answered two questions at once: whom the crashes of an accused request excuse, and how long the request itself runs one copy at a time, on trial. After two minutes even crashes that counted were forgotten. Ruled out: half weight of crashes after an event (it sends none).

A trial's crash revokes excuses of the whole window, and servers lost under the request on trial don't testify for the loss of their zone.

Seen failing before: TestPoisonThatReturnsAfterPausesIsQuarantined (12 to 33 late sends; six servers, one copy, 12 s held), TestRequestIsAccusedAsLongAsItsDeathsAreKnown. The other mistake: TestRequestWhoseZoneIsLostEachTimeIsNotQuarantined (green before and after).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,8 +38,6 @@
 	// crashLimit is how many backend servers a request may crash before it is
 	// quarantined. A server that had sent a part of the response counts half.
 	crashLimit = 3
-	// crashWindow is how long a crash counts against a request.
-	crashWindow = 2 * time.Minute
 	// quarantineTime is how long a request that reached crashLimit is refused.
 	quarantineTime = 10 * time.Minute
 	// invalidLimitInterval is the shortest time between two log lines on invalid limits, as
@@ -231,7 +229,7 @@
 // distribution to the other entry VMs.
 func (e *Entry) newSuspects(store *platform.Store, client *http.Client) {
 	e.suspects = suspect.New(suspect.Options{
-		Self: types.ProcessID(e.settings.Name), Limit: suspect.LedgerLimit(crashLimit), Quarantine: quarantineTime, Window: crashWindow,
+		Self: types.ProcessID(e.settings.Name), Limit: suspect.LedgerLimit(crashLimit), Quarantine: quarantineTime,
 		Recorder: e.recorder, Registerer: e.registry, Table: platform.NewSuspectTable(store), QuarantinesOnly: true, HoldAccused: true, Adopts: e.election.IsWatcher,
 		OnQuarantine: func(fp types.Fingerprint, _ suspect.Verdict) { e.exchange.EndQuarantined(fp) },
 	})
--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -98,10 +98,11 @@
 	case !trial && mayBeOthers(fp, s, accusations):
 		return suspect.ExcuseOther, zoneState{}
 	}
-	if !trial {
-		accusations = nil
+	var suspects *zoneSuspects
+	if trial {
+		suspects = &zoneSuspects{trial: fp, own: e.opts.Suspects.RecentDeaths(fp), accusations: accusations}
 	}
-	zone = e.zones.check(s, accusations)
+	zone = e.zones.check(s, suspects)
 	if zone.isLost() {
 		return suspect.ExcuseZoneLoss, zone
 	}
@@ -127,14 +128,14 @@
 // zoneState is what is known of a zone just after the loss of one of its servers.
 type zoneState struct {
 	directory.ZoneLosses
-	involved      int // of the lost servers: those on which accused requests ran
+	involved      int // of the lost servers: those that don't testify; see zoneSuspects
 	asked, silent int // of the servers that nothing is known of
 }
 
 // lost returns the number of lost servers that testify for the loss of the zone.
 func (z zoneState) lost() int { return len(z.Lost) - z.involved }
 
-// servers returns the number of servers without those on which accused requests ran.
+// servers returns the number of servers without those that don't testify.
 func (z zoneState) servers() int { return z.Servers() - z.involved }
 
 // isLost reports whether the zone has failed as a whole. The servers that were asked stand
@@ -158,6 +159,18 @@
 	return []any{"lost", len(z.Lost), "involved", z.involved, "alive", z.Alive, "asked", z.asked, "silent", z.silent, "servers", z.Servers()}
 }
 
+// zoneSuspects are the requests that may have crashed servers of a zone when a request on trial
+// has lost its server. Servers on which one of them ran don't testify for the loss of the zone.
+type zoneSuspects struct {
+	trial       types.Fingerprint // the request on trial
+	own         map[string]bool   // servers that were lost under it
+	accusations *suspect.Accusations
+}
+
+func (z *zoneSuspects) involved(server string) bool {
+	return z != nil && (z.own[server] || z.accusations.Involved(server))
+}
+
 // zoneChecker finds out whether a zone has failed as a whole, with at most one check of a
 // zone and service at a time however many requests were lost with it.
 type zoneChecker struct {
@@ -168,7 +181,7 @@
 
 type zoneKey struct {
 	service, zone string
-	accusations   bool // servers on which accused requests ran don't testify
+	trial         types.Fingerprint // of zoneSuspects; 0: all servers testify
 }
 
 type zoneCheck struct {
@@ -177,8 +190,11 @@
 }
 
 // check returns the state of a lost server's zone.
-func (z *zoneChecker) check(s *directory.Server, accusations *suspect.Accusations) zoneState {
-	key := zoneKey{s.Service, s.Zone, accusations != nil}
+func (z *zoneChecker) check(s *directory.Server, suspects *zoneSuspects) zoneState {
+	key := zoneKey{service: s.Service, zone: s.Zone}
+	if suspects != nil {
+		key.trial = suspects.trial
+	}
 	z.mu.Lock()
 	c, running := z.inFlight[key]
 	if !running {
@@ -190,7 +206,7 @@
 		<-c.done
 		return c.state
 	}
-	c.state = z.exchange.askZone(s, accusations)
+	c.state = z.exchange.askZone(s, suspects)
 	z.mu.Lock()
 	delete(z.inFlight, key)
 	z.mu.Unlock()
@@ -200,10 +216,10 @@
 
 // askZone counts the known losses in a lost server's zone. If they don't decide whether the
 // zone is lost, it asks some of the other servers whether they are alive.
-func (e *Exchange) askZone(s *directory.Server, accusations *suspect.Accusations) zoneState {
+func (e *Exchange) askZone(s *directory.Server, suspects *zoneSuspects) zoneState {
 	state := zoneState{ZoneLosses: e.opts.Directory.LossesInZone(s, time.Now(), zoneLossWindow)}
 	for _, lost := range state.Lost {
-		if accusations != nil && accusations.Involved(lost.String()) {
+		if suspects.involved(lost.String()) {
 			state.involved++
 		}
 	}
--- a/exchange/enginemodel_test.go
+++ b/exchange/enginemodel_test.go
@@ -392,7 +392,7 @@
 func newModelVM(b *modelBackend, ids []string) *modelVM {
 	vm := &modelVM{dir: directory.New()}
 	vm.suspects = suspect.New(suspect.Options{
-		Limit: suspect.LedgerLimit(3), Quarantine: time.Minute, Window: time.Minute,
+		Limit: suspect.LedgerLimit(3), Quarantine: time.Minute,
 		OnQuarantine: func(fp types.Fingerprint, _ suspect.Verdict) { vm.EndQuarantined(fp) }, HoldAccused: true,
 	})
 	vm.grants = suspect.NewGossiper(vm.suspects, suspect.GossiperOptions{Peers: func() []string { return nil }})
--- a/suspect/accusation.go
+++ b/suspect/accusation.go
@@ -9,24 +9,26 @@
 	"github.com/pearyard/pearyard/types"
 )
 
-// accusationWindow is how long an excused death may accuse a request. Copies of a request
-// that crashes engines within seconds crash several of them in that time; a sound request
-// loses its engine a second time only if another failure follows.
+// accusationWindow is how long the deaths of an accused request may excuse other requests, and
+// how long a run that completed or made progress speaks for a request. An engine that dies later
+// has died of something else.
 const accusationWindow = 10 * time.Second
 
-// Accusations is what recent deaths say of requests if none of them is excused. A request
-// is accused if it would be quarantined then. Accusations are immutable.
+// Accusations is what the deaths of the last accusationWindow say of requests if none of them is
+// excused. A request is accused if it would be quarantined then. Accusations are immutable.
 //
 // An excuse is worth nothing if the accused can cause it, as requests do that crash so many
 // engines of a zone that the zone looks lost. So accused requests run one copy at a time,
 // and if that copy's engine dies, only engines on which no accused request ran can show that
-// something else caused it.
+// something else caused it. For the request itself that lasts as long as its deaths are known
+// (Ledger.Accused): it may come back at any time.
 type Accusations struct {
 	accused map[types.Fingerprint][]string // the deaths of each accused request
 	ran     map[string]int                 // by death: how many accused requests ran on the engine
 }
 
-// Accused reports whether a request is accused now. It takes no lock.
+// Accused reports whether a request is accused by any deaths of the ledger's window, so that it
+// runs one copy at a time, on trial. It takes no lock.
 func (l *Ledger) Accused(fp types.Fingerprint) bool {
 	v, ok := (*l.views.Load())[fp]
 	if !ok {
@@ -37,7 +39,7 @@
 }
 
 // accusedUntil returns until when a request with these deaths is accused; zero if it isn't.
-func (r *record) accusedUntil(limit int) time.Time {
+func (r *record) accusedUntil(limit int, window time.Duration) time.Time {
 	if len(r.deaths) < limit {
 		return time.Time{}
 	}
@@ -51,10 +53,10 @@
 		return time.Time{}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[len(times)-limit].Add(accusationWindow)
+	return times[len(times)-limit].Add(window)
 }
 
-// Accused reports whether a request is accused.
+// Accused reports whether a request is accused by recent deaths.
 func (a *Accusations) Accused(fp types.Fingerprint) bool {
 	_, ok := a.accused[fp]
 	return ok
@@ -110,3 +112,19 @@
 		a.ran[death]++
 	}
 }
+
+// RecentDeaths returns the engines that died under a request in the last accusationWindow.
+func (l *Ledger) RecentDeaths(fp types.Fingerprint) map[string]bool {
+	oldest := l.opts.Now().Add(-accusationWindow)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]bool{}
+	if r := l.records[fp]; r != nil {
+		for id, d := range r.deaths {
+			if d.At.After(oldest) {
+				out[strings.TrimSuffix(id, unprovenSuffix)] = true
+			}
+		}
+	}
+	return out
+}
--- a/suspect/accusation_test.go
+++ b/suspect/accusation_test.go
@@ -48,6 +48,24 @@
 	})
 }
 
+// Guards against a request that is judged as if it were new once its excused deaths are old.
+func TestRequestIsAccusedAsLongAsItsDeathsAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		l := newHoldingLedger()
+		excuseDeaths(l, ExcuseZoneLoss, []string{"a/1", "b/1", "c/1"}, poison, neighbour)
+		time.Sleep(accusationWindow + time.Second)
+		g.Expect(l.Accused(poison)).To(gomega.BeTrue())
+		g.Expect(l.Accusations().Involved("a/1")).To(gomega.BeFalse(), "it excuses no other request for as long")
+		l.RecordProgress(neighbour)
+		g.Expect(l.Accused(neighbour)).To(gomega.BeFalse())
+		l.RevokeExcuses(poison, ExcuseZoneLoss)
+		g.Expect(l.Verdict(poison).State).To(gomega.Equal(Quarantined))
+		time.Sleep(time.Minute)
+		g.Expect(l.Accused(poison)).To(gomega.BeFalse())
+	})
+}
+
 // Guards against a popular request that is held back after the loss of a zone in which many
 // copies of it ran.
 func TestRequestThatSurvivedIsNotAccused(t *testing.T) {
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -60,9 +60,9 @@
 	l.apply([]Entry{entry}, true)
 }
 
-// RevokeExcuses makes the recent deaths count that are excused for one of these reasons.
+// RevokeExcuses makes the deaths count that are excused for one of these reasons.
 func (l *Ledger) RevokeExcuses(fp types.Fingerprint, reasons ...Excuse) {
-	oldest := l.opts.Now().Add(-accusationWindow)
+	oldest := l.opts.Now().Add(-l.opts.Window)
 	entry := Entry{Fingerprint: fp}
 	l.mu.Lock()
 	if r := l.records[fp]; r != nil {
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -287,7 +287,7 @@
 			}
 			v.excused = v.excused || (d.Excuse != NoExcuse && !d.Cleared)
 		}
-		v.accused = r.accusedUntil(l.policy.limit)
+		v.accused = r.accusedUntil(l.policy.limit, l.opts.Window)
 		views[fp] = v
 	}
 	l.views.Store(&views)
