entry: a stopping process takes what ends before it, by the request's deadline

Cause: plain calls were taken for as long as the longest of the last 32 of their route would fit, and streams that must run once in the first 2.9 s. Past durations don't bound the next one.

Change: a stopping process takes a request whose deadline is before its own end. The estimate alone decides only for streams that may be resumed, in the first 2.9 s, and where all other VMs are stopping too. What is refused is not run and is served elsewhere within milliseconds. Weighed: the estimate for idempotent calls (ends in 504 after a server worked in vain), refusing also while all VMs stop (nobody would serve calls of 20 ms for seconds).

The model of stops has streams that may be resumed and calls with a deadline, as deployments do; TestModelDetectsCutStream would otherwise take nothing that it could cut.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -172,22 +172,35 @@
 	h.servePlain(w, r, call)
 }
 
-// canAccept reports whether a stopping process can finish a request. Late in the stop a
-// stream is accepted only if its deadline is before the process's end.
+// canAccept reports whether a stopping process can finish a request.
 func (h *handler) canAccept(call *platform.Call) bool {
 	now := time.Now()
 	need := h.shutdown.estimate(call.Route, now)
-	if !h.shutdown.canFinish(now, need) {
+	if !h.shutdown.canFinish(now, need) || !h.mayTakeInStop(call, now) {
 		return false
 	}
-	if call.Route.Kind != site.Stream {
-		return true
+	if call.Route.Kind == site.Stream {
+		h.recorder.Emit(EventStopTaken, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.shutdown.endsAt().Sub(now))
 	}
-	if h.shutdown.pastEstimateWindow(now) && call.Deadline.After(h.shutdown.endsAt()) {
+	return true
+}
+
+// mayTakeInStop reports whether a stopping process may take a request that is expected to end
+// before the process. The durations of past requests don't bound that of the next one, so only
+// one whose deadline is before the process's end is certain to. Others are better off at another
+// process, but for streams that arrive early in the stop and can be resumed there.
+func (h *handler) mayTakeInStop(call *platform.Call, now time.Time) bool {
+	isStream, isEarly := call.Route.Kind == site.Stream, !h.shutdown.pastEstimateWindow(now)
+	switch {
+	case h.shutdown.endsAfter(call.Deadline):
+		return true
+	case isStream && call.Route.Repeatable():
+		return isEarly
+	case h.allPeersStopping == nil || !h.allPeersStopping():
 		return false
+	default:
+		return isEarly || !isStream
 	}
-	h.recorder.Emit(EventStopTaken, event.FieldRequest, call.ID, "route", call.Route.Name, "need", need, "left", h.shutdown.endsAt().Sub(now))
-	return true
 }
 
 // servePlain serves a request that isn't a stream.
--- a/entry/model_test.go
+++ b/entry/model_test.go
@@ -158,8 +158,8 @@
 	})
 	target := []site.Target{{Service: "s", Weight: 1}}
 	e.configHolder.Offer(&site.Versioned{Position: 1, Config: site.New(1, []site.Route{
-		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: site.Stream, Public: true, Targets: target},
-		{Name: "call", Host: "h", Prefix: "/call/", Kind: site.AtMostOnce, Public: true, Targets: target},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: site.Stream, Resumable: true, Public: true, Targets: target},
+		{Name: "call", Host: "h", Prefix: "/call/", Kind: site.AtMostOnce, Timeout: 1500 * time.Millisecond, Public: true, Targets: target},
 	}, nil, nil, site.ClientLimits{})})
 	e.directory.Apply(1, []directory.Listing{{ID: "a1", Service: "s", Address: "a1", Zone: "a", Slots: 64}}, false, time.Now())
 	e.exchange = exchange.New(exchange.Options{
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -12,8 +12,8 @@
 // begun. A stream that is cut at the end of the grace period resumes late for its
 // caller; one that is refused at once goes to another process in time.
 //
-// Invariant: an accepted request can be finished before the process ends if it takes no
-// longer than the longest known request like it.
+// Invariant: an accepted request ends before the process, or can be finished before if it takes
+// no longer than the longest known request like it; see handler.mayTakeInStop.
 type shutdownState struct {
 	endOffset   atomic.Int64 // end of the process, in monotonic nanoseconds since epoch; 0: no stop has begun
 	beginOffset atomic.Int64 // beginning of the stop, likewise
@@ -36,8 +36,8 @@
 	// minPlainDuration is the 99th percentile of the duration of plain calls, with
 	// responseMargin. No plain call is accepted with less time left.
 	minPlainDuration = 800 * time.Millisecond
-	// estimateWindow is how long after a stop has begun streams are accepted by the
-	// estimated duration; later ones also need a deadline before the process's end.
+	// estimateWindow is how long after a stop has begun streams may be accepted by the
+	// estimated duration; later ones need a deadline before the process's end.
 	// Callers arrive for rotationDelay, and the health check that takes the process out
 	// of rotation may be late by 400 ms; whoever comes after that comes to a process
 	// that has long reported itself not ready.
@@ -85,8 +85,6 @@
 
 // pastEstimateWindow reports whether the stop has gone on for so long that only streams
 // that are certain to end before the process are accepted.
-//
-// The durations of past streams don't bound that of the next one.
 func (s *shutdownState) pastEstimateWindow(now time.Time) bool {
 	return s.begun() && now.Sub(s.epoch)-time.Duration(s.beginOffset.Load()) > estimateWindow
 }
@@ -161,6 +159,11 @@
 	return !s.begun() || now.Add(need).Before(s.endsAt())
 }
 
+// endsAfter reports whether the process ends after a deadline and the response to it.
+func (s *shutdownState) endsAfter(deadline time.Time) bool {
+	return !deadline.After(s.endsAt().Add(-responseMargin))
+}
+
 // capDeadline returns a plain request's deadline, but no later than responseMargin
 // before the end of the process.
 func (s *shutdownState) capDeadline(deadline time.Time) time.Time {
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -225,3 +225,46 @@
 	}
 	g.Expect(s.estimate(&site.Route{Kind: site.Stream}, time.Now())).To(gomega.Equal(defaultStreamDuration))
 }
+
+// Guards against refusing calls that end before the process whatever happens, and against taking others late in a stop.
+func TestStoppingTakesCallsByTheirDeadline(t *testing.T) {
+	once, stream := &site.Route{Name: "once", Kind: site.AtMostOnce}, &site.Route{Name: "s", Kind: site.Stream}
+	resumable := &site.Route{Name: "r", Kind: site.Stream, Resumable: true}
+	for _, c := range []struct {
+		name     string
+		route    *site.Route
+		at, left time.Duration // of the arrival in a stop that takes 7.7 s; until the deadline
+		allStop  bool
+		want     bool
+	}{
+		{"short deadline, early", once, time.Second, 1500 * time.Millisecond, false, true},
+		{"short deadline, late", once, 5 * time.Second, 1500 * time.Millisecond, false, true},
+		{"deadline past the end", once, 6500 * time.Millisecond, 1500 * time.Millisecond, false, false},
+		{"long deadline, early", once, 100 * time.Millisecond, 10 * time.Second, false, false},
+		{"long deadline, nowhere to go", once, 100 * time.Millisecond, 10 * time.Second, true, true},
+		{"repeatable call", callRoute, 5 * time.Second, 10 * time.Second, false, false},
+		{"repeatable call, nowhere to go", callRoute, 5 * time.Second, 10 * time.Second, true, true},
+		{"stream that must run once, early", stream, time.Second, 10 * time.Second, false, false},
+		{"stream that must run once, early, nowhere to go", stream, time.Second, 10 * time.Second, true, true},
+		{"stream that must run once, late, nowhere to go", stream, 3 * time.Second, 10 * time.Second, true, false},
+		{"stream that may be resumed, early", resumable, time.Second, 10 * time.Second, false, true},
+		{"stream that may be resumed, late", resumable, 3 * time.Second, 10 * time.Second, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newShutdownState()
+				time.Sleep(time.Second)
+				for _, r := range []*site.Route{once, stream, resumable, callRoute} {
+					for range maxSamples {
+						s.durationsOf(r).record(20 * time.Millisecond)
+					}
+				}
+				s.begin(time.Now().Add(7700 * time.Millisecond))
+				time.Sleep(c.at)
+				h := &handler{shutdown: s, recorder: event.Discard(), allPeersStopping: func() bool { return c.allStop }}
+				call := &platform.Call{Request: exchange.Request{Route: c.route, Deadline: time.Now().Add(c.left)}}
+				gomega.NewWithT(t).Expect(h.canAccept(call)).To(gomega.Equal(c.want))
+			})
+		})
+	}
+}
