exchange: the beginnings of responses share a bound of the process

Reported by another operator, shown here in one form: a server that sends without end on all connections takes the memory of the VM that called it. 300 idempotent calls answered 500 without end, whose callers read nothing: live heap up by 181 MB, where the smallest VMs have 112 MB.

Cause: the first 256 KB of each response are held until it is known to be whole; nothing bounded all of them together. The buffer doubled beyond the bound, and a server's error that was kept in case a better answer came was held while its rest was passed on. Ruled out: heads (bounded in bytes), events (64 KB), the calls to servers beside requests (TestCallsBoundEndlessAnswers, 110 cases, green before and after), connections left open after their callers (closed within a second).

Change: a response may hold its part of a sixteenth of the memory limit by the number of requests in progress, 16 to 256 KB; readUpTo grows to that and no further; the beginning is dropped once written. Price: with many requests in progress an answer of over 16 KB that breaks is cut rather than requested again.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,6 +35,9 @@
 	// memoryLimitRatio is the fraction of the process's memory limit that is set as the
 	// garbage collector's soft limit.
 	memoryLimitRatio = 0.7
+	// responseMemoryDivisor is the part of the process's memory limit that the beginnings of
+	// responses may take, which are held until a response is known to be whole.
+	responseMemoryDivisor = 16
 	// crashLimit is how many backend servers a request may crash before it is
 	// quarantined. A server that had sent a part of the response counts half.
 	crashLimit = 3
@@ -270,6 +273,7 @@
 		e.recorder.Emit(EventServerRests, "server", s.Start, "service", s.Service, "zone", s.Zone, "asked", asked, "granted", granted)
 	}
 	e.exchange = exchange.New(exchange.Options{
+		Running: e.runningRequests.Load, ResponseMemory: s.MemoryLimit / responseMemoryDivisor,
 		Restarts: e.newRestartDetector(backend), SharedBudget: e.budgets, ServerLimits: e.serverLimits, Rollouts: e.rollouts, PromptPeers: e.prompts, Refusals: e.refusals, Pressure: e.pressure, StreamVersions: e.streamVersions,
 		Zone: s.Zone, Directory: e.directory, Backend: &guardedBackend{backend, e.recorder}, Services: e.findService,
 		Suspects: e.suspects, Grants: e.suspectGossiper, Recorder: e.recorder, Metrics: e.registry,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -223,6 +223,7 @@
 	w.WriteHeader(reply.Status)
 	_, err = w.Write(reply.Body)
 	if reply.Rest != nil {
+		reply.Body = nil // not held while the rest follows, which may be without end
 		copyRest(w, r, reply.Rest, err)
 	}
 	served = true
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -121,7 +121,7 @@
 	}
 	defer answer.Body.Close()
 	if answer.Status >= 300 || answer.Status < 200 {
-		reply, err := readReply(answer)
+		reply, err := a.watch.e.readReply(answer)
 		if a.deliver(step{reply: reply, err: err}) && err == nil && reply.Rest != nil {
 			<-a.done // the rest is read by the receiver of the step
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -51,6 +51,10 @@
 	Refusals Refusals
 	// Pressure, if set, knows the classes of streams that other processes hold back.
 	Pressure Pressure
+	// Running, if set, returns how many requests are in progress. They share ResponseMemory, the
+	// bytes that may hold the beginnings of responses; 0: the default.
+	Running        func() int64
+	ResponseMemory int64
 	// Restarts, if set, detects restarted servers while the store can't report them.
 	Restarts *RestartDetector
 }
@@ -167,6 +171,9 @@
 // New returns an Exchange.
 func New(opts Options) *Exchange {
 	opts.Backend = sendRecorder{opts.Backend}
+	if opts.ResponseMemory <= 0 {
+		opts.ResponseMemory = defaultResponseMemory
+	}
 	t := &opts.Timings
 	orDefault(&t.Silence, DefaultSilence)
 	orDefault(&t.ProbeAfter, DefaultProbeAfter)
--- a/exchange/forward.go
+++ b/exchange/forward.go
@@ -82,6 +82,7 @@
 	if err := s.sink.Event(reply.Body); err != nil {
 		return &finalError{err}
 	}
+	reply.Body = nil // not held while the rest follows, which may be without end
 	return s.forwardRest(reply.Rest)
 }
 
--- a/exchange/plain.go
+++ b/exchange/plain.go
@@ -1,9 +1,7 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -18,10 +16,6 @@
 )
 
 const (
-	// maxBufferedBody is the size in bytes up to which a response is read completely
-	// before the caller gets any of it: until then a broken response can be requested
-	// again.
-	maxBufferedBody = 256 << 10
 	// hedgeFraction of its objective is how long an idempotent request waits for a
 	// response before a second server is asked as well. Calls take a fifth of the
 	// objective on average, so the second response still arrives within it.
@@ -273,7 +267,7 @@
 	if err != nil {
 		return result{server: s, err: err}
 	}
-	reply, err := readReply(answer)
+	reply, err := c.e.readReply(answer)
 	if err != nil {
 		return result{server: s, err: err}
 	}
@@ -281,21 +275,6 @@
 	return result{server: s, reply: reply, took: time.Since(began)}
 }
 
-// readReply reads a response body to its end, or up to maxBufferedBody.
-func readReply(a *Answer) (*Reply, error) {
-	var body bytes.Buffer
-	n, err := io.CopyN(&body, a.Body, maxBufferedBody)
-	if err != nil && err != io.EOF {
-		_ = a.Body.Close()
-		return nil, &BrokenError{Err: err}
-	}
-	reply := &Reply{Status: a.Status, Header: a.Header, Body: body.Bytes()}
-	if n == maxBufferedBody {
-		reply.Rest = a.Body
-	}
-	return reply, nil
-}
-
 // handleResult processes an attempt's result and returns the reply if it is final.
 func (c *call) handleResult(r result) *Reply {
 	c.lastServer = r.server
