--- a/entry/events.go
+++ b/entry/events.go
@@ -10,7 +10,7 @@
 	EventNoConfig = event.Define(2751, "entry_no_config", event.Warn,
 		"a request was refused because this process has just started and has not received its configuration or its list of servers yet", "see the log lines about the store")
 	EventStopRefused = event.Define(2756, "entry_stop_refused", event.Info,
-		"a request was refused because the process is stopping and could not finish it in time", "nothing")
+		"a request was refused because the process is stopping and may end before it", "nothing")
 )
 
 // EventStopTaken is emitted for a stream that a stopping process accepts, with the
--- a/fleet/rollouts_test.go
+++ b/fleet/rollouts_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -62,6 +63,9 @@
 				t.Fatal("more failures than answers")
 			}
 		}
-		rollout.Judge([]rollout.Evidence{r.Evidence})
+		var timeline rollout.Timeline
+		for i := range 3 {
+			rollout.Judge(timeline.Observe(r.Evidence, rollout.Trial, time.Minute, time.Unix(int64(i), 0)))
+		}
 	})
 }
--- a/rollout/events.go
+++ b/rollout/events.go
@@ -15,5 +15,5 @@
 	EventRecordLate = event.Define(2774, "rollout_record_conflict", event.Info,
 		"another process wrote the record of a roll-out first; its record counts", "nothing")
 	EventJudgedBad = event.Define(2775, "rollout_judged_bad", event.Warn,
-		"this process, as a decider, judges the version on trial as bad; suspicion is the log likelihood ratio of that", "compare the failed and slow answers of both versions by route")
+		"this process, as a decider, judges the version on trial as bad; suspicion is the log likelihood ratio of that over the roll-out, trend that of its newest failures", "compare the failed and slow answers of both versions by route")
 )
