--- a/entry/env_test.go
+++ b/entry/env_test.go
@@ -91,10 +91,17 @@
 		version, strings.Join(routes, ","), keys))
 }
 
-// newTestEnv starts an environment with servers of service s and without a configuration.
+// newTestEnv starts an environment with servers of service s and without a configuration. The
+// test runs beside others.
 func newTestEnv(t *testing.T, servers int, change func(*platform.Settings)) *testEnv {
 	t.Helper()
 	t.Parallel()
+	return newSerialTestEnv(t, servers, change)
+}
+
+// newSerialTestEnv is newTestEnv for a test that would slow others down.
+func newSerialTestEnv(t *testing.T, servers int, change func(*platform.Settings)) *testEnv {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	store, err := nursery.NewStore()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
