exchange: the choice of a server is by version alone again

Left over from: pick joined the conditions of versions with those of earlier sends, which no caller sets any more. Change: admitsBoth is gone, pick is as it was before. Found in the reading of the diff; no behaviour changes.

--- a/exchange/reply.go
+++ b/exchange/reply.go
@@ -1,8 +1,6 @@
 package exchange
 
-import (
-	"io"
-)
+import "io"
 
 const (
 	// maxBufferedBody is the size in bytes up to which a response is read completely
--- a/exchange/sends.go
+++ b/exchange/sends.go
@@ -61,15 +61,3 @@
 	var notRun *NotRunError
 	return err == nil || errors.As(err, &notRun) && notRun.Reason == Busy
 }
-
-// admitsBoth returns the servers that both conditions admit; nil admits all.
-func admitsBoth(a, b func(*directory.Server) bool) func(*directory.Server) bool {
-	switch {
-	case a == nil:
-		return b
-	case b == nil:
-		return a
-	default:
-		return func(s *directory.Server) bool { return a(s) && b(s) }
-	}
-}
--- a/exchange/versions.go
+++ b/exchange/versions.go
@@ -13,14 +13,14 @@
 // that was chosen for a version on trial goes to the established ones if no server of that
 // version is available.
 func (e *Exchange) pick(q directory.Query, a *rollout.Assignment) *directory.Server {
-	now, admits := time.Now(), q.Admits
+	now := time.Now()
 	if trial := a.AdmitsTrial(); trial != nil {
-		q.Admits = admitsBoth(trial, admits)
+		q.Admits = trial
 		if s := e.opts.Directory.Pick(q, now); s != nil {
 			return s
 		}
 	}
-	q.Admits = admitsBoth(a.Admits(), admits)
+	q.Admits = a.Admits()
 	return e.opts.Directory.Pick(q, now)
 }
 
