inbound: an event tells whether callers still connected as a stop closed the listener

TestFinishReportsUnreadData expected one event; it now expects exactly these two, by name and in order, which is as strict.

--- a/inbound/events.go
+++ b/inbound/events.go
@@ -13,4 +13,7 @@
 	EventQueueLeft = event.Define(1011, "inbound_queue_left", event.Warn,
 		"at the end of a planned stop this process could not make sure that it had accepted all connections in the listener's queue; clients of connections that were left there saw a reset",
 		"check whether this process lacks CPU time")
+	EventListenerClosed = event.Define(1013, "inbound_listener_closed", event.Info,
+		"a planned stop closed the listener: since_last is how long before that a client connected (0: none did), took how long the close lasted; clients that connect during the close may see a reset",
+		"if since_last is short, find out why clients are still sent to a process that reports itself not ready")
 )
--- a/inbound/finish.go
+++ b/inbound/finish.go
@@ -71,9 +71,21 @@
 // and waits until the server has stopped accepting: a connection that is accepted
 // just before the close may not be among the open ones yet.
 func (l *Listener) drainQueue(ctx context.Context) {
+	sinceLast := l.sinceLastAccept()
 	l.withQueueTimeout(ctx, l.acceptQueued)
+	began := time.Now()
 	_ = l.end.close(l.Listener) // the server's Shutdown closes it again and returns the error
 	l.withQueueTimeout(ctx, l.end.wait)
+	l.opts.Recorder.Emit(EventListenerClosed, "since_last", sinceLast, "took", time.Since(began))
+}
+
+// sinceLastAccept returns how long ago the newest connection was accepted, or 0 if none was.
+func (l *Listener) sinceLastAccept() time.Duration {
+	last := l.lastAccept.Load()
+	if last == 0 {
+		return 0
+	}
+	return time.Since(l.epoch) - time.Duration(last)
 }
 
 // withQueueTimeout runs a step with queueTimeout and emits an event if it fails.
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -55,15 +55,16 @@
 // so far is not enough to decide: a whole request may be unread in the socket.
 type Listener struct {
 	net.Listener
-	opts      Options
-	dropped   *prometheus.CounterVec
-	unread    *prometheus.CounterVec
-	spared    *prometheus.CounterVec
-	delay     prometheus.Histogram
-	lastDelay atomic.Int64 // how late the last sweep was, nanoseconds
-	epoch     time.Time    // connections' times are monotonic and relative to it, as the wall clock may jump
-	end       *listenerEnd
-	stopping  atomic.Bool // the next response on a connection closes it
+	opts       Options
+	dropped    *prometheus.CounterVec
+	unread     *prometheus.CounterVec
+	spared     *prometheus.CounterVec
+	delay      prometheus.Histogram
+	lastDelay  atomic.Int64 // how late the last sweep was, nanoseconds
+	epoch      time.Time    // connections' times are monotonic and relative to it, as the wall clock may jump
+	lastAccept atomic.Int64 // when the newest connection was accepted, nanoseconds after epoch; 0: none was
+	end        *listenerEnd
+	stopping   atomic.Bool // the next response on a connection closes it
 
 	mu   sync.Mutex // guards open
 	open map[*clientConn]struct{}
@@ -110,8 +111,10 @@
 		return nil, err
 	}
 	conn := &clientConn{Conn: raw, epoch: l.epoch, cancelCause: l.opts.CancelCause}
-	conn.restartClock(time.Now())
+	now := time.Now()
+	conn.restartClock(now)
 	conn.phase.Store(phaseReading)
+	l.lastAccept.Store(int64(now.Sub(l.epoch)))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[conn] = struct{}{}
--- a/inbound/stall_test.go
+++ b/inbound/stall_test.go
@@ -396,8 +396,9 @@
 	g.Eventually(s.sockets.hasUnread).Should(gomega.BeTrue())
 	g.Eventually(s.startFinish(t, 200*time.Millisecond), "5s").Should(gomega.BeClosed())
 	entries := s.opts.Recorder.Entries("")
-	g.Expect(entries).To(gomega.HaveLen(1))
-	g.Expect(entries[0].Name).To(gomega.Equal(EventUnreadDropped.Name))
+	g.Expect(entries).To(gomega.HaveLen(2))
+	g.Expect(entries[0].Name).To(gomega.Equal(EventListenerClosed.Name))
+	g.Expect(entries[1].Name).To(gomega.Equal(EventUnreadDropped.Name))
 }
 
 // racingConn is a connection on which a request arrives right after each check.
