entry, daemon: signals are handled before the process listens

Callers saw a reset if SIGTERM came in the first milliseconds of a process: the kernel had completed their connections, and the default action of the signal ended the process. The listener is opened before all else on purpose; the handler came after the process was assembled. The daemons of the own interface installed theirs in a goroutine beside the server.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"syscall"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/oklog/run"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
@@ -76,27 +76,21 @@
 }
 
 // runUntilSignal runs serve. The first signal begins a planned stop by cancelling its
-// context, and a second one ends the process immediately.
+// context, and a second one ends the process immediately. Signals are handled before serve
+// begins to listen: the default action would reset the connections in its queue.
 func runUntilSignal(serve func(context.Context) error) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- serve(ctx) }()
 	for first := true; ; first = false {
-		var group run.Group // the handler ends with its first signal, so each signal takes a group
-		group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
-		done := make(chan struct{})
-		var err error
-		group.Add(func() error {
-			select {
-			case err = <-ended:
-				return nil
-			case <-done:
-				return nil
-			}
-		}, func(error) { close(done) })
-		if !errors.Is(group.Run(), run.ErrSignal) {
+		select {
+		case err := <-ended:
 			return err
+		case <-signals:
 		}
 		if !first {
 			return errors.New("stopped immediately by a second signal")
--- a/entry/main.go
+++ b/entry/main.go
@@ -92,6 +92,9 @@
 		out.SetIndent("", "  ")
 		return 0, out.Encode(settings)
 	}
+	// A signal that comes once the process listens must not reset what is in its queue.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	// Callers that come back after a loss of all VMs find no process listening until here,
 	// and try only once or twice: nothing that takes time comes before.
 	callers, err := net.Listen("tcp4", settings.Callers)
@@ -105,7 +108,5 @@
 	if err != nil {
 		return exitFailed, err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	return 0, e.Run(ctx)
 }
