event, entry, daemon: a process outlives the reader of its log

Callers would see all requests of a VM end without an answer at its next log line after the reader of its output had gone: SIGPIPE's default action, exit status 141.

SIGPIPE is ignored, and lines that can't be written count as dropped. The same class elsewhere: the daemons of the own interface wrote to standard error without a queue, so a reader that stopped reading blocked them; they have the queue now.

TestProcessOutlivesTheReaderOfItsLog failed before (not ready after 10 s, as each start ended at once).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v2"
 
 	"github.com/pearyard/pearyard/backing/httpapi"
+	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/findings"
 	"github.com/pearyard/pearyard/node"
 	"github.com/pearyard/pearyard/settings"
@@ -66,7 +67,10 @@
 		if c.Bool(flagPrintSettings) {
 			return nil
 		}
-		return runUntilSignal(func(ctx context.Context) error { return serve(ctx, newLogger(stderr, spec.Level(loaded))) })
+		event.SurviveClosedOutput()
+		queue := event.NewQueue(stderr, event.DefaultQueueLines)
+		defer queue.Close()
+		return runUntilSignal(func(ctx context.Context) error { return serve(ctx, newLogger(queue, spec.Level(loaded))) })
 	}}
 	if err := app.Run(args); err != nil {
 		fmt.Fprintln(stderr, err)
@@ -101,9 +105,8 @@
 
 // newLogger returns a logger for entries of the named level and above, or of level info and
 // above if there is no such level.
-func newLogger(w io.Writer, levelName string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
-	return level.NewFilter(logger, level.Allow(level.ParseDefault(levelName, level.InfoValue())))
+func newLogger(queue *event.Queue, levelName string) log.Logger {
+	return level.NewFilter(queue, level.Allow(level.ParseDefault(levelName, level.InfoValue())))
 }
 
 // Listen opens a TCP listener on an ip:port; port 0 selects a free one.
--- a/entry/main.go
+++ b/entry/main.go
@@ -35,6 +35,7 @@
 	// a process runs, and the default action of the signal would end it. It may come
 	// right after the process has started, so it is ignored before all else.
 	signal.Ignore(syscall.SIGHUP)
+	event.SurviveClosedOutput()
 	code := 0
 	app := &cli.App{
 		Name:  "pearyard-entry",
--- a/event/queue.go
+++ b/event/queue.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"io"
+	"os/signal"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -136,12 +138,19 @@
 	q.write(batch)
 }
 
-// write ignores errors of the output, as there is no other place to log them.
+// write counts the lines of a failed write as dropped, as there is no other place to log
+// the error.
 func (q *Queue) write(batch *bytes.Buffer) {
-	_, _ = q.out.Write(batch.Bytes())
+	if _, err := q.out.Write(batch.Bytes()); err != nil {
+		q.total.Add(int64(bytes.Count(batch.Bytes(), []byte("\n"))))
+	}
 	batch.Reset()
 }
 
+// SurviveClosedOutput keeps the process running when the reader of its standard output or
+// error is gone. By default a write to such a pipe ends a Go program with SIGPIPE.
+func SurviveClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // Close writes the queued lines, waiting at most flushTimeout for the output.
 func (q *Queue) Close() {
 	q.once.Do(func() { close(q.closing) })
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -90,19 +90,15 @@
 	if _, done := vm.process(); done != nil && !isClosed(done) {
 		return nil
 	}
-	binary, err := os.Executable()
+	log, err := os.OpenFile(vm.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	log, err := os.OpenFile(vm.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	defer log.Close()
+	cmd, err := vm.command(log)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	cmd := exec.Command(binary)
-	cmd.Env = append(os.Environ(), ProgramVariable+"=1", "PEARYARD_SETTINGS="+vm.settingsPath())
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.ExtraFiles = []*os.File{vm.ports.lock} // keeps the block locked until the program ends, even if this process is killed
 	starts.RLock()
 	err = cmd.Start()
 	starts.RUnlock()
@@ -119,6 +115,19 @@
 	return nil
 }
 
+// command returns the program of the VM, with its output going to log.
+func (vm *VM) command(log *os.File) (*exec.Cmd, error) {
+	binary, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(binary)
+	cmd.Env = append(os.Environ(), ProgramVariable+"=1", "PEARYARD_SETTINGS="+vm.settingsPath())
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.ExtraFiles = []*os.File{vm.ports.lock} // keeps the block locked until the program ends, even if this process is killed
+	return cmd, nil
+}
+
 const (
 	// restartDelay is the delay after which a process that ended by itself is restarted,
 	// the same as on the platform.
