soak: a new connection that a planned stop resets counts as a lost request

The excuse now holds for kept connections only, and in fault-free plans six callers a VM open a connection for each request.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -23,6 +23,7 @@
 	Sent, Ended  time.Time
 	Written      time.Time     // when the whole request had been sent; zero if it was not
 	Idle         time.Duration // how long its connection had been idle before; 0 for a new one
+	Reused       bool          // its connection had carried another request
 	Err          error         // why there is no response; nil if there is one
 	Status       int           // HTTP status; 0 if there is no response
 	Complete     bool          // the response was read to its end
@@ -64,6 +65,9 @@
 		for range c.site.size.IdleCallers {
 			wg.Go(func() { c.runIdleCaller(ctx, vm) })
 		}
+		for range c.site.size.NewConnectionCallers {
+			wg.Go(func() { c.runNewConnectionCaller(ctx, vm) })
+		}
 	}
 	for range c.site.size.ReturningCallers * c.site.size.VMs {
 		wg.Go(func() { c.runReturningCaller(ctx) })
@@ -73,6 +77,19 @@
 	c.client.CloseIdleConnections()
 }
 
+// runNewConnectionCaller sends plain requests to a VM, each on a connection of its own, until
+// ctx ends.
+func (c *Callers) runNewConnectionCaller(ctx context.Context, vm *VM) {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	for n := 0; ctx.Err() == nil; n++ {
+		call := Call{ID: fmt.Sprintf("r%06d", c.nextID.Add(1)), VM: vm.Name}
+		call.Path = []string{"/once/", "/any/"}[n%2] + call.ID
+		c.send(client, vm, &call, "k0")
+		c.record(call)
+		time.Sleep(callerPause)
+	}
+}
+
 // generateLoad runs n callers that send one request after another until ctx ends. It
 // returns when their last requests have completed.
 func (c *Callers) generateLoad(ctx context.Context, n int) {
@@ -150,7 +167,7 @@
 		}
 	}()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		call.Idle = info.IdleTime
+		call.Idle, call.Reused = info.IdleTime, info.Reused
 	}, WroteRequest: func(info httptrace.WroteRequestInfo) {
 		if info.Err == nil {
 			written.Store(time.Now().UnixNano())
--- a/soak/loss_detector.go
+++ b/soak/loss_detector.go
@@ -10,8 +10,8 @@
 	// faultTail is how long after its end a fault excuses lost requests, since VMs may
 	// still be affected by it.
 	faultTail = 3 * time.Second
-	// closeRaceWindow is how soon after it was sent a request may find its connection
-	// closed: the request and the close were then under way at the same time.
+	// closeRaceWindow is how soon after it was sent a request may find its kept-alive
+	// connection closed: the request and the close were then under way at the same time.
 	closeRaceWindow = 200 * time.Millisecond
 	// deadlineSlack is how long before its deadline a request may be given up without
 	// counting as lost.
@@ -87,7 +87,7 @@
 	if c.Ended.Sub(c.Sent) >= deadlineOf(c.Path)-deadlineSlack || d.cutByStop(c) {
 		return false
 	}
-	return d.arrived[c.ID] || c.Ended.Sub(c.Written) > closeRaceWindow
+	return d.arrived[c.ID] || !c.Reused || c.Ended.Sub(c.Written) > closeRaceWindow
 }
 
 // deadlineOf returns the shortest time after which a call may be given up: the caller's
--- a/soak/loss_detector_test.go
+++ b/soak/loss_detector_test.go
@@ -17,8 +17,10 @@
 	at := time.Now()
 	after := func(s float64) time.Time { return at.Add(time.Duration(s * float64(time.Second))) }
 	incomplete := func(path string, sent, ended float64) Call {
-		return Call{ID: "r", Path: path, VM: "edge-0", Sent: after(sent), Written: after(sent), Ended: after(ended), Status: 200}
+		return Call{ID: "r", Path: path, VM: "edge-0", Sent: after(sent), Written: after(sent), Ended: after(ended), Status: 200, Reused: true}
 	}
+	newConnection := incomplete("/once/r", 10, 10.01)
+	newConnection.Reused = false
 	refused := incomplete("/stream/r", 10, 10.5)
 	refused.Status, refused.Complete = 503, true
 	badGateway := refused
@@ -33,6 +35,7 @@
 		"a stream that broke off":                     {incomplete("/stream/r", 10, 11), true, 1},
 		"not read, connection closed late":            {incomplete("/once/r", 10, 10.25), false, 1},
 		"not read, sent as the connection closed":     {incomplete("/once/r", 10, 10.15), false, 0},
+		"not read, on a new connection":               {newConnection, false, 1},
 		"reached a server, connection closed at once": {incomplete("/once/r", 10, 10.05), true, 1},
 		"refused":                             {refused, true, 0},
 		"answered 502":                        {badGateway, true, 1},
--- a/soak/plans.go
+++ b/soak/plans.go
@@ -11,13 +11,17 @@
 	// with CPU starvation.
 	faultFreeIdleCallers  = 3
 	starvationIdleCallers = 30
+	// faultFreeNewConnectionCallers per VM open a connection for each request, so that some
+	// connect as a listener is closed.
+	faultFreeNewConnectionCallers = 6
 )
 
 // FaultFreePlan returns a plan of planned work and load only, with engines that pause
 // for prompts and run out of memory. Disruptions run one at a time, or several at a time
 // if overlapping is set.
 func FaultFreePlan(size Size, seed uint64, length time.Duration, overlapping bool) Plan {
-	size.Engine, size.Grace, size.IdleCallers = constrainedEngine, faultFreeGrace, faultFreeIdleCallers
+	size.Engine, size.Grace = constrainedEngine, faultFreeGrace
+	size.IdleCallers, size.NewConnectionCallers = faultFreeIdleCallers, faultFreeNewConnectionCallers
 	plan := Plan{Size: size, Seed: seed, Disruptions: PlannedDisruptions(), Length: length, Lanes: 1}
 	if overlapping {
 		plan.Lanes = overlappingLanes
--- a/soak/site.go
+++ b/soak/site.go
@@ -21,6 +21,8 @@
 	ModelServers int // servers of the model service
 	PlainServers int // servers of the plain service
 	IdleCallers  int // callers per VM that leave their connection idle between requests
+	// NewConnectionCallers per VM open a connection for each request.
+	NewConnectionCallers int
 	// Versions of the software of the model servers, by turns; empty: all have the same.
 	Versions         []string
 	ReturningCallers int // callers per VM that come back for the rest of a stream that was cut off
