inbound: an idle connection stays open a second beyond its limit

A check right before the close can't help: nothing had arrived by then.

TestRequestSentBeforeAShortenedIdleLimitOutlivesAStall: red before (the connection was dropped), green now. TestRequestBetweenCheckAndCloseIsReported shares its set-up and is otherwise unchanged.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -79,7 +79,7 @@
 // trackCallers wraps the listener that callers connect to with connection tracking and limits.
 func (e *Entry) trackCallers(l net.Listener) *inbound.Listener {
 	return inbound.New(l, inbound.Options{
-		Limits: e.clientLimits, Recorder: e.recorder, Registerer: e.registry, Metrics: "pearyard_entry_callers",
+		Limits: e.clientLimits, IdleMargin: idleMargin, Recorder: e.recorder, Registerer: e.registry, Metrics: "pearyard_entry_callers",
 		CancelCause: func(err error) error {
 			if !exchange.IsLinkLost(err) {
 				return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,8 +56,11 @@
 	// idleTimeout and headerTimeout apply to connections without a configured limit:
 	// those of other processes, and callers' until a configuration sets limits. They
 	// are longer than any limit that operators set.
-	idleTimeout    = 2 * time.Minute
-	headerTimeout  = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerTimeout = 10 * time.Second
+	// idleMargin covers a shortened limit that a caller doesn't know yet, and a stall of
+	// this process, which is below half a second where limits are applied at all.
+	idleMargin     = time.Second
 	maxHeaderBytes = 64 << 10        // of a caller's request
 	peerTimeout    = 2 * time.Second // of a call to another entry VM
 	pruneInterval  = time.Second
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -33,7 +33,11 @@
 
 // Options of a Listener.
 type Options struct {
-	Limits     func() Limits // returns the limits in force; nil: none
+	Limits func() Limits // returns the limits in force; nil: none
+	// IdleMargin is how much longer than Limits.IdleTime a connection stays open. A client
+	// may send just before the limit that it knows, which may have been shortened since,
+	// and this process may stall between the check of a connection and its close.
+	IdleMargin time.Duration
 	Recorder   *event.Recorder
 	Registerer prometheus.Registerer // nil: no metrics
 	Metrics    string                // prefix of the metrics' names
@@ -210,7 +214,13 @@
 }
 
 // sweep closes the connections that are over the limits in force.
-func (l *Listener) sweep(now time.Time) { l.sweepWithLimits(l.opts.Limits(), now) }
+func (l *Listener) sweep(now time.Time) {
+	limits := l.opts.Limits()
+	if limits.IdleTime > 0 {
+		limits.IdleTime += l.opts.IdleMargin
+	}
+	l.sweepWithLimits(limits, now)
+}
 
 // sweepWithLimits closes the connections that are over limits and have no unread
 // data. Each is closed right after its check: if all were closed after the last
