--- a/entry/entry.go
+++ b/entry/entry.go
@@ -164,7 +164,7 @@
 	gauge("pearyard_servers_invalid", "Entries of the list of backend servers that name no server.",
 		func() float64 { return float64(e.directory.View().InvalidCount()) })
 	if dropped != nil {
-		gauge("pearyard_log_lines_dropped", "Log lines dropped because nobody read the output.", func() float64 { return float64(dropped()) })
+		gauge("pearyard_log_lines_dropped", "Log lines dropped because the output was not read, or could not be written.", func() float64 { return float64(dropped()) })
 	}
 }
 
