--- a/exchange/placesmodel_test.go
+++ b/exchange/placesmodel_test.go
@@ -357,9 +357,11 @@
 func (m *placeSite) runTwice() []string {
 	runs := map[string]int{}
 	for _, s := range m.servers {
+		s.mu.Lock()
 		for id, n := range s.ids {
 			runs[id] += n
 		}
+		s.mu.Unlock()
 	}
 	var twice []string
 	for id, n := range runs {
