rollout, fleet: entry VMs agree on which versions of a service may serve

Cause: each process took for established what was listed at its first request for the service. It is a belief as first seen that nobody shares. A process that started while only the version on trial was listed even refused the former one when it was back, as its only established version was the ordered one.

Change: where the settings know no roll-outs any listed version may serve that no order is about. Elsewhere the established versions are a baseline that all VMs share: of the newest completed order, or of the first list, by positions in the store's history, so that all decide alike. VMs get it when they start, gossip it while several versions are listed, and a few keep it in the store. A process that starts beside two versions waits for it, 300 ms at most. Without an order a stream is always resumed at its version. PY2776 says what a process takes for established.

The tests of callers that come back let any version serve now: with a baseline their streams would all have begun at v1, and would have checked less.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -75,7 +75,7 @@
 
 	memory peerMemory
 
-	onApplied func(*View) // called with each list that comes into force; may be nil
+	onApplied []func(*View) // called with each list that comes into force
 
 	places *placesState
 
@@ -106,9 +106,10 @@
 	}
 }
 
-// OnApplied sets a function that is called with each list, right before any request sees it.
-// It must not call the Directory, and must be set before the first list.
-func (d *Directory) OnApplied(f func(*View)) { d.onApplied = f }
+// OnApplied adds a function that is called with each list, right before any request sees it, after
+// those that were added before. It must not call the Directory, and must be added before the
+// first list.
+func (d *Directory) OnApplied(f func(*View)) { d.onApplied = append(d.onApplied, f) }
 
 // Advance records that all changes up to a position are in force.
 func (d *Directory) Advance(position types.Position) { d.reached.Advance(position) }
@@ -183,8 +184,8 @@
 	}
 	next.indexVersions()
 	next.linkSameAddress()
-	if d.onApplied != nil {
-		d.onApplied(next)
+	for _, f := range d.onApplied {
+		f(next)
 	}
 	d.view.Store(next)
 	if next.Len() > 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,6 +107,7 @@
 	suspectGossiper *suspect.Gossiper
 	rollouts        *rollout.Controller
 	rolloutMessages *fleet.Rollouts
+	baselines       *fleet.Baselines
 	decider         *rollout.Decider
 	prompts         *fleet.Prompts
 	streamVersions  *fleet.StreamVersions
@@ -139,7 +140,7 @@
 	e.newFleet(store, client)
 	e.newPeerState(store)
 	e.newSuspects(store, client)
-	e.newRollouts(store)
+	e.newRolloutMessages(store)
 	e.newExchange()
 	e.registerGauges(opts.Dropped)
 	return e, e.newInspect()
@@ -203,8 +204,13 @@
 	e.leaving = fleet.NewLeaving(fleet.LeavingOptions{Socket: e.socket, Directory: e.directory, Recorder: e.recorder})
 	e.refusals = fleet.NewRefusals(e.socket)
 	e.pressure = fleet.NewPressure(e.socket, e.fleet.CellPeers)
+	e.rollouts = rollout.New(rollout.Options{
+		AllowUnordered: e.settings.AllowUnordered, Share: e.settings.RolloutShare, Tolerance: e.settings.RolloutExtra, Size: e.fleet.Size,
+		Directory: e.directory, Recorder: e.recorder, Metrics: e.registry,
+	})
+	e.baselines = fleet.NewBaselines(e.socket, e.fleet.Peers, e.rollouts)
 	e.streamVersions = fleet.NewStreamVersions(fleet.StreamVersionsOptions{
-		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory,
+		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory, Baselines: e.baselines,
 		ReadList: e.serverFollower.Refresh, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
 	})
 	e.fleet.UseElection(e.election)
@@ -247,12 +253,9 @@
 	})
 }
 
-// newRollouts sets up the roll-outs that the configuration in force orders.
-func (e *Entry) newRollouts(store *platform.Store) {
-	e.rollouts = rollout.New(rollout.Options{
-		Share: e.settings.RolloutShare, Tolerance: e.settings.RolloutExtra, Size: e.fleet.Size,
-		Directory: e.directory, Recorder: e.recorder, Metrics: e.registry,
-	})
+// newRolloutMessages sets up how entry VMs judge together the roll-outs that the configuration
+// in force orders.
+func (e *Entry) newRolloutMessages(store *platform.Store) {
 	e.rolloutMessages = fleet.NewRollouts(e.socket, e.election, e.rollouts)
 	e.decider = rollout.NewDecider(rollout.DeciderOptions{
 		Controller: e.rollouts, Store: platform.NewRolloutRecords(store), Rank: e.election.DeciderRank, Recorder: e.recorder,
@@ -295,6 +298,9 @@
 			return err
 		}
 	}
+	if e.rollouts.HasMixedService() {
+		e.streamVersions.AwaitLoaded(ctx) // which brings the versions that need no order
+	}
 	close(e.serving)
 	<-ctx.Done()
 	return ctx.Err()
@@ -371,6 +377,7 @@
 	addBackground(&group, e.refusals.Run)
 	addBackground(&group, e.pressure.Run)
 	addBackground(&group, e.rolloutMessages.Run)
+	addBackground(&group, e.baselines.Run)
 	addBackground(&group, e.decider.Run)
 	addBackground(&group, e.suspects.Run)
 	addBackground(&group, e.suspectGossiper.Run)
--- a/entry/returning_test.go
+++ b/entry/returning_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/standin/nursery"
 )
 
@@ -37,6 +38,51 @@
 	return nil
 }
 
+// allowUnordered lets servers of any version serve.
+func allowUnordered(s *platform.Settings) { s.AllowUnordered = true }
+
+// Guards against callers that are refused at a process that was in use before the version that
+// began their stream joined.
+func TestCallerReturnsToAProcessOlderThanTheVersionOfItsStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	older := startServing(t, 2, allowUnordered)
+	g.Expect(older.send(testRequest{id: "before", path: "/stream/before"}).readHead().Status).To(gomega.Equal(200))
+	for range 3 {
+		older.addServerOfVersion("s", "v2")
+	}
+	g.Eventually(older.logs.text, "10s", "10ms").Should(gomega.MatchRegexp("event=PY2710 .*listed=5 "))
+	newer := older.startPeer("edge-2")
+	versions := map[string]int{}
+	for i := range 12 {
+		path := fmt.Sprintf("/stream/again/%d", i)
+		first := newer.send(testRequest{id: fmt.Sprint("first-", i), path: path}).readHead()
+		version := first.readEvent()
+		g.Expect(first.conn.Close()).To(gomega.Succeed())
+		again := older.send(testRequest{id: fmt.Sprint("again-", i), path: path, extraHeader: "Last-Event-Id: 1\r\nResumes: " + first.id + "\r\n"}).readHead()
+		g.Expect(again.Status).To(gomega.Equal(200), version)
+		g.Expect(again.readEvent()).To(gomega.Equal(version))
+		g.Expect(again.conn.Close()).To(gomega.Succeed())
+		versions[version]++
+	}
+	g.Expect(versions).To(gomega.HaveLen(2), "both versions serve")
+}
+
+// Guards against a process that serves at a version without an order because it started later.
+func TestProcessThatStartsBesideAnUnorderedVersionDoesNotUseIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	older := startServing(t, 2, nil)
+	for range 6 {
+		older.addServerOfVersion("s", "v2")
+	}
+	g.Eventually(older.logs.text, "10s", "10ms").Should(gomega.MatchRegexp("event=PY2710 .*listed=8 "))
+	newer := older.startPeer("edge-2")
+	for i := range 12 {
+		c := newer.send(testRequest{id: fmt.Sprint("r", i), path: fmt.Sprintf("/stream/again/%d", i)}).readHead()
+		g.Expect(c.readEvent()).To(gomega.Equal("v1"))
+		defer c.conn.Close()
+	}
+}
+
 // Guards against a stream whose caller comes back, with the attempt that began it named, and
 // that goes on at a server of another version: through the VM that it began at, and through
 // another one.
@@ -44,7 +90,7 @@
 	for name, other := range map[string]bool{"through the same VM": false, "through another VM": true} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			env := startServing(t, 2, nil)
+			env := startServing(t, 2, allowUnordered)
 			for range 3 {
 				env.addServerOfVersion("s", "v2")
 			}
@@ -74,7 +120,7 @@
 
 // startWithTwoVersions starts a process in front of two servers of each of two versions.
 func startWithTwoVersions(t *testing.T) *testEnv {
-	env := startServing(t, 2, nil)
+	env := startServing(t, 2, allowUnordered)
 	env.addServerOfVersion("s", "v2")
 	env.addServerOfVersion("s", "v2")
 	gomega.NewWithT(t).Eventually(env.logs.text, "10s", "10ms").Should(gomega.MatchRegexp("event=PY2710 .*listed=4 "))
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -39,7 +39,7 @@
 }
 
 // lastKind is the greatest kind of datagrams.
-const lastKind = int(kindPressure)
+const lastKind = int(kindBaselines)
 
 // oddBodies are bodies of datagrams whose numbers are the least, the greatest and no numbers.
 var oddBodies = [][]byte{
@@ -65,11 +65,13 @@
 	})
 	NewLeaving(LeavingOptions{Socket: s, Directory: d, Recorder: event.Discard()})
 	NewServerLimits(ServerLimitsOptions{Socket: s, Peers: func() []string { return nil }, Size: func() int { return 2 }, Directory: d, Recorder: event.Discard()})
-	NewRollouts(s, election, rollout.New(rollout.Options{Size: func() int { return 2 }, Directory: d, Recorder: event.Discard(), Metrics: prometheus.NewRegistry()}))
+	rollouts := rollout.New(rollout.Options{Size: func() int { return 2 }, Directory: d, Recorder: event.Discard(), Metrics: prometheus.NewRegistry()})
+	NewRollouts(s, election, rollouts)
+	baselines := NewBaselines(s, func() []string { return []string{"p"} }, rollouts)
 	prompts := NewPrompts(PromptsOptions{Socket: s, OtherCells: func() [][]string { return nil }, Directory: d})
 	prompts.UseLocator(promptcache.NewLocator(func(context.Context, *directory.Server) (promptcache.Contents, error) { return nil, nil }))
 	NewStreamVersions(StreamVersionsOptions{
-		Address: "self", Socket: s, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
+		Address: "self", Socket: s, Baselines: baselines, Directory: directory.New(), Recorder: event.Discard(), Peers: func() []string { return []string{"p"} },
 		ReadList: func(context.Context) error { return nil },
 	})
 	return loads, memory
@@ -89,6 +91,7 @@
 		{kindStreamRecords, encodeStreamRecords(1, "v1", []streamversion.Record{{Key: streamversion.Key{Service: 1, Stream: 2}, Until: time.Now().Add(time.Minute)}}, time.Now())[0]},
 		{kindStreamQuery, appendStreamQuery(nil, streamversion.Key{Service: 1, Stream: 2}, time.Minute)},
 		{kindStreamAnswer, appendStreamAnswer(nil, streamversion.Key{Service: 1, Stream: 2}, versionAnswer{version: "v1", known: true})},
+		encodeBaselines([]rollout.Baseline{{Service: 1, Versions: []string{"v1", "v2"}, Order: 3, Seen: 4}})[0],
 		{kindServedVersions, encodeServedVersions(true, []streamversion.Listed{{Service: 1, Version: "v1", At: time.Now()}}, time.Now())[0]},
 	} {
 		f.Add(append(encodeHeader(b.kind, h), b.raw...))
--- a/fleet/streamquery.go
+++ b/fleet/streamquery.go
@@ -241,6 +241,7 @@
 		return v.history.Mixed(r.Service, now) && v.holds(from, r.Stream)
 	})
 	v.sendRecords(held, func(streamversion.Record) []string { return []string{from} })
+	v.opts.Baselines.sendTo([]string{from})
 	for _, raw := range encodeServedVersions(v.history.Complete(), v.history.Served(now), now) {
 		v.opts.Socket.SendTo(body{kindServedVersions, raw}, []string{from})
 	}
--- a/fleet/streamrows.go
+++ b/fleet/streamrows.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/rollout"
 	"github.com/pearyard/pearyard/streamversion"
 )
 
@@ -54,7 +55,8 @@
 
 // versionRow is the value of a VM's row.
 type versionRow struct {
-	Versions []rowVersion `json:"versions"`
+	Versions  []rowVersion       `json:"versions"`
+	Baselines []rollout.Baseline `json:"baselines,omitempty"`
 }
 
 // rowVersion holds the streams of one version of a service, by id, with the second of the
@@ -225,7 +227,7 @@
 	slices.SortFunc(own, func(a, b streamversion.Record) int { return cmp.Compare(b.Until.UnixNano(), a.Until.UnixNano()) })
 	own = own[:min(len(own), maxRowStreams)]
 	clock := r.clock.Load()
-	var row versionRow
+	row := versionRow{Baselines: r.of.opts.Baselines.all()}
 	for _, l := range r.of.history.Served(now) {
 		entry := rowVersion{Service: l.Service, Version: l.Version, ServedUntilMs: clock.toStore(l.At).Milliseconds(), Streams: map[uint64]int64{}}
 		for _, rec := range own {
@@ -313,6 +315,9 @@
 			}
 		}
 	}
+	if needed {
+		r.of.opts.Baselines.merge(row.Baselines)
+	}
 	return needed
 }
 
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -30,8 +30,8 @@
 	// asked: a datagram may be lost, and a VM that was killed never answers.
 	streamAnswerWait = 40 * time.Millisecond
 	streamAskRounds  = 2
-	// startupWait bounds the wait of a returning caller for what this process learns at its
-	// start: the time of a few calls to the store.
+	// startupWait bounds the wait of callers for what this process learns at its start: the time
+	// of a few calls to the store.
 	startupWait = 300 * time.Millisecond
 	// pullWait is how long a process that starts waits for the records of its peers before it
 	// reads those in the store.
@@ -48,7 +48,8 @@
 	Known     <-chan struct{} // closed once the other entry VMs are known
 	Directory *directory.Directory
 	// ReadList reads the list of servers by a request that is sent after the call.
-	ReadList func(ctx context.Context) error
+	ReadList  func(ctx context.Context) error
+	Baselines *Baselines // what a VM that starts is told beside the records
 	// Store keeps records beyond the loss of all VMs; nil: nothing does.
 	Store    VersionStore
 	Recorder *event.Recorder
@@ -142,6 +143,9 @@
 	}
 }
 
+// AwaitLoaded waits until it is known what served before this process started, but not for long.
+func (v *StreamVersions) AwaitLoaded(ctx context.Context) { v.await(ctx, v.loaded, startupWait) }
+
 // setComplete records that it is known what served before this process started.
 func (v *StreamVersions) setComplete(now time.Time) {
 	v.history.SetComplete(now)
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -50,7 +50,7 @@
 // prompts and their answers: see appendPromptQuery and appendPromptAnswer. Records of the
 // versions that began streams: see streamwire.go. Servers that leave: see encodeLeaving.
 // Requests that were refused: see encodeRefusals.
-// Disturbances of servers: see encodeDisturbances.
+// Disturbances of servers: see encodeDisturbances. Baselines: see encodeBaselines.
 const (
 	kindLoads  kind = 1
 	kindBudget kind = 4
@@ -80,6 +80,7 @@
 	kindDisturbances kind = 23
 	kindRefusals     kind = 24
 	kindPressure     kind = 25
+	kindBaselines    kind = 26
 
 	headerBytes       = 13
 	countBytes        = 4
--- a/rollout/assignment.go
+++ b/rollout/assignment.go
@@ -28,7 +28,6 @@
 	}
 	s := (*c.states.Load())[service]
 	if s == nil && len(c.opts.Directory.View().Versions(service)) < 2 {
-		c.establishedVersions(service)
 		return nil
 	}
 	a := &Assignment{controller: c, service: service, state: s}
@@ -89,16 +88,17 @@
 }
 
 // MayResume reports whether an attempt may resume a stream at servers of a version, the one
-// that began it. At a version on trial this is one more request.
+// that began it. Without an order it always may: an entry VM allowed that version to begin it.
+// At a version on trial this is one more request.
 func (a *Assignment) MayResume(version string) bool {
-	if a == nil {
+	if a == nil || a.state == nil {
 		return true
 	}
 	allowed := a.controller.versions(a.service, a.state)
 	if allowed.Allows(version, false) {
 		return true
 	}
-	if a.state == nil || version != a.state.order.Version || !allowed.Allows(version, true) {
+	if version != a.state.order.Version || !allowed.Allows(version, true) {
 		return false
 	}
 	if a.reserved.Load() {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -21,12 +21,15 @@
 
 // Options configures a Controller.
 type Options struct {
-	Share     float64    // of a service's requests that a version on trial may get
-	Tolerance float64    // requests that it may get beyond the share
-	Size      func() int // number of entry VMs, which share the tolerance
-	Directory *directory.Directory
-	Recorder  *event.Recorder
-	Metrics   prometheus.Registerer
+	// AllowUnordered is set where operators replace servers by those of another version without
+	// an order: any version may serve that no order is about.
+	AllowUnordered bool
+	Share          float64    // of a service's requests that a version on trial may get
+	Tolerance      float64    // requests that it may get beyond the share
+	Size           func() int // number of entry VMs, which share the tolerance
+	Directory      *directory.Directory
+	Recorder       *event.Recorder
+	Metrics        prometheus.Registerer
 }
 
 // Controller knows the roll-outs of this process's services. It assigns requests to
@@ -36,11 +39,10 @@
 	metrics *metrics
 
 	// states holds the newest roll-out of each service. Requests read it without a lock.
-	states atomic.Pointer[map[string]*state]
-	// established holds the versions of each service that need no order.
-	established sync.Map // service -> []string
+	states    atomic.Pointer[map[string]*state]
+	baselines baselines
 
-	mu         sync.Mutex // serialises changes of states and established
+	mu         sync.Mutex // serialises changes of states
 	configured bool       // a configuration has been applied
 	changed    chan struct{}
 }
@@ -76,6 +78,8 @@
 func New(opts Options) *Controller {
 	c := &Controller{opts: opts, metrics: newMetrics(opts.Metrics), changed: make(chan struct{}, 1)}
 	c.states.Store(&map[string]*state{})
+	opts.Directory.OnApplied(c.observe)
+	c.observe(opts.Directory.View())
 	return c
 }
 
@@ -130,20 +134,6 @@
 	return s
 }
 
-// establishedVersions returns the versions of a service that need no order: those that
-// were listed when its servers were first seen.
-func (c *Controller) establishedVersions(service string) []string {
-	if known, ok := c.established.Load(service); ok {
-		return known.([]string)
-	}
-	listed := c.opts.Directory.View().Versions(service)
-	if len(listed) == 0 {
-		return nil
-	}
-	known, _ := c.established.LoadOrStore(service, listed)
-	return known.([]string)
-}
-
 // versions returns which versions of a service may run requests now.
 func (c *Controller) versions(service string, s *state) Versions {
 	v := Versions{Established: c.establishedVersions(service), Listed: c.opts.Directory.View().Versions(service)}
@@ -190,7 +180,7 @@
 	now := s.current()
 	s.phaseSince.Store(time.Now().UnixNano())
 	if now == Completed {
-		c.established.Store(s.order.Service, []string{s.order.Version})
+		c.MergeBaseline(Baseline{Service: directory.Hash(s.order.Service), Versions: []string{s.order.Version}, Order: s.position()}, "completion")
 		c.opts.Directory.RetireOtherVersions(s.order.Service, s.order.Version)
 	}
 	total := s.total().total()
--- a/rollout/decider_test.go
+++ b/rollout/decider_test.go
@@ -292,6 +292,7 @@
 		"before a decider is heard":           {Versions{Established: []string{v1}, Listed: []string{v1, v2}, Ordered: v2}, []string{v1}, []string{v2}},
 		"during a trial":                      {Versions{Established: []string{v1}, Listed: []string{v1, v2}, Ordered: v2, Phase: Trial}, []string{v1}, []string{v2}},
 		"during a trial, started meanwhile":   {Versions{Established: []string{v1, v2}, Listed: []string{v1, v2}, Ordered: v2, Phase: Trial}, []string{v1}, []string{v2}},
+		"during a trial, started beside v2":   {Versions{Established: []string{v2}, Listed: []string{v1, v2}, Ordered: v2, Phase: Trial}, []string{v1}, []string{v2}},
 		"no other version left":               {Versions{Established: []string{v1}, Listed: []string{v2}, Ordered: v2, Phase: Trial}, []string{v2}, []string{v2}},
 		"during a handover":                   {Versions{Established: []string{v1}, Listed: []string{v1, v2}, Ordered: v2, Phase: Handover}, []string{v1}, []string{v2}},
 		"after a bad verdict":                 {Versions{Established: []string{v1}, Listed: []string{v1, v2}, Ordered: v2, Phase: Stopped}, []string{v1}, nil},
--- a/rollout/events.go
+++ b/rollout/events.go
@@ -16,4 +16,6 @@
 		"another process wrote the record of a roll-out first; its record counts", "nothing")
 	EventJudgedBad = event.Define(2775, "rollout_judged_bad", event.Warn,
 		"this process, as a decider, judges the version on trial as bad; suspicion is the log likelihood ratio of that over the roll-out, trend that of its newest failures", "compare the failed and slow answers of both versions by route")
+	EventBaseline = event.Define(2776, "rollout_baseline", event.Info,
+		"this process knows anew which versions of a service (named by its hash) need no order; from: its own list, the completion of a roll-out, the store or the entry VM that told it", "nothing; entry VMs that differ for more than a few seconds refuse each other's streams")
 )
--- a/rollout/versions.go
+++ b/rollout/versions.go
@@ -4,9 +4,8 @@
 
 // Versions says which versions of a service may run its requests.
 type Versions struct {
-	// Established holds the versions that served before the newest order: those listed when
-	// this process first saw the service, or the one that the last completed roll-out moved
-	// to. Empty: not known yet.
+	// Established holds the versions that served before the newest order; see Baseline. Empty:
+	// all but the ordered one.
 	Established []string
 	Listed      []string // versions of the servers listed now
 	Ordered     string   // version that the newest order moves to; empty: no order
@@ -37,12 +36,15 @@
 // established reports whether a version served before the order. While it is unknown which
 // did, all but the ordered one count, and so they do if none of those that did is listed.
 func (v Versions) established(version string) bool {
-	if v.Ordered != "" && version == v.Ordered {
+	if v.isOrdered(version) {
 		return false
 	}
-	return slices.Contains(v.Established, version) || !slices.ContainsFunc(v.Established, v.listed)
+	return slices.Contains(v.Established, version) ||
+		!slices.ContainsFunc(v.Established, func(e string) bool { return v.listed(e) && !v.isOrdered(e) })
 }
 
+func (v Versions) isOrdered(version string) bool { return v.Ordered != "" && version == v.Ordered }
+
 // establishedListed reports whether there is a server that the new version could be
 // compared with.
 func (v Versions) establishedListed() bool {
