exchange: a stream that no roll-out lets go on is refused at once

What callers saw: one that came back for a stream of a version that was reverted, replaced or overtaken by another order waited three seconds for a server, and was refused with ended_by=no_server while servers of its version were listed and idle. With one retry that time is most of what it has.

Cause: the wait for a server of the version that began the stream asks only whether such servers are listed, not whether they may take it.

Change: Assignment.ExcludesStreams says whether an order stands against the version; then the stream ends before it queues or draws on the retry budget, not run, with Retry-After and ended_by=version. On trial a stream still waits for a part of the share; if it gets none, the error says so too.

--- a/exchange/ended.go
+++ b/exchange/ended.go
@@ -30,7 +30,7 @@
 	EndedByDeadline      EndedBy = "deadline"      // the caller's
 	EndedByRouteTimeout  EndedBy = "route_timeout" // the route's
 	EndedByLimit         EndedBy = "limit"         // size of a body, retry budget, quarantine, rate limits of servers
-	EndedByVersion       EndedBy = "version"       // no backend server is left of the version that began the stream, or it isn't known
+	EndedByVersion       EndedBy = "version"       // no backend server of the version that began the stream is left or may take it, or the version isn't known
 	EndedByConfiguration EndedBy = "configuration" // the current one has no such route or key
 	EndedByStop          EndedBy = "stop"          // this process's planned stop
 	EndedByStart         EndedBy = "start"         // this process had just started and was not ready for the request
@@ -126,7 +126,7 @@
 		return EndedByStop
 	case errors.Is(err, ErrBudget), errors.Is(err, ErrQuarantined), errors.Is(err, ErrHeld), errors.Is(err, ErrServerLimits), errors.Is(err, ErrServersRest):
 		return EndedByLimit
-	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
+	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionExcluded), errors.Is(err, ErrVersionUnknown):
 		return EndedByVersion
 	case errors.Is(err, ErrNoServer), errors.Is(err, ErrNoMemory), errors.Is(err, ErrPlacesTaken):
 		return EndedByNoServer
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -75,6 +75,9 @@
 	ErrServerLimits = errors.New("exchange: the backend servers are at the rate limits that they have named")
 	// ErrVersionGone: of the version that began a stream no backend server is left.
 	ErrVersionGone = errors.New("exchange: no backend server of the version that began the stream is left")
+	// ErrVersionExcluded: a roll-out lets no backend server of the version that began a stream
+	// take it, though some are listed.
+	ErrVersionExcluded = errors.New("exchange: a roll-out lets no backend server of the version that began the stream take it")
 	// ErrVersionUnknown: it isn't known which version began the stream of a caller that came
 	// back, and several have served.
 	ErrVersionUnknown = errors.New("exchange: it is not known which version of the backend servers began the stream")
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -204,6 +204,9 @@
 	if s.lacksMemory {
 		return ErrNoMemory
 	}
+	if version, bound := s.versionBoundTo(); bound && !s.versions.MayResume(version) {
+		return ErrVersionExcluded
+	}
 	return ErrNoServer
 }
 
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -272,6 +272,9 @@
 	if s.memory.tooLarge() {
 		return nil, nil, errTooLarge
 	}
+	if s.isExcluded() {
+		return nil, nil, ErrVersionExcluded
+	}
 	if err := s.awaitAdmission(ctx); err != nil {
 		return nil, nil, err
 	}
@@ -307,6 +310,9 @@
 			s.e.metrics.versionGone.Inc()
 			return nil, nil, ErrVersionGone
 		}
+		if s.isExcluded() {
+			return nil, nil, ErrVersionExcluded
+		}
 		if end, rest := s.allRestUntil(); rest {
 			if !s.req.canWaitUntil(end) {
 				return nil, nil, ErrServersRest
--- a/exchange/streamfailure.go
+++ b/exchange/streamfailure.go
@@ -33,7 +33,7 @@
 		after = quarantineRetryAfter
 	case errors.Is(err, ErrHeld):
 		after = heldRetryAfter
-	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionUnknown):
+	case errors.Is(err, ErrVersionGone), errors.Is(err, ErrVersionExcluded), errors.Is(err, ErrVersionUnknown):
 		after = versionRetryAfter
 	case errors.Is(err, ErrNoMemory):
 		after = noMemoryRetryAfter
--- a/exchange/streamversion.go
+++ b/exchange/streamversion.go
@@ -169,6 +169,13 @@
 	return false
 }
 
+// isExcluded reports whether a roll-out lets no server of the version that began the stream take
+// it, so that waiting for one is of no use.
+func (s *stream) isExcluded() bool {
+	version, bound := s.versionBoundTo()
+	return bound && s.versions.ExcludesStreams(version)
+}
+
 // waitForServer returns how long the stream may wait for a server.
 func (s *stream) waitForServer() time.Duration {
 	if _, bound := s.versionBoundTo(); bound {
--- a/rollout/assignment.go
+++ b/rollout/assignment.go
@@ -109,6 +109,17 @@
 	return reserved
 }
 
+// ExcludesStreams reports whether the streams of a version, the one that began them, can't be
+// resumed as long as the order stands: it is bad, is about to be stopped, or another order has
+// overtaken its own.
+func (a *Assignment) ExcludesStreams(version string) bool {
+	if a == nil || a.state == nil {
+		return false
+	}
+	v := a.controller.versions(a.service, a.state)
+	return !v.Allows(version, false) && !v.Allows(version, true)
+}
+
 // Sent records that an attempt is sent to a server.
 func (a *Assignment) Sent(s *directory.Server) {
 	if a == nil || a.state == nil {
--- a/rollout/baseline_test.go
+++ b/rollout/baseline_test.go
@@ -139,6 +139,28 @@
 		for past, p := range processesBesideTwoVersions(allowUnordered) {
 			a := p.Assign("s", "r", false)
 			gomega.NewWithT(t).Expect(a.MayResume("v2")).To(gomega.BeTrue(), past)
+			gomega.NewWithT(t).Expect(a.ExcludesStreams("v2")).To(gomega.BeFalse(), past)
 		}
 	}
 }
+
+// Guards against streams of a bad version, or of one that is being stopped, that wait for a server.
+func TestStreamsOfAnExcludedVersion(t *testing.T) {
+	for phase, excluded := range map[Phase][]string{Unknown: nil, Trial: nil, Handover: nil, Stopped: {"v2"}, Reverted: {"v2"}, Completed: {"v1"}} {
+		t.Run(phase.String(), func(t *testing.T) {
+			p := newBaselineProcess(false)
+			p.list(10, "v1")
+			p.list(20, "v1", "v2")
+			p.order(30, "v2")
+			p.SetPhase("s", 30, phase, "store", time.Now())
+			a := p.Assign("s", "r", false)
+			var got []string
+			for _, v := range []string{"v1", "v2"} {
+				if a.ExcludesStreams(v) {
+					got = append(got, v)
+				}
+			}
+			gomega.NewWithT(t).Expect(got).To(gomega.Equal(excluded))
+		})
+	}
+}
