httpwire: an answer that a reset cuts during the upload isn't taken for whole

What callers saw: a server answered a long upload at once with a signed 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel tells of a reset once. The goroutine that writes the body takes ECONNRESET, and the read after it sees the end of the connection, as after an orderly close. net/http's Transport does the same, so the cause stood wherever an answer without a length is read.

Ruled out: a peek that takes the error; every peek at a connection to a server that finds it ended closes it (pool, peer). Bytes that are lost before the reset: Linux hands them out first.

Change: a connection of package httpwire remembers what its writes were told. At the end it waits for a write in progress if TCP_INFO says that both directions are closed: a write on a closed socket returns at once, with ECONNRESET after a reset and EPIPE if the server's FIN came first. A connection that is closed on one side only ended in order, whatever is still being written.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/findings"
+	"github.com/pearyard/pearyard/httpwire"
 	adminpb "github.com/pearyard/pearyard/rpc/admin"
 	"github.com/pearyard/pearyard/types"
 )
@@ -205,7 +206,7 @@
 // IP.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
+		DialContext:         httpwire.Dial((&net.Dialer{Timeout: DefaultTimeout}).DialContext),
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
 	}
--- a/backing/httpapi/caller.go
+++ b/backing/httpapi/caller.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/backing"
+	"github.com/pearyard/pearyard/httpwire"
 )
 
 const (
@@ -50,7 +51,7 @@
 		base:    "http://" + opts.Address,
 		timeout: opts.Timeout,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         httpwire.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     time.Minute,
 		},
--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/httpwire"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -66,7 +68,7 @@
 	if opts.HTTP == nil {
 		// With the default of 2, most connections of concurrent generations would be
 		// closed after one request.
-		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+		opts.HTTP = &http.Client{Transport: &http.Transport{DialContext: httpwire.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 256}}
 	}
 	if opts.ResumeTimeout == 0 {
 		opts.ResumeTimeout = DefaultResumeTimeout
--- a/engine/httpapi/client.go
+++ b/engine/httpapi/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/engine"
+	"github.com/pearyard/pearyard/httpwire"
 	"github.com/pearyard/pearyard/types"
 )
 
@@ -49,15 +50,15 @@
 	if opts.ControlTimeout == 0 {
 		opts.ControlTimeout = defaultControlTimeout
 	}
-	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	dial := httpwire.Dial((&net.Dialer{Timeout: opts.DialTimeout}).DialContext)
 	return &Client{
 		base:    "http://" + opts.Address,
 		timeout: opts.ControlTimeout,
 		// Every generation gets a new connection. If an engine restarts while a
 		// kept connection is idle, the next request on that connection fails as if
 		// it had crashed the engine, and would be suspected of doing so.
-		streams: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
-		control: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
+		streams: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		control: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/pearyard/pearyard/fleet"
 	"github.com/pearyard/pearyard/follow"
 	"github.com/pearyard/pearyard/httpconn"
+	"github.com/pearyard/pearyard/httpwire"
 	"github.com/pearyard/pearyard/inspect"
 	"github.com/pearyard/pearyard/platform"
 	"github.com/pearyard/pearyard/retry"
@@ -63,7 +64,9 @@
 	idleMargin     = time.Second
 	maxHeaderBytes = 64 << 10        // of a caller's request
 	peerTimeout    = 2 * time.Second // of a call to another entry VM
-	pruneInterval  = time.Second
+	// peerIdleTimeout is longer than the pauses between calls to other entry VMs.
+	peerIdleTimeout = 90 * time.Second
+	pruneInterval   = time.Second
 	// maxConnIdle is how long a connection to a backend server may be idle and still be
 	// reused.
 	maxConnIdle = 1500 * time.Millisecond
@@ -136,7 +139,7 @@
 	store.OnEra(e.reportEra, e.reportInvalidEra)
 	e.configFollower = &site.Follower{Holder: e.configHolder, Source: store, Recorder: e.recorder, OnFailure: e.askPeers}
 	e.serverFollower = &directory.Follower{Directory: e.directory, Source: store, Recorder: e.recorder, OnFailure: e.askPeers}
-	client := &http.Client{Timeout: peerTimeout}
+	client := newPeerClient()
 	e.newFleet(store, client)
 	e.newPeerState(store)
 	e.newSuspects(store, client)
@@ -146,6 +149,13 @@
 	return e, e.newInspect()
 }
 
+// newPeerClient returns the client for calls to other entry VMs.
+func newPeerClient() *http.Client {
+	transport := httpwire.NewTransport(peerTimeout)
+	transport.IdleConnTimeout = peerIdleTimeout
+	return &http.Client{Timeout: peerTimeout, Transport: transport}
+}
+
 // registerGauges registers metrics of how stale the configuration and the server list
 // are, of entries dropped or invalid, and of log lines dropped.
 func (e *Entry) registerGauges(dropped func() int64) {
--- a/entry/rawserver_test.go
+++ b/entry/rawserver_test.go
@@ -28,6 +28,12 @@
 
 // addRawServer adds a backend server that runs respond for each request.
 func (env *testEnv) addRawServer(respond func(conn net.Conn, r *http.Request)) {
+	env.t.Helper()
+	env.addConnServer(func(conn net.Conn) { serveRaw(conn, respond) })
+}
+
+// addConnServer adds a backend server that runs serve for each connection.
+func (env *testEnv) addConnServer(serve func(conn net.Conn)) {
 	env.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -40,7 +46,7 @@
 			if err != nil {
 				return
 			}
-			go serveRaw(conn, respond)
+			go serve(conn)
 		}
 	}()
 	env.store.Put("servers", "i-raw-"+strings.ReplaceAll(listener.Addr().String(), ":", "-"), fmt.Appendf(nil,
--- a/httpconn/doc.go
+++ b/httpconn/doc.go
@@ -3,5 +3,5 @@
 // breaks, and takes whatever arrives on a pooled connection for the response to
 // the next request; here the caller decides both.
 //
-// May import of pearyard: none.
+// May import of pearyard: httpwire.
 package httpconn
--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -13,6 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"github.com/pearyard/pearyard/httpwire"
 )
 
 // Options configure a Pool; zero fields take the defaults.
@@ -80,7 +82,7 @@
 
 // Conn is one connection. It carries one request at a time.
 type Conn struct {
-	net.Conn
+	*httpwire.Conn   // tells a reset from an orderly end
 	pool             *Pool
 	addr             string
 	head             *headLimit
@@ -144,8 +146,9 @@
 	if err != nil {
 		return nil, &ConnectError{Err: err}
 	}
-	head := &headLimit{Conn: raw}
-	return &Conn{Conn: raw, pool: p, addr: addr, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
+	wire := httpwire.NewConn(raw)
+	head := &headLimit{Conn: wire}
+	return &Conn{Conn: wire, pool: p, addr: addr, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // isUsable reports whether an idle connection may carry another request: it was not
@@ -210,8 +213,7 @@
 	}
 	c.writeResult = make(chan error, 1)
 	go func() {
-		_, err := (&net.Buffers{head, r.Body}).WriteTo(c.Conn)
-		c.writeResult <- err
+		c.writeResult <- c.Conn.WriteBuffers(net.Buffers{head, r.Body})
 	}()
 	return nil
 }
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -2,5 +2,5 @@
 // force) to every call between processes, in both directions. A new revision or a
 // restarted process thus becomes known through ordinary traffic.
 //
-// May import of pearyard: httpconn, types.
+// May import of pearyard: httpconn, httpwire, types.
 package peer
--- a/peer/sent.go
+++ b/peer/sent.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pearyard/pearyard/httpconn"
+	"github.com/pearyard/pearyard/httpwire"
 )
 
 // errConnectionClosed means that a reused connection was found closed before a call was
@@ -83,5 +84,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reusableConn{Conn: conn}, nil
+	return &reusableConn{Conn: httpwire.NewConn(conn)}, nil
 }
--- a/plain/httpapi/client.go
+++ b/plain/httpapi/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/pearyard/pearyard/httpwire"
 	"github.com/pearyard/pearyard/plain"
 )
 
@@ -58,7 +59,7 @@
 		// second time unnoticed. It retries on reused connections only; without
 		// keep-alives there are none.
 		transport: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        httpwire.Dial(dialer.DialContext),
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		},
