httpwire: what breaks the grammar of HTTP/1.1 is no answer

What callers saw (on other systems; here by test): an answer whose status was 000, or in whose head the name of a field held a blank or a control byte, was passed on, with that line, or with a body that was not the server's: "Content-Length : 2" gave four bytes in place of two, "Transfer-Encoding : chunked" the framing of the chunks.

Cause: http.ReadResponse is lenient. textproto takes names with blanks and keeps them as they are, so that a field of the framing isn't one; trailers are read by the same code; a length beside a coding, a coding in an answer of HTTP/1.0 or a change of the protocol are ignored.

Change: a connection to a server follows the grammar of RFC 9112 (sections 2.3, 4, 5.1, 5.2, 5.5, 6.1 to 6.3, 7.1) as bytes arrive, interim heads, chunks and trailers included, and fails before a parser sees the line that breaks it. One place serves httpconn and all transports, so also what the process reads for itself. The caller gets what it gets for a server that broke off: 502, may have run, nothing of it passed on; an idempotent request is tried elsewhere; the connection is closed; the server has failed. Where the RFC leaves the choice: a line of a head may end with LF alone, as before (TestAnswerWhoseHeadIsCutIsBroken); a folded line, two lengths, even equal ones, and a status above 599 are refused.

--- a/httpconn/httpconn.go
+++ b/httpconn/httpconn.go
@@ -82,7 +82,7 @@
 
 // Conn is one connection. It carries one request at a time.
 type Conn struct {
-	*httpwire.Conn   // tells a reset from an orderly end
+	*httpwire.Conn   // fails at what is no response
 	pool             *Pool
 	addr             string
 	head             *headLimit
@@ -219,7 +219,8 @@
 }
 
 // Receive reads the head of the next response that isn't informational (1xx). The error is
-// ErrHeadTooLong if that takes more than maxHeadBytes.
+// ErrHeadTooLong if that takes more than maxHeadBytes, and an httpwire.SyntaxError if what
+// arrives is no response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	c.head.start()
 	defer c.head.stop()
--- a/httpwire/readers_test.go
+++ b/httpwire/readers_test.go
@@ -60,6 +60,11 @@
 // Guards against a place that reads answers with a connection of its own, and takes what is none.
 func TestReadersRefuseWhatIsNoAnswer(t *testing.T) {
 	for what, respond := range map[string]func(conn *net.TCPConn){
+		"a head outside the grammar": func(conn *net.TCPConn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nConnection: close\r\n\r\n"+rowsBody)
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		},
 		"an answer cut by a reset": func(conn *net.TCPConn) {
 			_, _ = io.WriteString(conn, unframed+rowsBody)
 			time.Sleep(5 * time.Millisecond)
