rollout: a version without an order serves once all other servers leave

Cause: an established version counted as present as long as an entry of it is listed, leaving or not.

Change: only versions with a server that isn't leaving count as listed. If all are leaving, all do.

Before: TestUnorderedVersionServesOnceAllOthersLeave red.

--- a/directory/versions.go
+++ b/directory/versions.go
@@ -5,6 +5,29 @@
 // Versions returns the versions of the listed servers of a service, sorted.
 func (v *View) Versions(service string) []string { return v.versions[service] }
 
+// StayingVersions returns the versions of the listed servers of a service that are not leaving,
+// sorted; those of all of them if all are leaving.
+func (v *View) StayingVersions(service string) []string {
+	all := v.Versions(service)
+	if len(all) < 2 {
+		return all
+	}
+	var staying []string
+	for _, s := range v.byService[service] {
+		if len(staying) == len(all) {
+			break
+		}
+		if !s.Draining() && !slices.Contains(staying, s.Version()) {
+			staying = append(staying, s.Version())
+		}
+	}
+	if len(staying) == 0 {
+		return all
+	}
+	slices.Sort(staying)
+	return staying
+}
+
 func (v *View) indexVersions() {
 	for service, list := range v.byService {
 		var versions []string
--- a/rollout/baseline.go
+++ b/rollout/baseline.go
@@ -113,10 +113,3 @@
 	view := c.opts.Directory.View()
 	return slices.ContainsFunc(view.Services(), func(name string) bool { return len(view.Versions(name)) > 1 })
 }
-
-// establishedVersions returns the versions of a service that need no order; nil: all but the
-// ordered one.
-func (c *Controller) establishedVersions(service string) []string {
-	known, _ := c.baselines.get(directory.Hash(service))
-	return known.Versions
-}
--- a/rollout/baseline_test.go
+++ b/rollout/baseline_test.go
@@ -132,6 +132,19 @@
 	g.Expect(started.serves()).To(gomega.ConsistOf("v2"))
 }
 
+// Guards against requests that are refused while all servers that need no order are leaving.
+func TestUnorderedVersionServesOnceAllOthersLeave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newBaselineProcess(false)
+	p.list(10, "v1")
+	p.list(20, "v1", "v2")
+	g.Expect(p.serves()).To(gomega.ConsistOf("v1"))
+	list := listed("v1", "v2")
+	list[0].Draining = true
+	p.opts.Directory.Apply(30, list, false, time.Now())
+	g.Expect(p.serves()).To(gomega.ContainElement("v2"))
+}
+
 // Guards against streams that no process resumes, though the version that began them is listed
 // and no order is about it.
 func TestStreamsAreResumedAtAnyVersionWithoutAnOrder(t *testing.T) {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -130,13 +130,14 @@
 	s := &state{order: order, superseded: superseded, restarted: !c.configured, carry: rand.Float64(), pending: map[*Pending]struct{}{}, evidence: Evidence{}, peers: map[reporter]*Report{}}
 	s.readAt.Advance(order.Position)
 	c.opts.Recorder.Emit(EventOrdered, "service", order.Service, "version", order.Version, "within", order.Duration, "position", order.Position,
-		"restarted", s.restarted, "established", c.establishedVersions(order.Service), "listed", c.opts.Directory.View().Versions(order.Service))
+		"restarted", s.restarted, "established", c.versions(order.Service, nil).Established, "listed", c.opts.Directory.View().Versions(order.Service))
 	return s
 }
 
 // versions returns which versions of a service may run requests now.
 func (c *Controller) versions(service string, s *state) Versions {
-	v := Versions{Established: c.establishedVersions(service), Listed: c.opts.Directory.View().Versions(service)}
+	baseline, _ := c.baselines.get(directory.Hash(service))
+	v := Versions{Established: baseline.Versions, Listed: c.opts.Directory.View().StayingVersions(service)}
 	if s != nil {
 		v.Ordered, v.Phase = s.order.Version, s.current()
 	}
--- a/rollout/versions.go
+++ b/rollout/versions.go
@@ -7,7 +7,7 @@
 	// Established holds the versions that served before the newest order; see Baseline. Empty:
 	// all but the ordered one.
 	Established []string
-	Listed      []string // versions of the servers listed now
+	Listed      []string // versions of the servers that are listed now and not leaving
 	Ordered     string   // version that the newest order moves to; empty: no order
 	Phase       Phase    // of that order
 }
