rollout: a baseline tells a process that starts of the completion

What callers could see: a process that starts after a completion took the order's phase as unknown until a decider's next notice, two seconds at most, and went on using servers that were being stopped.

Cause: the same class: what the others know of the completion was not shared with a process that starts; by now the baseline says it, by the position of the order.

Before: TestProcessThatStartsAfterACompletionUsesTheNewVersion red.

--- a/rollout/baseline_test.go
+++ b/rollout/baseline_test.go
@@ -145,6 +145,20 @@
 	g.Expect(p.serves()).To(gomega.ContainElement("v2"))
 }
 
+// Guards against a process that starts after a completion and uses the servers that are being
+// stopped, until a decider tells it of the phase.
+func TestProcessThatStartsAfterACompletionUsesTheNewVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ran, started := newBaselineProcess(false), newBaselineProcess(false)
+	ran.list(10, "v1")
+	ran.order(20, "v2")
+	ran.SetPhase("s", 20, Completed, "store", time.Now())
+	started.list(30, "v1", "v2")
+	started.order(20, "v2")
+	exchangeBaselines(map[string]*baselineProcess{"ran": ran, "started": started})
+	g.Expect(started.serves()).To(gomega.ConsistOf("v2"))
+}
+
 // Guards against streams that no process resumes, though the version that began them is listed
 // and no order is about it.
 func TestStreamsAreResumedAtAnyVersionWithoutAnOrder(t *testing.T) {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -141,6 +141,9 @@
 	if s != nil {
 		v.Ordered, v.Phase = s.order.Version, s.current()
 	}
+	if s != nil && baseline.Order != 0 && baseline.Order == s.position() {
+		v.Phase = Completed // as another process has told; the deciders tell of the phase later
+	}
 	return v
 }
 
