fleet: the model of returning callers has the decision on versions, and VMs that start late

Why the model missed LOST: its VMs had no rollout.Controller, so any version served; and in all of its scenarios the second version joined before the VMs' first stream, or a moment before the kill.

--- a/fleet/streamversions_test.go
+++ b/fleet/streamversions_test.go
@@ -79,6 +79,18 @@
 		time.Sleep(time.Duration(rand.IntN(1000)) * time.Millisecond)
 		m.kill(m.running()[0])
 	}},
+	"VMs start after a second version has appeared, and are killed": {vms: 5, prepare: oneVersion, play: func(ctx context.Context, m *versionSite) {
+		m.addServers("v2", 6)
+		time.Sleep(time.Second)
+		started := m.running()[:2]
+		m.restart(ctx, 200*time.Millisecond, started...)
+		time.Sleep(5 * time.Second)
+		for _, vm := range m.running() {
+			if vm.address == started[0].address || vm.address == started[1].address {
+				m.kill(vm)
+			}
+		}
+	}},
 	// All VMs that hold a record may be among those killed.
 	"a second version appears at a large site, and VMs are killed": {vms: 30, perSecond: 30, prepare: oneVersion, lost: true, play: func(_ context.Context, m *versionSite) {
 		m.addServers("v2", 8)
--- a/fleet/versionmodel_test.go
+++ b/fleet/versionmodel_test.go
@@ -20,6 +20,7 @@
 	"github.com/pearyard/pearyard/event"
 	"github.com/pearyard/pearyard/exchange"
 	"github.com/pearyard/pearyard/retry"
+	"github.com/pearyard/pearyard/rollout"
 	"github.com/pearyard/pearyard/site"
 	"github.com/pearyard/pearyard/suspect"
 	"github.com/pearyard/pearyard/types"
@@ -189,11 +190,12 @@
 		opts.Store = &versionStoreClient{m.store, func() bool { return m.isCut(address) || vm.link.isCutFromStore() || ctx.Err() != nil }} // a killed process writes nothing
 	}
 	vm.socket.handle(kindAnnouncement, func(string, header, []byte, time.Time) bool { return true })
+	rollouts := rollout.New(rollout.Options{AllowUnordered: true, Size: func() int { return 1 }, Directory: vm.dir, Recorder: event.Discard(), Metrics: prometheus.NewRegistry()})
 	vm.versions = NewStreamVersions(opts)
 	go func() { _ = vm.follower.Run(ctx) }()
 	vm.awaitList()
 	vm.Exchange = exchange.New(exchange.Options{
-		Zone: "a", Directory: vm.dir, Backend: m, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(), StreamVersions: vm.versions,
+		Zone: "a", Directory: vm.dir, Backend: m, Recorder: event.Discard(), Metrics: prometheus.NewRegistry(), StreamVersions: vm.versions, Rollouts: rollouts,
 		Suspects: suspect.New(suspect.Options{}), Services: func(string) (site.Service, bool) { return site.Service{Name: "s"}, true },
 		RetryWindow: 10 * time.Second, RetryRatio: 0.8, RetryExtra: func() float64 { return 150 },
 	})
