--- a/rollout/baseline.go
+++ b/rollout/baseline.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -54,10 +55,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.get(offered.Service)
-	if ok && !offered.Supersedes(known) || !ok && b.count >= maxBaselines {
+	switch {
+	case ok && !offered.Supersedes(known):
 		return known, false
-	}
-	if !ok {
+	case !ok && b.count >= maxBaselines:
+		return offered, false
+	case !ok:
 		b.count++
 	}
 	b.byService.Store(offered.Service, offered)
@@ -81,8 +84,8 @@
 // MergeBaseline takes over a baseline that another process knows, unless the own one supersedes
 // it. It returns the one that is used now.
 func (c *Controller) MergeBaseline(b Baseline, from string) Baseline {
-	if c.opts.AllowUnordered || len(b.Versions) == 0 {
-		return b
+	if c.opts.AllowUnordered || len(b.Versions) == 0 || b.Order == 0 && b.Seen == 0 {
+		return b // needed by no process here, or a mistake of its writer
 	}
 	b.Versions = slices.Clone(b.Versions)
 	slices.Sort(b.Versions)
@@ -100,7 +103,7 @@
 		all = append(all, known.(Baseline))
 		return true
 	})
-	slices.SortFunc(all, func(a, b Baseline) int { return int(int64(a.Service) - int64(b.Service)) })
+	slices.SortFunc(all, func(a, b Baseline) int { return cmp.Compare(a.Service, b.Service) })
 	return all
 }
 
--- a/rollout/baseline_test.go
+++ b/rollout/baseline_test.go
@@ -132,6 +132,19 @@
 	g.Expect(started.serves()).To(gomega.ConsistOf("v2"))
 }
 
+// Guards against a baseline that nobody can have seen, which would supersede all others.
+func TestBaselineOfNoPositionIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newBaselineProcess(false)
+	p.list(10, "v1")
+	p.list(20, "v1", "v2")
+	service := directory.Hash("s")
+	p.MergeBaseline(Baseline{Service: service, Versions: []string{"v2"}}, "peer")
+	p.MergeBaseline(Baseline{Service: service, Order: 30}, "peer")
+	g.Expect(p.Baselines()).To(gomega.Equal([]Baseline{{Service: service, Versions: []string{"v1"}, Seen: 10}}))
+	g.Expect(p.serves()).To(gomega.ConsistOf("v1"))
+}
+
 // Guards against requests that are refused while all servers that need no order are leaving.
 func TestUnorderedVersionServesOnceAllOthersLeave(t *testing.T) {
 	g := gomega.NewWithT(t)
