soak: releases of other versions beside killed, paused and cut-off entry programs

The site of VersionPlan has both versions from its first request on, so all processes agreed. A ReleasePlan begins with one version.

--- a/soak/versions.go
+++ b/soak/versions.go
@@ -35,6 +35,30 @@
 	return Plan{Size: size, Seed: seed, Disruptions: disruptions, Length: length}
 }
 
+// ReleasePlan returns a plan of servers of one version, of which others are released while VMs are
+// killed, stand still or are cut off, with callers that come back for the rest of their streams.
+func ReleasePlan(size Size, seed uint64, length time.Duration) Plan {
+	size.Versions, size.ReturningCallers = []string{"v1"}, returningCallers
+	others := append(slices.Clone(vmRestarts), "VM paused", "VM cut from the store", "server crash", "server connections reset", "store busy", "route added")
+	disruptions := append([]Disruption{releaseDisruption, releaseDisruption}, disruptionsNamed(others)...)
+	return Plan{Size: size, Seed: seed, Disruptions: disruptions, Length: length}
+}
+
+// releases are the versions that a ReleasePlan releases.
+var releases = []string{"v2", "v3"}
+
+var releaseDisruption = Disruption{Name: "half of the servers released in another version", run: func(s *Site, rng *rand.Rand, duration time.Duration) {
+	version := releases[rng.IntN(len(releases))]
+	for _, i := range rng.Perm(s.size.ModelServers)[:s.size.ModelServers/2] {
+		server := s.Servers[i]
+		server.Drain()
+		time.Sleep(duration / time.Duration(s.size.ModelServers))
+		server.Crash()
+		server.SetVersion(version)
+		_ = server.Restart()
+	}
+}}
+
 var versionDisruption = Disruption{Name: "server replaced by one of another version", run: func(s *Site, rng *rand.Rand, duration time.Duration) {
 	server := s.Servers[rng.IntN(s.size.ModelServers)]
 	server.Drain()
