httpwire: writes of two goroutines may overlap

By reading: net.Conn allows it, and the second write's end would have closed a nil channel. No caller of ours does so today. TestWritesMayOverlap panics without the count.

--- a/httpwire/conn.go
+++ b/httpwire/conn.go
@@ -43,7 +43,8 @@
 	between  atomic.Bool // the next Write begins a request
 
 	mu      sync.Mutex
-	written chan struct{} // closed when the Write in progress returns; nil: there is none
+	writing int           // Writes in progress
+	written chan struct{} // closed when the last of them returns; nil: there is none
 	reset   bool          // a Write was told that the server has reset the connection
 }
 
@@ -107,13 +108,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.written = make(chan struct{})
+	if c.writing++; c.writing == 1 {
+		c.written = make(chan struct{})
+	}
 }
 
 func (c *Conn) endWrite(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
-	close(c.written)
-	c.written = nil
+	if c.writing--; c.writing == 0 {
+		close(c.written)
+		c.written = nil
+	}
 }
--- a/httpwire/end_test.go
+++ b/httpwire/end_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,6 +146,23 @@
 	}
 }
 
+// Guards against a panic of two goroutines that write at the same time.
+func TestWritesMayOverlap(t *testing.T) {
+	client, server := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+	conn := httpwire.NewConn(client)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 200 {
+				_, err := conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+				gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+			}
+		})
+	}
+	writers.Wait()
+}
+
 // Guards against a body with its own framing that is refused for what happens behind its end.
 func TestFramedAnswerIsWholeWhateverFollowsIt(t *testing.T) {
 	for framing, answer := range map[string]string{
