fleet: VMs infer no version of a stream around the addition of VMs

What callers would have seen: streams that v3 began went on at v1 (ORDER).

Cause: each VM takes for holders of a record the first three by hash among the VMs that it knows, and a VM that registers is found by the others within five seconds. One that takes itself for a holder and has no record infers the former version, though the record was told to others.

Ruled out: datagrams lost (92 of 92 inferences, none out of touch), a VM that had not run since before.

Change: no inference that a stream began before the second version if VMs were added within a read of the registry and a second of that moment. The record in the store decides, or the caller is refused. The soak's plan has 12 VMs, more than those that tell all others.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,7 +220,7 @@
 	})
 	e.baselines = fleet.NewBaselines(e.socket, e.fleet.Peers, e.rollouts)
 	e.streamVersions = fleet.NewStreamVersions(fleet.StreamVersionsOptions{
-		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), Directory: e.directory, Baselines: e.baselines,
+		Address: e.settings.Peers, Socket: e.socket, Peers: e.fleet.Peers, Known: e.fleet.Known(), AddedAround: e.fleet.AddedAround, Directory: e.directory, Baselines: e.baselines,
 		ReadList: e.serverFollower.Refresh, Store: platform.NewStreamVersionRows(store), Recorder: e.recorder, Metrics: e.registry,
 	})
 	e.fleet.UseElection(e.election)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,6 +92,7 @@
 	// their VMs, which learn of it from the digest that the watchers announce.
 	registryReturned chan struct{}
 	retainUntil      atomic.Int64 // Unix nanoseconds until which peers without a row are retained
+	additions        additions
 	size             atomic.Int64 // number of entry VMs; 0 until the registry has been read
 	sendLimiter      rateLimiter
 
@@ -187,7 +188,8 @@
 	}
 	// Another program may also have overwritten the row, which hides this process from the
 	// others.
-	if string(rows[f.opts.Name]) != f.opts.Address {
+	registered := string(rows[f.opts.Name]) != f.opts.Address
+	if registered {
 		if err := f.opts.Registry.Put(ctx, registryTable, f.opts.Name, []byte(f.opts.Address)); err != nil {
 			return err
 		}
@@ -197,11 +199,13 @@
 		}
 	}
 	addresses := f.addresses(rows)
+	before := f.Peers()
 	if time.Now().UnixNano() < f.retainUntil.Load() {
 		f.setPeers(append(slices.Clone(addresses), f.Peers()...))
 	} else {
 		f.setPeers(addresses)
 	}
+	f.noteAdditions(before, f.Peers(), registered)
 	if f.size.Swap(int64(len(f.Peers()))+1) == 0 {
 		close(f.known)
 	}
--- a/fleet/streamquery.go
+++ b/fleet/streamquery.go
@@ -80,6 +80,17 @@
 	return current
 }
 
+// membersKnown reports whether all VMs knew of each other when a stream of another version than the
+// inferred one can have begun. Else its record may have been told to other VMs than those that take
+// themselves for its holders.
+func (v *StreamVersions) membersKnown(inferred streamversion.Inference, now time.Time) bool {
+	since := now
+	if inferred.Before {
+		since = inferred.MixedSince
+	}
+	return v.opts.AddedAround == nil || !v.opts.AddedAround(since)
+}
+
 func howInferred(i streamversion.Inference) string {
 	if i.Before {
 		return foundBefore
@@ -107,7 +118,7 @@
 		return inferred, false
 	}
 	if inferred.Before {
-		return inferred, v.isHolder(k.Stream) && (answered || v.isAlone())
+		return inferred, v.isHolder(k.Stream) && (answered || v.isAlone()) && v.membersKnown(inferred, time.Now())
 	}
 	return inferred, answered || current
 }
@@ -196,7 +207,7 @@
 	answer := versionAnswer{}
 	if r, known := v.table.Get(k, now); known {
 		answer = versionAnswer{version: r.Version, known: true}
-	} else if inferred, ok := v.history.Infer(k.Service, maxAge, now); ok && v.isHolder(k.Stream) && !v.opts.Socket.contact.lostWithin(maxAge, now) {
+	} else if inferred, ok := v.history.Infer(k.Service, maxAge, now); ok && v.isHolder(k.Stream) && v.membersKnown(inferred, now) && !v.opts.Socket.contact.lostWithin(maxAge, now) {
 		answer = versionAnswer{version: inferred.Version, inferred: true}
 	}
 	v.opts.Socket.SendTo(body{kindStreamAnswer, appendStreamAnswer(nil, k, answer)}, []string{from})
--- a/fleet/streamversions.go
+++ b/fleet/streamversions.go
@@ -42,11 +42,14 @@
 
 // StreamVersionsOptions configures a StreamVersions.
 type StreamVersionsOptions struct {
-	Address   string // of this process
-	Socket    *Socket
-	Peers     func() []string // addresses of the other entry VMs
-	Known     <-chan struct{} // closed once the other entry VMs are known
-	Directory *directory.Directory
+	Address string // of this process
+	Socket  *Socket
+	Peers   func() []string // addresses of the other entry VMs
+	Known   <-chan struct{} // closed once the other entry VMs are known
+	// AddedAround reports whether VMs were added at about a time, so that they may have differed in
+	// which VMs there are; nil: never.
+	AddedAround func(at time.Time) bool
+	Directory   *directory.Directory
 	// ReadList reads the list of servers by a request that is sent after the call.
 	ReadList  func(ctx context.Context) error
 	Baselines *Baselines // what a VM that starts is told beside the records
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -35,10 +35,13 @@
 	return Plan{Size: size, Seed: seed, Disruptions: disruptions, Length: length}
 }
 
+// releaseVMs are more VMs than those that tell all others which version began a stream.
+const releaseVMs = 12
+
 // ReleasePlan returns a plan of servers of one version, of which others are released while VMs are
 // killed, stand still or are cut off, with callers that come back for the rest of their streams.
 func ReleasePlan(size Size, seed uint64, length time.Duration) Plan {
-	size.Versions, size.ReturningCallers = []string{"v1"}, returningCallers
+	size.Versions, size.ReturningCallers, size.VMs = []string{"v1"}, returningCallers, max(size.VMs, releaseVMs)
 	others := append(slices.Clone(vmRestarts), "VM paused", "VM cut from the store", "server crash", "server connections reset", "store busy", "route added")
 	disruptions := append([]Disruption{releaseDisruption, releaseDisruption}, disruptionsNamed(others)...)
 	return Plan{Size: size, Seed: seed, Disruptions: disruptions, Length: length}
--- a/streamversion/history.go
+++ b/streamversion/history.go
@@ -142,7 +142,8 @@
 	Version string // that began it
 	// Before is set if other versions serve by now: the stream began before them, provided
 	// that it would have been recorded otherwise.
-	Before bool
+	Before     bool
+	MixedSince time.Time // if Before: when this process listed the first of them
 }
 
 // Infer returns the version that began a stream without a record which is no older than
@@ -159,7 +160,7 @@
 	if !s.hasSole || before && now.Sub(s.mixedSince) >= maxAge {
 		return Inference{}, false
 	}
-	return Inference{Version: s.sole, Before: before}, true
+	return Inference{Version: s.sole, Before: before, MixedSince: s.mixedSince}, true
 }
 
 // Listed is when a version was last listed.
